--- a/src/wire/auburn.pb-c.c
+++ b/src/wire/auburn.pb-c.c
@@ -1136,12 +1136,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "table_reachable",
+    "settings_fresh",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Heartbeat, table_reachable),
+    offsetof(Heartbeat, settings_fresh),
     NULL,
     NULL,
     0,             /* flags */
@@ -1191,8 +1191,8 @@
   5,   /* field[5] = leaving */
   9,   /* field[9] = peers */
   8,   /* field[8] = role */
+  6,   /* field[6] = settings_fresh */
   2,   /* field[2] = settings_version */
-  6,   /* field[6] = table_reachable */
   4,   /* field[4] = vms_version */
   7,   /* field[7] = zone */
 };
--- a/src/wire/auburn.pb-c.h
+++ b/src/wire/auburn.pb-c.h
@@ -139,7 +139,11 @@
   CellEpoch **cells;
   uint64_t vms_version;
   protobuf_c_boolean leaving;
-  protobuf_c_boolean table_reachable;
+  /*
+   * The sender reaches the table, or at least half of its peers: its settings
+   * can be relied on.
+   */
+  protobuf_c_boolean settings_fresh;
   char *zone;
   Role role;
   /*
