--- /dev/null
+++ b/src/upstream/budget.h
@@ -0,0 +1,138 @@
+/**
+ * The limit of an upstream for the whole fleet. A holder (the coordinator of
+ * the service's cell) divides what the upstream can bear into shares: counts
+ * of concurrent requests that end after a duration. A router sends only while
+ * it holds a share with room.
+ *
+ * Rules:
+ * - A share counts from the moment its receiver asked, by the receiver's own
+ *   clock. The holder counts it from the moment it answered, plus a margin, so
+ *   that it ends at the router first.
+ * - Shares that the holder counts never sum to more than the limit.
+ * - A new holder, and a holder that learns of a new incarnation, waits until
+ *   every share given for the past one has ended.
+ * - Requests may outlive their share. Once a share ended without being
+ *   returned, the holder gives out nothing until it has read the upstream's
+ *   own count of running requests after that end, and subtracts that count.
+ * - Nothing is given out while the limit isn't known.
+ *
+ * Not thread-safe: one thread or one lock for each holder and each share.
+ */
+#ifndef UPSTREAM_BUDGET_H
+#define UPSTREAM_BUDGET_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/str.h"
+
+/** Longest duration of a share. */
+#define BUDGET_SHARE_US INT64_C(200000)
+/** Clock rate and network delay that the holder allows for. */
+#define BUDGET_MARGIN_US INT64_C(50000)
+/** Connections of one upstream. */
+#define BUDGET_CONNECTIONS 130
+
+/** What an upstream said about itself, in answer to the holder. */
+struct budget_reading {
+	/** Incarnation; empty: unknown, which counts as cold with limit 0. */
+	struct str boot;
+	/** Concurrent requests it can bear now, of the whole fleet. */
+	uint32_t limit;
+	/** Requests that it runs or has queued. */
+	uint32_t running;
+	/** When the holder asked. */
+	int64_t asked_us;
+};
+
+struct budget_grant {
+	uint32_t count;
+	/** Counts from the router's own request; 0 when nothing was given. */
+	int64_t duration_us;
+	/** Incarnation it is good for; borrowed from the holder. */
+	struct str boot;
+};
+
+struct budget_holder;
+
+/**
+ * Creates the holder of one upstream's limit.
+ *
+ * @param now_us when this holder came to its authority; shares of the holder
+ *        before it may still run, so nothing is given out for a while
+ * @return a new holder; free with budget_holder_destroy()
+ */
+struct budget_holder *budget_holder_create(int64_t now_us);
+
+/** Frees a holder; NULL is allowed. */
+void budget_holder_destroy(struct budget_holder *holder);
+
+/**
+ * Takes what the upstream said. Readings that were asked for before the last
+ * one taken are ignored.
+ */
+void budget_holder_read(struct budget_holder *holder,
+			const struct budget_reading *reading, int64_t now_us);
+
+/**
+ * Answers a router's ShareRequest. The router's earlier share is replaced.
+ *
+ * @param router id of the router
+ * @param wanted concurrent requests that it would like to send
+ * @param in_use requests of it that run now; its share never falls below
+ *        this number while they are reported
+ * @param now_us when the request was received
+ * @return the share; count 0 when nothing can be given
+ */
+struct budget_grant budget_holder_ask(struct budget_holder *holder,
+				      struct str router, uint32_t wanted,
+				      uint32_t in_use, int64_t now_us);
+
+/** Sum of the shares that may still be used. */
+uint32_t budget_holder_given(struct budget_holder *holder, int64_t now_us);
+
+/** A router's share of one upstream. Plain data; zero is "none held". */
+struct budget_share {
+	uint32_t count;
+	uint32_t in_use;
+	/** When it ends, by the router's monotonic clock. */
+	int64_t ends_us;
+	/** When the request that is under way was sent; 0: none. */
+	int64_t asked_us;
+};
+
+/**
+ * Notes that a ShareRequest is sent now.
+ *
+ * @return false when one was sent lately and may still be answered
+ */
+bool budget_share_ask(struct budget_share *share, int64_t now_us);
+
+/**
+ * Takes a Share. It counts from the last budget_share_ask(); an answer without
+ * a request is ignored.
+ */
+void budget_share_take(struct budget_share *share, uint32_t count,
+		       int64_t duration_us);
+
+/** Takes room for one request. @return false when there is none */
+bool budget_share_use(struct budget_share *share, int64_t now_us);
+
+/** Gives the room of one request back. */
+void budget_share_release(struct budget_share *share);
+
+/** Ends the share at once, for example after a reset of a connection. */
+void budget_share_drop(struct budget_share *share);
+
+/**
+ * Connections that one daemon may hold to one upstream.
+ *
+ * @param connections of the upstream over all daemons
+ * @param daemons that may use this upstream
+ * @return at least 1: a daemon below one whole share opens a connection for
+ *         one request and closes it after
+ */
+uint32_t budget_connections(uint32_t connections, uint32_t daemons);
+
+#endif
--- /dev/null
+++ b/src/upstream/pool.h
@@ -0,0 +1,222 @@
+/**
+ * One service's upstreams as one router sees them: slots, what is in flight and
+ * since when, which are slow, cold or leaving, and the choice among them.
+ *
+ * Rules:
+ * - An unkeyed request goes to the better of two random candidates, by requests
+ *   in flight and by expected time; a keyed one goes to its owner or waits.
+ * - Expected time is the mean of answers, or the age of the oldest request in
+ *   flight when that is more. An upstream expected to take POOL_SLOW_RATIO
+ *   times the median of all is slow: it gets one probe at a time, POOL_PROBE_US
+ *   apart and doubling, until an answer is fast again. At most one third of the
+ *   available upstreams are set aside; the slowest go first.
+ * - An upstream that isn't known to be ready counts as cold: requests go to it
+ *   only under a share of its fleet-wide budget (upstream/budget.h). It is
+ *   ready while this router has proof of its incarnation begun within
+ *   POOL_PROOF_US, that is, an answer that carried the known boot. An upstream
+ *   needs longer than that to restart. A failed connection ends the proof.
+ * - One that leaves, or is out of service, gets nothing new; what runs ends.
+ *
+ * Not thread-safe: one lock for each pool, held for single calls.
+ */
+#ifndef UPSTREAM_POOL_H
+#define UPSTREAM_POOL_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/str.h"
+
+/** No upstream. */
+#define POOL_NONE UINT32_MAX
+/** Upstreams that one request can have tried before. */
+#define POOL_TRIED_MAX 8
+/** Proof of an incarnation lasts this long from the request's start. */
+#define POOL_PROOF_US INT64_C(200000)
+/** Expected time against the median from which an upstream is slow. */
+#define POOL_SLOW_RATIO 3
+/** First wait between probes of a slow upstream; doubles up to the maximum. */
+#define POOL_PROBE_US INT64_C(100000)
+#define POOL_PROBE_MAX_US INT64_C(3200000)
+
+struct pool_options {
+	/** Availability zone of this router. */
+	struct str zone;
+	/** Id of this router, for its subset of the upstreams. */
+	struct str router;
+	/** Requests that one upstream runs at once. */
+	uint32_t slots;
+	/** Connections of one upstream over all routers. */
+	uint32_t connections;
+	/** Routers that send to these upstreams. */
+	uint32_t routers;
+	/** Every upstream is used: requests go to owners of keys. */
+	bool keyed;
+	/** Seed of the random choices. */
+	uint32_t seed;
+};
+
+/** An upstream as listed. Strings are copied. */
+struct pool_member {
+	struct str id;
+	struct str zone;
+	/** Gets new work: neither leaving nor out, nor in a zone out. */
+	bool available;
+};
+
+/** Why pool_pick() or pool_check() found no place. */
+enum pool_place {
+	/** An upstream was found. */
+	POOL_OK,
+	/** All slots are taken here; wait for one. */
+	POOL_FULL,
+	/** Cold: ask for shares, then try again. */
+	POOL_NO_SHARE,
+	/** No upstream takes new work. */
+	POOL_EMPTY,
+};
+
+enum pool_outcome_kind {
+	/** A whole answer, or one that runs to its end after this. */
+	POOL_ANSWERED,
+	/** Refused: no slot there. */
+	POOL_SHED,
+	/** Refused: it is cold. */
+	POOL_COLD,
+	/** Refused: it leaves. */
+	POOL_LEAVING,
+	/** Connect failed, reset or truncated. */
+	POOL_FAILED,
+	/** No progress for the stall limit, or past the deadline. */
+	POOL_STALLED,
+	/** This side gave up: says nothing about the upstream. */
+	POOL_CANCELLED,
+};
+
+/** A request in flight; owned by the pool, freed by pool_finish(). */
+struct pool_flight;
+
+struct pool;
+
+/** @return a new pool without upstreams; free with pool_destroy() */
+struct pool *pool_create(const struct pool_options *options);
+
+/** Frees a pool and the flights still in it; NULL is allowed. */
+void pool_destroy(struct pool *pool);
+
+/**
+ * Takes the present list. New upstreams count as cold. Those not listed any
+ * more get nothing new and are forgotten when nothing of them is in flight.
+ */
+void pool_update(struct pool *pool, const struct pool_member *members,
+		 size_t count);
+
+/** Changes the number of routers, which changes the subset used. */
+void pool_set_routers(struct pool *pool, uint32_t routers);
+
+/** Changes the slots of each upstream. */
+void pool_set_slots(struct pool *pool, uint32_t slots);
+
+/** @return the upstream's handle, or POOL_NONE; stable while it is listed */
+uint32_t pool_find(const struct pool *pool, struct str id);
+
+/** The id of an upstream; borrowed until the next pool_update(). */
+struct str pool_id(const struct pool *pool, uint32_t upstream);
+
+/** The incarnation last seen, empty when unknown; borrowed likewise. */
+struct str pool_boot(const struct pool *pool, uint32_t upstream);
+
+/**
+ * Chooses an upstream for an unkeyed request. Takes nothing: call pool_start()
+ * under the same lock.
+ *
+ * @param tried upstreams not to be chosen
+ * @param upstream set to the choice, or to one that a share is wanted for
+ *        (POOL_NO_SHARE), else POOL_NONE
+ */
+enum pool_place pool_pick(struct pool *pool, const uint32_t *tried,
+			  size_t tried_count, int64_t now_us,
+			  uint32_t *upstream);
+
+/** Tells whether the owner of a key can take a request now. */
+enum pool_place pool_check(struct pool *pool, uint32_t upstream,
+			   int64_t now_us);
+
+/**
+ * Takes a slot. Call only after POOL_OK for this upstream.
+ *
+ * @return the flight; end it with pool_finish()
+ */
+struct pool_flight *pool_start(struct pool *pool, uint32_t upstream,
+			       int64_t now_us);
+
+/** The upstream of a flight. */
+uint32_t pool_flight_upstream(const struct pool_flight *flight);
+
+/**
+ * Notes the first byte of an answer. Its time counts for expectations; the
+ * slot stays taken until pool_finish().
+ *
+ * @param boot Auburn-Boot of the answer; empty when it had none
+ */
+void pool_head(struct pool *pool, struct pool_flight *flight, struct str boot,
+	       int64_t now_us);
+
+/** Ends a flight, gives its slot back and frees it. */
+void pool_finish(struct pool *pool, struct pool_flight *flight,
+		 enum pool_outcome_kind outcome, int64_t now_us);
+
+/**
+ * Notes a sign from outside a flight that the incarnation may have changed: a
+ * connection reset while idle, or another boot seen. It counts as cold then.
+ */
+void pool_doubt(struct pool *pool, uint32_t upstream);
+
+/**
+ * Tells which upstreams to send a ShareRequest for, and notes it as sent.
+ * Call when a pick said POOL_NO_SHARE, and every BUDGET_SHARE_US / 4.
+ *
+ * @param upstreams set to at most max handles
+ * @param wanted set to the counts to ask for
+ * @param in_use set to the requests of this router that run there
+ * @return the number set
+ */
+size_t pool_shares_to_ask(struct pool *pool, int64_t now_us,
+			  uint32_t *upstreams, uint32_t *wanted,
+			  uint32_t *in_use, size_t max);
+
+/** Takes a Share for an upstream. */
+void pool_take_share(struct pool *pool, uint32_t upstream, struct str boot,
+		     uint32_t count, int64_t duration_us);
+
+/**
+ * How long to wait for an answer before a backup request is worth its load:
+ * the 95th percentile of this service's answers.
+ *
+ * @return microseconds; INT64_MAX when too little is known
+ */
+int64_t pool_backup_delay(const struct pool *pool);
+
+/**
+ * Takes room for one backup request: at most 5% of all requests started.
+ *
+ * @return false when there is none
+ */
+bool pool_backup_take(struct pool *pool);
+
+struct pool_upstream_status {
+	struct str id;
+	uint32_t in_flight;
+	bool available;
+	/** It counts as cold here. */
+	bool cold;
+	bool slow;
+	int64_t expected_us;
+};
+
+/** Describes an upstream, for metrics. @return false at the list's end */
+bool pool_status(const struct pool *pool, size_t index, int64_t now_us,
+		 struct pool_upstream_status *status);
+
+#endif
