wire: framed links and a hub that keeps them open

One thread owns all links of a process and waits on one descriptor, so that a daemon can wait on links and on HTTP transfers together. A malformed frame closes its link; a link that is kept is opened again after it broke.

--- /dev/null
+++ b/src/wire/hub.c
@@ -0,0 +1,301 @@
+#include "wire/hub.h"
+
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include "base/error.h"
+#include "wire/socket.h"
+
+#define EVENTS_PER_RUN 64
+#define REOPEN_DELAY_US (200 * US_PER_MS)
+
+/* An address to which a link is kept. */
+struct kept {
+	struct sockaddr_in addr;
+	struct link *link;
+	int64_t next_try_us;
+};
+
+/* The hub's own data of a link. */
+struct entry {
+	struct link *link;
+	bool outgoing;
+	bool announced;
+	bool broken;
+	bool watching_write;
+};
+
+struct hub {
+	const struct clock *clock;
+	const struct hub_ops *ops;
+	void *ctx;
+	int epoll;
+	int listener;
+	/* struct link * -> struct entry * */
+	GHashTable *entries;
+	/* struct kept * */
+	GPtrArray *kept;
+};
+
+struct hub *hub_create(const struct clock *clock, const struct hub_ops *ops,
+		       void *ctx)
+{
+	struct hub *hub = g_new0(struct hub, 1);
+
+	hub->clock = clock;
+	hub->ops = ops;
+	hub->ctx = ctx;
+	hub->epoll = epoll_create1(EPOLL_CLOEXEC);
+	hub->listener = -1;
+	hub->entries = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	hub->kept = g_ptr_array_new_with_free_func(g_free);
+	return hub;
+}
+
+void hub_destroy(struct hub *hub)
+{
+	GHashTableIter iter;
+	gpointer link;
+
+	if (!hub)
+		return;
+	g_hash_table_iter_init(&iter, hub->entries);
+	while (g_hash_table_iter_next(&iter, &link, NULL))
+		link_destroy(link);
+	g_hash_table_destroy(hub->entries);
+	g_ptr_array_free(hub->kept, TRUE);
+	if (hub->listener >= 0)
+		close(hub->listener);
+	close(hub->epoll);
+	g_free(hub);
+}
+
+static void watch(struct hub *hub, int fd, void *data, bool write, int op)
+{
+	struct epoll_event event = {
+		.events = EPOLLIN | (write ? (uint32_t)EPOLLOUT : 0),
+		.data.ptr = data,
+	};
+
+	epoll_ctl(hub->epoll, op, fd, &event);
+}
+
+static struct entry *add_link(struct hub *hub, struct link *link, bool outgoing)
+{
+	struct entry *entry = g_new0(struct entry, 1);
+
+	entry->link = link;
+	entry->outgoing = outgoing;
+	entry->watching_write = outgoing;
+	g_hash_table_insert(hub->entries, link, entry);
+	watch(hub, link_fd(link), entry, outgoing, EPOLL_CTL_ADD);
+	return entry;
+}
+
+bool hub_listen(struct hub *hub, const struct sockaddr_in *addr,
+		struct sockaddr_in *bound, GError **error)
+{
+	hub->listener = socket_listen(addr, error);
+	if (hub->listener < 0)
+		return false;
+	watch(hub, hub->listener, hub, false, EPOLL_CTL_ADD);
+	return socket_address(hub->listener, bound);
+}
+
+static bool same_address(const struct sockaddr_in *a,
+			 const struct sockaddr_in *b)
+{
+	return a->sin_addr.s_addr == b->sin_addr.s_addr &&
+	       a->sin_port == b->sin_port;
+}
+
+static struct kept *find_kept(struct hub *hub, const struct sockaddr_in *addr)
+{
+	guint i;
+
+	for (i = 0; i < hub->kept->len; i++) {
+		struct kept *kept = hub->kept->pdata[i];
+
+		if (same_address(&kept->addr, addr))
+			return kept;
+	}
+	return NULL;
+}
+
+void hub_keep(struct hub *hub, const struct sockaddr_in *addr)
+{
+	struct kept *kept;
+
+	if (find_kept(hub, addr))
+		return;
+	kept = g_new0(struct kept, 1);
+	kept->addr = *addr;
+	g_ptr_array_add(hub->kept, kept);
+}
+
+static void mark_broken(struct hub *hub, struct link *link)
+{
+	struct entry *entry = g_hash_table_lookup(hub->entries, link);
+
+	if (entry)
+		entry->broken = true;
+}
+
+void hub_forget(struct hub *hub, const struct sockaddr_in *addr)
+{
+	struct kept *kept = find_kept(hub, addr);
+
+	if (!kept)
+		return;
+	if (kept->link)
+		mark_broken(hub, kept->link);
+	g_ptr_array_remove_fast(hub->kept, kept);
+}
+
+int hub_fd(const struct hub *hub)
+{
+	return hub->epoll;
+}
+
+static void open_due(struct hub *hub)
+{
+	int64_t now_us = clock_now_us(hub->clock);
+	guint i;
+
+	for (i = 0; i < hub->kept->len; i++) {
+		struct kept *kept = hub->kept->pdata[i];
+
+		if (kept->link || now_us < kept->next_try_us)
+			continue;
+		kept->next_try_us = now_us + REOPEN_DELAY_US;
+		kept->link = link_connect(&kept->addr);
+		if (kept->link)
+			add_link(hub, kept->link, true);
+	}
+}
+
+static void accept_waiting(struct hub *hub)
+{
+	int fd;
+
+	while ((fd = socket_accept(hub->listener)) >= 0) {
+		struct entry *entry = add_link(hub, link_accepted(fd), false);
+
+		entry->announced = true;
+		hub->ops->opened(hub->ctx, entry->link, false);
+	}
+}
+
+static void on_message(void *ctx, struct link *link, const Envelope *message)
+{
+	struct hub *hub = ctx;
+
+	hub->ops->message(hub->ctx, link, message);
+}
+
+static void update_watch(struct hub *hub, struct entry *entry)
+{
+	bool wants = link_wants_write(entry->link);
+
+	if (wants == entry->watching_write)
+		return;
+	entry->watching_write = wants;
+	watch(hub, link_fd(entry->link), entry, wants, EPOLL_CTL_MOD);
+}
+
+static void run_entry(struct hub *hub, struct entry *entry, uint32_t events)
+{
+	if (events & (EPOLLERR | EPOLLHUP)) {
+		entry->broken = true;
+		return;
+	}
+	if (!entry->announced && (events & EPOLLOUT)) {
+		entry->announced = true;
+		hub->ops->opened(hub->ctx, entry->link, entry->outgoing);
+	}
+	if (!link_run(entry->link, on_message, hub))
+		entry->broken = true;
+	else
+		update_watch(hub, entry);
+}
+
+static void release_kept(struct hub *hub, const struct link *link)
+{
+	guint i;
+
+	for (i = 0; i < hub->kept->len; i++) {
+		struct kept *kept = hub->kept->pdata[i];
+
+		if (kept->link == link)
+			kept->link = NULL;
+	}
+}
+
+static void close_broken(struct hub *hub)
+{
+	GHashTableIter iter;
+	gpointer link, value;
+	GPtrArray *broken = g_ptr_array_new();
+	guint i;
+
+	g_hash_table_iter_init(&iter, hub->entries);
+	while (g_hash_table_iter_next(&iter, &link, &value))
+		if (((struct entry *)value)->broken)
+			g_ptr_array_add(broken, link);
+	for (i = 0; i < broken->len; i++) {
+		struct entry *entry =
+			g_hash_table_lookup(hub->entries, broken->pdata[i]);
+
+		release_kept(hub, entry->link);
+		if (entry->announced)
+			hub->ops->closed(hub->ctx, entry->link);
+		link = entry->link;
+		g_hash_table_remove(hub->entries, link);
+		link_destroy(link);
+	}
+	g_ptr_array_free(broken, TRUE);
+}
+
+void hub_run(struct hub *hub)
+{
+	struct epoll_event events[EVENTS_PER_RUN];
+	int i, n;
+
+	open_due(hub);
+	n = epoll_wait(hub->epoll, events, EVENTS_PER_RUN, 0);
+	for (i = 0; i < n; i++) {
+		if (events[i].data.ptr == hub)
+			accept_waiting(hub);
+		else
+			run_entry(hub, events[i].data.ptr, events[i].events);
+	}
+	close_broken(hub);
+}
+
+void hub_send(struct hub *hub, struct link *link, const Envelope *message)
+{
+	struct entry *entry = g_hash_table_lookup(hub->entries, link);
+
+	if (!entry || entry->broken)
+		return;
+	if (!link_send(link, message))
+		entry->broken = true;
+	else
+		update_watch(hub, entry);
+}
+
+void hub_each(struct hub *hub, void (*visit)(void *ctx, struct link *link),
+	      void *ctx)
+{
+	GHashTableIter iter;
+	gpointer link, value;
+
+	g_hash_table_iter_init(&iter, hub->entries);
+	while (g_hash_table_iter_next(&iter, &link, &value)) {
+		const struct entry *entry = value;
+
+		if (entry->announced && !entry->broken)
+			visit(ctx, link);
+	}
+}
--- /dev/null
+++ b/src/wire/socket.c
@@ -0,0 +1,101 @@
+#include "wire/socket.h"
+
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/address.h"
+#include "base/error.h"
+
+#define BACKLOG 512
+/* A peer that stopped acknowledging is given up after this time. */
+#define USER_TIMEOUT_MS 2000
+
+static void tune(int fd)
+{
+	int on = 1;
+	unsigned int timeout_ms = USER_TIMEOUT_MS;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+		   sizeof(timeout_ms));
+}
+
+static int open_socket(void)
+{
+	return socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+}
+
+int socket_listen(const struct sockaddr_in *addr, GError **error)
+{
+	char text[ADDRESS_TEXT_SIZE];
+	int fd = open_socket();
+	int on = 1;
+
+	if (fd >= 0 &&
+	    !setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) &&
+	    !bind(fd, (const struct sockaddr *)addr, sizeof(*addr)) &&
+	    !listen(fd, BACKLOG))
+		return fd;
+	g_set_error(error, AUBURN_ERROR, AUBURN_ERROR_UNAVAILABLE,
+		    "cannot listen on %s: %s", address_format(addr, text),
+		    g_strerror(errno));
+	if (fd >= 0)
+		close(fd);
+	return -1;
+}
+
+int socket_connect(const struct sockaddr_in *addr)
+{
+	int fd = open_socket();
+
+	if (fd < 0)
+		return -1;
+	tune(fd);
+	if (!connect(fd, (const struct sockaddr *)addr, sizeof(*addr)) ||
+	    errno == EINPROGRESS)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+int socket_accept(int listener)
+{
+	int fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	if (fd >= 0)
+		tune(fd);
+	return fd;
+}
+
+bool socket_address(int fd, struct sockaddr_in *addr)
+{
+	socklen_t len = sizeof(*addr);
+
+	return !getsockname(fd, (struct sockaddr *)addr, &len);
+}
+
+static ssize_t without_bytes(ssize_t n)
+{
+	if (n == 0)
+		return SOCKET_CLOSED;
+	if (errno == EAGAIN || errno == EINTR)
+		return SOCKET_AGAIN;
+	return SOCKET_CLOSED;
+}
+
+ssize_t socket_read(int fd, void *buf, size_t size)
+{
+	ssize_t n = recv(fd, buf, size, 0);
+
+	return n > 0 ? n : without_bytes(n);
+}
+
+ssize_t socket_write(int fd, const void *buf, size_t size)
+{
+	ssize_t n = send(fd, buf, size, MSG_NOSIGNAL);
+
+	return n > 0 ? n : without_bytes(n);
+}
