--- a/src/platform/table.c
+++ b/src/platform/table.c
@@ -140,8 +140,7 @@
 		[TABLE_OP_PUT] = "put",
 		[TABLE_OP_DELETE] = "delete",
 	};
-	json_t *json =
-		json_pack("{sssO}", "op", names[op->kind], "key", json_null());
+	json_t *json = json_pack("{ss}", "op", names[op->kind]);
 
 	json_object_set_new(json, "key",
 			    json_stringn(op->key.data, op->key.len));
