upstream: budgets, subsets and silent connections

A Share carries back the asker's own clock, as a share counts from the request that it answers: without it a late answer to an earlier request would be counted from a later one and outlast the holder's count.

--- /dev/null
+++ b/src/base/planted.c
@@ -0,0 +1,36 @@
+#include "base/planted.h"
+
+static enum planted current;
+
+static const char *const names[PLANTED_COUNT] = {
+	[PLANTED_NONE] = "none",
+	[PLANTED_CLAIM_AFTER_SEND] = "claim after send",
+	[PLANTED_CLAIM_UNREAD] = "claim not read back",
+	[PLANTED_RETRY_MAY_HAVE_RUN] = "retry after may have run",
+	[PLANTED_SAY_NOT_RUN] = "not run said after send",
+	[PLANTED_TRUNCATED_COMPLETE] = "truncated passed as complete",
+	[PLANTED_SHARE_FOREVER] = "share used after its end",
+	[PLANTED_SHARE_PER_ROUTER] = "limit per router",
+	[PLANTED_HOLDER_AT_ONCE] = "new holder does not wait",
+	[PLANTED_INCARNATION_WARM] = "new incarnation warm",
+	[PLANTED_BLAME_NEIGHBOURS] = "neighbours blamed",
+	[PLANTED_NO_TRIALS] = "suspects side by side",
+	[PLANTED_FORGET_DEATHS] = "deaths not counted",
+	[PLANTED_IGNORE_LEAVING] = "leaving ignored",
+	[PLANTED_REUSE_SUSPECT] = "suspect connection used",
+};
+
+void planted_set(enum planted fault)
+{
+	current = fault;
+}
+
+bool planted(enum planted fault)
+{
+	return current == fault;
+}
+
+const char *planted_name(enum planted fault)
+{
+	return names[fault];
+}
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -45,6 +45,8 @@
 	int64_t deadline_us;
 	/** Budget of the tenant; borrowed, outlives the attempt. */
 	struct retry_budget *budget;
+	/** Retries that an answer earns, in percent. */
+	uint32_t retry_percent;
 };
 
 enum attempt_event_kind {
--- a/src/request/claim.h
+++ b/src/request/claim.h
@@ -22,13 +22,13 @@
 #ifndef REQUEST_CLAIM_H
 #define REQUEST_CLAIM_H
 
-#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
 #include "base/str.h"
 #include "base/verdict.h"
+#include "platform/table.h"
 
 /** How long an idempotency key is honoured. */
 #define CLAIM_KEEP_US (INT64_C(86400) * 1000000)
@@ -44,35 +44,6 @@
 /** How often an operation with a lost answer is tried again. */
 #define CLAIM_TRIES_MAX 4
 
-enum claim_op_kind { CLAIM_OP_GET, CLAIM_OP_PUT, CLAIM_OP_DELETE };
-
-/** One operation on the table, as in POST /batch. */
-struct claim_op {
-	enum claim_op_kind kind;
-	/** Borrowed from the claim. */
-	struct str key;
-	struct str value;
-	/** For PUT and DELETE; 0: only if absent. */
-	uint64_t if_version;
-};
-
-enum claim_result_kind {
-	CLAIM_RESULT_OK,
-	CLAIM_RESULT_CONFLICT,
-	CLAIM_RESULT_ABSENT,
-	/** Refused by the platform: certainly not applied. */
-	CLAIM_RESULT_REFUSED,
-	/** No answer: may have been applied, or may be later. */
-	CLAIM_RESULT_LOST,
-};
-
-struct claim_result {
-	enum claim_result_kind kind;
-	uint64_t version;
-	/** The row's present value for OK (get) and CONFLICT. */
-	struct str value;
-};
-
 enum claim_state {
 	/** An operation is wanted or under way. */
 	CLAIM_PENDING,
@@ -89,9 +60,11 @@
 /** A recorded answer. */
 struct claim_record {
 	uint32_t status;
-	/** Empty and whole false: the body was too large to record. */
+	/** Content-Type. */
 	struct str type;
+	/** Empty when it was not recorded: too large, or not text in UTF-8. */
 	struct str body;
+	/** The body was recorded. */
 	bool whole;
 };
 
@@ -119,11 +92,17 @@
 /** Frees a claim; NULL is allowed. */
 void claim_destroy(struct claim *claim);
 
-/** The operation to do now. @return false when none is wanted */
-bool claim_op(struct claim *claim, struct claim_op *op);
+/**
+ * The operation to do now. A refused claim may want some, too, to remove a row
+ * that a lost write left: keep it until none is wanted.
+ *
+ * @param op set; borrows from the claim until its result
+ * @return false when none is wanted
+ */
+bool claim_op(struct claim *claim, struct table_op *op);
 
 /** Takes the table's answer to the operation last given. */
-void claim_result(struct claim *claim, const struct claim_result *result,
+void claim_result(struct claim *claim, const struct table_result *result,
 		  int64_t wall_us);
 
 /** Where the claim stands. */
@@ -162,17 +141,25 @@
 /** When the batch must be sent: at once when full. INT64_MAX when empty. */
 int64_t claim_batch_due_us(const struct claim_batch *batch);
 
-/** @return the body of POST /batch as JSON; the caller frees with g_free() */
-char *claim_batch_body(struct claim_batch *batch);
+/**
+ * The operations for table_batch(), in the order of the claims.
+ *
+ * @param count set to their number
+ * @return operations that borrow from the claims and live until
+ *         claim_batch_result()
+ */
+const struct table_op *claim_batch_ops(struct claim_batch *batch,
+				       size_t *count);
 
 /**
- * Hands each claim its result and empties the batch.
+ * Hands each claim its result and empties the batch. A batch that is under way
+ * takes no more claims: use another one meanwhile.
  *
- * @param answer body of the answer; ignored unless kind is CLAIM_RESULT_OK
- * @param kind OK, REFUSED or LOST for the call as a whole
+ * @param results as many as there were operations
  */
-void claim_batch_result(struct claim_batch *batch, struct str answer,
-			enum claim_result_kind kind, int64_t wall_us);
+void claim_batch_result(struct claim_batch *batch,
+			const struct table_result *results, size_t count,
+			int64_t wall_us);
 
 /** A row found by GET /table?prefix=claim/. */
 struct claim_row {
@@ -191,6 +178,6 @@
  */
 size_t claim_cleanup(const struct claim_row *rows, size_t count,
 		     uint32_t router, uint32_t routers, int64_t wall_us,
-		     struct claim_op *ops, size_t max);
+		     struct table_op *ops, size_t max);
 
 #endif
--- a/src/upstream/budget.h
+++ b/src/upstream/budget.h
@@ -14,7 +14,11 @@
  * - Requests may outlive their share. Once a share ended without being
  *   returned, the holder gives out nothing until it has read the upstream's
  *   own count of running requests after that end, and subtracts that count.
- * - Nothing is given out while the limit isn't known.
+ * - When more routers ask than the limit can serve, one that held a share last
+ *   keeps only what it has in use, so that the others get their turn.
+ * - Nothing is given out while the limit isn't known, or was read longer than
+ *   BUDGET_SHARE_US ago: a share ends that long after the reading it rests on,
+ *   which is less than an upstream takes to restart.
  *
  * Not thread-safe: one thread or one lock for each holder and each share.
  */
@@ -29,6 +33,8 @@
 
 /** Longest duration of a share. */
 #define BUDGET_SHARE_US INT64_C(200000)
+/** A ShareRequest is repeated, or a share renewed, after this. */
+#define BUDGET_ASK_US INT64_C(20000)
 /** Clock rate and network delay that the holder allows for. */
 #define BUDGET_MARGIN_US INT64_C(50000)
 /** Connections of one upstream. */
@@ -38,7 +44,8 @@
 struct budget_reading {
 	/** Incarnation; empty: unknown, which counts as cold with limit 0. */
 	struct str boot;
-	/** Concurrent requests it can bear now, of the whole fleet. */
+	/** Concurrent requests it can bear now, of the whole fleet; at least
+	 * BUDGET_CONNECTIONS: it is ready and shares need not be counted. */
 	uint32_t limit;
 	/** Requests that it runs or has queued. */
 	uint32_t running;
@@ -89,6 +96,12 @@
 				      struct str router, uint32_t wanted,
 				      uint32_t in_use, int64_t now_us);
 
+/**
+ * Tells whether the upstream must be read before a ShareRequest can be
+ * answered well. Read it, then answer.
+ */
+bool budget_holder_stale(const struct budget_holder *holder, int64_t now_us);
+
 /** Sum of the shares that may still be used. */
 uint32_t budget_holder_given(struct budget_holder *holder, int64_t now_us);
 
@@ -98,23 +111,28 @@
 	uint32_t in_use;
 	/** When it ends, by the router's monotonic clock. */
 	int64_t ends_us;
-	/** When the request that is under way was sent; 0: none. */
+	/** When the last ShareRequest was sent. */
 	int64_t asked_us;
+	/** Answers to requests sent up to this are ignored. */
+	int64_t taken_us;
 };
 
 /**
- * Notes that a ShareRequest is sent now.
+ * Notes that a ShareRequest is sent now; it carries now_us.
  *
- * @return false when one was sent lately and may still be answered
+ * @return false when one was sent lately: don't send
  */
 bool budget_share_ask(struct budget_share *share, int64_t now_us);
 
 /**
- * Takes a Share. It counts from the last budget_share_ask(); an answer without
- * a request is ignored.
+ * Takes a Share, which counts from the request that it answers. One that
+ * answers an earlier request than the last taken is ignored.
+ *
+ * @param asked_us as carried back by the Share
+ * @return false when it was ignored
  */
-void budget_share_take(struct budget_share *share, uint32_t count,
-		       int64_t duration_us);
+bool budget_share_take(struct budget_share *share, int64_t asked_us,
+		       uint32_t count, int64_t duration_us);
 
 /** Takes room for one request. @return false when there is none */
 bool budget_share_use(struct budget_share *share, int64_t now_us);
@@ -122,8 +140,11 @@
 /** Gives the room of one request back. */
 void budget_share_release(struct budget_share *share);
 
-/** Ends the share at once, for example after a reset of a connection. */
-void budget_share_drop(struct budget_share *share);
+/**
+ * Ends the share at once, for example after a reset of a connection or because
+ * it is returned. Answers to requests sent up to now are ignored.
+ */
+void budget_share_drop(struct budget_share *share, int64_t now_us);
 
 /**
  * Connections that one daemon may hold to one upstream.
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -47,10 +47,6 @@
 	struct str router;
 	/** Requests that one upstream runs at once. */
 	uint32_t slots;
-	/** Connections of one upstream over all routers. */
-	uint32_t connections;
-	/** Routers that send to these upstreams. */
-	uint32_t routers;
 	/** Every upstream is used: requests go to owners of keys. */
 	bool keyed;
 	/** Seed of the random choices. */
@@ -112,8 +108,12 @@
 void pool_update(struct pool *pool, const struct pool_member *members,
 		 size_t count);
 
-/** Changes the number of routers, which changes the subset used. */
-void pool_set_routers(struct pool *pool, uint32_t routers);
+/**
+ * Takes the ids of all routers, by which each uses a subset of the upstreams
+ * (upstream/subset.h). Without this call, and when keyed, all are used.
+ */
+void pool_set_routers(struct pool *pool, const struct str *routers,
+		      size_t count);
 
 /** Changes the slots of each upstream. */
 void pool_set_slots(struct pool *pool, uint32_t slots);
@@ -171,11 +171,12 @@
  * Notes a sign from outside a flight that the incarnation may have changed: a
  * connection reset while idle, or another boot seen. It counts as cold then.
  */
-void pool_doubt(struct pool *pool, uint32_t upstream);
+void pool_doubt(struct pool *pool, uint32_t upstream, int64_t now_us);
 
 /**
- * Tells which upstreams to send a ShareRequest for, and notes it as sent.
- * Call when a pick said POOL_NO_SHARE, and every BUDGET_SHARE_US / 4.
+ * Tells which upstreams to send a ShareRequest for, with now_us as its
+ * asked_us, and notes it as sent. Call when a pick or a check said
+ * POOL_NO_SHARE, when a flight ends, and every BUDGET_ASK_US.
  *
  * @param upstreams set to at most max handles
  * @param wanted set to the counts to ask for
@@ -186,9 +187,13 @@
 			  uint32_t *upstreams, uint32_t *wanted,
 			  uint32_t *in_use, size_t max);
 
-/** Takes a Share for an upstream. */
+/**
+ * Takes a Share for an upstream.
+ *
+ * @param asked_us as carried back by the Share
+ */
 void pool_take_share(struct pool *pool, uint32_t upstream, struct str boot,
-		     uint32_t count, int64_t duration_us);
+		     int64_t asked_us, uint32_t count, int64_t duration_us);
 
 /**
  * How long to wait for an answer before a backup request is worth its load:
--- a/src/upstream/subset.h
+++ b/src/upstream/subset.h
@@ -7,6 +7,7 @@
 #ifndef UPSTREAM_SUBSET_H
 #define UPSTREAM_SUBSET_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -14,22 +15,20 @@
 
 /** Routers that use one upstream. */
 #define SUBSET_ROUTERS 12
-/** A router uses at least this many upstreams. */
+/** A router uses at least this many upstreams, if there are. */
 #define SUBSET_MIN 12
 
-/**
- * How many upstreams one router uses.
- *
- * @param upstreams listed
- * @param routers that send to them
- */
-size_t subset_size(size_t upstreams, size_t routers);
+/** The rank of a pair; higher goes first. */
+uint64_t subset_rank(struct str router, struct str upstream);
 
 /**
- * The rank of a pair; a router uses the upstreams with the highest ranks.
- * An upstream in the router's own zone ranks above others until half of the
- * subset is filled; see subset_size().
+ * Tells whether a router is among the SUBSET_ROUTERS that rank highest for an
+ * upstream. A router that uses fewer than SUBSET_MIN by this rule adds those
+ * that rank highest for itself.
+ *
+ * @param routers ids of all routers; the router itself need not be listed
  */
-uint64_t subset_rank(struct str router, struct str upstream);
+bool subset_uses(struct str router, struct str upstream,
+		 const struct str *routers, size_t count);
 
 #endif
--- a/src/wire/auburn.pb-c.c
+++ b/src/wire/auburn.pb-c.c
@@ -1729,7 +1729,7 @@
   (ProtobufCMessageInit) load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor share_request__field_descriptors[3] =
+static const ProtobufCFieldDescriptor share_request__field_descriptors[4] =
 {
   {
     "upstream",
@@ -1767,8 +1767,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asked_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(ShareRequest, asked_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned share_request__field_indices_by_name[] = {
+  3,   /* field[3] = asked_us */
   2,   /* field[2] = in_use */
   0,   /* field[0] = upstream */
   1,   /* field[1] = wanted */
@@ -1776,7 +1789,7 @@
 static const ProtobufCIntRange share_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor share_request__descriptor =
 {
@@ -1786,14 +1799,14 @@
   "ShareRequest",
   "",
   sizeof(ShareRequest),
-  3,
+  4,
   share_request__field_descriptors,
   share_request__field_indices_by_name,
   1,  share_request__number_ranges,
   (ProtobufCMessageInit) share_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor share__field_descriptors[4] =
+static const ProtobufCFieldDescriptor share__field_descriptors[5] =
 {
   {
     "upstream",
@@ -1843,8 +1856,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asked_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Share, asked_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned share__field_indices_by_name[] = {
+  4,   /* field[4] = asked_us */
   1,   /* field[1] = boot */
   2,   /* field[2] = count */
   3,   /* field[3] = duration_ms */
@@ -1853,7 +1879,7 @@
 static const ProtobufCIntRange share__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor share__descriptor =
 {
@@ -1863,7 +1889,7 @@
   "Share",
   "",
   sizeof(Share),
-  4,
+  5,
   share__field_descriptors,
   share__field_indices_by_name,
   1,  share__number_ranges,
--- a/src/wire/auburn.pb-c.h
+++ b/src/wire/auburn.pb-c.h
@@ -280,10 +280,14 @@
   char *upstream;
   uint32_t wanted;
   uint32_t in_use;
+  /*
+   * The asker's own clock; the answer carries it back.
+   */
+  int64_t asked_us;
 };
 #define SHARE_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&share_request__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Share
@@ -299,10 +303,14 @@
    * Milliseconds from the receiver's own request.
    */
   uint32_t duration_ms;
+  /*
+   * As in the request that this answers.
+   */
+  int64_t asked_us;
 };
 #define SHARE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&share__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
