profile: settings, their declarations and their JSON form

Each version carries the publisher's attempt id of the last 32 versions, which resolves a publish whose answer was lost.

--- a/src/profile/profile_defs.h
+++ b/src/profile/profile_defs.h
@@ -43,10 +43,24 @@
 	const struct profile *profile;
 };
 
+/** What is remembered of a version that was published lately. */
+struct settings_entry {
+	uint64_t version;
+	/** The publisher's own id of this write, to resolve a lost answer. */
+	char *attempt;
+	char *author;
+	char *note;
+	/** Seconds since 1970-01-01 UTC by the publisher's wall clock. */
+	int64_t published_s;
+};
+
 /** One version of the settings. */
 struct settings {
 	uint64_t version;
 	char *deployment;
+	/** The last versions up to this one, oldest first. */
+	struct settings_entry *recent;
+	size_t recent_count;
 	struct profile *profiles;
 	size_t profile_count;
 	struct service *services;
