--- a/src/ownership/slice_map.h
+++ b/src/ownership/slice_map.h
@@ -25,6 +25,11 @@
 	uint64_t epoch;
 };
 
+/** A range of hashes; both bounds are inside it. */
+struct hash_range {
+	uint64_t first, last;
+};
+
 struct slice_map;
 
 /**
@@ -37,7 +42,35 @@
  */
 struct slice_map *slice_map_decode(struct str row, GError **error);
 
-/** Frees a map. */
+/**
+ * Builds a map from its parts.
+ *
+ * @param owners ids of VMs; copied
+ * @param slices sorted, without gaps; `last` is filled in here; copied
+ * @param error AUBURN_ERROR_PROTOCOL when the parts break a rule of
+ *        slice_map_decode()
+ * @return a new map, or NULL
+ */
+struct slice_map *slice_map_create(struct str cell, uint64_t epoch,
+				   const struct str *owners, size_t owner_count,
+				   const struct slice *slices,
+				   size_t slice_count, GError **error);
+
+/**
+ * The first map of a cell: the key space in equal slices, those of one owner
+ * next to each other, at epoch 1.
+ *
+ * @param owners ids of VMs; copied
+ * @param per_owner slices of each owner; 0: the cell has no slices to own and
+ *        its only slice has no owner
+ */
+struct slice_map *slice_map_initial(struct str cell, const struct str *owners,
+				    size_t owner_count, size_t per_owner);
+
+/** Adds a reference. @return map */
+struct slice_map *slice_map_ref(struct slice_map *map);
+
+/** Drops a reference; the last one frees the map. */
 void slice_map_destroy(struct slice_map *map);
 
 /**
@@ -70,6 +103,9 @@
  */
 const struct slice *slice_map_find(const struct slice_map *map, uint64_t hash);
 
+/** The index of the slice that holds a hash. */
+size_t slice_map_index(const struct slice_map *map, uint64_t hash);
+
 /**
  * The id of an owner's VM.
  *
@@ -80,4 +116,23 @@
 /** The number of owners listed. */
 size_t slice_map_owner_count(const struct slice_map *map);
 
+/** The index of a VM among the owners, or SLICE_NO_OWNER. */
+uint32_t slice_map_owner_index(const struct slice_map *map, struct str id);
+
+/** The number of slices of one owner. */
+size_t slice_map_owned(const struct slice_map *map, uint32_t owner);
+
+/**
+ * The ranges of one owner, neighbouring slices joined.
+ *
+ * @return array of struct hash_range; the caller frees it with g_array_unref()
+ */
+GArray *slice_map_ranges(const struct slice_map *map, uint32_t owner);
+
+/**
+ * The digest of ranges as an upstream reports it: XXH3 of each bound as 8
+ * bytes, little endian.
+ */
+uint64_t hash_ranges_digest(const struct hash_range *ranges, size_t count);
+
 #endif
