--- /dev/null
+++ b/src/ownership/hot_keys.h
@@ -0,0 +1,49 @@
+/**
+ * Heavy hitters in fixed memory: the Space-Saving algorithm (Metwally, Agrawal
+ * and El Abbadi, 2005). Every key with more than total/capacity requests is
+ * among those listed.
+ */
+#ifndef OWNERSHIP_HOT_KEYS_H
+#define OWNERSHIP_HOT_KEYS_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+struct hot_keys;
+
+struct hot_key {
+	uint64_t hash;
+	/** Requests, an upper bound. */
+	uint64_t count;
+	/** How much the count may be too high. */
+	uint64_t error;
+};
+
+/**
+ * Creates a counter of a fixed size.
+ *
+ * @param capacity keys that are tracked; at least 1
+ */
+struct hot_keys *hot_keys_create(size_t capacity);
+
+void hot_keys_destroy(struct hot_keys *keys);
+
+/** Counts one request. */
+void hot_keys_add(struct hot_keys *keys, uint64_t hash);
+
+/** Requests counted since the last reset. */
+uint64_t hot_keys_total(const struct hot_keys *keys);
+
+/**
+ * The hottest keys, hottest first.
+ *
+ * @param out room for max keys
+ * @return the number of keys written
+ */
+size_t hot_keys_top(const struct hot_keys *keys, struct hot_key *out,
+		    size_t max);
+
+/** Forgets all counts. */
+void hot_keys_reset(struct hot_keys *keys);
+
+#endif
