--- a/src/ownership/coordinator.h
+++ b/src/ownership/coordinator.h
@@ -44,7 +44,7 @@
  * @param row encoded CellRow, for TABLE_OK; not kept
  */
 void coordinator_on_row(struct coordinator *c, uint64_t request,
-			enum table_result result, uint64_t version,
+			enum table_status status, uint64_t version,
 			struct str row);
 
 /**
@@ -53,7 +53,7 @@
  * @param version the new version, for TABLE_OK
  */
 void coordinator_on_written(struct coordinator *c, uint64_t request,
-			    enum table_result result, uint64_t version);
+			    enum table_status status, uint64_t version);
 
 /** An upstream's answer to an order; reply is not kept. */
 void coordinator_on_reply(struct coordinator *c, uint64_t request,
--- a/src/ownership/coordinator_defs.h
+++ b/src/ownership/coordinator_defs.h
@@ -14,6 +14,7 @@
 #include "ownership/hot_keys.h"
 #include "ownership/order_defs.h"
 #include "ownership/slice_map.h"
+#include "platform/table_defs.h"
 
 /** Authority counts exchanges with upstreams begun within this time. */
 #define COORDINATOR_AUTHORITY_US (400 * US_PER_MS)
@@ -106,19 +107,6 @@
 	size_t hot_count;
 };
 
-enum table_result {
-	/** Done; the version and, for a read, the value are set. */
-	TABLE_OK,
-	/** Read: there is no such row. */
-	TABLE_ABSENT,
-	/** Write: refused, another version is in the table. */
-	TABLE_CONFLICT,
-	/** Certain: nothing was done. */
-	TABLE_UNAVAILABLE,
-	/** No answer: a write may be applied, also later. */
-	TABLE_UNKNOWN,
-};
-
 /**
  * Calls out of the coordinator. None may call back into it. Answers come later
  * through the coordinator's inputs and name the request.
--- a/src/platform/table.h
+++ b/src/platform/table.h
@@ -11,19 +11,7 @@
 
 #include "base/str.h"
 #include "platform/http_client.h"
-
-enum table_status {
-	/** Read, or written. */
-	TABLE_OK,
-	/** No such row. */
-	TABLE_ABSENT,
-	/** The row has another version; it was not written. */
-	TABLE_CONFLICT,
-	/** Not read, or certainly not written. */
-	TABLE_UNAVAILABLE,
-	/** A write that may or may not have taken effect. */
-	TABLE_UNKNOWN,
-};
+#include "platform/table_defs.h"
 
 /** Write whatever version the row has. */
 #define TABLE_ANY_VERSION UINT64_MAX
