--- /dev/null
+++ b/src/request/attempt.c
@@ -0,0 +1,425 @@
+#include "request/attempt.h"
+
+#include <glib.h>
+
+#include "base/planted.h"
+
+enum copy_state {
+	COPY_UNUSED,
+	/** Handed out; not a byte is written. */
+	COPY_OPEN,
+	/** Being written, or waiting for its answer. */
+	COPY_SENT,
+	/** Its answer goes to the caller. */
+	COPY_ANSWERS,
+	COPY_ENDED,
+};
+
+struct attempt {
+	struct attempt_options options;
+	enum copy_state copies[ATTEMPT_MAX];
+	uint32_t copy_count;
+	/** A copy is to be sent, from send_us on. */
+	bool send;
+	bool send_backup;
+	bool refresh;
+	int64_t send_us;
+	int64_t backoff_us;
+	uint32_t redirects;
+	bool backed_up;
+	/** Copies to cancel, one bit each. */
+	uint32_t cancels;
+	/** The copy whose answer the caller gets. */
+	uint32_t winner;
+	bool answer;
+	/** Some copy ended without a whole answer and without "not run". */
+	bool may_have_run;
+	/** Why the last copy failed. */
+	enum verdict_reason reason;
+	bool final;
+	struct attempt_action last;
+};
+
+struct attempt *attempt_create(const struct attempt_options *options)
+{
+	struct attempt *attempt = g_new0(struct attempt, 1);
+
+	attempt->options = *options;
+	attempt->winner = ATTEMPT_NONE;
+	attempt->backoff_us = ATTEMPT_BACKOFF_US;
+	attempt->reason = REASON_DEADLINE_IN_QUEUE;
+	attempt->send = true;
+	return attempt;
+}
+
+void attempt_destroy(struct attempt *attempt)
+{
+	g_free(attempt);
+}
+
+static bool is_live(enum copy_state state)
+{
+	return state == COPY_OPEN || state == COPY_SENT ||
+	       state == COPY_ANSWERS;
+}
+
+static uint32_t count_live(const struct attempt *attempt)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < attempt->copy_count; i++)
+		count += is_live(attempt->copies[i]);
+	return count;
+}
+
+static void finish(struct attempt *attempt, enum attempt_action_kind kind,
+		   struct verdict verdict)
+{
+	attempt->final = true;
+	attempt->send = false;
+	attempt->answer = false;
+	attempt->last = (struct attempt_action){
+		.kind = kind,
+		.copy = attempt->winner,
+		.verdict = verdict,
+	};
+}
+
+/* Ends a copy from this side. One that was sent may have run. */
+static void cancel_copy(struct attempt *attempt, uint32_t copy)
+{
+	if (attempt->copies[copy] != COPY_OPEN)
+		attempt->may_have_run = true;
+	attempt->copies[copy] = COPY_ENDED;
+	attempt->cancels |= 1u << copy;
+}
+
+static void cancel_all_but(struct attempt *attempt, uint32_t kept)
+{
+	uint32_t i;
+
+	for (i = 0; i < attempt->copy_count; i++)
+		if (i != kept && is_live(attempt->copies[i]))
+			cancel_copy(attempt, i);
+}
+
+static void refuse(struct attempt *attempt, enum verdict_reason reason)
+{
+	struct verdict verdict = { VERDICT_NOT_RUN, reason };
+
+	cancel_all_but(attempt, ATTEMPT_NONE);
+	if (attempt->may_have_run && !planted(PLANTED_SAY_NOT_RUN))
+		verdict.kind = VERDICT_MAY_HAVE_RUN;
+	finish(attempt, ATTEMPT_REFUSE, verdict);
+}
+
+static bool may_send_again(const struct attempt *attempt)
+{
+	if (attempt->copy_count >= ATTEMPT_MAX)
+		return false;
+	return !attempt->may_have_run || attempt->options.idempotent ||
+	       planted(PLANTED_RETRY_MAY_HAVE_RUN);
+}
+
+static void send_again(struct attempt *attempt, int64_t wait_us, int64_t now_us)
+{
+	attempt->send = true;
+	attempt->send_backup = false;
+	attempt->send_us = now_us + wait_us;
+}
+
+/* After a copy failed: waits for another one, sends again, or refuses. */
+static void retry(struct attempt *attempt, enum verdict_reason reason,
+		  int64_t now_us)
+{
+	int64_t wait_us = attempt->options.keyed ? attempt->backoff_us : 0;
+
+	attempt->reason = reason;
+	attempt->send_backup = false;
+	if (count_live(attempt) || attempt->send)
+		return;
+	if (!may_send_again(attempt) ||
+	    now_us + wait_us >= attempt->options.deadline_us ||
+	    !retry_budget_take(attempt->options.budget)) {
+		refuse(attempt, reason);
+		return;
+	}
+	attempt->backoff_us *= 2;
+	send_again(attempt, wait_us, now_us);
+}
+
+/* The choice was made from a map or a list that is behind: what is there by
+ * now costs the upstreams nothing, so the budget isn't asked. */
+static void redirect(struct attempt *attempt, enum verdict_reason reason,
+		     int64_t now_us)
+{
+	int64_t wait_us = attempt->redirects ? attempt->backoff_us : 0;
+
+	attempt->refresh = true;
+	if (attempt->redirects >= ATTEMPT_REDIRECT_MAX) {
+		retry(attempt, reason, now_us);
+		return;
+	}
+	attempt->reason = reason;
+	if (count_live(attempt) || attempt->send)
+		return;
+	if (!may_send_again(attempt)) {
+		refuse(attempt, reason);
+		return;
+	}
+	attempt->redirects++;
+	send_again(attempt, wait_us, now_us);
+}
+
+/* A copy ended without having run: never sent, or refused by the upstream. */
+static void on_not_run(struct attempt *attempt, uint32_t copy,
+		       enum verdict_reason reason, int64_t now_us)
+{
+	if (attempt->copies[copy] == COPY_ANSWERS)
+		return;
+	attempt->copies[copy] = COPY_ENDED;
+	if (reason == REASON_NOT_OWNER || reason == REASON_SHUTTING_DOWN)
+		redirect(attempt, reason, now_us);
+	else
+		retry(attempt, reason, now_us);
+}
+
+/* A copy ended and may have run, unless it was never sent. */
+static void on_failure(struct attempt *attempt, uint32_t copy,
+		       enum verdict_reason reason, int64_t now_us)
+{
+	enum copy_state state = attempt->copies[copy];
+
+	attempt->copies[copy] = COPY_ENDED;
+	if (state == COPY_ANSWERS) {
+		attempt->may_have_run = true;
+		if (planted(PLANTED_TRUNCATED_COMPLETE))
+			finish(attempt, ATTEMPT_FINISH,
+			       (struct verdict){ VERDICT_RAN, REASON_NONE });
+		else
+			finish(attempt, ATTEMPT_BREAK,
+			       (struct verdict){ VERDICT_MAY_HAVE_RUN,
+						 reason });
+		return;
+	}
+	if (state == COPY_SENT)
+		attempt->may_have_run = true;
+	retry(attempt, reason, now_us);
+}
+
+static void on_head(struct attempt *attempt, uint32_t copy)
+{
+	if (attempt->winner != ATTEMPT_NONE)
+		return;
+	attempt->copies[copy] = COPY_ANSWERS;
+	attempt->winner = copy;
+	attempt->answer = true;
+	attempt->send = false;
+	cancel_all_but(attempt, copy);
+}
+
+static void on_body_done(struct attempt *attempt, uint32_t copy)
+{
+	if (attempt->copies[copy] != COPY_ANSWERS)
+		return;
+	attempt->copies[copy] = COPY_ENDED;
+	retry_budget_success(attempt->options.budget,
+			     attempt->options.retry_percent);
+	finish(attempt, ATTEMPT_FINISH,
+	       (struct verdict){ VERDICT_RAN, REASON_NONE });
+}
+
+static void on_backup_due(struct attempt *attempt)
+{
+	const struct attempt_options *o = &attempt->options;
+
+	if (!o->hedge || !o->idempotent || o->keyed || attempt->backed_up)
+		return;
+	if (attempt->winner != ATTEMPT_NONE || attempt->send ||
+	    count_live(attempt) != 1 || attempt->copy_count >= ATTEMPT_MAX)
+		return;
+	attempt->backed_up = true;
+	attempt->send = true;
+	attempt->send_backup = true;
+	attempt->send_us = 0;
+}
+
+/* A copy found no place. A backup request is then left out. */
+static void on_no_upstream(struct attempt *attempt, uint32_t copy,
+			   enum verdict_reason reason)
+{
+	if (attempt->copies[copy] != COPY_OPEN)
+		return;
+	attempt->copies[copy] = COPY_ENDED;
+	if (!count_live(attempt) && !attempt->send)
+		refuse(attempt, reason);
+}
+
+static void on_deadline(struct attempt *attempt)
+{
+	if (attempt->winner != ATTEMPT_NONE)
+		return;
+	refuse(attempt, attempt->copy_count ? REASON_DEADLINE_RUNNING
+					    : REASON_DEADLINE_IN_QUEUE);
+}
+
+static void on_cancelled(struct attempt *attempt)
+{
+	refuse(attempt, REASON_CANCELLED);
+	if (attempt->winner != ATTEMPT_NONE)
+		attempt->last.kind = ATTEMPT_BREAK;
+}
+
+/* Events of the request as a whole. @return true when it was one */
+static bool request_event(struct attempt *attempt,
+			  const struct attempt_event *event)
+{
+	switch (event->kind) {
+	case ATTEMPT_DEADLINE:
+		on_deadline(attempt);
+		return true;
+	case ATTEMPT_CANCELLED:
+		on_cancelled(attempt);
+		return true;
+	default:
+		return false;
+	}
+}
+
+static void copy_event(struct attempt *attempt,
+		       const struct attempt_event *event, int64_t now_us)
+{
+	uint32_t copy = event->copy;
+	bool answers = attempt->copies[copy] == COPY_ANSWERS;
+
+	switch (event->kind) {
+	case ATTEMPT_SENT:
+		if (attempt->copies[copy] == COPY_OPEN)
+			attempt->copies[copy] = COPY_SENT;
+		break;
+	case ATTEMPT_CONNECT_FAILED:
+		on_failure(attempt, copy, REASON_CONNECT_FAILED, now_us);
+		break;
+	case ATTEMPT_RESET_BEFORE_SEND:
+		on_failure(attempt, copy, REASON_RESET_BEFORE_SEND, now_us);
+		break;
+	case ATTEMPT_RESET_AFTER_SEND:
+		attempt->copies[copy] = answers ? COPY_ANSWERS : COPY_SENT;
+		on_failure(attempt, copy,
+			   answers ? REASON_TRUNCATED : REASON_RESET_AFTER_SEND,
+			   now_us);
+		break;
+	case ATTEMPT_SHED:
+		on_not_run(attempt, copy, REASON_UPSTREAM_SHED, now_us);
+		break;
+	case ATTEMPT_COLD:
+		on_not_run(attempt, copy, REASON_UPSTREAM_COLD, now_us);
+		break;
+	case ATTEMPT_NOT_OWNER:
+		on_not_run(attempt, copy, REASON_NOT_OWNER, now_us);
+		break;
+	case ATTEMPT_LEAVING:
+		on_not_run(attempt, copy, REASON_SHUTTING_DOWN, now_us);
+		break;
+	case ATTEMPT_HEAD:
+		on_head(attempt, copy);
+		break;
+	case ATTEMPT_BODY_DONE:
+		on_body_done(attempt, copy);
+		break;
+	case ATTEMPT_TRUNCATED:
+		on_failure(attempt, copy, REASON_TRUNCATED, now_us);
+		break;
+	case ATTEMPT_STALLED:
+		attempt->cancels |= 1u << copy;
+		on_failure(attempt, copy, REASON_STALLED, now_us);
+		break;
+	case ATTEMPT_BACKUP_DUE:
+		on_backup_due(attempt);
+		break;
+	case ATTEMPT_NO_UPSTREAM:
+		on_no_upstream(attempt, copy, event->reason);
+		break;
+	default:
+		break;
+	}
+}
+
+void attempt_event(struct attempt *attempt, const struct attempt_event *event,
+		   int64_t now_us)
+{
+	if (attempt->final || request_event(attempt, event))
+		return;
+	if (event->copy >= attempt->copy_count ||
+	    !is_live(attempt->copies[event->copy]))
+		return;
+	copy_event(attempt, event, now_us);
+}
+
+static struct attempt_action take_cancel(struct attempt *attempt)
+{
+	struct attempt_action action = { .kind = ATTEMPT_CANCEL };
+
+	while (!(attempt->cancels & (1u << action.copy)))
+		action.copy++;
+	attempt->cancels &= ~(1u << action.copy);
+	return action;
+}
+
+static struct attempt_action take_send(struct attempt *attempt)
+{
+	struct attempt_action action = {
+		.kind = ATTEMPT_SEND,
+		.copy = attempt->copy_count,
+		.refresh = attempt->refresh,
+		.backup = attempt->send_backup,
+	};
+
+	attempt->copies[attempt->copy_count++] = COPY_OPEN;
+	attempt->send = false;
+	attempt->refresh = false;
+	return action;
+}
+
+struct attempt_action attempt_next(struct attempt *attempt, int64_t now_us)
+{
+	struct attempt_action action = { .kind = ATTEMPT_WAIT };
+
+	if (!attempt->final && now_us >= attempt->options.deadline_us)
+		on_deadline(attempt);
+	if (attempt->cancels)
+		return take_cancel(attempt);
+	if (attempt->final)
+		return attempt->last;
+	if (attempt->answer) {
+		attempt->answer = false;
+		action.kind = ATTEMPT_ANSWER;
+		action.copy = attempt->winner;
+		return action;
+	}
+	if (attempt->send && now_us >= attempt->send_us)
+		return take_send(attempt);
+	action.until_us = INT64_MAX;
+	if (attempt->winner == ATTEMPT_NONE)
+		action.until_us = attempt->options.deadline_us;
+	if (attempt->send)
+		action.until_us = MIN(action.until_us, attempt->send_us);
+	return action;
+}
+
+struct verdict attempt_verdict(const struct attempt *attempt)
+{
+	struct verdict verdict = { VERDICT_NOT_RUN, attempt->reason };
+	uint32_t i;
+
+	if (attempt->final)
+		return attempt->last.verdict;
+	if (attempt->may_have_run)
+		verdict.kind = VERDICT_MAY_HAVE_RUN;
+	for (i = 0; i < attempt->copy_count; i++)
+		if (attempt->copies[i] == COPY_SENT ||
+		    attempt->copies[i] == COPY_ANSWERS)
+			verdict.kind = VERDICT_MAY_HAVE_RUN;
+	return verdict;
+}
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -72,7 +72,7 @@
 	ATTEMPT_STALLED,
 	/** A backup request's delay passed without an answer. */
 	ATTEMPT_BACKUP_DUE,
-	/** No upstream can take it (reason in the event). */
+	/** The copy found no place: all is full, none is there. */
 	ATTEMPT_NO_UPSTREAM,
 	/** The deadline passed. */
 	ATTEMPT_DEADLINE,
@@ -82,9 +82,9 @@
 
 struct attempt_event {
 	enum attempt_event_kind kind;
-	/** Which copy; unused for NO_UPSTREAM, DEADLINE and CANCELLED. */
+	/** Which copy; unused for DEADLINE and CANCELLED. */
 	uint32_t copy;
-	/** For NO_UPSTREAM: why, for the refusal. */
+	/** For NO_UPSTREAM: why, in case the request is refused. */
 	enum verdict_reason reason;
 };
 
