request: claims and poisoned requests

A released claim is marked, not deleted: versions of a key begin anew after a delete, and a late duplicate of it would remove the next claim.

--- a/src/request/admission.c
+++ b/src/request/admission.c
@@ -140,6 +140,13 @@
 		lane->last_us = 0;
 }
 
+/* The expected time falls with each refusal that rests on it: else nothing
+ * would be let through that could show it to be shorter by now. */
+static void forget_some(struct lane *lane)
+{
+	lane->took_us -= lane->took_us / MEAN_PARTS;
+}
+
 /* Whether by the pace of its lane it would begin and be answered in time. */
 static bool can_make_it(struct lane *lane, struct admission_entry *entry,
 			int64_t now_us)
@@ -221,6 +228,7 @@
 	*refused = NULL;
 	*reason = REASON_OVERLOAD;
 	if (!can_make_it(lane_at(admission, lane), &entry, now_us)) {
+		forget_some(lane_at(admission, lane));
 		*refused = request;
 		return NULL;
 	}
@@ -352,6 +360,8 @@
 			return ADMISSION_IDLE;
 		turn = ADMISSION_GO;
 		let_through(admission, entry, now_us);
+	} else {
+		forget_some(lane_at(admission, entry->lane));
 	}
 	*request = entry->request;
 	*lane = entry->lane;
--- /dev/null
+++ b/src/request/claim.c
@@ -0,0 +1,369 @@
+#include "request/claim.h"
+
+#include <glib.h>
+
+#include "base/hash.h"
+#include "base/planted.h"
+#include "request/claim_row.h"
+
+enum step {
+	/** Write the row, if absent or at the version of one to take over. */
+	STEP_INSERT,
+	/** The answer to the insert was lost: read the row back. */
+	STEP_RESOLVE,
+	/** Nothing to do in the table. */
+	STEP_REST,
+	/** Write the outcome. */
+	STEP_CLOSE,
+	/** Refused with a write that may have worked: find the row. */
+	STEP_FIND_LEFT,
+	/** Release the row found. */
+	STEP_RELEASE_LEFT,
+};
+
+struct claim {
+	struct claim_options options;
+	/** Copies of the texts in options. */
+	char *attempt;
+	char *claimant;
+	char *key;
+	enum step step;
+	enum claim_state state;
+	struct verdict verdict;
+	/** Version that the row must have for the next write. */
+	uint64_t version;
+	/** Value of the next write. */
+	char *value;
+	uint32_t tries;
+	/** An operation was given out and has no result yet. */
+	bool under_way;
+	/** Given up while an operation was under way. */
+	bool abandoned;
+	/** A write's answer was lost: the row may be ours. */
+	bool maybe_written;
+	/** The row of another's recorded outcome. */
+	struct claim_row_value recorded;
+};
+
+static char *row_key(const struct claim_options *options)
+{
+	return g_strdup_printf("claim/%.*s/%016" G_GINT64_MODIFIER
+			       "x%016" G_GINT64_MODIFIER "x",
+			       STR_ARG(options->service),
+			       hash_seeded(options->key, 0),
+			       hash_seeded(options->key, 1));
+}
+
+struct claim *claim_create(const struct claim_options *options)
+{
+	struct claim *claim = g_new0(struct claim, 1);
+
+	claim->options = *options;
+	claim->key = row_key(options);
+	claim->attempt = str_dup(options->attempt);
+	claim->claimant = str_dup(options->claimant);
+	claim->options.attempt = str_from(claim->attempt);
+	claim->options.claimant = str_from(claim->claimant);
+	claim->value =
+		claim_row_encode(&claim->options, CLAIM_ROW_CLAIMED, NULL);
+	claim->step = STEP_INSERT;
+	claim->state = CLAIM_PENDING;
+	return claim;
+}
+
+void claim_destroy(struct claim *claim)
+{
+	if (!claim)
+		return;
+	claim_row_clear(&claim->recorded);
+	g_free(claim->attempt);
+	g_free(claim->claimant);
+	g_free(claim->key);
+	g_free(claim->value);
+	g_free(claim);
+}
+
+static bool reads(enum step step)
+{
+	return step == STEP_RESOLVE || step == STEP_FIND_LEFT;
+}
+
+bool claim_op(struct claim *claim, struct table_op *op)
+{
+	if (claim->step == STEP_REST || claim->under_way)
+		return false;
+	claim->under_way = true;
+	*op = (struct table_op){ .kind = TABLE_OP_GET,
+				 .key = str_from(claim->key) };
+	if (!reads(claim->step)) {
+		op->kind = TABLE_OP_PUT;
+		op->value = str_from(claim->value);
+		op->if_version = claim->version;
+	}
+	return true;
+}
+
+static void hold(struct claim *claim, uint64_t version)
+{
+	claim->state = CLAIM_HELD;
+	claim->step = STEP_REST;
+	claim->version = version;
+	claim->tries = 0;
+}
+
+static void refuse(struct claim *claim, enum verdict_kind kind,
+		   enum verdict_reason reason)
+{
+	claim->state = CLAIM_REFUSED;
+	claim->verdict = (struct verdict){ kind, reason };
+	claim->step = STEP_REST;
+}
+
+/* Refuses for want of the table; what may be written is removed later. */
+static void refuse_unavailable(struct claim *claim, enum verdict_reason reason)
+{
+	refuse(claim, VERDICT_NOT_RUN, reason);
+	claim->tries = 0;
+	if (claim->maybe_written)
+		claim->step = STEP_FIND_LEFT;
+}
+
+static void set_value(struct claim *claim, enum claim_row_state state,
+		      const struct claim_record *record)
+{
+	g_free(claim->value);
+	claim->value = claim_row_encode(&claim->options, state, record);
+}
+
+/* Claims a row that was released or has expired, at its version. */
+static void take_over(struct claim *claim, uint64_t version)
+{
+	claim->version = version;
+	claim->step = STEP_INSERT;
+}
+
+static bool is_ours(const struct claim *claim,
+		    const struct claim_row_value *row)
+{
+	return str_equal(row->attempt, claim->options.attempt);
+}
+
+/* Decides by another's row. */
+static void judge_other(struct claim *claim, struct claim_row_value *row,
+			uint64_t version, int64_t wall_us)
+{
+	int64_t abandoned_us =
+		row->claimed_us + row->running_us + CLAIM_CLOCK_ERROR_US;
+
+	if (row->state == CLAIM_ROW_RELEASED ||
+	    claim_row_expired(row, wall_us)) {
+		take_over(claim, version);
+	} else if (row->digest != claim->options.digest) {
+		refuse(claim, VERDICT_NOT_RUN, REASON_BAD_REQUEST);
+	} else if (row->state == CLAIM_ROW_DONE) {
+		claim->state = CLAIM_RECORDED;
+		claim->step = STEP_REST;
+		claim->recorded = *row;
+		row->json = NULL;
+	} else if (row->state == CLAIM_ROW_CLAIMED && wall_us <= abandoned_us) {
+		refuse(claim, VERDICT_MAY_HAVE_RUN, REASON_CLAIM_IN_PROGRESS);
+	} else {
+		refuse(claim, VERDICT_MAY_HAVE_RUN, REASON_OUTCOME_UNKNOWN);
+	}
+}
+
+static void judge_row(struct claim *claim, const struct table_result *result,
+		      int64_t wall_us)
+{
+	struct claim_row_value row;
+
+	if (!claim_row_decode(result->value, &row)) {
+		refuse(claim, VERDICT_MAY_HAVE_RUN, REASON_OUTCOME_UNKNOWN);
+		return;
+	}
+	if (is_ours(claim, &row))
+		hold(claim, result->version);
+	else
+		judge_other(claim, &row, result->version, wall_us);
+	claim_row_clear(&row);
+}
+
+static bool tries_left(struct claim *claim)
+{
+	return ++claim->tries < CLAIM_TRIES_MAX;
+}
+
+static void on_insert(struct claim *claim, const struct table_result *result,
+		      int64_t wall_us)
+{
+	switch (result->status) {
+	case TABLE_OK:
+		hold(claim, result->version);
+		break;
+	case TABLE_CONFLICT:
+		judge_row(claim, result, wall_us);
+		break;
+	case TABLE_ABSENT:
+		claim->version = TABLE_IF_ABSENT;
+		if (!tries_left(claim))
+			refuse_unavailable(claim, REASON_CLAIM_UNAVAILABLE);
+		break;
+	case TABLE_UNAVAILABLE:
+		if (!tries_left(claim))
+			refuse_unavailable(claim, REASON_CLAIM_UNAVAILABLE);
+		break;
+	case TABLE_UNKNOWN:
+		claim->maybe_written = true;
+		claim->step = STEP_RESOLVE;
+		if (planted(PLANTED_CLAIM_UNREAD))
+			hold(claim, 1);
+		else if (!tries_left(claim))
+			refuse_unavailable(claim, REASON_CLAIM_UNAVAILABLE);
+		break;
+	}
+}
+
+static void on_resolve(struct claim *claim, const struct table_result *result,
+		       int64_t wall_us)
+{
+	if (result->status == TABLE_OK) {
+		judge_row(claim, result, wall_us);
+	} else if (!tries_left(claim)) {
+		refuse_unavailable(claim, REASON_CLAIM_UNAVAILABLE);
+	} else if (result->status == TABLE_ABSENT) {
+		claim->version = TABLE_IF_ABSENT;
+		claim->step = STEP_INSERT;
+	}
+}
+
+/* Whether the row is still this claim's; sets the version to write at. */
+static bool still_ours(struct claim *claim, const struct table_result *result,
+		       enum claim_row_state *state)
+{
+	struct claim_row_value row;
+	bool ours;
+
+	if (!claim_row_decode(result->value, &row))
+		return false;
+	ours = is_ours(claim, &row);
+	*state = row.state;
+	claim_row_clear(&row);
+	claim->version = result->version;
+	return ours;
+}
+
+static void rest(struct claim *claim)
+{
+	claim->step = STEP_REST;
+	if (claim->state == CLAIM_HELD)
+		claim->state = CLAIM_CLOSED;
+}
+
+/* Results of writing the outcome, or of releasing a row left behind. */
+static void on_close(struct claim *claim, const struct table_result *result)
+{
+	enum claim_row_state state = CLAIM_ROW_CLAIMED;
+
+	switch (result->status) {
+	case TABLE_OK:
+	case TABLE_ABSENT:
+		rest(claim);
+		break;
+	case TABLE_CONFLICT:
+		/* An earlier try with a lost answer has worked, or another
+		 * took over. */
+		if (!still_ours(claim, result, &state) ||
+		    state != CLAIM_ROW_CLAIMED || !tries_left(claim))
+			rest(claim);
+		break;
+	case TABLE_UNAVAILABLE:
+	case TABLE_UNKNOWN:
+		if (!tries_left(claim))
+			rest(claim);
+		break;
+	}
+}
+
+static void on_find_left(struct claim *claim, const struct table_result *result)
+{
+	enum claim_row_state state;
+
+	if (result->status == TABLE_OK) {
+		rest(claim);
+		if (still_ours(claim, result, &state) &&
+		    state == CLAIM_ROW_CLAIMED) {
+			set_value(claim, CLAIM_ROW_RELEASED, NULL);
+			claim->step = STEP_RELEASE_LEFT;
+		}
+	} else if (result->status == TABLE_ABSENT || !tries_left(claim)) {
+		rest(claim);
+	}
+}
+
+void claim_result(struct claim *claim, const struct table_result *result,
+		  int64_t wall_us)
+{
+	claim->under_way = false;
+	if (claim->abandoned) {
+		claim->abandoned = false;
+		return;
+	}
+	switch (claim->step) {
+	case STEP_INSERT:
+		on_insert(claim, result, wall_us);
+		break;
+	case STEP_RESOLVE:
+		on_resolve(claim, result, wall_us);
+		break;
+	case STEP_CLOSE:
+	case STEP_RELEASE_LEFT:
+		on_close(claim, result);
+		break;
+	case STEP_FIND_LEFT:
+		on_find_left(claim, result);
+		break;
+	case STEP_REST:
+		break;
+	}
+}
+
+enum claim_state claim_state(const struct claim *claim)
+{
+	return claim->state;
+}
+
+struct verdict claim_verdict(const struct claim *claim)
+{
+	return claim->verdict;
+}
+
+const struct claim_record *claim_record(const struct claim *claim)
+{
+	return &claim->recorded.record;
+}
+
+void claim_close(struct claim *claim, struct verdict verdict,
+		 const struct claim_record *answer)
+{
+	enum claim_row_state state = CLAIM_ROW_UNKNOWN;
+
+	if (claim->state != CLAIM_HELD || claim->step != STEP_REST)
+		return;
+	if (verdict.kind == VERDICT_RAN)
+		state = CLAIM_ROW_DONE;
+	else if (verdict.kind == VERDICT_NOT_RUN)
+		state = CLAIM_ROW_RELEASED;
+	set_value(claim, state, state == CLAIM_ROW_DONE ? answer : NULL);
+	claim->step = STEP_CLOSE;
+	claim->tries = 0;
+}
+
+void claim_abandon(struct claim *claim, enum verdict_reason reason)
+{
+	if (claim->state != CLAIM_PENDING)
+		return;
+	if (claim->under_way && claim->step == STEP_INSERT)
+		claim->maybe_written = true;
+	claim->abandoned = claim->under_way;
+	refuse_unavailable(claim, reason);
+}
--- a/src/request/claim.h
+++ b/src/request/claim.h
@@ -12,9 +12,11 @@
  * - A row is kept CLAIM_KEEP_US from its claim by the claimant's wall clock.
  *   Clocks may differ by CLAIM_CLOCK_ERROR_US: a row is taken for expired only
  *   that much later, and a claim for abandoned likewise.
- * - After a certain "not run" the row is deleted, so that the caller may try
- *   again at once. When that isn't known to have worked, the row expires.
- * - Table not reached before sending: refused, "not run".
+ * - After a certain "not run" the row is marked released, so that the caller
+ *   may try again at once. It isn't deleted: versions begin anew after that,
+ * and a late duplicate of the delete would remove the next claim.
+ * - Table not reached before sending: refused, "not run". A row that a lost
+ *   write left behind is released when the table can be reached again.
  *
  * Pure: claim_op() gives the table operation to do, claim_result() takes what
  * the table said. A struct claim_batch gathers operations of many claims.
@@ -78,7 +80,8 @@
 	struct str attempt;
 	/** Id of this router. */
 	struct str claimant;
-	/** Longest time the request may run. */
+	/** Longest time the request may run; after it a claim without an
+	 * outcome is "outcome unknown" instead of "in progress". */
 	int64_t running_us;
 	/** Wall clock. */
 	int64_t wall_us;
@@ -120,12 +123,18 @@
  * death of this router is told "outcome unknown".
  *
  * @param verdict what became of the request: RAN records the answer, NOT_RUN
- *        deletes the row, MAY_HAVE_RUN records that the outcome is unknown
+ *        releases the row, MAY_HAVE_RUN records that the outcome is unknown
  * @param answer for RAN; else NULL; copied
  */
 void claim_close(struct claim *claim, struct verdict verdict,
 		 const struct claim_record *answer);
 
+/**
+ * Gives up a claim that is pending: its deadline passed or its caller left. It
+ * is refused; claim_op() may want to remove what was written.
+ */
+void claim_abandon(struct claim *claim, enum verdict_reason reason);
+
 struct claim_batch;
 
 /** @return a new, empty batch; free with claim_batch_destroy() */
--- /dev/null
+++ b/src/request/poison.c
@@ -0,0 +1,274 @@
+#include "request/poison.h"
+
+#include <glib.h>
+
+#include "base/hash.h"
+#include "base/planted.h"
+
+/* Deaths from which a request is refused. */
+#define DEATHS_MAX 2
+
+/* A request with deaths. */
+struct record {
+	uint64_t fingerprint;
+	/** Hashes of the incarnations that died. */
+	uint64_t died[DEATHS_MAX];
+	uint32_t deaths;
+	int64_t last_us;
+};
+
+struct flight {
+	uint64_t handle;
+	uint64_t fingerprint;
+	char *upstream;
+	char *boot;
+};
+
+struct poison {
+	GHashTable *records;
+	GHashTable *flights;
+	uint64_t next_handle;
+	/** The flight ended last: reports borrow its texts. */
+	struct flight *ended;
+};
+
+static void flight_free(gpointer data)
+{
+	struct flight *flight = data;
+
+	if (!flight)
+		return;
+	g_free(flight->upstream);
+	g_free(flight->boot);
+	g_free(flight);
+}
+
+struct poison *poison_create(void)
+{
+	struct poison *poison = g_new0(struct poison, 1);
+
+	poison->records = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						NULL, g_free);
+	poison->flights = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						NULL, flight_free);
+	return poison;
+}
+
+void poison_destroy(struct poison *poison)
+{
+	if (!poison)
+		return;
+	flight_free(poison->ended);
+	g_hash_table_destroy(poison->records);
+	g_hash_table_destroy(poison->flights);
+	g_free(poison);
+}
+
+uint64_t poison_fingerprint(struct str service, struct str method,
+			    struct str path, struct str body)
+{
+	uint64_t hash = hash_key(service);
+
+	hash = hash_seeded(method, hash);
+	hash = hash_seeded(path, hash);
+	return hash_seeded(body, hash);
+}
+
+static uint64_t hash_incarnation(struct str upstream, struct str boot)
+{
+	return hash_seeded(boot, hash_key(upstream));
+}
+
+/* Finds a request's record; removes one that is too old. */
+static struct record *find_record(struct poison *poison, uint64_t fingerprint,
+				  int64_t now_us)
+{
+	struct record *r = g_hash_table_lookup(poison->records, &fingerprint);
+	int64_t kept_us;
+
+	if (!r)
+		return NULL;
+	kept_us =
+		r->deaths >= DEATHS_MAX ? POISON_REFUSE_US : POISON_SUSPECT_US;
+	if (now_us < r->last_us + kept_us)
+		return r;
+	g_hash_table_remove(poison->records, &fingerprint);
+	return NULL;
+}
+
+enum poison_check poison_check(struct poison *poison, uint64_t fingerprint,
+			       int64_t now_us)
+{
+	const struct record *r = find_record(poison, fingerprint, now_us);
+
+	if (!r || planted(PLANTED_FORGET_DEATHS))
+		return POISON_CLEAR;
+	if (r->deaths >= DEATHS_MAX || planted(PLANTED_BLAME_NEIGHBOURS))
+		return POISON_POISONED;
+	return planted(PLANTED_NO_TRIALS) ? POISON_CLEAR : POISON_SUSPECT;
+}
+
+uint64_t poison_begin(struct poison *poison, uint64_t fingerprint,
+		      struct str upstream, struct str boot)
+{
+	struct flight *flight = g_new0(struct flight, 1);
+
+	flight->handle = ++poison->next_handle;
+	flight->fingerprint = fingerprint;
+	flight->upstream = str_dup(upstream);
+	flight->boot = str_dup(boot);
+	g_hash_table_insert(poison->flights, &flight->handle, flight);
+	return flight->handle;
+}
+
+/* Makes room for one more record: the oldest goes, suspects first. */
+static void make_room(struct poison *poison)
+{
+	const struct record *oldest = NULL;
+	const struct record *r;
+	GHashTableIter iter;
+
+	if (g_hash_table_size(poison->records) < POISON_MAX)
+		return;
+	g_hash_table_iter_init(&iter, poison->records);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&r))
+		if (!oldest || r->deaths < oldest->deaths ||
+		    (r->deaths == oldest->deaths &&
+		     r->last_us < oldest->last_us))
+			oldest = r;
+	if (oldest)
+		g_hash_table_remove(poison->records, &oldest->fingerprint);
+}
+
+static struct record *ensure_record(struct poison *poison, uint64_t fingerprint,
+				    int64_t now_us)
+{
+	struct record *r = find_record(poison, fingerprint, now_us);
+
+	if (r)
+		return r;
+	make_room(poison);
+	r = g_new0(struct record, 1);
+	r->fingerprint = fingerprint;
+	g_hash_table_insert(poison->records, &r->fingerprint, r);
+	return r;
+}
+
+static void add_death(struct record *r, uint64_t incarnation, int64_t now_us)
+{
+	uint32_t i;
+
+	r->last_us = now_us;
+	for (i = 0; i < r->deaths; i++)
+		if (r->died[i] == incarnation)
+			return;
+	if (r->deaths < DEATHS_MAX)
+		r->died[r->deaths++] = incarnation;
+}
+
+/* @return true when the death was counted */
+static bool remove_death(struct record *r, uint64_t incarnation)
+{
+	uint32_t i;
+
+	for (i = 0; i < r->deaths; i++) {
+		if (r->died[i] != incarnation)
+			continue;
+		r->died[i] = r->died[--r->deaths];
+		return true;
+	}
+	return false;
+}
+
+static bool on_broken(struct poison *poison, const struct flight *flight,
+		      int64_t now_us, struct poison_report *report)
+{
+	struct str upstream = str_from(flight->upstream);
+	struct str boot = str_from(flight->boot);
+	struct record *r = ensure_record(poison, flight->fingerprint, now_us);
+
+	add_death(r, hash_incarnation(upstream, boot), now_us);
+	*report = (struct poison_report){
+		.fingerprint = flight->fingerprint,
+		.upstream = upstream,
+		.boot = boot,
+		.deaths = r->deaths,
+	};
+	return true;
+}
+
+/* A suspect that ran is cleared; what is poisoned stays so. */
+static bool on_answered(struct poison *poison, uint64_t fingerprint,
+			int64_t now_us, struct poison_report *report)
+{
+	const struct record *r = find_record(poison, fingerprint, now_us);
+
+	if (!r || r->deaths >= DEATHS_MAX)
+		return false;
+	g_hash_table_remove(poison->records, &fingerprint);
+	*report = (struct poison_report){ .fingerprint = fingerprint };
+	return true;
+}
+
+bool poison_end(struct poison *poison, uint64_t handle, enum poison_end end,
+		int64_t now_us, struct poison_report *report)
+{
+	struct flight *flight = g_hash_table_lookup(poison->flights, &handle);
+
+	if (!flight)
+		return false;
+	g_hash_table_steal(poison->flights, &handle);
+	flight_free(poison->ended);
+	poison->ended = flight;
+	if (end == POISON_BROKEN)
+		return on_broken(poison, flight, now_us, report);
+	if (end == POISON_ANSWERED)
+		return on_answered(poison, flight->fingerprint, now_us, report);
+	return false;
+}
+
+size_t poison_alive(struct poison *poison, struct str upstream, struct str boot,
+		    struct poison_report *reports, size_t max)
+{
+	uint64_t incarnation = hash_incarnation(upstream, boot);
+	GHashTableIter iter;
+	struct record *r;
+	size_t count = 0;
+
+	g_hash_table_iter_init(&iter, poison->records);
+	while (count < max &&
+	       g_hash_table_iter_next(&iter, NULL, (gpointer *)&r)) {
+		if (!remove_death(r, incarnation))
+			continue;
+		reports[count++] = (struct poison_report){
+			.fingerprint = r->fingerprint,
+			.upstream = upstream,
+			.boot = boot,
+		};
+		if (!r->deaths)
+			g_hash_table_iter_remove(&iter);
+	}
+	return count;
+}
+
+void poison_take(struct poison *poison, const struct poison_report *report,
+		 int64_t now_us)
+{
+	uint64_t incarnation = hash_incarnation(report->upstream, report->boot);
+	struct record *r;
+
+	if (report->deaths) {
+		r = ensure_record(poison, report->fingerprint, now_us);
+		add_death(r, incarnation, now_us);
+		return;
+	}
+	r = find_record(poison, report->fingerprint, now_us);
+	if (!r)
+		return;
+	if (report->upstream.len)
+		remove_death(r, incarnation);
+	else if (r->deaths < DEATHS_MAX)
+		r->deaths = 0;
+	if (!r->deaths)
+		g_hash_table_remove(poison->records, &report->fingerprint);
+}
--- a/src/request/poison.h
+++ b/src/request/poison.h
@@ -3,21 +3,25 @@
  * of service, method, path and body.
  *
  * Rules:
- * - When an upstream died (its connections broke and it refuses new ones or has
- *   another incarnation), every request in flight on it has one death.
- * - A request with a death is a suspect. It runs again only as a trial: one at
- *   a time for each service over the whole fleet (a share of the budget
- *   "trial/SERVICE" with limit 1, upstream/budget.h), so no two suspects are in
- *   flight at once and a second death is that one's own.
- * - A suspect that ran to an answer is cleared. One whose trial's upstream died
- *   is poisoned: refused everywhere for POISON_REFUSE_US.
- * - A second death outside a trial (a neighbour's crash, a copy sent before the
- *   first death was known) does not poison an innocent neighbour, unless the
- *   request was alone on the upstream.
+ * - A request whose connection broke after it was sent has one death, counted
+ *   once for each incarnation of an upstream, unless that incarnation is seen
+ *   alive after: then the death is taken back.
+ * - A request with a death is a suspect: it, or a neighbour on that upstream,
+ *   may be the cause. A suspect runs again only as a trial: one at a time for
+ *   each service over the whole fleet (a share of the budget "trial/SERVICE"
+ *   with limit 1, upstream/budget.h). So no two suspects are in flight at once,
+ *   and what kills an upstream twice had two chances alone among suspects.
+ * - A suspect that ran to an answer is cleared. One with two deaths is
+ * poisoned: refused everywhere for POISON_REFUSE_US.
  * - A router reports a death (Poison frame) before it answers the caller, and
  *   holds that answer POISON_SPREAD_US, so that a caller who sends the request
  *   again finds the other routers warned.
  *
+ * So an innocent request is refused only when two upstreams died under it, the
+ * second while it ran alone among suspects or in its first copies (a backup
+ * request). A caller who sends many copies at once, before the first death is
+ * known, can cost more than two upstreams.
+ *
  * Not thread-safe: one lock for each instance.
  */
 #ifndef REQUEST_POISON_H
@@ -43,7 +47,11 @@
 /** What travels between the processes as a Poison frame. */
 struct poison_report {
 	uint64_t fingerprint;
-	/** 1: suspect; 2: poisoned; 0: cleared. */
+	/** The upstream that died, or that is alive after all (deaths 0).
+	 * Empty with deaths 0: the request ran, forget all of its deaths. */
+	struct str upstream;
+	struct str boot;
+	/** Deaths known to the sender. */
 	uint32_t deaths;
 };
 
@@ -73,30 +81,41 @@
  * Notes a request in flight.
  *
  * @param upstream id of the upstream
- * @param trial it is sent as a trial
+ * @param boot incarnation it is sent to, as far as known
  * @return a handle for poison_end(), at least 1
  */
 uint64_t poison_begin(struct poison *poison, uint64_t fingerprint,
-		      struct str upstream, bool trial);
+		      struct str upstream, struct str boot);
+
+enum poison_end {
+	/** A whole answer came: a suspect is cleared. */
+	POISON_ANSWERED,
+	/** Not run, cancelled, or stalled: says nothing. */
+	POISON_OPEN,
+	/** The connection broke after it was sent. */
+	POISON_BROKEN,
+};
 
 /**
- * Notes the end of a request on an upstream that lives.
+ * Notes the end of a request in flight.
  *
- * @param answered an answer came: a suspect is cleared by it
- * @param report set when the others must be told
+ * @param report set when the others must be told; its texts live until the
+ *        next call
  * @return true when report was set
  */
-bool poison_end(struct poison *poison, uint64_t handle, bool answered,
+bool poison_end(struct poison *poison, uint64_t handle, enum poison_end end,
 		int64_t now_us, struct poison_report *report);
 
 /**
- * Notes that an upstream died. Everything in flight on it has ended.
+ * Notes that an incarnation answered a request sent after a connection to it
+ * broke: it did not die.
  *
- * @param reports set to at most max reports for the others
+ * @param reports set to at most max reports for the others; their texts borrow
+ *        from the arguments
  * @return the number set
  */
-size_t poison_died(struct poison *poison, struct str upstream, int64_t now_us,
-		   struct poison_report *reports, size_t max);
+size_t poison_alive(struct poison *poison, struct str upstream, struct str boot,
+		    struct poison_report *reports, size_t max);
 
 /** Takes another process's report. */
 void poison_take(struct poison *poison, const struct poison_report *report,
