--- /dev/null
+++ b/src/http/body.c
@@ -0,0 +1,108 @@
+#include "http/body.h"
+
+#include <glib.h>
+
+struct body {
+	int refs;
+	size_t limit;
+	size_t keep;
+	/* Bytes held; those before read were read. */
+	GByteArray *bytes;
+	size_t read;
+	/* Bytes that were read and are gone. */
+	bool lost;
+	bool ended;
+};
+
+struct body *body_create(size_t limit, size_t keep)
+{
+	struct body *body = g_new0(struct body, 1);
+
+	body->refs = 1;
+	body->limit = limit;
+	/* The other half leaves room for what drops the kept bytes. */
+	body->keep = MIN(keep, limit / 2);
+	body->bytes = g_byte_array_new();
+	return body;
+}
+
+struct body *body_ref(struct body *body)
+{
+	body->refs++;
+	return body;
+}
+
+void body_unref(struct body *body)
+{
+	if (!body || --body->refs)
+		return;
+	g_byte_array_free(body->bytes, TRUE);
+	g_free(body);
+}
+
+/* Frees what was read, unless it is kept for another reading. */
+static void compact(struct body *body)
+{
+	/* Moving the rest costs; wait until half is read. */
+	if (!body->read || body->read * 2 < body->bytes->len)
+		return;
+	if (!body->lost && body->bytes->len <= body->keep)
+		return;
+	g_byte_array_remove_range(body->bytes, 0, (guint)body->read);
+	body->read = 0;
+	body->lost = true;
+}
+
+size_t body_room(const struct body *body)
+{
+	size_t held = body->bytes->len;
+
+	return body->limit > held ? body->limit - held : 0;
+}
+
+size_t body_append(struct body *body, struct str bytes)
+{
+	size_t count = MIN(bytes.len, body_room(body));
+
+	if (!count)
+		return 0;
+	g_byte_array_append(body->bytes, (const guint8 *)bytes.data,
+			    (guint)count);
+	compact(body);
+	return count;
+}
+
+struct str body_peek(const struct body *body)
+{
+	return (struct str){ (const char *)body->bytes->data + body->read,
+			     body->bytes->len - body->read };
+}
+
+void body_consume(struct body *body, size_t count)
+{
+	body->read += count;
+	compact(body);
+}
+
+void body_end(struct body *body)
+{
+	body->ended = true;
+}
+
+bool body_ended(const struct body *body)
+{
+	return body->ended;
+}
+
+bool body_replayable(const struct body *body)
+{
+	return !body->lost;
+}
+
+bool body_rewind(struct body *body)
+{
+	if (body->lost)
+		return false;
+	body->read = 0;
+	return true;
+}
--- /dev/null
+++ b/src/http/exchange.c
@@ -0,0 +1,367 @@
+#include "http/exchange.h"
+
+#include <string.h>
+
+#include "base/address.h"
+#include "http/exchange_internal.h"
+
+#define URL_SIZE 64
+#define STATUS_OFFSET 9
+#define STATUS_DIGITS 3
+#define STATUS_FINAL 200
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
+/* libcurl keeps a chunk of this size while an answer is paused. */
+#define RECEIVE_BYTES (64L << 10)
+
+static void note_progress(struct exchange *exchange)
+{
+	exchange->progress_us = clock_now_us(exchange->pool->clock);
+}
+
+static int on_sending(void *ctx, char *address, char *local, int port,
+		      int local_port)
+{
+	struct exchange *exchange = ctx;
+
+	(void)address;
+	(void)local;
+	(void)port;
+	(void)local_port;
+	exchange->sent = true;
+	note_progress(exchange);
+	return CURL_PREREQFUNC_OK;
+}
+
+static size_t on_upload(char *buf, size_t size, size_t count, void *ctx)
+{
+	struct exchange *exchange = ctx;
+	struct str bytes = body_peek(exchange->upload);
+	size_t n = MIN(bytes.len, size * count);
+
+	if (!n && !body_ended(exchange->upload)) {
+		exchange->upload_paused = true;
+		return CURL_READFUNC_PAUSE;
+	}
+	if (n)
+		memcpy(buf, bytes.data, n);
+	body_consume(exchange->upload, n);
+	note_progress(exchange);
+	exchange->pool->ops->progressed(exchange->pool->ctx, exchange);
+	return n;
+}
+
+static int on_rewind(void *ctx, curl_off_t offset, int origin)
+{
+	struct exchange *exchange = ctx;
+
+	if (offset || origin != SEEK_SET || !body_rewind(exchange->upload))
+		return CURL_SEEKFUNC_CANTSEEK;
+	return CURL_SEEKFUNC_OK;
+}
+
+static bool has_body(const struct exchange *exchange)
+{
+	return strcmp(exchange->method, "HEAD") != 0 &&
+	       exchange->status != STATUS_NO_CONTENT &&
+	       exchange->status != STATUS_NOT_MODIFIED;
+}
+
+/* An answer without a stated end could be cut short unnoticed. */
+static bool head_is_usable(struct exchange *exchange)
+{
+	if (!headers_body_length(exchange->headers, &exchange->length, NULL))
+		return false;
+	if (exchange->length != HEADERS_LENGTH_UNTIL_CLOSE)
+		return true;
+	exchange->length = 0;
+	return !has_body(exchange);
+}
+
+static void end_head(struct exchange *exchange)
+{
+	if (exchange->status < STATUS_FINAL)
+		return;
+	if (!head_is_usable(exchange))
+		exchange->unusable = true;
+	exchange->head_done = true;
+	exchange->pool->ops->progressed(exchange->pool->ctx, exchange);
+}
+
+static unsigned int parse_status(struct str line)
+{
+	unsigned int status = 0;
+	size_t i;
+
+	for (i = 0; i < STATUS_DIGITS; i++) {
+		int digit = line.len > STATUS_OFFSET + i
+				    ? g_ascii_digit_value(
+					      line.data[STATUS_OFFSET + i])
+				    : -1;
+
+		if (digit < 0)
+			return 0;
+		status = status * 10 + (unsigned int)digit;
+	}
+	return status;
+}
+
+static size_t on_line(char *data, size_t size, size_t count, void *ctx)
+{
+	struct exchange *exchange = ctx;
+	struct str line = { data, size * count };
+
+	note_progress(exchange);
+	/* Fields after the body are not passed on. */
+	if (exchange->head_done)
+		return size * count;
+	while (line.len && (line.data[line.len - 1] == '\n' ||
+			    line.data[line.len - 1] == '\r'))
+		line.len--;
+	if (!line.len) {
+		end_head(exchange);
+	} else if (str_has_prefix(line, STR("HTTP/"))) {
+		headers_clear(exchange->headers);
+		exchange->status = parse_status(line);
+	} else if (!headers_add_line(exchange->headers, line)) {
+		exchange->unusable = true;
+	}
+	/* Fewer bytes than given end the transfer. */
+	return exchange->unusable ? 0 : size * count;
+}
+
+static size_t on_data(char *data, size_t size, size_t count, void *ctx)
+{
+	struct exchange *exchange = ctx;
+	struct str bytes = { data, size * count };
+
+	note_progress(exchange);
+	if (exchange->discarding)
+		return bytes.len;
+	if (body_room(exchange->body) < bytes.len) {
+		exchange->body_paused = true;
+		return CURL_WRITEFUNC_PAUSE;
+	}
+	body_append(exchange->body, bytes);
+	exchange->pool->ops->progressed(exchange->pool->ctx, exchange);
+	return bytes.len;
+}
+
+static void add_line(struct exchange *exchange, struct str name,
+		     struct str value)
+{
+	char *line;
+
+	if (headers_name_equal(name, STR("content-length")) ||
+	    headers_name_equal(name, STR("expect")))
+		return;
+	/* A field without a value is written with a semicolon here. */
+	if (value.len)
+		line = g_strdup_printf("%.*s: %.*s", STR_ARG(name),
+				       STR_ARG(value));
+	else
+		line = g_strdup_printf("%.*s;", STR_ARG(name));
+	exchange->lines = curl_slist_append(exchange->lines, line);
+	g_free(line);
+}
+
+static void add_lines(struct exchange *exchange, const struct headers *headers)
+{
+	size_t i;
+
+	for (i = 0; i < headers_count(headers); i++) {
+		const struct header *field = headers_at(headers, i);
+
+		add_line(exchange, field->name, field->value);
+	}
+}
+
+static void set_lines(struct exchange *exchange,
+		      const struct exchange_request *request)
+{
+	add_lines(exchange, request->headers);
+	add_lines(exchange, request->own);
+	exchange->lines = curl_slist_append(exchange->lines, "Expect:");
+	if (!headers_find(request->headers, STR("accept")))
+		exchange->lines = curl_slist_append(exchange->lines, "Accept:");
+	curl_easy_setopt(exchange->easy, CURLOPT_HTTPHEADER, exchange->lines);
+}
+
+static bool wants_length(const char *method)
+{
+	return !strcmp(method, "POST") || !strcmp(method, "PUT") ||
+	       !strcmp(method, "PATCH");
+}
+
+static void set_method(struct exchange *exchange,
+		       const struct exchange_request *request)
+{
+	CURL *easy = exchange->easy;
+	bool upload = request->upload_length || wants_length(exchange->method);
+
+	/* The order matters: each of these resets the others. */
+	curl_easy_setopt(easy, CURLOPT_NOBODY, 0L);
+	curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+	curl_easy_setopt(easy, CURLOPT_UPLOAD, upload ? 1L : 0L);
+	curl_easy_setopt(easy, CURLOPT_INFILESIZE_LARGE,
+			 (curl_off_t)request->upload_length);
+	if (!upload && !strcmp(exchange->method, "HEAD"))
+		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, exchange->method);
+}
+
+static void set_callbacks(struct exchange *exchange)
+{
+	CURL *easy = exchange->easy;
+
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, exchange);
+	curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, RECEIVE_BYTES);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_sending);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, exchange);
+	curl_easy_setopt(easy, CURLOPT_READFUNCTION, on_upload);
+	curl_easy_setopt(easy, CURLOPT_READDATA, exchange);
+	curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, on_rewind);
+	curl_easy_setopt(easy, CURLOPT_SEEKDATA, exchange);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_line);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, exchange);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_data);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, exchange);
+}
+
+static void set_place(struct exchange *exchange,
+		      const struct exchange_request *request)
+{
+	char address[ADDRESS_TEXT_SIZE];
+	char url[URL_SIZE];
+	CURL *easy = exchange->easy;
+	long fresh = request->fresh ? 1 : 0;
+
+	g_snprintf(url, sizeof(url), "http://%s/",
+		   address_format(&request->address, address));
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, exchange->target);
+	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh);
+	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, fresh);
+}
+
+struct exchange *exchange_start(struct exchange_pool *pool,
+				const struct exchange_request *request,
+				void *data)
+{
+	struct exchange *exchange = g_new0(struct exchange, 1);
+
+	exchange->pool = pool;
+	exchange->data = data;
+	exchange->easy = exchange_pool_take(pool);
+	exchange->method = str_dup(request->method);
+	exchange->target = str_dup(request->target);
+	exchange->headers = headers_create();
+	exchange->upload = body_ref(request->upload);
+	exchange->body = body_create(EXCHANGE_BODY_BYTES, 0);
+	set_callbacks(exchange);
+	set_place(exchange, request);
+	set_method(exchange, request);
+	set_lines(exchange, request);
+	note_progress(exchange);
+	curl_multi_add_handle(pool->multi, exchange->easy);
+	return exchange;
+}
+
+void exchange_destroy(struct exchange *exchange)
+{
+	if (!exchange)
+		return;
+	curl_multi_remove_handle(exchange->pool->multi, exchange->easy);
+	curl_easy_setopt(exchange->easy, CURLOPT_HTTPHEADER, NULL);
+	exchange_pool_put(exchange->pool, exchange->easy);
+	curl_slist_free_all(exchange->lines);
+	headers_destroy(exchange->headers);
+	body_unref(exchange->upload);
+	body_unref(exchange->body);
+	g_free(exchange->method);
+	g_free(exchange->target);
+	g_free(exchange);
+}
+
+void exchange_finish(struct exchange *exchange, CURLcode code)
+{
+	if (code == CURLE_OK && exchange->head_done) {
+		exchange->end = EXCHANGE_COMPLETE;
+		body_end(exchange->body);
+	} else if (!exchange->sent) {
+		exchange->end = EXCHANGE_NOT_CONNECTED;
+	} else if (exchange->status >= STATUS_FINAL) {
+		exchange->end = EXCHANGE_TRUNCATED;
+	} else {
+		exchange->end = EXCHANGE_RESET;
+	}
+	exchange->pool->ops->ended(exchange->pool->ctx, exchange);
+}
+
+void *exchange_data(const struct exchange *exchange)
+{
+	return exchange->data;
+}
+
+enum exchange_end exchange_end(const struct exchange *exchange)
+{
+	return exchange->end;
+}
+
+bool exchange_sent(const struct exchange *exchange)
+{
+	return exchange->sent;
+}
+
+unsigned int exchange_status(const struct exchange *exchange)
+{
+	return exchange->head_done && !exchange->unusable ? exchange->status
+							  : 0;
+}
+
+struct headers *exchange_headers(const struct exchange *exchange)
+{
+	return exchange->headers;
+}
+
+int64_t exchange_body_length(const struct exchange *exchange)
+{
+	return exchange->length;
+}
+
+struct body *exchange_body(const struct exchange *exchange)
+{
+	return exchange->body;
+}
+
+int64_t exchange_progress_us(const struct exchange *exchange)
+{
+	return exchange->progress_us;
+}
+
+bool exchange_paused(const struct exchange *exchange)
+{
+	return exchange->body_paused;
+}
+
+void exchange_resume(struct exchange *exchange)
+{
+	if (exchange->end != EXCHANGE_RUNNING)
+		return;
+	if (exchange->body_paused && !exchange->discarding &&
+	    body_room(exchange->body) < EXCHANGE_BODY_BYTES / 2)
+		return;
+	if (!exchange->body_paused && !exchange->upload_paused)
+		return;
+	exchange->body_paused = false;
+	exchange->upload_paused = false;
+	note_progress(exchange);
+	/* This may call on_data() at once. */
+	curl_easy_pause(exchange->easy, CURLPAUSE_CONT);
+}
+
+void exchange_discard(struct exchange *exchange)
+{
+	exchange->discarding = true;
+	exchange_resume(exchange);
+}
--- /dev/null
+++ b/src/http/exchange_internal.h
@@ -0,0 +1,58 @@
+/**
+ * Shared by exchange.c (one request) and exchange_pool.c (connections).
+ */
+#ifndef HTTP_EXCHANGE_INTERNAL_H
+#define HTTP_EXCHANGE_INTERNAL_H
+
+#include <curl/curl.h>
+#include <glib.h>
+
+#include "http/exchange.h"
+
+struct exchange_pool {
+	CURLM *multi;
+	const struct clock *clock;
+	const struct exchange_ops *ops;
+	void *ctx;
+	int epoll_fd;
+	/** When libcurl wants to be called; -1 for never. */
+	int64_t due_us;
+	/** CURL *, handles that can be used again. */
+	GPtrArray *idle;
+	int64_t connect_us;
+	long idle_s;
+};
+
+struct exchange {
+	struct exchange_pool *pool;
+	CURL *easy;
+	struct curl_slist *lines;
+	void *data;
+	char *method;
+	char *target;
+	struct headers *headers;
+	struct body *upload;
+	struct body *body;
+	enum exchange_end end;
+	unsigned int status;
+	int64_t length;
+	int64_t progress_us;
+	bool head_done;
+	bool sent;
+	bool body_paused;
+	bool upload_paused;
+	bool discarding;
+	/** The answer can't be passed on. */
+	bool unusable;
+};
+
+/** A handle with the options that all exchanges share. */
+CURL *exchange_pool_take(struct exchange_pool *pool);
+
+/** Gives a handle back. */
+void exchange_pool_put(struct exchange_pool *pool, CURL *easy);
+
+/** Notes how libcurl ended a transfer. */
+void exchange_finish(struct exchange *exchange, CURLcode code);
+
+#endif
