--- /dev/null
+++ b/test/standin/common_http.c
@@ -0,0 +1,220 @@
+#include "common_http.h"
+
+#include <arpa/inet.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/address.h"
+#include "base/error.h"
+
+#define LISTEN_BACKLOG 512
+#define BODY_LIMIT ((size_t)16 * 1024 * 1024)
+#define CONNECTION_LIMIT 4096
+
+struct standin_server {
+	struct MHD_Daemon *daemon;
+	char *address;
+	standin_handler handler;
+	void *ctx;
+};
+
+static int bind_and_listen(struct sockaddr_in *addr)
+{
+	socklen_t len = sizeof(*addr);
+	int on = 1;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)addr, sizeof(*addr)) ||
+	    listen(fd, LISTEN_BACKLOG) ||
+	    getsockname(fd, (struct sockaddr *)addr, &len)) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+int standin_listen(const char *listen, char **address, GError **error)
+{
+	struct sockaddr_in addr;
+	char text[ADDRESS_TEXT_SIZE];
+	int fd = -1;
+
+	if (address_parse(str_from(listen), &addr))
+		fd = bind_and_listen(&addr);
+	if (fd < 0) {
+		g_set_error(error, AUBURN_ERROR, AUBURN_ERROR_UNAVAILABLE,
+			    "can't listen on %s", listen);
+		return -1;
+	}
+	*address = g_strdup(address_format(&addr, text));
+	return fd;
+}
+
+static enum MHD_Result finish_call(struct standin_server *server,
+				   struct MHD_Connection *conn,
+				   const char *path, const char *method,
+				   GString *body)
+{
+	struct standin_call call = { .conn = conn,
+				     .method = method,
+				     .path = path,
+				     .body = body->str,
+				     .body_len = body->len };
+
+	return server->handler(server->ctx, &call);
+}
+
+static enum MHD_Result on_access(void *ctx, struct MHD_Connection *conn,
+				 const char *path, const char *method,
+				 const char *version, const char *data,
+				 size_t *size, void **state)
+{
+	GString *body = *state;
+
+	(void)version;
+	if (!body) {
+		*state = g_string_new(NULL);
+		return MHD_YES;
+	}
+	if (*size) {
+		if (body->len + *size > BODY_LIMIT)
+			return MHD_NO;
+		g_string_append_len(body, data, (gssize)*size);
+		*size = 0;
+		return MHD_YES;
+	}
+	return finish_call(ctx, conn, path, method, body);
+}
+
+static void on_completed(void *ctx, struct MHD_Connection *conn, void **state,
+			 enum MHD_RequestTerminationCode code)
+{
+	(void)ctx;
+	(void)conn;
+	(void)code;
+	if (*state)
+		g_string_free(*state, TRUE);
+	*state = NULL;
+}
+
+struct standin_server *standin_server_create(const char *listen,
+					     standin_handler handler, void *ctx,
+					     GError **error)
+{
+	struct standin_server *server = g_new0(struct standin_server, 1);
+	int fd = standin_listen(listen, &server->address, error);
+
+	if (fd < 0) {
+		g_free(server);
+		return NULL;
+	}
+	server->handler = handler;
+	server->ctx = ctx;
+	server->daemon = MHD_start_daemon(
+		MHD_USE_INTERNAL_POLLING_THREAD |
+			MHD_USE_THREAD_PER_CONNECTION | MHD_USE_ITC,
+		0, NULL, NULL, on_access, server, MHD_OPTION_LISTEN_SOCKET, fd,
+		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTION_LIMIT,
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
+		MHD_OPTION_END);
+	if (!server->daemon) {
+		g_set_error(error, AUBURN_ERROR, AUBURN_ERROR_UNAVAILABLE,
+			    "can't serve on %s", listen);
+		close(fd);
+		g_free(server->address);
+		g_free(server);
+		return NULL;
+	}
+	return server;
+}
+
+const char *standin_server_address(const struct standin_server *server)
+{
+	return server->address;
+}
+
+void standin_server_destroy(struct standin_server *server)
+{
+	MHD_stop_daemon(server->daemon);
+	g_free(server->address);
+	g_free(server);
+}
+
+enum MHD_Result standin_reply(struct MHD_Connection *conn, unsigned int status,
+			      const char *type, const void *body, size_t len)
+{
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+		len, (void *)body, MHD_RESPMEM_MUST_COPY);
+	enum MHD_Result result;
+
+	MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, type);
+	result = MHD_queue_response(conn, status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+enum MHD_Result standin_reply_json(struct MHD_Connection *conn,
+				   unsigned int status, json_t *value)
+{
+	char *text = value ? json_dumps(value, JSON_COMPACT) : NULL;
+	enum MHD_Result result;
+
+	json_decref(value);
+	if (!text)
+		return MHD_NO;
+	result = standin_reply(conn, status, "application/json", text,
+			       strlen(text));
+	free(text);
+	return result;
+}
+
+json_t *standin_call_json(const struct standin_call *call)
+{
+	json_t *value = json_loadb(call->body, call->body_len, 0, NULL);
+
+	if (value && !json_is_object(value)) {
+		json_decref(value);
+		return NULL;
+	}
+	return value;
+}
+
+int64_t standin_argument(struct MHD_Connection *conn, const char *name,
+			 int64_t fallback)
+{
+	const char *text =
+		MHD_lookup_connection_value(conn, MHD_GET_ARGUMENT_KIND, name);
+
+	return text && *text ? g_ascii_strtoll(text, NULL, 10) : fallback;
+}
+
+static void stop_signals(sigset_t *set)
+{
+	sigemptyset(set);
+	sigaddset(set, SIGTERM);
+	sigaddset(set, SIGINT);
+}
+
+void standin_signals_block(void)
+{
+	sigset_t set;
+
+	stop_signals(&set);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+}
+
+void standin_signals_wait(void)
+{
+	sigset_t set;
+	int signal_number;
+
+	stop_signals(&set);
+	sigwait(&set, &signal_number);
+}
--- /dev/null
+++ b/test/standin/platform_faults.c
@@ -0,0 +1,187 @@
+#include "platform_faults.h"
+
+#include <glib.h>
+#include <stddef.h>
+#include <string.h>
+
+#include "base/clock.h"
+
+/* A silent call is closed at last, so that the process can stop. */
+#define SILENT_LIMIT_US (30 * US_PER_SECOND)
+#define SILENT_STEP_US (20 * US_PER_MS)
+#define PERCENT 100
+
+enum outage {
+	OUTAGE_NONE,
+	OUTAGE_REFUSE,
+	OUTAGE_SILENT,
+};
+
+struct faults {
+	GMutex lock;
+	GRand *rand;
+	enum outage outage;
+	int64_t slow_ms, lose_next, lose_percent, list_lag_ms;
+	int64_t calls, reads, writes, lost, refused;
+};
+
+struct faults *faults_create(uint64_t seed)
+{
+	struct faults *faults = g_new0(struct faults, 1);
+
+	g_mutex_init(&faults->lock);
+	faults->rand = g_rand_new_with_seed((guint32)seed);
+	return faults;
+}
+
+void faults_destroy(struct faults *faults)
+{
+	g_rand_free(faults->rand);
+	g_mutex_clear(&faults->lock);
+	g_free(faults);
+}
+
+static bool set_outage(struct faults *faults, const json_t *value)
+{
+	const char *text = json_string_value(value);
+
+	if (json_is_boolean(value))
+		faults->outage =
+			json_is_true(value) ? OUTAGE_REFUSE : OUTAGE_NONE;
+	else if (text && !strcmp(text, "silent"))
+		faults->outage = OUTAGE_SILENT;
+	else
+		return false;
+	return true;
+}
+
+static bool set_member(struct faults *faults, const char *name,
+		       const json_t *value)
+{
+	static const struct {
+		const char *name;
+		size_t offset;
+	} numbers[] = {
+		{ "slow_ms", offsetof(struct faults, slow_ms) },
+		{ "lose_next", offsetof(struct faults, lose_next) },
+		{ "lose_percent", offsetof(struct faults, lose_percent) },
+		{ "list_lag_ms", offsetof(struct faults, list_lag_ms) },
+	};
+	size_t i;
+
+	if (!strcmp(name, "outage"))
+		return set_outage(faults, value);
+	for (i = 0; i < G_N_ELEMENTS(numbers); i++)
+		if (!strcmp(name, numbers[i].name) && json_is_integer(value)) {
+			*(int64_t *)((char *)faults + numbers[i].offset) =
+				json_integer_value(value);
+			return true;
+		}
+	return false;
+}
+
+bool faults_switch(struct faults *faults, const json_t *change)
+{
+	const char *name;
+	json_t *value;
+	bool ok = true;
+
+	g_mutex_lock(&faults->lock);
+	json_object_foreach ((json_t *)change, name, value)
+		ok = set_member(faults, name, value) && ok;
+	g_mutex_unlock(&faults->lock);
+	return ok;
+}
+
+static enum outage outage_now(struct faults *faults, int64_t *slow_ms)
+{
+	enum outage outage;
+
+	g_mutex_lock(&faults->lock);
+	outage = faults->outage;
+	*slow_ms = faults->slow_ms;
+	g_mutex_unlock(&faults->lock);
+	return outage;
+}
+
+/* Keeps a call waiting through a silent outage, then drops it. */
+static void wait_silently(struct faults *faults)
+{
+	int64_t waited = 0, slow_ms;
+
+	while (waited < SILENT_LIMIT_US &&
+	       outage_now(faults, &slow_ms) == OUTAGE_SILENT) {
+		g_usleep(SILENT_STEP_US);
+		waited += SILENT_STEP_US;
+	}
+}
+
+enum fault_gate faults_pass(struct faults *faults)
+{
+	int64_t slow_ms;
+	enum outage outage = outage_now(faults, &slow_ms);
+
+	g_mutex_lock(&faults->lock);
+	faults->calls++;
+	faults->refused += outage != OUTAGE_NONE;
+	g_mutex_unlock(&faults->lock);
+	if (outage == OUTAGE_REFUSE)
+		return FAULT_REFUSE;
+	if (outage == OUTAGE_SILENT) {
+		wait_silently(faults);
+		return FAULT_CLOSE;
+	}
+	if (slow_ms > 0)
+		g_usleep((gulong)(slow_ms * US_PER_MS));
+	return FAULT_NONE;
+}
+
+bool faults_lose_answer(struct faults *faults)
+{
+	bool lose;
+
+	g_mutex_lock(&faults->lock);
+	lose = faults->lose_next > 0;
+	if (lose)
+		faults->lose_next--;
+	else
+		lose = g_rand_int_range(faults->rand, 0, PERCENT) <
+		       faults->lose_percent;
+	faults->lost += lose;
+	g_mutex_unlock(&faults->lock);
+	return lose;
+}
+
+int64_t faults_list_lag_us(struct faults *faults)
+{
+	int64_t lag_us;
+
+	g_mutex_lock(&faults->lock);
+	lag_us = faults->list_lag_ms * US_PER_MS;
+	g_mutex_unlock(&faults->lock);
+	return lag_us;
+}
+
+void faults_count(struct faults *faults, unsigned int reads,
+		  unsigned int writes)
+{
+	g_mutex_lock(&faults->lock);
+	faults->reads += reads;
+	faults->writes += writes;
+	g_mutex_unlock(&faults->lock);
+}
+
+json_t *faults_stats(struct faults *faults)
+{
+	json_t *stats;
+
+	g_mutex_lock(&faults->lock);
+	stats = json_pack("{s:I,s:I,s:I,s:I,s:I}", "calls",
+			  (json_int_t)faults->calls, "reads",
+			  (json_int_t)faults->reads, "writes",
+			  (json_int_t)faults->writes, "answers_lost",
+			  (json_int_t)faults->lost, "refused",
+			  (json_int_t)faults->refused);
+	g_mutex_unlock(&faults->lock);
+	return stats;
+}
