standin: an upstream with slots, grants and faults

Tests need upstreams that fence grants, drain, start cold, shed, take cancels and deadlines, and fail on order: slow, silent connections, cut bodies, a reset after the run, a crash on a marked request, reports that lag. Each execution and each grant is one line of a file that outlives the process, so that a test sees what ran even after kill -9. Answers are bytes that only this request's answer holds (test/fakes/pattern).

--- /dev/null
+++ b/test/fakes/pattern.c
@@ -0,0 +1,70 @@
+#include "pattern.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "base/hash.h"
+
+#define WORD sizeof(uint64_t)
+#define PART 4096
+
+/* The mixing step of splitmix64, which gives any word without the others. */
+static uint64_t word_at(uint64_t seed, uint64_t index)
+{
+	uint64_t z = seed + (index + 1) * UINT64_C(0x9e3779b97f4a7c15);
+
+	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+	return z ^ (z >> 31);
+}
+
+uint64_t pattern_seed(struct str id, struct str uri)
+{
+	return hash_seeded(uri, hash_key(id));
+}
+
+void pattern_fill(uint64_t seed, uint64_t offset, void *buf, size_t len)
+{
+	unsigned char *out = buf;
+
+	while (len) {
+		uint64_t word = GUINT64_TO_LE(word_at(seed, offset / WORD));
+		size_t skip = offset % WORD;
+		size_t n = MIN(len, WORD - skip);
+
+		memcpy(out, (unsigned char *)&word + skip, n);
+		out += n;
+		offset += n;
+		len -= n;
+	}
+}
+
+static size_t equal_bytes(const unsigned char *a, const unsigned char *b,
+			  size_t len)
+{
+	size_t i;
+
+	for (i = 0; i < len; i++)
+		if (a[i] != b[i])
+			return i;
+	return len;
+}
+
+size_t pattern_match(uint64_t seed, uint64_t offset, const void *buf,
+		     size_t len)
+{
+	unsigned char part[PART];
+	size_t done = 0;
+
+	while (done < len) {
+		size_t n = MIN(len - done, sizeof(part));
+
+		pattern_fill(seed, offset + done, part, n);
+		if (memcmp(part, (const unsigned char *)buf + done, n) != 0)
+			return done +
+			       equal_bytes((const unsigned char *)buf + done,
+					   part, n);
+		done += n;
+	}
+	return len;
+}
--- a/test/standin/common_http.c
+++ b/test/standin/common_http.c
@@ -12,13 +12,22 @@
 
 #define LISTEN_BACKLOG 512
 #define BODY_LIMIT ((size_t)16 * 1024 * 1024)
-#define CONNECTION_LIMIT 4096
+#define IDLE_STEP_US 5000
 
 struct standin_server {
 	struct MHD_Daemon *daemon;
 	char *address;
 	standin_handler handler;
 	void *ctx;
+	_Atomic uint64_t accepted;
+	_Atomic unsigned int connections;
+	_Atomic unsigned int requests;
+};
+
+/* One request while it is read and answered. */
+struct request {
+	char *uri;
+	GString *body;
 };
 
 static int bind_and_listen(struct sockaddr_in *addr)
@@ -56,16 +65,37 @@
 	return fd;
 }
 
+static void *on_uri(void *ctx, const char *uri, struct MHD_Connection *conn)
+{
+	struct standin_server *server = ctx;
+	struct request *request = g_new0(struct request, 1);
+
+	(void)conn;
+	server->requests++;
+	request->uri = g_strdup(uri);
+	return request;
+}
+
+static uint64_t number_of(struct MHD_Connection *conn)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+	return info ? (uint64_t)(uintptr_t)info->socket_context : 0;
+}
+
 static enum MHD_Result finish_call(struct standin_server *server,
 				   struct MHD_Connection *conn,
 				   const char *path, const char *method,
-				   GString *body)
+				   const struct request *request)
 {
 	struct standin_call call = { .conn = conn,
 				     .method = method,
 				     .path = path,
-				     .body = body->str,
-				     .body_len = body->len };
+				     .uri = request->uri,
+				     .conn_number = number_of(conn),
+				     .body = request->body->str,
+				     .body_len = request->body->len };
 
 	return server->handler(server->ctx, &call);
 }
@@ -75,35 +105,58 @@
 				 const char *version, const char *data,
 				 size_t *size, void **state)
 {
-	GString *body = *state;
+	struct request *request = *state;
 
 	(void)version;
-	if (!body) {
-		*state = g_string_new(NULL);
+	if (!request->body) {
+		request->body = g_string_new(NULL);
 		return MHD_YES;
 	}
 	if (*size) {
-		if (body->len + *size > BODY_LIMIT)
+		if (request->body->len + *size > BODY_LIMIT)
 			return MHD_NO;
-		g_string_append_len(body, data, (gssize)*size);
+		g_string_append_len(request->body, data, (gssize)*size);
 		*size = 0;
 		return MHD_YES;
 	}
-	return finish_call(ctx, conn, path, method, body);
+	return finish_call(ctx, conn, path, method, request);
 }
 
 static void on_completed(void *ctx, struct MHD_Connection *conn, void **state,
 			 enum MHD_RequestTerminationCode code)
 {
-	(void)ctx;
+	struct standin_server *server = ctx;
+	struct request *request = *state;
+
 	(void)conn;
 	(void)code;
-	if (*state)
-		g_string_free(*state, TRUE);
+	if (!request)
+		return;
+	if (request->body)
+		g_string_free(request->body, TRUE);
+	g_free(request->uri);
+	g_free(request);
 	*state = NULL;
+	server->requests--;
+}
+
+static void on_connection(void *ctx, struct MHD_Connection *conn,
+			  void **context,
+			  enum MHD_ConnectionNotificationCode code)
+{
+	struct standin_server *server = ctx;
+
+	(void)conn;
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		server->connections++;
+		*context = (void *)(uintptr_t)++server->accepted;
+	} else {
+		server->connections--;
+	}
 }
 
 struct standin_server *standin_server_create(const char *listen,
+					     unsigned int connection_limit,
 					     standin_handler handler, void *ctx,
 					     GError **error)
 {
@@ -120,8 +173,11 @@
 		MHD_USE_INTERNAL_POLLING_THREAD |
 			MHD_USE_THREAD_PER_CONNECTION | MHD_USE_ITC,
 		0, NULL, NULL, on_access, server, MHD_OPTION_LISTEN_SOCKET, fd,
-		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTION_LIMIT,
-		MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
+		MHD_OPTION_CONNECTION_LIMIT, connection_limit,
+		MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned int)LISTEN_BACKLOG,
+		MHD_OPTION_URI_LOG_CALLBACK, on_uri, server,
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
+		MHD_OPTION_NOTIFY_CONNECTION, on_connection, server,
 		MHD_OPTION_END);
 	if (!server->daemon) {
 		g_set_error(error, AUBURN_ERROR, AUBURN_ERROR_UNAVAILABLE,
@@ -139,6 +195,25 @@
 	return server->address;
 }
 
+uint64_t standin_server_accepted(const struct standin_server *server)
+{
+	return server->accepted;
+}
+
+unsigned int standin_server_connections(const struct standin_server *server)
+{
+	return server->connections;
+}
+
+void standin_server_wait_idle(struct standin_server *server, int64_t timeout_us)
+{
+	int64_t waited;
+
+	for (waited = 0; server->requests && waited < timeout_us;
+	     waited += IDLE_STEP_US)
+		g_usleep(IDLE_STEP_US);
+}
+
 void standin_server_destroy(struct standin_server *server)
 {
 	MHD_stop_daemon(server->daemon);
@@ -185,6 +260,11 @@
 	return value;
 }
 
+const char *standin_header(const struct standin_call *call, const char *name)
+{
+	return MHD_lookup_connection_value(call->conn, MHD_HEADER_KIND, name);
+}
+
 int64_t standin_argument(struct MHD_Connection *conn, const char *name,
 			 int64_t fallback)
 {
--- a/test/standin/common_http.h
+++ b/test/standin/common_http.h
@@ -14,7 +14,12 @@
 struct standin_call {
 	struct MHD_Connection *conn;
 	const char *method;
+	/** Percent-decoded. */
 	const char *path;
+	/** Path and query as they were sent. */
+	const char *uri;
+	/** The connection's place in the order of all connections, from 1. */
+	uint64_t conn_number;
 	/** The body, ended by a NUL that is not counted. */
 	const char *body;
 	size_t body_len;
@@ -35,15 +40,27 @@
  * Listens and serves.
  *
  * @param listen "IPv4:port"; port 0 takes a free one
+ * @param connection_limit connections above it are closed at once
  * @param handler called for each request
  * @param ctx handed to the handler
  * @param error AUBURN_ERROR_UNAVAILABLE
  * @return a new server, or NULL
  */
 struct standin_server *standin_server_create(const char *listen,
+					     unsigned int connection_limit,
 					     standin_handler handler, void *ctx,
 					     GError **error);
 
+/** The number of connections made so far. */
+uint64_t standin_server_accepted(const struct standin_server *server);
+
+/** The number of connections open now. */
+unsigned int standin_server_connections(const struct standin_server *server);
+
+/** Waits until no request is being answered, or the time has passed. */
+void standin_server_wait_idle(struct standin_server *server,
+			      int64_t timeout_us);
+
 /**
  * Where a server listens, as "IPv4:port".
  *
@@ -51,7 +68,7 @@
  */
 const char *standin_server_address(const struct standin_server *server);
 
-/** Stops listening, waits for running handlers and frees the server. */
+/** Closes all connections, waits for handlers and frees the server. */
 void standin_server_destroy(struct standin_server *server);
 
 /**
@@ -64,10 +81,16 @@
  */
 int standin_listen(const char *listen, char **address, GError **error);
 
+/** The connections a server takes when nothing says otherwise. */
+#define STANDIN_CONNECTIONS 4096
+
 /** Answers with bytes, which are copied. */
 enum MHD_Result standin_reply(struct MHD_Connection *conn, unsigned int status,
 			      const char *type, const void *body, size_t len);
 
+/** A request's header, or NULL. */
+const char *standin_header(const struct standin_call *call, const char *name);
+
 /** Answers with JSON; takes over the reference to the value. */
 enum MHD_Result standin_reply_json(struct MHD_Connection *conn,
 				   unsigned int status, json_t *value);
--- a/test/standin/platform_main.c
+++ b/test/standin/platform_main.c
@@ -45,8 +45,8 @@
 	standin_signals_block();
 	log_setup("info", false);
 	platform = platform_create((uint64_t)settings.seed);
-	server = standin_server_create(settings.listen, platform_handle,
-				       platform, &error);
+	server = standin_server_create(settings.listen, STANDIN_CONNECTIONS,
+				       platform_handle, platform, &error);
 	if (!server) {
 		log_error("platform", "%s", error->message);
 		return EXIT_FAILURE;
--- /dev/null
+++ b/test/standin/upstream_control.c
@@ -0,0 +1,218 @@
+#include <string.h>
+
+#include "base/clock.h"
+#include "upstream.h"
+
+static enum MHD_Result reply_text(const struct standin_call *call,
+				  unsigned int status, const char *text)
+{
+	return standin_reply(call->conn, status, "text/plain", text,
+			     strlen(text));
+}
+
+static json_t *load_now(struct upstream *upstream)
+{
+	static const char *const states[] = { "cold", "ready", "draining" };
+	struct slot_load load = slots_load(upstream->slots);
+	unsigned int connections = standin_server_connections(upstream->data);
+
+	return json_pack("{s:i,s:i,s:i,s:i,s:s,s:i}", "running",
+			 (int)load.running, "queued", (int)load.queued, "slots",
+			 (int)load.slots, "connections", (int)connections,
+			 "state", states[load.state], "cold_limit",
+			 (int)load.cold_limit);
+}
+
+/* The load as it is reported: between one and two lags old. */
+static json_t *load_reported(struct upstream *upstream)
+{
+	int64_t now_us = clock_now_us(clock_system());
+	json_t *shown;
+
+	g_mutex_lock(&upstream->lock);
+	if (!upstream->shown ||
+	    (now_us >= upstream->next_us && !upstream->faults.freeze_reports)) {
+		json_decref(upstream->shown);
+		upstream->shown =
+			upstream->next ? upstream->next : load_now(upstream);
+		upstream->next = load_now(upstream);
+		upstream->next_us = now_us + upstream->load_lag_us;
+	}
+	shown = json_deep_copy(upstream->shown);
+	g_mutex_unlock(&upstream->lock);
+	return shown;
+}
+
+/* Counts lag in every answer; the state in the answer to an order is true. */
+static json_t *load_with_state(struct upstream *upstream)
+{
+	json_t *load = load_reported(upstream);
+	json_t *now = load_now(upstream);
+
+	json_object_set(load, "state", json_object_get(now, "state"));
+	json_object_set(load, "cold_limit", json_object_get(now, "cold_limit"));
+	json_decref(now);
+	return load;
+}
+
+static enum MHD_Result on_order(struct upstream *upstream,
+				const struct standin_call *call)
+{
+	json_t *order = standin_call_json(call);
+	json_t *reply = order ? grants_order(upstream->grants, order) : NULL;
+
+	json_decref(order);
+	if (!reply)
+		return reply_text(call, MHD_HTTP_BAD_REQUEST, "bad order\n");
+	json_object_set_new(reply, "load", load_with_state(upstream));
+	return standin_reply_json(call->conn, MHD_HTTP_OK, reply);
+}
+
+static enum MHD_Result on_health(struct upstream *upstream,
+				 const struct standin_call *call)
+{
+	json_t *load = load_reported(upstream);
+	const char *state = json_string_value(json_object_get(load, "state"));
+	bool well = strcmp(state, "draining") != 0;
+
+	json_decref(load);
+	g_mutex_lock(&upstream->lock);
+	well = well && !upstream->faults.unhealthy;
+	g_mutex_unlock(&upstream->lock);
+	return reply_text(call,
+			  well ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
+			  well ? "well\n" : "not well\n");
+}
+
+static enum MHD_Result on_load(struct upstream *upstream,
+			       const struct standin_call *call)
+{
+	return standin_reply_json(call->conn, MHD_HTTP_OK,
+				  load_reported(upstream));
+}
+
+static enum MHD_Result on_drain(struct upstream *upstream,
+				const struct standin_call *call)
+{
+	slots_drain(upstream->slots);
+	return reply_text(call, MHD_HTTP_OK, "draining\n");
+}
+
+static enum MHD_Result on_cancel(struct upstream *upstream,
+				 const struct standin_call *call)
+{
+	static const char *const names[] = {
+		[CANCEL_UNKNOWN] = "unknown",
+		[CANCEL_NOT_RUN] = "not-run",
+		[CANCEL_STOPPED] = "stopped",
+		[CANCEL_RAN] = "ran",
+	};
+	json_t *body = standin_call_json(call);
+	const char *id = json_string_value(json_object_get(body, "request_id"));
+	enum slot_cancel result =
+		id ? slots_cancel(upstream->slots, id) : CANCEL_UNKNOWN;
+
+	json_decref(body);
+	return standin_reply_json(call->conn, MHD_HTTP_OK,
+				  json_pack("{s:s}", "result", names[result]));
+}
+
+/* Faults that are plain values; call with the lock held. */
+static bool set_fault(struct upstream *upstream, const char *name,
+		      const json_t *value)
+{
+	struct upstream_faults *faults = &upstream->faults;
+
+	if (!strcmp(name, "truncate"))
+		faults->truncate = json_integer_value(value);
+	else if (!strcmp(name, "reset_after_run"))
+		faults->reset_after_run = json_integer_value(value);
+	else if (!strcmp(name, "unhealthy"))
+		faults->unhealthy = json_is_true(value);
+	else if (!strcmp(name, "freeze_reports"))
+		faults->freeze_reports = json_is_true(value);
+	else if (!strcmp(name, "silent"))
+		faults->silent_up_to =
+			json_is_true(value)
+				? standin_server_accepted(upstream->data)
+				: 0;
+	else
+		return false;
+	return true;
+}
+
+static bool set_member(struct upstream *upstream, const char *name,
+		       const json_t *value)
+{
+	bool known = true;
+
+	if (!strcmp(name, "slow")) {
+		slots_slow(upstream->slots, json_number_value(value));
+	} else if (!strcmp(name, "shed")) {
+		slots_shed(upstream->slots, json_is_true(value));
+	} else if (!strcmp(name, "cold")) {
+		slots_turn_cold(upstream->slots);
+	} else if (!strcmp(name, "fences")) {
+		grants_set_fences(upstream->grants, json_is_true(value));
+	} else {
+		g_mutex_lock(&upstream->lock);
+		known = set_fault(upstream, name, value);
+		g_mutex_unlock(&upstream->lock);
+	}
+	return known;
+}
+
+static enum MHD_Result on_switch(struct upstream *upstream,
+				 const struct standin_call *call)
+{
+	json_t *body = standin_call_json(call);
+	bool ok = body != NULL;
+	const char *name;
+	json_t *value;
+
+	json_object_foreach (body, name, value)
+		ok = set_member(upstream, name, value) && ok;
+	json_decref(body);
+	return reply_text(call, ok ? MHD_HTTP_OK : MHD_HTTP_BAD_REQUEST,
+			  ok ? "switched\n" : "bad switch\n");
+}
+
+static enum MHD_Result on_executions(struct upstream *upstream,
+				     const struct standin_call *call)
+{
+	json_t *counts = record_counts(upstream->record);
+
+	json_object_set_new(counts, "cold_overshoot",
+			    json_integer((json_int_t)slots_cold_overshoot(
+				    upstream->slots)));
+	json_object_set_new(counts, "id", json_string(upstream->id));
+	json_object_set_new(counts, "boot", json_string(upstream->boot));
+	return standin_reply_json(call->conn, MHD_HTTP_OK, counts);
+}
+
+typedef enum MHD_Result (*control_call)(struct upstream *upstream,
+					const struct standin_call *call);
+
+enum MHD_Result upstream_control_handle(void *ctx,
+					const struct standin_call *call)
+{
+	static const struct {
+		const char *method, *path;
+		control_call handle;
+	} calls[] = {
+		{ "POST", "/control/order", on_order },
+		{ "GET", "/control/load", on_load },
+		{ "GET", "/control/health", on_health },
+		{ "POST", "/control/drain", on_drain },
+		{ "POST", "/control/cancel", on_cancel },
+		{ "POST", "/switch", on_switch },
+		{ "GET", "/standin/executions", on_executions },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(calls); i++)
+		if (!strcmp(call->path, calls[i].path) &&
+		    !strcmp(call->method, calls[i].method))
+			return calls[i].handle(ctx, call);
+	return reply_text(call, MHD_HTTP_NOT_FOUND, "no such call\n");
+}
--- /dev/null
+++ b/test/standin/upstream_data.c
@@ -0,0 +1,316 @@
+#include <errno.h>
+#include <inttypes.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/types.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/verdict.h"
+#include "pattern.h"
+#include "upstream.h"
+
+#define HEX 16
+#define NUMBER_SIZE 24
+#define DEFAULT_BYTES 64
+/* Smaller answers are sent in one piece with their headers. */
+#define ONE_PIECE_LIMIT ((uint64_t)16 * 1024)
+#define BLOCK_SIZE ((size_t)64 * 1024)
+#define SILENT_POLL_MS 100
+#define NO_DEADLINE_US (600 * US_PER_SECOND)
+
+/* An answer that is made while it is sent. */
+struct stream {
+	struct upstream *upstream;
+	struct standin_call call;
+	uint64_t seed;
+	/* Where it is cut; UINT64_MAX: nowhere. */
+	uint64_t cut;
+};
+
+static bool is_silent(struct upstream *upstream, uint64_t conn_number)
+{
+	bool silent;
+
+	g_mutex_lock(&upstream->lock);
+	silent = conn_number <= upstream->faults.silent_up_to;
+	g_mutex_unlock(&upstream->lock);
+	return silent;
+}
+
+bool upstream_keep_silent(struct upstream *upstream,
+			  const struct standin_call *call)
+{
+	const union MHD_ConnectionInfo *info;
+	struct pollfd fd = { .events = POLLRDHUP };
+
+	if (!is_silent(upstream, call->conn_number))
+		return false;
+	info = MHD_get_connection_info(call->conn,
+				       MHD_CONNECTION_INFO_CONNECTION_FD);
+	fd.fd = info->connect_fd;
+	while (poll(&fd, 1, SILENT_POLL_MS) == 0 &&
+	       is_silent(upstream, call->conn_number))
+		;
+	return true;
+}
+
+static void add_number(struct MHD_Response *response, const char *name,
+		       uint64_t number)
+{
+	char text[NUMBER_SIZE];
+
+	snprintf(text, sizeof(text), "%" PRIu64, number);
+	MHD_add_response_header(response, name, text);
+}
+
+static enum MHD_Result send_response(const struct standin_call *call,
+				     unsigned int status,
+				     struct MHD_Response *response)
+{
+	enum MHD_Result result =
+		MHD_queue_response(call->conn, status, response);
+
+	MHD_destroy_response(response);
+	return result;
+}
+
+static enum MHD_Result refuse(struct upstream *upstream,
+			      const struct standin_call *call,
+			      unsigned int status, enum verdict_reason reason)
+{
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+		0, NULL, MHD_RESPMEM_PERSISTENT);
+
+	MHD_add_response_header(response, "Auburn-Verdict",
+				verdict_kind_name(VERDICT_NOT_RUN));
+	MHD_add_response_header(response, "Auburn-Reason",
+				verdict_reason_name(reason));
+	MHD_add_response_header(response, "Auburn-Boot", upstream->boot);
+	if (reason == REASON_NOT_OWNER)
+		add_number(response, "Auburn-Epoch",
+			   grants_epoch(upstream->grants));
+	return send_response(call, status, response);
+}
+
+static enum MHD_Result refuse_slot(struct upstream *upstream,
+				   const struct standin_call *call,
+				   enum slot_result result)
+{
+	static const enum verdict_reason reasons[] = {
+		[SLOT_SHED] = REASON_UPSTREAM_SHED,
+		[SLOT_COLD] = REASON_UPSTREAM_COLD,
+		[SLOT_DRAINING] = REASON_SHUTTING_DOWN,
+		[SLOT_DEADLINE] = REASON_DEADLINE_IN_QUEUE,
+		[SLOT_CANCELLED] = REASON_CANCELLED,
+	};
+
+	return refuse(upstream, call, MHD_HTTP_SERVICE_UNAVAILABLE,
+		      reasons[result]);
+}
+
+/* Reads what routers say about a request. */
+static struct run describe(const struct standin_call *call)
+{
+	const char *hash = standin_header(call, "Auburn-Key-Hash");
+	const char *epoch = standin_header(call, "Auburn-Epoch");
+	struct run run = {
+		.keyed = hash != NULL,
+		.request_id = standin_header(call, "Auburn-Request-Id"),
+		.attempt = standin_header(call, "Auburn-Attempt"),
+		.work_id = standin_header(call, "Idempotency-Key"),
+		.load_id = standin_header(call, "Load-Id"),
+		.method = call->method,
+		.uri = call->uri,
+	};
+
+	if (hash)
+		run.hash = g_ascii_strtoull(hash, NULL, HEX);
+	if (epoch)
+		run.epoch = g_ascii_strtoull(epoch, NULL, 10);
+	return run;
+}
+
+/* The path's second segment is the key. */
+static uint64_t hash_of_path(const char *path)
+{
+	const char *key = strchr(path + 1, '/');
+	const char *end;
+
+	if (!key)
+		return hash_key(STR(""));
+	key++;
+	end = strchr(key, '/');
+	return hash_key(
+		(struct str){ key, end ? (size_t)(end - key) : strlen(key) });
+}
+
+static void check_hash(struct upstream *upstream,
+		       const struct standin_call *call, const struct run *run)
+{
+	if (run->keyed && run->hash != hash_of_path(call->path))
+		record_violation(upstream->record, "wrong-key-hash");
+}
+
+static void crash_if_marked(const struct upstream *upstream,
+			    const struct standin_call *call)
+{
+	const char *mark = upstream->crash_mark;
+
+	if (!*mark)
+		return;
+	if (strstr(call->uri, mark) ||
+	    memmem(call->body, call->body_len, mark, strlen(mark)))
+		kill(getpid(), SIGKILL);
+}
+
+/* Takes one of a number of faults that were ordered. */
+static bool take_fault(struct upstream *upstream, int64_t *count)
+{
+	bool take;
+
+	g_mutex_lock(&upstream->lock);
+	take = *count > 0;
+	if (take)
+		--*count;
+	g_mutex_unlock(&upstream->lock);
+	return take;
+}
+
+static ssize_t read_stream(void *ctx, uint64_t offset, char *buf, size_t max)
+{
+	struct stream *stream = ctx;
+
+	if (upstream_keep_silent(stream->upstream, &stream->call) ||
+	    offset >= stream->cut)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	if (max > stream->cut - offset)
+		max = (size_t)(stream->cut - offset);
+	pattern_fill(stream->seed, offset, buf, max);
+	return (ssize_t)max;
+}
+
+/* As read_stream(), for an answer whose length is not announced. */
+static ssize_t read_chunks(void *ctx, uint64_t offset, char *buf, size_t max)
+{
+	struct stream *stream = ctx;
+	uint64_t bytes = (uint64_t)standin_argument(stream->call.conn, "bytes",
+						    DEFAULT_BYTES);
+
+	if (offset >= bytes)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	return read_stream(ctx, offset, buf,
+			   (size_t)MIN((uint64_t)max, bytes - offset));
+}
+
+static struct MHD_Response *stream_response(struct upstream *upstream,
+					    const struct standin_call *call,
+					    uint64_t seed, uint64_t bytes,
+					    bool cut)
+{
+	bool chunked = standin_argument(call->conn, "chunked", 0) != 0;
+	struct stream *stream = g_new0(struct stream, 1);
+
+	stream->upstream = upstream;
+	stream->call = *call;
+	stream->seed = seed;
+	stream->cut = cut ? bytes / 2 : UINT64_MAX;
+	return MHD_create_response_from_callback(
+		chunked ? MHD_SIZE_UNKNOWN : bytes, BLOCK_SIZE,
+		chunked ? read_chunks : read_stream, stream, g_free);
+}
+
+static struct MHD_Response *small_response(uint64_t seed, uint64_t bytes)
+{
+	char *body = g_malloc(bytes + 1);
+
+	pattern_fill(seed, 0, body, bytes);
+	return MHD_create_response_from_buffer_with_free_callback(bytes, body,
+								  g_free);
+}
+
+static enum MHD_Result answer(struct upstream *upstream,
+			      const struct standin_call *call,
+			      const struct run *run)
+{
+	uint64_t bytes =
+		(uint64_t)standin_argument(call->conn, "bytes", DEFAULT_BYTES);
+	uint64_t seed =
+		pattern_seed(str_from(run->load_id), str_from(call->uri));
+	bool cut = take_fault(upstream, &upstream->faults.truncate);
+	bool one_piece = bytes <= ONE_PIECE_LIMIT && !cut &&
+			 !standin_argument(call->conn, "chunked", 0);
+	struct MHD_Response *response =
+		one_piece ? small_response(seed, bytes)
+			  : stream_response(upstream, call, seed, bytes, cut);
+
+	MHD_add_response_header(response, "Auburn-Verdict",
+				verdict_kind_name(VERDICT_RAN));
+	MHD_add_response_header(response, "Auburn-Boot", upstream->boot);
+	MHD_add_response_header(response, "Standin-Upstream", upstream->id);
+	if (run->load_id)
+		MHD_add_response_header(response, "Load-Id", run->load_id);
+	add_number(response, "Standin-Body-Hash",
+		   hash_key((struct str){ call->body, call->body_len }));
+	return send_response(call,
+			     (unsigned int)standin_argument(
+				     call->conn, "status", MHD_HTTP_OK),
+			     response);
+}
+
+static enum MHD_Result run_in_slot(struct upstream *upstream,
+				   const struct standin_call *call,
+				   struct run *run, struct slot *slot)
+{
+	/* It may have waited for longer than the grant held. */
+	if (run->keyed &&
+	    !grants_serve(upstream->grants, run->hash, run->epoch))
+		return refuse(upstream, call, MHD_HTTP_MISDIRECTED_REQUEST,
+			      REASON_NOT_OWNER);
+	run->at_us = clock_now_us(clock_system());
+	record_run(upstream->record, run);
+	crash_if_marked(upstream, call);
+	slots_run(upstream->slots, slot,
+		  standin_argument(call->conn, "run_us", -1));
+	if (upstream_keep_silent(upstream, call) ||
+	    take_fault(upstream, &upstream->faults.reset_after_run))
+		return MHD_NO;
+	return answer(upstream, call, run);
+}
+
+static int64_t deadline_of(const struct standin_call *call)
+{
+	const char *text = standin_header(call, "Auburn-Deadline-Ms");
+	int64_t left_us = NO_DEADLINE_US;
+
+	if (text)
+		left_us = g_ascii_strtoll(text, NULL, 10) * US_PER_MS;
+	return clock_now_us(clock_system()) + MIN(left_us, NO_DEADLINE_US);
+}
+
+enum MHD_Result upstream_data_handle(void *ctx, const struct standin_call *call)
+{
+	struct upstream *upstream = ctx;
+	struct run run = describe(call);
+	enum slot_result result;
+	enum MHD_Result sent;
+	struct slot *slot;
+
+	if (upstream_keep_silent(upstream, call))
+		return MHD_NO;
+	check_hash(upstream, call, &run);
+	if (run.keyed && !grants_serve(upstream->grants, run.hash, run.epoch))
+		return refuse(upstream, call, MHD_HTTP_MISDIRECTED_REQUEST,
+			      REASON_NOT_OWNER);
+	result = slots_acquire(upstream->slots,
+			       run.request_id ? run.request_id : "",
+			       deadline_of(call), &slot);
+	if (result != SLOT_OK)
+		return refuse_slot(upstream, call, result);
+	sent = run_in_slot(upstream, call, &run, slot);
+	slots_release(upstream->slots, slot);
+	return sent;
+}
--- /dev/null
+++ b/test/standin/upstream_main.c
@@ -0,0 +1,164 @@
+/**
+ * standin-upstream: an upstream with slots, grants and faults, for tests.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/options.h"
+#include "upstream.h"
+
+/* Longest wait for running work when the process is stopped. */
+#define STOP_LIMIT_US (120 * US_PER_SECOND)
+#define LARGEST 1000000000
+
+struct settings {
+	char *data, *control, *id, *service, *crash_mark, *record;
+	bool fences;
+	int64_t slots, queue, connections, service_us, seed;
+	int64_t cold_ms, cold_limit, cold_percent, load_lag_ms;
+};
+
+#define NUMBER(field, text, value, least, what)                                \
+	{                                                                      \
+		.name = (text), .type = OPTION_INT, .fallback = (value),       \
+		.min = (least), .max = LARGEST, .help = (what),                \
+		.offset = offsetof(struct settings, field)                     \
+	}
+
+static const struct option_spec options[] = {
+	{ .name = "data",
+	  .type = OPTION_ADDRESS,
+	  .fallback = "127.0.0.1:0",
+	  .help = "address for requests; port 0 takes a free one",
+	  .offset = offsetof(struct settings, data) },
+	{ .name = "control",
+	  .type = OPTION_ADDRESS,
+	  .fallback = "127.0.0.1:0",
+	  .help = "address for orders; port 0 takes a free one",
+	  .offset = offsetof(struct settings, control) },
+	{ .name = "fences",
+	  .type = OPTION_BOOL,
+	  .fallback = "true",
+	  .help = "check who gives orders, and let grants expire",
+	  .offset = offsetof(struct settings, fences) },
+	{ .name = "id",
+	  .type = OPTION_TEXT,
+	  .fallback = "upstream",
+	  .help = "id of its VM",
+	  .offset = offsetof(struct settings, id) },
+	{ .name = "service",
+	  .type = OPTION_TEXT,
+	  .fallback = "tallies",
+	  .help = "service that it runs; the cell of its grants",
+	  .offset = offsetof(struct settings, service) },
+	{ .name = "crash-mark",
+	  .type = OPTION_TEXT,
+	  .fallback = "crash-now",
+	  .help = "a request that holds this text kills the process",
+	  .offset = offsetof(struct settings, crash_mark) },
+	{ .name = "record",
+	  .type = OPTION_TEXT,
+	  .fallback = "",
+	  .help = "file to append executions and grants to",
+	  .offset = offsetof(struct settings, record) },
+	NUMBER(slots, "slots", "3", 1, "requests run at once"),
+	NUMBER(queue, "queue", "16", 0, "requests that wait for a slot"),
+	NUMBER(connections, "connections", "130", 1, "connections taken"),
+	NUMBER(service_us, "service-us", "1000", 0,
+	       "mean time to run a request, microseconds"),
+	NUMBER(seed, "seed", "1", 0, "seed of the times"),
+	NUMBER(cold_ms, "cold-ms", "0", 0, "time it stays cold, milliseconds"),
+	NUMBER(cold_limit, "cold-limit", "1", 0, "requests taken while cold"),
+	NUMBER(cold_percent, "cold-percent", "300", 1,
+	       "time to run a request while cold, percent of the usual"),
+	NUMBER(load_lag_ms, "load-lag-ms", "500", 0,
+	       "lag of load and health, milliseconds"),
+	{ 0 },
+};
+
+static char *new_boot(const char *id)
+{
+	return g_strdup_printf("%s-%x-%" G_GINT64_MODIFIER "x", id,
+			       (unsigned int)getpid(),
+			       clock_wall_us(clock_system()));
+}
+
+static struct slots *new_slots(const struct settings *settings)
+{
+	struct slot_limits limits = {
+		.slots = (unsigned int)settings->slots,
+		.queue = (unsigned int)settings->queue,
+		.cold_limit = (unsigned int)settings->cold_limit,
+		.cold_us = settings->cold_ms * US_PER_MS,
+		.cold_factor = (double)settings->cold_percent / 100,
+		.service_us = settings->service_us,
+		.seed = (uint64_t)settings->seed,
+	};
+
+	return slots_create(&limits);
+}
+
+static void init_upstream(struct upstream *upstream,
+			  const struct settings *settings, GError **error)
+{
+	upstream->id = settings->id;
+	upstream->service = settings->service;
+	upstream->crash_mark = settings->crash_mark;
+	upstream->boot = new_boot(settings->id);
+	upstream->load_lag_us = settings->load_lag_ms * US_PER_MS;
+	g_mutex_init(&upstream->lock);
+	upstream->record = record_create(settings->record, error);
+	if (!upstream->record)
+		return;
+	upstream->slots = new_slots(settings);
+	upstream->grants = grants_create(settings->service, upstream->boot,
+					 settings->fences, upstream->record);
+	upstream->data = standin_server_create(
+		settings->data, (unsigned int)settings->connections,
+		upstream_data_handle, upstream, error);
+	if (!upstream->data)
+		return;
+	upstream->control =
+		standin_server_create(settings->control, STANDIN_CONNECTIONS,
+				      upstream_control_handle, upstream, error);
+}
+
+int main(int argc, char **argv)
+{
+	static const struct program program = {
+		.name = "standin-upstream",
+		.about = "Stands in for an upstream in tests.",
+		.options = options
+	};
+	struct settings settings = { 0 };
+	struct upstream upstream = { 0 };
+	GError *error = NULL;
+
+	options_parse(&program, argc, argv, &settings, NULL);
+	standin_signals_block();
+	log_setup("info", false);
+	init_upstream(&upstream, &settings, &error);
+	if (error) {
+		log_error("upstream", "%s", error->message);
+		return EXIT_FAILURE;
+	}
+	printf("listening data=%s control=%s\n",
+	       standin_server_address(upstream.data),
+	       standin_server_address(upstream.control));
+	fflush(stdout);
+	standin_signals_wait();
+	slots_drain(upstream.slots);
+	standin_server_wait_idle(upstream.data, STOP_LIMIT_US);
+	standin_server_destroy(upstream.data);
+	standin_server_destroy(upstream.control);
+	grants_destroy(upstream.grants);
+	slots_destroy(upstream.slots);
+	record_destroy(upstream.record);
+	json_decref(upstream.shown);
+	json_decref(upstream.next);
+	g_free(upstream.boot);
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/test/standin/upstream_record.c
@@ -0,0 +1,175 @@
+#include "upstream_record.h"
+
+#include <fcntl.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/error.h"
+
+struct record {
+	int fd;
+	GMutex lock;
+	uint64_t runs;
+	/* Text to count. */
+	GHashTable *requests, *work, *loads, *violations;
+};
+
+static GHashTable *new_counts(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+struct record *record_create(const char *path, GError **error)
+{
+	struct record *record;
+	int fd = -1;
+
+	if (*path) {
+		fd = open(path, O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC,
+			  0644);
+		if (fd < 0) {
+			g_set_error(error, AUBURN_ERROR,
+				    AUBURN_ERROR_UNAVAILABLE,
+				    "can't append to %s", path);
+			return NULL;
+		}
+	}
+	record = g_new0(struct record, 1);
+	record->fd = fd;
+	g_mutex_init(&record->lock);
+	record->requests = new_counts();
+	record->work = new_counts();
+	record->loads = new_counts();
+	record->violations = new_counts();
+	return record;
+}
+
+void record_destroy(struct record *record)
+{
+	if (record->fd >= 0)
+		close(record->fd);
+	g_hash_table_unref(record->requests);
+	g_hash_table_unref(record->work);
+	g_hash_table_unref(record->loads);
+	g_hash_table_unref(record->violations);
+	g_mutex_clear(&record->lock);
+	g_free(record);
+}
+
+static void count(GHashTable *counts, const char *text)
+{
+	gpointer old;
+
+	if (!text)
+		return;
+	old = g_hash_table_lookup(counts, text);
+	g_hash_table_replace(counts, g_strdup(text),
+			     GUINT_TO_POINTER(GPOINTER_TO_UINT(old) + 1));
+}
+
+/* One write() a line: appends of several processes don't mix. */
+static void append(const struct record *record, const GString *line)
+{
+	ssize_t written = write(record->fd, line->str, line->len);
+
+	(void)written;
+}
+
+static const char *field(const char *text)
+{
+	return text && *text ? text : "-";
+}
+
+static void append_run(const struct record *record, const struct run *run)
+{
+	GString *line = g_string_sized_new(256);
+
+	g_string_printf(line, "run\t%" PRId64, run->at_us);
+	if (run->keyed)
+		g_string_append_printf(line, "\t%016" PRIx64 "\t%" PRIu64,
+				       run->hash, run->epoch);
+	else
+		g_string_append(line, "\t-\t-");
+	g_string_append_printf(line, "\t%s\t%s\t%s\t%s\t%s\t%s\n",
+			       field(run->request_id), field(run->attempt),
+			       field(run->work_id), field(run->load_id),
+			       run->method, run->uri);
+	append(record, line);
+	g_string_free(line, TRUE);
+}
+
+void record_run(struct record *record, const struct run *run)
+{
+	bool repeatable =
+		!strcmp(run->method, "GET") || !strcmp(run->method, "HEAD");
+
+	if (record->fd >= 0)
+		append_run(record, run);
+	g_mutex_lock(&record->lock);
+	record->runs++;
+	if (!repeatable) {
+		count(record->requests, run->request_id);
+		count(record->loads, run->load_id);
+	}
+	count(record->work, run->work_id);
+	g_mutex_unlock(&record->lock);
+}
+
+void record_grant(struct record *record, int64_t now_us, int64_t until_us,
+		  const struct order *order)
+{
+	GString *line;
+	size_t i;
+
+	if (record->fd < 0)
+		return;
+	line = g_string_sized_new(256);
+	g_string_printf(line, "grant\t%" PRId64 "\t%" PRId64 "\t%" PRIu64 "\t",
+			now_us, until_us, order->epoch);
+	for (i = 0; order->has_ranges && i < order->range_count; i++)
+		g_string_append_printf(line, "%s%016" PRIx64 "-%016" PRIx64,
+				       i ? "," : "", order->ranges[i].first,
+				       order->ranges[i].last);
+	/* Owning nothing is not the same as keeping what was held. */
+	if (!order->has_ranges)
+		g_string_append_c(line, '=');
+	g_string_append_c(line, '\n');
+	append(record, line);
+	g_string_free(line, TRUE);
+}
+
+void record_violation(struct record *record, const char *what)
+{
+	g_mutex_lock(&record->lock);
+	count(record->violations, what);
+	g_mutex_unlock(&record->lock);
+}
+
+static json_t *counts_json(GHashTable *counts)
+{
+	json_t *object = json_object();
+	GHashTableIter iter;
+	gpointer text, number;
+
+	g_hash_table_iter_init(&iter, counts);
+	while (g_hash_table_iter_next(&iter, &text, &number))
+		json_object_set_new(object, text,
+				    json_integer(GPOINTER_TO_UINT(number)));
+	return object;
+}
+
+json_t *record_counts(struct record *record)
+{
+	json_t *counts;
+
+	g_mutex_lock(&record->lock);
+	counts = json_pack(
+		"{s:I,s:o,s:o,s:o,s:o}", "runs", (json_int_t)record->runs,
+		"requests", counts_json(record->requests), "work",
+		counts_json(record->work), "loads", counts_json(record->loads),
+		"violations", counts_json(record->violations));
+	g_mutex_unlock(&record->lock);
+	return counts;
+}
--- /dev/null
+++ b/test/standin/upstream_slots.c
@@ -0,0 +1,276 @@
+#include "upstream_slots.h"
+
+#include "base/clock.h"
+
+/* Ended requests that a late cancel can still be told about. */
+#define ENDED_KEPT 4096
+
+struct slot {
+	char *id;
+	bool running, cancelled;
+};
+
+struct slots {
+	struct slot_limits limits;
+	GMutex lock;
+	GCond changed;
+	GRand *rand;
+	/* Waiting slots, first come first served. */
+	GQueue waiting;
+	/* Waiting and running slots by id. */
+	GHashTable *by_id;
+	/* Ids of requests that ran, oldest first, and the same as a set. */
+	GQueue ended;
+	GHashTable *ended_set;
+	unsigned int running;
+	int64_t cold_until_us;
+	bool draining, shed;
+	double slow_factor;
+	uint64_t cold_overshoot;
+};
+
+static int64_t now_us(void)
+{
+	return clock_now_us(clock_system());
+}
+
+struct slots *slots_create(const struct slot_limits *limits)
+{
+	struct slots *slots = g_new0(struct slots, 1);
+
+	slots->limits = *limits;
+	g_mutex_init(&slots->lock);
+	g_cond_init(&slots->changed);
+	slots->rand = g_rand_new_with_seed((guint32)limits->seed);
+	g_queue_init(&slots->waiting);
+	g_queue_init(&slots->ended);
+	slots->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	slots->ended_set = g_hash_table_new(g_str_hash, g_str_equal);
+	slots->cold_until_us = now_us() + limits->cold_us;
+	slots->slow_factor = 1;
+	return slots;
+}
+
+void slots_destroy(struct slots *slots)
+{
+	g_hash_table_unref(slots->by_id);
+	g_hash_table_unref(slots->ended_set);
+	g_queue_clear_full(&slots->ended, g_free);
+	g_queue_clear(&slots->waiting);
+	g_rand_free(slots->rand);
+	g_cond_clear(&slots->changed);
+	g_mutex_clear(&slots->lock);
+	g_free(slots);
+}
+
+static bool is_cold(const struct slots *slots)
+{
+	return now_us() < slots->cold_until_us;
+}
+
+static unsigned int received(const struct slots *slots)
+{
+	return slots->running + slots->waiting.length;
+}
+
+/* Whether new work is turned away on arrival. */
+static enum slot_result admit(struct slots *slots)
+{
+	if (slots->draining)
+		return SLOT_DRAINING;
+	if (is_cold(slots) && received(slots) >= slots->limits.cold_limit) {
+		slots->cold_overshoot++;
+		return SLOT_COLD;
+	}
+	if (slots->shed ||
+	    received(slots) >= slots->limits.slots + slots->limits.queue)
+		return SLOT_SHED;
+	return SLOT_OK;
+}
+
+static bool may_start(struct slots *slots, const struct slot *slot)
+{
+	return slots->running < slots->limits.slots &&
+	       g_queue_peek_head(&slots->waiting) == slot;
+}
+
+static void wait_changed(struct slots *slots, int64_t left_us)
+{
+	g_cond_wait_until(&slots->changed, &slots->lock,
+			  g_get_monotonic_time() + left_us);
+}
+
+static void forget(struct slots *slots, struct slot *slot)
+{
+	if (g_hash_table_lookup(slots->by_id, slot->id) == slot)
+		g_hash_table_remove(slots->by_id, slot->id);
+	g_free(slot->id);
+	g_free(slot);
+}
+
+static enum slot_result wait_turn(struct slots *slots, struct slot *slot,
+				  int64_t deadline_us)
+{
+	while (!slot->cancelled && !may_start(slots, slot)) {
+		int64_t left_us = deadline_us - now_us();
+
+		if (left_us <= 0)
+			return SLOT_DEADLINE;
+		wait_changed(slots, left_us);
+	}
+	return slot->cancelled ? SLOT_CANCELLED : SLOT_OK;
+}
+
+enum slot_result slots_acquire(struct slots *slots, const char *id,
+			       int64_t deadline_us, struct slot **out)
+{
+	enum slot_result result;
+	struct slot *slot;
+
+	g_mutex_lock(&slots->lock);
+	result = admit(slots);
+	if (result == SLOT_OK) {
+		slot = g_new0(struct slot, 1);
+		slot->id = g_strdup(id);
+		g_hash_table_replace(slots->by_id, slot->id, slot);
+		g_queue_push_tail(&slots->waiting, slot);
+		result = wait_turn(slots, slot, deadline_us);
+		g_queue_remove(&slots->waiting, slot);
+		if (result == SLOT_OK) {
+			slot->running = true;
+			slots->running++;
+			*out = slot;
+		} else {
+			forget(slots, slot);
+		}
+		g_cond_broadcast(&slots->changed);
+	}
+	g_mutex_unlock(&slots->lock);
+	return result;
+}
+
+/* Half of the mean is fixed, the other half exponential. */
+static int64_t choose_time(struct slots *slots)
+{
+	double half = (double)slots->limits.service_us / 2;
+	double u = g_rand_double(slots->rand);
+
+	return (int64_t)(half - half * __builtin_log(1 - u));
+}
+
+bool slots_run(struct slots *slots, struct slot *slot, int64_t service_us)
+{
+	double factor;
+	int64_t end_us, left_us;
+	bool whole;
+
+	g_mutex_lock(&slots->lock);
+	if (service_us < 0)
+		service_us = choose_time(slots);
+	factor = slots->slow_factor;
+	if (is_cold(slots))
+		factor *= slots->limits.cold_factor;
+	end_us = now_us() + (int64_t)((double)service_us * factor);
+	while (!slot->cancelled && (left_us = end_us - now_us()) > 0)
+		wait_changed(slots, left_us);
+	whole = !slot->cancelled;
+	g_mutex_unlock(&slots->lock);
+	return whole;
+}
+
+static void remember_ended(struct slots *slots, const char *id)
+{
+	char *copy;
+
+	if (g_hash_table_contains(slots->ended_set, id))
+		return;
+	copy = g_strdup(id);
+	g_queue_push_tail(&slots->ended, copy);
+	g_hash_table_add(slots->ended_set, copy);
+	if (slots->ended.length <= ENDED_KEPT)
+		return;
+	copy = g_queue_pop_head(&slots->ended);
+	g_hash_table_remove(slots->ended_set, copy);
+	g_free(copy);
+}
+
+void slots_release(struct slots *slots, struct slot *slot)
+{
+	g_mutex_lock(&slots->lock);
+	slots->running--;
+	remember_ended(slots, slot->id);
+	forget(slots, slot);
+	g_cond_broadcast(&slots->changed);
+	g_mutex_unlock(&slots->lock);
+}
+
+enum slot_cancel slots_cancel(struct slots *slots, const char *id)
+{
+	enum slot_cancel result = CANCEL_UNKNOWN;
+	struct slot *slot;
+
+	g_mutex_lock(&slots->lock);
+	slot = g_hash_table_lookup(slots->by_id, id);
+	if (slot) {
+		slot->cancelled = true;
+		result = slot->running ? CANCEL_STOPPED : CANCEL_NOT_RUN;
+		g_cond_broadcast(&slots->changed);
+	} else if (g_hash_table_contains(slots->ended_set, id)) {
+		result = CANCEL_RAN;
+	}
+	g_mutex_unlock(&slots->lock);
+	return result;
+}
+
+void slots_drain(struct slots *slots)
+{
+	g_mutex_lock(&slots->lock);
+	slots->draining = true;
+	g_mutex_unlock(&slots->lock);
+}
+
+void slots_turn_cold(struct slots *slots)
+{
+	g_mutex_lock(&slots->lock);
+	slots->cold_until_us = now_us() + slots->limits.cold_us;
+	g_mutex_unlock(&slots->lock);
+}
+
+void slots_shed(struct slots *slots, bool shed)
+{
+	g_mutex_lock(&slots->lock);
+	slots->shed = shed;
+	g_mutex_unlock(&slots->lock);
+}
+
+void slots_slow(struct slots *slots, double factor)
+{
+	g_mutex_lock(&slots->lock);
+	slots->slow_factor = factor;
+	g_mutex_unlock(&slots->lock);
+}
+
+struct slot_load slots_load(struct slots *slots)
+{
+	struct slot_load load = { .slots = slots->limits.slots };
+
+	g_mutex_lock(&slots->lock);
+	load.running = slots->running;
+	load.queued = slots->waiting.length;
+	load.state = slots->draining  ? SLOTS_DRAINING
+		     : is_cold(slots) ? SLOTS_COLD
+				      : SLOTS_READY;
+	load.cold_limit = is_cold(slots) ? slots->limits.cold_limit : 0;
+	g_mutex_unlock(&slots->lock);
+	return load;
+}
+
+uint64_t slots_cold_overshoot(struct slots *slots)
+{
+	uint64_t count;
+
+	g_mutex_lock(&slots->lock);
+	count = slots->cold_overshoot;
+	g_mutex_unlock(&slots->lock);
+	return count;
+}
