--- /dev/null
+++ b/tools/loadgen_mix.c
@@ -0,0 +1,169 @@
+#include "loadgen_mix.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "base/error.h"
+
+#define DEFAULT_BYTES 256
+/* Far from neighbours in rank, and prime to most counts of keys. */
+#define SHIFT_STEP 7919
+
+struct mix {
+	GArray *items;
+	double weight_sum;
+};
+
+struct key_law {
+	unsigned int count;
+	/* Sums of the weights of ranks 0 to i, the last one 1. */
+	double *sums;
+};
+
+static bool set_number(const char *text, const char *name, int64_t *out)
+{
+	size_t len = strlen(name);
+	char *end;
+
+	if (strncmp(text, name, len) != 0 || text[len] != '=')
+		return false;
+	*out = g_ascii_strtoll(text + len + 1, &end, 10);
+	return end != text + len + 1 && !*end && *out >= 0;
+}
+
+static bool set_word(struct mix_item *item, const char *word)
+{
+	if (!strcmp(word, "post"))
+		item->post = true;
+	else if (!strcmp(word, "once"))
+		item->once = true;
+	else
+		return set_number(word, "bytes", &item->bytes) ||
+		       set_number(word, "body", &item->body) ||
+		       set_number(word, "run_us", &item->run_us) ||
+		       set_number(word, "speed", &item->bytes_per_second);
+	return true;
+}
+
+static bool parse_item(const char *text, struct mix_item *item)
+{
+	char **words = g_strsplit(text, ":", -1);
+	char *equals = words[0] ? strchr(words[0], '=') : NULL;
+	bool ok = equals && equals != words[0];
+	size_t i;
+
+	*item = (struct mix_item){ .bytes = DEFAULT_BYTES, .run_us = -1 };
+	if (ok) {
+		item->service = g_strndup(words[0], (gsize)(equals - words[0]));
+		item->weight = g_ascii_strtod(equals + 1, NULL);
+		ok = item->weight > 0;
+		for (i = 1; ok && words[i]; i++)
+			ok = set_word(item, words[i]);
+	}
+	g_strfreev(words);
+	return ok;
+}
+
+static void clear_item(gpointer data)
+{
+	g_free(((struct mix_item *)data)->service);
+}
+
+struct mix *mix_parse(const char *text, GError **error)
+{
+	struct mix *mix = g_new0(struct mix, 1);
+	char **parts = g_strsplit(text, ",", -1);
+	bool ok = parts[0] != NULL;
+	char **p;
+
+	mix->items = g_array_new(FALSE, FALSE, sizeof(struct mix_item));
+	g_array_set_clear_func(mix->items, clear_item);
+	for (p = parts; ok && *p; p++) {
+		struct mix_item item;
+
+		ok = parse_item(*p, &item);
+		g_array_append_val(mix->items, item);
+		mix->weight_sum += item.weight;
+		if (!ok)
+			g_set_error(error, AUBURN_ERROR, AUBURN_ERROR_INVALID,
+				    "--mix: bad item \"%s\"", *p);
+	}
+	g_strfreev(parts);
+	if (ok)
+		return mix;
+	if (error && !*error)
+		g_set_error_literal(error, AUBURN_ERROR, AUBURN_ERROR_INVALID,
+				    "--mix: no items");
+	mix_destroy(mix);
+	return NULL;
+}
+
+void mix_destroy(struct mix *mix)
+{
+	g_array_unref(mix->items);
+	g_free(mix);
+}
+
+size_t mix_count(const struct mix *mix)
+{
+	return mix->items->len;
+}
+
+const struct mix_item *mix_at(const struct mix *mix, size_t index)
+{
+	return &g_array_index(mix->items, struct mix_item, index);
+}
+
+size_t mix_choose(const struct mix *mix, GRand *rand)
+{
+	double left = g_rand_double(rand) * mix->weight_sum;
+	size_t i;
+
+	for (i = 0; i + 1 < mix->items->len; i++) {
+		left -= mix_at(mix, i)->weight;
+		if (left < 0)
+			break;
+	}
+	return i;
+}
+
+struct key_law *key_law_create(unsigned int count, double exponent)
+{
+	struct key_law *law = g_new0(struct key_law, 1);
+	double sum = 0;
+	unsigned int i;
+
+	law->count = count;
+	law->sums = g_new0(double, count);
+	for (i = 0; i < count; i++) {
+		sum += pow(i + 1.0, -exponent);
+		law->sums[i] = sum;
+	}
+	for (i = 0; i < count; i++)
+		law->sums[i] /= sum;
+	return law;
+}
+
+void key_law_destroy(struct key_law *law)
+{
+	g_free(law->sums);
+	g_free(law);
+}
+
+unsigned int key_law_choose(const struct key_law *law, GRand *rand,
+			    unsigned int shift)
+{
+	double u = g_rand_double(rand);
+	unsigned int low = 0, high = law->count - 1;
+
+	while (low < high) {
+		unsigned int middle = low + (high - low) / 2;
+
+		if (law->sums[middle] < u)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return (unsigned int)((low + (uint64_t)shift * SHIFT_STEP) %
+			      law->count);
+}
