--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -5,7 +5,7 @@
 
 #include "base/clock.h"
 #include "platform_faults.h"
-#include "platform_table.h"
+#include "platform_rows.h"
 #include "platform_vms.h"
 
 #define ETAG_SIZE 32
@@ -15,8 +15,8 @@
 	struct faults *faults;
 	/* Guards what follows. */
 	GMutex lock;
-	struct table *table;
-	struct table *objects;
+	struct rows *table;
+	struct rows *objects;
 	struct vm_list *vms;
 };
 
@@ -26,8 +26,8 @@
 
 	platform->faults = faults_create(seed);
 	g_mutex_init(&platform->lock);
-	platform->table = table_create();
-	platform->objects = table_create();
+	platform->table = rows_create();
+	platform->objects = rows_create();
 	platform->vms = vm_list_create();
 	return platform;
 }
@@ -35,8 +35,8 @@
 void platform_destroy(struct platform *platform)
 {
 	faults_destroy(platform->faults);
-	table_destroy(platform->table);
-	table_destroy(platform->objects);
+	rows_destroy(platform->table);
+	rows_destroy(platform->objects);
 	vm_list_destroy(platform->vms);
 	g_mutex_clear(&platform->lock);
 	g_free(platform);
@@ -91,7 +91,7 @@
 		call->conn, MHD_HEADER_KIND, MHD_HTTP_HEADER_IF_NONE_MATCH);
 	char *end;
 
-	*if_version = TABLE_ANY_VERSION;
+	*if_version = ROWS_ANY_VERSION;
 	if (none) {
 		*if_version = 0;
 		return !strcmp(none, "*") && !match;
@@ -105,10 +105,10 @@
 }
 
 /* A reference to the row's value and its version; NULL when there is none. */
-static GBytes *snapshot(const struct table *table, const char *key,
+static GBytes *snapshot(const struct rows *table, const char *key,
 			int64_t *version)
 {
-	const struct table_row *row = table_get(table, key);
+	const struct row *row = rows_get(table, key);
 
 	*version = row ? row->version : 0;
 	return row ? g_bytes_ref(row->value) : NULL;
@@ -116,7 +116,7 @@
 
 static enum MHD_Result get_row(struct platform *platform,
 			       const struct standin_call *call,
-			       const struct table *table, const char *key)
+			       const struct rows *table, const char *key)
 {
 	enum MHD_Result result;
 	int64_t version;
@@ -135,12 +135,12 @@
 
 static enum MHD_Result change_row(struct platform *platform,
 				  const struct standin_call *call,
-				  struct table *table, const char *key,
+				  struct rows *table, const char *key,
 				  bool deletes)
 {
 	struct str body = { call->body, call->body_len };
 	enum MHD_Result result;
-	enum table_status status;
+	enum rows_status status;
 	int64_t if_version, version = 0;
 	GBytes *value = NULL;
 	unsigned int code;
@@ -150,14 +150,14 @@
 				   "bad condition\n");
 	faults_count(platform->faults, 0, 1);
 	g_mutex_lock(&platform->lock);
-	status = deletes ? table_delete(table, key, if_version)
-			 : table_put(table, key, if_version, body, &version);
-	if (status == TABLE_CONFLICT)
+	status = deletes ? rows_delete(table, key, if_version)
+			 : rows_put(table, key, if_version, body, &version);
+	if (status == ROWS_CONFLICT)
 		value = snapshot(table, key, &version);
 	g_mutex_unlock(&platform->lock);
-	code = status == TABLE_CONFLICT ? MHD_HTTP_PRECONDITION_FAILED
-	       : deletes		? MHD_HTTP_NO_CONTENT
-					: MHD_HTTP_OK;
+	code = status == ROWS_CONFLICT ? MHD_HTTP_PRECONDITION_FAILED
+	       : deletes	       ? MHD_HTTP_NO_CONTENT
+				       : MHD_HTTP_OK;
 	result = reply_write(platform, call, code, value, version);
 	if (value)
 		g_bytes_unref(value);
@@ -166,9 +166,9 @@
 
 static enum MHD_Result on_row(struct platform *platform,
 			      const struct standin_call *call,
-			      struct table *table, const char *key)
+			      struct rows *table, const char *key)
 {
-	if (!table_key_valid(key))
+	if (!rows_key_valid(key))
 		return reply_error(call, MHD_HTTP_BAD_REQUEST, "bad key\n");
 	if (!strcmp(call->method, "GET"))
 		return get_row(platform, call, table, key);
@@ -179,7 +179,7 @@
 	return reply_error(call, MHD_HTTP_METHOD_NOT_ALLOWED, "no method\n");
 }
 
-static void list_row(void *ctx, const char *key, const struct table_row *row)
+static void list_row(void *ctx, const char *key, const struct row *row)
 {
 	gsize len;
 	const char *data = g_bytes_get_data(row->value, &len);
@@ -202,18 +202,18 @@
 
 	faults_count(platform->faults, 1, 0);
 	g_mutex_lock(&platform->lock);
-	table_list(platform->table, prefix ? prefix : "", list_row, rows);
+	rows_list(platform->table, prefix ? prefix : "", list_row, rows);
 	g_mutex_unlock(&platform->lock);
 	return standin_reply_json(call->conn, MHD_HTTP_OK,
 				  json_pack("{s:o}", "rows", rows));
 }
 
 static json_t *result_of(struct platform *platform, const char *key,
-			 enum table_status status)
+			 enum rows_status status)
 {
 	static const char *const names[] = { "ok", "conflict", "absent" };
 	json_t *result = json_pack("{s:s}", "status", names[status]);
-	const struct table_row *row = table_get(platform->table, key);
+	const struct row *row = rows_get(platform->table, key);
 	const char *data;
 	gsize len;
 
@@ -234,22 +234,21 @@
 	const json_t *wanted = json_object_get(op, "if_version");
 	const json_t *text = json_object_get(op, "value");
 	int64_t if_version =
-		wanted ? json_integer_value(wanted) : TABLE_ANY_VERSION;
+		wanted ? json_integer_value(wanted) : ROWS_ANY_VERSION;
 	struct str value = { json_string_value(text),
 			     json_string_length(text) };
-	enum table_status status;
+	enum rows_status status;
 	int64_t version;
 
-	if (!kind || !key || !table_key_valid(key))
+	if (!kind || !key || !rows_key_valid(key))
 		return NULL;
 	if (!strcmp(kind, "get"))
-		status = table_get(platform->table, key) ? TABLE_OK
-							 : TABLE_ABSENT;
+		status = rows_get(platform->table, key) ? ROWS_OK : ROWS_ABSENT;
 	else if (!strcmp(kind, "put") && json_is_string(text))
-		status = table_put(platform->table, key, if_version, value,
-				   &version);
+		status = rows_put(platform->table, key, if_version, value,
+				  &version);
 	else if (!strcmp(kind, "delete"))
-		status = table_delete(platform->table, key, if_version);
+		status = rows_delete(platform->table, key, if_version);
 	else
 		return NULL;
 	faults_count(platform->faults, !strcmp(kind, "get"),
@@ -348,7 +347,7 @@
 	g_mutex_lock(&platform->lock);
 	json_object_set_new(
 		stats, "rows",
-		json_integer((json_int_t)table_count(platform->table)));
+		json_integer((json_int_t)rows_count(platform->table)));
 	g_mutex_unlock(&platform->lock);
 	return standin_reply_json(call->conn, MHD_HTTP_OK, stats);
 }
--- a/test/standin/platform_table.c
+++ b/test/standin/platform_rows.c
@@ -1,8 +1,8 @@
-#include "platform_table.h"
+#include "platform_rows.h"
 
 #include <string.h>
 
-struct table {
+struct rows {
 	GTree *rows;
 	/* Versions of deleted keys go on counting, so none comes twice. */
 	GHashTable *deleted;
@@ -10,7 +10,7 @@
 
 static void free_row(gpointer data)
 {
-	struct table_row *row = data;
+	struct row *row = data;
 
 	g_bytes_unref(row->value);
 	g_free(row);
@@ -22,9 +22,9 @@
 	return strcmp(a, b);
 }
 
-struct table *table_create(void)
+struct rows *rows_create(void)
 {
-	struct table *table = g_new0(struct table, 1);
+	struct rows *table = g_new0(struct rows, 1);
 
 	table->rows = g_tree_new_full(compare_keys, NULL, g_free, free_row);
 	table->deleted =
@@ -32,14 +32,14 @@
 	return table;
 }
 
-void table_destroy(struct table *table)
+void rows_destroy(struct rows *table)
 {
 	g_tree_unref(table->rows);
 	g_hash_table_unref(table->deleted);
 	g_free(table);
 }
 
-bool table_key_valid(const char *key)
+bool rows_key_valid(const char *key)
 {
 	const char *p;
 
@@ -49,23 +49,22 @@
 	return *key != '\0';
 }
 
-const struct table_row *table_get(const struct table *table, const char *key)
+const struct row *rows_get(const struct rows *table, const char *key)
 {
 	return g_tree_lookup(table->rows, key);
 }
 
-static enum table_status check_version(const struct table_row *row,
-				       int64_t if_version)
+static enum rows_status check_version(const struct row *row, int64_t if_version)
 {
-	if (if_version == TABLE_ANY_VERSION)
-		return TABLE_OK;
+	if (if_version == ROWS_ANY_VERSION)
+		return ROWS_OK;
 	if (if_version == 0)
-		return row ? TABLE_CONFLICT : TABLE_OK;
-	return row && row->version == if_version ? TABLE_OK : TABLE_CONFLICT;
+		return row ? ROWS_CONFLICT : ROWS_OK;
+	return row && row->version == if_version ? ROWS_OK : ROWS_CONFLICT;
 }
 
-static int64_t last_version(struct table *table, const char *key,
-			    const struct table_row *row)
+static int64_t last_version(struct rows *table, const char *key,
+			    const struct row *row)
 {
 	const int64_t *deleted;
 
@@ -75,42 +74,42 @@
 	return deleted ? *deleted : 0;
 }
 
-enum table_status table_put(struct table *table, const char *key,
-			    int64_t if_version, struct str value,
-			    int64_t *version)
+enum rows_status rows_put(struct rows *table, const char *key,
+			  int64_t if_version, struct str value,
+			  int64_t *version)
 {
-	const struct table_row *old = table_get(table, key);
-	enum table_status status = check_version(old, if_version);
-	struct table_row *row;
+	const struct row *old = rows_get(table, key);
+	enum rows_status status = check_version(old, if_version);
+	struct row *row;
 
-	if (status != TABLE_OK)
+	if (status != ROWS_OK)
 		return status;
-	row = g_new0(struct table_row, 1);
+	row = g_new0(struct row, 1);
 	row->version = last_version(table, key, old) + 1;
 	row->value = g_bytes_new(value.data, value.len);
 	g_tree_replace(table->rows, g_strdup(key), row);
 	*version = row->version;
-	return TABLE_OK;
+	return ROWS_OK;
 }
 
-enum table_status table_delete(struct table *table, const char *key,
-			       int64_t if_version)
+enum rows_status rows_delete(struct rows *table, const char *key,
+			     int64_t if_version)
 {
-	const struct table_row *row = table_get(table, key);
-	enum table_status status = check_version(row, if_version);
+	const struct row *row = rows_get(table, key);
+	enum rows_status status = check_version(row, if_version);
 
 	if (!row)
-		return if_version > 0 ? TABLE_CONFLICT : TABLE_ABSENT;
-	if (status != TABLE_OK)
+		return if_version > 0 ? ROWS_CONFLICT : ROWS_ABSENT;
+	if (status != ROWS_OK)
 		return status;
 	g_hash_table_replace(table->deleted, g_strdup(key),
 			     g_memdup2(&row->version, sizeof(row->version)));
 	g_tree_remove(table->rows, key);
-	return TABLE_OK;
+	return ROWS_OK;
 }
 
-void table_list(struct table *table, const char *prefix, table_visitor visit,
-		void *ctx)
+void rows_list(struct rows *table, const char *prefix, rows_visitor visit,
+	       void *ctx)
 {
 	GTreeNode *node = g_tree_lower_bound(table->rows, prefix);
 
@@ -123,7 +122,7 @@
 	}
 }
 
-size_t table_count(const struct table *table)
+size_t rows_count(const struct rows *table)
 {
 	return (size_t)g_tree_nnodes(table->rows);
 }
