--- a/src/wire/auburn.pb-c.c
+++ b/src/wire/auburn.pb-c.c
@@ -1061,7 +1061,7 @@
   (ProtobufCMessageInit) cell_epoch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor heartbeat__field_descriptors[10] =
+static const ProtobufCFieldDescriptor heartbeat__field_descriptors[13] =
 {
   {
     "daemon",
@@ -1183,23 +1183,62 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_us",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Heartbeat, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo_us",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Heartbeat, echo_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "valid_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Heartbeat, valid_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned heartbeat__field_indices_by_name[] = {
   3,   /* field[3] = cells */
   0,   /* field[0] = daemon */
+  11,   /* field[11] = echo_us */
   1,   /* field[1] = incarnation */
   5,   /* field[5] = leaving */
   9,   /* field[9] = peers */
   8,   /* field[8] = role */
+  10,   /* field[10] = sent_us */
   6,   /* field[6] = settings_fresh */
   2,   /* field[2] = settings_version */
+  12,   /* field[12] = valid_ms */
   4,   /* field[4] = vms_version */
   7,   /* field[7] = zone */
 };
 static const ProtobufCIntRange heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor heartbeat__descriptor =
 {
@@ -1209,7 +1248,7 @@
   "Heartbeat",
   "",
   sizeof(Heartbeat),
-  10,
+  13,
   heartbeat__field_descriptors,
   heartbeat__field_indices_by_name,
   1,  heartbeat__number_ranges,
--- a/src/wire/auburn.pb-c.h
+++ b/src/wire/auburn.pb-c.h
@@ -147,14 +147,26 @@
   char *zone;
   Role role;
   /*
-   * Assigners this daemon has known of lately, for the overlay.
+   * Daemons the sender knows: "id role address version age".
    */
   size_t n_peers;
   char **peers;
+  /*
+   * The sender's clock at the send, in microseconds.
+   */
+  int64_t sent_us;
+  /*
+   * Latest sent_us that the sender had from the receiver; 0 when none.
+   */
+  int64_t echo_us;
+  /*
+   * The sender's settings can be relied on for this long, in milliseconds.
+   */
+  uint32_t valid_ms;
 };
 #define HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, ROLE__ROUTER, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, ROLE__ROUTER, 0,NULL, 0, 0, 0 }
 
 
 /*
