assigner: the daemon that hosts cells, settings, peers and VMs

Rows reach routers and other assigners by flooding along links, and by pull where a heartbeat shows that something is missing; requests for shares and counts of load are passed on to the cell's coordinator once.

--- /dev/null
+++ b/src/assigner/assigner_feeds.c
@@ -0,0 +1,169 @@
+/*
+ * What the assigner takes from the platform: the settings in force and the
+ * list of VMs; and how both shape the cells.
+ */
+#include "assigner/assigner_impl.h"
+
+#include "base/log.h"
+#include "membership/vm_codec.h"
+#include "profile/publish.h"
+#include "profile/settings.h"
+
+static void on_settings_row(void *ctx, const struct table_result *result)
+{
+	struct assigner *a = ctx;
+
+	spread_table(a->spread, result->status, result->value,
+		     clock_now_us(a->clock));
+}
+
+static void read_table(void *ctx)
+{
+	struct assigner *a = ctx;
+
+	table_get(a->table, STR(PUBLISH_KEY), on_settings_row, a);
+}
+
+static void send_to(struct assigner *a, struct str daemon,
+		    const Envelope *message)
+{
+	struct link *link = peers_link(a->peers, daemon);
+
+	if (link)
+		hub_send(a->hub, link, message);
+}
+
+static void pull_settings(void *ctx, struct str daemon)
+{
+	struct assigner *a = ctx;
+	Pull pull = PULL__INIT;
+	Envelope message = ENVELOPE__INIT;
+
+	pull.settings = true;
+	message.body_case = ENVELOPE__BODY_PULL;
+	message.pull = &pull;
+	send_to(a, daemon, &message);
+}
+
+static void send_settings(void *ctx, struct str daemon, uint64_t version,
+			  struct str body)
+{
+	struct assigner *a = ctx;
+	Settings settings = SETTINGS__INIT;
+	Envelope message = ENVELOPE__INIT;
+
+	settings.version = version;
+	settings.body.data = (uint8_t *)body.data;
+	settings.body.len = body.len;
+	message.body_case = ENVELOPE__BODY_SETTINGS;
+	message.settings = &settings;
+	send_to(a, daemon, &message);
+}
+
+static void in_force(void *ctx, const struct settings *settings)
+{
+	struct assigner *a = ctx;
+
+	a->settings_changes++;
+	log_info("settings", "version %" G_GUINT64_FORMAT " is in force",
+		 settings->version);
+	assigner_update_cells(a);
+}
+
+const struct spread_ops assigner_spread_ops = {
+	.read_table = read_table,
+	.pull = pull_settings,
+	.send = send_settings,
+	.in_force = in_force,
+};
+
+static void on_vms(void *ctx, enum table_status status, struct str body)
+{
+	struct assigner *a = ctx;
+	struct vm_list list = { 0 };
+	GError *error = NULL;
+
+	a->vms_reading = false;
+	if (status != TABLE_OK)
+		return;
+	if (!vm_list_parse(body, &list, &error)) {
+		log_warn("vms", "the list can't be read: %s", error->message);
+		g_error_free(error);
+		return;
+	}
+	vm_table_listed(a->vms, list.vms, list.count, clock_now_us(a->clock));
+	vm_list_clear(&list);
+}
+
+void assigner_read_vms(struct assigner *a, int64_t now_us)
+{
+	if (a->vms_reading || now_us < a->vms_due_us)
+		return;
+	a->vms_reading = true;
+	a->vms_due_us = now_us + a->options->vms_poll_ms * US_PER_MS;
+	table_vms(a->table, on_vms, a);
+}
+
+static bool is_out(const struct settings *settings, const struct vm *vm)
+{
+	return settings_zone_is_out(settings, str_from(vm->zone)) ||
+	       settings_vm_is_out(settings, str_from(vm->id));
+}
+
+static void update_members(struct assigner *a, struct cell *cell,
+			   const struct settings *settings)
+{
+	int64_t now_us = clock_now_us(a->clock);
+	size_t i, n = 0, count = vm_table_count(a->vms);
+	struct cell_member *members = g_new0(struct cell_member, count + 1);
+
+	for (i = 0; i < count; i++) {
+		const struct vm *vm = vm_table_at(a->vms, i, now_us, NULL);
+
+		if (!str_equal(str_from(vm->service), cell_name(cell)))
+			continue;
+		members[n].vm = vm;
+		members[n].out = is_out(settings, vm);
+		n++;
+	}
+	cell_set_members(cell, members, n);
+	g_free(members);
+}
+
+static void drop_cells(struct assigner *a, const struct settings *settings)
+{
+	guint i = 0;
+
+	while (i < a->cells->len) {
+		struct cell *cell = a->cells->pdata[i];
+		const struct service *service =
+			settings_service(settings, cell_name(cell));
+
+		if (service && service->keyed == cell_keyed(cell))
+			i++;
+		else
+			g_ptr_array_remove_index(a->cells, i);
+	}
+}
+
+void assigner_update_cells(struct assigner *a)
+{
+	const struct settings *settings = spread_current(a->spread);
+	size_t i;
+
+	if (!settings)
+		return;
+	drop_cells(a, settings);
+	for (i = 0; i < settings->service_count; i++) {
+		const struct service *service = &settings->services[i];
+		struct cell *cell = assigner_cell(a, str_from(service->name));
+
+		if (!cell) {
+			cell = cell_create(&a->cell_env,
+					   str_from(service->name),
+					   service->keyed);
+			g_ptr_array_add(a->cells, cell);
+		}
+		update_members(a, cell, settings);
+	}
+}
--- /dev/null
+++ b/src/assigner/assigner_impl.h
@@ -0,0 +1,81 @@
+/**
+ * The assigner's parts, for the files of this folder only.
+ */
+#ifndef ASSIGNER_ASSIGNER_IMPL_H
+#define ASSIGNER_ASSIGNER_IMPL_H
+
+#include "assigner/assigner.h"
+#include "assigner/cell.h"
+#include "base/clock.h"
+#include "membership/peers.h"
+#include "membership/vm_table.h"
+#include "operator/common_routes.h"
+#include "operator/operator_server.h"
+#include "platform/http_client.h"
+#include "platform/table.h"
+#include "profile/spread.h"
+#include "wire/hub.h"
+
+struct assigner {
+	const struct assigner_options *options;
+	const struct clock *clock;
+	char *incarnation;
+	struct http_client *http;
+	struct table *table;
+	struct hub *hub;
+	struct peers *peers;
+	struct spread *spread;
+	struct vm_table *vms;
+	uint64_t vms_sent_version;
+	bool vms_reading;
+	int64_t vms_due_us;
+	int64_t slow_tick_due_us;
+	int64_t beat_due_us;
+	struct cell_env cell_env;
+	/* struct cell *, one for each service in force. */
+	GPtrArray *cells;
+	/* Fingerprint -> deaths, of poisoned and suspect requests. */
+	GHashTable *poison;
+	struct operator_server *operators;
+	struct operator_mount mounts[3];
+	struct common_routes common;
+	struct sockaddr_in wire_address;
+	bool leaving;
+	uint64_t settings_changes;
+};
+
+/* assigner_links.c: messages of routers and other assigners. */
+
+extern const struct hub_ops assigner_hub_ops;
+extern const struct peers_ops assigner_peers_ops;
+
+/** Sends to every router and assigner that is linked. */
+void assigner_broadcast(struct assigner *a, const Envelope *message);
+
+/** Sends this daemon's view of its cells to the other assigners. */
+void assigner_beat(struct assigner *a);
+
+/** Sends a row to every link. */
+void assigner_send_map(struct assigner *a, const struct slice_map *map);
+
+/** Sends the VMs to every router. */
+void assigner_send_vms(struct assigner *a);
+
+/** Finds the cell of a service; NULL when there is none. */
+struct cell *assigner_cell(struct assigner *a, struct str name);
+
+/* assigner_feeds.c: what comes from the platform. */
+
+extern const struct spread_ops assigner_spread_ops;
+
+/** Starts to read the list of VMs when it is due. */
+void assigner_read_vms(struct assigner *a, int64_t now_us);
+
+/** Brings the cells in line with the settings and the VMs. */
+void assigner_update_cells(struct assigner *a);
+
+/* assigner_metrics.c */
+
+extern const struct common_ops assigner_common_ops;
+
+#endif
--- /dev/null
+++ b/src/assigner/assigner_links.c
@@ -0,0 +1,640 @@
+/*
+ * Messages between this assigner, routers and other assigners.
+ */
+#include "assigner/assigner_impl.h"
+
+#include "base/address.h"
+#include "base/log.h"
+#include "membership/beat_codec.h"
+#include "membership/vm_codec.h"
+
+/* Most cells in one heartbeat. */
+#define BEAT_CELLS_MAX 256
+#define POISON_REMEMBERED_MAX 4096
+
+/* What a link's other side said of itself. */
+struct side {
+	char *daemon;
+	bool router;
+};
+
+struct cell *assigner_cell(struct assigner *a, struct str name)
+{
+	guint i;
+
+	for (i = 0; i < a->cells->len; i++)
+		if (str_equal(cell_name(a->cells->pdata[i]), name))
+			return a->cells->pdata[i];
+	return NULL;
+}
+
+struct broadcast {
+	struct assigner *a;
+	const Envelope *message;
+	/* Skipped; may be NULL. */
+	const struct link *except;
+	bool routers, assigners;
+};
+
+static void send_one(void *ctx, struct link *link)
+{
+	const struct broadcast *b = ctx;
+	const struct side *side = link_data(link);
+
+	if (link == b->except || !side)
+		return;
+	if (side->router ? b->routers : b->assigners)
+		hub_send(b->a->hub, link, b->message);
+}
+
+void assigner_broadcast(struct assigner *a, const Envelope *message)
+{
+	struct broadcast b = { a, message, NULL, true, true };
+
+	hub_each(a->hub, send_one, &b);
+}
+
+static void pass_on(struct assigner *a, const struct link *from,
+		    const Envelope *message)
+{
+	struct broadcast b = { a, message, from, true, true };
+
+	hub_each(a->hub, send_one, &b);
+}
+
+/* A row as it travels: packed once for all links. */
+static void with_map(const struct slice_map *map,
+		     void (*use)(void *ctx, const Envelope *message), void *ctx)
+{
+	GBytes *bytes = slice_map_encode(map, slice_map_attempt(map));
+	gsize size;
+	const uint8_t *data = g_bytes_get_data(bytes, &size);
+	CellRow *row = cell_row__unpack(NULL, size, data);
+	Envelope message = ENVELOPE__INIT;
+
+	message.body_case = ENVELOPE__BODY_CELL;
+	message.cell = row;
+	use(ctx, &message);
+	cell_row__free_unpacked(row, NULL);
+	g_bytes_unref(bytes);
+}
+
+static void broadcast_message(void *ctx, const Envelope *message)
+{
+	assigner_broadcast(ctx, message);
+}
+
+void assigner_send_map(struct assigner *a, const struct slice_map *map)
+{
+	with_map(map, broadcast_message, a);
+}
+
+struct reply_to {
+	struct assigner *a;
+	struct link *link;
+};
+
+static void reply_message(void *ctx, const Envelope *message)
+{
+	struct reply_to *to = ctx;
+
+	hub_send(to->a->hub, to->link, message);
+}
+
+static void send_map_to(struct assigner *a, struct link *link,
+			struct cell *cell)
+{
+	struct slice_map *map = coordinator_map(cell_coordinator(cell));
+	struct reply_to to = { a, link };
+
+	if (map)
+		with_map(map, reply_message, &to);
+}
+
+static struct vm_list list_vms(struct assigner *a)
+{
+	size_t i, count = vm_table_count(a->vms);
+	struct vm_list list = { g_new0(struct vm, count + 1), count };
+
+	for (i = 0; i < count; i++) {
+		enum vm_state state;
+
+		list.vms[i] = vm_copy(
+			vm_table_at(a->vms, i, clock_now_us(a->clock), &state));
+		list.vms[i].leaving |= state == VM_LEAVING;
+	}
+	return list;
+}
+
+static void with_vms(struct assigner *a,
+		     void (*use)(void *ctx, const Envelope *message), void *ctx)
+{
+	struct vm_list list = list_vms(a);
+	VmList *vms = vm_list_to_wire(&list, vm_table_version(a->vms));
+	Envelope message = ENVELOPE__INIT;
+
+	message.body_case = ENVELOPE__BODY_VMS;
+	message.vms = vms;
+	use(ctx, &message);
+	vm_list_wire_free(vms);
+	vm_list_clear(&list);
+}
+
+static void broadcast_to_routers(void *ctx, const Envelope *message)
+{
+	struct broadcast b = { ctx, message, NULL, true, false };
+
+	hub_each(b.a->hub, send_one, &b);
+}
+
+void assigner_send_vms(struct assigner *a)
+{
+	with_vms(a, broadcast_to_routers, a);
+}
+
+static void send_hello(struct assigner *a, struct link *link)
+{
+	char address[ADDRESS_TEXT_SIZE];
+	Hello hello = HELLO__INIT;
+	Envelope message = ENVELOPE__INIT;
+
+	hello.daemon = a->options->daemon;
+	hello.role = ROLE__ASSIGNER;
+	hello.zone = a->options->zone;
+	hello.incarnation = a->incarnation;
+	hello.address = address_format(&a->wire_address, address);
+	message.body_case = ENVELOPE__BODY_HELLO;
+	message.hello = &hello;
+	hub_send(a->hub, link, &message);
+}
+
+static void on_opened(void *ctx, struct link *link, bool outgoing)
+{
+	(void)outgoing;
+	send_hello(ctx, link);
+}
+
+static void on_closed(void *ctx, struct link *link)
+{
+	struct assigner *a = ctx;
+	struct side *side = link_data(link);
+
+	peers_closed(a->peers, link, clock_now_us(a->clock));
+	if (side)
+		g_free(side->daemon);
+	g_free(side);
+}
+
+static void send_poison(struct assigner *a, struct link *link)
+{
+	GHashTableIter iter;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&iter, a->poison);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		Poison poison = POISON__INIT;
+		Envelope message = ENVELOPE__INIT;
+
+		poison.fingerprint = *(const uint64_t *)key;
+		poison.deaths = GPOINTER_TO_UINT(value);
+		message.body_case = ENVELOPE__BODY_POISON;
+		message.poison = &poison;
+		hub_send(a->hub, link, &message);
+	}
+}
+
+/* A router that just linked gets all it needs to serve. */
+static void send_state(struct assigner *a, struct link *link)
+{
+	struct reply_to to = { a, link };
+	guint i;
+
+	with_vms(a, reply_message, &to);
+	for (i = 0; i < a->cells->len; i++)
+		send_map_to(a, link, a->cells->pdata[i]);
+	send_poison(a, link);
+}
+
+static void on_hello(struct assigner *a, struct link *link, const Hello *hello)
+{
+	struct side *side = link_data(link);
+	struct sockaddr_in address = { 0 };
+	bool router = hello->role == ROLE__ROUTER;
+
+	if (side)
+		return;
+	side = g_new0(struct side, 1);
+	side->daemon = g_strdup(hello->daemon);
+	side->router = router;
+	link_set_data(link, side);
+	if (!router)
+		address_parse(str_from(hello->address), &address);
+	peers_hello(a->peers, link, hub_is_outgoing(a->hub, link),
+		    str_from(hello->daemon), str_from(hello->incarnation),
+		    router ? PEER_ROUTER : PEER_ASSIGNER, &address,
+		    clock_now_us(a->clock));
+	if (router)
+		send_state(a, link);
+}
+
+/* Asks the sender for rows that it has and this daemon lacks. */
+static void pull_maps(struct assigner *a, struct link *link,
+		      CellEpoch *const *cells, size_t count)
+{
+	Pull pull = PULL__INIT;
+	Envelope message = ENVELOPE__INIT;
+	char *names[BEAT_CELLS_MAX];
+	size_t i;
+
+	for (i = 0; i < count && pull.n_cells < BEAT_CELLS_MAX; i++) {
+		struct cell *cell = assigner_cell(a, str_from(cells[i]->cell));
+		struct coordinator_peer mine;
+
+		if (!cell)
+			continue;
+		coordinator_heartbeat(cell_coordinator(cell), &mine);
+		if (cells[i]->epoch > mine.epoch)
+			names[pull.n_cells++] = cells[i]->cell;
+	}
+	if (!pull.n_cells)
+		return;
+	pull.cells = names;
+	message.body_case = ENVELOPE__BODY_PULL;
+	message.pull = &pull;
+	hub_send(a->hub, link, &message);
+}
+
+static void on_cell_beat(struct assigner *a, struct link *link,
+			 const CellBeat *beat)
+{
+	size_t i;
+
+	for (i = 0; i < beat->n_cells; i++) {
+		const CellEpoch *row = beat->cells[i];
+		struct cell *cell = assigner_cell(a, str_from(row->cell));
+		struct coordinator_peer peer = {
+			.daemon = str_from(beat->daemon),
+			.leaving = beat->leaving,
+			.epoch = row->epoch,
+			.coordinator = str_from(row->coordinator),
+			.ballot = { row->ballot_number, row->ballot_daemon },
+		};
+
+		if (cell)
+			coordinator_on_peer(cell_coordinator(cell), &peer);
+	}
+	pull_maps(a, link, beat->cells, beat->n_cells);
+}
+
+static void on_heartbeat(struct assigner *a, struct link *link,
+			 const Heartbeat *message)
+{
+	int64_t now_us = clock_now_us(a->clock);
+	struct beat beat;
+
+	beat_from_wire(message, &beat);
+	peers_heard(a->peers, link, &beat, now_us);
+	spread_heard(a->spread, beat.daemon, beat.settings_version, now_us);
+}
+
+static void on_pull(struct assigner *a, struct link *link, const Pull *pull)
+{
+	const struct side *side = link_data(link);
+	struct reply_to to = { a, link };
+	size_t i;
+
+	if (pull->settings)
+		spread_asked(a->spread, str_from(side->daemon));
+	if (pull->vms)
+		with_vms(a, reply_message, &to);
+	for (i = 0; i < pull->n_cells; i++) {
+		struct cell *cell = assigner_cell(a, str_from(pull->cells[i]));
+
+		if (cell)
+			send_map_to(a, link, cell);
+	}
+}
+
+/* A row from another assigner: routers need it, and those farther away. */
+static void on_row(struct assigner *a, struct link *link,
+		   const Envelope *message)
+{
+	struct cell *cell = assigner_cell(a, str_from(message->cell->cell));
+	struct coordinator_peer mine;
+	struct slice_map *map;
+	size_t size = cell_row__get_packed_size(message->cell);
+	uint8_t *data;
+
+	if (!cell)
+		return;
+	coordinator_heartbeat(cell_coordinator(cell), &mine);
+	if (message->cell->epoch <= mine.epoch)
+		return;
+	data = g_malloc(size);
+	cell_row__pack(message->cell, data);
+	map = slice_map_decode((struct str){ (const char *)data, size }, NULL);
+	if (map) {
+		coordinator_on_map(cell_coordinator(cell), map);
+		pass_on(a, link, message);
+		slice_map_destroy(map);
+	}
+	g_free(data);
+}
+
+static void on_stale(struct assigner *a, struct link *link, const Stale *stale)
+{
+	struct cell *cell = assigner_cell(a, str_from(stale->cell));
+
+	if (!cell)
+		return;
+	coordinator_on_epoch(cell_coordinator(cell), stale->epoch);
+	send_map_to(a, link, cell);
+}
+
+/* The link to a cell's coordinator, when that is another assigner. */
+static struct link *coordinator_link(struct assigner *a, struct cell *cell)
+{
+	struct coordinator_status status;
+
+	coordinator_status(cell_coordinator(cell), &status);
+	if (!status.coordinator.len)
+		return NULL;
+	return peers_link(a->peers, status.coordinator);
+}
+
+static void on_load(struct assigner *a, const struct link *from,
+		    const Envelope *message)
+{
+	const Load *load = message->load;
+	struct cell *cell = assigner_cell(a, str_from(load->cell));
+	struct hot_key *hot = g_new0(struct hot_key, load->n_hot + 1);
+	struct coordinator_load counts = {
+		.epoch = load->epoch,
+		.slices = load->slice_requests,
+		.slice_count = load->n_slice_requests,
+		.hot = hot,
+		.hot_count = load->n_hot,
+	};
+	const struct side *side = link_data((struct link *)from);
+	struct link *to;
+	size_t i;
+
+	for (i = 0; i < load->n_hot; i++) {
+		hot[i].hash = load->hot[i]->hash;
+		hot[i].count = load->hot[i]->count;
+	}
+	if (cell) {
+		to = coordinator_link(a, cell);
+		if (coordinator_has_authority(cell_coordinator(cell)))
+			coordinator_on_load(cell_coordinator(cell), &counts);
+		else if (to && side->router)
+			hub_send(a->hub, to, message);
+	}
+	g_free(hot);
+}
+
+static void send_share(struct assigner *a, struct link *link,
+		       const ShareRequest *request,
+		       const struct budget_grant *grant)
+{
+	Share share = SHARE__INIT;
+	Envelope message = ENVELOPE__INIT;
+	char *boot = str_dup(grant->boot);
+
+	share.upstream = request->upstream;
+	share.boot = boot;
+	share.count = grant->count;
+	share.duration_ms = (uint32_t)(grant->duration_us / US_PER_MS);
+	share.router = request->router;
+	message.body_case = ENVELOPE__BODY_SHARE;
+	message.share = &share;
+	hub_send(a->hub, link, &message);
+	g_free(boot);
+}
+
+/* Answers, or passes the request on to the cell's coordinator once. */
+static void on_share_request(struct assigner *a, struct link *link,
+			     ShareRequest *request)
+{
+	struct cell *cell = assigner_cell(a, str_from(request->cell));
+	const struct side *side = link_data(link);
+	struct budget_grant grant;
+	Envelope message = ENVELOPE__INIT;
+	struct link *to;
+	char *router = request->router;
+
+	if (!cell)
+		return;
+	if (side->router)
+		request->router = side->daemon;
+	if (cell_ask_share(cell, str_from(request->upstream),
+			   str_from(request->router), request->wanted,
+			   request->in_use, &grant)) {
+		send_share(a, link, request, &grant);
+	} else if (side->router && (to = coordinator_link(a, cell))) {
+		message.body_case = ENVELOPE__BODY_SHARE_REQUEST;
+		message.share_request = request;
+		hub_send(a->hub, to, &message);
+	}
+	request->router = router;
+}
+
+/* A coordinator's answer to a request that was passed on for a router. */
+static void on_share(struct assigner *a, const Envelope *message)
+{
+	struct link *to =
+		peers_link(a->peers, str_from(message->share->router));
+
+	if (to)
+		hub_send(a->hub, to, message);
+}
+
+static void on_poison(struct assigner *a, struct link *link,
+		      const Envelope *message)
+{
+	const Poison *poison = message->poison;
+	uint64_t key = poison->fingerprint;
+	gpointer known;
+	bool found =
+		g_hash_table_lookup_extended(a->poison, &key, NULL, &known);
+
+	if (found && GPOINTER_TO_UINT(known) == poison->deaths)
+		return;
+	if (!found && g_hash_table_size(a->poison) >= POISON_REMEMBERED_MAX)
+		g_hash_table_remove_all(a->poison);
+	g_hash_table_insert(a->poison, g_memdup2(&key, sizeof(key)),
+			    GUINT_TO_POINTER(poison->deaths));
+	pass_on(a, link, message);
+}
+
+static void on_known_message(struct assigner *a, struct link *link,
+			     const Envelope *message)
+{
+	switch (message->body_case) {
+	case ENVELOPE__BODY_HEARTBEAT:
+		on_heartbeat(a, link, message->heartbeat);
+		break;
+	case ENVELOPE__BODY_CELL_BEAT:
+		on_cell_beat(a, link, message->cell_beat);
+		break;
+	case ENVELOPE__BODY_PULL:
+		on_pull(a, link, message->pull);
+		break;
+	case ENVELOPE__BODY_SETTINGS:
+		spread_body(a->spread,
+			    (struct str){
+				    (const char *)message->settings->body.data,
+				    message->settings->body.len },
+			    clock_now_us(a->clock));
+		break;
+	case ENVELOPE__BODY_CELL:
+		on_row(a, link, message);
+		break;
+	case ENVELOPE__BODY_STALE:
+		on_stale(a, link, message->stale);
+		break;
+	case ENVELOPE__BODY_LOAD:
+		on_load(a, link, message);
+		break;
+	case ENVELOPE__BODY_SHARE_REQUEST:
+		on_share_request(a, link, message->share_request);
+		break;
+	case ENVELOPE__BODY_SHARE:
+		on_share(a, message);
+		break;
+	case ENVELOPE__BODY_POISON:
+		on_poison(a, link, message);
+		break;
+	default:
+		break;
+	}
+}
+
+static void on_message(void *ctx, struct link *link, const Envelope *message)
+{
+	struct assigner *a = ctx;
+
+	if (message->body_case == ENVELOPE__BODY_HELLO)
+		on_hello(a, link, message->hello);
+	else if (link_data(link))
+		on_known_message(a, link, message);
+}
+
+const struct hub_ops assigner_hub_ops = {
+	.opened = on_opened,
+	.message = on_message,
+	.closed = on_closed,
+};
+
+/* What this daemon knows of its cells, as messages carry it. */
+struct cell_rows {
+	CellEpoch *rows;
+	CellEpoch **list;
+	size_t count;
+};
+
+static void fill_epoch(CellEpoch *row, struct cell *cell)
+{
+	struct coordinator_peer peer;
+
+	coordinator_heartbeat(cell_coordinator(cell), &peer);
+	cell_epoch__init(row);
+	row->cell = str_dup(cell_name(cell));
+	row->epoch = peer.epoch;
+	row->ballot_number = peer.ballot.number;
+	row->ballot_daemon = peer.ballot.daemon;
+	row->coordinator = str_dup(peer.coordinator);
+}
+
+static struct cell_rows cell_rows_create(struct assigner *a)
+{
+	struct cell_rows rows = {
+		.rows = g_new0(CellEpoch, a->cells->len + 1),
+		.list = g_new0(CellEpoch *, a->cells->len + 1),
+		.count = a->cells->len,
+	};
+	size_t i;
+
+	for (i = 0; i < rows.count; i++) {
+		fill_epoch(&rows.rows[i], a->cells->pdata[i]);
+		rows.list[i] = &rows.rows[i];
+	}
+	return rows;
+}
+
+static void cell_rows_free(struct cell_rows *rows)
+{
+	size_t i;
+
+	for (i = 0; i < rows->count; i++) {
+		g_free(rows->rows[i].cell);
+		g_free(rows->rows[i].coordinator);
+	}
+	g_free(rows->list);
+	g_free(rows->rows);
+}
+
+void assigner_beat(struct assigner *a)
+{
+	struct cell_rows rows = cell_rows_create(a);
+	CellBeat beat = CELL_BEAT__INIT;
+	Envelope message = ENVELOPE__INIT;
+	struct broadcast b = { a, &message, NULL, false, true };
+
+	beat.daemon = a->options->daemon;
+	beat.leaving = a->leaving;
+	beat.n_cells = rows.count;
+	beat.cells = rows.list;
+	message.body_case = ENVELOPE__BODY_CELL_BEAT;
+	message.cell_beat = &beat;
+	hub_each(a->hub, send_one, &b);
+	cell_rows_free(&rows);
+}
+
+static void keep_link(void *ctx, const struct sockaddr_in *address)
+{
+	hub_keep(((struct assigner *)ctx)->hub, address);
+}
+
+static void forget_link(void *ctx, const struct sockaddr_in *address)
+{
+	hub_forget(((struct assigner *)ctx)->hub, address);
+}
+
+/* Routers learn from it which rows they lack. */
+static void send_heartbeat(void *ctx, void *link, const struct beat *beat)
+{
+	struct assigner *a = ctx;
+	struct beat_buffer buffer;
+	Heartbeat *heartbeat = beat_to_wire(beat, &buffer);
+	struct cell_rows rows = cell_rows_create(a);
+	Envelope message = ENVELOPE__INIT;
+
+	heartbeat->zone = a->options->zone;
+	heartbeat->n_cells = rows.count;
+	heartbeat->cells = rows.list;
+	message.body_case = ENVELOPE__BODY_HEARTBEAT;
+	message.heartbeat = heartbeat;
+	hub_send(a->hub, link, &message);
+	cell_rows_free(&rows);
+}
+
+static void on_peer_event(void *ctx, enum peer_event event,
+			  const struct peer *peer)
+{
+	static const char *const texts[] = {
+		[PEER_JOINED] = "joined", [PEER_RESTARTED] = "restarted",
+		[PEER_LOST] = "is lost",  [PEER_RETURNED] = "returned",
+		[PEER_LEFT] = "leaves",
+	};
+
+	(void)ctx;
+	log_info("peers", "%s %s", peer->id, texts[event]);
+}
+
+const struct peers_ops assigner_peers_ops = {
+	.keep = keep_link,
+	.forget = forget_link,
+	.send = send_heartbeat,
+	.event = on_peer_event,
+};
--- /dev/null
+++ b/src/assigner/options.h
@@ -0,0 +1,30 @@
+/**
+ * Settings of auburn-assigner.
+ */
+#ifndef ASSIGNER_OPTIONS_H
+#define ASSIGNER_OPTIONS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/options.h"
+
+struct assigner_options {
+	char *daemon;
+	char *zone;
+	char *listen;
+	char *operator_listen;
+	char *operator_token;
+	char *platform;
+	char *peers;
+	char *log_level;
+	bool log_json;
+	int64_t table_timeout_ms;
+	int64_t vms_poll_ms;
+	int64_t slices_per_owner;
+};
+
+/** The option table, for options_parse(). */
+extern const struct program assigner_program;
+
+#endif
--- a/src/wire/auburn.pb-c.c
+++ b/src/wire/auburn.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &heartbeat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cell_beat__init
+                     (CellBeat         *message)
+{
+  static const CellBeat init_value = CELL_BEAT__INIT;
+  *message = init_value;
+}
+size_t cell_beat__get_packed_size
+                     (const CellBeat *message)
+{
+  assert(message->base.descriptor == &cell_beat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cell_beat__pack
+                     (const CellBeat *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cell_beat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cell_beat__pack_to_buffer
+                     (const CellBeat *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cell_beat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+CellBeat *
+       cell_beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (CellBeat *)
+     protobuf_c_message_unpack (&cell_beat__descriptor,
+                                allocator, len, data);
+}
+void   cell_beat__free_unpacked
+                     (CellBeat *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cell_beat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pull__init
                      (Pull         *message)
 {
@@ -1255,6 +1300,70 @@
   (ProtobufCMessageInit) heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cell_beat__field_descriptors[3] =
+{
+  {
+    "daemon",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CellBeat, daemon),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CellBeat, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cells",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CellBeat, n_cells),
+    offsetof(CellBeat, cells),
+    &cell_epoch__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cell_beat__field_indices_by_name[] = {
+  2,   /* field[2] = cells */
+  0,   /* field[0] = daemon */
+  1,   /* field[1] = leaving */
+};
+static const ProtobufCIntRange cell_beat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cell_beat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "CellBeat",
+  "CellBeat",
+  "CellBeat",
+  "",
+  sizeof(CellBeat),
+  3,
+  cell_beat__field_descriptors,
+  cell_beat__field_indices_by_name,
+  1,  cell_beat__number_ranges,
+  (ProtobufCMessageInit) cell_beat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor pull__field_descriptors[3] =
 {
   {
@@ -2012,7 +2121,7 @@
   (ProtobufCMessageInit) poison__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor envelope__field_descriptors[11] =
+static const ProtobufCFieldDescriptor envelope__field_descriptors[12] =
 {
   {
     "hello",
@@ -2146,9 +2255,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cell_beat",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Envelope, body_case),
+    offsetof(Envelope, cell_beat),
+    &cell_beat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned envelope__field_indices_by_name[] = {
   4,   /* field[4] = cell */
+  11,   /* field[11] = cell_beat */
   1,   /* field[1] = heartbeat */
   0,   /* field[0] = hello */
   7,   /* field[7] = load */
@@ -2163,7 +2285,7 @@
 static const ProtobufCIntRange envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor envelope__descriptor =
 {
@@ -2173,7 +2295,7 @@
   "Envelope",
   "",
   sizeof(Envelope),
-  11,
+  12,
   envelope__field_descriptors,
   envelope__field_indices_by_name,
   1,  envelope__number_ranges,
--- a/src/wire/auburn.pb-c.h
+++ b/src/wire/auburn.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Hello Hello;
 typedef struct CellEpoch CellEpoch;
 typedef struct Heartbeat Heartbeat;
+typedef struct CellBeat CellBeat;
 typedef struct Pull Pull;
 typedef struct Settings Settings;
 typedef struct Vm Vm;
@@ -169,6 +170,22 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, ROLE__ROUTER, 0,NULL, 0, 0, 0 }
 
 
+/*
+ * What an assigner knows of each cell; sent often, among assigners.
+ */
+struct  CellBeat
+{
+  ProtobufCMessage base;
+  char *daemon;
+  protobuf_c_boolean leaving;
+  size_t n_cells;
+  CellEpoch **cells;
+};
+#define CELL_BEAT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cell_beat__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0,NULL }
+
+
 /*
  * Asks for what the sender lacks.
  */
@@ -353,7 +370,8 @@
   ENVELOPE__BODY_LOAD = 8,
   ENVELOPE__BODY_SHARE_REQUEST = 9,
   ENVELOPE__BODY_SHARE = 10,
-  ENVELOPE__BODY_POISON = 11
+  ENVELOPE__BODY_POISON = 11,
+  ENVELOPE__BODY_CELL_BEAT = 12
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(ENVELOPE__BODY__CASE)
 } Envelope__BodyCase;
 
@@ -373,6 +391,7 @@
     ShareRequest *share_request;
     Share *share;
     Poison *poison;
+    CellBeat *cell_beat;
   };
 };
 #define ENVELOPE__INIT \
@@ -475,6 +494,25 @@
 void   heartbeat__free_unpacked
                      (Heartbeat *message,
                       ProtobufCAllocator *allocator);
+/* CellBeat methods */
+void   cell_beat__init
+                     (CellBeat         *message);
+size_t cell_beat__get_packed_size
+                     (const CellBeat   *message);
+size_t cell_beat__pack
+                     (const CellBeat   *message,
+                      uint8_t             *out);
+size_t cell_beat__pack_to_buffer
+                     (const CellBeat   *message,
+                      ProtobufCBuffer     *buffer);
+CellBeat *
+       cell_beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cell_beat__free_unpacked
+                     (CellBeat *message,
+                      ProtobufCAllocator *allocator);
 /* Pull methods */
 void   pull__init
                      (Pull         *message);
@@ -701,6 +739,9 @@
 typedef void (*Heartbeat_Closure)
                  (const Heartbeat *message,
                   void *closure_data);
+typedef void (*CellBeat_Closure)
+                 (const CellBeat *message,
+                  void *closure_data);
 typedef void (*Pull_Closure)
                  (const Pull *message,
                   void *closure_data);
@@ -746,6 +787,7 @@
 extern const ProtobufCMessageDescriptor hello__descriptor;
 extern const ProtobufCMessageDescriptor cell_epoch__descriptor;
 extern const ProtobufCMessageDescriptor heartbeat__descriptor;
+extern const ProtobufCMessageDescriptor cell_beat__descriptor;
 extern const ProtobufCMessageDescriptor pull__descriptor;
 extern const ProtobufCMessageDescriptor settings__descriptor;
 extern const ProtobufCMessageDescriptor vm__descriptor;
--- a/src/wire/hub.c
+++ b/src/wire/hub.c
@@ -53,24 +53,6 @@
 	return hub;
 }
 
-void hub_destroy(struct hub *hub)
-{
-	GHashTableIter iter;
-	gpointer link;
-
-	if (!hub)
-		return;
-	g_hash_table_iter_init(&iter, hub->entries);
-	while (g_hash_table_iter_next(&iter, &link, NULL))
-		link_destroy(link);
-	g_hash_table_destroy(hub->entries);
-	g_ptr_array_free(hub->kept, TRUE);
-	if (hub->listener >= 0)
-		close(hub->listener);
-	close(hub->epoll);
-	g_free(hub);
-}
-
 static void watch(struct hub *hub, int fd, void *data, bool write, int op)
 {
 	struct epoll_event event = {
@@ -257,6 +239,25 @@
 	g_ptr_array_free(broken, TRUE);
 }
 
+void hub_destroy(struct hub *hub)
+{
+	GHashTableIter iter;
+	gpointer entry;
+
+	if (!hub)
+		return;
+	g_hash_table_iter_init(&iter, hub->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &entry))
+		((struct entry *)entry)->broken = true;
+	close_broken(hub);
+	g_hash_table_destroy(hub->entries);
+	g_ptr_array_free(hub->kept, TRUE);
+	if (hub->listener >= 0)
+		close(hub->listener);
+	close(hub->epoll);
+	g_free(hub);
+}
+
 void hub_run(struct hub *hub)
 {
 	struct epoll_event events[EVENTS_PER_RUN];
@@ -285,6 +286,13 @@
 		update_watch(hub, entry);
 }
 
+bool hub_is_outgoing(const struct hub *hub, const struct link *link)
+{
+	const struct entry *entry = g_hash_table_lookup(hub->entries, link);
+
+	return entry && entry->outgoing;
+}
+
 void hub_each(struct hub *hub, void (*visit)(void *ctx, struct link *link),
 	      void *ctx)
 {
--- a/src/wire/hub.h
+++ b/src/wire/hub.h
@@ -33,7 +33,7 @@
 struct hub *hub_create(const struct clock *clock, const struct hub_ops *ops,
 		       void *ctx);
 
-/** Closes all links, without calling closed, and frees. */
+/** Closes all links, calling closed for each, and frees. */
 void hub_destroy(struct hub *hub);
 
 /**
@@ -65,6 +65,9 @@
  */
 void hub_send(struct hub *hub, struct link *link, const Envelope *message);
 
+/** Whether this side opened the link. */
+bool hub_is_outgoing(const struct hub *hub, const struct link *link);
+
 /** Calls visit for every open link. */
 void hub_each(struct hub *hub, void (*visit)(void *ctx, struct link *link),
 	      void *ctx);
