--- /dev/null
+++ b/src/ownership/authority.c
@@ -0,0 +1,272 @@
+#include "ownership/authority.h"
+
+/** Clocks of two processes differ by less than one part in this many. */
+#define CLOCK_RATE_PART 25
+
+/** A value of one upstream, of which a majority's common value is wanted. */
+typedef int64_t (*value_fn)(const struct coordinator *c,
+			    const struct cell_upstream *u);
+
+static int compare_descending(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
+
+	return (x < y) - (x > y);
+}
+
+/* The value that a majority of the set reaches or exceeds. */
+static int64_t majority_of_set(const struct coordinator *c,
+			       const GPtrArray *set, value_fn value)
+{
+	int64_t *values, result;
+	size_t i;
+
+	if (!set->len)
+		return NEVER_US;
+	values = g_new(int64_t, set->len);
+	for (i = 0; i < set->len; i++)
+		values[i] = value(c, g_ptr_array_index(set, i));
+	qsort(values, set->len, sizeof(*values), compare_descending);
+	result = values[set->len / 2];
+	g_free(values);
+	return result;
+}
+
+/* While the set of acceptors changes, both sets have to agree. */
+static int64_t majority(const struct coordinator *c, value_fn value)
+{
+	int64_t now = majority_of_set(c, c->acceptors, value);
+	int64_t before;
+
+	if (!c->old_acceptors)
+		return now;
+	before = majority_of_set(c, c->old_acceptors, value);
+	return MIN(now, before);
+}
+
+static int64_t value_confirmed(const struct coordinator *c,
+			       const struct cell_upstream *u)
+{
+	(void)c;
+	return u->confirmed_us;
+}
+
+static int64_t value_present_ballot(const struct coordinator *c,
+				    const struct cell_upstream *u)
+{
+	return ballot_compare(u->ballot, c->ballot) ? NEVER_US
+						    : u->confirmed_us;
+}
+
+static int64_t value_epoch(const struct coordinator *c,
+			   const struct cell_upstream *u)
+{
+	(void)c;
+	return u->confirmed_us == NEVER_US ? 0 : (int64_t)u->epoch;
+}
+
+/* An upstream vouches for the row when it would remember a newer epoch: it
+ * has been up since before the row was last read, by the slowest clock. */
+static int64_t value_vouches(const struct coordinator *c,
+			     const struct cell_upstream *u)
+{
+	int64_t up_us = u->up_us - u->up_us / CLOCK_RATE_PART;
+
+	return ballot_compare(u->ballot, c->ballot) == 0 &&
+	       u->confirmed_us != NEVER_US && c->row_read_us != NEVER_US &&
+	       up_us > u->clock_at_us - c->row_read_us;
+}
+
+static int64_t ballot_until_us(const struct coordinator *c)
+{
+	int64_t begun = majority(c, value_confirmed);
+
+	return begun == NEVER_US ? NEVER_US : begun + c->timing.authority_us;
+}
+
+static bool ballot_won(const struct coordinator *c, int64_t now)
+{
+	int64_t begun = majority(c, value_present_ballot);
+
+	return begun != NEVER_US && now < begun + c->timing.authority_us;
+}
+
+static uint64_t ballot_settled_epoch(const struct coordinator *c)
+{
+	int64_t epoch = majority(c, value_epoch);
+
+	return epoch > 0 ? (uint64_t)epoch : 0;
+}
+
+static bool ballot_row_current(const struct coordinator *c)
+{
+	if (!c->map)
+		return false;
+	if (c->fault == COORDINATOR_FAULT_IGNORE_EPOCH)
+		return true;
+	if (c->known_epoch > slice_map_epoch(c->map))
+		return false;
+	if (c->row_read_us != NEVER_US && c->row_read_us >= c->won_us)
+		return true;
+	return majority(c, value_vouches) > 0;
+}
+
+static int64_t ballot_grants_end_us(const struct coordinator *c, int64_t won_us)
+{
+	if (c->fault == COORDINATOR_FAULT_SKIP_WAIT)
+		return won_us;
+	return won_us + c->timing.authority_us + c->timing.grant_us +
+	       coordinator_margin(c);
+}
+
+static const struct authority_ops ballot_ops = {
+	.until_us = ballot_until_us,
+	.won = ballot_won,
+	.settled_epoch = ballot_settled_epoch,
+	.row_current = ballot_row_current,
+	.grants_end_us = ballot_grants_end_us,
+};
+
+/* The row names the daemon that wrote it: see row_attempt(). */
+static int64_t table_until_us(const struct coordinator *c)
+{
+	return c->own_read_us == NEVER_US
+		       ? NEVER_US
+		       : c->own_read_us + c->timing.authority_us;
+}
+
+/* Orders of the coordinator before end a window after our row was written. */
+static bool table_won(const struct coordinator *c, int64_t now)
+{
+	return c->own_read_us != NEVER_US && c->won_us != NEVER_US &&
+	       now >= c->won_us;
+}
+
+static uint64_t table_settled_epoch(const struct coordinator *c)
+{
+	return c->map ? slice_map_epoch(c->map) : 0;
+}
+
+static bool table_row_current(const struct coordinator *c)
+{
+	return c->map && c->own_read_us != NEVER_US;
+}
+
+static int64_t table_grants_end_us(const struct coordinator *c, int64_t won_us)
+{
+	(void)c;
+	(void)won_us;
+	return INT64_MAX;
+}
+
+static const struct authority_ops table_ops = {
+	.until_us = table_until_us,
+	.won = table_won,
+	.settled_epoch = table_settled_epoch,
+	.row_current = table_row_current,
+	.grants_end_us = table_grants_end_us,
+};
+
+const struct authority_ops *authority_of(const struct coordinator *c)
+{
+	return c->unfenced ? &table_ops : &ballot_ops;
+}
+
+bool authority_held(const struct coordinator *c, int64_t now)
+{
+	int64_t until;
+
+	if (c->phase != COORDINATOR_LEADING && c->phase != COORDINATOR_READING)
+		return false;
+	if (c->fault == COORDINATOR_FAULT_NO_EXPIRY)
+		return true;
+	until = authority_of(c)->until_us(c);
+	return until != NEVER_US && now < until;
+}
+
+bool authority_counts(const struct coordinator *c, int64_t up_us)
+{
+	if (c->fault == COORDINATOR_FAULT_COUNT_RESTARTED)
+		return true;
+	return up_us >= c->timing.authority_us + coordinator_margin(c);
+}
+
+size_t authority_accepted(const struct coordinator *c, int64_t now)
+{
+	size_t i, count = 0;
+
+	for (i = 0; i < c->acceptors->len; i++) {
+		const struct cell_upstream *u =
+			g_ptr_array_index(c->acceptors, i);
+
+		count += u->confirmed_us != NEVER_US &&
+			 now < u->confirmed_us + c->timing.authority_us;
+	}
+	return count;
+}
+
+bool authority_refused(const struct coordinator *c)
+{
+	size_t i, refused = 0;
+
+	for (i = 0; i < c->acceptors->len; i++) {
+		const struct cell_upstream *u =
+			g_ptr_array_index(c->acceptors, i);
+
+		refused += u->refused;
+	}
+	return refused >= (c->acceptors->len + 1) / 2;
+}
+
+void authority_new_ballot(struct coordinator *c)
+{
+	size_t i;
+
+	c->highest_number++;
+	c->ballot.number = c->highest_number;
+	c->ballot.daemon = c->daemon_number;
+	c->won = false;
+	for (i = 0; i < c->upstreams->len; i++) {
+		struct cell_upstream *u = g_ptr_array_index(c->upstreams, i);
+
+		u->refused = false;
+		u->due_us = NEVER_US;
+	}
+}
+
+void authority_reset(struct coordinator *c)
+{
+	size_t i;
+
+	c->won = false;
+	c->won_us = NEVER_US;
+	c->own_read_us = NEVER_US;
+	c->ballot = (struct ballot){ 0 };
+	for (i = 0; i < c->upstreams->len; i++) {
+		struct cell_upstream *u = g_ptr_array_index(c->upstreams, i);
+
+		u->ballot = (struct ballot){ 0 };
+		u->confirmed_us = NEVER_US;
+		u->epoch = 0;
+		u->refused = false;
+		u->clear_epoch = 0;
+		u->awaiting = false;
+	}
+}
+
+void authority_won(struct coordinator *c, int64_t now)
+{
+	int64_t end = authority_of(c)->grants_end_us(c, now);
+	size_t i;
+
+	c->won = true;
+	c->won_us = now;
+	for (i = 0; i < c->upstreams->len; i++) {
+		struct cell_upstream *u = g_ptr_array_index(c->upstreams, i);
+
+		u->clear_epoch = 0;
+		u->until_us = MAX(u->until_us, end);
+		if (c->fault == COORDINATOR_FAULT_SKIP_WAIT)
+			u->until_us = end;
+	}
+}
--- /dev/null
+++ b/src/ownership/coordinator.c
@@ -0,0 +1,509 @@
+#include "ownership/coordinator.h"
+
+#include "base/hash.h"
+#include "ownership/authority.h"
+#include "ownership/coordinator_impl.h"
+#include "ownership/election.h"
+#include "ownership/grants.h"
+#include "ownership/moves.h"
+#include "ownership/row.h"
+
+/** Attempts at a majority before giving way, and how long each may take. */
+#define MAX_CHALLENGES 3
+#define CHALLENGE_US (1 * US_PER_SECOND)
+/** Pause before a higher ballot while a majority accepts the present one. */
+#define RAISE_PAUSE_US (300 * US_PER_MS)
+/** Without a successor, a daemon that hands over stops after this time. */
+#define HANDOVER_US (2 * US_PER_SECOND)
+
+struct coordinator_timing coordinator_timing_default(void)
+{
+	return (struct coordinator_timing){
+		.authority_us = COORDINATOR_AUTHORITY_US,
+		.grant_us = COORDINATOR_GRANT_US,
+		.margin_us = COORDINATOR_MARGIN_US,
+		.renew_us = COORDINATOR_RENEW_US,
+		.lost_us = COORDINATOR_LOST_US,
+		.table_timeout_us = COORDINATOR_TABLE_TIMEOUT_US,
+		.read_us = 5 * US_PER_SECOND,
+		.owner_lost_us = 600 * US_PER_MS,
+		.settle_us = 3 * US_PER_SECOND,
+		.gone_us = 30 * US_PER_SECOND,
+		.prefer_us = 10 * US_PER_SECOND,
+	};
+}
+
+static uint64_t daemon_number(const struct coordinator_config *config)
+{
+	uint64_t hash =
+		hash_seeded(config->incarnation, hash_key(config->daemon));
+
+	return hash >> (64 - BALLOT_DAEMON_BITS);
+}
+
+static void upstream_free(gpointer data)
+{
+	struct cell_upstream *u = data;
+
+	g_free(u->id);
+	g_free(u->zone);
+	g_free(u->boot);
+	g_free(u);
+}
+
+static void init_instants(struct coordinator *c)
+{
+	c->created_us = coordinator_now(c);
+	c->stand_down_us = c->created_us;
+	c->leader_heard_us = NEVER_US;
+	c->backoff_us = 500 * US_PER_MS;
+	c->won_us = NEVER_US;
+	c->own_read_us = NEVER_US;
+	c->read_sent_us = NEVER_US;
+	c->retry_read_us = NEVER_US;
+	c->row_read_us = NEVER_US;
+	c->known_epoch_us = NEVER_US;
+	c->table_up = true;
+}
+
+struct coordinator *coordinator_create(const struct coordinator_config *config,
+				       const struct clock *clock,
+				       const struct coordinator_ops *ops,
+				       void *ctx)
+{
+	struct coordinator *c = g_new0(struct coordinator, 1);
+
+	c->cell = str_dup(config->cell);
+	c->daemon = str_dup(config->daemon);
+	c->incarnation = str_dup(config->incarnation);
+	c->daemon_number = daemon_number(config);
+	c->slices_per_owner = config->slices_per_owner;
+	c->timing =
+		config->timing ? *config->timing : coordinator_timing_default();
+	c->fault = config->fault;
+	c->clock = clock;
+	c->ops = ops;
+	c->ctx = ctx;
+	c->random = g_rand_new_with_seed(config->seed);
+	c->next_request = 1;
+	c->next_attempt = 1;
+	c->leader = g_strdup("");
+	c->peers = g_ptr_array_new_with_free_func(election_peer_free);
+	c->states = g_array_new(FALSE, TRUE, sizeof(struct slice_state));
+	c->acceptors = g_ptr_array_new();
+	c->upstreams = g_ptr_array_new_with_free_func(upstream_free);
+	c->rebalancer = rebalancer_create();
+	init_instants(c);
+	return c;
+}
+
+void coordinator_destroy(struct coordinator *c)
+{
+	if (!c)
+		return;
+	row_drop_write(c);
+	slice_map_destroy(c->map);
+	g_clear_pointer(&c->old_acceptors, g_ptr_array_unref);
+	g_ptr_array_unref(c->acceptors);
+	g_array_unref(c->states);
+	g_ptr_array_unref(c->upstreams);
+	g_ptr_array_unref(c->peers);
+	rebalancer_destroy(c->rebalancer);
+	g_rand_free(c->random);
+	g_free(c->leader);
+	g_free(c->cell);
+	g_free(c->daemon);
+	g_free(c->incarnation);
+	g_free(c);
+}
+
+void coordinator_event(struct coordinator *c, const char *format, ...)
+{
+	va_list args;
+	char *clause, *text;
+
+	va_start(args, format);
+	clause = g_strdup_vprintf(format, args);
+	va_end(args);
+	text = g_strdup_printf("cell %s: %s", c->cell, clause);
+	c->ops->event(c->ctx, text);
+	g_free(text);
+	g_free(clause);
+}
+
+void coordinator_note_epoch(struct coordinator *c, uint64_t epoch)
+{
+	if (epoch <= c->known_epoch)
+		return;
+	c->known_epoch = epoch;
+	c->known_epoch_us = coordinator_now(c);
+}
+
+struct cell_upstream *coordinator_upstream(struct coordinator *c, struct str id)
+{
+	size_t i;
+
+	for (i = 0; i < c->upstreams->len; i++) {
+		struct cell_upstream *u = g_ptr_array_index(c->upstreams, i);
+
+		if (str_equal(str_from(u->id), id))
+			return u;
+	}
+	return NULL;
+}
+
+struct cell_upstream *coordinator_upstream_add(struct coordinator *c,
+					       struct str id)
+{
+	struct cell_upstream *u = coordinator_upstream(c, id);
+
+	if (u)
+		return u;
+	u = g_new0(struct cell_upstream, 1);
+	u->id = str_dup(id);
+	u->zone = g_strdup("");
+	u->fences = true;
+	u->listed_us = coordinator_now(c);
+	u->due_us = NEVER_US;
+	u->clock_at_us = NEVER_US / 2;
+	u->answered_sent_us = NEVER_US;
+	u->heard_us = NEVER_US;
+	u->confirmed_us = NEVER_US;
+	u->well_us = NEVER_US;
+	u->until_us = c->won_us == NEVER_US
+			      ? NEVER_US
+			      : authority_of(c)->grants_end_us(c, c->won_us);
+	g_ptr_array_add(c->upstreams, u);
+	return u;
+}
+
+bool upstream_reachable(const struct coordinator *c,
+			const struct cell_upstream *u, int64_t now)
+{
+	return u->heard_us != NEVER_US &&
+	       now < u->heard_us + c->timing.owner_lost_us;
+}
+
+bool upstream_lost(const struct coordinator *c, const struct cell_upstream *u,
+		   int64_t now)
+{
+	int64_t heard = MAX(u->heard_us, c->lead_us);
+	int64_t well = MAX(u->well_us, c->lead_us);
+
+	return now >= heard + c->timing.owner_lost_us ||
+	       now >= well + 2 * c->timing.grant_us;
+}
+
+bool upstream_in_service(const struct coordinator *c,
+			 const struct cell_upstream *u)
+{
+	return !u->leaving && !u->out &&
+	       (u->listed ||
+		coordinator_now(c) < u->listed_us + c->timing.gone_us);
+}
+
+static void begin_challenge(struct coordinator *c, int64_t now)
+{
+	c->phase = COORDINATOR_PREPARING;
+	c->challenges++;
+	c->raised_us = now;
+	authority_new_ballot(c);
+	c->term_number = c->ballot.number;
+	coordinator_event(c, "stands with ballot %" G_GUINT64_FORMAT,
+			  c->ballot.number);
+}
+
+/* Without a known row there is nobody to ask: read it, or write the first. */
+static void find_row(struct coordinator *c)
+{
+	row_need_read(c);
+	if (c->row_absent && !c->write && c->table_up)
+		row_write_first(c);
+}
+
+static void step_following(struct coordinator *c, int64_t now)
+{
+	if (!election_due(c, now))
+		return;
+	c->challenges = 0;
+	if (!c->map)
+		find_row(c);
+	else
+		begin_challenge(c, now);
+}
+
+static void give_up(struct coordinator *c, const char *reason, int64_t now)
+{
+	election_follow(c, reason);
+	election_stand_down(c, now);
+}
+
+static bool leader_is_heard(const struct coordinator *c, int64_t now)
+{
+	return c->leader[0] && c->leader_heard_us != NEVER_US &&
+	       now < c->leader_heard_us + c->timing.lost_us &&
+	       ballot_compare(c->leader_ballot, c->ballot) > 0;
+}
+
+/* A cell without fences is taken over by writing its row again. */
+static void take_over_table(struct coordinator *c, int64_t now)
+{
+	if (c->write || !c->version)
+		return;
+	if (c->own_read_us == NEVER_US)
+		row_write_takeover(c);
+	else if (c->won_us == NEVER_US)
+		c->won_us =
+			now + c->timing.authority_us + coordinator_margin(c);
+}
+
+static void step_preparing(struct coordinator *c, int64_t now)
+{
+	if (leader_is_heard(c, now)) {
+		election_follow(c, "another daemon leads");
+		return;
+	}
+	if (c->unfenced)
+		take_over_table(c, now);
+	else if (authority_refused(c) && c->challenges < MAX_CHALLENGES &&
+		 now >= c->raised_us + 20 * US_PER_MS)
+		begin_challenge(c, now);
+	else if (authority_refused(c) && c->challenges >= MAX_CHALLENGES)
+		give_up(c, "a majority refused the ballot", now);
+	if (c->phase != COORDINATOR_PREPARING)
+		return;
+	if (authority_of(c)->won(c, now)) {
+		authority_won(c, now);
+		c->phase = COORDINATOR_READING;
+		row_need_read(c);
+	} else if (now >= c->raised_us + 2 * CHALLENGE_US) {
+		give_up(c, "no majority answered", now);
+	}
+}
+
+static void step_reading(struct coordinator *c, int64_t now)
+{
+	if (!authority_of(c)->row_current(c))
+		return;
+	c->phase = COORDINATOR_LEADING;
+	c->lead_us = now;
+	c->backoff_us = 500 * US_PER_MS;
+	/* A version that was learnt long ago may be an old one. */
+	if (!c->unfenced && c->row_read_us < c->won_us)
+		c->version = 0;
+	coordinator_event(c, "leads at epoch %" G_GUINT64_FORMAT,
+			  slice_map_epoch(c->map));
+	grants_hurry(c);
+}
+
+/* Some upstream knows a higher ballot although a majority accepts ours. */
+static bool any_refused(const struct coordinator *c)
+{
+	size_t i;
+
+	for (i = 0; i < c->acceptors->len; i++)
+		if (((struct cell_upstream *)g_ptr_array_index(c->acceptors, i))
+			    ->refused)
+			return true;
+	return false;
+}
+
+static void step_leading(struct coordinator *c, int64_t now)
+{
+	const struct authority_ops *authority = authority_of(c);
+
+	if (!c->won && authority->won(c, now))
+		authority_won(c, now);
+	if (any_refused(c) && !c->unfenced &&
+	    now >= c->raised_us + RAISE_PAUSE_US) {
+		c->raised_us = now;
+		authority_new_ballot(c);
+	}
+	if (c->old_acceptors &&
+	    authority->settled_epoch(c) >= slice_map_epoch(c->map))
+		g_clear_pointer(&c->old_acceptors, g_ptr_array_unref);
+	if (!c->version)
+		row_need_read(c);
+	if (election_better_placed(c, now)) {
+		election_follow(c, "hands over to a better placed daemon");
+		election_stand_down(c, now);
+		return;
+	}
+	row_publish(c);
+	moves_step(c, now);
+}
+
+/* Authority ends by itself; nothing is done under it afterwards. */
+static void check_authority(struct coordinator *c, int64_t now)
+{
+	if (c->phase != COORDINATOR_LEADING && c->phase != COORDINATOR_READING)
+		return;
+	if (authority_refused(c) && !c->unfenced)
+		give_up(c, "a higher ballot won", now);
+	else if (!authority_held(c, now))
+		give_up(c, "authority ran out", now);
+}
+
+void coordinator_step(struct coordinator *c)
+{
+	int64_t now = coordinator_now(c);
+
+	check_authority(c, now);
+	row_step(c, now);
+	switch (c->phase) {
+	case COORDINATOR_FOLLOWING:
+		step_following(c, now);
+		break;
+	case COORDINATOR_PREPARING:
+		step_preparing(c, now);
+		break;
+	case COORDINATOR_READING:
+		step_reading(c, now);
+		break;
+	case COORDINATOR_LEADING:
+		step_leading(c, now);
+		break;
+	case COORDINATOR_RESIGNED:
+		break;
+	}
+	if (c->map && c->phase != COORDINATOR_FOLLOWING &&
+	    c->phase != COORDINATOR_RESIGNED)
+		grants_step(c, now);
+}
+
+void coordinator_tick(struct coordinator *c)
+{
+	coordinator_step(c);
+}
+
+void coordinator_on_row(struct coordinator *c, uint64_t request,
+			enum table_result result, uint64_t version,
+			struct str row)
+{
+	check_authority(c, coordinator_now(c));
+	row_on_read(c, request, result, version, row);
+	coordinator_step(c);
+}
+
+void coordinator_on_written(struct coordinator *c, uint64_t request,
+			    enum table_result result, uint64_t version)
+{
+	check_authority(c, coordinator_now(c));
+	row_on_written(c, request, result, version);
+	coordinator_step(c);
+}
+
+void coordinator_on_reply(struct coordinator *c, uint64_t request,
+			  const struct order_reply *reply)
+{
+	check_authority(c, coordinator_now(c));
+	grants_on_reply(c, request, reply);
+	coordinator_step(c);
+}
+
+void coordinator_on_no_reply(struct coordinator *c, uint64_t request)
+{
+	check_authority(c, coordinator_now(c));
+	grants_on_no_reply(c, request);
+	coordinator_step(c);
+}
+
+static void take_upstream(struct coordinator *c,
+			  const struct coordinator_upstream *in, int64_t now)
+{
+	struct cell_upstream *u = coordinator_upstream_add(c, in->id);
+
+	if (!str_equal(str_from(u->zone), in->zone)) {
+		g_free(u->zone);
+		u->zone = str_dup(in->zone);
+	}
+	u->listed = true;
+	u->listed_us = now;
+	u->fences = in->fences;
+	u->leaving = in->leaving;
+	u->out = in->out;
+}
+
+void coordinator_set_upstreams(struct coordinator *c,
+			       const struct coordinator_upstream *upstreams,
+			       size_t count)
+{
+	int64_t now = coordinator_now(c);
+	size_t i;
+
+	check_authority(c, now);
+	for (i = 0; i < c->upstreams->len; i++) {
+		struct cell_upstream *u = g_ptr_array_index(c->upstreams, i);
+
+		if (u->listed)
+			u->listed_us = now;
+		u->listed = false;
+	}
+	for (i = 0; i < count; i++)
+		take_upstream(c, &upstreams[i], now);
+	c->next_plan_us = now;
+	coordinator_step(c);
+}
+
+void coordinator_on_peer(struct coordinator *c,
+			 const struct coordinator_peer *peer)
+{
+	check_authority(c, coordinator_now(c));
+	election_on_peer(c, peer);
+	coordinator_step(c);
+}
+
+void coordinator_on_map(struct coordinator *c, struct slice_map *map)
+{
+	check_authority(c, coordinator_now(c));
+	coordinator_note_epoch(c, slice_map_epoch(map));
+	row_adopt(c, map, 0, false);
+	coordinator_step(c);
+}
+
+void coordinator_on_epoch(struct coordinator *c, uint64_t epoch)
+{
+	check_authority(c, coordinator_now(c));
+	coordinator_note_epoch(c, epoch);
+	coordinator_step(c);
+}
+
+void coordinator_on_load(struct coordinator *c,
+			 const struct coordinator_load *load)
+{
+	rebalancer_add_load(c->rebalancer, load);
+}
+
+void coordinator_hand_over(struct coordinator *c)
+{
+	if (c->phase == COORDINATOR_RESIGNED)
+		return;
+	election_follow(c, "hands over");
+	c->phase = COORDINATOR_RESIGNED;
+	c->resigned_us = coordinator_now(c);
+}
+
+bool coordinator_handed_over(const struct coordinator *c)
+{
+	int64_t now = coordinator_now(c);
+
+	if (c->phase != COORDINATOR_RESIGNED)
+		return false;
+	return c->leader_heard_us >= c->resigned_us || election_alone(c, now) ||
+	       now >= c->resigned_us + HANDOVER_US;
+}
+
+bool coordinator_has_authority(struct coordinator *c)
+{
+	return c->phase == COORDINATOR_LEADING &&
+	       authority_held(c, coordinator_now(c));
+}
+
+int64_t coordinator_authority_left_us(struct coordinator *c)
+{
+	int64_t now = coordinator_now(c);
+
+	if (!coordinator_has_authority(c))
+		return 0;
+	return MAX(authority_of(c)->until_us(c) - now, 0);
+}
--- a/src/ownership/coordinator_defs.h
+++ b/src/ownership/coordinator_defs.h
@@ -64,10 +64,6 @@
 	COORDINATOR_FAULT_PUBLISH_EARLY,
 	/** Keeps its authority until it is told of a higher ballot. */
 	COORDINATOR_FAULT_NO_EXPIRY,
-	/** Reads its clock at ticks only. */
-	COORDINATOR_FAULT_PAUSED_CLOCK,
-	/** Takes a write without an answer for a failed one. */
-	COORDINATOR_FAULT_UNKNOWN_IS_FAILED,
 };
 
 /** An upstream of the cell, as membership and settings have it. */
@@ -141,8 +137,9 @@
 	void (*send_order)(void *ctx, uint64_t request, struct str upstream,
 			   const struct order *order);
 	/**
-	 * A row that the table holds and that is newer than any published
-	 * before by this instance: tell routers and other assigners.
+	 * A row that the table holds, that no later coordinator can miss, and
+	 * that is newer than any published before by this instance: tell
+	 * routers and other assigners.
 	 *
 	 * @param map borrowed; take a reference to keep it
 	 */
--- /dev/null
+++ b/src/ownership/election.c
@@ -0,0 +1,169 @@
+#include "ownership/election.h"
+
+#include "base/hash.h"
+#include "ownership/authority.h"
+
+/** Head start of each rank over the next, so that one daemon stands. */
+#define RANK_DELAY_US (150 * US_PER_MS)
+/** First and longest time to give way to an unheard coordinator. */
+#define BACKOFF_MIN_US (500 * US_PER_MS)
+#define BACKOFF_MAX_US (2 * US_PER_SECOND)
+
+void election_peer_free(gpointer data)
+{
+	struct peer *p = data;
+
+	g_free(p->daemon);
+	g_free(p);
+}
+
+static struct peer *peer_find(const struct coordinator *c, struct str daemon)
+{
+	size_t i;
+
+	for (i = 0; i < c->peers->len; i++) {
+		struct peer *p = g_ptr_array_index(c->peers, i);
+
+		if (str_equal(str_from(p->daemon), daemon))
+			return p;
+	}
+	return NULL;
+}
+
+static bool peer_live(const struct coordinator *c, const struct peer *p,
+		      int64_t now)
+{
+	return !p->leaving && now < p->heard_us + c->timing.lost_us;
+}
+
+static void note_leader(struct coordinator *c,
+			const struct coordinator_peer *peer, int64_t now)
+{
+	bool claims = peer->coordinator.len &&
+		      str_equal(peer->coordinator, peer->daemon);
+
+	if (claims) {
+		/* A claim below a ballot we know of is an old one's. */
+		if (ballot_compare(peer->ballot, c->leader_ballot) < 0)
+			return;
+		if (!str_equal(str_from(c->leader), peer->daemon)) {
+			g_free(c->leader);
+			c->leader = str_dup(peer->daemon);
+		}
+		c->leader_ballot = peer->ballot;
+		c->leader_heard_us = now;
+		c->backoff_us = BACKOFF_MIN_US;
+		return;
+	}
+	/* The coordinator itself says that it no longer is one. */
+	if (str_equal(str_from(c->leader), peer->daemon)) {
+		g_free(c->leader);
+		c->leader = g_strdup("");
+		c->leader_heard_us = NEVER_US;
+		c->resigned_us = now;
+	}
+}
+
+void election_on_peer(struct coordinator *c,
+		      const struct coordinator_peer *peer)
+{
+	int64_t now = coordinator_now(c);
+	struct peer *p = peer_find(c, peer->daemon);
+
+	if (str_equal(peer->daemon, str_from(c->daemon)))
+		return;
+	if (!p) {
+		p = g_new0(struct peer, 1);
+		p->daemon = str_dup(peer->daemon);
+		p->heard_us = NEVER_US;
+		g_ptr_array_add(c->peers, p);
+	}
+	if (p->heard_us == NEVER_US || !peer_live(c, p, now))
+		p->since_us = now;
+	p->heard_us = now;
+	p->leaving = peer->leaving;
+	p->epoch = peer->epoch;
+	c->highest_number = MAX(c->highest_number, peer->ballot.number);
+	coordinator_note_epoch(c, peer->epoch);
+	note_leader(c, peer, now);
+}
+
+static uint64_t rank_weight(const struct coordinator *c, const char *daemon)
+{
+	return hash_seeded(str_from(daemon), hash_key(str_from(c->cell)));
+}
+
+size_t election_rank(const struct coordinator *c, int64_t now)
+{
+	uint64_t own = rank_weight(c, c->daemon);
+	size_t i, rank = 0;
+
+	for (i = 0; i < c->peers->len; i++) {
+		const struct peer *p = g_ptr_array_index(c->peers, i);
+
+		rank += peer_live(c, p, now) && rank_weight(c, p->daemon) > own;
+	}
+	return rank;
+}
+
+bool election_alone(const struct coordinator *c, int64_t now)
+{
+	size_t i;
+
+	for (i = 0; i < c->peers->len; i++)
+		if (peer_live(c, g_ptr_array_index(c->peers, i), now))
+			return false;
+	return true;
+}
+
+bool election_due(const struct coordinator *c, int64_t now)
+{
+	int64_t delay = (int64_t)election_rank(c, now) * RANK_DELAY_US;
+	int64_t from = c->leader_heard_us == NEVER_US ? c->created_us
+						      : c->leader_heard_us;
+
+	if (now < c->stand_down_us + delay)
+		return false;
+	/* A coordinator that resigned need not be missed first. */
+	if (!c->leader[0] && c->leader_heard_us == NEVER_US &&
+	    c->leader_ballot.number > 0)
+		return now >= c->resigned_us + delay;
+	return now >= from + c->timing.lost_us + delay;
+}
+
+void election_follow(struct coordinator *c, const char *reason)
+{
+	coordinator_event(c, "follows: %s", reason);
+	if (c->phase != COORDINATOR_RESIGNED)
+		c->phase = COORDINATOR_FOLLOWING;
+	authority_reset(c);
+	/* Messages that a paused daemon has not read yet come first. */
+	c->stand_down_us = coordinator_now(c) +
+			   g_rand_int_range(c->random, 50, 150) * US_PER_MS;
+}
+
+void election_stand_down(struct coordinator *c, int64_t now)
+{
+	int64_t spread = c->backoff_us / 2;
+
+	c->stand_down_us = now + c->backoff_us +
+			   g_rand_int_range(c->random, 0, (gint32)spread);
+	c->backoff_us = MIN(2 * c->backoff_us, BACKOFF_MAX_US);
+}
+
+bool election_better_placed(const struct coordinator *c, int64_t now)
+{
+	uint64_t own = rank_weight(c, c->daemon);
+	size_t i;
+
+	for (i = 0; i < c->peers->len; i++) {
+		const struct peer *p = g_ptr_array_index(c->peers, i);
+
+		if (peer_live(c, p, now) &&
+		    now >= p->since_us + c->timing.prefer_us &&
+		    p->epoch == c->known_epoch &&
+		    rank_weight(c, p->daemon) > own)
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/src/ownership/grants.c
@@ -0,0 +1,299 @@
+#include "ownership/grants.h"
+
+#include "ownership/authority.h"
+#include "ownership/slice_states.h"
+
+/** Orders to an upstream that does not answer are sent less often. */
+#define LOST_RENEW_FACTOR 2
+/** Pause before an order that was refused is sent again. */
+#define REFUSED_RETRY_US (20 * US_PER_MS)
+
+static uint32_t owner_index(const struct coordinator *c,
+			    const struct cell_upstream *u)
+{
+	return slice_map_owner_index(c->map, str_from(u->id));
+}
+
+/* The ranges that an upstream is to hold: its slices that are safe. */
+static GArray *wanted_ranges(const struct coordinator *c,
+			     const struct cell_upstream *u)
+{
+	GArray *ranges = g_array_new(FALSE, FALSE, sizeof(struct hash_range));
+	uint32_t owner = owner_index(c, u);
+	bool joins = false;
+	size_t i;
+
+	for (i = 0; owner != SLICE_NO_OWNER && i < slice_map_count(c->map);
+	     i++) {
+		const struct slice *s = slice_map_at(c->map, i);
+		struct hash_range range = { s->first, s->last };
+		bool wanted = s->owner == owner && grants_state(c, i)->safe;
+
+		if (wanted && joins)
+			g_array_index(ranges, struct hash_range,
+				      ranges->len - 1)
+				.last = s->last;
+		else if (wanted)
+			g_array_append_val(ranges, range);
+		joins = wanted;
+	}
+	return ranges;
+}
+
+static uint64_t ranges_digest(const GArray *ranges)
+{
+	return hash_ranges_digest((const struct hash_range *)ranges->data,
+				  ranges->len);
+}
+
+static bool holds_exactly(const struct coordinator *c,
+			  const struct cell_upstream *u, const GArray *ranges)
+{
+	return u->held && u->held_epoch == slice_map_epoch(c->map) &&
+	       u->held_digest == ranges_digest(ranges);
+}
+
+bool grants_held(const struct coordinator *c, const struct cell_upstream *u)
+{
+	GArray *ranges = wanted_ranges(c, u);
+	bool held = !ranges->len || holds_exactly(c, u, ranges);
+
+	g_array_unref(ranges);
+	return held;
+}
+
+static void send_order(struct coordinator *c, struct cell_upstream *u,
+		       struct order *order, int64_t now)
+{
+	struct exchange *ex =
+		&u->exchanges[u->exchange_next++ % EXCHANGES_KEPT];
+	int64_t interval = c->timing.renew_us;
+
+	order->cell = str_from(c->cell);
+	order->ballot = c->ballot;
+	order->epoch = slice_map_epoch(c->map);
+	ex->request = c->next_request++;
+	ex->ballot = c->ballot;
+	ex->sent_us = now;
+	if (!upstream_reachable(c, u, now))
+		interval *= LOST_RENEW_FACTOR;
+	u->awaiting = true;
+	u->due_us = now + interval;
+	c->ops->send_order(c->ctx, ex->request, str_from(u->id), order);
+}
+
+static void send_prepare(struct coordinator *c, struct cell_upstream *u,
+			 int64_t now)
+{
+	struct order order = { .kind = ORDER_PREPARE };
+
+	send_order(c, u, &order, now);
+}
+
+static void send_grant(struct coordinator *c, struct cell_upstream *u,
+		       const GArray *ranges, bool renewal, int64_t now)
+{
+	struct order order = {
+		.kind = ORDER_GRANT,
+		.boot = str_from(u->boot),
+		.anchor_us = u->clock_us,
+		.duration_us = c->timing.grant_us,
+		.has_ranges = !renewal,
+		.ranges = (const struct hash_range *)ranges->data,
+		.range_count = ranges->len,
+	};
+
+	u->until_us = MAX(u->until_us, u->clock_at_us + c->timing.grant_us +
+					       coordinator_margin(c));
+	send_order(c, u, &order, now);
+}
+
+/* Whether a grant could be accepted and be worth its message. */
+static bool can_grant(const struct coordinator *c,
+		      const struct cell_upstream *u, int64_t now)
+{
+	if (c->phase != COORDINATOR_LEADING || !u->boot ||
+	    !authority_held(c, now))
+		return false;
+	if (c->unfenced)
+		return true;
+	return authority_counts(c, u->up_us) &&
+	       now < u->clock_at_us + c->timing.grant_us / 2;
+}
+
+/* A prepare asks for the state; a grant renews or changes what it holds. */
+static void send_due(struct coordinator *c, struct cell_upstream *u,
+		     int64_t now)
+{
+	GArray *ranges = wanted_ranges(c, u);
+	bool exact = holds_exactly(c, u, ranges);
+	bool idle = !ranges->len && (!u->held || exact);
+
+	if (idle || !can_grant(c, u, now) || (c->unfenced && exact))
+		send_prepare(c, u, now);
+	else
+		send_grant(c, u, ranges, exact, now);
+	g_array_unref(ranges);
+}
+
+static bool wants_orders(const struct coordinator *c,
+			 const struct cell_upstream *u)
+{
+	if (c->unfenced && c->phase != COORDINATOR_LEADING)
+		return false;
+	return owner_index(c, u) != SLICE_NO_OWNER ||
+	       (u->listed && (u->fences || c->unfenced) &&
+		c->phase == COORDINATOR_LEADING);
+}
+
+void grants_hurry(struct coordinator *c)
+{
+	size_t i;
+
+	for (i = 0; i < c->upstreams->len; i++) {
+		struct cell_upstream *u = g_ptr_array_index(c->upstreams, i);
+
+		u->due_us = NEVER_US;
+	}
+}
+
+void grants_step(struct coordinator *c, int64_t now)
+{
+	size_t i;
+
+	if (c->phase == COORDINATOR_LEADING)
+		slice_states_update(c, now);
+	for (i = 0; i < c->upstreams->len; i++) {
+		struct cell_upstream *u = g_ptr_array_index(c->upstreams, i);
+
+		if (now >= u->due_us && wants_orders(c, u))
+			send_due(c, u, now);
+	}
+}
+
+static const struct exchange *find_exchange(struct coordinator *c,
+					    uint64_t request,
+					    struct cell_upstream **found)
+{
+	size_t i, k;
+
+	for (i = 0; i < c->upstreams->len; i++) {
+		struct cell_upstream *u = g_ptr_array_index(c->upstreams, i);
+
+		for (k = 0; k < EXCHANGES_KEPT; k++) {
+			if (u->exchanges[k].request != request)
+				continue;
+			*found = u;
+			return &u->exchanges[k];
+		}
+	}
+	return NULL;
+}
+
+static void note_boot(struct cell_upstream *u, struct str boot)
+{
+	g_free(u->boot);
+	u->boot = str_dup(boot);
+	/* It has forgotten its promises, its epochs and its grant. */
+	u->ballot = (struct ballot){ 0 };
+	u->confirmed_us = NEVER_US;
+	u->epoch = 0;
+	u->clear_epoch = 0;
+	u->held = false;
+}
+
+static void note_state(struct coordinator *c, struct cell_upstream *u,
+		       const struct order_reply *reply, int64_t now)
+{
+	u->clock_us = reply->clock_us;
+	u->clock_at_us = now;
+	u->up_us = reply->up_us;
+	u->held = reply->has_grant;
+	u->held_epoch = reply->grant_epoch;
+	u->held_digest = reply->grant_digest;
+	u->awaiting = false;
+	u->refused = ballot_compare(reply->promised, c->ballot) > 0;
+}
+
+static bool in_term(const struct coordinator *c, const struct exchange *ex)
+{
+	return c->phase != COORDINATOR_FOLLOWING &&
+	       c->phase != COORDINATOR_RESIGNED && c->ballot.number &&
+	       ex->ballot.number >= c->term_number;
+}
+
+/* Notes what holds from now on: its promise, and what it can't hold. */
+static void note_promise(struct coordinator *c, struct cell_upstream *u,
+			 const struct exchange *ex,
+			 const struct order_reply *reply)
+{
+	uint64_t clear = reply->has_grant
+				 ? MIN(reply->epoch, reply->grant_epoch)
+				 : reply->epoch;
+
+	if (!in_term(c, ex) || ballot_compare(reply->promised, ex->ballot))
+		return;
+	if (c->won && !ballot_compare(ex->ballot, c->ballot) &&
+	    ex->sent_us >= c->won_us)
+		u->clear_epoch = MAX(u->clear_epoch, clear);
+	if (!authority_counts(c, reply->up_us))
+		return;
+	if (ballot_compare(ex->ballot, u->ballot) > 0)
+		u->ballot = ex->ballot;
+	u->confirmed_us = MAX(u->confirmed_us, ex->sent_us);
+	u->epoch = MAX(u->epoch, reply->epoch);
+}
+
+/* The state is not as it is to be: the next order need not wait. */
+static void hurry_if_behind(struct coordinator *c, struct cell_upstream *u,
+			    bool accepted, int64_t now)
+{
+	if (!can_grant(c, u, now) || grants_held(c, u))
+		return;
+	if (accepted)
+		u->due_us = NEVER_US;
+	else
+		u->due_us = MIN(u->due_us, now + REFUSED_RETRY_US);
+}
+
+void grants_on_reply(struct coordinator *c, uint64_t request,
+		     const struct order_reply *reply)
+{
+	struct cell_upstream *u = NULL;
+	const struct exchange *ex = find_exchange(c, request, &u);
+	int64_t now = coordinator_now(c);
+	bool newest;
+
+	if (!ex || !c->map)
+		return;
+	newest = ex->sent_us >= u->answered_sent_us;
+	if (!u->boot || !str_equal(str_from(u->boot), reply->boot)) {
+		if (!newest)
+			return;
+		note_boot(u, reply->boot);
+		u->reachable_us = now;
+	}
+	if (!upstream_reachable(c, u, now))
+		u->reachable_us = now;
+	u->heard_us = now;
+	c->highest_number = MAX(c->highest_number, reply->promised.number);
+	if (c->fault != COORDINATOR_FAULT_IGNORE_EPOCH)
+		coordinator_note_epoch(c, reply->epoch);
+	if (newest) {
+		u->answered_sent_us = ex->sent_us;
+		note_state(c, u, reply, now);
+	}
+	note_promise(c, u, ex, reply);
+	slice_states_prove(c, u, reply);
+	if (newest && grants_held(c, u))
+		u->well_us = now;
+	hurry_if_behind(c, u, reply->accepted, now);
+}
+
+void grants_on_no_reply(struct coordinator *c, uint64_t request)
+{
+	struct cell_upstream *u = NULL;
+
+	if (find_exchange(c, request, &u))
+		u->awaiting = false;
+}
--- /dev/null
+++ b/src/ownership/row.c
@@ -0,0 +1,388 @@
+#include "ownership/row.h"
+
+#include "ownership/authority.h"
+#include "ownership/election.h"
+#include "ownership/grants.h"
+
+/** Time before a table call that failed is made again. */
+#define TABLE_RETRY_US (100 * US_PER_MS)
+/** Shortest time between two reads. */
+#define READ_PAUSE_US (20 * US_PER_MS)
+/** Only daemons that are likely to stand keep the row fresh. */
+#define FRESH_RANKS 3
+/** Attempts begin with the kind of authority that the cell has. */
+#define ATTEMPT_UNFENCED "table/"
+#define ATTEMPT_FENCED "ballot/"
+
+static struct str bytes_str(GBytes *bytes)
+{
+	gsize len;
+	const char *data = g_bytes_get_data(bytes, &len);
+
+	return (struct str){ data, len };
+}
+
+static char *attempt_prefix(const struct coordinator *c, bool unfenced)
+{
+	return g_strdup_printf("%s%s/%s/",
+			       unfenced ? ATTEMPT_UNFENCED : ATTEMPT_FENCED,
+			       c->daemon, c->incarnation);
+}
+
+/* Whether this very process wrote a row. */
+static bool row_is_own(const struct coordinator *c, const struct slice_map *map)
+{
+	char *prefix = attempt_prefix(c, true);
+	bool own = str_has_prefix(slice_map_attempt(map), str_from(prefix));
+
+	g_free(prefix);
+	return own;
+}
+
+static struct table_call *call_begin(struct coordinator *c, uint64_t write,
+				     int64_t now)
+{
+	struct table_call *call = &c->calls[c->call_next++ % TABLE_CALLS_KEPT];
+
+	call->request = c->next_request++;
+	call->begun_us = now;
+	call->write = write;
+	return call;
+}
+
+static struct table_call *call_find(struct coordinator *c, uint64_t request,
+				    uint64_t write)
+{
+	size_t i;
+
+	for (i = 0; i < TABLE_CALLS_KEPT; i++)
+		if (c->calls[i].request == request &&
+		    c->calls[i].write == write)
+			return &c->calls[i];
+	return NULL;
+}
+
+void row_need_read(struct coordinator *c)
+{
+	c->need_read = true;
+}
+
+static void send_read(struct coordinator *c, int64_t now)
+{
+	struct table_call *call = call_begin(c, 0, now);
+
+	c->reading = true;
+	c->read_sent_us = now;
+	c->ops->read_row(c->ctx, call->request);
+}
+
+static void send_write(struct coordinator *c, int64_t now)
+{
+	struct row_write *w = c->write;
+	struct table_call *call = call_begin(c, w->id, now);
+
+	w->sent_us = now;
+	w->sends++;
+	c->ops->write_row(c->ctx, call->request, w->version, w->row);
+	if (c->fault == COORDINATOR_FAULT_PUBLISH_EARLY)
+		c->ops->publish(c->ctx, w->map);
+}
+
+void row_begin_write(struct coordinator *c, struct slice_map *map)
+{
+	char *prefix = attempt_prefix(c, c->unfenced);
+
+	c->write = g_new0(struct row_write, 1);
+	c->write->id = c->next_attempt++;
+	c->write->attempt =
+		g_strdup_printf("%s%" G_GUINT64_FORMAT, prefix, c->write->id);
+	c->write->map = map;
+	c->write->row = slice_map_encode(map, str_from(c->write->attempt));
+	c->write->version = c->version;
+	g_free(prefix);
+	send_write(c, coordinator_now(c));
+}
+
+void row_drop_write(struct coordinator *c)
+{
+	if (!c->write)
+		return;
+	slice_map_destroy(c->write->map);
+	g_bytes_unref(c->write->row);
+	g_free(c->write->attempt);
+	g_clear_pointer(&c->write, g_free);
+}
+
+/* Whether any upstream of the list does not check grants. */
+static bool list_is_unfenced(const struct coordinator *c)
+{
+	size_t i;
+
+	for (i = 0; i < c->upstreams->len; i++) {
+		const struct cell_upstream *u =
+			g_ptr_array_index(c->upstreams, i);
+
+		if (u->listed && !u->fences)
+			return true;
+	}
+	return false;
+}
+
+void row_write_first(struct coordinator *c)
+{
+	struct str *owners = g_new0(struct str, c->upstreams->len + 1);
+	size_t i, count = 0;
+
+	c->unfenced = list_is_unfenced(c);
+	for (i = 0; i < c->upstreams->len; i++) {
+		const struct cell_upstream *u =
+			g_ptr_array_index(c->upstreams, i);
+
+		if (u->listed && !u->leaving && !u->out)
+			owners[count++] = str_from(u->id);
+	}
+	c->version = 0;
+	if (count)
+		row_begin_write(c,
+				slice_map_initial(str_from(c->cell), owners,
+						  count, c->slices_per_owner));
+	g_free(owners);
+}
+
+void row_write_takeover(struct coordinator *c)
+{
+	GArray *slices = g_array_new(FALSE, FALSE, sizeof(struct slice));
+	size_t i, n = slice_map_owner_count(c->map);
+	struct str *owners = g_new0(struct str, n + 1);
+	struct slice_map *map;
+
+	for (i = 0; i < n; i++)
+		owners[i] = slice_map_owner(c->map, (uint32_t)i);
+	for (i = 0; i < slice_map_count(c->map); i++)
+		g_array_append_val(slices, *slice_map_at(c->map, i));
+	map = slice_map_create(str_from(c->cell), slice_map_epoch(c->map) + 1,
+			       owners, n, (const struct slice *)slices->data,
+			       slices->len, NULL);
+	g_array_unref(slices);
+	g_free(owners);
+	row_begin_write(c, map);
+}
+
+static void set_acceptors(struct coordinator *c, bool own)
+{
+	GPtrArray *next = g_ptr_array_new();
+	size_t i;
+
+	for (i = 0; i < slice_map_owner_count(c->map); i++)
+		g_ptr_array_add(
+			next, coordinator_upstream_add(
+				      c, slice_map_owner(c->map, (uint32_t)i)));
+	g_clear_pointer(&c->old_acceptors, g_ptr_array_unref);
+	/* Both sets have to agree until the new epoch is settled. */
+	if (own && c->acceptors->len)
+		c->old_acceptors = c->acceptors;
+	else
+		g_ptr_array_unref(c->acceptors);
+	c->acceptors = next;
+}
+
+void row_publish(struct coordinator *c)
+{
+	uint64_t epoch = slice_map_epoch(c->map);
+
+	if (epoch <= c->published_epoch ||
+	    epoch > authority_of(c)->settled_epoch(c))
+		return;
+	c->published_epoch = epoch;
+	c->ops->publish(c->ctx, c->map);
+}
+
+void row_adopt(struct coordinator *c, struct slice_map *map, uint64_t version,
+	       bool own)
+{
+	uint64_t epoch = slice_map_epoch(map);
+
+	if (c->map && epoch <= slice_map_epoch(c->map)) {
+		if (epoch == slice_map_epoch(c->map) && version)
+			c->version = version;
+		return;
+	}
+	grants_carry_over(c, map, own);
+	if (c->map)
+		slice_map_destroy(c->map);
+	c->map = slice_map_ref(map);
+	c->version = version;
+	c->row_absent = false;
+	c->known_epoch = MAX(c->known_epoch, epoch);
+	c->unfenced =
+		str_has_prefix(slice_map_attempt(map), STR(ATTEMPT_UNFENCED));
+	set_acceptors(c, own);
+	grants_hurry(c);
+	rebalancer_set_map(c->rebalancer, c->map);
+}
+
+/* Our write is in the table. */
+static void write_committed(struct coordinator *c, uint64_t version,
+			    int64_t now)
+{
+	struct row_write *w = c->write;
+	struct slice_map *map = slice_map_decode(bytes_str(w->row), NULL);
+
+	c->write = NULL;
+	row_adopt(c, map, version, true);
+	if (c->unfenced) {
+		c->own_read_us = w->sent_us;
+		if (c->won_us == NEVER_US)
+			c->won_us = now + c->timing.authority_us +
+				    coordinator_margin(c);
+	}
+	coordinator_event(c, "epoch %" G_GUINT64_FORMAT " is in the table",
+			  slice_map_epoch(map));
+	slice_map_destroy(map);
+	slice_map_destroy(w->map);
+	g_bytes_unref(w->row);
+	g_free(w->attempt);
+	g_free(w);
+}
+
+/* Compares a read row with the pending write. */
+static void resolve_write(struct coordinator *c, struct slice_map *map,
+			  uint64_t version, int64_t begun_us, int64_t now)
+{
+	struct row_write *w = c->write;
+
+	if (str_equal(slice_map_attempt(map), str_from(w->attempt))) {
+		write_committed(c, version, now);
+		return;
+	}
+	/* Unchanged when the read began: the write can still be applied. */
+	if (version == w->version) {
+		if (w->unknown && begun_us > w->sent_us)
+			send_write(c, now);
+		return;
+	}
+	row_drop_write(c);
+	coordinator_event(c, "lost a race for the row");
+}
+
+/* A read of the row is the authority of a cell without fences. */
+static void note_own_row(struct coordinator *c, struct slice_map *map,
+			 int64_t begun_us)
+{
+	if (!c->unfenced || slice_map_epoch(map) < slice_map_epoch(c->map))
+		return;
+	if (row_is_own(c, map)) {
+		c->own_read_us = MAX(c->own_read_us, begun_us);
+		return;
+	}
+	c->own_read_us = NEVER_US;
+	c->won_us = NEVER_US;
+}
+
+static void row_was_read(struct coordinator *c, struct slice_map *map,
+			 uint64_t version, int64_t begun_us)
+{
+	int64_t now = coordinator_now(c);
+
+	/* A stale answer says nothing about the present. */
+	if (c->map && slice_map_epoch(map) < slice_map_epoch(c->map))
+		return;
+	c->row_read_us = MAX(c->row_read_us, begun_us);
+	if (c->write)
+		resolve_write(c, map, version, begun_us, now);
+	row_adopt(c, map, version, false);
+	/* A hint that came before the read began would have been found. */
+	if (c->known_epoch_us < begun_us)
+		c->known_epoch = slice_map_epoch(c->map);
+	note_own_row(c, map, begun_us);
+}
+
+void row_on_read(struct coordinator *c, uint64_t request,
+		 enum table_result result, uint64_t version, struct str row)
+{
+	struct table_call *call = call_find(c, request, 0);
+	struct slice_map *map;
+
+	if (!call)
+		return;
+	c->reading = false;
+	c->table_up = result == TABLE_OK || result == TABLE_ABSENT;
+	if (result == TABLE_ABSENT)
+		c->row_absent = !c->map;
+	if (result == TABLE_ABSENT && c->write && c->write->unknown)
+		send_write(c, coordinator_now(c));
+	if (result != TABLE_OK) {
+		c->retry_read_us = coordinator_now(c) + TABLE_RETRY_US;
+		return;
+	}
+	map = slice_map_decode(row, NULL);
+	if (!map) {
+		coordinator_event(c, "the row in the table is damaged");
+		return;
+	}
+	c->need_read = false;
+	c->retry_read_us = coordinator_now(c) + READ_PAUSE_US;
+	row_was_read(c, map, version, call->begun_us);
+	slice_map_destroy(map);
+}
+
+void row_on_written(struct coordinator *c, uint64_t request,
+		    enum table_result result, uint64_t version)
+{
+	struct row_write *w = c->write;
+
+	if (!w || !call_find(c, request, w->id))
+		return;
+	c->table_up = result == TABLE_OK || result == TABLE_CONFLICT;
+	if (result == TABLE_OK) {
+		write_committed(c, version, coordinator_now(c));
+		return;
+	}
+	if (result == TABLE_UNAVAILABLE && w->sends == 1) {
+		row_drop_write(c);
+		c->next_plan_us = coordinator_now(c) + TABLE_RETRY_US;
+		return;
+	}
+	w->unknown = true;
+	row_need_read(c);
+}
+
+/* How often the row is read without a special reason. */
+static int64_t read_interval_us(const struct coordinator *c)
+{
+	if (c->unfenced && c->phase != COORDINATOR_FOLLOWING)
+		return c->timing.authority_us / 2;
+	return c->timing.read_us;
+}
+
+static bool read_due(const struct coordinator *c, bool fresh, int64_t now)
+{
+	if (c->reading && now < c->read_sent_us + c->timing.table_timeout_us)
+		return false;
+	if (now < c->retry_read_us)
+		return false;
+	if (c->need_read)
+		return true;
+	return fresh && (c->read_sent_us == NEVER_US ||
+			 now >= c->read_sent_us + read_interval_us(c));
+}
+
+void row_step(struct coordinator *c, int64_t now)
+{
+	struct row_write *w = c->write;
+	bool fresh = c->phase != COORDINATOR_FOLLOWING ||
+		     election_rank(c, now) < FRESH_RANKS;
+
+	if (c->known_epoch > (c->map ? slice_map_epoch(c->map) : 0) && fresh)
+		row_need_read(c);
+	if (c->reading && now >= c->read_sent_us + c->timing.table_timeout_us)
+		c->table_up = false;
+	if (w && !w->unknown &&
+	    now >= w->sent_us + c->timing.table_timeout_us) {
+		w->unknown = true;
+		c->table_up = false;
+		c->need_read = true;
+	}
+	if (read_due(c, fresh, now))
+		send_read(c, now);
+}
--- /dev/null
+++ b/src/ownership/row_plan.h
@@ -0,0 +1,85 @@
+/**
+ * The next row of a cell while it is worked out: owners, slices and how much
+ * load each brings.
+ */
+#ifndef OWNERSHIP_ROW_PLAN_H
+#define OWNERSHIP_ROW_PLAN_H
+
+#include "ownership/slice_map.h"
+
+struct plan_owner {
+	char *id;
+	/** It may be given slices. */
+	bool usable;
+	/** Sum of its slices' weights. */
+	double load;
+};
+
+struct plan_slice {
+	struct slice slice;
+	double weight;
+};
+
+struct row_plan {
+	const struct slice_map *map;
+	/** struct plan_owner. */
+	GArray *owners;
+	/** struct plan_slice. */
+	GArray *slices;
+	/** Slices that change owner in this plan. */
+	size_t moved;
+	bool changed;
+};
+
+/**
+ * Begins with the present row.
+ *
+ * @param map must outlive the plan
+ * @param weights of the map's slices, in their order
+ */
+struct row_plan *row_plan_create(const struct slice_map *map,
+				 const double *weights);
+
+void row_plan_destroy(struct row_plan *p);
+
+struct plan_owner *row_plan_owner(const struct row_plan *p, size_t owner);
+struct plan_slice *row_plan_slice(const struct row_plan *p, size_t slice);
+
+/** Adds an upstream without slices. */
+void row_plan_add_owner(struct row_plan *p, struct str id, bool usable);
+
+/** Removes an upstream that has no slices. */
+void row_plan_remove_owner(struct row_plan *p, size_t owner);
+
+/** Gives a slice to another owner. */
+void row_plan_move(struct row_plan *p, size_t slice, size_t owner);
+
+/**
+ * Splits a slice; both parts keep owner and epoch.
+ *
+ * @param at first hash of the second part, inside the slice but not its first
+ * @param weight weight of the second part
+ */
+void row_plan_split(struct row_plan *p, size_t slice, uint64_t at,
+		    double weight);
+
+/** Joins a slice with the next one, which has the same owner. */
+void row_plan_merge(struct row_plan *p, size_t slice);
+
+/** Mean load of the usable owners. */
+double row_plan_mean(const struct row_plan *p);
+
+/**
+ * The usable owner with the least load.
+ *
+ * @return its index, or SLICE_NO_OWNER
+ */
+uint32_t row_plan_coldest(const struct row_plan *p);
+
+/** The usable owner with the most load, or SLICE_NO_OWNER. */
+uint32_t row_plan_hottest(const struct row_plan *p);
+
+/** The row that the plan came to, one epoch on; destroy it when done. */
+struct slice_map *row_plan_finish(const struct row_plan *p);
+
+#endif
