--- a/src/wire/auburn.pb-c.c
+++ b/src/wire/auburn.pb-c.c
@@ -1061,7 +1061,7 @@
   (ProtobufCMessageInit) cell_epoch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor heartbeat__field_descriptors[10] =
+static const ProtobufCFieldDescriptor heartbeat__field_descriptors[13] =
 {
   {
     "daemon",
@@ -1183,23 +1183,62 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_us",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Heartbeat, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo_us",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Heartbeat, echo_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "valid_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Heartbeat, valid_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned heartbeat__field_indices_by_name[] = {
   3,   /* field[3] = cells */
   0,   /* field[0] = daemon */
+  11,   /* field[11] = echo_us */
   1,   /* field[1] = incarnation */
   5,   /* field[5] = leaving */
   9,   /* field[9] = peers */
   8,   /* field[8] = role */
+  10,   /* field[10] = sent_us */
   6,   /* field[6] = settings_fresh */
   2,   /* field[2] = settings_version */
+  12,   /* field[12] = valid_ms */
   4,   /* field[4] = vms_version */
   7,   /* field[7] = zone */
 };
 static const ProtobufCIntRange heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor heartbeat__descriptor =
 {
@@ -1209,7 +1248,7 @@
   "Heartbeat",
   "",
   sizeof(Heartbeat),
-  10,
+  13,
   heartbeat__field_descriptors,
   heartbeat__field_indices_by_name,
   1,  heartbeat__number_ranges,
@@ -1729,7 +1768,7 @@
   (ProtobufCMessageInit) load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor share_request__field_descriptors[3] =
+static const ProtobufCFieldDescriptor share_request__field_descriptors[4] =
 {
   {
     "upstream",
@@ -1767,8 +1806,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asked_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(ShareRequest, asked_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned share_request__field_indices_by_name[] = {
+  3,   /* field[3] = asked_us */
   2,   /* field[2] = in_use */
   0,   /* field[0] = upstream */
   1,   /* field[1] = wanted */
@@ -1776,7 +1828,7 @@
 static const ProtobufCIntRange share_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor share_request__descriptor =
 {
@@ -1786,14 +1838,14 @@
   "ShareRequest",
   "",
   sizeof(ShareRequest),
-  3,
+  4,
   share_request__field_descriptors,
   share_request__field_indices_by_name,
   1,  share_request__number_ranges,
   (ProtobufCMessageInit) share_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor share__field_descriptors[4] =
+static const ProtobufCFieldDescriptor share__field_descriptors[5] =
 {
   {
     "upstream",
@@ -1843,8 +1895,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asked_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Share, asked_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned share__field_indices_by_name[] = {
+  4,   /* field[4] = asked_us */
   1,   /* field[1] = boot */
   2,   /* field[2] = count */
   3,   /* field[3] = duration_ms */
@@ -1853,7 +1918,7 @@
 static const ProtobufCIntRange share__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor share__descriptor =
 {
@@ -1863,7 +1928,7 @@
   "Share",
   "",
   sizeof(Share),
-  4,
+  5,
   share__field_descriptors,
   share__field_indices_by_name,
   1,  share__number_ranges,
--- a/src/wire/auburn.pb-c.h
+++ b/src/wire/auburn.pb-c.h
@@ -147,14 +147,26 @@
   char *zone;
   Role role;
   /*
-   * Assigners this daemon has known of lately, for the overlay.
+   * Daemons the sender knows: "id role address version age".
    */
   size_t n_peers;
   char **peers;
+  /*
+   * The sender's clock at the send, in microseconds.
+   */
+  int64_t sent_us;
+  /*
+   * Latest sent_us that the sender had from the receiver; 0 when none.
+   */
+  int64_t echo_us;
+  /*
+   * The sender's settings can be relied on for this long, in milliseconds.
+   */
+  uint32_t valid_ms;
 };
 #define HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, ROLE__ROUTER, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, ROLE__ROUTER, 0,NULL, 0, 0, 0 }
 
 
 /*
@@ -280,10 +292,14 @@
   char *upstream;
   uint32_t wanted;
   uint32_t in_use;
+  /*
+   * The asker's own clock; the answer carries it back.
+   */
+  int64_t asked_us;
 };
 #define SHARE_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&share_request__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Share
@@ -299,10 +315,14 @@
    * Milliseconds from the receiver's own request.
    */
   uint32_t duration_ms;
+  /*
+   * As in the request that this answers.
+   */
+  int64_t asked_us;
 };
 #define SHARE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&share__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
