--- a/src/ownership/coordinator.c
+++ b/src/ownership/coordinator.c
@@ -377,19 +377,19 @@
 }
 
 void coordinator_on_row(struct coordinator *c, uint64_t request,
-			enum table_result result, uint64_t version,
+			enum table_status status, uint64_t version,
 			struct str row)
 {
 	check_authority(c, coordinator_now(c));
-	row_on_read(c, request, result, version, row);
+	row_on_read(c, request, status, version, row);
 	coordinator_step(c);
 }
 
 void coordinator_on_written(struct coordinator *c, uint64_t request,
-			    enum table_result result, uint64_t version)
+			    enum table_status status, uint64_t version)
 {
 	check_authority(c, coordinator_now(c));
-	row_on_written(c, request, result, version);
+	row_on_written(c, request, status, version);
 	coordinator_step(c);
 }
 
--- a/src/ownership/row.c
+++ b/src/ownership/row.c
@@ -298,7 +298,7 @@
 }
 
 void row_on_read(struct coordinator *c, uint64_t request,
-		 enum table_result result, uint64_t version, struct str row)
+		 enum table_status status, uint64_t version, struct str row)
 {
 	struct table_call *call = call_find(c, request, 0);
 	struct slice_map *map;
@@ -306,12 +306,12 @@
 	if (!call)
 		return;
 	c->reading = false;
-	c->table_up = result == TABLE_OK || result == TABLE_ABSENT;
-	if (result == TABLE_ABSENT)
+	c->table_up = status == TABLE_OK || status == TABLE_ABSENT;
+	if (status == TABLE_ABSENT)
 		c->row_absent = !c->map;
-	if (result == TABLE_ABSENT && c->write && c->write->unknown)
+	if (status == TABLE_ABSENT && c->write && c->write->unknown)
 		send_write(c, coordinator_now(c));
-	if (result != TABLE_OK) {
+	if (status != TABLE_OK) {
 		c->retry_read_us = coordinator_now(c) + TABLE_RETRY_US;
 		return;
 	}
@@ -327,18 +327,18 @@
 }
 
 void row_on_written(struct coordinator *c, uint64_t request,
-		    enum table_result result, uint64_t version)
+		    enum table_status status, uint64_t version)
 {
 	struct row_write *w = c->write;
 
 	if (!w || !call_find(c, request, w->id))
 		return;
-	c->table_up = result == TABLE_OK || result == TABLE_CONFLICT;
-	if (result == TABLE_OK) {
+	c->table_up = status == TABLE_OK || status == TABLE_CONFLICT;
+	if (status == TABLE_OK) {
 		write_committed(c, version, coordinator_now(c));
 		return;
 	}
-	if (result == TABLE_UNAVAILABLE && w->sends == 1) {
+	if (status == TABLE_UNAVAILABLE && w->sends == 1) {
 		row_drop_write(c);
 		c->next_plan_us = coordinator_now(c) + TABLE_RETRY_US;
 		return;
--- a/src/ownership/row.h
+++ b/src/ownership/row.h
@@ -34,11 +34,11 @@
 
 /** The answer to a read. */
 void row_on_read(struct coordinator *c, uint64_t request,
-		 enum table_result result, uint64_t version, struct str row);
+		 enum table_status status, uint64_t version, struct str row);
 
 /** The answer to a write. */
 void row_on_written(struct coordinator *c, uint64_t request,
-		    enum table_result result, uint64_t version);
+		    enum table_status status, uint64_t version);
 
 /**
  * Takes a committed row as the newest known, unless an older one.
