--- a/src/request/poison.c
+++ b/src/request/poison.c
@@ -84,13 +84,10 @@
 				  int64_t now_us)
 {
 	struct record *r = g_hash_table_lookup(poison->records, &fingerprint);
-	int64_t kept_us;
 
 	if (!r)
 		return NULL;
-	kept_us =
-		r->deaths >= DEATHS_MAX ? POISON_REFUSE_US : POISON_SUSPECT_US;
-	if (now_us < r->last_us + kept_us)
+	if (now_us < r->last_us + POISON_KEEP_US)
 		return r;
 	g_hash_table_remove(poison->records, &fingerprint);
 	return NULL;
--- a/src/request/poison.h
+++ b/src/request/poison.h
@@ -12,7 +12,7 @@
  *   with limit 1, upstream/budget.h). So no two suspects are in flight at once,
  *   and what kills an upstream twice had two chances alone among suspects.
  * - A suspect that ran to an answer is cleared. One with two deaths is
- * poisoned: refused everywhere for POISON_REFUSE_US.
+ * poisoned: refused everywhere for POISON_KEEP_US.
  * - A router reports a death (Poison frame) before it answers the caller, and
  *   holds that answer POISON_SPREAD_US, so that a caller who sends the request
  *   again finds the other routers warned.
@@ -33,10 +33,8 @@
 
 #include "base/str.h"
 
-/** How long a poisoned request is refused. */
-#define POISON_REFUSE_US INT64_C(600000000)
-/** How long a suspect is remembered. */
-#define POISON_SUSPECT_US INT64_C(600000000)
+/** How long deaths are remembered, and a poisoned request is refused. */
+#define POISON_KEEP_US INT64_C(600000000)
 /** How long an answer waits for its report to reach the other routers. */
 #define POISON_SPREAD_US INT64_C(100000)
 /** Fingerprints remembered; the oldest suspects are forgotten first. */
--- a/src/request/retry_budget.c
+++ b/src/request/retry_budget.c
@@ -4,7 +4,7 @@
 #include <stdatomic.h>
 
 /* One retry costs 100 units, so that a success earns its percentage. */
-#define UNITS_PER_RETRY 100
+#define UNITS_PER_RETRY INT64_C(100)
 #define UNITS_MAX (RETRY_BUDGET_MAX * UNITS_PER_RETRY)
 
 struct retry_budget {
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -5,11 +5,10 @@
  * Rules:
  * - An unkeyed request goes to the better of two random candidates, by requests
  *   in flight and by expected time; a keyed one goes to its owner or waits.
- * - Expected time is the mean of answers, or the age of the oldest request in
- *   flight when that is more. An upstream expected to take POOL_SLOW_RATIO
- *   times the median of all is slow: it gets one probe at a time, POOL_PROBE_US
- *   apart and doubling, until an answer is fast again. At most one third of the
- *   available upstreams are set aside; the slowest go first.
+ * - Expected time is the mean of answers, raised by the ages of what waits for
+ *   one. Whoever is expected to take STRAGGLER_RATIO times the median gets one
+ *   probe at a time only, until an answer is fast again; at most a third of the
+ *   available upstreams, the slowest (upstream/straggler.h).
  * - An upstream that isn't known to be ready counts as cold: requests go to it
  *   only under a share of its fleet-wide budget (upstream/budget.h). It is
  *   ready while this router has proof of its incarnation begun within
@@ -34,12 +33,6 @@
 #define POOL_TRIED_MAX 8
 /** Proof of an incarnation lasts this long from the request's start. */
 #define POOL_PROOF_US INT64_C(200000)
-/** Expected time against the median from which an upstream is slow. */
-#define POOL_SLOW_RATIO 3
-/** First wait between probes of a slow upstream; doubles up to the maximum. */
-#define POOL_PROBE_US INT64_C(100000)
-#define POOL_PROBE_MAX_US INT64_C(3200000)
-
 struct pool_options {
 	/** Availability zone of this router. */
 	struct str zone;
--- /dev/null
+++ b/src/upstream/pool_share.c
@@ -0,0 +1,101 @@
+#include "base/planted.h"
+#include "upstream/pool_internal.h"
+
+bool pool_is_ready(const struct upstream *u, int64_t now_us)
+{
+	if (planted(PLANTED_INCARNATION_WARM))
+		return true;
+	return u->ready && now_us < u->proof_us;
+}
+
+void pool_forget_proof(struct upstream *u, int64_t now_us)
+{
+	u->proof_us = 0;
+	u->generation++;
+	budget_share_drop(&u->share, now_us);
+}
+
+static void set_boot(struct upstream *u, struct str boot)
+{
+	g_free(u->boot);
+	u->boot = str_dup(boot);
+	u->left = false;
+	u->ready = false;
+}
+
+void pool_see_boot(struct upstream *u, const struct pool_flight *flight,
+		   struct str boot, int64_t now_us)
+{
+	/* A late answer of a past incarnation says nothing of the present. */
+	if (!boot.len || flight->generation != u->generation)
+		return;
+	if (!str_equal(boot, str_from(u->boot))) {
+		set_boot(u, boot);
+		pool_forget_proof(u, now_us);
+		return;
+	}
+	if (u->ready)
+		u->proof_us =
+			MAX(u->proof_us, flight->start_us + POOL_PROOF_US);
+}
+
+void pool_doubt(struct pool *pool, uint32_t upstream, int64_t now_us)
+{
+	pool_forget_proof(pool_at(pool, upstream), now_us);
+}
+
+/* What to ask for: 0 with *returned set gives a share back. */
+static uint32_t share_wanted(const struct pool *pool, struct upstream *u,
+			     int64_t now_us, bool *returned)
+{
+	bool held = u->share.count && now_us < u->share.ends_us;
+	uint32_t wants = MIN(u->wants, pool->options.slots);
+
+	*returned = held && !wants && !u->share.in_use;
+	return wants;
+}
+
+size_t pool_shares_to_ask(struct pool *pool, int64_t now_us,
+			  uint32_t *upstreams, uint32_t *wanted,
+			  uint32_t *in_use, size_t max)
+{
+	size_t count = 0;
+	guint i;
+
+	for (i = 0; i < pool->upstreams->len && count < max; i++) {
+		struct upstream *u = pool_at(pool, i);
+		bool returned;
+		uint32_t wants = share_wanted(pool, u, now_us, &returned);
+
+		if (!wants && !u->share.in_use && !returned)
+			continue;
+		if (!budget_share_ask(&u->share, now_us))
+			continue;
+		if (returned)
+			budget_share_drop(&u->share, now_us);
+		u->wants = 0;
+		upstreams[count] = i;
+		wanted[count] = wants;
+		in_use[count] = u->share.in_use;
+		count++;
+	}
+	return count;
+}
+
+void pool_take_share(struct pool *pool, uint32_t upstream, struct str boot,
+		     int64_t asked_us, uint32_t count, int64_t duration_us)
+{
+	struct upstream *u = pool_at(pool, upstream);
+
+	if (!budget_share_take(&u->share, asked_us, count, duration_us) ||
+	    !boot.len)
+		return;
+	if (!str_equal(boot, str_from(u->boot))) {
+		set_boot(u, boot);
+		u->proof_us = 0;
+		u->generation++;
+	}
+	u->ready = count >= BUDGET_CONNECTIONS;
+	if (u->ready)
+		u->proof_us = MAX(u->proof_us, asked_us + duration_us);
+}
--- /dev/null
+++ b/test/unit/test_budget.c
@@ -0,0 +1,205 @@
+#include <glib.h>
+
+#include "suite.h"
+#include "upstream/budget.h"
+#include "upstream/connection.h"
+#include "upstream/subset.h"
+
+#define MS INT64_C(1000)
+#define START (BUDGET_SHARE_US + BUDGET_MARGIN_US)
+
+static void read_holder(struct budget_holder *holder, const char *boot,
+			uint32_t limit, uint32_t running, int64_t now)
+{
+	struct budget_reading reading = { str_from(boot), limit, running, now };
+
+	budget_holder_read(holder, &reading, now);
+}
+
+static uint32_t ask(struct budget_holder *holder, const char *router,
+		    uint32_t wanted, uint32_t in_use, int64_t now)
+{
+	return budget_holder_ask(holder, str_from(router), wanted, in_use, now)
+		.count;
+}
+
+static void new_holder_waits(void)
+{
+	struct budget_holder *holder = budget_holder_create(0);
+
+	read_holder(holder, "b", 2, 0, START - 1);
+	CU_ASSERT_EQUAL(ask(holder, "r1", 1, 0, START - 1), 0);
+	/* A reading asked for before the wait ended may miss requests. */
+	CU_ASSERT_EQUAL(ask(holder, "r1", 1, 0, START + 1), 0);
+	CU_ASSERT_TRUE(budget_holder_stale(holder, START + 1));
+	read_holder(holder, "b", 2, 1, START + 2);
+	CU_ASSERT_EQUAL(ask(holder, "r1", 2, 0, START + 3), 1);
+	CU_ASSERT_EQUAL(ask(holder, "r2", 2, 0, START + 3), 0);
+	budget_holder_destroy(holder);
+}
+
+static void shares_sum_to_the_limit(void)
+{
+	static const char *const routers[] = { "a", "b", "c", "d" };
+	struct budget_holder *holder = budget_holder_create(-START);
+	uint32_t sum = 0;
+	size_t i;
+
+	read_holder(holder, "b", 3, 0, 0);
+	for (i = 0; i < 4; i++)
+		sum += ask(holder, routers[i], 2, 0, 1);
+	CU_ASSERT_EQUAL(sum, 3);
+	CU_ASSERT_EQUAL(budget_holder_given(holder, 1), 3);
+	/* One that held a share last makes room for who had none. */
+	CU_ASSERT_EQUAL(ask(holder, "a", 1, 0, 2), 0);
+	/* What is returned can be given at once. */
+	CU_ASSERT_EQUAL(ask(holder, "a", 0, 0, 3), 0);
+	CU_ASSERT_EQUAL(ask(holder, "d", 1, 0, 4), 1);
+	budget_holder_destroy(holder);
+}
+
+static void a_lapsed_share_is_read_first(void)
+{
+	struct budget_holder *holder = budget_holder_create(-START);
+	int64_t later = 2 * START;
+
+	read_holder(holder, "b", 1, 0, 0);
+	CU_ASSERT_EQUAL(ask(holder, "a", 1, 0, 1), 1);
+	read_holder(holder, "b", 1, 0, START - 2 * MS);
+	CU_ASSERT_EQUAL(ask(holder, "c", 1, 0, START - MS), 0);
+	/* It ended, but what it sent may still run. */
+	CU_ASSERT_EQUAL(ask(holder, "c", 1, 0, START + MS), 0);
+	read_holder(holder, "b", 1, 1, later);
+	CU_ASSERT_EQUAL(ask(holder, "c", 1, 0, later), 0);
+	read_holder(holder, "b", 1, 0, later + MS);
+	CU_ASSERT_EQUAL(ask(holder, "c", 1, 0, later + MS), 1);
+	budget_holder_destroy(holder);
+}
+
+static void unknown_is_cold(void)
+{
+	struct budget_holder *holder = budget_holder_create(-START);
+
+	CU_ASSERT_EQUAL(ask(holder, "a", 1, 0, 1), 0);
+	read_holder(holder, "", BUDGET_CONNECTIONS, 0, 1);
+	CU_ASSERT_EQUAL(ask(holder, "a", 1, 0, 1), 0);
+	read_holder(holder, "b", BUDGET_CONNECTIONS, 0, 2);
+	CU_ASSERT_EQUAL(ask(holder, "a", 1, 0, 2), BUDGET_CONNECTIONS);
+	CU_ASSERT_EQUAL(ask(holder, "a", 1, 0, 3 + BUDGET_SHARE_US), 0);
+	budget_holder_destroy(holder);
+}
+
+static void a_share_counts_from_its_request(void)
+{
+	struct budget_share share = { 0 };
+
+	CU_ASSERT_TRUE(budget_share_ask(&share, 10 * MS));
+	CU_ASSERT_FALSE(budget_share_ask(&share, 11 * MS));
+	CU_ASSERT_TRUE(budget_share_take(&share, 10 * MS, 1, 50 * MS));
+	CU_ASSERT_TRUE(budget_share_use(&share, 59 * MS));
+	CU_ASSERT_FALSE(budget_share_use(&share, 59 * MS));
+	budget_share_release(&share);
+	CU_ASSERT_FALSE(budget_share_use(&share, 60 * MS));
+	/* An answer to an earlier request comes late. */
+	CU_ASSERT_TRUE(budget_share_take(&share, 70 * MS, 0, 50 * MS));
+	CU_ASSERT_FALSE(budget_share_take(&share, 65 * MS, 2, 50 * MS));
+	budget_share_drop(&share, 80 * MS);
+	CU_ASSERT_FALSE(budget_share_take(&share, 75 * MS, 2, 50 * MS));
+}
+
+static void connections_are_shared(void)
+{
+	CU_ASSERT_EQUAL(budget_connections(130, 12), 10);
+	CU_ASSERT_EQUAL(budget_connections(130, 490), 1);
+	CU_ASSERT_EQUAL(budget_connections(130, 0), 130);
+}
+
+static void each_upstream_has_twelve_routers(void)
+{
+	struct str routers[490];
+	char names[490][8];
+	uint32_t uses = 0;
+	size_t i;
+
+	for (i = 0; i < 490; i++) {
+		g_snprintf(names[i], sizeof(names[i]), "r%u", (unsigned int)i);
+		routers[i] = str_from(names[i]);
+	}
+	for (i = 0; i < 490; i++)
+		uses += subset_uses(routers[i], STR("u1"), routers, 490);
+	CU_ASSERT_EQUAL(uses, SUBSET_ROUTERS);
+}
+
+static void one_silent_makes_siblings_suspect(void)
+{
+	struct connection_set *set = connection_set_create(4);
+	uint64_t id;
+	bool silent;
+	int64_t now = 100 * MS;
+
+	connection_opened(set, 1, 0);
+	connection_opened(set, 2, 0);
+	connection_opened(set, 3, 0);
+	CU_ASSERT_TRUE(connection_done(set, 2, 1 * MS));
+	connection_progress(set, 3, 99 * MS);
+	CU_ASSERT_EQUAL(connection_expired(set, 50 * MS, now, &silent), 1);
+	CU_ASSERT_TRUE(silent);
+	connection_closed(set, 1);
+	CU_ASSERT_EQUAL(connection_choose(set, true, now, &id),
+			CONNECTION_FRESH);
+	CU_ASSERT_EQUAL(connection_expired(set, 50 * MS, now, &silent), 2);
+	CU_ASSERT_FALSE(silent);
+	connection_closed(set, 2);
+	CU_ASSERT_EQUAL(connection_expired(set, 50 * MS, now, &silent),
+			CONNECTION_NONE);
+	/* Progress after the moment of doubt clears it. */
+	connection_progress(set, 3, now + 1);
+	CU_ASSERT_TRUE(connection_done(set, 3, now + 1));
+	CU_ASSERT_EQUAL(connection_choose(set, true, now + 2, &id),
+			CONNECTION_REUSE);
+	CU_ASSERT_EQUAL(id, 3);
+	CU_ASSERT_EQUAL(connection_choose(set, false, now + 2, &id),
+			CONNECTION_FRESH);
+	connection_set_destroy(set);
+}
+
+static void connections_are_limited(void)
+{
+	struct connection_set *set = connection_set_create(1);
+	uint64_t id;
+
+	connection_opened(set, 1, 0);
+	CU_ASSERT_EQUAL(connection_choose(set, true, 1, &id), CONNECTION_WAIT);
+	connection_done(set, 1, 2);
+	CU_ASSERT_EQUAL(connection_choose(set, false, 3, &id),
+			CONNECTION_FRESH);
+	CU_ASSERT_EQUAL(id, 1);
+	/* Idle too long: closed, not used. */
+	CU_ASSERT_EQUAL(
+		connection_choose(set, true, 3 + CONNECTION_IDLE_US, &id),
+		CONNECTION_FRESH);
+	CU_ASSERT_EQUAL(connection_count(set), 1);
+	connection_set_destroy(set);
+}
+
+int main(void)
+{
+	static const struct suite_case cases[] = {
+		{ "a new holder waits", new_holder_waits },
+		{ "shares sum to the limit", shares_sum_to_the_limit },
+		{ "a lapsed share is read first",
+		  a_lapsed_share_is_read_first },
+		{ "unknown is cold", unknown_is_cold },
+		{ "a share counts from its request",
+		  a_share_counts_from_its_request },
+		{ "connections are shared", connections_are_shared },
+		{ "each upstream has twelve routers",
+		  each_upstream_has_twelve_routers },
+		{ "one silent connection makes its siblings suspect",
+		  one_silent_makes_siblings_suspect },
+		{ "connections are limited", connections_are_limited },
+		{ 0 },
+	};
+
+	return suite_run("budget", cases);
+}
