--- a/src/upstream/straggler.c
+++ b/src/upstream/straggler.c
@@ -47,7 +47,7 @@
 	return (x > y) - (x < y);
 }
 
-/* The median of the times known, 0 when there is none. */
+/* The lower median of the times known, 0 when there is none. */
 static int64_t median(const int64_t *times, size_t count)
 {
 	GArray *known = g_array_new(FALSE, FALSE, sizeof(int64_t));
@@ -59,7 +59,7 @@
 			g_array_append_val(known, times[i]);
 	g_array_sort(known, compare_times);
 	if (known->len)
-		result = g_array_index(known, int64_t, known->len / 2);
+		result = g_array_index(known, int64_t, (known->len - 1) / 2);
 	g_array_free(known, TRUE);
 	return result;
 }
--- /dev/null
+++ b/test/unit/test_claim.c
@@ -0,0 +1,275 @@
+#include <glib.h>
+
+#include "request/claim.h"
+#include "suite.h"
+
+#define MINUTE INT64_C(60000000)
+#define RUNNING (10 * MINUTE)
+
+/* A table of one row that can refuse, lose answers or lose writes. */
+struct fake_row {
+	char *value;
+	uint64_t version;
+};
+
+enum fault { WORKS, DOWN, ANSWER_LOST, WRITE_LOST };
+
+static void fake_apply(struct fake_row *row, const struct table_op *op,
+		       struct table_result *result)
+{
+	result->status = TABLE_OK;
+	if (op->kind == TABLE_OP_GET) {
+		if (!row->value)
+			result->status = TABLE_ABSENT;
+	} else if (op->if_version != row->version) {
+		result->status = TABLE_CONFLICT;
+	} else {
+		g_free(row->value);
+		row->value = str_dup(op->value);
+		row->version++;
+	}
+	result->version = row->version;
+	result->value = str_from(row->value);
+}
+
+static bool do_op(struct claim *claim, struct fake_row *row, enum fault fault,
+		  int64_t wall)
+{
+	struct table_result result = { .status = TABLE_UNAVAILABLE };
+	struct table_op op;
+
+	if (!claim_op(claim, &op))
+		return false;
+	if (fault == WORKS || fault == ANSWER_LOST)
+		fake_apply(row, &op, &result);
+	if (fault == ANSWER_LOST || fault == WRITE_LOST)
+		result = (struct table_result){
+			.status = op.kind == TABLE_OP_GET ? TABLE_UNAVAILABLE
+							  : TABLE_UNKNOWN,
+		};
+	claim_result(claim, &result, wall);
+	return true;
+}
+
+static void do_all(struct claim *claim, struct fake_row *row, int64_t wall)
+{
+	int i;
+
+	for (i = 0; i < 20 && do_op(claim, row, WORKS, wall); i++)
+		;
+	CU_ASSERT(i < 20);
+}
+
+static struct claim *make(const char *attempt, uint64_t digest, int64_t wall)
+{
+	struct claim_options options = {
+		.service = STR("lots"),
+		.key = STR("lot-17"),
+		.digest = digest,
+		.attempt = str_from(attempt),
+		.claimant = STR("router-1"),
+		.running_us = RUNNING,
+		.wall_us = wall,
+	};
+
+	return claim_create(&options);
+}
+
+static const struct claim_record answer = {
+	.status = 201,
+	.type = { "text/plain", 10 },
+	.body = { "confirmed", 9 },
+	.whole = true,
+};
+
+static const struct verdict ran = { VERDICT_RAN, REASON_NONE };
+static const struct verdict not_run = { VERDICT_NOT_RUN, REASON_NO_UPSTREAM };
+static const struct verdict may_have_run = { VERDICT_MAY_HAVE_RUN,
+					     REASON_RESET_AFTER_SEND };
+
+static void a_repeat_gets_the_outcome(void)
+{
+	struct fake_row row = { 0 };
+	struct claim *first = make("a", 1, 0);
+	struct claim *repeat = make("b", 1, MINUTE);
+
+	do_all(first, &row, 0);
+	CU_ASSERT_EQUAL(claim_state(first), CLAIM_HELD);
+	claim_close(first, ran, &answer);
+	do_all(first, &row, 0);
+	CU_ASSERT_EQUAL(claim_state(first), CLAIM_CLOSED);
+	do_all(repeat, &row, MINUTE);
+	CU_ASSERT_EQUAL(claim_state(repeat), CLAIM_RECORDED);
+	CU_ASSERT_EQUAL(claim_record(repeat)->status, 201);
+	CU_ASSERT_TRUE(claim_record(repeat)->whole);
+	CU_ASSERT_TRUE(str_equal(claim_record(repeat)->body, answer.body));
+	claim_destroy(first);
+	claim_destroy(repeat);
+	g_free(row.value);
+}
+
+/* What a repeat is told by when it comes and what became of the first. */
+static void a_repeat_is_judged_by_the_row(void)
+{
+	static const struct {
+		const struct verdict *first;
+		uint64_t digest;
+		int64_t later;
+		enum claim_state state;
+		enum verdict_reason reason;
+	} cases[] = {
+		{ NULL, 1, MINUTE, CLAIM_REFUSED, REASON_CLAIM_IN_PROGRESS },
+		{ NULL, 1, RUNNING, CLAIM_REFUSED, REASON_CLAIM_IN_PROGRESS },
+		{ NULL, 1, RUNNING + CLAIM_CLOCK_ERROR_US + 1, CLAIM_REFUSED,
+		  REASON_OUTCOME_UNKNOWN },
+		{ NULL, 2, MINUTE, CLAIM_REFUSED, REASON_BAD_REQUEST },
+		{ &may_have_run, 1, 1, CLAIM_REFUSED, REASON_OUTCOME_UNKNOWN },
+		{ &not_run, 1, 1, CLAIM_HELD, REASON_NONE },
+		{ &not_run, 2, 1, CLAIM_HELD, REASON_NONE },
+		{ &may_have_run, 1, CLAIM_KEEP_US + CLAIM_CLOCK_ERROR_US,
+		  CLAIM_REFUSED, REASON_OUTCOME_UNKNOWN },
+		{ &may_have_run, 1, CLAIM_KEEP_US + CLAIM_CLOCK_ERROR_US + 1,
+		  CLAIM_HELD, REASON_NONE },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fake_row row = { 0 };
+		struct claim *first = make("a", 1, 0);
+		struct claim *repeat =
+			make("b", cases[i].digest, cases[i].later);
+
+		do_all(first, &row, 0);
+		if (cases[i].first)
+			claim_close(first, *cases[i].first, NULL);
+		do_all(first, &row, 0);
+		do_all(repeat, &row, cases[i].later);
+		CU_ASSERT_EQUAL(claim_state(repeat), cases[i].state);
+		CU_ASSERT_EQUAL(claim_verdict(repeat).reason, cases[i].reason);
+		claim_destroy(first);
+		claim_destroy(repeat);
+		g_free(row.value);
+	}
+}
+
+static void faults_of_the_table(void)
+{
+	static const struct {
+		enum fault faults[CLAIM_TRIES_MAX + 1];
+		enum claim_state state;
+	} cases[] = {
+		{ { ANSWER_LOST, WORKS }, CLAIM_HELD },
+		{ { WRITE_LOST, WORKS, WORKS }, CLAIM_HELD },
+		{ { ANSWER_LOST, DOWN, WORKS }, CLAIM_HELD },
+		{ { DOWN, WORKS }, CLAIM_HELD },
+		{ { DOWN, DOWN, DOWN, DOWN }, CLAIM_REFUSED },
+		{ { ANSWER_LOST, DOWN, DOWN, DOWN }, CLAIM_REFUSED },
+	};
+	size_t i;
+	int j;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fake_row row = { 0 };
+		struct claim *claim = make("a", 1, 0);
+		struct claim *next = make("b", 1, 0);
+
+		for (j = 0; claim_state(claim) == CLAIM_PENDING; j++)
+			do_op(claim, &row, cases[i].faults[j], 0);
+		CU_ASSERT_EQUAL(claim_state(claim), cases[i].state);
+		if (cases[i].state == CLAIM_REFUSED) {
+			CU_ASSERT_EQUAL(claim_verdict(claim).kind,
+					VERDICT_NOT_RUN);
+			/* What it left is removed; the next may run. */
+			do_all(claim, &row, 0);
+			do_all(next, &row, 0);
+			CU_ASSERT_EQUAL(claim_state(next), CLAIM_HELD);
+		}
+		claim_destroy(claim);
+		claim_destroy(next);
+		g_free(row.value);
+	}
+}
+
+static void an_outcome_survives_lost_answers(void)
+{
+	struct fake_row row = { 0 };
+	struct claim *claim = make("a", 1, 0);
+
+	do_all(claim, &row, 0);
+	claim_close(claim, ran, &answer);
+	do_op(claim, &row, ANSWER_LOST, 0);
+	CU_ASSERT_EQUAL(claim_state(claim), CLAIM_HELD);
+	do_op(claim, &row, WORKS, 0);
+	CU_ASSERT_EQUAL(claim_state(claim), CLAIM_CLOSED);
+	CU_ASSERT_EQUAL(row.version, 2);
+	claim_destroy(claim);
+	g_free(row.value);
+}
+
+static void one_given_up_amid_a_write_is_released(void)
+{
+	struct fake_row row = { 0 };
+	struct claim *claim = make("a", 1, 0);
+	struct table_result result;
+	struct table_op op;
+
+	CU_ASSERT_TRUE(claim_op(claim, &op));
+	claim_abandon(claim, REASON_CANCELLED);
+	CU_ASSERT_EQUAL(claim_state(claim), CLAIM_REFUSED);
+	fake_apply(&row, &op, &result);
+	claim_result(claim, &result, 0);
+	do_all(claim, &row, 0);
+	CU_ASSERT_PTR_NOT_NULL(strstr(row.value, "released"));
+	claim_destroy(claim);
+	g_free(row.value);
+}
+
+static void batches_and_cleanup(void)
+{
+	struct claim_batch *batch = claim_batch_create();
+	struct claim *claim = make("a", 1, 0);
+	struct table_result result = { .status = TABLE_OK, .version = 1 };
+	const struct table_op *ops;
+	struct claim_row old;
+	struct table_op op;
+	char *value;
+	size_t count;
+
+	CU_ASSERT_EQUAL(claim_batch_due_us(batch), INT64_MAX);
+	CU_ASSERT_TRUE(claim_batch_add(batch, claim, 5));
+	CU_ASSERT_EQUAL(claim_batch_due_us(batch), 5 + CLAIM_BATCH_US);
+	ops = claim_batch_ops(batch, &count);
+	CU_ASSERT_EQUAL_FATAL(count, 1);
+	value = str_dup(ops[0].value);
+	old = (struct claim_row){ STR("claim/lots/1"), 7, str_from(value) };
+	CU_ASSERT_FALSE(claim_batch_add(batch, claim, 5));
+	claim_batch_result(batch, &result, 1, 0);
+	CU_ASSERT_EQUAL(claim_state(claim), CLAIM_HELD);
+	CU_ASSERT_EQUAL(claim_cleanup(&old, 1, 0, 1, CLAIM_KEEP_US, &op, 1), 0);
+	CU_ASSERT_EQUAL(claim_cleanup(&old, 1, 0, 1, 2 * CLAIM_KEEP_US, &op, 1),
+			1);
+	CU_ASSERT_EQUAL(op.if_version, 7);
+	CU_ASSERT_EQUAL(claim_cleanup(&old, 1, 0, 1, 2 * CLAIM_KEEP_US, &op, 0),
+			0);
+	g_free(value);
+	claim_destroy(claim);
+	claim_batch_destroy(batch);
+}
+
+int main(void)
+{
+	static const struct suite_case cases[] = {
+		{ "a repeat gets the outcome", a_repeat_gets_the_outcome },
+		{ "a repeat is judged by the row",
+		  a_repeat_is_judged_by_the_row },
+		{ "faults of the table", faults_of_the_table },
+		{ "an outcome survives lost answers",
+		  an_outcome_survives_lost_answers },
+		{ "one given up amid a write is released",
+		  one_given_up_amid_a_write_is_released },
+		{ "batches and cleanup", batches_and_cleanup },
+		{ 0 },
+	};
+
+	return suite_run("claim", cases);
+}
--- /dev/null
+++ b/test/unit/test_poison.c
@@ -0,0 +1,136 @@
+#include "request/poison.h"
+#include "suite.h"
+
+#define U1 STR("u1")
+#define U2 STR("u2")
+#define BOOT STR("boot")
+
+static bool die(struct poison *poison, uint64_t fingerprint, struct str on,
+		struct poison_report *report)
+{
+	uint64_t handle = poison_begin(poison, fingerprint, on, BOOT);
+
+	return poison_end(poison, handle, POISON_BROKEN, 0, report);
+}
+
+static void two_deaths_poison(void)
+{
+	struct poison *poison = poison_create();
+	struct poison_report report;
+
+	CU_ASSERT_EQUAL(poison_check(poison, 1, 0), POISON_CLEAR);
+	CU_ASSERT_TRUE(die(poison, 1, U1, &report));
+	CU_ASSERT_EQUAL(report.deaths, 1);
+	CU_ASSERT_EQUAL(poison_check(poison, 1, 0), POISON_SUSPECT);
+	/* Two copies on one incarnation: one death. */
+	die(poison, 1, U1, &report);
+	CU_ASSERT_EQUAL(poison_check(poison, 1, 0), POISON_SUSPECT);
+	die(poison, 1, U2, &report);
+	CU_ASSERT_EQUAL(poison_check(poison, 1, 0), POISON_POISONED);
+	CU_ASSERT_EQUAL(poison_check(poison, 2, 0), POISON_CLEAR);
+	CU_ASSERT_EQUAL(poison_check(poison, 1, POISON_KEEP_US), POISON_CLEAR);
+	poison_destroy(poison);
+}
+
+static void a_suspect_that_ran_is_cleared(void)
+{
+	struct poison *poison = poison_create();
+	struct poison *other = poison_create();
+	struct poison_report report;
+	uint64_t handle;
+
+	die(poison, 1, U1, &report);
+	poison_take(other, &report, 0);
+	CU_ASSERT_EQUAL(poison_check(other, 1, 0), POISON_SUSPECT);
+	handle = poison_begin(poison, 1, U2, BOOT);
+	CU_ASSERT_TRUE(poison_end(poison, handle, POISON_ANSWERED, 0, &report));
+	poison_take(other, &report, 0);
+	CU_ASSERT_EQUAL(poison_check(poison, 1, 0), POISON_CLEAR);
+	CU_ASSERT_EQUAL(poison_check(other, 1, 0), POISON_CLEAR);
+	poison_destroy(poison);
+	poison_destroy(other);
+}
+
+static void deaths_add_up_over_routers(void)
+{
+	struct poison *poison = poison_create();
+	struct poison *other = poison_create();
+	struct poison_report report;
+
+	die(poison, 1, U1, &report);
+	poison_take(other, &report, 0);
+	poison_take(other, &report, 0);
+	CU_ASSERT_EQUAL(poison_check(other, 1, 0), POISON_SUSPECT);
+	die(other, 1, U2, &report);
+	CU_ASSERT_EQUAL(report.deaths, 2);
+	poison_take(poison, &report, 0);
+	CU_ASSERT_EQUAL(poison_check(poison, 1, 0), POISON_POISONED);
+	/* Poisoned stays so, whatever a late report says. */
+	report = (struct poison_report){ .fingerprint = 1 };
+	poison_take(poison, &report, 0);
+	CU_ASSERT_EQUAL(poison_check(poison, 1, 0), POISON_POISONED);
+	poison_destroy(poison);
+	poison_destroy(other);
+}
+
+static void a_broken_connection_is_no_death(void)
+{
+	struct poison *poison = poison_create();
+	struct poison *other = poison_create();
+	struct poison_report report;
+
+	die(poison, 1, U1, &report);
+	poison_take(other, &report, 0);
+	CU_ASSERT_EQUAL(poison_alive(poison, U1, STR("new"), &report, 1), 0);
+	CU_ASSERT_EQUAL(poison_alive(poison, U1, BOOT, &report, 1), 1);
+	poison_take(other, &report, 0);
+	CU_ASSERT_EQUAL(poison_check(poison, 1, 0), POISON_CLEAR);
+	CU_ASSERT_EQUAL(poison_check(other, 1, 0), POISON_CLEAR);
+	poison_destroy(poison);
+	poison_destroy(other);
+}
+
+static void a_stall_is_no_death(void)
+{
+	struct poison *poison = poison_create();
+	struct poison_report report;
+	uint64_t handle = poison_begin(poison, 1, U1, BOOT);
+
+	CU_ASSERT_FALSE(poison_end(poison, handle, POISON_OPEN, 0, &report));
+	CU_ASSERT_FALSE(poison_end(poison, handle, POISON_BROKEN, 0, &report));
+	CU_ASSERT_EQUAL(poison_check(poison, 1, 0), POISON_CLEAR);
+	poison_destroy(poison);
+}
+
+static void records_are_bounded(void)
+{
+	struct poison *poison = poison_create();
+	struct poison_report report;
+	uint64_t i;
+
+	die(poison, 1, U1, &report);
+	die(poison, 1, U2, &report);
+	for (i = 2; i < POISON_MAX + 10; i++)
+		die(poison, i, U1, &report);
+	CU_ASSERT_EQUAL(poison_check(poison, 1, 0), POISON_POISONED);
+	CU_ASSERT_EQUAL(poison_check(poison, POISON_MAX + 9, 0),
+			POISON_SUSPECT);
+	poison_destroy(poison);
+}
+
+int main(void)
+{
+	static const struct suite_case cases[] = {
+		{ "two deaths poison", two_deaths_poison },
+		{ "a suspect that ran is cleared",
+		  a_suspect_that_ran_is_cleared },
+		{ "deaths add up over routers", deaths_add_up_over_routers },
+		{ "a broken connection is no death",
+		  a_broken_connection_is_no_death },
+		{ "a stall is no death", a_stall_is_no_death },
+		{ "records are bounded", records_are_bounded },
+		{ 0 },
+	};
+
+	return suite_run("poison", cases);
+}
--- /dev/null
+++ b/test/unit/test_pool.c
@@ -0,0 +1,252 @@
+#include <glib.h>
+
+#include "suite.h"
+#include "upstream/budget.h"
+#include "upstream/pool.h"
+
+#define MS INT64_C(1000)
+#define COUNT 6
+
+static const struct pool_options options = {
+	.router = { "r1", 2 },
+	.slots = 3,
+	.seed = 7,
+};
+
+static const char *const ids[COUNT] = { "u0", "u1", "u2", "u3", "u4", "u5" };
+
+static void list(struct pool *pool, uint32_t unavailable)
+{
+	struct pool_member members[COUNT];
+	size_t i;
+
+	for (i = 0; i < COUNT; i++)
+		members[i] = (struct pool_member){ str_from(ids[i]), STR("z"),
+						   i != unavailable };
+	pool_update(pool, members, COUNT);
+}
+
+/* Asks for every share wanted and grants it. */
+static void grant(struct pool *pool, uint32_t count, int64_t now)
+{
+	uint32_t upstreams[COUNT], wanted[COUNT], in_use[COUNT];
+	size_t n =
+		pool_shares_to_ask(pool, now, upstreams, wanted, in_use, COUNT);
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		pool_take_share(pool, upstreams[i], STR("boot"), now, count,
+				BUDGET_SHARE_US);
+}
+
+static struct pool *make_ready(int64_t now)
+{
+	struct pool *pool = pool_create(&options);
+	uint32_t i;
+
+	list(pool, COUNT);
+	for (i = 0; i < COUNT; i++)
+		pool_check(pool, i, now);
+	grant(pool, BUDGET_CONNECTIONS, now);
+	return pool;
+}
+
+static void run(struct pool *pool, uint32_t upstream, int64_t now, int64_t took)
+{
+	struct pool_flight *flight = pool_start(pool, upstream, now);
+
+	pool_head(pool, flight, STR("boot"), now + took);
+	pool_finish(pool, flight, POOL_ANSWERED, now + took);
+}
+
+static void cold_until_told(void)
+{
+	struct pool *pool = pool_create(&options);
+	struct pool_flight *flight;
+	uint32_t upstream;
+
+	CU_ASSERT_EQUAL(pool_pick(pool, NULL, 0, 1, &upstream), POOL_EMPTY);
+	list(pool, COUNT);
+	CU_ASSERT_EQUAL(pool_pick(pool, NULL, 0, 1, &upstream), POOL_NO_SHARE);
+	grant(pool, 1, 1);
+	CU_ASSERT_EQUAL(pool_check(pool, upstream, 2), POOL_OK);
+	flight = pool_start(pool, upstream, 2);
+	CU_ASSERT_EQUAL(pool_check(pool, upstream, 2), POOL_NO_SHARE);
+	pool_finish(pool, flight, POOL_ANSWERED, 3);
+	CU_ASSERT_EQUAL(pool_check(pool, upstream, 4), POOL_OK);
+	CU_ASSERT_EQUAL(pool_check(pool, upstream, 2 + BUDGET_SHARE_US),
+			POOL_NO_SHARE);
+	pool_destroy(pool);
+}
+
+static void proof_is_kept_up_by_answers(void)
+{
+	struct pool *pool = make_ready(1);
+	int64_t now = 150 * MS;
+
+	run(pool, 0, now, 5 * MS);
+	CU_ASSERT_EQUAL(pool_check(pool, 0, now + POOL_PROOF_US - 1), POOL_OK);
+	CU_ASSERT_EQUAL(pool_check(pool, 0, now + POOL_PROOF_US),
+			POOL_NO_SHARE);
+	CU_ASSERT_EQUAL(pool_check(pool, 1, now + 100 * MS), POOL_NO_SHARE);
+	pool_destroy(pool);
+}
+
+static void doubt_ends_readiness(void)
+{
+	static const enum pool_outcome_kind outcomes[] = { POOL_FAILED,
+							   POOL_COLD };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(outcomes); i++) {
+		struct pool *pool = make_ready(1);
+		struct pool_flight *early = pool_start(pool, 0, 2);
+		struct pool_flight *flight = pool_start(pool, 0, 3);
+
+		pool_finish(pool, flight, outcomes[i], 4);
+		CU_ASSERT_EQUAL(pool_check(pool, 0, 100 * MS), POOL_NO_SHARE);
+		/* An answer to what was sent before proves nothing. */
+		pool_head(pool, early, STR("boot"), 101 * MS);
+		pool_finish(pool, early, POOL_ANSWERED, 101 * MS);
+		CU_ASSERT_EQUAL(pool_check(pool, 0, 102 * MS), POOL_NO_SHARE);
+		pool_destroy(pool);
+	}
+}
+
+static void a_new_incarnation_is_cold(void)
+{
+	struct pool *pool = make_ready(1);
+	struct pool_flight *flight = pool_start(pool, 0, 2);
+
+	pool_head(pool, flight, STR("boot2"), 3);
+	pool_finish(pool, flight, POOL_ANSWERED, 3);
+	CU_ASSERT_EQUAL(pool_check(pool, 0, 4), POOL_NO_SHARE);
+	CU_ASSERT_TRUE(str_equal(pool_boot(pool, 0), STR("boot2")));
+	pool_destroy(pool);
+}
+
+static void leaving_gets_nothing_new(void)
+{
+	struct pool *pool = make_ready(1);
+	struct pool_flight *flight = pool_start(pool, 1, 2);
+	uint32_t upstream;
+	int i;
+
+	list(pool, 0);
+	pool_finish(pool, flight, POOL_LEAVING, 3);
+	CU_ASSERT_EQUAL(pool_check(pool, 0, 4), POOL_EMPTY);
+	CU_ASSERT_EQUAL(pool_check(pool, 1, 4), POOL_EMPTY);
+	for (i = 0; i < 100; i++) {
+		CU_ASSERT_EQUAL(pool_pick(pool, NULL, 0, 4, &upstream),
+				POOL_OK);
+		CU_ASSERT(upstream > 1);
+	}
+	pool_destroy(pool);
+}
+
+static void a_straggler_is_set_aside_and_probed(void)
+{
+	struct pool *pool = make_ready(1);
+	uint32_t upstream, probes = 0, chosen = 0;
+	int64_t now;
+	uint32_t i;
+	int round;
+
+	for (round = 1; round <= 8; round++)
+		for (i = 0; i < COUNT; i++)
+			run(pool, i, round * MS, i ? 5 * MS : 50 * MS);
+	for (now = 10 * MS; now < 109 * MS; now += MS) {
+		pool_pick(pool, NULL, 0, now, &upstream);
+		chosen += upstream == 0;
+	}
+	CU_ASSERT_EQUAL(chosen, 0);
+	for (now = 110 * MS; now < 190 * MS; now += MS) {
+		pool_pick(pool, NULL, 0, now, &upstream);
+		probes += upstream == 0;
+	}
+	CU_ASSERT_EQUAL(probes, 1);
+	/* Fast again: in use again. */
+	run(pool, 0, 190 * MS, 5 * MS);
+	for (now = 196 * MS, chosen = 0; now < 250 * MS; now += MS) {
+		pool_pick(pool, NULL, 0, now, &upstream);
+		chosen += upstream == 0;
+	}
+	CU_ASSERT(chosen > 0);
+	pool_destroy(pool);
+}
+
+static void at_most_a_third_is_set_aside(void)
+{
+	struct pool *pool = make_ready(1);
+	struct pool_upstream_status status;
+	uint32_t upstream, slow = 0;
+	uint32_t i;
+	int round;
+
+	for (round = 1; round <= 8; round++)
+		for (i = 0; i < COUNT; i++)
+			run(pool, i, round * MS, i % 2 ? 50 * MS : 5 * MS);
+	pool_pick(pool, NULL, 0, 60 * MS, &upstream);
+	for (i = 0; pool_status(pool, i, 60 * MS, &status); i++)
+		slow += status.slow;
+	CU_ASSERT_EQUAL(slow, COUNT / 3);
+	pool_destroy(pool);
+}
+
+static void backups_are_capped(void)
+{
+	struct pool *pool = make_ready(1);
+	uint32_t taken = 0;
+	int i;
+
+	CU_ASSERT_EQUAL(pool_backup_delay(pool), INT64_MAX);
+	for (i = 0; i < 400; i++) {
+		run(pool, 0, 2, 5 * MS);
+		taken += pool_backup_take(pool);
+	}
+	CU_ASSERT_EQUAL(taken, 20);
+	CU_ASSERT(pool_backup_delay(pool) >= 5 * MS - 1);
+	CU_ASSERT(pool_backup_delay(pool) < 6 * MS);
+	pool_destroy(pool);
+}
+
+static void slots_are_kept(void)
+{
+	struct pool *pool = make_ready(1);
+	struct pool_flight *flights[3];
+	uint32_t tried[COUNT] = { 0, 1, 2, 3, 4 };
+	uint32_t upstream;
+	int i;
+
+	for (i = 0; i < 3; i++)
+		flights[i] = pool_start(pool, 5, 2);
+	CU_ASSERT_EQUAL(pool_check(pool, 5, 3), POOL_FULL);
+	CU_ASSERT_EQUAL(pool_pick(pool, tried, 5, 3, &upstream), POOL_FULL);
+	pool_finish(pool, flights[0], POOL_CANCELLED, 4);
+	CU_ASSERT_EQUAL(pool_pick(pool, tried, 5, 5, &upstream), POOL_OK);
+	CU_ASSERT_EQUAL(upstream, 5);
+	/* Forgotten only when nothing of it is in flight. */
+	pool_update(pool, NULL, 0);
+	CU_ASSERT_EQUAL(pool_flight_upstream(flights[1]), 5);
+	pool_destroy(pool);
+}
+
+int main(void)
+{
+	static const struct suite_case cases[] = {
+		{ "cold until told", cold_until_told },
+		{ "proof is kept up by answers", proof_is_kept_up_by_answers },
+		{ "doubt ends readiness", doubt_ends_readiness },
+		{ "a new incarnation is cold", a_new_incarnation_is_cold },
+		{ "leaving gets nothing new", leaving_gets_nothing_new },
+		{ "a straggler is set aside and probed",
+		  a_straggler_is_set_aside_and_probed },
+		{ "at most a third is set aside",
+		  at_most_a_third_is_set_aside },
+		{ "backups are capped", backups_are_capped },
+		{ "slots are kept", slots_are_kept },
+		{ 0 },
+	};
+
+	return suite_run("pool", cases);
+}
