upstream: a share under which a request was given up is read first

A request that a router cancels, or whose connection broke, may still run; its room was given to the next. The router says so with its next ShareRequest, and the holder subtracts what the upstream itself counts.

--- a/src/upstream/budget.c
+++ b/src/upstream/budget.c
@@ -214,8 +214,9 @@
 }
 
 struct budget_grant budget_holder_ask(struct budget_holder *holder,
-				      struct str router, uint32_t wanted,
-				      uint32_t in_use, int64_t now_us)
+				      struct str router,
+				      const struct budget_ask *ask,
+				      int64_t now_us)
 {
 	struct budget_grant grant = { .boot = str_from(holder->boot) };
 	int64_t left = holder->read_us + BUDGET_SHARE_US - now_us;
@@ -223,7 +224,9 @@
 	uint32_t room;
 
 	expire(holder, now_us);
-	if (!wanted && !in_use) {
+	if (ask->lost)
+		holder->lapsed_us = MAX(holder->lapsed_us, now_us);
+	if (!ask->wanted && !ask->in_use) {
 		remove_router(holder, id);
 	} else if (left > 0 && holder->limit) {
 		grant.duration_us = left;
@@ -231,8 +234,9 @@
 		if (is_ready(holder)) {
 			grant.count = room;
 		} else {
-			room = MIN(fair_room(holder, id, room), wanted);
-			grant.count = MAX(room, in_use);
+			room = MIN(fair_room(holder, id, room),
+				   ask->wanted + ask->in_use);
+			grant.count = MAX(room, ask->in_use);
 			note_given(holder, id, grant.count,
 				   now_us + left + BUDGET_MARGIN_US);
 		}
@@ -261,6 +265,7 @@
 	if (asked_us <= share->taken_us)
 		return false;
 	share->taken_us = asked_us;
+	share->lost = false;
 	share->count = count;
 	share->ends_us = asked_us + duration_us;
 	return true;
@@ -292,6 +297,12 @@
 	share->taken_us = now_us;
 }
 
+void budget_share_lose(struct budget_share *share, int64_t now_us)
+{
+	budget_share_drop(share, now_us);
+	share->lost = true;
+}
+
 uint32_t budget_connections(uint32_t connections, uint32_t daemons)
 {
 	return MAX(1, connections / MAX(1, daemons));
--- a/src/upstream/budget.h
+++ b/src/upstream/budget.h
@@ -14,6 +14,8 @@
  * - Requests may outlive their share. Once a share ended without being
  *   returned, the holder gives out nothing until it has read the upstream's
  *   own count of running requests after that end, and subtracts that count.
+ *   The same holds after a router says that it gave a request up (cancelled, or
+ *   its connection broke), which may still run.
  * - When more routers ask than the limit can serve, one that held a share last
  *   keeps only what it has in use, so that the others get their turn.
  * - Nothing is given out while the limit isn't known, or was read longer than
@@ -82,19 +84,27 @@
 void budget_holder_read(struct budget_holder *holder,
 			const struct budget_reading *reading, int64_t now_us);
 
+/** What a router asks for. All zero: it returns its share. */
+struct budget_ask {
+	/** Requests that it would like to send beside those that run. */
+	uint32_t wanted;
+	/** Requests of it that run; its share does not fall below this. */
+	uint32_t in_use;
+	/** It gave a request up since its last ask that was answered. */
+	bool lost;
+};
+
 /**
  * Answers a router's ShareRequest. The router's earlier share is replaced.
  *
  * @param router id of the router
- * @param wanted concurrent requests that it would like to send
- * @param in_use requests of it that run now; its share never falls below
- *        this number while they are reported
  * @param now_us when the request was received
  * @return the share; count 0 when nothing can be given
  */
 struct budget_grant budget_holder_ask(struct budget_holder *holder,
-				      struct str router, uint32_t wanted,
-				      uint32_t in_use, int64_t now_us);
+				      struct str router,
+				      const struct budget_ask *ask,
+				      int64_t now_us);
 
 /**
  * Tells whether the upstream must be read before a ShareRequest can be
@@ -115,6 +125,9 @@
 	int64_t asked_us;
 	/** Answers to requests sent up to this are ignored. */
 	int64_t taken_us;
+	/** A request under it was given up, and the holder has not answered
+	 * since. */
+	bool lost;
 };
 
 /**
@@ -146,6 +159,9 @@
  */
 void budget_share_drop(struct budget_share *share, int64_t now_us);
 
+/** Ends the share at once as a request under it was given up. */
+void budget_share_lose(struct budget_share *share, int64_t now_us);
+
 /**
  * Connections that one daemon may hold to one upstream.
  *
--- a/src/upstream/pool.c
+++ b/src/upstream/pool.c
@@ -300,6 +300,16 @@
 	}
 }
 
+/* A request that was given up may still run there. */
+static void end_shared(struct upstream *u, enum pool_outcome_kind outcome,
+		       int64_t now_us)
+{
+	budget_share_release(&u->share);
+	if (outcome == POOL_FAILED || outcome == POOL_STALLED ||
+	    outcome == POOL_CANCELLED)
+		budget_share_lose(&u->share, now_us);
+}
+
 void pool_finish(struct pool *pool, struct pool_flight *flight,
 		 enum pool_outcome_kind outcome, int64_t now_us)
 {
@@ -308,7 +318,7 @@
 	note_outcome(u, flight, outcome, now_us);
 	stop_waiting(flight);
 	if (flight->shared)
-		budget_share_release(&u->share);
+		end_shared(u, outcome, now_us);
 	u->in_flight--;
 	g_ptr_array_remove_fast(pool->flights, flight);
 }
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -26,6 +26,7 @@
 #include <stdint.h>
 
 #include "base/str.h"
+#include "upstream/budget.h"
 
 /** No upstream. */
 #define POOL_NONE UINT32_MAX
@@ -166,19 +167,22 @@
  */
 void pool_doubt(struct pool *pool, uint32_t upstream, int64_t now_us);
 
+/** A ShareRequest to send. */
+struct pool_ask {
+	uint32_t upstream;
+	struct budget_ask ask;
+};
+
 /**
  * Tells which upstreams to send a ShareRequest for, with now_us as its
  * asked_us, and notes it as sent. Call when a pick or a check said
  * POOL_NO_SHARE, when a flight ends, and every BUDGET_ASK_US.
  *
- * @param upstreams set to at most max handles
- * @param wanted set to the counts to ask for
- * @param in_use set to the requests of this router that run there
+ * @param asks set to at most max requests
  * @return the number set
  */
 size_t pool_shares_to_ask(struct pool *pool, int64_t now_us,
-			  uint32_t *upstreams, uint32_t *wanted,
-			  uint32_t *in_use, size_t max);
+			  struct pool_ask *asks, size_t max);
 
 /**
  * Takes a Share for an upstream.
--- a/src/upstream/pool_share.c
+++ b/src/upstream/pool_share.c
@@ -44,7 +44,7 @@
 	pool_forget_proof(pool_at(pool, upstream), now_us);
 }
 
-/* What to ask for: 0 with *returned set gives a share back. */
+/* What to ask for; with *returned set the share is given back. */
 static uint32_t share_wanted(const struct pool *pool, struct upstream *u,
 			     int64_t now_us, bool *returned)
 {
@@ -56,8 +56,7 @@
 }
 
 size_t pool_shares_to_ask(struct pool *pool, int64_t now_us,
-			  uint32_t *upstreams, uint32_t *wanted,
-			  uint32_t *in_use, size_t max)
+			  struct pool_ask *asks, size_t max)
 {
 	size_t count = 0;
 	guint i;
@@ -67,17 +66,17 @@
 		bool returned;
 		uint32_t wants = share_wanted(pool, u, now_us, &returned);
 
-		if (!wants && !u->share.in_use && !returned)
+		if (!wants && !u->share.in_use && !returned && !u->share.lost)
 			continue;
 		if (!budget_share_ask(&u->share, now_us))
 			continue;
 		if (returned)
 			budget_share_drop(&u->share, now_us);
 		u->wants = 0;
-		upstreams[count] = i;
-		wanted[count] = wants;
-		in_use[count] = u->share.in_use;
-		count++;
+		asks[count++] = (struct pool_ask){
+			.upstream = i,
+			.ask = { wants, u->share.in_use, u->share.lost },
+		};
 	}
 	return count;
 }
--- a/src/wire/auburn.pb-c.c
+++ b/src/wire/auburn.pb-c.c
@@ -1729,7 +1729,7 @@
   (ProtobufCMessageInit) load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor share_request__field_descriptors[4] =
+static const ProtobufCFieldDescriptor share_request__field_descriptors[5] =
 {
   {
     "upstream",
@@ -1779,17 +1779,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lost",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(ShareRequest, lost),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned share_request__field_indices_by_name[] = {
   3,   /* field[3] = asked_us */
   2,   /* field[2] = in_use */
+  4,   /* field[4] = lost */
   0,   /* field[0] = upstream */
   1,   /* field[1] = wanted */
 };
 static const ProtobufCIntRange share_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor share_request__descriptor =
 {
@@ -1799,7 +1812,7 @@
   "ShareRequest",
   "",
   sizeof(ShareRequest),
-  4,
+  5,
   share_request__field_descriptors,
   share_request__field_indices_by_name,
   1,  share_request__number_ranges,
--- a/src/wire/auburn.pb-c.h
+++ b/src/wire/auburn.pb-c.h
@@ -284,10 +284,14 @@
    * The asker's own clock; the answer carries it back.
    */
   int64_t asked_us;
+  /*
+   * A request sent under an earlier share was given up and may still run.
+   */
+  protobuf_c_boolean lost;
 };
 #define SHARE_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&share_request__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Share
--- a/test/unit/test_budget.c
+++ b/test/unit/test_budget.c
@@ -19,8 +19,9 @@
 static uint32_t ask(struct budget_holder *holder, const char *router,
 		    uint32_t wanted, uint32_t in_use, int64_t now)
 {
-	return budget_holder_ask(holder, str_from(router), wanted, in_use, now)
-		.count;
+	struct budget_ask request = { wanted, in_use, false };
+
+	return budget_holder_ask(holder, str_from(router), &request, now).count;
 }
 
 static void new_holder_waits(void)
@@ -76,6 +77,23 @@
 	budget_holder_destroy(holder);
 }
 
+static void a_lost_request_is_read_first(void)
+{
+	struct budget_holder *holder = budget_holder_create(-START);
+	struct budget_ask lost = { 1, 0, true };
+
+	read_holder(holder, "b", 1, 0, 0);
+	CU_ASSERT_EQUAL(ask(holder, "a", 1, 0, 1), 1);
+	/* Its share is free here, but what it gave up may still run. */
+	CU_ASSERT_EQUAL(budget_holder_ask(holder, STR("a"), &lost, 2).count, 0);
+	CU_ASSERT_TRUE(budget_holder_stale(holder, 3));
+	read_holder(holder, "b", 1, 1, 3);
+	CU_ASSERT_EQUAL(ask(holder, "a", 1, 0, 3), 0);
+	read_holder(holder, "b", 1, 0, 4);
+	CU_ASSERT_EQUAL(ask(holder, "a", 1, 0, 4), 1);
+	budget_holder_destroy(holder);
+}
+
 static void unknown_is_cold(void)
 {
 	struct budget_holder *holder = budget_holder_create(-START);
@@ -189,6 +207,8 @@
 		{ "shares sum to the limit", shares_sum_to_the_limit },
 		{ "a lapsed share is read first",
 		  a_lapsed_share_is_read_first },
+		{ "a lost request is read first",
+		  a_lost_request_is_read_first },
 		{ "unknown is cold", unknown_is_cold },
 		{ "a share counts from its request",
 		  a_share_counts_from_its_request },
--- a/test/unit/test_claim.c
+++ b/test/unit/test_claim.c
@@ -219,7 +219,7 @@
 	fake_apply(&row, &op, &result);
 	claim_result(claim, &result, 0);
 	do_all(claim, &row, 0);
-	CU_ASSERT_PTR_NOT_NULL(strstr(row.value, "released"));
+	CU_ASSERT_TRUE(row.value && strstr(row.value, "released"));
 	claim_destroy(claim);
 	g_free(row.value);
 }
--- a/test/unit/test_pool.c
+++ b/test/unit/test_pool.c
@@ -29,13 +29,12 @@
 /* Asks for every share wanted and grants it. */
 static void grant(struct pool *pool, uint32_t count, int64_t now)
 {
-	uint32_t upstreams[COUNT], wanted[COUNT], in_use[COUNT];
-	size_t n =
-		pool_shares_to_ask(pool, now, upstreams, wanted, in_use, COUNT);
+	struct pool_ask asks[COUNT];
+	size_t n = pool_shares_to_ask(pool, now, asks, COUNT);
 	size_t i;
 
 	for (i = 0; i < n; i++)
-		pool_take_share(pool, upstreams[i], STR("boot"), now, count,
+		pool_take_share(pool, asks[i].upstream, STR("boot"), now, count,
 				BUDGET_SHARE_US);
 }
 
