profile, membership: publishing, settings in force, peers and VMs

A publish writes the version it replaces to the history first, then the row by compare-and-set; after a lost answer it reads back and compares attempt ids. Retrying a write as such was ruled out: with its answer lost it may already be replaced. A daemon relies on its settings for 2 s from its own clock reading: the start of a table read or the echo of a heartbeat from at least half of the peers.

--- a/src/base/planted.c
+++ b/src/base/planted.c
@@ -18,6 +18,12 @@
 	[PLANTED_FORGET_DEATHS] = "deaths not counted",
 	[PLANTED_IGNORE_LEAVING] = "leaving ignored",
 	[PLANTED_REUSE_SUSPECT] = "suspect connection used",
+	[PLANTED_PUBLISH_UNREAD] = "publish not read back",
+	[PLANTED_SPREAD_REVERT] = "lower version taken over",
+	[PLANTED_SPREAD_ALWAYS_VALID] = "settings always relied on",
+	[PLANTED_PEERS_ARRIVAL] = "contact counts from arrival",
+	[PLANTED_VM_LIST_KILLS] = "list kills a VM",
+	[PLANTED_VM_LIST_REVIVES] = "list revives a VM",
 };
 
 void planted_set(enum planted fault)
--- a/src/base/planted.h
+++ b/src/base/planted.h
@@ -37,6 +37,18 @@
 	PLANTED_IGNORE_LEAVING,
 	/** A suspect connection is used again. */
 	PLANTED_REUSE_SUSPECT,
+	/** A lost answer to a publish counts as accepted. */
+	PLANTED_PUBLISH_UNREAD,
+	/** The table's last answer wins, also when its version is lower. */
+	PLANTED_SPREAD_REVERT,
+	/** Settings are relied on without table or peers. */
+	PLANTED_SPREAD_ALWAYS_VALID,
+	/** Contact counts from a heartbeat's arrival. */
+	PLANTED_PEERS_ARRIVAL,
+	/** A VM that the list lacks counts as lost. */
+	PLANTED_VM_LIST_KILLS,
+	/** A VM that the list has counts as alive. */
+	PLANTED_VM_LIST_REVIVES,
 	PLANTED_COUNT
 };
 
--- a/src/membership/peers.h
+++ b/src/membership/peers.h
@@ -8,9 +8,10 @@
  * 2 * PEERS_RINGS links at any fleet size, and a message reaches all in a few
  * hops. A router keeps links to PEERS_ROUTER_LINKS assigners.
  *
- * A heartbeat echoes the sender's view of the receiver's clock, so that contact
- * counts from the receiver's own reading: what a frozen daemon finds in its
- * buffers is old when it wakes.
+ * The side that opened a link sends a heartbeat at an interval, the other side
+ * answers each. A heartbeat echoes the receiver's own clock reading, and
+ * contact counts from that: what a frozen daemon finds in its buffers is old
+ * when it wakes.
  */
 #ifndef MEMBERSHIP_PEERS_H
 #define MEMBERSHIP_PEERS_H
@@ -114,7 +115,7 @@
  * what half of the peers means. */
 #define PEERS_FORGET_US (INT64_C(7200) * 1000000)
 /** Contact counts for this long from the echoed clock reading. */
-#define PEERS_FRESH_US INT64_C(1600000)
+#define PEERS_FRESH_US INT64_C(2000000)
 
 struct peers;
 
--- /dev/null
+++ b/src/membership/peers_members.c
@@ -0,0 +1,212 @@
+#include <stdio.h>
+
+#include "base/address.h"
+#include "base/clock.h"
+#include "base/hash.h"
+#include "membership/peers_impl.h"
+
+/* Heartbeats that tell of a change before anything else. */
+#define NEWS_BEATS 6
+/* Members told in a heartbeat when there are no news. */
+#define TOLD_ROUTINE 1
+/* A member that nobody had contact with for longer is not told of. */
+#define TOLD_AGE_US (120 * US_PER_SECOND)
+
+bool address_equal(const struct sockaddr_in *a, const struct sockaddr_in *b)
+{
+	return a->sin_addr.s_addr == b->sin_addr.s_addr &&
+	       a->sin_port == b->sin_port;
+}
+
+void ring_places(const char *id, uint64_t places[PEERS_RINGS])
+{
+	size_t i;
+
+	for (i = 0; i < PEERS_RINGS; i++)
+		places[i] = hash_seeded(str_from(id), i + 1);
+}
+
+struct member *member_find(const struct peers *peers, struct str id)
+{
+	char *key = str_dup(id);
+	struct member *m = g_hash_table_lookup(peers->by_id, key);
+
+	g_free(key);
+	return m;
+}
+
+struct member *member_get(struct peers *peers, struct str id,
+			  enum peer_role role)
+{
+	struct member *m = member_find(peers, id);
+
+	if (m)
+		return m;
+	m = g_new0(struct member, 1);
+	m->id = str_dup(id);
+	m->role = role;
+	m->incarnation = g_strdup("");
+	ring_places(m->id, m->ring_place);
+	member_news(m);
+	g_hash_table_insert(peers->by_id, m->id, m);
+	g_ptr_array_add(peers->members, m);
+	return m;
+}
+
+void member_remove(struct peers *peers, struct member *m)
+{
+	if (m->kept)
+		peers->ops->forget(peers->ctx, &m->address);
+	g_hash_table_remove(peers->by_id, m->id);
+	g_ptr_array_remove_fast(peers->members, m);
+	g_free(m->incarnation);
+	g_free(m->id);
+	g_free(m);
+}
+
+struct peer_link *member_link(const struct peers *peers, const struct member *m)
+{
+	guint i;
+
+	for (i = 0; i < peers->links->len; i++) {
+		struct peer_link *l = g_ptr_array_index(peers->links, i);
+
+		if (l->member == m)
+			return l;
+	}
+	return NULL;
+}
+
+struct peer member_view(const struct peers *peers, const struct member *m,
+			int64_t now_us)
+{
+	return (struct peer){
+		.id = m->id,
+		.role = m->role,
+		.address = m->address,
+		.incarnation = m->incarnation,
+		.settings_version = m->version,
+		.age_us = now_us - m->seen_us,
+		.linked = member_link(peers, m) != NULL,
+	};
+}
+
+void member_news(struct member *m)
+{
+	m->news = NEWS_BEATS;
+}
+
+static bool worth_telling(const struct member *m, enum peer_role to,
+			  int64_t now_us)
+{
+	if (to == PEER_ROUTER && (m->role == PEER_ROUTER || m->left))
+		return false;
+	return m->seen_us && now_us - m->seen_us < TOLD_AGE_US;
+}
+
+static void tell(struct beat *beat, const struct member *m,
+		 char texts[PEERS_TOLD_LIMIT][128], int64_t now_us)
+{
+	char address[ADDRESS_TEXT_SIZE];
+	char role = m->role == PEER_ASSIGNER ? 'a' : 'r';
+	size_t i = beat->told_count++;
+
+	g_snprintf(texts[i], 128,
+		   "%s %c %s %" G_GUINT64_FORMAT " %" G_GINT64_FORMAT, m->id,
+		   m->left ? g_ascii_toupper(role) : role,
+		   address_format(&m->address, address), m->version,
+		   (now_us - m->seen_us) / US_PER_MS);
+	beat->told[i] = str_from(texts[i]);
+}
+
+void told_fill(struct peers *peers, struct beat *beat, enum peer_role to,
+	       char texts[PEERS_TOLD_LIMIT][128], int64_t now_us)
+{
+	guint i, n = peers->members->len;
+	size_t limit;
+
+	if (peers->role == PEER_ROUTER)
+		return;
+	for (i = 0; i < n && beat->told_count < PEERS_TOLD_LIMIT; i++) {
+		struct member *m = g_ptr_array_index(peers->members, i);
+
+		if (!m->news || !worth_telling(m, to, now_us))
+			continue;
+		m->news--;
+		tell(beat, m, texts, now_us);
+	}
+	limit = MIN(beat->told_count + TOLD_ROUTINE, PEERS_TOLD_LIMIT);
+	for (i = 0; i < n && beat->told_count < limit; i++) {
+		const struct member *m = g_ptr_array_index(
+			peers->members, peers->next_told++ % n);
+
+		if (worth_telling(m, to, now_us))
+			tell(beat, m, texts, now_us);
+	}
+}
+
+struct told {
+	char id[64];
+	char role;
+	char address[ADDRESS_TEXT_SIZE];
+	uint64_t version;
+	int64_t age_us;
+	struct sockaddr_in addr;
+};
+
+static bool told_parse(struct str text, struct told *t)
+{
+	char *copy = str_dup(text);
+	char **parts = g_strsplit(copy, " ", 6);
+	bool ok = g_strv_length(parts) == 5 && *parts[0] &&
+		  strlen(parts[0]) < sizeof(t->id) && *parts[1] &&
+		  strchr("arAR", *parts[1]) && !parts[1][1] &&
+		  address_parse(str_from(parts[2]), &t->addr);
+
+	if (ok) {
+		g_strlcpy(t->id, parts[0], sizeof(t->id));
+		t->role = *parts[1];
+		t->version = g_ascii_strtoull(parts[3], NULL, 10);
+		t->age_us = g_ascii_strtoll(parts[4], NULL, 10) * US_PER_MS;
+		ok = t->age_us >= 0 && t->age_us < TOLD_AGE_US;
+	}
+	g_strfreev(parts);
+	g_free(copy);
+	return ok;
+}
+
+/* A daemon that left comes back by its own word only. */
+static bool is_news(const struct peers *peers, const struct member *m,
+		    const struct told *t, int64_t seen_us)
+{
+	if (member_link(peers, m) || m->left)
+		return false;
+	return g_ascii_isupper(t->role) || seen_us > m->seen_us;
+}
+
+void told_take(struct peers *peers, struct str text, int64_t now_us)
+{
+	struct told t = { 0 };
+	struct member *m;
+	int64_t seen_us;
+	bool known;
+
+	if (!told_parse(text, &t) || !strcmp(t.id, peers->id))
+		return;
+	seen_us = now_us - t.age_us;
+	known = member_find(peers, str_from(t.id)) != NULL;
+	if (!known && g_ascii_isupper(t.role))
+		return;
+	m = member_get(peers, str_from(t.id),
+		       g_ascii_tolower(t.role) == 'a' ? PEER_ASSIGNER
+						      : PEER_ROUTER);
+	if (!is_news(peers, m, &t, seen_us))
+		return;
+	if (g_ascii_isupper(t.role) || t.version != m->version)
+		member_news(m);
+	m->left = g_ascii_isupper(t.role);
+	m->version = t.version;
+	m->seen_us = MAX(m->seen_us, seen_us);
+	if (!m->kept)
+		m->address = t.addr;
+}
--- /dev/null
+++ b/src/membership/peers_overlay.c
@@ -0,0 +1,198 @@
+#include "base/clock.h"
+#include "membership/peers_impl.h"
+
+/* The side with the lower id opens a link; the other waits this long. */
+#define OPEN_WAIT_US US_PER_SECOND
+/* A link that is not there after this long has failed. */
+#define CONNECT_US (3 * US_PER_SECOND)
+/* A failed member is tried again after this long. */
+#define RETRY_US (30 * US_PER_SECOND)
+/* An unlinked member that nobody saw for longer is no neighbour. */
+#define NEIGHBOUR_AGE_US (120 * US_PER_SECOND)
+
+static bool is_candidate(const struct member *m)
+{
+	return m->role == PEER_ASSIGNER && !m->left && m->address.sin_port;
+}
+
+bool overlay_is_mesh(const struct peers *peers)
+{
+	size_t count = 1;
+	guint i;
+
+	for (i = 0; i < peers->members->len; i++)
+		count += is_candidate(g_ptr_array_index(peers->members, i));
+	return count <= PEERS_MESH_LIMIT;
+}
+
+/* Whether it can be a neighbour by what is known of it. */
+static bool is_usable(const struct peers *peers, const struct member *m,
+		      int64_t now_us)
+{
+	if (!is_candidate(m))
+		return false;
+	if (member_link(peers, m))
+		return true;
+	if (now_us - m->seen_us >= NEIGHBOUR_AGE_US)
+		return false;
+	return !m->failed_us || m->seen_us > m->failed_us ||
+	       now_us - m->failed_us >= RETRY_US;
+}
+
+/* The member that follows a place on one ring. */
+static struct member *successor(const struct peers *peers, size_t ring,
+				uint64_t place, int64_t now_us)
+{
+	struct member *best = NULL;
+	uint64_t best_distance = UINT64_MAX;
+	guint i;
+
+	for (i = 0; i < peers->members->len; i++) {
+		struct member *m = g_ptr_array_index(peers->members, i);
+		uint64_t distance = m->ring_place[ring] - place - 1;
+
+		if (distance >= best_distance || !is_usable(peers, m, now_us))
+			continue;
+		best = m;
+		best_distance = distance;
+	}
+	return best;
+}
+
+static void want_ring_neighbours(struct peers *peers, int64_t now_us)
+{
+	size_t ring;
+
+	for (ring = 0; ring < PEERS_RINGS; ring++) {
+		struct member *m =
+			successor(peers, ring, peers->ring_place[ring], now_us);
+
+		if (m)
+			m->wanted = true;
+	}
+}
+
+/* Routers spread over the assigners: each follows its own place. */
+static void want_for_router(struct peers *peers, int64_t now_us)
+{
+	uint64_t place = peers->ring_place[0];
+	size_t i;
+
+	for (i = 0; i < PEERS_ROUTER_LINKS; i++) {
+		struct member *m = successor(peers, 0, place, now_us);
+
+		if (!m)
+			return;
+		m->wanted = true;
+		place = m->ring_place[0];
+	}
+}
+
+static void want_all(struct peers *peers)
+{
+	guint i;
+
+	for (i = 0; i < peers->members->len; i++) {
+		struct member *m = g_ptr_array_index(peers->members, i);
+
+		if (is_candidate(m))
+			m->wanted = true;
+	}
+}
+
+static bool has_incoming(const struct peers *peers, const struct member *m)
+{
+	guint i;
+
+	for (i = 0; i < peers->links->len; i++) {
+		const struct peer_link *l = g_ptr_array_index(peers->links, i);
+
+		if (l->member == m && !l->outgoing)
+			return true;
+	}
+	return false;
+}
+
+/* Whether this side should have opened a link to a wanted member. */
+static bool should_open(const struct peers *peers, const struct member *m,
+			int64_t now_us)
+{
+	bool lower = strcmp(peers->id, m->id) < 0;
+
+	if (has_incoming(peers, m))
+		return m->kept && lower;
+	if (m->kept || peers->role == PEER_ROUTER || !overlay_is_mesh(peers))
+		return true;
+	return lower || now_us - m->wanted_us >= OPEN_WAIT_US;
+}
+
+static void apply(struct peers *peers, struct member *m, int64_t now_us)
+{
+	bool open;
+
+	if (!m->wanted)
+		m->wanted_us = 0;
+	else if (!m->wanted_us)
+		m->wanted_us = now_us;
+	open = m->wanted && should_open(peers, m, now_us);
+	if (open && !m->kept)
+		peers->ops->keep(peers->ctx, &m->address);
+	else if (!open && m->kept)
+		peers->ops->forget(peers->ctx, &m->address);
+	m->kept = open;
+	if (m->kept && !member_link(peers, m) &&
+	    now_us - MAX(m->wanted_us, m->failed_us) >= CONNECT_US)
+		m->failed_us = now_us;
+}
+
+static struct member *at_address(const struct peers *peers,
+				 const struct sockaddr_in *address)
+{
+	guint i;
+
+	for (i = 0; i < peers->members->len; i++) {
+		struct member *m = g_ptr_array_index(peers->members, i);
+
+		if (address_equal(&m->address, address))
+			return m;
+	}
+	return NULL;
+}
+
+/* A seed is linked until the daemon behind it is known. */
+static void apply_seed(struct peers *peers, struct seed *seed)
+{
+	struct member *m = at_address(peers, &seed->address);
+
+	seed->found = seed->found || m;
+	if (!m && !seed->kept) {
+		peers->ops->keep(peers->ctx, &seed->address);
+		seed->kept = true;
+	} else if (m && seed->kept) {
+		/* Its link is the member's from now on. */
+		seed->kept = false;
+		m->kept = true;
+	}
+}
+
+void overlay_choose(struct peers *peers, int64_t now_us)
+{
+	guint i;
+	size_t k;
+
+	for (k = 0; k < peers->seed_count; k++)
+		apply_seed(peers, &peers->seeds[k]);
+	for (i = 0; i < peers->members->len; i++) {
+		struct member *m = g_ptr_array_index(peers->members, i);
+
+		m->wanted = false;
+	}
+	if (peers->role == PEER_ROUTER)
+		want_for_router(peers, now_us);
+	else if (overlay_is_mesh(peers))
+		want_all(peers);
+	else
+		want_ring_neighbours(peers, now_us);
+	for (i = 0; i < peers->members->len; i++)
+		apply(peers, g_ptr_array_index(peers->members, i), now_us);
+}
--- /dev/null
+++ b/src/membership/vm_codec.c
@@ -0,0 +1,205 @@
+#include "membership/vm_codec.h"
+
+#include <jansson.h>
+
+#include "base/address.h"
+#include "base/error.h"
+#include "profile/settings.h"
+
+#define COUNT_LIMIT 100000
+
+void vm_clear(struct vm *vm)
+{
+	g_free(vm->id);
+	g_free(vm->service);
+	g_free(vm->zone);
+	g_free(vm->boot);
+	*vm = (struct vm){ 0 };
+}
+
+struct vm vm_copy(const struct vm *vm)
+{
+	struct vm copy = *vm;
+
+	copy.id = g_strdup(vm->id);
+	copy.service = g_strdup(vm->service);
+	copy.zone = g_strdup(vm->zone);
+	copy.boot = g_strdup(vm->boot ? vm->boot : "");
+	return copy;
+}
+
+void vm_list_clear(struct vm_list *list)
+{
+	size_t i;
+
+	for (i = 0; i < list->count; i++)
+		vm_clear(&list->vms[i]);
+	g_free(list->vms);
+	*list = (struct vm_list){ 0 };
+}
+
+static bool bad(GError **error, size_t index, const char *field)
+{
+	g_set_error(error, AUBURN_ERROR, AUBURN_ERROR_PROTOCOL,
+		    "list of VMs: entry %zu: bad %s", index, field);
+	return false;
+}
+
+/* Takes over nothing; texts are copied. */
+static bool fill(struct vm *vm, size_t index, const char *const texts[5],
+		 GError **error)
+{
+	static const char *const names[] = { "id", "service", "zone", "address",
+					     "control" };
+	size_t i;
+
+	for (i = 0; i < 3; i++)
+		if (!settings_vm_id_valid(str_from(texts[i])))
+			return bad(error, index, names[i]);
+	if (!address_parse(str_from(texts[3]), &vm->address))
+		return bad(error, index, names[3]);
+	if (!address_parse(str_from(texts[4]), &vm->control))
+		return bad(error, index, names[4]);
+	vm->id = g_strdup(texts[0]);
+	vm->service = g_strdup(texts[1]);
+	vm->zone = g_strdup(texts[2]);
+	return true;
+}
+
+static const char *text_at(const json_t *object, const char *name)
+{
+	const char *text = json_string_value(json_object_get(object, name));
+
+	return text ? text : "";
+}
+
+static bool parse_one(const json_t *object, size_t index, struct vm *vm,
+		      GError **error)
+{
+	const char *const texts[5] = {
+		text_at(object, "id"),	    text_at(object, "service"),
+		text_at(object, "zone"),    text_at(object, "address"),
+		text_at(object, "control"),
+	};
+	const char *state = text_at(object, "state");
+	const json_t *fences = json_object_get(object, "fences");
+
+	if (!fill(vm, index, texts, error))
+		return false;
+	vm->boot = g_strdup("");
+	vm->leaving = !strcmp(state, "leaving");
+	vm->fences = !fences || json_is_true(fences);
+	if (!vm->leaving && strcmp(state, "live") != 0)
+		return bad(error, index, "state");
+	return true;
+}
+
+static bool parse_all(const json_t *rows, struct vm_list *list, GError **error)
+{
+	size_t i, n = json_array_size(rows);
+
+	if (!json_is_array(rows) || n > COUNT_LIMIT) {
+		g_set_error(error, AUBURN_ERROR, AUBURN_ERROR_PROTOCOL,
+			    "list of VMs: no array \"vms\"");
+		return false;
+	}
+	list->vms = g_new0(struct vm, n + 1);
+	for (i = 0; i < n; i++) {
+		list->count = i + 1;
+		if (!parse_one(json_array_get(rows, i), i, &list->vms[i],
+			       error))
+			return false;
+	}
+	return true;
+}
+
+bool vm_list_parse(struct str json, struct vm_list *list, GError **error)
+{
+	json_error_t problem;
+	json_t *root =
+		json_loadb(json.data ? json.data : "", json.len, 0, &problem);
+	bool ok;
+
+	*list = (struct vm_list){ 0 };
+	if (!root) {
+		g_set_error(error, AUBURN_ERROR, AUBURN_ERROR_PROTOCOL,
+			    "list of VMs: %s", problem.text);
+		return false;
+	}
+	ok = parse_all(json_object_get(root, "vms"), list, error);
+	if (!ok)
+		vm_list_clear(list);
+	json_decref(root);
+	return ok;
+}
+
+static Vm *one_to_wire(const struct vm *vm)
+{
+	Vm *out = g_new(Vm, 1);
+	char text[ADDRESS_TEXT_SIZE];
+
+	vm__init(out);
+	out->id = vm->id;
+	out->service = vm->service;
+	out->zone = vm->zone;
+	out->boot = vm->boot;
+	out->address = g_strdup(address_format(&vm->address, text));
+	out->control = g_strdup(address_format(&vm->control, text));
+	out->leaving = vm->leaving;
+	out->fences = vm->fences;
+	out->limit = vm->limit;
+	return out;
+}
+
+VmList *vm_list_to_wire(const struct vm_list *list, uint64_t version)
+{
+	VmList *message = g_new(VmList, 1);
+	size_t i;
+
+	vm_list__init(message);
+	message->version = version;
+	message->n_vms = list->count;
+	message->vms = g_new0(Vm *, list->count + 1);
+	for (i = 0; i < list->count; i++)
+		message->vms[i] = one_to_wire(&list->vms[i]);
+	return message;
+}
+
+void vm_list_wire_free(VmList *message)
+{
+	size_t i;
+
+	for (i = 0; i < message->n_vms; i++) {
+		g_free(message->vms[i]->address);
+		g_free(message->vms[i]->control);
+		g_free(message->vms[i]);
+	}
+	g_free(message->vms);
+	g_free(message);
+}
+
+bool vm_list_from_wire(const VmList *message, struct vm_list *list,
+		       GError **error)
+{
+	size_t i;
+
+	*list = (struct vm_list){ 0 };
+	list->vms = g_new0(struct vm, message->n_vms + 1);
+	for (i = 0; i < message->n_vms; i++) {
+		const Vm *in = message->vms[i];
+		const char *const texts[5] = { in->id, in->service, in->zone,
+					       in->address, in->control };
+		struct vm *vm = &list->vms[i];
+
+		list->count = i + 1;
+		if (!fill(vm, i, texts, error)) {
+			vm_list_clear(list);
+			return false;
+		}
+		vm->boot = g_strdup(in->boot);
+		vm->leaving = in->leaving;
+		vm->fences = in->fences;
+		vm->limit = in->limit;
+	}
+	return true;
+}
--- /dev/null
+++ b/src/membership/vm_table.c
@@ -0,0 +1,276 @@
+#include "membership/vm_table.h"
+
+#include <glib.h>
+
+#include "base/address.h"
+#include "base/planted.h"
+#include "membership/vm_codec.h"
+
+struct entry {
+	struct vm vm;
+	bool listed;
+	/* Leaves by the list's word or its own; true until a new boot. */
+	bool leaving;
+	int64_t listed_us;
+	int64_t answered_us;
+	bool answered;
+	enum vm_state told;
+};
+
+struct vm_table {
+	/* struct entry, in the order of ids. */
+	GPtrArray *entries;
+	uint64_t version;
+};
+
+static void entry_free(gpointer data)
+{
+	struct entry *e = data;
+
+	vm_clear(&e->vm);
+	g_free(e);
+}
+
+struct vm_table *vm_table_create(void)
+{
+	struct vm_table *t = g_new0(struct vm_table, 1);
+
+	t->entries = g_ptr_array_new_with_free_func(entry_free);
+	t->version = 1;
+	return t;
+}
+
+void vm_table_destroy(struct vm_table *t)
+{
+	if (!t)
+		return;
+	g_ptr_array_free(t->entries, TRUE);
+	g_free(t);
+}
+
+static int compare_id(struct str a, const char *b)
+{
+	size_t len = strlen(b);
+	int order = memcmp(a.data, b, MIN(a.len, len));
+
+	if (order)
+		return order;
+	return a.len < len ? -1 : a.len > len;
+}
+
+/* Index of the first entry whose id is not lower. */
+static guint lower_bound(const struct vm_table *t, struct str id)
+{
+	guint low = 0, high = t->entries->len;
+
+	while (low < high) {
+		guint mid = (low + high) / 2;
+		const struct entry *e = g_ptr_array_index(t->entries, mid);
+
+		if (compare_id(id, e->vm.id) > 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return low;
+}
+
+static struct entry *find(const struct vm_table *t, struct str id)
+{
+	guint i = lower_bound(t, id);
+	struct entry *e;
+
+	if (i >= t->entries->len)
+		return NULL;
+	e = g_ptr_array_index(t->entries, i);
+	return str_equal(str_from(e->vm.id), id) ? e : NULL;
+}
+
+static enum vm_state state_of(const struct entry *e, int64_t now_us)
+{
+	if (planted(PLANTED_VM_LIST_KILLS) && !e->listed)
+		return VM_LOST;
+	if (planted(PLANTED_VM_LIST_REVIVES) && e->listed)
+		return VM_LIVE;
+	if (!e->answered)
+		return VM_NEW;
+	if (now_us - e->answered_us >= VM_LOST_US)
+		return VM_LOST;
+	return e->leaving ? VM_LEAVING : VM_LIVE;
+}
+
+static bool same_place(const struct vm *a, const struct vm *b)
+{
+	char address[2][ADDRESS_TEXT_SIZE], control[2][ADDRESS_TEXT_SIZE];
+
+	address_format(&a->address, address[0]);
+	address_format(&b->address, address[1]);
+	address_format(&a->control, control[0]);
+	address_format(&b->control, control[1]);
+	return !strcmp(address[0], address[1]) &&
+	       !strcmp(control[0], control[1]) && !strcmp(a->zone, b->zone) &&
+	       !strcmp(a->service, b->service) && a->fences == b->fences;
+}
+
+static void add(struct vm_table *t, const struct vm *vm, int64_t now_us)
+{
+	struct entry *e = g_new0(struct entry, 1);
+
+	e->vm = vm_copy(vm);
+	e->listed = true;
+	e->leaving = vm->leaving;
+	e->listed_us = now_us;
+	g_ptr_array_insert(t->entries, (gint)lower_bound(t, str_from(vm->id)),
+			   e);
+	t->version++;
+}
+
+/* The list moves an id to another place only when the VM does not answer at
+ * the place known. */
+static void move_to(struct vm_table *t, struct entry *e, const struct vm *vm,
+		    int64_t now_us)
+{
+	if (same_place(&e->vm, vm) || state_of(e, now_us) == VM_LIVE ||
+	    state_of(e, now_us) == VM_LEAVING)
+		return;
+	vm_clear(&e->vm);
+	e->vm = vm_copy(vm);
+	e->answered = false;
+	e->leaving = vm->leaving;
+	t->version++;
+}
+
+static void take_listed(struct vm_table *t, const struct vm *vm, int64_t now_us)
+{
+	struct entry *e = find(t, str_from(vm->id));
+
+	if (!e) {
+		add(t, vm, now_us);
+		return;
+	}
+	e->listed = true;
+	e->listed_us = now_us;
+	move_to(t, e, vm, now_us);
+	if (vm->leaving && !e->leaving) {
+		e->leaving = true;
+		t->version++;
+	}
+}
+
+void vm_table_listed(struct vm_table *t, const struct vm *vms, size_t count,
+		     int64_t now_us)
+{
+	size_t i;
+
+	for (i = 0; i < t->entries->len; i++) {
+		struct entry *e = g_ptr_array_index(t->entries, i);
+
+		e->listed = false;
+	}
+	for (i = 0; i < count; i++)
+		take_listed(t, &vms[i], now_us);
+}
+
+bool vm_table_answered(struct vm_table *t, struct str id, struct str boot,
+		       bool draining, int64_t begun_us)
+{
+	struct entry *e = find(t, id);
+
+	if (!e)
+		return false;
+	if (!str_equal(str_from(e->vm.boot), boot)) {
+		/* What was said of the incarnation before is void. */
+		if (*e->vm.boot)
+			e->leaving = false;
+		g_free(e->vm.boot);
+		e->vm.boot = str_dup(boot);
+		t->version++;
+	}
+	if (draining && !e->leaving) {
+		e->leaving = true;
+		t->version++;
+	}
+	if (!e->answered || begun_us > e->answered_us)
+		e->answered_us = begun_us;
+	e->answered = true;
+	return true;
+}
+
+void vm_table_set_limit(struct vm_table *t, struct str id, uint32_t limit)
+{
+	struct entry *e = find(t, id);
+
+	if (!e || e->vm.limit == limit)
+		return;
+	e->vm.limit = limit;
+	t->version++;
+}
+
+static bool is_gone(const struct entry *e, int64_t now_us)
+{
+	return !e->listed && now_us - e->listed_us >= VM_DROP_US &&
+	       (!e->answered || now_us - e->answered_us >= VM_DROP_US);
+}
+
+void vm_table_tick(struct vm_table *t, int64_t now_us)
+{
+	guint i;
+
+	for (i = t->entries->len; i > 0; i--) {
+		struct entry *e = g_ptr_array_index(t->entries, i - 1);
+		enum vm_state state = state_of(e, now_us);
+
+		if (is_gone(e, now_us)) {
+			g_ptr_array_remove_index(t->entries, i - 1);
+			t->version++;
+		} else if (state != e->told) {
+			e->told = state;
+			t->version++;
+		}
+	}
+}
+
+uint64_t vm_table_version(const struct vm_table *t)
+{
+	return t->version;
+}
+
+size_t vm_table_count(const struct vm_table *t)
+{
+	return t->entries->len;
+}
+
+static const struct vm *show(struct entry *e, int64_t now_us,
+			     enum vm_state *state)
+{
+	if (state)
+		*state = state_of(e, now_us);
+	e->vm.leaving = e->leaving;
+	return &e->vm;
+}
+
+const struct vm *vm_table_at(const struct vm_table *t, size_t index,
+			     int64_t now_us, enum vm_state *state)
+{
+	return show(g_ptr_array_index(t->entries, index), now_us, state);
+}
+
+const struct vm *vm_table_find(const struct vm_table *t, struct str id,
+			       int64_t now_us, enum vm_state *state)
+{
+	struct entry *e = find(t, id);
+
+	return e ? show(e, now_us, state) : NULL;
+}
+
+const char *vm_state_name(enum vm_state state)
+{
+	static const char *const names[] = {
+		[VM_NEW] = "new",
+		[VM_LIVE] = "live",
+		[VM_LEAVING] = "leaving",
+		[VM_LOST] = "lost",
+	};
+
+	return names[state];
+}
--- /dev/null
+++ b/src/profile/publish.c
@@ -0,0 +1,530 @@
+#include "profile/publish.h"
+
+#include "base/clock.h"
+#include "base/planted.h"
+#include "profile/settings.h"
+
+/* How long a daemon that just started may look for its peers. */
+#define CONTACT_WAIT_US (2 * US_PER_SECOND)
+
+enum step {
+	/** Reads the row that is to be replaced. */
+	STEP_READ,
+	/** Reads the version to go back to. */
+	STEP_READ_OLD,
+	/** Reads the version that the loser of a race had seen. */
+	STEP_READ_SEEN,
+	/** Writes the row that is replaced to the history. */
+	STEP_KEEP,
+	/** Writes the new version. */
+	STEP_WRITE,
+	/** Reads back after a write whose outcome is not known. */
+	STEP_RESOLVE,
+	STEP_ENDED,
+};
+
+struct publish {
+	const struct publish_ops *ops;
+	void *ctx;
+	struct change change;
+	struct settings *declared;
+	char *texts[4];
+	enum step step;
+	/* A call is in progress. */
+	bool calling;
+	int64_t started_us;
+	int64_t due_us;
+	/* A write was sent and the table may still carry it out. */
+	bool maybe_written;
+	uint64_t row_version;
+	struct settings *current;
+	GString *current_json;
+	struct settings *next;
+	char *next_json;
+};
+
+static struct str keep_text(struct publish *p, size_t slot, struct str text)
+{
+	p->texts[slot] = str_dup(text);
+	return str_from(p->texts[slot]);
+}
+
+struct publish *publish_create(const struct change *change,
+			       const struct publish_ops *ops, void *ctx,
+			       int64_t now_us)
+{
+	struct publish *p = g_new0(struct publish, 1);
+
+	p->ops = ops;
+	p->ctx = ctx;
+	p->change = *change;
+	p->change.target = keep_text(p, 0, change->target);
+	p->change.attempt = keep_text(p, 1, change->attempt);
+	p->change.author = keep_text(p, 2, change->author);
+	p->change.note = keep_text(p, 3, change->note);
+	if (change->declared)
+		p->declared = settings_copy(change->declared);
+	p->current_json = g_string_new(NULL);
+	p->started_us = now_us;
+	p->due_us = now_us;
+	return p;
+}
+
+void publish_destroy(struct publish *p)
+{
+	size_t i;
+
+	if (!p)
+		return;
+	for (i = 0; i < G_N_ELEMENTS(p->texts); i++)
+		g_free(p->texts[i]);
+	settings_destroy(p->declared);
+	settings_destroy(p->current);
+	settings_destroy(p->next);
+	g_string_free(p->current_json, TRUE);
+	free(p->next_json);
+	g_free(p);
+}
+
+bool publish_ended(const struct publish *p)
+{
+	return p->step == STEP_ENDED;
+}
+
+static void end_with(struct publish *p, const struct publish_result *result)
+{
+	p->step = STEP_ENDED;
+	p->ops->done(p->ctx, result);
+}
+
+static void end(struct publish *p, enum publish_outcome outcome,
+		uint64_t version, const char *message)
+{
+	struct publish_result result = { outcome, version, message, false };
+
+	end_with(p, &result);
+}
+
+static uint64_t current_version(const struct publish *p)
+{
+	return p->current ? p->current->version : 0;
+}
+
+static void refuse(struct publish *p, const char *message)
+{
+	end(p, PUBLISH_REFUSED, current_version(p), message);
+}
+
+static void refuse_unless_forced(struct publish *p, const char *message)
+{
+	struct publish_result result = { PUBLISH_REFUSED, current_version(p),
+					 message, true };
+
+	end_with(p, &result);
+}
+
+static void go(struct publish *p, enum step step, int64_t due_us)
+{
+	p->step = step;
+	p->due_us = due_us;
+}
+
+static void read_history(struct publish *p, uint64_t version)
+{
+	char key[64];
+
+	g_snprintf(key, sizeof(key),
+		   PUBLISH_HISTORY_PREFIX "%" G_GUINT64_FORMAT, version);
+	p->ops->read(p->ctx, str_from(key));
+}
+
+static void write_history(struct publish *p)
+{
+	char key[64];
+
+	g_snprintf(key, sizeof(key),
+		   PUBLISH_HISTORY_PREFIX "%" G_GUINT64_FORMAT,
+		   current_version(p));
+	p->ops->write(
+		p->ctx, str_from(key), 0,
+		(struct str){ p->current_json->str, p->current_json->len });
+}
+
+static void write_next(struct publish *p)
+{
+	/* From here on only the table can tell that it was not written. */
+	p->maybe_written = true;
+	p->ops->write(p->ctx, STR(PUBLISH_KEY), p->row_version,
+		      str_from(p->next_json));
+}
+
+static void call(struct publish *p)
+{
+	p->calling = true;
+	switch (p->step) {
+	case STEP_READ:
+	case STEP_RESOLVE:
+		p->ops->read(p->ctx, STR(PUBLISH_KEY));
+		break;
+	case STEP_READ_OLD:
+		read_history(p, p->change.to_version);
+		break;
+	case STEP_READ_SEEN:
+		read_history(p, p->change.base_version);
+		break;
+	case STEP_KEEP:
+		write_history(p);
+		break;
+	case STEP_WRITE:
+		write_next(p);
+		break;
+	case STEP_ENDED:
+		break;
+	}
+}
+
+void publish_tick(struct publish *p, int64_t now_us)
+{
+	if (p->step == STEP_ENDED)
+		return;
+	if (now_us - p->started_us >= PUBLISH_DEADLINE_US) {
+		if (p->maybe_written)
+			end(p, PUBLISH_UNKNOWN, current_version(p),
+			    "the table did not say whether it took the "
+			    "version; look at the history before trying again");
+		else
+			end(p, PUBLISH_UNAVAILABLE, current_version(p),
+			    "the platform's table can't be reached; nothing "
+			    "was written");
+		return;
+	}
+	if (!p->calling && now_us >= p->due_us)
+		call(p);
+}
+
+/* The new content, without version and entry; NULL after a refusal. */
+static struct settings *apply_zone(struct publish *p)
+{
+	struct settings *next;
+
+	if (!settings_has_zone(p->current, p->change.target)) {
+		refuse(p, "no such zone");
+		return NULL;
+	}
+	next = settings_copy(p->current);
+	settings_set_zone_out(next, p->change.target, p->change.out);
+	if (next->zones_out_count < next->zone_count)
+		return next;
+	settings_destroy(next);
+	refuse(p, "it is the last zone in service");
+	return NULL;
+}
+
+static struct settings *apply_vm(struct publish *p)
+{
+	struct settings *next;
+
+	if (!settings_vm_id_valid(p->change.target)) {
+		refuse(p, "no valid id of a VM");
+		return NULL;
+	}
+	next = settings_copy(p->current);
+	settings_set_vm_out(next, p->change.target, p->change.out);
+	return next;
+}
+
+static struct settings *apply_declared(struct publish *p)
+{
+	struct settings *next = settings_copy(p->declared);
+
+	if (p->current)
+		settings_keep_out(next, p->current);
+	return next;
+}
+
+static struct settings *apply(struct publish *p)
+{
+	if (p->change.kind == CHANGE_ZONE)
+		return apply_zone(p);
+	if (p->change.kind == CHANGE_VM)
+		return apply_vm(p);
+	return apply_declared(p);
+}
+
+static bool check_rules(struct publish *p, const struct settings *next)
+{
+	struct settings_fault fault = { 0 };
+	char *message;
+
+	if (settings_check(next, &fault))
+		return true;
+	message = g_strdup_printf("[%s] %s: bad value \"%s\": allowed: %s",
+				  fault.section, fault.field, fault.value,
+				  fault.allowed);
+	refuse(p, message);
+	g_free(message);
+	settings_fault_clear(&fault);
+	return false;
+}
+
+static bool check_capacity(struct publish *p, const struct settings *next)
+{
+	bool takes_out = p->change.out && (p->change.kind == CHANGE_ZONE ||
+					   p->change.kind == CHANGE_VM);
+	char *why = NULL;
+	bool fits;
+
+	if (!takes_out || p->change.force)
+		return true;
+	fits = p->ops->fits(p->ctx, next, &why);
+	if (!fits)
+		refuse_unless_forced(p, why ? why : "too little would remain");
+	g_free(why);
+	return fits;
+}
+
+static bool check_changed(struct publish *p, const struct settings *next)
+{
+	char *diff = settings_diff(p->current, next);
+	bool changed = *diff || !p->current;
+
+	if (!changed)
+		end(p, PUBLISH_UNCHANGED, current_version(p),
+		    "already so; nothing was written");
+	g_free(diff);
+	return changed;
+}
+
+static void set_next(struct publish *p, struct settings *next)
+{
+	struct settings_entry entry = {
+		.attempt = p->texts[1],
+		.author = p->texts[2],
+		.note = p->texts[3],
+		.published_s = p->change.published_s,
+	};
+
+	next->version = current_version(p) + 1;
+	settings_append_entry(next, p->current, &entry);
+	settings_destroy(p->next);
+	free(p->next_json);
+	p->next = next;
+	p->next_json = settings_encode(next);
+}
+
+/* Builds the next version from the current one. */
+static void build(struct publish *p, int64_t now_us)
+{
+	struct settings *next;
+
+	if (!p->change.force && !p->ops->in_contact(p->ctx)) {
+		if (now_us - p->started_us < CONTACT_WAIT_US)
+			go(p, STEP_READ, now_us + PUBLISH_RETRY_US);
+		else
+			refuse_unless_forced(
+				p, "this assigner is not in contact with half "
+				   "of its peers, so a change may stay unknown "
+				   "to the others");
+		return;
+	}
+	next = apply(p);
+	if (!next)
+		return;
+	if (!check_changed(p, next) || !check_rules(p, next) ||
+	    !check_capacity(p, next)) {
+		settings_destroy(next);
+		return;
+	}
+	set_next(p, next);
+	go(p, p->current ? STEP_KEEP : STEP_WRITE, now_us);
+}
+
+/* Who published what since the version that was seen. */
+static char *later_versions(const struct publish *p)
+{
+	GString *out = g_string_new(NULL);
+	uint64_t v;
+
+	for (v = p->change.base_version + 1; v <= current_version(p); v++) {
+		const struct settings_entry *e = settings_entry(p->current, v);
+
+		if (e)
+			g_string_append_printf(out,
+					       "version %" G_GUINT64_FORMAT
+					       " by %s: %s\n",
+					       v, e->author, e->note);
+	}
+	return g_string_free(out, FALSE);
+}
+
+static void end_conflict(struct publish *p, const struct settings *seen)
+{
+	char *later = later_versions(p);
+	char *diff = seen ? settings_diff(seen, p->current) : g_strdup("");
+	char *message = g_strdup_printf("%s%s", later, diff);
+
+	end(p, PUBLISH_CONFLICT, current_version(p), message);
+	g_free(message);
+	g_free(diff);
+	g_free(later);
+}
+
+static bool take_current(struct publish *p, enum table_status status,
+			 uint64_t row_version, struct str value)
+{
+	GError *error = NULL;
+
+	settings_destroy(p->current);
+	p->current = NULL;
+	p->row_version = row_version;
+	g_string_truncate(p->current_json, 0);
+	if (status == TABLE_ABSENT) {
+		p->row_version = 0;
+		return true;
+	}
+	g_string_append_len(p->current_json, value.data, (gssize)value.len);
+	p->current = settings_parse(value, &error);
+	if (p->current)
+		return true;
+	refuse(p, error->message);
+	g_error_free(error);
+	return false;
+}
+
+static void on_current(struct publish *p, int64_t now_us)
+{
+	switch (p->change.kind) {
+	case CHANGE_DECLARE:
+		if (p->change.base_version == current_version(p))
+			build(p, now_us);
+		else if (p->change.base_version && p->current)
+			go(p, STEP_READ_SEEN, now_us);
+		else if (p->current)
+			end_conflict(p, NULL);
+		else
+			end(p, PUBLISH_CONFLICT, 0, "nothing is published");
+		return;
+	case CHANGE_ROLLBACK:
+		if (p->change.to_version == 0 ||
+		    p->change.to_version > current_version(p))
+			refuse(p, "no such version");
+		else if (p->change.to_version == current_version(p))
+			end(p, PUBLISH_UNCHANGED, current_version(p),
+			    "this version is the present one");
+		else if (p->declared)
+			build(p, now_us);
+		else
+			go(p, STEP_READ_OLD, now_us);
+		return;
+	case CHANGE_ZONE:
+	case CHANGE_VM:
+		if (p->current)
+			build(p, now_us);
+		else
+			refuse(p, "nothing is published");
+		return;
+	}
+}
+
+static void on_old(struct publish *p, enum table_status status,
+		   struct str value, int64_t now_us)
+{
+	if (status == TABLE_OK)
+		p->declared = settings_parse(value, NULL);
+	if (p->declared)
+		build(p, now_us);
+	else
+		refuse(p, "this version is not in the history");
+}
+
+static void on_seen(struct publish *p, enum table_status status,
+		    struct str value)
+{
+	struct settings *seen =
+		status == TABLE_OK ? settings_parse(value, NULL) : NULL;
+
+	end_conflict(p, seen);
+	settings_destroy(seen);
+}
+
+/* The row was read back: it holds this attempt, someone else's, or still the
+ * version before. */
+static void on_resolved(struct publish *p, enum table_status status,
+			uint64_t row_version, struct str value, int64_t now_us)
+{
+	uint64_t wanted = p->next->version;
+	const struct settings_entry *entry = NULL;
+	struct settings *row =
+		status == TABLE_OK ? settings_parse(value, NULL) : NULL;
+
+	if (status == TABLE_OK && !row) {
+		go(p, STEP_RESOLVE, now_us + PUBLISH_RETRY_US);
+		return;
+	}
+	if (!row || row->version < wanted) {
+		settings_destroy(row);
+		go(p, STEP_WRITE, now_us + PUBLISH_RETRY_US);
+		return;
+	}
+	entry = settings_entry(row, wanted);
+	if (entry && str_equal(str_from(entry->attempt), p->change.attempt)) {
+		end(p, PUBLISH_ACCEPTED, wanted, "");
+	} else if (!entry) {
+		end(p, PUBLISH_UNKNOWN, row->version,
+		    "too many versions came since; look at the history");
+	} else {
+		/* The compare-and-set can't succeed any more. */
+		p->maybe_written = false;
+		if (take_current(p, status, row_version, value))
+			on_current(p, now_us);
+	}
+	settings_destroy(row);
+}
+
+void publish_read(struct publish *p, enum table_status status,
+		  uint64_t row_version, struct str value, int64_t now_us)
+{
+	p->calling = false;
+	if (p->step == STEP_ENDED)
+		return;
+	if (status != TABLE_OK && status != TABLE_ABSENT) {
+		p->due_us = now_us + PUBLISH_RETRY_US;
+		return;
+	}
+	if (p->step == STEP_READ_OLD)
+		on_old(p, status, value, now_us);
+	else if (p->step == STEP_READ_SEEN)
+		on_seen(p, status, value);
+	else if (p->step == STEP_RESOLVE)
+		on_resolved(p, status, row_version, value, now_us);
+	else if (take_current(p, status, row_version, value))
+		on_current(p, now_us);
+}
+
+static void on_kept(struct publish *p, enum table_status status, int64_t now_us)
+{
+	/* A conflict: it is kept already. */
+	if (status == TABLE_OK || status == TABLE_CONFLICT)
+		go(p, STEP_WRITE, now_us);
+	else
+		p->due_us = now_us + PUBLISH_RETRY_US;
+}
+
+void publish_written(struct publish *p, enum table_status status,
+		     int64_t now_us)
+{
+	p->calling = false;
+	if (p->step == STEP_ENDED)
+		return;
+	if (p->step == STEP_KEEP) {
+		on_kept(p, status, now_us);
+		return;
+	}
+	if (status == TABLE_UNKNOWN && planted(PLANTED_PUBLISH_UNREAD))
+		status = TABLE_OK;
+	if (status == TABLE_OK)
+		end(p, PUBLISH_ACCEPTED, p->next->version, "");
+	else
+		/* Also after a conflict: it may be with this very attempt. */
+		go(p, STEP_RESOLVE, now_us);
+}
--- a/src/profile/settings.c
+++ b/src/profile/settings.c
@@ -131,6 +131,19 @@
 	return name.data[0] != '-';
 }
 
+bool settings_vm_id_valid(struct str id)
+{
+	size_t i;
+
+	if (!id.len || id.len > SETTINGS_NAME_LIMIT)
+		return false;
+	for (i = 0; i < id.len; i++)
+		if (!g_ascii_isalnum(id.data[i]) && id.data[i] != '-' &&
+		    id.data[i] != '.' && id.data[i] != '_')
+			return false;
+	return true;
+}
+
 const struct service *settings_service(const struct settings *s,
 				       struct str name)
 {
--- a/src/profile/settings.h
+++ b/src/profile/settings.h
@@ -66,6 +66,9 @@
 /** Tells whether a name can be used: lower-case letters, digits, "-". */
 bool settings_name_valid(struct str name);
 
+/** Tells whether a text can be a VM's id: letters, digits, "-", ".", "_". */
+bool settings_vm_id_valid(struct str id);
+
 /**
  * Finds a service.
  *
--- a/src/profile/settings_json.c
+++ b/src/profile/settings_json.c
@@ -37,7 +37,7 @@
 	for (i = 0; i < n; i++) {
 		const char *text = json_string_value(json_array_get(list, i));
 
-		if (!settings_name_valid(str_from(text)))
+		if (!settings_vm_id_valid(str_from(text)))
 			return invalid(error, name, "allowed: a list of names");
 		(*names)[(*count)++] = g_strdup(text);
 	}
--- /dev/null
+++ b/src/profile/spread.c
@@ -0,0 +1,238 @@
+#include "profile/spread.h"
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/planted.h"
+#include "profile/settings.h"
+
+#define PART_OF_POLL_MIN 0.75
+
+struct spread {
+	const struct spread_ops *ops;
+	void *ctx;
+	GRand *rng;
+	struct settings *settings;
+	GString *json;
+	/* Highest version that any daemon said it has, and one that has it. */
+	uint64_t known_version;
+	char *holder;
+	int64_t behind_since_us;
+	int64_t pull_due_us;
+	/* Start of the read in progress and of the last that succeeded. */
+	bool reading;
+	int64_t read_begun_us;
+	int64_t confirmed_us;
+	int64_t poll_due_us;
+	size_t daemons;
+	int64_t reach_until_us;
+	uint64_t regressions;
+};
+
+struct spread *spread_create(const struct spread_ops *ops, void *ctx,
+			     uint32_t seed, int64_t now_us)
+{
+	struct spread *s = g_new0(struct spread, 1);
+
+	s->ops = ops;
+	s->ctx = ctx;
+	s->rng = g_rand_new_with_seed(seed);
+	s->json = g_string_new(NULL);
+	s->confirmed_us = now_us - SPREAD_FRESH_US;
+	s->poll_due_us = now_us;
+	return s;
+}
+
+void spread_destroy(struct spread *s)
+{
+	if (!s)
+		return;
+	settings_destroy(s->settings);
+	g_string_free(s->json, TRUE);
+	g_rand_free(s->rng);
+	g_free(s->holder);
+	g_free(s);
+}
+
+const struct settings *spread_current(const struct spread *s)
+{
+	return s->settings;
+}
+
+uint64_t spread_version(const struct spread *s)
+{
+	return s->settings ? s->settings->version : 0;
+}
+
+struct str spread_json(const struct spread *s)
+{
+	return (struct str){ s->json->str, s->json->len };
+}
+
+uint64_t spread_regressions(const struct spread *s)
+{
+	return s->regressions;
+}
+
+static bool is_behind(const struct spread *s)
+{
+	return s->known_version > spread_version(s);
+}
+
+int64_t spread_valid_until(const struct spread *s)
+{
+	int64_t until =
+		MAX(s->confirmed_us + SPREAD_FRESH_US, s->reach_until_us);
+
+	if (!s->settings)
+		return 0;
+	if (planted(PLANTED_SPREAD_ALWAYS_VALID))
+		return INT64_MAX;
+	if (is_behind(s))
+		until = MIN(until, s->behind_since_us + SPREAD_GRACE_US);
+	return until;
+}
+
+bool spread_ready(const struct spread *s, int64_t now_us, const char **why)
+{
+	const char *reason = NULL;
+
+	if (!s->settings)
+		reason = "no settings so far";
+	else if (now_us >= spread_valid_until(s))
+		reason = is_behind(s) ? "a newer version of the settings is "
+					"known and was not received"
+				      : "neither the table nor half of the "
+					"peers can be reached";
+	if (reason && why)
+		*why = reason;
+	return !reason;
+}
+
+void spread_set_contact(struct spread *s, size_t daemons,
+			int64_t reach_until_us)
+{
+	s->daemons = daemons;
+	s->reach_until_us = reach_until_us;
+}
+
+static int64_t poll_interval_us(struct spread *s, int64_t now_us)
+{
+	int64_t shared =
+		(int64_t)s->daemons * US_PER_SECOND / SPREAD_READS_PER_SECOND;
+	int64_t interval = SPREAD_POLL_US;
+
+	if (now_us < s->reach_until_us && shared > interval)
+		interval = shared;
+	return (int64_t)((double)interval *
+			 g_rand_double_range(s->rng, PART_OF_POLL_MIN, 1));
+}
+
+static void pull(struct spread *s, int64_t now_us)
+{
+	s->pull_due_us = now_us + SPREAD_PULL_US;
+	s->ops->pull(s->ctx, str_from(s->holder));
+}
+
+void spread_tick(struct spread *s, int64_t now_us)
+{
+	if (is_behind(s) && now_us >= s->pull_due_us)
+		pull(s, now_us);
+	if (s->reading || now_us < s->poll_due_us)
+		return;
+	s->reading = true;
+	s->read_begun_us = now_us;
+	s->poll_due_us = now_us + poll_interval_us(s, now_us);
+	s->ops->read_table(s->ctx);
+}
+
+void spread_heard(struct spread *s, struct str daemon, uint64_t version,
+		  int64_t now_us)
+{
+	bool was_behind = is_behind(s);
+
+	if (version <= spread_version(s) || version < s->known_version)
+		return;
+	if (!was_behind) {
+		s->behind_since_us = now_us;
+		s->pull_due_us = now_us;
+	}
+	s->known_version = version;
+	g_free(s->holder);
+	s->holder = str_dup(daemon);
+	if (now_us >= s->pull_due_us)
+		pull(s, now_us);
+}
+
+void spread_asked(struct spread *s, struct str daemon)
+{
+	if (s->settings)
+		s->ops->send(s->ctx, daemon, spread_version(s), spread_json(s));
+}
+
+/* Takes over what is higher than the version held. */
+static bool take(struct spread *s, struct str body)
+{
+	struct settings *offered;
+
+	if (str_equal(body, spread_json(s)))
+		return true;
+	offered = settings_parse(body, NULL);
+	if (!offered)
+		return false;
+	if (offered->version <= spread_version(s) &&
+	    !planted(PLANTED_SPREAD_REVERT)) {
+		settings_destroy(offered);
+		return true;
+	}
+	settings_destroy(s->settings);
+	s->settings = offered;
+	g_string_truncate(s->json, 0);
+	g_string_append_len(s->json, body.data, (gssize)body.len);
+	s->ops->in_force(s->ctx, s->settings);
+	return true;
+}
+
+bool spread_body(struct spread *s, struct str body, int64_t now_us)
+{
+	bool taken = take(s, body);
+
+	if (is_behind(s) && taken)
+		s->pull_due_us = now_us;
+	return taken;
+}
+
+/* Whether the row proves that nothing newer than the version held existed at
+ * the start of the read. */
+static bool confirms(struct spread *s, enum table_status status,
+		     struct str body)
+{
+	struct settings *row;
+	bool current;
+
+	if (status == TABLE_ABSENT)
+		return !s->settings;
+	if (str_equal(body, spread_json(s)))
+		return true;
+	row = settings_parse(body, NULL);
+	current = row && row->version == spread_version(s);
+	settings_destroy(row);
+	return current;
+}
+
+void spread_table(struct spread *s, enum table_status status, struct str body,
+		  int64_t now_us)
+{
+	int64_t begun_us = s->read_begun_us;
+
+	(void)now_us;
+	s->reading = false;
+	if (status != TABLE_OK && status != TABLE_ABSENT)
+		return;
+	if (status == TABLE_OK)
+		take(s, body);
+	if (confirms(s, status, body))
+		s->confirmed_us = MAX(s->confirmed_us, begun_us);
+	else
+		s->regressions++;
+}
--- a/src/profile/spread.h
+++ b/src/profile/spread.h
@@ -21,7 +21,7 @@
 /** Reads a second of the table by all daemons that have contact. */
 #define SPREAD_READS_PER_SECOND 100
 /** A table read counts for this long from its start. */
-#define SPREAD_FRESH_US INT64_C(1600000)
+#define SPREAD_FRESH_US INT64_C(2000000)
 /** Longest time to be behind a known version and take new work. */
 #define SPREAD_GRACE_US INT64_C(500000)
 /** A pull without an answer is sent again, to another daemon if possible. */
