--- /dev/null
+++ b/src/membership/capacity.c
@@ -0,0 +1,68 @@
+#include "membership/capacity.h"
+
+#include <glib.h>
+
+#include "profile/settings.h"
+
+struct sum {
+	double load;
+	double slots;
+};
+
+static bool remains(const struct capacity_vm *vm, const struct settings *after)
+{
+	return !settings_zone_is_out(after, str_from(vm->zone)) &&
+	       !settings_vm_is_out(after, str_from(vm->id));
+}
+
+static struct sum sum_service(const struct capacity_vm *vms, size_t count,
+			      const char *service, const struct settings *after)
+{
+	struct sum sum = { 0 };
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		const struct capacity_vm *vm = &vms[i];
+
+		if (!vm->live || strcmp(vm->service, service) != 0)
+			continue;
+		sum.load += vm->running;
+		if (remains(vm, after))
+			sum.slots += vm->slots;
+	}
+	return sum;
+}
+
+static bool has_live(const struct capacity_vm *vms, size_t count,
+		     const char *service)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		if (vms[i].live && !strcmp(vms[i].service, service))
+			return true;
+	return false;
+}
+
+bool capacity_fits(const struct capacity_vm *vms, size_t count,
+		   const struct settings *after, char **why)
+{
+	size_t i;
+
+	for (i = 0; i < after->service_count; i++) {
+		const char *service = after->services[i].name;
+		struct sum sum = sum_service(vms, count, service, after);
+		double usable = sum.slots * CAPACITY_USE_PERCENT / 100;
+
+		if (!has_live(vms, count, service))
+			continue;
+		if (sum.slots > 0 && sum.load <= usable)
+			continue;
+		*why = g_strdup_printf(
+			"service %s: %.1f requests at once today, %.0f slots "
+			"would remain, of which %.1f may be in use",
+			service, sum.load, sum.slots, usable);
+		return false;
+	}
+	return true;
+}
--- a/src/profile/publish.c
+++ b/src/profile/publish.c
@@ -391,8 +391,26 @@
 	return false;
 }
 
+/* A change that is asked for again after its answer was lost. */
+static bool accepted_before(struct publish *p)
+{
+	size_t i, n = p->current ? p->current->recent_count : 0;
+
+	for (i = 0; i < n; i++) {
+		const struct settings_entry *e = &p->current->recent[i];
+
+		if (!str_equal(str_from(e->attempt), p->change.attempt))
+			continue;
+		end(p, PUBLISH_ACCEPTED, e->version, "");
+		return true;
+	}
+	return false;
+}
+
 static void on_current(struct publish *p, int64_t now_us)
 {
+	if (accepted_before(p))
+		return;
 	switch (p->change.kind) {
 	case CHANGE_DECLARE:
 		if (p->change.base_version == current_version(p))
