--- a/src/assigner/assigner.c
+++ b/src/assigner/assigner.c
@@ -85,6 +85,8 @@
 	a->common =
 		(struct common_routes){ &assigner_common_ops, a, a->mounts };
 	a->mounts[0] = (struct operator_mount){ common_routes, &a->common };
+	a->api = api_create(&assigner_api_ops, a, a->clock);
+	a->mounts[1] = (struct operator_mount){ api_routes, a->api };
 	address_parse(str_from(a->options->operator_listen), &config.address);
 	a->operators = operator_server_create(&config, error);
 	return a->operators != NULL;
@@ -140,6 +142,7 @@
 	operator_server_destroy(a->operators);
 	/* Calls in progress refer to the cells: they end first. */
 	http_client_destroy(a->http);
+	api_destroy(a->api);
 	hub_destroy(a->hub);
 	g_ptr_array_free(a->cells, TRUE);
 	if (a->peers)
@@ -212,6 +215,7 @@
 		a->slow_tick_due_us = now_us + SLOW_TICK_US;
 		tick_membership(a, now_us);
 		tick_vms(a, now_us);
+		api_tick(a->api);
 	}
 }
 
--- a/src/assigner/assigner_impl.h
+++ b/src/assigner/assigner_impl.h
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "membership/peers.h"
 #include "membership/vm_table.h"
+#include "operator/api.h"
 #include "operator/common_routes.h"
 #include "operator/operator_server.h"
 #include "platform/http_client.h"
@@ -39,6 +40,7 @@
 	struct operator_server *operators;
 	struct operator_mount mounts[3];
 	struct common_routes common;
+	struct api *api;
 	struct sockaddr_in wire_address;
 	bool leaving;
 	uint64_t settings_changes;
@@ -74,6 +76,10 @@
 /** Brings the cells in line with the settings and the VMs. */
 void assigner_update_cells(struct assigner *a);
 
+/* assigner_api.c */
+
+extern const struct api_ops assigner_api_ops;
+
 /* assigner_metrics.c */
 
 extern const struct common_ops assigner_common_ops;
--- a/src/assigner/assigner_links.c
+++ b/src/assigner/assigner_links.c
@@ -405,6 +405,7 @@
 	share.boot = boot;
 	share.count = grant->count;
 	share.duration_ms = (uint32_t)(grant->duration_us / US_PER_MS);
+	share.asked_us = request->asked_us;
 	share.router = request->router;
 	message.body_case = ENVELOPE__BODY_SHARE;
 	message.share = &share;
@@ -418,6 +419,11 @@
 {
 	struct cell *cell = assigner_cell(a, str_from(request->cell));
 	const struct side *side = link_data(link);
+	struct budget_ask ask = {
+		.wanted = request->wanted,
+		.in_use = request->in_use,
+		.lost = request->lost,
+	};
 	struct budget_grant grant;
 	Envelope message = ENVELOPE__INIT;
 	struct link *to;
@@ -428,8 +434,7 @@
 	if (side->router)
 		request->router = side->daemon;
 	if (cell_ask_share(cell, str_from(request->upstream),
-			   str_from(request->router), request->wanted,
-			   request->in_use, &grant)) {
+			   str_from(request->router), &ask, &grant)) {
 		send_share(a, link, request, &grant);
 	} else if (side->router && (to = coordinator_link(a, cell))) {
 		message.body_case = ENVELOPE__BODY_SHARE_REQUEST;
--- a/src/assigner/cell.c
+++ b/src/assigner/cell.c
@@ -390,8 +390,7 @@
 }
 
 bool cell_ask_share(struct cell *cell, struct str upstream, struct str router,
-		    uint32_t wanted, uint32_t in_use,
-		    struct budget_grant *grant)
+		    const struct budget_ask *ask, struct budget_grant *grant)
 {
 	int64_t now_us = clock_now_us(cell->env->clock);
 	struct budget_holder *budget;
@@ -408,7 +407,7 @@
 	}
 	if (!budget)
 		return false;
-	*grant = budget_holder_ask(budget, router, wanted, in_use, now_us);
+	*grant = budget_holder_ask(budget, router, ask, now_us);
 	return true;
 }
 
--- a/src/assigner/cell.h
+++ b/src/assigner/cell.h
@@ -73,8 +73,7 @@
  * @return false without authority: say nothing
  */
 bool cell_ask_share(struct cell *cell, struct str upstream, struct str router,
-		    uint32_t wanted, uint32_t in_use,
-		    struct budget_grant *grant);
+		    const struct budget_ask *ask, struct budget_grant *grant);
 
 /** Orders sent to upstreams and answers that came, for metrics. */
 void cell_counts(const struct cell *cell, uint64_t *orders, uint64_t *replies);
--- a/src/wire/auburn.pb-c.c
+++ b/src/wire/auburn.pb-c.c
@@ -1877,7 +1877,7 @@
   (ProtobufCMessageInit) load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor share_request__field_descriptors[5] =
+static const ProtobufCFieldDescriptor share_request__field_descriptors[7] =
 {
   {
     "upstream",
@@ -1939,18 +1939,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cell",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(ShareRequest, cell),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "router",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(ShareRequest, router),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned share_request__field_indices_by_name[] = {
   3,   /* field[3] = asked_us */
+  5,   /* field[5] = cell */
   2,   /* field[2] = in_use */
   4,   /* field[4] = lost */
+  6,   /* field[6] = router */
   0,   /* field[0] = upstream */
   1,   /* field[1] = wanted */
 };
 static const ProtobufCIntRange share_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor share_request__descriptor =
 {
@@ -1960,14 +1986,14 @@
   "ShareRequest",
   "",
   sizeof(ShareRequest),
-  5,
+  7,
   share_request__field_descriptors,
   share_request__field_indices_by_name,
   1,  share_request__number_ranges,
   (ProtobufCMessageInit) share_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor share__field_descriptors[5] =
+static const ProtobufCFieldDescriptor share__field_descriptors[6] =
 {
   {
     "upstream",
@@ -2029,18 +2055,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "router",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Share, router),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned share__field_indices_by_name[] = {
   4,   /* field[4] = asked_us */
   1,   /* field[1] = boot */
   2,   /* field[2] = count */
   3,   /* field[3] = duration_ms */
+  5,   /* field[5] = router */
   0,   /* field[0] = upstream */
 };
 static const ProtobufCIntRange share__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor share__descriptor =
 {
@@ -2050,7 +2089,7 @@
   "Share",
   "",
   sizeof(Share),
-  5,
+  6,
   share__field_descriptors,
   share__field_indices_by_name,
   1,  share__number_ranges,
--- a/src/wire/auburn.pb-c.h
+++ b/src/wire/auburn.pb-c.h
@@ -317,10 +317,18 @@
    * A request sent under an earlier share was given up and may still run.
    */
   protobuf_c_boolean lost;
+  /*
+   * Cell whose coordinator holds the budget.
+   */
+  char *cell;
+  /*
+   * Who asks; set by the assigner that passes the request on.
+   */
+  char *router;
 };
 #define SHARE_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&share_request__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  Share
@@ -340,10 +348,14 @@
    * As in the request that this answers.
    */
   int64_t asked_us;
+  /*
+   * Who asked; for the assigner that passed the request on.
+   */
+  char *router;
 };
 #define SHARE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&share__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
