ownership: an order waits for the answer to the one before

Two grants that overtook each other left an upstream with the older, smaller one until the next renewal: 10% of a cell's keys unserved for 160 ms after a zone was taken out.

--- a/src/ownership/grants.c
+++ b/src/ownership/grants.c
@@ -5,6 +5,9 @@
 
 /** Orders to an upstream that does not answer are sent less often. */
 #define LOST_RENEW_FACTOR 2
+/** An order waits this long for the answer to the one before: orders that
+ * overtake each other would undo the newer one for a while. */
+#define ANSWER_WAIT_US (50 * US_PER_MS)
 /** Pause before an order that was refused is sent again. */
 #define REFUSED_RETRY_US (20 * US_PER_MS)
 
@@ -157,6 +160,14 @@
 	}
 }
 
+static bool waits_for_answer(const struct cell_upstream *u, int64_t now)
+{
+	const struct exchange *last =
+		&u->exchanges[(u->exchange_next - 1) % EXCHANGES_KEPT];
+
+	return u->awaiting && now < last->sent_us + ANSWER_WAIT_US;
+}
+
 void grants_step(struct coordinator *c, int64_t now)
 {
 	size_t i;
@@ -166,7 +177,8 @@
 	for (i = 0; i < c->upstreams->len; i++) {
 		struct cell_upstream *u = g_ptr_array_index(c->upstreams, i);
 
-		if (now >= u->due_us && wants_orders(c, u))
+		if (now >= u->due_us && !waits_for_answer(u, now) &&
+		    wants_orders(c, u))
 			send_due(c, u, now);
 	}
 }
