--- a/src/request/claim.c
+++ b/src/request/claim.c
@@ -88,9 +88,14 @@
 	return step == STEP_RESOLVE || step == STEP_FIND_LEFT;
 }
 
+bool claim_wants(const struct claim *claim)
+{
+	return claim->step != STEP_REST && !claim->under_way;
+}
+
 bool claim_op(struct claim *claim, struct table_op *op)
 {
-	if (claim->step == STEP_REST || claim->under_way)
+	if (!claim_wants(claim))
 		return false;
 	claim->under_way = true;
 	*op = (struct table_op){ .kind = TABLE_OP_GET,
--- a/src/request/claim.h
+++ b/src/request/claim.h
@@ -104,6 +104,9 @@
  */
 bool claim_op(struct claim *claim, struct table_op *op);
 
+/** Tells whether claim_op() would give an operation now. */
+bool claim_wants(const struct claim *claim);
+
 /** Takes the table's answer to the operation last given. */
 void claim_result(struct claim *claim, const struct table_result *result,
 		  int64_t wall_us);
--- a/src/upstream/budget.c
+++ b/src/upstream/budget.c
@@ -225,7 +225,8 @@
 
 	expire(holder, now_us);
 	if (ask->lost)
-		holder->lapsed_us = MAX(holder->lapsed_us, now_us);
+		holder->lapsed_us =
+			MAX(holder->lapsed_us, now_us + BUDGET_MARGIN_US);
 	if (!ask->wanted && !ask->in_use) {
 		remove_router(holder, id);
 	} else if (left > 0 && holder->limit) {
--- a/src/wire/auburn.pb-c.c
+++ b/src/wire/auburn.pb-c.c
@@ -7,2217 +7,1592 @@
 #endif
 
 #include "auburn.pb-c.h"
-void   slice__init
-                     (Slice         *message)
+void slice__init(Slice *message)
 {
-  static const Slice init_value = SLICE__INIT;
-  *message = init_value;
+	static const Slice init_value = SLICE__INIT;
+	*message = init_value;
 }
-size_t slice__get_packed_size
-                     (const Slice *message)
+size_t slice__get_packed_size(const Slice *message)
 {
-  assert(message->base.descriptor == &slice__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &slice__descriptor);
+	return protobuf_c_message_get_packed_size(
+		(const ProtobufCMessage *)(message));
 }
-size_t slice__pack
-                     (const Slice *message,
-                      uint8_t       *out)
+size_t slice__pack(const Slice *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &slice__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &slice__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t slice__pack_to_buffer
-                     (const Slice *message,
-                      ProtobufCBuffer *buffer)
+size_t slice__pack_to_buffer(const Slice *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &slice__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &slice__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+		(const ProtobufCMessage *)message, buffer);
 }
-Slice *
-       slice__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+Slice *slice__unpack(ProtobufCAllocator *allocator, size_t len,
+		     const uint8_t *data)
 {
-  return (Slice *)
-     protobuf_c_message_unpack (&slice__descriptor,
-                                allocator, len, data);
+	return (Slice *)protobuf_c_message_unpack(&slice__descriptor, allocator,
+						  len, data);
 }
-void   slice__free_unpacked
-                     (Slice *message,
-                      ProtobufCAllocator *allocator)
+void slice__free_unpacked(Slice *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &slice__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &slice__descriptor);
+	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
+					 allocator);
 }
-void   cell_row__init
-                     (CellRow         *message)
+void cell_row__init(CellRow *message)
 {
-  static const CellRow init_value = CELL_ROW__INIT;
-  *message = init_value;
+	static const CellRow init_value = CELL_ROW__INIT;
+	*message = init_value;
 }
-size_t cell_row__get_packed_size
-                     (const CellRow *message)
+size_t cell_row__get_packed_size(const CellRow *message)
 {
-  assert(message->base.descriptor == &cell_row__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &cell_row__descriptor);
+	return protobuf_c_message_get_packed_size(
+		(const ProtobufCMessage *)(message));
 }
-size_t cell_row__pack
-                     (const CellRow *message,
-                      uint8_t       *out)
+size_t cell_row__pack(const CellRow *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &cell_row__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &cell_row__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t cell_row__pack_to_buffer
-                     (const CellRow *message,
-                      ProtobufCBuffer *buffer)
+size_t cell_row__pack_to_buffer(const CellRow *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &cell_row__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &cell_row__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+		(const ProtobufCMessage *)message, buffer);
 }
-CellRow *
-       cell_row__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+CellRow *cell_row__unpack(ProtobufCAllocator *allocator, size_t len,
+			  const uint8_t *data)
 {
-  return (CellRow *)
-     protobuf_c_message_unpack (&cell_row__descriptor,
-                                allocator, len, data);
+	return (CellRow *)protobuf_c_message_unpack(&cell_row__descriptor,
+						    allocator, len, data);
 }
-void   cell_row__free_unpacked
-                     (CellRow *message,
-                      ProtobufCAllocator *allocator)
+void cell_row__free_unpacked(CellRow *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &cell_row__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &cell_row__descriptor);
+	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
+					 allocator);
 }
-void   hello__init
-                     (Hello         *message)
+void hello__init(Hello *message)
 {
-  static const Hello init_value = HELLO__INIT;
-  *message = init_value;
+	static const Hello init_value = HELLO__INIT;
+	*message = init_value;
 }
-size_t hello__get_packed_size
-                     (const Hello *message)
+size_t hello__get_packed_size(const Hello *message)
 {
-  assert(message->base.descriptor == &hello__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &hello__descriptor);
+	return protobuf_c_message_get_packed_size(
+		(const ProtobufCMessage *)(message));
 }
-size_t hello__pack
-                     (const Hello *message,
-                      uint8_t       *out)
+size_t hello__pack(const Hello *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &hello__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &hello__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t hello__pack_to_buffer
-                     (const Hello *message,
-                      ProtobufCBuffer *buffer)
+size_t hello__pack_to_buffer(const Hello *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &hello__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &hello__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+		(const ProtobufCMessage *)message, buffer);
 }
-Hello *
-       hello__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+Hello *hello__unpack(ProtobufCAllocator *allocator, size_t len,
+		     const uint8_t *data)
 {
-  return (Hello *)
-     protobuf_c_message_unpack (&hello__descriptor,
-                                allocator, len, data);
+	return (Hello *)protobuf_c_message_unpack(&hello__descriptor, allocator,
+						  len, data);
 }
-void   hello__free_unpacked
-                     (Hello *message,
-                      ProtobufCAllocator *allocator)
+void hello__free_unpacked(Hello *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &hello__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &hello__descriptor);
+	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
+					 allocator);
 }
-void   cell_epoch__init
-                     (CellEpoch         *message)
+void cell_epoch__init(CellEpoch *message)
 {
-  static const CellEpoch init_value = CELL_EPOCH__INIT;
-  *message = init_value;
+	static const CellEpoch init_value = CELL_EPOCH__INIT;
+	*message = init_value;
 }
-size_t cell_epoch__get_packed_size
-                     (const CellEpoch *message)
+size_t cell_epoch__get_packed_size(const CellEpoch *message)
 {
-  assert(message->base.descriptor == &cell_epoch__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &cell_epoch__descriptor);
+	return protobuf_c_message_get_packed_size(
+		(const ProtobufCMessage *)(message));
 }
-size_t cell_epoch__pack
-                     (const CellEpoch *message,
-                      uint8_t       *out)
+size_t cell_epoch__pack(const CellEpoch *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &cell_epoch__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &cell_epoch__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t cell_epoch__pack_to_buffer
-                     (const CellEpoch *message,
-                      ProtobufCBuffer *buffer)
+size_t cell_epoch__pack_to_buffer(const CellEpoch *message,
+				  ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &cell_epoch__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &cell_epoch__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+		(const ProtobufCMessage *)message, buffer);
 }
-CellEpoch *
-       cell_epoch__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+CellEpoch *cell_epoch__unpack(ProtobufCAllocator *allocator, size_t len,
+			      const uint8_t *data)
 {
-  return (CellEpoch *)
-     protobuf_c_message_unpack (&cell_epoch__descriptor,
-                                allocator, len, data);
+	return (CellEpoch *)protobuf_c_message_unpack(&cell_epoch__descriptor,
+						      allocator, len, data);
 }
-void   cell_epoch__free_unpacked
-                     (CellEpoch *message,
-                      ProtobufCAllocator *allocator)
+void cell_epoch__free_unpacked(CellEpoch *message,
+			       ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &cell_epoch__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &cell_epoch__descriptor);
+	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
+					 allocator);
 }
-void   heartbeat__init
-                     (Heartbeat         *message)
+void heartbeat__init(Heartbeat *message)
 {
-  static const Heartbeat init_value = HEARTBEAT__INIT;
-  *message = init_value;
+	static const Heartbeat init_value = HEARTBEAT__INIT;
+	*message = init_value;
 }
-size_t heartbeat__get_packed_size
-                     (const Heartbeat *message)
+size_t heartbeat__get_packed_size(const Heartbeat *message)
 {
-  assert(message->base.descriptor == &heartbeat__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &heartbeat__descriptor);
+	return protobuf_c_message_get_packed_size(
+		(const ProtobufCMessage *)(message));
 }
-size_t heartbeat__pack
-                     (const Heartbeat *message,
-                      uint8_t       *out)
+size_t heartbeat__pack(const Heartbeat *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &heartbeat__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &heartbeat__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t heartbeat__pack_to_buffer
-                     (const Heartbeat *message,
-                      ProtobufCBuffer *buffer)
+size_t heartbeat__pack_to_buffer(const Heartbeat *message,
+				 ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &heartbeat__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &heartbeat__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+		(const ProtobufCMessage *)message, buffer);
 }
-Heartbeat *
-       heartbeat__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+Heartbeat *heartbeat__unpack(ProtobufCAllocator *allocator, size_t len,
+			     const uint8_t *data)
 {
-  return (Heartbeat *)
-     protobuf_c_message_unpack (&heartbeat__descriptor,
-                                allocator, len, data);
+	return (Heartbeat *)protobuf_c_message_unpack(&heartbeat__descriptor,
+						      allocator, len, data);
 }
-void   heartbeat__free_unpacked
-                     (Heartbeat *message,
-                      ProtobufCAllocator *allocator)
+void heartbeat__free_unpacked(Heartbeat *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &heartbeat__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &heartbeat__descriptor);
+	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
+					 allocator);
 }
-void   pull__init
-                     (Pull         *message)
+void pull__init(Pull *message)
 {
-  static const Pull init_value = PULL__INIT;
-  *message = init_value;
+	static const Pull init_value = PULL__INIT;
+	*message = init_value;
 }
-size_t pull__get_packed_size
-                     (const Pull *message)
+size_t pull__get_packed_size(const Pull *message)
 {
-  assert(message->base.descriptor == &pull__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &pull__descriptor);
+	return protobuf_c_message_get_packed_size(
+		(const ProtobufCMessage *)(message));
 }
-size_t pull__pack
-                     (const Pull *message,
-                      uint8_t       *out)
+size_t pull__pack(const Pull *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &pull__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &pull__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t pull__pack_to_buffer
-                     (const Pull *message,
-                      ProtobufCBuffer *buffer)
+size_t pull__pack_to_buffer(const Pull *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &pull__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &pull__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+		(const ProtobufCMessage *)message, buffer);
 }
-Pull *
-       pull__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+Pull *pull__unpack(ProtobufCAllocator *allocator, size_t len,
+		   const uint8_t *data)
 {
-  return (Pull *)
-     protobuf_c_message_unpack (&pull__descriptor,
-                                allocator, len, data);
+	return (Pull *)protobuf_c_message_unpack(&pull__descriptor, allocator,
+						 len, data);
 }
-void   pull__free_unpacked
-                     (Pull *message,
-                      ProtobufCAllocator *allocator)
+void pull__free_unpacked(Pull *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &pull__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &pull__descriptor);
+	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
+					 allocator);
 }
-void   settings__init
-                     (Settings         *message)
+void settings__init(Settings *message)
 {
-  static const Settings init_value = SETTINGS__INIT;
-  *message = init_value;
+	static const Settings init_value = SETTINGS__INIT;
+	*message = init_value;
 }
-size_t settings__get_packed_size
-                     (const Settings *message)
+size_t settings__get_packed_size(const Settings *message)
 {
-  assert(message->base.descriptor == &settings__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &settings__descriptor);
+	return protobuf_c_message_get_packed_size(
+		(const ProtobufCMessage *)(message));
 }
-size_t settings__pack
-                     (const Settings *message,
-                      uint8_t       *out)
+size_t settings__pack(const Settings *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &settings__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &settings__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t settings__pack_to_buffer
-                     (const Settings *message,
-                      ProtobufCBuffer *buffer)
+size_t settings__pack_to_buffer(const Settings *message,
+				ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &settings__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &settings__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+		(const ProtobufCMessage *)message, buffer);
 }
-Settings *
-       settings__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+Settings *settings__unpack(ProtobufCAllocator *allocator, size_t len,
+			   const uint8_t *data)
 {
-  return (Settings *)
-     protobuf_c_message_unpack (&settings__descriptor,
-                                allocator, len, data);
+	return (Settings *)protobuf_c_message_unpack(&settings__descriptor,
+						     allocator, len, data);
 }
-void   settings__free_unpacked
-                     (Settings *message,
-                      ProtobufCAllocator *allocator)
+void settings__free_unpacked(Settings *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &settings__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &settings__descriptor);
+	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
+					 allocator);
 }
-void   vm__init
-                     (Vm         *message)
+void vm__init(Vm *message)
 {
-  static const Vm init_value = VM__INIT;
-  *message = init_value;
+	static const Vm init_value = VM__INIT;
+	*message = init_value;
 }
-size_t vm__get_packed_size
-                     (const Vm *message)
+size_t vm__get_packed_size(const Vm *message)
 {
-  assert(message->base.descriptor == &vm__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &vm__descriptor);
+	return protobuf_c_message_get_packed_size(
+		(const ProtobufCMessage *)(message));
 }
-size_t vm__pack
-                     (const Vm *message,
-                      uint8_t       *out)
+size_t vm__pack(const Vm *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &vm__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &vm__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t vm__pack_to_buffer
-                     (const Vm *message,
-                      ProtobufCBuffer *buffer)
+size_t vm__pack_to_buffer(const Vm *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &vm__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &vm__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+		(const ProtobufCMessage *)message, buffer);
 }
-Vm *
-       vm__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+Vm *vm__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
 {
-  return (Vm *)
-     protobuf_c_message_unpack (&vm__descriptor,
-                                allocator, len, data);
+	return (Vm *)protobuf_c_message_unpack(&vm__descriptor, allocator, len,
+					       data);
 }
-void   vm__free_unpacked
-                     (Vm *message,
-                      ProtobufCAllocator *allocator)
+void vm__free_unpacked(Vm *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &vm__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &vm__descriptor);
+	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
+					 allocator);
 }
-void   vm_list__init
-                     (VmList         *message)
+void vm_list__init(VmList *message)
 {
-  static const VmList init_value = VM_LIST__INIT;
-  *message = init_value;
+	static const VmList init_value = VM_LIST__INIT;
+	*message = init_value;
 }
-size_t vm_list__get_packed_size
-                     (const VmList *message)
+size_t vm_list__get_packed_size(const VmList *message)
 {
-  assert(message->base.descriptor == &vm_list__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &vm_list__descriptor);
+	return protobuf_c_message_get_packed_size(
+		(const ProtobufCMessage *)(message));
 }
-size_t vm_list__pack
-                     (const VmList *message,
-                      uint8_t       *out)
+size_t vm_list__pack(const VmList *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &vm_list__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &vm_list__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t vm_list__pack_to_buffer
-                     (const VmList *message,
-                      ProtobufCBuffer *buffer)
+size_t vm_list__pack_to_buffer(const VmList *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &vm_list__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &vm_list__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+		(const ProtobufCMessage *)message, buffer);
 }
-VmList *
-       vm_list__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+VmList *vm_list__unpack(ProtobufCAllocator *allocator, size_t len,
+			const uint8_t *data)
 {
-  return (VmList *)
-     protobuf_c_message_unpack (&vm_list__descriptor,
-                                allocator, len, data);
+	return (VmList *)protobuf_c_message_unpack(&vm_list__descriptor,
+						   allocator, len, data);
 }
-void   vm_list__free_unpacked
-                     (VmList *message,
-                      ProtobufCAllocator *allocator)
+void vm_list__free_unpacked(VmList *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &vm_list__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &vm_list__descriptor);
+	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
+					 allocator);
 }
-void   stale__init
-                     (Stale         *message)
+void stale__init(Stale *message)
 {
-  static const Stale init_value = STALE__INIT;
-  *message = init_value;
+	static const Stale init_value = STALE__INIT;
+	*message = init_value;
 }
-size_t stale__get_packed_size
-                     (const Stale *message)
+size_t stale__get_packed_size(const Stale *message)
 {
-  assert(message->base.descriptor == &stale__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &stale__descriptor);
+	return protobuf_c_message_get_packed_size(
+		(const ProtobufCMessage *)(message));
 }
-size_t stale__pack
-                     (const Stale *message,
-                      uint8_t       *out)
+size_t stale__pack(const Stale *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &stale__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &stale__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t stale__pack_to_buffer
-                     (const Stale *message,
-                      ProtobufCBuffer *buffer)
+size_t stale__pack_to_buffer(const Stale *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &stale__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &stale__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+		(const ProtobufCMessage *)message, buffer);
 }
-Stale *
-       stale__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+Stale *stale__unpack(ProtobufCAllocator *allocator, size_t len,
+		     const uint8_t *data)
 {
-  return (Stale *)
-     protobuf_c_message_unpack (&stale__descriptor,
-                                allocator, len, data);
+	return (Stale *)protobuf_c_message_unpack(&stale__descriptor, allocator,
+						  len, data);
 }
-void   stale__free_unpacked
-                     (Stale *message,
-                      ProtobufCAllocator *allocator)
+void stale__free_unpacked(Stale *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &stale__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &stale__descriptor);
+	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
+					 allocator);
 }
-void   hot_key__init
-                     (HotKey         *message)
+void hot_key__init(HotKey *message)
 {
-  static const HotKey init_value = HOT_KEY__INIT;
-  *message = init_value;
+	static const HotKey init_value = HOT_KEY__INIT;
+	*message = init_value;
 }
-size_t hot_key__get_packed_size
-                     (const HotKey *message)
+size_t hot_key__get_packed_size(const HotKey *message)
 {
-  assert(message->base.descriptor == &hot_key__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &hot_key__descriptor);
+	return protobuf_c_message_get_packed_size(
+		(const ProtobufCMessage *)(message));
 }
-size_t hot_key__pack
-                     (const HotKey *message,
-                      uint8_t       *out)
+size_t hot_key__pack(const HotKey *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &hot_key__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &hot_key__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t hot_key__pack_to_buffer
-                     (const HotKey *message,
-                      ProtobufCBuffer *buffer)
+size_t hot_key__pack_to_buffer(const HotKey *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &hot_key__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &hot_key__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+		(const ProtobufCMessage *)message, buffer);
 }
-HotKey *
-       hot_key__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+HotKey *hot_key__unpack(ProtobufCAllocator *allocator, size_t len,
+			const uint8_t *data)
 {
-  return (HotKey *)
-     protobuf_c_message_unpack (&hot_key__descriptor,
-                                allocator, len, data);
+	return (HotKey *)protobuf_c_message_unpack(&hot_key__descriptor,
+						   allocator, len, data);
 }
-void   hot_key__free_unpacked
-                     (HotKey *message,
-                      ProtobufCAllocator *allocator)
+void hot_key__free_unpacked(HotKey *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &hot_key__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &hot_key__descriptor);
+	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
+					 allocator);
 }
-void   load__init
-                     (Load         *message)
+void load__init(Load *message)
 {
-  static const Load init_value = LOAD__INIT;
-  *message = init_value;
+	static const Load init_value = LOAD__INIT;
+	*message = init_value;
 }
-size_t load__get_packed_size
-                     (const Load *message)
+size_t load__get_packed_size(const Load *message)
 {
-  assert(message->base.descriptor == &load__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &load__descriptor);
+	return protobuf_c_message_get_packed_size(
+		(const ProtobufCMessage *)(message));
 }
-size_t load__pack
-                     (const Load *message,
-                      uint8_t       *out)
+size_t load__pack(const Load *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &load__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &load__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t load__pack_to_buffer
-                     (const Load *message,
-                      ProtobufCBuffer *buffer)
+size_t load__pack_to_buffer(const Load *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &load__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &load__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+		(const ProtobufCMessage *)message, buffer);
 }
-Load *
-       load__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+Load *load__unpack(ProtobufCAllocator *allocator, size_t len,
+		   const uint8_t *data)
 {
-  return (Load *)
-     protobuf_c_message_unpack (&load__descriptor,
-                                allocator, len, data);
+	return (Load *)protobuf_c_message_unpack(&load__descriptor, allocator,
+						 len, data);
 }
-void   load__free_unpacked
-                     (Load *message,
-                      ProtobufCAllocator *allocator)
+void load__free_unpacked(Load *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &load__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &load__descriptor);
+	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
+					 allocator);
 }
-void   share_request__init
-                     (ShareRequest         *message)
+void share_request__init(ShareRequest *message)
 {
-  static const ShareRequest init_value = SHARE_REQUEST__INIT;
-  *message = init_value;
+	static const ShareRequest init_value = SHARE_REQUEST__INIT;
+	*message = init_value;
 }
-size_t share_request__get_packed_size
-                     (const ShareRequest *message)
+size_t share_request__get_packed_size(const ShareRequest *message)
 {
-  assert(message->base.descriptor == &share_request__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &share_request__descriptor);
+	return protobuf_c_message_get_packed_size(
+		(const ProtobufCMessage *)(message));
 }
-size_t share_request__pack
-                     (const ShareRequest *message,
-                      uint8_t       *out)
+size_t share_request__pack(const ShareRequest *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &share_request__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &share_request__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t share_request__pack_to_buffer
-                     (const ShareRequest *message,
-                      ProtobufCBuffer *buffer)
+size_t share_request__pack_to_buffer(const ShareRequest *message,
+				     ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &share_request__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &share_request__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+		(const ProtobufCMessage *)message, buffer);
 }
-ShareRequest *
-       share_request__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+ShareRequest *share_request__unpack(ProtobufCAllocator *allocator, size_t len,
+				    const uint8_t *data)
 {
-  return (ShareRequest *)
-     protobuf_c_message_unpack (&share_request__descriptor,
-                                allocator, len, data);
+	return (ShareRequest *)protobuf_c_message_unpack(
+		&share_request__descriptor, allocator, len, data);
 }
-void   share_request__free_unpacked
-                     (ShareRequest *message,
-                      ProtobufCAllocator *allocator)
+void share_request__free_unpacked(ShareRequest *message,
+				  ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &share_request__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &share_request__descriptor);
+	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
+					 allocator);
 }
-void   share__init
-                     (Share         *message)
+void share__init(Share *message)
 {
-  static const Share init_value = SHARE__INIT;
-  *message = init_value;
+	static const Share init_value = SHARE__INIT;
+	*message = init_value;
 }
-size_t share__get_packed_size
-                     (const Share *message)
+size_t share__get_packed_size(const Share *message)
 {
-  assert(message->base.descriptor == &share__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &share__descriptor);
+	return protobuf_c_message_get_packed_size(
+		(const ProtobufCMessage *)(message));
 }
-size_t share__pack
-                     (const Share *message,
-                      uint8_t       *out)
+size_t share__pack(const Share *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &share__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &share__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t share__pack_to_buffer
-                     (const Share *message,
-                      ProtobufCBuffer *buffer)
+size_t share__pack_to_buffer(const Share *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &share__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &share__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+		(const ProtobufCMessage *)message, buffer);
 }
-Share *
-       share__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+Share *share__unpack(ProtobufCAllocator *allocator, size_t len,
+		     const uint8_t *data)
 {
-  return (Share *)
-     protobuf_c_message_unpack (&share__descriptor,
-                                allocator, len, data);
+	return (Share *)protobuf_c_message_unpack(&share__descriptor, allocator,
+						  len, data);
 }
-void   share__free_unpacked
-                     (Share *message,
-                      ProtobufCAllocator *allocator)
+void share__free_unpacked(Share *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &share__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &share__descriptor);
+	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
+					 allocator);
 }
-void   poison__init
-                     (Poison         *message)
+void poison__init(Poison *message)
 {
-  static const Poison init_value = POISON__INIT;
-  *message = init_value;
+	static const Poison init_value = POISON__INIT;
+	*message = init_value;
 }
-size_t poison__get_packed_size
-                     (const Poison *message)
+size_t poison__get_packed_size(const Poison *message)
 {
-  assert(message->base.descriptor == &poison__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t poison__pack
-                     (const Poison *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &poison__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t poison__pack_to_buffer
-                     (const Poison *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &poison__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Poison *
-       poison__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Poison *)
-     protobuf_c_message_unpack (&poison__descriptor,
-                                allocator, len, data);
-}
-void   poison__free_unpacked
-                     (Poison *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &poison__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-void   envelope__init
-                     (Envelope         *message)
-{
-  static const Envelope init_value = ENVELOPE__INIT;
-  *message = init_value;
-}
-size_t envelope__get_packed_size
-                     (const Envelope *message)
-{
-  assert(message->base.descriptor == &envelope__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t envelope__pack
-                     (const Envelope *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &envelope__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t envelope__pack_to_buffer
-                     (const Envelope *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &envelope__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Envelope *
-       envelope__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Envelope *)
-     protobuf_c_message_unpack (&envelope__descriptor,
-                                allocator, len, data);
-}
-void   envelope__free_unpacked
-                     (Envelope *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &envelope__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-static const ProtobufCFieldDescriptor slice__field_descriptors[3] =
-{
-  {
-    "first",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Slice, first),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "owner",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Slice, owner),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "epoch",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Slice, epoch),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned slice__field_indices_by_name[] = {
-  2,   /* field[2] = epoch */
-  0,   /* field[0] = first */
-  1,   /* field[1] = owner */
-};
-static const ProtobufCIntRange slice__number_ranges[1 + 1] =
+	assert(message->base.descriptor == &poison__descriptor);
+	return protobuf_c_message_get_packed_size(
+		(const ProtobufCMessage *)(message));
+}
+size_t poison__pack(const Poison *message, uint8_t *out)
 {
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor slice__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "Slice",
-  "Slice",
-  "Slice",
-  "",
-  sizeof(Slice),
-  3,
-  slice__field_descriptors,
-  slice__field_indices_by_name,
-  1,  slice__number_ranges,
-  (ProtobufCMessageInit) slice__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cell_row__field_descriptors[5] =
-{
-  {
-    "cell",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(CellRow, cell),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "epoch",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(CellRow, epoch),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "attempt",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(CellRow, attempt),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "owners",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(CellRow, n_owners),
-    offsetof(CellRow, owners),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "slices",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(CellRow, n_slices),
-    offsetof(CellRow, slices),
-    &slice__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned cell_row__field_indices_by_name[] = {
-  2,   /* field[2] = attempt */
-  0,   /* field[0] = cell */
-  1,   /* field[1] = epoch */
-  3,   /* field[3] = owners */
-  4,   /* field[4] = slices */
-};
-static const ProtobufCIntRange cell_row__number_ranges[1 + 1] =
+	assert(message->base.descriptor == &poison__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t poison__pack_to_buffer(const Poison *message, ProtobufCBuffer *buffer)
+{
+	assert(message->base.descriptor == &poison__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+		(const ProtobufCMessage *)message, buffer);
+}
+Poison *poison__unpack(ProtobufCAllocator *allocator, size_t len,
+		       const uint8_t *data)
 {
-  { 1, 0 },
-  { 0, 5 }
+	return (Poison *)protobuf_c_message_unpack(&poison__descriptor,
+						   allocator, len, data);
+}
+void poison__free_unpacked(Poison *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &poison__descriptor);
+	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
+					 allocator);
+}
+void envelope__init(Envelope *message)
+{
+	static const Envelope init_value = ENVELOPE__INIT;
+	*message = init_value;
+}
+size_t envelope__get_packed_size(const Envelope *message)
+{
+	assert(message->base.descriptor == &envelope__descriptor);
+	return protobuf_c_message_get_packed_size(
+		(const ProtobufCMessage *)(message));
+}
+size_t envelope__pack(const Envelope *message, uint8_t *out)
+{
+	assert(message->base.descriptor == &envelope__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t envelope__pack_to_buffer(const Envelope *message,
+				ProtobufCBuffer *buffer)
+{
+	assert(message->base.descriptor == &envelope__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+		(const ProtobufCMessage *)message, buffer);
+}
+Envelope *envelope__unpack(ProtobufCAllocator *allocator, size_t len,
+			   const uint8_t *data)
+{
+	return (Envelope *)protobuf_c_message_unpack(&envelope__descriptor,
+						     allocator, len, data);
+}
+void envelope__free_unpacked(Envelope *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &envelope__descriptor);
+	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
+					 allocator);
+}
+static const ProtobufCFieldDescriptor slice__field_descriptors[3] = {
+	{
+		"first", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+		0,				       /* quantifier_offset */
+		offsetof(Slice, first), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"owner", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+		0,				       /* quantifier_offset */
+		offsetof(Slice, owner), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"epoch", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+		0,				       /* quantifier_offset */
+		offsetof(Slice, epoch), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
-const ProtobufCMessageDescriptor cell_row__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "CellRow",
-  "CellRow",
-  "CellRow",
-  "",
-  sizeof(CellRow),
-  5,
-  cell_row__field_descriptors,
-  cell_row__field_indices_by_name,
-  1,  cell_row__number_ranges,
-  (ProtobufCMessageInit) cell_row__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const unsigned slice__field_indices_by_name[] = {
+	2, /* field[2] = epoch */
+	0, /* field[0] = first */
+	1, /* field[1] = owner */
+};
+static const ProtobufCIntRange slice__number_ranges[1 + 1] = { { 1, 0 },
+							       { 0, 3 } };
+const ProtobufCMessageDescriptor slice__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+	"Slice",
+	"Slice",
+	"Slice",
+	"",
+	sizeof(Slice),
+	3,
+	slice__field_descriptors,
+	slice__field_indices_by_name,
+	1,
+	slice__number_ranges,
+	(ProtobufCMessageInit)slice__init,
+	NULL,
+	NULL,
+	NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cell_row__field_descriptors[5] = {
+	{
+		"cell", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(CellRow, cell), NULL, &protobuf_c_empty_string,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"epoch", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+		0,					 /* quantifier_offset */
+		offsetof(CellRow, epoch), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"attempt", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(CellRow, attempt), NULL, &protobuf_c_empty_string,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"owners", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
+		offsetof(CellRow, n_owners), offsetof(CellRow, owners), NULL,
+		&protobuf_c_empty_string, 0, /* flags */
+		0, NULL, NULL		     /* reserved1,reserved2, etc */
+	},
+	{
+		"slices", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+		offsetof(CellRow, n_slices), offsetof(CellRow, slices),
+		&slice__descriptor, NULL, 0, /* flags */
+		0, NULL, NULL		     /* reserved1,reserved2, etc */
+	},
 };
-static const ProtobufCFieldDescriptor hello__field_descriptors[5] =
-{
-  {
-    "daemon",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Hello, daemon),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "role",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
-    0,   /* quantifier_offset */
-    offsetof(Hello, role),
-    &role__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "zone",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Hello, zone),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "incarnation",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Hello, incarnation),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "address",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Hello, address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+static const unsigned cell_row__field_indices_by_name[] = {
+	2, /* field[2] = attempt */
+	0, /* field[0] = cell */
+	1, /* field[1] = epoch */
+	3, /* field[3] = owners */
+	4, /* field[4] = slices */
+};
+static const ProtobufCIntRange cell_row__number_ranges[1 + 1] = { { 1, 0 },
+								  { 0, 5 } };
+const ProtobufCMessageDescriptor cell_row__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+	"CellRow",
+	"CellRow",
+	"CellRow",
+	"",
+	sizeof(CellRow),
+	5,
+	cell_row__field_descriptors,
+	cell_row__field_indices_by_name,
+	1,
+	cell_row__number_ranges,
+	(ProtobufCMessageInit)cell_row__init,
+	NULL,
+	NULL,
+	NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hello__field_descriptors[5] = {
+	{
+		"daemon", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Hello, daemon), NULL, &protobuf_c_empty_string,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"role", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_ENUM,
+		0, /* quantifier_offset */
+		offsetof(Hello, role), &role__descriptor, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"zone", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Hello, zone), NULL, &protobuf_c_empty_string,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"incarnation", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Hello, incarnation), NULL, &protobuf_c_empty_string,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"address", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Hello, address), NULL, &protobuf_c_empty_string,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned hello__field_indices_by_name[] = {
-  4,   /* field[4] = address */
-  0,   /* field[0] = daemon */
-  3,   /* field[3] = incarnation */
-  1,   /* field[1] = role */
-  2,   /* field[2] = zone */
-};
-static const ProtobufCIntRange hello__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor hello__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "Hello",
-  "Hello",
-  "Hello",
-  "",
-  sizeof(Hello),
-  5,
-  hello__field_descriptors,
-  hello__field_indices_by_name,
-  1,  hello__number_ranges,
-  (ProtobufCMessageInit) hello__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cell_epoch__field_descriptors[5] =
-{
-  {
-    "cell",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(CellEpoch, cell),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "epoch",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(CellEpoch, epoch),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "ballot_number",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(CellEpoch, ballot_number),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "ballot_daemon",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(CellEpoch, ballot_daemon),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "coordinator",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(CellEpoch, coordinator),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+	4, /* field[4] = address */
+	0, /* field[0] = daemon */
+	3, /* field[3] = incarnation */
+	1, /* field[1] = role */
+	2, /* field[2] = zone */
+};
+static const ProtobufCIntRange hello__number_ranges[1 + 1] = { { 1, 0 },
+							       { 0, 5 } };
+const ProtobufCMessageDescriptor hello__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+	"Hello",
+	"Hello",
+	"Hello",
+	"",
+	sizeof(Hello),
+	5,
+	hello__field_descriptors,
+	hello__field_indices_by_name,
+	1,
+	hello__number_ranges,
+	(ProtobufCMessageInit)hello__init,
+	NULL,
+	NULL,
+	NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cell_epoch__field_descriptors[5] = {
+	{
+		"cell", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(CellEpoch, cell), NULL, &protobuf_c_empty_string,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"epoch", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+		0, /* quantifier_offset */
+		offsetof(CellEpoch, epoch), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"ballot_number", 3, PROTOBUF_C_LABEL_NONE,
+		PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
+		offsetof(CellEpoch, ballot_number), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"ballot_daemon", 4, PROTOBUF_C_LABEL_NONE,
+		PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
+		offsetof(CellEpoch, ballot_daemon), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"coordinator", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(CellEpoch, coordinator), NULL,
+		&protobuf_c_empty_string, 0, /* flags */
+		0, NULL, NULL		     /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned cell_epoch__field_indices_by_name[] = {
-  3,   /* field[3] = ballot_daemon */
-  2,   /* field[2] = ballot_number */
-  0,   /* field[0] = cell */
-  4,   /* field[4] = coordinator */
-  1,   /* field[1] = epoch */
-};
-static const ProtobufCIntRange cell_epoch__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor cell_epoch__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "CellEpoch",
-  "CellEpoch",
-  "CellEpoch",
-  "",
-  sizeof(CellEpoch),
-  5,
-  cell_epoch__field_descriptors,
-  cell_epoch__field_indices_by_name,
-  1,  cell_epoch__number_ranges,
-  (ProtobufCMessageInit) cell_epoch__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor heartbeat__field_descriptors[13] =
-{
-  {
-    "daemon",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Heartbeat, daemon),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "incarnation",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Heartbeat, incarnation),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "settings_version",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Heartbeat, settings_version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "cells",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Heartbeat, n_cells),
-    offsetof(Heartbeat, cells),
-    &cell_epoch__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "vms_version",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Heartbeat, vms_version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "leaving",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Heartbeat, leaving),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "settings_fresh",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Heartbeat, settings_fresh),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "zone",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Heartbeat, zone),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "role",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
-    0,   /* quantifier_offset */
-    offsetof(Heartbeat, role),
-    &role__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "peers",
-    10,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Heartbeat, n_peers),
-    offsetof(Heartbeat, peers),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "sent_us",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Heartbeat, sent_us),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "echo_us",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Heartbeat, echo_us),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "valid_ms",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Heartbeat, valid_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+	3, /* field[3] = ballot_daemon */
+	2, /* field[2] = ballot_number */
+	0, /* field[0] = cell */
+	4, /* field[4] = coordinator */
+	1, /* field[1] = epoch */
+};
+static const ProtobufCIntRange cell_epoch__number_ranges[1 + 1] = { { 1, 0 },
+								    { 0, 5 } };
+const ProtobufCMessageDescriptor cell_epoch__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+	"CellEpoch",
+	"CellEpoch",
+	"CellEpoch",
+	"",
+	sizeof(CellEpoch),
+	5,
+	cell_epoch__field_descriptors,
+	cell_epoch__field_indices_by_name,
+	1,
+	cell_epoch__number_ranges,
+	(ProtobufCMessageInit)cell_epoch__init,
+	NULL,
+	NULL,
+	NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor heartbeat__field_descriptors[13] = {
+	{
+		"daemon", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Heartbeat, daemon), NULL, &protobuf_c_empty_string,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Heartbeat, incarnation), NULL,
+		&protobuf_c_empty_string, 0, /* flags */
+		0, NULL, NULL		     /* reserved1,reserved2, etc */
+	},
+	{
+		"settings_version", 3, PROTOBUF_C_LABEL_NONE,
+		PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
+		offsetof(Heartbeat, settings_version), NULL, NULL,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"cells", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+		offsetof(Heartbeat, n_cells), offsetof(Heartbeat, cells),
+		&cell_epoch__descriptor, NULL, 0, /* flags */
+		0, NULL, NULL			  /* reserved1,reserved2, etc */
+	},
+	{
+		"vms_version", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+		0, /* quantifier_offset */
+		offsetof(Heartbeat, vms_version), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"leaving", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+		0, /* quantifier_offset */
+		offsetof(Heartbeat, leaving), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"settings_fresh", 7, PROTOBUF_C_LABEL_NONE,
+		PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
+		offsetof(Heartbeat, settings_fresh), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"zone", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Heartbeat, zone), NULL, &protobuf_c_empty_string,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"role", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_ENUM,
+		0, /* quantifier_offset */
+		offsetof(Heartbeat, role), &role__descriptor, NULL,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"peers", 10, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
+		offsetof(Heartbeat, n_peers), offsetof(Heartbeat, peers), NULL,
+		&protobuf_c_empty_string, 0, /* flags */
+		0, NULL, NULL		     /* reserved1,reserved2, etc */
+	},
+	{
+		"sent_us", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
+		0, /* quantifier_offset */
+		offsetof(Heartbeat, sent_us), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"echo_us", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
+		0, /* quantifier_offset */
+		offsetof(Heartbeat, echo_us), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"valid_ms", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+		0, /* quantifier_offset */
+		offsetof(Heartbeat, valid_ms), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned heartbeat__field_indices_by_name[] = {
-  3,   /* field[3] = cells */
-  0,   /* field[0] = daemon */
-  11,   /* field[11] = echo_us */
-  1,   /* field[1] = incarnation */
-  5,   /* field[5] = leaving */
-  9,   /* field[9] = peers */
-  8,   /* field[8] = role */
-  10,   /* field[10] = sent_us */
-  6,   /* field[6] = settings_fresh */
-  2,   /* field[2] = settings_version */
-  12,   /* field[12] = valid_ms */
-  4,   /* field[4] = vms_version */
-  7,   /* field[7] = zone */
-};
-static const ProtobufCIntRange heartbeat__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 13 }
-};
-const ProtobufCMessageDescriptor heartbeat__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "Heartbeat",
-  "Heartbeat",
-  "Heartbeat",
-  "",
-  sizeof(Heartbeat),
-  13,
-  heartbeat__field_descriptors,
-  heartbeat__field_indices_by_name,
-  1,  heartbeat__number_ranges,
-  (ProtobufCMessageInit) heartbeat__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pull__field_descriptors[3] =
-{
-  {
-    "settings",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Pull, settings),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "vms",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Pull, vms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "cells",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Pull, n_cells),
-    offsetof(Pull, cells),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+	3,  /* field[3] = cells */
+	0,  /* field[0] = daemon */
+	11, /* field[11] = echo_us */
+	1,  /* field[1] = incarnation */
+	5,  /* field[5] = leaving */
+	9,  /* field[9] = peers */
+	8,  /* field[8] = role */
+	10, /* field[10] = sent_us */
+	6,  /* field[6] = settings_fresh */
+	2,  /* field[2] = settings_version */
+	12, /* field[12] = valid_ms */
+	4,  /* field[4] = vms_version */
+	7,  /* field[7] = zone */
+};
+static const ProtobufCIntRange heartbeat__number_ranges[1 + 1] = { { 1, 0 },
+								   { 0, 13 } };
+const ProtobufCMessageDescriptor heartbeat__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+	"Heartbeat",
+	"Heartbeat",
+	"Heartbeat",
+	"",
+	sizeof(Heartbeat),
+	13,
+	heartbeat__field_descriptors,
+	heartbeat__field_indices_by_name,
+	1,
+	heartbeat__number_ranges,
+	(ProtobufCMessageInit)heartbeat__init,
+	NULL,
+	NULL,
+	NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pull__field_descriptors[3] = {
+	{
+		"settings", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+		0,					 /* quantifier_offset */
+		offsetof(Pull, settings), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"vms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+		0,				    /* quantifier_offset */
+		offsetof(Pull, vms), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"cells", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
+		offsetof(Pull, n_cells), offsetof(Pull, cells), NULL,
+		&protobuf_c_empty_string, 0, /* flags */
+		0, NULL, NULL		     /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned pull__field_indices_by_name[] = {
-  2,   /* field[2] = cells */
-  0,   /* field[0] = settings */
-  1,   /* field[1] = vms */
-};
-static const ProtobufCIntRange pull__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor pull__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "Pull",
-  "Pull",
-  "Pull",
-  "",
-  sizeof(Pull),
-  3,
-  pull__field_descriptors,
-  pull__field_indices_by_name,
-  1,  pull__number_ranges,
-  (ProtobufCMessageInit) pull__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor settings__field_descriptors[2] =
-{
-  {
-    "version",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Settings, version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "body",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Settings, body),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+	2, /* field[2] = cells */
+	0, /* field[0] = settings */
+	1, /* field[1] = vms */
+};
+static const ProtobufCIntRange pull__number_ranges[1 + 1] = { { 1, 0 },
+							      { 0, 3 } };
+const ProtobufCMessageDescriptor pull__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+	"Pull",
+	"Pull",
+	"Pull",
+	"",
+	sizeof(Pull),
+	3,
+	pull__field_descriptors,
+	pull__field_indices_by_name,
+	1,
+	pull__number_ranges,
+	(ProtobufCMessageInit)pull__init,
+	NULL,
+	NULL,
+	NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor settings__field_descriptors[2] = {
+	{
+		"version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+		0, /* quantifier_offset */
+		offsetof(Settings, version), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"body", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+		0,					 /* quantifier_offset */
+		offsetof(Settings, body), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned settings__field_indices_by_name[] = {
-  1,   /* field[1] = body */
-  0,   /* field[0] = version */
-};
-static const ProtobufCIntRange settings__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor settings__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "Settings",
-  "Settings",
-  "Settings",
-  "",
-  sizeof(Settings),
-  2,
-  settings__field_descriptors,
-  settings__field_indices_by_name,
-  1,  settings__number_ranges,
-  (ProtobufCMessageInit) settings__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor vm__field_descriptors[9] =
-{
-  {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Vm, id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "service",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Vm, service),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "zone",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Vm, zone),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "address",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Vm, address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "control",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Vm, control),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "leaving",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Vm, leaving),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "fences",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Vm, fences),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "boot",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Vm, boot),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "limit",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Vm, limit),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+	1, /* field[1] = body */
+	0, /* field[0] = version */
+};
+static const ProtobufCIntRange settings__number_ranges[1 + 1] = { { 1, 0 },
+								  { 0, 2 } };
+const ProtobufCMessageDescriptor settings__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+	"Settings",
+	"Settings",
+	"Settings",
+	"",
+	sizeof(Settings),
+	2,
+	settings__field_descriptors,
+	settings__field_indices_by_name,
+	1,
+	settings__number_ranges,
+	(ProtobufCMessageInit)settings__init,
+	NULL,
+	NULL,
+	NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor vm__field_descriptors[9] = {
+	{
+		"id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Vm, id), NULL, &protobuf_c_empty_string, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"service", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Vm, service), NULL, &protobuf_c_empty_string,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"zone", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Vm, zone), NULL, &protobuf_c_empty_string,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"address", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Vm, address), NULL, &protobuf_c_empty_string,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"control", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Vm, control), NULL, &protobuf_c_empty_string,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"leaving", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+		0,				      /* quantifier_offset */
+		offsetof(Vm, leaving), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"fences", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+		0,				     /* quantifier_offset */
+		offsetof(Vm, fences), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"boot", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Vm, boot), NULL, &protobuf_c_empty_string,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"limit", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+		0,				    /* quantifier_offset */
+		offsetof(Vm, limit), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned vm__field_indices_by_name[] = {
-  3,   /* field[3] = address */
-  7,   /* field[7] = boot */
-  4,   /* field[4] = control */
-  6,   /* field[6] = fences */
-  0,   /* field[0] = id */
-  5,   /* field[5] = leaving */
-  8,   /* field[8] = limit */
-  1,   /* field[1] = service */
-  2,   /* field[2] = zone */
-};
-static const ProtobufCIntRange vm__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 9 }
-};
-const ProtobufCMessageDescriptor vm__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "Vm",
-  "Vm",
-  "Vm",
-  "",
-  sizeof(Vm),
-  9,
-  vm__field_descriptors,
-  vm__field_indices_by_name,
-  1,  vm__number_ranges,
-  (ProtobufCMessageInit) vm__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor vm_list__field_descriptors[2] =
-{
-  {
-    "version",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(VmList, version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "vms",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(VmList, n_vms),
-    offsetof(VmList, vms),
-    &vm__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+	3, /* field[3] = address */
+	7, /* field[7] = boot */
+	4, /* field[4] = control */
+	6, /* field[6] = fences */
+	0, /* field[0] = id */
+	5, /* field[5] = leaving */
+	8, /* field[8] = limit */
+	1, /* field[1] = service */
+	2, /* field[2] = zone */
+};
+static const ProtobufCIntRange vm__number_ranges[1 + 1] = { { 1, 0 },
+							    { 0, 9 } };
+const ProtobufCMessageDescriptor vm__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+	"Vm",
+	"Vm",
+	"Vm",
+	"",
+	sizeof(Vm),
+	9,
+	vm__field_descriptors,
+	vm__field_indices_by_name,
+	1,
+	vm__number_ranges,
+	(ProtobufCMessageInit)vm__init,
+	NULL,
+	NULL,
+	NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor vm_list__field_descriptors[2] = {
+	{
+		"version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+		0, /* quantifier_offset */
+		offsetof(VmList, version), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"vms", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+		offsetof(VmList, n_vms), offsetof(VmList, vms), &vm__descriptor,
+		NULL, 0,      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned vm_list__field_indices_by_name[] = {
-  0,   /* field[0] = version */
-  1,   /* field[1] = vms */
-};
-static const ProtobufCIntRange vm_list__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor vm_list__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "VmList",
-  "VmList",
-  "VmList",
-  "",
-  sizeof(VmList),
-  2,
-  vm_list__field_descriptors,
-  vm_list__field_indices_by_name,
-  1,  vm_list__number_ranges,
-  (ProtobufCMessageInit) vm_list__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor stale__field_descriptors[3] =
-{
-  {
-    "cell",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Stale, cell),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "epoch",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Stale, epoch),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "upstream",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Stale, upstream),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+	0, /* field[0] = version */
+	1, /* field[1] = vms */
+};
+static const ProtobufCIntRange vm_list__number_ranges[1 + 1] = { { 1, 0 },
+								 { 0, 2 } };
+const ProtobufCMessageDescriptor vm_list__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+	"VmList",
+	"VmList",
+	"VmList",
+	"",
+	sizeof(VmList),
+	2,
+	vm_list__field_descriptors,
+	vm_list__field_indices_by_name,
+	1,
+	vm_list__number_ranges,
+	(ProtobufCMessageInit)vm_list__init,
+	NULL,
+	NULL,
+	NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor stale__field_descriptors[3] = {
+	{
+		"cell", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Stale, cell), NULL, &protobuf_c_empty_string,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"epoch", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+		0,				       /* quantifier_offset */
+		offsetof(Stale, epoch), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"upstream", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Stale, upstream), NULL, &protobuf_c_empty_string,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned stale__field_indices_by_name[] = {
-  0,   /* field[0] = cell */
-  1,   /* field[1] = epoch */
-  2,   /* field[2] = upstream */
-};
-static const ProtobufCIntRange stale__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor stale__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "Stale",
-  "Stale",
-  "Stale",
-  "",
-  sizeof(Stale),
-  3,
-  stale__field_descriptors,
-  stale__field_indices_by_name,
-  1,  stale__number_ranges,
-  (ProtobufCMessageInit) stale__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor hot_key__field_descriptors[2] =
-{
-  {
-    "hash",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(HotKey, hash),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "count",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(HotKey, count),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+	0, /* field[0] = cell */
+	1, /* field[1] = epoch */
+	2, /* field[2] = upstream */
+};
+static const ProtobufCIntRange stale__number_ranges[1 + 1] = { { 1, 0 },
+							       { 0, 3 } };
+const ProtobufCMessageDescriptor stale__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+	"Stale",
+	"Stale",
+	"Stale",
+	"",
+	sizeof(Stale),
+	3,
+	stale__field_descriptors,
+	stale__field_indices_by_name,
+	1,
+	stale__number_ranges,
+	(ProtobufCMessageInit)stale__init,
+	NULL,
+	NULL,
+	NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hot_key__field_descriptors[2] = {
+	{
+		"hash", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+		0,				       /* quantifier_offset */
+		offsetof(HotKey, hash), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"count", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+		0,					/* quantifier_offset */
+		offsetof(HotKey, count), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned hot_key__field_indices_by_name[] = {
-  1,   /* field[1] = count */
-  0,   /* field[0] = hash */
-};
-static const ProtobufCIntRange hot_key__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor hot_key__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "HotKey",
-  "HotKey",
-  "HotKey",
-  "",
-  sizeof(HotKey),
-  2,
-  hot_key__field_descriptors,
-  hot_key__field_indices_by_name,
-  1,  hot_key__number_ranges,
-  (ProtobufCMessageInit) hot_key__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor load__field_descriptors[5] =
-{
-  {
-    "cell",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Load, cell),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "requests",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Load, requests),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "hot",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Load, n_hot),
-    offsetof(Load, hot),
-    &hot_key__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "epoch",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Load, epoch),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "slice_requests",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT64,
-    offsetof(Load, n_slice_requests),
-    offsetof(Load, slice_requests),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+	1, /* field[1] = count */
+	0, /* field[0] = hash */
+};
+static const ProtobufCIntRange hot_key__number_ranges[1 + 1] = { { 1, 0 },
+								 { 0, 2 } };
+const ProtobufCMessageDescriptor hot_key__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+	"HotKey",
+	"HotKey",
+	"HotKey",
+	"",
+	sizeof(HotKey),
+	2,
+	hot_key__field_descriptors,
+	hot_key__field_indices_by_name,
+	1,
+	hot_key__number_ranges,
+	(ProtobufCMessageInit)hot_key__init,
+	NULL,
+	NULL,
+	NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor load__field_descriptors[5] = {
+	{
+		"cell", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Load, cell), NULL, &protobuf_c_empty_string,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"requests", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+		0,					 /* quantifier_offset */
+		offsetof(Load, requests), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"hot", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+		offsetof(Load, n_hot), offsetof(Load, hot),
+		&hot_key__descriptor, NULL, 0, /* flags */
+		0, NULL, NULL		       /* reserved1,reserved2, etc */
+	},
+	{
+		"epoch", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+		0,				      /* quantifier_offset */
+		offsetof(Load, epoch), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"slice_requests", 5, PROTOBUF_C_LABEL_REPEATED,
+		PROTOBUF_C_TYPE_UINT64, offsetof(Load, n_slice_requests),
+		offsetof(Load, slice_requests), NULL, NULL,
+		0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
+		0, NULL, NULL			  /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned load__field_indices_by_name[] = {
-  0,   /* field[0] = cell */
-  3,   /* field[3] = epoch */
-  2,   /* field[2] = hot */
-  1,   /* field[1] = requests */
-  4,   /* field[4] = slice_requests */
-};
-static const ProtobufCIntRange load__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor load__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "Load",
-  "Load",
-  "Load",
-  "",
-  sizeof(Load),
-  5,
-  load__field_descriptors,
-  load__field_indices_by_name,
-  1,  load__number_ranges,
-  (ProtobufCMessageInit) load__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor share_request__field_descriptors[5] =
-{
-  {
-    "upstream",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(ShareRequest, upstream),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "wanted",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(ShareRequest, wanted),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "in_use",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(ShareRequest, in_use),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "asked_us",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(ShareRequest, asked_us),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "lost",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(ShareRequest, lost),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+	0, /* field[0] = cell */
+	3, /* field[3] = epoch */
+	2, /* field[2] = hot */
+	1, /* field[1] = requests */
+	4, /* field[4] = slice_requests */
+};
+static const ProtobufCIntRange load__number_ranges[1 + 1] = { { 1, 0 },
+							      { 0, 5 } };
+const ProtobufCMessageDescriptor load__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+	"Load",
+	"Load",
+	"Load",
+	"",
+	sizeof(Load),
+	5,
+	load__field_descriptors,
+	load__field_indices_by_name,
+	1,
+	load__number_ranges,
+	(ProtobufCMessageInit)load__init,
+	NULL,
+	NULL,
+	NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor share_request__field_descriptors[5] = {
+	{
+		"upstream", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(ShareRequest, upstream), NULL,
+		&protobuf_c_empty_string, 0, /* flags */
+		0, NULL, NULL		     /* reserved1,reserved2, etc */
+	},
+	{
+		"wanted", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+		0, /* quantifier_offset */
+		offsetof(ShareRequest, wanted), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"in_use", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+		0, /* quantifier_offset */
+		offsetof(ShareRequest, in_use), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"asked_us", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
+		0, /* quantifier_offset */
+		offsetof(ShareRequest, asked_us), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"lost", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+		0, /* quantifier_offset */
+		offsetof(ShareRequest, lost), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned share_request__field_indices_by_name[] = {
-  3,   /* field[3] = asked_us */
-  2,   /* field[2] = in_use */
-  4,   /* field[4] = lost */
-  0,   /* field[0] = upstream */
-  1,   /* field[1] = wanted */
-};
-static const ProtobufCIntRange share_request__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor share_request__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "ShareRequest",
-  "ShareRequest",
-  "ShareRequest",
-  "",
-  sizeof(ShareRequest),
-  5,
-  share_request__field_descriptors,
-  share_request__field_indices_by_name,
-  1,  share_request__number_ranges,
-  (ProtobufCMessageInit) share_request__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor share__field_descriptors[5] =
-{
-  {
-    "upstream",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Share, upstream),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "boot",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Share, boot),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "count",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Share, count),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "duration_ms",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Share, duration_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "asked_us",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Share, asked_us),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+	3, /* field[3] = asked_us */
+	2, /* field[2] = in_use */
+	4, /* field[4] = lost */
+	0, /* field[0] = upstream */
+	1, /* field[1] = wanted */
+};
+static const ProtobufCIntRange share_request__number_ranges[1 + 1] = {
+	{ 1, 0 }, { 0, 5 }
+};
+const ProtobufCMessageDescriptor share_request__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+	"ShareRequest",
+	"ShareRequest",
+	"ShareRequest",
+	"",
+	sizeof(ShareRequest),
+	5,
+	share_request__field_descriptors,
+	share_request__field_indices_by_name,
+	1,
+	share_request__number_ranges,
+	(ProtobufCMessageInit)share_request__init,
+	NULL,
+	NULL,
+	NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor share__field_descriptors[5] = {
+	{
+		"upstream", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Share, upstream), NULL, &protobuf_c_empty_string,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"boot", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Share, boot), NULL, &protobuf_c_empty_string,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"count", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+		0,				       /* quantifier_offset */
+		offsetof(Share, count), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"duration_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+		0, /* quantifier_offset */
+		offsetof(Share, duration_ms), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"asked_us", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
+		0, /* quantifier_offset */
+		offsetof(Share, asked_us), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned share__field_indices_by_name[] = {
-  4,   /* field[4] = asked_us */
-  1,   /* field[1] = boot */
-  2,   /* field[2] = count */
-  3,   /* field[3] = duration_ms */
-  0,   /* field[0] = upstream */
-};
-static const ProtobufCIntRange share__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor share__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "Share",
-  "Share",
-  "Share",
-  "",
-  sizeof(Share),
-  5,
-  share__field_descriptors,
-  share__field_indices_by_name,
-  1,  share__number_ranges,
-  (ProtobufCMessageInit) share__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor poison__field_descriptors[4] =
-{
-  {
-    "fingerprint",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Poison, fingerprint),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "upstream",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Poison, upstream),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "boot",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Poison, boot),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "deaths",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Poison, deaths),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+	4, /* field[4] = asked_us */
+	1, /* field[1] = boot */
+	2, /* field[2] = count */
+	3, /* field[3] = duration_ms */
+	0, /* field[0] = upstream */
+};
+static const ProtobufCIntRange share__number_ranges[1 + 1] = { { 1, 0 },
+							       { 0, 5 } };
+const ProtobufCMessageDescriptor share__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+	"Share",
+	"Share",
+	"Share",
+	"",
+	sizeof(Share),
+	5,
+	share__field_descriptors,
+	share__field_indices_by_name,
+	1,
+	share__number_ranges,
+	(ProtobufCMessageInit)share__init,
+	NULL,
+	NULL,
+	NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor poison__field_descriptors[4] = {
+	{
+		"fingerprint", 1, PROTOBUF_C_LABEL_NONE,
+		PROTOBUF_C_TYPE_FIXED64, 0, /* quantifier_offset */
+		offsetof(Poison, fingerprint), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"upstream", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Poison, upstream), NULL, &protobuf_c_empty_string,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"boot", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+		0, /* quantifier_offset */
+		offsetof(Poison, boot), NULL, &protobuf_c_empty_string,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"deaths", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+		0,					 /* quantifier_offset */
+		offsetof(Poison, deaths), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned poison__field_indices_by_name[] = {
-  2,   /* field[2] = boot */
-  3,   /* field[3] = deaths */
-  0,   /* field[0] = fingerprint */
-  1,   /* field[1] = upstream */
-};
-static const ProtobufCIntRange poison__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor poison__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "Poison",
-  "Poison",
-  "Poison",
-  "",
-  sizeof(Poison),
-  4,
-  poison__field_descriptors,
-  poison__field_indices_by_name,
-  1,  poison__number_ranges,
-  (ProtobufCMessageInit) poison__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor envelope__field_descriptors[11] =
-{
-  {
-    "hello",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Envelope, body_case),
-    offsetof(Envelope, hello),
-    &hello__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "heartbeat",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Envelope, body_case),
-    offsetof(Envelope, heartbeat),
-    &heartbeat__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "pull",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Envelope, body_case),
-    offsetof(Envelope, pull),
-    &pull__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "settings",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Envelope, body_case),
-    offsetof(Envelope, settings),
-    &settings__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "cell",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Envelope, body_case),
-    offsetof(Envelope, cell),
-    &cell_row__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "vms",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Envelope, body_case),
-    offsetof(Envelope, vms),
-    &vm_list__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "stale",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Envelope, body_case),
-    offsetof(Envelope, stale),
-    &stale__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "load",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Envelope, body_case),
-    offsetof(Envelope, load),
-    &load__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "share_request",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Envelope, body_case),
-    offsetof(Envelope, share_request),
-    &share_request__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "share",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Envelope, body_case),
-    offsetof(Envelope, share),
-    &share__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "poison",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Envelope, body_case),
-    offsetof(Envelope, poison),
-    &poison__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+	2, /* field[2] = boot */
+	3, /* field[3] = deaths */
+	0, /* field[0] = fingerprint */
+	1, /* field[1] = upstream */
+};
+static const ProtobufCIntRange poison__number_ranges[1 + 1] = { { 1, 0 },
+								{ 0, 4 } };
+const ProtobufCMessageDescriptor poison__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+	"Poison",
+	"Poison",
+	"Poison",
+	"",
+	sizeof(Poison),
+	4,
+	poison__field_descriptors,
+	poison__field_indices_by_name,
+	1,
+	poison__number_ranges,
+	(ProtobufCMessageInit)poison__init,
+	NULL,
+	NULL,
+	NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor envelope__field_descriptors[11] = {
+	{
+		"hello", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+		offsetof(Envelope, body_case), offsetof(Envelope, hello),
+		&hello__descriptor, NULL,
+		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+		0, NULL, NULL			 /* reserved1,reserved2, etc */
+	},
+	{
+		"heartbeat", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+		offsetof(Envelope, body_case), offsetof(Envelope, heartbeat),
+		&heartbeat__descriptor, NULL,
+		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+		0, NULL, NULL			 /* reserved1,reserved2, etc */
+	},
+	{
+		"pull", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+		offsetof(Envelope, body_case), offsetof(Envelope, pull),
+		&pull__descriptor, NULL,
+		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+		0, NULL, NULL			 /* reserved1,reserved2, etc */
+	},
+	{
+		"settings", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+		offsetof(Envelope, body_case), offsetof(Envelope, settings),
+		&settings__descriptor, NULL,
+		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+		0, NULL, NULL			 /* reserved1,reserved2, etc */
+	},
+	{
+		"cell", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+		offsetof(Envelope, body_case), offsetof(Envelope, cell),
+		&cell_row__descriptor, NULL,
+		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+		0, NULL, NULL			 /* reserved1,reserved2, etc */
+	},
+	{
+		"vms", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+		offsetof(Envelope, body_case), offsetof(Envelope, vms),
+		&vm_list__descriptor, NULL,
+		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+		0, NULL, NULL			 /* reserved1,reserved2, etc */
+	},
+	{
+		"stale", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+		offsetof(Envelope, body_case), offsetof(Envelope, stale),
+		&stale__descriptor, NULL,
+		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+		0, NULL, NULL			 /* reserved1,reserved2, etc */
+	},
+	{
+		"load", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+		offsetof(Envelope, body_case), offsetof(Envelope, load),
+		&load__descriptor, NULL,
+		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+		0, NULL, NULL			 /* reserved1,reserved2, etc */
+	},
+	{
+		"share_request", 9, PROTOBUF_C_LABEL_NONE,
+		PROTOBUF_C_TYPE_MESSAGE, offsetof(Envelope, body_case),
+		offsetof(Envelope, share_request), &share_request__descriptor,
+		NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+		"share", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+		offsetof(Envelope, body_case), offsetof(Envelope, share),
+		&share__descriptor, NULL,
+		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+		0, NULL, NULL			 /* reserved1,reserved2, etc */
+	},
+	{
+		"poison", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+		offsetof(Envelope, body_case), offsetof(Envelope, poison),
+		&poison__descriptor, NULL,
+		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+		0, NULL, NULL			 /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned envelope__field_indices_by_name[] = {
-  4,   /* field[4] = cell */
-  1,   /* field[1] = heartbeat */
-  0,   /* field[0] = hello */
-  7,   /* field[7] = load */
-  10,   /* field[10] = poison */
-  2,   /* field[2] = pull */
-  3,   /* field[3] = settings */
-  9,   /* field[9] = share */
-  8,   /* field[8] = share_request */
-  6,   /* field[6] = stale */
-  5,   /* field[5] = vms */
-};
-static const ProtobufCIntRange envelope__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 11 }
-};
-const ProtobufCMessageDescriptor envelope__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "Envelope",
-  "Envelope",
-  "Envelope",
-  "",
-  sizeof(Envelope),
-  11,
-  envelope__field_descriptors,
-  envelope__field_indices_by_name,
-  1,  envelope__number_ranges,
-  (ProtobufCMessageInit) envelope__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCEnumValue role__enum_values_by_number[2] =
-{
-  { "ROUTER", "ROLE__ROUTER", 0 },
-  { "ASSIGNER", "ROLE__ASSIGNER", 1 },
-};
-static const ProtobufCIntRange role__value_ranges[] = {
-{0, 0},{0, 2}
-};
-static const ProtobufCEnumValueIndex role__enum_values_by_name[2] =
-{
-  { "ASSIGNER", 1 },
-  { "ROUTER", 0 },
-};
-const ProtobufCEnumDescriptor role__descriptor =
-{
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "Role",
-  "Role",
-  "Role",
-  "",
-  2,
-  role__enum_values_by_number,
-  2,
-  role__enum_values_by_name,
-  1,
-  role__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
+	4,  /* field[4] = cell */
+	1,  /* field[1] = heartbeat */
+	0,  /* field[0] = hello */
+	7,  /* field[7] = load */
+	10, /* field[10] = poison */
+	2,  /* field[2] = pull */
+	3,  /* field[3] = settings */
+	9,  /* field[9] = share */
+	8,  /* field[8] = share_request */
+	6,  /* field[6] = stale */
+	5,  /* field[5] = vms */
+};
+static const ProtobufCIntRange envelope__number_ranges[1 + 1] = { { 1, 0 },
+								  { 0, 11 } };
+const ProtobufCMessageDescriptor envelope__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+	"Envelope",
+	"Envelope",
+	"Envelope",
+	"",
+	sizeof(Envelope),
+	11,
+	envelope__field_descriptors,
+	envelope__field_indices_by_name,
+	1,
+	envelope__number_ranges,
+	(ProtobufCMessageInit)envelope__init,
+	NULL,
+	NULL,
+	NULL /* reserved[123] */
+};
+static const ProtobufCEnumValue role__enum_values_by_number[2] = {
+	{ "ROUTER", "ROLE__ROUTER", 0 },
+	{ "ASSIGNER", "ROLE__ASSIGNER", 1 },
+};
+static const ProtobufCIntRange role__value_ranges[] = { { 0, 0 }, { 0, 2 } };
+static const ProtobufCEnumValueIndex role__enum_values_by_name[2] = {
+	{ "ASSIGNER", 1 },
+	{ "ROUTER", 0 },
+};
+const ProtobufCEnumDescriptor role__descriptor = {
+	PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+	"Role",
+	"Role",
+	"Role",
+	"",
+	2,
+	role__enum_values_by_number,
+	2,
+	role__enum_values_by_name,
+	1,
+	role__value_ranges,
+	NULL,
+	NULL,
+	NULL,
+	NULL /* reserved[1234] */
 };
--- /dev/null
+++ b/test/fuzz/fuzz_request_parts/run.h
@@ -0,0 +1,20 @@
+/**
+ * One run of the simulated fleet on a fuzz input.
+ */
+#ifndef RUN_H
+#define RUN_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+struct run_result {
+	/** The rule that was broken; NULL: none. */
+	const char *rule;
+	uint64_t steps;
+	uint64_t requests;
+};
+
+/** Runs the input to its end, or to the first broken rule. */
+struct run_result run_input(const uint8_t *data, size_t size);
+
+#endif
