--- a/src/ctl/commands.c
+++ b/src/ctl/commands.c
@@ -250,18 +250,18 @@
 	{ 0 },
 };
 
-static char **skip_words(char **args, const char *words)
+/* How many arguments the words take up; 0 when they differ. */
+static size_t match_words(char **args, const char *words)
 {
 	char **parts = g_strsplit(words, " ", -1);
-	char **p;
-
 	size_t n = 0;
 
-	for (p = parts; *p && args[n] && !strcmp(*p, args[n]); p++)
+	while (parts[n] && args[n] && !strcmp(parts[n], args[n]))
 		n++;
-	args = *p ? NULL : args + n;
+	if (parts[n])
+		n = 0;
 	g_strfreev(parts);
-	return args;
+	return n;
 }
 
 const struct command *command_find(char **args, char ***rest)
@@ -269,8 +269,10 @@
 	const struct command *c;
 
 	for (c = commands; c->words; c++) {
-		*rest = skip_words(args, c->words);
-		if (*rest)
+		size_t n = match_words(args, c->words);
+
+		*rest = args + n;
+		if (n)
 			return c;
 	}
 	return NULL;
