--- a/src/http/caller.c
+++ b/src/http/caller.c
@@ -365,7 +365,8 @@
 
 void caller_answer_more(struct caller *caller)
 {
-	if (caller->stage == CALLER_ANSWERING)
+	if (caller->stage == CALLER_ANSWERING && caller->answer &&
+	    (body_peek(caller->answer).len || body_ended(caller->answer)))
 		caller_resume(caller);
 }
 
--- /dev/null
+++ b/src/router/dispatch.c
@@ -0,0 +1,315 @@
+#include "router/dispatch.h"
+
+#include "router/dispatch_internal.h"
+
+#define REPORTS_MAX 8
+
+static int64_t now_of(const struct dispatch *dispatch)
+{
+	return clock_now_us(dispatch->options.clock);
+}
+
+static struct service_state *state_of(struct dispatch_service *service)
+{
+	/* The shared part comes first. */
+	return (struct service_state *)service;
+}
+
+static void want_shares(struct dispatch *dispatch)
+{
+	dispatch->options.shares_wanted(dispatch->options.ctx);
+}
+
+static bool trial_is_free(struct service_state *service, int64_t now_us)
+{
+	if (service->trial_running)
+		return false;
+	if (now_us < service->trial_until_us)
+		return true;
+	service->trial_wanted = true;
+	want_shares(service->dispatch);
+	return false;
+}
+
+/* Looks for a place, and asks for a share where that is what lacks. */
+static bool find_place(struct service_state *service, const char *owner,
+		       const struct ticket *ticket, uint32_t *upstream)
+{
+	struct pool *pool = service->pool;
+	int64_t now_us = now_of(service->dispatch);
+	enum pool_place place;
+
+	if (*owner) {
+		*upstream = pool_find(pool, str_from(owner));
+		place = *upstream == POOL_NONE
+				? POOL_EMPTY
+				: pool_check(pool, *upstream, now_us);
+	} else {
+		place = pool_pick(pool, ticket ? ticket->tried : NULL,
+				  ticket ? ticket->tried_count : 0, now_us,
+				  upstream);
+		/* One that failed before is better than none. */
+		if (place != POOL_OK && ticket && ticket->tried_count)
+			place = pool_pick(pool, NULL, 0, now_us, upstream);
+	}
+	if (place == POOL_NO_SHARE)
+		want_shares(service->dispatch);
+	return place == POOL_OK;
+}
+
+static bool lane_ready(void *ctx, void *owner)
+{
+	const struct lane *lane = owner;
+	uint32_t upstream;
+
+	(void)ctx;
+	if (lane->trial &&
+	    !trial_is_free(lane->service, now_of(lane->service->dispatch)))
+		return false;
+	return find_place(lane->service, lane->owner, NULL, &upstream);
+}
+
+static void deliver(struct ticket *ticket, enum verdict_reason reason)
+{
+	ticket->state = TICKET_SENT;
+	ticket->entry = NULL;
+	ticket->reason = reason;
+	mailbox_send(ticket->mailbox, &ticket->message);
+}
+
+static void start_flight(struct service_state *service, struct ticket *ticket,
+			 uint32_t upstream, int64_t now_us)
+{
+	struct str id = pool_id(service->pool, upstream);
+
+	ticket->flight = pool_start(service->pool, upstream, now_us);
+	g_snprintf(ticket->upstream, sizeof(ticket->upstream), "%.*s",
+		   STR_ARG(id));
+	if (ticket->tried_count < POOL_TRIED_MAX)
+		ticket->tried[ticket->tried_count++] = upstream;
+	ticket->poison =
+		poison_begin(service->dispatch->poison, ticket->fingerprint, id,
+			     pool_boot(service->pool, upstream));
+}
+
+static void leave_queue(struct ticket *ticket)
+{
+	if (!ticket->admitted)
+		return;
+	admission_done(ticket->lane->service->dispatch->admission,
+		       ticket->lane->index, ticket->took_us);
+	ticket->admitted = false;
+}
+
+static void let_through(struct dispatch *dispatch, struct ticket *ticket,
+			int64_t now_us)
+{
+	struct service_state *service = ticket->lane->service;
+	uint32_t upstream;
+
+	ticket->admitted = true;
+	ticket->admitted_us = now_us;
+	ticket->took_us = 0;
+	histogram_record(service->shared.queue_time,
+			 now_us - ticket->offered_us);
+	if (!find_place(service, ticket->lane->owner, ticket, &upstream)) {
+		leave_queue(ticket);
+		deliver(ticket, REASON_NO_UPSTREAM);
+		return;
+	}
+	if (ticket->lane->trial)
+		service->trial_running = true;
+	start_flight(service, ticket, upstream, now_us);
+	(void)dispatch;
+	deliver(ticket, REASON_NONE);
+}
+
+void dispatch_run(struct dispatch *dispatch, int64_t now_us)
+{
+	for (;;) {
+		void *request;
+		uint32_t lane;
+
+		switch (admission_next(dispatch->admission, lane_ready,
+				       dispatch, now_us, &request, &lane)) {
+		case ADMISSION_IDLE:
+			return;
+		case ADMISSION_GO:
+			let_through(dispatch, request, now_us);
+			break;
+		case ADMISSION_LATE:
+			deliver(request, REASON_DEADLINE_IN_QUEUE);
+			break;
+		}
+	}
+}
+
+struct dispatch_service *dispatch_service(struct dispatch *dispatch,
+					  struct str name)
+{
+	struct service_state *service;
+
+	g_mutex_lock(&dispatch->lock);
+	service = g_hash_table_lookup(dispatch->services, &name);
+	g_mutex_unlock(&dispatch->lock);
+	return service ? &service->shared : NULL;
+}
+
+void dispatch_offer(struct dispatch *dispatch, struct ticket *ticket)
+{
+	struct service_state *service = state_of(ticket->service);
+	enum verdict_reason reason;
+	void *refused;
+	int64_t now_us;
+
+	g_mutex_lock(&dispatch->lock);
+	now_us = now_of(dispatch);
+	ticket->offered_us = now_us;
+	ticket->lane = dispatch_lane(service, ticket->owner, ticket->trial);
+	ticket->state = TICKET_QUEUED;
+	ticket->entry = admission_offer(
+		dispatch->admission, ticket->lane->index, ticket->deadline_us,
+		ticket, now_us, &refused, &reason);
+	if (refused)
+		deliver(refused, reason);
+	dispatch_run(dispatch, now_us);
+	g_mutex_unlock(&dispatch->lock);
+}
+
+bool dispatch_backup(struct dispatch *dispatch, struct ticket *ticket)
+{
+	struct service_state *service = state_of(ticket->service);
+	int64_t now_us;
+	uint32_t upstream;
+	bool found;
+
+	g_mutex_lock(&dispatch->lock);
+	now_us = now_of(dispatch);
+	found = pool_pick(service->pool, ticket->tried, ticket->tried_count,
+			  now_us, &upstream) == POOL_OK &&
+		pool_backup_take(service->pool);
+	if (found) {
+		ticket->lane = NULL;
+		start_flight(service, ticket, upstream, now_us);
+		ticket->state = TICKET_FLYING;
+	}
+	g_mutex_unlock(&dispatch->lock);
+	return found;
+}
+
+bool dispatch_withdraw(struct dispatch *dispatch, struct ticket *ticket)
+{
+	bool there = true;
+
+	g_mutex_lock(&dispatch->lock);
+	if (ticket->state == TICKET_QUEUED) {
+		admission_withdraw(dispatch->admission, ticket->entry);
+		ticket->entry = NULL;
+		ticket->state = TICKET_IDLE;
+	} else {
+		there = ticket->state != TICKET_SENT;
+	}
+	g_mutex_unlock(&dispatch->lock);
+	return there;
+}
+
+void dispatch_head(struct dispatch *dispatch, struct ticket *ticket,
+		   struct str boot)
+{
+	struct service_state *service = state_of(ticket->service);
+	struct poison_report reports[REPORTS_MAX];
+	size_t i, n;
+	int64_t now_us;
+
+	g_mutex_lock(&dispatch->lock);
+	now_us = now_of(dispatch);
+	if (ticket->admitted)
+		ticket->took_us = now_us - ticket->admitted_us;
+	pool_head(service->pool, ticket->flight, boot, now_us);
+	n = poison_alive(dispatch->poison, str_from(ticket->upstream), boot,
+			 reports, REPORTS_MAX);
+	for (i = 0; i < n; i++)
+		dispatch_report(dispatch, &reports[i]);
+	g_mutex_unlock(&dispatch->lock);
+}
+
+void dispatch_finish(struct dispatch *dispatch, struct ticket *ticket,
+		     enum pool_outcome_kind outcome, enum poison_end poison)
+{
+	struct service_state *service = state_of(ticket->service);
+	struct poison_report report;
+	int64_t now_us;
+
+	g_mutex_lock(&dispatch->lock);
+	now_us = now_of(dispatch);
+	pool_finish(service->pool, ticket->flight, outcome, now_us);
+	ticket->flight = NULL;
+	if (poison_end(dispatch->poison, ticket->poison, poison, now_us,
+		       &report))
+		dispatch_report(dispatch, &report);
+	if (ticket->lane && ticket->lane->trial) {
+		service->trial_running = false;
+		service->trial_until_us = 0;
+	}
+	leave_queue(ticket);
+	ticket->state = TICKET_IDLE;
+	dispatch_run(dispatch, now_us);
+	g_mutex_unlock(&dispatch->lock);
+}
+
+void dispatch_tick(struct dispatch *dispatch)
+{
+	g_mutex_lock(&dispatch->lock);
+	dispatch_run(dispatch, now_of(dispatch));
+	g_mutex_unlock(&dispatch->lock);
+}
+
+int64_t dispatch_backup_delay(struct dispatch *dispatch,
+			      struct dispatch_service *service)
+{
+	int64_t delay_us;
+
+	g_mutex_lock(&dispatch->lock);
+	delay_us = pool_backup_delay(state_of(service)->pool);
+	g_mutex_unlock(&dispatch->lock);
+	return delay_us;
+}
+
+enum poison_check dispatch_poison(struct dispatch *dispatch,
+				  uint64_t fingerprint)
+{
+	enum poison_check check;
+
+	g_mutex_lock(&dispatch->lock);
+	check = poison_check(dispatch->poison, fingerprint, now_of(dispatch));
+	g_mutex_unlock(&dispatch->lock);
+	return check;
+}
+
+void dispatch_count_key(struct dispatch *dispatch,
+			struct dispatch_service *service, uint64_t hash,
+			uint64_t epoch, size_t slice, size_t slices)
+{
+	struct service_state *state = state_of(service);
+
+	g_mutex_lock(&dispatch->lock);
+	if (state->map_epoch != epoch || state->slices->len != slices) {
+		state->map_epoch = epoch;
+		g_array_set_size(state->slices, 0);
+		g_array_set_size(state->slices, (guint)slices);
+	}
+	state->requests++;
+	g_array_index(state->slices, uint64_t, slice)++;
+	hot_keys_add(state->hot, hash);
+	g_mutex_unlock(&dispatch->lock);
+}
+
+uint32_t dispatch_running(struct dispatch *dispatch)
+{
+	uint32_t running;
+
+	g_mutex_lock(&dispatch->lock);
+	running = admission_running(dispatch->admission);
+	g_mutex_unlock(&dispatch->lock);
+	return running;
+}
--- /dev/null
+++ b/src/router/dispatch_control.c
@@ -0,0 +1,501 @@
+#include "base/hash.h"
+#include "router/dispatch.h"
+#include "router/dispatch_internal.h"
+#include "upstream/budget.h"
+
+#define ASKS_MAX 64
+#define HOT_KEYS_TRACKED 256
+#define TRIAL_PREFIX "trial/"
+
+static guint hash_name(gconstpointer key)
+{
+	return (guint)hash_key(*(const struct str *)key);
+}
+
+static gboolean same_name(gconstpointer a, gconstpointer b)
+{
+	return str_equal(*(const struct str *)a, *(const struct str *)b);
+}
+
+static void free_lane(void *data)
+{
+	struct lane *lane = data;
+
+	g_free(lane->owner);
+	g_free(lane);
+}
+
+static void free_service(void *data)
+{
+	struct service_state *service = data;
+
+	pool_destroy(service->pool);
+	retry_budget_destroy(service->shared.budget);
+	hot_keys_destroy(service->hot);
+	g_array_free(service->slices, TRUE);
+	g_hash_table_destroy(service->lanes);
+	if (service->trials)
+		free_lane(service->trials);
+	g_free(service->shared.name);
+	g_free(service->profile);
+	g_free(service);
+}
+
+struct dispatch *dispatch_create(const struct dispatch_options *options)
+{
+	struct dispatch *dispatch = g_new0(struct dispatch, 1);
+
+	dispatch->options = *options;
+	g_mutex_init(&dispatch->lock);
+	dispatch->admission = admission_create(options->capacity);
+	dispatch->classes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	dispatch->services = g_hash_table_new_full(hash_name, same_name, g_free,
+						   free_service);
+	dispatch->poison = poison_create();
+	dispatch->reports = g_array_new(FALSE, FALSE, sizeof(struct report));
+	dispatch->routers = 1;
+	dispatch->seed = g_random_int();
+	return dispatch;
+}
+
+void dispatch_destroy(struct dispatch *dispatch)
+{
+	if (!dispatch)
+		return;
+	g_hash_table_destroy(dispatch->services);
+	g_hash_table_destroy(dispatch->classes);
+	admission_destroy(dispatch->admission);
+	poison_destroy(dispatch->poison);
+	g_array_free(dispatch->reports, TRUE);
+	g_mutex_clear(&dispatch->lock);
+	g_free(dispatch);
+}
+
+struct lane *dispatch_lane(struct service_state *service, const char *owner,
+			   bool trial)
+{
+	struct lane *lane = trial ? service->trials
+				  : g_hash_table_lookup(service->lanes, owner);
+
+	/* A suspect's lane follows the key it has just now. */
+	if (lane && trial && strcmp(lane->owner, owner) != 0) {
+		g_free(lane->owner);
+		lane->owner = g_strdup(owner);
+	}
+	if (lane)
+		return lane;
+	lane = g_new0(struct lane, 1);
+	lane->service = service;
+	lane->owner = g_strdup(owner);
+	lane->trial = trial;
+	lane->index = admission_add_lane(service->dispatch->admission,
+					 service->class, lane);
+	if (trial)
+		service->trials = lane;
+	else
+		g_hash_table_insert(service->lanes, lane->owner, lane);
+	return lane;
+}
+
+static uint32_t class_of(struct dispatch *dispatch,
+			 const struct profile *profile)
+{
+	struct admission_class class = {
+		.priority = profile->priority,
+		.weight = profile->weight,
+		.queue_limit = profile->queue_limit,
+	};
+	void *known = g_hash_table_lookup(dispatch->classes, profile->name);
+	uint32_t index;
+
+	if (known) {
+		index = GPOINTER_TO_UINT(known) - 1;
+		admission_set_class(dispatch->admission, index, &class);
+		return index;
+	}
+	index = admission_add_class(dispatch->admission, &class);
+	g_hash_table_insert(dispatch->classes, g_strdup(profile->name),
+			    GUINT_TO_POINTER(index + 1));
+	return index;
+}
+
+static void set_metrics(struct service_state *service,
+			const struct service *config)
+{
+	struct metrics *metrics = service->dispatch->options.metrics;
+	struct dispatch_service *shared = &service->shared;
+	char *labels = g_strdup_printf(
+		"tenant=\"%s\",service=\"%s\",class=\"%s\"", config->tenant,
+		config->name, config->profile->name);
+	int kind;
+
+	for (kind = 0; kind <= VERDICT_RAN; kind++) {
+		char *all = g_strdup_printf("%s,verdict=\"%s\"", labels,
+					    verdict_kind_name(kind));
+
+		shared->outcomes[kind] =
+			metrics_counter(metrics, "auburn_requests_total", all,
+					"Requests by what is known of them.");
+		g_free(all);
+	}
+	shared->retries =
+		metrics_counter(metrics, "auburn_retries_total", labels,
+				"Copies sent after the first.");
+	shared->backups = metrics_counter(metrics, "auburn_backups_total",
+					  labels, "Backup requests sent.");
+	shared->head_time = metrics_histogram(
+		metrics, "auburn_first_byte_seconds", labels,
+		"From a request's arrival to the first byte of its answer.");
+	shared->whole_time = metrics_histogram(
+		metrics, "auburn_request_seconds", labels,
+		"From a request's arrival to the end of its answer.");
+	shared->queue_time =
+		metrics_histogram(metrics, "auburn_queue_seconds", labels,
+				  "Time in the router's queue.");
+	g_free(labels);
+}
+
+static struct service_state *new_service(struct dispatch *dispatch,
+					 const struct service *config)
+{
+	struct service_state *service = g_new0(struct service_state, 1);
+	struct pool_options options = {
+		.zone = str_from(dispatch->options.zone),
+		.router = str_from(dispatch->options.daemon),
+		.slots = dispatch->options.slots,
+		.connections = dispatch->options.connections,
+		.routers = dispatch->routers,
+		.keyed = config->keyed,
+		.seed = dispatch->seed++,
+	};
+	struct str *key = g_new(struct str, 1);
+
+	service->dispatch = dispatch;
+	service->keyed = config->keyed;
+	service->shared.name = g_strdup(config->name);
+	service->shared.budget = retry_budget_create();
+	service->pool = pool_create(&options);
+	service->hot = hot_keys_create(HOT_KEYS_TRACKED);
+	service->slices = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+	service->lanes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_lane);
+	*key = str_from(service->shared.name);
+	g_hash_table_insert(dispatch->services, key, service);
+	return service;
+}
+
+/* A lane stays with its class, so that another profile needs new ones. */
+static void set_profile(struct service_state *service,
+			const struct service *config)
+{
+	service->class = class_of(service->dispatch, config->profile);
+	if (!g_strcmp0(service->profile, config->profile->name))
+		return;
+	g_free(service->profile);
+	service->profile = g_strdup(config->profile->name);
+	/* Tickets may still point to the old lanes. */
+	g_hash_table_steal_all(service->lanes);
+	service->trials = NULL;
+	set_metrics(service, config);
+}
+
+static bool name_listed(char *const *names, size_t count, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		if (!strcmp(names[i], name))
+			return true;
+	return false;
+}
+
+static bool gets_work(const struct settings *settings, const struct vm *vm)
+{
+	return !vm->leaving &&
+	       !name_listed(settings->zones_out, settings->zones_out_count,
+			    vm->zone) &&
+	       !name_listed(settings->vms_out, settings->vms_out_count, vm->id);
+}
+
+static void update_pool(struct service_state *service,
+			const struct settings *settings,
+			const struct view_service *view)
+{
+	struct pool_member *members =
+		g_new0(struct pool_member, view->vms->len + 1);
+	guint i;
+
+	for (i = 0; i < view->vms->len; i++) {
+		const struct vm *vm = g_ptr_array_index(view->vms, i);
+
+		members[i].id = str_from(vm->id);
+		members[i].zone = str_from(vm->zone);
+		members[i].available = gets_work(settings, vm);
+	}
+	pool_update(service->pool, members, view->vms->len);
+	g_free(members);
+}
+
+void dispatch_update(struct dispatch *dispatch, const struct view *view)
+{
+	GHashTableIter iter;
+	void *name, *data;
+
+	g_mutex_lock(&dispatch->lock);
+	g_hash_table_iter_init(&iter, view->services);
+	while (g_hash_table_iter_next(&iter, &name, &data)) {
+		const struct view_service *found = data;
+		struct service_state *service =
+			g_hash_table_lookup(dispatch->services, name);
+
+		if (!service)
+			service = new_service(dispatch, found->service);
+		set_profile(service, found->service);
+		update_pool(service, view->settings, found);
+	}
+	dispatch_run(dispatch, clock_now_us(dispatch->options.clock));
+	g_mutex_unlock(&dispatch->lock);
+}
+
+void dispatch_set_routers(struct dispatch *dispatch, uint32_t routers)
+{
+	GHashTableIter iter;
+	void *data;
+
+	g_mutex_lock(&dispatch->lock);
+	if (routers != dispatch->routers) {
+		dispatch->routers = routers;
+		g_hash_table_iter_init(&iter, dispatch->services);
+		while (g_hash_table_iter_next(&iter, NULL, &data))
+			pool_set_routers(((struct service_state *)data)->pool,
+					 routers);
+	}
+	g_mutex_unlock(&dispatch->lock);
+}
+
+struct share_ask {
+	struct service_state *service;
+	char upstream[DISPATCH_ID_SIZE];
+	uint32_t wanted, in_use;
+};
+
+static void collect_asks(struct service_state *service, int64_t now_us,
+			 GArray *asks)
+{
+	uint32_t upstreams[ASKS_MAX], wanted[ASKS_MAX], in_use[ASKS_MAX];
+	size_t i, n = pool_shares_to_ask(service->pool, now_us, upstreams,
+					 wanted, in_use, ASKS_MAX);
+	struct share_ask ask = { .service = service };
+
+	for (i = 0; i < n; i++) {
+		struct str id = pool_id(service->pool, upstreams[i]);
+
+		g_snprintf(ask.upstream, sizeof(ask.upstream), "%.*s",
+			   STR_ARG(id));
+		ask.wanted = wanted[i];
+		ask.in_use = in_use[i];
+		g_array_append_val(asks, ask);
+	}
+	if (!service->trial_wanted ||
+	    now_us < service->trial_asked_us + BUDGET_SHARE_US / 4)
+		return;
+	service->trial_wanted = false;
+	service->trial_asked_us = now_us;
+	g_snprintf(ask.upstream, sizeof(ask.upstream), TRIAL_PREFIX "%s",
+		   service->shared.name);
+	ask.wanted = 1;
+	ask.in_use = service->trial_running;
+	g_array_append_val(asks, ask);
+}
+
+void dispatch_ask_shares(struct dispatch *dispatch, dispatch_ask_fn ask,
+			 void *ctx)
+{
+	GArray *asks = g_array_new(FALSE, FALSE, sizeof(struct share_ask));
+	GHashTableIter iter;
+	int64_t now_us;
+	void *data;
+	guint i;
+
+	g_mutex_lock(&dispatch->lock);
+	now_us = clock_now_us(dispatch->options.clock);
+	g_hash_table_iter_init(&iter, dispatch->services);
+	while (g_hash_table_iter_next(&iter, NULL, &data))
+		collect_asks(data, now_us, asks);
+	g_mutex_unlock(&dispatch->lock);
+	for (i = 0; i < asks->len; i++) {
+		const struct share_ask *a =
+			&g_array_index(asks, struct share_ask, i);
+
+		ask(ctx, a->service->shared.name, str_from(a->upstream),
+		    a->wanted, a->in_use);
+	}
+	g_array_free(asks, TRUE);
+}
+
+static void take_trial(struct dispatch *dispatch, struct str name,
+		       uint32_t count, int64_t duration_us)
+{
+	struct service_state *service =
+		g_hash_table_lookup(dispatch->services, &name);
+
+	if (service && count)
+		service->trial_until_us = service->trial_asked_us + duration_us;
+}
+
+void dispatch_take_share(struct dispatch *dispatch, struct str upstream,
+			 struct str boot, uint32_t count, int64_t duration_us)
+{
+	GHashTableIter iter;
+	void *data;
+
+	g_mutex_lock(&dispatch->lock);
+	if (str_has_prefix(upstream, STR(TRIAL_PREFIX))) {
+		upstream.data += strlen(TRIAL_PREFIX);
+		upstream.len -= strlen(TRIAL_PREFIX);
+		take_trial(dispatch, upstream, count, duration_us);
+	} else {
+		g_hash_table_iter_init(&iter, dispatch->services);
+		while (g_hash_table_iter_next(&iter, NULL, &data)) {
+			struct pool *pool =
+				((struct service_state *)data)->pool;
+			uint32_t index = pool_find(pool, upstream);
+
+			if (index != POOL_NONE)
+				pool_take_share(pool, index, boot, count,
+						duration_us);
+		}
+	}
+	dispatch_run(dispatch, clock_now_us(dispatch->options.clock));
+	g_mutex_unlock(&dispatch->lock);
+}
+
+void dispatch_report(struct dispatch *dispatch,
+		     const struct poison_report *report)
+{
+	struct report copy = { .report = *report };
+
+	g_snprintf(copy.upstream, sizeof(copy.upstream), "%.*s",
+		   STR_ARG(report->upstream));
+	g_snprintf(copy.boot, sizeof(copy.boot), "%.*s", STR_ARG(report->boot));
+	g_array_append_val(dispatch->reports, copy);
+	/* The control thread is woken, and tells. */
+	dispatch->options.shares_wanted(dispatch->options.ctx);
+}
+
+void dispatch_take_poison(struct dispatch *dispatch,
+			  const struct poison_report *report)
+{
+	g_mutex_lock(&dispatch->lock);
+	poison_take(dispatch->poison, report,
+		    clock_now_us(dispatch->options.clock));
+	g_mutex_unlock(&dispatch->lock);
+}
+
+void dispatch_tell_poison(struct dispatch *dispatch,
+			  void (*tell)(void *ctx,
+				       const struct poison_report *report),
+			  void *ctx)
+{
+	GArray *reports;
+	guint i;
+
+	g_mutex_lock(&dispatch->lock);
+	reports = dispatch->reports;
+	dispatch->reports = g_array_new(FALSE, FALSE, sizeof(struct report));
+	g_mutex_unlock(&dispatch->lock);
+	for (i = 0; i < reports->len; i++) {
+		struct report *report =
+			&g_array_index(reports, struct report, i);
+
+		report->report.upstream = str_from(report->upstream);
+		report->report.boot = str_from(report->boot);
+		tell(ctx, &report->report);
+	}
+	g_array_free(reports, TRUE);
+}
+
+static void tell_service(struct service_state *service,
+			 void (*tell)(void *ctx,
+				      const struct dispatch_load *load),
+			 void *ctx)
+{
+	struct hot_key hot[DISPATCH_HOT_KEYS];
+	struct dispatch_load load = {
+		.service = service->shared.name,
+		.requests = service->requests,
+		.epoch = service->map_epoch,
+		.slices = (const uint64_t *)service->slices->data,
+		.slice_count = service->slices->len,
+		.hot = hot,
+		.hot_count = hot_keys_top(service->hot, hot, DISPATCH_HOT_KEYS),
+	};
+
+	tell(ctx, &load);
+	hot_keys_reset(service->hot);
+	service->requests = 0;
+	memset(service->slices->data, 0,
+	       service->slices->len * sizeof(uint64_t));
+}
+
+void dispatch_tell_load(struct dispatch *dispatch,
+			void (*tell)(void *ctx,
+				     const struct dispatch_load *load),
+			void *ctx)
+{
+	GHashTableIter iter;
+	void *data;
+
+	g_mutex_lock(&dispatch->lock);
+	g_hash_table_iter_init(&iter, dispatch->services);
+	while (g_hash_table_iter_next(&iter, NULL, &data)) {
+		struct service_state *service = data;
+
+		if (service->keyed && service->requests)
+			tell_service(service, tell, ctx);
+	}
+	g_mutex_unlock(&dispatch->lock);
+}
+
+static void render_upstream(GString *out, const char *service,
+			    const struct pool_upstream_status *status)
+{
+	const struct {
+		const char *name;
+		int64_t value;
+	} gauges[] = {
+		{ "auburn_upstream_in_flight", status->in_flight },
+		{ "auburn_upstream_available", status->available },
+		{ "auburn_upstream_cold", status->cold },
+		{ "auburn_upstream_slow", status->slow },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(gauges); i++)
+		g_string_append_printf(out,
+				       "%s{service=\"%s\",upstream=\"%.*s\"} "
+				       "%" G_GINT64_FORMAT "\n",
+				       gauges[i].name, service,
+				       STR_ARG(status->id), gauges[i].value);
+}
+
+void dispatch_render(struct dispatch *dispatch, GString *out)
+{
+	struct pool_upstream_status status;
+	GHashTableIter iter;
+	void *data;
+	int64_t now_us;
+	size_t i;
+
+	g_mutex_lock(&dispatch->lock);
+	now_us = clock_now_us(dispatch->options.clock);
+	g_hash_table_iter_init(&iter, dispatch->services);
+	while (g_hash_table_iter_next(&iter, NULL, &data)) {
+		struct service_state *service = data;
+
+		for (i = 0; pool_status(service->pool, i, now_us, &status); i++)
+			render_upstream(out, service->shared.name, &status);
+	}
+	g_mutex_unlock(&dispatch->lock);
+}
--- /dev/null
+++ b/src/router/request.c
@@ -0,0 +1,441 @@
+#include "router/request.h"
+
+#include <string.h>
+
+#include "base/hash.h"
+#include "router/request_internal.h"
+
+#define GONE_CHECK_US (INT64_C(50) * US_PER_MS)
+/* Bytes read and thrown away so that a caller hears its refusal. */
+#define DISCARD_BYTES ((uint64_t)1 << 20)
+#define KEY_HEADER STR("idempotency-key")
+
+void request_touch(struct request *request)
+{
+	if (request->touched)
+		return;
+	request->touched = true;
+	g_queue_push_tail_link(&request->worker->touched,
+			       &request->touched_link);
+}
+
+void request_exchange_touched(struct exchange *exchange)
+{
+	struct copy *copy = exchange_data(exchange);
+
+	request_touch(copy->request);
+}
+
+void request_caller_ended(struct request *request, bool whole)
+{
+	(void)whole;
+	request->caller = NULL;
+	request_touch(request);
+}
+
+static bool copies_left(const struct request *request)
+{
+	uint32_t i;
+
+	for (i = 0; i < request->copy_count; i++)
+		if (request->copies[i].exchange ||
+		    request->copies[i].stage == COPY_QUEUED)
+			return true;
+	return false;
+}
+
+static void request_free(struct request *request)
+{
+	struct worker *worker = request->worker;
+
+	if (request->touched)
+		g_queue_unlink(&worker->touched, &request->touched_link);
+	g_queue_unlink(&worker->requests, &request->link);
+	attempt_destroy(request->attempt);
+	headers_destroy(request->held_headers);
+	body_unref(request->held_body);
+	body_unref(request->upload);
+	claim_destroy(request->claim);
+	target_clear(&request->target);
+	g_free(request->path);
+	g_free(request->method);
+	g_free(request);
+}
+
+static void count_outcome(struct request *request, enum verdict_kind kind)
+{
+	struct router *router = request->worker->router;
+
+	if (!request->service)
+		return;
+	counter_add(request->service->outcomes[kind], 1);
+	histogram_record(request->service->whole_time,
+			 clock_now_us(router->clock) - request->arrived_us);
+}
+
+static void count_refusal(struct request *request, struct verdict verdict)
+{
+	char *labels = g_strdup_printf("reason=\"%s\",verdict=\"%s\"",
+				       verdict_reason_name(verdict.reason),
+				       verdict_kind_name(verdict.kind));
+
+	counter_add(metrics_counter(request->worker->router->metrics,
+				    "auburn_refusals_total", labels,
+				    "Refusals by reason."),
+		    1);
+	g_free(labels);
+}
+
+void request_over(struct request *request, enum verdict_kind kind)
+{
+	request->stage = REQUEST_OVER;
+	count_outcome(request, kind);
+}
+
+void request_say_refusal(struct request *request, struct verdict verdict)
+{
+	request->verdict = verdict;
+	request_over(request, verdict.kind);
+	count_refusal(request, verdict);
+	if (!request->caller)
+		return;
+	caller_discard_upload(request->caller, DISCARD_BYTES);
+	caller_refuse(request->caller, verdict);
+}
+
+void request_refuse(struct request *request, struct verdict verdict)
+{
+	if (request->stage == REQUEST_OVER)
+		return;
+	request->verdict = verdict;
+	if (request->claim && request->stage == REQUEST_RUNNING)
+		request_close_claim(request);
+	else
+		request_say_refusal(request, verdict);
+}
+
+static void refuse_now(struct request *request, enum verdict_reason reason)
+{
+	request_refuse(request, (struct verdict){ VERDICT_NOT_RUN, reason });
+}
+
+/* What can be told from the head alone. */
+static enum verdict_reason check_head(struct request *request)
+{
+	struct worker *worker = request->worker;
+	const struct view *view = worker->view;
+	const struct view_service *found;
+	int64_t length = caller_upload_length(request->caller);
+
+	if (!target_parse(caller_target(request->caller), &request->target,
+			  NULL))
+		return REASON_BAD_REQUEST;
+	if (!view->settings ||
+	    !router_settings_fresh(worker->router, worker->now_us))
+		return REASON_NO_SETTINGS;
+	found = view_service(view, request->target.service);
+	request->service = found ? dispatch_service(worker->router->dispatch,
+						    request->target.service)
+				 : NULL;
+	if (!request->service)
+		return REASON_UNKNOWN_SERVICE;
+	request->profile = *found->service->profile;
+	request->profile.name = NULL;
+	request->keyed = found->service->keyed;
+	if (request->keyed && !request->target.key.len)
+		return REASON_BAD_REQUEST;
+	request->hash = hash_key(request->target.key);
+	request->deadline_us = request->arrived_us +
+			       request->profile.deadline_us;
+	if (length > 0 && (uint64_t)length > request->profile.body_limit)
+		return REASON_TOO_LARGE;
+	return REASON_NONE;
+}
+
+static bool bad_idempotency_key(const struct header *key)
+{
+	size_t i;
+
+	if (!key->value.len || key->value.len > 128)
+		return true;
+	for (i = 0; i < key->value.len; i++)
+		if (!g_ascii_isgraph(key->value.data[i]))
+			return true;
+	return false;
+}
+
+static bool wants_claim(const struct request *request)
+{
+	return request->profile.once &&
+	       headers_find(caller_headers(request->caller), KEY_HEADER);
+}
+
+void request_create(struct worker *worker, struct caller *caller)
+{
+	struct request *request = g_new0(struct request, 1);
+	enum verdict_reason reason;
+
+	request->worker = worker;
+	request->caller = caller;
+	request->arrived_us = clock_now_us(worker->router->clock);
+	request->link.data = request;
+	request->touched_link.data = request;
+	request->path = str_dup(caller_target(caller));
+	request->method = str_dup(caller_method(caller));
+	request->upload = body_ref(caller_upload(caller));
+	g_strlcpy(request->id, caller_id(caller), sizeof(request->id));
+	g_queue_push_tail_link(&worker->requests, &request->link);
+	caller_set_data(caller, request);
+	reason = check_head(request);
+	if (reason == REASON_NONE && wants_claim(request) &&
+	    bad_idempotency_key(
+		    headers_find(caller_headers(caller), KEY_HEADER)))
+		reason = REASON_BAD_REQUEST;
+	if (reason != REASON_NONE)
+		refuse_now(request, reason);
+}
+
+static bool upload_is_over_limit(const struct request *request)
+{
+	return caller_uploaded(request->caller) > request->profile.body_limit;
+}
+
+/* Small uploads are taken in whole before an upstream's slot is taken. */
+static bool upload_is_ready(const struct request *request)
+{
+	return body_ended(request->upload) ||
+	       body_peek(request->upload).len >= CALLER_KEEP_BYTES;
+}
+
+void request_start(struct request *request)
+{
+	bool upload = caller_upload_length(request->caller) != 0;
+	struct attempt_options options = {
+		.idempotent = request->profile.idempotent,
+		.keyed = request->keyed,
+		/* Two copies can't read one upload. */
+		.hedge = request->profile.hedge && !upload,
+		.deadline_us = request->deadline_us,
+		.budget = request->service->budget,
+		.retry_percent = request->profile.retry_percent,
+	};
+
+	request->attempt = attempt_create(&options);
+	request->stage = REQUEST_RUNNING;
+	request_run(request);
+}
+
+static void begin(struct request *request)
+{
+	struct dispatch *dispatch = request->worker->router->dispatch;
+
+	request->fingerprint = poison_fingerprint(
+		request->target.service, str_from(request->method),
+		str_from(request->path),
+		body_peek(request->upload));
+	if (dispatch_poison(dispatch, request->fingerprint) == POISON_POISONED)
+		refuse_now(request, REASON_POISONED);
+	else if (wants_claim(request))
+		request_claim(request);
+	else
+		request_start(request);
+}
+
+static void take_upload(struct request *request)
+{
+	if (upload_is_over_limit(request)) {
+		refuse_now(request, REASON_TOO_LARGE);
+		return;
+	}
+	if (upload_is_ready(request))
+		begin(request);
+	else if (request->worker->now_us >= request->deadline_us)
+		refuse_now(request, REASON_DEADLINE_IN_QUEUE);
+}
+
+/* The transfer ends before its end, unless nothing was passed on yet. */
+static void break_answer(struct request *request, struct verdict verdict)
+{
+	request->verdict = verdict;
+	if (request->caller && !request->answer_held)
+		caller_break(request->caller);
+	if (request->claim)
+		request_close_claim(request);
+	else
+		request_over(request, verdict.kind);
+}
+
+static void finish(struct request *request)
+{
+	if (request->claim) {
+		request->verdict = (struct verdict){ VERDICT_RAN, REASON_NONE };
+		request_close_claim(request);
+		return;
+	}
+	request_over(request, VERDICT_RAN);
+}
+
+/* Others hear of a death before the caller can send the request again. */
+static void refuse_after_hold(struct request *request, struct verdict verdict)
+{
+	int64_t now_us = request->worker->now_us;
+
+	if (request->broke && !request->hold_until_us)
+		request->hold_until_us = now_us + POISON_SPREAD_US;
+	if (request->too_large)
+		verdict.reason = REASON_TOO_LARGE;
+	if (now_us >= request->hold_until_us)
+		request_refuse(request, verdict);
+}
+
+static void final_action(struct request *request,
+			 const struct attempt_action *action)
+{
+	if (action->kind == ATTEMPT_FINISH)
+		finish(request);
+	else if (action->kind == ATTEMPT_BREAK)
+		break_answer(request, action->verdict);
+	else
+		refuse_after_hold(request, action->verdict);
+}
+
+void request_event(struct request *request, enum attempt_event_kind kind)
+{
+	struct attempt_event event = { .kind = kind };
+
+	attempt_event(request->attempt, &event, request->worker->now_us);
+}
+
+void request_run(struct request *request)
+{
+	while (request->stage == REQUEST_RUNNING) {
+		struct attempt_action action = attempt_next(
+			request->attempt, request->worker->now_us);
+
+		switch (action.kind) {
+		case ATTEMPT_WAIT:
+			return;
+		case ATTEMPT_SEND:
+			copy_send(request, &action);
+			break;
+		case ATTEMPT_CANCEL:
+			copy_cancel(&request->copies[action.copy]);
+			break;
+		case ATTEMPT_ANSWER:
+			request->winner = &request->copies[action.copy];
+			request_answer(request);
+			break;
+		default:
+			final_action(request, &action);
+			if (request->stage == REQUEST_RUNNING)
+				return;
+			break;
+		}
+	}
+}
+
+/* Keeps bytes flowing both ways between the caller and the copies. */
+static void move_bodies(struct request *request)
+{
+	uint32_t i;
+
+	for (i = 0; i < request->copy_count; i++)
+		if (request->copies[i].exchange)
+			exchange_resume(request->copies[i].exchange);
+	if (!request->caller)
+		return;
+	if (!body_ended(request->upload) && body_room(request->upload))
+		caller_want_upload(request->caller);
+	if (request->winner && !request->answer_held)
+		caller_answer_more(request->caller);
+}
+
+static void check_running_upload(struct request *request)
+{
+	if (!request->caller || !upload_is_over_limit(request))
+		return;
+	request->too_large = true;
+	request_event(request, ATTEMPT_CANCELLED);
+}
+
+static void advance_running(struct request *request)
+{
+	uint32_t i;
+
+	/* Whole work under a claim goes on, so that its outcome gets known. */
+	if (!request->caller &&
+	    (!request->claim || !body_ended(request->upload)))
+		request_event(request, ATTEMPT_CANCELLED);
+	check_running_upload(request);
+	request_run(request);
+	for (i = 0; i < request->copy_count; i++)
+		copy_collect(&request->copies[i]);
+	request_run(request);
+	if (request->answer_held &&
+	    body_peek(request->held_body).len > CLAIM_BODY_MAX)
+		request_answer(request);
+	move_bodies(request);
+}
+
+/* The answer is given; only what is left of copies remains. */
+static void advance_over(struct request *request)
+{
+	uint32_t i;
+
+	for (i = 0; i < request->copy_count; i++)
+		copy_cancel(&request->copies[i]);
+	if (!request->caller)
+		return;
+	if (!body_ended(request->upload))
+		caller_discard_upload(request->caller,
+				      DISCARD_BYTES +
+					      request->profile.body_limit);
+	caller_answer_more(request->caller);
+}
+
+void request_advance(struct request *request)
+{
+	request->touched = false;
+	switch (request->stage) {
+	case REQUEST_UPLOADING:
+		if (request->caller)
+			take_upload(request);
+		else
+			request->stage = REQUEST_OVER;
+		break;
+	case REQUEST_RUNNING:
+		advance_running(request);
+		break;
+	case REQUEST_CLAIMING:
+	case REQUEST_CLOSING:
+	case REQUEST_OVER:
+		break;
+	}
+	if (request->stage == REQUEST_OVER)
+		advance_over(request);
+	if (request->stage == REQUEST_OVER && !request->caller &&
+	    !request->claim_away && !copies_left(request))
+		request_free(request);
+}
+
+static void check_caller(struct request *request)
+{
+	if (request->worker->now_us < request->gone_check_us)
+		return;
+	request->gone_check_us = request->worker->now_us + GONE_CHECK_US;
+	if (request->caller && !caller_answered(request->caller) &&
+	    caller_is_gone(request->caller))
+		caller_break(request->caller);
+}
+
+void request_tick(struct request *request)
+{
+	uint32_t i;
+
+	if (request->stage == REQUEST_OVER)
+		return;
+	check_caller(request);
+	for (i = 0; i < request->copy_count; i++)
+		copy_tick(&request->copies[i]);
+	request_touch(request);
+}
--- /dev/null
+++ b/src/router/request_claim.c
@@ -0,0 +1,188 @@
+#include <string.h>
+
+#include "base/hash.h"
+#include "router/request_internal.h"
+
+#define JSON_TYPE STR("application/json")
+
+/* What a repeat of the request must share with the first. */
+static uint64_t digest_of(const struct request *request)
+{
+	uint64_t digest = hash_key(str_from(request->method));
+
+	digest = hash_seeded(str_from(request->path), digest);
+	return hash_seeded(body_peek(request->upload), digest);
+}
+
+static void on_claim_done(struct message *message);
+
+static void send_job(struct request *request)
+{
+	request->claim_job.claim = request->claim;
+	request->claim_job.mailbox = request->worker->mailbox;
+	request->claim_job.done = on_claim_done;
+	request->claim_away = true;
+	control_claim(request->worker->router->control, &request->claim_job);
+}
+
+void request_claim(struct request *request)
+{
+	struct router *router = request->worker->router;
+	const struct header *key = headers_find(caller_headers(request->caller),
+						STR("idempotency-key"));
+	struct claim_options options = {
+		.service = request->target.service,
+		.key = key->value,
+		.digest = digest_of(request),
+		.attempt = str_from(request->id),
+		.claimant = str_from(router->options.daemon),
+		.running_us = request->profile.deadline_us +
+			      request->profile.stall_us,
+		.wall_us = clock_wall_us(router->clock),
+	};
+
+	request->claim = claim_create(&options);
+	request->stage = REQUEST_CLAIMING;
+	send_job(request);
+}
+
+static struct body *body_of(struct str bytes)
+{
+	struct body *body = body_create(bytes.len + 1, 0);
+
+	body_append(body, bytes);
+	body_end(body);
+	return body;
+}
+
+/* Another attempt ran: its outcome is given back. */
+static void give_record(struct request *request)
+{
+	const struct claim_record *record = claim_record(request->claim);
+	struct headers *headers = headers_create();
+	struct str type = record->whole ? record->type : JSON_TYPE;
+	struct str bytes = record->body;
+	struct body *body;
+
+	if (!record->whole)
+		bytes = STR("{\"verdict\":\"ran\",\"reason\":\"none\"}");
+	if (type.len)
+		headers_add(headers, STR("Content-Type"), type);
+	if (!record->whole)
+		headers_add(headers, STR("Auburn-Verdict"), STR("ran"));
+	body = body_of(bytes);
+	if (request->caller)
+		caller_answer(request->caller, record->status, headers,
+			      (int64_t)bytes.len, body);
+	body_unref(body);
+	headers_destroy(headers);
+	request_over(request, VERDICT_RAN);
+}
+
+static void on_claimed(struct request *request)
+{
+	switch (claim_state(request->claim)) {
+	case CLAIM_HELD:
+		if (request->caller) {
+			request_start(request);
+			return;
+		}
+		request->verdict = (struct verdict){ VERDICT_NOT_RUN,
+						     REASON_CANCELLED };
+		request_close_claim(request);
+		return;
+	case CLAIM_RECORDED:
+		give_record(request);
+		return;
+	default:
+		request_say_refusal(request, claim_verdict(request->claim));
+		return;
+	}
+}
+
+static void pass_held(struct request *request)
+{
+	if (request->answer_held && request->caller)
+		caller_answer(request->caller, request->held_status,
+			      request->held_headers, request->held_length,
+			      request->held_body);
+	request->answer_held = false;
+}
+
+static void on_closed(struct request *request)
+{
+	if (request->verdict.kind == VERDICT_RAN) {
+		pass_held(request);
+		request_over(request, VERDICT_RAN);
+	} else if (request->winner && !request->answer_held) {
+		request_over(request, request->verdict.kind);
+	} else {
+		request_say_refusal(request, request->verdict);
+	}
+}
+
+static void on_claim_done(struct message *message)
+{
+	struct claim_job *job = (struct claim_job *)message;
+	struct request *request =
+		(struct request *)((char *)job -
+				   offsetof(struct request, claim_job));
+
+	request->claim_away = false;
+	if (request->stage == REQUEST_CLOSING)
+		on_closed(request);
+	else
+		on_claimed(request);
+	request_touch(request);
+}
+
+void request_close_claim(struct request *request)
+{
+	bool ran = request->verdict.kind == VERDICT_RAN;
+	struct claim_record record = { .status = request->held_status };
+	const struct header *type = NULL;
+
+	if (request->held_headers)
+		type = headers_find(request->held_headers, STR("content-type"));
+	if (request->answer_held && body_ended(request->held_body) &&
+	    body_peek(request->held_body).len <= CLAIM_BODY_MAX) {
+		record.whole = true;
+		record.body = body_peek(request->held_body);
+		record.type = type ? type->value : STR("");
+	}
+	claim_close(request->claim, request->verdict, ran ? &record : NULL);
+	request->stage = REQUEST_CLOSING;
+	send_job(request);
+}
+
+static void hold_answer(struct request *request)
+{
+	struct exchange *exchange = request->winner->exchange;
+	struct headers *headers = exchange_headers(exchange);
+	size_t i;
+
+	request->held_status = exchange_status(exchange);
+	request->held_length = exchange_body_length(exchange);
+	request->held_body = body_ref(exchange_body(exchange));
+	request->held_headers = headers_create();
+	headers_strip(headers);
+	for (i = 0; i < headers_count(headers); i++)
+		headers_add(request->held_headers, headers_at(headers, i)->name,
+			    headers_at(headers, i)->value);
+	request->answer_held = true;
+}
+
+void request_answer(struct request *request)
+{
+	struct router *router = request->worker->router;
+
+	if (request->answer_held) {
+		pass_held(request);
+		return;
+	}
+	histogram_record(request->service->head_time,
+			 clock_now_us(router->clock) - request->arrived_us);
+	hold_answer(request);
+	if (!request->claim)
+		pass_held(request);
+}
--- /dev/null
+++ b/src/router/request_copy.c
@@ -0,0 +1,517 @@
+#include <string.h>
+
+#include "router/request_internal.h"
+
+#define EPOCH_HEADER STR("auburn-epoch")
+/* Waits between tries while an owner does not know of its key yet. */
+#define OWNER_RETRY_US (INT64_C(20) * US_PER_MS)
+#define OWNER_RETRY_GROWTH 4
+#define NUMBER_SIZE 24
+
+static int64_t now_of(const struct request *request)
+{
+	return request->worker->now_us;
+}
+
+static struct dispatch *dispatch_of(const struct request *request)
+{
+	return request->worker->router->dispatch;
+}
+
+void copy_event(struct copy *copy, enum attempt_event_kind kind,
+		enum verdict_reason reason)
+{
+	struct request *request = copy->request;
+	struct attempt_event event = { .kind = kind, .reason = reason };
+
+	if (!request)
+		return;
+	event.copy = (uint32_t)(copy - request->copies);
+	attempt_event(request->attempt, &event, now_of(request));
+}
+
+static void no_upstream(struct copy *copy, enum verdict_reason reason)
+{
+	copy->stage = COPY_ENDED;
+	copy_event(copy, ATTEMPT_NO_UPSTREAM, reason);
+	request_touch(copy->request);
+}
+
+/* The slice of the request's key; NULL without a map. */
+static const struct slice *find_slice(const struct request *request,
+				      const struct slice_map **map)
+{
+	const struct view_service *found =
+		view_service(request->worker->view, request->target.service);
+
+	*map = found ? found->map : NULL;
+	return *map ? slice_map_find(*map, request->hash) : NULL;
+}
+
+static bool is_out(const struct settings *settings, const struct vm *vm)
+{
+	size_t i;
+
+	for (i = 0; i < settings->zones_out_count; i++)
+		if (!strcmp(settings->zones_out[i], vm->zone))
+			return true;
+	for (i = 0; i < settings->vms_out_count; i++)
+		if (!strcmp(settings->vms_out[i], vm->id))
+			return true;
+	return vm->leaving;
+}
+
+/* The VM that owns the request's key and takes work; NULL when none does. */
+static const struct vm *find_owner(const struct request *request,
+				   uint64_t *epoch)
+{
+	const struct slice_map *map;
+	const struct slice *slice = find_slice(request, &map);
+	const struct view *view = request->worker->view;
+	const struct vm *vm;
+
+	if (!slice || slice->owner == SLICE_NO_OWNER)
+		return NULL;
+	*epoch = slice->epoch;
+	vm = view_vm(view, slice_map_owner(map, slice->owner));
+	return vm && !is_out(view->settings, vm) ? vm : NULL;
+}
+
+static void count_key(struct request *request)
+{
+	const struct slice_map *map;
+	const struct slice *slice = find_slice(request, &map);
+
+	if (slice)
+		dispatch_count_key(dispatch_of(request), request->service,
+				   request->hash, slice_map_epoch(map),
+				   (size_t)(slice - slice_map_at(map, 0)),
+				   slice_map_count(map));
+}
+
+static void on_ticket(struct message *message);
+
+static void offer(struct copy *copy, const char *owner)
+{
+	struct request *request = copy->request;
+	struct ticket *ticket = &copy->ticket;
+
+	g_strlcpy(ticket->owner, owner, sizeof(ticket->owner));
+	ticket->message.deliver = on_ticket;
+	ticket->mailbox = request->worker->mailbox;
+	ticket->service = request->service;
+	ticket->deadline_us = request->deadline_us;
+	ticket->fingerprint = request->fingerprint;
+	copy->stage = COPY_QUEUED;
+	dispatch_offer(dispatch_of(request), ticket);
+}
+
+/* Whether the map has caught up with what made the last copy fail. */
+static bool worth_a_try(const struct copy *copy, uint64_t epoch)
+{
+	const struct request *request = copy->request;
+
+	if (!copy->epoch || epoch != copy->epoch)
+		return true;
+	return request->told_epoch <= epoch &&
+	       now_of(request) >= copy->owner_next_us;
+}
+
+static void seek_owner(struct copy *copy)
+{
+	struct request *request = copy->request;
+	uint64_t epoch = 0;
+	const struct vm *vm = find_owner(request, &epoch);
+
+	if (vm && worth_a_try(copy, epoch)) {
+		offer(copy, vm->id);
+		return;
+	}
+	copy->stage = COPY_NO_OWNER;
+	if (now_of(request) >= copy->owner_until_us)
+		no_upstream(copy, request->refusals ? REASON_NOT_OWNER
+						    : REASON_NO_OWNER);
+}
+
+static void start_seeking(struct copy *copy, bool refresh)
+{
+	struct request *request = copy->request;
+	int64_t wait_us = request->worker->router->options.owner_wait_ms *
+			  US_PER_MS;
+	int64_t retry_us = OWNER_RETRY_US;
+	uint32_t i;
+
+	copy->owner_until_us = now_of(request) + wait_us;
+	if (refresh && copy != request->copies) {
+		copy->epoch = copy[-1].epoch;
+		for (i = 1; i < request->refusals; i++)
+			retry_us *= OWNER_RETRY_GROWTH;
+		copy->owner_next_us = now_of(request) + retry_us;
+	}
+	seek_owner(copy);
+}
+
+static void take_over_tried(struct copy *copy)
+{
+	const struct copy *last = copy - 1;
+
+	if (copy == copy->request->copies)
+		return;
+	memcpy(copy->ticket.tried, last->ticket.tried,
+	       sizeof(copy->ticket.tried));
+	copy->ticket.tried_count = last->ticket.tried_count;
+}
+
+static void launch(struct copy *copy);
+
+static void send_backup(struct copy *copy)
+{
+	struct request *request = copy->request;
+	struct ticket *ticket = &copy->ticket;
+
+	ticket->service = request->service;
+	ticket->fingerprint = request->fingerprint;
+	if (!dispatch_backup(dispatch_of(request), ticket)) {
+		no_upstream(copy, REASON_NO_UPSTREAM);
+		return;
+	}
+	counter_add(request->service->backups, 1);
+	launch(copy);
+}
+
+void copy_send(struct request *request, const struct attempt_action *action)
+{
+	struct copy *copy = &request->copies[action->copy];
+	enum poison_check poison;
+
+	copy->request = request;
+	request->copy_count = MAX(request->copy_count, action->copy + 1);
+	take_over_tried(copy);
+	poison = dispatch_poison(dispatch_of(request), request->fingerprint);
+	copy->ticket.trial = poison == POISON_SUSPECT;
+	if (action->copy && !action->backup)
+		counter_add(request->service->retries, 1);
+	if (poison == POISON_POISONED)
+		no_upstream(copy, REASON_POISONED);
+	else if (!request->caller)
+		no_upstream(copy, REASON_CANCELLED);
+	else if (action->copy && !action->backup &&
+		 !body_rewind(request->upload))
+		no_upstream(copy, attempt_verdict(request->attempt).reason);
+	else if (action->backup)
+		send_backup(copy);
+	else if (request->keyed)
+		start_seeking(copy, action->refresh);
+	else
+		offer(copy, "");
+}
+
+static void add_number(struct headers *headers, struct str name,
+		       const char *format, uint64_t value)
+{
+	char text[NUMBER_SIZE];
+
+	g_snprintf(text, sizeof(text), format, value);
+	headers_add(headers, name, str_from(text));
+}
+
+static struct headers *own_headers(const struct copy *copy)
+{
+	const struct request *request = copy->request;
+	struct headers *headers = headers_create();
+	int64_t left_us = MAX(request->deadline_us - now_of(request), 0);
+
+	headers_add(headers, STR("Auburn-Request-Id"), str_from(request->id));
+	add_number(headers, STR("Auburn-Attempt"), "%" G_GUINT64_FORMAT,
+		   (uint64_t)(copy - request->copies) + 1);
+	add_number(headers, STR("Auburn-Deadline-Ms"), "%" G_GUINT64_FORMAT,
+		   (uint64_t)(left_us / US_PER_MS));
+	if (!request->keyed)
+		return headers;
+	add_number(headers, STR("Auburn-Key-Hash"), "%016" G_GINT64_MODIFIER
+						    "x",
+		   request->hash);
+	add_number(headers, STR("Auburn-Epoch"), "%" G_GUINT64_FORMAT,
+		   copy->epoch);
+	return headers;
+}
+
+static void start_exchange(struct copy *copy, const struct vm *vm)
+{
+	struct request *request = copy->request;
+	struct worker *worker = request->worker;
+	struct exchange_request exchange = {
+		.address = vm->address,
+		.method = str_from(request->method),
+		.target = str_from(request->path),
+		.headers = caller_headers(request->caller),
+		.own = own_headers(copy),
+		.upload_length = caller_upload_length(request->caller),
+		.upload = request->upload,
+		.fresh = !request->profile.idempotent ||
+			 worker_suspects(worker, copy->ticket.upstream),
+	};
+
+	copy->control = vm->control;
+	copy->started_us = now_of(request);
+	copy->backup_us = INT64_MAX;
+	if (request->profile.hedge && !request->keyed)
+		copy->backup_us = dispatch_backup_delay(dispatch_of(request),
+							request->service);
+	copy->stage = COPY_RUNNING;
+	copy->exchange = exchange_start(worker->exchanges, &exchange, copy);
+	headers_destroy((struct headers *)exchange.own);
+}
+
+static void give_back(struct copy *copy)
+{
+	dispatch_finish(dispatch_of(copy->request), &copy->ticket,
+			POOL_CANCELLED, POISON_OPEN);
+}
+
+/* A place is there: sends, unless the world moved on meanwhile. */
+static void launch(struct copy *copy)
+{
+	struct request *request = copy->request;
+	const struct vm *vm = view_vm(request->worker->view,
+				      str_from(copy->ticket.upstream));
+	const struct vm *owner = vm;
+
+	copy->ticket.state = TICKET_FLYING;
+	if (copy->abandoned || !request->caller) {
+		give_back(copy);
+		no_upstream(copy, REASON_CANCELLED);
+		return;
+	}
+	if (request->keyed)
+		owner = find_owner(request, &copy->epoch);
+	if (vm && owner == vm) {
+		if (request->keyed && copy == request->copies)
+			count_key(request);
+		start_exchange(copy, vm);
+		return;
+	}
+	give_back(copy);
+	copy->epoch = 0;
+	if (request->keyed)
+		seek_owner(copy);
+	else
+		offer(copy, "");
+}
+
+static void on_ticket(struct message *message)
+{
+	struct ticket *ticket = (struct ticket *)message;
+	struct copy *copy =
+		(struct copy *)((char *)ticket - offsetof(struct copy, ticket));
+
+	if (ticket->reason == REASON_NONE) {
+		launch(copy);
+	} else {
+		ticket->state = TICKET_IDLE;
+		no_upstream(copy, ticket->reason);
+	}
+	request_touch(copy->request);
+}
+
+static void end_copy(struct copy *copy, enum pool_outcome_kind outcome,
+		     enum poison_end poison)
+{
+	struct request *request = copy->request;
+
+	if (poison == POISON_BROKEN)
+		request->broke = true;
+	if (outcome == POOL_STALLED || outcome == POOL_FAILED)
+		worker_suspect(request->worker, copy->ticket.upstream);
+	exchange_destroy(copy->exchange);
+	copy->exchange = NULL;
+	copy->stage = COPY_ENDED;
+	dispatch_finish(dispatch_of(request), &copy->ticket, outcome, poison);
+}
+
+struct refusal_row {
+	enum verdict_reason reason;
+	enum attempt_event_kind event;
+	enum pool_outcome_kind outcome;
+};
+
+static const struct refusal_row refusal_rows[] = {
+	{ REASON_UPSTREAM_SHED, ATTEMPT_SHED, POOL_SHED },
+	{ REASON_UPSTREAM_COLD, ATTEMPT_COLD, POOL_COLD },
+	{ REASON_SHUTTING_DOWN, ATTEMPT_LEAVING, POOL_LEAVING },
+	{ REASON_NOT_OWNER, ATTEMPT_NOT_OWNER, POOL_ANSWERED },
+};
+
+static struct str field_of(struct copy *copy, struct str name)
+{
+	const struct header *field =
+		headers_find(exchange_headers(copy->exchange), name);
+
+	return field ? field->value : STR("");
+}
+
+static const struct refusal_row *refusal_of(struct copy *copy)
+{
+	struct str name = field_of(copy, STR("auburn-reason"));
+	size_t i;
+
+	if (!str_equal(field_of(copy, STR("auburn-verdict")), STR("not-run")))
+		return NULL;
+	for (i = 0; i < G_N_ELEMENTS(refusal_rows); i++)
+		if (str_equal(name, str_from(verdict_reason_name(
+					    refusal_rows[i].reason))))
+			return &refusal_rows[i];
+	return &refusal_rows[0];
+}
+
+static void note_stale_map(struct copy *copy)
+{
+	struct request *request = copy->request;
+	char *text = str_dup(field_of(copy, EPOCH_HEADER));
+	uint64_t epoch = g_ascii_strtoull(text, NULL, 10);
+
+	g_free(text);
+	request->refusals++;
+	request->told_epoch = MAX(request->told_epoch, epoch);
+	control_stale(request->worker->router->control, request->service->name,
+		      epoch, copy->ticket.upstream);
+}
+
+static void on_head(struct copy *copy)
+{
+	struct request *request = copy->request;
+	const struct refusal_row *refusal = refusal_of(copy);
+
+	copy->head_told = true;
+	if (!refusal) {
+		dispatch_head(dispatch_of(request), &copy->ticket,
+			      field_of(copy, STR("auburn-boot")));
+		copy_event(copy, ATTEMPT_HEAD, REASON_NONE);
+		request_run(request);
+		return;
+	}
+	if (refusal->event == ATTEMPT_NOT_OWNER)
+		note_stale_map(copy);
+	end_copy(copy, refusal->outcome, POISON_OPEN);
+	copy_event(copy, refusal->event, refusal->reason);
+	request_run(request);
+}
+
+static void on_end(struct copy *copy)
+{
+	switch (exchange_end(copy->exchange)) {
+	case EXCHANGE_RUNNING:
+		return;
+	case EXCHANGE_COMPLETE:
+		copy_event(copy, ATTEMPT_BODY_DONE, REASON_NONE);
+		request_run(copy->request);
+		end_copy(copy, POOL_ANSWERED, POISON_ANSWERED);
+		return;
+	case EXCHANGE_NOT_CONNECTED:
+		end_copy(copy, POOL_FAILED, POISON_OPEN);
+		copy_event(copy, ATTEMPT_CONNECT_FAILED, REASON_NONE);
+		break;
+	case EXCHANGE_RESET:
+		end_copy(copy, POOL_FAILED, POISON_BROKEN);
+		copy_event(copy, ATTEMPT_RESET_AFTER_SEND, REASON_NONE);
+		break;
+	case EXCHANGE_TRUNCATED:
+		end_copy(copy, POOL_FAILED, POISON_BROKEN);
+		copy_event(copy,
+			   copy->head_told ? ATTEMPT_TRUNCATED
+					   : ATTEMPT_RESET_AFTER_SEND,
+			   REASON_NONE);
+		break;
+	}
+	request_run(copy->request);
+}
+
+void copy_collect(struct copy *copy)
+{
+	if (!copy->exchange)
+		return;
+	if (!copy->sent_told && exchange_sent(copy->exchange)) {
+		copy->sent_told = true;
+		copy_event(copy, ATTEMPT_SENT, REASON_NONE);
+	}
+	if (!copy->head_told && exchange_status(copy->exchange))
+		on_head(copy);
+	if (copy->exchange)
+		on_end(copy);
+}
+
+void copy_cancel(struct copy *copy)
+{
+	if (!copy->request)
+		return;
+	if (copy->stage == COPY_QUEUED &&
+	    !dispatch_withdraw(dispatch_of(copy->request), &copy->ticket)) {
+		copy->abandoned = true;
+		return;
+	}
+	if (copy->stage == COPY_RUNNING && copy->exchange) {
+		if (exchange_sent(copy->exchange))
+			control_cancel(copy->request->worker->router->control,
+				       &copy->control, copy->request->id);
+		end_copy(copy, POOL_CANCELLED, POISON_OPEN);
+	}
+	copy->stage = COPY_ENDED;
+}
+
+static void on_stall(struct copy *copy)
+{
+	control_cancel(copy->request->worker->router->control, &copy->control,
+		       copy->request->id);
+	end_copy(copy, POOL_STALLED, POISON_OPEN);
+	copy_event(copy, ATTEMPT_STALLED, REASON_NONE);
+}
+
+/* A queued copy follows its key to another owner. */
+static void follow_owner(struct copy *copy)
+{
+	uint64_t epoch;
+	const struct vm *vm = find_owner(copy->request, &epoch);
+
+	if (vm && !strcmp(vm->id, copy->ticket.owner))
+		return;
+	if (dispatch_withdraw(dispatch_of(copy->request), &copy->ticket))
+		start_seeking(copy, false);
+}
+
+static void tick_running(struct copy *copy)
+{
+	struct request *request = copy->request;
+	int64_t now_us = now_of(request);
+	int64_t quiet_us;
+
+	if (copy->backup_us != INT64_MAX && !copy->head_told &&
+	    now_us - copy->started_us >= copy->backup_us) {
+		copy->backup_us = INT64_MAX;
+		copy_event(copy, ATTEMPT_BACKUP_DUE, REASON_NONE);
+	}
+	/* While the caller reads slowly the upstream isn't to blame. */
+	if (exchange_paused(copy->exchange))
+		return;
+	quiet_us = now_us - exchange_progress_us(copy->exchange);
+	if (quiet_us >= request->profile.stall_us)
+		on_stall(copy);
+}
+
+void copy_tick(struct copy *copy)
+{
+	switch (copy->stage) {
+	case COPY_NO_OWNER:
+		seek_owner(copy);
+		break;
+	case COPY_QUEUED:
+		if (copy->request->keyed && !copy->abandoned)
+			follow_owner(copy);
+		break;
+	case COPY_RUNNING:
+		tick_running(copy);
+		break;
+	case COPY_NONE:
+	case COPY_ENDED:
+		break;
+	}
+}
--- /dev/null
+++ b/src/router/router.h
@@ -0,0 +1,62 @@
+/**
+ * What all threads of a router share.
+ */
+#ifndef ROUTER_ROUTER_H
+#define ROUTER_ROUTER_H
+
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/clock.h"
+#include "base/metrics.h"
+#include "base/options.h"
+#include "router/dispatch.h"
+#include "router/view.h"
+
+/** Options of auburn-router, see router_program. */
+struct router_options {
+	char *daemon;
+	char *zone;
+	char *listen;
+	char *operator_address;
+	char *operator_token;
+	char *assigners;
+	char *platform;
+	char *log_level;
+	bool log_json;
+	int64_t workers;
+	int64_t max_running;
+	int64_t max_connections;
+	int64_t idle_s;
+	int64_t drain_ms;
+	int64_t settings_max_age_ms;
+	int64_t owner_wait_ms;
+	int64_t heartbeat_ms;
+	int64_t upstream_slots;
+	int64_t upstream_connections;
+};
+
+extern const struct program router_program;
+
+struct control;
+struct worker;
+
+struct router {
+	struct router_options options;
+	const struct clock *clock;
+	struct metrics *metrics;
+	struct view_store *views;
+	struct dispatch *dispatch;
+	struct control *control;
+	struct worker **workers;
+	/** Until when the settings held can be relied on; monotonic clock. */
+	_Atomic int64_t fresh_until_us;
+	/** Graceful shutdown has begun. */
+	_Atomic bool draining;
+};
+
+/** Whether new work may be taken now. */
+bool router_settings_fresh(const struct router *router, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/router/worker.c
@@ -0,0 +1,337 @@
+#include "router/worker.h"
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include "base/address.h"
+#include "base/log.h"
+#include "router/request.h"
+
+#define TICK_US (INT64_C(10) * US_PER_MS)
+#define EVENTS_MAX 16
+/* Idle connections of an upstream are kept this long ... */
+#define KEEP_IDLE_S 5L
+/* ... so after this none is left that was open when one fell silent. */
+#define SUSPECT_US (INT64_C(7) * US_PER_SECOND)
+#define CONNECT_US (INT64_C(500) * US_PER_MS)
+
+struct order {
+	struct message message;
+	struct worker *worker;
+};
+
+static void on_began(void *ctx, struct caller *caller)
+{
+	request_create(ctx, caller);
+}
+
+static void on_touched(void *ctx, struct caller *caller)
+{
+	(void)ctx;
+	if (caller_data(caller))
+		request_touch(caller_data(caller));
+}
+
+static void on_ended(void *ctx, struct caller *caller, bool whole)
+{
+	(void)ctx;
+	if (caller_data(caller))
+		request_caller_ended(caller_data(caller), whole);
+}
+
+static const struct caller_ops caller_ops = {
+	.began = on_began,
+	.uploaded = on_touched,
+	.drained = on_touched,
+	.ended = on_ended,
+};
+
+static void on_exchange(void *ctx, struct exchange *exchange)
+{
+	(void)ctx;
+	request_exchange_touched(exchange);
+}
+
+static const struct exchange_ops exchange_ops = {
+	.progressed = on_exchange,
+	.ended = on_exchange,
+};
+
+static void watch(struct worker *worker, int fd)
+{
+	struct epoll_event event = { .events = EPOLLIN };
+
+	epoll_ctl(worker->epoll_fd, EPOLL_CTL_ADD, fd, &event);
+}
+
+static bool listen_on(struct worker *worker, const char *text, GError **error)
+{
+	const struct router_options *options = &worker->router->options;
+	struct caller_server_options server_options = {
+		.connections = (unsigned int)options->max_connections,
+		.idle_s = (unsigned int)options->idle_s,
+	};
+	struct caller_server *server;
+
+	address_parse(str_from(text), &server_options.address);
+	server = caller_server_create(&server_options, &caller_ops, worker,
+				      error);
+	if (!server)
+		return false;
+	g_ptr_array_add(worker->servers, server);
+	watch(worker, caller_server_fd(server));
+	return true;
+}
+
+static bool listen_on_all(struct worker *worker, GError **error)
+{
+	char **addresses =
+		g_strsplit(worker->router->options.listen, ",", -1);
+	bool ok = true;
+	char **p;
+
+	for (p = addresses; *p && ok; p++)
+		ok = listen_on(worker, *p, error);
+	g_strfreev(addresses);
+	return ok;
+}
+
+static void free_server(void *server)
+{
+	caller_server_destroy(server);
+}
+
+struct worker *worker_create(struct router *router, GError **error)
+{
+	struct worker *worker = g_new0(struct worker, 1);
+	const struct router_options *options = &router->options;
+	struct exchange_pool_options exchange_options = {
+		.host_connections = (long)MAX(options->upstream_connections /
+						      options->workers,
+					      1),
+		.idle_s = KEEP_IDLE_S,
+		.connect_us = CONNECT_US,
+	};
+
+	worker->router = router;
+	worker->mailbox = mailbox_create();
+	worker->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	worker->servers = g_ptr_array_new_with_free_func(free_server);
+	worker->suspects =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	worker->exchanges = exchange_pool_create(
+		&exchange_options, router->clock, &exchange_ops, worker);
+	watch(worker, mailbox_fd(worker->mailbox));
+	watch(worker, exchange_pool_fd(worker->exchanges));
+	if (listen_on_all(worker, error))
+		return worker;
+	worker_destroy(worker);
+	return NULL;
+}
+
+void worker_destroy(struct worker *worker)
+{
+	if (!worker)
+		return;
+	if (worker->thread)
+		g_thread_join(worker->thread);
+	g_ptr_array_free(worker->servers, TRUE);
+	exchange_pool_destroy(worker->exchanges);
+	g_hash_table_destroy(worker->suspects);
+	mailbox_destroy(worker->mailbox);
+	close(worker->epoll_fd);
+	g_free(worker);
+}
+
+static int64_t sooner(int64_t a_us, int64_t b_us)
+{
+	if (a_us < 0 || b_us < 0)
+		return MAX(a_us, b_us);
+	return MIN(a_us, b_us);
+}
+
+static int64_t wait_us(const struct worker *worker)
+{
+	int64_t us = exchange_pool_wait_us(worker->exchanges);
+	guint i;
+
+	for (i = 0; i < worker->servers->len; i++)
+		us = sooner(us, caller_server_wait_us(g_ptr_array_index(
+					worker->servers, i)));
+	if (worker->requests.length || worker->quiesced)
+		us = sooner(us, MAX(worker->tick_us - worker->now_us, 0));
+	return us;
+}
+
+static void wait_for_work(struct worker *worker)
+{
+	struct epoll_event events[EVENTS_MAX];
+	int64_t us = wait_us(worker);
+	/* Rounded up, so that what is due is due after the wait. */
+	int ms = us < 0 ? -1 : (int)((us + US_PER_MS - 1) / US_PER_MS);
+
+	epoll_wait(worker->epoll_fd, events, EVENTS_MAX, ms);
+}
+
+static void run_callers(struct worker *worker)
+{
+	guint i;
+
+	for (i = 0; i < worker->servers->len; i++)
+		caller_server_run(g_ptr_array_index(worker->servers, i));
+}
+
+static void advance_touched(struct worker *worker)
+{
+	GList *link;
+
+	do {
+		while ((link = g_queue_pop_head_link(&worker->touched)))
+			request_advance(link->data);
+	} while (mailbox_deliver(worker->mailbox));
+}
+
+static void tick(struct worker *worker)
+{
+	GList *link = worker->requests.head;
+
+	if (worker->now_us < worker->tick_us)
+		return;
+	worker->tick_us = worker->now_us + TICK_US;
+	if (link)
+		dispatch_tick(worker->router->dispatch);
+	while (link) {
+		struct request *request = link->data;
+
+		link = link->next;
+		request_tick(request);
+	}
+}
+
+static bool callers_wait(const struct worker *worker)
+{
+	guint i;
+
+	for (i = 0; i < worker->servers->len; i++)
+		if (caller_server_wait_us(
+			    g_ptr_array_index(worker->servers, i)) == 0)
+			return true;
+	return false;
+}
+
+/* One turn: everything that is ready moves as far as it can. */
+static void turn(struct worker *worker)
+{
+	worker->view = view_enter(worker->reader);
+	worker->now_us = clock_now_us(worker->router->clock);
+	run_callers(worker);
+	advance_touched(worker);
+	exchange_pool_run(worker->exchanges);
+	advance_touched(worker);
+	tick(worker);
+	advance_touched(worker);
+	/* Answers that are ready go out before the next wait. */
+	if (callers_wait(worker)) {
+		run_callers(worker);
+		advance_touched(worker);
+	}
+	worker->view = NULL;
+	view_leave(worker->reader);
+}
+
+static bool has_work(const struct worker *worker)
+{
+	guint i;
+
+	if (!worker->quiesced || worker->requests.length)
+		return true;
+	for (i = 0; i < worker->servers->len; i++)
+		if (caller_server_connections(
+			    g_ptr_array_index(worker->servers, i)))
+			return true;
+	return false;
+}
+
+static void *run(void *data)
+{
+	struct worker *worker = data;
+
+	mailbox_own(worker->mailbox);
+	worker->reader = view_reader_create(worker->router->views);
+	while (has_work(worker)) {
+		worker->now_us = clock_now_us(worker->router->clock);
+		wait_for_work(worker);
+		turn(worker);
+	}
+	atomic_store(&worker->finished, true);
+	return NULL;
+}
+
+void worker_start(struct worker *worker)
+{
+	worker->thread = g_thread_new("worker", run, worker);
+}
+
+bool worker_finished(const struct worker *worker)
+{
+	return atomic_load(&worker->finished);
+}
+
+static void deliver_closing(struct message *message)
+{
+	struct order *order = (struct order *)message;
+	guint i;
+
+	for (i = 0; i < order->worker->servers->len; i++)
+		caller_server_closing(
+			g_ptr_array_index(order->worker->servers, i));
+	g_free(order);
+}
+
+static void deliver_quiesce(struct message *message)
+{
+	struct order *order = (struct order *)message;
+	guint i;
+
+	for (i = 0; i < order->worker->servers->len; i++)
+		caller_server_quiesce(
+			g_ptr_array_index(order->worker->servers, i));
+	order->worker->quiesced = true;
+	g_free(order);
+}
+
+static void send_order(struct worker *worker,
+		       void (*deliver)(struct message *message))
+{
+	struct order *order = g_new0(struct order, 1);
+
+	order->message.deliver = deliver;
+	order->worker = worker;
+	mailbox_send(worker->mailbox, &order->message);
+}
+
+void worker_closing(struct worker *worker)
+{
+	send_order(worker, deliver_closing);
+}
+
+void worker_quiesce(struct worker *worker)
+{
+	send_order(worker, deliver_quiesce);
+}
+
+void worker_suspect(struct worker *worker, const char *upstream)
+{
+	int64_t *until_us = g_new(int64_t, 1);
+
+	*until_us = worker->now_us + SUSPECT_US;
+	g_hash_table_replace(worker->suspects, g_strdup(upstream), until_us);
+}
+
+bool worker_suspects(const struct worker *worker, const char *upstream)
+{
+	const int64_t *until_us =
+		g_hash_table_lookup(worker->suspects, upstream);
+
+	return until_us && worker->now_us < *until_us;
+}
