--- a/src/http/caller.h
+++ b/src/http/caller.h
@@ -67,6 +67,9 @@
 /** Closes every connection and frees. */
 void caller_server_destroy(struct caller_server *server);
 
+/** The address that it listens on. */
+struct sockaddr_in caller_server_address(const struct caller_server *server);
+
 /** A descriptor that is readable when caller_server_run() has work. */
 int caller_server_fd(const struct caller_server *server);
 
--- a/src/http/caller_internal.h
+++ b/src/http/caller_internal.h
@@ -20,6 +20,7 @@
 	struct MHD_Daemon *daemon;
 	const struct caller_ops *ops;
 	void *ctx;
+	struct sockaddr_in address;
 	int epoll_fd;
 	/** struct connection, open ones. */
 	GQueue connections;
--- a/src/http/caller_server.c
+++ b/src/http/caller_server.c
@@ -131,11 +131,14 @@
 		     const struct caller_ops *ops, void *ctx, GError **error)
 {
 	struct caller_server *server;
+	socklen_t size;
 	int fd = listen_on(&options->address, error);
 
 	if (fd < 0)
 		return NULL;
 	server = g_new0(struct caller_server, 1);
+	size = sizeof(server->address);
+	getsockname(fd, (struct sockaddr *)&server->address, &size);
 	server->ops = ops;
 	server->ctx = ctx;
 	server->random = g_rand_new();
@@ -170,6 +173,11 @@
 	g_free(server);
 }
 
+struct sockaddr_in caller_server_address(const struct caller_server *server)
+{
+	return server->address;
+}
+
 int caller_server_fd(const struct caller_server *server)
 {
 	return server->epoll_fd;
--- a/src/router/control.h
+++ b/src/router/control.h
@@ -18,6 +18,8 @@
 	struct message message;
 	struct control *control;
 	struct claim *claim;
+	/** It records the outcome; else it claims. */
+	bool closing;
 	/** Where done is called, once the claim wants nothing more. */
 	struct mailbox *mailbox;
 	void (*done)(struct message *message);
@@ -34,6 +36,9 @@
 /** Frees it; the workers must be gone. */
 void control_destroy(struct control *control);
 
+/** The port of the operator address. */
+uint16_t control_operator_port(const struct control *control);
+
 /** Runs until a graceful shutdown is complete. */
 void control_run(struct control *control);
 
--- /dev/null
+++ b/src/router/control_links.c
@@ -0,0 +1,555 @@
+#include <string.h>
+#include <sys/socket.h>
+
+#include "base/address.h"
+#include "base/hash.h"
+#include "base/log.h"
+#include "membership/vm_codec.h"
+#include "profile/settings.h"
+#include "router/control_internal.h"
+#include "upstream/budget.h"
+
+#define PART "control"
+#define LOAD_US US_PER_SECOND
+#define RELINK_US US_PER_SECOND
+/* An assigner not heard for this long is left for another. */
+#define SILENT_US (INT64_C(2) * US_PER_SECOND)
+
+static int64_t now_of(const struct control *control)
+{
+	return clock_now_us(control->router->clock);
+}
+
+static void send(struct control *control, struct link *link,
+		 Envelope__BodyCase kind, void *body)
+{
+	Envelope envelope = ENVELOPE__INIT;
+
+	envelope.body_case = kind;
+	envelope.hello = body;
+	hub_send(control->hub, link, &envelope);
+}
+
+static void send_all(struct control *control, Envelope__BodyCase kind,
+		     void *body)
+{
+	guint i;
+
+	for (i = 0; i < control->assigners->len; i++) {
+		struct assigner *assigner =
+			g_ptr_array_index(control->assigners, i);
+
+		send(control, assigner->link, kind, body);
+	}
+}
+
+/* Any assigner passes on what concerns a cell; the one heard last is alive. */
+static struct assigner *best_assigner(const struct control *control)
+{
+	struct assigner *best = NULL;
+	guint i;
+
+	for (i = 0; i < control->assigners->len; i++) {
+		struct assigner *assigner =
+			g_ptr_array_index(control->assigners, i);
+
+		if (!best || assigner->heard_us > best->heard_us)
+			best = assigner;
+	}
+	return best;
+}
+
+static void send_best(struct control *control, Envelope__BodyCase kind,
+		      void *body)
+{
+	struct assigner *assigner = best_assigner(control);
+
+	if (assigner)
+		send(control, assigner->link, kind, body);
+}
+
+static void send_heartbeat(struct control *control, struct assigner *assigner)
+{
+	const struct router *router = control->router;
+	Heartbeat beat = HEARTBEAT__INIT;
+
+	beat.daemon = router->options.daemon;
+	beat.incarnation = control->incarnation;
+	beat.zone = router->options.zone;
+	beat.role = ROLE__ROUTER;
+	beat.settings_version = view_store_version(router->views);
+	beat.leaving = control->stage != SHUTDOWN_NONE;
+	beat.sent_us = now_of(control);
+	beat.echo_us = assigner->sent_us;
+	send(control, assigner->link, ENVELOPE__BODY_HEARTBEAT, &beat);
+}
+
+static void on_opened(void *ctx, struct link *link, bool outgoing)
+{
+	struct control *control = ctx;
+	struct assigner *assigner = g_new0(struct assigner, 1);
+	const struct router *router = control->router;
+	socklen_t size = sizeof(assigner->address);
+	Hello hello = HELLO__INIT;
+
+	(void)outgoing;
+	assigner->link = link;
+	getpeername(link_fd(link), (struct sockaddr *)&assigner->address,
+		    &size);
+	link_set_data(link, assigner);
+	g_ptr_array_add(control->assigners, assigner);
+	hello.daemon = router->options.daemon;
+	hello.role = ROLE__ROUTER;
+	hello.zone = router->options.zone;
+	hello.incarnation = control->incarnation;
+	send(control, link, ENVELOPE__BODY_HELLO, &hello);
+	send_heartbeat(control, assigner);
+}
+
+static void on_closed(void *ctx, struct link *link)
+{
+	struct control *control = ctx;
+
+	g_ptr_array_remove_fast(control->assigners, link_data(link));
+	link_set_data(link, NULL);
+}
+
+static void publish(struct control *control)
+{
+	dispatch_update(control->router->dispatch,
+			view_store_publish(control->router->views));
+}
+
+static void take_settings(struct control *control, const Settings *message)
+{
+	struct view_store *views = control->router->views;
+	GError *error = NULL;
+	struct settings *settings;
+
+	if (message->version <= view_store_version(views))
+		return;
+	settings = settings_parse(
+		(struct str){ (const char *)message->body.data,
+			      message->body.len },
+		&error);
+	if (!settings) {
+		log_error(PART, "settings %" G_GUINT64_FORMAT " are bad: %s",
+			  message->version, error->message);
+		g_clear_error(&error);
+		return;
+	}
+	if (!view_store_settings(views, settings)) {
+		settings_destroy(settings);
+		return;
+	}
+	log_info(PART, "settings %" G_GUINT64_FORMAT " are in force",
+		 message->version);
+	publish(control);
+}
+
+static void take_map(struct control *control, const CellRow *message)
+{
+	size_t size = cell_row__get_packed_size(message);
+	uint8_t *packed = g_malloc(size);
+	GError *error = NULL;
+	struct slice_map *map;
+
+	cell_row__pack(message, packed);
+	map = slice_map_decode((struct str){ (const char *)packed, size },
+			       &error);
+	g_free(packed);
+	if (!map) {
+		log_error(PART, "map of %s is bad: %s", message->cell,
+			  error->message);
+		g_clear_error(&error);
+		return;
+	}
+	if (view_store_map(control->router->views, map)) {
+		log_debug(PART, "map of %s has epoch %" G_GUINT64_FORMAT,
+			  message->cell, message->epoch);
+		publish(control);
+	} else {
+		slice_map_destroy(map);
+	}
+}
+
+static void take_vms(struct control *control, struct assigner *assigner,
+		     const VmList *message)
+{
+	struct vm_list list;
+	GError *error = NULL;
+
+	if (!vm_list_from_wire(message, &list, &error)) {
+		log_error(PART, "list of VMs is bad: %s", error->message);
+		g_clear_error(&error);
+		return;
+	}
+	assigner->vms_version = message->version;
+	view_store_vms(control->router->views, list.vms, list.count);
+	publish(control);
+}
+
+static size_t stale_cells(const struct control *control, const Heartbeat *beat,
+			  char **cells)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < beat->n_cells; i++) {
+		const CellEpoch *cell = beat->cells[i];
+
+		if (cell->epoch > view_store_epoch(control->router->views,
+						   str_from(cell->cell)))
+			cells[n++] = cell->cell;
+	}
+	return n;
+}
+
+static void pull_missing(struct control *control, struct assigner *assigner,
+			 const Heartbeat *beat)
+{
+	Pull pull = PULL__INIT;
+	char **cells = g_new0(char *, beat->n_cells + 1);
+
+	pull.settings = beat->settings_version >
+			view_store_version(control->router->views);
+	pull.vms = beat->vms_version != assigner->vms_version;
+	pull.cells = cells;
+	pull.n_cells = stale_cells(control, beat, cells);
+	if (pull.settings || pull.vms || pull.n_cells)
+		send(control, assigner->link, ENVELOPE__BODY_PULL, &pull);
+	g_free(cells);
+}
+
+/*
+ * What an assigner vouches for counts from this router's own clock, as the
+ * heartbeat echoes it: one found in a buffer after a freeze is old.
+ */
+static void extend_freshness(struct control *control, const Heartbeat *beat)
+{
+	struct router *router = control->router;
+	int64_t valid_ms =
+		MIN((int64_t)beat->valid_ms,
+		    router->options.settings_max_age_ms);
+	int64_t until_us = beat->echo_us + valid_ms * US_PER_MS;
+
+	if (!beat->settings_fresh || !beat->echo_us ||
+	    beat->settings_version > view_store_version(router->views))
+		return;
+	if (until_us > atomic_load(&router->fresh_until_us))
+		atomic_store(&router->fresh_until_us, until_us);
+}
+
+static void take_heartbeat(struct control *control, struct assigner *assigner,
+			   const Heartbeat *beat)
+{
+	assigner->sent_us = beat->sent_us;
+	assigner->heard_us = now_of(control);
+	pull_missing(control, assigner, beat);
+	extend_freshness(control, beat);
+}
+
+static void take_poison(struct control *control, const Poison *message)
+{
+	struct poison_report report = {
+		.fingerprint = message->fingerprint,
+		.upstream = str_from(message->upstream),
+		.boot = str_from(message->boot),
+		.deaths = message->deaths,
+	};
+
+	dispatch_take_poison(control->router->dispatch, &report);
+}
+
+static void on_message(void *ctx, struct link *link, const Envelope *message)
+{
+	struct control *control = ctx;
+	struct assigner *assigner = link_data(link);
+
+	switch (message->body_case) {
+	case ENVELOPE__BODY_HEARTBEAT:
+		take_heartbeat(control, assigner, message->heartbeat);
+		break;
+	case ENVELOPE__BODY_SETTINGS:
+		take_settings(control, message->settings);
+		break;
+	case ENVELOPE__BODY_CELL:
+		take_map(control, message->cell);
+		break;
+	case ENVELOPE__BODY_VMS:
+		take_vms(control, assigner, message->vms);
+		break;
+	case ENVELOPE__BODY_SHARE:
+		dispatch_take_share(control->router->dispatch,
+				    str_from(message->share->upstream),
+				    str_from(message->share->boot),
+				    message->share->asked_us,
+				    message->share->count,
+				    message->share->duration_ms * US_PER_MS);
+		break;
+	case ENVELOPE__BODY_POISON:
+		take_poison(control, message->poison);
+		break;
+	default:
+		break;
+	}
+}
+
+static const struct hub_ops hub_ops = {
+	.opened = on_opened,
+	.message = on_message,
+	.closed = on_closed,
+};
+
+static uint64_t rank_of(const struct control *control,
+			const struct sockaddr_in *addr)
+{
+	char text[ADDRESS_TEXT_SIZE];
+
+	return hash_seeded(str_from(address_format(addr, text)),
+			   hash_key(str_from(control->router->options.daemon)));
+}
+
+static gint by_rank(gconstpointer a, gconstpointer b, gpointer ctx)
+{
+	uint64_t x = rank_of(ctx, a), y = rank_of(ctx, b);
+
+	return (x < y) - (x > y);
+}
+
+static void read_addresses(struct control *control)
+{
+	char **texts =
+		g_strsplit(control->router->options.assigners, ",", -1);
+	struct sockaddr_in addr;
+	char **p;
+
+	for (p = texts; *p; p++)
+		if (address_parse(str_from(*p), &addr))
+			g_array_append_val(control->addresses, addr);
+	g_strfreev(texts);
+	g_array_sort_with_data(control->addresses, by_rank, control);
+}
+
+static bool same_address(const struct sockaddr_in *a,
+			 const struct sockaddr_in *b)
+{
+	return a->sin_addr.s_addr == b->sin_addr.s_addr &&
+	       a->sin_port == b->sin_port;
+}
+
+static bool is_kept(const struct control *control,
+		    const struct sockaddr_in *addr)
+{
+	guint i;
+
+	for (i = 0; i < control->kept->len; i++)
+		if (same_address(&g_array_index(control->kept,
+						struct sockaddr_in, i),
+				 addr))
+			return true;
+	return false;
+}
+
+static void keep_next(struct control *control)
+{
+	guint tries;
+
+	for (tries = 0; tries < control->addresses->len; tries++) {
+		guint i = control->next_address++ % control->addresses->len;
+		struct sockaddr_in addr = g_array_index(
+			control->addresses, struct sockaddr_in, i);
+
+		if (is_kept(control, &addr))
+			continue;
+		g_array_append_val(control->kept, addr);
+		hub_keep(control->hub, &addr);
+		return;
+	}
+}
+
+static bool is_silent(const struct control *control,
+		      const struct sockaddr_in *addr, int64_t now_us)
+{
+	guint i;
+
+	for (i = 0; i < control->assigners->len; i++) {
+		const struct assigner *assigner =
+			g_ptr_array_index(control->assigners, i);
+
+		if (same_address(&assigner->address, addr))
+			return now_us - assigner->heard_us > SILENT_US;
+	}
+	return true;
+}
+
+/* Leaves assigners that are silent for others. */
+static void relink(struct control *control, int64_t now_us)
+{
+	guint i = 0;
+
+	if (control->addresses->len <= CONTROL_LINKS)
+		return;
+	while (i < control->kept->len) {
+		struct sockaddr_in addr =
+			g_array_index(control->kept, struct sockaddr_in, i);
+
+		if (!is_silent(control, &addr, now_us)) {
+			i++;
+			continue;
+		}
+		g_array_remove_index(control->kept, i);
+		hub_forget(control->hub, &addr);
+	}
+	while (control->kept->len < CONTROL_LINKS)
+		keep_next(control);
+}
+
+void control_links_start(struct control *control)
+{
+	guint i;
+
+	control->hub = hub_create(control->router->clock, &hub_ops, control);
+	control->assigners = g_ptr_array_new_with_free_func(g_free);
+	control->addresses =
+		g_array_new(FALSE, FALSE, sizeof(struct sockaddr_in));
+	control->kept = g_array_new(FALSE, FALSE, sizeof(struct sockaddr_in));
+	control->relink_us = now_of(control) + SILENT_US;
+	read_addresses(control);
+	for (i = 0; i < CONTROL_LINKS && control->addresses->len; i++)
+		keep_next(control);
+}
+
+void control_links_stop(struct control *control)
+{
+	hub_destroy(control->hub);
+	g_ptr_array_free(control->assigners, TRUE);
+	g_array_free(control->addresses, TRUE);
+	g_array_free(control->kept, TRUE);
+}
+
+static void ask_share(void *ctx, const char *service, struct str upstream,
+		      uint32_t wanted, uint32_t in_use, int64_t asked_us)
+{
+	ShareRequest request = SHARE_REQUEST__INIT;
+	char *id = str_dup(upstream);
+
+	(void)service;
+	request.upstream = id;
+	request.wanted = wanted;
+	request.in_use = in_use;
+	request.asked_us = asked_us;
+	send_best(ctx, ENVELOPE__BODY_SHARE_REQUEST, &request);
+	g_free(id);
+}
+
+static void tell_poison(void *ctx, const struct poison_report *report)
+{
+	Poison message = POISON__INIT;
+	char *upstream = str_dup(report->upstream);
+	char *boot = str_dup(report->boot);
+
+	message.fingerprint = report->fingerprint;
+	message.upstream = upstream;
+	message.boot = boot;
+	message.deaths = report->deaths;
+	send_all(ctx, ENVELOPE__BODY_POISON, &message);
+	g_free(upstream);
+	g_free(boot);
+}
+
+void control_links_ask(struct control *control)
+{
+	dispatch_ask_shares(control->router->dispatch, ask_share, control);
+	dispatch_tell_poison(control->router->dispatch, tell_poison, control);
+}
+
+static void tell_load(void *ctx, const struct dispatch_load *load)
+{
+	HotKey keys[DISPATCH_HOT_KEYS];
+	HotKey *hot[DISPATCH_HOT_KEYS];
+	Load message = LOAD__INIT;
+	size_t i;
+
+	for (i = 0; i < load->hot_count; i++) {
+		hot_key__init(&keys[i]);
+		keys[i].hash = load->hot[i].hash;
+		keys[i].count = load->hot[i].count;
+		hot[i] = &keys[i];
+	}
+	message.cell = (char *)load->service;
+	message.requests = load->requests;
+	message.epoch = load->epoch;
+	message.n_hot = load->hot_count;
+	message.hot = hot;
+	message.n_slice_requests = load->slice_count;
+	message.slice_requests = (uint64_t *)load->slices;
+	send_best(ctx, ENVELOPE__BODY_LOAD, &message);
+}
+
+void control_links_tick(struct control *control, int64_t now_us)
+{
+	guint i;
+
+	if (now_us >= control->ask_us) {
+		control->ask_us = now_us + BUDGET_ASK_US;
+		control_links_ask(control);
+	}
+	if (now_us >= control->heartbeat_us) {
+		control->heartbeat_us =
+			now_us +
+			control->router->options.heartbeat_ms * US_PER_MS;
+		for (i = 0; i < control->assigners->len; i++)
+			send_heartbeat(control,
+				       g_ptr_array_index(control->assigners,
+							 i));
+	}
+	if (now_us >= control->load_us) {
+		control->load_us = now_us + LOAD_US;
+		dispatch_tell_load(control->router->dispatch, tell_load,
+				   control);
+	}
+	if (now_us >= control->relink_us) {
+		control->relink_us = now_us + RELINK_US;
+		relink(control, now_us);
+	}
+}
+
+struct stale {
+	struct message message;
+	struct control *control;
+	char *cell;
+	char *upstream;
+	uint64_t epoch;
+};
+
+static void deliver_stale(struct message *message)
+{
+	struct stale *stale = (struct stale *)message;
+	struct control *control = stale->control;
+	Stale frame = STALE__INIT;
+	Pull pull = PULL__INIT;
+
+	frame.cell = stale->cell;
+	frame.upstream = stale->upstream;
+	frame.epoch = stale->epoch;
+	pull.cells = &stale->cell;
+	pull.n_cells = 1;
+	send_all(control, ENVELOPE__BODY_STALE, &frame);
+	send_all(control, ENVELOPE__BODY_PULL, &pull);
+	g_free(stale->cell);
+	g_free(stale->upstream);
+	g_free(stale);
+}
+
+void control_stale(struct control *control, const char *cell, uint64_t epoch,
+		   const char *upstream)
+{
+	struct stale *stale = g_new0(struct stale, 1);
+
+	stale->message.deliver = deliver_stale;
+	stale->control = control;
+	stale->cell = g_strdup(cell);
+	stale->upstream = g_strdup(upstream);
+	stale->epoch = epoch;
+	mailbox_send(control->mailbox, &stale->message);
+}
--- /dev/null
+++ b/src/router/control_platform.c
@@ -0,0 +1,180 @@
+#include "base/address.h"
+#include "router/control_internal.h"
+
+#define CANCEL_TIMEOUT_US US_PER_SECOND
+#define URL_SIZE 64
+#define BODY_SIZE 96
+
+/* Claims whose operations go out together. */
+struct claim_call {
+	struct control *control;
+	struct claim_batch *batch;
+	/* struct claim_job. */
+	GPtrArray *jobs;
+};
+
+static void call_free(struct claim_call *call)
+{
+	claim_batch_destroy(call->batch);
+	g_ptr_array_free(call->jobs, TRUE);
+	g_free(call);
+}
+
+static struct claim_call *call_create(struct control *control)
+{
+	struct claim_call *call = g_new0(struct claim_call, 1);
+
+	call->control = control;
+	call->batch = claim_batch_create();
+	call->jobs = g_ptr_array_new();
+	return call;
+}
+
+static void take_job(struct control *control, struct claim_job *job);
+
+static void hand_back(struct claim_job *job)
+{
+	job->message.deliver = job->done;
+	mailbox_send(job->mailbox, &job->message);
+}
+
+static bool wants_more(const struct claim_job *job)
+{
+	enum claim_state state = claim_state(job->claim);
+
+	return job->closing ? state == CLAIM_HELD : state == CLAIM_PENDING;
+}
+
+static void on_results(void *ctx, const struct table_result *results,
+		       size_t count)
+{
+	struct claim_call *call = ctx;
+	struct control *control = call->control;
+	guint i;
+
+	claim_batch_result(call->batch, results, count,
+			   clock_wall_us(control->router->clock));
+	for (i = 0; i < call->jobs->len; i++) {
+		struct claim_job *job = g_ptr_array_index(call->jobs, i);
+
+		if (wants_more(job))
+			take_job(control, job);
+		else
+			hand_back(job);
+	}
+	call_free(call);
+}
+
+static void refuse_all(struct claim_call *call, size_t count)
+{
+	struct table_result *results = g_new0(struct table_result, count);
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		results[i].status = TABLE_UNAVAILABLE;
+	on_results(call, results, count);
+	g_free(results);
+}
+
+static void send_call(struct control *control)
+{
+	struct claim_call *call = control->claims;
+	const struct table_op *ops;
+	size_t count;
+
+	control->claims = NULL;
+	ops = claim_batch_ops(call->batch, &count);
+	if (control->table)
+		table_batch(control->table, ops, count, on_results, call);
+	else
+		refuse_all(call, count);
+}
+
+static void take_job(struct control *control, struct claim_job *job)
+{
+	int64_t now_us = clock_now_us(control->router->clock);
+
+	if (!control->claims)
+		control->claims = call_create(control);
+	if (!claim_batch_add(control->claims->batch, job->claim, now_us)) {
+		send_call(control);
+		control->claims = call_create(control);
+		claim_batch_add(control->claims->batch, job->claim, now_us);
+	}
+	g_ptr_array_add(control->claims->jobs, job);
+}
+
+int64_t control_platform_tick(struct control *control, int64_t now_us)
+{
+	if (!control->claims)
+		return INT64_MAX;
+	if (claim_batch_due_us(control->claims->batch) > now_us)
+		return claim_batch_due_us(control->claims->batch);
+	send_call(control);
+	return now_us;
+}
+
+void control_platform_stop(struct control *control)
+{
+	if (control->claims)
+		call_free(control->claims);
+	control->claims = NULL;
+}
+
+static void deliver_claim(struct message *message)
+{
+	struct claim_job *job = (struct claim_job *)message;
+
+	take_job(job->control, job);
+}
+
+void control_claim(struct control *control, struct claim_job *job)
+{
+	job->control = control;
+	job->message.deliver = deliver_claim;
+	mailbox_send(control->mailbox, &job->message);
+}
+
+struct cancel {
+	struct message message;
+	struct control *control;
+	struct sockaddr_in upstream;
+	char body[BODY_SIZE];
+};
+
+static void on_cancelled(void *ctx, const struct http_answer *answer)
+{
+	(void)ctx;
+	(void)answer;
+}
+
+static void deliver_cancel(struct message *message)
+{
+	struct cancel *cancel = (struct cancel *)message;
+	char address[ADDRESS_TEXT_SIZE];
+	char url[URL_SIZE];
+	struct http_call call = {
+		.method = "POST",
+		.url = url,
+		.body = str_from(cancel->body),
+		.timeout_us = CANCEL_TIMEOUT_US,
+	};
+
+	g_snprintf(url, sizeof(url), "http://%s/control/cancel",
+		   address_format(&cancel->upstream, address));
+	http_client_start(cancel->control->http, &call, on_cancelled, NULL);
+	g_free(cancel);
+}
+
+void control_cancel(struct control *control, const struct sockaddr_in *upstream,
+		    const char *request_id)
+{
+	struct cancel *cancel = g_new0(struct cancel, 1);
+
+	cancel->message.deliver = deliver_cancel;
+	cancel->control = control;
+	cancel->upstream = *upstream;
+	g_snprintf(cancel->body, sizeof(cancel->body), "{\"request_id\":\"%s\"}",
+		   request_id);
+	mailbox_send(control->mailbox, &cancel->message);
+}
--- a/src/router/dispatch.h
+++ b/src/router/dispatch.h
@@ -47,8 +47,6 @@
 	uint32_t capacity;
 	/** Requests that one upstream runs at once. */
 	uint32_t slots;
-	/** Connections of one upstream over all routers. */
-	uint32_t connections;
 	struct metrics *metrics;
 	const struct clock *clock;
 	/** Called under the lock when shares are wanted. */
@@ -105,9 +103,6 @@
 /** Takes over services, profiles and VMs; by the control thread. */
 void dispatch_update(struct dispatch *dispatch, const struct view *view);
 
-/** Says how many routers there are. */
-void dispatch_set_routers(struct dispatch *dispatch, uint32_t routers);
-
 /** Finds a service. @return NULL when none is known */
 struct dispatch_service *dispatch_service(struct dispatch *dispatch,
 					  struct str name);
@@ -162,7 +157,7 @@
 
 typedef void (*dispatch_ask_fn)(void *ctx, const char *service,
 				struct str upstream, uint32_t wanted,
-				uint32_t in_use);
+				uint32_t in_use, int64_t asked_us);
 
 /** Calls ask for every share to ask for now. */
 void dispatch_ask_shares(struct dispatch *dispatch, dispatch_ask_fn ask,
@@ -170,7 +165,8 @@
 
 /** Takes an assigner's answer. */
 void dispatch_take_share(struct dispatch *dispatch, struct str upstream,
-			 struct str boot, uint32_t count, int64_t duration_us);
+			 struct str boot, int64_t asked_us, uint32_t count,
+			 int64_t duration_us);
 
 /** Takes another process's report of a death. */
 void dispatch_take_poison(struct dispatch *dispatch,
--- a/src/router/dispatch_control.c
+++ b/src/router/dispatch_control.c
@@ -54,7 +54,6 @@
 						   free_service);
 	dispatch->poison = poison_create();
 	dispatch->reports = g_array_new(FALSE, FALSE, sizeof(struct report));
-	dispatch->routers = 1;
 	dispatch->seed = g_random_int();
 	return dispatch;
 }
@@ -164,8 +163,6 @@
 		.zone = str_from(dispatch->options.zone),
 		.router = str_from(dispatch->options.daemon),
 		.slots = dispatch->options.slots,
-		.connections = dispatch->options.connections,
-		.routers = dispatch->routers,
 		.keyed = config->keyed,
 		.seed = dispatch->seed++,
 	};
@@ -258,22 +255,6 @@
 	g_mutex_unlock(&dispatch->lock);
 }
 
-void dispatch_set_routers(struct dispatch *dispatch, uint32_t routers)
-{
-	GHashTableIter iter;
-	void *data;
-
-	g_mutex_lock(&dispatch->lock);
-	if (routers != dispatch->routers) {
-		dispatch->routers = routers;
-		g_hash_table_iter_init(&iter, dispatch->services);
-		while (g_hash_table_iter_next(&iter, NULL, &data))
-			pool_set_routers(((struct service_state *)data)->pool,
-					 routers);
-	}
-	g_mutex_unlock(&dispatch->lock);
-}
-
 struct share_ask {
 	struct service_state *service;
 	char upstream[DISPATCH_ID_SIZE];
@@ -329,13 +310,13 @@
 			&g_array_index(asks, struct share_ask, i);
 
 		ask(ctx, a->service->shared.name, str_from(a->upstream),
-		    a->wanted, a->in_use);
+		    a->wanted, a->in_use, now_us);
 	}
 	g_array_free(asks, TRUE);
 }
 
 static void take_trial(struct dispatch *dispatch, struct str name,
-		       uint32_t count, int64_t duration_us)
+		       int64_t asked_us, uint32_t count, int64_t duration_us)
 {
 	struct service_state *service =
 		g_hash_table_lookup(dispatch->services, &name);
@@ -345,7 +326,8 @@
 }
 
 void dispatch_take_share(struct dispatch *dispatch, struct str upstream,
-			 struct str boot, uint32_t count, int64_t duration_us)
+			 struct str boot, int64_t asked_us, uint32_t count,
+			 int64_t duration_us)
 {
 	GHashTableIter iter;
 	void *data;
@@ -354,7 +336,7 @@
 	if (str_has_prefix(upstream, STR(TRIAL_PREFIX))) {
 		upstream.data += strlen(TRIAL_PREFIX);
 		upstream.len -= strlen(TRIAL_PREFIX);
-		take_trial(dispatch, upstream, count, duration_us);
+		take_trial(dispatch, upstream, asked_us, count, duration_us);
 	} else {
 		g_hash_table_iter_init(&iter, dispatch->services);
 		while (g_hash_table_iter_next(&iter, NULL, &data)) {
@@ -363,8 +345,8 @@
 			uint32_t index = pool_find(pool, upstream);
 
 			if (index != POOL_NONE)
-				pool_take_share(pool, index, boot, count,
-						duration_us);
+				pool_take_share(pool, index, boot, asked_us,
+						count, duration_us);
 		}
 	}
 	dispatch_run(dispatch, clock_now_us(dispatch->options.clock));
--- a/src/router/dispatch_internal.h
+++ b/src/router/dispatch_internal.h
@@ -58,7 +58,6 @@
 	struct poison *poison;
 	/** struct report, not yet told. */
 	GArray *reports;
-	uint32_t routers;
 	uint32_t seed;
 };
 
--- /dev/null
+++ b/src/router/main.c
@@ -0,0 +1,127 @@
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/address.h"
+#include "base/log.h"
+#include "router/control.h"
+#include "router/router.h"
+#include "router/worker.h"
+
+#define PART "router"
+#define EXIT_FAILED 1
+
+bool router_settings_fresh(const struct router *router, int64_t now_us)
+{
+	return now_us < atomic_load(&router->fresh_until_us);
+}
+
+static void wake_control(void *ctx)
+{
+	struct router *router = ctx;
+
+	if (router->control)
+		control_wake(router->control);
+}
+
+static void create_shared(struct router *router)
+{
+	struct dispatch_options options = {
+		.zone = router->options.zone,
+		.daemon = router->options.daemon,
+		.capacity = (uint32_t)router->options.max_running,
+		.slots = (uint32_t)router->options.upstream_slots,
+		.clock = router->clock,
+		.shares_wanted = wake_control,
+		.ctx = router,
+	};
+
+	router->metrics = metrics_create();
+	router->views = view_store_create();
+	options.metrics = router->metrics;
+	router->dispatch = dispatch_create(&options);
+}
+
+/* Port 0 takes a free one, which the other workers share. */
+static void fix_listen(struct router *router)
+{
+	char *bound = worker_addresses(router->workers[0]);
+
+	g_free(router->options.listen);
+	router->options.listen = bound;
+}
+
+static bool create_workers(struct router *router, GError **error)
+{
+	int64_t i;
+
+	router->workers = g_new0(struct worker *, router->options.workers);
+	for (i = 0; i < router->options.workers; i++) {
+		router->workers[i] = worker_create(router, error);
+		if (!router->workers[i])
+			return false;
+		if (!i)
+			fix_listen(router);
+	}
+	return true;
+}
+
+static void destroy_workers(struct router *router)
+{
+	int64_t i;
+
+	for (i = 0; router->workers && i < router->options.workers; i++)
+		worker_destroy(router->workers[i]);
+	g_free(router->workers);
+}
+
+static void announce(const struct router *router)
+{
+	struct sockaddr_in addr;
+	char text[ADDRESS_TEXT_SIZE];
+
+	address_parse(str_from(router->options.operator_address), &addr);
+	addr.sin_port = htons(control_operator_port(router->control));
+	printf("listening callers=%s operator=%s\n", router->options.listen,
+	       address_format(&addr, text));
+	fflush(stdout);
+}
+
+static int run(struct router *router)
+{
+	GError *error = NULL;
+	int64_t i;
+
+	router->control = control_create(router, &error);
+	if (!router->control || !create_workers(router, &error)) {
+		log_error(PART, "%s", error->message);
+		g_clear_error(&error);
+		return EXIT_FAILED;
+	}
+	for (i = 0; i < router->options.workers; i++)
+		worker_start(router->workers[i]);
+	announce(router);
+	control_run(router->control);
+	return 0;
+}
+
+int main(int argc, char **argv)
+{
+	struct router router = { .clock = clock_system() };
+	int status;
+
+	options_parse(&router_program, argc, argv, &router.options, NULL);
+	log_setup(router.options.log_level, router.options.log_json);
+	signal(SIGPIPE, SIG_IGN);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	create_shared(&router);
+	status = run(&router);
+	destroy_workers(&router);
+	control_destroy(router.control);
+	dispatch_destroy(router.dispatch);
+	view_store_destroy(router.views);
+	metrics_destroy(router.metrics);
+	curl_global_cleanup();
+	return status;
+}
--- a/src/router/request_claim.c
+++ b/src/router/request_claim.c
@@ -19,6 +19,7 @@
 static void send_job(struct request *request)
 {
 	request->claim_job.claim = request->claim;
+	request->claim_job.closing = request->stage == REQUEST_CLOSING;
 	request->claim_job.mailbox = request->worker->mailbox;
 	request->claim_job.done = on_claim_done;
 	request->claim_away = true;
--- a/src/router/worker.c
+++ b/src/router/worker.c
@@ -143,6 +143,22 @@
 	g_free(worker);
 }
 
+char *worker_addresses(const struct worker *worker)
+{
+	GString *out = g_string_new(NULL);
+	char text[ADDRESS_TEXT_SIZE];
+	guint i;
+
+	for (i = 0; i < worker->servers->len; i++) {
+		struct sockaddr_in addr = caller_server_address(
+			g_ptr_array_index(worker->servers, i));
+
+		g_string_append_printf(out, "%s%s", i ? "," : "",
+				       address_format(&addr, text));
+	}
+	return g_string_free(out, FALSE);
+}
+
 static int64_t sooner(int64_t a_us, int64_t b_us)
 {
 	if (a_us < 0 || b_us < 0)
--- a/src/router/worker.h
+++ b/src/router/worker.h
@@ -44,6 +44,13 @@
  */
 struct worker *worker_create(struct router *router, GError **error);
 
+/**
+ * The addresses that it listens on.
+ *
+ * @return "IPv4:port,..."; the caller frees it with g_free()
+ */
+char *worker_addresses(const struct worker *worker);
+
 /** Starts its thread. */
 void worker_start(struct worker *worker);
 
