--- a/src/router/control.c
+++ b/src/router/control.c
@@ -64,8 +64,8 @@
 		.routes = common_routes,
 		.ctx = &control->common,
 	};
-	control->operator = operator_server_create(&config, error);
-	return control->operator != NULL;
+	control->operator= operator_server_create(&config, error);
+	return control->operator!= NULL;
 }
 
 /* Blocked in every thread, so that only the descriptor sees them. */
@@ -171,8 +171,8 @@
 		log_info(PART, "shutting down, %u requests are running",
 			 dispatch_running(control->router->dispatch));
 		control->stage = SHUTDOWN_LEAVING;
-		control->drain_us = now_us + control->router->options.drain_ms *
-						     US_PER_MS;
+		control->drain_us =
+			now_us + control->router->options.drain_ms * US_PER_MS;
 		atomic_store(&control->router->draining, true);
 		each_worker(control, worker_closing);
 	}
--- a/src/router/control_links.c
+++ b/src/router/control_links.c
@@ -20,8 +20,8 @@
 	return clock_now_us(control->router->clock);
 }
 
-static void send(struct control *control, struct link *link,
-		 Envelope__BodyCase kind, void *body)
+static void send_on(struct control *control, struct link *link,
+		    Envelope__BodyCase kind, void *body)
 {
 	Envelope envelope = ENVELOPE__INIT;
 
@@ -39,7 +39,7 @@
 		struct assigner *assigner =
 			g_ptr_array_index(control->assigners, i);
 
-		send(control, assigner->link, kind, body);
+		send_on(control, assigner->link, kind, body);
 	}
 }
 
@@ -65,7 +65,7 @@
 	struct assigner *assigner = best_assigner(control);
 
 	if (assigner)
-		send(control, assigner->link, kind, body);
+		send_on(control, assigner->link, kind, body);
 }
 
 static void send_heartbeat(struct control *control, struct assigner *assigner)
@@ -81,7 +81,7 @@
 	beat.leaving = control->stage != SHUTDOWN_NONE;
 	beat.sent_us = now_of(control);
 	beat.echo_us = assigner->sent_us;
-	send(control, assigner->link, ENVELOPE__BODY_HEARTBEAT, &beat);
+	send_on(control, assigner->link, ENVELOPE__BODY_HEARTBEAT, &beat);
 }
 
 static void on_opened(void *ctx, struct link *link, bool outgoing)
@@ -102,7 +102,7 @@
 	hello.role = ROLE__ROUTER;
 	hello.zone = router->options.zone;
 	hello.incarnation = control->incarnation;
-	send(control, link, ENVELOPE__BODY_HELLO, &hello);
+	send_on(control, link, ENVELOPE__BODY_HELLO, &hello);
 	send_heartbeat(control, assigner);
 }
 
@@ -128,10 +128,10 @@
 
 	if (message->version <= view_store_version(views))
 		return;
-	settings = settings_parse(
-		(struct str){ (const char *)message->body.data,
-			      message->body.len },
-		&error);
+	settings =
+		settings_parse((struct str){ (const char *)message->body.data,
+					     message->body.len },
+			       &error);
 	if (!settings) {
 		log_error(PART, "settings %" G_GUINT64_FORMAT " are bad: %s",
 			  message->version, error->message);
@@ -216,7 +216,7 @@
 	pull.cells = cells;
 	pull.n_cells = stale_cells(control, beat, cells);
 	if (pull.settings || pull.vms || pull.n_cells)
-		send(control, assigner->link, ENVELOPE__BODY_PULL, &pull);
+		send_on(control, assigner->link, ENVELOPE__BODY_PULL, &pull);
 	g_free(cells);
 }
 
@@ -227,9 +227,8 @@
 static void extend_freshness(struct control *control, const Heartbeat *beat)
 {
 	struct router *router = control->router;
-	int64_t valid_ms =
-		MIN((int64_t)beat->valid_ms,
-		    router->options.settings_max_age_ms);
+	int64_t valid_ms = MIN((int64_t)beat->valid_ms,
+			       router->options.settings_max_age_ms);
 	int64_t until_us = beat->echo_us + valid_ms * US_PER_MS;
 
 	if (!beat->settings_fresh || !beat->echo_us ||
@@ -318,8 +317,7 @@
 
 static void read_addresses(struct control *control)
 {
-	char **texts =
-		g_strsplit(control->router->options.assigners, ",", -1);
+	char **texts = g_strsplit(control->router->options.assigners, ",", -1);
 	struct sockaddr_in addr;
 	char **p;
 
@@ -356,8 +354,8 @@
 
 	for (tries = 0; tries < control->addresses->len; tries++) {
 		guint i = control->next_address++ % control->addresses->len;
-		struct sockaddr_in addr = g_array_index(
-			control->addresses, struct sockaddr_in, i);
+		struct sockaddr_in addr = g_array_index(control->addresses,
+							struct sockaddr_in, i);
 
 		if (is_kept(control, &addr))
 			continue;
@@ -499,9 +497,8 @@
 			now_us +
 			control->router->options.heartbeat_ms * US_PER_MS;
 		for (i = 0; i < control->assigners->len; i++)
-			send_heartbeat(control,
-				       g_ptr_array_index(control->assigners,
-							 i));
+			send_heartbeat(control, g_ptr_array_index(
+							control->assigners, i));
 	}
 	if (now_us >= control->load_us) {
 		control->load_us = now_us + LOAD_US;
--- a/src/router/control_platform.c
+++ b/src/router/control_platform.c
@@ -174,7 +174,7 @@
 	cancel->message.deliver = deliver_cancel;
 	cancel->control = control;
 	cancel->upstream = *upstream;
-	g_snprintf(cancel->body, sizeof(cancel->body), "{\"request_id\":\"%s\"}",
-		   request_id);
+	g_snprintf(cancel->body, sizeof(cancel->body),
+		   "{\"request_id\":\"%s\"}", request_id);
 	mailbox_send(control->mailbox, &cancel->message);
 }
--- a/src/router/dispatch_control.c
+++ b/src/router/dispatch_control.c
@@ -197,24 +197,6 @@
 	set_metrics(service, config);
 }
 
-static bool name_listed(char *const *names, size_t count, const char *name)
-{
-	size_t i;
-
-	for (i = 0; i < count; i++)
-		if (!strcmp(names[i], name))
-			return true;
-	return false;
-}
-
-static bool gets_work(const struct settings *settings, const struct vm *vm)
-{
-	return !vm->leaving &&
-	       !name_listed(settings->zones_out, settings->zones_out_count,
-			    vm->zone) &&
-	       !name_listed(settings->vms_out, settings->vms_out_count, vm->id);
-}
-
 static void update_pool(struct service_state *service,
 			const struct settings *settings,
 			const struct view_service *view)
@@ -228,7 +210,7 @@
 
 		members[i].id = str_from(vm->id);
 		members[i].zone = str_from(vm->zone);
-		members[i].available = gets_work(settings, vm);
+		members[i].available = view_gives_work(settings, vm);
 	}
 	pool_update(service->pool, members, view->vms->len);
 	g_free(members);
@@ -322,7 +304,7 @@
 		g_hash_table_lookup(dispatch->services, &name);
 
 	if (service && count)
-		service->trial_until_us = service->trial_asked_us + duration_us;
+		service->trial_until_us = asked_us + duration_us;
 }
 
 void dispatch_take_share(struct dispatch *dispatch, struct str upstream,
--- a/src/router/request.c
+++ b/src/router/request.c
@@ -145,8 +145,8 @@
 	if (request->keyed && !request->target.key.len)
 		return REASON_BAD_REQUEST;
 	request->hash = hash_key(request->target.key);
-	request->deadline_us = request->arrived_us +
-			       request->profile.deadline_us;
+	request->deadline_us =
+		request->arrived_us + request->profile.deadline_us;
 	if (length > 0 && (uint64_t)length > request->profile.body_limit)
 		return REASON_TOO_LARGE;
 	return REASON_NONE;
@@ -231,8 +231,7 @@
 
 	request->fingerprint = poison_fingerprint(
 		request->target.service, str_from(request->method),
-		str_from(request->path),
-		body_peek(request->upload));
+		str_from(request->path), body_peek(request->upload));
 	if (dispatch_poison(dispatch, request->fingerprint) == POISON_POISONED)
 		refuse_now(request, REASON_POISONED);
 	else if (wants_claim(request))
@@ -309,8 +308,8 @@
 void request_run(struct request *request)
 {
 	while (request->stage == REQUEST_RUNNING) {
-		struct attempt_action action = attempt_next(
-			request->attempt, request->worker->now_us);
+		struct attempt_action action =
+			attempt_next(request->attempt, request->worker->now_us);
 
 		switch (action.kind) {
 		case ATTEMPT_WAIT:
--- a/src/router/request_claim.c
+++ b/src/router/request_claim.c
@@ -88,8 +88,8 @@
 			request_start(request);
 			return;
 		}
-		request->verdict = (struct verdict){ VERDICT_NOT_RUN,
-						     REASON_CANCELLED };
+		request->verdict =
+			(struct verdict){ VERDICT_NOT_RUN, REASON_CANCELLED };
 		request_close_claim(request);
 		return;
 	case CLAIM_RECORDED:
--- a/src/router/request_copy.c
+++ b/src/router/request_copy.c
@@ -48,19 +48,6 @@
 	return *map ? slice_map_find(*map, request->hash) : NULL;
 }
 
-static bool is_out(const struct settings *settings, const struct vm *vm)
-{
-	size_t i;
-
-	for (i = 0; i < settings->zones_out_count; i++)
-		if (!strcmp(settings->zones_out[i], vm->zone))
-			return true;
-	for (i = 0; i < settings->vms_out_count; i++)
-		if (!strcmp(settings->vms_out[i], vm->id))
-			return true;
-	return vm->leaving;
-}
-
 /* The VM that owns the request's key and takes work; NULL when none does. */
 static const struct vm *find_owner(const struct request *request,
 				   uint64_t *epoch)
@@ -74,7 +61,7 @@
 		return NULL;
 	*epoch = slice->epoch;
 	vm = view_vm(view, slice_map_owner(map, slice->owner));
-	return vm && !is_out(view->settings, vm) ? vm : NULL;
+	return vm && view_gives_work(view->settings, vm) ? vm : NULL;
 }
 
 static void count_key(struct request *request)
@@ -136,8 +123,8 @@
 static void start_seeking(struct copy *copy, bool refresh)
 {
 	struct request *request = copy->request;
-	int64_t wait_us = request->worker->router->options.owner_wait_ms *
-			  US_PER_MS;
+	int64_t wait_us =
+		request->worker->router->options.owner_wait_ms * US_PER_MS;
 	int64_t retry_us = OWNER_RETRY_US;
 	uint32_t i;
 
@@ -228,9 +215,8 @@
 		   (uint64_t)(left_us / US_PER_MS));
 	if (!request->keyed)
 		return headers;
-	add_number(headers, STR("Auburn-Key-Hash"), "%016" G_GINT64_MODIFIER
-						    "x",
-		   request->hash);
+	add_number(headers, STR("Auburn-Key-Hash"),
+		   "%016" G_GINT64_MODIFIER "x", request->hash);
 	add_number(headers, STR("Auburn-Epoch"), "%" G_GUINT64_FORMAT,
 		   copy->epoch);
 	return headers;
@@ -273,8 +259,8 @@
 static void launch(struct copy *copy)
 {
 	struct request *request = copy->request;
-	const struct vm *vm = view_vm(request->worker->view,
-				      str_from(copy->ticket.upstream));
+	const struct vm *vm =
+		view_vm(request->worker->view, str_from(copy->ticket.upstream));
 	const struct vm *owner = vm;
 
 	copy->ticket.state = TICKET_FLYING;
--- a/src/router/view.c
+++ b/src/router/view.c
@@ -292,6 +292,13 @@
 	return g_hash_table_lookup(view->vms, &id);
 }
 
+bool view_gives_work(const struct settings *settings, const struct vm *vm)
+{
+	return !vm->leaving &&
+	       !settings_zone_is_out(settings, str_from(vm->zone)) &&
+	       !settings_vm_is_out(settings, str_from(vm->id));
+}
+
 bool view_store_settings(struct view_store *store, struct settings *settings)
 {
 	if (settings->version <= view_store_version(store))
--- a/src/router/view.h
+++ b/src/router/view.h
@@ -69,6 +69,9 @@
 /** Finds a VM. @return NULL when there is none */
 const struct vm *view_vm(const struct view *view, struct str id);
 
+/** Whether a VM gets new work: neither leaving nor taken out. */
+bool view_gives_work(const struct settings *settings, const struct vm *vm);
+
 /*
  * The writer's part: one thread, the control thread.
  */
--- a/src/router/worker.c
+++ b/src/router/worker.c
@@ -85,8 +85,7 @@
 
 static bool listen_on_all(struct worker *worker, GError **error)
 {
-	char **addresses =
-		g_strsplit(worker->router->options.listen, ",", -1);
+	char **addresses = g_strsplit(worker->router->options.listen, ",", -1);
 	bool ok = true;
 	char **p;
 
@@ -106,9 +105,8 @@
 	struct worker *worker = g_new0(struct worker, 1);
 	const struct router_options *options = &router->options;
 	struct exchange_pool_options exchange_options = {
-		.host_connections = (long)MAX(options->upstream_connections /
-						      options->workers,
-					      1),
+		.host_connections = (long)MAX(
+			options->upstream_connections / options->workers, 1),
 		.idle_s = KEEP_IDLE_S,
 		.connect_us = CONNECT_US,
 	};
@@ -172,8 +170,8 @@
 	guint i;
 
 	for (i = 0; i < worker->servers->len; i++)
-		us = sooner(us, caller_server_wait_us(g_ptr_array_index(
-					worker->servers, i)));
+		us = sooner(us, caller_server_wait_us(
+					g_ptr_array_index(worker->servers, i)));
 	if (worker->requests.length || worker->quiesced)
 		us = sooner(us, MAX(worker->tick_us - worker->now_us, 0));
 	return us;
