--- a/src/router/request_copy.c
+++ b/src/router/request_copy.c
@@ -193,15 +193,24 @@
 		offer(copy, "");
 }
 
-static void add_number(struct headers *headers, struct str name,
-		       const char *format, uint64_t value)
+static void add_number(struct headers *headers, struct str name, uint64_t value)
 {
 	char text[NUMBER_SIZE];
 
-	g_snprintf(text, sizeof(text), format, value);
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, value);
 	headers_add(headers, name, str_from(text));
 }
 
+static void add_key(struct headers *headers, const struct copy *copy)
+{
+	char text[NUMBER_SIZE];
+
+	g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x",
+		   copy->request->hash);
+	headers_add(headers, STR("Auburn-Key-Hash"), str_from(text));
+	add_number(headers, STR("Auburn-Epoch"), copy->epoch);
+}
+
 static struct headers *own_headers(const struct copy *copy)
 {
 	const struct request *request = copy->request;
@@ -209,16 +218,12 @@
 	int64_t left_us = MAX(request->deadline_us - now_of(request), 0);
 
 	headers_add(headers, STR("Auburn-Request-Id"), str_from(request->id));
-	add_number(headers, STR("Auburn-Attempt"), "%" G_GUINT64_FORMAT,
+	add_number(headers, STR("Auburn-Attempt"),
 		   (uint64_t)(copy - request->copies) + 1);
-	add_number(headers, STR("Auburn-Deadline-Ms"), "%" G_GUINT64_FORMAT,
+	add_number(headers, STR("Auburn-Deadline-Ms"),
 		   (uint64_t)(left_us / US_PER_MS));
-	if (!request->keyed)
-		return headers;
-	add_number(headers, STR("Auburn-Key-Hash"),
-		   "%016" G_GINT64_MODIFIER "x", request->hash);
-	add_number(headers, STR("Auburn-Epoch"), "%" G_GUINT64_FORMAT,
-		   copy->epoch);
+	if (request->keyed)
+		add_key(headers, copy);
 	return headers;
 }
 
