--- a/src/router/dispatch.c
+++ b/src/router/dispatch.c
@@ -94,7 +94,7 @@
 
 static void leave_queue(struct ticket *ticket)
 {
-	if (!ticket->admitted)
+	if (!ticket->admitted || !ticket->lane)
 		return;
 	admission_done(ticket->lane->service->dispatch->admission,
 		       ticket->lane->index, ticket->took_us);
