--- a/src/router/control_links.c
+++ b/src/router/control_links.c
@@ -425,17 +425,17 @@
 	g_array_free(control->kept, TRUE);
 }
 
-static void ask_share(void *ctx, const char *service, struct str upstream,
-		      uint32_t wanted, uint32_t in_use, int64_t asked_us)
+static void ask_share(void *ctx, const struct dispatch_ask *ask)
 {
 	ShareRequest request = SHARE_REQUEST__INIT;
-	char *id = str_dup(upstream);
+	char *id = str_dup(ask->upstream);
 
-	(void)service;
+	request.cell = (char *)ask->service;
 	request.upstream = id;
-	request.wanted = wanted;
-	request.in_use = in_use;
-	request.asked_us = asked_us;
+	request.wanted = ask->ask.wanted;
+	request.in_use = ask->ask.in_use;
+	request.lost = ask->ask.lost;
+	request.asked_us = ask->asked_us;
 	send_best(ctx, ENVELOPE__BODY_SHARE_REQUEST, &request);
 	g_free(id);
 }
--- a/src/router/dispatch.h
+++ b/src/router/dispatch.h
@@ -19,6 +19,7 @@
 #include "request/retry_budget.h"
 #include "router/mailbox.h"
 #include "router/view.h"
+#include "upstream/budget.h"
 #include "upstream/pool.h"
 
 /** Room for an upstream's id or incarnation and its NUL. */
@@ -155,9 +156,14 @@
  * For the control thread.
  */
 
-typedef void (*dispatch_ask_fn)(void *ctx, const char *service,
-				struct str upstream, uint32_t wanted,
-				uint32_t in_use, int64_t asked_us);
+struct dispatch_ask {
+	const char *service;
+	struct str upstream;
+	struct budget_ask ask;
+	int64_t asked_us;
+};
+
+typedef void (*dispatch_ask_fn)(void *ctx, const struct dispatch_ask *ask);
 
 /** Calls ask for every share to ask for now. */
 void dispatch_ask_shares(struct dispatch *dispatch, dispatch_ask_fn ask,
--- a/src/router/dispatch_control.c
+++ b/src/router/dispatch_control.c
@@ -238,38 +238,50 @@
 }
 
 struct share_ask {
-	struct service_state *service;
+	struct dispatch_ask ask;
 	char upstream[DISPATCH_ID_SIZE];
-	uint32_t wanted, in_use;
 };
 
-static void collect_asks(struct service_state *service, int64_t now_us,
-			 GArray *asks)
+static void add_ask(struct service_state *service, struct str upstream,
+		    const struct budget_ask *asked, int64_t now_us,
+		    GArray *asks)
 {
-	uint32_t upstreams[ASKS_MAX], wanted[ASKS_MAX], in_use[ASKS_MAX];
-	size_t i, n = pool_shares_to_ask(service->pool, now_us, upstreams,
-					 wanted, in_use, ASKS_MAX);
-	struct share_ask ask = { .service = service };
-
-	for (i = 0; i < n; i++) {
-		struct str id = pool_id(service->pool, upstreams[i]);
-
-		g_snprintf(ask.upstream, sizeof(ask.upstream), "%.*s",
-			   STR_ARG(id));
-		ask.wanted = wanted[i];
-		ask.in_use = in_use[i];
-		g_array_append_val(asks, ask);
-	}
+	struct share_ask ask = { .ask = { .service = service->shared.name,
+					  .ask = *asked,
+					  .asked_us = now_us } };
+
+	g_snprintf(ask.upstream, sizeof(ask.upstream), "%.*s",
+		   STR_ARG(upstream));
+	g_array_append_val(asks, ask);
+}
+
+static void add_trial(struct service_state *service, int64_t now_us,
+		      GArray *asks)
+{
+	struct budget_ask ask = { .wanted = 1,
+				  .in_use = service->trial_running };
+	char name[DISPATCH_ID_SIZE];
+
 	if (!service->trial_wanted ||
-	    now_us < service->trial_asked_us + BUDGET_SHARE_US / 4)
+	    now_us < service->trial_asked_us + BUDGET_ASK_US)
 		return;
 	service->trial_wanted = false;
 	service->trial_asked_us = now_us;
-	g_snprintf(ask.upstream, sizeof(ask.upstream), TRIAL_PREFIX "%s",
-		   service->shared.name);
-	ask.wanted = 1;
-	ask.in_use = service->trial_running;
-	g_array_append_val(asks, ask);
+	g_snprintf(name, sizeof(name), TRIAL_PREFIX "%s", service->shared.name);
+	add_ask(service, str_from(name), &ask, now_us, asks);
+}
+
+static void collect_asks(struct service_state *service, int64_t now_us,
+			 GArray *asks)
+{
+	struct pool_ask wanted[ASKS_MAX];
+	size_t i,
+		n = pool_shares_to_ask(service->pool, now_us, wanted, ASKS_MAX);
+
+	for (i = 0; i < n; i++)
+		add_ask(service, pool_id(service->pool, wanted[i].upstream),
+			&wanted[i].ask, now_us, asks);
+	add_trial(service, now_us, asks);
 }
 
 void dispatch_ask_shares(struct dispatch *dispatch, dispatch_ask_fn ask,
@@ -288,11 +300,10 @@
 		collect_asks(data, now_us, asks);
 	g_mutex_unlock(&dispatch->lock);
 	for (i = 0; i < asks->len; i++) {
-		const struct share_ask *a =
-			&g_array_index(asks, struct share_ask, i);
+		struct share_ask *a = &g_array_index(asks, struct share_ask, i);
 
-		ask(ctx, a->service->shared.name, str_from(a->upstream),
-		    a->wanted, a->in_use, now_us);
+		a->ask.upstream = str_from(a->upstream);
+		ask(ctx, &a->ask);
 	}
 	g_array_free(asks, TRUE);
 }
