--- a/src/request/poison.c
+++ b/src/request/poison.c
@@ -225,7 +225,7 @@
 }
 
 size_t poison_alive(struct poison *poison, struct str upstream, struct str boot,
-		    struct poison_report *reports, size_t max)
+		    int64_t sent_us, struct poison_report *reports, size_t max)
 {
 	uint64_t incarnation = hash_incarnation(upstream, boot);
 	GHashTableIter iter;
@@ -235,7 +235,7 @@
 	g_hash_table_iter_init(&iter, poison->records);
 	while (count < max &&
 	       g_hash_table_iter_next(&iter, NULL, (gpointer *)&r)) {
-		if (!remove_death(r, incarnation))
+		if (sent_us <= r->last_us || !remove_death(r, incarnation))
 			continue;
 		reports[count++] = (struct poison_report){
 			.fingerprint = r->fingerprint,
@@ -248,6 +248,33 @@
 	return count;
 }
 
+size_t poison_list(const struct poison *poison, int64_t now_us,
+		   struct poison_report *reports, size_t max)
+{
+	const struct record *r;
+	GHashTableIter iter;
+	size_t count = 0;
+
+	g_hash_table_iter_init(&iter, poison->records);
+	while (count < max &&
+	       g_hash_table_iter_next(&iter, NULL, (gpointer *)&r)) {
+		if (now_us >= r->last_us + POISON_KEEP_US)
+			continue;
+		reports[count++] = (struct poison_report){
+			.fingerprint = r->fingerprint,
+			.deaths = r->deaths,
+		};
+	}
+	return count;
+}
+
+/* Deaths that the sender knew of and this process was not told. */
+static void add_unnamed(struct record *r, uint32_t deaths)
+{
+	while (r->deaths < MIN(deaths, DEATHS_MAX))
+		r->died[r->deaths++] = 0;
+}
+
 void poison_take(struct poison *poison, const struct poison_report *report,
 		 int64_t now_us)
 {
@@ -257,6 +284,7 @@
 	if (report->deaths) {
 		r = ensure_record(poison, report->fingerprint, now_us);
 		add_death(r, incarnation, now_us);
+		add_unnamed(r, report->deaths);
 		return;
 	}
 	r = find_record(poison, report->fingerprint, now_us);
--- a/src/request/poison.h
+++ b/src/request/poison.h
@@ -49,7 +49,7 @@
 	 * Empty with deaths 0: the request ran, forget all of its deaths. */
 	struct str upstream;
 	struct str boot;
-	/** Deaths known to the sender. */
+	/** Deaths known to the sender, the one named included. */
 	uint32_t deaths;
 };
 
@@ -105,15 +105,27 @@
 		int64_t now_us, struct poison_report *report);
 
 /**
- * Notes that an incarnation answered a request sent after a connection to it
- * broke: it did not die.
+ * Notes that an incarnation answered: deaths of it noted before that request
+ * was sent did not happen. An answer to an earlier request proves nothing, as
+ * it may have been under way when the upstream died.
  *
+ * @param sent_us when the request that it answered was sent
  * @param reports set to at most max reports for the others; their texts borrow
  *        from the arguments
  * @return the number set
  */
 size_t poison_alive(struct poison *poison, struct str upstream, struct str boot,
-		    struct poison_report *reports, size_t max);
+		    int64_t sent_us, struct poison_report *reports, size_t max);
+
+/**
+ * What is known now, for a process that starts: it takes this before it sends
+ * anything. Assigners keep an instance of their own for that.
+ *
+ * @param reports set to at most max reports, without the names of upstreams
+ * @return the number set
+ */
+size_t poison_list(const struct poison *poison, int64_t now_us,
+		   struct poison_report *reports, size_t max);
 
 /** Takes another process's report. */
 void poison_take(struct poison *poison, const struct poison_report *report,
--- a/test/fuzz/fuzz_request_parts/run.c
+++ b/test/fuzz/fuzz_request_parts/run.c
@@ -4,7 +4,7 @@
 #include "fuzz_request_parts/world.h"
 
 /* Operations read from one input, and calls that crash upstreams. */
-#define OPERATIONS_MAX 300
+#define OPERATIONS_MAX 64
 #define MARKED_MAX 2
 #define SUBMISSIONS 4
 /* Quiet time at the end, in which every request must end. */
@@ -22,6 +22,7 @@
 	w->calls = g_ptr_array_new();
 	w->table = g_hash_table_new(g_str_hash, g_str_equal);
 	w->holder_up = true;
+	w->keeper = poison_create();
 	for (i = 0; i <= UPSTREAMS; i++)
 		w->holders[i] = budget_holder_create(0);
 	for (i = 0; i < UPSTREAMS; i++)
@@ -43,6 +44,7 @@
 		upstream_clear(&w->upstreams[i]);
 	for (i = 0; i <= UPSTREAMS; i++)
 		budget_holder_destroy(w->holders[i]);
+	poison_destroy(w->keeper);
 	g_hash_table_destroy(w->table);
 	g_ptr_array_free(w->calls, TRUE);
 	g_ptr_array_free(w->connections, TRUE);
@@ -160,8 +162,10 @@
 
 	if (what < 14)
 		submit(w, op[1], op[2]);
-	else if (what < 21)
+	else if (what < 18)
 		world_run(w, w->now + MS * op[2]);
+	else if (what < 21)
+		world_run(w, w->now + 4 * MS * op[2]);
 	else if (what < 23)
 		submit_special(w, op[1], op[2]);
 	else
@@ -181,6 +185,7 @@
 	for (i = 0; i < OPERATIONS_MAX && 4 + 3 * (i + 1) <= size; i++)
 		if (!w.violation)
 			operate(&w, data + 4 + (size_t)3 * i);
+	w.draining = true;
 	world_run(&w, w.now + DRAIN_US);
 	if (!w.violation)
 		oracle_end(&w);
--- a/test/fuzz/fuzz_request_parts/world.h
+++ b/test/fuzz/fuzz_request_parts/world.h
@@ -157,7 +157,11 @@
 	bool holder_up;
 	GHashTable *table;
 	int64_t table_down_us, table_lossy_us;
+	/** What the assigners know of crashes, for routers that start. */
+	struct poison *keeper;
 	uint32_t marked;
+	/** The input ended: callers try nothing again. */
+	bool draining;
 	/** The rule broken; NULL: none. */
 	const char *violation;
 };
