test: clusters of real processes, and what stand-ins noted

test/functional/cluster starts the platform, upstreams over the zones and pairs of router and assigner on free ports; children die with their parent (PR_SET_PDEATHSIG), tests wait on conditions. cluster_record reads the upstreams' files: work that ran twice, and two upstreams that held a hash at one instant. test_standin shows that each check can fail: wrong, short and cut answers, work sent twice, overlapping grants.

--- /dev/null
+++ b/test/functional/cluster_record.c
@@ -0,0 +1,297 @@
+#include "cluster_record.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+
+#define RUN_FIELDS 10
+#define GRANT_FIELDS 5
+#define HEX 16
+#define HASH_DIGITS 16
+
+struct record_book {
+	/* struct record_run */
+	GArray *runs;
+	/* struct record_hold */
+	GArray *holds;
+};
+
+static void clear_run(gpointer data)
+{
+	struct record_run *run = data;
+
+	g_free(run->request_id);
+	g_free(run->work_id);
+	g_free(run->load_id);
+	g_free(run->method);
+	g_free(run->uri);
+}
+
+struct record_book *record_book_create(void)
+{
+	struct record_book *book = g_new0(struct record_book, 1);
+
+	book->runs = g_array_new(FALSE, TRUE, sizeof(struct record_run));
+	g_array_set_clear_func(book->runs, clear_run);
+	book->holds = g_array_new(FALSE, TRUE, sizeof(struct record_hold));
+	return book;
+}
+
+void record_book_destroy(struct record_book *book)
+{
+	g_array_unref(book->runs);
+	g_array_unref(book->holds);
+	g_free(book);
+}
+
+static int64_t number(const char *text)
+{
+	return g_ascii_strtoll(text, NULL, 10);
+}
+
+/* run TIME HASH EPOCH REQUEST ATTEMPT WORK LOAD METHOD URI */
+static void add_run(struct record_book *book, char **fields,
+		    unsigned int upstream)
+{
+	struct record_run run = {
+		.at_us = number(fields[1]),
+		.upstream = upstream,
+		.keyed = strcmp(fields[2], "-") != 0,
+		.hash = g_ascii_strtoull(fields[2], NULL, HEX),
+		.epoch = g_ascii_strtoull(fields[3], NULL, 10),
+		.request_id = g_strdup(fields[4]),
+		.work_id = g_strdup(fields[6]),
+		.load_id = g_strdup(fields[7]),
+		.method = g_strdup(fields[8]),
+		.uri = g_strdup(fields[9]),
+	};
+
+	g_array_append_val(book->runs, run);
+}
+
+/* What one upstream holds while its file is read. */
+struct holder {
+	struct record_book *book;
+	unsigned int upstream;
+	/* struct record_hold, those still open */
+	GArray *open;
+};
+
+/* What is held ends where the next grant takes its place. */
+static void close_open(struct holder *holder, int64_t now_us)
+{
+	guint i;
+
+	for (i = 0; i < holder->open->len; i++) {
+		struct record_hold hold =
+			g_array_index(holder->open, struct record_hold, i);
+
+		hold.until_us = MIN(hold.until_us, now_us);
+		if (hold.until_us > hold.from_us)
+			g_array_append_val(holder->book->holds, hold);
+	}
+	g_array_set_size(holder->open, 0);
+}
+
+/* A renewal: the ranges held, under a new time, if they still were. */
+static void extend_open(struct holder *holder, int64_t now_us, int64_t until_us)
+{
+	guint i;
+
+	for (i = 0; i < holder->open->len; i++) {
+		struct record_hold *hold =
+			&g_array_index(holder->open, struct record_hold, i);
+
+		if (hold->until_us < now_us) {
+			struct record_hold ended = *hold;
+
+			g_array_append_val(holder->book->holds, ended);
+			hold->from_us = now_us;
+		}
+		hold->until_us = until_us;
+	}
+}
+
+static void open_ranges(struct holder *holder, const char *ranges,
+			struct record_hold hold)
+{
+	char **list = g_strsplit(ranges, ",", -1);
+	char **p;
+
+	for (p = list; *p && strlen(*p) == 2 * HASH_DIGITS + 1; p++) {
+		hold.first = g_ascii_strtoull(*p, NULL, HEX);
+		hold.last = g_ascii_strtoull(*p + HASH_DIGITS + 1, NULL, HEX);
+		g_array_append_val(holder->open, hold);
+	}
+	g_strfreev(list);
+}
+
+/* grant TIME UNTIL EPOCH RANGES */
+static void add_grant(struct holder *holder, char **fields)
+{
+	struct record_hold hold = {
+		.upstream = holder->upstream,
+		.from_us = number(fields[1]),
+		.until_us = number(fields[2]),
+		.epoch = g_ascii_strtoull(fields[3], NULL, 10),
+	};
+
+	if (!strcmp(fields[4], "=") && hold.until_us > hold.from_us) {
+		extend_open(holder, hold.from_us, hold.until_us);
+		return;
+	}
+	close_open(holder, hold.from_us);
+	if (hold.until_us > hold.from_us)
+		open_ranges(holder, fields[4], hold);
+}
+
+static void add_line(struct holder *holder, const char *line)
+{
+	char **fields = g_strsplit(line, "\t", RUN_FIELDS);
+	guint count = g_strv_length(fields);
+
+	if (count == RUN_FIELDS && !strcmp(fields[0], "run"))
+		add_run(holder->book, fields, holder->upstream);
+	else if (count == GRANT_FIELDS && !strcmp(fields[0], "grant"))
+		add_grant(holder, fields);
+	/* A process that starts anew holds nothing. */
+	else if (count == 2 && !strcmp(fields[0], "start"))
+		close_open(holder, number(fields[1]));
+	g_strfreev(fields);
+}
+
+bool record_book_add(struct record_book *book, const char *path,
+		     unsigned int upstream)
+{
+	struct holder holder = { .book = book, .upstream = upstream };
+	char *text = NULL;
+	char **lines, **p;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		return false;
+	holder.open = g_array_new(FALSE, TRUE, sizeof(struct record_hold));
+	lines = g_strsplit(text, "\n", -1);
+	for (p = lines; *p; p++)
+		add_line(&holder, *p);
+	close_open(&holder, INT64_MAX);
+	g_strfreev(lines);
+	g_array_unref(holder.open);
+	g_free(text);
+	return true;
+}
+
+const GArray *record_book_runs(const struct record_book *book)
+{
+	return book->runs;
+}
+
+static const struct record_run *run_at(const struct record_book *book, guint i)
+{
+	return &g_array_index(book->runs, struct record_run, i);
+}
+
+static bool may_repeat(const char *method)
+{
+	return !strcmp(method, "GET") || !strcmp(method, "HEAD");
+}
+
+/* What names the work that may run only once; NULL when it may repeat. */
+static const char *once_id(const struct record_run *run)
+{
+	if (strcmp(run->work_id, "-") != 0)
+		return run->work_id;
+	if (may_repeat(run->method))
+		return NULL;
+	return strcmp(run->load_id, "-") != 0 ? run->load_id : run->request_id;
+}
+
+unsigned int record_book_duplicates(struct record_book *book,
+				    const char **first)
+{
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTable *twice = g_hash_table_new(g_str_hash, g_str_equal);
+	unsigned int count;
+	guint i;
+
+	*first = NULL;
+	for (i = 0; i < book->runs->len; i++) {
+		const char *id = once_id(run_at(book, i));
+
+		if (!id || g_hash_table_add(seen, (gpointer)id))
+			continue;
+		g_hash_table_add(twice, (gpointer)id);
+		*first = id;
+	}
+	count = g_hash_table_size(twice);
+	g_hash_table_unref(seen);
+	g_hash_table_unref(twice);
+	return count;
+}
+
+unsigned int record_book_work_runs(const struct record_book *book,
+				   const char *work_id)
+{
+	unsigned int count = 0;
+	guint i;
+
+	for (i = 0; i < book->runs->len; i++)
+		count += !strcmp(run_at(book, i)->work_id, work_id);
+	return count;
+}
+
+static bool overlap(const struct record_hold *a, const struct record_hold *b)
+{
+	return a->upstream != b->upstream && a->first <= b->last &&
+	       b->first <= a->last && a->from_us < b->until_us &&
+	       b->from_us < a->until_us;
+}
+
+static gint compare_holds(gconstpointer a, gconstpointer b)
+{
+	const struct record_hold *x = a, *y = b;
+
+	return (x->from_us > y->from_us) - (x->from_us < y->from_us);
+}
+
+unsigned int record_book_overlaps(const struct record_book *book,
+				  struct record_hold *first,
+				  struct record_hold *second)
+{
+	const GArray *holds = book->holds;
+	unsigned int count = 0;
+	guint i, k;
+
+	g_array_sort(book->holds, compare_holds);
+	for (i = 0; i < holds->len; i++) {
+		const struct record_hold *a =
+			&g_array_index(holds, struct record_hold, i);
+
+		for (k = i + 1; k < holds->len; k++) {
+			const struct record_hold *b =
+				&g_array_index(holds, struct record_hold, k);
+
+			if (b->from_us >= a->until_us)
+				break;
+			if (!overlap(a, b))
+				continue;
+			count++;
+			*first = *a;
+			*second = *b;
+		}
+	}
+	return count;
+}
+
+unsigned int record_book_runs_after(const struct record_book *book,
+				    unsigned int upstream, int64_t after_us)
+{
+	unsigned int count = 0;
+	guint i;
+
+	for (i = 0; i < book->runs->len; i++) {
+		const struct record_run *run = run_at(book, i);
+
+		count += run->upstream == upstream && run->at_us > after_us;
+	}
+	return count;
+}
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -1,5 +1,7 @@
 #include "platform.h"
 
+#include <pthread.h>
+
 #include <stdio.h>
 #include <string.h>
 
@@ -14,7 +16,7 @@
 struct platform {
 	struct faults *faults;
 	/* Guards what follows. */
-	GMutex lock;
+	pthread_mutex_t lock;
 	struct rows *table;
 	struct rows *objects;
 	struct vm_list *vms;
@@ -25,7 +27,7 @@
 	struct platform *platform = g_new0(struct platform, 1);
 
 	platform->faults = faults_create(seed);
-	g_mutex_init(&platform->lock);
+	pthread_mutex_init(&platform->lock, NULL);
 	platform->table = rows_create();
 	platform->objects = rows_create();
 	platform->vms = vm_list_create();
@@ -38,7 +40,7 @@
 	rows_destroy(platform->table);
 	rows_destroy(platform->objects);
 	vm_list_destroy(platform->vms);
-	g_mutex_clear(&platform->lock);
+	pthread_mutex_destroy(&platform->lock);
 	g_free(platform);
 }
 
@@ -123,9 +125,9 @@
 	GBytes *value;
 
 	faults_count(platform->faults, 1, 0);
-	g_mutex_lock(&platform->lock);
+	pthread_mutex_lock(&platform->lock);
 	value = snapshot(table, key, &version);
-	g_mutex_unlock(&platform->lock);
+	pthread_mutex_unlock(&platform->lock);
 	if (!value)
 		return reply_error(call, MHD_HTTP_NOT_FOUND, "no such row\n");
 	result = reply_row(call, MHD_HTTP_OK, value, version);
@@ -149,12 +151,12 @@
 		return reply_error(call, MHD_HTTP_BAD_REQUEST,
 				   "bad condition\n");
 	faults_count(platform->faults, 0, 1);
-	g_mutex_lock(&platform->lock);
+	pthread_mutex_lock(&platform->lock);
 	status = deletes ? rows_delete(table, key, if_version)
 			 : rows_put(table, key, if_version, body, &version);
 	if (status == ROWS_CONFLICT)
 		value = snapshot(table, key, &version);
-	g_mutex_unlock(&platform->lock);
+	pthread_mutex_unlock(&platform->lock);
 	code = status == ROWS_CONFLICT ? MHD_HTTP_PRECONDITION_FAILED
 	       : deletes	       ? MHD_HTTP_NO_CONTENT
 				       : MHD_HTTP_OK;
@@ -201,9 +203,9 @@
 	json_t *rows = json_array();
 
 	faults_count(platform->faults, 1, 0);
-	g_mutex_lock(&platform->lock);
+	pthread_mutex_lock(&platform->lock);
 	rows_list(platform->table, prefix ? prefix : "", list_row, rows);
-	g_mutex_unlock(&platform->lock);
+	pthread_mutex_unlock(&platform->lock);
 	return standin_reply_json(call->conn, MHD_HTTP_OK,
 				  json_pack("{s:o}", "rows", rows));
 }
@@ -279,13 +281,13 @@
 	bool ok = json_is_array(ops), writes = writes_any(ops);
 	size_t i;
 
-	g_mutex_lock(&platform->lock);
+	pthread_mutex_lock(&platform->lock);
 	for (i = 0; ok && i < json_array_size(ops); i++) {
 		json_t *result = run_op(platform, json_array_get(ops, i));
 
 		ok = result && !json_array_append_new(results, result);
 	}
-	g_mutex_unlock(&platform->lock);
+	pthread_mutex_unlock(&platform->lock);
 	json_decref(body);
 	if (ok && !(writes && faults_lose_answer(platform->faults)))
 		return standin_reply_json(
@@ -303,9 +305,9 @@
 			faults_list_lag_us(platform->faults);
 	json_t *vms;
 
-	g_mutex_lock(&platform->lock);
+	pthread_mutex_lock(&platform->lock);
 	vms = vm_list_at(platform->vms, at_us);
-	g_mutex_unlock(&platform->lock);
+	pthread_mutex_unlock(&platform->lock);
 	return standin_reply_json(call->conn, MHD_HTTP_OK, vms);
 }
 
@@ -317,12 +319,12 @@
 	const json_t *vms = json_object_get(body, "vms");
 	bool ok = json_is_array(vms);
 
-	g_mutex_lock(&platform->lock);
+	pthread_mutex_lock(&platform->lock);
 	if (ok)
 		vm_list_register(platform->vms, vms,
 				 json_is_true(json_object_get(body, "replace")),
 				 clock_now_us(clock_system()));
-	g_mutex_unlock(&platform->lock);
+	pthread_mutex_unlock(&platform->lock);
 	json_decref(body);
 	return reply_error(call, ok ? MHD_HTTP_OK : MHD_HTTP_BAD_REQUEST,
 			   ok ? "registered\n" : "bad list\n");
@@ -344,11 +346,11 @@
 {
 	json_t *stats = faults_stats(platform->faults);
 
-	g_mutex_lock(&platform->lock);
+	pthread_mutex_lock(&platform->lock);
 	json_object_set_new(
 		stats, "rows",
 		json_integer((json_int_t)rows_count(platform->table)));
-	g_mutex_unlock(&platform->lock);
+	pthread_mutex_unlock(&platform->lock);
 	return standin_reply_json(call->conn, MHD_HTTP_OK, stats);
 }
 
--- a/test/standin/platform_faults.c
+++ b/test/standin/platform_faults.c
@@ -1,6 +1,7 @@
 #include "platform_faults.h"
 
 #include <glib.h>
+#include <pthread.h>
 #include <stddef.h>
 #include <string.h>
 
@@ -18,7 +19,7 @@
 };
 
 struct faults {
-	GMutex lock;
+	pthread_mutex_t lock;
 	GRand *rand;
 	enum outage outage;
 	int64_t slow_ms, lose_next, lose_percent, list_lag_ms;
@@ -29,7 +30,7 @@
 {
 	struct faults *faults = g_new0(struct faults, 1);
 
-	g_mutex_init(&faults->lock);
+	pthread_mutex_init(&faults->lock, NULL);
 	faults->rand = g_rand_new_with_seed((guint32)seed);
 	return faults;
 }
@@ -37,7 +38,7 @@
 void faults_destroy(struct faults *faults)
 {
 	g_rand_free(faults->rand);
-	g_mutex_clear(&faults->lock);
+	pthread_mutex_destroy(&faults->lock);
 	g_free(faults);
 }
 
@@ -86,10 +87,10 @@
 	json_t *value;
 	bool ok = true;
 
-	g_mutex_lock(&faults->lock);
+	pthread_mutex_lock(&faults->lock);
 	json_object_foreach ((json_t *)change, name, value)
 		ok = set_member(faults, name, value) && ok;
-	g_mutex_unlock(&faults->lock);
+	pthread_mutex_unlock(&faults->lock);
 	return ok;
 }
 
@@ -97,10 +98,10 @@
 {
 	enum outage outage;
 
-	g_mutex_lock(&faults->lock);
+	pthread_mutex_lock(&faults->lock);
 	outage = faults->outage;
 	*slow_ms = faults->slow_ms;
-	g_mutex_unlock(&faults->lock);
+	pthread_mutex_unlock(&faults->lock);
 	return outage;
 }
 
@@ -121,10 +122,10 @@
 	int64_t slow_ms;
 	enum outage outage = outage_now(faults, &slow_ms);
 
-	g_mutex_lock(&faults->lock);
+	pthread_mutex_lock(&faults->lock);
 	faults->calls++;
 	faults->refused += outage != OUTAGE_NONE;
-	g_mutex_unlock(&faults->lock);
+	pthread_mutex_unlock(&faults->lock);
 	if (outage == OUTAGE_REFUSE)
 		return FAULT_REFUSE;
 	if (outage == OUTAGE_SILENT) {
@@ -140,7 +141,7 @@
 {
 	bool lose;
 
-	g_mutex_lock(&faults->lock);
+	pthread_mutex_lock(&faults->lock);
 	lose = faults->lose_next > 0;
 	if (lose)
 		faults->lose_next--;
@@ -148,7 +149,7 @@
 		lose = g_rand_int_range(faults->rand, 0, PERCENT) <
 		       faults->lose_percent;
 	faults->lost += lose;
-	g_mutex_unlock(&faults->lock);
+	pthread_mutex_unlock(&faults->lock);
 	return lose;
 }
 
@@ -156,32 +157,32 @@
 {
 	int64_t lag_us;
 
-	g_mutex_lock(&faults->lock);
+	pthread_mutex_lock(&faults->lock);
 	lag_us = faults->list_lag_ms * US_PER_MS;
-	g_mutex_unlock(&faults->lock);
+	pthread_mutex_unlock(&faults->lock);
 	return lag_us;
 }
 
 void faults_count(struct faults *faults, unsigned int reads,
 		  unsigned int writes)
 {
-	g_mutex_lock(&faults->lock);
+	pthread_mutex_lock(&faults->lock);
 	faults->reads += reads;
 	faults->writes += writes;
-	g_mutex_unlock(&faults->lock);
+	pthread_mutex_unlock(&faults->lock);
 }
 
 json_t *faults_stats(struct faults *faults)
 {
 	json_t *stats;
 
-	g_mutex_lock(&faults->lock);
+	pthread_mutex_lock(&faults->lock);
 	stats = json_pack("{s:I,s:I,s:I,s:I,s:I}", "calls",
 			  (json_int_t)faults->calls, "reads",
 			  (json_int_t)faults->reads, "writes",
 			  (json_int_t)faults->writes, "answers_lost",
 			  (json_int_t)faults->lost, "refused",
 			  (json_int_t)faults->refused);
-	g_mutex_unlock(&faults->lock);
+	pthread_mutex_unlock(&faults->lock);
 	return stats;
 }
--- a/test/standin/platform_main.c
+++ b/test/standin/platform_main.c
@@ -36,7 +36,8 @@
 		.about = "Stands in for the platform in tests.",
 		.options = options
 	};
-	struct settings settings = { 0 };
+	/* Static: its texts live until the process ends. */
+	static struct settings settings;
 	struct standin_server *server;
 	struct platform *platform;
 	GError *error = NULL;
@@ -56,6 +57,5 @@
 	standin_signals_wait();
 	standin_server_destroy(server);
 	platform_destroy(platform);
-	g_free(settings.listen);
 	return EXIT_SUCCESS;
 }
--- a/test/standin/upstream.h
+++ b/test/standin/upstream.h
@@ -4,6 +4,7 @@
 #ifndef UPSTREAM_H
 #define UPSTREAM_H
 
+#include <pthread.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -16,6 +17,8 @@
 struct upstream_faults {
 	/** Answers to be cut in half, and runs whose answer is never sent. */
 	int64_t truncate, reset_after_run;
+	/** Answers that are too short but look whole, and wrong answers. */
+	int64_t shorten, garble;
 	/** Connections up to this number got silent. */
 	uint64_t silent_up_to;
 	bool unhealthy;
@@ -37,7 +40,7 @@
 	struct standin_server *data;
 	struct standin_server *control;
 	/** Guards what follows. */
-	GMutex lock;
+	pthread_mutex_t lock;
 	struct upstream_faults faults;
 	/** Reports of load: the one shown, and the one shown next. */
 	json_t *shown, *next;
--- a/test/standin/upstream_control.c
+++ b/test/standin/upstream_control.c
@@ -29,7 +29,7 @@
 	int64_t now_us = clock_now_us(clock_system());
 	json_t *shown;
 
-	g_mutex_lock(&upstream->lock);
+	pthread_mutex_lock(&upstream->lock);
 	if (!upstream->shown ||
 	    (now_us >= upstream->next_us && !upstream->faults.freeze_reports)) {
 		json_decref(upstream->shown);
@@ -39,7 +39,7 @@
 		upstream->next_us = now_us + upstream->load_lag_us;
 	}
 	shown = json_deep_copy(upstream->shown);
-	g_mutex_unlock(&upstream->lock);
+	pthread_mutex_unlock(&upstream->lock);
 	return shown;
 }
 
@@ -76,9 +76,9 @@
 	bool well = strcmp(state, "draining") != 0;
 
 	json_decref(load);
-	g_mutex_lock(&upstream->lock);
+	pthread_mutex_lock(&upstream->lock);
 	well = well && !upstream->faults.unhealthy;
-	g_mutex_unlock(&upstream->lock);
+	pthread_mutex_unlock(&upstream->lock);
 	return reply_text(call,
 			  well ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
 			  well ? "well\n" : "not well\n");
@@ -127,6 +127,10 @@
 		faults->truncate = json_integer_value(value);
 	else if (!strcmp(name, "reset_after_run"))
 		faults->reset_after_run = json_integer_value(value);
+	else if (!strcmp(name, "shorten"))
+		faults->shorten = json_integer_value(value);
+	else if (!strcmp(name, "garble"))
+		faults->garble = json_integer_value(value);
 	else if (!strcmp(name, "unhealthy"))
 		faults->unhealthy = json_is_true(value);
 	else if (!strcmp(name, "freeze_reports"))
@@ -155,9 +159,9 @@
 	} else if (!strcmp(name, "fences")) {
 		grants_set_fences(upstream->grants, json_is_true(value));
 	} else {
-		g_mutex_lock(&upstream->lock);
+		pthread_mutex_lock(&upstream->lock);
 		known = set_fault(upstream, name, value);
-		g_mutex_unlock(&upstream->lock);
+		pthread_mutex_unlock(&upstream->lock);
 	}
 	return known;
 }
--- a/test/standin/upstream_data.c
+++ b/test/standin/upstream_data.c
@@ -35,9 +35,9 @@
 {
 	bool silent;
 
-	g_mutex_lock(&upstream->lock);
+	pthread_mutex_lock(&upstream->lock);
 	silent = conn_number <= upstream->faults.silent_up_to;
-	g_mutex_unlock(&upstream->lock);
+	pthread_mutex_unlock(&upstream->lock);
 	return silent;
 }
 
@@ -172,11 +172,11 @@
 {
 	bool take;
 
-	g_mutex_lock(&upstream->lock);
+	pthread_mutex_lock(&upstream->lock);
 	take = *count > 0;
 	if (take)
 		--*count;
-	g_mutex_unlock(&upstream->lock);
+	pthread_mutex_unlock(&upstream->lock);
 	return take;
 }
 
@@ -232,6 +232,18 @@
 								  g_free);
 }
 
+static struct MHD_Response *make_response(struct upstream *upstream,
+					  const struct standin_call *call,
+					  uint64_t seed, uint64_t bytes,
+					  bool cut)
+{
+	bool chunked = standin_argument(call->conn, "chunked", 0) != 0;
+
+	if (bytes <= ONE_PIECE_LIMIT && !cut && !chunked)
+		return small_response(seed, bytes);
+	return stream_response(upstream, call, seed, bytes, cut);
+}
+
 static enum MHD_Result answer(struct upstream *upstream,
 			      const struct standin_call *call,
 			      const struct run *run)
@@ -241,12 +253,13 @@
 	uint64_t seed =
 		pattern_seed(str_from(run->load_id), str_from(call->uri));
 	bool cut = take_fault(upstream, &upstream->faults.truncate);
-	bool one_piece = bytes <= ONE_PIECE_LIMIT && !cut &&
-			 !standin_argument(call->conn, "chunked", 0);
-	struct MHD_Response *response =
-		one_piece ? small_response(seed, bytes)
-			  : stream_response(upstream, call, seed, bytes, cut);
+	struct MHD_Response *response;
 
+	if (take_fault(upstream, &upstream->faults.shorten))
+		bytes /= 2;
+	if (take_fault(upstream, &upstream->faults.garble))
+		seed++;
+	response = make_response(upstream, call, seed, bytes, cut);
 	MHD_add_response_header(response, "Auburn-Verdict",
 				verdict_kind_name(VERDICT_RAN));
 	MHD_add_response_header(response, "Auburn-Boot", upstream->boot);
--- a/test/standin/upstream_grants.c
+++ b/test/standin/upstream_grants.c
@@ -1,6 +1,7 @@
 #include "upstream_grants.h"
 
 #include <inttypes.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -11,7 +12,7 @@
 #define HEX_SIZE 17
 
 struct grants {
-	GMutex lock;
+	pthread_mutex_t lock;
 	char *cell, *boot;
 	bool fences;
 	struct fence *fence;
@@ -34,7 +35,7 @@
 {
 	struct grants *grants = g_new0(struct grants, 1);
 
-	g_mutex_init(&grants->lock);
+	pthread_mutex_init(&grants->lock, NULL);
 	grants->cell = g_strdup(cell);
 	grants->boot = g_strdup(boot);
 	grants->fences = fences;
@@ -46,7 +47,7 @@
 void grants_destroy(struct grants *grants)
 {
 	fence_destroy(grants->fence);
-	g_mutex_clear(&grants->lock);
+	pthread_mutex_destroy(&grants->lock);
 	g_free(grants->cell);
 	g_free(grants->boot);
 	g_free(grants);
@@ -54,11 +55,11 @@
 
 void grants_set_fences(struct grants *grants, bool fences)
 {
-	g_mutex_lock(&grants->lock);
+	pthread_mutex_lock(&grants->lock);
 	fence_destroy(grants->fence);
 	grants->fences = fences;
 	grants->fence = new_fence(grants);
-	g_mutex_unlock(&grants->lock);
+	pthread_mutex_unlock(&grants->lock);
 }
 
 static struct str text_of(const json_t *object, const char *name)
@@ -189,11 +190,11 @@
 	json_t *result = NULL;
 
 	if (parse_order(value, &order, ranges)) {
-		g_mutex_lock(&grants->lock);
+		pthread_mutex_lock(&grants->lock);
 		fence_order(grants->fence, &order, now_us(), &reply);
 		note_grant(grants, &order, &reply);
 		result = reply_json(&reply);
-		g_mutex_unlock(&grants->lock);
+		pthread_mutex_unlock(&grants->lock);
 	}
 	g_array_unref(ranges);
 	return result;
@@ -203,9 +204,9 @@
 {
 	bool serves;
 
-	g_mutex_lock(&grants->lock);
+	pthread_mutex_lock(&grants->lock);
 	serves = fence_serves(grants->fence, hash, epoch, now_us());
-	g_mutex_unlock(&grants->lock);
+	pthread_mutex_unlock(&grants->lock);
 	return serves;
 }
 
@@ -213,8 +214,8 @@
 {
 	uint64_t epoch;
 
-	g_mutex_lock(&grants->lock);
+	pthread_mutex_lock(&grants->lock);
 	epoch = fence_epoch(grants->fence);
-	g_mutex_unlock(&grants->lock);
+	pthread_mutex_unlock(&grants->lock);
 	return epoch;
 }
--- a/test/standin/upstream_main.c
+++ b/test/standin/upstream_main.c
@@ -109,7 +109,7 @@
 	upstream->crash_mark = settings->crash_mark;
 	upstream->boot = new_boot(settings->id);
 	upstream->load_lag_us = settings->load_lag_ms * US_PER_MS;
-	g_mutex_init(&upstream->lock);
+	pthread_mutex_init(&upstream->lock, NULL);
 	upstream->record = record_create(settings->record, error);
 	if (!upstream->record)
 		return;
@@ -133,7 +133,8 @@
 		.about = "Stands in for an upstream in tests.",
 		.options = options
 	};
-	struct settings settings = { 0 };
+	/* Static: its texts live until the process ends. */
+	static struct settings settings;
 	struct upstream upstream = { 0 };
 	GError *error = NULL;
 
--- a/test/standin/upstream_record.c
+++ b/test/standin/upstream_record.c
@@ -3,14 +3,16 @@
 #include <fcntl.h>
 #include <glib.h>
 #include <inttypes.h>
+#include <pthread.h>
 #include <string.h>
 #include <unistd.h>
 
+#include "base/clock.h"
 #include "base/error.h"
 
 struct record {
 	int fd;
-	GMutex lock;
+	pthread_mutex_t lock;
 	uint64_t runs;
 	/* Text to count. */
 	GHashTable *requests, *work, *loads, *violations;
@@ -21,6 +23,24 @@
 	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
+/* One write() a line: appends of several processes don't mix. */
+static void append(const struct record *record, const GString *line)
+{
+	ssize_t written = write(record->fd, line->str, line->len);
+
+	(void)written;
+}
+
+static void append_start(const struct record *record)
+{
+	GString *line = g_string_new(NULL);
+
+	g_string_printf(line, "start\t%" PRId64 "\n",
+			clock_now_us(clock_system()));
+	append(record, line);
+	g_string_free(line, TRUE);
+}
+
 struct record *record_create(const char *path, GError **error)
 {
 	struct record *record;
@@ -38,11 +58,13 @@
 	}
 	record = g_new0(struct record, 1);
 	record->fd = fd;
-	g_mutex_init(&record->lock);
+	pthread_mutex_init(&record->lock, NULL);
 	record->requests = new_counts();
 	record->work = new_counts();
 	record->loads = new_counts();
 	record->violations = new_counts();
+	if (fd >= 0)
+		append_start(record);
 	return record;
 }
 
@@ -54,7 +76,7 @@
 	g_hash_table_unref(record->work);
 	g_hash_table_unref(record->loads);
 	g_hash_table_unref(record->violations);
-	g_mutex_clear(&record->lock);
+	pthread_mutex_destroy(&record->lock);
 	g_free(record);
 }
 
@@ -69,14 +91,6 @@
 			     GUINT_TO_POINTER(GPOINTER_TO_UINT(old) + 1));
 }
 
-/* One write() a line: appends of several processes don't mix. */
-static void append(const struct record *record, const GString *line)
-{
-	ssize_t written = write(record->fd, line->str, line->len);
-
-	(void)written;
-}
-
 static const char *field(const char *text)
 {
 	return text && *text ? text : "-";
@@ -107,14 +121,14 @@
 
 	if (record->fd >= 0)
 		append_run(record, run);
-	g_mutex_lock(&record->lock);
+	pthread_mutex_lock(&record->lock);
 	record->runs++;
 	if (!repeatable) {
 		count(record->requests, run->request_id);
 		count(record->loads, run->load_id);
 	}
 	count(record->work, run->work_id);
-	g_mutex_unlock(&record->lock);
+	pthread_mutex_unlock(&record->lock);
 }
 
 void record_grant(struct record *record, int64_t now_us, int64_t until_us,
@@ -142,9 +156,9 @@
 
 void record_violation(struct record *record, const char *what)
 {
-	g_mutex_lock(&record->lock);
+	pthread_mutex_lock(&record->lock);
 	count(record->violations, what);
-	g_mutex_unlock(&record->lock);
+	pthread_mutex_unlock(&record->lock);
 }
 
 static json_t *counts_json(GHashTable *counts)
@@ -164,12 +178,12 @@
 {
 	json_t *counts;
 
-	g_mutex_lock(&record->lock);
+	pthread_mutex_lock(&record->lock);
 	counts = json_pack(
 		"{s:I,s:o,s:o,s:o,s:o}", "runs", (json_int_t)record->runs,
 		"requests", counts_json(record->requests), "work",
 		counts_json(record->work), "loads", counts_json(record->loads),
 		"violations", counts_json(record->violations));
-	g_mutex_unlock(&record->lock);
+	pthread_mutex_unlock(&record->lock);
 	return counts;
 }
--- a/test/standin/upstream_record.h
+++ b/test/standin/upstream_record.h
@@ -3,6 +3,7 @@
  * outlives the process. Thread safe.
  *
  * Lines of the file, fields separated by tabs:
+ *   start TIME
  *   run TIME HASH EPOCH REQUEST ATTEMPT WORK LOAD METHOD URI
  *   grant TIME UNTIL EPOCH FIRST-LAST,...   ("=": the ranges held before)
  * TIME and UNTIL are microseconds of the machine's boot clock; a field that is
--- a/test/standin/upstream_slots.c
+++ b/test/standin/upstream_slots.c
@@ -1,5 +1,7 @@
 #include "upstream_slots.h"
 
+#include <pthread.h>
+
 #include "base/clock.h"
 
 /* Ended requests that a late cancel can still be told about. */
@@ -12,8 +14,8 @@
 
 struct slots {
 	struct slot_limits limits;
-	GMutex lock;
-	GCond changed;
+	pthread_mutex_t lock;
+	pthread_cond_t changed;
 	GRand *rand;
 	/* Waiting slots, first come first served. */
 	GQueue waiting;
@@ -34,13 +36,23 @@
 	return clock_now_us(clock_system());
 }
 
+static void init_condition(pthread_cond_t *condition)
+{
+	pthread_condattr_t attributes;
+
+	pthread_condattr_init(&attributes);
+	pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+	pthread_cond_init(condition, &attributes);
+	pthread_condattr_destroy(&attributes);
+}
+
 struct slots *slots_create(const struct slot_limits *limits)
 {
 	struct slots *slots = g_new0(struct slots, 1);
 
 	slots->limits = *limits;
-	g_mutex_init(&slots->lock);
-	g_cond_init(&slots->changed);
+	pthread_mutex_init(&slots->lock, NULL);
+	init_condition(&slots->changed);
 	slots->rand = g_rand_new_with_seed((guint32)limits->seed);
 	g_queue_init(&slots->waiting);
 	g_queue_init(&slots->ended);
@@ -58,8 +70,8 @@
 	g_queue_clear_full(&slots->ended, g_free);
 	g_queue_clear(&slots->waiting);
 	g_rand_free(slots->rand);
-	g_cond_clear(&slots->changed);
-	g_mutex_clear(&slots->lock);
+	pthread_cond_destroy(&slots->changed);
+	pthread_mutex_destroy(&slots->lock);
 	g_free(slots);
 }
 
@@ -96,8 +108,14 @@
 
 static void wait_changed(struct slots *slots, int64_t left_us)
 {
-	g_cond_wait_until(&slots->changed, &slots->lock,
-			  g_get_monotonic_time() + left_us);
+	struct timespec until;
+	int64_t until_us;
+
+	clock_gettime(CLOCK_MONOTONIC, &until);
+	until_us = clock_us(until) + left_us;
+	until.tv_sec = until_us / US_PER_SECOND;
+	until.tv_nsec = (until_us % US_PER_SECOND) * NS_PER_US;
+	pthread_cond_timedwait(&slots->changed, &slots->lock, &until);
 }
 
 static void forget(struct slots *slots, struct slot *slot)
@@ -127,7 +145,7 @@
 	enum slot_result result;
 	struct slot *slot;
 
-	g_mutex_lock(&slots->lock);
+	pthread_mutex_lock(&slots->lock);
 	result = admit(slots);
 	if (result == SLOT_OK) {
 		slot = g_new0(struct slot, 1);
@@ -143,9 +161,9 @@
 		} else {
 			forget(slots, slot);
 		}
-		g_cond_broadcast(&slots->changed);
+		pthread_cond_broadcast(&slots->changed);
 	}
-	g_mutex_unlock(&slots->lock);
+	pthread_mutex_unlock(&slots->lock);
 	return result;
 }
 
@@ -164,7 +182,7 @@
 	int64_t end_us, left_us;
 	bool whole;
 
-	g_mutex_lock(&slots->lock);
+	pthread_mutex_lock(&slots->lock);
 	if (service_us < 0)
 		service_us = choose_time(slots);
 	factor = slots->slow_factor;
@@ -174,7 +192,7 @@
 	while (!slot->cancelled && (left_us = end_us - now_us()) > 0)
 		wait_changed(slots, left_us);
 	whole = !slot->cancelled;
-	g_mutex_unlock(&slots->lock);
+	pthread_mutex_unlock(&slots->lock);
 	return whole;
 }
 
@@ -196,12 +214,12 @@
 
 void slots_release(struct slots *slots, struct slot *slot)
 {
-	g_mutex_lock(&slots->lock);
+	pthread_mutex_lock(&slots->lock);
 	slots->running--;
 	remember_ended(slots, slot->id);
 	forget(slots, slot);
-	g_cond_broadcast(&slots->changed);
-	g_mutex_unlock(&slots->lock);
+	pthread_cond_broadcast(&slots->changed);
+	pthread_mutex_unlock(&slots->lock);
 }
 
 enum slot_cancel slots_cancel(struct slots *slots, const char *id)
@@ -209,59 +227,59 @@
 	enum slot_cancel result = CANCEL_UNKNOWN;
 	struct slot *slot;
 
-	g_mutex_lock(&slots->lock);
+	pthread_mutex_lock(&slots->lock);
 	slot = g_hash_table_lookup(slots->by_id, id);
 	if (slot) {
 		slot->cancelled = true;
 		result = slot->running ? CANCEL_STOPPED : CANCEL_NOT_RUN;
-		g_cond_broadcast(&slots->changed);
+		pthread_cond_broadcast(&slots->changed);
 	} else if (g_hash_table_contains(slots->ended_set, id)) {
 		result = CANCEL_RAN;
 	}
-	g_mutex_unlock(&slots->lock);
+	pthread_mutex_unlock(&slots->lock);
 	return result;
 }
 
 void slots_drain(struct slots *slots)
 {
-	g_mutex_lock(&slots->lock);
+	pthread_mutex_lock(&slots->lock);
 	slots->draining = true;
-	g_mutex_unlock(&slots->lock);
+	pthread_mutex_unlock(&slots->lock);
 }
 
 void slots_turn_cold(struct slots *slots)
 {
-	g_mutex_lock(&slots->lock);
+	pthread_mutex_lock(&slots->lock);
 	slots->cold_until_us = now_us() + slots->limits.cold_us;
-	g_mutex_unlock(&slots->lock);
+	pthread_mutex_unlock(&slots->lock);
 }
 
 void slots_shed(struct slots *slots, bool shed)
 {
-	g_mutex_lock(&slots->lock);
+	pthread_mutex_lock(&slots->lock);
 	slots->shed = shed;
-	g_mutex_unlock(&slots->lock);
+	pthread_mutex_unlock(&slots->lock);
 }
 
 void slots_slow(struct slots *slots, double factor)
 {
-	g_mutex_lock(&slots->lock);
+	pthread_mutex_lock(&slots->lock);
 	slots->slow_factor = factor;
-	g_mutex_unlock(&slots->lock);
+	pthread_mutex_unlock(&slots->lock);
 }
 
 struct slot_load slots_load(struct slots *slots)
 {
 	struct slot_load load = { .slots = slots->limits.slots };
 
-	g_mutex_lock(&slots->lock);
+	pthread_mutex_lock(&slots->lock);
 	load.running = slots->running;
 	load.queued = slots->waiting.length;
 	load.state = slots->draining  ? SLOTS_DRAINING
 		     : is_cold(slots) ? SLOTS_COLD
 				      : SLOTS_READY;
 	load.cold_limit = is_cold(slots) ? slots->limits.cold_limit : 0;
-	g_mutex_unlock(&slots->lock);
+	pthread_mutex_unlock(&slots->lock);
 	return load;
 }
 
@@ -269,8 +287,8 @@
 {
 	uint64_t count;
 
-	g_mutex_lock(&slots->lock);
+	pthread_mutex_lock(&slots->lock);
 	count = slots->cold_overshoot;
-	g_mutex_unlock(&slots->lock);
+	pthread_mutex_unlock(&slots->lock);
 	return count;
 }
--- a/tools/loadgen.c
+++ b/tools/loadgen.c
@@ -156,7 +156,8 @@
 		.about = "Sends load to routers and checks every answer.",
 		.options = options
 	};
-	struct settings settings = { 0 };
+	/* Static: its texts live until the process ends. */
+	static struct settings settings;
 	struct load_plan plan;
 	struct report *report;
 	struct mix *mix;
