--- a/src/assigner/main.c
+++ b/src/assigner/main.c
@@ -23,7 +23,7 @@
 
 int main(int argc, char **argv)
 {
-	struct assigner_options options = { 0 };
+	static struct assigner_options options;
 	struct assigner *a;
 	GError *error = NULL;
 
