--- a/src/assigner/assigner_metrics.c
+++ b/src/assigner/assigner_metrics.c
@@ -64,6 +64,40 @@
 		out, "auburn_assigner_%s %" G_GUINT64_FORMAT "\n", name, value);
 }
 
+static void sent_metrics(GString *out, const struct hub *hub)
+{
+	static const struct {
+		Envelope__BodyCase kind;
+		const char *name;
+	} kinds[] = {
+		{ ENVELOPE__BODY_HELLO, "hello" },
+		{ ENVELOPE__BODY_HEARTBEAT, "heartbeat" },
+		{ ENVELOPE__BODY_CELL_BEAT, "cell_beat" },
+		{ ENVELOPE__BODY_PULL, "pull" },
+		{ ENVELOPE__BODY_SETTINGS, "settings" },
+		{ ENVELOPE__BODY_CELL, "cell" },
+		{ ENVELOPE__BODY_VMS, "vms" },
+		{ ENVELOPE__BODY_LOAD, "load" },
+		{ ENVELOPE__BODY_SHARE_REQUEST, "share_request" },
+		{ ENVELOPE__BODY_SHARE, "share" },
+		{ ENVELOPE__BODY_POISON, "poison" },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		struct hub_count sent = hub_sent(hub, kinds[i].kind);
+
+		g_string_append_printf(
+			out,
+			"auburn_assigner_sent_messages_total{kind=\"%s\"} "
+			"%" G_GUINT64_FORMAT "\n"
+			"auburn_assigner_sent_bytes_total{kind=\"%s\"} "
+			"%" G_GUINT64_FORMAT "\n",
+			kinds[i].name, sent.messages, kinds[i].name,
+			sent.bytes);
+	}
+}
+
 static void metrics(void *ctx, GString *out)
 {
 	struct assigner *a = ctx;
@@ -82,6 +116,7 @@
 	plain(out, "http_calls_total", calls);
 	plain(out, "http_sent_bytes_total", sent);
 	plain(out, "http_received_bytes_total", received);
+	sent_metrics(out, a->hub);
 	for (i = 0; i < a->cells->len; i++)
 		cell_metrics(out, a->cells->pdata[i]);
 }
--- a/src/wire/hub.c
+++ b/src/wire/hub.c
@@ -8,6 +8,8 @@
 #include "wire/socket.h"
 
 #define EVENTS_PER_RUN 64
+/* Kinds above this share one count. */
+#define KINDS_MAX 16
 #define REOPEN_DELAY_US (200 * US_PER_MS)
 
 /* An address to which a link is kept. */
@@ -36,6 +38,7 @@
 	GHashTable *entries;
 	/* struct kept * */
 	GPtrArray *kept;
+	struct hub_count sent[KINDS_MAX];
 };
 
 struct hub *hub_create(const struct clock *clock, const struct hub_ops *ops,
@@ -274,12 +277,31 @@
 	close_broken(hub);
 }
 
+static size_t kind_index(Envelope__BodyCase kind)
+{
+	return MIN((size_t)kind, KINDS_MAX - 1);
+}
+
+static void count_sent(struct hub *hub, const Envelope *message)
+{
+	struct hub_count *count = &hub->sent[kind_index(message->body_case)];
+
+	count->messages++;
+	count->bytes += envelope__get_packed_size(message);
+}
+
+struct hub_count hub_sent(const struct hub *hub, Envelope__BodyCase kind)
+{
+	return hub->sent[kind_index(kind)];
+}
+
 void hub_send(struct hub *hub, struct link *link, const Envelope *message)
 {
 	struct entry *entry = g_hash_table_lookup(hub->entries, link);
 
 	if (!entry || entry->broken)
 		return;
+	count_sent(hub, message);
 	if (!link_send(link, message))
 		entry->broken = true;
 	else
--- a/src/wire/hub.h
+++ b/src/wire/hub.h
@@ -65,6 +65,19 @@
  */
 void hub_send(struct hub *hub, struct link *link, const Envelope *message);
 
+/** What was sent of one kind of message. */
+struct hub_count {
+	uint64_t messages;
+	uint64_t bytes;
+};
+
+/**
+ * Counts by kind, for metrics.
+ *
+ * @param kind a member of the envelope's body_case
+ */
+struct hub_count hub_sent(const struct hub *hub, Envelope__BodyCase kind);
+
 /** Whether this side opened the link. */
 bool hub_is_outgoing(const struct hub *hub, const struct link *link);
 
