ownership: fuzz target with its oracle, and a rule it found missing

Several coordinators over fences and a table; commands cut, freeze, kill, slow, drift and race. Authority under a row now needs a majority that knows no newer one; a leader that lacks it reads the row first.

--- a/src/ownership/authority.c
+++ b/src/ownership/authority.c
@@ -44,13 +44,28 @@
 	return MIN(now, before);
 }
 
-static int64_t value_confirmed(const struct coordinator *c,
-			       const struct cell_upstream *u)
+/* An upstream that knows a newer epoch does not speak for the row here: the
+ * newer one may be in force. */
+static bool knows_newer(const struct coordinator *c,
+			const struct cell_upstream *u)
+{
+	return c->fault != COORDINATOR_FAULT_IGNORE_EPOCH && c->map &&
+	       u->epoch > slice_map_epoch(c->map);
+}
+
+static int64_t value_accepted(const struct coordinator *c,
+			      const struct cell_upstream *u)
 {
 	(void)c;
 	return u->confirmed_us;
 }
 
+static int64_t value_confirmed(const struct coordinator *c,
+			       const struct cell_upstream *u)
+{
+	return knows_newer(c, u) ? NEVER_US : u->confirmed_us;
+}
+
 static int64_t value_present_ballot(const struct coordinator *c,
 				    const struct cell_upstream *u)
 {
@@ -73,13 +88,16 @@
 	int64_t up_us = u->up_us - u->up_us / CLOCK_RATE_PART;
 
 	return ballot_compare(u->ballot, c->ballot) == 0 &&
-	       u->confirmed_us != NEVER_US && c->row_read_us != NEVER_US &&
+	       !knows_newer(c, u) && u->confirmed_us != NEVER_US &&
+	       c->row_read_us != NEVER_US &&
 	       up_us > u->clock_at_us - c->row_read_us;
 }
 
 static int64_t ballot_until_us(const struct coordinator *c)
 {
-	int64_t begun = majority(c, value_confirmed);
+	/* While the row is read again the ballot is all that is asked for. */
+	bool leading = c->phase == COORDINATOR_LEADING;
+	int64_t begun = majority(c, leading ? value_confirmed : value_accepted);
 
 	return begun == NEVER_US ? NEVER_US : begun + c->timing.authority_us;
 }
@@ -104,8 +122,6 @@
 		return false;
 	if (c->fault == COORDINATOR_FAULT_IGNORE_EPOCH)
 		return true;
-	if (c->known_epoch > slice_map_epoch(c->map))
-		return false;
 	if (c->row_read_us != NEVER_US && c->row_read_us >= c->won_us)
 		return true;
 	return majority(c, value_vouches) > 0;
--- a/src/ownership/coordinator.c
+++ b/src/ownership/coordinator.c
@@ -333,6 +333,21 @@
 	moves_step(c, now);
 }
 
+/* A majority accepts the ballot, but may know of a newer row. */
+static bool read_again(struct coordinator *c, int64_t now)
+{
+	if (c->phase != COORDINATOR_LEADING || c->unfenced)
+		return false;
+	c->phase = COORDINATOR_READING;
+	if (!authority_held(c, now))
+		return false;
+	coordinator_event(c, "reads the row again: a newer one is known");
+	/* What was read before this instant no longer counts. */
+	authority_won(c, now);
+	row_need_read(c);
+	return true;
+}
+
 /* Authority ends by itself; nothing is done under it afterwards. */
 static void check_authority(struct coordinator *c, int64_t now)
 {
@@ -340,7 +355,7 @@
 		return;
 	if (authority_refused(c) && !c->unfenced)
 		give_up(c, "a higher ballot won", now);
-	else if (!authority_held(c, now))
+	else if (!authority_held(c, now) && !read_again(c, now))
 		give_up(c, "authority ran out", now);
 }
 
--- /dev/null
+++ b/test/fuzz/fuzz_ownership.c
@@ -0,0 +1,49 @@
+/*
+ * Ownership of keys: several coordinators over fenced upstreams and a table.
+ * PLANTED_FAULT=NAME breaks one rule, so that the oracle can be seen to notice.
+ */
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "world_play.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static uint64_t steps, events, inputs;
+static int64_t slowest_us;
+
+static void report(void)
+{
+	printf("# %llu inputs, %llu steps, %llu events, slowest recovery "
+	       "%lld ms\n",
+	       (unsigned long long)inputs, (unsigned long long)steps,
+	       (unsigned long long)events, (long long)(slowest_us / US_PER_MS));
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct world_config config = { 0 };
+	const char *fault = getenv("PLANTED_FAULT");
+	struct play_result result;
+
+	if (!inputs)
+		atexit(report);
+	if (fault && !world_plant(fault, &config)) {
+		fprintf(stderr, "no such fault: %s\n", fault);
+		exit(2);
+	}
+	world_play(&config, data, size, &result);
+	inputs++;
+	steps += result.steps;
+	events += result.events;
+	slowest_us = MAX(slowest_us, result.recovery_us);
+	if (result.violation[0]) {
+		fprintf(stderr, "broken after %llu steps of input %llu: %s\n",
+			(unsigned long long)result.steps,
+			(unsigned long long)inputs, result.violation);
+		report();
+		abort();
+	}
+	return 0;
+}
