--- a/test/standin/upstream.h
+++ b/test/standin/upstream.h
@@ -43,7 +43,7 @@
 	pthread_mutex_t lock;
 	struct upstream_faults faults;
 	/** Reports of load: the one shown, and the one shown next. */
-	json_t *shown, *next;
+	struct upstream_load shown, next;
 	int64_t next_us;
 };
 
--- a/test/standin/upstream_control.c
+++ b/test/standin/upstream_control.c
@@ -10,72 +10,70 @@
 			     strlen(text));
 }
 
-static json_t *load_now(struct upstream *upstream)
+static struct upstream_load load_now(struct upstream *upstream)
 {
-	static const char *const states[] = { "cold", "ready", "draining" };
 	struct slot_load load = slots_load(upstream->slots);
-	unsigned int connections = standin_server_connections(upstream->data);
 
-	return json_pack("{s:i,s:i,s:i,s:i,s:s,s:i}", "running",
-			 (int)load.running, "queued", (int)load.queued, "slots",
-			 (int)load.slots, "connections", (int)connections,
-			 "state", states[load.state], "cold_limit",
-			 (int)load.cold_limit);
+	return (struct upstream_load){
+		.running = load.running,
+		.queued = load.queued,
+		.slots = load.slots,
+		.connections = standin_server_connections(upstream->data),
+		.state = load.state,
+		.cold_limit = load.cold_limit,
+	};
 }
 
 /* The load as it is reported: between one and two lags old. */
-static json_t *load_reported(struct upstream *upstream)
+static struct upstream_load load_reported(struct upstream *upstream)
 {
 	int64_t now_us = clock_now_us(clock_system());
-	json_t *shown;
+	struct upstream_load now = load_now(upstream);
+	struct upstream_load shown;
 
 	pthread_mutex_lock(&upstream->lock);
-	if (!upstream->shown ||
-	    (now_us >= upstream->next_us && !upstream->faults.freeze_reports)) {
-		json_decref(upstream->shown);
-		upstream->shown =
-			upstream->next ? upstream->next : load_now(upstream);
-		upstream->next = load_now(upstream);
+	if (now_us >= upstream->next_us && !upstream->faults.freeze_reports) {
+		upstream->shown = upstream->next_us ? upstream->next : now;
+		upstream->next = now;
 		upstream->next_us = now_us + upstream->load_lag_us;
 	}
-	shown = json_deep_copy(upstream->shown);
+	shown = upstream->shown;
 	pthread_mutex_unlock(&upstream->lock);
 	return shown;
 }
 
 /* Counts lag in every answer; the state in the answer to an order is true. */
-static json_t *load_with_state(struct upstream *upstream)
+static struct upstream_load load_with_state(struct upstream *upstream)
 {
-	json_t *load = load_reported(upstream);
-	json_t *now = load_now(upstream);
+	struct upstream_load load = load_reported(upstream);
+	struct upstream_load now = load_now(upstream);
 
-	json_object_set(load, "state", json_object_get(now, "state"));
-	json_object_set(load, "cold_limit", json_object_get(now, "cold_limit"));
-	json_decref(now);
+	load.state = now.state;
+	load.cold_limit = now.cold_limit;
 	return load;
 }
 
 static enum MHD_Result on_order(struct upstream *upstream,
 				const struct standin_call *call)
 {
-	json_t *order = standin_call_json(call);
-	json_t *reply = order ? grants_order(upstream->grants, order) : NULL;
+	struct upstream_load load = load_with_state(upstream);
+	struct str body = { call->body, call->body_len };
+	char *reply = grants_order(upstream->grants, body, &load);
+	enum MHD_Result result;
 
-	json_decref(order);
 	if (!reply)
 		return reply_text(call, MHD_HTTP_BAD_REQUEST, "bad order\n");
-	json_object_set_new(reply, "load", load_with_state(upstream));
-	return standin_reply_json(call->conn, MHD_HTTP_OK, reply);
+	result = standin_reply(call->conn, MHD_HTTP_OK, "application/json",
+			       reply, strlen(reply));
+	g_free(reply);
+	return result;
 }
 
 static enum MHD_Result on_health(struct upstream *upstream,
 				 const struct standin_call *call)
 {
-	json_t *load = load_reported(upstream);
-	const char *state = json_string_value(json_object_get(load, "state"));
-	bool well = strcmp(state, "draining") != 0;
+	bool well = load_reported(upstream).state != UPSTREAM_DRAINING;
 
-	json_decref(load);
 	pthread_mutex_lock(&upstream->lock);
 	well = well && !upstream->faults.unhealthy;
 	pthread_mutex_unlock(&upstream->lock);
@@ -87,8 +85,20 @@
 static enum MHD_Result on_load(struct upstream *upstream,
 			       const struct standin_call *call)
 {
-	return standin_reply_json(call->conn, MHD_HTTP_OK,
-				  load_reported(upstream));
+	static const char *const states[] = {
+		[UPSTREAM_COLD] = "cold",
+		[UPSTREAM_READY] = "ready",
+		[UPSTREAM_DRAINING] = "draining",
+	};
+	struct upstream_load load = load_reported(upstream);
+
+	return standin_reply_json(
+		call->conn, MHD_HTTP_OK,
+		json_pack("{s:i,s:i,s:i,s:i,s:s,s:i}", "running",
+			  (int)load.running, "queued", (int)load.queued,
+			  "slots", (int)load.slots, "connections",
+			  (int)load.connections, "state", states[load.state],
+			  "cold_limit", (int)load.cold_limit));
 }
 
 static enum MHD_Result on_drain(struct upstream *upstream,
--- a/test/standin/upstream_grants.h
+++ b/test/standin/upstream_grants.h
@@ -5,7 +5,6 @@
 #ifndef UPSTREAM_GRANTS_H
 #define UPSTREAM_GRANTS_H
 
-#include <jansson.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -32,10 +31,13 @@
 /**
  * Carries out an order.
  *
- * @return the state afterwards, without the load; a new reference, or NULL when
+ * @param body the order as JSON
+ * @param load told in the answer
+ * @return the answer as JSON, which the caller frees with g_free(); NULL when
  *         the order is malformed
  */
-json_t *grants_order(struct grants *grants, const json_t *order);
+char *grants_order(struct grants *grants, struct str body,
+		   const struct upstream_load *load);
 
 /** Whether it runs a request of this hash, sent under this epoch, now. */
 bool grants_serve(struct grants *grants, uint64_t hash, uint64_t epoch);
--- a/test/standin/upstream_main.c
+++ b/test/standin/upstream_main.c
@@ -158,8 +158,6 @@
 	grants_destroy(upstream.grants);
 	slots_destroy(upstream.slots);
 	record_destroy(upstream.record);
-	json_decref(upstream.shown);
-	json_decref(upstream.next);
 	g_free(upstream.boot);
 	return EXIT_SUCCESS;
 }
--- a/test/standin/upstream_slots.c
+++ b/test/standin/upstream_slots.c
@@ -275,9 +275,9 @@
 	pthread_mutex_lock(&slots->lock);
 	load.running = slots->running;
 	load.queued = slots->waiting.length;
-	load.state = slots->draining  ? SLOTS_DRAINING
-		     : is_cold(slots) ? SLOTS_COLD
-				      : SLOTS_READY;
+	load.state = slots->draining  ? UPSTREAM_DRAINING
+		     : is_cold(slots) ? UPSTREAM_COLD
+				      : UPSTREAM_READY;
 	load.cold_limit = is_cold(slots) ? slots->limits.cold_limit : 0;
 	pthread_mutex_unlock(&slots->lock);
 	return load;
--- a/test/standin/upstream_slots.h
+++ b/test/standin/upstream_slots.h
@@ -9,6 +9,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "ownership/order_defs.h"
+
 struct slot_limits {
 	unsigned int slots;
 	unsigned int queue;
@@ -32,16 +34,10 @@
 	SLOT_CANCELLED,
 };
 
-enum slot_state {
-	SLOTS_COLD,
-	SLOTS_READY,
-	SLOTS_DRAINING,
-};
-
 /** What the slots hold at one instant. */
 struct slot_load {
 	unsigned int running, queued, slots, cold_limit;
-	enum slot_state state;
+	enum upstream_state state;
 };
 
 /** What became of a request that is to be cancelled. */
