--- a/test/functional/cluster.c
+++ b/test/functional/cluster.c
@@ -5,10 +5,13 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 #include "base/error.h"
-#include "cluster_settings.h"
+#include "profile/profile_file.h"
+#include "profile/settings.h"
 
 #define START_LIMIT_US (30 * US_PER_SECOND)
 #define READY_LIMIT_US (60 * US_PER_SECOND)
@@ -84,6 +87,12 @@
 	       process_wait_listening(cluster->platform, START_LIMIT_US, error);
 }
 
+/* The zone of the number-th VM of a kind: round robin. */
+static const char *zone_of(const struct cluster *cluster, unsigned int number)
+{
+	return cluster->settings->zones[number % cluster->settings->zone_count];
+}
+
 static bool start_upstream(struct cluster *cluster, const char *service,
 			   unsigned int number, const char *const *more,
 			   GError **error)
@@ -94,7 +103,7 @@
 
 	u->id = g_strdup_printf("%s-%u", service, number);
 	u->service = g_strdup(service);
-	u->zone = g_strdup(cluster_settings_zone(cluster->settings, number));
+	u->zone = g_strdup(zone_of(cluster, number));
 	u->record_path = g_strdup_printf("%s/%s.tsv", cluster->folder, u->id);
 	u->state = "live";
 	g_ptr_array_add(cluster->upstreams, u);
@@ -126,12 +135,6 @@
 	return ok;
 }
 
-static const char *zone_of_pair(const struct cluster *cluster,
-				unsigned int index)
-{
-	return cluster_settings_zone(cluster->settings, index);
-}
-
 /* Arguments that both daemons of a pair have. */
 static GPtrArray *daemon_arguments(const struct cluster *cluster,
 				   const char *program, const char *id,
@@ -140,7 +143,7 @@
 	GPtrArray *args = arguments_new(program);
 
 	argument_add(args, "daemon", id);
-	argument_add(args, "zone", zone_of_pair(cluster, index));
+	argument_add(args, "zone", zone_of(cluster, index));
 	argument_add(args, "listen", "127.0.0.1:0");
 	argument_add(args, "operator-listen", "127.0.0.1:0");
 	argument_add(args, "operator-token", CLUSTER_TOKEN);
@@ -264,6 +267,18 @@
 	return true;
 }
 
+static bool publish(struct cluster *cluster, const char *profiles)
+{
+	const char *const arguments[] = { "publish", profiles, "--wait", NULL };
+	char *output = NULL;
+	int status = cluster_ctl(cluster, arguments, &output);
+
+	if (status)
+		printf("# auburnctl publish: status %d\n%s", status, output);
+	g_free(output);
+	return status == 0;
+}
+
 static bool start_all(struct cluster *cluster,
 		      const struct cluster_options *options, GError **error)
 {
@@ -273,14 +288,11 @@
 
 	cluster->folder = g_dir_make_tmp("auburn-XXXXXX", error);
 	cluster->settings =
-		cluster->folder ? cluster_settings_load(profiles, error) : NULL;
+		cluster->folder ? profile_file_load(profiles, error) : NULL;
 	return cluster->settings && start_platform(cluster, error) &&
 	       start_upstreams(cluster, options, error) &&
-	       register_vms(cluster) &&
-	       cluster_settings_publish(
-		       process_address(cluster->platform, "http"),
-		       cluster->settings) &&
-	       start_pairs(cluster, options, error) &&
+	       register_vms(cluster) && start_pairs(cluster, options, error) &&
+	       publish(cluster, profiles) &&
 	       (options->no_wait || wait_services(cluster, options, error));
 }
 
@@ -299,7 +311,7 @@
 	if (error && !*error)
 		g_set_error_literal(error, AUBURN_ERROR,
 				    AUBURN_ERROR_UNAVAILABLE,
-				    "the platform refuses the settings");
+				    "the VMs or the settings are refused");
 	cluster_destroy(cluster, true);
 	return NULL;
 }
@@ -325,7 +337,7 @@
 	g_ptr_array_unref(cluster->assigners);
 	g_ptr_array_unref(cluster->upstreams);
 	process_destroy(cluster->platform);
-	cluster_settings_free(cluster->settings);
+	settings_destroy(cluster->settings);
 	if (cluster->folder)
 		process_remove_folder(cluster->folder);
 	g_free(cluster->folder);
@@ -439,10 +451,84 @@
 	register_vms(cluster);
 }
 
+static char *operator_addresses(const struct cluster *cluster)
+{
+	GString *text = g_string_new(NULL);
+	guint i;
+
+	for (i = 0; i < cluster->assigners->len; i++)
+		g_string_append_printf(
+			text, "%s%s", i ? "," : "",
+			cluster_operator(cluster->assigners->pdata[i]));
+	return g_string_free(text, FALSE);
+}
+
+static char *read_all(int fd)
+{
+	GString *text = g_string_new(NULL);
+	char buf[4096];
+	ssize_t n;
+
+	while ((n = read(fd, buf, sizeof(buf))) > 0)
+		g_string_append_len(text, buf, n);
+	return g_string_free(text, FALSE);
+}
+
+int cluster_ctl(struct cluster *cluster, const char *const *arguments,
+		char **output)
+{
+	GPtrArray *args = arguments_new("auburnctl");
+	char *operators = operator_addresses(cluster);
+	struct process *process;
+	char *text;
+	int status = -1;
+
+	argument_add(args, "operators", operators);
+	argument_add(args, "token", CLUSTER_TOKEN);
+	g_free(operators);
+	process = arguments_start(cluster, args, "auburnctl", arguments, NULL);
+	if (!process)
+		return -1;
+	text = read_all(process_stdout(process));
+	if (!process_wait_end(process, START_LIMIT_US, &status))
+		status = -1;
+	process_destroy(process);
+	if (output)
+		*output = text;
+	else
+		g_free(text);
+	return status == -1 || !WIFEXITED(status) ? -1 : WEXITSTATUS(status);
+}
+
 bool cluster_set_zone(struct cluster *cluster, const char *zone, bool out)
 {
-	return cluster_settings_set_zone(
-		process_address(cluster->platform, "http"), zone, out);
+	const char *const arguments[] = { "zone", out ? "out" : "in", zone,
+					  "--wait", NULL };
+	char *output = NULL;
+	int status = cluster_ctl(cluster, arguments, &output);
+
+	if (status)
+		printf("# auburnctl zone %s %s: status %d\n%s", arguments[1],
+		       zone, status, output);
+	g_free(output);
+	return status == 0;
+}
+
+struct slice_map *cluster_map(struct cluster *cluster, const char *cell)
+{
+	char *uri = g_strdup_printf("/table/cell/%s", cell);
+	struct http_request request = { .address = process_address(
+						cluster->platform, "http"),
+					.uri = uri };
+	struct http_answer *answer = http_send(&request);
+	struct str row = { answer->body->str, answer->body->len };
+	struct slice_map *map = NULL;
+
+	if (answer->whole && answer->status == 200)
+		map = slice_map_decode(row, NULL);
+	http_answer_destroy(answer);
+	g_free(uri);
+	return map;
 }
 
 struct http_answer *cluster_get(struct cluster *cluster, unsigned int router,
--- a/test/functional/cluster.h
+++ b/test/functional/cluster.h
@@ -13,6 +13,7 @@
 #include "cluster_http.h"
 #include "cluster_process.h"
 #include "cluster_record.h"
+#include "ownership/slice_map.h"
 
 /** The token of the operators' calls. */
 #define CLUSTER_TOKEN "operator-token-of-a-test"
@@ -105,9 +106,26 @@
 void cluster_set_state(struct cluster *cluster, unsigned int index,
 		       const char *state);
 
-/** Publishes that a zone is out, or in again. */
+/**
+ * Runs auburnctl on the cluster's assigners and waits for its end.
+ *
+ * @param arguments ended by NULL
+ * @param output set to what it printed, freed with g_free(); may be NULL
+ * @return its exit status, -1 when it did not end
+ */
+int cluster_ctl(struct cluster *cluster, const char *const *arguments,
+		char **output);
+
+/** Takes a zone out, or in again, and waits until it is in force. */
 bool cluster_set_zone(struct cluster *cluster, const char *zone, bool out);
 
+/**
+ * Reads the map of a cell from the table.
+ *
+ * @return the map, freed with slice_map_destroy(); NULL when there is none
+ */
+struct slice_map *cluster_map(struct cluster *cluster, const char *cell);
+
 /**
  * Sends GET through a router.
  *
--- /dev/null
+++ b/test/functional/cluster_events.c
@@ -0,0 +1,197 @@
+#include "cluster_events.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+
+#define FIELDS 10
+/* A slower answer counts as a gap in the service of its key. */
+#define GAP_LATENCY_US (250 * US_PER_MS)
+
+struct events {
+	/* struct event, by planned time. */
+	GArray *list;
+};
+
+static void clear_event(gpointer data)
+{
+	struct event *event = data;
+
+	g_free(event->service);
+	g_free(event->load_id);
+	g_free(event->work_id);
+	g_free(event->outcome);
+	g_free(event->verdict);
+	g_free(event->reason);
+	g_free(event->upstream);
+}
+
+static void add_line(struct events *events, const char *line)
+{
+	char **f = g_strsplit(line, "\t", FIELDS);
+	struct event event;
+
+	if (g_strv_length(f) == FIELDS) {
+		event = (struct event){
+			.planned_us = g_ascii_strtoll(f[0], NULL, 10),
+			.done_us = g_ascii_strtoll(f[1], NULL, 10),
+			.service = g_strdup(f[2]),
+			.key = (unsigned int)g_ascii_strtoull(f[3], NULL, 10),
+			.load_id = g_strdup(f[4]),
+			.work_id = g_strdup(f[5]),
+			.outcome = g_strdup(f[6]),
+			.verdict = g_strdup(f[7]),
+			.reason = g_strdup(f[8]),
+			.upstream = g_strdup(f[9]),
+		};
+		g_array_append_val(events->list, event);
+	}
+	g_strfreev(f);
+}
+
+static gint compare_planned(gconstpointer a, gconstpointer b)
+{
+	const struct event *x = a, *y = b;
+
+	return (x->planned_us > y->planned_us) -
+	       (x->planned_us < y->planned_us);
+}
+
+struct events *events_load(const char *path)
+{
+	struct events *events;
+	char *text = NULL;
+	char **lines, **p;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		return NULL;
+	events = g_new0(struct events, 1);
+	events->list = g_array_new(FALSE, FALSE, sizeof(struct event));
+	g_array_set_clear_func(events->list, clear_event);
+	lines = g_strsplit(text, "\n", -1);
+	for (p = lines; *p; p++)
+		add_line(events, *p);
+	g_array_sort(events->list, compare_planned);
+	g_strfreev(lines);
+	g_free(text);
+	return events;
+}
+
+void events_destroy(struct events *events)
+{
+	if (!events)
+		return;
+	g_array_unref(events->list);
+	g_free(events);
+}
+
+size_t events_count(const struct events *events)
+{
+	return events->list->len;
+}
+
+const struct event *events_at(const struct events *events, size_t index)
+{
+	return &g_array_index(events->list, struct event, index);
+}
+
+unsigned int events_outcomes(const struct events *events, const char *outcome,
+			     const char *verdict)
+{
+	unsigned int count = 0;
+	size_t i;
+
+	for (i = 0; i < events_count(events); i++) {
+		const struct event *e = events_at(events, i);
+
+		count += !strcmp(e->outcome, outcome) &&
+			 (!verdict || !strcmp(e->verdict, verdict));
+	}
+	return count;
+}
+
+static bool is_of(const struct event *event, const char *service)
+{
+	return !service || !strcmp(event->service, service);
+}
+
+static bool is_answered(const struct event *event)
+{
+	return !strcmp(event->outcome, "answered");
+}
+
+static bool is_good(const struct event *event)
+{
+	return is_answered(event) &&
+	       event->done_us - event->planned_us <= GAP_LATENCY_US;
+}
+
+/* Begins, lengthens or ends the gap of the event's key. */
+static int64_t update_gap(GHashTable *starts, const struct event *event)
+{
+	char *key = g_strdup_printf("%s/%u", event->service, event->key);
+	int64_t *start_us = g_hash_table_lookup(starts, key);
+	int64_t gap_us = 0;
+
+	if (!start_us && !is_good(event)) {
+		start_us = g_memdup2(&event->planned_us, sizeof(int64_t));
+		g_hash_table_insert(starts, g_strdup(key), start_us);
+	}
+	if (start_us) {
+		gap_us = event->done_us - *start_us;
+		if (is_answered(event))
+			g_hash_table_remove(starts, key);
+	}
+	g_free(key);
+	return gap_us;
+}
+
+int64_t events_longest_gap(const struct events *events, const char *service,
+			   int64_t from_us, int64_t until_us)
+{
+	GHashTable *starts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	int64_t longest_us = 0;
+	size_t i;
+
+	for (i = 0; i < events_count(events); i++) {
+		const struct event *e = events_at(events, i);
+
+		if (is_of(e, service) && e->planned_us >= from_us &&
+		    e->planned_us < until_us)
+			longest_us = MAX(longest_us, update_gap(starts, e));
+	}
+	g_hash_table_unref(starts);
+	return longest_us;
+}
+
+static gint compare_numbers(gconstpointer a, gconstpointer b)
+{
+	int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+int64_t events_latency(const struct events *events, const char *service,
+		       double share)
+{
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	int64_t result = 0;
+	size_t i;
+
+	for (i = 0; i < events_count(events); i++) {
+		const struct event *e = events_at(events, i);
+		int64_t took_us = e->done_us - e->planned_us;
+
+		if (is_of(e, service) && is_answered(e))
+			g_array_append_val(all, took_us);
+	}
+	g_array_sort(all, compare_numbers);
+	if (all->len) {
+		guint at = MIN((guint)(share * all->len), all->len - 1);
+
+		result = g_array_index(all, int64_t, at);
+	}
+	g_array_unref(all);
+	return result;
+}
--- a/test/functional/test_path.c
+++ b/test/functional/test_path.c
@@ -5,9 +5,11 @@
 #include "cluster.h"
 #include "suite.h"
 
-static const struct cluster_service services[] = {
-	{ "tallies", 3 }, { "lots", 2 }, { "ledgers", 2 }, { "sanidad", 2 }, { 0 }
-};
+static const struct cluster_service services[] = { { "tallies", 3 },
+						   { "lots", 2 },
+						   { "ledgers", 2 },
+						   { "sanidad", 2 },
+						   { 0 } };
 
 static struct cluster *cluster;
 
