assigner: a ready upstream has no fleet-wide limit

Cause: the holder was told that a ready upstream bears as many requests as it has slots. Routers take an upstream for ready from BUDGET_CONNECTIONS on, so each one stayed cold for ever and every request waited for a share.

Ruled out: the length of POOL_PROOF_US (10 s gave the same), planned moves of slices (two epochs in 8 s).

--- a/src/assigner/cell.c
+++ b/src/assigner/cell.c
@@ -141,7 +141,7 @@
 	if (load->state == UPSTREAM_COLD)
 		reading.limit = load->cold_limit;
 	else if (load->state == UPSTREAM_READY)
-		reading.limit = load->slots;
+		reading.limit = BUDGET_CONNECTIONS;
 	budget_holder_read(member->budget, &reading,
 			   clock_now_us(cell->env->clock));
 }
