--- a/src/http/caller.c
+++ b/src/http/caller.c
@@ -260,6 +260,11 @@
 	return caller->id;
 }
 
+bool caller_answer_begun(const struct caller *caller)
+{
+	return caller->stage == CALLER_ANSWERING;
+}
+
 bool caller_answered(const struct caller *caller)
 {
 	return caller->stage == CALLER_ANSWERING || caller->response;
@@ -387,8 +392,11 @@
 	json_t *object;
 	char *text;
 
-	if (caller_answered(caller))
+	if (caller->stage == CALLER_ANSWERING)
 		return;
+	/* An answer that waits to be handed over was not begun. */
+	if (caller->response)
+		MHD_destroy_response(caller->response);
 	object = json_pack("{ssssss}", "verdict", kind, "reason", reason,
 			   "request_id", caller->id);
 	text = json_dumps(object, JSON_COMPACT);
--- a/src/http/caller.h
+++ b/src/http/caller.h
@@ -105,7 +105,9 @@
 uint64_t caller_uploaded(const struct caller *caller);
 /** The id that names the request everywhere. */
 const char *caller_id(const struct caller *caller);
-/** Whether an answer was begun. */
+/** Whether bytes of an answer may have gone out. */
+bool caller_answer_begun(const struct caller *caller);
+/** Whether an answer was given, be it not begun yet. */
 bool caller_answered(const struct caller *caller);
 
 /** Takes more of the upload after it was read. */
@@ -134,7 +136,10 @@
 /** Breaks the transfer: the connection closes before the answer's end. */
 void caller_break(struct caller *caller);
 
-/** Refuses with the verdict in header fields and as JSON. */
+/**
+ * Refuses with the verdict in header fields and as JSON, in place of an answer
+ * that was not begun yet.
+ */
 void caller_refuse(struct caller *caller, struct verdict verdict);
 
 /**
--- a/src/router/request.c
+++ b/src/router/request.c
@@ -252,12 +252,24 @@
 		refuse_now(request, REASON_DEADLINE_IN_QUEUE);
 }
 
-/* The transfer ends before its end, unless nothing was passed on yet. */
+/* Nothing of the winner's answer was passed on. */
+static bool can_take_back(const struct request *request)
+{
+	return request->answer_held || !request->caller ||
+	       !caller_answer_begun(request->caller);
+}
+
+/* The transfer breaks off, or is refused when nothing was passed on yet. */
 static void break_answer(struct request *request, struct verdict verdict)
 {
 	request->verdict = verdict;
-	if (request->caller && !request->answer_held)
-		caller_break(request->caller);
+	if (can_take_back(request)) {
+		request->answer_held = false;
+		request->winner = NULL;
+		request_refuse(request, verdict);
+		return;
+	}
+	caller_break(request->caller);
 	if (request->claim)
 		request_close_claim(request);
 	else
--- /dev/null
+++ b/test/functional/cluster_stub_assigner.c
@@ -0,0 +1,333 @@
+#include "cluster_stub_assigner.h"
+
+#include <glib.h>
+#include <poll.h>
+#include <stdatomic.h>
+#include <string.h>
+
+#include "base/address.h"
+#include "base/clock.h"
+#include "wire/hub.h"
+
+#define TURN_MS 5
+#define BEAT_US (INT64_C(20) * US_PER_MS)
+#define VALID_MS 500
+#define SHARE_MS 200
+#define VMS_MAX 16
+#define ROWS_MAX 4
+
+struct row {
+	const char *cell;
+	uint64_t epoch;
+	const char *owner;
+};
+
+struct stub_assigner {
+	GThread *thread;
+	struct hub *hub;
+	char address[ADDRESS_TEXT_SIZE];
+	atomic_bool stop;
+	atomic_uint stales, poisons;
+	_Atomic uint64_t loads;
+	GMutex lock;
+	/* All below is guarded by lock. */
+	char *settings;
+	uint64_t settings_version;
+	struct stub_vm vms[VMS_MAX];
+	size_t vm_count;
+	uint64_t vms_version;
+	struct row rows[ROWS_MAX];
+	size_t row_count;
+	bool fresh;
+	uint32_t shares;
+	/* Latest clock reading that the router told. */
+	int64_t echo_us;
+};
+
+static void send_body(struct stub_assigner *stub, struct link *link,
+		      Envelope__BodyCase kind, void *body)
+{
+	Envelope envelope = ENVELOPE__INIT;
+
+	envelope.body_case = kind;
+	envelope.hello = body;
+	hub_send(stub->hub, link, &envelope);
+}
+
+static void send_beat(void *ctx, struct link *link)
+{
+	struct stub_assigner *stub = ctx;
+	CellEpoch epochs[ROWS_MAX];
+	CellEpoch *cells[ROWS_MAX];
+	Heartbeat beat = HEARTBEAT__INIT;
+	size_t i;
+
+	for (i = 0; i < stub->row_count; i++) {
+		cell_epoch__init(&epochs[i]);
+		epochs[i].cell = (char *)stub->rows[i].cell;
+		epochs[i].epoch = stub->rows[i].epoch;
+		cells[i] = &epochs[i];
+	}
+	beat.daemon = (char *)"stub";
+	beat.role = ROLE__ASSIGNER;
+	beat.settings_version = stub->settings_version;
+	beat.vms_version = stub->vms_version;
+	beat.settings_fresh = stub->fresh;
+	beat.valid_ms = VALID_MS;
+	beat.echo_us = stub->echo_us;
+	beat.sent_us = clock_now_us(clock_system());
+	beat.n_cells = stub->row_count;
+	beat.cells = cells;
+	send_body(stub, link, ENVELOPE__BODY_HEARTBEAT, &beat);
+}
+
+static void send_settings(struct stub_assigner *stub, struct link *link)
+{
+	Settings message = SETTINGS__INIT;
+
+	message.version = stub->settings_version;
+	message.body.data = (uint8_t *)stub->settings;
+	message.body.len = strlen(stub->settings);
+	send_body(stub, link, ENVELOPE__BODY_SETTINGS, &message);
+}
+
+static void send_vms(struct stub_assigner *stub, struct link *link)
+{
+	VmList message = VM_LIST__INIT;
+	Vm vms[VMS_MAX];
+	Vm *list[VMS_MAX];
+	size_t i;
+
+	for (i = 0; i < stub->vm_count; i++) {
+		vm__init(&vms[i]);
+		vms[i].id = (char *)stub->vms[i].id;
+		vms[i].service = (char *)stub->vms[i].service;
+		vms[i].zone = (char *)stub->vms[i].zone;
+		vms[i].address = (char *)stub->vms[i].address;
+		vms[i].control = (char *)stub->vms[i].address;
+		vms[i].leaving = stub->vms[i].leaving;
+		vms[i].fences = true;
+		list[i] = &vms[i];
+	}
+	message.version = stub->vms_version;
+	message.n_vms = stub->vm_count;
+	message.vms = list;
+	send_body(stub, link, ENVELOPE__BODY_VMS, &message);
+}
+
+static void send_row(struct stub_assigner *stub, struct link *link,
+		     const struct row *row)
+{
+	CellRow message = CELL_ROW__INIT;
+	Slice slice = SLICE__INIT;
+	Slice *slices[] = { &slice };
+	char *owners[] = { (char *)row->owner };
+
+	slice.owner = row->owner ? 0 : UINT32_MAX;
+	slice.epoch = row->epoch;
+	message.cell = (char *)row->cell;
+	message.epoch = row->epoch;
+	message.attempt = (char *)"stub";
+	message.n_owners = row->owner ? 1 : 0;
+	message.owners = owners;
+	message.n_slices = 1;
+	message.slices = slices;
+	send_body(stub, link, ENVELOPE__BODY_CELL, &message);
+}
+
+static void answer_pull(struct stub_assigner *stub, struct link *link,
+			const Pull *pull)
+{
+	size_t i;
+
+	if (pull->settings && stub->settings)
+		send_settings(stub, link);
+	if (pull->vms)
+		send_vms(stub, link);
+	for (i = 0; pull->n_cells && i < stub->row_count; i++)
+		send_row(stub, link, &stub->rows[i]);
+}
+
+static void answer_share(struct stub_assigner *stub, struct link *link,
+			 const ShareRequest *request)
+{
+	Share share = SHARE__INIT;
+
+	share.upstream = request->upstream;
+	share.boot = (char *)"boot-1";
+	share.count = stub->shares;
+	share.duration_ms = SHARE_MS;
+	share.asked_us = request->asked_us;
+	send_body(stub, link, ENVELOPE__BODY_SHARE, &share);
+}
+
+static void on_message(void *ctx, struct link *link, const Envelope *message)
+{
+	struct stub_assigner *stub = ctx;
+
+	switch (message->body_case) {
+	case ENVELOPE__BODY_HEARTBEAT:
+		stub->echo_us = message->heartbeat->sent_us;
+		break;
+	case ENVELOPE__BODY_PULL:
+		answer_pull(stub, link, message->pull);
+		break;
+	case ENVELOPE__BODY_SHARE_REQUEST:
+		answer_share(stub, link, message->share_request);
+		break;
+	case ENVELOPE__BODY_STALE:
+		stub->stales++;
+		break;
+	case ENVELOPE__BODY_POISON:
+		stub->poisons++;
+		break;
+	case ENVELOPE__BODY_LOAD:
+		stub->loads += message->load->requests;
+		break;
+	default:
+		break;
+	}
+}
+
+static void on_opened(void *ctx, struct link *link, bool outgoing)
+{
+	(void)ctx;
+	(void)link;
+	(void)outgoing;
+}
+
+static void on_closed(void *ctx, struct link *link)
+{
+	(void)ctx;
+	(void)link;
+}
+
+static const struct hub_ops hub_ops = {
+	.opened = on_opened,
+	.message = on_message,
+	.closed = on_closed,
+};
+
+static void *run(void *data)
+{
+	struct stub_assigner *stub = data;
+	int64_t beat_us = 0;
+
+	while (!stub->stop) {
+		struct pollfd fd = { .fd = hub_fd(stub->hub),
+				     .events = POLLIN };
+		int64_t now_us;
+
+		poll(&fd, 1, TURN_MS);
+		now_us = clock_now_us(clock_system());
+		g_mutex_lock(&stub->lock);
+		hub_run(stub->hub);
+		if (now_us >= beat_us) {
+			beat_us = now_us + BEAT_US;
+			hub_each(stub->hub, send_beat, stub);
+		}
+		g_mutex_unlock(&stub->lock);
+	}
+	return NULL;
+}
+
+struct stub_assigner *stub_assigner_start(void)
+{
+	struct stub_assigner *stub = g_new0(struct stub_assigner, 1);
+	struct sockaddr_in addr, bound;
+
+	g_mutex_init(&stub->lock);
+	stub->fresh = true;
+	stub->shares = 100;
+	stub->vms_version = 1;
+	stub->hub = hub_create(clock_system(), &hub_ops, stub);
+	address_parse(STR("127.0.0.1:0"), &addr);
+	if (!hub_listen(stub->hub, &addr, &bound, NULL))
+		g_error("the stub assigner can't listen");
+	address_format(&bound, stub->address);
+	stub->thread = g_thread_new("stub", run, stub);
+	return stub;
+}
+
+void stub_assigner_stop(struct stub_assigner *stub)
+{
+	if (!stub)
+		return;
+	stub->stop = true;
+	g_thread_join(stub->thread);
+	hub_destroy(stub->hub);
+	g_mutex_clear(&stub->lock);
+	g_free(stub->settings);
+	g_free(stub);
+}
+
+const char *stub_assigner_address(const struct stub_assigner *stub)
+{
+	return stub->address;
+}
+
+void stub_assigner_settings(struct stub_assigner *stub, uint64_t version,
+			    const char *json)
+{
+	g_mutex_lock(&stub->lock);
+	g_free(stub->settings);
+	stub->settings = g_strdup(json);
+	stub->settings_version = version;
+	g_mutex_unlock(&stub->lock);
+}
+
+void stub_assigner_vms(struct stub_assigner *stub, const struct stub_vm *vms)
+{
+	size_t i;
+
+	g_mutex_lock(&stub->lock);
+	for (i = 0; i < VMS_MAX && vms[i].id; i++)
+		stub->vms[i] = vms[i];
+	stub->vm_count = i;
+	stub->vms_version++;
+	g_mutex_unlock(&stub->lock);
+}
+
+void stub_assigner_owner(struct stub_assigner *stub, const char *cell,
+			 uint64_t epoch, const char *owner)
+{
+	size_t i;
+
+	g_mutex_lock(&stub->lock);
+	for (i = 0; i < stub->row_count; i++)
+		if (!strcmp(stub->rows[i].cell, cell))
+			break;
+	if (i == stub->row_count && i < ROWS_MAX - 1)
+		stub->row_count++;
+	stub->rows[i] = (struct row){ cell, epoch, owner };
+	g_mutex_unlock(&stub->lock);
+}
+
+void stub_assigner_fresh(struct stub_assigner *stub, bool fresh)
+{
+	g_mutex_lock(&stub->lock);
+	stub->fresh = fresh;
+	g_mutex_unlock(&stub->lock);
+}
+
+void stub_assigner_shares(struct stub_assigner *stub, uint32_t count)
+{
+	g_mutex_lock(&stub->lock);
+	stub->shares = count;
+	g_mutex_unlock(&stub->lock);
+}
+
+unsigned int stub_assigner_stales(const struct stub_assigner *stub)
+{
+	return stub->stales;
+}
+
+unsigned int stub_assigner_poisons(const struct stub_assigner *stub)
+{
+	return stub->poisons;
+}
+
+uint64_t stub_assigner_loads(const struct stub_assigner *stub)
+{
+	return stub->loads;
+}
--- /dev/null
+++ b/test/functional/cluster_stub_upstream.c
@@ -0,0 +1,346 @@
+#include "cluster_stub_upstream.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/address.h"
+
+#define POLL_MS 20
+#define READ_BYTES 16384
+#define ZERO_BYTES 65536
+#define MS_IN_US 1000
+#define CONTROL_ANSWER                                                         \
+	"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}"
+
+struct stub_upstream {
+	int fd;
+	char address[ADDRESS_TEXT_SIZE];
+	GThread *thread;
+	atomic_bool stop;
+	atomic_uint runs, connections, cut, cancels;
+	_Atomic uint64_t bodies;
+	GMutex lock;
+	struct stub_reply reply;
+	char *head;
+	/* GThread, one for each connection. */
+	GPtrArray *threads;
+};
+
+struct connection {
+	struct stub_upstream *stub;
+	int fd;
+	GString *in;
+};
+
+/* Reads more. @return false at the end of the stream or of the test */
+static bool read_more(struct connection *c)
+{
+	char buf[READ_BYTES];
+	ssize_t n;
+
+	for (;;) {
+		struct pollfd fd = { .fd = c->fd, .events = POLLIN };
+
+		if (c->stub->stop)
+			return false;
+		if (poll(&fd, 1, POLL_MS) == 1)
+			break;
+	}
+	n = read(c->fd, buf, sizeof(buf));
+	if (n <= 0)
+		return false;
+	g_string_append_len(c->in, buf, n);
+	return true;
+}
+
+static bool read_line_end(struct connection *c, const char *mark, size_t *end)
+{
+	for (;;) {
+		const char *found = strstr(c->in->str, mark);
+
+		if (found) {
+			*end = (size_t)(found - c->in->str) + strlen(mark);
+			return true;
+		}
+		if (!read_more(c))
+			return false;
+	}
+}
+
+static bool read_count(struct connection *c, uint64_t count)
+{
+	while (count) {
+		uint64_t n = MIN(count, c->in->len);
+
+		g_string_erase(c->in, 0, (gssize)n);
+		count -= n;
+		if (count && !read_more(c))
+			return false;
+	}
+	return true;
+}
+
+static bool read_chunks(struct connection *c, uint64_t *total)
+{
+	for (;;) {
+		size_t end;
+		uint64_t size;
+
+		if (!read_line_end(c, "\r\n", &end))
+			return false;
+		size = strtoull(c->in->str, NULL, 16);
+		g_string_erase(c->in, 0, (gssize)end);
+		*total += size;
+		if (!read_count(c, size + 2))
+			return false;
+		if (!size)
+			return true;
+	}
+}
+
+static const char *field_of(const char *head, const char *name)
+{
+	char *lower = g_ascii_strdown(head, -1);
+	const char *found = strstr(lower, name);
+	const char *value =
+		found ? head + (found - lower) + strlen(name) : NULL;
+
+	g_free(lower);
+	return value;
+}
+
+static bool read_body(struct connection *c, const char *head)
+{
+	const char *length = field_of(head, "\r\ncontent-length: ");
+	uint64_t total = 0;
+	bool whole = true;
+
+	if (field_of(head, "\r\ntransfer-encoding: chunked")) {
+		whole = read_chunks(c, &total);
+	} else if (length) {
+		total = strtoull(length, NULL, 10);
+		whole = read_count(c, total);
+	}
+	c->stub->bodies += total;
+	return whole;
+}
+
+static bool write_all(struct connection *c, const char *bytes, size_t len)
+{
+	while (len) {
+		struct pollfd fd = { .fd = c->fd, .events = POLLOUT };
+		ssize_t n;
+
+		if (c->stub->stop)
+			return false;
+		if (poll(&fd, 1, POLL_MS) != 1)
+			continue;
+		n = send(c->fd, bytes, len, MSG_NOSIGNAL | MSG_DONTWAIT);
+		if (n < 0 && errno != EAGAIN)
+			return false;
+		bytes += MAX(n, 0);
+		len -= (size_t)MAX(n, 0);
+	}
+	return true;
+}
+
+static bool write_zeroes(struct connection *c, uint64_t count)
+{
+	static const char zeroes[ZERO_BYTES];
+
+	while (count) {
+		size_t n = MIN(count, sizeof(zeroes));
+
+		if (!write_all(c, zeroes, n))
+			return false;
+		count -= n;
+	}
+	return true;
+}
+
+/* Waits while nothing may be answered; notes when the other side closes. */
+static bool wait_ms(struct connection *c, int64_t ms)
+{
+	gint64 end = g_get_monotonic_time() + ms * MS_IN_US;
+
+	while (g_get_monotonic_time() < end && !c->stub->stop) {
+		struct pollfd fd = { .fd = c->fd, .events = POLLRDHUP };
+
+		if (poll(&fd, 1, 1) == 1) {
+			c->stub->cut++;
+			return false;
+		}
+	}
+	return !c->stub->stop;
+}
+
+static bool reply(struct connection *c)
+{
+	struct stub_reply reply;
+
+	g_mutex_lock(&c->stub->lock);
+	reply = c->stub->reply;
+	g_mutex_unlock(&c->stub->lock);
+	if (reply.delay_ms && !wait_ms(c, reply.delay_ms))
+		return false;
+	if (reply.bytes && !write_all(c, reply.bytes, strlen(reply.bytes)))
+		return false;
+	if (!write_zeroes(c, reply.more)) {
+		c->stub->cut++;
+		return false;
+	}
+	if (reply.hang)
+		return wait_ms(c, INT32_MAX);
+	return !reply.close;
+}
+
+static bool serve_one(struct connection *c)
+{
+	size_t end;
+	char *head;
+	bool whole;
+
+	if (!read_line_end(c, "\r\n\r\n", &end))
+		return false;
+	head = g_strndup(c->in->str, end);
+	g_string_erase(c->in, 0, (gssize)end);
+	whole = read_body(c, head);
+	if (strstr(head, " /control/")) {
+		c->stub->cancels += strstr(head, "/control/cancel") ? 1 : 0;
+		g_free(head);
+		write_all(c, CONTROL_ANSWER, strlen(CONTROL_ANSWER));
+		return false;
+	}
+	g_mutex_lock(&c->stub->lock);
+	g_free(c->stub->head);
+	c->stub->head = head;
+	g_mutex_unlock(&c->stub->lock);
+	if (!whole)
+		return false;
+	c->stub->runs++;
+	return reply(c);
+}
+
+static void *serve(void *data)
+{
+	struct connection *c = data;
+
+	while (serve_one(c))
+		;
+	close(c->fd);
+	g_string_free(c->in, TRUE);
+	g_free(c);
+	return NULL;
+}
+
+static void *accept_all(void *data)
+{
+	struct stub_upstream *stub = data;
+
+	while (!stub->stop) {
+		struct pollfd fd = { .fd = stub->fd, .events = POLLIN };
+		struct connection *c;
+
+		if (poll(&fd, 1, POLL_MS) != 1)
+			continue;
+		c = g_new0(struct connection, 1);
+		c->stub = stub;
+		c->fd = accept(stub->fd, NULL, NULL);
+		c->in = g_string_new(NULL);
+		stub->connections++;
+		g_ptr_array_add(stub->threads,
+				g_thread_new("connection", serve, c));
+	}
+	return NULL;
+}
+
+struct stub_upstream *stub_upstream_start(void)
+{
+	struct stub_upstream *stub = g_new0(struct stub_upstream, 1);
+	struct sockaddr_in addr;
+	socklen_t size = sizeof(addr);
+
+	g_mutex_init(&stub->lock);
+	stub->threads = g_ptr_array_new();
+	address_parse(STR("127.0.0.1:0"), &addr);
+	stub->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	if (bind(stub->fd, (struct sockaddr *)&addr, sizeof(addr)) ||
+	    listen(stub->fd, SOMAXCONN) ||
+	    getsockname(stub->fd, (struct sockaddr *)&addr, &size))
+		g_error("the stub upstream can't listen");
+	address_format(&addr, stub->address);
+	stub->thread = g_thread_new("stub", accept_all, stub);
+	return stub;
+}
+
+void stub_upstream_stop(struct stub_upstream *stub)
+{
+	guint i;
+
+	if (!stub)
+		return;
+	stub->stop = true;
+	g_thread_join(stub->thread);
+	for (i = 0; i < stub->threads->len; i++)
+		g_thread_join(g_ptr_array_index(stub->threads, i));
+	g_ptr_array_free(stub->threads, TRUE);
+	close(stub->fd);
+	g_mutex_clear(&stub->lock);
+	g_free(stub->head);
+	g_free(stub);
+}
+
+const char *stub_upstream_address(const struct stub_upstream *stub)
+{
+	return stub->address;
+}
+
+void stub_upstream_reply(struct stub_upstream *stub,
+			 const struct stub_reply *new_reply)
+{
+	g_mutex_lock(&stub->lock);
+	stub->reply = *new_reply;
+	g_mutex_unlock(&stub->lock);
+}
+
+unsigned int stub_upstream_runs(const struct stub_upstream *stub)
+{
+	return stub->runs;
+}
+
+unsigned int stub_upstream_connections(const struct stub_upstream *stub)
+{
+	return stub->connections;
+}
+
+unsigned int stub_upstream_cut(const struct stub_upstream *stub)
+{
+	return stub->cut;
+}
+
+unsigned int stub_upstream_cancels(const struct stub_upstream *stub)
+{
+	return stub->cancels;
+}
+
+uint64_t stub_upstream_bodies(const struct stub_upstream *stub)
+{
+	return stub->bodies;
+}
+
+char *stub_upstream_head(struct stub_upstream *stub)
+{
+	char *head;
+
+	g_mutex_lock(&stub->lock);
+	head = g_strdup(stub->head ? stub->head : "");
+	g_mutex_unlock(&stub->lock);
+	return head;
+}
--- /dev/null
+++ b/test/functional/test_router.c
@@ -0,0 +1,612 @@
+/* A real router between stubs: what it tells callers, and what ran. */
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "cluster_rig.h"
+#include "suite.h"
+
+#define LIMIT_US (10 * US_PER_SECOND)
+#define OK_HEAD                                                                \
+	"HTTP/1.1 200 OK\r\nAuburn-Verdict: ran\r\nAuburn-Boot: boot-1\r\n"
+#define OK_SHORT OK_HEAD "Content-Length: 5\r\n\r\nhello"
+#define REFUSED(reason)                                                        \
+	"HTTP/1.1 503 No\r\nAuburn-Verdict: not-run\r\nAuburn-Reason: " reason \
+	"\r\nContent-Length: 0\r\n\r\n"
+
+static const struct stub_reply ok_short = { .bytes = OK_SHORT };
+
+static void answers_come_back_whole(void)
+{
+	static const struct {
+		const char *method;
+		const char *uri;
+		const char *body;
+		struct stub_reply reply;
+		uint64_t len;
+	} cases[] = {
+		{ "GET", "/reads/a?b=c", NULL, { .bytes = OK_SHORT }, 5 },
+		{ "GET", "/keys/a", NULL, { .bytes = OK_SHORT }, 5 },
+		{ "POST", "/writes/a", "some work", { .bytes = OK_SHORT }, 5 },
+		{ "PUT", "/reads/a", "x", { .bytes = OK_SHORT }, 5 },
+		{ "DELETE", "/writes/a", NULL, { .bytes = OK_SHORT }, 5 },
+		{ "HEAD",
+		  "/reads/a",
+		  NULL,
+		  { .bytes = OK_HEAD "Content-Length: 5\r\n\r\n" },
+		  0 },
+		{ "GET",
+		  "/reads/a",
+		  NULL,
+		  { .bytes = OK_HEAD "Transfer-Encoding: chunked\r\n\r\n"
+				     "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n" },
+		  5 },
+		{ "GET",
+		  "/reads/a",
+		  NULL,
+		  { .bytes = OK_HEAD "Content-Length: 0\r\n\r\n" },
+		  0 },
+		{ "GET",
+		  "/reads/a",
+		  NULL,
+		  { .bytes = OK_HEAD "Content-Length: 5000000\r\n\r\n",
+		    .more = 5000000 },
+		  5000000 },
+		{ "GET",
+		  "/reads/a",
+		  NULL,
+		  { .bytes = "HTTP/1.1 100 Continue\r\n\r\n" OK_SHORT },
+		  5 },
+	};
+	struct rig *rig = rig_start(NULL);
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct http_answer *answer;
+
+		rig_reply(rig, &cases[i].reply);
+		answer = rig_send(rig, cases[i].method, cases[i].uri,
+				  cases[i].body);
+		CU_ASSERT_EQUAL(answer->status, 200);
+		CU_ASSERT(answer->whole);
+		CU_ASSERT_EQUAL(answer->body_len, cases[i].len);
+		CU_ASSERT_EQUAL(
+			strlen(http_header(answer, "auburn-request-id")), 32);
+		CU_ASSERT_STRING_EQUAL(http_header(answer, "auburn-verdict"),
+				       "");
+		CU_ASSERT_STRING_EQUAL(http_header(answer, "auburn-boot"), "");
+		http_answer_destroy(answer);
+		CU_ASSERT_EQUAL(rig_runs(rig), i + 1);
+	}
+	rig_stop(rig);
+}
+
+static void own_headers_are_set_and_stripped(void)
+{
+	static const char *const sent[] = {
+		"Auburn-Epoch: 99",  "auburn-request-id: mine",
+		"Connection: X-Hop", "X-Hop: 1",
+		"X-End: 2",	     NULL
+	};
+	struct rig *rig = rig_start(NULL);
+	struct http_request request = { .address = rig_callers(rig),
+					.uri = "/keys/a%20b/c",
+					.headers = sent };
+	char *head;
+
+	rig_reply(rig, &ok_short);
+	CU_ASSERT_EQUAL(http_status(&request), 200);
+	head = stub_upstream_head(rig->upstreams[0]);
+	CU_ASSERT(!strncmp(head, "GET /keys/a%20b/c HTTP/1.1\r\n", 28));
+	CU_ASSERT_PTR_NOT_NULL(strstr(head, "\r\nAuburn-Epoch: 1\r\n"));
+	CU_ASSERT_PTR_NULL(strstr(head, ": 99"));
+	CU_ASSERT_PTR_NULL(strstr(head, "mine"));
+	CU_ASSERT_PTR_NULL(strstr(head, "X-Hop"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(head, "\r\nX-End: 2\r\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(head, "\r\nAuburn-Attempt: 1\r\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(head, "\r\nAuburn-Deadline-Ms: 1"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(head, "\r\nAuburn-Key-Hash: "));
+	CU_ASSERT_PTR_NULL(strstr(head, "Expect"));
+	g_free(head);
+	rig_stop(rig);
+}
+
+static void refusals_say_what_is_certain(void)
+{
+	static const struct {
+		const char *method;
+		const char *uri;
+		struct stub_reply reply;
+		long status;
+		const char *verdict;
+		const char *reason;
+		/** Runs at least and at most. */
+		unsigned int least, most;
+	} cases[] = {
+		{ "POST",
+		  "/writes/a",
+		  { .close = true },
+		  502,
+		  "may-have-run",
+		  "reset-after-send",
+		  1,
+		  1 },
+		{ "POST",
+		  "/writes/a",
+		  { .bytes = "HTTP/1.1 200", .close = true },
+		  502,
+		  "may-have-run",
+		  "reset-after-send",
+		  1,
+		  1 },
+		{ "POST",
+		  "/writes/a",
+		  { .bytes = "nonsense\r\n\r\n", .close = true },
+		  502,
+		  "may-have-run",
+		  "reset-after-send",
+		  1,
+		  1 },
+		/* Neither length nor chunks: its end can't be told. */
+		{ "POST",
+		  "/writes/a",
+		  { .bytes = OK_HEAD "\r\nhello", .close = true },
+		  502,
+		  "may-have-run",
+		  "reset-after-send",
+		  1,
+		  1 },
+		{ "POST",
+		  "/writes/a",
+		  { .bytes = OK_HEAD "Content-Length: 5\r\nTransfer-Encoding: "
+				     "chunked\r\n\r\n0\r\n\r\n" },
+		  502,
+		  "may-have-run",
+		  "reset-after-send",
+		  1,
+		  1 },
+		{ "POST",
+		  "/writes/a",
+		  { .hang = true },
+		  504,
+		  "may-have-run",
+		  "stalled",
+		  1,
+		  1 },
+		{ "GET",
+		  "/nothing/a",
+		  { 0 },
+		  404,
+		  "not-run",
+		  "unknown-service",
+		  0,
+		  0 },
+		{ "GET", "/keys", { 0 }, 400, "not-run", "bad-request", 0, 0 },
+		{ "GET",
+		  "/reads/../x",
+		  { 0 },
+		  400,
+		  "not-run",
+		  "bad-request",
+		  0,
+		  0 },
+		{ "POST",
+		  "/writes/a",
+		  { .bytes = REFUSED("upstream-shed") },
+		  503,
+		  "not-run",
+		  "upstream-shed",
+		  1,
+		  4 },
+		{ "POST",
+		  "/writes/a",
+		  { .bytes = REFUSED("shutting-down") },
+		  504,
+		  "not-run",
+		  "deadline-running",
+		  1,
+		  4 },
+	};
+	struct rig *rig = rig_start(NULL);
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		unsigned int before = rig_runs(rig), ran;
+		char *body = g_strdup_printf("case %zu", i);
+		struct http_answer *answer;
+
+		rig_reply(rig, &cases[i].reply);
+		answer = rig_send(rig, cases[i].method, cases[i].uri,
+				  strcmp(cases[i].method, "GET") ? body : NULL);
+		CU_ASSERT(rig_refused(answer, cases[i].status, cases[i].verdict,
+				      cases[i].reason));
+		ran = rig_runs(rig) - before;
+		CU_ASSERT(ran >= cases[i].least && ran <= cases[i].most);
+		http_answer_destroy(answer);
+		g_free(body);
+	}
+	rig_stop(rig);
+}
+
+/* libcurl would send a request again on its own when a reused connection dies
+ * before the answer: work that isn't idempotent must never be on one. */
+static void work_is_not_repeated_behind_our_back(void)
+{
+	static const struct stub_reply dies = { .close = true };
+	struct rig *rig = rig_start(NULL);
+	unsigned int i;
+
+	rig_use_upstreams(rig, 1);
+	rig_reply(rig, &ok_short);
+	for (i = 0; i < 10; i++) {
+		struct http_answer *answer =
+			rig_send(rig, "POST", "/writes/warm", "warm");
+
+		CU_ASSERT_EQUAL(answer->status, 200);
+		http_answer_destroy(answer);
+	}
+	CU_ASSERT_EQUAL(rig_runs(rig), 10);
+	rig_reply(rig, &dies);
+	for (i = 0; i < 10; i++) {
+		char *body = g_strdup_printf("work %u", i);
+		struct http_answer *answer =
+			rig_send(rig, "POST", "/writes/a", body);
+
+		CU_ASSERT(rig_refused(answer, 502, "may-have-run",
+				      "reset-after-send"));
+		http_answer_destroy(answer);
+		g_free(body);
+	}
+	CU_ASSERT_EQUAL(rig_runs(rig), 20);
+	rig_stop(rig);
+}
+
+static void reads_are_sent_again(void)
+{
+	static const struct stub_reply dies = { .close = true };
+	struct rig *rig = rig_start(NULL);
+	struct http_answer *answer;
+	int i;
+
+	stub_upstream_reply(rig->upstreams[0], &dies);
+	stub_upstream_reply(rig->upstreams[1], &ok_short);
+	for (i = 0; i < 4; i++) {
+		char *uri = g_strdup_printf("/reads/%d", i);
+
+		answer = rig_send(rig, "GET", uri, NULL);
+		CU_ASSERT_EQUAL(answer->status, 200);
+		CU_ASSERT(answer->whole);
+		http_answer_destroy(answer);
+		g_free(uri);
+	}
+	rig_stop(rig);
+}
+
+static void an_unreachable_upstream_ran_nothing(void)
+{
+	struct rig *rig = rig_start(NULL);
+	struct http_answer *answer;
+	int i;
+
+	for (i = 0; i < RIG_UPSTREAMS; i++) {
+		stub_upstream_stop(rig->upstreams[i]);
+		rig->upstreams[i] = NULL;
+	}
+	answer = rig_send(rig, "POST", "/writes/a", "x");
+	CU_ASSERT(rig_refused(answer, 503, "not-run", "connect-failed"));
+	http_answer_destroy(answer);
+	rig_stop(rig);
+}
+
+static void a_cut_answer_never_ends_cleanly(void)
+{
+	static const struct stub_reply replies[] = {
+		{ .bytes = OK_HEAD "Content-Length: 100\r\n\r\nhello",
+		  .close = true },
+		{ .bytes = OK_HEAD "Transfer-Encoding: chunked\r\n\r\n"
+				   "5\r\nhello\r\n",
+		  .close = true },
+		{ .bytes = OK_HEAD "Transfer-Encoding: chunked\r\n\r\n"
+				   "5\r\nhel",
+		  .close = true },
+		{ .bytes = OK_HEAD "Content-Length: 9000000\r\n\r\n",
+		  .more = 4000000,
+		  .close = true },
+		/* No progress for the stall limit. */
+		{ .bytes = OK_HEAD "Content-Length: 100\r\n\r\nhello",
+		  .hang = true },
+	};
+	static const char *const versions[] = { "HTTP/1.1", "HTTP/1.0" };
+	struct rig *rig = rig_start(NULL);
+	size_t i, j;
+
+	for (i = 0; i < G_N_ELEMENTS(replies); i++) {
+		struct http_answer *answer;
+
+		char *uri = g_strdup_printf("/writes/%zu", i);
+
+		rig_reply(rig, &replies[i]);
+		answer = rig_send(rig, "POST", uri, "x");
+		/* Refused while that is possible, else broken off. */
+		if (answer->status == 200)
+			CU_ASSERT(!answer->whole)
+		else
+			CU_ASSERT(rig_refused(answer, 502, "may-have-run",
+					      "truncated"));
+		http_answer_destroy(answer);
+		g_free(uri);
+	}
+	for (j = 0; j < G_N_ELEMENTS(versions); j++) {
+		char *request = g_strdup_printf(
+			"GET /writes/a %s\r\nHost: a\r\n\r\n", versions[j]);
+		char *text;
+
+		rig_reply(rig, &replies[1]);
+		text = rig_raw(rig, request, strlen(request));
+		CU_ASSERT_PTR_NULL(strstr(text, "\r\n0\r\n"));
+		CU_ASSERT_PTR_NULL(strstr(text, "hello\r\n0"));
+		CU_ASSERT_PTR_NULL(strstr(text, "Content-Length: 5"));
+		g_free(text);
+		g_free(request);
+	}
+	rig_stop(rig);
+}
+
+static void a_key_follows_its_owner(void)
+{
+	static const struct stub_reply not_owner = {
+		.bytes = "HTTP/1.1 421 No\r\nAuburn-Verdict: not-run\r\n"
+			 "Auburn-Reason: not-owner\r\nAuburn-Epoch: 2\r\n"
+			 "Content-Length: 0\r\n\r\n"
+	};
+	struct rig *rig = rig_start(NULL);
+	struct http_answer *answer;
+
+	stub_upstream_reply(rig->upstreams[0], &not_owner);
+	stub_upstream_reply(rig->upstreams[1], &ok_short);
+	stub_assigner_owner(rig->assigner, "keys", 2, "keys-1");
+	answer = rig_send(rig, "POST", "/keys/a", "x");
+	CU_ASSERT_EQUAL(answer->status, 200);
+	http_answer_destroy(answer);
+	CU_ASSERT_EQUAL(stub_upstream_runs(rig->upstreams[1]), 1);
+
+	/* No owner for a while, then one: the request waits for it. */
+	stub_assigner_owner(rig->assigner, "keys", 3, NULL);
+	answer = rig_send(rig, "GET", "/keys/a", NULL);
+	CU_ASSERT(rig_refused(answer, 503, "not-run", "no-owner") ||
+		  rig_refused(answer, 503, "not-run", "deadline-in-queue") ||
+		  answer->status == 200);
+	http_answer_destroy(answer);
+	rig_stop(rig);
+}
+
+static void without_fresh_settings_nothing_is_taken(void)
+{
+	static const char *const arguments[] = { "--settings-max-age-ms=300",
+						 NULL };
+	struct rig *rig = rig_start(arguments);
+	struct http_request ready = {
+		.address = process_address(rig->router, "operator"),
+		.uri = "/ready",
+	};
+	struct http_answer *answer;
+	gint64 end = g_get_monotonic_time() + LIMIT_US;
+
+	rig_reply(rig, &ok_short);
+	stub_assigner_fresh(rig->assigner, false);
+	while (http_status(&ready) == 200 && g_get_monotonic_time() < end)
+		g_usleep(5000);
+	CU_ASSERT_EQUAL(http_status(&ready), 503);
+	answer = rig_send(rig, "GET", "/reads/a", NULL);
+	CU_ASSERT(rig_refused(answer, 503, "not-run", "no-settings"));
+	http_answer_destroy(answer);
+	stub_assigner_fresh(rig->assigner, true);
+	while (http_status(&ready) != 200 && g_get_monotonic_time() < end)
+		g_usleep(5000);
+	answer = rig_send(rig, "GET", "/reads/a", NULL);
+	CU_ASSERT_EQUAL(answer->status, 200);
+	http_answer_destroy(answer);
+	rig_stop(rig);
+}
+
+static bool zone_is_out(void *ctx)
+{
+	struct rig *rig = ctx;
+	struct http_request request = {
+		.address = process_address(rig->router, "operator"),
+		.uri = "/metrics",
+	};
+	struct http_answer *answer = http_send(&request);
+	bool out = strstr(answer->body->str,
+			  "auburn_upstream_available{service=\"reads\","
+			  "upstream=\"reads-0\"} 0") != NULL;
+
+	http_answer_destroy(answer);
+	return out;
+}
+
+static void a_zone_taken_out_gets_nothing_new(void)
+{
+	struct rig *rig = rig_start(NULL);
+	unsigned int before;
+	int i;
+
+	rig_reply(rig, &ok_short);
+	rig_settings(rig, 2, "[\"zone-0\"]");
+	CU_ASSERT(process_wait_until(zone_is_out, rig, LIMIT_US));
+	before = stub_upstream_runs(rig->upstreams[0]);
+	for (i = 0; i < 20; i++) {
+		struct http_answer *answer =
+			rig_send(rig, "GET", "/reads/a", NULL);
+
+		CU_ASSERT_EQUAL(answer->status, 200);
+		http_answer_destroy(answer);
+	}
+	CU_ASSERT_EQUAL(stub_upstream_runs(rig->upstreams[0]), before);
+	CU_ASSERT(stub_upstream_runs(rig->upstreams[1]) >= 20);
+	rig_stop(rig);
+}
+
+static bool was_cut(void *ctx)
+{
+	const struct rig *rig = ctx;
+	int i;
+
+	for (i = 0; i < RIG_UPSTREAMS; i++)
+		if (stub_upstream_cut(rig->upstreams[i]) &&
+		    stub_upstream_cancels(rig->upstreams[i]))
+			return true;
+	return false;
+}
+
+static void a_caller_who_leaves_takes_the_work_along(void)
+{
+	static const struct stub_reply slow = { .delay_ms = 20000 };
+	struct rig *rig = rig_start(NULL);
+	struct http_request request = { .address = rig_callers(rig),
+					.uri = "/reads/a",
+					.timeout_ms = 200 };
+
+	rig_reply(rig, &slow);
+	CU_ASSERT_EQUAL(http_status(&request), 0);
+	CU_ASSERT(process_wait_until(was_cut, rig, LIMIT_US));
+	rig_stop(rig);
+}
+
+static void uploads_pass_through(void)
+{
+	struct rig *rig = rig_start(NULL);
+	char *body = g_strnfill(3000000, 'x');
+	char *huge = g_strnfill(RIG_BODY_LIMIT + 1, 'x');
+	static const char *const chunked[] = { "Transfer-Encoding: chunked",
+					       NULL };
+	struct http_request request = { .address = rig_callers(rig),
+					.uri = "/writes/a",
+					.body = body,
+					.headers = chunked };
+	struct http_answer *answer;
+
+	rig_use_upstreams(rig, 1);
+	rig_reply(rig, &ok_short);
+	answer = rig_send(rig, "POST", "/writes/a", body);
+	CU_ASSERT_EQUAL(answer->status, 200);
+	CU_ASSERT_EQUAL(rig_bodies(rig), 3000000);
+	http_answer_destroy(answer);
+	answer = http_send(&request);
+	CU_ASSERT_EQUAL(answer->status, 200);
+	CU_ASSERT_EQUAL(rig_bodies(rig), 6000000);
+	http_answer_destroy(answer);
+	answer = rig_send(rig, "POST", "/writes/a", huge);
+	CU_ASSERT(rig_refused(answer, 413, "not-run", "too-large"));
+	http_answer_destroy(answer);
+	CU_ASSERT_EQUAL(rig_runs(rig), 2);
+	g_free(body);
+	g_free(huge);
+	rig_stop(rig);
+}
+
+static void a_crashing_request_is_refused(void)
+{
+	static const struct stub_reply dies = { .close = true };
+	struct rig *rig = rig_start(NULL);
+	struct http_answer *answer;
+	bool refused = false;
+	int i;
+
+	rig_reply(rig, &dies);
+	for (i = 0; i < 5 && !refused; i++) {
+		answer = rig_send(rig, "POST", "/writes/crash", "boom");
+		refused = answer->status == 422;
+		http_answer_destroy(answer);
+	}
+	CU_ASSERT(refused);
+	CU_ASSERT(rig_runs(rig) <= 2);
+	CU_ASSERT(stub_assigner_poisons(rig->assigner) > 0);
+	rig_reply(rig, &ok_short);
+	answer = rig_send(rig, "POST", "/writes/crash", "harmless");
+	CU_ASSERT_EQUAL(answer->status, 200);
+	http_answer_destroy(answer);
+	rig_stop(rig);
+}
+
+static struct http_answer *confirm(const struct rig *rig, const char *key,
+				   const char *body)
+{
+	char *header = g_strdup_printf("Idempotency-Key: %s", key);
+	const char *headers[] = { header, NULL };
+	struct http_request request = { .address = rig_callers(rig),
+					.uri = "/lots/a",
+					.body = body,
+					.headers = headers };
+	struct http_answer *answer = http_send(&request);
+
+	g_free(header);
+	return answer;
+}
+
+static void confirmations_run_once(void)
+{
+	static const struct stub_reply dies = { .close = true };
+	struct rig *rig = rig_start(NULL);
+	struct http_answer *answer;
+	int i;
+
+	rig_reply(rig, &ok_short);
+	for (i = 0; i < 3; i++) {
+		answer = confirm(rig, "key-1", "lot 7");
+		CU_ASSERT_EQUAL(answer->status, 200);
+		CU_ASSERT_STRING_EQUAL(answer->body->str, "hello");
+		http_answer_destroy(answer);
+	}
+	CU_ASSERT_EQUAL(rig_runs(rig), 1);
+	answer = confirm(rig, "key-1", "lot 8");
+	CU_ASSERT_EQUAL(answer->status, 400);
+	http_answer_destroy(answer);
+	rig_reply(rig, &dies);
+	answer = confirm(rig, "key-2", "lot 9");
+	CU_ASSERT_EQUAL(answer->status, 502);
+	http_answer_destroy(answer);
+	rig_reply(rig, &ok_short);
+	answer = confirm(rig, "key-2", "lot 9");
+	CU_ASSERT(rig_refused(answer, 409, "may-have-run", "outcome-unknown"));
+	http_answer_destroy(answer);
+	CU_ASSERT_EQUAL(rig_runs(rig), 2);
+	process_kill(rig->platform);
+	answer = confirm(rig, "key-3", "lot 10");
+	CU_ASSERT(rig_refused(answer, 503, "not-run", "claim-unavailable"));
+	http_answer_destroy(answer);
+	CU_ASSERT_EQUAL(rig_runs(rig), 2);
+	rig_stop(rig);
+}
+
+int main(void)
+{
+	static const struct suite_case cases[] = {
+		{ "answers come back whole", answers_come_back_whole },
+		{ "own headers are set and stripped",
+		  own_headers_are_set_and_stripped },
+		{ "refusals say what is certain",
+		  refusals_say_what_is_certain },
+		{ "work is not repeated behind our back",
+		  work_is_not_repeated_behind_our_back },
+		{ "reads are sent again", reads_are_sent_again },
+		{ "an unreachable upstream ran nothing",
+		  an_unreachable_upstream_ran_nothing },
+		{ "a cut answer never ends cleanly",
+		  a_cut_answer_never_ends_cleanly },
+		{ "a key follows its owner", a_key_follows_its_owner },
+		{ "without fresh settings nothing is taken",
+		  without_fresh_settings_nothing_is_taken },
+		{ "a zone taken out gets nothing new",
+		  a_zone_taken_out_gets_nothing_new },
+		{ "a caller who leaves takes the work along",
+		  a_caller_who_leaves_takes_the_work_along },
+		{ "uploads pass through", uploads_pass_through },
+		{ "a crashing request is refused",
+		  a_crashing_request_is_refused },
+		{ "confirmations run once", confirmations_run_once },
+		{ 0 },
+	};
+
+	return suite_run("router", cases);
+}
--- /dev/null
+++ b/test/functional/test_router_stop.c
@@ -0,0 +1,195 @@
+/* Slow readers, long transfers and a router's graceful shutdown. */
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "base/clock.h"
+#include "cluster_rig.h"
+#include "suite.h"
+
+#define LIMIT_US (20 * US_PER_SECOND)
+#define OK_HEAD                                                                \
+	"HTTP/1.1 200 OK\r\nAuburn-Verdict: ran\r\n"                           \
+	"Auburn-Boot: boot-1\r\n"
+#define FILE_BYTES 60000000
+#define FILE_RATE 40000000
+#define MEMORY_LIMIT_KIB 16384
+
+static const struct stub_reply big_file = {
+	.bytes = OK_HEAD "Content-Length: 60000000\r\n\r\n",
+	.more = FILE_BYTES,
+};
+
+struct transfer {
+	struct rig *rig;
+	struct http_request request;
+	struct http_answer *answer;
+	GThread *thread;
+};
+
+static void *transfer_run(void *data)
+{
+	struct transfer *transfer = data;
+
+	transfer->answer = http_send(&transfer->request);
+	return NULL;
+}
+
+static struct transfer transfer_start(struct rig *rig, const char *uri)
+{
+	return (struct transfer){
+		.rig = rig,
+		.request = { .address = rig_callers(rig),
+			     .uri = uri,
+			     .bytes_per_second = FILE_RATE,
+			     .timeout_ms = 60000,
+			     .discard = true },
+	};
+}
+
+static bool has_run(void *ctx)
+{
+	return rig_runs(ctx) > 0;
+}
+
+static void a_slow_reader_costs_no_memory(void)
+{
+	struct rig *rig = rig_start(NULL);
+	struct transfer transfer = transfer_start(rig, "/reads/file");
+	int64_t before = process_memory_kib(rig->router);
+	int64_t most = before;
+
+	rig_reply(rig, &big_file);
+	transfer.thread = g_thread_new("caller", transfer_run, &transfer);
+	CU_ASSERT(process_wait_until(has_run, rig, LIMIT_US));
+	while (!g_atomic_pointer_get(&transfer.answer)) {
+		most = MAX(most, process_memory_kib(rig->router));
+		g_usleep(20000);
+	}
+	g_thread_join(transfer.thread);
+	CU_ASSERT(transfer.answer->whole);
+	CU_ASSERT_EQUAL(transfer.answer->body_len, FILE_BYTES);
+	CU_ASSERT(most - before < MEMORY_LIMIT_KIB);
+	printf("# memory before %" G_GINT64_FORMAT " KiB, at most "
+	       "%" G_GINT64_FORMAT " KiB\n",
+	       before, most);
+	http_answer_destroy(transfer.answer);
+	rig_stop(rig);
+}
+
+/* A caller who reads more slowly than the stall limit asks is not cut off. */
+static void a_paused_reader_is_not_a_stalled_upstream(void)
+{
+	struct rig *rig = rig_start(NULL);
+	struct transfer transfer = transfer_start(rig, "/reads/file");
+
+	rig_reply(rig, &big_file);
+	transfer.request.bytes_per_second = FILE_RATE / 2;
+	transfer_run(&transfer);
+	CU_ASSERT(transfer.answer->whole);
+	http_answer_destroy(transfer.answer);
+	rig_stop(rig);
+}
+
+static bool not_ready(void *ctx)
+{
+	const struct rig *rig = ctx;
+	struct http_request request = {
+		.address = process_address(rig->router, "operator"),
+		.uri = "/ready",
+	};
+
+	return http_status(&request) != 200;
+}
+
+static bool refuses_connections(void *ctx)
+{
+	const struct rig *rig = ctx;
+	struct http_request request = { .address = rig_callers(rig),
+					.uri = "/reads/x" };
+
+	return http_status(&request) == 0;
+}
+
+static void shutdown_cuts_nothing_off(void)
+{
+	static const struct stub_reply quick = {
+		.bytes = OK_HEAD "Content-Length: 2\r\n\r\nok"
+	};
+	struct rig *rig = rig_start(NULL);
+	struct transfer transfer = transfer_start(rig, "/reads/file");
+	struct http_answer *answer;
+	int status;
+
+	rig_reply(rig, &big_file);
+	transfer.thread = g_thread_new("caller", transfer_run, &transfer);
+	CU_ASSERT(process_wait_until(has_run, rig, LIMIT_US));
+	rig_reply(rig, &quick);
+	process_terminate(rig->router);
+	CU_ASSERT(process_wait_until(not_ready, rig, LIMIT_US));
+	/* New connections are still answered for the stated time. */
+	answer = rig_send(rig, "GET", "/reads/late", NULL);
+	CU_ASSERT_EQUAL(answer->status, 200);
+	CU_ASSERT_STRING_EQUAL(http_header(answer, "connection"), "close");
+	http_answer_destroy(answer);
+	CU_ASSERT(process_wait_until(refuses_connections, rig, LIMIT_US));
+	CU_ASSERT(process_running(rig->router));
+	g_thread_join(transfer.thread);
+	CU_ASSERT(transfer.answer->whole);
+	CU_ASSERT_EQUAL(transfer.answer->body_len, FILE_BYTES);
+	http_answer_destroy(transfer.answer);
+	CU_ASSERT(process_wait_end(rig->router, LIMIT_US, &status));
+	CU_ASSERT(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+	rig_stop(rig);
+}
+
+static void an_idle_router_stops_soon(void)
+{
+	struct rig *rig = rig_start(NULL);
+	gint64 begun = g_get_monotonic_time();
+	int status;
+
+	process_terminate(rig->router);
+	CU_ASSERT(process_wait_end(rig->router, LIMIT_US, &status));
+	CU_ASSERT(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+	CU_ASSERT(g_get_monotonic_time() - begun < 5 * US_PER_SECOND);
+	rig_stop(rig);
+}
+
+static void bad_options_are_refused(void)
+{
+	static const char *const cases[] = { "--workers=0", "--listen=x:1",
+					     "--drain-ms=-1", "--zone" };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const char *argv[] = { PROGRAM_DIR "/auburn-router",
+				       "--daemon=r", "--zone=z", cases[i],
+				       NULL };
+		struct process *process =
+			process_start("router", g_get_tmp_dir(), argv, NULL);
+		int status = 0;
+
+		CU_ASSERT_PTR_NOT_NULL_FATAL(process);
+		CU_ASSERT(process_wait_end(process, LIMIT_US, &status));
+		CU_ASSERT(WIFEXITED(status) && WEXITSTATUS(status) == 2);
+		process_destroy(process);
+	}
+}
+
+int main(void)
+{
+	static const struct suite_case cases[] = {
+		{ "a slow reader costs no memory",
+		  a_slow_reader_costs_no_memory },
+		{ "a paused reader is not a stalled upstream",
+		  a_paused_reader_is_not_a_stalled_upstream },
+		{ "shutdown cuts nothing off", shutdown_cuts_nothing_off },
+		{ "an idle router stops soon", an_idle_router_stops_soon },
+		{ "bad options are refused", bad_options_are_refused },
+		{ 0 },
+	};
+
+	return suite_run("router stop", cases);
+}
