--- a/src/router/dispatch.c
+++ b/src/router/dispatch.c
@@ -83,6 +83,7 @@
 	struct str id = pool_id(service->pool, upstream);
 
 	ticket->flight = pool_start(service->pool, upstream, now_us);
+	ticket->started_us = now_us;
 	g_snprintf(ticket->upstream, sizeof(ticket->upstream), "%.*s",
 		   STR_ARG(id));
 	if (ticket->tried_count < POOL_TRIED_MAX)
@@ -227,7 +228,7 @@
 		ticket->took_us = now_us - ticket->admitted_us;
 	pool_head(service->pool, ticket->flight, boot, now_us);
 	n = poison_alive(dispatch->poison, str_from(ticket->upstream), boot,
-			 reports, REPORTS_MAX);
+			 ticket->started_us, reports, REPORTS_MAX);
 	for (i = 0; i < n; i++)
 		dispatch_report(dispatch, &reports[i]);
 	g_mutex_unlock(&dispatch->lock);
--- a/src/router/dispatch.h
+++ b/src/router/dispatch.h
@@ -91,6 +91,7 @@
 	int64_t offered_us;
 	int64_t admitted_us;
 	int64_t took_us;
+	int64_t started_us;
 	struct pool_flight *flight;
 	uint64_t poison;
 };
