ownership: planted faults are each noticed

A leader hands over to a better placed daemon only after it led for a while: it did so at once after each win before.

--- a/src/ownership/coordinator.c
+++ b/src/ownership/coordinator.c
@@ -324,7 +324,8 @@
 		g_clear_pointer(&c->old_acceptors, g_ptr_array_unref);
 	if (!c->version)
 		row_need_read(c);
-	if (election_better_placed(c, now)) {
+	if (now >= c->lead_us + c->timing.prefer_us &&
+	    election_better_placed(c, now)) {
 		election_follow(c, "hands over to a better placed daemon");
 		election_stand_down(c, now);
 		return;
--- a/src/ownership/grants.c
+++ b/src/ownership/grants.c
@@ -202,16 +202,19 @@
 	return NULL;
 }
 
-static void note_boot(struct cell_upstream *u, struct str boot)
+static void note_boot(const struct coordinator *c, struct cell_upstream *u,
+		      struct str boot)
 {
 	g_free(u->boot);
 	u->boot = str_dup(boot);
 	/* It has forgotten its promises, its epochs and its grant. */
+	u->clear_epoch = 0;
+	u->held = false;
+	if (c->fault == COORDINATOR_FAULT_COUNT_RESTARTED)
+		return;
 	u->ballot = (struct ballot){ 0 };
 	u->confirmed_us = NEVER_US;
 	u->epoch = 0;
-	u->clear_epoch = 0;
-	u->held = false;
 }
 
 static void note_state(struct coordinator *c, struct cell_upstream *u,
@@ -282,7 +285,7 @@
 	if (!u->boot || !str_equal(str_from(u->boot), reply->boot)) {
 		if (!newest)
 			return;
-		note_boot(u, reply->boot);
+		note_boot(c, u, reply->boot);
 		u->reachable_us = now;
 	}
 	if (!upstream_reachable(c, u, now))
--- /dev/null
+++ b/test/unit/test_ownership_faults.c
@@ -0,0 +1,121 @@
+#include <stdio.h>
+
+#include "suite.h"
+#include "world_play.h"
+
+/* Inputs of fixed seeds in which the oracle notices a planted fault. */
+static const struct {
+	const char *fault;
+	uint32_t seed;
+} planted[] = {
+	{ "skip-wait", 1 },
+	{ "from-arrival", 2 },
+	{ "ignore-epoch", 13 },
+	{ "no-margin", 50 },
+	{ "publish-early", 1 },
+	{ "no-expiry", 13 },
+	{ "paused-clock", 84 },
+	{ "fence-ignores-epoch", 4 },
+	{ "fence-ignores-ballot", 35 },
+};
+
+static void play(const char *fault, uint32_t seed, struct play_result *result)
+{
+	struct world_config config = { 0 };
+	uint8_t data[PLAY_INPUT_BYTES];
+	size_t len = world_play_input(seed, data, sizeof(data));
+
+	if (fault)
+		CU_ASSERT_TRUE(world_plant(fault, &config));
+	world_play(&config, data, len, result);
+}
+
+static void planted_faults_are_noticed(void)
+{
+	struct play_result result;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(planted); i++) {
+		play(planted[i].fault, planted[i].seed, &result);
+		printf("# %s, seed %u, step %u: %s\n", planted[i].fault,
+		       planted[i].seed, (unsigned int)result.steps,
+		       result.violation);
+		CU_ASSERT_NOT_EQUAL(result.violation[0], '\0');
+		play(NULL, planted[i].seed, &result);
+		CU_ASSERT_STRING_EQUAL(result.violation, "");
+	}
+}
+
+/* Two sides share one upstream that restarts over and over: each time it has
+ * forgotten whom it promised what. */
+static void share_crashing_upstream(struct world *w, size_t shared)
+{
+	size_t leader = (size_t)world_leader(w), d, u;
+
+	for (d = 0; d < 3; d++) {
+		for (u = 0; u < 5; u++)
+			world_cut_upstream(w, d, u,
+					   u != shared &&
+						   (u < 2) != (d == leader));
+		if (d != leader)
+			world_cut_peers(w, d, leader, true);
+	}
+	world_cut_table(w, leader, true);
+}
+
+static bool crash_loop_breaks(enum coordinator_fault fault, uint32_t seed,
+			      int64_t every_us)
+{
+	struct world_config config = {
+		.daemons = 3,
+		.upstreams = 5,
+		.slices_per_owner = 2,
+		.seed = seed,
+		.fault = fault,
+	};
+	struct world *w = world_create(&config);
+	bool broken;
+	int i;
+
+	world_run(w, 6 * US_PER_SECOND);
+	CU_ASSERT_NOT_EQUAL_FATAL(world_leader(w), -1);
+	share_crashing_upstream(w, 2);
+	for (i = 0; i * every_us < 8 * US_PER_SECOND; i++) {
+		world_kill_upstream(w, 2, US_PER_MS);
+		world_run(w, every_us);
+	}
+	broken = world_violation(w) != NULL;
+	if (broken)
+		printf("# count-restarted, seed %u, every %d ms: %s\n", seed,
+		       (int)(every_us / US_PER_MS), world_violation(w));
+	world_destroy(w);
+	return broken;
+}
+
+static void restarted_upstreams_are_not_counted(void)
+{
+	unsigned int broken = 0;
+	uint32_t seed;
+
+	for (seed = 1; seed <= 8; seed++) {
+		int64_t every_us = (int64_t)(30 + 10 * seed) * US_PER_MS;
+
+		broken += crash_loop_breaks(COORDINATOR_FAULT_COUNT_RESTARTED,
+					    seed, every_us);
+		CU_ASSERT_FALSE(crash_loop_breaks(COORDINATOR_FAULT_NONE, seed,
+						  every_us));
+	}
+	CU_ASSERT_TRUE(broken > 0);
+}
+
+int main(void)
+{
+	static const struct suite_case cases[] = {
+		{ "planted faults are noticed", planted_faults_are_noticed },
+		{ "restarted upstreams are not counted",
+		  restarted_upstreams_are_not_counted },
+		{ 0 },
+	};
+
+	return suite_run("ownership faults", cases);
+}
