--- a/src/wire/hub.h
+++ b/src/wire/hub.h
@@ -33,7 +33,7 @@
 struct hub *hub_create(const struct clock *clock, const struct hub_ops *ops,
 		       void *ctx);
 
-/** Closes all links, without calling closed, and frees. */
+/** Closes all links, calling closed for each, and frees. */
 void hub_destroy(struct hub *hub);
 
 /**
@@ -65,6 +65,22 @@
  */
 void hub_send(struct hub *hub, struct link *link, const Envelope *message);
 
+/** What was sent of one kind of message. */
+struct hub_count {
+	uint64_t messages;
+	uint64_t bytes;
+};
+
+/**
+ * Counts by kind, for metrics.
+ *
+ * @param kind a member of the envelope's body_case
+ */
+struct hub_count hub_sent(const struct hub *hub, Envelope__BodyCase kind);
+
+/** Whether this side opened the link. */
+bool hub_is_outgoing(const struct hub *hub, const struct link *link);
+
 /** Calls visit for every open link. */
 void hub_each(struct hub *hub, void (*visit)(void *ctx, struct link *link),
 	      void *ctx);
