--- /dev/null
+++ b/bench/bench_policy.c
@@ -0,0 +1,102 @@
+/*
+ * Ways of sharing upstreams' slots among routers, under the same arrivals,
+ * service times and stragglers: tail latency, imbalance and overshoot; backup
+ * requests with and without. Stragglers begin after the first second.
+ *
+ * Prints: name case value unit baseline ratio. The baseline is round robin; for
+ * "straggler-p99" the same way without a straggler; for "backup-*" the same
+ * without backup requests.
+ */
+#include <stdio.h>
+
+#include "bench_policy_parts/model.h"
+
+#define LOCAL 1
+
+/* clang-format off */
+static const struct scenario scenarios[] = {
+	{ "el-oro/lots", 12, 8, 3, 1500, 21000 * MS, 0.6, 0, false },
+	{ "el-oro/sanidad", 12, 13, 3, 1500, 21000 * MS, 0.6, 0, false },
+	{ "centro/bitacora", 12, 12, 4, 1000, 21000 * MS, 0.6, 0, false },
+	{ "490-routers", 490, 600, 6, 1500, 2500 * MS, 0.6, 0, false },
+};
+/* clang-format on */
+
+static void print_line(const char *name, const char *where, const char *way,
+		       uint32_t stragglers, double value, const char *unit,
+		       double baseline)
+{
+	printf("%s %s/%s/%u-slow %.3f %s %.3f %.3f\n", name, where, way,
+	       stragglers, value, unit, baseline,
+	       baseline > 0 ? value / baseline : 0.0);
+	fflush(stdout);
+}
+
+static void print_result(const char *where, const char *way,
+			 uint32_t stragglers, const struct result *r,
+			 const struct result *base)
+{
+	print_line("p50", where, way, stragglers, r->p50, "ms", base->p50);
+	print_line("p99", where, way, stragglers, r->p99, "ms", base->p99);
+	print_line("p99.9", where, way, stragglers, r->p999, "ms", base->p999);
+	print_line("imbalance", where, way, stragglers, r->imbalance,
+		   "max/mean", base->imbalance);
+	print_line("overshoot", where, way, stragglers, r->overshoot, "%",
+		   base->overshoot);
+}
+
+/* Compares the same way with and without backup requests. */
+static void print_backup(const struct scenario *without,
+			 const struct result *base)
+{
+	struct scenario sc = *without;
+	struct result r;
+
+	sc.backup = true;
+	r = model_run(&sc, &policies[LOCAL]);
+	print_line("backup-p50", sc.name, policies[LOCAL].name, sc.stragglers,
+		   r.p50, "ms", base->p50);
+	print_line("backup-p99", sc.name, policies[LOCAL].name, sc.stragglers,
+		   r.p99, "ms", base->p99);
+	print_line("backup-p99.9", sc.name, policies[LOCAL].name, sc.stragglers,
+		   r.p999, "ms", base->p999);
+	print_line("backup-load", sc.name, policies[LOCAL].name, sc.stragglers,
+		   r.added, "%", 0);
+}
+
+static void compare_ways(const struct scenario *scenario)
+{
+	double without[8] = { 0 };
+	uint32_t stragglers;
+	size_t i;
+
+	for (stragglers = 0; stragglers <= 2; stragglers++) {
+		struct scenario sc = *scenario;
+		struct result base = { 0 };
+
+		sc.stragglers = stragglers;
+		for (i = 0; i < policy_count; i++) {
+			struct result r = model_run(&sc, &policies[i]);
+
+			if (!i)
+				base = r;
+			if (!stragglers)
+				without[i] = r.p99;
+			print_result(sc.name, policies[i].name, stragglers, &r,
+				     &base);
+			print_line("straggler-p99", sc.name, policies[i].name,
+				   stragglers, r.p99, "ms", without[i]);
+			if (i == LOCAL)
+				print_backup(&sc, &r);
+		}
+	}
+}
+
+int main(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(scenarios); i++)
+		compare_ways(&scenarios[i]);
+	return 0;
+}
--- a/src/request/poison.c
+++ b/src/request/poison.c
@@ -8,11 +8,16 @@
 /* Deaths from which a request is refused. */
 #define DEATHS_MAX 2
 
+/* An incarnation that died; both names are NULL when it isn't known which. */
+struct died {
+	char *upstream;
+	char *boot;
+};
+
 /* A request with deaths. */
 struct record {
 	uint64_t fingerprint;
-	/** Hashes of the incarnations that died. */
-	uint64_t died[DEATHS_MAX];
+	struct died died[DEATHS_MAX];
 	uint32_t deaths;
 	int64_t last_us;
 };
@@ -32,6 +37,22 @@
 	struct flight *ended;
 };
 
+static void died_clear(struct died *died)
+{
+	g_clear_pointer(&died->upstream, g_free);
+	g_clear_pointer(&died->boot, g_free);
+}
+
+static void record_free(gpointer data)
+{
+	struct record *r = data;
+	uint32_t i;
+
+	for (i = 0; i < DEATHS_MAX; i++)
+		died_clear(&r->died[i]);
+	g_free(r);
+}
+
 static void flight_free(gpointer data)
 {
 	struct flight *flight = data;
@@ -48,7 +69,7 @@
 	struct poison *poison = g_new0(struct poison, 1);
 
 	poison->records = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-						NULL, g_free);
+						NULL, record_free);
 	poison->flights = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						NULL, flight_free);
 	return poison;
@@ -74,11 +95,6 @@
 	return hash_seeded(body, hash);
 }
 
-static uint64_t hash_incarnation(struct str upstream, struct str boot)
-{
-	return hash_seeded(boot, hash_key(upstream));
-}
-
 /* Finds a request's record; removes one that is too old. */
 static struct record *find_record(struct poison *poison, uint64_t fingerprint,
 				  int64_t now_us)
@@ -151,27 +167,41 @@
 	return r;
 }
 
-static void add_death(struct record *r, uint64_t incarnation, int64_t now_us)
+static bool is_named(const struct died *died, struct str upstream,
+		     struct str boot)
+{
+	return died->upstream &&
+	       str_equal(str_from(died->upstream), upstream) &&
+	       str_equal(str_from(died->boot), boot);
+}
+
+static void add_death(struct record *r, struct str upstream, struct str boot,
+		      int64_t now_us)
 {
 	uint32_t i;
 
 	r->last_us = now_us;
 	for (i = 0; i < r->deaths; i++)
-		if (r->died[i] == incarnation)
+		if (is_named(&r->died[i], upstream, boot))
 			return;
-	if (r->deaths < DEATHS_MAX)
-		r->died[r->deaths++] = incarnation;
+	if (r->deaths >= DEATHS_MAX)
+		return;
+	r->died[r->deaths].upstream = str_dup(upstream);
+	r->died[r->deaths].boot = str_dup(boot);
+	r->deaths++;
 }
 
 /* @return true when the death was counted */
-static bool remove_death(struct record *r, uint64_t incarnation)
+static bool remove_death(struct record *r, struct str upstream, struct str boot)
 {
 	uint32_t i;
 
 	for (i = 0; i < r->deaths; i++) {
-		if (r->died[i] != incarnation)
+		if (!is_named(&r->died[i], upstream, boot))
 			continue;
+		died_clear(&r->died[i]);
 		r->died[i] = r->died[--r->deaths];
+		r->died[r->deaths] = (struct died){ 0 };
 		return true;
 	}
 	return false;
@@ -184,7 +214,7 @@
 	struct str boot = str_from(flight->boot);
 	struct record *r = ensure_record(poison, flight->fingerprint, now_us);
 
-	add_death(r, hash_incarnation(upstream, boot), now_us);
+	add_death(r, upstream, boot, now_us);
 	*report = (struct poison_report){
 		.fingerprint = flight->fingerprint,
 		.upstream = upstream,
@@ -227,7 +257,6 @@
 size_t poison_alive(struct poison *poison, struct str upstream, struct str boot,
 		    int64_t sent_us, struct poison_report *reports, size_t max)
 {
-	uint64_t incarnation = hash_incarnation(upstream, boot);
 	GHashTableIter iter;
 	struct record *r;
 	size_t count = 0;
@@ -235,7 +264,7 @@
 	g_hash_table_iter_init(&iter, poison->records);
 	while (count < max &&
 	       g_hash_table_iter_next(&iter, NULL, (gpointer *)&r)) {
-		if (sent_us <= r->last_us || !remove_death(r, incarnation))
+		if (sent_us <= r->last_us || !remove_death(r, upstream, boot))
 			continue;
 		reports[count++] = (struct poison_report){
 			.fingerprint = r->fingerprint,
@@ -254,36 +283,39 @@
 	const struct record *r;
 	GHashTableIter iter;
 	size_t count = 0;
+	uint32_t i;
 
 	g_hash_table_iter_init(&iter, poison->records);
-	while (count < max &&
-	       g_hash_table_iter_next(&iter, NULL, (gpointer *)&r)) {
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&r)) {
 		if (now_us >= r->last_us + POISON_KEEP_US)
 			continue;
-		reports[count++] = (struct poison_report){
-			.fingerprint = r->fingerprint,
-			.deaths = r->deaths,
-		};
+		for (i = 0; i < r->deaths && count < max; i++)
+			reports[count++] = (struct poison_report){
+				.fingerprint = r->fingerprint,
+				.upstream = str_from(r->died[i].upstream),
+				.boot = str_from(r->died[i].boot),
+				.deaths = r->deaths,
+			};
 	}
 	return count;
 }
 
-/* Deaths that the sender knew of and this process was not told. */
+/* Deaths that the sender knew of and this process was not told by name. One
+ * that is poisoned by them stays so; a single death always has its name. */
 static void add_unnamed(struct record *r, uint32_t deaths)
 {
-	while (r->deaths < MIN(deaths, DEATHS_MAX))
-		r->died[r->deaths++] = 0;
+	if (deaths >= DEATHS_MAX)
+		r->deaths = DEATHS_MAX;
 }
 
 void poison_take(struct poison *poison, const struct poison_report *report,
 		 int64_t now_us)
 {
-	uint64_t incarnation = hash_incarnation(report->upstream, report->boot);
 	struct record *r;
 
 	if (report->deaths) {
 		r = ensure_record(poison, report->fingerprint, now_us);
-		add_death(r, incarnation, now_us);
+		add_death(r, report->upstream, report->boot, now_us);
 		add_unnamed(r, report->deaths);
 		return;
 	}
@@ -291,7 +323,7 @@
 	if (!r)
 		return;
 	if (report->upstream.len)
-		remove_death(r, incarnation);
+		remove_death(r, report->upstream, report->boot);
 	else if (r->deaths < DEATHS_MAX)
 		r->deaths = 0;
 	if (!r->deaths)
--- a/src/request/poison.h
+++ b/src/request/poison.h
@@ -121,7 +121,8 @@
  * What is known now, for a process that starts: it takes this before it sends
  * anything. Assigners keep an instance of their own for that.
  *
- * @param reports set to at most max reports, without the names of upstreams
+ * @param reports set to at most max reports, one for each death; their texts
+ *        live until the next call
  * @return the number set
  */
 size_t poison_list(const struct poison *poison, int64_t now_us,
--- a/test/fuzz/planted_request.c
+++ b/test/fuzz/planted_request.c
@@ -10,7 +10,7 @@
 #include "suite.h"
 
 #define INPUT_BYTES 256
-#define SEEDS_MAX 3000
+#define SEEDS_MAX 3000u
 
 struct row {
 	enum planted fault;
--- a/test/unit/test_poison.c
+++ b/test/unit/test_poison.c
@@ -92,6 +92,26 @@
 	poison_destroy(other);
 }
 
+static void one_that_starts_learns(void)
+{
+	struct poison *poison = poison_create();
+	struct poison *other = poison_create();
+	struct poison_report report, list[2];
+
+	die(poison, 1, U1, &report);
+	CU_ASSERT_EQUAL_FATAL(poison_list(poison, 0, list, 2), 1);
+	poison_take(other, &list[0], 0);
+	/* The same death by its report is not a second one. */
+	poison_take(other, &report, 0);
+	CU_ASSERT_EQUAL(poison_check(other, 1, 0), POISON_SUSPECT);
+	die(poison, 1, U2, &report);
+	CU_ASSERT_EQUAL(poison_list(poison, 0, list, 2), 2);
+	poison_take(other, &report, 0);
+	CU_ASSERT_EQUAL(poison_check(other, 1, 0), POISON_POISONED);
+	poison_destroy(poison);
+	poison_destroy(other);
+}
+
 static void a_stall_is_no_death(void)
 {
 	struct poison *poison = poison_create();
@@ -129,6 +149,7 @@
 		{ "deaths add up over routers", deaths_add_up_over_routers },
 		{ "a broken connection is no death",
 		  a_broken_connection_is_no_death },
+		{ "one that starts learns", one_that_starts_learns },
 		{ "a stall is no death", a_stall_is_no_death },
 		{ "records are bounded", records_are_bounded },
 		{ 0 },
