profile, membership: fuzz target over a fake fleet; two rules mended

The target drives five assigners and two routers with their real state machines through operator races, outages, lost answers, cuts, freezes and kills.

--- a/src/assigner/assigner.c
+++ b/src/assigner/assigner.c
@@ -169,19 +169,10 @@
 	fflush(stdout);
 }
 
-/* The time until an instant, as a heartbeat tells it. */
-static uint32_t left_ms(int64_t until_us, int64_t now_us)
-{
-	int64_t left_us = until_us - now_us;
-
-	return left_us > 0 ? (uint32_t)MIN(left_us / US_PER_MS, UINT32_MAX) : 0;
-}
-
 static void tick_membership(struct assigner *a, int64_t now_us)
 {
 	peers_set_local(a->peers, spread_version(a->spread),
-			vm_table_version(a->vms),
-			left_ms(spread_valid_until(a->spread), now_us),
+			vm_table_version(a->vms), spread_valid_until(a->spread),
 			a->leaving, now_us);
 	peers_tick(a->peers, now_us);
 	spread_set_contact(a->spread, peers_count(a->peers),
--- a/src/membership/peers.c
+++ b/src/membership/peers.c
@@ -75,6 +75,13 @@
 	g_free(p);
 }
 
+static uint32_t valid_ms(const struct peers *p, int64_t now_us)
+{
+	int64_t left_us = p->valid_until_us - now_us;
+
+	return (uint32_t)(CLAMP(left_us, 0, PEERS_FRESH_US) / US_PER_MS);
+}
+
 static void send_beat(struct peers *p, struct peer_link *l, int64_t now_us)
 {
 	char texts[PEERS_TOLD_LIMIT][128];
@@ -85,7 +92,7 @@
 		.settings_version = p->settings_version,
 		.vms_version = p->vms_version,
 		.leaving = p->leaving,
-		.valid_ms = p->valid_ms,
+		.valid_ms = valid_ms(p, now_us),
 		.sent_us = now_us,
 		.echo_us = l->their_sent_us,
 	};
@@ -95,7 +102,7 @@
 }
 
 void peers_set_local(struct peers *p, uint64_t settings_version,
-		     uint64_t vms_version, uint32_t valid_ms, bool leaving,
+		     uint64_t vms_version, int64_t valid_until_us, bool leaving,
 		     int64_t now_us)
 {
 	bool at_once = settings_version != p->settings_version ||
@@ -104,7 +111,7 @@
 
 	p->settings_version = settings_version;
 	p->vms_version = vms_version;
-	p->valid_ms = valid_ms;
+	p->valid_until_us = valid_until_us;
 	p->leaving = leaving;
 	for (i = 0; at_once && i < p->links->len; i++)
 		send_beat(p, g_ptr_array_index(p->links, i), now_us);
--- a/src/membership/peers.h
+++ b/src/membership/peers.h
@@ -131,9 +131,15 @@
 
 void peers_destroy(struct peers *peers);
 
-/** Says what the next heartbeats carry. A new version is told at once. */
+/**
+ * Says what the next heartbeats carry. A new version is told at once.
+ *
+ * @param valid_until_us until when the settings can be relied on; each
+ *        heartbeat tells what is left at its own send, so that a daemon that
+ *        was paused does not tell what held before
+ */
 void peers_set_local(struct peers *peers, uint64_t settings_version,
-		     uint64_t vms_version, uint32_t valid_ms, bool leaving,
+		     uint64_t vms_version, int64_t valid_until_us, bool leaving,
 		     int64_t now_us);
 
 /**
--- a/src/membership/peers_impl.h
+++ b/src/membership/peers_impl.h
@@ -73,7 +73,7 @@
 	/** Next member to tell of without news. */
 	guint next_told;
 	uint64_t settings_version, vms_version;
-	uint32_t valid_ms;
+	int64_t valid_until_us;
 	bool leaving;
 	int64_t ticked_us;
 	int64_t choose_due_us;
--- a/src/operator/api.c
+++ b/src/operator/api.c
@@ -93,8 +93,12 @@
 static void on_done(void *ctx, const struct publish_result *result)
 {
 	struct job *job = ctx;
+	const struct api *api = job->api;
 	struct operator_call *call = g_steal_pointer(&job->call);
 
+	if (result->outcome == PUBLISH_ACCEPTED && api->ops->published)
+		api->ops->published(api->ctx,
+				    publish_accepted_json(job->publish));
 	answer_json(call, outcomes[result->outcome].status,
 		    json_pack("{s:s, s:I, s:s, s:b}", "outcome",
 			      outcomes[result->outcome].name, "version",
--- a/src/operator/api.h
+++ b/src/operator/api.h
@@ -55,6 +55,11 @@
 	 * @return false when nothing is
 	 */
 	bool (*explain_request)(void *ctx, struct str id, json_t *out);
+	/**
+	 * This daemon published settings; spread_body() takes them, so that
+	 * the others learn of them at once. May be NULL.
+	 */
+	void (*published)(void *ctx, struct str json);
 };
 
 struct api;
--- a/src/profile/publish.c
+++ b/src/profile/publish.c
@@ -41,6 +41,7 @@
 	GString *current_json;
 	struct settings *next;
 	char *next_json;
+	bool accepted;
 };
 
 static struct str keep_text(struct publish *p, size_t slot, struct str text)
@@ -91,9 +92,19 @@
 	return p->step == STEP_ENDED;
 }
 
+struct str publish_accepted_json(const struct publish *p)
+{
+	if (!p->accepted)
+		return (struct str){ NULL, 0 };
+	if (p->next_json)
+		return str_from(p->next_json);
+	return (struct str){ p->current_json->str, p->current_json->len };
+}
+
 static void end_with(struct publish *p, const struct publish_result *result)
 {
 	p->step = STEP_ENDED;
+	p->accepted = result->outcome == PUBLISH_ACCEPTED;
 	p->ops->done(p->ctx, result);
 }
 
--- a/src/profile/publish.h
+++ b/src/profile/publish.h
@@ -130,6 +130,13 @@
 void publish_written(struct publish *publish, enum table_status status,
 		     int64_t now_us);
 
+/**
+ * The settings that were accepted, or a later version read back after them.
+ *
+ * @return JSON, valid until the publish is freed; empty without acceptance
+ */
+struct str publish_accepted_json(const struct publish *publish);
+
 /** Whether done was called. */
 bool publish_ended(const struct publish *publish);
 
--- a/src/profile/spread.c
+++ b/src/profile/spread.c
@@ -17,7 +17,8 @@
 	/* Highest version that any daemon said it has, and one that has it. */
 	uint64_t known_version;
 	char *holder;
-	int64_t behind_since_us;
+	/* Until when the old version may be used while behind. */
+	int64_t behind_until_us;
 	int64_t pull_due_us;
 	/* Start of the read in progress and of the last that succeeded. */
 	bool reading;
@@ -88,9 +89,7 @@
 		return 0;
 	if (planted(PLANTED_SPREAD_ALWAYS_VALID))
 		return INT64_MAX;
-	if (is_behind(s))
-		until = MIN(until, s->behind_since_us + SPREAD_GRACE_US);
-	return until;
+	return is_behind(s) ? s->behind_until_us : until;
 }
 
 bool spread_ready(const struct spread *s, int64_t now_us, const char **why)
@@ -154,7 +153,10 @@
 	if (version <= spread_version(s) || version < s->known_version)
 		return;
 	if (!was_behind) {
-		s->behind_since_us = now_us;
+		/* Contact that tells of a newer version does not make the
+		 * old one last longer. */
+		s->behind_until_us =
+			MIN(spread_valid_until(s), now_us + SPREAD_GRACE_US);
 		s->pull_due_us = now_us;
 	}
 	s->known_version = version;
--- a/src/profile/spread.h
+++ b/src/profile/spread.h
@@ -59,7 +59,8 @@
 void spread_tick(struct spread *spread, int64_t now_us);
 
 /**
- * Says how many daemons share the read budget, and until when contact with
+ * After the spread_heard() of the same heartbeats: says how many daemons share
+ * the read budget, and until when contact with
  * the peers lets this daemon rely on its settings: peers_reach_until() in an
  * assigner, peers_told_until() in a router.
  */
--- /dev/null
+++ b/test/fakes/fleet_table.c
@@ -0,0 +1,173 @@
+#include "fleet_impl.h"
+
+#include "profile/settings.h"
+
+void fleet_call_free(gpointer data)
+{
+	struct table_call *call = data;
+
+	g_free(call->key);
+	g_free(call->value);
+	if (call->found)
+		g_string_free(call->found, TRUE);
+	g_free(call);
+}
+
+static struct table_call *start(struct daemon *d, struct job *job,
+				struct str key)
+{
+	struct fleet *f = d->fleet;
+	struct table_call *call = g_new0(struct table_call, 1);
+	int64_t delay =
+		f->table_delay
+			? g_rand_int_range(f->rng, 1, (gint32)f->table_delay)
+			: 1;
+
+	call->daemon = d->index;
+	call->incarnation = d->incarnation;
+	call->job = job;
+	call->key = str_dup(key);
+	call->apply_at = f->now + delay;
+	call->answer_at =
+		MIN(call->apply_at + delay, f->now + FLEET_TIMEOUT_US);
+	g_ptr_array_add(f->calls, call);
+	d->sent.reads++;
+	return call;
+}
+
+void fleet_read(struct daemon *d, struct job *job, struct str key)
+{
+	start(d, job, key);
+}
+
+void fleet_write(struct daemon *d, struct job *job, struct str key,
+		 uint64_t if_version, struct str value)
+{
+	struct table_call *call = start(d, job, key);
+
+	call->write = true;
+	call->if_version = if_version;
+	call->value = str_dup(value);
+}
+
+static const char *row(const struct fleet *f, const char *key,
+		       uint64_t *version)
+{
+	const struct fleet_version *last;
+
+	if (strcmp(key, PUBLISH_KEY) != 0) {
+		const char *value = g_hash_table_lookup(f->history, key);
+
+		*version = value != NULL;
+		return value;
+	}
+	*version = f->row_version;
+	if (!f->versions->len)
+		return NULL;
+	last = g_ptr_array_index(f->versions, f->versions->len - 1);
+	return last->json;
+}
+
+static void take_version(struct fleet *f, const char *json)
+{
+	struct fleet_version *v = g_new0(struct fleet_version, 1);
+	struct settings *s = settings_parse(str_from(json), NULL);
+	const struct settings_entry *entry =
+		s ? settings_entry(s, s->version) : NULL;
+
+	g_assert(entry);
+	v->json = g_strdup(json);
+	v->attempt = g_strdup(entry->attempt);
+	g_ptr_array_add(f->versions, v);
+	f->row_version++;
+	if (f->config.ops)
+		f->config.ops->applied(f->config.ctx, s->version, v->attempt);
+	settings_destroy(s);
+}
+
+static void apply_write(struct fleet *f, struct table_call *call)
+{
+	uint64_t version;
+
+	row(f, call->key, &version);
+	if (version != call->if_version) {
+		call->status = TABLE_CONFLICT;
+		return;
+	}
+	call->status = f->lose_answers ? TABLE_UNKNOWN : TABLE_OK;
+	if (!strcmp(call->key, PUBLISH_KEY))
+		take_version(f, call->value);
+	else
+		g_hash_table_insert(f->history, g_strdup(call->key),
+				    g_strdup(call->value));
+}
+
+static void apply(struct fleet *f, struct table_call *call)
+{
+	const char *value;
+
+	call->applied = true;
+	if (f->outage || f->daemons[call->daemon].table_cut) {
+		call->status = call->write && g_rand_boolean(f->rng)
+				       ? TABLE_UNKNOWN
+				       : TABLE_UNAVAILABLE;
+		return;
+	}
+	if (call->write) {
+		apply_write(f, call);
+		return;
+	}
+	value = row(f, call->key, &call->row_version);
+	call->status = value ? TABLE_OK : TABLE_ABSENT;
+	call->found = g_string_new(value);
+}
+
+static void hand_over(struct fleet *f, const struct table_call *call)
+{
+	struct daemon *d = &f->daemons[call->daemon];
+	struct str value = { NULL, 0 };
+
+	if (call->found)
+		value = (struct str){ call->found->str, call->found->len };
+	if (!call->job)
+		spread_table(d->spread, call->status, value, f->now);
+	else if (call->write)
+		publish_written(call->job->publish, call->status, f->now);
+	else
+		publish_read(call->job->publish, call->status,
+			     call->row_version, value, f->now);
+}
+
+/* A call whose answer is due before it reaches the table has timed out. */
+static void answer(struct fleet *f, struct table_call *call)
+{
+	const struct daemon *d = &f->daemons[call->daemon];
+
+	call->answered = true;
+	if (!d->alive || d->incarnation != call->incarnation)
+		return;
+	if (!call->applied)
+		call->status = call->write ? TABLE_UNKNOWN : TABLE_UNAVAILABLE;
+	hand_over(f, call);
+}
+
+void fleet_table_step(struct fleet *f)
+{
+	guint i;
+
+	for (i = 0; i < f->calls->len; i++) {
+		struct table_call *call = g_ptr_array_index(f->calls, i);
+		const struct daemon *d = &f->daemons[call->daemon];
+		bool same = d->incarnation == call->incarnation && d->alive;
+
+		if (!call->applied && f->now >= call->apply_at)
+			apply(f, call);
+		if (!call->answered && f->now >= call->answer_at &&
+		    (!same || fleet_is_running(d, f->now)))
+			answer(f, call);
+		if (call->applied && call->answered) {
+			g_ptr_array_remove_index(f->calls, i);
+			i--;
+		}
+	}
+}
--- /dev/null
+++ b/test/fuzz/fuzz_settings_parts/oracle.c
@@ -0,0 +1,281 @@
+#include "oracle.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#define DAEMON_LIMIT 16
+#define STEP_LEEWAY_US INT64_C(200000)
+
+/* When operators were told of a version, by version. */
+struct told_version {
+	int64_t told_at;
+};
+
+struct daemon_view {
+	unsigned int incarnation;
+	uint64_t version;
+	/* Last moment without table since it was told. */
+	int64_t tableless_at;
+};
+
+struct oracle {
+	const struct fleet *fleet;
+	/* int64_t told_at by version - 1, 0: nobody was told. */
+	GArray *told_at;
+	/* Attempt ids that were told as not written. */
+	GHashTable *refused;
+	/* Attempt ids that the table took. */
+	GHashTable *applied;
+	struct daemon_view views[DAEMON_LIMIT];
+	/* Moments of disturbance, growing. */
+	GArray *disturbed;
+	/* Last incarnation that was told of a peer, by "observer/peer". */
+	GHashTable *incarnations;
+	unsigned int accepted, excused;
+};
+
+void oracle_broken(const char *rule, const char *detail)
+{
+	printf("broken: %s: %s\n", rule, detail);
+	fflush(stdout);
+	abort();
+}
+
+struct oracle *oracle_create(void)
+{
+	struct oracle *o = g_new0(struct oracle, 1);
+
+	o->told_at = g_array_new(FALSE, TRUE, sizeof(int64_t));
+	o->disturbed = g_array_new(FALSE, TRUE, sizeof(int64_t));
+	o->refused =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	o->applied =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	o->incarnations =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return o;
+}
+
+void oracle_destroy(struct oracle *o)
+{
+	g_array_free(o->told_at, TRUE);
+	g_array_free(o->disturbed, TRUE);
+	g_hash_table_destroy(o->refused);
+	g_hash_table_destroy(o->applied);
+	g_hash_table_destroy(o->incarnations);
+	g_free(o);
+}
+
+void oracle_watch(struct oracle *o, const struct fleet *fleet)
+{
+	o->fleet = fleet;
+}
+
+void oracle_disturbed(struct oracle *o)
+{
+	int64_t now = fleet_now(o->fleet);
+
+	g_array_append_val(o->disturbed, now);
+}
+
+unsigned int oracle_accepted(const struct oracle *o)
+{
+	return o->accepted;
+}
+
+unsigned int oracle_excused(const struct oracle *o)
+{
+	return o->excused;
+}
+
+static void on_applied(void *ctx, uint64_t version, const char *attempt)
+{
+	struct oracle *o = ctx;
+
+	if (version != o->told_at->len + 1)
+		oracle_broken("versions grow by one", attempt);
+	if (g_hash_table_contains(o->refused, attempt))
+		oracle_broken("what was told as not written is never written",
+			      attempt);
+	if (!g_hash_table_add(o->applied, g_strdup(attempt)))
+		oracle_broken("a change is written once", attempt);
+	g_array_set_size(o->told_at, (guint)version);
+}
+
+static void on_accepted(struct oracle *o, const char *attempt, uint64_t version)
+{
+	const struct fleet_version *row;
+	int64_t *told_at;
+
+	if (!version || version > fleet_table_version(o->fleet))
+		oracle_broken("accepted means that the table holds it",
+			      attempt);
+	row = fleet_table_at(o->fleet, version);
+	if (strcmp(row->attempt, attempt) != 0)
+		oracle_broken("accepted means that the table holds it",
+			      attempt);
+	told_at = &g_array_index(o->told_at, int64_t, version - 1);
+	if (!*told_at)
+		*told_at = fleet_now(o->fleet);
+	o->accepted++;
+}
+
+static void on_told(void *ctx, unsigned int daemon, const char *attempt,
+		    const struct publish_result *result)
+{
+	struct oracle *o = ctx;
+
+	(void)daemon;
+	if (result->outcome == PUBLISH_ACCEPTED) {
+		on_accepted(o, attempt, result->version);
+		return;
+	}
+	if (result->outcome == PUBLISH_UNKNOWN)
+		return;
+	if (g_hash_table_contains(o->applied, attempt))
+		oracle_broken("what was told as not written is never written",
+			      attempt);
+	g_hash_table_add(o->refused, g_strdup(attempt));
+}
+
+/* A new incarnation is told from one that returned. */
+static void on_event(void *ctx, unsigned int daemon, enum peer_event event,
+		     const struct peer *peer)
+{
+	struct oracle *o = ctx;
+	char *key =
+		g_strdup_printf("%u.%u/%s", daemon,
+				fleet_incarnation(o->fleet, daemon), peer->id);
+	const char *last = g_hash_table_lookup(o->incarnations, key);
+	bool same = last && !strcmp(last, peer->incarnation);
+
+	if (event == PEER_RESTARTED && same)
+		oracle_broken("a restart has a new incarnation", key);
+	if (event == PEER_RETURNED && last && !same)
+		oracle_broken("who returns has its old incarnation", key);
+	if (event == PEER_LOST || event == PEER_LEFT)
+		g_free(key);
+	else
+		g_hash_table_insert(o->incarnations, key,
+				    g_strdup(peer->incarnation));
+}
+
+const struct fleet_ops oracle_ops = { on_applied, on_told, on_event };
+
+static void check_content(const struct oracle *o, const struct spread *spread)
+{
+	uint64_t version = spread_version(spread);
+	const struct fleet_version *row;
+
+	if (!version)
+		return;
+	if (version > fleet_table_version(o->fleet))
+		oracle_broken("settings in force are in the table", "ahead");
+	row = fleet_table_at(o->fleet, version);
+	if (!str_equal(spread_json(spread), str_from(row->json)))
+		oracle_broken("settings in force are in the table",
+			      "other content");
+}
+
+static void check_grows(struct oracle *o, unsigned int i,
+			const struct spread *spread)
+{
+	struct daemon_view *view = &o->views[i];
+	unsigned int incarnation = fleet_incarnation(o->fleet, i);
+
+	if (view->incarnation != incarnation)
+		*view = (struct daemon_view){ .incarnation = incarnation };
+	if (spread_version(spread) < view->version)
+		oracle_broken("a version never goes back", "");
+	view->version = spread_version(spread);
+	if (!fleet_table_reachable(o->fleet, i))
+		view->tableless_at = fleet_now(o->fleet);
+}
+
+/* The highest version that everyone must have by now; 0: none. */
+static uint64_t due_version(const struct oracle *o, int64_t *told_at)
+{
+	int64_t bound =
+		fleet_now(o->fleet) - ORACLE_IN_FORCE_US - STEP_LEEWAY_US;
+	guint i;
+
+	for (i = o->told_at->len; i > 0; i--) {
+		*told_at = g_array_index(o->told_at, int64_t, i - 1);
+		if (*told_at && *told_at <= bound)
+			return i;
+	}
+	return 0;
+}
+
+static bool was_disturbed(const struct oracle *o, int64_t told_at)
+{
+	guint i;
+
+	for (i = 0; i < o->disturbed->len; i++) {
+		int64_t at = g_array_index(o->disturbed, int64_t, i);
+
+		if (at >= told_at - PEERS_FRESH_US - STEP_LEEWAY_US &&
+		    at <= told_at + PEERS_FRESH_US)
+			return true;
+	}
+	return false;
+}
+
+/* What takes new work has what was published some seconds ago. */
+static void check_in_force(struct oracle *o, unsigned int i,
+			   const struct spread *spread)
+{
+	int64_t now = fleet_now(o->fleet);
+	int64_t told_at = 0;
+	uint64_t due = due_version(o, &told_at);
+	char detail[128];
+
+	if (spread_version(spread) >= due || !spread_ready(spread, now, NULL))
+		return;
+	if (o->views[i].tableless_at >= told_at && was_disturbed(o, told_at)) {
+		o->excused++;
+		return;
+	}
+	g_snprintf(detail, sizeof(detail),
+		   "daemon %u has %" G_GUINT64_FORMAT
+		   " and takes work %" G_GINT64_FORMAT
+		   " ms after %" G_GUINT64_FORMAT,
+		   i, spread_version(spread), (now - told_at) / 1000, due);
+	oracle_broken("in force on all that take work", detail);
+}
+
+void oracle_check(struct oracle *o)
+{
+	unsigned int i;
+
+	for (i = 0; i < fleet_count(o->fleet); i++) {
+		const struct spread *spread = fleet_spread(o->fleet, i);
+
+		if (!spread)
+			continue;
+		check_grows(o, i, spread);
+		check_content(o, spread);
+		/* What is frozen takes no work. */
+		if (!fleet_frozen(o->fleet, i))
+			check_in_force(o, i, spread);
+	}
+}
+
+void oracle_check_settled(struct oracle *o)
+{
+	unsigned int i;
+	char detail[64];
+
+	if (fleet_publishing(o->fleet))
+		oracle_broken("every publish ends", "");
+	for (i = 0; i < fleet_count(o->fleet); i++) {
+		const struct spread *spread = fleet_spread(o->fleet, i);
+
+		g_snprintf(detail, sizeof(detail), "daemon %u", i);
+		if (spread_version(spread) != fleet_table_version(o->fleet))
+			oracle_broken("in force everywhere", detail);
+		if (spread_version(spread) &&
+		    !spread_ready(spread, fleet_now(o->fleet), NULL))
+			oracle_broken("settled daemons take work", detail);
+	}
+}
--- /dev/null
+++ b/test/fuzz/fuzz_settings_parts/vms.c
@@ -0,0 +1,176 @@
+#include "vms.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+
+#include "membership/vm_table.h"
+#include "oracle.h"
+
+#define VM_COUNT 6
+/* How old a list may be, in lists. */
+#define LAG_LIMIT 40
+/* A list is taken over in one of this many steps. */
+#define LIST_ONE_IN 8
+
+struct upstream {
+	bool alive, leaving, cut;
+	unsigned int boot;
+	int64_t answered_at;
+	bool answered;
+	/* Incarnation that was seen to leave; 0: none. */
+	unsigned int left_boot;
+	unsigned int seen_boot;
+};
+
+/* What the platform knew at one moment. */
+struct snapshot {
+	bool listed[VM_COUNT];
+	bool leaving[VM_COUNT];
+};
+
+struct vms {
+	struct vm_table *table;
+	struct upstream upstreams[VM_COUNT];
+	struct snapshot snapshots[LAG_LIMIT];
+	unsigned int taken;
+};
+
+struct vms *vms_create(void)
+{
+	struct vms *v = g_new0(struct vms, 1);
+	size_t i;
+
+	v->table = vm_table_create();
+	for (i = 0; i < VM_COUNT; i++) {
+		v->upstreams[i].alive = true;
+		v->upstreams[i].boot = 1;
+	}
+	return v;
+}
+
+void vms_destroy(struct vms *v)
+{
+	vm_table_destroy(v->table);
+	g_free(v);
+}
+
+void vms_change(struct vms *v, uint8_t choice)
+{
+	struct upstream *u = &v->upstreams[choice % VM_COUNT];
+
+	switch (choice / VM_COUNT % 4) {
+	case 0:
+		u->alive = false;
+		break;
+	case 1:
+		if (!u->alive) {
+			u->alive = true;
+			u->leaving = false;
+			u->boot++;
+		}
+		break;
+	case 2:
+		u->leaving = true;
+		break;
+	case 3:
+		u->cut = !u->cut;
+		break;
+	}
+}
+
+static void name_of(size_t index, char *name, size_t size)
+{
+	g_snprintf(name, (gulong)size, "vm-%zu", index);
+}
+
+static void record(struct vms *v)
+{
+	struct snapshot *s = &v->snapshots[v->taken++ % LAG_LIMIT];
+	size_t i;
+
+	for (i = 0; i < VM_COUNT; i++) {
+		s->listed[i] = v->upstreams[i].alive;
+		s->leaving[i] = v->upstreams[i].leaving;
+	}
+}
+
+static void take_list(struct vms *v, GRand *rng, int64_t now_us)
+{
+	unsigned int known = MIN(v->taken, LAG_LIMIT);
+	unsigned int age = g_rand_int(rng) % known;
+	const struct snapshot *s =
+		&v->snapshots[(v->taken - 1 - age) % LAG_LIMIT];
+	struct vm list[VM_COUNT];
+	char names[VM_COUNT][16];
+	size_t i, count = 0;
+
+	for (i = 0; i < VM_COUNT; i++) {
+		if (!s->listed[i])
+			continue;
+		name_of(i, names[i], sizeof(names[i]));
+		list[count] = (struct vm){ .id = names[i],
+					   .service = (char *)"s",
+					   .zone = (char *)"z",
+					   .boot = (char *)"",
+					   .leaving = s->leaving[i] };
+		list[count].address.sin_port = htons((uint16_t)(i + 1));
+		count++;
+	}
+	vm_table_listed(v->table, list, count, now_us);
+}
+
+static void ask(struct vms *v, size_t i, int64_t now_us)
+{
+	struct upstream *u = &v->upstreams[i];
+	char name[16], boot[16];
+
+	if (!u->alive || u->cut)
+		return;
+	name_of(i, name, sizeof(name));
+	g_snprintf(boot, sizeof(boot), "b%u", u->boot);
+	if (!vm_table_answered(v->table, str_from(name), str_from(boot),
+			       u->leaving, now_us))
+		return;
+	u->answered = true;
+	u->answered_at = now_us;
+	u->seen_boot = u->boot;
+}
+
+static void check_one(struct vms *v, size_t i, int64_t now_us)
+{
+	struct upstream *u = &v->upstreams[i];
+	bool lately = u->answered && now_us - u->answered_at < VM_LOST_US;
+	enum vm_state state;
+	char name[16];
+	const struct vm *vm;
+
+	name_of(i, name, sizeof(name));
+	vm = vm_table_find(v->table, str_from(name), now_us, &state);
+	if (!vm || state == VM_LOST || state == VM_NEW) {
+		if (lately)
+			oracle_broken("the list never kills a VM", name);
+		if (!vm)
+			u->answered = false;
+		return;
+	}
+	if (!lately)
+		oracle_broken("the list never revives a VM", name);
+	if (state == VM_LIVE && u->left_boot == u->seen_boot)
+		oracle_broken("an incarnation that leaves gets no work", name);
+	if (state == VM_LEAVING)
+		u->left_boot = u->seen_boot;
+}
+
+void vms_step(struct vms *v, GRand *rng, int64_t now_us)
+{
+	size_t i;
+
+	record(v);
+	if (g_rand_int(rng) % LIST_ONE_IN == 0)
+		take_list(v, rng, now_us);
+	for (i = 0; i < VM_COUNT; i++)
+		ask(v, i, now_us);
+	vm_table_tick(v->table, now_us);
+	for (i = 0; i < VM_COUNT; i++)
+		check_one(v, i, now_us);
+}
--- a/test/unit/test_publish.c
+++ b/test/unit/test_publish.c
@@ -173,13 +173,15 @@
 
 static void zone(struct fake *f, const char *name, bool out, bool force)
 {
+	char *attempt = g_uuid_string_random();
 	struct change change = { .kind = CHANGE_ZONE,
 				 .target = str_from(name),
 				 .out = out,
 				 .force = force,
-				 .attempt = STR("z") };
+				 .attempt = str_from(attempt) };
 
 	run(f, &change);
+	g_free(attempt);
 }
 
 static void versions_grow_and_races_are_told(void)
@@ -223,7 +225,13 @@
 	CU_ASSERT_EQUAL(s->profiles[0].weight, 100);
 	CU_ASSERT_TRUE(settings_zone_is_out(s, STR("z")));
 	settings_destroy(s);
+	/* The same request again finds its first outcome. */
+	run(f, &change);
+	CU_ASSERT_EQUAL(f->result.outcome, PUBLISH_ACCEPTED);
+	CU_ASSERT_EQUAL(f->result.version, 4);
+	CU_ASSERT_EQUAL(f->version, 4);
 	change.to_version = 9;
+	change.attempt = STR("r2");
 	run(f, &change);
 	CU_ASSERT_EQUAL(f->result.outcome, PUBLISH_REFUSED);
 	fake_destroy(f);
@@ -361,6 +369,7 @@
 	CU_ASSERT_EQUAL(spread_version(s), 3);
 	spread_heard(s, STR("b"), 4, 1200000);
 	CU_ASSERT_EQUAL(asked.pulls, 1);
+	/* New contact does not make the old version last longer. */
 	spread_set_contact(s, 12, INT64_MAX);
 	CU_ASSERT_EQUAL(spread_valid_until(s), 1200000 + SPREAD_GRACE_US);
 	spread_tick(s, 1200000 + SPREAD_PULL_US);
