--- /dev/null
+++ b/bench/bench_settings.c
@@ -0,0 +1,179 @@
+/*
+ * Settings in force and heartbeats at several fleet sizes, by the real state
+ * machines over a fake network: delay until a publish is in force everywhere,
+ * and what each daemon sends. Not a measure of the real network.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include "fleet.h"
+#include "profile/profile_file.h"
+#include "profile/settings.h"
+
+#define STEP_US INT64_C(20000)
+#define NETWORK_DELAY_US INT64_C(2000)
+#define JOIN_US INT64_C(60000000)
+#define STEADY_US INT64_C(20000000)
+#define PUBLISHES 10
+#define PUBLISH_LIMIT_US INT64_C(30000000)
+
+static const char declared[] = "[deployment]\nname = d\n"
+			       "[zone a]\n[zone b]\n[zone c]\n"
+			       "[profile p]\nweight = %u\n"
+			       "[service s]\ntenant = t\nprofile = p\n";
+
+static void line(const char *name, unsigned int size, double value,
+		 const char *unit)
+{
+	printf("%-34s fleet=%-4u %10.2f %s\n", name, size, value, unit);
+	printf("# {\"name\":\"%s\",\"case\":\"fleet=%u\",\"value\":%.3f,"
+	       "\"unit\":\"%s\"}\n",
+	       name, size, value, unit);
+}
+
+static void run_for(struct fleet *f, int64_t us)
+{
+	int64_t end = fleet_now(f) + us;
+
+	while (fleet_now(f) < end)
+		fleet_step(f, STEP_US);
+}
+
+static unsigned int lacking(const struct fleet *f, uint64_t version)
+{
+	unsigned int i, count = 0;
+
+	for (i = 0; i < fleet_count(f); i++)
+		count += spread_version(fleet_spread(f, i)) < version;
+	return count;
+}
+
+/* Microseconds from the operator's call until it is in force everywhere. */
+static int64_t publish_one(struct fleet *f, unsigned int at, unsigned int n)
+{
+	const struct spread *spread = fleet_spread(f, at);
+	int64_t begun = fleet_now(f);
+	char text[256], attempt[16];
+	struct change change = { .kind = CHANGE_DECLARE };
+	struct settings *s;
+
+	g_snprintf(text, sizeof(text), declared, n + 1);
+	g_snprintf(attempt, sizeof(attempt), "b%u", n);
+	s = profile_file_parse("bench", str_from(text), NULL);
+	if (!s)
+		abort();
+	change.declared = s;
+	change.base_version = spread_version(spread);
+	change.attempt = str_from(attempt);
+	change.author = STR("bench");
+	fleet_publish(f, at, &change);
+	settings_destroy(s);
+	while (lacking(f, n) && fleet_now(f) - begun < PUBLISH_LIMIT_US)
+		fleet_step(f, STEP_US);
+	return fleet_now(f) - begun;
+}
+
+static int compare(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static void measure_publish(struct fleet *f, unsigned int size)
+{
+	int64_t delays[PUBLISHES];
+	unsigned int n;
+
+	for (n = 0; n < PUBLISHES; n++) {
+		delays[n] = publish_one(f, n % size, n + 1);
+		run_for(f, 2000000);
+	}
+	qsort(delays, PUBLISHES, sizeof(delays[0]), compare);
+	line("publish_in_force_median", size,
+	     (double)delays[PUBLISHES / 2] / 1000, "ms");
+	line("publish_in_force_max", size, (double)delays[PUBLISHES - 1] / 1000,
+	     "ms");
+}
+
+static struct fleet_sent *sent_of_all(const struct fleet *f)
+{
+	struct fleet_sent *sent = g_new0(struct fleet_sent, fleet_count(f));
+	unsigned int i;
+
+	for (i = 0; i < fleet_count(f); i++)
+		sent[i] = fleet_sent(f, i);
+	return sent;
+}
+
+static double cpu_seconds(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+	return (double)t.tv_sec + (double)t.tv_nsec / 1e9;
+}
+
+/* What daemons [first, last) send in the steady state. */
+static void measure_steady(struct fleet *f, unsigned int size)
+{
+	struct fleet_sent *before = sent_of_all(f);
+	double cpu = cpu_seconds();
+	struct fleet_sent *after;
+	double seconds = (double)STEADY_US / 1e6;
+	double messages = 0, bytes = 0, reads = 0, most = 0;
+	unsigned int i, links = 0;
+
+	run_for(f, STEADY_US);
+	cpu = cpu_seconds() - cpu;
+	after = sent_of_all(f);
+	for (i = 0; i < size; i++) {
+		double rate =
+			(double)(after[i].bytes - before[i].bytes) / seconds;
+
+		messages += (double)(after[i].messages - before[i].messages);
+		bytes += (double)(after[i].bytes - before[i].bytes);
+		reads += (double)(after[i].reads - before[i].reads);
+		most = MAX(most, rate);
+		links = MAX(links, after[i].links);
+	}
+	line("heartbeat_messages_per_daemon", size, messages / seconds / size,
+	     "1/s");
+	line("heartbeat_bytes_per_daemon", size, bytes / seconds / size, "B/s");
+	line("heartbeat_bytes_busiest_daemon", size, most, "B/s");
+	line("links_busiest_daemon", size, links, "links");
+	line("table_reads_of_fleet", size, reads / seconds, "1/s");
+	line("membership_cpu_per_daemon", size, cpu / seconds / size * 100,
+	     "% of a core, network fake included");
+	g_free(before);
+	g_free(after);
+}
+
+static void measure(unsigned int size)
+{
+	struct fleet_config config = { .assigners = size,
+				       .seed = 1,
+				       .delay_us = NETWORK_DELAY_US };
+	struct fleet *f = fleet_create(&config);
+
+	fleet_table_delay(f, NETWORK_DELAY_US);
+	run_for(f, JOIN_US);
+	measure_steady(f, size);
+	measure_publish(f, size);
+	fleet_destroy(f);
+}
+
+int main(int argc, char **argv)
+{
+	static const unsigned int sizes[] = { 12, 48, 120, 490 };
+	size_t i;
+
+	if (argc > 1) {
+		measure((unsigned int)atoi(argv[1]));
+		return 0;
+	}
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++)
+		measure(sizes[i]);
+	return 0;
+}
--- a/src/membership/peers.c
+++ b/src/membership/peers.c
@@ -1,5 +1,4 @@
 #include "base/clock.h"
-#include "base/planted.h"
 #include "membership/peers_impl.h"
 
 #define CHOOSE_US (US_PER_SECOND / 2)
@@ -217,8 +216,6 @@
 	struct member *m = l->member;
 	int64_t contact_us = beat->echo_us;
 
-	if (planted(PLANTED_PEERS_ARRIVAL))
-		contact_us = now_us;
 	l->their_sent_us = MAX(l->their_sent_us, beat->sent_us);
 	if (contact_us && contact_us <= now_us) {
 		int64_t until = contact_us + beat->valid_ms * US_PER_MS;
