--- a/bench/bench_settings.c
+++ b/bench/bench_settings.c
@@ -16,6 +16,7 @@
 #define JOIN_US INT64_C(60000000)
 #define STEADY_US INT64_C(20000000)
 #define PUBLISHES 10
+#define MEDIAN (PUBLISHES / 2)
 #define PUBLISH_LIMIT_US INT64_C(30000000)
 
 static const char declared[] = "[deployment]\nname = d\n"
@@ -92,7 +93,7 @@
 	}
 	qsort(delays, PUBLISHES, sizeof(delays[0]), compare);
 	line("publish_in_force_median", size,
-	     (double)delays[PUBLISHES / 2] / 1000, "ms");
+	     (double)delays[MEDIAN] / 1000, "ms");
 	line("publish_in_force_max", size, (double)delays[PUBLISHES - 1] / 1000,
 	     "ms");
 }
