--- a/src/membership/peers.c
+++ b/src/membership/peers.c
@@ -1,5 +1,4 @@
 #include "base/clock.h"
-#include "base/planted.h"
 #include "membership/peers_impl.h"
 
 #define CHOOSE_US (US_PER_SECOND / 2)
@@ -75,6 +74,13 @@
 	g_free(p);
 }
 
+static uint32_t valid_ms(const struct peers *p, int64_t now_us)
+{
+	int64_t left_us = p->valid_until_us - now_us;
+
+	return (uint32_t)(CLAMP(left_us, 0, PEERS_FRESH_US) / US_PER_MS);
+}
+
 static void send_beat(struct peers *p, struct peer_link *l, int64_t now_us)
 {
 	char texts[PEERS_TOLD_LIMIT][128];
@@ -85,7 +91,7 @@
 		.settings_version = p->settings_version,
 		.vms_version = p->vms_version,
 		.leaving = p->leaving,
-		.valid_ms = p->valid_ms,
+		.valid_ms = valid_ms(p, now_us),
 		.sent_us = now_us,
 		.echo_us = l->their_sent_us,
 	};
@@ -95,7 +101,7 @@
 }
 
 void peers_set_local(struct peers *p, uint64_t settings_version,
-		     uint64_t vms_version, uint32_t valid_ms, bool leaving,
+		     uint64_t vms_version, int64_t valid_until_us, bool leaving,
 		     int64_t now_us)
 {
 	bool at_once = settings_version != p->settings_version ||
@@ -104,7 +110,7 @@
 
 	p->settings_version = settings_version;
 	p->vms_version = vms_version;
-	p->valid_ms = valid_ms;
+	p->valid_until_us = valid_until_us;
 	p->leaving = leaving;
 	for (i = 0; at_once && i < p->links->len; i++)
 		send_beat(p, g_ptr_array_index(p->links, i), now_us);
@@ -210,8 +216,6 @@
 	struct member *m = l->member;
 	int64_t contact_us = beat->echo_us;
 
-	if (planted(PLANTED_PEERS_ARRIVAL))
-		contact_us = now_us;
 	l->their_sent_us = MAX(l->their_sent_us, beat->sent_us);
 	if (contact_us && contact_us <= now_us) {
 		int64_t until = contact_us + beat->valid_ms * US_PER_MS;
