--- /dev/null
+++ b/bench/demo.c
@@ -0,0 +1,308 @@
+/**
+ * demo: the El Oro deployment on loopback addresses under load, while an
+ * availability zone is taken out and back and one upstream is lost. Its exit
+ * status says whether the promises held.
+ */
+#include <curl/curl.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "cluster.h"
+#include "cluster_events.h"
+
+#define ZONE "jambeli"
+#define KEYED "tallies"
+#define LOAD_SECONDS "30"
+#define STEADY_US (6 * US_PER_SECOND)
+#define OUT_US (8 * US_PER_SECOND)
+#define BACK_US (7 * US_PER_SECOND)
+#define LOAD_LIMIT_US (60 * US_PER_SECOND)
+/* What was promised. */
+#define ZONE_GRACE_US (3 * US_PER_SECOND)
+#define UNSERVED_LIMIT_US (2 * US_PER_SECOND)
+
+static const struct cluster_service services[] = {
+	{ KEYED, 14 }, { "lots", 8 }, { "ledgers", 6 }, { "sanidad", 13 }, { 0 }
+};
+
+static const char *const load_arguments[] = {
+	"--mix=tallies=70,lots=12:post:once:body=300,"
+	"ledgers=2:bytes=1000000,sanidad=16",
+	"--rate=600",
+	"--seconds=" LOAD_SECONDS,
+	"--keys=400",
+	"--zipf-percent=80",
+	"--resend-percent=10",
+	"--json",
+	NULL
+};
+
+/* When things happened, by the machine's boot clock. */
+struct timeline {
+	int64_t start_us, out_us, in_us, killed_us, end_us;
+	unsigned int killed;
+};
+
+/* What came of it. */
+struct outcome {
+	unsigned int answered, not_run, may_have_run, broken, wrong, partial;
+	unsigned int duplicates, zone_runs, overlaps;
+	double imbalance;
+	double moved_out, moved_back, moved_lost;
+	int64_t unserved_us, unserved_killed_us, p50_us, p99_us;
+};
+
+static int64_t now_us(void)
+{
+	return clock_now_us(clock_system());
+}
+
+/* Sleeps until a time after an instant. */
+static void wait_after(int64_t instant_us, int64_t time_us)
+{
+	int64_t left_us = instant_us + time_us - now_us();
+
+	if (left_us > 0)
+		g_usleep((gulong)left_us);
+}
+
+static void say(const struct timeline *line, const char *text)
+{
+	printf("%6.1f s  %s\n",
+	       (double)(now_us() - line->start_us) / US_PER_SECOND, text);
+	fflush(stdout);
+}
+
+/* The share of the key space whose owner differs between two maps. */
+static double moved_share(const struct slice_map *a, const struct slice_map *b)
+{
+	double moved = 0;
+	uint64_t at = 0;
+
+	if (!a || !b)
+		return 0;
+	for (;;) {
+		const struct slice *x = slice_map_find(a, at);
+		const struct slice *y = slice_map_find(b, at);
+		uint64_t last = MIN(x->last, y->last);
+		struct str one = { 0 }, other = { 0 };
+
+		if (x->owner != SLICE_NO_OWNER)
+			one = slice_map_owner(a, x->owner);
+		if (y->owner != SLICE_NO_OWNER)
+			other = slice_map_owner(b, y->owner);
+		if (!str_equal(one, other))
+			moved += (double)(last - at) + 1;
+		if (last == UINT64_MAX)
+			return moved / (double)UINT64_MAX;
+		at = last + 1;
+	}
+}
+
+static double moved_since(struct cluster *cluster, struct slice_map **map)
+{
+	struct slice_map *next = cluster_map(cluster, KEYED);
+	double moved = moved_share(*map, next);
+
+	if (*map)
+		slice_map_destroy(*map);
+	*map = next;
+	return moved;
+}
+
+/* An upstream of the keyed service outside the zone that was out. */
+static unsigned int choose_victim(struct cluster *cluster)
+{
+	unsigned int i;
+
+	for (i = 0; i < cluster_upstream_count(cluster); i++)
+		if (!strcmp(cluster_upstream(cluster, i)->service, KEYED) &&
+		    strcmp(cluster_upstream(cluster, i)->zone, ZONE) != 0)
+			return i;
+	return 0;
+}
+
+/* Plays the events against the load. */
+static bool play(struct cluster *cluster, struct timeline *line,
+		 struct outcome *out)
+{
+	struct process *load;
+	struct slice_map *map;
+	bool ok;
+
+	line->start_us = now_us();
+	load = cluster_start_load(cluster, "load", load_arguments);
+	map = cluster_map(cluster, KEYED);
+	say(line, "load starts");
+	wait_after(line->start_us, STEADY_US);
+	ok = cluster_set_zone(cluster, ZONE, true);
+	line->out_us = now_us();
+	say(line, "zone " ZONE " is out");
+	wait_after(line->out_us, OUT_US);
+	out->moved_out = moved_since(cluster, &map);
+	line->in_us = now_us();
+	ok = cluster_set_zone(cluster, ZONE, false) && ok;
+	say(line, "zone " ZONE " is in again");
+	wait_after(line->in_us, BACK_US);
+	out->moved_back = moved_since(cluster, &map);
+	line->killed = choose_victim(cluster);
+	line->killed_us = now_us();
+	process_kill(cluster_upstream(cluster, line->killed)->process);
+	say(line, "one upstream of " KEYED " is lost (kill -9)");
+	ok = process_wait_end(load, LOAD_LIMIT_US, NULL) && ok;
+	line->end_us = now_us();
+	out->moved_lost = moved_since(cluster, &map);
+	say(line, "load ends");
+	if (map)
+		slice_map_destroy(map);
+	return ok;
+}
+
+static void judge_events(struct cluster *cluster, const struct timeline *line,
+			 struct outcome *out)
+{
+	char *path =
+		g_build_filename(cluster_folder(cluster), "load.events", NULL);
+	struct events *events = events_load(path);
+
+	g_free(path);
+	if (!events)
+		return;
+	out->answered = events_outcomes(events, "answered", NULL);
+	out->not_run = events_outcomes(events, "refused", "not-run");
+	out->may_have_run = events_outcomes(events, "refused", "may-have-run") +
+			    events_outcomes(events, "refused", "ran");
+	out->broken = events_outcomes(events, "broken", NULL);
+	out->wrong = events_outcomes(events, "wrong", NULL);
+	out->partial = events_outcomes(events, "partial", NULL);
+	out->unserved_us = events_longest_gap(events, KEYED, line->start_us,
+					      line->killed_us);
+	out->unserved_killed_us = events_longest_gap(
+		events, KEYED, line->killed_us, line->end_us);
+	out->p50_us = events_latency(events, NULL, 0.5);
+	out->p99_us = events_latency(events, NULL, 0.99);
+	events_destroy(events);
+}
+
+/* Most over mean of the keyed runs of one upstream, before the zone goes. */
+static double imbalance_of(struct cluster *cluster,
+			   const struct record_book *book,
+			   const struct timeline *line)
+{
+	const GArray *runs = record_book_runs(book);
+	unsigned int count = cluster_upstream_count(cluster);
+	unsigned int *by_upstream = g_new0(unsigned int, count);
+	unsigned int most = 0, sum = 0, upstreams = 0, i;
+
+	for (i = 0; i < runs->len; i++) {
+		const struct record_run *run =
+			&g_array_index(runs, struct record_run, i);
+
+		if (run->keyed && run->at_us < line->out_us)
+			by_upstream[run->upstream]++;
+	}
+	for (i = 0; i < count; i++) {
+		upstreams +=
+			!strcmp(cluster_upstream(cluster, i)->service, KEYED);
+		most = MAX(most, by_upstream[i]);
+		sum += by_upstream[i];
+	}
+	g_free(by_upstream);
+	return sum ? (double)most * upstreams / sum : 0;
+}
+
+static void judge_records(struct cluster *cluster, const struct timeline *line,
+			  struct outcome *out)
+{
+	struct record_book *book = cluster_book(cluster);
+	struct record_hold a, b;
+	const char *first;
+	unsigned int i;
+
+	out->duplicates = record_book_duplicates(book, &first);
+	out->overlaps = record_book_overlaps(book, &a, &b);
+	out->imbalance = imbalance_of(cluster, book, line);
+	for (i = 0; i < cluster_upstream_count(cluster); i++)
+		if (!strcmp(cluster_upstream(cluster, i)->zone, ZONE))
+			out->zone_runs += record_book_runs_between(
+				book, i, line->out_us + ZONE_GRACE_US,
+				line->in_us);
+	record_book_destroy(book);
+}
+
+static void print_outcome(const struct outcome *out)
+{
+	printf("\nanswered whole                     %u\n", out->answered);
+	printf("refused, did not run               %u\n", out->not_run);
+	printf("refused or broken, may have run    %u\n",
+	       out->may_have_run + out->broken);
+	printf("wrong or partial answers           %u\n",
+	       out->wrong + out->partial);
+	printf("work that ran twice                %u\n", out->duplicates);
+	printf("keys held by two upstreams         %u\n", out->overlaps);
+	printf("new work in the zone, 3 s after    %u\n", out->zone_runs);
+	printf("load, most over mean               %.2f\n", out->imbalance);
+	printf("keys moved: zone out, in, VM lost  %.1f%%, %.1f%%, %.1f%%\n",
+	       100 * out->moved_out, 100 * out->moved_back,
+	       100 * out->moved_lost);
+	printf("longest unserved key, planned      %.2f s\n",
+	       (double)out->unserved_us / US_PER_SECOND);
+	printf("longest unserved key, VM lost      %.2f s\n",
+	       (double)out->unserved_killed_us / US_PER_SECOND);
+	printf("latency p50, p99                   %.1f ms, %.1f ms\n",
+	       (double)out->p50_us / US_PER_MS,
+	       (double)out->p99_us / US_PER_MS);
+}
+
+static bool promise(bool held, const char *text)
+{
+	printf("%s  %s\n", held ? "held  " : "BROKEN", text);
+	return held;
+}
+
+static bool check_promises(const struct outcome *out)
+{
+	bool ok = promise(out->answered > 0, "requests are answered");
+
+	ok &= promise(!out->wrong && !out->partial,
+		      "each answer is whole and the caller's own");
+	ok &= promise(!out->duplicates, "no confirmation ran twice");
+	ok &= promise(!out->overlaps, "no key had two owners");
+	ok &= promise(!out->zone_runs,
+		      "no new work in a zone 3 s after it was taken out");
+	ok &= promise(out->unserved_killed_us <= UNSERVED_LIMIT_US,
+		      "keys of a lost upstream are served again within 2 s");
+	return ok;
+}
+
+int main(void)
+{
+	static const struct cluster_options options = { .services = services };
+	struct timeline line = { 0 };
+	struct outcome out = { 0 };
+	struct cluster *cluster;
+	GError *error = NULL;
+	bool ok;
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	printf("El Oro: 41 upstreams, 3 routers, 3 assigners, "
+	       "examples/el-oro.conf\n");
+	fflush(stdout);
+	cluster = cluster_create(&options, &error);
+	if (!cluster) {
+		printf("demo: %s\n", error->message);
+		return EXIT_FAILURE;
+	}
+	ok = play(cluster, &line, &out);
+	judge_events(cluster, &line, &out);
+	judge_records(cluster, &line, &out);
+	print_outcome(&out);
+	printf("\n");
+	ok = check_promises(&out) && ok;
+	cluster_destroy(cluster, false);
+	printf("\n%s\n", ok ? "all promises held" : "a promise was broken");
+	return ok ? EXIT_SUCCESS : EXIT_FAILURE;
+}
