--- a/test/functional/cluster_http.c
+++ b/test/functional/cluster_http.c
@@ -1,6 +1,8 @@
 #include "cluster_http.h"
 
 #include <curl/curl.h>
+#include <pthread.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "base/clock.h"
@@ -140,3 +142,37 @@
 	http_answer_destroy(answer);
 	return status;
 }
+
+struct http_task {
+	pthread_t thread;
+	struct http_request request;
+	struct http_answer *answer;
+};
+
+static void *run_task(void *ctx)
+{
+	struct http_task *task = ctx;
+
+	task->answer = http_send(&task->request);
+	return NULL;
+}
+
+struct http_task *http_start(const struct http_request *request)
+{
+	struct http_task *task = g_new0(struct http_task, 1);
+
+	task->request = *request;
+	if (pthread_create(&task->thread, NULL, run_task, task))
+		abort();
+	return task;
+}
+
+struct http_answer *http_join(struct http_task *task)
+{
+	struct http_answer *answer;
+
+	pthread_join(task->thread, NULL);
+	answer = task->answer;
+	g_free(task);
+	return answer;
+}
--- a/test/functional/cluster_http.h
+++ b/test/functional/cluster_http.h
@@ -58,4 +58,20 @@
 /** Sends and returns the status only; 0 when the answer was not whole. */
 long http_status(const struct http_request *request);
 
+struct http_task;
+
+/**
+ * Sends in the background; the request's texts must outlive the task.
+ *
+ * @return a task for http_join()
+ */
+struct http_task *http_start(const struct http_request *request);
+
+/**
+ * Waits for the end of a task and frees it.
+ *
+ * @return the answer; the caller frees it
+ */
+struct http_answer *http_join(struct http_task *task);
+
 #endif
--- /dev/null
+++ b/test/functional/test_once.c
@@ -0,0 +1,185 @@
+/* Work with an idempotency key runs at most once, whatever dies. */
+#include <string.h>
+
+#include "base/clock.h"
+#include "cluster_suite.h"
+
+#define LIMIT_US (30 * US_PER_SECOND)
+#define LOST_ROUNDS 20
+
+static const struct cluster_service services[] = { { "lots", 3 },
+						   { "tallies", 2 },
+						   { 0 } };
+
+static struct cluster *cluster;
+
+/* Header line of a key; the text lives as long as the process. */
+static const char *key_line(const char *key)
+{
+	char *line = g_strconcat("Idempotency-Key: ", key, NULL);
+	const char *kept = g_intern_string(line);
+
+	g_free(line);
+	return kept;
+}
+
+static struct http_answer *confirm(unsigned int router, const char *key,
+				   const char *uri)
+{
+	const char *headers[] = { key_line(key), NULL };
+	struct http_request request = { .address = cluster_callers(cluster,
+								   router),
+					.uri = uri,
+					.body = "sacks=12",
+					.headers = headers };
+
+	return http_send(&request);
+}
+
+static unsigned int runs_of(const char *key)
+{
+	struct record_book *book = cluster_book(cluster);
+	unsigned int runs = record_book_work_runs(book, key);
+
+	record_book_destroy(book);
+	return runs;
+}
+
+static void a_repeat_runs_nothing(void)
+{
+	unsigned int router;
+
+	for (router = 0; router < cluster_pairs(cluster); router++) {
+		struct http_answer *answer =
+			confirm(router, "lot-1", "/lots/1");
+
+		/* The first is answered; all others get what it got. */
+		if (router == 0)
+			CU_ASSERT_EQUAL(answer->status, 200);
+		CU_ASSERT_TRUE(answer->whole);
+		http_answer_destroy(answer);
+	}
+	CU_ASSERT_EQUAL(runs_of("lot-1"), 1);
+}
+
+static void a_repeat_meanwhile_runs_nothing(void)
+{
+	const char *headers[] = { key_line("lot-2"), NULL };
+	struct http_request request = { .uri = "/lots/2?run_us=300000",
+					.body = "sacks=12",
+					.headers = headers };
+	struct http_task *tasks[3];
+	unsigned int i, answered = 0;
+
+	for (i = 0; i < G_N_ELEMENTS(tasks); i++) {
+		request.address =
+			cluster_callers(cluster, i % cluster_pairs(cluster));
+		tasks[i] = http_start(&request);
+	}
+	for (i = 0; i < G_N_ELEMENTS(tasks); i++) {
+		struct http_answer *answer = http_join(tasks[i]);
+
+		answered += answer->status == 200;
+		http_answer_destroy(answer);
+	}
+	CU_ASSERT_TRUE(answered >= 1);
+	CU_ASSERT_EQUAL(runs_of("lot-2"), 1);
+}
+
+static bool has_run(void *ctx)
+{
+	return runs_of(ctx) > 0;
+}
+
+static void a_killed_router_repeats_nothing(void)
+{
+	const char *headers[] = { key_line("lot-3"), NULL };
+	struct http_request request = { .address = cluster_callers(cluster, 0),
+					.uri = "/lots/3?run_us=400000",
+					.body = "sacks=12",
+					.headers = headers };
+	struct http_task *task = http_start(&request);
+	struct http_answer *answer;
+	unsigned int i;
+
+	CU_ASSERT_TRUE(process_wait_until(has_run, (void *)"lot-3", LIMIT_US));
+	process_kill(cluster_router(cluster, 0));
+	answer = http_join(task);
+	CU_ASSERT_FALSE(answer->whole);
+	http_answer_destroy(answer);
+	for (i = 0; i < 4; i++) {
+		answer = confirm(1 + i % 2, "lot-3", "/lots/3?run_us=400000");
+		CU_ASSERT_TRUE(answer->whole);
+		/* Never told as not run: it ran. */
+		CU_ASSERT_STRING_NOT_EQUAL(
+			http_header(answer, "Auburn-Verdict"), "not-run");
+		http_answer_destroy(answer);
+	}
+	CU_ASSERT_EQUAL(runs_of("lot-3"), 1);
+	CU_ASSERT_TRUE(cluster_restart(cluster_router(cluster, 0)));
+	CU_ASSERT_TRUE(cluster_wait_answer(cluster, 0, "/lots/x", LIMIT_US));
+}
+
+static void lost_table_answers_repeat_nothing(void)
+{
+	unsigned int i, router;
+
+	cluster_switch_platform(cluster, "{\"lose_percent\":50}");
+	for (i = 0; i < LOST_ROUNDS; i++) {
+		char *key = g_strdup_printf("lossy-%u", i);
+
+		for (router = 0; router < 2; router++)
+			http_answer_destroy(
+				confirm(router, key, "/lots/lossy"));
+		g_free(key);
+	}
+	cluster_switch_platform(cluster, "{\"lose_percent\":0}");
+	for (i = 0; i < LOST_ROUNDS; i++) {
+		char *key = g_strdup_printf("lossy-%u", i);
+
+		CU_ASSERT_TRUE(runs_of(key) <= 1);
+		g_free(key);
+	}
+}
+
+static void without_the_table_nothing_runs(void)
+{
+	struct http_answer *answer;
+
+	cluster_switch_platform(cluster, "{\"outage\":true}");
+	answer = confirm(1, "lot-4", "/lots/4");
+	CU_ASSERT_STRING_EQUAL(http_header(answer, "Auburn-Verdict"),
+			       "not-run");
+	CU_ASSERT_STRING_EQUAL(http_header(answer, "Auburn-Reason"),
+			       "claim-unavailable");
+	http_answer_destroy(answer);
+	CU_ASSERT_EQUAL(runs_of("lot-4"), 0);
+	/* Keys are served all the same. */
+	answer = cluster_get(cluster, 1, "/tallies/k");
+	CU_ASSERT_EQUAL(answer->status, 200);
+	http_answer_destroy(answer);
+	cluster_switch_platform(cluster, "{\"outage\":false}");
+	answer = confirm(1, "lot-4", "/lots/4");
+	CU_ASSERT_TRUE(answer->whole);
+	http_answer_destroy(answer);
+	CU_ASSERT_TRUE(runs_of("lot-4") <= 1);
+}
+
+int main(void)
+{
+	static const struct suite_case cases[] = {
+		{ "a repeat runs nothing", a_repeat_runs_nothing },
+		{ "a repeat meanwhile runs nothing",
+		  a_repeat_meanwhile_runs_nothing },
+		{ "a killed router repeats nothing",
+		  a_killed_router_repeats_nothing },
+		{ "lost table answers repeat nothing",
+		  lost_table_answers_repeat_nothing },
+		{ "without the table nothing runs",
+		  without_the_table_nothing_runs },
+		{ 0 },
+	};
+	static const struct cluster_options options = { .services = services };
+
+	return cluster_suite_run("once", &options, cases, &cluster);
+}
