assigner: cells' beats go to those that may coordinate them only

Cause: every assigner told every other one of every cell each 100 ms, so the bytes grew with daemons squared. Now the four best placed daemons of a cell and its coordinator watch each other; the others learn of changes from heartbeats, which carry the cells only when they changed on that link.

Ruled out: a longer beat, which the 2 s target has no room for.

--- /dev/null
+++ b/src/assigner/assigner_beats.c
@@ -0,0 +1,320 @@
+/*
+ * How assigners tell each other who coordinates which cell.
+ *
+ * The RANK_CANDIDATES daemons placed best for a cell, and its coordinator,
+ * exchange beats of that cell often, so that a loss is seen soon. All others
+ * learn of it from the heartbeats, which carry the cells when they changed, and
+ * stand for none of these cells.
+ */
+#include "assigner/assigner_impl.h"
+
+#include "base/hash.h"
+#include "membership/beat_codec.h"
+#include "ownership/rank.h"
+
+/* Most rows asked for at once. */
+#define PULL_CELLS_MAX 256
+/* A heartbeat carries the cells at least every so many. */
+#define CELLS_EVERY 20
+
+/* Ids of the assigners that count as live, this one included. */
+static void add_member(void *ctx, const struct peer *peer)
+{
+	if (peer->role == PEER_ASSIGNER && peer->age_us < PEERS_LOST_US)
+		g_ptr_array_add(ctx, (gpointer)peer->id);
+}
+
+static GPtrArray *live_assigners(struct assigner *a)
+{
+	GPtrArray *ids = g_ptr_array_new();
+
+	g_ptr_array_add(ids, a->options->daemon);
+	peers_each(a->peers, clock_now_us(a->clock), add_member, ids);
+	return ids;
+}
+
+static bool is_candidate(const GPtrArray *ids, struct str cell,
+			 struct str daemon)
+{
+	uint64_t own = rank_weight(cell, daemon);
+	guint i, above = 0;
+
+	for (i = 0; i < ids->len; i++)
+		above += rank_weight(cell, str_from(ids->pdata[i])) > own;
+	return above < RANK_CANDIDATES;
+}
+
+static void fill_epoch(CellEpoch *row, struct cell *cell)
+{
+	struct coordinator_peer peer;
+
+	coordinator_heartbeat(cell_coordinator(cell), &peer);
+	cell_epoch__init(row);
+	row->cell = str_dup(cell_name(cell));
+	row->epoch = peer.epoch;
+	row->ballot_number = peer.ballot.number;
+	row->ballot_daemon = peer.ballot.daemon;
+	row->coordinator = str_dup(peer.coordinator);
+}
+
+/* Cells as messages carry them. */
+struct cell_rows {
+	CellEpoch *rows;
+	CellEpoch **list;
+	size_t count;
+};
+
+static struct cell_rows cell_rows_create(const struct assigner *a)
+{
+	return (struct cell_rows){
+		.rows = g_new0(CellEpoch, a->cells->len + 1),
+		.list = g_new0(CellEpoch *, a->cells->len + 1),
+	};
+}
+
+static void cell_rows_add(struct cell_rows *rows, struct cell *cell)
+{
+	fill_epoch(&rows->rows[rows->count], cell);
+	rows->list[rows->count] = &rows->rows[rows->count];
+	rows->count++;
+}
+
+static void cell_rows_free(struct cell_rows *rows)
+{
+	size_t i;
+
+	for (i = 0; i < rows->count; i++) {
+		g_free(rows->rows[i].cell);
+		g_free(rows->rows[i].coordinator);
+	}
+	g_free(rows->list);
+	g_free(rows->rows);
+}
+
+static bool leads(struct assigner *a, struct cell *cell)
+{
+	struct coordinator_peer mine;
+
+	coordinator_heartbeat(cell_coordinator(cell), &mine);
+	return str_equal(mine.coordinator, str_from(a->options->daemon));
+}
+
+/* The cells that a daemon is to hear of often from this one. */
+static struct cell_rows shared_cells(struct assigner *a, const GPtrArray *ids,
+				     struct str daemon)
+{
+	struct str own = str_from(a->options->daemon);
+	struct cell_rows rows = cell_rows_create(a);
+	guint i;
+
+	for (i = 0; i < a->cells->len; i++) {
+		struct cell *cell = a->cells->pdata[i];
+		struct str name = cell_name(cell);
+
+		if (is_candidate(ids, name, daemon) &&
+		    (is_candidate(ids, name, own) || leads(a, cell)))
+			cell_rows_add(&rows, cell);
+	}
+	return rows;
+}
+
+struct beating {
+	struct assigner *a;
+	const GPtrArray *ids;
+};
+
+static void beat_link(void *ctx, struct link *link)
+{
+	const struct beating *b = ctx;
+	const struct side *side = link_data(link);
+	CellBeat beat = CELL_BEAT__INIT;
+	Envelope message = ENVELOPE__INIT;
+	struct cell_rows rows;
+
+	if (!side || side->router)
+		return;
+	rows = shared_cells(b->a, b->ids, str_from(side->daemon));
+	beat.daemon = b->a->options->daemon;
+	beat.leaving = b->a->leaving;
+	beat.n_cells = rows.count;
+	beat.cells = rows.list;
+	message.body_case = ENVELOPE__BODY_CELL_BEAT;
+	message.cell_beat = &beat;
+	if (rows.count)
+		hub_send(b->a->hub, link, &message);
+	cell_rows_free(&rows);
+}
+
+/*
+ * A daemon that is no candidate hears no beats. It takes the coordinator for
+ * live as long as the members' heartbeats say that the daemon is.
+ */
+static void keep_believing(struct assigner *a, struct cell *cell,
+			   GPtrArray *ids)
+{
+	struct coordinator_peer mine;
+	char *coordinator;
+
+	if (is_candidate(ids, cell_name(cell), str_from(a->options->daemon)))
+		return;
+	coordinator_heartbeat(cell_coordinator(cell), &mine);
+	coordinator = str_dup(mine.coordinator);
+	if (*coordinator && strcmp(coordinator, a->options->daemon) != 0 &&
+	    g_ptr_array_find_with_equal_func(ids, coordinator, g_str_equal,
+					     NULL)) {
+		mine.coordinator = str_from(coordinator);
+		mine.daemon = mine.coordinator;
+		mine.leaving = false;
+		coordinator_on_peer(cell_coordinator(cell), &mine);
+	}
+	g_free(coordinator);
+}
+
+void assigner_beat(struct assigner *a)
+{
+	GPtrArray *ids = live_assigners(a);
+	struct beating b = { a, ids };
+	guint i;
+
+	hub_each(a->hub, beat_link, &b);
+	for (i = 0; i < a->cells->len; i++)
+		keep_believing(a, a->cells->pdata[i], ids);
+	g_ptr_array_free(ids, TRUE);
+}
+
+/* Asks the sender for rows that it has and this daemon lacks. */
+static void pull_rows(struct assigner *a, struct link *link,
+		      CellEpoch *const *cells, size_t count)
+{
+	Pull pull = PULL__INIT;
+	Envelope message = ENVELOPE__INIT;
+	char *names[PULL_CELLS_MAX];
+	size_t i;
+
+	for (i = 0; i < count && pull.n_cells < PULL_CELLS_MAX; i++) {
+		struct cell *cell = assigner_cell(a, str_from(cells[i]->cell));
+		struct coordinator_peer mine;
+
+		if (!cell)
+			continue;
+		coordinator_heartbeat(cell_coordinator(cell), &mine);
+		if (cells[i]->epoch > mine.epoch)
+			names[pull.n_cells++] = cells[i]->cell;
+	}
+	if (!pull.n_cells)
+		return;
+	pull.cells = names;
+	message.body_case = ENVELOPE__BODY_PULL;
+	message.pull = &pull;
+	hub_send(a->hub, link, &message);
+}
+
+void assigner_on_beat(struct assigner *a, struct link *link,
+		      const CellBeat *beat)
+{
+	size_t i;
+
+	for (i = 0; i < beat->n_cells; i++) {
+		const CellEpoch *row = beat->cells[i];
+		struct cell *cell = assigner_cell(a, str_from(row->cell));
+		struct coordinator_peer peer = {
+			.daemon = str_from(beat->daemon),
+			.leaving = beat->leaving,
+			.epoch = row->epoch,
+			.coordinator = str_from(row->coordinator),
+			.ballot = { row->ballot_number, row->ballot_daemon },
+		};
+
+		if (cell)
+			coordinator_on_peer(cell_coordinator(cell), &peer);
+	}
+	pull_rows(a, link, beat->cells, beat->n_cells);
+}
+
+static uint64_t cells_digest(const struct assigner *a)
+{
+	uint64_t digest = 0;
+	guint i;
+
+	for (i = 0; i < a->cells->len; i++) {
+		struct coordinator_peer peer;
+
+		coordinator_heartbeat(cell_coordinator(a->cells->pdata[i]),
+				      &peer);
+		digest = hash_seeded(cell_name(a->cells->pdata[i]), digest);
+		digest = hash_seeded(peer.coordinator, digest ^ peer.epoch);
+	}
+	return digest;
+}
+
+/* Cells are told when they changed since this link was last told. */
+static bool cells_are_due(const struct assigner *a, struct side *side)
+{
+	uint64_t digest = cells_digest(a);
+
+	if (digest == side->told_digest && ++side->beats < CELLS_EVERY)
+		return false;
+	side->told_digest = digest;
+	side->beats = 0;
+	return true;
+}
+
+void assigner_send_heartbeat(void *ctx, void *link, const struct beat *beat)
+{
+	struct assigner *a = ctx;
+	struct side *side = link_data(link);
+	struct beat_buffer buffer;
+	Heartbeat *heartbeat = beat_to_wire(beat, &buffer);
+	struct cell_rows rows = cell_rows_create(a);
+	Envelope message = ENVELOPE__INIT;
+	guint i;
+
+	if (side && cells_are_due(a, side))
+		for (i = 0; i < a->cells->len; i++)
+			cell_rows_add(&rows, a->cells->pdata[i]);
+	heartbeat->zone = a->options->zone;
+	heartbeat->n_cells = rows.count;
+	heartbeat->cells = rows.list;
+	message.body_case = ENVELOPE__BODY_HEARTBEAT;
+	message.heartbeat = heartbeat;
+	hub_send(a->hub, link, &message);
+	cell_rows_free(&rows);
+}
+
+/* A third daemon's word on who coordinates a cell counts for those only that
+ * hear no beats of it, and for a higher ballot only. */
+static void believe(struct assigner *a, const GPtrArray *ids, struct cell *cell,
+		    const CellEpoch *row)
+{
+	struct coordinator_peer mine;
+	struct coordinator_peer told = {
+		.daemon = str_from(row->coordinator),
+		.epoch = row->epoch,
+		.coordinator = str_from(row->coordinator),
+		.ballot = { row->ballot_number, row->ballot_daemon },
+	};
+
+	if (!told.daemon.len ||
+	    is_candidate(ids, cell_name(cell), str_from(a->options->daemon)))
+		return;
+	coordinator_heartbeat(cell_coordinator(cell), &mine);
+	if (ballot_compare(told.ballot, mine.ballot) > 0)
+		coordinator_on_peer(cell_coordinator(cell), &told);
+}
+
+void assigner_on_cells(struct assigner *a, struct link *link,
+		       const Heartbeat *message)
+{
+	GPtrArray *ids = live_assigners(a);
+	size_t i;
+
+	for (i = 0; i < message->n_cells; i++) {
+		struct cell *cell =
+			assigner_cell(a, str_from(message->cells[i]->cell));
+
+		if (cell)
+			believe(a, ids, cell, message->cells[i]);
+	}
+	pull_rows(a, link, message->cells, message->n_cells);
+	g_ptr_array_free(ids, TRUE);
+}
--- a/src/assigner/assigner_impl.h
+++ b/src/assigner/assigner_impl.h
@@ -54,9 +54,6 @@
 /** Sends to every router and assigner that is linked. */
 void assigner_broadcast(struct assigner *a, const Envelope *message);
 
-/** Sends this daemon's view of its cells to the other assigners. */
-void assigner_beat(struct assigner *a);
-
 /** Sends a row to every link. */
 void assigner_send_map(struct assigner *a, const struct slice_map *map);
 
@@ -66,6 +63,31 @@
 /** Finds the cell of a service; NULL when there is none. */
 struct cell *assigner_cell(struct assigner *a, struct str name);
 
+/* assigner_beats.c: who coordinates which cell, as daemons tell each other. */
+
+/** What is known of a link's other side. */
+struct side {
+	char *daemon;
+	bool router;
+	/* Cells as last told on this link, and heartbeats since. */
+	uint64_t told_digest;
+	unsigned int beats;
+};
+
+/** Sends each cell's beat to the daemons that may coordinate it. */
+void assigner_beat(struct assigner *a);
+
+/** A cell beat came. */
+void assigner_on_beat(struct assigner *a, struct link *link,
+		      const CellBeat *beat);
+
+/** Sends a heartbeat, with the cells when they changed. */
+void assigner_send_heartbeat(void *ctx, void *link, const struct beat *beat);
+
+/** A heartbeat came; only its cells are looked at. */
+void assigner_on_cells(struct assigner *a, struct link *link,
+		       const Heartbeat *message);
+
 /* assigner_feeds.c: what comes from the platform. */
 
 extern const struct spread_ops assigner_spread_ops;
--- a/src/assigner/assigner_links.c
+++ b/src/assigner/assigner_links.c
@@ -8,16 +8,8 @@
 #include "membership/beat_codec.h"
 #include "membership/vm_codec.h"
 
-/* Most cells in one heartbeat. */
-#define BEAT_CELLS_MAX 256
 #define POISON_REMEMBERED_MAX 4096
 
-/* What a link's other side said of itself. */
-struct side {
-	char *daemon;
-	bool router;
-};
-
 struct cell *assigner_cell(struct assigner *a, struct str name)
 {
 	guint i;
@@ -237,55 +229,6 @@
 		send_state(a, link);
 }
 
-/* Asks the sender for rows that it has and this daemon lacks. */
-static void pull_maps(struct assigner *a, struct link *link,
-		      CellEpoch *const *cells, size_t count)
-{
-	Pull pull = PULL__INIT;
-	Envelope message = ENVELOPE__INIT;
-	char *names[BEAT_CELLS_MAX];
-	size_t i;
-
-	for (i = 0; i < count && pull.n_cells < BEAT_CELLS_MAX; i++) {
-		struct cell *cell = assigner_cell(a, str_from(cells[i]->cell));
-		struct coordinator_peer mine;
-
-		if (!cell)
-			continue;
-		coordinator_heartbeat(cell_coordinator(cell), &mine);
-		if (cells[i]->epoch > mine.epoch)
-			names[pull.n_cells++] = cells[i]->cell;
-	}
-	if (!pull.n_cells)
-		return;
-	pull.cells = names;
-	message.body_case = ENVELOPE__BODY_PULL;
-	message.pull = &pull;
-	hub_send(a->hub, link, &message);
-}
-
-static void on_cell_beat(struct assigner *a, struct link *link,
-			 const CellBeat *beat)
-{
-	size_t i;
-
-	for (i = 0; i < beat->n_cells; i++) {
-		const CellEpoch *row = beat->cells[i];
-		struct cell *cell = assigner_cell(a, str_from(row->cell));
-		struct coordinator_peer peer = {
-			.daemon = str_from(beat->daemon),
-			.leaving = beat->leaving,
-			.epoch = row->epoch,
-			.coordinator = str_from(row->coordinator),
-			.ballot = { row->ballot_number, row->ballot_daemon },
-		};
-
-		if (cell)
-			coordinator_on_peer(cell_coordinator(cell), &peer);
-	}
-	pull_maps(a, link, beat->cells, beat->n_cells);
-}
-
 static void on_heartbeat(struct assigner *a, struct link *link,
 			 const Heartbeat *message)
 {
@@ -295,6 +238,7 @@
 	beat_from_wire(message, &beat);
 	peers_heard(a->peers, link, &beat, now_us);
 	spread_heard(a->spread, beat.daemon, beat.settings_version, now_us);
+	assigner_on_cells(a, link, message);
 }
 
 static void on_pull(struct assigner *a, struct link *link, const Pull *pull)
@@ -480,7 +424,7 @@
 		on_heartbeat(a, link, message->heartbeat);
 		break;
 	case ENVELOPE__BODY_CELL_BEAT:
-		on_cell_beat(a, link, message->cell_beat);
+		assigner_on_beat(a, link, message->cell_beat);
 		break;
 	case ENVELOPE__BODY_PULL:
 		on_pull(a, link, message->pull);
@@ -531,71 +475,6 @@
 	.closed = on_closed,
 };
 
-/* What this daemon knows of its cells, as messages carry it. */
-struct cell_rows {
-	CellEpoch *rows;
-	CellEpoch **list;
-	size_t count;
-};
-
-static void fill_epoch(CellEpoch *row, struct cell *cell)
-{
-	struct coordinator_peer peer;
-
-	coordinator_heartbeat(cell_coordinator(cell), &peer);
-	cell_epoch__init(row);
-	row->cell = str_dup(cell_name(cell));
-	row->epoch = peer.epoch;
-	row->ballot_number = peer.ballot.number;
-	row->ballot_daemon = peer.ballot.daemon;
-	row->coordinator = str_dup(peer.coordinator);
-}
-
-static struct cell_rows cell_rows_create(struct assigner *a)
-{
-	struct cell_rows rows = {
-		.rows = g_new0(CellEpoch, a->cells->len + 1),
-		.list = g_new0(CellEpoch *, a->cells->len + 1),
-		.count = a->cells->len,
-	};
-	size_t i;
-
-	for (i = 0; i < rows.count; i++) {
-		fill_epoch(&rows.rows[i], a->cells->pdata[i]);
-		rows.list[i] = &rows.rows[i];
-	}
-	return rows;
-}
-
-static void cell_rows_free(struct cell_rows *rows)
-{
-	size_t i;
-
-	for (i = 0; i < rows->count; i++) {
-		g_free(rows->rows[i].cell);
-		g_free(rows->rows[i].coordinator);
-	}
-	g_free(rows->list);
-	g_free(rows->rows);
-}
-
-void assigner_beat(struct assigner *a)
-{
-	struct cell_rows rows = cell_rows_create(a);
-	CellBeat beat = CELL_BEAT__INIT;
-	Envelope message = ENVELOPE__INIT;
-	struct broadcast b = { a, &message, NULL, false, true };
-
-	beat.daemon = a->options->daemon;
-	beat.leaving = a->leaving;
-	beat.n_cells = rows.count;
-	beat.cells = rows.list;
-	message.body_case = ENVELOPE__BODY_CELL_BEAT;
-	message.cell_beat = &beat;
-	hub_each(a->hub, send_one, &b);
-	cell_rows_free(&rows);
-}
-
 static void keep_link(void *ctx, const struct sockaddr_in *address)
 {
 	hub_keep(((struct assigner *)ctx)->hub, address);
@@ -606,24 +485,6 @@
 	hub_forget(((struct assigner *)ctx)->hub, address);
 }
 
-/* Routers learn from it which rows they lack. */
-static void send_heartbeat(void *ctx, void *link, const struct beat *beat)
-{
-	struct assigner *a = ctx;
-	struct beat_buffer buffer;
-	Heartbeat *heartbeat = beat_to_wire(beat, &buffer);
-	struct cell_rows rows = cell_rows_create(a);
-	Envelope message = ENVELOPE__INIT;
-
-	heartbeat->zone = a->options->zone;
-	heartbeat->n_cells = rows.count;
-	heartbeat->cells = rows.list;
-	message.body_case = ENVELOPE__BODY_HEARTBEAT;
-	message.heartbeat = heartbeat;
-	hub_send(a->hub, link, &message);
-	cell_rows_free(&rows);
-}
-
 static void on_peer_event(void *ctx, enum peer_event event,
 			  const struct peer *peer)
 {
@@ -640,6 +501,6 @@
 const struct peers_ops assigner_peers_ops = {
 	.keep = keep_link,
 	.forget = forget_link,
-	.send = send_heartbeat,
+	.send = assigner_send_heartbeat,
 	.event = on_peer_event,
 };
--- a/src/ownership/election.c
+++ b/src/ownership/election.c
@@ -1,7 +1,7 @@
 #include "ownership/election.h"
 
-#include "base/hash.h"
 #include "ownership/authority.h"
+#include "ownership/rank.h"
 
 /** Head start of each rank over the next, so that one daemon stands. */
 #define RANK_DELAY_US (150 * US_PER_MS)
@@ -88,20 +88,20 @@
 	note_leader(c, peer, now);
 }
 
-static uint64_t rank_weight(const struct coordinator *c, const char *daemon)
+static uint64_t weight_of(const struct coordinator *c, const char *daemon)
 {
-	return hash_seeded(str_from(daemon), hash_key(str_from(c->cell)));
+	return rank_weight(str_from(c->cell), str_from(daemon));
 }
 
 size_t election_rank(const struct coordinator *c, int64_t now)
 {
-	uint64_t own = rank_weight(c, c->daemon);
+	uint64_t own = weight_of(c, c->daemon);
 	size_t i, rank = 0;
 
 	for (i = 0; i < c->peers->len; i++) {
 		const struct peer *p = g_ptr_array_index(c->peers, i);
 
-		rank += peer_live(c, p, now) && rank_weight(c, p->daemon) > own;
+		rank += peer_live(c, p, now) && weight_of(c, p->daemon) > own;
 	}
 	return rank;
 }
@@ -153,7 +153,7 @@
 
 bool election_better_placed(const struct coordinator *c, int64_t now)
 {
-	uint64_t own = rank_weight(c, c->daemon);
+	uint64_t own = weight_of(c, c->daemon);
 	size_t i;
 
 	for (i = 0; i < c->peers->len; i++) {
@@ -161,8 +161,7 @@
 
 		if (peer_live(c, p, now) &&
 		    now >= p->since_us + c->timing.prefer_us &&
-		    p->epoch == c->known_epoch &&
-		    rank_weight(c, p->daemon) > own)
+		    p->epoch == c->known_epoch && weight_of(c, p->daemon) > own)
 			return true;
 	}
 	return false;
