--- a/src/router/main.c
+++ b/src/router/main.c
@@ -108,13 +108,15 @@
 
 int main(int argc, char **argv)
 {
-	struct router router = { .clock = clock_system() };
+	/* Its options live as long as the process. */
+	static struct router router;
 	int status;
 
 	options_parse(&router_program, argc, argv, &router.options, NULL);
 	log_setup(router.options.log_level, router.options.log_json);
 	signal(SIGPIPE, SIG_IGN);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
+	router.clock = clock_system();
 	create_shared(&router);
 	status = run(&router);
 	destroy_workers(&router);
