router: POSIX mutexes and threads in place of GLib's

GLib's mutexes are futexes of their own, which the thread sanitizer can't see: every shared table looked like a race.

--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -1,6 +1,7 @@
 #include "base/metrics.h"
 
 #include <glib.h>
+#include <pthread.h>
 #include <stdatomic.h>
 
 /* 16 buckets for each power of two keep the error below 1/16. */
@@ -50,7 +51,7 @@
 
 struct metrics {
 	/* Guards the tables below, never the values. */
-	GMutex lock;
+	pthread_mutex_t lock;
 	GPtrArray *families;
 	GHashTable *by_name;
 	size_t series_count;
@@ -94,7 +95,7 @@
 	struct metrics *metrics = g_new0(struct metrics, 1);
 	int kind;
 
-	g_mutex_init(&metrics->lock);
+	pthread_mutex_init(&metrics->lock, NULL);
 	metrics->families = g_ptr_array_new_with_free_func(family_free);
 	metrics->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	for (kind = 0; kind < SERIES_KINDS; kind++)
@@ -112,7 +113,7 @@
 		series_free(metrics->overflow[kind]);
 	g_hash_table_destroy(metrics->by_name);
 	g_ptr_array_free(metrics->families, TRUE);
-	g_mutex_clear(&metrics->lock);
+	pthread_mutex_destroy(&metrics->lock);
 	g_free(metrics);
 }
 
@@ -142,7 +143,7 @@
 	struct family *family;
 	struct series *series;
 
-	g_mutex_lock(&metrics->lock);
+	pthread_mutex_lock(&metrics->lock);
 	family = find_family(metrics, kind, name, help);
 	series = g_hash_table_lookup(family->by_labels, labels);
 	if (family->kind != kind ||
@@ -154,7 +155,7 @@
 		g_hash_table_insert(family->by_labels, series->labels, series);
 		metrics->series_count++;
 	}
-	g_mutex_unlock(&metrics->lock);
+	pthread_mutex_unlock(&metrics->lock);
 	return series;
 }
 
@@ -367,9 +368,9 @@
 	GString *out = g_string_new(NULL);
 	guint i;
 
-	g_mutex_lock(&metrics->lock);
+	pthread_mutex_lock(&metrics->lock);
 	for (i = 0; i < metrics->families->len; i++)
 		render_family(out, g_ptr_array_index(metrics->families, i));
-	g_mutex_unlock(&metrics->lock);
+	pthread_mutex_unlock(&metrics->lock);
 	return g_string_free(out, FALSE);
 }
--- a/src/router/dispatch.c
+++ b/src/router/dispatch.c
@@ -150,9 +150,9 @@
 {
 	struct service_state *service;
 
-	g_mutex_lock(&dispatch->lock);
+	pthread_mutex_lock(&dispatch->lock);
 	service = g_hash_table_lookup(dispatch->services, &name);
-	g_mutex_unlock(&dispatch->lock);
+	pthread_mutex_unlock(&dispatch->lock);
 	return service ? &service->shared : NULL;
 }
 
@@ -163,7 +163,7 @@
 	void *refused;
 	int64_t now_us;
 
-	g_mutex_lock(&dispatch->lock);
+	pthread_mutex_lock(&dispatch->lock);
 	now_us = now_of(dispatch);
 	ticket->offered_us = now_us;
 	ticket->lane = dispatch_lane(service, ticket->owner, ticket->trial);
@@ -174,7 +174,7 @@
 	if (refused)
 		deliver(refused, reason);
 	dispatch_run(dispatch, now_us);
-	g_mutex_unlock(&dispatch->lock);
+	pthread_mutex_unlock(&dispatch->lock);
 }
 
 bool dispatch_backup(struct dispatch *dispatch, struct ticket *ticket)
@@ -184,7 +184,7 @@
 	uint32_t upstream;
 	bool found;
 
-	g_mutex_lock(&dispatch->lock);
+	pthread_mutex_lock(&dispatch->lock);
 	now_us = now_of(dispatch);
 	found = pool_pick(service->pool, ticket->tried, ticket->tried_count,
 			  now_us, &upstream) == POOL_OK &&
@@ -194,7 +194,7 @@
 		start_flight(service, ticket, upstream, now_us);
 		ticket->state = TICKET_FLYING;
 	}
-	g_mutex_unlock(&dispatch->lock);
+	pthread_mutex_unlock(&dispatch->lock);
 	return found;
 }
 
@@ -202,7 +202,7 @@
 {
 	bool there = true;
 
-	g_mutex_lock(&dispatch->lock);
+	pthread_mutex_lock(&dispatch->lock);
 	if (ticket->state == TICKET_QUEUED) {
 		admission_withdraw(dispatch->admission, ticket->entry);
 		ticket->entry = NULL;
@@ -210,7 +210,7 @@
 	} else {
 		there = ticket->state != TICKET_SENT;
 	}
-	g_mutex_unlock(&dispatch->lock);
+	pthread_mutex_unlock(&dispatch->lock);
 	return there;
 }
 
@@ -222,7 +222,7 @@
 	size_t i, n;
 	int64_t now_us;
 
-	g_mutex_lock(&dispatch->lock);
+	pthread_mutex_lock(&dispatch->lock);
 	now_us = now_of(dispatch);
 	if (ticket->admitted)
 		ticket->took_us = now_us - ticket->admitted_us;
@@ -231,7 +231,7 @@
 			 ticket->started_us, reports, REPORTS_MAX);
 	for (i = 0; i < n; i++)
 		dispatch_report(dispatch, &reports[i]);
-	g_mutex_unlock(&dispatch->lock);
+	pthread_mutex_unlock(&dispatch->lock);
 }
 
 void dispatch_finish(struct dispatch *dispatch, struct ticket *ticket,
@@ -241,7 +241,7 @@
 	struct poison_report report;
 	int64_t now_us;
 
-	g_mutex_lock(&dispatch->lock);
+	pthread_mutex_lock(&dispatch->lock);
 	now_us = now_of(dispatch);
 	pool_finish(service->pool, ticket->flight, outcome, now_us);
 	ticket->flight = NULL;
@@ -255,14 +255,14 @@
 	leave_queue(ticket);
 	ticket->state = TICKET_IDLE;
 	dispatch_run(dispatch, now_us);
-	g_mutex_unlock(&dispatch->lock);
+	pthread_mutex_unlock(&dispatch->lock);
 }
 
 void dispatch_tick(struct dispatch *dispatch)
 {
-	g_mutex_lock(&dispatch->lock);
+	pthread_mutex_lock(&dispatch->lock);
 	dispatch_run(dispatch, now_of(dispatch));
-	g_mutex_unlock(&dispatch->lock);
+	pthread_mutex_unlock(&dispatch->lock);
 }
 
 int64_t dispatch_backup_delay(struct dispatch *dispatch,
@@ -270,9 +270,9 @@
 {
 	int64_t delay_us;
 
-	g_mutex_lock(&dispatch->lock);
+	pthread_mutex_lock(&dispatch->lock);
 	delay_us = pool_backup_delay(state_of(service)->pool);
-	g_mutex_unlock(&dispatch->lock);
+	pthread_mutex_unlock(&dispatch->lock);
 	return delay_us;
 }
 
@@ -281,9 +281,9 @@
 {
 	enum poison_check check;
 
-	g_mutex_lock(&dispatch->lock);
+	pthread_mutex_lock(&dispatch->lock);
 	check = poison_check(dispatch->poison, fingerprint, now_of(dispatch));
-	g_mutex_unlock(&dispatch->lock);
+	pthread_mutex_unlock(&dispatch->lock);
 	return check;
 }
 
@@ -293,7 +293,7 @@
 {
 	struct service_state *state = state_of(service);
 
-	g_mutex_lock(&dispatch->lock);
+	pthread_mutex_lock(&dispatch->lock);
 	if (state->map_epoch != epoch || state->slices->len != slices) {
 		state->map_epoch = epoch;
 		g_array_set_size(state->slices, 0);
@@ -302,15 +302,15 @@
 	state->requests++;
 	g_array_index(state->slices, uint64_t, slice)++;
 	hot_keys_add(state->hot, hash);
-	g_mutex_unlock(&dispatch->lock);
+	pthread_mutex_unlock(&dispatch->lock);
 }
 
 uint32_t dispatch_running(struct dispatch *dispatch)
 {
 	uint32_t running;
 
-	g_mutex_lock(&dispatch->lock);
+	pthread_mutex_lock(&dispatch->lock);
 	running = admission_running(dispatch->admission);
-	g_mutex_unlock(&dispatch->lock);
+	pthread_mutex_unlock(&dispatch->lock);
 	return running;
 }
--- a/src/router/dispatch_control.c
+++ b/src/router/dispatch_control.c
@@ -46,7 +46,7 @@
 	struct dispatch *dispatch = g_new0(struct dispatch, 1);
 
 	dispatch->options = *options;
-	g_mutex_init(&dispatch->lock);
+	pthread_mutex_init(&dispatch->lock, NULL);
 	dispatch->admission = admission_create(options->capacity);
 	dispatch->classes =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -67,7 +67,7 @@
 	admission_destroy(dispatch->admission);
 	poison_destroy(dispatch->poison);
 	g_array_free(dispatch->reports, TRUE);
-	g_mutex_clear(&dispatch->lock);
+	pthread_mutex_destroy(&dispatch->lock);
 	g_free(dispatch);
 }
 
@@ -221,7 +221,7 @@
 	GHashTableIter iter;
 	void *name, *data;
 
-	g_mutex_lock(&dispatch->lock);
+	pthread_mutex_lock(&dispatch->lock);
 	g_hash_table_iter_init(&iter, view->services);
 	while (g_hash_table_iter_next(&iter, &name, &data)) {
 		const struct view_service *found = data;
@@ -234,7 +234,7 @@
 		update_pool(service, view->settings, found);
 	}
 	dispatch_run(dispatch, clock_now_us(dispatch->options.clock));
-	g_mutex_unlock(&dispatch->lock);
+	pthread_mutex_unlock(&dispatch->lock);
 }
 
 struct share_ask {
@@ -293,12 +293,12 @@
 	void *data;
 	guint i;
 
-	g_mutex_lock(&dispatch->lock);
+	pthread_mutex_lock(&dispatch->lock);
 	now_us = clock_now_us(dispatch->options.clock);
 	g_hash_table_iter_init(&iter, dispatch->services);
 	while (g_hash_table_iter_next(&iter, NULL, &data))
 		collect_asks(data, now_us, asks);
-	g_mutex_unlock(&dispatch->lock);
+	pthread_mutex_unlock(&dispatch->lock);
 	for (i = 0; i < asks->len; i++) {
 		struct share_ask *a = &g_array_index(asks, struct share_ask, i);
 
@@ -325,7 +325,7 @@
 	GHashTableIter iter;
 	void *data;
 
-	g_mutex_lock(&dispatch->lock);
+	pthread_mutex_lock(&dispatch->lock);
 	if (str_has_prefix(upstream, STR(TRIAL_PREFIX))) {
 		upstream.data += strlen(TRIAL_PREFIX);
 		upstream.len -= strlen(TRIAL_PREFIX);
@@ -343,7 +343,7 @@
 		}
 	}
 	dispatch_run(dispatch, clock_now_us(dispatch->options.clock));
-	g_mutex_unlock(&dispatch->lock);
+	pthread_mutex_unlock(&dispatch->lock);
 }
 
 void dispatch_report(struct dispatch *dispatch,
@@ -362,10 +362,10 @@
 void dispatch_take_poison(struct dispatch *dispatch,
 			  const struct poison_report *report)
 {
-	g_mutex_lock(&dispatch->lock);
+	pthread_mutex_lock(&dispatch->lock);
 	poison_take(dispatch->poison, report,
 		    clock_now_us(dispatch->options.clock));
-	g_mutex_unlock(&dispatch->lock);
+	pthread_mutex_unlock(&dispatch->lock);
 }
 
 void dispatch_tell_poison(struct dispatch *dispatch,
@@ -376,10 +376,10 @@
 	GArray *reports;
 	guint i;
 
-	g_mutex_lock(&dispatch->lock);
+	pthread_mutex_lock(&dispatch->lock);
 	reports = dispatch->reports;
 	dispatch->reports = g_array_new(FALSE, FALSE, sizeof(struct report));
-	g_mutex_unlock(&dispatch->lock);
+	pthread_mutex_unlock(&dispatch->lock);
 	for (i = 0; i < reports->len; i++) {
 		struct report *report =
 			&g_array_index(reports, struct report, i);
@@ -422,7 +422,7 @@
 	GHashTableIter iter;
 	void *data;
 
-	g_mutex_lock(&dispatch->lock);
+	pthread_mutex_lock(&dispatch->lock);
 	g_hash_table_iter_init(&iter, dispatch->services);
 	while (g_hash_table_iter_next(&iter, NULL, &data)) {
 		struct service_state *service = data;
@@ -430,7 +430,7 @@
 		if (service->keyed && service->requests)
 			tell_service(service, tell, ctx);
 	}
-	g_mutex_unlock(&dispatch->lock);
+	pthread_mutex_unlock(&dispatch->lock);
 }
 
 static void render_upstream(GString *out, const char *service,
@@ -463,7 +463,7 @@
 	int64_t now_us;
 	size_t i;
 
-	g_mutex_lock(&dispatch->lock);
+	pthread_mutex_lock(&dispatch->lock);
 	now_us = clock_now_us(dispatch->options.clock);
 	g_hash_table_iter_init(&iter, dispatch->services);
 	while (g_hash_table_iter_next(&iter, NULL, &data)) {
@@ -472,5 +472,5 @@
 		for (i = 0; pool_status(service->pool, i, now_us, &status); i++)
 			render_upstream(out, service->shared.name, &status);
 	}
-	g_mutex_unlock(&dispatch->lock);
+	pthread_mutex_unlock(&dispatch->lock);
 }
--- a/src/router/dispatch_internal.h
+++ b/src/router/dispatch_internal.h
@@ -5,6 +5,8 @@
 #ifndef ROUTER_DISPATCH_INTERNAL_H
 #define ROUTER_DISPATCH_INTERNAL_H
 
+#include <pthread.h>
+
 #include "request/admission.h"
 #include "router/dispatch.h"
 
@@ -49,7 +51,7 @@
 
 struct dispatch {
 	struct dispatch_options options;
-	GMutex lock;
+	pthread_mutex_t lock;
 	struct admission *admission;
 	/** Class index + 1 by the profile's name. */
 	GHashTable *classes;
--- a/src/router/mailbox.c
+++ b/src/router/mailbox.c
@@ -1,13 +1,15 @@
 #include "router/mailbox.h"
 
+#include <pthread.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 
 struct mailbox {
 	int fd;
-	GMutex lock;
+	pthread_mutex_t lock;
 	/* Guarded by lock, as all that follows. */
-	GThread *owner;
+	pthread_t owner;
+	bool owned;
 	GQueue messages;
 	bool woken;
 };
@@ -17,7 +19,7 @@
 	struct mailbox *mailbox = g_new0(struct mailbox, 1);
 
 	mailbox->fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-	g_mutex_init(&mailbox->lock);
+	pthread_mutex_init(&mailbox->lock, NULL);
 	return mailbox;
 }
 
@@ -26,7 +28,7 @@
 	if (!mailbox)
 		return;
 	close(mailbox->fd);
-	g_mutex_clear(&mailbox->lock);
+	pthread_mutex_destroy(&mailbox->lock);
 	g_free(mailbox);
 }
 
@@ -37,9 +39,15 @@
 
 void mailbox_own(struct mailbox *mailbox)
 {
-	g_mutex_lock(&mailbox->lock);
-	mailbox->owner = g_thread_self();
-	g_mutex_unlock(&mailbox->lock);
+	pthread_mutex_lock(&mailbox->lock);
+	mailbox->owner = pthread_self();
+	mailbox->owned = true;
+	pthread_mutex_unlock(&mailbox->lock);
+}
+
+static bool sent_by_owner(const struct mailbox *mailbox)
+{
+	return mailbox->owned && pthread_equal(mailbox->owner, pthread_self());
 }
 
 void mailbox_send(struct mailbox *mailbox, struct message *message)
@@ -47,12 +55,12 @@
 	bool wake;
 
 	message->link = (GList){ .data = message };
-	g_mutex_lock(&mailbox->lock);
+	pthread_mutex_lock(&mailbox->lock);
 	g_queue_push_tail_link(&mailbox->messages, &message->link);
-	wake = !mailbox->woken && mailbox->owner != g_thread_self();
+	wake = !mailbox->woken && !sent_by_owner(mailbox);
 	if (wake)
 		mailbox->woken = true;
-	g_mutex_unlock(&mailbox->lock);
+	pthread_mutex_unlock(&mailbox->lock);
 	if (wake)
 		eventfd_write(mailbox->fd, 1);
 }
@@ -62,13 +70,13 @@
 	eventfd_t count;
 	GList *first;
 
-	g_mutex_lock(&mailbox->lock);
+	pthread_mutex_lock(&mailbox->lock);
 	if (mailbox->woken)
 		eventfd_read(mailbox->fd, &count);
 	mailbox->woken = false;
 	first = mailbox->messages.head;
 	g_queue_init(&mailbox->messages);
-	g_mutex_unlock(&mailbox->lock);
+	pthread_mutex_unlock(&mailbox->lock);
 	return first;
 }
 
--- a/src/router/view.c
+++ b/src/router/view.c
@@ -1,5 +1,7 @@
 #include "router/view.h"
 
+#include <pthread.h>
+
 #include "base/hash.h"
 #include "profile/settings.h"
 
@@ -42,7 +44,7 @@
 	struct shared *vms;
 	/* struct shared by the cell's name. */
 	GHashTable *maps;
-	GMutex lock;
+	pthread_mutex_t lock;
 	/* struct view_reader; guarded by lock. */
 	GPtrArray *readers;
 };
@@ -142,14 +144,14 @@
 {
 	guint i;
 
-	g_mutex_lock(&store->lock);
+	pthread_mutex_lock(&store->lock);
 	for (i = 0; i < store->readers->len; i++) {
 		struct view_reader *reader =
 			g_ptr_array_index(store->readers, i);
 
 		__atomic_load_n(&reader->left, __ATOMIC_ACQUIRE);
 	}
-	g_mutex_unlock(&store->lock);
+	pthread_mutex_unlock(&store->lock);
 }
 
 static void entry_reclaim(ck_epoch_entry_t *data)
@@ -228,7 +230,7 @@
 	store->maps = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    shared_unref);
 	store->readers = g_ptr_array_new_with_free_func(g_aligned_free);
-	g_mutex_init(&store->lock);
+	pthread_mutex_init(&store->lock, NULL);
 	store->current = build(store);
 	return store;
 }
@@ -244,7 +246,7 @@
 	g_hash_table_destroy(store->maps);
 	g_ptr_array_free(store->readers, TRUE);
 	g_aligned_free(store->writer);
-	g_mutex_clear(&store->lock);
+	pthread_mutex_destroy(&store->lock);
 	g_free(store);
 }
 
@@ -255,9 +257,9 @@
 
 	reader->store = store;
 	ck_epoch_register(&store->epoch, &reader->record, NULL);
-	g_mutex_lock(&store->lock);
+	pthread_mutex_lock(&store->lock);
 	g_ptr_array_add(store->readers, reader);
-	g_mutex_unlock(&store->lock);
+	pthread_mutex_unlock(&store->lock);
 	return reader;
 }
 
--- a/src/router/worker.c
+++ b/src/router/worker.c
@@ -131,8 +131,8 @@
 {
 	if (!worker)
 		return;
-	if (worker->thread)
-		g_thread_join(worker->thread);
+	if (worker->started)
+		pthread_join(worker->thread, NULL);
 	g_ptr_array_free(worker->servers, TRUE);
 	exchange_pool_destroy(worker->exchanges);
 	g_hash_table_destroy(worker->suspects);
@@ -283,7 +283,9 @@
 
 void worker_start(struct worker *worker)
 {
-	worker->thread = g_thread_new("worker", run, worker);
+	worker->started = !pthread_create(&worker->thread, NULL, run, worker);
+	if (!worker->started)
+		log_error("worker", "a thread can't be started");
 }
 
 bool worker_finished(const struct worker *worker)
--- a/src/router/worker.h
+++ b/src/router/worker.h
@@ -6,6 +6,7 @@
 #define ROUTER_WORKER_H
 
 #include <glib.h>
+#include <pthread.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -30,7 +31,8 @@
 	/** Until when connections to an upstream are not reused, by its id. */
 	GHashTable *suspects;
 	int64_t now_us;
-	GThread *thread;
+	pthread_t thread;
+	bool started;
 	int epoll_fd;
 	int64_t tick_us;
 	bool quiesced;
--- a/test/functional/cluster_stub_assigner.c
+++ b/test/functional/cluster_stub_assigner.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <poll.h>
+#include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
 
@@ -23,13 +24,13 @@
 };
 
 struct stub_assigner {
-	GThread *thread;
+	pthread_t thread;
 	struct hub *hub;
 	char address[ADDRESS_TEXT_SIZE];
 	atomic_bool stop;
 	atomic_uint stales, poisons;
 	_Atomic uint64_t loads;
-	GMutex lock;
+	pthread_mutex_t lock;
 	/* All below is guarded by lock. */
 	char *settings;
 	uint64_t settings_version;
@@ -220,13 +221,13 @@
 
 		poll(&fd, 1, TURN_MS);
 		now_us = clock_now_us(clock_system());
-		g_mutex_lock(&stub->lock);
+		pthread_mutex_lock(&stub->lock);
 		hub_run(stub->hub);
 		if (now_us >= beat_us) {
 			beat_us = now_us + BEAT_US;
 			hub_each(stub->hub, send_beat, stub);
 		}
-		g_mutex_unlock(&stub->lock);
+		pthread_mutex_unlock(&stub->lock);
 	}
 	return NULL;
 }
@@ -236,7 +237,7 @@
 	struct stub_assigner *stub = g_new0(struct stub_assigner, 1);
 	struct sockaddr_in addr, bound;
 
-	g_mutex_init(&stub->lock);
+	pthread_mutex_init(&stub->lock, NULL);
 	stub->fresh = true;
 	stub->shares = 100;
 	stub->vms_version = 1;
@@ -245,7 +246,7 @@
 	if (!hub_listen(stub->hub, &addr, &bound, NULL))
 		g_error("the stub assigner can't listen");
 	address_format(&bound, stub->address);
-	stub->thread = g_thread_new("stub", run, stub);
+	pthread_create(&stub->thread, NULL, run, stub);
 	return stub;
 }
 
@@ -254,9 +255,9 @@
 	if (!stub)
 		return;
 	stub->stop = true;
-	g_thread_join(stub->thread);
+	pthread_join(stub->thread, NULL);
 	hub_destroy(stub->hub);
-	g_mutex_clear(&stub->lock);
+	pthread_mutex_destroy(&stub->lock);
 	g_free(stub->settings);
 	g_free(stub);
 }
@@ -269,23 +270,23 @@
 void stub_assigner_settings(struct stub_assigner *stub, uint64_t version,
 			    const char *json)
 {
-	g_mutex_lock(&stub->lock);
+	pthread_mutex_lock(&stub->lock);
 	g_free(stub->settings);
 	stub->settings = g_strdup(json);
 	stub->settings_version = version;
-	g_mutex_unlock(&stub->lock);
+	pthread_mutex_unlock(&stub->lock);
 }
 
 void stub_assigner_vms(struct stub_assigner *stub, const struct stub_vm *vms)
 {
 	size_t i;
 
-	g_mutex_lock(&stub->lock);
+	pthread_mutex_lock(&stub->lock);
 	for (i = 0; i < VMS_MAX && vms[i].id; i++)
 		stub->vms[i] = vms[i];
 	stub->vm_count = i;
 	stub->vms_version++;
-	g_mutex_unlock(&stub->lock);
+	pthread_mutex_unlock(&stub->lock);
 }
 
 void stub_assigner_owner(struct stub_assigner *stub, const char *cell,
@@ -293,28 +294,28 @@
 {
 	size_t i;
 
-	g_mutex_lock(&stub->lock);
+	pthread_mutex_lock(&stub->lock);
 	for (i = 0; i < stub->row_count; i++)
 		if (!strcmp(stub->rows[i].cell, cell))
 			break;
 	if (i == stub->row_count && i < ROWS_MAX - 1)
 		stub->row_count++;
 	stub->rows[i] = (struct row){ cell, epoch, owner };
-	g_mutex_unlock(&stub->lock);
+	pthread_mutex_unlock(&stub->lock);
 }
 
 void stub_assigner_fresh(struct stub_assigner *stub, bool fresh)
 {
-	g_mutex_lock(&stub->lock);
+	pthread_mutex_lock(&stub->lock);
 	stub->fresh = fresh;
-	g_mutex_unlock(&stub->lock);
+	pthread_mutex_unlock(&stub->lock);
 }
 
 void stub_assigner_shares(struct stub_assigner *stub, uint32_t count)
 {
-	g_mutex_lock(&stub->lock);
+	pthread_mutex_lock(&stub->lock);
 	stub->shares = count;
-	g_mutex_unlock(&stub->lock);
+	pthread_mutex_unlock(&stub->lock);
 }
 
 unsigned int stub_assigner_stales(const struct stub_assigner *stub)
--- a/test/functional/cluster_stub_upstream.c
+++ b/test/functional/cluster_stub_upstream.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <pthread.h>
 #include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
@@ -22,15 +23,15 @@
 struct stub_upstream {
 	int fd;
 	char address[ADDRESS_TEXT_SIZE];
-	GThread *thread;
+	pthread_t thread;
 	atomic_bool stop;
 	atomic_uint runs, connections, cut, cancels;
 	_Atomic uint64_t bodies;
-	GMutex lock;
+	pthread_mutex_t lock;
 	struct stub_reply reply;
 	char *head;
-	/* GThread, one for each connection. */
-	GPtrArray *threads;
+	/* pthread_t, one for each connection. */
+	GArray *threads;
 };
 
 struct connection {
@@ -185,9 +186,9 @@
 {
 	struct stub_reply reply;
 
-	g_mutex_lock(&c->stub->lock);
+	pthread_mutex_lock(&c->stub->lock);
 	reply = c->stub->reply;
-	g_mutex_unlock(&c->stub->lock);
+	pthread_mutex_unlock(&c->stub->lock);
 	if (reply.delay_ms && !wait_ms(c, reply.delay_ms))
 		return false;
 	if (reply.bytes && !write_all(c, reply.bytes, strlen(reply.bytes)))
@@ -218,10 +219,10 @@
 		write_all(c, CONTROL_ANSWER, strlen(CONTROL_ANSWER));
 		return false;
 	}
-	g_mutex_lock(&c->stub->lock);
+	pthread_mutex_lock(&c->stub->lock);
 	g_free(c->stub->head);
 	c->stub->head = head;
-	g_mutex_unlock(&c->stub->lock);
+	pthread_mutex_unlock(&c->stub->lock);
 	if (!whole)
 		return false;
 	c->stub->runs++;
@@ -247,6 +248,7 @@
 	while (!stub->stop) {
 		struct pollfd fd = { .fd = stub->fd, .events = POLLIN };
 		struct connection *c;
+		pthread_t thread;
 
 		if (poll(&fd, 1, POLL_MS) != 1)
 			continue;
@@ -255,8 +257,8 @@
 		c->fd = accept(stub->fd, NULL, NULL);
 		c->in = g_string_new(NULL);
 		stub->connections++;
-		g_ptr_array_add(stub->threads,
-				g_thread_new("connection", serve, c));
+		pthread_create(&thread, NULL, serve, c);
+		g_array_append_val(stub->threads, thread);
 	}
 	return NULL;
 }
@@ -267,8 +269,8 @@
 	struct sockaddr_in addr;
 	socklen_t size = sizeof(addr);
 
-	g_mutex_init(&stub->lock);
-	stub->threads = g_ptr_array_new();
+	pthread_mutex_init(&stub->lock, NULL);
+	stub->threads = g_array_new(FALSE, FALSE, sizeof(pthread_t));
 	address_parse(STR("127.0.0.1:0"), &addr);
 	stub->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	if (bind(stub->fd, (struct sockaddr *)&addr, sizeof(addr)) ||
@@ -276,7 +278,7 @@
 	    getsockname(stub->fd, (struct sockaddr *)&addr, &size))
 		g_error("the stub upstream can't listen");
 	address_format(&addr, stub->address);
-	stub->thread = g_thread_new("stub", accept_all, stub);
+	pthread_create(&stub->thread, NULL, accept_all, stub);
 	return stub;
 }
 
@@ -287,12 +289,12 @@
 	if (!stub)
 		return;
 	stub->stop = true;
-	g_thread_join(stub->thread);
+	pthread_join(stub->thread, NULL);
 	for (i = 0; i < stub->threads->len; i++)
-		g_thread_join(g_ptr_array_index(stub->threads, i));
-	g_ptr_array_free(stub->threads, TRUE);
+		pthread_join(g_array_index(stub->threads, pthread_t, i), NULL);
+	g_array_free(stub->threads, TRUE);
 	close(stub->fd);
-	g_mutex_clear(&stub->lock);
+	pthread_mutex_destroy(&stub->lock);
 	g_free(stub->head);
 	g_free(stub);
 }
@@ -305,9 +307,9 @@
 void stub_upstream_reply(struct stub_upstream *stub,
 			 const struct stub_reply *new_reply)
 {
-	g_mutex_lock(&stub->lock);
+	pthread_mutex_lock(&stub->lock);
 	stub->reply = *new_reply;
-	g_mutex_unlock(&stub->lock);
+	pthread_mutex_unlock(&stub->lock);
 }
 
 unsigned int stub_upstream_runs(const struct stub_upstream *stub)
@@ -339,8 +341,8 @@
 {
 	char *head;
 
-	g_mutex_lock(&stub->lock);
+	pthread_mutex_lock(&stub->lock);
 	head = g_strdup(stub->head ? stub->head : "");
-	g_mutex_unlock(&stub->lock);
+	pthread_mutex_unlock(&stub->lock);
 	return head;
 }
--- a/test/functional/test_router_stop.c
+++ b/test/functional/test_router_stop.c
@@ -1,5 +1,7 @@
 /* Slow readers, long transfers and a router's graceful shutdown. */
+#include <pthread.h>
 #include <signal.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/wait.h>
@@ -30,7 +32,8 @@
 	struct rig *rig;
 	struct http_request request;
 	struct http_answer *answer;
-	GThread *thread;
+	pthread_t thread;
+	atomic_bool ended;
 };
 
 static void *transfer_run(void *data)
@@ -38,6 +41,7 @@
 	struct transfer *transfer = data;
 
 	transfer->answer = http_send(&transfer->request);
+	transfer->ended = true;
 	return NULL;
 }
 
@@ -66,13 +70,13 @@
 	int64_t most = before;
 
 	rig_reply(rig, &big_file);
-	transfer.thread = g_thread_new("caller", transfer_run, &transfer);
+	pthread_create(&transfer.thread, NULL, transfer_run, &transfer);
 	CU_ASSERT(process_wait_until(has_run, rig, LIMIT_US));
-	while (!g_atomic_pointer_get(&transfer.answer)) {
+	while (!transfer.ended) {
 		most = MAX(most, process_memory_kib(rig->router));
 		g_usleep(20000);
 	}
-	g_thread_join(transfer.thread);
+	pthread_join(transfer.thread, NULL);
 	CU_ASSERT(transfer.answer->whole);
 	CU_ASSERT_EQUAL(transfer.answer->body_len, FILE_BYTES);
 	CU_ASSERT(most - before < MEMORY_LIMIT_KIB);
@@ -128,7 +132,7 @@
 	int status;
 
 	rig_reply(rig, &big_file);
-	transfer.thread = g_thread_new("caller", transfer_run, &transfer);
+	pthread_create(&transfer.thread, NULL, transfer_run, &transfer);
 	CU_ASSERT(process_wait_until(has_run, rig, LIMIT_US));
 	rig_reply(rig, &quick);
 	process_terminate(rig->router);
@@ -140,7 +144,7 @@
 	http_answer_destroy(answer);
 	CU_ASSERT(process_wait_until(refuses_connections, rig, LIMIT_US));
 	CU_ASSERT(process_running(rig->router));
-	g_thread_join(transfer.thread);
+	pthread_join(transfer.thread, NULL);
 	CU_ASSERT(transfer.answer->whole);
 	CU_ASSERT_EQUAL(transfer.answer->body_len, FILE_BYTES);
 	http_answer_destroy(transfer.answer);
