--- a/src/request/poison.h
+++ b/src/request/poison.h
@@ -9,7 +9,8 @@
  * - A request with a death is a suspect: it, or a neighbour on that upstream,
  *   may be the cause. A suspect runs again only as a trial: one at a time for
  *   each service over the whole fleet (a share of the budget "trial/SERVICE"
- *   with limit 1, upstream/budget.h). So no two suspects are in flight at once,
+ *   with limit 1, upstream/budget.h), and on a fresh connection, which does not
+ *   open to what had died before. So no two suspects are in flight at once,
  *   and what kills an upstream twice had two chances alone among suspects.
  * - A suspect that ran to an answer is cleared. One with two deaths is
  * poisoned: refused everywhere for POISON_KEEP_US.
--- a/src/upstream/pool.c
+++ b/src/upstream/pool.c
@@ -3,10 +3,10 @@
 #include "upstream/pool_internal.h"
 #include "upstream/subset.h"
 
-/* Percent of the requests that may be sent as backup requests, too. */
+/* Time of copies that lose, in percent of the time that answers take. */
 #define BACKUP_PERCENT 5
-#define BACKUP_UNITS 100
-#define BACKUP_UNITS_MAX (10 * BACKUP_UNITS)
+/* Most of it that is saved up. */
+#define BACKUP_LEFT_MAX_US INT64_C(50000)
 #define BACKUP_QUANTILE 95
 /* Answers by which the quantile is known well enough. */
 #define BACKUP_SAMPLES 64
@@ -35,6 +35,7 @@
 	pool->options.router = str_from(pool->router);
 	pool->options.zone = (struct str){ 0 };
 	pool->upstreams = g_ptr_array_new_with_free_func(upstream_free);
+	pool->used = g_ptr_array_new();
 	pool->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	pool->flights = g_ptr_array_new_with_free_func(g_free);
 	pool->routers = g_ptr_array_new_with_free_func(g_free);
@@ -51,6 +52,7 @@
 	g_ptr_array_free(pool->upstreams, TRUE);
 	g_ptr_array_free(pool->routers, TRUE);
 	g_ptr_array_free(pool->candidates, TRUE);
+	g_ptr_array_free(pool->used, TRUE);
 	g_hash_table_destroy(pool->by_id);
 	g_rand_free(pool->rng);
 	g_free(pool->router);
@@ -135,6 +137,16 @@
 	return best;
 }
 
+static void list_used(struct pool *pool)
+{
+	guint i;
+
+	g_ptr_array_set_size(pool->used, 0);
+	for (i = 0; i < pool->upstreams->len; i++)
+		if (pool_at(pool, i)->in_subset)
+			g_ptr_array_add(pool->used, pool_at(pool, i));
+}
+
 static void choose_subset(struct pool *pool)
 {
 	struct str *routers = router_list(pool);
@@ -160,6 +172,7 @@
 		used++;
 	}
 	g_free(routers);
+	list_used(pool);
 }
 
 void pool_update(struct pool *pool, const struct pool_member *members,
@@ -229,8 +242,6 @@
 	g_queue_push_tail_link(&u->waiting, &flight->link);
 	g_ptr_array_add(pool->flights, flight);
 	u->in_flight++;
-	pool->backup_units =
-		MIN(pool->backup_units + BACKUP_PERCENT, BACKUP_UNITS_MAX);
 	return flight;
 }
 
@@ -259,6 +270,9 @@
 	stop_waiting(flight);
 	straggler_answer(&u->times, took_us);
 	quantile_add(&pool->backup, took_us, BACKUP_QUANTILE);
+	pool->backup_left_us =
+		MIN(pool->backup_left_us + took_us * BACKUP_PERCENT / 100,
+		    BACKUP_LEFT_MAX_US);
 }
 
 static void on_failed(struct upstream *u, const struct pool_flight *flight,
@@ -315,6 +329,8 @@
 {
 	struct upstream *u = flight->upstream;
 
+	if (outcome == POOL_CANCELLED)
+		pool->backup_left_us -= now_us - flight->start_us;
 	note_outcome(u, flight, outcome, now_us);
 	stop_waiting(flight);
 	if (flight->shared)
@@ -330,12 +346,9 @@
 	return pool->backup.value_us;
 }
 
-bool pool_backup_take(struct pool *pool)
+bool pool_backup_allowed(const struct pool *pool)
 {
-	if (pool->backup_units < BACKUP_UNITS)
-		return false;
-	pool->backup_units -= BACKUP_UNITS;
-	return true;
+	return pool->backup_left_us > 0;
 }
 
 bool pool_status(const struct pool *pool, size_t index, int64_t now_us,
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -201,11 +201,10 @@
 int64_t pool_backup_delay(const struct pool *pool);
 
 /**
- * Takes room for one backup request: at most 5% of all requests started.
- *
- * @return false when there is none
+ * Tells whether a backup request may be sent: copies that lose may take at most
+ * 5% of the time that answers take. A copy ended with POOL_CANCELLED lost.
  */
-bool pool_backup_take(struct pool *pool);
+bool pool_backup_allowed(const struct pool *pool);
 
 struct pool_upstream_status {
 	struct str id;
--- a/src/upstream/pool_internal.h
+++ b/src/upstream/pool_internal.h
@@ -57,6 +57,8 @@
 	struct pool_options options;
 	char *router;
 	GPtrArray *upstreams;
+	/** Those that this router uses. */
+	GPtrArray *used;
 	GHashTable *by_id;
 	GPtrArray *flights;
 	/** Ids of all routers, owned. */
@@ -68,8 +70,8 @@
 	int64_t revived_us;
 	/** The 95th percentile of answers' times. */
 	struct quantile backup;
-	/** Room for backup requests, in hundredths. */
-	uint32_t backup_units;
+	/** Time that copies which lose may still take. */
+	int64_t backup_left_us;
 	/** Scratch of pool_pick(). */
 	GPtrArray *candidates;
 };
--- a/src/upstream/pool_pick.c
+++ b/src/upstream/pool_pick.c
@@ -59,11 +59,11 @@
 	GArray *expected = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	guint i;
 
-	for (i = 0; i < pool->upstreams->len; i++) {
-		struct upstream *u = pool_at(pool, i);
+	for (i = 0; i < pool->used->len; i++) {
+		struct upstream *u = g_ptr_array_index(pool->used, i);
 		int64_t time = pool_expected(u, now_us);
 
-		if (!pool_takes_work(u) || !u->in_subset)
+		if (!pool_takes_work(u))
 			continue;
 		g_ptr_array_add(all, &u->times);
 		g_array_append_val(expected, time);
@@ -102,10 +102,10 @@
 	guint i;
 
 	g_ptr_array_set_size(pool->candidates, 0);
-	for (i = 0; i < pool->upstreams->len; i++) {
-		struct upstream *u = pool_at(pool, i);
+	for (i = 0; i < pool->used->len; i++) {
+		struct upstream *u = g_ptr_array_index(pool->used, i);
 
-		if (!u->in_subset || was_tried(tried, tried_count, i))
+		if (was_tried(tried, tried_count, u->index))
 			continue;
 		switch (pool_place(pool, u, now_us)) {
 		case POOL_OK:
--- a/src/upstream/pool_share.c
+++ b/src/upstream/pool_share.c
@@ -61,8 +61,8 @@
 	size_t count = 0;
 	guint i;
 
-	for (i = 0; i < pool->upstreams->len && count < max; i++) {
-		struct upstream *u = pool_at(pool, i);
+	for (i = 0; i < pool->used->len && count < max; i++) {
+		struct upstream *u = g_ptr_array_index(pool->used, i);
 		bool returned;
 		uint32_t wants = share_wanted(pool, u, now_us, &returned);
 
@@ -74,7 +74,7 @@
 			budget_share_drop(&u->share, now_us);
 		u->wants = 0;
 		asks[count++] = (struct pool_ask){
-			.upstream = i,
+			.upstream = u->index,
 			.ask = { wants, u->share.in_use, u->share.lost },
 		};
 	}
