--- /dev/null
+++ b/bench/bench_overload.c
@@ -0,0 +1,414 @@
+/*
+ * Overload, retry storms and cold starts, around the real admission, attempts,
+ * retry budget, pool and budget holder; queueing models, no network.
+ *
+ * Prints: name case value unit baseline ratio. Baselines: one queue in order of
+ * arrival for goodput, four blind tries for the storm, round robin without
+ * shares for the cold start.
+ */
+#include <glib.h>
+#include <math.h>
+#include <stdio.h>
+
+#include "request/admission.h"
+#include "request/attempt.h"
+#include "upstream/budget.h"
+#include "upstream/pool.h"
+
+#define MS INT64_C(1000)
+#define SLOTS 3
+#define UPSTREAMS 8
+#define ROUTERS 12
+#define MEAN_US (5.0 * 1000.0)
+
+static void print_line(const char *name, const char *where, double value,
+		       const char *unit, double baseline)
+{
+	printf("%s %s %.3f %s %.3f %.3f\n", name, where, value, unit, baseline,
+	       baseline > 0 ? value / baseline : 0.0);
+}
+
+static double exponential(GRand *rng, double mean)
+{
+	return -mean * log(1.0 - g_rand_double(rng));
+}
+
+/* Overload: one router in front of all slots. */
+
+#define SERVERS (UPSTREAMS * SLOTS)
+#define RUN_US (10000 * MS)
+#define CLASSES 3
+
+struct class
+{
+	const char *name;
+	struct admission_class settings;
+	int64_t deadline_us;
+	/** Part of the offered load. */
+	double part;
+};
+
+static const struct class classes[CLASSES] = {
+	{ "docks", { 0, 4, 200 }, 100 * MS, 0.4 },
+	{ "lots", { 1, 1, 200 }, 100 * MS, 0.4 },
+	{ "sanidad", { 9, 1, 1000 }, 2000 * MS, 0.2 },
+};
+
+struct request {
+	uint32_t class;
+	int64_t arrived_us;
+	int64_t deadline_us;
+	int64_t began_us;
+};
+
+/* The requests that the servers run, by their end. */
+struct station {
+	struct request *running[SERVERS];
+	int64_t ends_us[SERVERS];
+	GRand *rng;
+	uint32_t good[CLASSES];
+};
+
+static bool has_server(void *ctx, void *lane_owner)
+{
+	const struct station *station = ctx;
+	int i;
+
+	(void)lane_owner;
+	for (i = 0; i < SERVERS; i++)
+		if (!station->running[i])
+			return true;
+	return false;
+}
+
+static void serve(struct station *station, struct request *request, int64_t now)
+{
+	int i = 0;
+
+	while (station->running[i])
+		i++;
+	request->began_us = now;
+	station->running[i] = request;
+	station->ends_us[i] =
+		now + MS + (int64_t)exponential(station->rng, 4000.0);
+}
+
+static int next_end(const struct station *station)
+{
+	int best = -1;
+	int i;
+
+	for (i = 0; i < SERVERS; i++)
+		if (station->running[i] &&
+		    (best < 0 || station->ends_us[i] < station->ends_us[best]))
+			best = i;
+	return best;
+}
+
+static struct request *new_request(GRand *rng, int64_t now)
+{
+	struct request *request = g_new0(struct request, 1);
+	double draw = g_rand_double(rng);
+
+	while (request->class < CLASSES - 1 &&
+	       draw >= classes[request->class].part)
+		draw -= classes[request->class ++].part;
+	request->arrived_us = now;
+	request->deadline_us = now + classes[request->class].deadline_us;
+	return request;
+}
+
+static void pump(struct station *station, struct admission *admission,
+		 GQueue *fifo, int64_t now)
+{
+	enum admission_turn turn;
+	void *request;
+	uint32_t lane;
+
+	while (!admission && !g_queue_is_empty(fifo) &&
+	       has_server(station, NULL))
+		serve(station, g_queue_pop_head(fifo), now);
+	while (admission &&
+	       (turn = admission_next(admission, has_server, station, now,
+				      &request, &lane)) != ADMISSION_IDLE) {
+		if (turn == ADMISSION_GO)
+			serve(station, request, now);
+		else
+			g_free(request);
+	}
+}
+
+static void end_one(struct station *station, struct admission *admission, int i)
+{
+	struct request *request = station->running[i];
+	int64_t now = station->ends_us[i];
+
+	station->running[i] = NULL;
+	if (now <= request->deadline_us)
+		station->good[request->class]++;
+	if (admission)
+		admission_done(admission, request->class,
+			       now - request->began_us);
+	g_free(request);
+}
+
+static void offer(struct admission *admission, GQueue *fifo,
+		  struct request *request, int64_t now)
+{
+	enum verdict_reason reason;
+	void *refused = NULL;
+
+	if (!admission)
+		g_queue_push_tail(fifo, request);
+	else
+		admission_offer(admission, request->class, request->deadline_us,
+				request, now, &refused, &reason);
+	g_free(refused);
+}
+
+static void run_overload(double load, bool admit, double *goodput)
+{
+	struct station station = { .rng = g_rand_new_with_seed(2) };
+	GRand *arrivals = g_rand_new_with_seed(1);
+	struct admission *admission = NULL;
+	GQueue fifo = G_QUEUE_INIT;
+	double gap = MEAN_US / (load * SERVERS);
+	int64_t next = 0;
+	int i;
+
+	if (admit)
+		admission = admission_create(SERVERS);
+	for (i = 0; admit && i < CLASSES; i++)
+		admission_add_lane(
+			admission,
+			admission_add_class(admission, &classes[i].settings),
+			NULL);
+	while (next < RUN_US) {
+		int64_t now = next;
+
+		i = next_end(&station);
+		if (i >= 0 && station.ends_us[i] < next) {
+			now = station.ends_us[i];
+			end_one(&station, admission, i);
+		} else {
+			offer(admission, &fifo, new_request(arrivals, now),
+			      now);
+			next += 1 + (int64_t)exponential(arrivals, gap);
+		}
+		pump(&station, admission, &fifo, now);
+	}
+	for (i = 0; i < CLASSES; i++)
+		goodput[i] = station.good[i] * 1e6 / (double)RUN_US;
+	admission_destroy(admission);
+	g_queue_clear_full(&fifo, g_free);
+	for (i = 0; i < SERVERS; i++)
+		g_free(station.running[i]);
+	g_rand_free(station.rng);
+	g_rand_free(arrivals);
+}
+
+static void measure_overload(void)
+{
+	static const double loads[] = { 1.0, 2.0, 4.0 };
+	char where[64];
+	size_t i;
+	int c;
+
+	for (i = 0; i < G_N_ELEMENTS(loads); i++) {
+		double good[CLASSES], base[CLASSES];
+		double sum = 0, base_sum = 0;
+
+		run_overload(loads[i], true, good);
+		run_overload(loads[i], false, base);
+		for (c = 0; c < CLASSES; c++) {
+			g_snprintf(where, sizeof(where), "%.0fx/%s", loads[i],
+				   classes[c].name);
+			print_line("goodput", where, good[c], "1/s", base[c]);
+			sum += good[c];
+			base_sum += base[c];
+		}
+		g_snprintf(where, sizeof(where), "%.0fx/all", loads[i]);
+		print_line("goodput", where, sum, "1/s", base_sum);
+	}
+}
+
+/* Retry storm: a part of the upstreams breaks what is sent to it. */
+
+#define STORM_REQUESTS 20000
+#define BLIND_TRIES 4
+
+struct storm {
+	uint32_t sends, answered;
+};
+
+/* One request, whose copies go to upstreams drawn at random. */
+static void storm_request(struct storm *storm, struct retry_budget *budget,
+			  GRand *rng, uint32_t failing)
+{
+	struct attempt_options options = {
+		.idempotent = true,
+		.deadline_us = 1000 * MS,
+		.budget = budget,
+		.retry_percent = 10,
+	};
+	struct attempt *attempt = attempt_create(&options);
+	struct attempt_action action;
+
+	while ((action = attempt_next(attempt, 0)).kind == ATTEMPT_SEND) {
+		struct attempt_event event = { .kind = ATTEMPT_SENT,
+					       .copy = action.copy };
+
+		storm->sends++;
+		attempt_event(attempt, &event, 0);
+		event.kind = ATTEMPT_RESET_AFTER_SEND;
+		if ((uint32_t)g_rand_int_range(rng, 0, UPSTREAMS) >= failing) {
+			event.kind = ATTEMPT_HEAD;
+			attempt_event(attempt, &event, 0);
+			attempt_next(attempt, 0);
+			event.kind = ATTEMPT_BODY_DONE;
+		}
+		attempt_event(attempt, &event, 0);
+	}
+	storm->answered += action.kind == ATTEMPT_FINISH;
+	attempt_destroy(attempt);
+}
+
+static void blind_request(struct storm *storm, GRand *rng, uint32_t failing)
+{
+	int tries;
+
+	for (tries = 0; tries < BLIND_TRIES; tries++) {
+		storm->sends++;
+		if ((uint32_t)g_rand_int_range(rng, 0, UPSTREAMS) >= failing) {
+			storm->answered++;
+			return;
+		}
+	}
+}
+
+static void measure_storm(uint32_t failing, const char *where)
+{
+	struct retry_budget *budget = retry_budget_create();
+	GRand *rng = g_rand_new_with_seed(3);
+	struct storm storm = { 0 };
+	struct storm blind = { 0 };
+	int i;
+
+	for (i = 0; i < STORM_REQUESTS; i++) {
+		storm_request(&storm, budget, rng, failing);
+		blind_request(&blind, rng, failing);
+	}
+	print_line("storm-sends", where, (double)storm.sends / STORM_REQUESTS,
+		   "per-request", (double)blind.sends / STORM_REQUESTS);
+	print_line("storm-answered", where,
+		   100.0 * storm.answered / STORM_REQUESTS, "%",
+		   100.0 * blind.answered / STORM_REQUESTS);
+	retry_budget_destroy(budget);
+	g_rand_free(rng);
+}
+
+/* Cold start: one upstream of a service restarts; all routers send. */
+
+#define COLD_LIMIT 2
+#define COLD_US (2000 * MS)
+#define STEP_US INT64_C(100)
+
+struct flight {
+	struct pool *pool;
+	struct pool_flight *flight;
+	int64_t ends_us;
+};
+
+/* The most that the cold upstream had at once; tries of all routers in turn. */
+static uint32_t run_cold(bool shares, uint32_t *served)
+{
+	struct budget_holder *holder =
+		budget_holder_create(-2 * BUDGET_SHARE_US);
+	struct pool_member member = { STR("u"), STR("z"), true };
+	GArray *flights = g_array_new(FALSE, TRUE, sizeof(struct flight));
+	GRand *rng = g_rand_new_with_seed(4);
+	struct pool *pools[ROUTERS];
+	char name[ROUTERS][4];
+	uint32_t most = 0;
+	int64_t now;
+	guint i;
+
+	*served = 0;
+	for (i = 0; i < ROUTERS; i++) {
+		struct pool_options options = { .slots = SLOTS, .seed = i };
+
+		g_snprintf(name[i], sizeof(name[i]), "%u", i);
+		pools[i] = pool_create(&options);
+		pool_update(pools[i], &member, 1);
+	}
+	for (now = 1; now < COLD_US; now += STEP_US) {
+		i = (guint)(now / STEP_US) % ROUTERS;
+		if (!shares || pool_check(pools[i], 0, now) == POOL_OK) {
+			struct flight f = { .pool = pools[i] };
+
+			f.ends_us = now + MS + (int64_t)exponential(rng, 4000);
+			if (shares)
+				f.flight = pool_start(pools[i], 0, now);
+			g_array_append_val(flights, f);
+			*served += 1;
+		}
+		most = MAX(most, flights->len);
+		for (i = 0; i < flights->len;) {
+			struct flight *f =
+				&g_array_index(flights, struct flight, i);
+
+			if (f->ends_us > now) {
+				i++;
+				continue;
+			}
+			if (shares)
+				pool_finish(f->pool, f->flight, POOL_ANSWERED,
+					    now);
+			g_array_remove_index_fast(flights, i);
+		}
+		for (i = 0; i < ROUTERS && shares; i++) {
+			struct budget_reading reading = { STR("b"), COLD_LIMIT,
+							  flights->len, now };
+			struct budget_grant grant;
+			struct pool_ask ask;
+
+			if (!pool_shares_to_ask(pools[i], now, &ask, 1))
+				continue;
+			if (budget_holder_stale(holder, now))
+				budget_holder_read(holder, &reading, now);
+			grant = budget_holder_ask(holder, str_from(name[i]),
+						  &ask.ask, now);
+			pool_take_share(pools[i], 0, grant.boot, now,
+					grant.count, grant.duration_us);
+		}
+	}
+	for (i = 0; i < ROUTERS; i++)
+		pool_destroy(pools[i]);
+	budget_holder_destroy(holder);
+	g_array_free(flights, TRUE);
+	g_rand_free(rng);
+	return most;
+}
+
+static void measure_cold_start(void)
+{
+	uint32_t served, base_served;
+	uint32_t most = run_cold(true, &served);
+	uint32_t base = run_cold(false, &base_served);
+
+	print_line("cold-overshoot", "12-routers/limit-2",
+		   (double)MAX(most, COLD_LIMIT) - COLD_LIMIT, "requests",
+		   (double)base - COLD_LIMIT);
+	print_line("cold-served", "12-routers/limit-2",
+		   served * 1e6 / (double)COLD_US, "1/s",
+		   COLD_LIMIT * 1e6 / MEAN_US);
+}
+
+int main(void)
+{
+	measure_overload();
+	measure_storm(UPSTREAMS / 2, "half-failing");
+	measure_storm(UPSTREAMS, "all-failing");
+	measure_cold_start();
+	return 0;
+}
