--- a/src/upstream/budget.c
+++ b/src/upstream/budget.c
@@ -10,6 +10,10 @@
 	char *router;
 	uint32_t count;
 	int64_t ends_us;
+	/** By the router's clock. */
+	int64_t asked_us;
+	/** It was given back: kept to know late requests by. */
+	bool returned;
 };
 
 struct budget_holder {
@@ -172,6 +176,8 @@
 	guint i, j;
 
 	for (i = 0; i < holder->given->len; i++) {
+		if (given_at(holder, i)->returned)
+			continue;
 		for (j = 0; j < i; j++)
 			if (!strcmp(given_at(holder, j)->router,
 				    given_at(holder, i)->router))
@@ -206,13 +212,47 @@
 }
 
 static void note_given(struct budget_holder *holder, const char *router,
-		       uint32_t count, int64_t ends_us)
+		       uint32_t count, const struct budget_ask *ask,
+		       int64_t ends_us)
 {
-	struct given given = { g_strdup(router), count, ends_us };
+	struct given given = {
+		.router = g_strdup(router),
+		.count = count,
+		.ends_us = ends_us,
+		.asked_us = ask->asked_us,
+		.returned = !ask->wanted && !ask->in_use,
+	};
 
 	g_array_append_val(holder->given, given);
 }
 
+static bool is_overtaken(struct budget_holder *holder, const char *router,
+			 int64_t asked_us)
+{
+	guint i;
+
+	for (i = 0; i < holder->given->len; i++) {
+		const struct given *g = given_at(holder, i);
+
+		if (!strcmp(g->router, router) && asked_us <= g->asked_us)
+			return true;
+	}
+	return false;
+}
+
+static uint32_t give(struct budget_holder *holder, const char *router,
+		     const struct budget_ask *ask, int64_t left, int64_t now_us)
+{
+	uint32_t room = room_for(holder, router, now_us);
+
+	if (is_ready(holder))
+		return room;
+	room = MIN(fair_room(holder, router, room), ask->wanted + ask->in_use);
+	room = MAX(room, ask->in_use);
+	note_given(holder, router, room, ask, now_us + left + BUDGET_MARGIN_US);
+	return room;
+}
+
 struct budget_grant budget_holder_ask(struct budget_holder *holder,
 				      struct str router,
 				      const struct budget_ask *ask,
@@ -221,26 +261,20 @@
 	struct budget_grant grant = { .boot = str_from(holder->boot) };
 	int64_t left = holder->read_us + BUDGET_SHARE_US - now_us;
 	char *id = str_dup(router);
-	uint32_t room;
 
 	expire(holder, now_us);
 	if (ask->lost)
 		holder->lapsed_us =
 			MAX(holder->lapsed_us, now_us + BUDGET_MARGIN_US);
-	if (!ask->wanted && !ask->in_use) {
+	if (is_overtaken(holder, id, ask->asked_us)) {
+		grant.duration_us = 0;
+	} else if (!ask->wanted && !ask->in_use) {
 		remove_router(holder, id);
+		note_given(holder, id, 0, ask,
+			   now_us + BUDGET_SHARE_US + BUDGET_MARGIN_US);
 	} else if (left > 0 && holder->limit) {
 		grant.duration_us = left;
-		room = room_for(holder, id, now_us);
-		if (is_ready(holder)) {
-			grant.count = room;
-		} else {
-			room = MIN(fair_room(holder, id, room),
-				   ask->wanted + ask->in_use);
-			grant.count = MAX(room, ask->in_use);
-			note_given(holder, id, grant.count,
-				   now_us + left + BUDGET_MARGIN_US);
-		}
+		grant.count = give(holder, id, ask, left, now_us);
 	}
 	g_free(id);
 	return grant;
--- a/src/upstream/budget.h
+++ b/src/upstream/budget.h
@@ -84,7 +84,7 @@
 void budget_holder_read(struct budget_holder *holder,
 			const struct budget_reading *reading, int64_t now_us);
 
-/** What a router asks for. All zero: it returns its share. */
+/** What a router asks for. Nothing wanted or in use: it returns its share. */
 struct budget_ask {
 	/** Requests that it would like to send beside those that run. */
 	uint32_t wanted;
@@ -92,12 +92,16 @@
 	uint32_t in_use;
 	/** It gave a request up since its last ask that was answered. */
 	bool lost;
+	/** When it asked, by its own clock. */
+	int64_t asked_us;
 };
 
 /**
- * Answers a router's ShareRequest. The router's earlier share is replaced.
+ * Answers a router's ShareRequest. The router's earlier share is replaced. One
+ * that was asked before the last answered is not: requests change order while
+ * the holder reads the upstream for some of them.
  *
- * @param router id of the router
+ * @param router names the router's incarnation, as its clock begins anew
  * @param now_us when the request was received
  * @return the share; count 0 when nothing can be given
  */
