--- a/bench/bench_settings.c
+++ b/bench/bench_settings.c
@@ -16,7 +16,6 @@
 #define JOIN_US INT64_C(60000000)
 #define STEADY_US INT64_C(20000000)
 #define PUBLISHES 10
-#define MEDIAN (PUBLISHES / 2)
 #define PUBLISH_LIMIT_US INT64_C(30000000)
 
 static const char declared[] = "[deployment]\nname = d\n"
@@ -85,6 +84,7 @@
 static void measure_publish(struct fleet *f, unsigned int size)
 {
 	int64_t delays[PUBLISHES];
+	size_t middle = PUBLISHES / 2;
 	unsigned int n;
 
 	for (n = 0; n < PUBLISHES; n++) {
@@ -92,7 +92,7 @@
 		run_for(f, 2000000);
 	}
 	qsort(delays, PUBLISHES, sizeof(delays[0]), compare);
-	line("publish_in_force_median", size, (double)delays[MEDIAN] / 1000,
+	line("publish_in_force_median", size, (double)delays[middle] / 1000,
 	     "ms");
 	line("publish_in_force_max", size, (double)delays[PUBLISHES - 1] / 1000,
 	     "ms");
