--- a/src/router/dispatch.c
+++ b/src/router/dispatch.c
@@ -188,7 +188,7 @@
 	now_us = now_of(dispatch);
 	found = pool_pick(service->pool, ticket->tried, ticket->tried_count,
 			  now_us, &upstream) == POOL_OK &&
-		pool_backup_take(service->pool);
+		pool_backup_allowed(service->pool);
 	if (found) {
 		ticket->lane = NULL;
 		start_flight(service, ticket, upstream, now_us);
