--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -1,11 +1,11 @@
 #include "http/exchange.h"
 
+#include <arpa/inet.h>
 #include <string.h>
 
 #include "base/address.h"
 #include "http/exchange_internal.h"
 
-#define URL_SIZE 64
 #define STATUS_OFFSET 9
 #define STATUS_DIGITS 3
 #define STATUS_FINAL 200
@@ -13,23 +13,44 @@
 #define STATUS_NOT_MODIFIED 304
 /* libcurl keeps a chunk of this size while an answer is paused. */
 #define RECEIVE_BYTES (64L << 10)
+/* Connections proved for one request at most. */
+#define PROBES_MAX 3
+#define BOOT_HEADER STR("auburn-boot")
 
 static void note_progress(struct exchange *exchange)
 {
 	exchange->progress_us = clock_now_us(exchange->pool->clock);
 }
 
+static void set_end(struct sockaddr_in *end, const char *ip, int port)
+{
+	memset(end, 0, sizeof(*end));
+	end->sin_family = AF_INET;
+	end->sin_port = htons((uint16_t)port);
+	inet_pton(AF_INET, ip, &end->sin_addr);
+}
+
+/* Called when a connection is there, before a byte of the request is sent. */
 static int on_sending(void *ctx, char *address, char *local, int port,
 		      int local_port)
 {
 	struct exchange *exchange = ctx;
+	struct connection_ends ends;
 
-	(void)address;
-	(void)local;
-	(void)port;
-	(void)local_port;
-	exchange->sent = true;
 	note_progress(exchange);
+	if (exchange->probing)
+		return CURL_PREREQFUNC_OK;
+	/* libcurl would send it a second time. */
+	if (exchange->sent)
+		return CURL_PREREQFUNC_ABORT;
+	set_end(&ends.local, local, local_port);
+	set_end(&ends.remote, address, port);
+	if (*exchange->boot && !proofs_hold(exchange->pool->proofs, &ends,
+					    str_from(exchange->boot))) {
+		exchange->unproved = true;
+		return CURL_PREREQFUNC_ABORT;
+	}
+	exchange->sent = true;
 	return CURL_PREREQFUNC_OK;
 }
 
@@ -85,7 +106,8 @@
 	if (!head_is_usable(exchange))
 		exchange->unusable = true;
 	exchange->head_done = true;
-	exchange->pool->ops->progressed(exchange->pool->ctx, exchange);
+	if (!exchange->probing)
+		exchange->pool->ops->progressed(exchange->pool->ctx, exchange);
 }
 
 static unsigned int parse_status(struct str line)
@@ -136,7 +158,7 @@
 	struct str bytes = { data, size * count };
 
 	note_progress(exchange);
-	if (exchange->discarding)
+	if (exchange->discarding || exchange->probing)
 		return bytes.len;
 	if (body_room(exchange->body) < bytes.len) {
 		exchange->body_paused = true;
@@ -176,6 +198,16 @@
 	}
 }
 
+static void add_host(struct exchange *exchange)
+{
+	char address[ADDRESS_TEXT_SIZE];
+	char *line = g_strconcat(
+		"Host: ", address_format(&exchange->address, address), NULL);
+
+	exchange->lines = curl_slist_append(exchange->lines, line);
+	g_free(line);
+}
+
 static void set_lines(struct exchange *exchange,
 		      const struct exchange_request *request)
 {
@@ -184,7 +216,8 @@
 	exchange->lines = curl_slist_append(exchange->lines, "Expect:");
 	if (!headers_find(request->headers, STR("accept")))
 		exchange->lines = curl_slist_append(exchange->lines, "Accept:");
-	curl_easy_setopt(exchange->easy, CURLOPT_HTTPHEADER, exchange->lines);
+	if (!headers_find(request->headers, STR("host")))
+		add_host(exchange);
 }
 
 static bool wants_length(const char *method)
@@ -193,18 +226,17 @@
 	       !strcmp(method, "PATCH");
 }
 
-static void set_method(struct exchange *exchange,
-		       const struct exchange_request *request)
+static void set_method(struct exchange *exchange)
 {
 	CURL *easy = exchange->easy;
-	bool upload = request->upload_length || wants_length(exchange->method);
+	bool upload = exchange->upload_length || wants_length(exchange->method);
 
 	/* The order matters: each of these resets the others. */
 	curl_easy_setopt(easy, CURLOPT_NOBODY, 0L);
 	curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
 	curl_easy_setopt(easy, CURLOPT_UPLOAD, upload ? 1L : 0L);
 	curl_easy_setopt(easy, CURLOPT_INFILESIZE_LARGE,
-			 (curl_off_t)request->upload_length);
+			 (curl_off_t)exchange->upload_length);
 	if (!upload && !strcmp(exchange->method, "HEAD"))
 		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
 	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, exchange->method);
@@ -228,20 +260,72 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, exchange);
 }
 
-static void set_place(struct exchange *exchange,
-		      const struct exchange_request *request)
+/*
+ * A connection of its own gets a host name of its own, for libcurl reuses
+ * connections by host name.
+ */
+static void set_place(struct exchange *exchange)
 {
+	struct exchange_pool *pool = exchange->pool;
 	char address[ADDRESS_TEXT_SIZE];
-	char url[URL_SIZE];
+	char url[EXCHANGE_URL_SIZE];
+	char place[EXCHANGE_URL_SIZE];
+
+	address_format(&exchange->address, address);
+	g_snprintf(url, sizeof(url), "http://%s/", address);
+	if (exchange->fresh) {
+		g_snprintf(url, sizeof(url),
+			   "http://fresh-%" G_GUINT64_FORMAT ".invalid/",
+			   ++pool->fresh_count);
+		g_snprintf(place, sizeof(place), "::%s", address);
+		exchange->connect_to = curl_slist_append(NULL, place);
+	}
+	curl_easy_setopt(exchange->easy, CURLOPT_URL, url);
+	curl_easy_setopt(exchange->easy, CURLOPT_CONNECT_TO,
+			 exchange->connect_to);
+}
+
+static void start_request(struct exchange *exchange)
+{
 	CURL *easy = exchange->easy;
-	long fresh = request->fresh ? 1 : 0;
+	/* A request without a probe opens its own connection. */
+	bool opens = exchange->fresh && !*exchange->boot;
 
-	g_snprintf(url, sizeof(url), "http://%s/",
-		   address_format(&request->address, address));
-	curl_easy_setopt(easy, CURLOPT_URL, url);
+	exchange->probing = false;
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, exchange->lines);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, 0L);
 	curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, exchange->target);
-	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh);
-	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, fresh);
+	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, (long)opens);
+	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, (long)exchange->fresh);
+	set_method(exchange);
+	curl_multi_add_handle(exchange->pool->multi, easy);
+}
+
+/* Asks who answers on a new connection; it stays open for the request. */
+static void start_probe(struct exchange *exchange)
+{
+	CURL *easy = exchange->easy;
+
+	exchange->probing = true;
+	exchange->probes++;
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, NULL);
+	curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, "/");
+	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 0L);
+	curl_easy_setopt(easy, CURLOPT_UPLOAD, 0L);
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, NULL);
+	curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+			 (long)(exchange->pool->connect_us / US_PER_MS));
+	curl_multi_add_handle(exchange->pool->multi, easy);
+}
+
+static bool needs_probe(const struct exchange *exchange)
+{
+	return *exchange->boot &&
+	       (exchange->fresh ||
+		!proofs_any(exchange->pool->proofs, &exchange->address,
+			    str_from(exchange->boot)));
 }
 
 struct exchange *exchange_start(struct exchange_pool *pool,
@@ -255,15 +339,21 @@
 	exchange->easy = exchange_pool_take(pool);
 	exchange->method = str_dup(request->method);
 	exchange->target = str_dup(request->target);
+	exchange->boot = str_dup(request->boot);
+	exchange->address = request->address;
+	exchange->upload_length = request->upload_length;
+	exchange->fresh = request->fresh;
 	exchange->headers = headers_create();
 	exchange->upload = body_ref(request->upload);
 	exchange->body = body_create(EXCHANGE_BODY_BYTES, 0);
 	set_callbacks(exchange);
-	set_place(exchange, request);
-	set_method(exchange, request);
+	set_place(exchange);
 	set_lines(exchange, request);
 	note_progress(exchange);
-	curl_multi_add_handle(pool->multi, exchange->easy);
+	if (needs_probe(exchange))
+		start_probe(exchange);
+	else
+		start_request(exchange);
 	return exchange;
 }
 
@@ -273,29 +363,87 @@
 		return;
 	curl_multi_remove_handle(exchange->pool->multi, exchange->easy);
 	curl_easy_setopt(exchange->easy, CURLOPT_HTTPHEADER, NULL);
+	curl_easy_setopt(exchange->easy, CURLOPT_CONNECT_TO, NULL);
 	exchange_pool_put(exchange->pool, exchange->easy);
 	curl_slist_free_all(exchange->lines);
+	curl_slist_free_all(exchange->connect_to);
 	headers_destroy(exchange->headers);
 	body_unref(exchange->upload);
 	body_unref(exchange->body);
 	g_free(exchange->method);
 	g_free(exchange->target);
+	g_free(exchange->boot);
 	g_free(exchange);
 }
 
+static void end_with(struct exchange *exchange, enum exchange_end end)
+{
+	exchange->end = end;
+	exchange->pool->ops->ended(exchange->pool->ctx, exchange);
+}
+
+static void note_proof(struct exchange *exchange, struct str boot)
+{
+	curl_socket_t fd = CURL_SOCKET_BAD;
+
+	curl_easy_getinfo(exchange->easy, CURLINFO_ACTIVESOCKET, &fd);
+	if (fd != CURL_SOCKET_BAD)
+		proofs_add(exchange->pool->proofs, fd, boot);
+}
+
+static void finish_probe(struct exchange *exchange, CURLcode code)
+{
+	const struct header *field =
+		headers_find(exchange->headers, BOOT_HEADER);
+	struct str boot = field ? field->value : STR("");
+
+	if (code != CURLE_OK || !exchange->head_done) {
+		end_with(exchange, EXCHANGE_NOT_CONNECTED);
+		return;
+	}
+	note_proof(exchange, boot);
+	if (!str_equal(boot, str_from(exchange->boot))) {
+		end_with(exchange, EXCHANGE_OTHER_BOOT);
+		return;
+	}
+	headers_clear(exchange->headers);
+	exchange->status = 0;
+	exchange->length = 0;
+	exchange->head_done = false;
+	curl_multi_remove_handle(exchange->pool->multi, exchange->easy);
+	start_request(exchange);
+}
+
+static enum exchange_end end_of_request(const struct exchange *exchange,
+					CURLcode code)
+{
+	if (code == CURLE_OK && exchange->head_done)
+		return EXCHANGE_COMPLETE;
+	if (!exchange->sent)
+		return EXCHANGE_NOT_CONNECTED;
+	if (exchange->status >= STATUS_FINAL)
+		return EXCHANGE_TRUNCATED;
+	return EXCHANGE_RESET;
+}
+
 void exchange_finish(struct exchange *exchange, CURLcode code)
 {
-	if (code == CURLE_OK && exchange->head_done) {
-		exchange->end = EXCHANGE_COMPLETE;
-		body_end(exchange->body);
-	} else if (!exchange->sent) {
-		exchange->end = EXCHANGE_NOT_CONNECTED;
-	} else if (exchange->status >= STATUS_FINAL) {
-		exchange->end = EXCHANGE_TRUNCATED;
-	} else {
-		exchange->end = EXCHANGE_RESET;
+	enum exchange_end end;
+
+	if (exchange->probing) {
+		finish_probe(exchange, code);
+		return;
 	}
-	exchange->pool->ops->ended(exchange->pool->ctx, exchange);
+	if (exchange->unproved && exchange->probes < PROBES_MAX) {
+		exchange->unproved = false;
+		curl_multi_remove_handle(exchange->pool->multi, exchange->easy);
+		start_probe(exchange);
+		return;
+	}
+	end = end_of_request(exchange, code);
+	if (end == EXCHANGE_COMPLETE)
+		body_end(exchange->body);
+	end_with(exchange, end);
 }
 
 void *exchange_data(const struct exchange *exchange)
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -2,6 +2,9 @@
  * Upstreams' side: one request to one upstream over libcurl. One thread owns a
  * pool and the exchanges in it.
  *
+ * A request is sent once: when libcurl would send it again by itself, since a
+ * reused connection turned out to be dead, the exchange ends instead.
+ *
  * Operations are called from within libcurl. They only note that an exchange
  * wants attention; the owner acts on it after exchange_pool_run().
  */
@@ -51,11 +54,14 @@
 	/** Bytes of the upload, or HEADERS_LENGTH_CHUNKED; 0 for none. */
 	int64_t upload_length;
 	struct body *upload;
+	/** A connection opened for it. */
+	bool fresh;
 	/**
-	 * A connection of its own. libcurl sends a request again by itself when
-	 * a reused connection turns out to be dead.
+	 * The incarnation that it is for. It is sent only over a connection
+	 * over which that one answered before; a probe ("HEAD /") sees to that.
+	 * Empty: any.
 	 */
-	bool fresh;
+	struct str boot;
 };
 
 enum exchange_end {
@@ -64,6 +70,8 @@
 	EXCHANGE_COMPLETE,
 	/** No connection: not a byte was sent. */
 	EXCHANGE_NOT_CONNECTED,
+	/** Not sent: another incarnation answers there. */
+	EXCHANGE_OTHER_BOOT,
 	/** The connection broke when the request may have been sent. */
 	EXCHANGE_RESET,
 	/** The answer ended before its promised end, or has no stated end. */
--- a/src/http/exchange_internal.h
+++ b/src/http/exchange_internal.h
@@ -8,6 +8,10 @@
 #include <glib.h>
 
 #include "http/exchange.h"
+#include "http/proof.h"
+
+/** Room for a URL by IP number. */
+#define EXCHANGE_URL_SIZE 64
 
 struct exchange_pool {
 	CURLM *multi;
@@ -21,6 +25,10 @@
 	GPtrArray *idle;
 	int64_t connect_us;
 	long idle_s;
+	/** Which connections reach which incarnation. */
+	struct proofs *proofs;
+	/** Counts connections opened for one request. */
+	uint64_t fresh_count;
 };
 
 struct exchange {
@@ -28,8 +36,12 @@
 	CURL *easy;
 	struct curl_slist *lines;
 	void *data;
+	struct curl_slist *connect_to;
 	char *method;
 	char *target;
+	char *boot;
+	struct sockaddr_in address;
+	int64_t upload_length;
 	struct headers *headers;
 	struct body *upload;
 	struct body *body;
@@ -42,6 +54,12 @@
 	bool body_paused;
 	bool upload_paused;
 	bool discarding;
+	bool fresh;
+	/** What runs now is the probe of a connection. */
+	bool probing;
+	/** The connection at hand was not proved. */
+	bool unproved;
+	unsigned int probes;
 	/** The answer can't be passed on. */
 	bool unusable;
 };
--- a/src/http/exchange_pool.c
+++ b/src/http/exchange_pool.c
@@ -56,6 +56,14 @@
 	return CURL_SOCKOPT_OK;
 }
 
+static int on_close(void *ctx, curl_socket_t fd)
+{
+	struct exchange_pool *pool = ctx;
+
+	proofs_remove(pool->proofs, fd);
+	return close(fd);
+}
+
 struct exchange_pool *
 exchange_pool_create(const struct exchange_pool_options *options,
 		     const struct clock *clock, const struct exchange_ops *ops,
@@ -70,6 +78,7 @@
 	pool->idle_s = options->idle_s;
 	pool->due_us = -1;
 	pool->idle = g_ptr_array_new();
+	pool->proofs = proofs_create();
 	pool->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
 	pool->multi = curl_multi_init();
 	curl_multi_setopt(pool->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
@@ -95,6 +104,7 @@
 		curl_easy_cleanup(g_ptr_array_index(pool->idle, i));
 	g_ptr_array_free(pool->idle, TRUE);
 	curl_multi_cleanup(pool->multi);
+	proofs_destroy(pool->proofs);
 	close(pool->epoll_fd);
 	g_free(pool);
 }
@@ -181,6 +191,8 @@
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)(pool->connect_us / US_PER_MS));
 	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_open);
+	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, on_close);
+	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, pool);
 	return easy;
 }
 
--- a/src/router/request_copy.c
+++ b/src/router/request_copy.c
@@ -241,6 +241,7 @@
 		.upload = request->upload,
 		.fresh = !request->profile.idempotent ||
 			 worker_suspects(worker, copy->ticket.upstream),
+		.boot = pool_flight_boot(copy->ticket.flight),
 	};
 
 	copy->control = vm->control;
@@ -254,6 +255,16 @@
 	headers_destroy((struct headers *)exchange.own);
 }
 
+/* Looks for a place again: nothing was sent. */
+static void seek_place(struct copy *copy)
+{
+	copy->epoch = 0;
+	if (copy->request->keyed)
+		seek_owner(copy);
+	else
+		offer(copy, "");
+}
+
 static void give_back(struct copy *copy)
 {
 	dispatch_finish(dispatch_of(copy->request), &copy->ticket,
@@ -283,11 +294,7 @@
 		return;
 	}
 	give_back(copy);
-	copy->epoch = 0;
-	if (request->keyed)
-		seek_owner(copy);
-	else
-		offer(copy, "");
+	seek_place(copy);
 }
 
 static void on_ticket(struct message *message)
@@ -402,6 +409,10 @@
 		end_copy(copy, POOL_FAILED, POISON_OPEN);
 		copy_event(copy, ATTEMPT_CONNECT_FAILED, REASON_NONE);
 		break;
+	case EXCHANGE_OTHER_BOOT:
+		end_copy(copy, POOL_OTHER_BOOT, POISON_OPEN);
+		seek_place(copy);
+		break;
 	case EXCHANGE_RESET:
 		end_copy(copy, POOL_FAILED, POISON_BROKEN);
 		copy_event(copy, ATTEMPT_RESET_AFTER_SEND, REASON_NONE);
--- a/src/upstream/pool.c
+++ b/src/upstream/pool.c
@@ -1,3 +1,4 @@
+#include "base/planted.h"
 #include "upstream/pool.h"
 
 #include "upstream/pool_internal.h"
@@ -26,6 +27,14 @@
 	g_free(u);
 }
 
+static void flight_free(void *data)
+{
+	struct pool_flight *flight = data;
+
+	g_free(flight->boot);
+	g_free(flight);
+}
+
 struct pool *pool_create(const struct pool_options *options)
 {
 	struct pool *pool = g_new0(struct pool, 1);
@@ -37,7 +46,7 @@
 	pool->upstreams = g_ptr_array_new_with_free_func(upstream_free);
 	pool->used = g_ptr_array_new();
 	pool->by_id = g_hash_table_new(g_str_hash, g_str_equal);
-	pool->flights = g_ptr_array_new_with_free_func(g_free);
+	pool->flights = g_ptr_array_new_with_free_func(flight_free);
 	pool->routers = g_ptr_array_new_with_free_func(g_free);
 	pool->rng = g_rand_new_with_seed(options->seed);
 	pool->candidates = g_ptr_array_new();
@@ -235,9 +244,10 @@
 	flight->upstream = u;
 	flight->start_us = now_us;
 	flight->generation = u->generation;
+	flight->boot = g_strdup(u->boot);
 	flight->waits = true;
 	flight->link.data = flight;
-	if (!pool_is_ready(u, now_us))
+	if (!pool_is_ready(u))
 		flight->shared = budget_share_use(&u->share, now_us);
 	g_queue_push_tail_link(&u->waiting, &flight->link);
 	g_ptr_array_add(pool->flights, flight);
@@ -245,6 +255,14 @@
 	return flight;
 }
 
+struct str pool_flight_boot(const struct pool_flight *flight)
+{
+	/* Without a name, any incarnation will do. */
+	if (planted(PLANTED_INCARNATION_WARM))
+		return STR("");
+	return str_from(flight->boot);
+}
+
 uint32_t pool_flight_upstream(const struct pool_flight *flight)
 {
 	return flight->upstream->index;
@@ -279,7 +297,7 @@
 		      int64_t now_us)
 {
 	if (flight->generation == u->generation)
-		pool_forget_proof(u, now_us);
+		pool_forget_ready(u, now_us);
 	u->rest_wait_us =
 		CLAMP(2 * u->rest_wait_us, FAIL_REST_US, FAIL_REST_MAX_US);
 	u->rest_us = now_us + u->rest_wait_us;
@@ -296,12 +314,15 @@
 		u->rest_us = now_us + SHED_REST_US;
 		break;
 	case POOL_COLD:
-		u->ready = false;
-		pool_forget_proof(u, now_us);
+		pool_forget_ready(u, now_us);
 		break;
 	case POOL_LEAVING:
 		u->left = true;
 		break;
+	case POOL_OTHER_BOOT:
+		if (flight->generation == u->generation)
+			pool_forget_ready(u, now_us);
+		break;
 	case POOL_FAILED:
 		on_failed(u, flight, now_us);
 		break;
@@ -363,7 +384,7 @@
 		.id = str_from(u->id),
 		.in_flight = u->in_flight,
 		.available = pool_takes_work(u),
-		.cold = !pool_is_ready(u, now_us),
+		.cold = !pool_is_ready(u),
 		.slow = u->times.slow,
 		.expected_us = pool_expected(u, now_us),
 	};
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -10,10 +10,10 @@
  *   probe at a time only, until an answer is fast again; at most a third of the
  *   available upstreams, the slowest (upstream/straggler.h).
  * - An upstream that isn't known to be ready counts as cold: requests go to it
- *   only under a share of its fleet-wide budget (upstream/budget.h). It is
- *   ready while this router has proof of its incarnation begun within
- *   POOL_PROOF_US, that is, an answer that carried the known boot. An upstream
- *   needs longer than that to restart. A failed connection ends the proof.
+ *   only under a share of its fleet-wide budget (upstream/budget.h). Readiness
+ *   holds for one incarnation: a request must go over a connection that is
+ *   known to reach that one, see pool_flight_boot(). A failed connection ends
+ *   it until the holder of the budget says anew that it is ready.
  * - One that leaves, or is out of service, gets nothing new; what runs ends.
  *
  * Not thread-safe: one lock for each pool, held for single calls.
@@ -32,8 +32,6 @@
 #define POOL_NONE UINT32_MAX
 /** Upstreams that one request can have tried before. */
 #define POOL_TRIED_MAX 8
-/** Proof of an incarnation lasts this long from the request's start. */
-#define POOL_PROOF_US INT64_C(200000)
 struct pool_options {
 	/** Availability zone of this router. */
 	struct str zone;
@@ -82,6 +80,8 @@
 	POOL_STALLED,
 	/** This side gave up: says nothing about the upstream. */
 	POOL_CANCELLED,
+	/** Not sent: its connection reaches another incarnation. */
+	POOL_OTHER_BOOT,
 };
 
 /** A request in flight; owned by the pool, freed by pool_finish(). */
@@ -145,6 +145,13 @@
 struct pool_flight *pool_start(struct pool *pool, uint32_t upstream,
 			       int64_t now_us);
 
+/**
+ * The incarnation that the request is for; borrowed from the flight. A
+ * connection that reaches another one must not carry it: end the flight with
+ * POOL_OTHER_BOOT.
+ */
+struct str pool_flight_boot(const struct pool_flight *flight);
+
 /** The upstream of a flight. */
 uint32_t pool_flight_upstream(const struct pool_flight *flight);
 
--- a/src/upstream/pool_internal.h
+++ b/src/upstream/pool_internal.h
@@ -32,8 +32,6 @@
 	struct straggler times;
 	/** This incarnation was said to be ready. */
 	bool ready;
-	/** Until when that is proved. */
-	int64_t proof_us;
 	struct budget_share share;
 	/** Requests that lacked a share since the last ask. */
 	uint32_t wants;
@@ -47,6 +45,8 @@
 	GList link;
 	struct upstream *upstream;
 	int64_t start_us;
+	/** The incarnation that it is for. */
+	char *boot;
 	uint32_t generation;
 	bool waits;
 	/** Runs under a share. */
@@ -86,14 +86,14 @@
 int64_t pool_expected(const struct upstream *u, int64_t now_us);
 
 /** Whether it is known to be ready now. */
-bool pool_is_ready(const struct upstream *u, int64_t now_us);
+bool pool_is_ready(const struct upstream *u);
 
 /** Whether it can take a request, without regard to its speed. */
 enum pool_place pool_place(const struct pool *pool, const struct upstream *u,
 			   int64_t now_us);
 
-/** Ends proof and shares of an upstream. */
-void pool_forget_proof(struct upstream *u, int64_t now_us);
+/** Ends the readiness and the shares of an upstream. */
+void pool_forget_ready(struct upstream *u, int64_t now_us);
 
 /** Takes the incarnation seen in an answer to a flight. */
 void pool_see_boot(struct upstream *u, const struct pool_flight *flight,
--- a/src/upstream/pool_pick.c
+++ b/src/upstream/pool_pick.c
@@ -37,7 +37,7 @@
 		return POOL_EMPTY;
 	if (u->in_flight >= pool->options.slots || now_us < u->rest_us)
 		return POOL_FULL;
-	if (pool_is_ready(u, now_us))
+	if (pool_is_ready(u))
 		return POOL_OK;
 	/* Tried on a copy: nothing is taken yet. */
 	return budget_share_use(&share, now_us) ? POOL_OK : POOL_NO_SHARE;
--- a/src/upstream/pool_share.c
+++ b/src/upstream/pool_share.c
@@ -1,16 +1,16 @@
 #include "base/planted.h"
 #include "upstream/pool_internal.h"
 
-bool pool_is_ready(const struct upstream *u, int64_t now_us)
+bool pool_is_ready(const struct upstream *u)
 {
 	if (planted(PLANTED_INCARNATION_WARM))
 		return true;
-	return u->ready && now_us < u->proof_us;
+	return u->ready;
 }
 
-void pool_forget_proof(struct upstream *u, int64_t now_us)
+void pool_forget_ready(struct upstream *u, int64_t now_us)
 {
-	u->proof_us = 0;
+	u->ready = false;
 	u->generation++;
 	/* The holder must not answer by what it read before this. */
 	budget_share_lose(&u->share, now_us);
@@ -30,19 +30,15 @@
 	/* A late answer of a past incarnation says nothing of the present. */
 	if (!boot.len || flight->generation != u->generation)
 		return;
-	if (!str_equal(boot, str_from(u->boot))) {
-		set_boot(u, boot);
-		pool_forget_proof(u, now_us);
+	if (str_equal(boot, str_from(u->boot)))
 		return;
-	}
-	if (u->ready)
-		u->proof_us =
-			MAX(u->proof_us, flight->start_us + POOL_PROOF_US);
+	set_boot(u, boot);
+	pool_forget_ready(u, now_us);
 }
 
 void pool_doubt(struct pool *pool, uint32_t upstream, int64_t now_us)
 {
-	pool_forget_proof(pool_at(pool, upstream), now_us);
+	pool_forget_ready(pool_at(pool, upstream), now_us);
 }
 
 /* What to ask for; with *returned set the share is given back. */
@@ -93,10 +89,7 @@
 		return;
 	if (!str_equal(boot, str_from(u->boot))) {
 		set_boot(u, boot);
-		u->proof_us = 0;
 		u->generation++;
 	}
 	u->ready = count >= BUDGET_CONNECTIONS;
-	if (u->ready)
-		u->proof_us = MAX(u->proof_us, asked_us + duration_us);
 }
--- a/test/functional/cluster_stub_upstream.c
+++ b/test/functional/cluster_stub_upstream.c
@@ -17,6 +17,8 @@
 #define READ_BYTES 16384
 #define ZERO_BYTES 65536
 #define MS_IN_US 1000
+#define PROBE "HEAD / "
+#define PROBE_ANSWER "HTTP/1.1 204 No Content\r\nAuburn-Boot: boot-1\r\n\r\n"
 #define CONTROL_ANSWER                                                         \
 	"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}"
 
@@ -219,6 +221,10 @@
 		write_all(c, CONTROL_ANSWER, strlen(CONTROL_ANSWER));
 		return false;
 	}
+	if (g_str_has_prefix(head, PROBE)) {
+		g_free(head);
+		return write_all(c, PROBE_ANSWER, strlen(PROBE_ANSWER));
+	}
 	pthread_mutex_lock(&c->stub->lock);
 	g_free(c->stub->head);
 	c->stub->head = head;
--- a/test/fuzz/fuzz_request_parts/copy.c
+++ b/test/fuzz/fuzz_request_parts/copy.c
@@ -168,6 +168,22 @@
 	world_at(w, w->now + world_delay(w), upstream_arrive, copy, NULL, 0, 0);
 }
 
+/* A connection tells which incarnation it reaches before it is used. */
+static void send_if_meant(struct world *w, struct copy *copy)
+{
+	char boot[16];
+	struct str meant = pool_flight_boot(copy->flight);
+
+	g_snprintf(boot, sizeof(boot), "b%u", copy->connection->boot);
+	if (!meant.len || str_equal(meant, str_from(boot))) {
+		write_request(w, copy);
+		return;
+	}
+	copy_end(w, copy, POOL_OTHER_BOOT, POISON_OPEN);
+	copy->request->copies[copy->index] = NULL;
+	copy->request->pending = copy->index;
+}
+
 static void connected(struct world *w, struct event *event)
 {
 	struct copy *copy = event->a;
@@ -182,7 +198,7 @@
 		copy_end(w, copy, POOL_FAILED, POISON_OPEN);
 	} else {
 		copy->connection->boot = u->boot;
-		write_request(w, copy);
+		send_if_meant(w, copy);
 	}
 	router_wake(w, r);
 }
@@ -257,7 +273,7 @@
 	request->copies[copy->index] = copy;
 	request->pending = ATTEMPT_NONE;
 	if (copy->connection->boot)
-		write_request(w, copy);
+		send_if_meant(w, copy);
 }
 
 static void no_place(struct world *w, struct request *request,
--- a/test/standin/upstream_data.c
+++ b/test/standin/upstream_data.c
@@ -304,6 +304,22 @@
 	return clock_now_us(clock_system()) + MIN(left_us, NO_DEADLINE_US);
 }
 
+static bool is_probe(const struct standin_call *call)
+{
+	return !strcmp(call->method, "HEAD") && !strcmp(call->path, "/");
+}
+
+/* Says which incarnation this is; takes no slot. */
+static enum MHD_Result answer_probe(struct upstream *upstream,
+				    const struct standin_call *call)
+{
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+		0, NULL, MHD_RESPMEM_PERSISTENT);
+
+	MHD_add_response_header(response, "Auburn-Boot", upstream->boot);
+	return send_response(call, MHD_HTTP_NO_CONTENT, response);
+}
+
 enum MHD_Result upstream_data_handle(void *ctx, const struct standin_call *call)
 {
 	struct upstream *upstream = ctx;
@@ -314,6 +330,8 @@
 
 	if (upstream_keep_silent(upstream, call))
 		return MHD_NO;
+	if (is_probe(call))
+		return answer_probe(upstream, call);
 	check_hash(upstream, call, &run);
 	if (run.keyed && !grants_serve(upstream->grants, run.hash, run.epoch))
 		return refuse(upstream, call, MHD_HTTP_MISDIRECTED_REQUEST,
