router: an upstream's closed connections make it count as cold; claims go at once

An upstream that died and came back within ms got requests on fresh connections under the proof of its last incarnation: nobody looked at idle connections. They are now watched for their end, and work on fresh connections leaves them open to be watched. A claim no longer waits 2 ms when no batch is under way. The crashing request's test lets what died come back as another incarnation, as it does in truth: deaths count once for each.

--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -241,7 +241,6 @@
 	curl_easy_setopt(easy, CURLOPT_URL, url);
 	curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, exchange->target);
 	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh);
-	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, fresh);
 }
 
 struct exchange *exchange_start(struct exchange_pool *pool,
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -28,6 +28,8 @@
 	void (*progressed)(void *ctx, struct exchange *exchange);
 	/** It is over; see exchange_end(). */
 	void (*ended)(void *ctx, struct exchange *exchange);
+	/** The other side closed a connection, be it idle or in use. */
+	void (*closed)(void *ctx, const struct sockaddr_in *address);
 };
 
 struct exchange_pool_options {
@@ -52,8 +54,8 @@
 	int64_t upload_length;
 	struct body *upload;
 	/**
-	 * A connection of its own. libcurl sends a request again by itself when
-	 * a reused connection turns out to be dead.
+	 * A new connection. libcurl sends a request again by itself when a
+	 * reused connection turns out to be dead.
 	 */
 	bool fresh;
 };
--- a/src/http/exchange_internal.h
+++ b/src/http/exchange_internal.h
@@ -15,6 +15,8 @@
 	const struct exchange_ops *ops;
 	void *ctx;
 	int epoll_fd;
+	/** Watches all connections for their end; part of epoll_fd. */
+	int watch_fd;
 	/** When libcurl wants to be called; -1 for never. */
 	int64_t due_us;
 	/** CURL *, handles that can be used again. */
--- a/src/http/exchange_pool.c
+++ b/src/http/exchange_pool.c
@@ -46,14 +46,39 @@
 	return 0;
 }
 
-static int on_open(void *ctx, curl_socket_t fd, curlsocktype purpose)
+/* An address and a port fit into an event's 64 bits. */
+static uint64_t pack_address(const struct sockaddr_in *addr)
 {
+	return (uint64_t)addr->sin_addr.s_addr << 16 | addr->sin_port;
+}
+
+static struct sockaddr_in unpack_address(uint64_t packed)
+{
+	struct sockaddr_in addr = { .sin_family = AF_INET };
+
+	addr.sin_addr.s_addr = (in_addr_t)(packed >> 16);
+	addr.sin_port = (in_port_t)packed;
+	return addr;
+}
+
+/* libcurl does not look at idle connections; their end is a sign, too. */
+static curl_socket_t on_open(void *ctx, curlsocktype purpose,
+			     struct curl_sockaddr *address)
+{
+	struct exchange_pool *pool = ctx;
+	struct epoll_event event = { .events = EPOLLRDHUP | EPOLLET };
 	int ms = USER_TIMEOUT_MS;
+	int fd = socket(address->family, address->socktype | SOCK_CLOEXEC,
+			address->protocol);
 
-	(void)ctx;
 	(void)purpose;
+	if (fd < 0)
+		return CURL_SOCKET_BAD;
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
-	return CURL_SOCKOPT_OK;
+	event.data.u64 = pack_address(
+		(const struct sockaddr_in *)(const void *)&address->addr);
+	epoll_ctl(pool->watch_fd, EPOLL_CTL_ADD, fd, &event);
+	return fd;
 }
 
 struct exchange_pool *
@@ -62,6 +87,7 @@
 		     void *ctx)
 {
 	struct exchange_pool *pool = g_new0(struct exchange_pool, 1);
+	struct epoll_event event = { .events = EPOLLIN };
 
 	pool->clock = clock;
 	pool->ops = ops;
@@ -71,6 +97,9 @@
 	pool->due_us = -1;
 	pool->idle = g_ptr_array_new();
 	pool->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	pool->watch_fd = epoll_create1(EPOLL_CLOEXEC);
+	event.data.fd = pool->watch_fd;
+	epoll_ctl(pool->epoll_fd, EPOLL_CTL_ADD, pool->watch_fd, &event);
 	pool->multi = curl_multi_init();
 	curl_multi_setopt(pool->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
 	curl_multi_setopt(pool->multi, CURLMOPT_SOCKETDATA, pool);
@@ -96,6 +125,7 @@
 	g_ptr_array_free(pool->idle, TRUE);
 	curl_multi_cleanup(pool->multi);
 	close(pool->epoll_fd);
+	close(pool->watch_fd);
 	g_free(pool);
 }
 
@@ -128,6 +158,19 @@
 	}
 }
 
+static void run_watch(struct exchange_pool *pool)
+{
+	struct epoll_event events[EVENTS_MAX];
+	int i, n = epoll_wait(pool->watch_fd, events, EVENTS_MAX, 0);
+
+	for (i = 0; i < n; i++) {
+		struct sockaddr_in addr = unpack_address(events[i].data.u64);
+
+		/* Also without a connection, when it was refused. */
+		pool->ops->closed(pool->ctx, &addr);
+	}
+}
+
 static void run_sockets(struct exchange_pool *pool)
 {
 	struct epoll_event events[EVENTS_MAX];
@@ -137,6 +180,10 @@
 	for (i = 0; i < n; i++) {
 		int what = 0;
 
+		if (events[i].data.fd == pool->watch_fd) {
+			run_watch(pool);
+			continue;
+		}
 		if (events[i].events & EPOLLIN)
 			what |= CURL_CSELECT_IN;
 		if (events[i].events & EPOLLOUT)
@@ -161,7 +208,7 @@
 	take_endings(pool);
 }
 
-static CURL *new_handle(const struct exchange_pool *pool)
+static CURL *new_handle(struct exchange_pool *pool)
 {
 	CURL *easy = curl_easy_init();
 
@@ -180,7 +227,8 @@
 	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, pool->idle_s);
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)(pool->connect_us / US_PER_MS));
-	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_open);
+	curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, on_open);
+	curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, pool);
 	return easy;
 }
 
--- a/src/router/control_internal.h
+++ b/src/router/control_internal.h
@@ -65,6 +65,8 @@
 	int64_t drain_us;
 	/** The batch that takes claims; NULL when none waits. */
 	struct claim_call *claims;
+	/** Batches under way. */
+	unsigned int claim_calls;
 };
 
 /** Connects to assigners. */
--- a/src/router/control_platform.c
+++ b/src/router/control_platform.c
@@ -52,6 +52,7 @@
 	struct control *control = call->control;
 	guint i;
 
+	control->claim_calls--;
 	claim_batch_result(call->batch, results, count,
 			   clock_wall_us(control->router->clock));
 	for (i = 0; i < call->jobs->len; i++) {
@@ -83,6 +84,7 @@
 	size_t count;
 
 	control->claims = NULL;
+	control->claim_calls++;
 	ops = claim_batch_ops(call->batch, &count);
 	if (control->table)
 		table_batch(control->table, ops, count, on_results, call);
@@ -108,7 +110,9 @@
 {
 	if (!control->claims)
 		return INT64_MAX;
-	if (claim_batch_due_us(control->claims->batch) > now_us)
+	/* While a batch is under way the next one gathers claims. */
+	if (control->claim_calls &&
+	    claim_batch_due_us(control->claims->batch) > now_us)
 		return claim_batch_due_us(control->claims->batch);
 	send_call(control);
 	return now_us;
--- a/src/router/dispatch.c
+++ b/src/router/dispatch.c
@@ -186,9 +186,9 @@
 
 	pthread_mutex_lock(&dispatch->lock);
 	now_us = now_of(dispatch);
-	found = pool_pick(service->pool, ticket->tried, ticket->tried_count,
-			  now_us, &upstream) == POOL_OK &&
-		pool_backup_take(service->pool);
+	found = pool_backup_allowed(service->pool) &&
+		pool_pick(service->pool, ticket->tried, ticket->tried_count,
+			  now_us, &upstream) == POOL_OK;
 	if (found) {
 		ticket->lane = NULL;
 		start_flight(service, ticket, upstream, now_us);
@@ -258,6 +258,21 @@
 	pthread_mutex_unlock(&dispatch->lock);
 }
 
+void dispatch_doubt(struct dispatch *dispatch, struct str service,
+		    struct str upstream)
+{
+	struct service_state *state;
+	uint32_t index = POOL_NONE;
+
+	pthread_mutex_lock(&dispatch->lock);
+	state = g_hash_table_lookup(dispatch->services, &service);
+	if (state)
+		index = pool_find(state->pool, upstream);
+	if (index != POOL_NONE)
+		pool_doubt(state->pool, index, now_of(dispatch));
+	pthread_mutex_unlock(&dispatch->lock);
+}
+
 void dispatch_tick(struct dispatch *dispatch)
 {
 	pthread_mutex_lock(&dispatch->lock);
--- a/src/router/dispatch.h
+++ b/src/router/dispatch.h
@@ -137,6 +137,10 @@
 void dispatch_finish(struct dispatch *dispatch, struct ticket *ticket,
 		     enum pool_outcome_kind outcome, enum poison_end poison);
 
+/** Notes that an upstream closed a connection: it may have started anew. */
+void dispatch_doubt(struct dispatch *dispatch, struct str service,
+		    struct str upstream);
+
 /** Lets time pass: late requests, probes. */
 void dispatch_tick(struct dispatch *dispatch);
 
--- a/src/router/worker.c
+++ b/src/router/worker.c
@@ -52,7 +52,26 @@
 	request_exchange_touched(exchange);
 }
 
+/* The upstream may have started anew: it counts as cold until it answers. */
+static void on_closed(void *ctx, const struct sockaddr_in *address)
+{
+	struct worker *worker = ctx;
+	GHashTableIter iter;
+	void *data;
+
+	g_hash_table_iter_init(&iter, worker->view->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &data)) {
+		const struct vm *vm = data;
+
+		if (vm->address.sin_addr.s_addr == address->sin_addr.s_addr &&
+		    vm->address.sin_port == address->sin_port)
+			dispatch_doubt(worker->router->dispatch,
+				       str_from(vm->service), str_from(vm->id));
+	}
+}
+
 static const struct exchange_ops exchange_ops = {
+	.closed = on_closed,
 	.progressed = on_exchange,
 	.ended = on_exchange,
 };
@@ -238,6 +257,9 @@
 {
 	worker->view = view_enter(worker->reader);
 	worker->now_us = clock_now_us(worker->router->clock);
+	/* First, so that what connections tell is known to new requests. */
+	exchange_pool_run(worker->exchanges);
+	advance_touched(worker);
 	run_callers(worker);
 	advance_touched(worker);
 	exchange_pool_run(worker->exchanges);
--- a/test/functional/cluster_stub_assigner.h
+++ b/test/functional/cluster_stub_assigner.h
@@ -45,6 +45,9 @@
 /** Concurrent requests that each ShareRequest is given. */
 void stub_assigner_shares(struct stub_assigner *stub, uint32_t count);
 
+/** Incarnation of the upstreams told from now on; not copied. */
+void stub_assigner_boot(struct stub_assigner *stub, const char *boot);
+
 /** Frames that came so far. */
 unsigned int stub_assigner_stales(const struct stub_assigner *stub);
 unsigned int stub_assigner_poisons(const struct stub_assigner *stub);
--- a/test/functional/test_router.c
+++ b/test/functional/test_router.c
@@ -508,6 +508,9 @@
 static void a_crashing_request_is_refused(void)
 {
 	static const struct stub_reply dies = { .close = true };
+	/* What died comes back as another incarnation. */
+	static const char *const boots[] = { "boot-2", "boot-3", "boot-4",
+					     "boot-5", "boot-6" };
 	struct rig *rig = rig_start(NULL);
 	struct http_answer *answer;
 	bool refused = false;
@@ -518,6 +521,7 @@
 		answer = rig_send(rig, "POST", "/writes/crash", "boom");
 		refused = answer->status == 422;
 		http_answer_destroy(answer);
+		stub_assigner_boot(rig->assigner, boots[i]);
 	}
 	CU_ASSERT(refused);
 	CU_ASSERT(rig_runs(rig) <= 2);
