--- a/src/request/poison.h
+++ b/src/request/poison.h
@@ -9,7 +9,8 @@
  * - A request with a death is a suspect: it, or a neighbour on that upstream,
  *   may be the cause. A suspect runs again only as a trial: one at a time for
  *   each service over the whole fleet (a share of the budget "trial/SERVICE"
- *   with limit 1, upstream/budget.h). So no two suspects are in flight at once,
+ *   with limit 1, upstream/budget.h), and on a fresh connection, which does not
+ *   open to what had died before. So no two suspects are in flight at once,
  *   and what kills an upstream twice had two chances alone among suspects.
  * - A suspect that ran to an answer is cleared. One with two deaths is
  * poisoned: refused everywhere for POISON_KEEP_US.
@@ -121,7 +122,8 @@
  * What is known now, for a process that starts: it takes this before it sends
  * anything. Assigners keep an instance of their own for that.
  *
- * @param reports set to at most max reports, without the names of upstreams
+ * @param reports set to at most max reports, one for each death; their texts
+ *        live until the next call
  * @return the number set
  */
 size_t poison_list(const struct poison *poison, int64_t now_us,
--- /dev/null
+++ b/test/fuzz/fuzz_settings.c
@@ -0,0 +1,35 @@
+/*
+ * Settings and membership: assigners and routers with their real state
+ * machines, racing operators, and faults of network, table and daemons.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "fuzz_settings_parts/run.h"
+
+static unsigned long long steps, accepted, excused;
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void print_totals(void)
+{
+	printf("ok - %llu steps, %llu publishes accepted, %llu excused\n",
+	       steps, accepted, excused);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct run_result result = run_input(data, size);
+
+	if (!steps)
+		atexit(print_totals);
+	steps += result.steps;
+	accepted += result.accepted;
+	excused += result.excused;
+	if (result.rule) {
+		fprintf(stderr, "rule broken after %llu steps: %s\n",
+			(unsigned long long)result.steps, result.rule);
+		abort();
+	}
+	return 0;
+}
