--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -43,6 +43,10 @@
 	/* libcurl would send it a second time. */
 	if (exchange->sent)
 		return CURL_PREREQFUNC_ABORT;
+	if (exchange->progress_us >= exchange->send_before_us) {
+		exchange->late = true;
+		return CURL_PREREQFUNC_ABORT;
+	}
 	set_end(&ends.local, local, local_port);
 	set_end(&ends.remote, address, port);
 	if (*exchange->boot && !proofs_hold(exchange->pool->proofs, &ends,
@@ -342,6 +346,7 @@
 	exchange->boot = str_dup(request->boot);
 	exchange->address = request->address;
 	exchange->upload_length = request->upload_length;
+	exchange->send_before_us = request->send_before_us;
 	exchange->fresh = request->fresh;
 	exchange->headers = headers_create();
 	exchange->upload = body_ref(request->upload);
@@ -419,6 +424,8 @@
 {
 	if (code == CURLE_OK && exchange->head_done)
 		return EXCHANGE_COMPLETE;
+	if (exchange->late)
+		return EXCHANGE_LATE;
 	if (!exchange->sent)
 		return EXCHANGE_NOT_CONNECTED;
 	if (exchange->status >= STATUS_FINAL)
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -62,6 +62,8 @@
 	 * Empty: any.
 	 */
 	struct str boot;
+	/** It is not sent after this instant; INT64_MAX for none. */
+	int64_t send_before_us;
 };
 
 enum exchange_end {
@@ -70,6 +72,8 @@
 	EXCHANGE_COMPLETE,
 	/** No connection: not a byte was sent. */
 	EXCHANGE_NOT_CONNECTED,
+	/** Not sent in time. */
+	EXCHANGE_LATE,
 	/** Not sent: another incarnation answers there. */
 	EXCHANGE_OTHER_BOOT,
 	/** The connection broke when the request may have been sent. */
--- a/src/http/exchange_internal.h
+++ b/src/http/exchange_internal.h
@@ -42,6 +42,7 @@
 	char *boot;
 	struct sockaddr_in address;
 	int64_t upload_length;
+	int64_t send_before_us;
 	struct headers *headers;
 	struct body *upload;
 	struct body *body;
@@ -55,6 +56,8 @@
 	bool upload_paused;
 	bool discarding;
 	bool fresh;
+	/** It was too late to send it. */
+	bool late;
 	/** What runs now is the probe of a connection. */
 	bool probing;
 	/** The connection at hand was not proved. */
--- a/src/router/dispatch.c
+++ b/src/router/dispatch.c
@@ -84,6 +84,10 @@
 
 	ticket->flight = pool_start(service->pool, upstream, now_us);
 	ticket->started_us = now_us;
+	ticket->send_before_us = pool_flight_send_before(ticket->flight);
+	if (ticket->lane && ticket->lane->trial)
+		ticket->send_before_us =
+			MIN(ticket->send_before_us, service->trial_until_us);
 	g_snprintf(ticket->upstream, sizeof(ticket->upstream), "%.*s",
 		   STR_ARG(id));
 	if (ticket->tried_count < POOL_TRIED_MAX)
--- a/src/router/dispatch.h
+++ b/src/router/dispatch.h
@@ -93,6 +93,8 @@
 	int64_t took_us;
 	int64_t started_us;
 	struct pool_flight *flight;
+	/** Not to be sent after this. */
+	int64_t send_before_us;
 	uint64_t poison;
 };
 
--- a/src/router/dispatch_control.c
+++ b/src/router/dispatch_control.c
@@ -262,7 +262,7 @@
 				  .in_use = service->trial_running };
 	char name[DISPATCH_ID_SIZE];
 
-	if (!service->trial_wanted ||
+	if ((!service->trial_wanted && !service->trial_running) ||
 	    now_us < service->trial_asked_us + BUDGET_ASK_US)
 		return;
 	service->trial_wanted = false;
--- a/src/router/request_copy.c
+++ b/src/router/request_copy.c
@@ -242,6 +242,7 @@
 		.fresh = !request->profile.idempotent ||
 			 worker_suspects(worker, copy->ticket.upstream),
 		.boot = pool_flight_boot(copy->ticket.flight),
+		.send_before_us = copy->ticket.send_before_us,
 	};
 
 	copy->control = vm->control;
@@ -258,8 +259,14 @@
 /* Looks for a place again: nothing was sent. */
 static void seek_place(struct copy *copy)
 {
+	enum poison_check poison = dispatch_poison(dispatch_of(copy->request),
+						   copy->request->fingerprint);
+
 	copy->epoch = 0;
-	if (copy->request->keyed)
+	copy->ticket.trial = poison == POISON_SUSPECT;
+	if (poison == POISON_POISONED)
+		no_upstream(copy, REASON_POISONED);
+	else if (copy->request->keyed)
 		seek_owner(copy);
 	else
 		offer(copy, "");
@@ -409,6 +416,10 @@
 		end_copy(copy, POOL_FAILED, POISON_OPEN);
 		copy_event(copy, ATTEMPT_CONNECT_FAILED, REASON_NONE);
 		break;
+	case EXCHANGE_LATE:
+		end_copy(copy, POOL_UNSENT, POISON_OPEN);
+		seek_place(copy);
+		break;
 	case EXCHANGE_OTHER_BOOT:
 		end_copy(copy, POOL_OTHER_BOOT, POISON_OPEN);
 		seek_place(copy);
--- a/src/upstream/pool.c
+++ b/src/upstream/pool.c
@@ -1,5 +1,5 @@
-#include "base/planted.h"
 #include "upstream/pool.h"
+#include "base/planted.h"
 
 #include "upstream/pool_internal.h"
 #include "upstream/subset.h"
@@ -247,8 +247,11 @@
 	flight->boot = g_strdup(u->boot);
 	flight->waits = true;
 	flight->link.data = flight;
-	if (!pool_is_ready(u))
+	flight->send_before_us = INT64_MAX;
+	if (!pool_is_ready(u)) {
 		flight->shared = budget_share_use(&u->share, now_us);
+		flight->send_before_us = u->share.ends_us;
+	}
 	g_queue_push_tail_link(&u->waiting, &flight->link);
 	g_ptr_array_add(pool->flights, flight);
 	u->in_flight++;
@@ -263,6 +266,13 @@
 	return str_from(flight->boot);
 }
 
+int64_t pool_flight_send_before(const struct pool_flight *flight)
+{
+	if (planted(PLANTED_SHARE_FOREVER))
+		return INT64_MAX;
+	return flight->send_before_us;
+}
+
 uint32_t pool_flight_upstream(const struct pool_flight *flight)
 {
 	return flight->upstream->index;
@@ -319,6 +329,8 @@
 	case POOL_LEAVING:
 		u->left = true;
 		break;
+	case POOL_UNSENT:
+		break;
 	case POOL_OTHER_BOOT:
 		if (flight->generation == u->generation)
 			pool_forget_ready(u, now_us);
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -82,6 +82,8 @@
 	POOL_CANCELLED,
 	/** Not sent: its connection reaches another incarnation. */
 	POOL_OTHER_BOOT,
+	/** Not sent: says nothing about the upstream. */
+	POOL_UNSENT,
 };
 
 /** A request in flight; owned by the pool, freed by pool_finish(). */
@@ -152,6 +154,14 @@
  */
 struct str pool_flight_boot(const struct pool_flight *flight);
 
+/**
+ * Until when the request may be sent: a share ends, also while its holder is
+ * paused. End the flight with POOL_UNSENT when it is later.
+ *
+ * @return an instant; INT64_MAX without a share
+ */
+int64_t pool_flight_send_before(const struct pool_flight *flight);
+
 /** The upstream of a flight. */
 uint32_t pool_flight_upstream(const struct pool_flight *flight);
 
--- a/src/upstream/pool_internal.h
+++ b/src/upstream/pool_internal.h
@@ -47,6 +47,7 @@
 	int64_t start_us;
 	/** The incarnation that it is for. */
 	char *boot;
+	int64_t send_before_us;
 	uint32_t generation;
 	bool waits;
 	/** Runs under a share. */
--- a/test/fuzz/fuzz_request_parts/copy.c
+++ b/test/fuzz/fuzz_request_parts/copy.c
@@ -168,6 +168,16 @@
 	world_at(w, w->now + world_delay(w), upstream_arrive, copy, NULL, 0, 0);
 }
 
+/* A share ends, also while its router is paused. */
+static int64_t send_before(struct world *w, const struct copy *copy)
+{
+	int64_t limit = pool_flight_send_before(copy->flight);
+
+	if (copy->trial && !planted(PLANTED_SHARE_FOREVER))
+		limit = MIN(limit, router_of(w, copy)->trial.ends_us);
+	return limit;
+}
+
 /* A connection tells which incarnation it reaches before it is used. */
 static void send_if_meant(struct world *w, struct copy *copy)
 {
@@ -175,11 +185,14 @@
 	struct str meant = pool_flight_boot(copy->flight);
 
 	g_snprintf(boot, sizeof(boot), "b%u", copy->connection->boot);
-	if (!meant.len || str_equal(meant, str_from(boot))) {
+	if (w->now >= send_before(w, copy)) {
+		copy_end(w, copy, POOL_UNSENT, POISON_OPEN);
+	} else if (!meant.len || str_equal(meant, str_from(boot))) {
 		write_request(w, copy);
 		return;
+	} else {
+		copy_end(w, copy, POOL_OTHER_BOOT, POISON_OPEN);
 	}
-	copy_end(w, copy, POOL_OTHER_BOOT, POISON_OPEN);
 	copy->request->copies[copy->index] = NULL;
 	copy->request->pending = copy->index;
 }
--- a/test/fuzz/fuzz_request_parts/router.c
+++ b/test/fuzz/fuzz_request_parts/router.c
@@ -165,6 +165,19 @@
 	struct call *call;
 };
 
+static void take_report(struct world *w, struct event *event);
+
+/* Assigners pass a report on to every router that is linked by then, also to
+ * one that started while the report was under way. */
+static void pass_on(struct world *w, void *report)
+{
+	size_t i;
+
+	for (i = 0; i < ROUTERS; i++)
+		world_at(w, w->now + world_delay(w), take_report,
+			 &w->routers[i], report, 0, 0);
+}
+
 static void take_report(struct world *w, struct event *event)
 {
 	struct fake_router *r = event->a;
@@ -172,6 +185,7 @@
 
 	if (!r) {
 		poison_take(w->keeper, &t->report, w->now);
+		pass_on(w, event->b);
 		return;
 	}
 	if (!r->up || router_paused(w, r, event))
--- a/test/unit/test_pool.c
+++ b/test/unit/test_pool.c
@@ -70,6 +70,7 @@
 	grant(pool, 1, 1);
 	CU_ASSERT_EQUAL(pool_check(pool, upstream, 2), POOL_OK);
 	flight = pool_start(pool, upstream, 2);
+	CU_ASSERT_EQUAL(pool_flight_send_before(flight), 1 + BUDGET_SHARE_US);
 	CU_ASSERT_EQUAL(pool_check(pool, upstream, 2), POOL_NO_SHARE);
 	pool_finish(pool, flight, POOL_ANSWERED, 3);
 	CU_ASSERT_EQUAL(pool_check(pool, upstream, 4), POOL_OK);
@@ -86,6 +87,7 @@
 
 	CU_ASSERT_TRUE(str_equal(pool_flight_boot(flight), STR("boot")));
 	CU_ASSERT_EQUAL(pool_check(pool, 0, now), POOL_OK);
+	CU_ASSERT_EQUAL(pool_flight_send_before(flight), INT64_MAX);
 	/* The connection reached another one. */
 	pool_finish(pool, flight, POOL_OTHER_BOOT, now);
 	CU_ASSERT_EQUAL(pool_check(pool, 0, now), POOL_NO_SHARE);
