--- a/src/upstream/pool_share.c
+++ b/src/upstream/pool_share.c
@@ -8,6 +8,21 @@
 	return u->ready && now_us < u->proof_us;
 }
 
+bool pool_may_write(const struct pool *pool, const struct pool_flight *flight,
+		    int64_t now_us)
+{
+	const struct upstream *u = flight->upstream;
+
+	(void)pool;
+	if (planted(PLANTED_INCARNATION_WARM))
+		return true;
+	if (flight->generation != u->generation)
+		return false;
+	if (!flight->shared)
+		return pool_is_ready(u, now_us);
+	return now_us < u->share.ends_us || planted(PLANTED_SHARE_FOREVER);
+}
+
 void pool_forget_proof(struct upstream *u, int64_t now_us)
 {
 	u->proof_us = 0;
--- a/test/unit/test_pool.c
+++ b/test/unit/test_pool.c
@@ -112,6 +112,19 @@
 	}
 }
 
+static void a_late_write_is_refused(void)
+{
+	struct pool *pool = make_ready(1);
+	struct pool_flight *ready = pool_start(pool, 0, 2);
+	struct pool_flight *doubted = pool_start(pool, 1, 2);
+
+	CU_ASSERT_TRUE(pool_may_write(pool, ready, 100 * MS));
+	CU_ASSERT_FALSE(pool_may_write(pool, ready, 1 + BUDGET_SHARE_US));
+	pool_doubt(pool, 1, 3);
+	CU_ASSERT_FALSE(pool_may_write(pool, doubted, 4));
+	pool_destroy(pool);
+}
+
 static void a_new_incarnation_is_cold(void)
 {
 	struct pool *pool = make_ready(1);
@@ -245,6 +258,7 @@
 		{ "cold until told", cold_until_told },
 		{ "proof is kept up by answers", proof_is_kept_up_by_answers },
 		{ "doubt ends readiness", doubt_ends_readiness },
+		{ "a late write is refused", a_late_write_is_refused },
 		{ "a new incarnation is cold", a_new_incarnation_is_cold },
 		{ "leaving gets nothing new", leaving_gets_nothing_new },
 		{ "a straggler is set aside and probed",
