--- a/src/membership/peers.h
+++ b/src/membership/peers.h
@@ -8,9 +8,10 @@
  * 2 * PEERS_RINGS links at any fleet size, and a message reaches all in a few
  * hops. A router keeps links to PEERS_ROUTER_LINKS assigners.
  *
- * A heartbeat echoes the sender's view of the receiver's clock, so that contact
- * counts from the receiver's own reading: what a frozen daemon finds in its
- * buffers is old when it wakes.
+ * The side that opened a link sends a heartbeat at an interval, the other side
+ * answers each. A heartbeat echoes the receiver's own clock reading, and
+ * contact counts from that: what a frozen daemon finds in its buffers is old
+ * when it wakes.
  */
 #ifndef MEMBERSHIP_PEERS_H
 #define MEMBERSHIP_PEERS_H
@@ -114,7 +115,7 @@
  * what half of the peers means. */
 #define PEERS_FORGET_US (INT64_C(7200) * 1000000)
 /** Contact counts for this long from the echoed clock reading. */
-#define PEERS_FRESH_US INT64_C(1600000)
+#define PEERS_FRESH_US INT64_C(2000000)
 
 struct peers;
 
@@ -130,9 +131,15 @@
 
 void peers_destroy(struct peers *peers);
 
-/** Says what the next heartbeats carry. A new version is told at once. */
+/**
+ * Says what the next heartbeats carry. A new version is told at once.
+ *
+ * @param valid_until_us until when the settings can be relied on; each
+ *        heartbeat tells what is left at its own send, so that a daemon that
+ *        was paused does not tell what held before
+ */
 void peers_set_local(struct peers *peers, uint64_t settings_version,
-		     uint64_t vms_version, uint32_t valid_ms, bool leaving,
+		     uint64_t vms_version, int64_t valid_until_us, bool leaving,
 		     int64_t now_us);
 
 /**
--- a/src/wire/hub.c
+++ b/src/wire/hub.c
@@ -8,6 +8,8 @@
 #include "wire/socket.h"
 
 #define EVENTS_PER_RUN 64
+/* Kinds above this share one count. */
+#define KINDS_MAX 16
 #define REOPEN_DELAY_US (200 * US_PER_MS)
 
 /* An address to which a link is kept. */
@@ -36,6 +38,7 @@
 	GHashTable *entries;
 	/* struct kept * */
 	GPtrArray *kept;
+	struct hub_count sent[KINDS_MAX];
 };
 
 struct hub *hub_create(const struct clock *clock, const struct hub_ops *ops,
@@ -53,24 +56,6 @@
 	return hub;
 }
 
-void hub_destroy(struct hub *hub)
-{
-	GHashTableIter iter;
-	gpointer link;
-
-	if (!hub)
-		return;
-	g_hash_table_iter_init(&iter, hub->entries);
-	while (g_hash_table_iter_next(&iter, &link, NULL))
-		link_destroy(link);
-	g_hash_table_destroy(hub->entries);
-	g_ptr_array_free(hub->kept, TRUE);
-	if (hub->listener >= 0)
-		close(hub->listener);
-	close(hub->epoll);
-	g_free(hub);
-}
-
 static void watch(struct hub *hub, int fd, void *data, bool write, int op)
 {
 	struct epoll_event event = {
@@ -257,6 +242,25 @@
 	g_ptr_array_free(broken, TRUE);
 }
 
+void hub_destroy(struct hub *hub)
+{
+	GHashTableIter iter;
+	gpointer entry;
+
+	if (!hub)
+		return;
+	g_hash_table_iter_init(&iter, hub->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &entry))
+		((struct entry *)entry)->broken = true;
+	close_broken(hub);
+	g_hash_table_destroy(hub->entries);
+	g_ptr_array_free(hub->kept, TRUE);
+	if (hub->listener >= 0)
+		close(hub->listener);
+	close(hub->epoll);
+	g_free(hub);
+}
+
 void hub_run(struct hub *hub)
 {
 	struct epoll_event events[EVENTS_PER_RUN];
@@ -273,18 +277,44 @@
 	close_broken(hub);
 }
 
+static size_t kind_index(Envelope__BodyCase kind)
+{
+	return MIN((size_t)kind, KINDS_MAX - 1);
+}
+
+static void count_sent(struct hub *hub, const Envelope *message)
+{
+	struct hub_count *count = &hub->sent[kind_index(message->body_case)];
+
+	count->messages++;
+	count->bytes += envelope__get_packed_size(message);
+}
+
+struct hub_count hub_sent(const struct hub *hub, Envelope__BodyCase kind)
+{
+	return hub->sent[kind_index(kind)];
+}
+
 void hub_send(struct hub *hub, struct link *link, const Envelope *message)
 {
 	struct entry *entry = g_hash_table_lookup(hub->entries, link);
 
 	if (!entry || entry->broken)
 		return;
+	count_sent(hub, message);
 	if (!link_send(link, message))
 		entry->broken = true;
 	else
 		update_watch(hub, entry);
 }
 
+bool hub_is_outgoing(const struct hub *hub, const struct link *link)
+{
+	const struct entry *entry = g_hash_table_lookup(hub->entries, link);
+
+	return entry && entry->outgoing;
+}
+
 void hub_each(struct hub *hub, void (*visit)(void *ctx, struct link *link),
 	      void *ctx)
 {
