--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -10,15 +10,13 @@
 #include <math.h>
 #include <stdio.h>
 
+#include "bench_overload_parts/cold.h"
 #include "request/admission.h"
 #include "request/attempt.h"
-#include "upstream/budget.h"
-#include "upstream/pool.h"
 
 #define MS INT64_C(1000)
 #define SLOTS 3
 #define UPSTREAMS 8
-#define ROUTERS 12
 #define MEAN_US (5.0 * 1000.0)
 
 static void print_line(const char *name, const char *where, double value,
@@ -307,100 +305,16 @@
 	g_rand_free(rng);
 }
 
-/* Cold start: one upstream of a service restarts; all routers send. */
-
-#define COLD_LIMIT 2
-#define COLD_US (2000 * MS)
-#define STEP_US INT64_C(100)
-
-struct flight {
-	struct pool *pool;
-	struct pool_flight *flight;
-	int64_t ends_us;
-};
-
-/* The most that the cold upstream had at once; tries of all routers in turn. */
-static uint32_t run_cold(bool shares, uint32_t *served)
-{
-	struct budget_holder *holder =
-		budget_holder_create(-2 * BUDGET_SHARE_US);
-	struct pool_member member = { STR("u"), STR("z"), true };
-	GArray *flights = g_array_new(FALSE, TRUE, sizeof(struct flight));
-	GRand *rng = g_rand_new_with_seed(4);
-	struct pool *pools[ROUTERS];
-	char name[ROUTERS][4];
-	uint32_t most = 0;
-	int64_t now;
-	guint i;
-
-	*served = 0;
-	for (i = 0; i < ROUTERS; i++) {
-		struct pool_options options = { .slots = SLOTS, .seed = i };
-
-		g_snprintf(name[i], sizeof(name[i]), "%u", i);
-		pools[i] = pool_create(&options);
-		pool_update(pools[i], &member, 1);
-	}
-	for (now = 1; now < COLD_US; now += STEP_US) {
-		i = (guint)(now / STEP_US) % ROUTERS;
-		if (!shares || pool_check(pools[i], 0, now) == POOL_OK) {
-			struct flight f = { .pool = pools[i] };
-
-			f.ends_us = now + MS + (int64_t)exponential(rng, 4000);
-			if (shares)
-				f.flight = pool_start(pools[i], 0, now);
-			g_array_append_val(flights, f);
-			*served += 1;
-		}
-		most = MAX(most, flights->len);
-		for (i = 0; i < flights->len;) {
-			struct flight *f =
-				&g_array_index(flights, struct flight, i);
-
-			if (f->ends_us > now) {
-				i++;
-				continue;
-			}
-			if (shares)
-				pool_finish(f->pool, f->flight, POOL_ANSWERED,
-					    now);
-			g_array_remove_index_fast(flights, i);
-		}
-		for (i = 0; i < ROUTERS && shares; i++) {
-			struct budget_reading reading = { STR("b"), COLD_LIMIT,
-							  flights->len, now };
-			struct budget_grant grant;
-			struct pool_ask ask;
-
-			if (!pool_shares_to_ask(pools[i], now, &ask, 1))
-				continue;
-			if (budget_holder_stale(holder, now))
-				budget_holder_read(holder, &reading, now);
-			grant = budget_holder_ask(holder, str_from(name[i]),
-						  &ask.ask, now);
-			pool_take_share(pools[i], 0, grant.boot, now,
-					grant.count, grant.duration_us);
-		}
-	}
-	for (i = 0; i < ROUTERS; i++)
-		pool_destroy(pools[i]);
-	budget_holder_destroy(holder);
-	g_array_free(flights, TRUE);
-	g_rand_free(rng);
-	return most;
-}
-
 static void measure_cold_start(void)
 {
-	uint32_t served, base_served;
-	uint32_t most = run_cold(true, &served);
-	uint32_t base = run_cold(false, &base_served);
+	struct cold_result with = cold_run(true);
+	struct cold_result without = cold_run(false);
 
 	print_line("cold-overshoot", "12-routers/limit-2",
-		   (double)MAX(most, COLD_LIMIT) - COLD_LIMIT, "requests",
-		   (double)base - COLD_LIMIT);
+		   (double)MAX(with.most, COLD_LIMIT) - COLD_LIMIT, "requests",
+		   (double)without.most - COLD_LIMIT);
 	print_line("cold-served", "12-routers/limit-2",
-		   served * 1e6 / (double)COLD_US, "1/s",
+		   with.served * 1e6 / (double)COLD_US, "1/s",
 		   COLD_LIMIT * 1e6 / MEAN_US);
 }
 
--- a/src/upstream/budget.c
+++ b/src/upstream/budget.c
@@ -169,6 +169,23 @@
 	return taken < holder->limit ? holder->limit - taken : 0;
 }
 
+/* Removes what a router says that it has replaced. What it runs under these is
+ * part of what it reports in use. */
+static void remove_replaced(struct budget_holder *holder, const char *router,
+			    int64_t taken_us)
+{
+	guint i = 0;
+
+	while (i < holder->given->len) {
+		const struct given *g = given_at(holder, i);
+
+		if (g->asked_us < taken_us && !strcmp(g->router, router))
+			g_array_remove_index_fast(holder->given, i);
+		else
+			i++;
+	}
+}
+
 /* Routers that hold a share or were refused one within its duration. */
 static uint32_t contenders(struct budget_holder *holder)
 {
@@ -248,8 +265,12 @@
 	if (is_ready(holder))
 		return room;
 	room = MIN(fair_room(holder, router, room), ask->wanted + ask->in_use);
-	room = MAX(room, ask->in_use);
-	note_given(holder, router, room, ask, now_us + left + BUDGET_MARGIN_US);
+	/* What runs is counted, but may be more than there is room for: a share
+	 * that ended had its room given to others. It isn't room for another.
+	 */
+	remove_replaced(holder, router, ask->taken_us);
+	note_given(holder, router, MAX(room, ask->in_use), ask,
+		   now_us + left + BUDGET_MARGIN_US);
 	return room;
 }
 
--- a/src/upstream/budget.h
+++ b/src/upstream/budget.h
@@ -19,7 +19,7 @@
  *   a word about an upstream that is ready makes the holder read it again, as
  *   it may be another incarnation by now.
  * - When more routers ask than the limit can serve, one that held a share last
- *   keeps only what it has in use, so that the others get their turn.
+ *   gets none, so that the others get their turn; what it runs ends.
  * - Nothing is given out while the limit isn't known, or was read longer than
  *   BUDGET_SHARE_US ago: a share ends that long after the reading it rests on,
  *   which is less than an upstream takes to restart.
@@ -90,12 +90,15 @@
 struct budget_ask {
 	/** Requests that it would like to send beside those that run. */
 	uint32_t wanted;
-	/** Requests of it that run; its share does not fall below this. */
+	/** Requests of it that run. They are counted even if its share, which
+	 * bounds what it starts, becomes less. */
 	uint32_t in_use;
 	/** It gave a request up since its last ask that was answered. */
 	bool lost;
 	/** When it asked, by its own clock. */
 	int64_t asked_us;
+	/** It starts nothing under shares that it asked for before this. */
+	int64_t taken_us;
 };
 
 /**
--- a/src/upstream/pool_share.c
+++ b/src/upstream/pool_share.c
@@ -85,8 +85,8 @@
 		u->wants = 0;
 		asks[count++] = (struct pool_ask){
 			.upstream = u->index,
-			.ask = { wants, u->share.in_use, u->share.lost,
-				 now_us },
+			.ask = { wants, u->share.in_use, u->share.lost, now_us,
+				 u->share.taken_us },
 		};
 	}
 	return count;
--- a/src/wire/auburn.pb-c.c
+++ b/src/wire/auburn.pb-c.c
@@ -1877,7 +1877,7 @@
   (ProtobufCMessageInit) load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor share_request__field_descriptors[7] =
+static const ProtobufCFieldDescriptor share_request__field_descriptors[8] =
 {
   {
     "upstream",
@@ -1963,6 +1963,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "taken_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(ShareRequest, taken_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned share_request__field_indices_by_name[] = {
   3,   /* field[3] = asked_us */
@@ -1970,13 +1982,14 @@
   2,   /* field[2] = in_use */
   4,   /* field[4] = lost */
   6,   /* field[6] = router */
+  7,   /* field[7] = taken_us */
   0,   /* field[0] = upstream */
   1,   /* field[1] = wanted */
 };
 static const ProtobufCIntRange share_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor share_request__descriptor =
 {
@@ -1986,7 +1999,7 @@
   "ShareRequest",
   "",
   sizeof(ShareRequest),
-  7,
+  8,
   share_request__field_descriptors,
   share_request__field_indices_by_name,
   1,  share_request__number_ranges,
--- a/src/wire/auburn.pb-c.h
+++ b/src/wire/auburn.pb-c.h
@@ -325,10 +325,14 @@
    * Who asks; set by the assigner that passes the request on.
    */
   char *router;
+  /*
+   * The asker starts nothing under shares that it asked for before this.
+   */
+  int64_t taken_us;
 };
 #define SHARE_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&share_request__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Share
--- a/test/fuzz/fuzz_request_parts/router.c
+++ b/test/fuzz/fuzz_request_parts/router.c
@@ -410,7 +410,8 @@
 
 static void ask_shares(struct world *w, struct fake_router *r)
 {
-	struct budget_ask trial = { 1, r->trial.in_use, r->trial.lost, w->now };
+	struct budget_ask trial = { 1, r->trial.in_use, r->trial.lost, w->now,
+				    r->trial.taken_us };
 	struct pool_ask asks[UPSTREAMS];
 	size_t count = pool_shares_to_ask(r->pool, w->now, asks, UPSTREAMS);
 	size_t i;
--- a/test/unit/test_budget.c
+++ b/test/unit/test_budget.c
@@ -19,7 +19,7 @@
 static uint32_t ask(struct budget_holder *holder, const char *router,
 		    uint32_t wanted, uint32_t in_use, int64_t now)
 {
-	struct budget_ask request = { wanted, in_use, false, now };
+	struct budget_ask request = { wanted, in_use, false, now, 0 };
 
 	return budget_holder_ask(holder, str_from(router), &request, now).count;
 }
@@ -43,9 +43,11 @@
 {
 	static const char *const routers[] = { "a", "b", "c", "d" };
 	struct budget_holder *holder = budget_holder_create(-START);
+	struct budget_ask next = { 0, 0, false, 3, 2 };
 	uint32_t sum = 0;
 	size_t i;
 
+	next.wanted = 1;
 	read_holder(holder, "b", 3, 0, 0);
 	for (i = 0; i < 4; i++)
 		sum += ask(holder, routers[i], 2, 0, 1);
@@ -53,9 +55,13 @@
 	CU_ASSERT_EQUAL(budget_holder_given(holder, 1), 3);
 	/* One that held a share last makes room for who had none. */
 	CU_ASSERT_EQUAL(ask(holder, "a", 1, 0, 2), 0);
+	/* What it says it took instead frees what it held before. */
+	CU_ASSERT_EQUAL(budget_holder_given(holder, 2), 3);
+	CU_ASSERT_EQUAL(budget_holder_ask(holder, STR("a"), &next, 3).count, 0);
+	CU_ASSERT_EQUAL(budget_holder_given(holder, 3), 1);
 	/* What is returned can be given at once. */
-	CU_ASSERT_EQUAL(ask(holder, "a", 0, 0, 3), 0);
-	CU_ASSERT_EQUAL(ask(holder, "d", 1, 0, 4), 1);
+	CU_ASSERT_EQUAL(ask(holder, "a", 0, 0, 4), 0);
+	CU_ASSERT_EQUAL(ask(holder, "d", 1, 0, 5), 1);
 	budget_holder_destroy(holder);
 }
 
@@ -77,10 +83,25 @@
 	budget_holder_destroy(holder);
 }
 
+static void what_outlived_its_share_is_no_room(void)
+{
+	struct budget_holder *holder = budget_holder_create(-START);
+	int64_t later = 2 * START;
+
+	read_holder(holder, "b", 1, 0, 0);
+	CU_ASSERT_EQUAL(ask(holder, "a", 1, 0, 1), 1);
+	read_holder(holder, "b", 1, 0, later);
+	CU_ASSERT_EQUAL(ask(holder, "c", 1, 0, later), 1);
+	/* It was paused: its request still counts, but begins no other. */
+	CU_ASSERT_EQUAL(ask(holder, "a", 1, 1, later + 1), 0);
+	CU_ASSERT_EQUAL(budget_holder_given(holder, later + 1), 2);
+	budget_holder_destroy(holder);
+}
+
 static void a_late_return_is_ignored(void)
 {
 	struct budget_holder *holder = budget_holder_create(-START);
-	struct budget_ask late = { 0, 0, false, 1 };
+	struct budget_ask late = { 0, 0, false, 1, 0 };
 
 	read_holder(holder, "b", 1, 0, 0);
 	CU_ASSERT_EQUAL(ask(holder, "a", 1, 0, 2), 1);
@@ -93,7 +114,7 @@
 static void a_lost_request_is_read_first(void)
 {
 	struct budget_holder *holder = budget_holder_create(-START);
-	struct budget_ask lost = { 1, 0, true, 2 };
+	struct budget_ask lost = { 1, 0, true, 2, 0 };
 	int64_t later = 3 + BUDGET_MARGIN_US;
 
 	read_holder(holder, "b", 1, 0, 0);
@@ -224,6 +245,8 @@
 		{ "shares sum to the limit", shares_sum_to_the_limit },
 		{ "a lapsed share is read first",
 		  a_lapsed_share_is_read_first },
+		{ "what outlived its share is no room",
+		  what_outlived_its_share_is_no_room },
 		{ "a late return is ignored", a_late_return_is_ignored },
 		{ "a lost request is read first",
 		  a_lost_request_is_read_first },
