--- a/src/upstream/pool.c
+++ b/src/upstream/pool.c
@@ -1,6 +1,7 @@
 #include "upstream/pool.h"
 #include "base/planted.h"
 
+#include "base/planted.h"
 #include "upstream/pool_internal.h"
 #include "upstream/subset.h"
 
