upstream: one check before the first byte, the same in fuzz target and router

pool_may_write() stood beside the connection's proof and the share's end that the router checks; only the fuzz target called it. It goes, so that the fuzz target proves what the router does. Shares' asked_us and taken_us travel to the holder.

--- a/src/assigner/assigner_links.c
+++ b/src/assigner/assigner_links.c
@@ -367,6 +367,8 @@
 		.wanted = request->wanted,
 		.in_use = request->in_use,
 		.lost = request->lost,
+		.asked_us = request->asked_us,
+		.taken_us = request->taken_us,
 	};
 	struct budget_grant grant;
 	Envelope message = ENVELOPE__INIT;
--- a/src/router/control_links.c
+++ b/src/router/control_links.c
@@ -435,7 +435,8 @@
 	request.wanted = ask->ask.wanted;
 	request.in_use = ask->ask.in_use;
 	request.lost = ask->ask.lost;
-	request.asked_us = ask->asked_us;
+	request.asked_us = ask->ask.asked_us;
+	request.taken_us = ask->ask.taken_us;
 	send_best(ctx, ENVELOPE__BODY_SHARE_REQUEST, &request);
 	g_free(id);
 }
--- a/src/router/dispatch.h
+++ b/src/router/dispatch.h
@@ -163,7 +163,6 @@
 	const char *service;
 	struct str upstream;
 	struct budget_ask ask;
-	int64_t asked_us;
 };
 
 typedef void (*dispatch_ask_fn)(void *ctx, const struct dispatch_ask *ask);
--- a/src/router/dispatch_control.c
+++ b/src/router/dispatch_control.c
@@ -243,12 +243,10 @@
 };
 
 static void add_ask(struct service_state *service, struct str upstream,
-		    const struct budget_ask *asked, int64_t now_us,
-		    GArray *asks)
+		    const struct budget_ask *asked, GArray *asks)
 {
 	struct share_ask ask = { .ask = { .service = service->shared.name,
-					  .ask = *asked,
-					  .asked_us = now_us } };
+					  .ask = *asked } };
 
 	g_snprintf(ask.upstream, sizeof(ask.upstream), "%.*s",
 		   STR_ARG(upstream));
@@ -258,8 +256,9 @@
 static void add_trial(struct service_state *service, int64_t now_us,
 		      GArray *asks)
 {
-	struct budget_ask ask = { .wanted = 1,
-				  .in_use = service->trial_running };
+	struct budget_ask ask = { .wanted = service->trial_wanted,
+				  .in_use = service->trial_running,
+				  .asked_us = now_us };
 	char name[DISPATCH_ID_SIZE];
 
 	if ((!service->trial_wanted && !service->trial_running) ||
@@ -268,7 +267,7 @@
 	service->trial_wanted = false;
 	service->trial_asked_us = now_us;
 	g_snprintf(name, sizeof(name), TRIAL_PREFIX "%s", service->shared.name);
-	add_ask(service, str_from(name), &ask, now_us, asks);
+	add_ask(service, str_from(name), &ask, asks);
 }
 
 static void collect_asks(struct service_state *service, int64_t now_us,
@@ -280,7 +279,7 @@
 
 	for (i = 0; i < n; i++)
 		add_ask(service, pool_id(service->pool, wanted[i].upstream),
-			&wanted[i].ask, now_us, asks);
+			&wanted[i].ask, asks);
 	add_trial(service, now_us, asks);
 }
 
--- a/src/upstream/pool.c
+++ b/src/upstream/pool.c
@@ -1,5 +1,4 @@
 #include "upstream/pool.h"
-#include "base/planted.h"
 
 #include "base/planted.h"
 #include "upstream/pool_internal.h"
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -147,15 +147,6 @@
 struct pool_flight *pool_start(struct pool *pool, uint32_t upstream,
 			       int64_t now_us);
 
-/**
- * Tells whether a flight may still be written: what allowed its start holds.
- * Ask when its fresh connection is open, just before the first byte: the
- * process may have been paused meanwhile. If not, end it with POOL_CANCELLED,
- * not run.
- */
-bool pool_may_write(const struct pool *pool, const struct pool_flight *flight,
-		    int64_t now_us);
-
 /**
  * The incarnation that the request is for; borrowed from the flight. A
  * connection that reaches another one must not carry it: end the flight with
--- a/src/upstream/pool_share.c
+++ b/src/upstream/pool_share.c
@@ -8,19 +8,6 @@
 	return u->ready;
 }
 
-bool pool_may_write(const struct pool *pool, const struct pool_flight *flight,
-		    int64_t now_us)
-{
-	const struct upstream *u = flight->upstream;
-
-	(void)pool;
-	if (flight->generation != u->generation)
-		return false;
-	if (!flight->shared)
-		return pool_is_ready(u);
-	return now_us < u->share.ends_us || planted(PLANTED_SHARE_FOREVER);
-}
-
 void pool_forget_ready(struct upstream *u, int64_t now_us)
 {
 	u->ready = false;
--- a/test/fuzz/fuzz_request_parts/copy.c
+++ b/test/fuzz/fuzz_request_parts/copy.c
@@ -209,9 +209,6 @@
 	if (!u->up) {
 		report(w, copy, ATTEMPT_CONNECT_FAILED);
 		copy_end(w, copy, POOL_FAILED, POISON_OPEN);
-	} else if (!pool_may_write(r->pool, copy->flight, w->now)) {
-		report(w, copy, ATTEMPT_RESET_BEFORE_SEND);
-		copy_end(w, copy, POOL_CANCELLED, POISON_OPEN);
 	} else {
 		copy->connection->boot = u->boot;
 		send_if_meant(w, copy);
--- a/test/unit/test_pool.c
+++ b/test/unit/test_pool.c
@@ -116,26 +116,6 @@
 	}
 }
 
-static void a_late_write_is_refused(void)
-{
-	struct pool *pool = make_ready(1);
-	struct pool_flight *ready = pool_start(pool, 0, 2);
-	struct pool_flight *doubted = pool_start(pool, 1, 2);
-
-	CU_ASSERT_TRUE(pool_may_write(pool, ready, 100 * MS));
-	pool_doubt(pool, 1, 3);
-	CU_ASSERT_FALSE(pool_may_write(pool, doubted, 4));
-	pool_destroy(pool);
-	pool = pool_create(&options);
-	list(pool, COUNT);
-	pool_check(pool, 0, 1);
-	grant(pool, 1, 1);
-	ready = pool_start(pool, 0, 2);
-	CU_ASSERT_TRUE(pool_may_write(pool, ready, BUDGET_SHARE_US));
-	CU_ASSERT_FALSE(pool_may_write(pool, ready, 1 + BUDGET_SHARE_US));
-	pool_destroy(pool);
-}
-
 static void a_new_incarnation_is_cold(void)
 {
 	struct pool *pool = make_ready(1);
@@ -270,7 +250,6 @@
 		{ "readiness holds for one incarnation",
 		  readiness_holds_for_one_incarnation },
 		{ "doubt ends readiness", doubt_ends_readiness },
-		{ "a late write is refused", a_late_write_is_refused },
 		{ "a new incarnation is cold", a_new_incarnation_is_cold },
 		{ "leaving gets nothing new", leaving_gets_nothing_new },
 		{ "a straggler is set aside and probed",
