--- a/src/ownership/authority.c
+++ b/src/ownership/authority.c
@@ -18,18 +18,16 @@
 static int64_t majority_of_set(const struct coordinator *c,
 			       const GPtrArray *set, value_fn value)
 {
-	int64_t *values, result;
+	int64_t *values;
 	size_t i;
 
 	if (!set->len)
 		return NEVER_US;
-	values = g_new(int64_t, set->len);
+	values = g_newa(int64_t, set->len);
 	for (i = 0; i < set->len; i++)
 		values[i] = value(c, g_ptr_array_index(set, i));
 	qsort(values, set->len, sizeof(*values), compare_descending);
-	result = values[set->len / 2];
-	g_free(values);
-	return result;
+	return values[set->len / 2];
 }
 
 /* While the set of acceptors changes, both sets have to agree. */
