--- a/bench/bench_ownership.c
+++ b/bench/bench_ownership.c
@@ -118,7 +118,7 @@
 		struct world *w = start(seed);
 		double ms;
 
-		world_run(w, seed * 37 * US_PER_MS);
+		world_run(w, (int64_t)seed * 37 * US_PER_MS);
 		fail(w);
 		ms = unserved_ms(w);
 		sum += ms;
--- a/src/ownership/rebalancer.c
+++ b/src/ownership/rebalancer.c
@@ -7,7 +7,8 @@
 /** The hottest owner's load over the mean at which moves begin and end. */
 #define START_RATIO 1.2
 #define STOP_RATIO 1.08
-/** An owner below this part of the mean is filled, up to the other. */
+/** An owner below this part of the mean, in slices and in load, came back or
+ * is new: it is filled at once, up to the other part. */
 #define FILL_START 0.6
 #define FILL_STOP 0.9
 /** A key with this part of an owner's mean load gets its own slice. */
@@ -385,12 +386,29 @@
 	}
 }
 
+static size_t slices_of(const struct row_plan *plan, uint32_t owner)
+{
+	size_t i, count = 0;
+
+	for (i = 0; i < plan->slices->len; i++)
+		count += row_plan_slice(plan, i)->slice.owner == owner;
+	return count;
+}
+
+static bool is_empty(const struct row_plan *plan, uint32_t owner, double mean)
+{
+	double even = (double)plan->slices->len / (double)plan->owners->len;
+
+	return (double)slices_of(plan, owner) < FILL_START * even &&
+	       row_plan_owner(plan, owner)->load < FILL_START * mean;
+}
+
 /* An upstream that came back, or is new, gets its share. */
 static void fill(struct rebalancer *r, struct row_plan *plan, double mean)
 {
 	uint32_t cold = row_plan_coldest(plan);
 
-	if (row_plan_owner(plan, cold)->load >= FILL_START * mean)
+	if (!is_empty(plan, cold, mean))
 		return;
 	while (budget_left(r, plan) &&
 	       row_plan_owner(plan, cold)->load < FILL_STOP * mean) {
