--- a/src/upstream/pool.c
+++ b/src/upstream/pool.c
@@ -1,12 +1,13 @@
+#include "base/planted.h"
 #include "upstream/pool.h"
 
 #include "upstream/pool_internal.h"
 #include "upstream/subset.h"
 
-/* Percent of the requests that may be sent as backup requests, too. */
+/* Time of copies that lose, in percent of the time that answers take. */
 #define BACKUP_PERCENT 5
-#define BACKUP_UNITS 100
-#define BACKUP_UNITS_MAX (10 * BACKUP_UNITS)
+/* Most of it that is saved up. */
+#define BACKUP_LEFT_MAX_US INT64_C(50000)
 #define BACKUP_QUANTILE 95
 /* Answers by which the quantile is known well enough. */
 #define BACKUP_SAMPLES 64
@@ -26,6 +27,14 @@
 	g_free(u);
 }
 
+static void flight_free(void *data)
+{
+	struct pool_flight *flight = data;
+
+	g_free(flight->boot);
+	g_free(flight);
+}
+
 struct pool *pool_create(const struct pool_options *options)
 {
 	struct pool *pool = g_new0(struct pool, 1);
@@ -35,8 +44,9 @@
 	pool->options.router = str_from(pool->router);
 	pool->options.zone = (struct str){ 0 };
 	pool->upstreams = g_ptr_array_new_with_free_func(upstream_free);
+	pool->used = g_ptr_array_new();
 	pool->by_id = g_hash_table_new(g_str_hash, g_str_equal);
-	pool->flights = g_ptr_array_new_with_free_func(g_free);
+	pool->flights = g_ptr_array_new_with_free_func(flight_free);
 	pool->routers = g_ptr_array_new_with_free_func(g_free);
 	pool->rng = g_rand_new_with_seed(options->seed);
 	pool->candidates = g_ptr_array_new();
@@ -51,6 +61,7 @@
 	g_ptr_array_free(pool->upstreams, TRUE);
 	g_ptr_array_free(pool->routers, TRUE);
 	g_ptr_array_free(pool->candidates, TRUE);
+	g_ptr_array_free(pool->used, TRUE);
 	g_hash_table_destroy(pool->by_id);
 	g_rand_free(pool->rng);
 	g_free(pool->router);
@@ -135,6 +146,16 @@
 	return best;
 }
 
+static void list_used(struct pool *pool)
+{
+	guint i;
+
+	g_ptr_array_set_size(pool->used, 0);
+	for (i = 0; i < pool->upstreams->len; i++)
+		if (pool_at(pool, i)->in_subset)
+			g_ptr_array_add(pool->used, pool_at(pool, i));
+}
+
 static void choose_subset(struct pool *pool)
 {
 	struct str *routers = router_list(pool);
@@ -160,6 +181,7 @@
 		used++;
 	}
 	g_free(routers);
+	list_used(pool);
 }
 
 void pool_update(struct pool *pool, const struct pool_member *members,
@@ -222,18 +244,25 @@
 	flight->upstream = u;
 	flight->start_us = now_us;
 	flight->generation = u->generation;
+	flight->boot = g_strdup(u->boot);
 	flight->waits = true;
 	flight->link.data = flight;
-	if (!pool_is_ready(u, now_us))
+	if (!pool_is_ready(u))
 		flight->shared = budget_share_use(&u->share, now_us);
 	g_queue_push_tail_link(&u->waiting, &flight->link);
 	g_ptr_array_add(pool->flights, flight);
 	u->in_flight++;
-	pool->backup_units =
-		MIN(pool->backup_units + BACKUP_PERCENT, BACKUP_UNITS_MAX);
 	return flight;
 }
 
+struct str pool_flight_boot(const struct pool_flight *flight)
+{
+	/* Without a name, any incarnation will do. */
+	if (planted(PLANTED_INCARNATION_WARM))
+		return STR("");
+	return str_from(flight->boot);
+}
+
 uint32_t pool_flight_upstream(const struct pool_flight *flight)
 {
 	return flight->upstream->index;
@@ -259,13 +288,16 @@
 	stop_waiting(flight);
 	straggler_answer(&u->times, took_us);
 	quantile_add(&pool->backup, took_us, BACKUP_QUANTILE);
+	pool->backup_left_us =
+		MIN(pool->backup_left_us + took_us * BACKUP_PERCENT / 100,
+		    BACKUP_LEFT_MAX_US);
 }
 
 static void on_failed(struct upstream *u, const struct pool_flight *flight,
 		      int64_t now_us)
 {
 	if (flight->generation == u->generation)
-		pool_forget_proof(u, now_us);
+		pool_forget_ready(u, now_us);
 	u->rest_wait_us =
 		CLAMP(2 * u->rest_wait_us, FAIL_REST_US, FAIL_REST_MAX_US);
 	u->rest_us = now_us + u->rest_wait_us;
@@ -282,12 +314,15 @@
 		u->rest_us = now_us + SHED_REST_US;
 		break;
 	case POOL_COLD:
-		u->ready = false;
-		pool_forget_proof(u, now_us);
+		pool_forget_ready(u, now_us);
 		break;
 	case POOL_LEAVING:
 		u->left = true;
 		break;
+	case POOL_OTHER_BOOT:
+		if (flight->generation == u->generation)
+			pool_forget_ready(u, now_us);
+		break;
 	case POOL_FAILED:
 		on_failed(u, flight, now_us);
 		break;
@@ -315,6 +350,8 @@
 {
 	struct upstream *u = flight->upstream;
 
+	if (outcome == POOL_CANCELLED)
+		pool->backup_left_us -= now_us - flight->start_us;
 	note_outcome(u, flight, outcome, now_us);
 	stop_waiting(flight);
 	if (flight->shared)
@@ -330,12 +367,9 @@
 	return pool->backup.value_us;
 }
 
-bool pool_backup_take(struct pool *pool)
+bool pool_backup_allowed(const struct pool *pool)
 {
-	if (pool->backup_units < BACKUP_UNITS)
-		return false;
-	pool->backup_units -= BACKUP_UNITS;
-	return true;
+	return pool->backup_left_us > 0;
 }
 
 bool pool_status(const struct pool *pool, size_t index, int64_t now_us,
@@ -350,7 +384,7 @@
 		.id = str_from(u->id),
 		.in_flight = u->in_flight,
 		.available = pool_takes_work(u),
-		.cold = !pool_is_ready(u, now_us),
+		.cold = !pool_is_ready(u),
 		.slow = u->times.slow,
 		.expected_us = pool_expected(u, now_us),
 	};
