--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -197,6 +197,9 @@
 /** Runs what is due after an input. */
 void coordinator_step(struct coordinator *c);
 
+/** Ends the term when authority ran out: comes before any input. */
+void coordinator_check_authority(struct coordinator *c, int64_t now);
+
 /** Notes that an epoch exists, so that the row is read if it is newer. */
 void coordinator_note_epoch(struct coordinator *c, uint64_t epoch);
 
--- a/test/fakes/world.c
+++ b/test/fakes/world.c
@@ -5,8 +5,6 @@
 /** Shortest way of a message, and its usual spread. */
 #define BASE_DELAY_US 300
 #define DELAY_SPREAD_US 1500
-/** Longest time until a daemon learns of a change of zones or VMs. */
-#define LIST_LAG_US (500 * US_PER_MS)
 
 size_t world_zone(size_t upstream)
 {
@@ -20,7 +18,7 @@
 	return clock->local_us + passed + passed * clock->ppm / 1000000;
 }
 
-static void clock_set_rate(struct world_clock *clock, int ppm)
+void world_clock_set_rate(struct world_clock *clock, int ppm)
 {
 	clock->local_us = world_clock_us(clock);
 	clock->true_us = clock->w->now_us;
@@ -217,7 +215,7 @@
 	coordinator_set_upstreams(d->c, list, count);
 }
 
-static void start_daemon(struct world *w, size_t index)
+void world_start_daemon(struct world *w, size_t index)
 {
 	struct world_daemon *d = &w->daemons[index];
 	char *incarnation = g_strdup_printf("i%u", ++d->run);
@@ -248,7 +246,7 @@
 	g_free(incarnation);
 }
 
-static void start_upstream(struct world *w, size_t index)
+void world_start_upstream(struct world *w, size_t index)
 {
 	struct world_upstream *u = &w->upstreams[index];
 	char *boot = g_strdup_printf("b%zu-%u", index, ++u->run);
@@ -283,7 +281,7 @@
 	for (i = 0; i < config->upstreams; i++) {
 		clock_init(w, &w->upstreams[i].time);
 		w->upstreams[i].listed = true;
-		start_upstream(w, i);
+		world_start_upstream(w, i);
 	}
 	for (i = 0; i < config->daemons; i++) {
 		struct world_daemon *d = &w->daemons[i];
@@ -292,7 +290,7 @@
 		d->index = i;
 		d->clock = (struct clock){ &clock_ops, d };
 		clock_init(w, &d->time);
-		start_daemon(w, i);
+		world_start_daemon(w, i);
 	}
 	return w;
 }
@@ -368,189 +366,3 @@
 	}
 	return !w->violation && world_served(w) >= 1;
 }
-
-void world_freeze_daemon(struct world *w, size_t daemon, int64_t us)
-{
-	struct world_daemon *d = &w->daemons[daemon];
-
-	d->frozen_until_us = MAX(d->frozen_until_us, w->now_us + us);
-	if (!w->config.paused_clock)
-		return;
-	/* The clock of a suspended VM that does not count its sleep. */
-	d->time.local_us -= us;
-}
-
-void world_freeze_upstream(struct world *w, size_t upstream, int64_t us)
-{
-	struct world_upstream *u = &w->upstreams[upstream];
-
-	u->frozen_until_us = MAX(u->frozen_until_us, w->now_us + us);
-}
-
-static void run_daemon_start(struct world *w, struct world_event *e)
-{
-	if (!w->daemons[e->daemon].alive)
-		start_daemon(w, e->daemon);
-}
-
-void world_kill_daemon(struct world *w, size_t daemon, int64_t down_us)
-{
-	struct world_daemon *d = &w->daemons[daemon];
-
-	if (d->alive)
-		coordinator_destroy(d->c);
-	d->c = NULL;
-	d->alive = false;
-	world_schedule(w, down_us, run_daemon_start)->daemon = daemon;
-}
-
-static void run_upstream_start(struct world *w, struct world_event *e)
-{
-	if (!w->upstreams[e->upstream].alive)
-		start_upstream(w, e->upstream);
-}
-
-void world_kill_upstream(struct world *w, size_t upstream, int64_t down_us)
-{
-	struct world_upstream *u = &w->upstreams[upstream];
-
-	u->alive = false;
-	/* A grant dies with the process that held it. */
-	fence_restart(u->fence, STR("down"), world_clock_us(&u->time));
-	world_schedule(w, down_us, run_upstream_start)->upstream = upstream;
-}
-
-void world_cut_upstream(struct world *w, size_t daemon, size_t upstream,
-			bool cut)
-{
-	w->daemons[daemon].upstream_cut[upstream] = cut;
-}
-
-void world_cut_peers(struct world *w, size_t a, size_t b, bool cut)
-{
-	w->daemons[a].peer_cut[b] = cut;
-	w->daemons[b].peer_cut[a] = cut;
-}
-
-void world_cut_table(struct world *w, size_t daemon, bool cut)
-{
-	w->daemons[daemon].table_cut = cut;
-}
-
-void world_table_down(struct world *w, bool down)
-{
-	w->table_down = down;
-}
-
-void world_table_slow(struct world *w, int64_t us)
-{
-	w->table_slow_us = us;
-}
-
-void world_table_faults(struct world *w, unsigned int lost, unsigned int late)
-{
-	w->write_lost = lost;
-	w->write_late = late;
-}
-
-void world_network(struct world *w, unsigned int lost, unsigned int doubled,
-		   int64_t delay_us)
-{
-	w->lost = lost;
-	w->doubled = doubled;
-	w->delay_us = delay_us;
-}
-
-void world_drift_daemon(struct world *w, size_t daemon, int ppm)
-{
-	clock_set_rate(&w->daemons[daemon].time, ppm);
-}
-
-void world_drift_upstream(struct world *w, size_t upstream, int ppm)
-{
-	clock_set_rate(&w->upstreams[upstream].time, ppm);
-}
-
-static void run_list(struct world *w, struct world_event *e)
-{
-	struct world_daemon *d = &w->daemons[e->daemon];
-
-	if (!world_daemon_here(w, e))
-		return;
-	memcpy(d->sees_out, w->zone_out, sizeof(d->sees_out));
-	world_tell_upstreams(d);
-}
-
-static void tell_later(struct world *w)
-{
-	size_t i;
-
-	for (i = 0; i < w->config.daemons; i++) {
-		struct world_event *e = world_schedule(
-			w, g_rand_int_range(w->random, 0, LIST_LAG_US),
-			run_list);
-
-		e->daemon = i;
-		e->daemon_run = w->daemons[i].run;
-	}
-}
-
-void world_zone_out(struct world *w, size_t zone, bool out)
-{
-	w->zone_out[zone] = out;
-	tell_later(w);
-}
-
-void world_leaving(struct world *w, size_t upstream, bool leaving)
-{
-	w->upstreams[upstream].leaving = leaving;
-	tell_later(w);
-}
-
-void world_listed(struct world *w, size_t upstream, bool listed)
-{
-	w->upstreams[upstream].listed = listed;
-	tell_later(w);
-}
-
-static void run_replace(struct world *w, struct world_event *e)
-{
-	if (world_daemon_here(w, e))
-		world_kill_daemon(w, e->daemon, 10 * US_PER_MS);
-}
-
-void world_hand_over(struct world *w, size_t daemon)
-{
-	struct world_daemon *d = &w->daemons[daemon];
-	struct world_event *e;
-
-	if (!d->alive)
-		return;
-	coordinator_hand_over(d->c);
-	e = world_schedule(w, US_PER_SECOND, run_replace);
-	e->daemon = daemon;
-	e->daemon_run = d->run;
-}
-
-void world_heal(struct world *w)
-{
-	size_t i;
-
-	for (i = 0; i < w->config.daemons; i++) {
-		struct world_daemon *d = &w->daemons[i];
-
-		d->table_cut = false;
-		memset(d->upstream_cut, 0, sizeof(d->upstream_cut));
-		memset(d->peer_cut, 0, sizeof(d->peer_cut));
-	}
-	for (i = 0; i < w->config.upstreams; i++) {
-		w->upstreams[i].listed = true;
-		w->upstreams[i].leaving = false;
-	}
-	memset(w->zone_out, 0, sizeof(w->zone_out));
-	w->table_down = false;
-	w->table_slow_us = 0;
-	world_table_faults(w, 0, 0);
-	world_network(w, 0, 0, 0);
-	tell_later(w);
-}
--- a/test/fakes/world_impl.h
+++ b/test/fakes/world_impl.h
@@ -99,6 +99,13 @@
 /** Reads a clock. */
 int64_t world_clock_us(const struct world_clock *clock);
 
+/** Sets a clock's rate from now on, in parts per million above true. */
+void world_clock_set_rate(struct world_clock *clock, int ppm);
+
+/** Starts a process with empty state. */
+void world_start_daemon(struct world *w, size_t index);
+void world_start_upstream(struct world *w, size_t index);
+
 /** Schedules an event; the world takes it over. */
 struct world_event *world_schedule(struct world *w, int64_t delay_us,
 				   void (*run)(struct world *,
