--- a/src/upstream/pool.c
+++ b/src/upstream/pool.c
@@ -1,5 +1,5 @@
-#include "base/planted.h"
 #include "upstream/pool.h"
+#include "base/planted.h"
 
 #include "upstream/pool_internal.h"
 #include "upstream/subset.h"
--- a/test/unit/test_ownership_faults.c
+++ b/test/unit/test_ownership_faults.c
@@ -108,26 +108,28 @@
 	CU_ASSERT_TRUE(broken > 0);
 }
 
-/* A coordinator that was suspended reaches one owner, which nobody else does.
- * With a clock that stood still it believes in its authority and renews that
- * owner. */
-static bool suspension_breaks(bool paused_clock, uint32_t seed)
+/* A coordinator, suspended for a while or not, reaches one owner, which nobody
+ * else does: that owner must not be renewed once it has a successor. */
+static bool isolation_breaks(const char *fault, int64_t frozen_us,
+			     uint32_t seed)
 {
 	struct world_config config = {
 		.daemons = 3,
 		.upstreams = 5,
 		.slices_per_owner = 2,
 		.seed = seed,
-		.paused_clock = paused_clock,
 	};
-	struct world *w = world_create(&config);
+	struct world *w;
 	size_t leader, d, u;
 	bool broken;
 
+	if (fault)
+		CU_ASSERT_TRUE(world_plant(fault, &config));
+	w = world_create(&config);
 	world_run(w, 6 * US_PER_SECOND);
 	CU_ASSERT_NOT_EQUAL_FATAL(world_leader(w), -1);
 	leader = (size_t)world_leader(w);
-	world_freeze_daemon(w, leader, 4 * US_PER_SECOND);
+	world_freeze_daemon(w, leader, frozen_us);
 	for (d = 0; d < 3; d++) {
 		for (u = 0; u < 5; u++)
 			world_cut_upstream(w, d, u, (u == 0) != (d == leader));
@@ -137,24 +139,33 @@
 	world_run(w, 6 * US_PER_SECOND);
 	broken = world_violation(w) != NULL;
 	if (broken)
-		printf("# paused-clock, seed %u: %s\n", seed,
-		       world_violation(w));
+		printf("# %s, seed %u: %s\n", fault, seed, world_violation(w));
 	world_destroy(w);
 	return broken;
 }
 
-static void suspended_clock_is_not_trusted(void)
+static void isolation_is_noticed(const char *fault, int64_t frozen_us)
 {
 	unsigned int broken = 0;
 	uint32_t seed;
 
 	for (seed = 1; seed <= 8; seed++) {
-		broken += suspension_breaks(true, seed);
-		CU_ASSERT_FALSE(suspension_breaks(false, seed));
+		broken += isolation_breaks(fault, frozen_us, seed);
+		CU_ASSERT_FALSE(isolation_breaks(NULL, frozen_us, seed));
 	}
 	CU_ASSERT_TRUE(broken > 0);
 }
 
+static void suspended_clock_is_not_trusted(void)
+{
+	isolation_is_noticed("paused-clock", 4 * US_PER_SECOND);
+}
+
+static void a_lead_ends_by_itself(void)
+{
+	isolation_is_noticed("no-expiry", 0);
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -163,6 +174,7 @@
 		  restarted_upstreams_are_not_counted },
 		{ "suspended clock is not trusted",
 		  suspended_clock_is_not_trusted },
+		{ "a lead ends by itself", a_lead_ends_by_itself },
 		{ 0 },
 	};
 
