ownership: an operator's word for a cell that lost its majority

Without it such a cell waits for ever when the platform has replaced its VMs. Counting the lost ones as accepting was ruled out: two candidates would both have won. Upstreams and peers replaced long ago are forgotten.

--- a/src/ownership/authority.c
+++ b/src/ownership/authority.c
@@ -14,20 +14,31 @@
 	return (x < y) - (x > y);
 }
 
+/* An operator said that upstreams which the platform no longer lists are gone
+ * for good: the others make up the majority. */
+static bool is_excused(const struct coordinator *c,
+		       const struct cell_upstream *u)
+{
+	return !u->listed && coordinator_now(c) < c->forced_until_us;
+}
+
 /* The value that a majority of the set reaches or exceeds. */
 static int64_t majority_of_set(const struct coordinator *c,
 			       const GPtrArray *set, value_fn value)
 {
-	int64_t *values;
-	size_t i;
+	int64_t *values = g_newa(int64_t, set->len + 1);
+	size_t i, count = 0;
+
+	for (i = 0; i < set->len; i++) {
+		const struct cell_upstream *u = g_ptr_array_index(set, i);
 
-	if (!set->len)
+		if (!is_excused(c, u))
+			values[count++] = value(c, u);
+	}
+	if (!count)
 		return NEVER_US;
-	values = g_newa(int64_t, set->len);
-	for (i = 0; i < set->len; i++)
-		values[i] = value(c, g_ptr_array_index(set, i));
-	qsort(values, set->len, sizeof(*values), compare_descending);
-	return values[set->len / 2];
+	qsort(values, count, sizeof(*values), compare_descending);
+	return values[count / 2];
 }
 
 /* While the set of acceptors changes, both sets have to agree. */
@@ -61,7 +72,7 @@
 static int64_t value_confirmed(const struct coordinator *c,
 			       const struct cell_upstream *u)
 {
-	return knows_newer(c, u) ? NEVER_US : u->confirmed_us;
+	return knows_newer(c, u) ? NEVER_US : value_accepted(c, u);
 }
 
 static int64_t value_present_ballot(const struct coordinator *c,
--- a/src/ownership/coordinator.c
+++ b/src/ownership/coordinator.c
@@ -10,6 +10,11 @@
 /** Without a successor, a daemon that hands over stops after this time. */
 #define HANDOVER_US (2 * US_PER_SECOND)
 
+/** How long an operator's word on lost upstreams holds. */
+#define FORCED_US (60 * US_PER_SECOND)
+/** A peer that was not heard for this time is forgotten. */
+#define PEER_FORGET_US (60 * US_PER_SECOND)
+
 struct coordinator_timing coordinator_timing_default(void)
 {
 	return (struct coordinator_timing){
@@ -57,6 +62,7 @@
 	c->retry_read_us = NEVER_US;
 	c->row_read_us = NEVER_US;
 	c->known_epoch_us = NEVER_US;
+	c->forced_until_us = NEVER_US;
 	c->table_up = true;
 }
 
@@ -249,6 +255,44 @@
 	u->out = in->out;
 }
 
+static bool holds_up_slice(const struct coordinator *c,
+			   const struct cell_upstream *u)
+{
+	size_t i;
+
+	for (i = 0; i < c->states->len; i++)
+		if (grants_state(c, i)->holder == u)
+			return true;
+	return false;
+}
+
+static bool in_set(const GPtrArray *set, struct cell_upstream *u)
+{
+	return set && g_ptr_array_find((GPtrArray *)set, u, NULL);
+}
+
+/* Forgets upstreams and peers that were replaced long ago. An upstream that no
+ * row names was clear before it left the last one. */
+static void forget_gone(struct coordinator *c, int64_t now)
+{
+	size_t i;
+
+	for (i = c->upstreams->len; i-- > 0;) {
+		struct cell_upstream *u = g_ptr_array_index(c->upstreams, i);
+
+		if (!u->listed && now >= u->listed_us + c->timing.gone_us &&
+		    now >= u->until_us && !in_set(c->acceptors, u) &&
+		    !in_set(c->old_acceptors, u) && !holds_up_slice(c, u))
+			g_ptr_array_remove_index(c->upstreams, (guint)i);
+	}
+	for (i = c->peers->len; i-- > 0;) {
+		const struct peer *p = g_ptr_array_index(c->peers, i);
+
+		if (now >= p->heard_us + PEER_FORGET_US)
+			g_ptr_array_remove_index(c->peers, (guint)i);
+	}
+}
+
 void coordinator_set_upstreams(struct coordinator *c,
 			       const struct coordinator_upstream *upstreams,
 			       size_t count)
@@ -266,6 +310,7 @@
 	}
 	for (i = 0; i < count; i++)
 		take_upstream(c, &upstreams[i], now);
+	forget_gone(c, now);
 	c->next_plan_us = now;
 	coordinator_step(c);
 }
@@ -299,6 +344,13 @@
 	rebalancer_add_load(c->rebalancer, load);
 }
 
+void coordinator_force(struct coordinator *c)
+{
+	c->forced_until_us = coordinator_now(c) + FORCED_US;
+	coordinator_event(c, "unlisted upstreams are not asked for");
+	coordinator_step(c);
+}
+
 void coordinator_hand_over(struct coordinator *c)
 {
 	if (c->phase == COORDINATOR_RESIGNED)
--- a/src/ownership/coordinator.h
+++ b/src/ownership/coordinator.h
@@ -94,6 +94,14 @@
  */
 void coordinator_hand_over(struct coordinator *c);
 
+/**
+ * Operators say that upstreams which the platform no longer lists are gone for
+ * good, for a cell that lost the majority of its upstreams at once. For a
+ * minute they are not asked for, so that a row without them can be written.
+ * Unsafe when one of them still runs and another daemon reaches it.
+ */
+void coordinator_force(struct coordinator *c);
+
 /** True when nothing keeps the daemon from stopping. */
 bool coordinator_handed_over(const struct coordinator *c);
 
--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -173,6 +173,9 @@
 	/** When the ballot was last raised within a term. */
 	int64_t raised_us;
 	unsigned int challenges;
+	/** Until then unlisted upstreams are not asked for: see
+	 * coordinator_force(). */
+	int64_t forced_until_us;
 
 	/* Upstreams and load. */
 	/** struct cell_upstream, owned. */
--- a/test/unit/test_coordinator.c
+++ b/test/unit/test_coordinator.c
@@ -193,6 +193,29 @@
 	finish(w);
 }
 
+/* Three of five are replaced by none at once: no majority is left, until an
+ * operator says that they are gone. */
+static void lost_majority_waits_for_an_operator(void)
+{
+	struct world *w = start();
+	size_t i;
+
+	world_run(w, 6 * US_PER_SECOND);
+	for (i = 0; i < 3; i++) {
+		world_kill_upstream(w, i, 600 * US_PER_SECOND);
+		world_listed(w, i, false);
+	}
+	world_run(w, 40 * US_PER_SECOND);
+	CU_ASSERT_EQUAL(world_leader(w), -1);
+	for (i = 0; i < DAEMONS; i++)
+		coordinator_force(world_coordinator(w, i));
+	CU_ASSERT_TRUE(world_run_until_served(w, 6 * US_PER_SECOND));
+	world_run(w, 70 * US_PER_SECOND);
+	CU_ASSERT_EQUAL(slice_map_owner_count(world_row(w)), 2);
+	CU_ASSERT_EQUAL(world_served(w), 1);
+	finish(w);
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -213,6 +236,8 @@
 		{ "unfenced cell is served", unfenced_cell_is_served },
 		{ "cell without slices has one authority",
 		  cell_without_slices_has_one_authority },
+		{ "lost majority waits for an operator",
+		  lost_majority_waits_for_an_operator },
 		{ 0 },
 	};
 
