--- /dev/null
+++ b/bench/bench_capacity.c
@@ -0,0 +1,239 @@
+/*
+ * Slopes for docs/CAPACITY.md: sizes and costs of the map, of the list of VMs
+ * and of one renewal of a grant by HTTP, on loopback, both sides in one
+ * process.
+ */
+#include <arpa/inet.h>
+#include <malloc.h>
+#include <stdio.h>
+#include <time.h>
+
+#include "membership/vm_codec.h"
+#include "membership/vm_table.h"
+#include "operator/operator_server.h"
+#include "ownership/order_codec.h"
+#include "ownership/slice_map.h"
+#include "platform/http_client.h"
+#include "wire/auburn.pb-c.h"
+
+#define OWNERS 20
+#define FINDS 2000000
+#define CALLS 3000
+#define VMS 10000
+#define TURN_US 1000
+
+static void line(const char *name, const char *where, double value,
+		 const char *unit)
+{
+	printf("%-28s %-14s %12.2f %s\n", name, where, value, unit);
+}
+
+static double cpu_us(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+	return (double)t.tv_sec * 1e6 + (double)t.tv_nsec / 1e3;
+}
+
+static GBytes *row_of(size_t slices)
+{
+	CellRow row = CELL_ROW__INIT;
+	Slice *all = g_new0(Slice, slices);
+	Slice **at = g_new0(Slice *, slices);
+	char names[OWNERS][16];
+	char *owners[OWNERS];
+	uint8_t *data;
+	size_t i, size;
+
+	for (i = 0; i < OWNERS; i++) {
+		g_snprintf(names[i], sizeof(names[i]), "tallies-%02zu", i);
+		owners[i] = names[i];
+	}
+	for (i = 0; i < slices; i++) {
+		slice__init(&all[i]);
+		all[i].first = UINT64_MAX / slices * i;
+		all[i].owner = (uint32_t)(i % OWNERS);
+		all[i].epoch = 1000;
+		at[i] = &all[i];
+	}
+	row.cell = (char *)"tallies";
+	row.epoch = 1000;
+	row.attempt = (char *)"0123456789abcdef";
+	row.owners = owners;
+	row.n_owners = OWNERS;
+	row.slices = at;
+	row.n_slices = slices;
+	size = cell_row__get_packed_size(&row);
+	data = g_malloc(size);
+	cell_row__pack(&row, data);
+	g_free(at);
+	g_free(all);
+	return g_bytes_new_take(data, size);
+}
+
+static void measure_map(size_t slices)
+{
+	GBytes *bytes = row_of(slices);
+	struct str row = { g_bytes_get_data(bytes, NULL),
+			   g_bytes_get_size(bytes) };
+	size_t before = mallinfo2().uordblks;
+	struct slice_map *map = slice_map_decode(row, NULL);
+	size_t memory = mallinfo2().uordblks - before;
+	uint64_t hash = 1, sum = 0;
+	double begun = cpu_us();
+	char where[32];
+	int i;
+
+	g_snprintf(where, sizeof(where), "slices=%zu", slices);
+	line("map_row", where, (double)row.len, "bytes");
+	line("map_memory", where, (double)memory, "bytes");
+	for (i = 0; i < 20; i++)
+		slice_map_destroy(slice_map_decode(row, NULL));
+	line("map_decode", where, (cpu_us() - begun) / 20, "us");
+	begun = cpu_us();
+	for (i = 0; i < FINDS; i++) {
+		hash = hash * 6364136223846793005u + 1442695040888963407u;
+		sum += slice_map_find(map, hash)->owner;
+	}
+	line("map_find", where, (cpu_us() - begun) * 1000 / FINDS,
+	     sum ? "ns" : "ns (none)");
+	slice_map_destroy(map);
+	g_bytes_unref(bytes);
+}
+
+static void measure_vms(void)
+{
+	struct vm_table *table = vm_table_create();
+	struct vm *vms = g_new0(struct vm, VMS);
+	struct vm_list list = { vms, VMS };
+	size_t i, before;
+	VmList *message;
+
+	for (i = 0; i < VMS; i++) {
+		vms[i] = (struct vm){ .id = g_strdup_printf("vm-%05zu", i),
+				      .service = g_strdup("tallies"),
+				      .zone = g_strdup("puerto-bolivar"),
+				      .boot = g_strdup("0123456789abcdef"),
+				      .fences = true };
+		vms[i].address.sin_port = htons(8080);
+		vms[i].control.sin_port = htons(8081);
+	}
+	message = vm_list_to_wire(&list, 1);
+	line("vms_message", "per VM",
+	     (double)vm_list__get_packed_size(message) / VMS, "bytes");
+	vm_list_wire_free(message);
+	before = mallinfo2().uordblks;
+	vm_table_listed(table, vms, VMS, 1);
+	line("vms_memory", "per VM",
+	     (double)(mallinfo2().uordblks - before) / VMS, "bytes");
+	vm_list_clear(&list);
+	vm_table_destroy(table);
+}
+
+/* The upstream's side: reads the order and answers as an upstream does. */
+static void on_order(void *ctx, struct operator_call *call)
+{
+	struct order_message *order =
+		order_decode(operator_call_body(call), NULL);
+	struct order_reply reply = { .accepted = true,
+				     .promised = { 7, 123456789012345 },
+				     .epoch = 1000,
+				     .boot = STR("0123456789abcdef"),
+				     .clock_us = 123456789012,
+				     .up_us = 123456789,
+				     .has_grant = true,
+				     .grant_epoch = 1000,
+				     .grant_left_us = 700000,
+				     .grant_digest = UINT64_MAX / 3 };
+	char *text = order_reply_encode(&reply);
+
+	(void)ctx;
+	order_message_destroy(order);
+	operator_call_answer(call, 200, "application/json", str_from(text));
+	g_free(text);
+}
+
+static const struct operator_route routes[] = {
+	{ "POST", "/control/order", false, on_order, "one order" },
+	{ 0 },
+};
+
+struct client {
+	int answered;
+};
+
+static void on_reply(void *ctx, const struct http_answer *answer)
+{
+	struct client *c = ctx;
+	struct order_reply reply;
+	char *boot;
+
+	if (order_reply_decode(answer->body, &reply, &boot, NULL))
+		g_free(boot);
+	c->answered++;
+}
+
+static void measure_renewals(void)
+{
+	struct operator_mount mounts[] = { { routes, NULL }, { 0 } };
+	struct operator_config config = { .token = "", .mounts = mounts };
+	struct http_client *http = http_client_create();
+	struct order order = { .kind = ORDER_GRANT,
+			       .cell = STR("tallies"),
+			       .ballot = { 7, 123456789012345 },
+			       .epoch = 1000,
+			       .boot = STR("0123456789abcdef"),
+			       .anchor_us = 123456789012,
+			       .duration_us = 800000 };
+	struct operator_server *server;
+	struct client client = { 0 };
+	uint64_t calls, sent, received;
+	double begun = cpu_us();
+	char url[64];
+	int i, fd;
+
+	config.address.sin_family = AF_INET;
+	config.address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	server = operator_server_create(&config, NULL);
+	fd = operator_server_fd(server);
+	g_snprintf(url, sizeof(url), "http://127.0.0.1:%u/control/order",
+		   operator_server_port(server));
+	for (i = 0; i < CALLS; i++) {
+		char *body = order_encode(&order);
+		struct http_call call = { .method = "POST",
+					  .url = url,
+					  .body = str_from(body),
+					  .timeout_us = 1000000 };
+
+		http_client_start(http, &call, on_reply, &client);
+		while (client.answered <= i) {
+			http_client_run(http);
+			operator_server_run(server);
+			if (client.answered <= i)
+				http_client_wait(http, &fd, 1, TURN_US);
+		}
+		g_free(body);
+	}
+	http_client_counts(http, &calls, &sent, &received);
+	line("renewal_cpu_both_sides", "one order", (cpu_us() - begun) / CALLS,
+	     "us");
+	line("renewal_sent", "one order", (double)sent / (double)calls,
+	     "bytes");
+	line("renewal_received", "one order", (double)received / (double)calls,
+	     "bytes");
+	http_client_destroy(http);
+	operator_server_destroy(server);
+}
+
+int main(void)
+{
+	static const size_t sizes[] = { 320, 3200, 32000 };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++)
+		measure_map(sizes[i]);
+	measure_vms();
+	measure_renewals();
+	return 0;
+}
