--- a/src/profile/spread.c
+++ b/src/profile/spread.c
@@ -173,67 +173,64 @@
 }
 
 /* Takes over what is higher than the version held. */
-static bool take(struct spread *s, struct str body)
+static void take(struct spread *s, struct settings *offered, struct str body)
 {
-	struct settings *offered;
-
-	if (str_equal(body, spread_json(s)))
-		return true;
-	offered = settings_parse(body, NULL);
-	if (!offered)
-		return false;
 	if (offered->version <= spread_version(s) &&
 	    !planted(PLANTED_SPREAD_REVERT)) {
 		settings_destroy(offered);
-		return true;
+		return;
 	}
 	settings_destroy(s->settings);
 	s->settings = offered;
 	g_string_truncate(s->json, 0);
 	g_string_append_len(s->json, body.data, (gssize)body.len);
 	s->ops->in_force(s->ctx, s->settings);
-	return true;
 }
 
 bool spread_body(struct spread *s, struct str body, int64_t now_us)
 {
-	bool taken = take(s, body);
+	struct settings *offered;
 
-	if (is_behind(s) && taken)
+	if (str_equal(body, spread_json(s)))
+		return true;
+	offered = settings_parse(body, NULL);
+	if (!offered)
+		return false;
+	take(s, offered, body);
+	if (is_behind(s))
 		s->pull_due_us = now_us;
-	return taken;
+	return true;
 }
 
-/* Whether the row proves that nothing newer than the version held existed at
- * the start of the read. */
-static bool confirms(struct spread *s, enum table_status status,
-		     struct str body)
+/* Takes the row over. Returns whether it proves that nothing newer than the
+ * version held existed at the start of the read. */
+static bool take_row(struct spread *s, struct str body)
 {
 	struct settings *row;
-	bool current;
+	uint64_t version;
 
-	if (status == TABLE_ABSENT)
-		return !s->settings;
-	if (str_equal(body, spread_json(s)))
+	if (s->settings && str_equal(body, spread_json(s)))
 		return true;
 	row = settings_parse(body, NULL);
-	current = row && row->version == spread_version(s);
-	settings_destroy(row);
-	return current;
+	if (!row)
+		return false;
+	version = row->version;
+	take(s, row, body);
+	return version == spread_version(s);
 }
 
 void spread_table(struct spread *s, enum table_status status, struct str body,
 		  int64_t now_us)
 {
 	int64_t begun_us = s->read_begun_us;
+	bool confirmed;
 
 	(void)now_us;
 	s->reading = false;
 	if (status != TABLE_OK && status != TABLE_ABSENT)
 		return;
-	if (status == TABLE_OK)
-		take(s, body);
-	if (confirms(s, status, body))
+	confirmed = status == TABLE_OK ? take_row(s, body) : !s->settings;
+	if (confirmed)
 		s->confirmed_us = MAX(s->confirmed_us, begun_us);
 	else
 		s->regressions++;
--- a/test/fakes/fleet.h
+++ b/test/fakes/fleet.h
@@ -16,6 +16,7 @@
 /** One version that the table took. */
 struct fleet_version {
 	char *json;
+	size_t len;
 	char *attempt;
 };
 
--- a/test/fuzz/fuzz_settings_parts/run.c
+++ b/test/fuzz/fuzz_settings_parts/run.c
@@ -21,7 +21,7 @@
 #define LONG_DELAY_US INT64_C(3000000)
 #define PUBLISH_LIMIT 3
 /* Steps of one input before faults stop. */
-#define STEP_LIMIT 150
+#define STEP_LIMIT 110
 
 static const char declared[] = "[deployment]\nname = d\n"
 			       "[zone a]\n[zone b]\n[zone c]\n"
