test: operators' commands against the real programs

A zone that is out and an upstream that leaves get no new work 3 s and 5 s later; a publish through a table that loses 60% of its answers takes effect once; in an outage nothing is published, requests are answered, and a killed assigner comes back with its peers' settings.

--- a/src/ctl/commands.c
+++ b/src/ctl/commands.c
@@ -124,6 +124,32 @@
 	return rows;
 }
 
+static gint by_id(gconstpointer a, gconstpointer b)
+{
+	const json_t *const *x = a;
+	const json_t *const *y = b;
+	const char *left = json_string_value(json_object_get(*x, "id"));
+	const char *right = json_string_value(json_object_get(*y, "id"));
+
+	return g_strcmp0(left, right);
+}
+
+/* A copy of the rows in the order of their ids. */
+static json_t *sorted(const json_t *rows)
+{
+	GPtrArray *order = g_ptr_array_new();
+	json_t *out = json_array();
+	size_t i;
+
+	for (i = 0; i < json_array_size(rows); i++)
+		g_ptr_array_add(order, json_array_get(rows, i));
+	g_ptr_array_sort(order, by_id);
+	for (i = 0; i < order->len; i++)
+		json_array_append(out, g_ptr_array_index(order, i));
+	g_ptr_array_free(order, TRUE);
+	return out;
+}
+
 static void print_status(const json_t *status)
 {
 	static const char *const tables[] = { "daemons", "cells", "vms" };
@@ -139,8 +165,12 @@
 		       ? "in contact with the peers"
 		       : "NOT in contact with half of the peers");
 	output_table("zones", zones);
-	for (i = 0; i < G_N_ELEMENTS(tables); i++)
-		output_table(tables[i], json_object_get(status, tables[i]));
+	for (i = 0; i < G_N_ELEMENTS(tables); i++) {
+		json_t *rows = sorted(json_object_get(status, tables[i]));
+
+		output_table(tables[i], rows);
+		json_decref(rows);
+	}
 	json_decref(zones);
 }
 
--- /dev/null
+++ b/test/functional/test_operators.c
@@ -0,0 +1,202 @@
+/* Operators' commands against the real programs. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "cluster_suite.h"
+
+#define LIMIT_US (30 * US_PER_SECOND)
+/** Bound for a zone or an upstream that goes out, in microseconds. */
+#define OUT_US (3 * US_PER_SECOND)
+#define LEAVING_US (5 * US_PER_SECOND)
+#define REQUESTS 60
+#define ZONE "jambeli"
+
+static const struct cluster_service services[] = { { "tallies", 6 },
+						   { "lots", 6 },
+						   { 0 } };
+
+static struct cluster *cluster;
+
+static int ctl(const char *const *arguments, char **output)
+{
+	return cluster_ctl(cluster, arguments, output);
+}
+
+/* The version that `history` ends with. */
+static int last_version(void)
+{
+	static const char *const arguments[] = { "history", "--json", NULL };
+	char *output = NULL;
+	const char *at;
+	int version = -1;
+
+	if (ctl(arguments, &output) == 0) {
+		at = strrchr(output, '}');
+		at = at ? strstr(output, "\"version\":") : NULL;
+		while (at) {
+			const char *next = strstr(at + 1, "\"version\":");
+
+			version = MAX(version, atoi(at + 10));
+			at = next;
+		}
+	}
+	g_free(output);
+	return version;
+}
+
+static void commands_say_what_happened(void)
+{
+	static const struct {
+		const char *arguments[5];
+		int status;
+		const char *output;
+	} cases[] = {
+		{ { "publish", SOURCE_DIR "/examples/el-oro.conf" },
+		  0,
+		  "unchanged at version" },
+		{ { "publish", "no-such-file" }, 1, "" },
+		{ { "validate", "no-such-file" }, 1, "" },
+		{ { "zone", "out", "atlantis", "--json" }, 1, "no such zone" },
+		{ { "zone", "in", ZONE, "--json" }, 0, "\"unchanged\"" },
+		{ { "rollback", "99", "--json" }, 1, "no such version" },
+		{ { "explain", "key", "tallies", "rope-7" }, 0, "owner" },
+		{ { "explain", "key", "nothing", "rope-7" }, 1, "" },
+		{ { "status" }, 0, ZONE },
+		{ { "status", "--json" }, 0, "\"zones_out\":[]" },
+		{ { "zone" }, 2, "" },
+		{ { "status", "--timeout-ms=1" }, 2, "" },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *output = NULL;
+		int status = ctl(cases[i].arguments, &output);
+
+		CU_ASSERT_EQUAL(status, cases[i].status);
+		CU_ASSERT_PTR_NOT_NULL(output);
+		if (status != cases[i].status ||
+		    !strstr(output ? output : "", cases[i].output))
+			printf("# case %zu: status %d: %s\n", i, status,
+			       output);
+		CU_ASSERT_PTR_NOT_NULL(
+			strstr(output ? output : "", cases[i].output));
+		g_free(output);
+	}
+}
+
+static void ask_all(void)
+{
+	unsigned int i;
+
+	for (i = 0; i < REQUESTS; i++) {
+		char *uri = g_strdup_printf("/%s/key-%u",
+					    i % 2 ? "lots" : "tallies", i);
+		struct http_answer *answer =
+			cluster_get(cluster, i % cluster_pairs(cluster), uri);
+
+		CU_ASSERT_EQUAL(answer->status, 200);
+		http_answer_destroy(answer);
+		g_free(uri);
+	}
+}
+
+static unsigned int runs_since(unsigned int upstream, int64_t from_us)
+{
+	struct record_book *book = cluster_book(cluster);
+	unsigned int runs =
+		record_book_runs_between(book, upstream, from_us, INT64_MAX);
+
+	record_book_destroy(book);
+	return runs;
+}
+
+static void a_zone_out_gets_no_new_work(void)
+{
+	int64_t from_us;
+	unsigned int i;
+
+	CU_ASSERT_TRUE(cluster_set_zone(cluster, ZONE, true));
+	g_usleep(OUT_US);
+	from_us = clock_now_us(clock_system());
+	ask_all();
+	for (i = 0; i < cluster_upstream_count(cluster); i++)
+		if (!strcmp(cluster_upstream(cluster, i)->zone, ZONE))
+			CU_ASSERT_EQUAL(runs_since(i, from_us), 0);
+	CU_ASSERT_TRUE(cluster_set_zone(cluster, ZONE, false));
+}
+
+static void the_last_zone_stays(void)
+{
+	static const char *const last[] = { "zone",    "out",	 "machala",
+					    "--force", "--json", NULL };
+	char *output = NULL;
+
+	CU_ASSERT_TRUE(cluster_set_zone(cluster, ZONE, true));
+	CU_ASSERT_TRUE(cluster_set_zone(cluster, "puerto-bolivar", true));
+	CU_ASSERT_EQUAL(ctl(last, &output), 1);
+	CU_ASSERT_PTR_NOT_NULL(strstr(output ? output : "", "last zone"));
+	CU_ASSERT_TRUE(cluster_set_zone(cluster, ZONE, false));
+	CU_ASSERT_TRUE(cluster_set_zone(cluster, "puerto-bolivar", false));
+	g_free(output);
+}
+
+static void a_lost_answer_is_resolved(void)
+{
+	int before = last_version();
+
+	cluster_switch_platform(cluster, "{\"lose_percent\":60}");
+	CU_ASSERT_TRUE(cluster_set_zone(cluster, ZONE, true));
+	cluster_switch_platform(cluster, "{\"lose_percent\":0}");
+	CU_ASSERT_EQUAL(last_version(), before + 1);
+	CU_ASSERT_TRUE(cluster_set_zone(cluster, ZONE, false));
+}
+
+static void an_outage_stops_publishing_only(void)
+{
+	static const char *const out[] = { "zone", "out", ZONE, NULL };
+	int before = last_version();
+	struct process *assigner = cluster_assigner(cluster, 0);
+
+	cluster_switch_platform(cluster, "{\"outage\":true}");
+	CU_ASSERT_EQUAL(ctl(out, NULL), 3);
+	CU_ASSERT_TRUE(cluster_wait_answer(cluster, 0, "/lots/a", LIMIT_US));
+	/* It has only its peers to learn the settings from. */
+	process_kill(assigner);
+	CU_ASSERT_TRUE(cluster_restart(assigner));
+	CU_ASSERT_TRUE(cluster_wait_answer(cluster, 0, "/lots/a", LIMIT_US));
+	cluster_switch_platform(cluster, "{\"outage\":false}");
+	CU_ASSERT_EQUAL(last_version(), before);
+}
+
+static void a_leaving_upstream_gets_no_new_work(void)
+{
+	int64_t from_us;
+	unsigned int i;
+
+	for (i = 0; i < cluster_upstream_count(cluster); i += 6)
+		cluster_set_state(cluster, i, "leaving");
+	g_usleep(LEAVING_US);
+	from_us = clock_now_us(clock_system());
+	ask_all();
+	for (i = 0; i < cluster_upstream_count(cluster); i += 6)
+		CU_ASSERT_EQUAL(runs_since(i, from_us), 0);
+}
+
+int main(void)
+{
+	static const struct suite_case cases[] = {
+		{ "commands say what happened", commands_say_what_happened },
+		{ "a zone out gets no new work", a_zone_out_gets_no_new_work },
+		{ "the last zone stays", the_last_zone_stays },
+		{ "a lost answer is resolved", a_lost_answer_is_resolved },
+		{ "an outage stops publishing only",
+		  an_outage_stops_publishing_only },
+		{ "a leaving upstream gets no new work",
+		  a_leaving_upstream_gets_no_new_work },
+		{ 0 },
+	};
+	struct cluster_options options = { .services = services };
+
+	return cluster_suite_run("operators", &options, cases, &cluster);
+}
--- /dev/null
+++ b/test/unit/test_membership.c
@@ -0,0 +1,189 @@
+#include <arpa/inet.h>
+
+#include "fleet.h"
+#include "membership/capacity.h"
+#include "membership/vm_codec.h"
+#include "membership/vm_table.h"
+#include "profile/settings.h"
+#include "suite.h"
+
+#define SECOND INT64_C(1000000)
+
+static void bad_lists_of_vms_are_refused(void)
+{
+	static const struct {
+		const char *json;
+		const char *part;
+	} cases[] = {
+		{ "", "list of VMs" },
+		{ "{}", "no array" },
+		{ "{\"vms\":3}", "no array" },
+		{ "{\"vms\":[3]}", "bad id" },
+		{ "{\"vms\":[{\"id\":\"a b\"}]}", "bad id" },
+		{ "{\"vms\":[{\"id\":\"a\",\"service\":\"s\"}]}", "bad zone" },
+		{ "{\"vms\":[{\"id\":\"a\",\"service\":\"s\",\"zone\":\"z\","
+		  "\"address\":\"here\"}]}",
+		  "bad address" },
+		{ "{\"vms\":[{\"id\":\"a\",\"service\":\"s\",\"zone\":\"z\","
+		  "\"address\":\"1.2.3.4:5\",\"control\":\"1.2.3.4:6\","
+		  "\"state\":\"gone\"}]}",
+		  "bad state" },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct vm_list list;
+		GError *error = NULL;
+
+		CU_ASSERT_FALSE(
+			vm_list_parse(str_from(cases[i].json), &list, &error));
+		CU_ASSERT_PTR_NOT_NULL(error);
+		if (!error)
+			continue;
+		CU_ASSERT_PTR_NOT_NULL(strstr(error->message, cases[i].part));
+		g_error_free(error);
+	}
+}
+
+static void a_list_survives_the_wire(void)
+{
+	static const char json[] =
+		"{\"vms\":[{\"id\":\"vm-1\",\"service\":\"lots\",\"zone\":"
+		"\"machala\",\"address\":\"10.0.0.1:80\",\"control\":"
+		"\"10.0.0.1:81\",\"state\":\"leaving\",\"fences\":false}]}";
+	struct vm_list list, back;
+	VmList *message;
+
+	CU_ASSERT_TRUE(vm_list_parse(STR(json), &list, NULL));
+	message = vm_list_to_wire(&list, 7);
+	CU_ASSERT_TRUE(vm_list_from_wire(message, &back, NULL));
+	CU_ASSERT_EQUAL(back.count, 1);
+	CU_ASSERT_STRING_EQUAL(back.vms[0].zone, "machala");
+	CU_ASSERT_TRUE(back.vms[0].leaving);
+	CU_ASSERT_FALSE(back.vms[0].fences);
+	CU_ASSERT_EQUAL(ntohs(back.vms[0].control.sin_port), 81);
+	vm_list_wire_free(message);
+	vm_list_clear(&back);
+	vm_list_clear(&list);
+}
+
+static void capacity_counts_what_remains(void)
+{
+	static const struct {
+		double running;
+		const char *zone, *vm;
+		bool fits;
+	} cases[] = {
+		{ 1.0, "a", "", true },	  { 1.2, "a", "", true },
+		{ 1.3, "a", "", false },  { 2.0, "", "", true },
+		{ 1.3, "", "v0", false }, { 0.0, "a", "v1", false },
+	};
+	struct service service = { .name = (char *)"s" };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct settings *s = settings_create(STR("d"));
+		struct capacity_vm vms[] = {
+			{ "v0", "s", "a", 3, cases[i].running, true },
+			{ "v1", "s", "b", 3, cases[i].running, true },
+			{ "v2", "s", "b", 3, 9.0, false },
+		};
+		char *why = NULL;
+
+		settings_set_zone_out(s, str_from(cases[i].zone), true);
+		settings_set_vm_out(s, str_from(cases[i].vm), true);
+		s->services = &service;
+		s->service_count = 1;
+		CU_ASSERT_EQUAL(capacity_fits(vms, 3, s, &why), cases[i].fits);
+		CU_ASSERT_EQUAL(why != NULL, !cases[i].fits);
+		g_free(why);
+		s->services = NULL;
+		s->service_count = 0;
+		settings_destroy(s);
+	}
+}
+
+static void run_for(struct fleet *f, int64_t us)
+{
+	int64_t end = fleet_now(f) + us;
+
+	while (fleet_now(f) < end)
+		fleet_step(f, SECOND / 20);
+}
+
+/* Each daemon's links stay within a bound, and all hear of all. */
+static void links_are_bounded_at_any_size(void)
+{
+	static const struct {
+		unsigned int assigners, links;
+	} cases[] = { { 1, 0 }, { 2, 1 }, { 12, 11 }, { 13, 12 }, { 60, 9 } };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fleet_config config = { .assigners = cases[i].assigners,
+					       .seed = 1,
+					       .delay_us = 1000 };
+		struct fleet *f = fleet_create(&config);
+		unsigned int k;
+
+		run_for(f, 20 * SECOND);
+		for (k = 0; k < fleet_count(f); k++) {
+			CU_ASSERT_TRUE(fleet_sent(f, k).links <=
+				       cases[i].links);
+			CU_ASSERT_EQUAL(peers_count(fleet_peers(f, k)),
+					cases[i].assigners);
+			CU_ASSERT_TRUE(peers_reach_until(fleet_peers(f, k)) >
+				       fleet_now(f));
+		}
+		fleet_destroy(f);
+	}
+}
+
+/* Half of the peers, and with itself a majority. */
+static void contact_needs_half_of_the_peers(void)
+{
+	static const struct {
+		unsigned int assigners, killed;
+		bool contact;
+	} cases[] = {
+		{ 2, 0, true },	 { 2, 1, false }, { 3, 1, true },
+		{ 3, 2, false }, { 4, 1, true },  { 4, 2, false },
+		{ 5, 2, true },	 { 5, 3, false },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fleet_config config = { .assigners = cases[i].assigners,
+					       .seed = 1,
+					       .delay_us = 1000 };
+		struct fleet *f = fleet_create(&config);
+		unsigned int k;
+
+		run_for(f, 10 * SECOND);
+		for (k = 0; k < cases[i].killed; k++)
+			fleet_kill(f, k + 1);
+		run_for(f, 5 * SECOND);
+		CU_ASSERT_EQUAL(peers_reach_until(fleet_peers(f, 0)) >
+					fleet_now(f),
+				cases[i].contact);
+		fleet_destroy(f);
+	}
+}
+
+int main(void)
+{
+	static const struct suite_case cases[] = {
+		{ "bad lists of VMs are refused",
+		  bad_lists_of_vms_are_refused },
+		{ "a list survives the wire", a_list_survives_the_wire },
+		{ "capacity counts what remains",
+		  capacity_counts_what_remains },
+		{ "links are bounded at any size",
+		  links_are_bounded_at_any_size },
+		{ "contact needs half of the peers",
+		  contact_needs_half_of_the_peers },
+		{ 0 },
+	};
+
+	return suite_run("membership", cases);
+}
