--- a/test/functional/cluster_rig.c
+++ b/test/functional/cluster_rig.c
@@ -180,6 +180,15 @@
 		stub_upstream_reply(rig->upstreams[i], reply);
 }
 
+void rig_boot(struct rig *rig, const char *boot)
+{
+	int i;
+
+	for (i = 0; i < RIG_UPSTREAMS; i++)
+		stub_upstream_boot(rig->upstreams[i], boot);
+	stub_assigner_boot(rig->assigner, boot);
+}
+
 unsigned int rig_runs(const struct rig *rig)
 {
 	unsigned int runs = 0;
