--- a/src/upstream/pool.c
+++ b/src/upstream/pool.c
@@ -1,4 +1,5 @@
 #include "upstream/pool.h"
+#include "base/planted.h"
 
 #include "base/planted.h"
 #include "upstream/pool_internal.h"
