membership: a bad entry of the list of VMs costs itself only

One entry with a bad address made the whole list unusable, and so left every key without an owner. Bad entries are skipped and named; the assigner warns once for each change of what is skipped.

--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -106,7 +106,7 @@
 {
 	struct vm_table *table = vm_table_create();
 	struct vm *vms = g_new0(struct vm, VMS);
-	struct vm_list list = { vms, VMS };
+	struct vm_list list = { .vms = vms, .count = VMS };
 	size_t i, before;
 	VmList *message;
 
--- a/src/assigner/assigner.c
+++ b/src/assigner/assigner.c
@@ -149,6 +149,7 @@
 		peers_destroy(a->peers);
 	spread_destroy(a->spread);
 	vm_table_destroy(a->vms);
+	g_free(a->vms_skipped);
 	table_destroy(a->table);
 	g_hash_table_destroy(a->poison);
 	g_free(a->incarnation);
--- a/src/assigner/assigner_feeds.c
+++ b/src/assigner/assigner_feeds.c
@@ -77,6 +77,17 @@
 	.in_force = in_force,
 };
 
+/* Once for each change of what is skipped, not for each read. */
+static void warn_skipped(struct assigner *a, const char *skipped)
+{
+	if (!g_strcmp0(a->vms_skipped, skipped))
+		return;
+	if (skipped)
+		log_warn("vms", "entries of the list are skipped: %s", skipped);
+	g_free(a->vms_skipped);
+	a->vms_skipped = g_strdup(skipped);
+}
+
 static void on_vms(void *ctx, enum table_status status, struct str body)
 {
 	struct assigner *a = ctx;
@@ -91,6 +102,7 @@
 		g_error_free(error);
 		return;
 	}
+	warn_skipped(a, list.skipped);
 	vm_table_listed(a->vms, list.vms, list.count, clock_now_us(a->clock));
 	vm_list_clear(&list);
 }
--- a/src/assigner/assigner_impl.h
+++ b/src/assigner/assigner_impl.h
@@ -29,6 +29,8 @@
 	struct vm_table *vms;
 	uint64_t vms_sent_version;
 	bool vms_reading;
+	/** Entries of the list of VMs that were skipped; NULL: none. */
+	char *vms_skipped;
 	int64_t vms_due_us;
 	int64_t slow_tick_due_us;
 	int64_t beat_due_us;
--- a/src/assigner/assigner_links.c
+++ b/src/assigner/assigner_links.c
@@ -106,7 +106,8 @@
 static struct vm_list list_vms(struct assigner *a)
 {
 	size_t i, count = vm_table_count(a->vms);
-	struct vm_list list = { g_new0(struct vm, count + 1), count };
+	struct vm_list list = { .vms = g_new0(struct vm, count + 1),
+				.count = count };
 
 	for (i = 0; i < count; i++) {
 		enum vm_state state;
--- a/src/membership/vm_codec.c
+++ b/src/membership/vm_codec.c
@@ -7,6 +7,8 @@
 #include "profile/settings.h"
 
 #define COUNT_LIMIT 100000
+/* Most entries that are named as skipped. */
+#define NAMED_LIMIT 10
 
 void vm_clear(struct vm *vm)
 {
@@ -35,6 +37,7 @@
 	for (i = 0; i < list->count; i++)
 		vm_clear(&list->vms[i]);
 	g_free(list->vms);
+	g_free(list->skipped);
 	*list = (struct vm_list){ 0 };
 }
 
@@ -94,9 +97,20 @@
 	return true;
 }
 
+static void name_skipped(struct vm_list *list, const json_t *row,
+			 const GError *problem)
+{
+	char *before = list->skipped;
+
+	list->skipped = g_strdup_printf(
+		"%s%s\"%.*s\": %s", before ? before : "", before ? "; " : "",
+		SETTINGS_NAME_LIMIT, text_at(row, "id"), problem->message);
+	g_free(before);
+}
+
 static bool parse_all(const json_t *rows, struct vm_list *list, GError **error)
 {
-	size_t i, n = json_array_size(rows);
+	size_t i, n = json_array_size(rows), skipped = 0;
 
 	if (!json_is_array(rows) || n > COUNT_LIMIT) {
 		g_set_error(error, AUBURN_ERROR, AUBURN_ERROR_PROTOCOL,
@@ -105,10 +119,18 @@
 	}
 	list->vms = g_new0(struct vm, n + 1);
 	for (i = 0; i < n; i++) {
-		list->count = i + 1;
-		if (!parse_one(json_array_get(rows, i), i, &list->vms[i],
-			       error))
-			return false;
+		const json_t *row = json_array_get(rows, i);
+		struct vm *vm = &list->vms[list->count];
+		GError *problem = NULL;
+
+		if (parse_one(row, i, vm, &problem)) {
+			list->count++;
+			continue;
+		}
+		vm_clear(vm);
+		if (skipped++ < NAMED_LIMIT)
+			name_skipped(list, row, problem);
+		g_error_free(problem);
 	}
 	return true;
 }
--- a/src/membership/vm_codec.h
+++ b/src/membership/vm_codec.h
@@ -14,6 +14,8 @@
 struct vm_list {
 	struct vm *vms;
 	size_t count;
+	/** Names the entries that could not be read; NULL: none. */
+	char *skipped;
 };
 
 /** Frees the VMs and their texts; the structure itself is the caller's. */
@@ -26,10 +28,11 @@
 void vm_clear(struct vm *vm);
 
 /**
- * Reads the answer of GET /vms.
+ * Reads the answer of GET /vms. An entry that can't be read is skipped and
+ * named in the list, so that it does not cost the others.
  *
  * @param list filled on success; freed with vm_list_clear()
- * @param error AUBURN_ERROR_PROTOCOL; names the VM and the field
+ * @param error AUBURN_ERROR_PROTOCOL: it is no list at all
  */
 bool vm_list_parse(struct str json, struct vm_list *list, GError **error);
 
