--- a/test/functional/test_router.c
+++ b/test/functional/test_router.c
@@ -328,11 +328,12 @@
 		rig_reply(rig, &replies[i]);
 		answer = rig_send(rig, "POST", uri, "x");
 		/* Refused while that is possible, else broken off. */
-		if (answer->status == 200)
-			CU_ASSERT(!answer->whole)
-		else
+		if (answer->status == 200) {
+			CU_ASSERT(!answer->whole);
+		} else {
 			CU_ASSERT(rig_refused(answer, 502, "may-have-run",
 					      "truncated"));
+		}
 		http_answer_destroy(answer);
 		g_free(uri);
 	}
