--- a/src/http/exchange_internal.h
+++ b/src/http/exchange_internal.h
@@ -8,6 +8,10 @@
 #include <glib.h>
 
 #include "http/exchange.h"
+#include "http/proof.h"
+
+/** Room for a URL by IP number. */
+#define EXCHANGE_URL_SIZE 64
 
 struct exchange_pool {
 	CURLM *multi;
@@ -15,14 +19,16 @@
 	const struct exchange_ops *ops;
 	void *ctx;
 	int epoll_fd;
-	/** Watches all connections for their end; part of epoll_fd. */
-	int watch_fd;
 	/** When libcurl wants to be called; -1 for never. */
 	int64_t due_us;
 	/** CURL *, handles that can be used again. */
 	GPtrArray *idle;
 	int64_t connect_us;
 	long idle_s;
+	/** Which connections reach which incarnation. */
+	struct proofs *proofs;
+	/** Counts connections opened for one request. */
+	uint64_t fresh_count;
 };
 
 struct exchange {
@@ -30,8 +36,13 @@
 	CURL *easy;
 	struct curl_slist *lines;
 	void *data;
+	struct curl_slist *connect_to;
 	char *method;
 	char *target;
+	char *boot;
+	struct sockaddr_in address;
+	int64_t upload_length;
+	int64_t send_before_us;
 	struct headers *headers;
 	struct body *upload;
 	struct body *body;
@@ -44,6 +55,14 @@
 	bool body_paused;
 	bool upload_paused;
 	bool discarding;
+	bool fresh;
+	/** It was too late to send it. */
+	bool late;
+	/** What runs now is the probe of a connection. */
+	bool probing;
+	/** The connection at hand was not proved. */
+	bool unproved;
+	unsigned int probes;
 	/** The answer can't be passed on. */
 	bool unusable;
 };
--- a/src/router/dispatch.c
+++ b/src/router/dispatch.c
@@ -84,6 +84,10 @@
 
 	ticket->flight = pool_start(service->pool, upstream, now_us);
 	ticket->started_us = now_us;
+	ticket->send_before_us = pool_flight_send_before(ticket->flight);
+	if (ticket->lane && ticket->lane->trial)
+		ticket->send_before_us =
+			MIN(ticket->send_before_us, service->trial_until_us);
 	g_snprintf(ticket->upstream, sizeof(ticket->upstream), "%.*s",
 		   STR_ARG(id));
 	if (ticket->tried_count < POOL_TRIED_MAX)
@@ -258,21 +262,6 @@
 	pthread_mutex_unlock(&dispatch->lock);
 }
 
-void dispatch_doubt(struct dispatch *dispatch, struct str service,
-		    struct str upstream)
-{
-	struct service_state *state;
-	uint32_t index = POOL_NONE;
-
-	pthread_mutex_lock(&dispatch->lock);
-	state = g_hash_table_lookup(dispatch->services, &service);
-	if (state)
-		index = pool_find(state->pool, upstream);
-	if (index != POOL_NONE)
-		pool_doubt(state->pool, index, now_of(dispatch));
-	pthread_mutex_unlock(&dispatch->lock);
-}
-
 void dispatch_tick(struct dispatch *dispatch)
 {
 	pthread_mutex_lock(&dispatch->lock);
--- a/src/router/dispatch.h
+++ b/src/router/dispatch.h
@@ -93,6 +93,8 @@
 	int64_t took_us;
 	int64_t started_us;
 	struct pool_flight *flight;
+	/** Not to be sent after this. */
+	int64_t send_before_us;
 	uint64_t poison;
 };
 
@@ -137,10 +139,6 @@
 void dispatch_finish(struct dispatch *dispatch, struct ticket *ticket,
 		     enum pool_outcome_kind outcome, enum poison_end poison);
 
-/** Notes that an upstream closed a connection: it may have started anew. */
-void dispatch_doubt(struct dispatch *dispatch, struct str service,
-		    struct str upstream);
-
 /** Lets time pass: late requests, probes. */
 void dispatch_tick(struct dispatch *dispatch);
 
--- a/test/fuzz/fuzz_request_parts/copy.c
+++ b/test/fuzz/fuzz_request_parts/copy.c
@@ -168,6 +168,35 @@
 	world_at(w, w->now + world_delay(w), upstream_arrive, copy, NULL, 0, 0);
 }
 
+/* A share ends, also while its router is paused. */
+static int64_t send_before(struct world *w, const struct copy *copy)
+{
+	int64_t limit = pool_flight_send_before(copy->flight);
+
+	if (copy->trial && !planted(PLANTED_SHARE_FOREVER))
+		limit = MIN(limit, router_of(w, copy)->trial.ends_us);
+	return limit;
+}
+
+/* A connection tells which incarnation it reaches before it is used. */
+static void send_if_meant(struct world *w, struct copy *copy)
+{
+	char boot[16];
+	struct str meant = pool_flight_boot(copy->flight);
+
+	g_snprintf(boot, sizeof(boot), "b%u", copy->connection->boot);
+	if (w->now >= send_before(w, copy)) {
+		copy_end(w, copy, POOL_UNSENT, POISON_OPEN);
+	} else if (!meant.len || str_equal(meant, str_from(boot))) {
+		write_request(w, copy);
+		return;
+	} else {
+		copy_end(w, copy, POOL_OTHER_BOOT, POISON_OPEN);
+	}
+	copy->request->copies[copy->index] = NULL;
+	copy->request->pending = copy->index;
+}
+
 static void connected(struct world *w, struct event *event)
 {
 	struct copy *copy = event->a;
@@ -180,9 +209,12 @@
 	if (!u->up) {
 		report(w, copy, ATTEMPT_CONNECT_FAILED);
 		copy_end(w, copy, POOL_FAILED, POISON_OPEN);
+	} else if (!pool_may_write(r->pool, copy->flight, w->now)) {
+		report(w, copy, ATTEMPT_RESET_BEFORE_SEND);
+		copy_end(w, copy, POOL_CANCELLED, POISON_OPEN);
 	} else {
 		copy->connection->boot = u->boot;
-		write_request(w, copy);
+		send_if_meant(w, copy);
 	}
 	router_wake(w, r);
 }
@@ -257,7 +289,7 @@
 	request->copies[copy->index] = copy;
 	request->pending = ATTEMPT_NONE;
 	if (copy->connection->boot)
-		write_request(w, copy);
+		send_if_meant(w, copy);
 }
 
 static void no_place(struct world *w, struct request *request,
--- a/test/fuzz/fuzz_request_parts/upstream.c
+++ b/test/fuzz/fuzz_request_parts/upstream.c
@@ -1,7 +1,7 @@
 #include "fuzz_request_parts/world.h"
 
 /* Shortest time from an upstream's death to its next incarnation. */
-#define RESTART_US (BUDGET_SHARE_US + BUDGET_MARGIN_US)
+#define RESTART_US (1 * MS)
 
 void upstream_init(struct world *w, uint32_t index)
 {
