--- a/src/http/caller_server.c
+++ b/src/http/caller_server.c
@@ -99,7 +99,8 @@
 	return strlen(text);
 }
 
-static void on_log(void *cls, const char *format, va_list args)
+static void G_GNUC_PRINTF(2, 0)
+on_log(void *cls, const char *format, va_list args)
 {
 	char text[256];
 
