router: a stalled upload is the caller's fault

An upload that waited for its caller's bytes was woken at each tick, so its stall limit never ended and it held an upstream's slot for up to idle-s; had it ended, the upstream would have been taken for slow. Now the caller's connection is closed after the profile's stall limit and the upstream isn't blamed.

--- a/src/http/caller.c
+++ b/src/http/caller.c
@@ -378,8 +378,8 @@
 void caller_break(struct caller *caller)
 {
 	caller->broken = true;
-	/* Else it would only be noticed once the caller reads again. */
-	if (caller->stage == CALLER_ANSWERING && !caller->suspended)
+	/* Else it would only be noticed once the caller sends or reads. */
+	if (!caller->suspended)
 		shutdown(connection_of(caller)->fd, SHUT_RDWR);
 	caller_resume(caller);
 }
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -499,14 +499,25 @@
 	return exchange->body_paused;
 }
 
+bool exchange_waits_for_upload(const struct exchange *exchange)
+{
+	return exchange->upload_paused && !body_ended(exchange->upload) &&
+	       !body_peek(exchange->upload).len;
+}
+
+static bool body_has_room(const struct exchange *exchange)
+{
+	return exchange->discarding ||
+	       body_room(exchange->body) >= EXCHANGE_BODY_BYTES / 2;
+}
+
 void exchange_resume(struct exchange *exchange)
 {
-	if (exchange->end != EXCHANGE_RUNNING)
-		return;
-	if (exchange->body_paused && !exchange->discarding &&
-	    body_room(exchange->body) < EXCHANGE_BODY_BYTES / 2)
-		return;
-	if (!exchange->body_paused && !exchange->upload_paused)
+	bool upload =
+		exchange->upload_paused && !exchange_waits_for_upload(exchange);
+	bool body = exchange->body_paused && body_has_room(exchange);
+
+	if (exchange->end != EXCHANGE_RUNNING || (!upload && !body))
 		return;
 	exchange->body_paused = false;
 	exchange->upload_paused = false;
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -146,6 +146,9 @@
 /** Whether it waits for room in the answer's body. */
 bool exchange_paused(const struct exchange *exchange);
 
+/** Whether it waits for bytes of the upload. */
+bool exchange_waits_for_upload(const struct exchange *exchange);
+
 /**
  * Goes on after the upload got bytes, or the answer's body got room. Not from
  * an operation.
--- a/src/router/request_copy.c
+++ b/src/router/request_copy.c
@@ -506,7 +506,11 @@
 	if (exchange_paused(copy->exchange))
 		return;
 	quiet_us = now_us - exchange_progress_us(copy->exchange);
-	if (quiet_us >= request->profile.stall_us)
+	if (quiet_us < request->profile.stall_us)
+		return;
+	if (exchange_waits_for_upload(copy->exchange) && request->caller)
+		caller_break(request->caller);
+	else
 		on_stall(copy);
 }
 
--- a/test/functional/cluster_rig.c
+++ b/test/functional/cluster_rig.c
@@ -234,6 +234,12 @@
 }
 
 char *rig_raw(const struct rig *rig, const char *bytes, size_t len)
+{
+	return rig_raw_wait(rig, bytes, len, RAW_WAIT_MS);
+}
+
+char *rig_raw_wait(const struct rig *rig, const char *bytes, size_t len,
+		   int wait_ms)
 {
 	GString *in = g_string_new(NULL);
 	int fd = connect_to(rig_callers(rig));
@@ -248,7 +254,7 @@
 		bytes += n;
 		len -= (size_t)n;
 	}
-	while (poll(&wait, 1, RAW_WAIT_MS) == 1) {
+	while (poll(&wait, 1, wait_ms) == 1) {
 		ssize_t n = recv(fd, buf, sizeof(buf), 0);
 
 		if (n <= 0)
--- a/test/functional/cluster_rig.h
+++ b/test/functional/cluster_rig.h
@@ -70,6 +70,10 @@
  */
 char *rig_raw(const struct rig *rig, const char *bytes, size_t len);
 
+/** The same, with the longest time to wait for bytes. */
+char *rig_raw_wait(const struct rig *rig, const char *bytes, size_t len,
+		   int wait_ms);
+
 /** Whether an answer is a refusal with this verdict and reason. */
 bool rig_refused(const struct http_answer *answer, long status,
 		 const char *verdict, const char *reason);
--- a/test/functional/test_router.c
+++ b/test/functional/test_router.c
@@ -506,6 +506,42 @@
 	rig_stop(rig);
 }
 
+/* A caller that stops sending must not hold an upstream's slot, nor make the
+ * upstream look slow. */
+static void a_stalled_upload_is_the_callers_fault(void)
+{
+	static const char head[] = "POST /reads/a HTTP/1.1\r\nHost: a\r\n"
+				   "Content-Length: 300000\r\n\r\n";
+	struct rig *rig = rig_start(NULL);
+	char *fill = g_strnfill(100000, 'x');
+	char *bytes = g_strconcat(head, fill, NULL);
+	struct http_request metrics = {
+		.address = process_address(rig->router, "operator"),
+		.uri = "/metrics",
+	};
+	gint64 begun = g_get_monotonic_time();
+	struct http_answer *answer;
+	char *text;
+
+	rig_reply(rig, &ok_short);
+	text = rig_raw_wait(rig, bytes, strlen(bytes), 10000);
+	CU_ASSERT_STRING_EQUAL(text, "");
+	CU_ASSERT(g_get_monotonic_time() - begun < 5 * US_PER_SECOND);
+	CU_ASSERT_EQUAL(rig_runs(rig), 0);
+	answer = http_send(&metrics);
+	CU_ASSERT_PTR_NULL(strstr(answer->body->str,
+				  "auburn_upstream_slow{service=\"reads\","
+				  "upstream=\"reads-0\"} 1"));
+	CU_ASSERT_PTR_NULL(strstr(answer->body->str,
+				  "auburn_upstream_slow{service=\"reads\","
+				  "upstream=\"reads-1\"} 1"));
+	http_answer_destroy(answer);
+	g_free(text);
+	g_free(bytes);
+	g_free(fill);
+	rig_stop(rig);
+}
+
 static void a_crashing_request_is_refused(void)
 {
 	static const struct stub_reply dies = { .close = true };
@@ -607,6 +643,8 @@
 		{ "a caller who leaves takes the work along",
 		  a_caller_who_leaves_takes_the_work_along },
 		{ "uploads pass through", uploads_pass_through },
+		{ "a stalled upload is the caller's fault",
+		  a_stalled_upload_is_the_callers_fault },
 		{ "a crashing request is refused",
 		  a_crashing_request_is_refused },
 		{ "confirmations run once", confirmations_run_once },
