--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -82,6 +82,8 @@
 	POOL_CANCELLED,
 	/** Not sent: its connection reaches another incarnation. */
 	POOL_OTHER_BOOT,
+	/** Not sent: says nothing about the upstream. */
+	POOL_UNSENT,
 };
 
 /** A request in flight; owned by the pool, freed by pool_finish(). */
@@ -145,15 +147,6 @@
 struct pool_flight *pool_start(struct pool *pool, uint32_t upstream,
 			       int64_t now_us);
 
-/**
- * Tells whether a flight may still be written: what allowed its start holds.
- * Ask when its fresh connection is open, just before the first byte: the
- * process may have been paused meanwhile. If not, end it with POOL_CANCELLED,
- * not run.
- */
-bool pool_may_write(const struct pool *pool, const struct pool_flight *flight,
-		    int64_t now_us);
-
 /**
  * The incarnation that the request is for; borrowed from the flight. A
  * connection that reaches another one must not carry it: end the flight with
@@ -161,6 +154,14 @@
  */
 struct str pool_flight_boot(const struct pool_flight *flight);
 
+/**
+ * Until when the request may be sent: a share ends, also while its holder is
+ * paused. End the flight with POOL_UNSENT when it is later.
+ *
+ * @return an instant; INT64_MAX without a share
+ */
+int64_t pool_flight_send_before(const struct pool_flight *flight);
+
 /** The upstream of a flight. */
 uint32_t pool_flight_upstream(const struct pool_flight *flight);
 
--- a/test/fuzz/fuzz_request_parts/router.c
+++ b/test/fuzz/fuzz_request_parts/router.c
@@ -165,6 +165,19 @@
 	struct call *call;
 };
 
+static void take_report(struct world *w, struct event *event);
+
+/* Assigners pass a report on to every router that is linked by then, also to
+ * one that started while the report was under way. */
+static void pass_on(struct world *w, void *report)
+{
+	size_t i;
+
+	for (i = 0; i < ROUTERS; i++)
+		world_at(w, w->now + world_delay(w), take_report,
+			 &w->routers[i], report, 0, 0);
+}
+
 static void take_report(struct world *w, struct event *event)
 {
 	struct fake_router *r = event->a;
@@ -172,6 +185,7 @@
 
 	if (!r) {
 		poison_take(w->keeper, &t->report, w->now);
+		pass_on(w, event->b);
 		return;
 	}
 	if (!r->up || router_paused(w, r, event))
@@ -410,7 +424,8 @@
 
 static void ask_shares(struct world *w, struct fake_router *r)
 {
-	struct budget_ask trial = { 1, r->trial.in_use, r->trial.lost, w->now };
+	struct budget_ask trial = { 1, r->trial.in_use, r->trial.lost, w->now,
+				    r->trial.taken_us };
 	struct pool_ask asks[UPSTREAMS];
 	size_t count = pool_shares_to_ask(r->pool, w->now, asks, UPSTREAMS);
 	size_t i;
