router: remember the last requests, for auburnctl explain request

Cause: explain request asked an assigner, which never saw a request; the answer was always 'not known', a stub. Ruled out: asking through the assigners, which don't know the routers' operator addresses and would carry a broadcast for it.

--- a/src/assigner/assigner_api.c
+++ b/src/assigner/assigner_api.c
@@ -201,15 +201,6 @@
 	return true;
 }
 
-/* Requests are known where they ran: in the routers' logs. */
-static bool explain_request(void *ctx, struct str id, json_t *out)
-{
-	(void)ctx;
-	(void)id;
-	(void)out;
-	return false;
-}
-
 const struct api_ops assigner_api_ops = {
 	.table_get = read_row,
 	.table_put = write_row,
@@ -219,5 +210,4 @@
 	.members = members,
 	.status = status,
 	.explain_key = explain_key,
-	.explain_request = explain_request,
 };
--- a/src/ctl/client.c
+++ b/src/ctl/client.c
@@ -2,11 +2,14 @@
 
 #include <curl/curl.h>
 
+#define STATUS_NOT_FOUND 404
+
 struct client {
 	CURL *curl;
 	char **addresses;
 	char *token;
 	long timeout_ms;
+	bool seeks;
 };
 
 struct client *client_create(const char *addresses, const char *token,
@@ -31,6 +34,11 @@
 	g_free(c);
 }
 
+void client_seek(struct client *c)
+{
+	c->seeks = true;
+}
+
 static size_t take(char *data, size_t size, size_t count, void *ctx)
 {
 	g_string_append_len(ctx, data, (gssize)(size * count));
@@ -121,7 +129,8 @@
 	*answer = (struct client_answer){ .body = g_string_new(NULL) };
 	for (address = c->addresses; *address; address++) {
 		g_string_truncate(answer->body, 0);
-		if (send_to(c, *address, call, answer))
+		if (send_to(c, *address, call, answer) &&
+		    !(c->seeks && answer->status == STATUS_NOT_FOUND))
 			break;
 	}
 	if (answer->status)
--- a/src/ctl/client.h
+++ b/src/ctl/client.h
@@ -45,6 +45,9 @@
 
 void client_destroy(struct client *client);
 
+/** From now on a daemon that answers 404 is passed over for the next. */
+void client_seek(struct client *client);
+
 /**
  * Calls one daemon after another until one answers. A change carries an
  * attempt id, so that it takes effect once however often it is sent.
--- a/src/ctl/commands.c
+++ b/src/ctl/commands.c
@@ -236,8 +236,24 @@
 {
 	char *id = client_escape(ctl->args[0]);
 	char *path = g_strdup_printf(API "/explain/request/%s", id);
-	enum ctl_status status = explain(ctl, path);
+	struct client *assigners = ctl->client;
+	enum ctl_status status;
 
+	if (!*ctl->settings->routers) {
+		fprintf(stderr, "auburnctl: --routers must name the operator "
+				"addresses of the routers\n");
+		g_free(path);
+		g_free(id);
+		return CTL_USAGE;
+	}
+	/* Only the router that took the request knows of it. */
+	ctl->client =
+		client_create(ctl->settings->routers, ctl->settings->token,
+			      ctl->settings->timeout_ms);
+	client_seek(ctl->client);
+	status = explain(ctl, path);
+	client_destroy(ctl->client);
+	ctl->client = assigners;
 	g_free(path);
 	g_free(id);
 	return status;
@@ -274,8 +290,8 @@
 	  run_status },
 	{ "explain key", "SERVICE KEY", 2, "who owns a key, and why",
 	  run_explain_key },
-	{ "explain request", "ID", 1, "what is known of a request",
-	  run_explain_request },
+	{ "explain request", "ID", 1,
+	  "what became of a request; needs --routers", run_explain_request },
 	{ "help", "", 0, "this list", run_help },
 	{ 0 },
 };
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -24,6 +24,7 @@
 /** Values of the options. */
 struct ctl_settings {
 	char *operators;
+	char *routers;
 	char *token;
 	bool json;
 	bool force;
--- a/src/operator/api.c
+++ b/src/operator/api.c
@@ -457,17 +457,6 @@
 	answer_explained(call, found, out, "no such keyed service");
 }
 
-static void get_request(void *ctx, struct operator_call *call)
-{
-	const struct api *api = ctx;
-	json_t *out = json_object();
-	bool found = api->ops->explain_request(api->ctx,
-					       operator_call_arg(call, 0), out);
-
-	answer_explained(call, found, out,
-			 "this daemon knows nothing of such a request");
-}
-
 #define API "/api/v1"
 
 const struct operator_route api_routes[] = {
@@ -490,7 +479,5 @@
 	  "how many daemons have ?version=, and which lack it" },
 	{ "GET", API "/explain/key", true, get_key,
 	  "owner of ?key= of ?service=" },
-	{ "GET", API "/explain/request/*", true, get_request,
-	  "what is known of a request" },
 	{ 0 },
 };
--- a/src/operator/api.h
+++ b/src/operator/api.h
@@ -49,12 +49,6 @@
 	 */
 	bool (*explain_key)(void *ctx, struct str service, struct str key,
 			    json_t *out);
-	/**
-	 * Fills an object with what is known of a request.
-	 *
-	 * @return false when nothing is
-	 */
-	bool (*explain_request)(void *ctx, struct str id, json_t *out);
 	/**
 	 * This daemon published settings; spread_body() takes them, so that
 	 * the others learn of them at once. May be NULL.
--- a/src/router/control.c
+++ b/src/router/control.c
@@ -9,6 +9,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "router/control_internal.h"
+#include "router/explain.h"
 #include "router/worker.h"
 
 #define PART "control"
@@ -64,6 +65,10 @@
 		.routes = common_routes,
 		.ctx = &control->common,
 	};
+	control->mounts[1] = (struct operator_mount){
+		.routes = explain_routes,
+		.ctx = control->router->journal,
+	};
 	control->operator= operator_server_create(&config, error);
 	return control->operator!= NULL;
 }
--- a/src/router/control_internal.h
+++ b/src/router/control_internal.h
@@ -43,7 +43,7 @@
 	/** NULL without a platform's address. */
 	struct table *table;
 	struct operator_server *operator;
-	struct operator_mount mounts[2];
+	struct operator_mount mounts[3];
 	struct common_routes common;
 	struct message wake;
 	atomic_bool wake_sent;
--- a/src/router/main.c
+++ b/src/router/main.c
@@ -5,11 +5,13 @@
 
 #include "base/address.h"
 #include "base/log.h"
+#include "request/journal.h"
 #include "router/control.h"
 #include "router/router.h"
 #include "router/worker.h"
 
 #define PART "router"
+#define JOURNAL_ENTRIES 4096
 #define EXIT_FAILED 1
 
 bool router_settings_fresh(const struct router *router, int64_t now_us)
@@ -41,6 +43,7 @@
 	router->views = view_store_create();
 	options.metrics = router->metrics;
 	router->dispatch = dispatch_create(&options);
+	router->journal = journal_create(JOURNAL_ENTRIES);
 }
 
 /* Port 0 takes a free one, which the other workers share. */
@@ -122,6 +125,7 @@
 	destroy_workers(&router);
 	control_destroy(router.control);
 	dispatch_destroy(router.dispatch);
+	journal_destroy(router.journal);
 	view_store_destroy(router.views);
 	metrics_destroy(router.metrics);
 	curl_global_cleanup();
--- a/src/router/request.c
+++ b/src/router/request.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/hash.h"
+#include "request/journal.h"
 #include "router/request_internal.h"
 
 #define GONE_CHECK_US (INT64_C(50) * US_PER_MS)
@@ -86,10 +87,36 @@
 	g_free(labels);
 }
 
+static void note_in_journal(const struct request *request,
+			    enum verdict_kind kind)
+{
+	struct router *router = request->worker->router;
+	struct journal_entry entry = {
+		.keyed = request->keyed,
+		.hash = request->hash,
+		.copies = request->copy_count,
+		.verdict = { kind, request->verdict.reason },
+		.ended_us = clock_wall_us(router->clock),
+		.took_us = clock_now_us(router->clock) - request->arrived_us,
+	};
+
+	g_strlcpy(entry.id, request->id, sizeof(entry.id));
+	if (request->service)
+		g_strlcpy(entry.service, request->service->name,
+			  sizeof(entry.service));
+	if (request->copy_count)
+		g_strlcpy(entry.upstream,
+			  request->copies[request->copy_count - 1]
+				  .ticket.upstream,
+			  sizeof(entry.upstream));
+	journal_add(router->journal, &entry);
+}
+
 void request_over(struct request *request, enum verdict_kind kind)
 {
 	request->stage = REQUEST_OVER;
 	count_outcome(request, kind);
+	note_in_journal(request, kind);
 }
 
 void request_say_refusal(struct request *request, struct verdict verdict)
--- a/test/functional/test_operators.c
+++ b/test/functional/test_operators.c
@@ -101,6 +101,30 @@
 	}
 }
 
+/* Only one of the routers took the request; it is found among them. */
+static void a_request_is_explained(void)
+{
+	char *routers = g_strdup_printf(
+		"--routers=%s,%s", cluster_operator(cluster_router(cluster, 0)),
+		cluster_operator(cluster_router(cluster, 1)));
+	struct http_answer *answer = cluster_get(cluster, 1, "/lots/key-1");
+	const char *id = http_header(answer, "auburn-request-id");
+	const char *found[] = { routers, "explain", "request", id, NULL };
+	const char *lost[] = { routers, "explain", "request", "none", NULL };
+	const char *unasked[] = { "explain", "request", id, NULL };
+	char *output = NULL;
+
+	CU_ASSERT_EQUAL(ctl(found, &output), 0);
+	CU_ASSERT_PTR_NOT_NULL(strstr(output ? output : "", "lots-"));
+	g_clear_pointer(&output, g_free);
+	CU_ASSERT_EQUAL(ctl(lost, &output), 1);
+	g_clear_pointer(&output, g_free);
+	CU_ASSERT_EQUAL(ctl(unasked, &output), 2);
+	g_free(output);
+	http_answer_destroy(answer);
+	g_free(routers);
+}
+
 static unsigned int runs_since(unsigned int upstream, int64_t from_us)
 {
 	struct record_book *book = cluster_book(cluster);
@@ -187,6 +211,7 @@
 {
 	static const struct suite_case cases[] = {
 		{ "commands say what happened", commands_say_what_happened },
+		{ "a request is explained", a_request_is_explained },
 		{ "a zone out gets no new work", a_zone_out_gets_no_new_work },
 		{ "the last zone stays", the_last_zone_stays },
 		{ "a lost answer is resolved", a_lost_answer_is_resolved },
--- /dev/null
+++ b/test/unit/test_journal.c
@@ -0,0 +1,48 @@
+#include "request/journal.h"
+
+#include <glib.h>
+
+#include "suite.h"
+
+#define CAPACITY 4
+
+static void the_last_entries_are_found(void)
+{
+	static const struct {
+		const char *id;
+		bool found;
+	} cases[] = {
+		{ "request-0", false }, { "request-1", false },
+		{ "request-2", true },	{ "request-5", true },
+		{ "request", false },	{ "", false },
+	};
+	struct journal *journal = journal_create(CAPACITY);
+	struct journal_entry entry = { 0 };
+	uint32_t i;
+
+	CU_ASSERT_FALSE(journal_find(journal, STR("request-0"), &entry));
+	for (i = 0; i < CAPACITY + 2; i++) {
+		g_snprintf(entry.id, sizeof(entry.id), "request-%u", i);
+		entry.copies = i;
+		journal_add(journal, &entry);
+	}
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		CU_ASSERT_EQUAL(
+			journal_find(journal, str_from(cases[i].id), &entry),
+			cases[i].found);
+		if (cases[i].found)
+			CU_ASSERT_STRING_EQUAL(entry.id, cases[i].id);
+	}
+	CU_ASSERT_EQUAL(entry.copies, 5);
+	journal_destroy(journal);
+}
+
+int main(void)
+{
+	static const struct suite_case cases[] = {
+		{ "the last entries are found", the_last_entries_are_found },
+		{ 0 },
+	};
+
+	return suite_run("journal", cases);
+}
