--- a/test/fuzz/fuzz_request_parts/run.c
+++ b/test/fuzz/fuzz_request_parts/run.c
@@ -119,7 +119,7 @@
 
 	switch (what) {
 	case 0:
-		u->frozen_us = w->now + 10 * MS * b;
+		u->frozen_us = MAX(u->frozen_us, w->now + 10 * MS * b);
 		break;
 	case 1:
 		upstream_die(w, u, b & 1u, NULL);
@@ -141,7 +141,7 @@
 		if (b & 1u)
 			router_kill(w, r);
 		else
-			r->paused_us = w->now + 2 * MS * b;
+			r->paused_us = MAX(r->paused_us, w->now + 2 * MS * b);
 		break;
 	case 6:
 		if (b & 1u)
--- a/test/unit/test_pool.c
+++ b/test/unit/test_pool.c
@@ -82,7 +82,7 @@
 {
 	struct pool *pool = make_ready(1);
 	struct pool_flight *flight = pool_start(pool, 0, 2);
-	int64_t now = 3600 * 1000 * MS;
+	int64_t now = 3600000 * MS;
 
 	CU_ASSERT_TRUE(str_equal(pool_flight_boot(flight), STR("boot")));
 	CU_ASSERT_EQUAL(pool_check(pool, 0, now), POOL_OK);
