--- a/src/assigner/assigner_api.c
+++ b/src/assigner/assigner_api.c
@@ -201,6 +201,16 @@
 	return true;
 }
 
+static bool force_cell(void *ctx, struct str service)
+{
+	struct cell *cell = assigner_cell(ctx, service);
+
+	if (!cell)
+		return false;
+	coordinator_force(cell_coordinator(cell));
+	return true;
+}
+
 const struct api_ops assigner_api_ops = {
 	.table_get = read_row,
 	.table_put = write_row,
@@ -210,4 +220,5 @@
 	.members = members,
 	.status = status,
 	.explain_key = explain_key,
+	.force_cell = force_cell,
 };
--- a/src/ctl/commands.c
+++ b/src/ctl/commands.c
@@ -9,6 +9,8 @@
 #include "profile/profile_file.h"
 #include "profile/settings.h"
 
+#define STATUS_OK 200
+
 #define API "/api/v1"
 #define WATCH_SECONDS 1
 #define CLEAR_SCREEN "\033[H\033[2J"
@@ -259,6 +261,48 @@
 	return status;
 }
 
+static bool force_at(struct ctl *ctl, const char *address, const char *path)
+{
+	struct client_call call = { .method = "POST", .path = path };
+	struct client *client = client_create(address, ctl->settings->token,
+					      ctl->settings->timeout_ms);
+	struct client_answer answer;
+	bool done;
+
+	client_send(client, &call, &answer);
+	done = answer.status == STATUS_OK;
+	printf("%s: %s\n", address,
+	       done	       ? "forced"
+	       : answer.status ? answer.body->str
+			       : answer.message);
+	client_answer_clear(&answer);
+	client_destroy(client);
+	return done;
+}
+
+/* Every assigner must know, for any of them may come to lead the cell. */
+static enum ctl_status run_force(struct ctl *ctl)
+{
+	char *service = client_escape(ctl->args[0]);
+	char *path = g_strdup_printf(API "/cells/%s/force", service);
+	char **addresses = g_strsplit(ctl->settings->operators, ",", -1);
+	enum ctl_status status = CTL_OK;
+	char **address;
+
+	if (!ctl->settings->force) {
+		fprintf(stderr, "auburnctl: --force must be given: it is "
+				"unsafe while an unlisted upstream runs\n");
+		status = CTL_USAGE;
+	}
+	for (address = addresses; *address && ctl->settings->force; address++)
+		if (!force_at(ctl, *address, path))
+			status = CTL_UNAVAILABLE;
+	g_strfreev(addresses);
+	g_free(path);
+	g_free(service);
+	return status;
+}
+
 static enum ctl_status run_help(struct ctl *ctl)
 {
 	char *text = commands_help();
@@ -288,6 +332,9 @@
 	{ "vm in", "ID", 1, "new work for a VM again", run_vm_in },
 	{ "status", "", 0, "daemons, zones, cells and VMs; --watch repeats",
 	  run_status },
+	{ "cell force", "SERVICE", 1,
+	  "unlisted upstreams of a cell are gone for good; all --operators",
+	  run_force },
 	{ "explain key", "SERVICE KEY", 2, "who owns a key, and why",
 	  run_explain_key },
 	{ "explain request", "ID", 1,
--- a/src/operator/api.c
+++ b/src/operator/api.c
@@ -457,6 +457,16 @@
 	answer_explained(call, found, out, "no such keyed service");
 }
 
+static void post_force(void *ctx, struct operator_call *call)
+{
+	const struct api *api = ctx;
+
+	if (api->ops->force_cell(api->ctx, operator_call_arg(call, 0)))
+		answer_json(call, STATUS_OK, json_pack("{sb}", "forced", 1));
+	else
+		operator_call_fail(call, STATUS_NOT_FOUND, "no such service");
+}
+
 #define API "/api/v1"
 
 const struct operator_route api_routes[] = {
@@ -473,6 +483,8 @@
 	  "new work in a zone again" },
 	{ "POST", API "/vms/*/out", true, post_vm_out, "no new work for a VM" },
 	{ "POST", API "/vms/*/in", true, post_vm_in, "new work for it again" },
+	{ "POST", API "/cells/*/force", true, post_force,
+	  "unlisted upstreams of a cell are gone for good" },
 	{ "GET", API "/status", true, get_status,
 	  "daemons, zones, VMs, cells" },
 	{ "GET", API "/in-force", true, get_in_force,
--- a/src/operator/api.h
+++ b/src/operator/api.h
@@ -42,6 +42,13 @@
 			void *visit_ctx);
 	/** Adds "vms", "cells" and what else there is to an object. */
 	void (*status)(void *ctx, json_t *out);
+	/**
+	 * Operators' word that unlisted upstreams of a cell are gone for good,
+	 * see coordinator_force().
+	 *
+	 * @return false when there is no such service
+	 */
+	bool (*force_cell)(void *ctx, struct str service);
 	/**
 	 * Fills an object: slice, owner, epoch, why.
 	 *
--- a/test/functional/test_operators.c
+++ b/test/functional/test_operators.c
@@ -64,6 +64,9 @@
 		{ { "explain", "key", "nothing", "rope-7" }, 1, "" },
 		{ { "status" }, 0, ZONE },
 		{ { "status", "--json" }, 0, "\"zones_out\":[]" },
+		{ { "cell", "force", "tallies" }, 2, "" },
+		{ { "cell", "force", "nothing", "--force" }, 3, "no such" },
+		{ { "cell", "force", "tallies", "--force" }, 0, "forced" },
 		{ { "zone" }, 2, "" },
 		{ { "status", "--timeout-ms=1" }, 2, "" },
 	};
