--- a/test/functional/cluster_stub_upstream.h
+++ b/test/functional/cluster_stub_upstream.h
@@ -54,4 +54,7 @@
 /** The last request's head. @return the text; freed with g_free() */
 char *stub_upstream_head(struct stub_upstream *stub);
 
+/** The incarnation that probes are told from now on; not copied. */
+void stub_upstream_boot(struct stub_upstream *stub, const char *boot);
+
 #endif
