--- /dev/null
+++ b/bench/bench_path_parts/unserved.c
@@ -0,0 +1,162 @@
+/* Time that keys go without service after losses. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "cluster_events.h"
+#include "measure.h"
+
+#define CELL "tallies"
+#define HOT "/tallies/k0"
+#define ZONE "jambeli"
+#define BEFORE_US (2 * US_PER_SECOND)
+#define LOAD_LIMIT_US (60 * US_PER_SECOND)
+#define TARGET_S 2.0
+
+static const struct cluster_service services[] = { { CELL, 14 }, { 0 } };
+
+/* Each key about ten times a second. */
+static const char *const load_arguments[] = {
+	"--mix=tallies=1",  "--rate=1400", "--keys=140",
+	"--zipf-percent=0", "--seconds=7", NULL
+};
+
+/* What is lost; marks the upstreams whose keys are looked at. */
+struct loss {
+	struct cluster *cluster;
+	/* By index of the upstream. */
+	bool *hit;
+};
+
+static void hit_owner(struct loss *loss, void (*strike)(struct process *))
+{
+	int owner = cluster_owner(loss->cluster, 0, HOT);
+
+	if (owner < 0)
+		return;
+	loss->hit[owner] = true;
+	strike(cluster_upstream(loss->cluster, (unsigned int)owner)->process);
+}
+
+static void hit_coordinator(struct loss *loss, void (*strike)(struct process *))
+{
+	int index = measure_coordinator(loss->cluster, CELL);
+
+	if (index >= 0)
+		strike(cluster_assigner(loss->cluster, (unsigned int)index));
+}
+
+static void upstream_killed(struct loss *loss)
+{
+	hit_owner(loss, process_kill);
+}
+
+static void upstream_frozen(struct loss *loss)
+{
+	hit_owner(loss, process_freeze);
+}
+
+static void mark_all(struct loss *loss)
+{
+	unsigned int i;
+
+	for (i = 0; i < cluster_upstream_count(loss->cluster); i++)
+		loss->hit[i] = true;
+}
+
+static void coordinator_killed(struct loss *loss)
+{
+	mark_all(loss);
+	hit_coordinator(loss, process_kill);
+}
+
+static void coordinator_frozen(struct loss *loss)
+{
+	mark_all(loss);
+	hit_coordinator(loss, process_freeze);
+}
+
+static void both_killed(struct loss *loss)
+{
+	hit_owner(loss, process_kill);
+	hit_coordinator(loss, process_kill);
+}
+
+/* The upstreams and the assigners of a zone; callers are sent elsewhere. */
+static void zone_lost(struct loss *loss)
+{
+	unsigned int i;
+
+	for (i = 0; i < cluster_upstream_count(loss->cluster); i++) {
+		struct cluster_upstream *u = cluster_upstream(loss->cluster, i);
+
+		if (strcmp(u->zone, ZONE) != 0)
+			continue;
+		loss->hit[i] = true;
+		process_kill(u->process);
+	}
+	for (i = 0; i < cluster_pairs(loss->cluster); i++)
+		if (i % 3 == 1)
+			process_kill(cluster_assigner(loss->cluster, i));
+}
+
+static void print_longest(const struct loss *loss, const char *name,
+			  const struct events *events, int64_t at_us)
+{
+	unsigned int keys = 0, seen, i;
+	int64_t longest_us = 0;
+
+	for (i = 0; i < cluster_upstream_count(loss->cluster); i++) {
+		if (!loss->hit[i])
+			continue;
+		longest_us = MAX(longest_us,
+				 events_unserved_after(
+					 events, CELL,
+					 cluster_upstream(loss->cluster, i)->id,
+					 at_us, &seen));
+		keys += seen;
+	}
+	measure_print("unserved", name, (double)longest_us / US_PER_SECOND, "s",
+		      TARGET_S);
+	measure_print("unserved-keys-seen", name, keys, "keys", NO_BASELINE);
+	measure_print(
+		"longest-wait", name,
+		(double)events_longest_gap(events, CELL, at_us, INT64_MAX) /
+			US_PER_SECOND,
+		"s", NO_BASELINE);
+}
+
+static void print_owners(struct cluster *cluster, const char *name)
+{
+	struct record_book *book = cluster_book(cluster);
+	struct record_hold a, b;
+
+	measure_print("two-owners", name, record_book_overlaps(book, &a, &b),
+		      "overlaps", NO_BASELINE);
+	record_book_destroy(book);
+}
+
+static void measure_loss(const char *name, void (*strike)(struct loss *))
+{
+	static const struct cluster_options options = { .services = services };
+	struct cluster *cluster = cluster_create(&options, NULL);
+	struct loss loss = { .cluster = cluster };
+	struct events *events;
+	struct process *load;
+	int64_t at_us;
+	char *path;
+
+	if (!cluster)
+		exit(EXIT_FAILURE);
+	loss.hit = g_new0(bool, cluster_upstream_count(cluster));
+	load = cluster_start_load(cluster, "load", load_arguments);
+	g_usleep(BEFORE_US);
+	at_us = clock_now_us(clock_system());
+	strike(&loss);
+	process_wait_end(load, LOAD_LIMIT_US, NULL);
+	path = g_build_filename(cluster_folder(cluster), "load.events", NULL);
+	events = events_load(path);
+	if (events)
+		print_longest(&loss, name, events, at_us);
+	print_owners(cluster, name);
--- a/test/functional/cluster_events.c
+++ b/test/functional/cluster_events.c
@@ -150,9 +150,12 @@
 	for (i = 0; i < events_count(events); i++) {
 		const struct event *e = events_at(events, i);
 
+		int64_t gap_us = 0;
+
 		if (is_of(e, service) && e->planned_us >= from_us &&
 		    e->planned_us < until_us)
-			longest_us = MAX(longest_us, update_gap(starts, e));
+			gap_us = update_gap(starts, e);
+		longest_us = MAX(longest_us, gap_us);
 	}
 	g_hash_table_unref(starts);
 	return longest_us;
@@ -179,38 +182,80 @@
 	return keys;
 }
 
+/* What became of one key after the instant. */
+struct key_fate {
+	/* End of the first answer to a request planned after it; 0: none. */
+	int64_t answered_us, latency_us;
+	/* A request was refused, or waited. */
+	bool waited;
+};
+
+static struct key_fate *fate_of(GHashTable *fates, unsigned int key)
+{
+	struct key_fate *fate =
+		g_hash_table_lookup(fates, GUINT_TO_POINTER(key + 1));
+
+	if (!fate) {
+		fate = g_new0(struct key_fate, 1);
+		g_hash_table_insert(fates, GUINT_TO_POINTER(key + 1), fate);
+	}
+	return fate;
+}
+
+static void note_fate(struct key_fate *fate, const struct event *event)
+{
+	int64_t latency_us = event->done_us - event->planned_us;
+
+	if (!is_answered(event) || latency_us > WAITED_US)
+		fate->waited = true;
+	if (!is_answered(event) ||
+	    (fate->answered_us && event->done_us >= fate->answered_us))
+		return;
+	fate->answered_us = event->done_us;
+	fate->latency_us = latency_us;
+}
+
+static int64_t longest_of(GHashTable *fates, int64_t at_us, unsigned int *seen)
+{
+	int64_t longest_us = 0;
+	GHashTableIter iter;
+	gpointer data;
+
+	*seen = 0;
+	g_hash_table_iter_init(&iter, fates);
+	while (g_hash_table_iter_next(&iter, NULL, &data)) {
+		const struct key_fate *fate = data;
+
+		/* Never served again is worse than any time. */
+		if (!fate->answered_us)
+			return INT64_MAX;
+		++*seen;
+		longest_us =
+			MAX(longest_us, fate->waited ? fate->answered_us - at_us
+						     : fate->latency_us);
+	}
+	return longest_us;
+}
+
 int64_t events_unserved_after(const struct events *events, const char *service,
 			      const char *upstream, int64_t at_us,
 			      unsigned int *keys_seen)
 {
 	GHashTable *keys = keys_of(events, service, upstream, at_us);
-	/* Those whose requests were refused, or waited, after the instant. */
-	GHashTable *waited = g_hash_table_new(NULL, NULL);
-	int64_t longest_us = 0;
+	GHashTable *fates = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	int64_t longest_us;
 	size_t i;
 
-	*keys_seen = 0;
 	for (i = 0; i < events_count(events); i++) {
 		const struct event *e = events_at(events, i);
-		gpointer key = GUINT_TO_POINTER(e->key + 1);
 
-		if (!is_of(e, service) || e->done_us <= at_us ||
-		    !g_hash_table_contains(keys, key))
-			continue;
-		if (!is_answered(e) || e->done_us - e->planned_us > WAITED_US)
-			g_hash_table_add(waited, key);
-		if (g_hash_table_contains(waited, key))
-			longest_us = MAX(longest_us, e->done_us - at_us);
-		else
-			longest_us =
-				MAX(longest_us, e->done_us - e->planned_us);
-		if (is_answered(e) && e->planned_us >= at_us) {
-			++*keys_seen;
-			g_hash_table_remove(keys, key);
-		}
+		if (is_of(e, service) && e->planned_us >= at_us &&
+		    g_hash_table_contains(keys, GUINT_TO_POINTER(e->key + 1)))
+			note_fate(fate_of(fates, e->key), e);
 	}
+	longest_us = longest_of(fates, at_us, keys_seen);
 	g_hash_table_unref(keys);
-	g_hash_table_unref(waited);
+	g_hash_table_unref(fates);
 	return longest_us;
 }
 
