--- a/src/http/caller_server.c
+++ b/src/http/caller_server.c
@@ -100,7 +100,7 @@
 }
 
 static void G_GNUC_PRINTF(2, 0)
-on_log(void *cls, const char *format, va_list args)
+	on_log(void *cls, const char *format, va_list args)
 {
 	char text[256];
 
--- a/src/router/control_internal.h
+++ b/src/router/control_internal.h
@@ -1,6 +1,7 @@
 /**
- * Shared by control.c (loop and shutdown), control_links.c (assigners) and
- * control_platform.c (claims and orders to upstreams).
+ * Shared by control.c (loop and shutdown), control_links.c (assigners),
+ * control_tell.c (what they are told and asked) and control_platform.c (claims
+ * and orders to upstreams).
  */
 #ifndef ROUTER_CONTROL_INTERNAL_H
 #define ROUTER_CONTROL_INTERNAL_H
@@ -78,6 +79,17 @@
 /** Frees what belongs to the links. */
 void control_links_stop(struct control *control);
 
+/** Sends to every linked assigner. */
+void control_send_all(struct control *control, Envelope__BodyCase kind,
+		      void *body);
+
+/** Sends to the assigner heard last, which passes on what isn't its own. */
+void control_send_best(struct control *control, Envelope__BodyCase kind,
+		       void *body);
+
+/** Tells of the load on keys since the last call. */
+void control_links_tell_load(struct control *control);
+
 /** Asks for shares and tells of deaths, at once. */
 void control_links_ask(struct control *control);
 
