--- a/test/fuzz/fuzz_request_parts/router.c
+++ b/test/fuzz/fuzz_request_parts/router.c
@@ -44,8 +44,8 @@
 
 static void learn_poison(struct world *w, struct fake_router *r)
 {
-	struct poison_report reports[16];
-	size_t count = poison_list(w->keeper, w->now, reports, 16);
+	struct poison_report reports[512];
+	size_t count = poison_list(w->keeper, w->now, reports, 512);
 	guint i;
 
 	while (count--)
