request: events that the fuzz target puts off keep their order

A router paused again before its first pause ended took the later of two answers first; TCP keeps their order.

--- a/test/fuzz/fuzz_request_parts/world.c
+++ b/test/fuzz/fuzz_request_parts/world.c
@@ -11,19 +11,30 @@
 	return x->sequence < y->sequence ? -1 : 1;
 }
 
+static void insert(struct world *w, const struct event *values)
+{
+	struct event *event = g_new(struct event, 1);
+
+	*event = *values;
+	g_sequence_insert_sorted(w->events, event, compare_events, NULL);
+}
+
 void world_at(struct world *w, int64_t at,
 	      void (*run)(struct world *w, struct event *event), void *a,
 	      void *b, uint64_t n, uint64_t m)
 {
-	struct event *event = g_new0(struct event, 1);
+	struct event event = { at, w->sequence++, run, a, b, n, m };
 
-	*event = (struct event){ at, w->sequence++, run, a, b, n, m };
-	g_sequence_insert_sorted(w->events, event, compare_events, NULL);
+	insert(w, &event);
 }
 
+/* Events put off to the same time keep the order in which they were made. */
 void world_again(struct world *w, const struct event *event, int64_t at)
 {
-	world_at(w, at, event->run, event->a, event->b, event->n, event->m);
+	struct event again = *event;
+
+	again.at = at;
+	insert(w, &again);
 }
 
 void world_run(struct world *w, int64_t until)
