--- a/bench/bench_path_parts/unserved.c
+++ b/bench/bench_path_parts/unserved.c
@@ -160,3 +160,18 @@
 	if (events)
 		print_longest(&loss, name, events, at_us);
 	print_owners(cluster, name);
+	events_destroy(events);
+	g_free(path);
+	g_free(loss.hit);
+	cluster_destroy(cluster, false);
+}
+
+void measure_unserved(void)
+{
+	measure_loss("upstream-killed", upstream_killed);
+	measure_loss("upstream-frozen", upstream_frozen);
+	measure_loss("coordinator-killed", coordinator_killed);
+	measure_loss("coordinator-frozen", coordinator_frozen);
+	measure_loss("both-killed", both_killed);
+	measure_loss("zone-lost", zone_lost);
+}
