--- a/src/assigner/assigner_api.c
+++ b/src/assigner/assigner_api.c
@@ -201,13 +201,14 @@
 	return true;
 }
 
-/* Requests are known where they ran: in the routers' logs. */
-static bool explain_request(void *ctx, struct str id, json_t *out)
+static bool force_cell(void *ctx, struct str service)
 {
-	(void)ctx;
-	(void)id;
-	(void)out;
-	return false;
+	struct cell *cell = assigner_cell(ctx, service);
+
+	if (!cell)
+		return false;
+	coordinator_force(cell_coordinator(cell));
+	return true;
 }
 
 const struct api_ops assigner_api_ops = {
@@ -219,5 +220,5 @@
 	.members = members,
 	.status = status,
 	.explain_key = explain_key,
-	.explain_request = explain_request,
+	.force_cell = force_cell,
 };
--- a/src/ctl/commands.c
+++ b/src/ctl/commands.c
@@ -9,6 +9,8 @@
 #include "profile/profile_file.h"
 #include "profile/settings.h"
 
+#define STATUS_OK 200
+
 #define API "/api/v1"
 #define WATCH_SECONDS 1
 #define CLEAR_SCREEN "\033[H\033[2J"
@@ -124,6 +126,32 @@
 	return rows;
 }
 
+static gint by_id(gconstpointer a, gconstpointer b)
+{
+	const json_t *const *x = a;
+	const json_t *const *y = b;
+	const char *left = json_string_value(json_object_get(*x, "id"));
+	const char *right = json_string_value(json_object_get(*y, "id"));
+
+	return g_strcmp0(left, right);
+}
+
+/* A copy of the rows in the order of their ids. */
+static json_t *sorted(const json_t *rows)
+{
+	GPtrArray *order = g_ptr_array_new();
+	json_t *out = json_array();
+	size_t i;
+
+	for (i = 0; i < json_array_size(rows); i++)
+		g_ptr_array_add(order, json_array_get(rows, i));
+	g_ptr_array_sort(order, by_id);
+	for (i = 0; i < order->len; i++)
+		json_array_append(out, g_ptr_array_index(order, i));
+	g_ptr_array_free(order, TRUE);
+	return out;
+}
+
 static void print_status(const json_t *status)
 {
 	static const char *const tables[] = { "daemons", "cells", "vms" };
@@ -139,8 +167,12 @@
 		       ? "in contact with the peers"
 		       : "NOT in contact with half of the peers");
 	output_table("zones", zones);
-	for (i = 0; i < G_N_ELEMENTS(tables); i++)
-		output_table(tables[i], json_object_get(status, tables[i]));
+	for (i = 0; i < G_N_ELEMENTS(tables); i++) {
+		json_t *rows = sorted(json_object_get(status, tables[i]));
+
+		output_table(tables[i], rows);
+		json_decref(rows);
+	}
 	json_decref(zones);
 }
 
@@ -206,13 +238,71 @@
 {
 	char *id = client_escape(ctl->args[0]);
 	char *path = g_strdup_printf(API "/explain/request/%s", id);
-	enum ctl_status status = explain(ctl, path);
+	struct client *assigners = ctl->client;
+	enum ctl_status status;
 
+	if (!*ctl->settings->routers) {
+		fprintf(stderr, "auburnctl: --routers must name the operator "
+				"addresses of the routers\n");
+		g_free(path);
+		g_free(id);
+		return CTL_USAGE;
+	}
+	/* Only the router that took the request knows of it. */
+	ctl->client =
+		client_create(ctl->settings->routers, ctl->settings->token,
+			      ctl->settings->timeout_ms);
+	client_seek(ctl->client);
+	status = explain(ctl, path);
+	client_destroy(ctl->client);
+	ctl->client = assigners;
 	g_free(path);
 	g_free(id);
 	return status;
 }
 
+static bool force_at(struct ctl *ctl, const char *address, const char *path)
+{
+	struct client_call call = { .method = "POST", .path = path };
+	struct client *client = client_create(address, ctl->settings->token,
+					      ctl->settings->timeout_ms);
+	struct client_answer answer;
+	bool done;
+
+	client_send(client, &call, &answer);
+	done = answer.status == STATUS_OK;
+	printf("%s: %s\n", address,
+	       done	       ? "forced"
+	       : answer.status ? answer.body->str
+			       : answer.message);
+	client_answer_clear(&answer);
+	client_destroy(client);
+	return done;
+}
+
+/* Every assigner must know, for any of them may come to lead the cell. */
+static enum ctl_status run_force(struct ctl *ctl)
+{
+	char *service = client_escape(ctl->args[0]);
+	char *path = g_strdup_printf(API "/cells/%s/force", service);
+	char **addresses = g_strsplit(ctl->settings->operators, ",", -1);
+	enum ctl_status status = CTL_OK;
+	char **address;
+
+	if (!ctl->settings->force) {
+		fprintf(stderr, "auburnctl: --force must be given: it is "
+				"unsafe while an unlisted upstream runs\n");
+		status = CTL_USAGE;
+	}
+	for (address = addresses; *address && ctl->settings->force; address++)
+		if (!force_at(ctl, *address, path))
+			status = CTL_UNAVAILABLE;
+	g_strfreev(addresses);
+	g_free(path);
+	g_free(service);
+	return status;
+}
+
 static enum ctl_status run_help(struct ctl *ctl)
 {
 	char *text = commands_help();
@@ -242,10 +332,13 @@
 	{ "vm in", "ID", 1, "new work for a VM again", run_vm_in },
 	{ "status", "", 0, "daemons, zones, cells and VMs; --watch repeats",
 	  run_status },
+	{ "cell force", "SERVICE", 1,
+	  "unlisted upstreams of a cell are gone for good; all --operators",
+	  run_force },
 	{ "explain key", "SERVICE KEY", 2, "who owns a key, and why",
 	  run_explain_key },
-	{ "explain request", "ID", 1, "what is known of a request",
-	  run_explain_request },
+	{ "explain request", "ID", 1,
+	  "what became of a request; needs --routers", run_explain_request },
 	{ "help", "", 0, "this list", run_help },
 	{ 0 },
 };
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -43,6 +43,10 @@
 	/* libcurl would send it a second time. */
 	if (exchange->sent)
 		return CURL_PREREQFUNC_ABORT;
+	if (exchange->progress_us >= exchange->send_before_us) {
+		exchange->late = true;
+		return CURL_PREREQFUNC_ABORT;
+	}
 	set_end(&ends.local, local, local_port);
 	set_end(&ends.remote, address, port);
 	if (*exchange->boot && !proofs_hold(exchange->pool->proofs, &ends,
@@ -342,6 +346,7 @@
 	exchange->boot = str_dup(request->boot);
 	exchange->address = request->address;
 	exchange->upload_length = request->upload_length;
+	exchange->send_before_us = request->send_before_us;
 	exchange->fresh = request->fresh;
 	exchange->headers = headers_create();
 	exchange->upload = body_ref(request->upload);
@@ -419,6 +424,8 @@
 {
 	if (code == CURLE_OK && exchange->head_done)
 		return EXCHANGE_COMPLETE;
+	if (exchange->late)
+		return EXCHANGE_LATE;
 	if (!exchange->sent)
 		return EXCHANGE_NOT_CONNECTED;
 	if (exchange->status >= STATUS_FINAL)
@@ -492,14 +499,25 @@
 	return exchange->body_paused;
 }
 
+bool exchange_waits_for_upload(const struct exchange *exchange)
+{
+	return exchange->upload_paused && !body_ended(exchange->upload) &&
+	       !body_peek(exchange->upload).len;
+}
+
+static bool body_has_room(const struct exchange *exchange)
+{
+	return exchange->discarding ||
+	       body_room(exchange->body) >= EXCHANGE_BODY_BYTES / 2;
+}
+
 void exchange_resume(struct exchange *exchange)
 {
-	if (exchange->end != EXCHANGE_RUNNING)
-		return;
-	if (exchange->body_paused && !exchange->discarding &&
-	    body_room(exchange->body) < EXCHANGE_BODY_BYTES / 2)
-		return;
-	if (!exchange->body_paused && !exchange->upload_paused)
+	bool upload =
+		exchange->upload_paused && !exchange_waits_for_upload(exchange);
+	bool body = exchange->body_paused && body_has_room(exchange);
+
+	if (exchange->end != EXCHANGE_RUNNING || (!upload && !body))
 		return;
 	exchange->body_paused = false;
 	exchange->upload_paused = false;
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -62,6 +62,8 @@
 	 * Empty: any.
 	 */
 	struct str boot;
+	/** It is not sent after this instant; INT64_MAX for none. */
+	int64_t send_before_us;
 };
 
 enum exchange_end {
@@ -70,6 +72,8 @@
 	EXCHANGE_COMPLETE,
 	/** No connection: not a byte was sent. */
 	EXCHANGE_NOT_CONNECTED,
+	/** Not sent in time. */
+	EXCHANGE_LATE,
 	/** Not sent: another incarnation answers there. */
 	EXCHANGE_OTHER_BOOT,
 	/** The connection broke when the request may have been sent. */
@@ -142,6 +146,9 @@
 /** Whether it waits for room in the answer's body. */
 bool exchange_paused(const struct exchange *exchange);
 
+/** Whether it waits for bytes of the upload. */
+bool exchange_waits_for_upload(const struct exchange *exchange);
+
 /**
  * Goes on after the upload got bytes, or the answer's body got room. Not from
  * an operation.
--- a/src/operator/api.h
+++ b/src/operator/api.h
@@ -42,6 +42,13 @@
 			void *visit_ctx);
 	/** Adds "vms", "cells" and what else there is to an object. */
 	void (*status)(void *ctx, json_t *out);
+	/**
+	 * Operators' word that unlisted upstreams of a cell are gone for good,
+	 * see coordinator_force().
+	 *
+	 * @return false when there is no such service
+	 */
+	bool (*force_cell)(void *ctx, struct str service);
 	/**
 	 * Fills an object: slice, owner, epoch, why.
 	 *
@@ -49,12 +56,6 @@
 	 */
 	bool (*explain_key)(void *ctx, struct str service, struct str key,
 			    json_t *out);
-	/**
-	 * Fills an object with what is known of a request.
-	 *
-	 * @return false when nothing is
-	 */
-	bool (*explain_request)(void *ctx, struct str id, json_t *out);
 	/**
 	 * This daemon published settings; spread_body() takes them, so that
 	 * the others learn of them at once. May be NULL.
--- a/src/ownership/coordinator_impl.h
+++ b/src/ownership/coordinator_impl.h
@@ -173,6 +173,9 @@
 	/** When the ballot was last raised within a term. */
 	int64_t raised_us;
 	unsigned int challenges;
+	/** Until then unlisted upstreams are not asked for: see
+	 * coordinator_force(). */
+	int64_t forced_until_us;
 
 	/* Upstreams and load. */
 	/** struct cell_upstream, owned. */
@@ -197,6 +200,9 @@
 /** Runs what is due after an input. */
 void coordinator_step(struct coordinator *c);
 
+/** Ends the term when authority ran out: comes before any input. */
+void coordinator_check_authority(struct coordinator *c, int64_t now);
+
 /** Notes that an epoch exists, so that the row is read if it is newer. */
 void coordinator_note_epoch(struct coordinator *c, uint64_t epoch);
 
--- a/src/router/dispatch.c
+++ b/src/router/dispatch.c
@@ -84,6 +84,10 @@
 
 	ticket->flight = pool_start(service->pool, upstream, now_us);
 	ticket->started_us = now_us;
+	ticket->send_before_us = pool_flight_send_before(ticket->flight);
+	if (ticket->lane && ticket->lane->trial)
+		ticket->send_before_us =
+			MIN(ticket->send_before_us, service->trial_until_us);
 	g_snprintf(ticket->upstream, sizeof(ticket->upstream), "%.*s",
 		   STR_ARG(id));
 	if (ticket->tried_count < POOL_TRIED_MAX)
@@ -186,9 +190,9 @@
 
 	pthread_mutex_lock(&dispatch->lock);
 	now_us = now_of(dispatch);
-	found = pool_pick(service->pool, ticket->tried, ticket->tried_count,
-			  now_us, &upstream) == POOL_OK &&
-		pool_backup_allowed(service->pool);
+	found = pool_backup_allowed(service->pool) &&
+		pool_pick(service->pool, ticket->tried, ticket->tried_count,
+			  now_us, &upstream) == POOL_OK;
 	if (found) {
 		ticket->lane = NULL;
 		start_flight(service, ticket, upstream, now_us);
--- a/src/router/dispatch.h
+++ b/src/router/dispatch.h
@@ -93,6 +93,8 @@
 	int64_t took_us;
 	int64_t started_us;
 	struct pool_flight *flight;
+	/** Not to be sent after this. */
+	int64_t send_before_us;
 	uint64_t poison;
 };
 
@@ -161,7 +163,6 @@
 	const char *service;
 	struct str upstream;
 	struct budget_ask ask;
-	int64_t asked_us;
 };
 
 typedef void (*dispatch_ask_fn)(void *ctx, const struct dispatch_ask *ask);
--- a/test/functional/cluster_rig.c
+++ b/test/functional/cluster_rig.c
@@ -180,6 +180,15 @@
 		stub_upstream_reply(rig->upstreams[i], reply);
 }
 
+void rig_boot(struct rig *rig, const char *boot)
+{
+	int i;
+
+	for (i = 0; i < RIG_UPSTREAMS; i++)
+		stub_upstream_boot(rig->upstreams[i], boot);
+	stub_assigner_boot(rig->assigner, boot);
+}
+
 unsigned int rig_runs(const struct rig *rig)
 {
 	unsigned int runs = 0;
@@ -225,6 +234,12 @@
 }
 
 char *rig_raw(const struct rig *rig, const char *bytes, size_t len)
+{
+	return rig_raw_wait(rig, bytes, len, RAW_WAIT_MS);
+}
+
+char *rig_raw_wait(const struct rig *rig, const char *bytes, size_t len,
+		   int wait_ms)
 {
 	GString *in = g_string_new(NULL);
 	int fd = connect_to(rig_callers(rig));
@@ -239,7 +254,7 @@
 		bytes += n;
 		len -= (size_t)n;
 	}
-	while (poll(&wait, 1, RAW_WAIT_MS) == 1) {
+	while (poll(&wait, 1, wait_ms) == 1) {
 		ssize_t n = recv(fd, buf, sizeof(buf), 0);
 
 		if (n <= 0)
