bench: a key is unserved from its first request to its first answer

Before, the time from the loss to a key's first answer held the time in which nobody asked for it (3.5 s for a key of few requests on a busy machine). A request under way at the loss counts from the loss.

--- a/bench/demo.c
+++ b/bench/demo.c
@@ -248,7 +248,7 @@
 	       100 * out->moved_lost);
 	printf("longest unserved key, planned      %.3f s\n",
 	       (double)out->unserved_us / US_PER_SECOND);
-	printf("last key of the lost VM, after     %.3f s (%u keys)\n",
+	printf("longest unserved key, VM lost      %.3f s (%u keys)\n",
 	       (double)out->unserved_killed_us / US_PER_SECOND,
 	       out->keys_killed);
 	printf("latency p50, p99                   %.1f ms, %.1f ms\n",
--- a/test/functional/cluster_events.h
+++ b/test/functional/cluster_events.h
@@ -51,13 +51,13 @@
 			   int64_t from_us, int64_t until_us);
 
 /**
- * How long after an instant the last key of an upstream was served again: over
- * the keys that it answered last, from the instant to the end of the first
- * answer to a request planned after it. A key whose first request then neither
- * was refused nor waited counts with that request's latency alone.
+ * The longest time that a key of a lost upstream went unserved, over the keys
+ * that it answered last: from the first request planned after the loss, or
+ * from the loss when one was under way, to the end of the first whole answer.
  *
  * @param at_us when the upstream was lost
  * @param keys_seen set to the number of its keys that were served again
+ * @return microseconds; INT64_MAX when a key asked for was never served
  */
 int64_t events_unserved_after(const struct events *events, const char *service,
 			      const char *upstream, int64_t at_us,
