assigner: keep reports of crashes with the names of what died

Cause: an assigner remembered a fingerprint's number of deaths only, so a router that started was told of a suspect without the upstream and incarnation that died; it could count the same death twice, or take a cleared one for known. The assigner now keeps an instance of the same module as the routers and passes on what is new.

--- a/src/assigner/assigner.c
+++ b/src/assigner/assigner.c
@@ -121,8 +121,7 @@
 	a->hub = hub_create(a->clock, &assigner_hub_ops, a);
 	a->vms = vm_table_create();
 	a->cells = g_ptr_array_new_with_free_func(destroy_cell);
-	a->poison = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-					  NULL);
+	a->poison = poison_create();
 	a->spread = spread_create(&assigner_spread_ops, a,
 				  (uint32_t)hash_key(str_from(a->incarnation)),
 				  now_us);
@@ -151,7 +150,7 @@
 	vm_table_destroy(a->vms);
 	g_free(a->vms_skipped);
 	table_destroy(a->table);
-	g_hash_table_destroy(a->poison);
+	poison_destroy(a->poison);
 	g_free(a->incarnation);
 	g_free(a);
 }
--- a/src/assigner/assigner_impl.h
+++ b/src/assigner/assigner_impl.h
@@ -15,6 +15,7 @@
 #include "platform/http_client.h"
 #include "platform/table.h"
 #include "profile/spread.h"
+#include "request/poison.h"
 #include "wire/hub.h"
 
 struct assigner {
@@ -37,8 +38,7 @@
 	struct cell_env cell_env;
 	/* struct cell *, one for each service in force. */
 	GPtrArray *cells;
-	/* Fingerprint -> deaths, of poisoned and suspect requests. */
-	GHashTable *poison;
+	struct poison *poison;
 	struct operator_server *operators;
 	struct operator_mount mounts[3];
 	struct common_routes common;
--- a/src/assigner/assigner_links.c
+++ b/src/assigner/assigner_links.c
@@ -8,7 +8,8 @@
 #include "membership/beat_codec.h"
 #include "membership/vm_codec.h"
 
-#define POISON_REMEMBERED_MAX 4096
+/* Most reports for one process that starts. */
+#define POISON_REPORTS_MAX (2 * POISON_MAX)
 
 struct cell *assigner_cell(struct assigner *a, struct str name)
 {
@@ -178,22 +179,32 @@
 	g_free(side);
 }
 
+/* A process that starts learns of all requests that crash upstreams. */
 static void send_poison(struct assigner *a, struct link *link)
 {
-	GHashTableIter iter;
-	gpointer key, value;
+	struct poison_report *reports =
+		g_new0(struct poison_report, POISON_REPORTS_MAX);
+	size_t count = poison_list(a->poison, clock_now_us(a->clock), reports,
+				   POISON_REPORTS_MAX);
+	size_t i;
 
-	g_hash_table_iter_init(&iter, a->poison);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
+	for (i = 0; i < count; i++) {
 		Poison poison = POISON__INIT;
 		Envelope message = ENVELOPE__INIT;
+		char *upstream = str_dup(reports[i].upstream);
+		char *boot = str_dup(reports[i].boot);
 
-		poison.fingerprint = *(const uint64_t *)key;
-		poison.deaths = GPOINTER_TO_UINT(value);
+		poison.fingerprint = reports[i].fingerprint;
+		poison.upstream = upstream;
+		poison.boot = boot;
+		poison.deaths = reports[i].deaths;
 		message.body_case = ENVELOPE__BODY_POISON;
 		message.poison = &poison;
 		hub_send(a->hub, link, &message);
+		g_free(upstream);
+		g_free(boot);
 	}
+	g_free(reports);
 }
 
 /* A router that just linked gets all it needs to serve. */
@@ -205,7 +216,6 @@
 	with_vms(a, reply_message, &to);
 	for (i = 0; i < a->cells->len; i++)
 		send_map_to(a, link, a->cells->pdata[i]);
-	send_poison(a, link);
 }
 
 static void on_hello(struct assigner *a, struct link *link, const Hello *hello)
@@ -226,6 +236,7 @@
 		    str_from(hello->daemon), str_from(hello->incarnation),
 		    router ? PEER_ROUTER : PEER_ASSIGNER, &address,
 		    clock_now_us(a->clock));
+	send_poison(a, link);
 	if (router)
 		send_state(a, link);
 }
@@ -404,19 +415,15 @@
 static void on_poison(struct assigner *a, struct link *link,
 		      const Envelope *message)
 {
-	const Poison *poison = message->poison;
-	uint64_t key = poison->fingerprint;
-	gpointer known;
-	bool found =
-		g_hash_table_lookup_extended(a->poison, &key, NULL, &known);
+	struct poison_report report = {
+		.fingerprint = message->poison->fingerprint,
+		.upstream = str_from(message->poison->upstream),
+		.boot = str_from(message->poison->boot),
+		.deaths = message->poison->deaths,
+	};
 
-	if (found && GPOINTER_TO_UINT(known) == poison->deaths)
-		return;
-	if (!found && g_hash_table_size(a->poison) >= POISON_REMEMBERED_MAX)
-		g_hash_table_remove_all(a->poison);
-	g_hash_table_insert(a->poison, g_memdup2(&key, sizeof(key)),
-			    GUINT_TO_POINTER(poison->deaths));
-	pass_on(a, link, message);
+	if (poison_take(a->poison, &report, clock_now_us(a->clock)))
+		pass_on(a, link, message);
 }
 
 static void on_known_message(struct assigner *a, struct link *link,
--- a/src/request/poison.c
+++ b/src/request/poison.c
@@ -308,24 +308,36 @@
 		r->deaths = DEATHS_MAX;
 }
 
-void poison_take(struct poison *poison, const struct poison_report *report,
+static bool take_death(struct poison *poison,
+		       const struct poison_report *report, int64_t now_us)
+{
+	struct record *r = ensure_record(poison, report->fingerprint, now_us);
+	uint32_t known = r->deaths;
+
+	add_death(r, report->upstream, report->boot, now_us);
+	add_unnamed(r, report->deaths);
+	return r->deaths != known;
+}
+
+bool poison_take(struct poison *poison, const struct poison_report *report,
 		 int64_t now_us)
 {
 	struct record *r;
+	uint32_t known;
 
-	if (report->deaths) {
-		r = ensure_record(poison, report->fingerprint, now_us);
-		add_death(r, report->upstream, report->boot, now_us);
-		add_unnamed(r, report->deaths);
-		return;
-	}
+	if (report->deaths)
+		return take_death(poison, report, now_us);
 	r = find_record(poison, report->fingerprint, now_us);
 	if (!r)
-		return;
+		return false;
+	known = r->deaths;
 	if (report->upstream.len)
 		remove_death(r, report->upstream, report->boot);
 	else if (r->deaths < DEATHS_MAX)
 		r->deaths = 0;
+	if (r->deaths == known)
+		return false;
 	if (!r->deaths)
 		g_hash_table_remove(poison->records, &report->fingerprint);
+	return true;
 }
--- a/src/request/poison.h
+++ b/src/request/poison.h
@@ -129,8 +129,12 @@
 size_t poison_list(const struct poison *poison, int64_t now_us,
 		   struct poison_report *reports, size_t max);
 
-/** Takes another process's report. */
-void poison_take(struct poison *poison, const struct poison_report *report,
+/**
+ * Takes another process's report.
+ *
+ * @return true when it said something new: an assigner passes it on then
+ */
+bool poison_take(struct poison *poison, const struct poison_report *report,
 		 int64_t now_us);
 
 #endif
--- a/test/functional/test_faults.c
+++ b/test/functional/test_faults.c
@@ -57,6 +57,24 @@
 	}
 }
 
+/* Follows the case before: the request is known to crash upstreams. */
+static void a_router_that_starts_knows_it(void)
+{
+	struct process *router = cluster_router(cluster, 0);
+	struct http_answer *answer;
+
+	process_kill(router);
+	CU_ASSERT_TRUE(process_wait_end(router, LIMIT_US, NULL));
+	CU_ASSERT_TRUE(cluster_restart(router));
+	CU_ASSERT_TRUE(
+		cluster_wait_answer(cluster, 0, "/sanidad/other", LIMIT_US));
+	answer = cluster_get(cluster, 0, CRASH);
+	CU_ASSERT_STRING_EQUAL(http_header(answer, "Auburn-Reason"),
+			       "poisoned");
+	http_answer_destroy(answer);
+	CU_ASSERT_EQUAL(dead_upstreams(), 0);
+}
+
 static void silent_connections_are_given_up(void)
 {
 	unsigned int i, router;
@@ -137,6 +155,8 @@
 	static const struct suite_case cases[] = {
 		{ "a crashing request is refused after two",
 		  a_crashing_request_is_refused_after_two },
+		{ "a router that starts knows it",
+		  a_router_that_starts_knows_it },
 		{ "silent connections are given up",
 		  silent_connections_are_given_up },
 		{ "a replaced upstream is spared",
--- a/test/unit/test_poison.c
+++ b/test/unit/test_poison.c
@@ -124,6 +124,34 @@
 	poison_destroy(poison);
 }
 
+static void news_is_told_from_repetition(void)
+{
+	static const struct {
+		const char *upstream;
+		uint32_t deaths;
+		bool news;
+	} cases[] = {
+		{ "u1", 1, true },  { "u1", 1, false }, { "u1", 0, true },
+		{ "u1", 0, false }, { "", 0, false },	{ "u1", 1, true },
+		{ "u2", 2, true },  { "u3", 2, false }, { "", 0, false },
+	};
+	struct poison *poison = poison_create();
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct poison_report report = {
+			.fingerprint = 1,
+			.upstream = str_from(cases[i].upstream),
+			.boot = BOOT,
+			.deaths = cases[i].deaths,
+		};
+
+		CU_ASSERT_EQUAL(poison_take(poison, &report, 0), cases[i].news);
+	}
+	CU_ASSERT_EQUAL(poison_check(poison, 1, 0), POISON_POISONED);
+	poison_destroy(poison);
+}
+
 static void records_are_bounded(void)
 {
 	struct poison *poison = poison_create();
@@ -151,6 +179,8 @@
 		  a_broken_connection_is_no_death },
 		{ "one that starts learns", one_that_starts_learns },
 		{ "a stall is no death", a_stall_is_no_death },
+		{ "news is told from repetition",
+		  news_is_told_from_repetition },
 		{ "records are bounded", records_are_bounded },
 		{ 0 },
 	};
