--- a/src/assigner/assigner.c
+++ b/src/assigner/assigner.c
@@ -23,6 +23,7 @@
 
 	vm_table_answered(a->vms, vm, reply->boot,
 			  reply->load.state == UPSTREAM_DRAINING, begun_us);
+	assigner_note_load(a, vm, &reply->load);
 }
 
 static void set_cell_env(struct assigner *a)
@@ -122,6 +123,8 @@
 	a->vms = vm_table_create();
 	a->cells = g_ptr_array_new_with_free_func(destroy_cell);
 	a->poison = poison_create();
+	a->loads =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	a->spread = spread_create(&assigner_spread_ops, a,
 				  (uint32_t)hash_key(str_from(a->incarnation)),
 				  now_us);
@@ -151,6 +154,7 @@
 	g_free(a->vms_skipped);
 	table_destroy(a->table);
 	poison_destroy(a->poison);
+	g_hash_table_destroy(a->loads);
 	g_free(a->incarnation);
 	g_free(a);
 }
--- a/src/assigner/assigner_api.c
+++ b/src/assigner/assigner_api.c
@@ -4,10 +4,15 @@
 #include "assigner/assigner_impl.h"
 
 #include "base/hash.h"
+#include "membership/capacity.h"
 #include "profile/settings.h"
 
 /* Upstreams that must stay, in percent of those that take work. */
 #define FIT_REST_PERCENT 50
+/* Weight of a new reading of load in the average. */
+#define LOAD_WEIGHT 0.05
+/* Readings older than this say nothing. */
+#define LOAD_AGE_US (2 * US_PER_SECOND)
 
 static void read_row(void *ctx, struct str key, table_done_fn done,
 		     void *done_ctx)
@@ -40,44 +45,86 @@
 	       !settings_vm_is_out(settings, str_from(vm->id));
 }
 
-/* Upstreams of a service, and how many of them take work under settings. */
-static void count_upstreams(struct assigner *a, const struct settings *settings,
-			    struct str service, size_t *all, size_t *in)
+/* Upstreams of a service that take work under the settings. */
+static size_t count_upstreams(struct assigner *a,
+			      const struct settings *settings,
+			      struct str service)
 {
-	size_t i, count = vm_table_count(a->vms);
+	int64_t now_us = clock_now_us(a->clock);
+	size_t i, in = 0, count = vm_table_count(a->vms);
 
-	*all = 0;
-	*in = 0;
 	for (i = 0; i < count; i++) {
 		enum vm_state state;
-		const struct vm *vm =
-			vm_table_at(a->vms, i, clock_now_us(a->clock), &state);
+		const struct vm *vm = vm_table_at(a->vms, i, now_us, &state);
+
+		in += str_equal(str_from(vm->service), service) &&
+		      is_in(settings, vm, state);
+	}
+	return in;
+}
+
+void assigner_note_load(struct assigner *a, struct str vm,
+			const struct upstream_load *load)
+{
+	char *id = str_dup(vm);
+	struct vm_load *known = g_hash_table_lookup(a->loads, id);
+	double running = (double)load->running + (double)load->queued;
+
+	if (!known) {
+		known = g_new0(struct vm_load, 1);
+		known->running = running;
+		g_hash_table_insert(a->loads, g_strdup(id), known);
+	}
+	known->slots = load->slots;
+	known->running += (running - known->running) * LOAD_WEIGHT;
+	known->seen_us = clock_now_us(a->clock);
+	g_free(id);
+}
+
+/* Load is known of the cells that this daemon leads. */
+static bool load_fits(struct assigner *a, const struct settings *after,
+		      char **why)
+{
+	int64_t now_us = clock_now_us(a->clock);
+	size_t i, n = 0, count = vm_table_count(a->vms);
+	struct capacity_vm *vms = g_new0(struct capacity_vm, count + 1);
+	bool fits;
 
-		if (!str_equal(str_from(vm->service), service))
+	for (i = 0; i < count; i++) {
+		enum vm_state state;
+		const struct vm *vm = vm_table_at(a->vms, i, now_us, &state);
+		const struct vm_load *load =
+			g_hash_table_lookup(a->loads, vm->id);
+
+		if (!load || now_us - load->seen_us > LOAD_AGE_US)
 			continue;
-		(*all)++;
-		if (is_in(settings, vm, state))
-			(*in)++;
+		vms[n++] = (struct capacity_vm){
+			.id = vm->id,
+			.service = vm->service,
+			.zone = vm->zone,
+			.slots = load->slots,
+			.running = load->running,
+			.live = state == VM_LIVE,
+		};
 	}
+	fits = capacity_fits(vms, n, after, why);
+	g_free(vms);
+	return fits;
 }
 
-/*
- * The rest must keep at least half of each service's upstreams that take work
- * now: load reports mislead, so they are not asked.
- */
-static bool fits(void *ctx, const struct settings *after, char **why)
+/* Each service must keep half of its upstreams, whatever the load is now. */
+static bool half_stays(struct assigner *a, const struct settings *after,
+		       char **why)
 {
-	struct assigner *a = ctx;
 	const struct settings *now = spread_current(a->spread);
 	size_t i;
 
 	for (i = 0; now && i < after->service_count; i++) {
 		struct str service = str_from(after->services[i].name);
-		size_t all, in_now, in_after;
+		size_t in_now = count_upstreams(a, now, service);
+		size_t in_after = count_upstreams(a, after, service);
 
-		count_upstreams(a, now, service, &all, &in_now);
-		count_upstreams(a, after, service, &all, &in_after);
-		if (!all || in_after * 100 >= in_now * FIT_REST_PERCENT)
+		if (in_after * 100 >= in_now * FIT_REST_PERCENT)
 			continue;
 		*why = g_strdup_printf("service %s would keep %zu of %zu "
 				       "upstreams",
@@ -88,6 +135,11 @@
 	return true;
 }
 
+static bool fits(void *ctx, const struct settings *after, char **why)
+{
+	return half_stays(ctx, after, why) && load_fits(ctx, after, why);
+}
+
 static bool in_contact(void *ctx)
 {
 	struct assigner *a = ctx;
--- a/src/assigner/assigner_impl.h
+++ b/src/assigner/assigner_impl.h
@@ -18,6 +18,14 @@
 #include "request/poison.h"
 #include "wire/hub.h"
 
+/** Load of an upstream, from its answers to orders. */
+struct vm_load {
+	uint32_t slots;
+	/** Requests that run or wait there, averaged. */
+	double running;
+	int64_t seen_us;
+};
+
 struct assigner {
 	const struct assigner_options *options;
 	const struct clock *clock;
@@ -39,6 +47,8 @@
 	/* struct cell *, one for each service in force. */
 	GPtrArray *cells;
 	struct poison *poison;
+	/* VM's id -> struct vm_load *, of the cells led here. */
+	GHashTable *loads;
 	struct operator_server *operators;
 	struct operator_mount mounts[3];
 	struct common_routes common;
@@ -104,6 +114,10 @@
 
 extern const struct api_ops assigner_api_ops;
 
+/** Notes what an upstream said of its load. */
+void assigner_note_load(struct assigner *a, struct str vm,
+			const struct upstream_load *load);
+
 /* assigner_metrics.c */
 
 extern const struct common_ops assigner_common_ops;
