assigner: calls in progress end at a stop

Cause: the HTTP client dropped them without calling back, so what they referred to leaked; the leak check of functional-test_stop reported it when a stop met an order under way.

--- a/src/assigner/assigner.c
+++ b/src/assigner/assigner.c
@@ -141,10 +141,12 @@
 {
 	if (!a)
 		return;
+	/* What calls in progress refer to is freed when they end. */
+	g_ptr_array_set_size(a->cells, 0);
+	http_client_abandon(a->http);
 	operator_server_destroy(a->operators);
-	/* Calls in progress refer to the cells: they end first. */
-	http_client_destroy(a->http);
 	api_destroy(a->api);
+	http_client_destroy(a->http);
 	hub_destroy(a->hub);
 	g_ptr_array_free(a->cells, TRUE);
 	if (a->peers)
--- a/src/platform/http_client.c
+++ b/src/platform/http_client.c
@@ -25,6 +25,7 @@
 	/* struct transfer * as a set. */
 	GHashTable *transfers;
 	uint64_t calls, sent, received;
+	bool abandoned;
 };
 
 struct http_client *http_client_create(void)
@@ -64,6 +65,23 @@
 	g_free(client);
 }
 
+void http_client_abandon(struct http_client *client)
+{
+	const struct http_answer lost = { .result = HTTP_LOST };
+	GHashTableIter iter;
+	gpointer transfer;
+
+	client->abandoned = true;
+	g_hash_table_iter_init(&iter, client->transfers);
+	while (g_hash_table_iter_next(&iter, &transfer, NULL)) {
+		struct transfer *t = transfer;
+
+		g_hash_table_iter_remove(&iter);
+		t->done(t->ctx, &lost);
+		transfer_destroy(t);
+	}
+}
+
 static size_t on_body(char *data, size_t size, size_t count, void *ctx)
 {
 	struct transfer *transfer = ctx;
@@ -144,8 +162,14 @@
 void http_client_start(struct http_client *client, const struct http_call *call,
 		       http_done_fn done, void *ctx)
 {
-	struct transfer *transfer = g_new0(struct transfer, 1);
+	const struct http_answer not_sent = { .result = HTTP_NOT_SENT };
+	struct transfer *transfer;
 
+	if (client->abandoned) {
+		done(ctx, &not_sent);
+		return;
+	}
+	transfer = g_new0(struct transfer, 1);
 	transfer->client = client;
 	transfer->easy = curl_easy_init();
 	transfer->body = g_byte_array_new();
--- a/src/platform/http_client.h
+++ b/src/platform/http_client.h
@@ -51,6 +51,12 @@
 /** Creates a client. */
 struct http_client *http_client_create(void);
 
+/**
+ * Ends all calls in progress as HTTP_LOST, before a stop. A call that is
+ * started afterwards ends at once as HTTP_NOT_SENT.
+ */
+void http_client_abandon(struct http_client *client);
+
 /** Drops all calls in progress without calling back, and frees. */
 void http_client_destroy(struct http_client *client);
 
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -5,7 +5,7 @@
 build=${1:-build}
 
 tools/sources.sh | grep '\.c$' | grep -v '^test/fuzz/replay' |
-	xargs -P "$(nproc)" -n 3 clang-tidy -p "$build" --quiet 2>/dev/null ||
+	xargs -P "$(nproc)" -n 1 clang-tidy -p "$build" --quiet 2>/dev/null ||
 	{ echo "lint: clang-tidy has findings" >&2; exit 1; }
 cppcheck --quiet -j "$(nproc)" --error-exitcode=1 --std=c11 \
 	--enable=warning,performance,portability --inline-suppr \
