upstream: the slowest of few is tried again

Cause: with no requests in flight, two choices compare expected times alone, so the slowest of an unkeyed service lost every comparison; without answers its time never changed, and it got nothing for good. Seen as functional-test_stop 'a zone back in gets work again' red in 1 of 4 and 2 of 5 runs under ASan: the zone's one upstream was available, ready and not slow, and was never picked.

Ruled out: shares, readiness and the list of VMs (the router's metrics showed all three upstreams available, warm and not slow).

An upstream that has not answered for 1 s and has nothing in flight counts as unknown, and is tried. Before: the new unit test fails, 0 of 200 picks.

--- a/src/upstream/pool.c
+++ b/src/upstream/pool.c
@@ -296,6 +296,7 @@
 	if (!flight->waits)
 		return;
 	stop_waiting(flight);
+	u->answered_us = now_us;
 	straggler_answer(&u->times, took_us);
 	quantile_add(&pool->backup, took_us, BACKUP_QUANTILE);
 	pool->backup_left_us =
--- a/src/upstream/pool_internal.h
+++ b/src/upstream/pool_internal.h
@@ -30,6 +30,8 @@
 	/** Flights without the first byte of an answer, oldest first. */
 	GQueue waiting;
 	struct straggler times;
+	/** When its last answer began. */
+	int64_t answered_us;
 	/** This incarnation was said to be ready. */
 	bool ready;
 	struct budget_share share;
--- a/src/upstream/pool_pick.c
+++ b/src/upstream/pool_pick.c
@@ -5,6 +5,8 @@
 #define JUDGE_US INT64_C(5000)
 /* How often one lapsed upstream is asked about while others have room. */
 #define REVIVE_US BUDGET_ASK_US
+/* How long an upstream's times count without an answer. */
+#define STALE_US INT64_C(1000000)
 
 int64_t pool_expected(const struct upstream *u, int64_t now_us)
 {
@@ -130,9 +132,15 @@
 	}
 }
 
-/* Lower is better: what waits there, and how long each takes. */
+/*
+ * Lower is better: what waits there, and how long each takes. Of an upstream
+ * that has not answered lately nothing is known: it is tried, or the one that
+ * was the slowest once would never be chosen again.
+ */
 static double score(const struct upstream *u, int64_t now_us)
 {
+	if (!u->in_flight && now_us - u->answered_us >= STALE_US)
+		return 0;
 	return ((double)u->in_flight + 1.0) *
 	       (double)MAX(pool_expected(u, now_us), 1);
 }
--- a/test/unit/test_pool.c
+++ b/test/unit/test_pool.c
@@ -95,6 +95,26 @@
 	pool_destroy(pool);
 }
 
+/* The slowest of few loses every comparison until its times are forgotten. */
+static void the_slowest_is_tried_again(void)
+{
+	struct pool *pool = make_ready(1);
+	int64_t now = 10 * MS;
+	uint32_t upstream, i, tried = 0;
+
+	for (i = 0; i < COUNT; i++)
+		run(pool, i, now, i == 0 ? 8 * MS : 5 * MS);
+	for (i = 0; i < 200; i++) {
+		now += 20 * MS;
+		CU_ASSERT_EQUAL(pool_pick(pool, NULL, 0, now, &upstream),
+				POOL_OK);
+		run(pool, upstream, now, upstream == 0 ? 8 * MS : 5 * MS);
+		tried += upstream == 0;
+	}
+	CU_ASSERT_TRUE(tried > 0);
+	pool_destroy(pool);
+}
+
 static void doubt_ends_readiness(void)
 {
 	static const enum pool_outcome_kind outcomes[] = { POOL_FAILED,
@@ -249,6 +269,7 @@
 		{ "cold until told", cold_until_told },
 		{ "readiness holds for one incarnation",
 		  readiness_holds_for_one_incarnation },
+		{ "the slowest is tried again", the_slowest_is_tried_again },
 		{ "doubt ends readiness", doubt_ends_readiness },
 		{ "a new incarnation is cold", a_new_incarnation_is_cold },
 		{ "leaving gets nothing new", leaving_gets_nothing_new },
