--- a/src/assigner/assigner_links.c
+++ b/src/assigner/assigner_links.c
@@ -9,7 +9,7 @@
 #include "membership/vm_codec.h"
 
 /* Most reports for one process that starts. */
-#define POISON_REPORTS_MAX (2 * POISON_MAX)
+#define POISON_REPORTS_MAX ((size_t)2 * POISON_MAX)
 
 struct cell *assigner_cell(struct assigner *a, struct str name)
 {
