router: read a refused upload to 16 MiB, so that the caller hears why

Cause: a request refused by its head was read on for 1 MiB, then its connection closed; a caller still sending met a reset, and lost the 413 that was on its way. Seen as functional-test_router 'uploads pass through' red in 1 of 4 runs under the thread sanitizer, with 8 MiB under way. Ruled out: a data race (the sanitizer reported none).

--- a/src/router/request.c
+++ b/src/router/request.c
@@ -8,7 +8,7 @@
 
 #define GONE_CHECK_US (INT64_C(50) * US_PER_MS)
 /* Bytes read and thrown away so that a caller hears its refusal. */
-#define DISCARD_BYTES ((uint64_t)1 << 20)
+#define DISCARD_BYTES ((uint64_t)16 << 20)
 #define KEY_HEADER STR("idempotency-key")
 
 void request_touch(struct request *request)
