http: a refused upload is read before its refusal is sent

Cause: an answer to the head makes libmicrohttpd close the connection behind it; with the upload under way that is a reset, and the caller may lose the 413. functional-test_router 'uploads pass through' was red in 1 of 5 runs under the thread sanitizer, also with 16 MiB of patience, which the early answer never used. Now an upload of known length within the patience is read first, unless the caller waits for 100 Continue. Ruled out: a data race.

--- a/src/http/caller.c
+++ b/src/http/caller.c
@@ -141,6 +141,18 @@
 	return result;
 }
 
+/*
+ * A caller that is sending would meet a reset and lose its refusal, so a short
+ * upload is read first. One that waits for "100 Continue" hears it at once.
+ */
+static bool reads_on(struct caller *caller)
+{
+	return caller->discarding && caller->upload_length > 0 &&
+	       (uint64_t)caller->upload_length <= caller->discard_left &&
+	       !MHD_lookup_connection_value(caller->mhd, MHD_HEADER_KIND,
+					    "Expect");
+}
+
 static enum MHD_Result begin(struct caller *caller, const char *method,
 			     const char *version)
 {
@@ -156,7 +168,7 @@
 							REASON_BAD_REQUEST });
 	}
 	/* Answered before its upload: MHD closes the connection after. */
-	if (caller->response)
+	if (caller->response && !reads_on(caller))
 		return hand_over(caller);
 	return MHD_YES;
 }
