profile: one check of whether a VM is out of service

The pair 'its zone is out, or itself' stood five times: in the assigner's feeds and API, the router's view and the check of capacity. settings_is_out() serves them all. run-tests.sh loses a function that nothing called. No behaviour changes; no test was touched.

--- a/src/assigner/assigner_api.c
+++ b/src/assigner/assigner_api.c
@@ -41,8 +41,7 @@
 		  enum vm_state state)
 {
 	return state != VM_LOST && state != VM_LEAVING && !vm->leaving &&
-	       !settings_zone_is_out(settings, str_from(vm->zone)) &&
-	       !settings_vm_is_out(settings, str_from(vm->id));
+	       !settings_is_out(settings, str_from(vm->zone), str_from(vm->id));
 }
 
 /* Upstreams of a service that take work under the settings. */
@@ -180,10 +179,9 @@
 		enum vm_state state;
 		const struct vm *vm =
 			vm_table_at(a->vms, i, clock_now_us(a->clock), &state);
-		bool out =
-			settings &&
-			(settings_zone_is_out(settings, str_from(vm->zone)) ||
-			 settings_vm_is_out(settings, str_from(vm->id)));
+		bool out = settings &&
+			   settings_is_out(settings, str_from(vm->zone),
+					   str_from(vm->id));
 
 		json_array_append_new(
 			list, json_pack("{sssssssssb}", "id", vm->id, "service",
--- a/src/assigner/assigner_feeds.c
+++ b/src/assigner/assigner_feeds.c
@@ -116,12 +116,6 @@
 	table_vms(a->table, on_vms, a);
 }
 
-static bool is_out(const struct settings *settings, const struct vm *vm)
-{
-	return settings_zone_is_out(settings, str_from(vm->zone)) ||
-	       settings_vm_is_out(settings, str_from(vm->id));
-}
-
 static void update_members(struct assigner *a, struct cell *cell,
 			   const struct settings *settings)
 {
@@ -135,7 +129,8 @@
 		if (!str_equal(str_from(vm->service), cell_name(cell)))
 			continue;
 		members[n].vm = vm;
-		members[n].out = is_out(settings, vm);
+		members[n].out = settings_is_out(settings, str_from(vm->zone),
+						 str_from(vm->id));
 		n++;
 	}
 	cell_set_members(cell, members, n);
--- a/src/membership/capacity.c
+++ b/src/membership/capacity.c
@@ -11,8 +11,7 @@
 
 static bool remains(const struct capacity_vm *vm, const struct settings *after)
 {
-	return !settings_zone_is_out(after, str_from(vm->zone)) &&
-	       !settings_vm_is_out(after, str_from(vm->id));
+	return !settings_is_out(after, str_from(vm->zone), str_from(vm->id));
 }
 
 static struct sum sum_service(const struct capacity_vm *vms, size_t count,
--- a/src/profile/settings.c
+++ b/src/profile/settings.c
@@ -193,6 +193,11 @@
 	return find_name(s->vms_out, s->vms_out_count, vm) < s->vms_out_count;
 }
 
+bool settings_is_out(const struct settings *s, struct str zone, struct str vm)
+{
+	return settings_zone_is_out(s, zone) || settings_vm_is_out(s, vm);
+}
+
 static bool set_member(char ***names, size_t *count, struct str name,
 		       bool member)
 {
--- a/src/profile/settings.h
+++ b/src/profile/settings.h
@@ -94,6 +94,10 @@
 /** Tells whether a VM was taken out by its id. */
 bool settings_vm_is_out(const struct settings *settings, struct str vm);
 
+/** Tells whether a VM is out of service, by its id or by its zone. */
+bool settings_is_out(const struct settings *settings, struct str zone,
+		     struct str vm);
+
 /**
  * Takes a zone out or in.
  *
--- a/src/router/view.c
+++ b/src/router/view.c
@@ -297,8 +297,7 @@
 bool view_gives_work(const struct settings *settings, const struct vm *vm)
 {
 	return !vm->leaving &&
-	       !settings_zone_is_out(settings, str_from(vm->zone)) &&
-	       !settings_vm_is_out(settings, str_from(vm->id));
+	       !settings_is_out(settings, str_from(vm->zone), str_from(vm->id));
 }
 
 bool view_store_settings(struct view_store *store, struct settings *settings)
--- a/tools/run-tests.sh
+++ b/tools/run-tests.sh
@@ -9,11 +9,6 @@
 rm -rf "$logs"
 mkdir -p "$logs"
 
-run_one() {
-	"$1" >"$2/$(basename "$1").log" 2>&1 </dev/null
-	echo "$?" >"$2/$(basename "$1").status"
-}
-
 # Unit and replay programs run side by side; functional ones four at a time.
 for program in "$build"/unit-* "$build"/replay-*
 do
