keys: orders name their upstream; a new token where another life may answer

Ruled out: the entry of the old one; it was gone from the store already. Orders name the upstream that they are for; when a connection for orders breaks, and when a new VM leads, owners get their keys under a new token.

--- a/src/directory/protocol.h
+++ b/src/directory/protocol.h
@@ -64,10 +64,13 @@
 	/** Appends the fields that a request to an upstream carries. */
 	void (*write_fields)(GString *out, double left_s,
 			     const char *upstream_id);
-	/** Builds whole requests that give and take keys. */
-	GString *(*grant)(const struct sockaddr_in *address,
+	/**
+	 * Build whole requests that give and take keys. Another upstream at
+	 * the same address does not carry them out.
+	 */
+	GString *(*grant)(const struct upstream_entry *to,
 			  const struct key_grant *grant);
-	GString *(*release)(const struct sockaddr_in *address,
+	GString *(*release)(const struct upstream_entry *to,
 			    const struct key_grant *grant);
 	/** The handover token of a release's answer; NULL: none. */
 	char *(*handover)(const struct headers *headers);
--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -160,6 +160,19 @@
 	key_leader_renew_all(value, cluster->hold_s);
 }
 
+static void tell_leader(gpointer key, gpointer value, gpointer upstream)
+{
+	(void)key;
+	key_leader_owner_broken(value, upstream);
+}
+
+static void on_owner_broken(void *ctx, const char *upstream)
+{
+	struct cluster *cluster = ctx;
+
+	g_hash_table_foreach(cluster->leaders, tell_leader, (char *)upstream);
+}
+
 /* The store may be away for long: keys are given for as long as is allowed
  * while this VM still may. */
 static void on_troubled(void *ctx)
@@ -679,6 +692,12 @@
 	add_crash(cluster, request, upstream);
 }
 
+void cluster_owner_broken(struct cluster *cluster,
+			  const struct upstream *upstream)
+{
+	orders_idle_broken(cluster->orders, upstream);
+}
+
 void cluster_stop(struct cluster *cluster)
 {
 	lease_stop(cluster->lease);
@@ -704,7 +723,8 @@
 		lease_create(options->loop, &options->store, &lease_ops,
 			     cluster, options->settings->vm, address);
 	cluster->orders =
-		orders_create(options->loop, options->links, options->protocol);
+		orders_create(options->loop, options->links, options->protocol,
+			      on_owner_broken, cluster);
 	cluster->vms =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_vm);
 	cluster->leaders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
--- a/src/entry/cluster.h
+++ b/src/entry/cluster.h
@@ -44,6 +44,10 @@
 void cluster_tell_crash(struct cluster *cluster, uint64_t request,
 			const char *upstream);
 
+/** Notes that an upstream's idle connection for orders broke. */
+void cluster_owner_broken(struct cluster *cluster,
+			  const struct upstream *upstream);
+
 /** Stops leading, or trying to. */
 void cluster_stop(struct cluster *cluster);
 
--- a/src/entry/fleet.c
+++ b/src/entry/fleet.c
@@ -182,6 +182,7 @@
 	memset(entry, 0, sizeof(*entry));
 	upstream->service = ensure_service(fleet, upstream->entry.service);
 	g_queue_init(&upstream->idle);
+	g_queue_init(&upstream->control_idle);
 	load_init(&upstream->load, upstream->entry.slots);
 	g_ptr_array_add(upstream->service->upstreams, upstream_ref(upstream));
 	g_hash_table_insert(fleet->upstreams, g_strdup(upstream->entry.id),
--- a/src/entry/fleet.h
+++ b/src/entry/fleet.h
@@ -36,6 +36,8 @@
 	double lapse_s;
 	/** Idle connections, last used first. */
 	GQueue idle;
+	/** Those for orders. */
+	GQueue control_idle;
 	unsigned int connections;
 	unsigned int references;
 };
--- a/src/entry/key_leader.c
+++ b/src/entry/key_leader.c
@@ -353,6 +353,11 @@
 	keeper_renew_all(leader->keeper, now_of(leader), hold_s);
 }
 
+void key_leader_owner_broken(struct key_leader *leader, const char *id)
+{
+	keeper_owner_broken(leader->keeper, g_intern_string(id));
+}
+
 void key_leader_count(struct key_leader *leader, uint16_t key)
 {
 	keeper_count(leader->keeper, key);
--- a/src/entry/key_leader.h
+++ b/src/entry/key_leader.h
@@ -47,6 +47,9 @@
 /** Gives every owner its keys again for hold_s. */
 void key_leader_renew_all(struct key_leader *leader, double hold_s);
 
+/** Notes that the connection for an owner's orders broke. */
+void key_leader_owner_broken(struct key_leader *leader, const char *id);
+
 /** Counts a request for a key. */
 void key_leader_count(struct key_leader *leader, uint16_t key);
 
--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -14,6 +14,8 @@
 struct links {
 	struct loop *loop;
 	const struct fleet *fleet;
+	void (*control_broken)(void *ctx, struct upstream *upstream);
+	void *ctx;
 	/** Every link. */
 	GQueue all;
 	unsigned long opened;
@@ -26,26 +28,38 @@
 	const struct link_ops *ops;
 	/** NULL while it is idle. */
 	void *user;
+	bool control;
 	GList node;
 	GList idle_node;
 };
 
-struct links *links_create(struct loop *loop, const struct fleet *fleet)
+struct links *links_create(struct loop *loop, const struct fleet *fleet,
+			   void (*control_broken)(void *ctx,
+						  struct upstream *upstream),
+			   void *ctx)
 {
 	struct links *links = g_new0(struct links, 1);
 
 	links->loop = loop;
 	links->fleet = fleet;
+	links->control_broken = control_broken;
+	links->ctx = ctx;
 	g_queue_init(&links->all);
 	return links;
 }
 
+static GQueue *idle_of(struct upstream *upstream, bool control)
+{
+	return control ? &upstream->control_idle : &upstream->idle;
+}
+
 static void link_free(struct link *link)
 {
 	struct upstream *upstream = link->upstream;
 
 	if (!link->user)
-		g_queue_unlink(&upstream->idle, &link->idle_node);
+		g_queue_unlink(idle_of(upstream, link->control),
+			       &link->idle_node);
 	upstream->connections--;
 	g_queue_unlink(&link->links->all, &link->node);
 	http_client_destroy(link->client);
@@ -87,11 +101,13 @@
 	link->user = NULL;
 	if (link->upstream->gone || !http_client_reusable(link->client)) {
 		/* It is in the idle list of no one yet. */
-		g_queue_push_head_link(&link->upstream->idle, &link->idle_node);
+		g_queue_push_head_link(idle_of(link->upstream, link->control),
+			       &link->idle_node);
 		link_free(link);
 		return;
 	}
-	g_queue_push_head_link(&link->upstream->idle, &link->idle_node);
+	g_queue_push_head_link(idle_of(link->upstream, link->control),
+			       &link->idle_node);
 }
 
 static bool on_reply(void *ctx, struct http_client *client,
@@ -112,13 +128,19 @@
 		     enum http_client_end end)
 {
 	struct link *link = ctx;
+	struct links *links = link->links;
+	struct upstream *upstream = upstream_ref(link->upstream);
 	const struct link_ops *ops = link->ops;
 	void *user = link->user;
+	bool control = link->control;
 
 	(void)client;
 	link_free(link);
 	if (user)
 		ops->ended(user, end);
+	else if (control)
+		links->control_broken(links->ctx, upstream);
+	upstream_unref(upstream);
 }
 
 static const struct http_client_ops client_ops = {
@@ -126,7 +148,8 @@
 	.ended = on_ended,
 };
 
-static struct link *link_open(struct links *links, struct upstream *upstream)
+static struct link *link_open(struct links *links, struct upstream *upstream,
+			      bool control)
 {
 	static const struct http_client_options options = {
 		.user_timeout_ms = USER_TIMEOUT_MS,
@@ -136,6 +159,7 @@
 	struct link *link = g_new0(struct link, 1);
 
 	link->links = links;
+	link->control = control;
 	link->upstream = upstream_ref(upstream);
 	link->node.data = link;
 	link->idle_node.data = link;
@@ -147,16 +171,18 @@
 	return link;
 }
 
-static struct link *take_idle(struct upstream *upstream, bool careful)
+static struct link *take_idle(struct upstream *upstream,
+			      const struct link_request *request)
 {
+	GQueue *idle = idle_of(upstream, request->control);
 	GList *node;
 
-	for (node = upstream->idle.head; node; node = node->next) {
+	for (node = idle->head; node; node = node->next) {
 		struct link *link = node->data;
 
-		if (!link_fit(link, careful))
+		if (!link_fit(link, request->careful))
 			continue;
-		g_queue_unlink(&upstream->idle, &link->idle_node);
+		g_queue_unlink(idle, &link->idle_node);
 		return link;
 	}
 	return NULL;
@@ -173,10 +199,10 @@
 			const struct link_request *request,
 			const struct link_ops *ops, void *user)
 {
-	struct link *link = take_idle(upstream, request->careful);
+	struct link *link = take_idle(upstream, request);
 
 	if (!link)
-		link = link_open(links, upstream);
+		link = link_open(links, upstream, request->control);
 	link->ops = ops;
 	link->user = user;
 	http_client_send(link->client, request->message, request->head_only);
@@ -200,6 +226,8 @@
 	(void)links;
 	while ((node = upstream->idle.head))
 		link_free(node->data);
+	while ((node = upstream->control_idle.head))
+		link_free(node->data);
 }
 
 void links_tick(struct links *links)
--- a/src/entry/links.h
+++ b/src/entry/links.h
@@ -25,11 +25,21 @@
 	bool head_only;
 	/** Not over a connection that may be about to be closed. */
 	bool careful;
+	/** An order: it has connections of its own. */
+	bool control;
 };
 
 struct links;
 
-struct links *links_create(struct loop *loop, const struct fleet *fleet);
+/**
+ * Creates it without connections.
+ *
+ * @param control_broken an idle connection for orders was broken
+ */
+struct links *links_create(struct loop *loop, const struct fleet *fleet,
+			   void (*control_broken)(void *ctx,
+						  struct upstream *upstream),
+			   void *ctx);
 void links_destroy(struct links *links);
 
 /** Whether a request could be sent without waiting for a connection. */
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -246,6 +246,14 @@
 	.changed = fleet_changed,
 };
 
+static void on_control_broken(void *ctx, struct upstream *upstream)
+{
+	struct entry *entry = ctx;
+
+	if (entry->cluster)
+		cluster_owner_broken(entry->cluster, upstream);
+}
+
 static void on_crash_here(void *ctx, uint64_t request, const char *upstream)
 {
 	struct entry *entry = ctx;
@@ -395,7 +403,8 @@
 	store = table_store_interface(entry->table_store);
 	entry->fleet =
 		fleet_create(&entry->loop, entry->settings, &fleet_ops, entry);
-	entry->links = links_create(&entry->loop, entry->fleet);
+	entry->links = links_create(&entry->loop, entry->fleet,
+				    on_control_broken, entry);
 	forward.loop = &entry->loop;
 	forward.settings = entry->settings;
 	forward.fleet = entry->fleet;
--- a/src/entry/orders.c
+++ b/src/entry/orders.c
@@ -6,6 +6,8 @@
 #define STATUS_FENCED 409
 
 struct orders {
+	order_broken_fn broken;
+	void *broken_ctx;
 	struct loop *loop;
 	struct links *links;
 	const struct protocol *protocol;
@@ -15,6 +17,7 @@
 
 struct order {
 	struct orders *orders;
+	struct upstream *upstream;
 	uint32_t id;
 	bool release;
 	struct link *link;
@@ -25,10 +28,13 @@
 };
 
 struct orders *orders_create(struct loop *loop, struct links *links,
-			     const struct protocol *protocol)
+			     const struct protocol *protocol,
+			     order_broken_fn broken, void *ctx)
 {
 	struct orders *orders = g_new0(struct orders, 1);
 
+	orders->broken = broken;
+	orders->broken_ctx = ctx;
 	orders->loop = loop;
 	orders->links = links;
 	orders->protocol = protocol;
@@ -40,6 +46,7 @@
 {
 	ev_timer_stop(order->orders->loop->ev, &order->timer);
 	g_queue_unlink(&order->orders->all, &order->node);
+	upstream_unref(order->upstream);
 	g_free(order);
 }
 
@@ -99,8 +106,16 @@
 	return true;
 }
 
+/* The next connection may reach another life of the upstream. */
+static void tell_broken(struct order *order)
+{
+	order->orders->broken(order->orders->broken_ctx,
+			      order->upstream->entry.id);
+}
+
 static void on_ended(void *user, enum http_client_end end)
 {
+	tell_broken(user);
 	order_end(user,
 		  end == HTTP_CLIENT_RESET || end == HTTP_CLIENT_BROKEN
 			  ? ORDER_UNKNOWN
@@ -113,6 +128,11 @@
 	.ended = on_ended,
 };
 
+void orders_idle_broken(struct orders *orders, const struct upstream *upstream)
+{
+	orders->broken(orders->broken_ctx, upstream->entry.id);
+}
+
 static void on_timeout(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct order *order = timer->data;
@@ -122,6 +142,7 @@
 	(void)loop;
 	(void)events;
 	link_drop(order->link);
+	tell_broken(order);
 	order_end(order, result, NULL);
 }
 
@@ -132,9 +153,11 @@
 		.message = { message->str, message->len },
 		/* Whether it arrived is worth a fresh connection. */
 		.careful = true,
+		.control = true,
 	};
 
 	order->orders = orders;
+	order->upstream = upstream_ref(upstream);
 	order->node.data = order;
 	g_queue_push_tail_link(&orders->all, &order->node);
 	ev_timer_init(&order->timer, on_timeout, timeout_s, 0);
@@ -175,7 +198,7 @@
 	struct key_grant grant = key_grant_of(order);
 
 	send_order(orders, upstream, order_create(order, done, ctx),
-		   orders->protocol->grant(&upstream->entry.address, &grant),
+		   orders->protocol->grant(&upstream->entry, &grant),
 		   ORDER_S);
 }
 
@@ -188,6 +211,6 @@
 
 	out->release = true;
 	send_order(orders, upstream, out,
-		   orders->protocol->release(&upstream->entry.address, &grant),
+		   orders->protocol->release(&upstream->entry, &grant),
 		   RELEASE_S);
 }
--- a/src/entry/orders.h
+++ b/src/entry/orders.h
@@ -17,8 +17,15 @@
 
 struct orders;
 
+/** An upstream's connection for orders broke: it may have restarted. */
+typedef void (*order_broken_fn)(void *ctx, const char *upstream);
+
 struct orders *orders_create(struct loop *loop, struct links *links,
-			     const struct protocol *protocol);
+			     const struct protocol *protocol,
+			     order_broken_fn broken, void *ctx);
+
+/** Notes that an idle connection for orders was broken by the upstream. */
+void orders_idle_broken(struct orders *orders, const struct upstream *upstream);
 
 /** Breaks all orders off without telling what became of them. */
 void orders_destroy(struct orders *orders);
--- a/src/keys/keeper.c
+++ b/src/keys/keeper.c
@@ -34,8 +34,12 @@
 			.span = g_array_index(map->spans, struct key_span, i),
 		};
 
-		if (holding.span.owner)
+		if (holding.span.owner) {
 			holding.held_until_s = inherited_until_s;
+			/* Its owner may have restarted meanwhile. */
+			holding.renew_token = true;
+			holding.keeps_owner = true;
+		}
 		g_array_append_val(keeper->holdings, holding);
 	}
 	return keeper;
@@ -113,6 +117,15 @@
 	keeper->save_wanted = true;
 }
 
+/* The same owner gets it again under a new token. */
+static void recommit(struct keeper *keeper, struct holding *holding)
+{
+	holding->next_owner = holding->span.owner;
+	holding->next_started_ms = holding->span.started_ms;
+	holding->keeps_owner = true;
+	commit(keeper, holding);
+}
+
 static void set_next(struct holding *holding, const struct keeper_candidate *to)
 {
 	holding->next_owner = to ? to->id : NULL;
@@ -125,6 +138,7 @@
 	keeper->ops->note(keeper->ctx, &holding->span, to ? to->id : "-",
 			  reason);
 	set_next(holding, to);
+	holding->keeps_owner = false;
 	holding->phase = PHASE_RELEASING;
 	holding->misses = 0;
 	holding->next_order_s = 0;
@@ -137,6 +151,7 @@
 {
 	keeper->ops->note(keeper->ctx, &holding->span, "-", reason);
 	holding->phase = PHASE_WAITING;
+	holding->keeps_owner = false;
 	set_next(holding, NULL);
 	keeper->ops->changed(keeper->ctx);
 }
@@ -175,7 +190,11 @@
 		give_up_owner(keeper, holding, "owner_does_not_answer");
 		return;
 	}
-	if (now_s >= holding->next_order_s)
+	if (now_s < holding->next_order_s)
+		return;
+	if (holding->renew_token)
+		recommit(keeper, holding);
+	else
 		send_grant(keeper, holding, hold_s);
 }
 
@@ -324,7 +343,8 @@
 	for (i = 0; i < keeper->holdings->len; i++) {
 		struct holding *holding = keeper_at(keeper, i);
 
-		if (holding->phase != PHASE_HELD || !holding->span.owner)
+		if (holding->phase != PHASE_HELD || !holding->span.owner ||
+		    holding->renew_token)
 			continue;
 		holding->next_order_s = now_s;
 		if (!holding->order)
@@ -361,6 +381,7 @@
 		holding->next_order_s =
 			now_s + MIN(hold_s * RENEW_PART, RENEW_MAX_S);
 		g_clear_pointer(&holding->handover, g_free);
+		holding->keeps_owner = false;
 		if (!holding->granted) {
 			holding->granted = true;
 			keeper->ops->changed(keeper->ctx);
@@ -369,9 +390,7 @@
 	case ORDER_FENCED:
 		keeper->ops->note(keeper->ctx, &holding->span,
 				  holding->span.owner, "fenced");
-		holding->next_owner = holding->span.owner;
-		holding->next_started_ms = holding->span.started_ms;
-		commit(keeper, holding);
+		recommit(keeper, holding);
 		break;
 	case ORDER_UNKNOWN:
 		extend(&holding->unanswered_until_s, end);
@@ -440,11 +459,27 @@
 		holding->span.started_ms = holding->next_started_ms;
 		holding->in_save = false;
 		holding->granted = false;
+		holding->renew_token = false;
 		holding->misses = 0;
 		holding->next_order_s = 0;
 	}
 }
 
+void keeper_owner_broken(struct keeper *keeper, const char *id)
+{
+	guint i;
+
+	for (i = 0; i < keeper->holdings->len; i++)
+		if (keeper_at(keeper, i)->span.owner == id)
+			keeper_at(keeper, i)->renew_token = true;
+}
+
+static bool is_served(const struct holding *holding)
+{
+	return holding->keeps_owner ||
+	       (holding->phase == PHASE_HELD && holding->granted);
+}
+
 void keeper_served_map(const struct keeper *keeper, struct key_map *map)
 {
 	guint i;
@@ -455,7 +490,7 @@
 			&g_array_index(keeper->holdings, struct holding, i);
 		struct key_span span = holding->span;
 
-		if (holding->phase != PHASE_HELD || !holding->granted)
+		if (!is_served(holding))
 			span.owner = NULL;
 		g_array_append_val(map->spans, span);
 	}
@@ -471,7 +506,7 @@
 		const struct holding *holding =
 			&g_array_index(keeper->holdings, struct holding, i);
 
-		count += holding->phase != PHASE_HELD || !holding->granted;
+		count += !is_served(holding);
 	}
 	return count;
 }
--- a/src/keys/keeper.h
+++ b/src/keys/keeper.h
@@ -109,6 +109,14 @@
 void keeper_saved(struct keeper *keeper, bool ok, uint64_t version,
 		  double now_s);
 
+/**
+ * Notes that the connection to an owner broke: another life may answer next,
+ * so that the owner gets its keys under a new token.
+ *
+ * @param id interned
+ */
+void keeper_owner_broken(struct keeper *keeper, const char *id);
+
 /** Counts a request for a key. */
 void keeper_count(struct keeper *keeper, uint16_t key);
 
--- a/src/keys/keeper_impl.h
+++ b/src/keys/keeper_impl.h
@@ -36,6 +36,10 @@
 	unsigned int misses;
 	/** The owner took it from this leader. */
 	bool granted;
+	/** The next grant needs a new token: another life may answer. */
+	bool renew_token;
+	/** It is given to its owner again; requests go on meanwhile. */
+	bool keeps_owner;
 	/** Is part of the save in progress. */
 	bool in_save;
 };
