keys: an owner that refuses a key is asked again only after its owners are told

The refusal now says by whom: another upstream ends the use of the entry; the same one makes the request wait for the change of owners. Results of orders are acted on within 3 ms instead of at the next tick.

--- a/src/directory/protocol.h
+++ b/src/directory/protocol.h
@@ -32,8 +32,8 @@
 	bool signed_by_upstream;
 	/** The body is in a coding that nobody asked for. */
 	bool coded;
-	/** Another incarnation answers at the address. */
-	bool other_instance;
+	/** Id of the upstream that refused; empty: not said. */
+	struct str refused_by;
 	bool has_load;
 	unsigned int running;
 	unsigned int waiting;
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -92,7 +92,7 @@
 	double now = forward_now(forward);
 	struct upstream *u;
 
-	if (!span->owner)
+	if (!span->owner || now < job->not_before_s)
 		return CHOICE_NO_OWNER;
 	u = fleet_upstream(fleet, span->owner);
 	if (!u || u->service != job->service ||
--- a/src/entry/flight.c
+++ b/src/entry/flight.c
@@ -11,6 +11,9 @@
 /* A second copy goes out only while so much of the allowance is left: repeats
  * after failures go before. */
 #define BACKUP_ALLOWANCE 0.5
+/* An owner that refused a request for a key is not asked again before: the
+ * change of owners is on its way here. */
+#define KEY_RETRY_S 0.04
 /* Room for the head of a request besides the caller's fields. */
 #define HEAD_BYTES 512
 /* An answer of a failure other than the upstream's own. */
@@ -285,8 +288,11 @@
 	struct job *job = flight->job;
 	struct upstream *upstream = flight->upstream;
 
-	if (facts->other_instance && job && job->key < 0)
+	if (facts->refused_by.len &&
+	    !str_equal(facts->refused_by, str_from(upstream->entry.id)))
 		upstream->replaced = true;
+	else if (job && job->key >= 0)
+		job->not_before_s = forward_now(job->forward) + KEY_RETRY_S;
 	flight_end(flight, LOAD_SHED);
 	flight_free(flight);
 	if (!job)
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -61,6 +61,8 @@
 	unsigned int tried_count;
 	/** A copy may have run at an upstream that did not answer. */
 	bool may_have_run;
+	/** Not sent before; for a key whose owner refused it. */
+	double not_before_s;
 	/** In its service's queue. */
 	bool waiting;
 	GList queue_node;
--- a/src/entry/key_leader.c
+++ b/src/entry/key_leader.c
@@ -6,6 +6,8 @@
 #include "base/log.h"
 
 #define SAVE_TIMEOUT_S 0.8
+/* Results of one moment lead to one save. */
+#define SOON_S 0.003
 /* A cold upstream bears this part of its usual work. */
 #define COLD_WEIGHT 0.1
 /* Bounds of what a measured slowness does to an upstream's part. */
@@ -25,6 +27,8 @@
 	/** Tells this leader's writes from those of others. */
 	uint32_t nonce;
 	bool writing;
+	/** Goes on without waiting for the next tick. */
+	ev_timer soon;
 	/** For how long keys are given, as last said. */
 	double hold_s;
 	bool destroyed;
@@ -94,12 +98,29 @@
 	return OWNER_GOOD;
 }
 
+static void tick_soon(struct key_leader *leader)
+{
+	if (ev_is_active(&leader->soon))
+		return;
+	ev_timer_set(&leader->soon, SOON_S, 0);
+	ev_timer_start(leader->options.loop->ev, &leader->soon);
+}
+
+static void on_soon(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	key_leader_tick(timer->data, 0);
+}
+
 static void on_ordered(void *ctx, uint32_t order, enum order_result result,
 		       const char *handover)
 {
 	struct key_leader *leader = ctx;
 
 	keeper_ordered(leader->keeper, order, result, handover, now_of(leader));
+	if (keeper_has_work(leader->keeper))
+		tick_soon(leader);
 }
 
 static void give(void *ctx, const struct keeper_order *order)
@@ -145,6 +166,7 @@
 {
 	struct key_leader *leader = ctx;
 
+	tick_soon(leader);
 	leader->options.changed(leader->options.ctx);
 }
 
@@ -213,7 +235,7 @@
 			 leader->service->name, result->status);
 	keeper_saved(leader->keeper, ok, leader->row_version, now_of(leader));
 	if (ok)
-		key_leader_tick(leader, 0);
+		tick_soon(leader);
 }
 
 static void save(void *ctx, const struct key_map *map)
@@ -263,6 +285,8 @@
 	leader->options = *options;
 	leader->service = service;
 	leader->nonce = g_random_int();
+	ev_timer_init(&leader->soon, on_soon, SOON_S, 0);
+	leader->soon.data = leader;
 	leader->upstreams = g_hash_table_new_full(g_str_hash, g_str_equal,
 						  g_free, unref_upstream);
 	if (row) {
@@ -285,6 +309,7 @@
 	if (!leader)
 		return;
 	orders_cancel(leader->options.orders, leader);
+	ev_timer_stop(leader->options.loop->ev, &leader->soon);
 	leader->destroyed = true;
 	if (!leader->writing)
 		leader_free(leader);
--- a/src/keys/keeper.c
+++ b/src/keys/keeper.c
@@ -336,6 +336,11 @@
 	keeper->candidate_count = 0;
 }
 
+bool keeper_has_work(const struct keeper *keeper)
+{
+	return keeper->save_wanted && !keeper->saving;
+}
+
 void keeper_renew_all(struct keeper *keeper, double now_s, double hold_s)
 {
 	guint i;
--- a/src/keys/keeper.h
+++ b/src/keys/keeper.h
@@ -117,6 +117,9 @@
  */
 void keeper_owner_broken(struct keeper *keeper, const char *id);
 
+/** Whether a tick would go on with a move at once. */
+bool keeper_has_work(const struct keeper *keeper);
+
 /** Counts a request for a key. */
 void keeper_count(struct keeper *keeper, uint16_t key);
 
