store: wait longer for changes; VMs tell each other how far they have read

A lost call is now found by comparing versions with the other VMs, over the datagrams that are sent anyway; a VM that hears no other keeps waiting for short times only.

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -69,6 +69,8 @@
 	double report_sent_s;
 	ev_timer tell_timer;
 	GArray *crashes;
+	/** The furthest that any VM has read. */
+	struct progress progress;
 	struct counter *leads;
 	struct counter *vms_alive;
 };
@@ -188,6 +190,38 @@
 	g_hash_table_foreach(cluster->leaders, renew_all, cluster);
 }
 
+static void note_progress(struct cluster *cluster, uint64_t operator_rows,
+			  uint64_t upstream_rows)
+{
+	struct progress *known = &cluster->progress;
+
+	known->operator_rows = MAX(known->operator_rows, operator_rows);
+	known->upstream_rows = MAX(known->upstream_rows, upstream_rows);
+}
+
+static void take_progress(struct cluster *cluster, const Progress *progress)
+{
+	if (progress)
+		note_progress(cluster, progress->operator_rows,
+			      progress->upstream_rows);
+}
+
+/* Compares what this VM has read with what the others have. */
+static void compare_progress(struct cluster *cluster)
+{
+	static const struct progress unknown;
+	void *ctx = cluster->options.ctx;
+	struct progress own = cluster->options.progress(ctx);
+	bool heard = cluster->leading ?
+			     g_hash_table_size(cluster->vms) > 1 :
+			     now_of(cluster) <
+				     cluster->beat_heard_s + BEAT_LOST_S / 2;
+
+	note_progress(cluster, own.operator_rows, own.upstream_rows);
+	cluster->options.others_progress(ctx,
+					 heard ? cluster->progress : unknown);
+}
+
 static const struct lease_ops lease_ops = {
 	.won = on_won,
 	.lost = on_lost,
@@ -227,6 +261,7 @@
 	GPtrArray *vms;
 	GPtrArray *maps;
 	GPtrArray *crashes;
+	Progress progress;
 };
 
 static VmInfo *vm_info(const char *name, const struct sockaddr_in *address)
@@ -305,6 +340,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	progress__init(&parts->progress);
 	parts->vms = g_ptr_array_new_with_free_func(free_vm_info);
 	parts->maps = g_ptr_array_new_with_free_func(free_map_message);
 	parts->crashes = crash_messages(cluster);
@@ -317,6 +353,9 @@
 	g_hash_table_iter_init(&iter, cluster->leaders);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		g_ptr_array_add(parts->maps, map_message(cluster, value));
+	parts->progress.operator_rows = cluster->progress.operator_rows;
+	parts->progress.upstream_rows = cluster->progress.upstream_rows;
+	beat->progress = &parts->progress;
 	beat->vm = cluster->options.settings->vm;
 	beat->lease = lease_version(cluster->lease);
 	beat->vms = (VmInfo **)parts->vms->pdata;
@@ -506,6 +545,7 @@
 		if (address_parse(str_from(report->vm->address), &address))
 			hear_vm(cluster, report->vm->name, &address);
 	}
+	take_progress(cluster, report->progress);
 	for (i = 0; i < report->n_loads; i++)
 		count_keys(cluster, report->loads[i]->service,
 			   report->loads[i]->keys.data,
@@ -583,6 +623,7 @@
 	cluster->leader = *from;
 	cluster->leader_known = true;
 	cluster->beat_heard_s = now_of(cluster);
+	take_progress(cluster, beat->progress);
 	take_maps(cluster, beat);
 	take_vms(cluster, beat);
 	for (i = 0; i < beat->n_crashes; i++)
@@ -622,6 +663,7 @@
 {
 	PeerMessage message = PEER_MESSAGE__INIT;
 	VmReport out = VM_REPORT__INIT;
+	Progress progress = PROGRESS__INIT;
 	GPtrArray *loads = g_ptr_array_new_with_free_func(g_free);
 	GPtrArray *crashes = crash_messages(cluster);
 
@@ -633,6 +675,9 @@
 	out.crashes = (Crash **)crashes->pdata;
 	out.n_crashes = crashes->len;
 	out.stopping = stopping;
+	progress.operator_rows = cluster->progress.operator_rows;
+	progress.upstream_rows = cluster->progress.upstream_rows;
+	out.progress = &progress;
 	message.kind_case = PEER_MESSAGE__KIND_REPORT;
 	message.report = &out;
 	if (cluster->leading)
@@ -682,6 +727,7 @@
 		cluster->beat_heard_s = now - BEAT_LOST_S / 2;
 		read_maps(cluster, on_stored_maps);
 	}
+	compare_progress(cluster);
 	if (now >= cluster->report_sent_s + REPORT_S)
 		report(cluster, false);
 }
--- a/src/entry/cluster.h
+++ b/src/entry/cluster.h
@@ -14,6 +14,12 @@
 
 struct cluster;
 
+/** Versions of the newest rows known of operators and of upstreams. */
+struct progress {
+	uint64_t operator_rows;
+	uint64_t upstream_rows;
+};
+
 struct cluster_options {
 	struct loop *loop;
 	const struct entry_settings *settings;
@@ -23,6 +29,10 @@
 	struct store store;
 	struct event_log *log;
 	struct metrics *metrics;
+	/** How far this VM has read what is declared. */
+	struct progress (*progress)(void *ctx);
+	/** How far others have; zeros: no other VM is heard. */
+	void (*others_progress)(void *ctx, struct progress progress);
 	/** Whether upstreams and the configuration were read. */
 	bool (*ready)(void *ctx);
 	/** Owners of keys changed. */
--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -3,12 +3,17 @@
 #include <ev.h>
 #include <string.h>
 
-/* How long the store is asked to wait for a change. A call that was lost with
- * its connection is made again after it: a configuration is in force within
- * two seconds of a VM's return. */
-#define WAIT_S 2.0
-/* After a failure. */
+/* How long the store is asked to wait for a change. A call that was lost is
+ * made again when other VMs tell of a newer row; while none is heard, after the
+ * short time, so that changes are known within the two seconds allowed. */
+#define WAIT_S 10.0
+#define WAIT_ALONE_S 1.8
+/* Time that a change needs to arrive by the call that waits for it. */
+#define HINT_S 0.2
+/* After a failure, and after more of them. */
 #define RETRY_S 0.25
+#define RETRY_MAX_S 1.0
+#define RETRY_FACTOR 1.5
 
 struct follower {
 	struct loop *loop;
@@ -29,7 +34,15 @@
 	bool read_whole;
 	bool lost;
 	bool busy;
+	/** Other VMs are heard and would tell of changes. */
+	bool accompanied;
 	double asked_s;
+	double wait_s;
+	double retry_s;
+	/** Newest version among the rows that were met. */
+	uint64_t row_version;
+	/** Since when others know of a newer row; 0: they don't. */
+	double behind_s;
 	double heard_s;
 };
 
@@ -49,6 +62,7 @@
 	follower->known =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	follower->read_whole = true;
+	follower->retry_s = RETRY_S;
 	ev_timer_init(&follower->timer, on_timer, 0, 0);
 	follower->timer.data = follower;
 	return follower;
@@ -78,8 +92,10 @@
 
 static void set_contact(struct follower *follower, bool lost)
 {
-	if (!lost)
+	if (!lost) {
 		follower->heard_s = loop_now(follower->loop);
+		follower->retry_s = RETRY_S;
+	}
 	if (follower->lost == lost)
 		return;
 	follower->lost = lost;
@@ -97,6 +113,9 @@
 {
 	uint64_t *known = g_hash_table_lookup(follower->known, row->key);
 
+	if (row->version > follower->row_version)
+		follower->row_version = row->version;
+
 	if (known && *known >= row->version)
 		return;
 	if (row->removed) {
@@ -129,6 +148,13 @@
 	g_ptr_array_free(gone, TRUE);
 }
 
+static void retry_later(struct follower *follower)
+{
+	later(follower, follower->retry_s);
+	follower->retry_s =
+		MIN(follower->retry_s * RETRY_FACTOR, RETRY_MAX_S);
+}
+
 static void on_page(void *ctx, const struct store_result *result);
 
 static void read_page(struct follower *follower, const char *from)
@@ -161,7 +187,7 @@
 	follower->busy = false;
 	if (result->status != STORE_OK) {
 		set_contact(follower, true);
-		later(follower, RETRY_S);
+		retry_later(follower);
 		return;
 	}
 	set_contact(follower, false);
@@ -198,7 +224,7 @@
 	}
 	if (result->status != STORE_OK) {
 		set_contact(follower, true);
-		later(follower, RETRY_S);
+		retry_later(follower);
 		return;
 	}
 	set_contact(follower, false);
@@ -209,7 +235,7 @@
 	 * of calls. */
 	later(follower,
 	      !result->row_count && loop_now(follower->loop) <
-					    follower->asked_s + WAIT_S / 2
+					    follower->asked_s + follower->wait_s / 2
 		      ? RETRY_S
 		      : 0);
 }
@@ -225,9 +251,12 @@
 	if (!follower->read_whole) {
 		follower->busy = true;
 		follower->asked_s = loop_now(follower->loop);
+		follower->wait_s =
+			follower->accompanied ? WAIT_S : WAIT_ALONE_S;
 		follower->store.ops->follow(follower->store.impl,
 					    follower->table, follower->version,
-					    WAIT_S, on_changes, follower);
+					    follower->wait_s, on_changes,
+					    follower);
 		return;
 	}
 	if (follower->met)
@@ -238,6 +267,44 @@
 	read_page(follower, "");
 }
 
+static void follow_again(struct follower *follower)
+{
+	follower->store.ops->cancel(follower->store.impl, follower);
+	follower->busy = false;
+	follower->behind_s = 0;
+	follower->retry_s = RETRY_S;
+	later(follower, 0);
+}
+
+void follower_hint(struct follower *follower, uint64_t version)
+{
+	double now = loop_now(follower->loop);
+
+	follower->accompanied = version > 0;
+	if (!follower->loaded || !follower->busy || follower->read_whole)
+		return;
+	if (!version) {
+		if (now > follower->asked_s + WAIT_ALONE_S &&
+		    follower->wait_s > WAIT_ALONE_S)
+			follow_again(follower);
+		return;
+	}
+	if (version <= follower->row_version) {
+		follower->behind_s = 0;
+		return;
+	}
+	if (!follower->behind_s)
+		follower->behind_s = now;
+	if (now > follower->behind_s + HINT_S &&
+	    now > follower->asked_s + HINT_S)
+		follow_again(follower);
+}
+
+uint64_t follower_row_version(const struct follower *follower)
+{
+	return follower->row_version;
+}
+
 void follower_start(struct follower *follower)
 {
 	later(follower, 0);
--- a/src/entry/follower.h
+++ b/src/entry/follower.h
@@ -29,6 +29,18 @@
 /** Begins to read. */
 void follower_start(struct follower *follower);
 
+/**
+ * Tells how far others have read: if they know of a newer row, the call that
+ * waits for changes was lost and is made again.
+ *
+ * @param version as follower_row_version() of another VM; 0: nobody is heard,
+ *        so calls must wait for short times only
+ */
+void follower_hint(struct follower *follower, uint64_t version);
+
+/** Version of the newest row of the table that is known. */
+uint64_t follower_row_version(const struct follower *follower);
+
 /** Whether the table was read whole once. */
 bool follower_loaded(const struct follower *follower);
 
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -269,6 +269,24 @@
 	forward_note_crash(entry->forward, request, upstream);
 }
 
+static struct progress own_progress(void *ctx)
+{
+	const struct entry *entry = ctx;
+
+	return (struct progress){
+		.operator_rows = follower_row_version(entry->operator_rows),
+		.upstream_rows = follower_row_version(entry->upstream_rows),
+	};
+}
+
+static void others_progress(void *ctx, struct progress progress)
+{
+	struct entry *entry = ctx;
+
+	follower_hint(entry->operator_rows, progress.operator_rows);
+	follower_hint(entry->upstream_rows, progress.upstream_rows);
+}
+
 static bool knows_fleet(void *ctx)
 {
 	struct entry *entry = ctx;
@@ -381,6 +399,8 @@
 		.store = *store,
 		.log = entry->log,
 		.metrics = entry->metrics,
+		.progress = own_progress,
+		.others_progress = others_progress,
 		.ready = knows_fleet,
 		.keys_changed = fleet_changed,
 		.crashed = on_crash_elsewhere,
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -66,6 +66,8 @@
 		       double wait_s, store_done_fn done, void *ctx);
 	void (*write)(void *impl, const struct store_write *write,
 		      double timeout_s, store_done_fn done, void *ctx);
+	/** Breaks off the calls of a context; they are not answered. */
+	void (*cancel)(void *impl, void *ctx);
 };
 
 struct store {
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &crash__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   progress__init
+                     (Progress         *message)
+{
+  static const Progress init_value = PROGRESS__INIT;
+  *message = init_value;
+}
+size_t progress__get_packed_size
+                     (const Progress *message)
+{
+  assert(message->base.descriptor == &progress__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t progress__pack
+                     (const Progress *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &progress__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t progress__pack_to_buffer
+                     (const Progress *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &progress__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Progress *
+       progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Progress *)
+     protobuf_c_message_unpack (&progress__descriptor,
+                                allocator, len, data);
+}
+void   progress__free_unpacked
+                     (Progress *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &progress__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   leader_beat__init
                      (LeaderBeat         *message)
 {
@@ -854,7 +899,58 @@
   (ProtobufCMessageInit) crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor leader_beat__field_descriptors[5] =
+static const ProtobufCFieldDescriptor progress__field_descriptors[2] =
+{
+  {
+    "operator_rows",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Progress, operator_rows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream_rows",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Progress, upstream_rows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned progress__field_indices_by_name[] = {
+  0,   /* field[0] = operator_rows */
+  1,   /* field[1] = upstream_rows */
+};
+static const ProtobufCIntRange progress__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor progress__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "Progress",
+  "Progress",
+  "Progress",
+  "",
+  sizeof(Progress),
+  2,
+  progress__field_descriptors,
+  progress__field_indices_by_name,
+  1,  progress__number_ranges,
+  (ProtobufCMessageInit) progress__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor leader_beat__field_descriptors[6] =
 {
   {
     "vm",
@@ -916,18 +1012,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "progress",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(LeaderBeat, progress),
+    &progress__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned leader_beat__field_indices_by_name[] = {
   4,   /* field[4] = crashes */
   1,   /* field[1] = lease */
   3,   /* field[3] = maps */
+  5,   /* field[5] = progress */
   0,   /* field[0] = vm */
   2,   /* field[2] = vms */
 };
 static const ProtobufCIntRange leader_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor leader_beat__descriptor =
 {
@@ -937,7 +1046,7 @@
   "LeaderBeat",
   "",
   sizeof(LeaderBeat),
-  5,
+  6,
   leader_beat__field_descriptors,
   leader_beat__field_indices_by_name,
   1,  leader_beat__number_ranges,
@@ -995,7 +1104,7 @@
   (ProtobufCMessageInit) key_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor vm_report__field_descriptors[4] =
+static const ProtobufCFieldDescriptor vm_report__field_descriptors[5] =
 {
   {
     "vm",
@@ -1045,17 +1154,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "progress",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(VmReport, progress),
+    &progress__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned vm_report__field_indices_by_name[] = {
   2,   /* field[2] = crashes */
   1,   /* field[1] = loads */
+  4,   /* field[4] = progress */
   3,   /* field[3] = stopping */
   0,   /* field[0] = vm */
 };
 static const ProtobufCIntRange vm_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor vm_report__descriptor =
 {
@@ -1065,7 +1187,7 @@
   "VmReport",
   "",
   sizeof(VmReport),
-  4,
+  5,
   vm_report__field_descriptors,
   vm_report__field_indices_by_name,
   1,  vm_report__number_ranges,
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct LeaseRow LeaseRow;
 typedef struct VmInfo VmInfo;
 typedef struct Crash Crash;
+typedef struct Progress Progress;
 typedef struct LeaderBeat LeaderBeat;
 typedef struct KeyLoad KeyLoad;
 typedef struct VmReport VmReport;
@@ -122,6 +123,20 @@
     , 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * Versions of the newest rows that are known of what is declared.
+ */
+struct  Progress
+{
+  ProtobufCMessage base;
+  uint64_t operator_rows;
+  uint64_t upstream_rows;
+};
+#define PROGRESS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&progress__descriptor) \
+    , 0, 0 }
+
+
 /*
  * From the leader to everyone.
  */
@@ -139,10 +154,11 @@
   KeyMap **maps;
   size_t n_crashes;
   Crash **crashes;
+  Progress *progress;
 };
 #define LEADER_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&leader_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL }
 
 
 struct  KeyLoad
@@ -174,10 +190,11 @@
    * The VM is about to stop.
    */
   protobuf_c_boolean stopping;
+  Progress *progress;
 };
 #define VM_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&vm_report__descriptor) \
-    , NULL, 0,NULL, 0,NULL, 0 }
+    , NULL, 0,NULL, 0,NULL, 0, NULL }
 
 
 typedef enum {
@@ -315,6 +332,25 @@
 void   crash__free_unpacked
                      (Crash *message,
                       ProtobufCAllocator *allocator);
+/* Progress methods */
+void   progress__init
+                     (Progress         *message);
+size_t progress__get_packed_size
+                     (const Progress   *message);
+size_t progress__pack
+                     (const Progress   *message,
+                      uint8_t             *out);
+size_t progress__pack_to_buffer
+                     (const Progress   *message,
+                      ProtobufCBuffer     *buffer);
+Progress *
+       progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   progress__free_unpacked
+                     (Progress *message,
+                      ProtobufCAllocator *allocator);
 /* LeaderBeat methods */
 void   leader_beat__init
                      (LeaderBeat         *message);
@@ -411,6 +447,9 @@
 typedef void (*Crash_Closure)
                  (const Crash *message,
                   void *closure_data);
+typedef void (*Progress_Closure)
+                 (const Progress *message,
+                  void *closure_data);
 typedef void (*LeaderBeat_Closure)
                  (const LeaderBeat *message,
                   void *closure_data);
@@ -435,6 +474,7 @@
 extern const ProtobufCMessageDescriptor lease_row__descriptor;
 extern const ProtobufCMessageDescriptor vm_info__descriptor;
 extern const ProtobufCMessageDescriptor crash__descriptor;
+extern const ProtobufCMessageDescriptor progress__descriptor;
 extern const ProtobufCMessageDescriptor leader_beat__descriptor;
 extern const ProtobufCMessageDescriptor key_load__descriptor;
 extern const ProtobufCMessageDescriptor vm_report__descriptor;
