--- a/src/balance/load.c
+++ b/src/balance/load.c
@@ -3,7 +3,9 @@
 #include <math.h>
 #include <string.h>
 
-/* Reports of other VMs' requests age as those requests end. */
+/* Reports of other VMs' requests hold for a moment; then they age, as those
+ * requests end. */
+#define OTHERS_FRESH_S 0.15
 #define OTHERS_DECAY_S 0.25
 /* The work factor changes many times a second. */
 #define FACTOR_DECAY_S 0.2
@@ -76,6 +78,12 @@
 {
 	if (load->flights)
 		load->flights--;
+	if (outcome == LOAD_ANSWERED) {
+		load->new_answers++;
+		load->new_relative += fmin(relative, SLOWNESS_MAX);
+	} else if (outcome != LOAD_CANCELLED) {
+		load->new_failures++;
+	}
 	switch (outcome) {
 	case LOAD_ANSWERED:
 		smooth(&load->slowness, fmin(relative, SLOWNESS_MAX),
@@ -107,9 +115,35 @@
 	}
 }
 
+/* The weight of several samples, each of the given weight. */
+static double weight_of(double weight, unsigned int samples)
+{
+	return 1 - pow(1 - weight, samples);
+}
+
+void load_take_news(struct load *load, const struct load_news *news,
+		    double now_s)
+{
+	unsigned int told = load->told_flights;
+	unsigned int ended = news->answers + news->failures;
+
+	load->others = news->flights > told ? news->flights - told : 0;
+	load->others_s = now_s;
+	if (news->work_factor > 0) {
+		load->work_factor = news->work_factor;
+		load->work_factor_s = now_s;
+	}
+	if (news->answers)
+		smooth(&load->slowness, news->relative,
+		       weight_of(SLOWNESS_WEIGHT, news->answers));
+	if (ended)
+		smooth(&load->failures, (double)news->failures / ended,
+		       weight_of(FAILURE_WEIGHT, ended));
+}
+
 double load_busy(const struct load *load, double now_s)
 {
-	double age = now_s - load->others_s;
+	double age = fmax(now_s - load->others_s - OTHERS_FRESH_S, 0);
 
 	return load->flights + load->others * exp(-age / OTHERS_DECAY_S);
 }
--- a/src/balance/load.h
+++ b/src/balance/load.h
@@ -30,6 +30,24 @@
 	double ejected_until_s;
 	/** Since when requests are in flight without an answer. */
 	double silent_since_s;
+	/** Requests of this VM in flight, as last told to the others. */
+	unsigned int told_flights;
+	/** What ended here since then. */
+	unsigned int new_answers;
+	unsigned int new_failures;
+	double new_relative;
+};
+
+/** What all VMs together saw of an upstream lately. */
+struct load_news {
+	/** Requests in flight, this VM's among them. */
+	unsigned int flights;
+	unsigned int answers;
+	unsigned int failures;
+	/** Mean time of the answers against their routes' usual time. */
+	double relative;
+	/** 0: not reported. */
+	double work_factor;
 };
 
 struct load_report {
@@ -75,6 +93,10 @@
 void load_end(struct load *load, enum load_outcome outcome, double relative,
 	      double now_s);
 
+/** Takes what all VMs saw. */
+void load_take_news(struct load *load, const struct load_news *news,
+		    double now_s);
+
 /** Requests believed to be there now, running or waiting. */
 double load_busy(const struct load *load, double now_s);
 
--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "entry/datagrams.h"
 #include "entry/key_leader.h"
+#include "entry/load_share.h"
 #include "keys/lease.h"
 
 /* For how long keys are given: an owner that falls silent leaves them unserved
@@ -16,7 +17,7 @@
 #define GRANT_TRAVEL_S 0.6
 /* Beats and reports. */
 #define BEAT_S 0.25
-#define REPORT_S 0.25
+#define REPORT_S 0.1
 /* A VM that was not heard of for so long is not counted. */
 #define VM_ALIVE_S 2.0
 /* Without a beat for so long, owners are read from the store. */
@@ -46,6 +47,7 @@
 	struct lease *lease;
 	struct orders *orders;
 	struct datagrams *datagrams;
+	struct load_share *loads;
 	/** struct vm by name; as the leader heard of them. */
 	GHashTable *vms;
 	/** struct key_leader by service; empty unless this VM leads. */
@@ -212,10 +214,10 @@
 	static const struct progress unknown;
 	void *ctx = cluster->options.ctx;
 	struct progress own = cluster->options.progress(ctx);
-	bool heard = cluster->leading ?
-			     g_hash_table_size(cluster->vms) > 1 :
-			     now_of(cluster) <
-				     cluster->beat_heard_s + BEAT_LOST_S / 2;
+	bool heard = cluster->leading
+			     ? g_hash_table_size(cluster->vms) > 1
+			     : now_of(cluster) <
+				       cluster->beat_heard_s + BEAT_LOST_S / 2;
 
 	note_progress(cluster, own.operator_rows, own.upstream_rows);
 	cluster->options.others_progress(ctx,
@@ -249,11 +251,12 @@
 static gboolean is_silent(gpointer key, gpointer value, gpointer data)
 {
 	const struct vm *vm = value;
-	const struct cluster *cluster = data;
+	struct cluster *cluster = data;
 
 	if (now_of(cluster) < vm->heard_s + VM_ALIVE_S)
 		return FALSE;
 	log_info("cluster", "VM %s is silent", (const char *)key);
+	load_share_forget(cluster->loads, key);
 	return TRUE;
 }
 
@@ -538,6 +541,7 @@
 	if (!cluster->leading || !report->vm)
 		return;
 	if (report->stopping) {
+		load_share_forget(cluster->loads, report->vm->name);
 		g_hash_table_remove(cluster->vms, report->vm->name);
 	} else {
 		struct sockaddr_in address;
@@ -632,7 +636,77 @@
 					 beat->crashes[i]->upstream);
 }
 
+static void on_vm_loads(void *ctx, const VmLoads *loads)
+{
+	struct cluster *cluster = ctx;
+
+	if (cluster->leading)
+		load_share_take(cluster->loads, loads->vm, loads->upstreams,
+				loads->n_upstreams);
+}
+
+static void on_leader_loads(void *ctx, const LeaderLoads *loads)
+{
+	struct cluster *cluster = ctx;
+
+	if (loads->lease < lease_version(cluster->lease))
+		return;
+	load_share_apply(cluster->loads, loads->upstreams, loads->n_upstreams);
+	cluster->options.keys_changed(cluster->options.ctx);
+}
+
+static void send_loads(struct cluster *cluster)
+{
+	PeerMessage message = PEER_MESSAGE__INIT;
+	VmLoads out = VM_LOADS__INIT;
+	GPtrArray *own = load_share_own(cluster->loads);
+
+	out.vm = cluster->options.settings->vm;
+	out.upstreams = (UpstreamLoad **)own->pdata;
+	out.n_upstreams = own->len;
+	message.kind_case = PEER_MESSAGE__KIND_VM_LOADS;
+	message.vm_loads = &out;
+	if (cluster->leading)
+		on_vm_loads(cluster, &out);
+	else if (cluster->leader_known)
+		datagrams_send(cluster->datagrams, &cluster->leader, &message);
+	g_ptr_array_free(own, TRUE);
+}
+
+static void send_to_vms(struct cluster *cluster, const PeerMessage *message)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, cluster->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct vm *vm = value;
+
+		if (strcmp(vm->name, cluster->options.settings->vm) != 0)
+			datagrams_send(cluster->datagrams, &vm->address,
+				       message);
+	}
+}
+
+static void tell_loads(struct cluster *cluster)
+{
+	PeerMessage message = PEER_MESSAGE__INIT;
+	LeaderLoads out = LEADER_LOADS__INIT;
+	GPtrArray *totals = load_share_totals(cluster->loads);
+
+	out.lease = lease_version(cluster->lease);
+	out.upstreams = (UpstreamLoad **)totals->pdata;
+	out.n_upstreams = totals->len;
+	message.kind_case = PEER_MESSAGE__KIND_LEADER_LOADS;
+	message.leader_loads = &out;
+	send_to_vms(cluster, &message);
+	on_leader_loads(cluster, &out);
+	g_ptr_array_free(totals, TRUE);
+}
+
 static const struct datagram_ops datagram_ops = {
+	.vm_loads = on_vm_loads,
+	.leader_loads = on_leader_loads,
 	.beat = on_beat,
 	.report = on_report,
 };
@@ -728,6 +802,9 @@
 		read_maps(cluster, on_stored_maps);
 	}
 	compare_progress(cluster);
+	send_loads(cluster);
+	if (cluster->leading)
+		tell_loads(cluster);
 	if (now >= cluster->report_sent_s + REPORT_S)
 		report(cluster, false);
 }
@@ -775,6 +852,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_vm);
 	cluster->leaders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						 free_leader);
+	cluster->loads = load_share_create(options->loop, options->fleet);
 	cluster->crashes = g_array_new(FALSE, FALSE, sizeof(struct crash));
 	cluster->hold_s = HOLD_S;
 	ev_timer_init(&cluster->tell_timer, on_tell, TELL_S, 0);
@@ -795,6 +873,7 @@
 	orders_destroy(cluster->orders);
 	lease_destroy(cluster->lease);
 	datagrams_destroy(cluster->datagrams);
+	load_share_destroy(cluster->loads);
 	g_hash_table_destroy(cluster->vms);
 	g_array_free(cluster->crashes, TRUE);
 	g_free(cluster);
--- a/src/entry/datagrams.c
+++ b/src/entry/datagrams.c
@@ -28,10 +28,25 @@
 		log_warn("peers", "a datagram can't be read");
 		return;
 	}
-	if (message->kind_case == PEER_MESSAGE__KIND_BEAT)
+	switch (message->kind_case) {
+	case PEER_MESSAGE__KIND_BEAT:
 		datagrams->ops->beat(datagrams->ctx, message->beat, from);
-	else if (message->kind_case == PEER_MESSAGE__KIND_REPORT)
+		break;
+	case PEER_MESSAGE__KIND_REPORT:
 		datagrams->ops->report(datagrams->ctx, message->report, from);
+		break;
+	case PEER_MESSAGE__KIND_VM_LOADS:
+		datagrams->ops->vm_loads(datagrams->ctx, message->vm_loads);
+		break;
+	case PEER_MESSAGE__KIND_LEADER_LOADS:
+		datagrams->ops->leader_loads(datagrams->ctx,
+					     message->leader_loads);
+		break;
+	default:
+		log_warn("peers", "a datagram of kind %d is not known",
+			 (int)message->kind_case);
+		break;
+	}
 	peer_message__free_unpacked(message, NULL);
 }
 
--- a/src/entry/datagrams.h
+++ b/src/entry/datagrams.h
@@ -18,6 +18,8 @@
 		     const struct sockaddr_in *from);
 	void (*report)(void *ctx, const VmReport *report,
 		       const struct sockaddr_in *from);
+	void (*vm_loads)(void *ctx, const VmLoads *loads);
+	void (*leader_loads)(void *ctx, const LeaderLoads *loads);
 };
 
 /**
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -4,11 +4,12 @@
  */
 #include "entry/forward_impl.h"
 
-/* Requests that wait at an upstream beyond its slots, so that none stands idle
- * while an answer is on its way. */
-#define AHEAD_MAX 1.0
-/* The same for an owner: nobody else could run the request. */
-#define AHEAD_MAX_KEYED 6.0
+/* How long it takes until this VM learns of an answer to another VM: two
+ * intervals of the messages about load. An upstream is sent what it can run in
+ * that time beyond its slots, so that none of them stands idle. */
+#define NEWS_LAG_S 0.1
+/* Requests ahead at an upstream at most: upstreams queue about so many. */
+#define AHEAD_MAX 8.0
 /* An upstream in another zone is chosen when it is faster by this part. */
 #define OTHER_ZONE_PART 0.25
 /* Spread of the choice among upstreams that seem alike. */
@@ -30,9 +31,22 @@
 	return false;
 }
 
+static double ahead_limit(const struct job *job,
+			  const struct upstream *upstream)
+{
+	double slots = upstream->load.slots;
+
+	/* Nobody else could run a request for an owner's key. */
+	if (job->key >= 0)
+		return AHEAD_MAX;
+	return MIN(1 + slots * NEWS_LAG_S / job->stats->mean_s, AHEAD_MAX);
+}
+
 static bool has_room(const struct job *job, const struct upstream *upstream,
-		     double now, double ahead)
+		     double now)
 {
+	double ahead = ahead_limit(job, upstream);
+
 	return load_busy(&upstream->load, now) < upstream->load.slots + ahead &&
 	       links_available(job->forward->options.links, upstream);
 }
@@ -70,8 +84,7 @@
 			continue;
 		choice = choice == CHOICE_FOUND ? choice : CHOICE_BUSY;
 		if (!load_usable(&u->load, now) ||
-		    !upstream_cold_admits(fleet, u) ||
-		    !has_room(job, u, now, AHEAD_MAX))
+		    !upstream_cold_admits(fleet, u) || !has_room(job, u, now))
 			continue;
 		s = score(job, u, now);
 		if (!*chosen || s < best) {
@@ -99,13 +112,54 @@
 	    u->entry.started_ms != span->started_ms ||
 	    !upstream_serves_keys(fleet, u) || !load_usable(&u->load, now))
 		return CHOICE_NO_OWNER;
-	if (!upstream_cold_admits(fleet, u) ||
-	    !has_room(job, u, now, AHEAD_MAX_KEYED))
+	if (!upstream_cold_admits(fleet, u) || !has_room(job, u, now))
 		return CHOICE_BUSY;
 	*chosen = u;
 	return CHOICE_FOUND;
 }
 
+struct reasons {
+	unsigned int no_work;
+	unsigned int failing;
+	unsigned int cold;
+	unsigned int full;
+	unsigned int no_connection;
+};
+
+static void count_reason(const struct job *job, const struct upstream *u,
+			 double now, struct reasons *reasons)
+{
+	const struct fleet *fleet = job->forward->options.fleet;
+
+	if (!upstream_takes_work(fleet, u))
+		reasons->no_work++;
+	else if (!load_usable(&u->load, now))
+		reasons->failing++;
+	else if (!upstream_cold_admits(fleet, u))
+		reasons->cold++;
+	else if (!links_available(job->forward->options.links, u))
+		reasons->no_connection++;
+	else
+		reasons->full++;
+}
+
+void dispatch_describe(const struct job *job, char *buf, size_t size)
+{
+	const GPtrArray *upstreams = job->service->upstreams;
+	double now = forward_now(job->forward);
+	struct reasons reasons = { 0 };
+	guint i;
+
+	for (i = 0; i < upstreams->len; i++)
+		count_reason(job, upstreams->pdata[i], now, &reasons);
+	g_snprintf(buf, size,
+		   "upstreams=%u no_work=%u failing=%u cold=%u full=%u "
+		   "no_connection=%u waiting=%u",
+		   upstreams->len, reasons.no_work, reasons.failing,
+		   reasons.cold, reasons.full, reasons.no_connection,
+		   job->service->waiting.length);
+}
+
 enum choice dispatch_choose(struct job *job, struct upstream **upstream)
 {
 	if (job->key >= 0)
@@ -165,26 +219,53 @@
 	return count;
 }
 
-static unsigned int own_flights(const struct service *service)
+/* Slots of the upstreams that take work. */
+static double usable_slots(const struct job *job)
 {
-	unsigned int count = 0;
+	const struct fleet *fleet = job->forward->options.fleet;
+	double now = forward_now(job->forward);
+	double slots = 0;
 	guint i;
 
-	for (i = 0; i < service->upstreams->len; i++) {
-		const struct upstream *u = service->upstreams->pdata[i];
+	for (i = 0; i < job->service->upstreams->len; i++) {
+		const struct upstream *u = job->service->upstreams->pdata[i];
 
-		count += u->load.flights;
+		if (upstream_takes_work(fleet, u) &&
+		    now >= u->load.ejected_until_s)
+			slots += u->load.slots;
 	}
-	return count;
+	return slots;
+}
+
+static struct upstream *owner_of(const struct job *job)
+{
+	const struct key_span *span =
+		key_map_find(job->service->keys, job->key);
+
+	return span->owner ? fleet_upstream(job->forward->options.fleet,
+					    span->owner)
+			   : NULL;
+}
+
+/* Time until the owner takes one more request, and runs it. */
+static double owner_expected_s(const struct job *job)
+{
+	const struct upstream *owner = owner_of(job);
+	double now = forward_now(job->forward);
+
+	return owner ? load_expected_s(&owner->load, job->stats->mean_s, now)
+		     : job->stats->mean_s;
 }
 
-/* Time until a request that begins to wait now is sent. */
+/* Time until a request that begins to wait now is sent. As many are taken to
+ * wait at each of the other VMs. */
 static double expected_wait_s(const struct job *job)
 {
-	double rate = own_flights(job->service);
+	double ahead = (requests_ahead(job) + 1.0) *
+		       fleet_vms(job->forward->options.fleet);
+	double slots = usable_slots(job);
 
-	return (requests_ahead(job) + 1) * job->stats->mean_s /
-	       (rate > 1 ? rate : 1);
+	return ahead * job->stats->mean_s / (slots > 1 ? slots : 1);
 }
 
 double dispatch_room_s(const struct job *job)
@@ -206,6 +287,8 @@
 	}
 	if (choice == CHOICE_BUSY && job->key < 0)
 		need += expected_wait_s(job);
+	else if (choice == CHOICE_BUSY)
+		need = LEAST_PART * owner_expected_s(job);
 	if (left < need) {
 		job_refuse(job, 503, dispatch_room_s(job), "no_room");
 		return;
@@ -242,11 +325,13 @@
 	struct upstream *upstream;
 	enum choice choice = dispatch_choose(job, &upstream);
 	double left = job->give_up_s - forward_now(job->forward);
+	double need = job->stats->mean_s;
 
+	if (choice == CHOICE_BUSY && job->key >= 0)
+		need = owner_expected_s(job);
 	if (choice == CHOICE_FOUND)
 		send_to(job, upstream);
-	else if (choice == CHOICE_NONE ||
-		 left < LEAST_PART * job->stats->mean_s)
+	else if (choice == CHOICE_NONE || left < LEAST_PART * need)
 		job_refuse(job, 503, dispatch_room_s(job),
 			   choice == CHOICE_NO_OWNER ? "no_owner_in_time"
 						     : "no_room_in_time");
--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -12,7 +12,7 @@
 #define HINT_S 0.2
 /* After a failure, and after more of them. */
 #define RETRY_S 0.25
-#define RETRY_MAX_S 1.0
+#define RETRY_MAX_S 0.6
 #define RETRY_FACTOR 1.5
 
 struct follower {
@@ -151,8 +151,7 @@
 static void retry_later(struct follower *follower)
 {
 	later(follower, follower->retry_s);
-	follower->retry_s =
-		MIN(follower->retry_s * RETRY_FACTOR, RETRY_MAX_S);
+	follower->retry_s = MIN(follower->retry_s * RETRY_FACTOR, RETRY_MAX_S);
 }
 
 static void on_page(void *ctx, const struct store_result *result);
@@ -234,12 +233,22 @@
 	/* An answer without a change that comes early must not lead to a rush
 	 * of calls. */
 	later(follower,
-	      !result->row_count && loop_now(follower->loop) <
-					    follower->asked_s + follower->wait_s / 2
+	      !result->row_count &&
+			      loop_now(follower->loop) <
+				      follower->asked_s + follower->wait_s / 2
 		      ? RETRY_S
 		      : 0);
 }
 
+static double wait_of(const struct follower *follower)
+{
+	/* A store that was away is asked for an answer at once: a call that
+	 * hangs is given up soon, and the next one finds the way open. */
+	if (follower->lost)
+		return 0;
+	return follower->accompanied ? WAIT_S : WAIT_ALONE_S;
+}
+
 static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct follower *follower = timer->data;
@@ -251,8 +260,7 @@
 	if (!follower->read_whole) {
 		follower->busy = true;
 		follower->asked_s = loop_now(follower->loop);
-		follower->wait_s =
-			follower->accompanied ? WAIT_S : WAIT_ALONE_S;
+		follower->wait_s = wait_of(follower);
 		follower->store.ops->follow(follower->store.impl,
 					    follower->table, follower->version,
 					    follower->wait_s, on_changes,
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -155,10 +155,12 @@
 {
 	struct forward *forward = job->forward;
 	struct http_request *caller = job->caller;
-	char detail[160];
+	char inputs[160];
+	char detail[320];
 
-	g_snprintf(detail, sizeof(detail), "reason=%s retry_after_ms=%.0f",
-		   reason, retry_after_s * 1000);
+	dispatch_describe(job, inputs, sizeof(inputs));
+	g_snprintf(detail, sizeof(detail), "reason=%s retry_after_ms=%.0f %s",
+		   reason, retry_after_s * 1000, inputs);
 	log_request(job, "refused", status, detail);
 	counter_add(status == 503 ? forward->refused : forward->failed, 1);
 	job->caller = NULL;
--- a/src/entry/forward_impl.h
+++ b/src/entry/forward_impl.h
@@ -55,6 +55,9 @@
 /** Sends what waits for a service, as far as there is room. */
 void dispatch_pump(struct forward *forward, struct service *service);
 
+/** Writes why a job's upstreams get no request now, for the log. */
+void dispatch_describe(const struct job *job, char *buf, size_t size);
+
 /** The shortest time until room is expected, for Retry-After. */
 double dispatch_room_s(const struct job *job);
 
--- a/src/entry/key_leader.c
+++ b/src/entry/key_leader.c
@@ -6,6 +6,9 @@
 #include "base/log.h"
 
 #define SAVE_TIMEOUT_S 0.8
+/* A first list that did not grow for so long is whole: upstreams write their
+ * entries once a second or so. */
+#define LIST_STANDS_S 1.2
 /* Results of one moment lead to one save. */
 #define SOON_S 0.003
 /* A cold upstream bears this part of its usual work. */
@@ -27,6 +30,9 @@
 	/** Tells this leader's writes from those of others. */
 	uint32_t nonce;
 	bool writing;
+	/** Upstreams listed, and since when their number stands. */
+	guint listed;
+	double listed_s;
 	/** Goes on without waiting for the next tick. */
 	ev_timer soon;
 	/** For how long keys are given, as last said. */
@@ -358,6 +364,21 @@
 	return list;
 }
 
+/* Whether the first list of upstreams is still growing: keys that nobody holds
+ * are dealt out once. */
+static bool is_filling(struct key_leader *leader)
+{
+	double now = now_of(leader);
+
+	if (leader->row_version)
+		return false;
+	if (leader->listed != leader->service->upstreams->len) {
+		leader->listed = leader->service->upstreams->len;
+		leader->listed_s = now;
+	}
+	return now < leader->listed_s + LIST_STANDS_S;
+}
+
 void key_leader_tick(struct key_leader *leader, double hold_s)
 {
 	GArray *list;
@@ -367,6 +388,8 @@
 	leader->hold_s = hold_s;
 	if (!leader->options.may_order(leader->options.ctx))
 		return;
+	if (is_filling(leader))
+		return;
 	list = list_candidates(leader);
 	keeper_tick(leader->keeper, now_of(leader), hold_s,
 		    (struct keeper_candidate *)(void *)list->data, list->len);
--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -102,7 +102,7 @@
 	if (link->upstream->gone || !http_client_reusable(link->client)) {
 		/* It is in the idle list of no one yet. */
 		g_queue_push_head_link(idle_of(link->upstream, link->control),
-			       &link->idle_node);
+				       &link->idle_node);
 		link_free(link);
 		return;
 	}
--- /dev/null
+++ b/src/entry/load_share.c
@@ -0,0 +1,219 @@
+#include "entry/load_share.h"
+
+#include <math.h>
+
+#include "base/hash.h"
+
+#define PERCENT 100.0
+
+/* What VMs told of one upstream, at the leader. */
+struct total {
+	uint32_t upstream;
+	uint32_t flights;
+	uint32_t answers;
+	uint32_t relative_percent;
+	uint32_t failures;
+	uint32_t work_percent;
+};
+
+struct load_share {
+	const struct loop *loop;
+	struct fleet *fleet;
+	/** struct total by hash of the upstream's id. */
+	GHashTable *totals;
+	/** By VM's name: requests in flight by the upstream's hash. */
+	GHashTable *vms;
+	/** Upstreams of the fleet by the hash, for the list being applied. */
+	GHashTable *upstreams;
+};
+
+static void free_flights(gpointer data)
+{
+	g_hash_table_destroy(data);
+}
+
+struct load_share *load_share_create(const struct loop *loop,
+				     struct fleet *fleet)
+{
+	struct load_share *share = g_new0(struct load_share, 1);
+
+	share->loop = loop;
+	share->fleet = fleet;
+	share->totals = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	share->vms = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   free_flights);
+	share->upstreams = g_hash_table_new(NULL, NULL);
+	return share;
+}
+
+void load_share_destroy(struct load_share *share)
+{
+	if (!share)
+		return;
+	g_hash_table_destroy(share->totals);
+	g_hash_table_destroy(share->vms);
+	g_hash_table_destroy(share->upstreams);
+	g_free(share);
+}
+
+static uint32_t upstream_hash(const struct upstream *upstream)
+{
+	return (uint32_t)hash_key(str_from(upstream->entry.id));
+}
+
+static void append(GPtrArray *out, const UpstreamLoad *from)
+{
+	UpstreamLoad *message = g_new(UpstreamLoad, 1);
+
+	*message = *from;
+	g_ptr_array_add(out, message);
+}
+
+static void add_own(struct upstream *upstream, void *ctx)
+{
+	struct load *load = &upstream->load;
+	UpstreamLoad message = UPSTREAM_LOAD__INIT;
+
+	load->told_flights = load->flights;
+	if (!load->flights && !load->new_answers && !load->new_failures)
+		return;
+	message.upstream = upstream_hash(upstream);
+	message.flights = load->flights;
+	message.answers = load->new_answers;
+	message.relative_percent = (uint32_t)(load->new_relative * PERCENT);
+	message.failures = load->new_failures;
+	message.work_percent = (uint32_t)(load->work_factor * PERCENT);
+	load->new_answers = 0;
+	load->new_relative = 0;
+	load->new_failures = 0;
+	append(ctx, &message);
+}
+
+GPtrArray *load_share_own(struct load_share *share)
+{
+	GPtrArray *out = g_ptr_array_new_with_free_func(g_free);
+
+	fleet_each_upstream(share->fleet, add_own, out);
+	return out;
+}
+
+static struct total *ensure_total(struct load_share *share, uint32_t upstream)
+{
+	struct total *total =
+		g_hash_table_lookup(share->totals, GUINT_TO_POINTER(upstream));
+
+	if (total)
+		return total;
+	total = g_new0(struct total, 1);
+	total->upstream = upstream;
+	g_hash_table_insert(share->totals, GUINT_TO_POINTER(upstream), total);
+	return total;
+}
+
+void load_share_take(struct load_share *share, const char *vm,
+		     UpstreamLoad *const *loads, size_t count)
+{
+	/* A message says all that is in flight: a lost one leaves no trace. */
+	GHashTable *flights = g_hash_table_new(NULL, NULL);
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		const UpstreamLoad *load = loads[i];
+		struct total *total = ensure_total(share, load->upstream);
+
+		if (load->flights)
+			g_hash_table_insert(flights,
+					    GUINT_TO_POINTER(load->upstream),
+					    GUINT_TO_POINTER(load->flights));
+		total->answers += load->answers;
+		total->relative_percent += load->relative_percent;
+		total->failures += load->failures;
+		total->work_percent = load->work_percent;
+	}
+	g_hash_table_insert(share->vms, g_strdup(vm), flights);
+}
+
+void load_share_forget(struct load_share *share, const char *vm)
+{
+	g_hash_table_remove(share->vms, vm);
+}
+
+static void sum_flights(struct load_share *share)
+{
+	GHashTableIter iter, inner;
+	gpointer flights, upstream, count;
+
+	g_hash_table_iter_init(&iter, share->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &flights)) {
+		g_hash_table_iter_init(&inner, flights);
+		while (g_hash_table_iter_next(&inner, &upstream, &count))
+			ensure_total(share, GPOINTER_TO_UINT(upstream))
+				->flights += GPOINTER_TO_UINT(count);
+	}
+}
+
+GPtrArray *load_share_totals(struct load_share *share)
+{
+	GPtrArray *out = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	gpointer value;
+
+	sum_flights(share);
+	g_hash_table_iter_init(&iter, share->totals);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct total *total = value;
+		UpstreamLoad message = UPSTREAM_LOAD__INIT;
+
+		message.flights = total->flights;
+		message.upstream = total->upstream;
+		message.answers = total->answers;
+		message.relative_percent = total->relative_percent;
+		message.failures = total->failures;
+		message.work_percent = total->work_percent;
+		append(out, &message);
+	}
+	g_hash_table_remove_all(share->totals);
+	return out;
+}
+
+static void index_upstream(struct upstream *upstream, void *ctx)
+{
+	g_hash_table_insert(ctx, GUINT_TO_POINTER(upstream_hash(upstream)),
+			    upstream);
+}
+
+/* Upstreams that the list leaves out have no requests. */
+static void forget_others(struct upstream *upstream, void *now_s)
+{
+	upstream->load.others = 0;
+	upstream->load.others_s = *(double *)now_s;
+}
+
+void load_share_apply(struct load_share *share, UpstreamLoad *const *loads,
+		      size_t count)
+{
+	double now = loop_now(share->loop);
+	size_t i;
+
+	g_hash_table_remove_all(share->upstreams);
+	fleet_each_upstream(share->fleet, index_upstream, share->upstreams);
+	fleet_each_upstream(share->fleet, forget_others, &now);
+	for (i = 0; i < count; i++) {
+		const UpstreamLoad *from = loads[i];
+		struct upstream *upstream = g_hash_table_lookup(
+			share->upstreams, GUINT_TO_POINTER(from->upstream));
+		struct load_news news = {
+			.flights = from->flights,
+			.answers = from->answers,
+			.failures = from->failures,
+			.work_factor = from->work_percent / PERCENT,
+		};
+
+		if (!upstream)
+			continue;
+		if (from->answers)
+			news.relative = from->relative_percent / PERCENT /
+					from->answers;
+		load_take_news(&upstream->load, &news, now);
+	}
+}
--- a/src/entry/orders.c
+++ b/src/entry/orders.c
@@ -198,8 +198,7 @@
 	struct key_grant grant = key_grant_of(order);
 
 	send_order(orders, upstream, order_create(order, done, ctx),
-		   orders->protocol->grant(&upstream->entry, &grant),
-		   ORDER_S);
+		   orders->protocol->grant(&upstream->entry, &grant), ORDER_S);
 }
 
 void orders_release(struct orders *orders, struct upstream *upstream,
--- a/src/keys/keeper_balance.c
+++ b/src/keys/keeper_balance.c
@@ -6,13 +6,13 @@
 
 #include "keys/keeper_impl.h"
 
-#define BALANCE_S 0.3
+#define BALANCE_S 0.15
 /* Owners are left alone while their loads differ by less of the mean. */
 #define DIFFERENCE_PART 0.35
 /* ... and by less than chance alone would make them differ. */
 #define CHANCE_DEVIATIONS 3.0
 /* Moves begun at once, and in progress. */
-#define MOVES_MAX 4
+#define MOVES_MAX 12
 /* A span is moved whole when that overshoots by this factor at most. */
 #define WHOLE_FACTOR 1.25
 /* Spans for each upstream at most; beyond it spans are not cut. */
@@ -23,6 +23,8 @@
 struct owner_load {
 	const struct keeper_candidate *candidate;
 	double requests;
+	/** Those that were counted: chance makes them differ. */
+	double counted;
 	/** Requests for the weight. */
 	double relative;
 };
@@ -56,9 +58,12 @@
 		const struct holding *h = keeper_at(keeper, i);
 		int at = candidate_index(keeper, owner_to_be(h));
 
-		if (at >= 0)
-			loads[at].requests += key_load_sum(
-				keeper->load, h->span.first, h->span.last);
+		if (at < 0)
+			continue;
+		loads[at].requests +=
+			key_load_sum(keeper->load, h->span.first, h->span.last);
+		loads[at].counted += key_load_counted(
+			keeper->load, h->span.first, h->span.last);
 	}
 	for (c = 0; c < keeper->candidate_count; c++) {
 		loads[c].candidate = &keeper->candidates[c];
@@ -208,7 +213,7 @@
 	if (high != low && difference > DIFFERENCE_PART * mean &&
 	    loads[high].requests - loads[low].requests >
 		    CHANCE_DEVIATIONS *
-			    sqrt(loads[high].requests + loads[low].requests) &&
+			    sqrt(loads[high].counted + loads[low].counted) &&
 	    amount > MOVE_MIN_PART * total / (double)keeper->candidate_count)
 		moved = shift_load(keeper, &loads[high], &loads[low], amount);
 	g_free(loads);
--- a/src/keys/key_load.c
+++ b/src/keys/key_load.c
@@ -8,8 +8,10 @@
 /* Requests count less by e after this time: long enough that chance does not
  * look like load, short enough to follow hot keys. */
 #define SMOOTHING_S 3.0
-/* What a key counts that nobody asked for, so that idle ranges are spread. */
-#define IDLE_WEIGHT 0.0002
+/* What all keys count together besides: keys that nobody asked for yet are
+ * spread as if each were as likely to be asked for next. */
+#define IDLE_REQUESTS 30.0
+#define IDLE_WEIGHT (IDLE_REQUESTS / (KEY_LAST + 1))
 #define AGE_STEP_S 0.1
 #define FORGOTTEN 0.001
 
@@ -49,14 +51,21 @@
 	}
 }
 
-double key_load_sum(const struct key_load *load, uint16_t first, uint16_t last)
+double key_load_counted(const struct key_load *load, uint16_t first,
+			uint16_t last)
 {
 	double sum = 0;
 	int key;
 
 	for (key = first; key <= last; key++)
 		sum += load->counts[key];
-	return sum + IDLE_WEIGHT * (last - first + 1);
+	return sum;
+}
+
+double key_load_sum(const struct key_load *load, uint16_t first, uint16_t last)
+{
+	return key_load_counted(load, first, last) +
+	       IDLE_WEIGHT * (last - first + 1);
 }
 
 uint16_t key_load_cut(const struct key_load *load, uint16_t first,
--- a/src/keys/key_load.h
+++ b/src/keys/key_load.h
@@ -18,6 +18,10 @@
 void key_load_age(struct key_load *load, double now_s);
 
 /** Requests for keys from first to last that still count. */
+double key_load_counted(const struct key_load *load, uint16_t first,
+			uint16_t last);
+
+/** The same with what every key counts, so that idle keys are spread too. */
 double key_load_sum(const struct key_load *load, uint16_t first, uint16_t last);
 
 /**
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -457,6 +457,141 @@
   assert(message->base.descriptor == &vm_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   upstream_load__init
+                     (UpstreamLoad         *message)
+{
+  static const UpstreamLoad init_value = UPSTREAM_LOAD__INIT;
+  *message = init_value;
+}
+size_t upstream_load__get_packed_size
+                     (const UpstreamLoad *message)
+{
+  assert(message->base.descriptor == &upstream_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t upstream_load__pack
+                     (const UpstreamLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &upstream_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t upstream_load__pack_to_buffer
+                     (const UpstreamLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &upstream_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+UpstreamLoad *
+       upstream_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (UpstreamLoad *)
+     protobuf_c_message_unpack (&upstream_load__descriptor,
+                                allocator, len, data);
+}
+void   upstream_load__free_unpacked
+                     (UpstreamLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &upstream_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   vm_loads__init
+                     (VmLoads         *message)
+{
+  static const VmLoads init_value = VM_LOADS__INIT;
+  *message = init_value;
+}
+size_t vm_loads__get_packed_size
+                     (const VmLoads *message)
+{
+  assert(message->base.descriptor == &vm_loads__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t vm_loads__pack
+                     (const VmLoads *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &vm_loads__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t vm_loads__pack_to_buffer
+                     (const VmLoads *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &vm_loads__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+VmLoads *
+       vm_loads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (VmLoads *)
+     protobuf_c_message_unpack (&vm_loads__descriptor,
+                                allocator, len, data);
+}
+void   vm_loads__free_unpacked
+                     (VmLoads *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &vm_loads__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   leader_loads__init
+                     (LeaderLoads         *message)
+{
+  static const LeaderLoads init_value = LEADER_LOADS__INIT;
+  *message = init_value;
+}
+size_t leader_loads__get_packed_size
+                     (const LeaderLoads *message)
+{
+  assert(message->base.descriptor == &leader_loads__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t leader_loads__pack
+                     (const LeaderLoads *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &leader_loads__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t leader_loads__pack_to_buffer
+                     (const LeaderLoads *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &leader_loads__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+LeaderLoads *
+       leader_loads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (LeaderLoads *)
+     protobuf_c_message_unpack (&leader_loads__descriptor,
+                                allocator, len, data);
+}
+void   leader_loads__free_unpacked
+                     (LeaderLoads *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &leader_loads__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer_message__init
                      (PeerMessage         *message)
 {
@@ -1194,7 +1329,212 @@
   (ProtobufCMessageInit) vm_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer_message__field_descriptors[2] =
+static const ProtobufCFieldDescriptor upstream_load__field_descriptors[6] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(UpstreamLoad, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "flights",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(UpstreamLoad, flights),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answers",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(UpstreamLoad, answers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relative_percent",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(UpstreamLoad, relative_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failures",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(UpstreamLoad, failures),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work_percent",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(UpstreamLoad, work_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned upstream_load__field_indices_by_name[] = {
+  2,   /* field[2] = answers */
+  4,   /* field[4] = failures */
+  1,   /* field[1] = flights */
+  3,   /* field[3] = relative_percent */
+  0,   /* field[0] = upstream */
+  5,   /* field[5] = work_percent */
+};
+static const ProtobufCIntRange upstream_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor upstream_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "UpstreamLoad",
+  "UpstreamLoad",
+  "UpstreamLoad",
+  "",
+  sizeof(UpstreamLoad),
+  6,
+  upstream_load__field_descriptors,
+  upstream_load__field_indices_by_name,
+  1,  upstream_load__number_ranges,
+  (ProtobufCMessageInit) upstream_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor vm_loads__field_descriptors[2] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(VmLoads, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstreams",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(VmLoads, n_upstreams),
+    offsetof(VmLoads, upstreams),
+    &upstream_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned vm_loads__field_indices_by_name[] = {
+  1,   /* field[1] = upstreams */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange vm_loads__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor vm_loads__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "VmLoads",
+  "VmLoads",
+  "VmLoads",
+  "",
+  sizeof(VmLoads),
+  2,
+  vm_loads__field_descriptors,
+  vm_loads__field_indices_by_name,
+  1,  vm_loads__number_ranges,
+  (ProtobufCMessageInit) vm_loads__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor leader_loads__field_descriptors[2] =
+{
+  {
+    "lease",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(LeaderLoads, lease),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstreams",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(LeaderLoads, n_upstreams),
+    offsetof(LeaderLoads, upstreams),
+    &upstream_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned leader_loads__field_indices_by_name[] = {
+  0,   /* field[0] = lease */
+  1,   /* field[1] = upstreams */
+};
+static const ProtobufCIntRange leader_loads__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor leader_loads__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "LeaderLoads",
+  "LeaderLoads",
+  "LeaderLoads",
+  "",
+  sizeof(LeaderLoads),
+  2,
+  leader_loads__field_descriptors,
+  leader_loads__field_indices_by_name,
+  1,  leader_loads__number_ranges,
+  (ProtobufCMessageInit) leader_loads__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer_message__field_descriptors[4] =
 {
   {
     "beat",
@@ -1220,15 +1560,41 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "vm_loads",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PeerMessage, kind_case),
+    offsetof(PeerMessage, vm_loads),
+    &vm_loads__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader_loads",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PeerMessage, kind_case),
+    offsetof(PeerMessage, leader_loads),
+    &leader_loads__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_message__field_indices_by_name[] = {
   0,   /* field[0] = beat */
+  3,   /* field[3] = leader_loads */
   1,   /* field[1] = report */
+  2,   /* field[2] = vm_loads */
 };
 static const ProtobufCIntRange peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor peer_message__descriptor =
 {
@@ -1238,7 +1604,7 @@
   "PeerMessage",
   "",
   sizeof(PeerMessage),
-  2,
+  4,
   peer_message__field_descriptors,
   peer_message__field_indices_by_name,
   1,  peer_message__number_ranges,
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -25,6 +25,9 @@
 typedef struct LeaderBeat LeaderBeat;
 typedef struct KeyLoad KeyLoad;
 typedef struct VmReport VmReport;
+typedef struct UpstreamLoad UpstreamLoad;
+typedef struct VmLoads VmLoads;
+typedef struct LeaderLoads LeaderLoads;
 typedef struct PeerMessage PeerMessage;
 
 
@@ -197,10 +200,69 @@
     , NULL, 0,NULL, 0,NULL, 0, NULL }
 
 
+/*
+ * What happened at an upstream since the last message.
+ */
+struct  UpstreamLoad
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of its id.
+   */
+  uint32_t upstream;
+  /*
+   * Requests in flight now.
+   */
+  uint32_t flights;
+  uint32_t answers;
+  /*
+   * Sum of the answers' times against their routes' usual times.
+   */
+  uint32_t relative_percent;
+  uint32_t failures;
+  uint32_t work_percent;
+};
+#define UPSTREAM_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&upstream_load__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * From every VM to the leader.
+ */
+struct  VmLoads
+{
+  ProtobufCMessage base;
+  char *vm;
+  size_t n_upstreams;
+  UpstreamLoad **upstreams;
+};
+#define VM_LOADS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&vm_loads__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL }
+
+
+/*
+ * From the leader to every VM: of all VMs together.
+ */
+struct  LeaderLoads
+{
+  ProtobufCMessage base;
+  uint64_t lease;
+  size_t n_upstreams;
+  UpstreamLoad **upstreams;
+};
+#define LEADER_LOADS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&leader_loads__descriptor) \
+    , 0, 0,NULL }
+
+
 typedef enum {
   PEER_MESSAGE__KIND__NOT_SET = 0,
   PEER_MESSAGE__KIND_BEAT = 1,
-  PEER_MESSAGE__KIND_REPORT = 2
+  PEER_MESSAGE__KIND_REPORT = 2,
+  PEER_MESSAGE__KIND_VM_LOADS = 3,
+  PEER_MESSAGE__KIND_LEADER_LOADS = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER_MESSAGE__KIND__CASE)
 } PeerMessage__KindCase;
 
@@ -211,6 +273,8 @@
   union {
     LeaderBeat *beat;
     VmReport *report;
+    VmLoads *vm_loads;
+    LeaderLoads *leader_loads;
   };
 };
 #define PEER_MESSAGE__INIT \
@@ -408,6 +472,63 @@
 void   vm_report__free_unpacked
                      (VmReport *message,
                       ProtobufCAllocator *allocator);
+/* UpstreamLoad methods */
+void   upstream_load__init
+                     (UpstreamLoad         *message);
+size_t upstream_load__get_packed_size
+                     (const UpstreamLoad   *message);
+size_t upstream_load__pack
+                     (const UpstreamLoad   *message,
+                      uint8_t             *out);
+size_t upstream_load__pack_to_buffer
+                     (const UpstreamLoad   *message,
+                      ProtobufCBuffer     *buffer);
+UpstreamLoad *
+       upstream_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   upstream_load__free_unpacked
+                     (UpstreamLoad *message,
+                      ProtobufCAllocator *allocator);
+/* VmLoads methods */
+void   vm_loads__init
+                     (VmLoads         *message);
+size_t vm_loads__get_packed_size
+                     (const VmLoads   *message);
+size_t vm_loads__pack
+                     (const VmLoads   *message,
+                      uint8_t             *out);
+size_t vm_loads__pack_to_buffer
+                     (const VmLoads   *message,
+                      ProtobufCBuffer     *buffer);
+VmLoads *
+       vm_loads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   vm_loads__free_unpacked
+                     (VmLoads *message,
+                      ProtobufCAllocator *allocator);
+/* LeaderLoads methods */
+void   leader_loads__init
+                     (LeaderLoads         *message);
+size_t leader_loads__get_packed_size
+                     (const LeaderLoads   *message);
+size_t leader_loads__pack
+                     (const LeaderLoads   *message,
+                      uint8_t             *out);
+size_t leader_loads__pack_to_buffer
+                     (const LeaderLoads   *message,
+                      ProtobufCBuffer     *buffer);
+LeaderLoads *
+       leader_loads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   leader_loads__free_unpacked
+                     (LeaderLoads *message,
+                      ProtobufCAllocator *allocator);
 /* PeerMessage methods */
 void   peer_message__init
                      (PeerMessage         *message);
@@ -459,6 +580,15 @@
 typedef void (*VmReport_Closure)
                  (const VmReport *message,
                   void *closure_data);
+typedef void (*UpstreamLoad_Closure)
+                 (const UpstreamLoad *message,
+                  void *closure_data);
+typedef void (*VmLoads_Closure)
+                 (const VmLoads *message,
+                  void *closure_data);
+typedef void (*LeaderLoads_Closure)
+                 (const LeaderLoads *message,
+                  void *closure_data);
 typedef void (*PeerMessage_Closure)
                  (const PeerMessage *message,
                   void *closure_data);
@@ -478,6 +608,9 @@
 extern const ProtobufCMessageDescriptor leader_beat__descriptor;
 extern const ProtobufCMessageDescriptor key_load__descriptor;
 extern const ProtobufCMessageDescriptor vm_report__descriptor;
+extern const ProtobufCMessageDescriptor upstream_load__descriptor;
+extern const ProtobufCMessageDescriptor vm_loads__descriptor;
+extern const ProtobufCMessageDescriptor leader_loads__descriptor;
 extern const ProtobufCMessageDescriptor peer_message__descriptor;
 
 PROTOBUF_C__END_DECLS
