keys: a span without an owner says when it will have one

The leader tells whether a span is being moved (about 0.12 s) or waits for grants to run out (their end); a request that can't wait that long is refused at once, with that time as Retry-After.

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -577,6 +577,8 @@
 	ok = service &&
 	     key_map_unpack(service->keys,
 			    (struct str){ packed->str, packed->len }, NULL);
+	if (ok)
+		service->keys_told_s = now_of(cluster);
 	g_string_free(packed, TRUE);
 	return ok;
 }
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -18,7 +18,8 @@
 #define LEAST_PART 0.6
 /* Shortest and usual Retry-After. */
 #define RETRY_MIN_S 0.02
-/* How long until a lost owner's keys are served again, at most. */
+/* How long until an owner that is gone has a successor, where nothing better is
+ * known. */
 #define OWNER_WAIT_S 0.5
 
 static bool was_tried(const struct job *job, const struct upstream *upstream)
@@ -268,9 +269,26 @@
 	return ahead * job->stats->mean_s / (slots > 1 ? slots : 1);
 }
 
+/* Time until the key of a job can be asked for. */
+static double owner_wait_s(const struct job *job)
+{
+	const struct key_span *span =
+		key_map_find(job->service->keys, job->key);
+	const struct upstream *owner = owner_of(job);
+	double now = forward_now(job->forward);
+
+	if (!span->owner)
+		return MAX(job->service->keys_told_s + span->wait_s - now, 0);
+	if (!owner || owner->entry.started_ms != span->started_ms)
+		return OWNER_WAIT_S;
+	if (!load_usable(&owner->load, now))
+		return MAX(owner->load.ejected_until_s - now, 0);
+	return MAX(owner_expected_s(job) - job->stats->mean_s, 0);
+}
+
 double dispatch_room_s(const struct job *job)
 {
-	double wait = job->key >= 0 ? OWNER_WAIT_S : expected_wait_s(job);
+	double wait = job->key >= 0 ? owner_wait_s(job) : expected_wait_s(job);
 
 	return wait > RETRY_MIN_S ? wait : RETRY_MIN_S;
 }
@@ -289,6 +307,8 @@
 		need += expected_wait_s(job);
 	else if (choice == CHOICE_BUSY)
 		need = LEAST_PART * owner_expected_s(job);
+	else
+		need += owner_wait_s(job);
 	if (left < need) {
 		job_refuse(job, 503, dispatch_room_s(job), "no_room");
 		return;
@@ -329,6 +349,8 @@
 
 	if (choice == CHOICE_BUSY && job->key >= 0)
 		need = owner_expected_s(job);
+	else if (choice == CHOICE_NO_OWNER)
+		need += owner_wait_s(job) / LEAST_PART;
 	if (choice == CHOICE_FOUND)
 		send_to(job, upstream);
 	else if (choice == CHOICE_NONE || left < LEAST_PART * need)
--- a/src/entry/fleet.h
+++ b/src/entry/fleet.h
@@ -53,6 +53,8 @@
 	struct retry_window retries;
 	/** Owners of keys; nobody's when the service has none. */
 	struct key_map *keys;
+	/** When the owners were told. */
+	double keys_told_s;
 	/** Keys requested since the last report to the leader. */
 	GArray *requested_keys;
 };
--- a/src/entry/key_leader.c
+++ b/src/entry/key_leader.c
@@ -413,7 +413,7 @@
 
 void key_leader_served_map(const struct key_leader *leader, struct key_map *map)
 {
-	keeper_served_map(leader->keeper, map);
+	keeper_served_map(leader->keeper, map, now_of(leader));
 }
 
 struct service *key_leader_service(const struct key_leader *leader)
--- a/src/keys/keeper.c
+++ b/src/keys/keeper.c
@@ -13,6 +13,9 @@
 #define RETRY_S 0.15
 /* Orders without an answer before an owner counts as lost. */
 #define MISSES_MAX 2
+/* What a move takes: running work ends, the map is saved, the grant is given.
+ * For estimates only. */
+#define MOVE_S 0.12
 /* Tokens of releases are not saved; a new leader begins above them. */
 #define FENCE_GAP 1000
 
@@ -485,7 +488,15 @@
 	       (holding->phase == PHASE_HELD && holding->granted);
 }
 
-void keeper_served_map(const struct keeper *keeper, struct key_map *map)
+static double expected_wait_s(const struct holding *holding, double now_s)
+{
+	if (holding->phase == PHASE_WAITING && free_at(holding) > now_s)
+		return free_at(holding) - now_s + MOVE_S;
+	return MOVE_S;
+}
+
+void keeper_served_map(const struct keeper *keeper, struct key_map *map,
+		       double now_s)
 {
 	guint i;
 
@@ -495,8 +506,10 @@
 			&g_array_index(keeper->holdings, struct holding, i);
 		struct key_span span = holding->span;
 
-		if (!is_served(holding))
+		if (!is_served(holding)) {
 			span.owner = NULL;
+			span.wait_s = expected_wait_s(holding, now_s);
+		}
 		g_array_append_val(map->spans, span);
 	}
 	map->fence = keeper->fence;
--- a/src/keys/keeper.h
+++ b/src/keys/keeper.h
@@ -124,7 +124,8 @@
 void keeper_count(struct keeper *keeper, uint16_t key);
 
 /** Fills in who can be asked: spans being moved have no owner. */
-void keeper_served_map(const struct keeper *keeper, struct key_map *map);
+void keeper_served_map(const struct keeper *keeper, struct key_map *map,
+		       double now_s);
 
 /** Spans that no upstream can be asked for now. */
 unsigned int keeper_unserved(const struct keeper *keeper);
--- a/src/keys/key_map.c
+++ b/src/keys/key_map.c
@@ -2,6 +2,8 @@
 
 #include "wire/entry.pb-c.h"
 
+#define MS_PER_S 1000.0
+
 struct key_map *key_map_create(void)
 {
 	struct key_map *map = g_new0(struct key_map, 1);
@@ -97,6 +99,7 @@
 		out->first = span->first;
 		out->last = span->last;
 		out->fence = span->fence;
+		out->wait_ms = (uint32_t)(span->wait_s * MS_PER_S);
 		out->owner = pack_owner(packing, span);
 		g_ptr_array_add(packing->spans, out);
 	}
@@ -147,6 +150,7 @@
 		span.first = (uint16_t)in->first;
 		span.last = (uint16_t)in->last;
 		span.fence = in->fence;
+		span.wait_s = in->wait_ms / MS_PER_S;
 		if (in->owner) {
 			const KeyOwner *owner = message->owners[in->owner - 1];
 
--- a/src/keys/key_map.h
+++ b/src/keys/key_map.h
@@ -22,6 +22,9 @@
 	int64_t started_ms;
 	/** Fencing token under which the owner got the span. */
 	uint64_t fence;
+	/** Without an owner: in how many seconds it is expected to have one,
+	 * as of when the map was made. */
+	double wait_s;
 };
 
 struct key_map {
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -637,7 +637,7 @@
   assert(message->base.descriptor == &peer_message__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor key_span__field_descriptors[4] =
+static const ProtobufCFieldDescriptor key_span__field_descriptors[5] =
 {
   {
     "first",
@@ -687,17 +687,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wait_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(KeySpan, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned key_span__field_indices_by_name[] = {
   3,   /* field[3] = fence */
   0,   /* field[0] = first */
   1,   /* field[1] = last */
   2,   /* field[2] = owner */
+  4,   /* field[4] = wait_ms */
 };
 static const ProtobufCIntRange key_span__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor key_span__descriptor =
 {
@@ -707,7 +720,7 @@
   "KeySpan",
   "",
   sizeof(KeySpan),
-  4,
+  5,
   key_span__field_descriptors,
   key_span__field_indices_by_name,
   1,  key_span__number_ranges,
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -46,10 +46,14 @@
    */
   uint32_t owner;
   uint64_t fence;
+  /*
+   * Without an owner: when it is expected to have one.
+   */
+  uint32_t wait_ms;
 };
 #define KEY_SPAN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&key_span__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  KeyOwner
