--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -2,6 +2,8 @@
  * Which upstream gets a request, which requests wait, and which are refused.
  * Answers the load of the heaviest days: many requests, few free slots.
  */
+#include <string.h>
+
 #include "entry/forward_impl.h"
 
 /* How long it takes until this VM learns of an answer to another VM: two
@@ -10,8 +12,11 @@
 #define NEWS_LAG_S 0.1
 /* Requests ahead at an upstream at most: upstreams queue about so many. */
 #define AHEAD_MAX 8.0
-/* An upstream in another zone is chosen when it is faster by this part. */
+/* An upstream in another zone is chosen when it is faster by a usual work, and
+ * by the time that the answer's bytes between zones are worth. */
 #define OTHER_ZONE_PART 1.0
+#define OTHER_ZONE_S_PER_MB 2.0
+#define BYTES_PER_MB 1e6
 /* Spread of the choice among upstreams that seem alike. */
 #define RANDOM_PART 1.0
 /* A request is refused when less than this part of its usual time is left. */
@@ -52,6 +57,18 @@
 	       links_available(job->forward->options.links, upstream);
 }
 
+/* What an answer from another zone costs, as time. */
+static double zone_cost_s(const struct job *job,
+			  const struct upstream *upstream)
+{
+	const struct entry_settings *settings = job->forward->options.settings;
+
+	if (!strcmp(upstream->entry.zone, settings->zone))
+		return 0;
+	return OTHER_ZONE_PART * job->stats->mean_s +
+	       OTHER_ZONE_S_PER_MB * job->stats->answer_bytes / BYTES_PER_MB;
+}
+
 static double score(const struct job *job, const struct upstream *upstream,
 		    double now)
 {
@@ -59,10 +76,8 @@
 	double work = job->stats->mean_s;
 	double expected = load_expected_s(&upstream->load, work, now);
 
-	if (g_strcmp0(upstream->entry.zone, forward->options.settings->zone) !=
-	    0)
-		expected += OTHER_ZONE_PART * work;
-	return expected * (1 + RANDOM_PART * g_rand_double(forward->random));
+	return expected * (1 + RANDOM_PART * g_rand_double(forward->random)) +
+	       zone_cost_s(job, upstream);
 }
 
 static enum choice choose_any(struct job *job, struct upstream **chosen)
