keys: the lease ends on the store's clock, and is given up at a stop

Cause: after a restart of all VMs the lease's row told nothing of its age, so the first two seconds of traffic had no leader. The row says when the lease is over on the store's clock, which its holder never overestimates for itself; a VM that stops gives it up.

--- a/src/keys/lease.c
+++ b/src/keys/lease.c
@@ -13,9 +13,11 @@
 /* Clocks of two VMs differ in speed by no more than this. */
 #define CLOCK_FACTOR 1.02
 /* Candidates begin at different moments. */
-#define JITTER_S 0.25
+#define JITTER_S 0.15
 /* A row that was not seen for so long is read. */
 #define LOOK_S 0.7
+/* On the store's clock: long ago. */
+#define GIVEN_UP_S 0.001
 /* Writes whose effect may still show. */
 #define ATTEMPTS 16
 
@@ -41,8 +43,14 @@
 	/** When the version was learned; 0: never. */
 	double seen_s;
 	double jitter_s;
+	/** When the lease of others is over by what the row says; 0: unknown */
+	double free_s;
+	/** Added to this VM's clock: the store's clock, or a little more. */
+	double store_ahead_s;
+	bool store_clock_known;
+	/** When the call in progress was sent. */
+	double sent_s;
 	bool busy;
-	bool reading;
 	double next_s;
 	bool troubled;
 	bool stopped;
@@ -92,11 +100,6 @@
 	return lease->version;
 }
 
-void lease_stop(struct lease *lease)
-{
-	lease->stopped = true;
-}
-
 static void lose(struct lease *lease, const char *reason)
 {
 	if (!lease->holding)
@@ -113,6 +116,7 @@
 	lose(lease, "another VM leads");
 	lease->version = version;
 	lease->seen_s = now_of(lease);
+	lease->free_s = 0;
 }
 
 static void hold(struct lease *lease, uint64_t version, double sent_s)
@@ -120,6 +124,8 @@
 	lease->version = version;
 	lease->seen_s = now_of(lease);
 	lease->troubled = false;
+	if (lease->stopped)
+		return;
 	if (sent_s + LEASE_S > lease->until_s)
 		lease->until_s = sent_s + LEASE_S;
 	if (lease->holding || now_of(lease) >= lease->until_s)
@@ -144,8 +150,28 @@
 	return 0;
 }
 
+/* An answer was made after its call was sent: this never falls behind. */
+static void take_clock(struct lease *lease, const struct store_result *result)
+{
+	if (result->now_s <= 0)
+		return;
+	lease->store_ahead_s = result->now_s - lease->sent_s;
+	lease->store_clock_known = true;
+}
+
+/* When, on this VM's clock, the row's lease is over on the store's. */
+static double free_at(const struct lease *lease, const LeaseRow *row,
+		      double store_now_s)
+{
+	if (row->until_s <= 0 || store_now_s <= 0)
+		return 0;
+	return now_of(lease) + (row->until_s - store_now_s) +
+	       LEASE_S * (CLOCK_FACTOR - 1);
+}
+
 /* The row as it stands in the store. */
-static void take_row(struct lease *lease, const struct store_row *row)
+static void take_row(struct lease *lease, const struct store_row *row,
+		     double store_now_s)
 {
 	LeaseRow *message = lease_row__unpack(NULL, row->value->len,
 					      (const uint8_t *)row->value->str);
@@ -159,6 +185,8 @@
 			lease->seen_s = now_of(lease);
 		}
 		lose(lease, "another VM leads");
+		if (message)
+			lease->free_s = free_at(lease, message, store_now_s);
 		if (message)
 			lease->ops->learned(lease->ctx, message->vm,
 					    message->address);
@@ -167,6 +195,19 @@
 		lease_row__free_unpacked(message, NULL);
 }
 
+/* When this VM may try to take the lease; 0: not known. */
+static double take_at(const struct lease *lease)
+{
+	double at;
+
+	if (!lease->seen_s)
+		return 0;
+	at = lease->seen_s + LEASE_S * CLOCK_FACTOR;
+	if (lease->free_s && lease->free_s < at)
+		at = lease->free_s;
+	return at + lease->jitter_s;
+}
+
 static const struct store_row *find_row(const struct store_result *result)
 {
 	size_t i;
@@ -186,21 +227,25 @@
 	lease->next_s = now_of(lease) + RETRY_S;
 	if (result->status != STORE_OK)
 		return;
+	take_clock(lease, result);
 	row = find_row(result);
 	if (row) {
-		take_row(lease, row);
+		take_row(lease, row, result->now_s);
 		if (!lease->holding)
-			lease->next_s = now_of(lease) + LOOK_S;
+			lease->next_s = MIN(now_of(lease) + LOOK_S,
+					    MAX(take_at(lease), 0));
 	} else if (!lease->seen_s) {
 		lease->version = 0;
 		/* Nobody ever led: there is nothing to wait for. */
 		lease->seen_s = now_of(lease) - LEASE_S * CLOCK_FACTOR;
+		lease->next_s = take_at(lease);
 	}
 }
 
 static void read_row(struct lease *lease)
 {
 	lease->busy = true;
+	lease->sent_s = now_of(lease);
 	lease->store.ops->read(lease->store.impl, LEASE_TABLE, "", on_read,
 			       lease);
 }
@@ -216,12 +261,14 @@
 	lease->next_s = now_of(lease) + RETRY_S;
 	switch (result->status) {
 	case STORE_OK:
+		take_clock(lease, result);
 		hold(lease, result->version, sent_s);
 		lease->next_s = sent_s + RENEW_S;
 		break;
 	case STORE_CONFLICT:
+		take_clock(lease, result);
 		if (row)
-			take_row(lease, row);
+			take_row(lease, row, result->now_s);
 		else
 			read_row(lease);
 		break;
@@ -248,6 +295,11 @@
 	message.vm = lease->vm;
 	message.address = lease->address;
 	message.attempt = g_strdup_printf("%s%u", lease->prefix, number);
+	if (lease->stopped)
+		message.until_s = GIVEN_UP_S;
+	else if (lease->store_clock_known)
+		message.until_s = now_of(lease) + lease->store_ahead_s +
+				  LEASE_S;
 	value = g_string_new(NULL);
 	g_string_set_size(value, lease_row__get_packed_size(&message));
 	lease_row__pack(&message, (uint8_t *)value->str);
@@ -256,17 +308,12 @@
 	lease->busy = true;
 	lease->attempts[number % ATTEMPTS].number = number;
 	lease->attempts[number % ATTEMPTS].sent_s = now_of(lease);
+	lease->sent_s = now_of(lease);
 	lease->store.ops->write(lease->store.impl, &write, WRITE_TIMEOUT_S,
 				on_written, lease);
 	g_string_free(value, TRUE);
 }
 
-static bool may_take(const struct lease *lease, double now)
-{
-	return lease->seen_s &&
-	       now > lease->seen_s + LEASE_S * CLOCK_FACTOR + lease->jitter_s;
-}
-
 void lease_tick(struct lease *lease)
 {
 	double now = now_of(lease);
@@ -275,8 +322,18 @@
 		lose(lease, "it could not be renewed in time");
 	if (lease->busy || now < lease->next_s || lease->stopped)
 		return;
-	if (lease->holding || may_take(lease, now))
+	if (lease->holding || (take_at(lease) > 0 && now > take_at(lease)))
 		write_row(lease);
 	else if (!lease->seen_s || now > lease->seen_s + LOOK_S)
 		read_row(lease);
 }
+
+void lease_stop(struct lease *lease)
+{
+	bool held = lease->holding;
+
+	lease->stopped = true;
+	lose(lease, "this VM stops");
+	if (held && !lease->busy)
+		write_row(lease);
+}
--- a/src/keys/lease.h
+++ b/src/keys/lease.h
@@ -52,7 +52,7 @@
 /** Version of the row that is held, or last seen. */
 uint64_t lease_version(const struct lease *lease);
 
-/** Gives nothing up, but renews no more. */
+/** Gives the lease up, so that another VM takes it at once. */
 void lease_stop(struct lease *lease);
 
 #endif
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -42,6 +42,8 @@
 	uint64_t version;
 	/** More rows follow the last one. */
 	bool more;
+	/** The store's steady clock when it answered; 0: not said. */
+	double now_s;
 };
 
 typedef void (*store_done_fn)(void *ctx, const struct store_result *result);
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -881,7 +881,7 @@
   (ProtobufCMessageInit) key_map__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lease_row__field_descriptors[3] =
+static const ProtobufCFieldDescriptor lease_row__field_descriptors[4] =
 {
   {
     "vm",
@@ -919,16 +919,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "until_s",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(LeaseRow, until_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lease_row__field_indices_by_name[] = {
   1,   /* field[1] = address */
   2,   /* field[2] = attempt */
+  3,   /* field[3] = until_s */
   0,   /* field[0] = vm */
 };
 static const ProtobufCIntRange lease_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor lease_row__descriptor =
 {
@@ -938,7 +951,7 @@
   "LeaseRow",
   "",
   sizeof(LeaseRow),
-  3,
+  4,
   lease_row__field_descriptors,
   lease_row__field_indices_by_name,
   1,  lease_row__number_ranges,
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -99,10 +99,14 @@
    */
   char *address;
   char *attempt;
+  /*
+   * On the store's clock: the lease is over by then.
+   */
+  double until_s;
 };
 #define LEASE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lease_row__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  VmInfo
