--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -10,6 +10,8 @@
 #define WAIT_ALONE_S 1.8
 /* Time that a change needs to arrive by the call that waits for it. */
 #define HINT_S 0.2
+/* After a change, before the next call: every change costs a call of each VM. */
+#define GATHER_S 0.12
 /* After a failure, and after more of them. */
 #define RETRY_S 0.25
 #define RETRY_MAX_S 0.4
@@ -207,6 +209,18 @@
 	g_free(from);
 }
 
+/* Changes of one moment come in one answer. An answer without a change that
+ * comes early must not lead to a rush of calls. */
+static double pause_after(const struct follower *follower,
+			  const struct store_result *result)
+{
+	double waited = loop_now(follower->loop) - follower->asked_s;
+
+	if (result->row_count)
+		return GATHER_S;
+	return waited < follower->wait_s / 2 ? RETRY_S : 0;
+}
+
 static void on_changes(void *ctx, const struct store_result *result)
 {
 	struct follower *follower = ctx;
@@ -230,14 +244,7 @@
 	for (i = 0; i < result->row_count; i++)
 		take_row(follower, &result->rows[i]);
 	follower->version = result->version;
-	/* An answer without a change that comes early must not lead to a rush
-	 * of calls. */
-	later(follower,
-	      !result->row_count &&
-			      loop_now(follower->loop) <
-				      follower->asked_s + follower->wait_s / 2
-		      ? RETRY_S
-		      : 0);
+	later(follower, pause_after(follower, result));
 }
 
 static double wait_of(const struct follower *follower)
