keys: leaders follow each other sooner while the store is slow

Candidates begin at moments spread over a second, the first of them beats at once to the VMs that the last leader heard, and a write may take 1.2 s; keys are given for long as soon as a renewal takes 0.8 s. Owners that fail or refuse get fewer keys; keys move sooner (2 deviations, 0.25 of the mean).

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -112,6 +112,14 @@
 	}
 }
 
+static void hear_again(gpointer key, gpointer value, gpointer data)
+{
+	struct vm *vm = value;
+
+	(void)key;
+	vm->heard_s = now_of(data);
+}
+
 static void on_won(void *ctx)
 {
 	struct cluster *cluster = ctx;
@@ -120,6 +128,9 @@
 			"event=won row=%" PRIu64,
 			lease_version(cluster->lease));
 	cluster->leading = true;
+	cluster->beat_sent_s = 0;
+	/* Those that the last leader heard get time to report here. */
+	g_hash_table_foreach(cluster->vms, hear_again, cluster);
 	cluster->maps_read = false;
 	cluster->map_base = lease_version(cluster->lease) * MAP_NUMBERS;
 	cluster->map_number = 0;
@@ -129,6 +140,8 @@
 		cluster->options.settings->hold_max_s * HOLD_FACTOR +
 		GRANT_TRAVEL_S;
 	counter_set(cluster->leads, 1);
+	/* The others stop trying. */
+	keys_changed(cluster);
 }
 
 static void on_lost(void *ctx, const char *reason)
@@ -475,6 +488,11 @@
 {
 	double now = now_of(cluster);
 
+	hear_vm(cluster, cluster->options.settings->vm,
+		&cluster->options.settings->peers);
+	g_hash_table_foreach_remove(cluster->vms, is_silent, cluster);
+	if (now >= cluster->beat_sent_s + BEAT_S)
+		send_beat(cluster);
 	if (!cluster->options.ready(cluster->options.ctx))
 		return;
 	if (!cluster->maps_read) {
@@ -484,13 +502,8 @@
 	/* Renewals work again. */
 	if (lease_held(cluster->lease, LEASE_S * 0.6))
 		cluster->hold_s = HOLD_S;
-	hear_vm(cluster, cluster->options.settings->vm,
-		&cluster->options.settings->peers);
-	g_hash_table_foreach_remove(cluster->vms, is_silent, cluster);
 	fleet_each_service(cluster->options.fleet, lead_new_service, cluster);
 	g_hash_table_foreach(cluster->leaders, tick_leader, cluster);
-	if (now >= cluster->beat_sent_s + BEAT_S)
-		send_beat(cluster);
 }
 
 static void count_keys(struct cluster *cluster, const char *service,
@@ -603,8 +616,15 @@
 	const char **names = g_new0(const char *, beat->n_vms + 1);
 	size_t i;
 
-	for (i = 0; i < beat->n_vms; i++)
+	for (i = 0; i < beat->n_vms; i++) {
+		struct sockaddr_in address;
+
 		names[i] = beat->vms[i]->name;
+		/* Whoever leads next has to reach them at once. */
+		if (!cluster->leading &&
+		    address_parse(str_from(beat->vms[i]->address), &address))
+			hear_vm(cluster, names[i], &address);
+	}
 	fleet_set_vms(cluster->options.fleet, (unsigned int)beat->n_vms, names);
 	counter_set(cluster->vms_alive, beat->n_vms);
 	g_free(names);
--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -10,7 +10,8 @@
 #define WAIT_ALONE_S 1.8
 /* Time that a change needs to arrive by the call that waits for it. */
 #define HINT_S 0.2
-/* After a change, before the next call: every change costs a call of each VM. */
+/* After a change, before the next call: every change costs a call of each VM.
+ */
 #define GATHER_S 0.12
 /* After a failure, and after more of them. */
 #define RETRY_S 0.25
--- a/src/entry/key_leader.c
+++ b/src/entry/key_leader.c
@@ -16,6 +16,9 @@
 /* Bounds of what a measured slowness does to an upstream's part. */
 #define SLOWNESS_MIN 0.5
 #define SLOWNESS_MAX 4.0
+/* A request that an owner refuses or fails costs its caller so many times the
+ * usual work. */
+#define FAILURE_COST 4.0
 /* Upstreams that were removed can be asked to release keys for so long. */
 #define REMEMBER_MAX 4096
 
@@ -325,7 +328,8 @@
 {
 	double slowness =
 		fmin(fmax(upstream->load.slowness, SLOWNESS_MIN), SLOWNESS_MAX);
-	double weight = upstream->load.slots / slowness;
+	double weight = upstream->load.slots / slowness /
+			(1 + FAILURE_COST * upstream->load.failures);
 
 	return now < upstream->cold_until_s ? weight * COLD_WEIGHT : weight;
 }
--- a/src/keys/keeper.c
+++ b/src/keys/keeper.c
@@ -7,7 +7,7 @@
 /* Added to every wait for a grant's end. */
 #define MARGIN_S 0.05
 /* A grant is renewed after this part of its time. */
-#define RENEW_PART 0.25
+#define RENEW_PART 0.2
 #define RENEW_MAX_S 1.0
 /* After an order that failed, and after a save that failed. */
 #define RETRY_S 0.15
--- a/src/keys/keeper_balance.c
+++ b/src/keys/keeper_balance.c
@@ -8,9 +8,9 @@
 
 #define BALANCE_S 0.15
 /* Owners are left alone while their loads differ by less of the mean. */
-#define DIFFERENCE_PART 0.35
+#define DIFFERENCE_PART 0.25
 /* ... and by less than chance alone would make them differ. */
-#define CHANCE_DEVIATIONS 3.0
+#define CHANCE_DEVIATIONS 2.0
 /* Moves begun at once, and in progress. */
 #define MOVES_MAX 12
 /* A span is moved whole when that overshoots by this factor at most. */
--- a/src/keys/key_load.c
+++ b/src/keys/key_load.c
@@ -7,7 +7,7 @@
 
 /* Requests count less by e after this time: long enough that chance does not
  * look like load, short enough to follow hot keys. */
-#define SMOOTHING_S 3.0
+#define SMOOTHING_S 2.0
 /* What all keys count together besides: keys that nobody asked for yet are
  * spread as if each were as likely to be asked for next. */
 #define IDLE_REQUESTS 30.0
--- a/src/keys/lease.c
+++ b/src/keys/lease.c
@@ -9,11 +9,17 @@
 /* Renewals a lease, so that two may fail. */
 #define RENEW_S (LEASE_S / 4)
 #define RETRY_S (LEASE_S / 10)
-#define WRITE_TIMEOUT_S (LEASE_S * 0.4)
+/* A slow store answers a renewal within this; what is left of the lease then
+ * lasts for the next one. */
+#define WRITE_TIMEOUT_S (LEASE_S * 0.6)
+/* An answer that takes longer is a sign of trouble. */
+#define TROUBLE_S (LEASE_S * 0.4)
 /* Clocks of two VMs differ in speed by no more than this. */
 #define CLOCK_FACTOR 1.02
-/* Candidates begin at different moments. */
-#define JITTER_S 0.15
+/* Candidates begin at different moments, drawn anew for each holder: the first
+ * of many begins soon, and is heard before the others try. The store handles
+ * their writes one after the other. */
+#define JITTER_S 1.0
 /* A row that was not seen for so long is read. */
 #define LOOK_S 0.7
 /* On the store's clock: long ago. */
@@ -117,6 +123,7 @@
 	lease->version = version;
 	lease->seen_s = now_of(lease);
 	lease->free_s = 0;
+	lease->jitter_s = g_random_double() * JITTER_S;
 }
 
 static void hold(struct lease *lease, uint64_t version, double sent_s)
@@ -183,6 +190,7 @@
 		if (row->version != lease->version) {
 			lease->version = row->version;
 			lease->seen_s = now_of(lease);
+			lease->jitter_s = g_random_double() * JITTER_S;
 		}
 		lose(lease, "another VM leads");
 		if (message)
@@ -250,6 +258,14 @@
 			       lease);
 }
 
+static void set_troubled(struct lease *lease)
+{
+	if (!lease->holding || lease->troubled)
+		return;
+	lease->troubled = true;
+	lease->ops->troubled(lease->ctx);
+}
+
 static void on_written(void *ctx, const struct store_result *result)
 {
 	struct lease *lease = ctx;
@@ -273,10 +289,7 @@
 			read_row(lease);
 		break;
 	default:
-		if (lease->holding && !lease->troubled) {
-			lease->troubled = true;
-			lease->ops->troubled(lease->ctx);
-		}
+		set_troubled(lease);
 		break;
 	}
 }
@@ -298,8 +311,8 @@
 	if (lease->stopped)
 		message.until_s = GIVEN_UP_S;
 	else if (lease->store_clock_known)
-		message.until_s = now_of(lease) + lease->store_ahead_s +
-				  LEASE_S;
+		message.until_s =
+			now_of(lease) + lease->store_ahead_s + LEASE_S;
 	value = g_string_new(NULL);
 	g_string_set_size(value, lease_row__get_packed_size(&message));
 	lease_row__pack(&message, (uint8_t *)value->str);
@@ -320,6 +333,8 @@
 
 	if (lease->holding && now >= lease->until_s)
 		lose(lease, "it could not be renewed in time");
+	if (lease->busy && now > lease->sent_s + TROUBLE_S)
+		set_troubled(lease);
 	if (lease->busy || now < lease->next_s || lease->stopped)
 		return;
 	if (lease->holding || (take_at(lease) > 0 && now > take_at(lease)))
