--- a/src/balance/retry_window.c
+++ b/src/balance/retry_window.c
@@ -63,7 +63,7 @@
 
 	advance(window, now_s);
 	most = allowed(window);
-	if (most <= 0 || sum(window->repeats) >= most)
+	if (sum(window->repeats) + 1 > most)
 		return 0;
 	return 1 - sum(window->repeats) / most;
 }
--- a/src/base/planted.c
+++ b/src/base/planted.c
@@ -23,6 +23,10 @@
 	[PLANTED_SPREAD_ALWAYS_VALID] = "settings always relied on",
 	[PLANTED_VM_LIST_KILLS] = "list kills a VM",
 	[PLANTED_VM_LIST_REVIVES] = "list revives a VM",
+	[PLANTED_NO_INHERITED_WAIT] = "no wait for the last leader's grants",
+	[PLANTED_FORGET_UNANSWERED] = "unanswered grants forgotten",
+	[PLANTED_TOKEN_KEPT] = "token kept for another life",
+	[PLANTED_CLOCK_STANDS_STILL] = "clock stands still in suspension",
 };
 
 void planted_set(enum planted fault)
--- a/src/base/planted.h
+++ b/src/base/planted.h
@@ -47,6 +47,14 @@
 	PLANTED_VM_LIST_KILLS,
 	/** A VM that the list has counts as alive. */
 	PLANTED_VM_LIST_REVIVES,
+	/** A new leader does not wait for grants of the last. */
+	PLANTED_NO_INHERITED_WAIT,
+	/** A grant without an answer counts as not given. */
+	PLANTED_FORGET_UNANSWERED,
+	/** Another life of an owner is given keys under the old token. */
+	PLANTED_TOKEN_KEPT,
+	/** A VM's clock stands still while it is suspended. */
+	PLANTED_CLOCK_STANDS_STILL,
 	PLANTED_COUNT
 };
 
--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -152,6 +152,7 @@
 			"event=lost reason=\"%s\" row=%" PRIu64, reason,
 			lease_version(cluster->lease));
 	cluster->leading = false;
+	orders_cancel(cluster->orders);
 	g_hash_table_remove_all(cluster->leaders);
 	counter_set(cluster->leads, 0);
 }
@@ -190,6 +191,26 @@
 	g_hash_table_foreach(cluster->leaders, tell_leader, (char *)upstream);
 }
 
+static void tell_reconnects(gpointer key, gpointer value, gpointer upstream)
+{
+	(void)key;
+	key_leader_owner_reconnects(value, upstream);
+}
+
+static void on_owner_reconnects(void *ctx, const char *upstream)
+{
+	struct cluster *cluster = ctx;
+
+	g_hash_table_foreach(cluster->leaders, tell_reconnects,
+			     (char *)upstream);
+}
+
+static const struct orders_ops orders_ops = {
+	.may_order = may_order,
+	.broken = on_owner_broken,
+	.reconnects = on_owner_reconnects,
+};
+
 /* The store may be away for long: keys are given for as long as is allowed
  * while this VM still may. */
 static void on_troubled(void *ctx)
@@ -424,7 +445,7 @@
 {
 	struct key_leader_options options = {
 		.loop = cluster->options.loop,
-		.fleet = cluster->options.fleet,
+		.roster = cluster->options.roster,
 		.store = cluster->options.store,
 		.orders = cluster->orders,
 		.log = cluster->options.log,
@@ -455,8 +476,8 @@
 	if (result->status != STORE_OK || !cluster->leading)
 		return;
 	for (i = 0; i < result->row_count; i++) {
-		struct service *service = fleet_service(cluster->options.fleet,
-							result->rows[i].key);
+		struct service *service = roster_service(
+			cluster->options.roster, result->rows[i].key);
 
 		if (service)
 			ensure_leader(cluster, service, &result->rows[i]);
@@ -502,7 +523,7 @@
 	/* Renewals work again. */
 	if (lease_held(cluster->lease, LEASE_S * 0.6))
 		cluster->hold_s = HOLD_S;
-	fleet_each_service(cluster->options.fleet, lead_new_service, cluster);
+	roster_each_service(cluster->options.roster, lead_new_service, cluster);
 	g_hash_table_foreach(cluster->leaders, tick_leader, cluster);
 }
 
@@ -581,7 +602,7 @@
 static bool take_map(struct cluster *cluster, const KeyMap *message)
 {
 	struct service *service =
-		fleet_service(cluster->options.fleet, message->service);
+		roster_service(cluster->options.roster, message->service);
 	GString *packed = g_string_new(NULL);
 	bool ok;
 
@@ -625,7 +646,8 @@
 		    address_parse(str_from(beat->vms[i]->address), &address))
 			hear_vm(cluster, names[i], &address);
 	}
-	fleet_set_vms(cluster->options.fleet, (unsigned int)beat->n_vms, names);
+	roster_set_vms(cluster->options.roster, (unsigned int)beat->n_vms,
+		       names);
 	counter_set(cluster->vms_alive, beat->n_vms);
 	g_free(names);
 }
@@ -763,7 +785,7 @@
 	GPtrArray *loads = g_ptr_array_new_with_free_func(g_free);
 	GPtrArray *crashes = crash_messages(cluster);
 
-	fleet_each_service(cluster->options.fleet, add_load, loads);
+	roster_each_service(cluster->options.roster, add_load, loads);
 	out.vm = vm_info(cluster->options.settings->vm,
 			 &cluster->options.settings->peers);
 	out.loads = (KeyLoad **)loads->pdata;
@@ -780,7 +802,7 @@
 		on_report(cluster, &out, &cluster->options.settings->peers);
 	else if (cluster->leader_known)
 		datagrams_send(cluster->datagrams, &cluster->leader, &message);
-	fleet_each_service(cluster->options.fleet, clear_load, NULL);
+	roster_each_service(cluster->options.roster, clear_load, NULL);
 	free_vm_info(out.vm);
 	g_ptr_array_free(loads, TRUE);
 	g_ptr_array_free(crashes, TRUE);
@@ -798,8 +820,8 @@
 	    now_of(cluster) < cluster->beat_heard_s + BEAT_LOST_S)
 		return;
 	for (i = 0; i < result->row_count; i++) {
-		struct service *service = fleet_service(cluster->options.fleet,
-							result->rows[i].key);
+		struct service *service = roster_service(
+			cluster->options.roster, result->rows[i].key);
 		const GString *value = result->rows[i].value;
 
 		if (service &&
@@ -837,12 +859,6 @@
 	add_crash(cluster, request, upstream);
 }
 
-void cluster_owner_broken(struct cluster *cluster,
-			  const struct upstream *upstream)
-{
-	orders_idle_broken(cluster->orders, upstream);
-}
-
 void cluster_stop(struct cluster *cluster)
 {
 	lease_stop(cluster->lease);
@@ -869,12 +885,12 @@
 			     cluster, options->settings->vm, address);
 	cluster->orders =
 		orders_create(options->loop, options->links, options->protocol,
-			      on_owner_broken, cluster);
+			      &orders_ops, cluster);
 	cluster->vms =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_vm);
 	cluster->leaders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						 free_leader);
-	cluster->loads = load_share_create(options->loop, options->fleet);
+	cluster->loads = load_share_create(options->loop, options->roster);
 	cluster->crashes = g_array_new(FALSE, FALSE, sizeof(struct crash));
 	cluster->hold_s = HOLD_S;
 	ev_timer_init(&cluster->tell_timer, on_tell, TELL_S, 0);
@@ -891,8 +907,8 @@
 	if (!cluster)
 		return;
 	ev_timer_stop(cluster->options.loop->ev, &cluster->tell_timer);
-	g_hash_table_destroy(cluster->leaders);
 	orders_destroy(cluster->orders);
+	g_hash_table_destroy(cluster->leaders);
 	lease_destroy(cluster->lease);
 	datagrams_destroy(cluster->datagrams);
 	load_share_destroy(cluster->loads);
--- a/src/entry/cluster.h
+++ b/src/entry/cluster.h
@@ -23,7 +23,7 @@
 struct cluster_options {
 	struct loop *loop;
 	const struct entry_settings *settings;
-	struct fleet *fleet;
+	struct roster *roster;
 	struct links *links;
 	const struct protocol *protocol;
 	struct store store;
@@ -54,10 +54,6 @@
 void cluster_tell_crash(struct cluster *cluster, uint64_t request,
 			const char *upstream);
 
-/** Notes that an upstream's idle connection for orders broke. */
-void cluster_owner_broken(struct cluster *cluster,
-			  const struct upstream *upstream);
-
 /** Stops leading, or trying to. */
 void cluster_stop(struct cluster *cluster);
 
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -83,7 +83,7 @@
 static enum choice choose_any(struct job *job, struct upstream **chosen)
 {
 	struct forward *forward = job->forward;
-	const struct fleet *fleet = forward->options.fleet;
+	const struct roster *roster = forward->options.roster;
 	double now = forward_now(forward);
 	enum choice choice = CHOICE_NONE;
 	double best = 0;
@@ -94,13 +94,13 @@
 		struct upstream *u = job->service->upstreams->pdata[i];
 		double s;
 
-		if (!upstream_takes_work(fleet, u))
+		if (!upstream_takes_work(roster, u))
 			continue;
 		if (was_tried(job, u) && job->service->upstreams->len > 1)
 			continue;
 		choice = choice == CHOICE_FOUND ? choice : CHOICE_BUSY;
 		if (!load_usable(&u->load, now) ||
-		    !upstream_cold_admits(fleet, u) || !has_room(job, u, now))
+		    !upstream_cold_admits(roster, u) || !has_room(job, u, now))
 			continue;
 		s = score(job, u, now);
 		if (!*chosen || s < best) {
@@ -115,7 +115,7 @@
 static enum choice choose_owner(struct job *job, struct upstream **chosen)
 {
 	struct forward *forward = job->forward;
-	const struct fleet *fleet = forward->options.fleet;
+	const struct roster *roster = forward->options.roster;
 	const struct key_span *span =
 		key_map_find(job->service->keys, job->key);
 	double now = forward_now(forward);
@@ -123,12 +123,12 @@
 
 	if (!span->owner || now < job->not_before_s)
 		return CHOICE_NO_OWNER;
-	u = fleet_upstream(fleet, span->owner);
+	u = roster_upstream(roster, span->owner);
 	if (!u || u->service != job->service ||
 	    u->entry.started_ms != span->started_ms ||
-	    !upstream_serves_keys(fleet, u) || !load_usable(&u->load, now))
+	    !upstream_serves_keys(roster, u) || !load_usable(&u->load, now))
 		return CHOICE_NO_OWNER;
-	if (!upstream_cold_admits(fleet, u) || !has_room(job, u, now))
+	if (!upstream_cold_admits(roster, u) || !has_room(job, u, now))
 		return CHOICE_BUSY;
 	*chosen = u;
 	return CHOICE_FOUND;
@@ -145,13 +145,13 @@
 static void count_reason(const struct job *job, const struct upstream *u,
 			 double now, struct reasons *reasons)
 {
-	const struct fleet *fleet = job->forward->options.fleet;
+	const struct roster *roster = job->forward->options.roster;
 
-	if (!upstream_takes_work(fleet, u))
+	if (!upstream_takes_work(roster, u))
 		reasons->no_work++;
 	else if (!load_usable(&u->load, now))
 		reasons->failing++;
-	else if (!upstream_cold_admits(fleet, u))
+	else if (!upstream_cold_admits(roster, u))
 		reasons->cold++;
 	else if (!links_available(job->forward->options.links, u))
 		reasons->no_connection++;
@@ -238,7 +238,7 @@
 /* Slots of the upstreams that take work. */
 static double usable_slots(const struct job *job)
 {
-	const struct fleet *fleet = job->forward->options.fleet;
+	const struct roster *roster = job->forward->options.roster;
 	double now = forward_now(job->forward);
 	double slots = 0;
 	guint i;
@@ -246,7 +246,7 @@
 	for (i = 0; i < job->service->upstreams->len; i++) {
 		const struct upstream *u = job->service->upstreams->pdata[i];
 
-		if (upstream_takes_work(fleet, u) &&
+		if (upstream_takes_work(roster, u) &&
 		    now >= u->load.ejected_until_s)
 			slots += u->load.slots;
 	}
@@ -258,8 +258,8 @@
 	const struct key_span *span =
 		key_map_find(job->service->keys, job->key);
 
-	return span->owner ? fleet_upstream(job->forward->options.fleet,
-					    span->owner)
+	return span->owner ? roster_upstream(job->forward->options.roster,
+					     span->owner)
 			   : NULL;
 }
 
@@ -278,7 +278,7 @@
 static double expected_wait_s(const struct job *job)
 {
 	double ahead = (requests_ahead(job) + 1.0) *
-		       fleet_vms(job->forward->options.fleet);
+		       roster_vms(job->forward->options.roster);
 	double slots = usable_slots(job);
 
 	return ahead * job->stats->mean_s / (slots > 1 ? slots : 1);
--- a/src/entry/flight.c
+++ b/src/entry/flight.c
@@ -112,7 +112,7 @@
 	job->sends++;
 	note_tried(job, upstream);
 	load_start(&upstream->load, now);
-	upstream_cold_sent(forward->options.fleet, upstream);
+	upstream_cold_sent(forward->options.roster, upstream);
 	event_log_write(
 		forward->options.log, "info", "request",
 		"event=sent id=%.*s upstream=%s busy=%.1f slots=%u "
@@ -401,14 +401,14 @@
 };
 
 static const struct end_row ends[] = {
-	[HTTP_CLIENT_NOT_CONNECTED] = { "not_connected", false },
-	[HTTP_CLIENT_REFUSED] = { "connection_refused", false },
-	[HTTP_CLIENT_UNSENT] = { "unsent", false },
-	[HTTP_CLIENT_RESET] = { "connection_lost", true },
-	[HTTP_CLIENT_BROKEN] = { "answer_broken", true },
+	[HTTP_CHANNEL_NOT_CONNECTED] = { "not_connected", false },
+	[HTTP_CHANNEL_REFUSED] = { "connection_refused", false },
+	[HTTP_CHANNEL_UNSENT] = { "unsent", false },
+	[HTTP_CHANNEL_RESET] = { "connection_lost", true },
+	[HTTP_CHANNEL_BROKEN] = { "answer_broken", true },
 };
 
-static void on_ended(void *user, enum http_client_end end)
+static void on_ended(void *user, enum http_channel_end end)
 {
 	struct flight *flight = user;
 	struct forward *forward = flight->forward;
@@ -418,14 +418,14 @@
 	double now = forward_now(forward);
 
 	log_reply(flight, 0, ends[end].name);
-	if (end == HTTP_CLIENT_RESET && job)
+	if (end == HTTP_CHANNEL_RESET && job)
 		crash_list_suspect(forward->crashes, job->fingerprint,
 				   upstream->entry.id, now);
-	if (end == HTTP_CLIENT_REFUSED)
+	if (end == HTTP_CHANNEL_REFUSED)
 		crash_list_lost(forward->crashes, upstream->entry.id, now,
 				on_blamed, forward);
 	flight_end(flight,
-		   end == HTTP_CLIENT_BROKEN ? LOAD_FAILED : LOAD_UNREACHABLE);
+		   end == HTTP_CHANNEL_BROKEN ? LOAD_FAILED : LOAD_UNREACHABLE);
 	flight_free(flight);
 	if (job) {
 		if (ends[end].arrived) {
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -24,7 +24,7 @@
 
 void forward_pump(struct forward *forward)
 {
-	fleet_each_service(forward->options.fleet, pump_service, forward);
+	roster_each_service(forward->options.roster, pump_service, forward);
 }
 
 static void on_pump_timer(struct ev_loop *loop, ev_timer *timer, int events)
@@ -130,7 +130,7 @@
 			job->service->name, job->key, status, detail,
 			job->sends, (now - job->received_s) * 1000,
 			(job->give_up_s - now) * 1000,
-			fleet_config(job->forward->options.fleet)->version);
+			roster_config(job->forward->options.roster)->version);
 }
 
 void job_free(struct job *job)
@@ -256,7 +256,7 @@
 		if (at < 0)
 			break;
 	}
-	return fleet_service(forward->options.fleet, route->parts[i].service);
+	return roster_service(forward->options.roster, route->parts[i].service);
 }
 
 static uint64_t fingerprint_of(const struct http_request *request,
@@ -348,7 +348,7 @@
 
 void forward_request(struct forward *forward, struct http_request *request)
 {
-	const struct config *config = fleet_config(forward->options.fleet);
+	const struct config *config = roster_config(forward->options.roster);
 	struct str host = host_of(request);
 	const struct route *route;
 	struct service *service;
--- a/src/entry/forward.h
+++ b/src/entry/forward.h
@@ -8,8 +8,8 @@
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "directory/protocol.h"
-#include "entry/fleet.h"
 #include "entry/links.h"
+#include "entry/roster.h"
 #include "net/http_server.h"
 
 struct forward;
@@ -17,7 +17,7 @@
 struct forward_options {
 	struct loop *loop;
 	const struct entry_settings *settings;
-	struct fleet *fleet;
+	struct roster *roster;
 	struct links *links;
 	const struct protocol *protocol;
 	struct event_log *log;
--- a/src/entry/key_leader.c
+++ b/src/entry/key_leader.c
@@ -51,7 +51,7 @@
 static struct upstream *find_upstream(const struct key_leader *leader,
 				      const char *id)
 {
-	struct upstream *upstream = fleet_upstream(leader->options.fleet, id);
+	struct upstream *upstream = roster_upstream(leader->options.roster, id);
 
 	return upstream ? upstream : g_hash_table_lookup(leader->upstreams, id);
 }
@@ -86,8 +86,8 @@
 
 	if (!search.of)
 		return OWNER_UNKNOWN;
-	fleet_each_upstream((struct fleet *)leader->options.fleet,
-			    look_for_address, &search);
+	roster_each_upstream((struct roster *)leader->options.roster,
+			     look_for_address, &search);
 	return search.taken ? OWNER_ENDED : OWNER_UNKNOWN;
 }
 
@@ -96,14 +96,14 @@
 {
 	const struct key_leader *leader = ctx;
 	const struct upstream *upstream =
-		fleet_upstream(leader->options.fleet, id);
+		roster_upstream(leader->options.roster, id);
 
 	if (!upstream)
 		return removed_state(leader, id);
-	if (upstream->entry.started_ms != started_ms)
-		return OWNER_ENDED;
-	if (!upstream_takes_work(leader->options.fleet, upstream))
+	if (!upstream_takes_work(leader->options.roster, upstream))
 		return OWNER_LEAVING;
+	if (upstream->entry.started_ms != started_ms)
+		return OWNER_RESTARTED;
 	return OWNER_GOOD;
 }
 
@@ -317,7 +317,6 @@
 {
 	if (!leader)
 		return;
-	orders_cancel(leader->options.orders, leader);
 	ev_timer_stop(leader->options.loop->ev, &leader->soon);
 	leader->destroyed = true;
 	if (!leader->writing)
@@ -361,7 +360,7 @@
 		};
 
 		remember(leader, u);
-		if (upstream_takes_work(leader->options.fleet, u) &&
+		if (upstream_takes_work(leader->options.roster, u) &&
 		    load_usable(&u->load, now))
 			g_array_append_val(list, candidate);
 	}
@@ -410,6 +409,11 @@
 	keeper_owner_broken(leader->keeper, g_intern_string(id));
 }
 
+void key_leader_owner_reconnects(struct key_leader *leader, const char *id)
+{
+	keeper_owner_reconnects(leader->keeper, g_intern_string(id));
+}
+
 void key_leader_count(struct key_leader *leader, uint16_t key)
 {
 	keeper_count(leader->keeper, key);
--- a/src/entry/key_leader.h
+++ b/src/entry/key_leader.h
@@ -1,6 +1,6 @@
 /**
  * What the leading VM does for one keyed service: binds the keeper to the
- * store, to the fleet and to orders.
+ * store, to the roster and to orders.
  */
 #ifndef ENTRY_KEY_LEADER_H
 #define ENTRY_KEY_LEADER_H
@@ -16,7 +16,7 @@
 
 struct key_leader_options {
 	struct loop *loop;
-	const struct fleet *fleet;
+	const struct roster *roster;
 	struct store store;
 	struct orders *orders;
 	struct event_log *log;
@@ -30,7 +30,7 @@
 /**
  * Begins to lead.
  *
- * @param service lives as long as the fleet
+ * @param service lives as long as the roster
  * @param row the service's row, or NULL: there is none
  */
 struct key_leader *key_leader_create(const struct key_leader_options *options,
@@ -38,7 +38,7 @@
 				     const struct store_row *row,
 				     double inherited_until_s);
 
-/** Gives no more orders; frees once the last write is answered. */
+/** Frees once the last write is answered; its orders were broken off. */
 void key_leader_destroy(struct key_leader *leader);
 
 /** Gives the orders that are due; keys are given for hold_s. */
@@ -50,6 +50,9 @@
 /** Notes that the connection for an owner's orders broke. */
 void key_leader_owner_broken(struct key_leader *leader, const char *id);
 
+/** Notes that a new connection for an owner's orders is opened. */
+void key_leader_owner_reconnects(struct key_leader *leader, const char *id);
+
 /** Counts a request for a key. */
 void key_leader_count(struct key_leader *leader, uint16_t key);
 
--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -13,9 +13,7 @@
 
 struct links {
 	struct loop *loop;
-	const struct fleet *fleet;
-	void (*control_broken)(void *ctx, struct upstream *upstream);
-	void *ctx;
+	const struct roster *roster;
 	/** Every link. */
 	GQueue all;
 	unsigned long opened;
@@ -24,45 +22,33 @@
 struct link {
 	struct links *links;
 	struct upstream *upstream;
-	struct http_client *client;
+	struct http_channel *client;
 	const struct link_ops *ops;
 	/** NULL while it is idle. */
 	void *user;
-	bool control;
 	GList node;
 	GList idle_node;
 };
 
-struct links *links_create(struct loop *loop, const struct fleet *fleet,
-			   void (*control_broken)(void *ctx,
-						  struct upstream *upstream),
-			   void *ctx)
+struct links *links_create(struct loop *loop, const struct roster *roster)
 {
 	struct links *links = g_new0(struct links, 1);
 
 	links->loop = loop;
-	links->fleet = fleet;
-	links->control_broken = control_broken;
-	links->ctx = ctx;
+	links->roster = roster;
 	g_queue_init(&links->all);
 	return links;
 }
 
-static GQueue *idle_of(struct upstream *upstream, bool control)
-{
-	return control ? &upstream->control_idle : &upstream->idle;
-}
-
 static void link_free(struct link *link)
 {
 	struct upstream *upstream = link->upstream;
 
 	if (!link->user)
-		g_queue_unlink(idle_of(upstream, link->control),
-			       &link->idle_node);
+		g_queue_unlink(&upstream->idle, &link->idle_node);
 	upstream->connections--;
 	g_queue_unlink(&link->links->all, &link->node);
-	http_client_destroy(link->client);
+	http_channel_destroy(link->client);
 	upstream_unref(upstream);
 	g_free(link);
 }
@@ -80,7 +66,7 @@
 
 static double idle_limit(const struct link *link, bool careful)
 {
-	double keep = http_client_keep_s(link->client);
+	double keep = http_channel_keep_s(link->client);
 
 	if (keep <= 0)
 		keep = IDLE_DEFAULT_S;
@@ -90,27 +76,25 @@
 static bool link_fit(const struct link *link, bool careful)
 {
 	double idle_s = loop_now(link->links->loop) -
-			http_client_idle_since(link->client);
+			http_channel_idle_since(link->client);
 
-	return http_client_reusable(link->client) &&
+	return http_channel_reusable(link->client) &&
 	       idle_s < idle_limit(link, careful);
 }
 
 static void set_idle(struct link *link)
 {
 	link->user = NULL;
-	if (link->upstream->gone || !http_client_reusable(link->client)) {
+	if (link->upstream->gone || !http_channel_reusable(link->client)) {
 		/* It is in the idle list of no one yet. */
-		g_queue_push_head_link(idle_of(link->upstream, link->control),
-				       &link->idle_node);
+		g_queue_push_head_link(&link->upstream->idle, &link->idle_node);
 		link_free(link);
 		return;
 	}
-	g_queue_push_head_link(idle_of(link->upstream, link->control),
-			       &link->idle_node);
+	g_queue_push_head_link(&link->upstream->idle, &link->idle_node);
 }
 
-static bool on_reply(void *ctx, struct http_client *client,
+static bool on_reply(void *ctx, struct http_channel *client,
 		     const struct http_reply *reply)
 {
 	struct link *link = ctx;
@@ -124,34 +108,27 @@
 	return true;
 }
 
-static void on_ended(void *ctx, struct http_client *client,
-		     enum http_client_end end)
+static void on_ended(void *ctx, struct http_channel *client,
+		     enum http_channel_end end)
 {
 	struct link *link = ctx;
-	struct links *links = link->links;
-	struct upstream *upstream = upstream_ref(link->upstream);
 	const struct link_ops *ops = link->ops;
 	void *user = link->user;
-	bool control = link->control;
 
 	(void)client;
 	link_free(link);
 	if (user)
 		ops->ended(user, end);
-	else if (control)
-		links->control_broken(links->ctx, upstream);
-	upstream_unref(upstream);
 }
 
-static const struct http_client_ops client_ops = {
+static const struct http_channel_ops client_ops = {
 	.reply = on_reply,
 	.ended = on_ended,
 };
 
-static struct link *link_open(struct links *links, struct upstream *upstream,
-			      bool control)
+static struct link *link_open(struct links *links, struct upstream *upstream)
 {
-	static const struct http_client_options options = {
+	static const struct http_channel_options options = {
 		.user_timeout_ms = USER_TIMEOUT_MS,
 		.keepalive_s = KEEPALIVE_S,
 		.body_bytes = ANSWER_BYTES,
@@ -159,30 +136,29 @@
 	struct link *link = g_new0(struct link, 1);
 
 	link->links = links;
-	link->control = control;
 	link->upstream = upstream_ref(upstream);
 	link->node.data = link;
 	link->idle_node.data = link;
 	upstream->connections++;
 	links->opened++;
 	g_queue_push_tail_link(&links->all, &link->node);
-	link->client = http_client_create(links->loop, &upstream->entry.address,
-					  &options, &client_ops, link);
+	link->client =
+		http_channel_create(links->loop, &upstream->entry.address,
+				    &options, &client_ops, link);
 	return link;
 }
 
 static struct link *take_idle(struct upstream *upstream,
 			      const struct link_request *request)
 {
-	GQueue *idle = idle_of(upstream, request->control);
 	GList *node;
 
-	for (node = idle->head; node; node = node->next) {
+	for (node = upstream->idle.head; node; node = node->next) {
 		struct link *link = node->data;
 
 		if (!link_fit(link, request->careful))
 			continue;
-		g_queue_unlink(idle, &link->idle_node);
+		g_queue_unlink(&upstream->idle, &link->idle_node);
 		return link;
 	}
 	return NULL;
@@ -192,7 +168,7 @@
 {
 	return upstream->idle.length ||
 	       upstream->connections <
-		       upstream_connection_limit(links->fleet, upstream);
+		       upstream_connection_limit(links->roster, upstream);
 }
 
 struct link *links_send(struct links *links, struct upstream *upstream,
@@ -202,10 +178,10 @@
 	struct link *link = take_idle(upstream, request);
 
 	if (!link)
-		link = link_open(links, upstream, request->control);
+		link = link_open(links, upstream);
 	link->ops = ops;
 	link->user = user;
-	http_client_send(link->client, request->message, request->head_only);
+	http_channel_send(link->client, request->message, request->head_only);
 	return link;
 }
 
@@ -216,7 +192,7 @@
 
 bool link_sent(const struct link *link)
 {
-	return http_client_sent(link->client);
+	return http_channel_sent(link->client);
 }
 
 void links_close_idle(struct links *links, struct upstream *upstream)
@@ -226,8 +202,6 @@
 	(void)links;
 	while ((node = upstream->idle.head))
 		link_free(node->data);
-	while ((node = upstream->control_idle.head))
-		link_free(node->data);
 }
 
 void links_tick(struct links *links)
--- a/src/entry/links.h
+++ b/src/entry/links.h
@@ -7,16 +7,16 @@
 
 #include <stdbool.h>
 
-#include "entry/fleet.h"
-#include "net/http_client.h"
+#include "entry/roster.h"
+#include "net/http_channel.h"
 
 struct link;
 
 struct link_ops {
-	/** As http_client_ops; false: the answer is of another request. */
+	/** As http_channel_ops; false: the answer is of another request. */
 	bool (*reply)(void *user, const struct http_reply *reply);
 	/** The connection is gone; the link must not be used after. */
-	void (*ended)(void *user, enum http_client_end end);
+	void (*ended)(void *user, enum http_channel_end end);
 };
 
 struct link_request {
@@ -25,21 +25,12 @@
 	bool head_only;
 	/** Not over a connection that may be about to be closed. */
 	bool careful;
-	/** An order: it has connections of its own. */
-	bool control;
 };
 
 struct links;
 
-/**
- * Creates it without connections.
- *
- * @param control_broken an idle connection for orders was broken
- */
-struct links *links_create(struct loop *loop, const struct fleet *fleet,
-			   void (*control_broken)(void *ctx,
-						  struct upstream *upstream),
-			   void *ctx);
+/** Creates it without connections. */
+struct links *links_create(struct loop *loop, const struct roster *roster);
 void links_destroy(struct links *links);
 
 /** Whether a request could be sent without waiting for a connection. */
--- a/src/entry/load_share.c
+++ b/src/entry/load_share.c
@@ -18,12 +18,12 @@
 
 struct load_share {
 	const struct loop *loop;
-	struct fleet *fleet;
+	struct roster *roster;
 	/** struct total by hash of the upstream's id. */
 	GHashTable *totals;
 	/** By VM's name: requests in flight by the upstream's hash. */
 	GHashTable *vms;
-	/** Upstreams of the fleet by the hash, for the list being applied. */
+	/** Upstreams of the roster by the hash, for the list being applied. */
 	GHashTable *upstreams;
 };
 
@@ -33,12 +33,12 @@
 }
 
 struct load_share *load_share_create(const struct loop *loop,
-				     struct fleet *fleet)
+				     struct roster *roster)
 {
 	struct load_share *share = g_new0(struct load_share, 1);
 
 	share->loop = loop;
-	share->fleet = fleet;
+	share->roster = roster;
 	share->totals = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	share->vms = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					   free_flights);
@@ -93,7 +93,7 @@
 {
 	GPtrArray *out = g_ptr_array_new_with_free_func(g_free);
 
-	fleet_each_upstream(share->fleet, add_own, out);
+	roster_each_upstream(share->roster, add_own, out);
 	return out;
 }
 
@@ -196,8 +196,8 @@
 	size_t i;
 
 	g_hash_table_remove_all(share->upstreams);
-	fleet_each_upstream(share->fleet, index_upstream, share->upstreams);
-	fleet_each_upstream(share->fleet, forget_others, &now);
+	roster_each_upstream(share->roster, index_upstream, share->upstreams);
+	roster_each_upstream(share->roster, forget_others, &now);
 	for (i = 0; i < count; i++) {
 		const UpstreamLoad *from = loads[i];
 		struct upstream *upstream = g_hash_table_lookup(
--- a/src/entry/load_share.h
+++ b/src/entry/load_share.h
@@ -6,13 +6,13 @@
 #ifndef ENTRY_LOAD_SHARE_H
 #define ENTRY_LOAD_SHARE_H
 
-#include "entry/fleet.h"
+#include "entry/roster.h"
 #include "wire/entry.pb-c.h"
 
 struct load_share;
 
 struct load_share *load_share_create(const struct loop *loop,
-				     struct fleet *fleet);
+				     struct roster *roster);
 void load_share_destroy(struct load_share *share);
 
 /**
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -36,7 +36,7 @@
 	struct metrics *metrics;
 	const struct declarations *declarations;
 	struct table_store *table_store;
-	struct fleet *fleet;
+	struct roster *roster;
 	struct links *links;
 	struct forward *forward;
 	struct cluster *cluster;
@@ -74,7 +74,7 @@
 	uint64_t version;
 
 	if (d->zone_out(row->key))
-		fleet_set_zone_out(entry->fleet, d->zone_out(row->key), true);
+		roster_set_zone_out(entry->roster, d->zone_out(row->key), true);
 	if (!d->is_config(row->key))
 		return;
 	config = d->config(value, &error);
@@ -86,7 +86,7 @@
 	}
 	version = config->version;
 	http_server_set_limits(entry->callers, &config->limits);
-	if (fleet_set_config(entry->fleet, config))
+	if (roster_set_config(entry->roster, config))
 		event_log_write(entry->log, "info", "config",
 				"event=in_force version=%" PRIu64
 				" row=%" PRIu64,
@@ -99,7 +99,7 @@
 	const char *zone = entry->declarations->zone_out(key);
 
 	if (zone)
-		fleet_set_zone_out(entry->fleet, zone, false);
+		roster_set_zone_out(entry->roster, zone, false);
 }
 
 static void on_upstream_row(void *ctx, const struct store_row *row)
@@ -110,22 +110,22 @@
 	GError *error = NULL;
 
 	if (entry->declarations->upstream(row->key, value, &read, &error)) {
-		fleet_put_upstream(entry->fleet, &read);
+		roster_put_upstream(entry->roster, &read);
 		return;
 	}
 	/* It names no upstream to use; what was known of the id is not so. */
-	log_warn("fleet", "the entry %s is left out: %s", row->key,
+	log_warn("roster", "the entry %s is left out: %s", row->key,
 		 error->message);
 	g_clear_error(&error);
-	fleet_remove_upstream(entry->fleet, row->key, 0);
+	roster_remove_upstream(entry->roster, row->key, 0);
 }
 
 static void on_upstream_removed(void *ctx, const char *key)
 {
 	struct entry *entry = ctx;
 
-	fleet_remove_upstream(
-		entry->fleet, key,
+	roster_remove_upstream(
+		entry->roster, key,
 		entry->store_back_s ? entry->store_back_s + LAPSE_S : 0);
 }
 
@@ -183,7 +183,7 @@
 
 static bool is_ready(const struct entry *entry)
 {
-	return !entry->stopping_s && fleet_config(entry->fleet) &&
+	return !entry->stopping_s && roster_config(entry->roster) &&
 	       follower_loaded(entry->upstream_rows);
 }
 
@@ -234,7 +234,7 @@
 	links_close_idle(entry->links, upstream);
 }
 
-static void fleet_changed(void *ctx)
+static void roster_changed(void *ctx)
 {
 	struct entry *entry = ctx;
 
@@ -242,19 +242,11 @@
 		forward_pump(entry->forward);
 }
 
-static const struct fleet_ops fleet_ops = {
+static const struct roster_ops roster_ops = {
 	.close_idle = close_idle,
-	.changed = fleet_changed,
+	.changed = roster_changed,
 };
 
-static void on_control_broken(void *ctx, struct upstream *upstream)
-{
-	struct entry *entry = ctx;
-
-	if (entry->cluster)
-		cluster_owner_broken(entry->cluster, upstream);
-}
-
 static void on_crash_here(void *ctx, uint64_t request, const char *upstream)
 {
 	struct entry *entry = ctx;
@@ -288,11 +280,11 @@
 	follower_hint(entry->upstream_rows, progress.upstream_rows);
 }
 
-static bool knows_fleet(void *ctx)
+static bool knows_roster(void *ctx)
 {
 	struct entry *entry = ctx;
 
-	return fleet_config(entry->fleet) &&
+	return roster_config(entry->roster) &&
 	       follower_loaded(entry->upstream_rows);
 }
 
@@ -324,7 +316,7 @@
 		tick_stop(entry);
 	if (++entry->ticks % SLOW_TICKS)
 		return;
-	fleet_tick(entry->fleet);
+	roster_tick(entry->roster);
 	forward_tick(entry->forward);
 	links_tick(entry->links);
 	http_server_tick(entry->callers);
@@ -394,7 +386,7 @@
 	struct cluster_options options = {
 		.loop = &entry->loop,
 		.settings = entry->settings,
-		.fleet = entry->fleet,
+		.roster = entry->roster,
 		.links = entry->links,
 		.protocol = platform_protocol(),
 		.store = *store,
@@ -402,8 +394,8 @@
 		.metrics = entry->metrics,
 		.progress = own_progress,
 		.others_progress = others_progress,
-		.ready = knows_fleet,
-		.keys_changed = fleet_changed,
+		.ready = knows_roster,
+		.keys_changed = roster_changed,
 		.crashed = on_crash_elsewhere,
 		.ctx = entry,
 	};
@@ -422,13 +414,12 @@
 	entry->table_store =
 		table_store_create(&entry->loop, &entry->settings->store);
 	store = table_store_interface(entry->table_store);
-	entry->fleet =
-		fleet_create(&entry->loop, entry->settings, &fleet_ops, entry);
-	entry->links = links_create(&entry->loop, entry->fleet,
-				    on_control_broken, entry);
+	entry->roster = roster_create(&entry->loop, entry->settings,
+				      &roster_ops, entry);
+	entry->links = links_create(&entry->loop, entry->roster);
 	forward.loop = &entry->loop;
 	forward.settings = entry->settings;
-	forward.fleet = entry->fleet;
+	forward.roster = entry->roster;
 	forward.links = entry->links;
 	forward.protocol = platform_protocol();
 	forward.log = entry->log;
@@ -460,7 +451,7 @@
 	cluster_destroy(entry->cluster);
 	links_destroy(entry->links);
 	forward_destroy(entry->forward);
-	fleet_destroy(entry->fleet);
+	roster_destroy(entry->roster);
 	metrics_destroy(entry->metrics);
 }
 
--- a/src/entry/orders.h
+++ b/src/entry/orders.h
@@ -1,6 +1,9 @@
 /**
  * Orders about keys to upstreams: grants and releases. Each ends within a time
  * that is shorter than the time left on the lease when it was given.
+ *
+ * All grants to an upstream go over one connection, one after the other: as
+ * long as it stands, the same life answers.
  */
 #ifndef ENTRY_ORDERS_H
 #define ENTRY_ORDERS_H
@@ -9,31 +12,35 @@
 #include "entry/links.h"
 #include "keys/keeper.h"
 
-/** Longest time of an order; the lease must last longer when it is given. */
+/** Longest time of a grant; the lease must last longer when it is given. */
 #define ORDER_S 0.5
 
-typedef void (*order_done_fn)(void *ctx, uint32_t order,
-			      enum order_result result, const char *handover);
-
 struct orders;
 
-/** An upstream's connection for orders broke: it may have restarted. */
-typedef void (*order_broken_fn)(void *ctx, const char *upstream);
+struct orders_ops {
+	/** Whether orders may be given now. */
+	bool (*may_order)(void *ctx);
+	/** An upstream's connection for grants broke. */
+	void (*broken)(void *ctx, const char *upstream);
+	/** A new connection for grants is opened. */
+	void (*reconnects)(void *ctx, const char *upstream);
+};
 
+typedef void (*order_done_fn)(void *ctx, uint32_t order,
+			      enum order_result result, const char *handover);
+
+/** @param ops lives as long as the orders */
 struct orders *orders_create(struct loop *loop, struct links *links,
 			     const struct protocol *protocol,
-			     order_broken_fn broken, void *ctx);
-
-/** Notes that an idle connection for orders was broken by the upstream. */
-void orders_idle_broken(struct orders *orders, const struct upstream *upstream);
+			     const struct orders_ops *ops, void *ctx);
 
 /** Breaks all orders off without telling what became of them. */
 void orders_destroy(struct orders *orders);
 
-/** Breaks off the orders of one context. */
-void orders_cancel(struct orders *orders, void *ctx);
+/** Breaks off all orders and closes their connections, without telling. */
+void orders_cancel(struct orders *orders);
 
-/** Sends a grant; done() follows. */
+/** Sends a grant; done() follows, maybe from within the call. */
 void orders_grant(struct orders *orders, struct upstream *upstream,
 		  const struct keeper_order *order, order_done_fn done,
 		  void *ctx);
--- /dev/null
+++ b/src/entry/roster.c
@@ -0,0 +1,430 @@
+#include "entry/roster.h"
+
+#include <string.h>
+
+#include "base/hash.h"
+#include "base/log.h"
+
+/* VMs that send to one cold upstream. Each of them paces itself, so that all
+ * together stay within the upstream's rate. */
+#define COLD_SENDERS 4
+/* Part of the rate and of the connections that is used: lists of live VMs
+ * differ for moments. */
+#define SHARE_USED 0.85
+/* Assumed as long as the number of VMs is not known. */
+#define VMS_UNKNOWN 16
+#define CONNECTIONS_MIN 4
+#define CONNECTIONS_DEFAULT 64
+/* Part of the leaving time in which an owner still gets its keys' requests. */
+#define LEAVING_SERVES 0.6
+
+struct roster {
+	const struct loop *loop;
+	const struct entry_settings *settings;
+	const struct roster_ops *ops;
+	void *ctx;
+	struct config *config;
+	GHashTable *services;
+	GHashTable *upstreams;
+	/** Instant since when a zone is out, by name. */
+	GHashTable *zones_out;
+	unsigned int vms;
+	/** Names of live VMs; NULL when not known. */
+	GPtrArray *vm_names;
+};
+
+struct upstream *upstream_ref(struct upstream *upstream)
+{
+	upstream->references++;
+	return upstream;
+}
+
+void upstream_unref(struct upstream *upstream)
+{
+	if (--upstream->references)
+		return;
+	upstream_entry_clear(&upstream->entry);
+	g_free(upstream);
+}
+
+static void free_upstream(gpointer data)
+{
+	upstream_unref(data);
+}
+
+static void free_service(gpointer data)
+{
+	struct service *service = data;
+
+	g_ptr_array_free(service->upstreams, TRUE);
+	g_array_free(service->requested_keys, TRUE);
+	key_map_destroy(service->keys);
+	g_free(service->config.name);
+	g_free(service->name);
+	g_free(service);
+}
+
+struct roster *roster_create(const struct loop *loop,
+			     const struct entry_settings *settings,
+			     const struct roster_ops *ops, void *ctx)
+{
+	struct roster *roster = g_new0(struct roster, 1);
+
+	roster->loop = loop;
+	roster->settings = settings;
+	roster->ops = ops;
+	roster->ctx = ctx;
+	roster->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						 free_service);
+	roster->upstreams = g_hash_table_new_full(g_str_hash, g_str_equal,
+						  g_free, free_upstream);
+	roster->zones_out =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	roster->vms = VMS_UNKNOWN;
+	return roster;
+}
+
+void roster_destroy(struct roster *roster)
+{
+	if (!roster)
+		return;
+	g_hash_table_destroy(roster->upstreams);
+	g_hash_table_destroy(roster->services);
+	g_hash_table_destroy(roster->zones_out);
+	if (roster->vm_names)
+		g_ptr_array_free(roster->vm_names, TRUE);
+	config_free(roster->config);
+	g_free(roster);
+}
+
+const struct config *roster_config(const struct roster *roster)
+{
+	return roster->config;
+}
+
+struct service *roster_service(const struct roster *roster, const char *name)
+{
+	return g_hash_table_lookup(roster->services, name);
+}
+
+static double retry_slack(const struct roster *roster)
+{
+	return roster->settings->retry_slack / roster->vms * SHARE_USED;
+}
+
+static struct service *ensure_service(struct roster *roster, const char *name)
+{
+	struct service *service = roster_service(roster, name);
+
+	if (service)
+		return service;
+	service = g_new0(struct service, 1);
+	service->name = g_strdup(name);
+	service->upstreams = g_ptr_array_new_with_free_func(free_upstream);
+	service->keys = key_map_create();
+	service->requested_keys = g_array_new(FALSE, FALSE, sizeof(uint16_t));
+	g_queue_init(&service->waiting);
+	retry_window_init(&service->retries, roster->settings->retry_window_s,
+			  roster->settings->retry_ratio * SHARE_USED,
+			  retry_slack(roster));
+	g_hash_table_insert(roster->services, service->name, service);
+	return service;
+}
+
+static void take_service(struct roster *roster,
+			 const struct service_config *config)
+{
+	struct service *service = ensure_service(roster, config->name);
+
+	g_free(service->config.name);
+	service->config = *config;
+	service->config.name = g_strdup(config->name);
+	service->configured = true;
+}
+
+bool roster_set_config(struct roster *roster, struct config *config)
+{
+	size_t i;
+
+	if (roster->config && config->version <= roster->config->version) {
+		config_free(config);
+		return false;
+	}
+	config_free(roster->config);
+	roster->config = config;
+	for (i = 0; i < config->service_count; i++)
+		take_service(roster, &config->services[i]);
+	roster->ops->changed(roster->ctx);
+	return true;
+}
+
+struct upstream *roster_upstream(const struct roster *roster, const char *id)
+{
+	return g_hash_table_lookup(roster->upstreams, id);
+}
+
+static void drop_upstream(struct roster *roster, struct upstream *upstream)
+{
+	log_info("roster", "upstream %s of %s is gone", upstream->entry.id,
+		 upstream->service->name);
+	upstream->gone = true;
+	roster->ops->close_idle(roster->ctx, upstream);
+	g_ptr_array_remove_fast(upstream->service->upstreams, upstream);
+	g_hash_table_remove(roster->upstreams, upstream->entry.id);
+}
+
+static void add_upstream(struct roster *roster, struct upstream_entry *entry)
+{
+	struct upstream *upstream = g_new0(struct upstream, 1);
+
+	upstream->references = 1;
+	upstream->entry = *entry;
+	memset(entry, 0, sizeof(*entry));
+	upstream->service = ensure_service(roster, upstream->entry.service);
+	g_queue_init(&upstream->idle);
+	load_init(&upstream->load, upstream->entry.slots);
+	g_ptr_array_add(upstream->service->upstreams, upstream_ref(upstream));
+	g_hash_table_insert(roster->upstreams, g_strdup(upstream->entry.id),
+			    upstream);
+	log_info("roster", "upstream %s of %s in %s is listed, cold for %.1f s",
+		 upstream->entry.id, upstream->service->name,
+		 upstream->entry.zone, upstream->entry.cold_left_s);
+}
+
+static bool same_life(const struct upstream *upstream,
+		      const struct upstream_entry *entry)
+{
+	return upstream->entry.started_ms == entry->started_ms &&
+	       !strcmp(upstream->entry.service, entry->service) &&
+	       !strcmp(upstream->entry.zone, entry->zone) &&
+	       !memcmp(&upstream->entry.address, &entry->address,
+		       sizeof(entry->address));
+}
+
+static void take_state(const struct roster *roster, struct upstream *upstream,
+		       const struct upstream_entry *entry)
+{
+	double now = loop_now(roster->loop);
+
+	upstream->lapse_s = 0;
+	if (entry->leaving && !upstream->leaving_since_s)
+		upstream->leaving_since_s = now;
+	else if (!entry->leaving)
+		upstream->leaving_since_s = 0;
+	upstream->cold_until_s =
+		entry->cold_left_s > 0 ? now + entry->cold_left_s : 0;
+	upstream->entry.leaving = entry->leaving;
+	upstream->entry.slots = entry->slots;
+}
+
+void roster_put_upstream(struct roster *roster, struct upstream_entry *entry)
+{
+	struct upstream *upstream = roster_upstream(roster, entry->id);
+	struct upstream_entry state = *entry;
+
+	if (upstream && upstream->entry.started_ms > entry->started_ms) {
+		log_warn("roster", "an entry of %s is of an earlier life",
+			 entry->id);
+		upstream_entry_clear(entry);
+		return;
+	}
+	if (upstream && !same_life(upstream, entry)) {
+		drop_upstream(roster, upstream);
+		upstream = NULL;
+	}
+	if (!upstream) {
+		char *id = g_strdup(entry->id);
+
+		add_upstream(roster, entry);
+		upstream = roster_upstream(roster, id);
+		g_free(id);
+	}
+	if (state.leaving != upstream->entry.leaving)
+		log_info("roster", "upstream %s %s", upstream->entry.id,
+			 state.leaving ? "is leaving" : "stays");
+	take_state(roster, upstream, &state);
+	upstream_entry_clear(entry);
+	roster->ops->changed(roster->ctx);
+}
+
+void roster_remove_upstream(struct roster *roster, const char *id,
+			    double lapse_s)
+{
+	struct upstream *upstream = roster_upstream(roster, id);
+
+	if (!upstream)
+		return;
+	if (lapse_s > loop_now(roster->loop)) {
+		if (!upstream->lapse_s)
+			upstream->lapse_s = lapse_s;
+		return;
+	}
+	drop_upstream(roster, upstream);
+	roster->ops->changed(roster->ctx);
+}
+
+void roster_tick(struct roster *roster)
+{
+	double now = loop_now(roster->loop);
+	GList *list = g_hash_table_get_values(roster->upstreams);
+	bool changed = false;
+	GList *at;
+
+	for (at = list; at; at = at->next) {
+		struct upstream *upstream = at->data;
+
+		if (!upstream->lapse_s || now < upstream->lapse_s)
+			continue;
+		drop_upstream(roster, upstream);
+		changed = true;
+	}
+	g_list_free(list);
+	if (changed)
+		roster->ops->changed(roster->ctx);
+}
+
+void roster_set_zone_out(struct roster *roster, const char *zone, bool out)
+{
+	if (out == roster_zone_is_out(roster, zone))
+		return;
+	log_info("roster", "availability zone %s is taken %s", zone,
+		 out ? "out" : "back in");
+	if (out) {
+		double *since = g_new(double, 1);
+
+		*since = loop_now(roster->loop);
+		g_hash_table_insert(roster->zones_out, g_strdup(zone), since);
+	} else {
+		g_hash_table_remove(roster->zones_out, zone);
+	}
+	roster->ops->changed(roster->ctx);
+}
+
+bool roster_zone_is_out(const struct roster *roster, const char *zone)
+{
+	return g_hash_table_contains(roster->zones_out, zone);
+}
+
+void roster_each_service(struct roster *roster,
+			 void (*visit)(struct service *service, void *ctx),
+			 void *ctx)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, roster->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		visit(value, ctx);
+}
+
+void roster_each_upstream(struct roster *roster,
+			  void (*visit)(struct upstream *upstream, void *ctx),
+			  void *ctx)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, roster->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		visit(value, ctx);
+}
+
+static void set_slack(struct service *service, void *ctx)
+{
+	service->retries.slack = retry_slack(ctx);
+}
+
+void roster_set_vms(struct roster *roster, unsigned int vms, const char **names)
+{
+	unsigned int i;
+
+	if (roster->vm_names)
+		g_ptr_array_free(roster->vm_names, TRUE);
+	roster->vm_names = g_ptr_array_new_with_free_func(g_free);
+	for (i = 0; i < vms; i++)
+		g_ptr_array_add(roster->vm_names, g_strdup(names[i]));
+	roster->vms = vms ? vms : 1;
+	roster_each_service(roster, set_slack, roster);
+}
+
+unsigned int roster_vms(const struct roster *roster)
+{
+	return roster->vms;
+}
+
+bool upstream_takes_work(const struct roster *roster,
+			 const struct upstream *upstream)
+{
+	return !upstream->gone && !upstream->replaced &&
+	       !upstream->leaving_since_s &&
+	       !roster_zone_is_out(roster, upstream->entry.zone);
+}
+
+bool upstream_serves_keys(const struct roster *roster,
+			  const struct upstream *upstream)
+{
+	double now = loop_now(roster->loop);
+	double span = roster->settings->leave_s * LEAVING_SERVES;
+	const double *out;
+
+	if (upstream->gone || upstream->replaced)
+		return false;
+	if (upstream->leaving_since_s && now > upstream->leaving_since_s + span)
+		return false;
+	out = g_hash_table_lookup(roster->zones_out, upstream->entry.zone);
+	return !out || now < *out + span;
+}
+
+static unsigned int cold_senders(const struct roster *roster)
+{
+	return MIN(roster->vms, COLD_SENDERS);
+}
+
+/* Whether this VM is among the senders: the first by a hash of both names. */
+static bool is_cold_sender(const struct roster *roster,
+			   const struct upstream *upstream)
+{
+	uint64_t seed = hash_key(str_from(upstream->entry.id));
+	uint64_t own = hash_seeded(str_from(roster->settings->vm), seed);
+	unsigned int before = 0;
+	guint i;
+
+	if (!roster->vm_names)
+		return false;
+	for (i = 0; i < roster->vm_names->len; i++)
+		if (hash_seeded(str_from(roster->vm_names->pdata[i]), seed) <
+		    own)
+			before++;
+	return before < cold_senders(roster);
+}
+
+bool upstream_cold_admits(const struct roster *roster,
+			  const struct upstream *upstream)
+{
+	double now = loop_now(roster->loop);
+
+	if (now >= upstream->cold_until_s)
+		return true;
+	return now >= upstream->cold_next_s && is_cold_sender(roster, upstream);
+}
+
+void upstream_cold_sent(const struct roster *roster, struct upstream *upstream)
+{
+	double now = loop_now(roster->loop);
+	double rate = upstream->service->config.cold_per_s * SHARE_USED;
+
+	if (now < upstream->cold_until_s)
+		upstream->cold_next_s =
+			now + (rate > 0 ? cold_senders(roster) / rate : 1);
+}
+
+unsigned int upstream_connection_limit(const struct roster *roster,
+				       const struct upstream *upstream)
+{
+	unsigned int limit = upstream->service->config.max_connections;
+
+	if (!limit)
+		return CONNECTIONS_DEFAULT;
+	limit = (unsigned int)(limit * SHARE_USED / roster->vms);
+	return limit > CONNECTIONS_MIN ? limit : CONNECTIONS_MIN;
+}
--- a/src/entry/fleet.h
+++ b/src/entry/roster.h
@@ -2,8 +2,8 @@
  * Services and upstreams as this VM knows them: what operators and upstreams
  * declared, and what was seen of each upstream's load. One thread owns it.
  */
-#ifndef ENTRY_FLEET_H
-#define ENTRY_FLEET_H
+#ifndef ENTRY_ROSTER_H
+#define ENTRY_ROSTER_H
 
 #include <glib.h>
 #include <stdbool.h>
@@ -36,8 +36,6 @@
 	double lapse_s;
 	/** Idle connections, last used first. */
 	GQueue idle;
-	/** Those for orders. */
-	GQueue control_idle;
 	unsigned int connections;
 	unsigned int references;
 };
@@ -59,76 +57,78 @@
 	GArray *requested_keys;
 };
 
-struct fleet_ops {
+struct roster_ops {
 	/** Idle connections of an upstream are to be closed. */
 	void (*close_idle)(void *ctx, struct upstream *upstream);
 	/** Upstreams, zones or the configuration changed. */
 	void (*changed)(void *ctx);
 };
 
-struct fleet;
+struct roster;
 
-struct fleet *fleet_create(const struct loop *loop,
-			   const struct entry_settings *settings,
-			   const struct fleet_ops *ops, void *ctx);
-void fleet_destroy(struct fleet *fleet);
+struct roster *roster_create(const struct loop *loop,
+			     const struct entry_settings *settings,
+			     const struct roster_ops *ops, void *ctx);
+void roster_destroy(struct roster *roster);
 
 /** The configuration in force, or NULL. */
-const struct config *fleet_config(const struct fleet *fleet);
+const struct config *roster_config(const struct roster *roster);
 
 /** Takes over a newer configuration. @return false: it is not newer */
-bool fleet_set_config(struct fleet *fleet, struct config *config);
+bool roster_set_config(struct roster *roster, struct config *config);
 
 /** Adds or changes an upstream; takes over the entry's contents. */
-void fleet_put_upstream(struct fleet *fleet, struct upstream_entry *entry);
+void roster_put_upstream(struct roster *roster, struct upstream_entry *entry);
 
 /** Removes an upstream; after lapse_s it is gone, unless its entry is back. */
-void fleet_remove_upstream(struct fleet *fleet, const char *id, double lapse_s);
+void roster_remove_upstream(struct roster *roster, const char *id,
+			    double lapse_s);
 
 /** Removes upstreams whose entries did not come back in time. */
-void fleet_tick(struct fleet *fleet);
+void roster_tick(struct roster *roster);
 
 /** Takes a zone out, or back in. */
-void fleet_set_zone_out(struct fleet *fleet, const char *zone, bool out);
-bool fleet_zone_is_out(const struct fleet *fleet, const char *zone);
+void roster_set_zone_out(struct roster *roster, const char *zone, bool out);
+bool roster_zone_is_out(const struct roster *roster, const char *zone);
 
-struct service *fleet_service(const struct fleet *fleet, const char *name);
-struct upstream *fleet_upstream(const struct fleet *fleet, const char *id);
+struct service *roster_service(const struct roster *roster, const char *name);
+struct upstream *roster_upstream(const struct roster *roster, const char *id);
 
 /** Calls visit for each service. */
-void fleet_each_service(struct fleet *fleet,
-			void (*visit)(struct service *service, void *ctx),
-			void *ctx);
+void roster_each_service(struct roster *roster,
+			 void (*visit)(struct service *service, void *ctx),
+			 void *ctx);
 
 /** Calls visit for each id that is listed. */
-void fleet_each_upstream(struct fleet *fleet,
-			 void (*visit)(struct upstream *upstream, void *ctx),
-			 void *ctx);
+void roster_each_upstream(struct roster *roster,
+			  void (*visit)(struct upstream *upstream, void *ctx),
+			  void *ctx);
 
 /** Sets how many VMs of the system are alive, this one among them. */
-void fleet_set_vms(struct fleet *fleet, unsigned int vms, const char **names);
-unsigned int fleet_vms(const struct fleet *fleet);
+void roster_set_vms(struct roster *roster, unsigned int vms,
+		    const char **names);
+unsigned int roster_vms(const struct roster *roster);
 
 /** Whether an upstream gets new work at all. */
-bool upstream_takes_work(const struct fleet *fleet,
+bool upstream_takes_work(const struct roster *roster,
 			 const struct upstream *upstream);
 
 /** Whether an owner may still get requests for its keys. */
-bool upstream_serves_keys(const struct fleet *fleet,
+bool upstream_serves_keys(const struct roster *roster,
 			  const struct upstream *upstream);
 
 /**
  * Whether an upstream, if it is cold, bears a request of this VM now. A few
  * VMs, the same in the eyes of all, share its rate.
  */
-bool upstream_cold_admits(const struct fleet *fleet,
+bool upstream_cold_admits(const struct roster *roster,
 			  const struct upstream *upstream);
 
 /** Notes a request to a cold upstream. */
-void upstream_cold_sent(const struct fleet *fleet, struct upstream *upstream);
+void upstream_cold_sent(const struct roster *roster, struct upstream *upstream);
 
 /** Connections that this VM may have to an upstream. */
-unsigned int upstream_connection_limit(const struct fleet *fleet,
+unsigned int upstream_connection_limit(const struct roster *roster,
 				       const struct upstream *upstream);
 
 struct upstream *upstream_ref(struct upstream *upstream);
--- a/src/keys/keeper.c
+++ b/src/keys/keeper.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/planted.h"
+
 /* An upstream's clock may run slow by this factor; grants last longer then. */
 #define CLOCK_FACTOR 1.02
 /* Added to every wait for a grant's end. */
@@ -38,9 +40,11 @@
 		};
 
 		if (holding.span.owner) {
-			holding.held_until_s = inherited_until_s;
+			if (!planted(PLANTED_NO_INHERITED_WAIT))
+				holding.held_until_s = inherited_until_s;
 			/* Its owner may have restarted meanwhile. */
 			holding.renew_token = true;
+			holding.sent = true;
 			holding.keeps_owner = true;
 		}
 		g_array_append_val(keeper->holdings, holding);
@@ -84,10 +88,12 @@
 		.fence = holding->span.fence,
 		.hold_s = hold_s,
 		.handover = holding->handover,
+		.fresh = !holding->granted && !holding->sent,
 	};
 
 	holding->order = order.id;
 	holding->order_hold_s = hold_s;
+	holding->sent = true;
 	keeper->ops->grant(keeper->ctx, &order);
 }
 
@@ -159,6 +165,34 @@
 	keeper->ops->changed(keeper->ctx);
 }
 
+static const struct keeper_candidate *find_candidate(const struct keeper *k,
+						     const char *id)
+{
+	size_t i;
+
+	for (i = 0; i < k->candidate_count; i++)
+		if (k->candidates[i].id == id)
+			return &k->candidates[i];
+	return NULL;
+}
+
+/* The same upstream gets the span back, whichever life holds it: nobody else
+ * can. @return false when it is not to be given keys */
+static bool give_back(struct keeper *keeper, struct holding *holding)
+{
+	const struct keeper_candidate *to =
+		find_candidate(keeper, holding->span.owner);
+
+	if (!to)
+		return false;
+	keeper->ops->note(keeper->ctx, &holding->span, to->id, "restarted");
+	set_next(holding, to);
+	holding->keeps_owner = false;
+	commit(keeper, holding);
+	keeper->ops->changed(keeper->ctx);
+	return true;
+}
+
 /* A life that has ended holds nothing; only a grant that is still on its way
  * could reach the next life. */
 static void owner_ended(struct keeper *keeper, struct holding *holding,
@@ -178,6 +212,10 @@
 	case OWNER_ENDED:
 		owner_ended(keeper, holding, now_s);
 		return;
+	case OWNER_RESTARTED:
+		if (give_back(keeper, holding))
+			return;
+		/* fall through */
 	case OWNER_UNKNOWN:
 	case OWNER_LEAVING:
 		to = keeper_least_loaded(keeper);
@@ -195,7 +233,7 @@
 	}
 	if (now_s < holding->next_order_s)
 		return;
-	if (holding->renew_token)
+	if (holding->renew_token && !planted(PLANTED_TOKEN_KEPT))
 		recommit(keeper, holding);
 	else
 		send_grant(keeper, holding, hold_s);
@@ -217,10 +255,15 @@
 			 double now_s)
 {
 	const struct keeper_candidate *to;
+	enum owner_state state = OWNER_UNKNOWN;
 
-	if (holding->held_until_s > now_s && holding->span.owner &&
-	    keeper->ops->owner_state(keeper->ctx, holding->span.owner,
-				     holding->span.started_ms) == OWNER_ENDED)
+	if (holding->span.owner)
+		state = keeper->ops->owner_state(keeper->ctx,
+						 holding->span.owner,
+						 holding->span.started_ms);
+	if (state == OWNER_RESTARTED && give_back(keeper, holding))
+		return;
+	if (state == OWNER_ENDED && holding->held_until_s > now_s)
 		holding->held_until_s = now_s;
 	if (now_s <= free_at(holding))
 		return;
@@ -401,13 +444,18 @@
 		recommit(keeper, holding);
 		break;
 	case ORDER_UNKNOWN:
-		extend(&holding->unanswered_until_s, end);
+		if (!planted(PLANTED_FORGET_UNANSWERED))
+			extend(&holding->unanswered_until_s, end);
 		holding->misses++;
 		holding->next_order_s = now_s + RETRY_S;
 		break;
 	case ORDER_NOT_SENT:
+		if (!holding->granted)
+			holding->sent = false;
 		holding->misses++;
-		holding->next_order_s = now_s + RETRY_S;
+		/* A new token is not waited for. */
+		holding->next_order_s =
+			now_s + (holding->renew_token ? 0 : RETRY_S);
 		break;
 	}
 }
@@ -467,6 +515,7 @@
 		holding->span.started_ms = holding->next_started_ms;
 		holding->in_save = false;
 		holding->granted = false;
+		holding->sent = false;
 		holding->renew_token = false;
 		holding->misses = 0;
 		holding->next_order_s = 0;
@@ -478,7 +527,18 @@
 	guint i;
 
 	for (i = 0; i < keeper->holdings->len; i++)
-		if (keeper_at(keeper, i)->span.owner == id)
+		if (keeper_at(keeper, i)->span.owner == id &&
+		    keeper_at(keeper, i)->sent)
+			keeper_at(keeper, i)->renew_token = true;
+}
+
+void keeper_owner_reconnects(struct keeper *keeper, const char *id)
+{
+	guint i;
+
+	for (i = 0; i < keeper->holdings->len; i++)
+		if (keeper_at(keeper, i)->span.owner == id &&
+		    keeper_at(keeper, i)->granted)
 			keeper_at(keeper, i)->renew_token = true;
 }
 
--- a/src/keys/keeper.h
+++ b/src/keys/keeper.h
@@ -27,8 +27,10 @@
 	OWNER_LEAVING,
 	/** Not listed, or out of reach: it may hold its keys nevertheless. */
 	OWNER_UNKNOWN,
-	/** Another life runs under its id, or another upstream at its address:
-	 * what it held is lost. */
+	/** Another life runs under its id. It holds what that life was given:
+	 * entries lag behind, so grants may have reached either. */
+	OWNER_RESTARTED,
+	/** Another upstream runs at its address: what it held is lost. */
 	OWNER_ENDED,
 };
 
@@ -51,6 +53,9 @@
 	double hold_s;
 	/** NULL: none. */
 	const char *handover;
+	/** A token that was not sent before: any life may be given it. Others
+	 * go only over the connection by which the owner took its keys. */
+	bool fresh;
 };
 
 enum order_result {
@@ -110,12 +115,14 @@
 		  double now_s);
 
 /**
- * Notes that the connection to an owner broke: another life may answer next,
- * so that the owner gets its keys under a new token.
+ * Notes that the connection to an owner broke, or that a new one is opened:
+ * another life may answer by the next, so that the owner gets its keys under a
+ * new token.
  *
  * @param id interned
  */
 void keeper_owner_broken(struct keeper *keeper, const char *id);
+void keeper_owner_reconnects(struct keeper *keeper, const char *id);
 
 /** Whether a tick would go on with a move at once. */
 bool keeper_has_work(const struct keeper *keeper);
--- a/src/keys/keeper_balance.c
+++ b/src/keys/keeper_balance.c
@@ -185,8 +185,7 @@
 	guint i;
 
 	for (i = 0; i < keeper->holdings->len; i++)
-		count += !can_move(keeper_at(keeper, i)) &&
-			 keeper_at(keeper, i)->phase != PHASE_HELD;
+		count += keeper_at(keeper, i)->phase != PHASE_HELD;
 	return count;
 }
 
--- a/src/keys/keeper_impl.h
+++ b/src/keys/keeper_impl.h
@@ -27,7 +27,9 @@
 	char *handover;
 	/** Latest end of grants that were answered, or of earlier leaders. */
 	double held_until_s;
-	/** Latest end of grants without an answer. */
+	/** Latest end of grants without an answer. A release ends them too: its
+	 * token is higher, and an order does not outlive the process that it
+	 * reached. */
 	double unanswered_until_s;
 	double next_order_s;
 	/** The order in progress; 0: none. */
@@ -36,6 +38,8 @@
 	unsigned int misses;
 	/** The owner took it from this leader. */
 	bool granted;
+	/** The token may have reached an upstream. */
+	bool sent;
 	/** The next grant needs a new token: another life may answer. */
 	bool renew_token;
 	/** It is given to its owner again; requests go on meanwhile. */
--- a/src/keys/key_load.c
+++ b/src/keys/key_load.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <math.h>
+#include <stdbool.h>
 
 #include "keys/key_map.h"
 
@@ -18,6 +19,8 @@
 struct key_load {
 	float counts[KEY_LAST + 1];
 	double aged_s;
+	/** Something is counted. */
+	bool any;
 };
 
 struct key_load *key_load_create(void)
@@ -33,6 +36,7 @@
 void key_load_add(struct key_load *load, uint16_t key)
 {
 	load->counts[key] += 1;
+	load->any = true;
 }
 
 void key_load_age(struct key_load *load, double now_s)
@@ -44,10 +48,15 @@
 		return;
 	factor = (float)exp(-(now_s - load->aged_s) / SMOOTHING_S);
 	load->aged_s = now_s;
+	if (!load->any)
+		return;
+	load->any = false;
 	for (key = 0; key <= KEY_LAST; key++) {
 		load->counts[key] *= factor;
 		if (load->counts[key] < (float)FORGOTTEN)
 			load->counts[key] = 0;
+		else
+			load->any = true;
 	}
 }
 
@@ -57,6 +66,8 @@
 	double sum = 0;
 	int key;
 
+	if (!load->any)
+		return 0;
 	for (key = first; key <= last; key++)
 		sum += load->counts[key];
 	return sum;
--- a/src/net/http_client.h
+++ b/src/net/http_channel.h
@@ -3,8 +3,8 @@
  * request is written to one connection once; sending it again is its owner's
  * decision.
  */
-#ifndef NET_HTTP_CLIENT_H
-#define NET_HTTP_CLIENT_H
+#ifndef NET_HTTP_CHANNEL_H
+#define NET_HTTP_CHANNEL_H
 
 #include <glib.h>
 #include <netinet/in.h>
@@ -15,7 +15,7 @@
 #include "http/headers.h"
 #include "net/loop.h"
 
-struct http_client;
+struct http_channel;
 
 /** An answer as it came. */
 struct http_reply {
@@ -24,33 +24,33 @@
 	GString *body;
 };
 
-enum http_client_end {
+enum http_channel_end {
 	/** No connection: not a byte was sent. */
-	HTTP_CLIENT_NOT_CONNECTED,
+	HTTP_CHANNEL_NOT_CONNECTED,
 	/** The port refused the connection. */
-	HTTP_CLIENT_REFUSED,
+	HTTP_CHANNEL_REFUSED,
 	/** Broken before the first byte was sent. */
-	HTTP_CLIENT_UNSENT,
+	HTTP_CHANNEL_UNSENT,
 	/** Broken when the request may have been sent, before its answer. */
-	HTTP_CLIENT_RESET,
+	HTTP_CHANNEL_RESET,
 	/** The answer broke off or could not be read. */
-	HTTP_CLIENT_BROKEN,
+	HTTP_CHANNEL_BROKEN,
 };
 
-struct http_client_ops {
+struct http_channel_ops {
 	/**
 	 * A whole answer came.
 	 *
 	 * @return false when it belongs to another request: the next is awaited
 	 */
-	bool (*reply)(void *ctx, struct http_client *client,
+	bool (*reply)(void *ctx, struct http_channel *client,
 		      const struct http_reply *reply);
 	/** The connection ended; the owner destroys the client. */
-	void (*ended)(void *ctx, struct http_client *client,
-		      enum http_client_end end);
+	void (*ended)(void *ctx, struct http_channel *client,
+		      enum http_channel_end end);
 };
 
-struct http_client_options {
+struct http_channel_options {
 	/** Longest time in which sent bytes stay unacknowledged; 0: no limit */
 	unsigned int user_timeout_ms;
 	/** Seconds without traffic before a probe, and between probes. */
@@ -65,16 +65,16 @@
  * @param ops lives as long as the client
  * @return the client; ended() follows from the loop when it fails
  */
-struct http_client *
-http_client_create(struct loop *loop, const struct sockaddr_in *address,
-		   const struct http_client_options *options,
-		   const struct http_client_ops *ops, void *ctx);
+struct http_channel *
+http_channel_create(struct loop *loop, const struct sockaddr_in *address,
+		    const struct http_channel_options *options,
+		    const struct http_channel_ops *ops, void *ctx);
 
 /** Closes and frees; allowed from within an operation. */
-void http_client_destroy(struct http_client *client);
+void http_channel_destroy(struct http_channel *client);
 
 /** Changes whom operations are called for. */
-void http_client_set_ctx(struct http_client *client, void *ctx);
+void http_channel_set_ctx(struct http_channel *client, void *ctx);
 
 /**
  * Sends a request on a connection without one.
@@ -82,22 +82,22 @@
  * @param message head and body; copied
  * @param head_only the answer has no body, as to HEAD
  */
-void http_client_send(struct http_client *client, struct str message,
-		      bool head_only);
+void http_channel_send(struct http_channel *client, struct str message,
+		       bool head_only);
 
 /** Whether it can take a request: open, idle, nothing unread. */
-bool http_client_reusable(const struct http_client *client);
+bool http_channel_reusable(const struct http_channel *client);
 
 /** Whether the TCP connection stands. */
-bool http_client_connected(const struct http_client *client);
+bool http_channel_connected(const struct http_channel *client);
 
 /** Whether bytes of the request may have been sent. */
-bool http_client_sent(const struct http_client *client);
+bool http_channel_sent(const struct http_channel *client);
 
 /** Loop time since when it is idle. */
-double http_client_idle_since(const struct http_client *client);
+double http_channel_idle_since(const struct http_channel *client);
 
 /** Seconds for which the server keeps it idle, by its own word; 0: unknown */
-double http_client_keep_s(const struct http_client *client);
+double http_channel_keep_s(const struct http_channel *client);
 
 #endif
--- /dev/null
+++ b/test/fuzz/fuzz_keys_parts/store.c
@@ -0,0 +1,219 @@
+/* The store: rows under conditions, with answers that are lost or late. */
+#include <string.h>
+
+#include "fuzz_keys_parts/world.h"
+
+struct row {
+	GString *value;
+	uint64_t version;
+};
+
+struct call {
+	struct vm *vm;
+	unsigned int life;
+	bool write;
+	char *name;
+	char *key;
+	uint64_t expect;
+	GString *value;
+	store_done_fn done;
+	void *ctx;
+	bool answered;
+	int events;
+	enum store_status status;
+	double now_s;
+	uint64_t version;
+	GString *row;
+	uint64_t row_version;
+};
+
+static void row_free(gpointer data)
+{
+	struct row *row = data;
+
+	g_string_free(row->value, TRUE);
+	g_free(row);
+}
+
+static void call_unref(struct call *call)
+{
+	if (--call->events)
+		return;
+	g_free(call->name);
+	g_free(call->key);
+	if (call->value)
+		g_string_free(call->value, TRUE);
+	if (call->row)
+		g_string_free(call->row, TRUE);
+	g_free(call);
+}
+
+static void later(struct world *world, double after_s,
+		  void (*run)(struct world *world, void *data),
+		  struct call *call)
+{
+	call->events++;
+	world_at(world, after_s, run, call);
+}
+
+static void answer(struct world *world, void *data)
+{
+	struct call *call = data;
+	struct vm *vm = call->vm;
+	struct store_row row = { 0 };
+	struct store_result result = { .status = call->status };
+
+	if (vm_is_frozen(vm) && !call->answered) {
+		world_at(world, vm->frozen_until_s - world->now_s + 0.001,
+			 answer, call);
+		return;
+	}
+	if (!call->answered && vm->up && vm->life == call->life) {
+		call->answered = true;
+		result.now_s = call->now_s;
+		result.version = call->version;
+		if (call->row) {
+			row.key = call->key;
+			row.value = call->row;
+			row.version = call->row_version;
+			result.rows = &row;
+			result.row_count = 1;
+		}
+		call->done(call->ctx, &result);
+	}
+	call_unref(call);
+}
+
+static void time_out(struct world *world, void *data)
+{
+	struct call *call = data;
+
+	if (!call->answered) {
+		if (call->row)
+			g_string_free(call->row, TRUE);
+		call->row = NULL;
+		call->now_s = 0;
+		call->status = STORE_UNKNOWN;
+	}
+	answer(world, data);
+}
+
+static void copy_row(struct call *call, const struct row *row)
+{
+	if (call->row)
+		g_string_free(call->row, TRUE);
+	call->row = NULL;
+	if (!row)
+		return;
+	call->row = g_string_new_len(row->value->str, (gssize)row->value->len);
+	call->row_version = row->version;
+}
+
+static void carry_out(struct world *world, struct call *call)
+{
+	struct row *row = g_hash_table_lookup(world->rows, call->name);
+
+	call->status = STORE_OK;
+	call->now_s = world->now_s + 1000;
+	if (!call->write) {
+		copy_row(call, row);
+	} else if ((row ? row->version : 0) != call->expect) {
+		call->status = STORE_CONFLICT;
+		copy_row(call, row);
+	} else {
+		row = g_new0(struct row, 1);
+		row->value = g_string_new_len(call->value->str,
+					      (gssize)call->value->len);
+		row->version = ++world->version;
+		g_hash_table_insert(world->rows, g_strdup(call->name), row);
+	}
+	call->version = world->version;
+}
+
+static void arrive(struct world *world, void *data)
+{
+	struct call *call = data;
+	double back_s = world_random(world, 0.002, 0.02);
+
+	if (world->store_mode == STORE_MODE_DOWN || call->vm->store_cut) {
+		call_unref(call);
+		return;
+	}
+	if (call->answered) {
+		/* Done after its caller has given up. */
+		carry_out(world, call);
+		call_unref(call);
+		return;
+	}
+	carry_out(world, call);
+	if (world->store_mode == STORE_MODE_SLOW)
+		back_s = world_random(world, 0.2, 0.7);
+	if (!call->write || world->store_mode != STORE_MODE_LOSES ||
+	    world_random(world, 0, 1) < 0.5)
+		later(world, back_s, answer, call);
+	call_unref(call);
+}
+
+static void start(struct vm *vm, struct call *call, double timeout_s)
+{
+	struct world *world = vm->world;
+	double delay = world_random(world, 0.001, 0.01);
+
+	call->vm = vm;
+	call->life = vm->life;
+	if (call->write && world->store_mode == STORE_MODE_LATE &&
+	    world_random(world, 0, 1) < 0.5)
+		delay = world_random(world, 1, 6);
+	call->events = 0;
+	later(world, timeout_s, time_out, call);
+	later(world, delay, arrive, call);
+}
+
+static void store_read(void *impl, const char *table, const char *from,
+		       store_done_fn done, void *ctx)
+{
+	struct call *call = g_new0(struct call, 1);
+
+	(void)from;
+	call->name = g_strdup(table);
+	call->key = g_strdup(g_str_has_suffix(table, "lease") ? "leader"
+							      : "service");
+	call->done = done;
+	call->ctx = ctx;
+	start(impl, call, 1.0);
+}
+
+static void store_write(void *impl, const struct store_write *write,
+			double timeout_s, store_done_fn done, void *ctx)
+{
+	struct call *call = g_new0(struct call, 1);
+
+	call->write = true;
+	call->name = g_strdup(write->table);
+	call->key = g_strdup(write->key);
+	call->expect = write->expect;
+	call->value =
+		g_string_new_len(write->value.data, (gssize)write->value.len);
+	call->done = done;
+	call->ctx = ctx;
+	start(impl, call, timeout_s);
+}
+
+static const struct store_ops ops = {
+	.read = store_read,
+	.write = store_write,
+};
+
+void store_bind(struct vm *vm)
+{
+	vm->store.ops = &ops;
+	vm->store.impl = vm;
+}
+
+void store_clear(struct world *world)
+{
+	if (world->rows)
+		g_hash_table_destroy(world->rows);
+	world->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    row_free);
+}
--- /dev/null
+++ b/test/unit/test_keys.c
@@ -0,0 +1,512 @@
+/* Maps of owners, the lease, and the keeper's orders. */
+#include <string.h>
+
+#include "keys/keeper.h"
+#include "keys/key_load.h"
+#include "keys/lease.h"
+#include "suite.h"
+
+static void maps_are_packed_and_read(void)
+{
+	struct key_map *map = key_map_create();
+	struct key_map *read = key_map_create();
+	struct key_span spans[] = {
+		{ .last = 99, .owner = g_intern_string("a"), .fence = 3 },
+		{ .first = 100, .last = 4095, .wait_s = 0.5 },
+		{ .first = 4096,
+		  .last = KEY_LAST,
+		  .owner = g_intern_string("b"),
+		  .started_ms = 7,
+		  .fence = 9 },
+	};
+	char *attempt = NULL;
+	GString *bytes;
+
+	g_array_set_size(map->spans, 0);
+	g_array_append_vals(map->spans, spans, 3);
+	map->fence = 9;
+	bytes = key_map_pack(map, "s", "w1");
+	CU_ASSERT_TRUE(key_map_unpack(
+		read, (struct str){ bytes->str, bytes->len }, &attempt));
+	CU_ASSERT_STRING_EQUAL(attempt, "w1");
+	CU_ASSERT_EQUAL(read->fence, 9);
+	CU_ASSERT_PTR_EQUAL(key_map_find(read, 99)->owner, spans[0].owner);
+	CU_ASSERT_PTR_NULL(key_map_find(read, 100)->owner);
+	CU_ASSERT_DOUBLE_EQUAL(key_map_find(read, 100)->wait_s, 0.5, 0.001);
+	CU_ASSERT_EQUAL(key_map_find(read, KEY_LAST)->started_ms, 7);
+	/* Bytes that leave a gap are no map, and change nothing. */
+	g_array_remove_index(map->spans, 1);
+	g_string_free(bytes, TRUE);
+	bytes = key_map_pack(map, "s", "w2");
+	CU_ASSERT_FALSE(key_map_unpack(
+		read, (struct str){ bytes->str, bytes->len }, NULL));
+	CU_ASSERT_EQUAL(read->spans->len, 3);
+	g_string_free(bytes, TRUE);
+	g_free(attempt);
+	key_map_destroy(map);
+	key_map_destroy(read);
+}
+
+static void a_range_is_cut_where_its_load_is(void)
+{
+	struct key_load *load = key_load_create();
+	uint16_t cut;
+	int i;
+
+	key_load_age(load, 1);
+	for (i = 0; i < 200; i++)
+		key_load_add(load, (uint16_t)(30000 + i));
+	cut = key_load_cut(load, 0, KEY_LAST, 100);
+	CU_ASSERT_TRUE(cut > 30080 && cut < 30180);
+	CU_ASSERT_TRUE(key_load_counted(load, 30000, 30199) > 199);
+	key_load_age(load, 60);
+	CU_ASSERT_TRUE(key_load_counted(load, 0, KEY_LAST) < 1);
+	key_load_destroy(load);
+}
+
+/* --- the lease, on a store of one row --- */
+
+struct fixture {
+	struct timespec now;
+	struct clock clock;
+	struct loop loop;
+	struct store store;
+	struct lease *lease;
+	int won, lost, troubled;
+	/** The write or read in progress. */
+	store_done_fn done;
+	void *ctx;
+	uint64_t expect;
+	bool writing;
+	GString *written;
+};
+
+static struct timespec fixture_clock(void *ctx)
+{
+	return ((struct fixture *)ctx)->now;
+}
+
+static const struct clock_ops clock_ops = { fixture_clock, fixture_clock };
+
+static void take_read(void *impl, const char *table, const char *from,
+		      store_done_fn done, void *ctx)
+{
+	struct fixture *f = impl;
+
+	(void)table;
+	(void)from;
+	f->done = done;
+	f->ctx = ctx;
+	f->writing = false;
+}
+
+static void take_write(void *impl, const struct store_write *write,
+		       double timeout_s, store_done_fn done, void *ctx)
+{
+	struct fixture *f = impl;
+
+	(void)timeout_s;
+	f->done = done;
+	f->ctx = ctx;
+	f->writing = true;
+	f->expect = write->expect;
+	g_string_truncate(f->written, 0);
+	g_string_append_len(f->written, write->value.data,
+			    (gssize)write->value.len);
+}
+
+static const struct store_ops store_ops = {
+	.read = take_read,
+	.write = take_write,
+};
+
+static void on_won(void *ctx)
+{
+	((struct fixture *)ctx)->won++;
+}
+
+static void on_lost(void *ctx, const char *reason)
+{
+	(void)reason;
+	((struct fixture *)ctx)->lost++;
+}
+
+static void on_learned(void *ctx, const char *vm, const char *address)
+{
+	(void)ctx;
+	(void)vm;
+	(void)address;
+}
+
+static void on_troubled(void *ctx)
+{
+	((struct fixture *)ctx)->troubled++;
+}
+
+static const struct lease_ops lease_ops = { on_won, on_lost, on_learned,
+					    on_troubled };
+
+static void advance(struct fixture *f, double span_s)
+{
+	double now = (double)f->now.tv_sec + (double)f->now.tv_nsec / 1e9;
+
+	now += span_s;
+	f->now.tv_sec = (time_t)now;
+	f->now.tv_nsec = (long)((now - (double)f->now.tv_sec) * 1e9);
+	lease_tick(f->lease);
+}
+
+static void setup(struct fixture *f)
+{
+	memset(f, 0, sizeof(*f));
+	f->now.tv_sec = 1000;
+	f->clock.ops = &clock_ops;
+	f->clock.ctx = f;
+	f->loop.clock = &f->clock;
+	f->store.ops = &store_ops;
+	f->store.impl = f;
+	f->written = g_string_new(NULL);
+	f->lease = lease_create(&f->loop, &f->store, &lease_ops, f, "vm",
+				"127.0.0.1:1");
+}
+
+static void teardown(struct fixture *f)
+{
+	lease_destroy(f->lease);
+	g_string_free(f->written, TRUE);
+}
+
+static void answer(struct fixture *f, enum store_status status,
+		   uint64_t version)
+{
+	struct store_result result = { .status = status, .version = version };
+	store_done_fn done = f->done;
+
+	f->done = NULL;
+	done(f->ctx, &result);
+}
+
+/* Finds no row, and takes the lease. */
+static void win(struct fixture *f)
+{
+	int i;
+
+	advance(f, 0.05);
+	answer(f, STORE_OK, 0);
+	for (i = 0; i < 40 && !f->done; i++)
+		advance(f, 0.05);
+	CU_ASSERT_TRUE_FATAL(f->writing && f->done != NULL);
+}
+
+static void a_lease_counts_from_before_its_write(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	win(&f);
+	advance(&f, 1);
+	answer(&f, STORE_OK, 1);
+	CU_ASSERT_EQUAL(f.won, 1);
+	CU_ASSERT_TRUE(lease_held(f.lease, LEASE_S - 1.1));
+	CU_ASSERT_FALSE(lease_held(f.lease, LEASE_S - 0.9));
+	teardown(&f);
+}
+
+static void an_answer_that_comes_too_late_wins_nothing(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	win(&f);
+	advance(&f, LEASE_S + 0.1);
+	answer(&f, STORE_OK, 1);
+	CU_ASSERT_EQUAL(f.won, 0);
+	CU_ASSERT_FALSE(lease_held(f.lease, 0));
+	teardown(&f);
+}
+
+static void a_lease_that_is_not_renewed_ends(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	win(&f);
+	answer(&f, STORE_OK, 1);
+	advance(&f, 0.6);
+	CU_ASSERT_TRUE_FATAL(f.done != NULL);
+	answer(&f, STORE_REFUSED, 0);
+	CU_ASSERT_EQUAL(f.troubled, 1);
+	/* Orders stop before the lease does, also without a tick. */
+	f.now.tv_sec += 2;
+	CU_ASSERT_FALSE(lease_held(f.lease, 0));
+	advance(&f, 0.05);
+	CU_ASSERT_EQUAL(f.lost, 1);
+	teardown(&f);
+}
+
+static void a_newer_version_ends_a_lease(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	win(&f);
+	answer(&f, STORE_OK, 1);
+	lease_seen(f.lease, 5);
+	CU_ASSERT_EQUAL(f.lost, 1);
+	CU_ASSERT_FALSE(lease_held(f.lease, 0));
+	teardown(&f);
+}
+
+static void a_lease_seen_is_waited_for(void)
+{
+	struct fixture f;
+	int i;
+
+	setup(&f);
+	lease_seen(f.lease, 5);
+	for (i = 0; i < 38; i++) {
+		advance(&f, 0.05);
+		CU_ASSERT_FALSE(f.writing);
+		if (f.done)
+			answer(&f, STORE_REFUSED, 0);
+	}
+	for (i = 0; i < 40 && !f.writing; i++) {
+		advance(&f, 0.05);
+		if (f.done && !f.writing)
+			answer(&f, STORE_REFUSED, 0);
+	}
+	CU_ASSERT_TRUE(f.writing);
+	CU_ASSERT_EQUAL(f.expect, 5);
+	teardown(&f);
+}
+
+/* --- the keeper, with orders written down --- */
+
+struct orders {
+	struct keeper *keeper;
+	struct keeper_order last;
+	char handover[16];
+	unsigned int grants, releases, saves;
+	enum owner_state state;
+};
+
+static enum owner_state owner_state(void *ctx, const char *id, int64_t started)
+{
+	(void)id;
+	(void)started;
+	return ((struct orders *)ctx)->state;
+}
+
+static void on_grant(void *ctx, const struct keeper_order *order)
+{
+	struct orders *o = ctx;
+
+	o->last = *order;
+	o->handover[0] = '\0';
+	if (order->handover)
+		g_strlcpy(o->handover, order->handover, sizeof(o->handover));
+	o->grants++;
+}
+
+static void on_release(void *ctx, const struct keeper_order *order)
+{
+	struct orders *o = ctx;
+
+	o->last = *order;
+	o->releases++;
+}
+
+static void on_save(void *ctx, const struct key_map *map)
+{
+	(void)map;
+	((struct orders *)ctx)->saves++;
+}
+
+static void on_changed(void *ctx)
+{
+	(void)ctx;
+}
+
+static void on_note(void *ctx, const struct key_span *span, const char *to,
+		    const char *reason)
+{
+	(void)ctx;
+	(void)span;
+	(void)to;
+	(void)reason;
+}
+
+static const struct keeper_ops keeper_ops = {
+	.owner_state = owner_state,
+	.grant = on_grant,
+	.release = on_release,
+	.save = on_save,
+	.changed = on_changed,
+	.note = on_note,
+};
+
+static struct keeper_candidate only(const char *id)
+{
+	return (struct keeper_candidate){ .id = g_intern_string(id),
+					  .started_ms = 1,
+					  .weight = 3 };
+}
+
+/* Gives all keys to "a". */
+static void give_all(struct orders *o)
+{
+	struct keeper_candidate a = only("a");
+	struct key_map *map = key_map_create();
+
+	memset(o, 0, sizeof(*o));
+	o->keeper = keeper_create(&keeper_ops, o, map, 0);
+	key_map_destroy(map);
+	keeper_tick(o->keeper, 10, 3, &a, 1);
+	CU_ASSERT_EQUAL(o->grants, 0);
+	CU_ASSERT_EQUAL(o->saves, 1);
+	keeper_saved(o->keeper, true, 1, 10);
+	keeper_tick(o->keeper, 10.01, 3, &a, 1);
+	CU_ASSERT_EQUAL_FATAL(o->grants, 1);
+}
+
+static void keys_are_given_after_their_map_is_saved(void)
+{
+	struct orders o;
+
+	give_all(&o);
+	CU_ASSERT_TRUE(o.last.fresh);
+	CU_ASSERT_EQUAL(keeper_unserved(o.keeper), 1);
+	keeper_ordered(o.keeper, o.last.id, ORDER_DONE, NULL, 10.02);
+	CU_ASSERT_EQUAL(keeper_unserved(o.keeper), 0);
+	keeper_destroy(o.keeper);
+}
+
+static void a_handover_is_passed_on_once(void)
+{
+	struct keeper_candidate b = only("b");
+	struct orders o;
+	uint64_t first;
+
+	give_all(&o);
+	first = o.last.fence;
+	keeper_ordered(o.keeper, o.last.id, ORDER_DONE, NULL, 10.02);
+	o.state = OWNER_LEAVING;
+	keeper_tick(o.keeper, 10.1, 3, &b, 1);
+	keeper_tick(o.keeper, 10.15, 3, &b, 1);
+	CU_ASSERT_EQUAL_FATAL(o.releases, 1);
+	CU_ASSERT_TRUE(o.last.fence > first);
+	keeper_ordered(o.keeper, o.last.id, ORDER_DONE, "h1", 10.3);
+	o.state = OWNER_GOOD;
+	keeper_tick(o.keeper, 10.31, 3, &b, 1);
+	CU_ASSERT_EQUAL(o.saves, 2);
+	CU_ASSERT_EQUAL(o.grants, 1);
+	keeper_saved(o.keeper, true, 2, 10.32);
+	keeper_tick(o.keeper, 10.33, 3, &b, 1);
+	CU_ASSERT_EQUAL_FATAL(o.grants, 2);
+	CU_ASSERT_STRING_EQUAL(o.last.owner, "b");
+	CU_ASSERT_STRING_EQUAL(o.handover, "h1");
+	keeper_ordered(o.keeper, o.last.id, ORDER_DONE, NULL, 10.34);
+	keeper_tick(o.keeper, 11.5, 3, &b, 1);
+	CU_ASSERT_EQUAL_FATAL(o.grants, 3);
+	CU_ASSERT_STRING_EQUAL(o.handover, "");
+	keeper_destroy(o.keeper);
+}
+
+static void a_silent_owners_grant_is_waited_out(void)
+{
+	struct keeper_candidate b = only("b");
+	struct orders o;
+	double now;
+
+	give_all(&o);
+	keeper_ordered(o.keeper, o.last.id, ORDER_DONE, NULL, 10.02);
+	o.state = OWNER_UNKNOWN;
+	for (now = 10.1; now < 10.02 + 3 * 1.02; now += 0.05) {
+		uint32_t order = o.last.id;
+
+		keeper_tick(o.keeper, now, 3, &b, 1);
+		CU_ASSERT_EQUAL(o.saves, 1);
+		if (o.last.id != order)
+			keeper_ordered(o.keeper, o.last.id, ORDER_UNKNOWN, NULL,
+				       now);
+	}
+	for (; now < 14 && o.saves == 1; now += 0.05)
+		keeper_tick(o.keeper, now, 3, &b, 1);
+	CU_ASSERT_EQUAL(o.saves, 2);
+	keeper_destroy(o.keeper);
+}
+
+static void a_broken_connection_needs_a_new_token(void)
+{
+	struct keeper_candidate a = only("a");
+	struct orders o;
+	uint64_t first;
+
+	give_all(&o);
+	first = o.last.fence;
+	keeper_ordered(o.keeper, o.last.id, ORDER_DONE, NULL, 10.02);
+	keeper_tick(o.keeper, 11, 3, &a, 1);
+	CU_ASSERT_EQUAL(o.last.fence, first);
+	CU_ASSERT_FALSE(o.last.fresh);
+	keeper_ordered(o.keeper, o.last.id, ORDER_DONE, NULL, 11);
+	keeper_owner_broken(o.keeper, g_intern_string("a"));
+	keeper_tick(o.keeper, 12, 3, &a, 1);
+	CU_ASSERT_EQUAL(o.saves, 2);
+	/* Requests go on: the owner still holds the keys. */
+	CU_ASSERT_EQUAL(keeper_unserved(o.keeper), 0);
+	keeper_saved(o.keeper, true, 2, 12.01);
+	keeper_tick(o.keeper, 12.02, 3, &a, 1);
+	CU_ASSERT_TRUE(o.last.fence > first);
+	CU_ASSERT_TRUE(o.last.fresh);
+	keeper_destroy(o.keeper);
+}
+
+static void load_is_spread_over_upstreams(void)
+{
+	struct keeper_candidate both[] = { only("a"), only("b") };
+	struct orders o;
+	int i;
+
+	give_all(&o);
+	keeper_ordered(o.keeper, o.last.id, ORDER_DONE, NULL, 10.02);
+	for (i = 0; i < 300; i++)
+		keeper_count(o.keeper, (uint16_t)(500 + i % 200));
+	keeper_tick(o.keeper, 10.3, 3, both, 2);
+	keeper_tick(o.keeper, 10.35, 3, both, 2);
+	CU_ASSERT_EQUAL_FATAL(o.releases, 1);
+	/* About half of the hot keys go, with the idle ones above them. */
+	CU_ASSERT_TRUE(o.last.first > 540 && o.last.first < 660);
+	CU_ASSERT_EQUAL(o.last.last, KEY_LAST);
+	keeper_destroy(o.keeper);
+}
+
+int main(void)
+{
+	static const struct suite_case cases[] = {
+		{ "maps are packed and read", maps_are_packed_and_read },
+		{ "a range is cut where its load is",
+		  a_range_is_cut_where_its_load_is },
+		{ "a lease counts from before its write",
+		  a_lease_counts_from_before_its_write },
+		{ "an answer that comes too late wins nothing",
+		  an_answer_that_comes_too_late_wins_nothing },
+		{ "a lease that is not renewed ends",
+		  a_lease_that_is_not_renewed_ends },
+		{ "a newer version ends a lease",
+		  a_newer_version_ends_a_lease },
+		{ "a lease seen is waited for", a_lease_seen_is_waited_for },
+		{ "keys are given after their map is saved",
+		  keys_are_given_after_their_map_is_saved },
+		{ "a handover is passed on once",
+		  a_handover_is_passed_on_once },
+		{ "a silent owner's grant is waited out",
+		  a_silent_owners_grant_is_waited_out },
+		{ "a broken connection needs a new token",
+		  a_broken_connection_needs_a_new_token },
+		{ "load is spread over upstreams",
+		  load_is_spread_over_upstreams },
+		{ 0 },
+	};
+
+	return suite_run("keys", cases);
+}
