test: the platform's stand-in, the entry daemon as a process, unit tests

standin-site speaks the platform's protocol in one process: rows with versions, transactions under conditions, the feed, upstreams with grants, draining and restarts. functional-test_entry drives two real daemons over it: routes, once, limits, leaving, keys through a restart, a lost VM and an outage of the store, configuration, a stop, bad settings.

--- a/src/directory/directory_defs.h
+++ b/src/directory/directory_defs.h
@@ -78,7 +78,7 @@
 	unsigned int slots;
 	/** Takes no new work. */
 	bool leaving;
-	double cold_left_s;
+	double cold_remaining_s;
 	/** Changes with every start, also under the same id. */
 	int64_t started_ms;
 };
--- a/src/directory/protocol.h
+++ b/src/directory/protocol.h
@@ -41,7 +41,7 @@
 	/** How long work takes there now, 1 as usual; 0: not said. */
 	double work_factor;
 	/** How long it stays cold; negative: not said. */
-	double cold_left_s;
+	double cold_remaining_s;
 };
 
 /** A range of keys, both ends included, under a fencing token. */
--- a/src/entry/roster.c
+++ b/src/entry/roster.c
@@ -188,7 +188,7 @@
 			    upstream);
 	log_info("roster", "upstream %s of %s in %s is listed, cold for %.1f s",
 		 upstream->entry.id, upstream->service->name,
-		 upstream->entry.zone, upstream->entry.cold_left_s);
+		 upstream->entry.zone, upstream->entry.cold_remaining_s);
 }
 
 static bool same_life(const struct upstream *upstream,
@@ -212,7 +212,7 @@
 	else if (!entry->leaving)
 		upstream->leaving_since_s = 0;
 	upstream->cold_until_s =
-		entry->cold_left_s > 0 ? now + entry->cold_left_s : 0;
+		entry->cold_remaining_s > 0 ? now + entry->cold_remaining_s : 0;
 	upstream->entry.leaving = entry->leaving;
 	upstream->entry.slots = entry->slots;
 }
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -550,6 +550,14 @@
 	g_free(server);
 }
 
+struct sockaddr_in http_server_address(const struct http_server *server)
+{
+	struct sockaddr_in address = { 0 };
+
+	socket_address(server->fd, &address);
+	return address;
+}
+
 void http_server_set_limits(struct http_server *server,
 			    const struct http_limits *limits)
 {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -77,6 +77,9 @@
 /** Closes every connection and frees. */
 void http_server_destroy(struct http_server *server);
 
+/** The address that it listens on. */
+struct sockaddr_in http_server_address(const struct http_server *server);
+
 /** Changes the limits, also for connections that are open. */
 void http_server_set_limits(struct http_server *server,
 			    const struct http_limits *limits);
--- /dev/null
+++ b/test/functional/test_entry.c
@@ -0,0 +1,453 @@
+/*
+ * auburn-entry as a process, between callers and the platform's stand-in:
+ * routes, once, keys, leaving, configuration, an outage of the store, stops.
+ */
+#include <arpa/inet.h>
+#include <glib/gstdio.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "cluster_http.h"
+#include "cluster_process.h"
+#include "suite.h"
+
+#define ENTRIES 2
+#define WAIT_US ((int64_t)20 * G_USEC_PER_SEC)
+
+struct entry {
+	struct process *process;
+	char callers[32];
+	char ready[32];
+	char settings[256];
+};
+
+static char *folder;
+static struct process *site;
+static struct entry entries[ENTRIES];
+static unsigned int next_id;
+
+/* A port that was free a moment ago. */
+static unsigned int free_port(void)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t len = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (fd < 0 || bind(fd, (struct sockaddr *)&address, len) < 0 ||
+	    getsockname(fd, (struct sockaddr *)&address, &len) < 0)
+		g_error("no free port");
+	close(fd);
+	return ntohs(address.sin_port);
+}
+
+static void write_settings(struct entry *entry, unsigned int index,
+			   const char *store)
+{
+	char *text;
+
+	g_snprintf(entry->callers, sizeof(entry->callers), "127.0.0.1:%u",
+		   free_port());
+	g_snprintf(entry->ready, sizeof(entry->ready), "127.0.0.1:%u",
+		   free_port());
+	g_snprintf(entry->settings, sizeof(entry->settings), "%s/entry%u.conf",
+		   folder, index);
+	text = g_strdup_printf(
+		"[vm]\nname = vm%u\nzone = z1\n[listen]\ncallers = %s\n"
+		"ready = %s\npeers = 127.0.0.1:%u\nmetrics = 127.0.0.1:%u\n"
+		"[store]\naddress = %s\n",
+		index, entry->callers, entry->ready, free_port(), free_port(),
+		store);
+	g_file_set_contents(entry->settings, text, -1, NULL);
+	g_free(text);
+}
+
+static void start_entry(struct entry *entry)
+{
+	const char *argv[] = { PROGRAM_DIR "/auburn-entry", "--settings",
+			       entry->settings, NULL };
+	GError *error = NULL;
+
+	entry->process = process_start("entry", folder, argv, &error);
+	if (!entry->process)
+		g_error("%s", error->message);
+}
+
+/* Sends on a connection of its own; the answer is freed by the caller. */
+static struct http_answer *ask(const struct entry *entry, const char *uri,
+			       const char *method, int key, const char *body,
+			       char *id)
+{
+	char id_line[64], key_line[32];
+	const char *headers[] = { "Host: app.example", "X-Deadline-Ms: 3000",
+				  id_line, key_line, NULL };
+	struct http_request request = {
+		.address = entry->callers,
+		.uri = uri,
+		.method = method,
+		.headers = headers,
+		.body = body,
+	};
+
+	g_snprintf(id, 32, "id%08u", ++next_id);
+	g_snprintf(id_line, sizeof(id_line), "X-Request-Id: %s", id);
+	g_snprintf(key_line, sizeof(key_line), "X-Shard-Key: %d", key);
+	return http_send(&request);
+}
+
+static long status_of(const struct entry *entry, const char *uri, int key)
+{
+	char id[32];
+	struct http_answer *answer = ask(entry, uri, NULL, key, NULL, id);
+	long status = answer->whole ? answer->status : 0;
+
+	http_answer_destroy(answer);
+	return status;
+}
+
+static GString *control(const char *uri, const char *body)
+{
+	struct http_request request = {
+		.address = process_address(site, "store"),
+		.uri = uri,
+		.body = body,
+	};
+	struct http_answer *answer = http_send(&request);
+	GString *text =
+		g_string_new_len(answer->body->str, (gssize)answer->body->len);
+
+	http_answer_destroy(answer);
+	return text;
+}
+
+static void command(const char *uri, const char *body)
+{
+	g_string_free(control(uri, body), TRUE);
+}
+
+static int runs_of(const char *id)
+{
+	char *uri = g_strdup_printf("/control/runs?id=%s", id);
+	GString *text = control(uri, NULL);
+	const char *at = strstr(text->str, ":");
+	int runs = at ? (int)g_ascii_strtoll(at + 1, NULL, 10) : -1;
+
+	g_string_free(text, TRUE);
+	g_free(uri);
+	return runs;
+}
+
+static bool is_ready(void *ctx)
+{
+	const struct entry *entry = ctx;
+	struct http_request request = { .address = entry->ready,
+					.uri = "/ready" };
+
+	return http_status(&request) == 200;
+}
+
+static bool serves_keys(void *ctx)
+{
+	return status_of(ctx, "/keyed/a", 100) == 200 &&
+	       status_of(ctx, "/keyed/a", 60000) == 200;
+}
+
+static void setup(void)
+{
+	const char *argv[] = { PROGRAM_DIR "/standin-site", NULL };
+	GError *error = NULL;
+	unsigned int i;
+
+	folder = g_dir_make_tmp("auburn-entry-XXXXXX", NULL);
+	site = process_start("site", folder, argv, &error);
+	if (!site || !process_wait_listening(site, WAIT_US, &error))
+		g_error("%s", error->message);
+	for (i = 0; i < ENTRIES; i++) {
+		write_settings(&entries[i], i, process_address(site, "store"));
+		start_entry(&entries[i]);
+	}
+	for (i = 0; i < ENTRIES; i++) {
+		CU_ASSERT_TRUE_FATAL(
+			process_wait_until(is_ready, &entries[i], WAIT_US));
+		CU_ASSERT_TRUE_FATAL(
+			process_wait_until(serves_keys, &entries[i], WAIT_US));
+	}
+}
+
+static void teardown(void)
+{
+	unsigned int i;
+
+	for (i = 0; i < ENTRIES; i++)
+		process_destroy(entries[i].process);
+	process_destroy(site);
+	process_remove_folder(folder);
+	g_free(folder);
+}
+
+static void requests_are_routed(void)
+{
+	static const struct {
+		const char *uri;
+		long status;
+	} rows[] = {
+		{ "/plain/a", 200 },   { "/plain/a?b=c", 200 },
+		{ "/once/a", 200 },    { "/keyed/a", 200 },
+		{ "/plainer/a", 404 }, { "/", 404 },
+	};
+	size_t i;
+
+	setup();
+	for (i = 0; i < G_N_ELEMENTS(rows); i++)
+		CU_ASSERT_EQUAL(
+			status_of(&entries[i % ENTRIES], rows[i].uri, 7),
+			rows[i].status);
+	teardown();
+}
+
+static void an_answer_is_passed_on_unchanged(void)
+{
+	char id[32];
+	struct http_answer *answer;
+
+	setup();
+	answer = ask(&entries[0], "/plain/a", "POST", 0, "a body", id);
+	CU_ASSERT_EQUAL(answer->status, 200);
+	CU_ASSERT_STRING_EQUAL(http_header(answer, "x-request-id"), id);
+	CU_ASSERT_STRING_EQUAL(http_header(answer, "x-server-signature"),
+			       "a signature");
+	CU_ASSERT_TRUE(g_str_has_prefix(answer->body->str, "t-"));
+	http_answer_destroy(answer);
+	teardown();
+}
+
+static void a_lost_answer_is_repeated_only_where_allowed(void)
+{
+	char id[32];
+	struct http_answer *answer;
+
+	setup();
+	answer = ask(&entries[0], "/once/lose-answer", "POST", 0, "x", id);
+	/* It may have run: nothing is promised. */
+	CU_ASSERT_EQUAL(answer->status, 502);
+	CU_ASSERT_EQUAL(runs_of(id), 1);
+	http_answer_destroy(answer);
+	answer = ask(&entries[0], "/plain/lose-answer", NULL, 0, NULL, id);
+	CU_ASSERT_EQUAL(answer->status, 502);
+	CU_ASSERT_EQUAL(runs_of(id), 2);
+	http_answer_destroy(answer);
+	teardown();
+}
+
+static void what_breaks_the_limits_is_refused(void)
+{
+	char *body = g_strnfill(200000, 'b');
+	char *uri = g_strdup_printf("/plain/%s", g_strnfill(5000, 'u'));
+	char id[32];
+	struct http_answer *answer;
+
+	setup();
+	answer = ask(&entries[0], "/plain/a", "POST", 0, body, id);
+	CU_ASSERT_EQUAL(answer->status, 413);
+	CU_ASSERT_EQUAL(runs_of(id), 0);
+	http_answer_destroy(answer);
+	answer = ask(&entries[0], uri, NULL, 0, NULL, id);
+	CU_ASSERT_EQUAL(answer->status, 431);
+	http_answer_destroy(answer);
+	CU_ASSERT_EQUAL(status_of(&entries[0], "/plain/a", 0), 200);
+	g_free(uri);
+	g_free(body);
+	teardown();
+}
+
+static bool only_the_other(void *ctx)
+{
+	char id[32];
+	struct http_answer *answer = ask(ctx, "/plain/a", NULL, 0, NULL, id);
+	bool other = !strcmp(answer->body->str, "t-1");
+
+	http_answer_destroy(answer);
+	return other;
+}
+
+static void an_upstream_that_leaves_gets_nothing_more(void)
+{
+	int i;
+
+	setup();
+	command("/control/drain?id=0", NULL);
+	CU_ASSERT_TRUE_FATAL(
+		process_wait_until(only_the_other, &entries[0], WAIT_US));
+	for (i = 0; i < 20; i++)
+		CU_ASSERT_TRUE(only_the_other(&entries[0]));
+	teardown();
+}
+
+static void keys_of_an_upstream_that_leaves_move(void)
+{
+	int i;
+
+	setup();
+	/* No request is lost on the way. */
+	command("/control/drain?id=2", NULL);
+	for (i = 0; i < 40; i++)
+		CU_ASSERT_EQUAL(
+			status_of(&entries[i % ENTRIES], "/keyed/a", i * 1600),
+			200);
+	teardown();
+}
+
+static void keys_are_served_after_a_restart(void)
+{
+	setup();
+	command("/control/restart?id=2", NULL);
+	CU_ASSERT_TRUE(process_wait_until(serves_keys, &entries[0], WAIT_US));
+	CU_ASSERT_TRUE(process_wait_until(serves_keys, &entries[1], WAIT_US));
+	teardown();
+}
+
+static void keys_are_served_after_any_vm_is_lost(void)
+{
+	setup();
+	process_kill(entries[0].process);
+	g_usleep(3 * G_USEC_PER_SEC);
+	CU_ASSERT_TRUE(process_wait_until(serves_keys, &entries[1], WAIT_US));
+	teardown();
+}
+
+static void an_outage_of_the_store_is_survived(void)
+{
+	int i;
+
+	setup();
+	command("/control/down?id=1", NULL);
+	for (i = 0; i < 16; i++) {
+		CU_ASSERT_EQUAL(
+			status_of(&entries[i % ENTRIES], "/keyed/a", i * 4000),
+			200);
+		CU_ASSERT_EQUAL(status_of(&entries[i % ENTRIES], "/plain/a", 0),
+				200);
+		g_usleep(G_USEC_PER_SEC / 4);
+	}
+	command("/control/down?id=0", NULL);
+	CU_ASSERT_TRUE(process_wait_until(serves_keys, &entries[0], WAIT_US));
+	teardown();
+}
+
+#define CONFIG(version, prefix)                                                \
+	"{\"version\":\"" version "\",\"routes\":{\"columns\":[\"name\","      \
+	"\"host\",\"prefix\",\"kind\",\"service\"],\"rows\":[[\"plain\","      \
+	"\"app.example\",\"" prefix "\",\"safe\",\"plain\"]]},"                \
+	"\"services\":{\"columns\":[\"name\",\"max_conns\"],\"rows\":"         \
+	"[[\"plain\",130]]},\"limits\":{\"max_header_bytes\":4096,"            \
+	"\"max_body_bytes\":1000,\"header_timeout_s\":3,"                      \
+	"\"idle_timeout_s\":15}}"
+
+static bool new_route(void *ctx)
+{
+	return status_of(ctx, "/new/a", 0) == 200;
+}
+
+static void a_configuration_takes_force_and_never_goes_back(void)
+{
+	unsigned int i;
+
+	setup();
+	command("/control/config", CONFIG("r5", "/new/"));
+	for (i = 0; i < ENTRIES; i++)
+		CU_ASSERT_TRUE_FATAL(
+			process_wait_until(new_route, &entries[i], WAIT_US));
+	command("/control/config", CONFIG("r4", "/plain/"));
+	command("/control/config", "{\"version\":\"r6\",\"routes\":7}");
+	g_usleep(G_USEC_PER_SEC);
+	for (i = 0; i < ENTRIES; i++) {
+		CU_ASSERT_EQUAL(status_of(&entries[i], "/new/a", 0), 200);
+		CU_ASSERT_EQUAL(status_of(&entries[i], "/plain/a", 0), 404);
+	}
+	teardown();
+}
+
+static void a_stop_cuts_nothing_off(void)
+{
+	const char *headers[] = { "Host: app.example", "X-Deadline-Ms: 3000",
+				  "X-Request-Id: slow", NULL };
+	struct http_request request = {
+		.address = entries[0].callers,
+		.uri = "/plain/work-ms-1500",
+		.headers = headers,
+	};
+	struct http_request ready = { .address = entries[0].ready,
+				      .uri = "/ready" };
+	struct http_answer *answer;
+	struct http_task *task;
+	int status = -1;
+
+	setup();
+	task = http_start(&request);
+	g_usleep(G_USEC_PER_SEC / 2);
+	process_terminate(entries[0].process);
+	g_usleep(G_USEC_PER_SEC / 5);
+	CU_ASSERT_EQUAL(http_status(&ready), 503);
+	answer = http_join(task);
+	CU_ASSERT_EQUAL(answer->status, 200);
+	CU_ASSERT_TRUE(answer->whole);
+	http_answer_destroy(answer);
+	CU_ASSERT_TRUE(process_wait_end(entries[0].process, WAIT_US, &status));
+	CU_ASSERT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+	teardown();
+}
+
+static void bad_settings_are_named(void)
+{
+	static const char text[] = "[vm]\nname = a\nzone = z\n[listen]\n"
+				   "callers = here\n";
+	char *path = g_build_filename(g_get_tmp_dir(), "auburn-bad.conf", NULL);
+	char *argv[] = { PROGRAM_DIR "/auburn-entry", "--check-settings",
+			 "--settings", path, NULL };
+	char *err = NULL;
+	int status = 0;
+
+	g_file_set_contents(path, text, -1, NULL);
+	CU_ASSERT_TRUE_FATAL(g_spawn_sync(NULL, argv, NULL, 0, NULL, NULL, NULL,
+					  &err, &status, NULL));
+	CU_ASSERT_NOT_EQUAL(status, 0);
+	CU_ASSERT_PTR_NOT_NULL(strstr(err, path));
+	CU_ASSERT_PTR_NOT_NULL(strstr(err, "[listen] callers"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(err, "IPv4:port"));
+	g_unlink(path);
+	g_free(path);
+	g_free(err);
+}
+
+int main(void)
+{
+	static const struct suite_case cases[] = {
+		{ "requests are routed", requests_are_routed },
+		{ "an answer is passed on unchanged",
+		  an_answer_is_passed_on_unchanged },
+		{ "a lost answer is repeated only where allowed",
+		  a_lost_answer_is_repeated_only_where_allowed },
+		{ "what breaks the limits is refused",
+		  what_breaks_the_limits_is_refused },
+		{ "an upstream that leaves gets nothing more",
+		  an_upstream_that_leaves_gets_nothing_more },
+		{ "keys of an upstream that leaves move",
+		  keys_of_an_upstream_that_leaves_move },
+		{ "keys are served after a restart",
+		  keys_are_served_after_a_restart },
+		{ "keys are served after any VM is lost",
+		  keys_are_served_after_any_vm_is_lost },
+		{ "an outage of the store is survived",
+		  an_outage_of_the_store_is_survived },
+		{ "a configuration takes force and never goes back",
+		  a_configuration_takes_force_and_never_goes_back },
+		{ "a stop cuts nothing off", a_stop_cuts_nothing_off },
+		{ "bad settings are named", bad_settings_are_named },
+		{ 0 },
+	};
+
+	return suite_run("entry", cases);
+}
--- /dev/null
+++ b/test/standin/site.h
@@ -0,0 +1,47 @@
+/**
+ * A small stand-in of the platform in one process: the store with its feed,
+ * and upstreams that take grants. It speaks the platform's published protocol.
+ */
+#ifndef STANDIN_SITE_H
+#define STANDIN_SITE_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "net/http_server.h"
+#include "net/loop.h"
+
+struct site;
+
+/** Starts the store. @return its server */
+struct http_server *site_store_create(struct site *site);
+
+/** Writes or removes a row, as operators and upstreams do. */
+void site_put(struct site *site, const char *table, const char *key,
+	      const char *json);
+void site_remove(struct site *site, const char *table, const char *key);
+
+/** Upstreams, by number. */
+void site_target_create(struct site *site, const char *service,
+			const char *zone, bool keyed);
+void site_target_drain(struct site *site, unsigned int index);
+/** Its process ends, and another life starts at once under the same id. */
+void site_target_restart(struct site *site, unsigned int index);
+
+/** Runs of a request id at all upstreams. */
+unsigned int site_runs(struct site *site, const char *id);
+
+struct site {
+	struct loop loop;
+	/** "table" to table of rows. */
+	GHashTable *tables;
+	guint64 version;
+	/** Calls that wait for changes. */
+	GQueue waiting;
+	bool down;
+	GPtrArray *targets;
+	/** Runs by request id. */
+	GHashTable *runs;
+};
+
+#endif
--- /dev/null
+++ b/test/standin/site_main.c
@@ -0,0 +1,50 @@
+/* standin-site: the platform of a small deployment, for tests and the demo. */
+#include <signal.h>
+#include <stdio.h>
+
+#include "base/address.h"
+#include "site.h"
+
+static const char config[] =
+	"{\"version\":\"r1\",\"routes\":{\"columns\":[\"name\",\"host\","
+	"\"prefix\",\"kind\",\"timeout_s\",\"aim_s\",\"priority\",\"service\","
+	"\"max_attempts\",\"split\"],\"rows\":["
+	"[\"plain\",\"app.example\",\"/plain/\",\"safe\",3,0.5,1,\"plain\",2,"
+	"null],"
+	"[\"once\",\"app.example\",\"/once/\",\"unsafe\",3,0.5,1,\"plain\",2,"
+	"null],"
+	"[\"keyed\",\"app.example\",\"/keyed/\",\"safe\",3,0.5,1,\"keyed\",2,"
+	"null]]},\"services\":{\"columns\":[\"name\",\"health_path\","
+	"\"max_conns\",\"cold_start_s\",\"cold_per_s\",\"sharded\",\"warm_s\"],"
+	"\"rows\":[[\"plain\",\"/health\",130,3,5.2,null,null],"
+	"[\"keyed\",\"/health\",130,3,5.2,true,3]]},"
+	"\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,"
+	"\"header_timeout_s\":3,\"idle_timeout_s\":15}}";
+
+int main(void)
+{
+	struct site site = { 0 };
+	struct http_server *store;
+	struct sockaddr_in address;
+	char text[ADDRESS_TEXT_SIZE];
+
+	signal(SIGPIPE, SIG_IGN);
+	site.loop.ev = ev_loop_new(EVFLAG_AUTO);
+	site.loop.clock = clock_system();
+	site.targets = g_ptr_array_new();
+	site.runs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	store = site_store_create(&site);
+	site_put(&site, "op", "config", config);
+	site_target_create(&site, "plain", "z1", false);
+	site_target_create(&site, "plain", "z2", false);
+	site_target_create(&site, "keyed", "z1", true);
+	site_target_create(&site, "keyed", "z2", true);
+	/* An entry of another writer names no upstream. */
+	site_put(&site, "servers", "odd", "{\"service\":7}");
+	address = http_server_address(store);
+	printf("listening store=%s\n", address_format(&address, text));
+	fflush(stdout);
+	ev_run(site.loop.ev, 0);
+	return 0;
+}
--- /dev/null
+++ b/test/standin/site_store.c
@@ -0,0 +1,320 @@
+/* The store: rows with versions, transactions under conditions, a feed. */
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "site.h"
+
+struct row {
+	char *key;
+	char *value;
+	guint64 version;
+	bool removed;
+};
+
+struct wait {
+	struct http_request *request;
+	char *table;
+	guint64 after;
+	double until_s;
+};
+
+static void row_free(gpointer data)
+{
+	struct row *row = data;
+
+	g_free(row->key);
+	g_free(row->value);
+	g_free(row);
+}
+
+static GHashTable *table_of(struct site *site, const char *name)
+{
+	GHashTable *table = g_hash_table_lookup(site->tables, name);
+
+	if (table)
+		return table;
+	table = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, row_free);
+	g_hash_table_insert(site->tables, g_strdup(name), table);
+	return table;
+}
+
+static void answer_json(struct http_request *request, unsigned int status,
+			json_t *root)
+{
+	char *text = json_dumps(root, JSON_COMPACT);
+	struct http_answer answer = { .status = status,
+				      .body = str_from(text) };
+
+	http_request_answer(request, &answer);
+	free(text);
+	json_decref(root);
+}
+
+static json_t *row_json(const char *table, const struct row *row)
+{
+	json_t *out = json_pack("{sssssssI}", "table", table, "part", "", "key",
+				row->key, "ver", (json_int_t)row->version);
+
+	if (row->removed)
+		json_object_set_new(out, "removed", json_true());
+	else
+		json_object_set_new(out, "value", json_string(row->value));
+	return out;
+}
+
+static int compare_rows(gconstpointer a, gconstpointer b)
+{
+	const struct row *x = *(struct row *const *)a;
+	const struct row *y = *(struct row *const *)b;
+
+	return x->version < y->version ? -1 : x->version > y->version;
+}
+
+/* Rows newer than a version, in order; removed ones too when asked for. */
+static json_t *rows_json(struct site *site, const char *name, guint64 after,
+			 bool removed)
+{
+	GPtrArray *rows = g_ptr_array_new();
+	json_t *out = json_array();
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	g_hash_table_iter_init(&iter, table_of(site, name));
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct row *row = value;
+
+		if (row->version > after && (removed || !row->removed))
+			g_ptr_array_add(rows, row);
+	}
+	g_ptr_array_sort(rows, compare_rows);
+	for (i = 0; i < rows->len; i++)
+		json_array_append_new(out, row_json(name, rows->pdata[i]));
+	g_ptr_array_free(rows, TRUE);
+	return out;
+}
+
+static json_t *result_json(struct site *site, json_t *rows)
+{
+	return json_pack("{sosIsfsb}", "rows", rows, "ver",
+			 (json_int_t)site->version, "now_s",
+			 loop_now(&site->loop), "has_more", 0);
+}
+
+static void wait_free(struct wait *wait)
+{
+	g_free(wait->table);
+	g_free(wait);
+}
+
+/* Answers the calls whose table has changed or whose time is up. */
+static void answer_waiting(struct site *site)
+{
+	GList *at, *next;
+
+	for (at = site->waiting.head; at; at = next) {
+		struct wait *wait = at->data;
+		json_t *rows = rows_json(site, wait->table, wait->after, true);
+
+		next = at->next;
+		if (!json_array_size(rows) &&
+		    loop_now(&site->loop) < wait->until_s) {
+			json_decref(rows);
+			continue;
+		}
+		g_queue_delete_link(&site->waiting, at);
+		answer_json(wait->request, 200, result_json(site, rows));
+		wait_free(wait);
+	}
+}
+
+static void set_row(struct site *site, const char *table, const char *key,
+		    const char *value)
+{
+	GHashTable *rows = table_of(site, table);
+	struct row *row = g_new0(struct row, 1);
+
+	row->key = g_strdup(key);
+	row->value = g_strdup(value);
+	row->removed = !value;
+	row->version = ++site->version;
+	g_hash_table_replace(rows, row->key, row);
+	answer_waiting(site);
+}
+
+void site_put(struct site *site, const char *table, const char *key,
+	      const char *json)
+{
+	char *value = g_base64_encode((const guchar *)json, strlen(json));
+
+	set_row(site, table, key, value);
+	g_free(value);
+}
+
+void site_remove(struct site *site, const char *table, const char *key)
+{
+	set_row(site, table, key, NULL);
+}
+
+static char *query_value(const char *target, const char *name)
+{
+	const char *query = strchr(target, '?');
+	char **parts = g_strsplit(query ? query + 1 : "", "&", -1);
+	char *value = NULL;
+	size_t i, len = strlen(name);
+
+	for (i = 0; parts[i] && !value; i++)
+		if (!strncmp(parts[i], name, len) && parts[i][len] == '=')
+			value = g_uri_unescape_string(parts[i] + len + 1, NULL);
+	g_strfreev(parts);
+	return value ? value : g_strdup("");
+}
+
+static bool holds(struct site *site, json_t *expect)
+{
+	const char *table = json_string_value(json_object_get(expect, "table"));
+	const char *key = json_string_value(json_object_get(expect, "key"));
+	struct row *row = g_hash_table_lookup(table_of(site, table), key);
+	guint64 version = row && !row->removed ? row->version : 0;
+
+	return version ==
+	       (guint64)json_integer_value(json_object_get(expect, "ver"));
+}
+
+static void transact(struct site *site, struct http_request *request)
+{
+	json_t *root = json_loads(request->body->str, 0, NULL);
+	json_t *expect = json_object_get(root, "expect");
+	json_t *puts = json_object_get(root, "puts");
+	size_t i;
+
+	for (i = 0; i < json_array_size(expect); i++) {
+		json_t *one = json_array_get(expect, i);
+
+		if (holds(site, one))
+			continue;
+		answer_json(
+			request, 412,
+			result_json(site,
+				    rows_json(site,
+					      json_string_value(json_object_get(
+						      one, "table")),
+					      0, false)));
+		json_decref(root);
+		return;
+	}
+	for (i = 0; i < json_array_size(puts); i++) {
+		json_t *one = json_array_get(puts, i);
+
+		set_row(site, json_string_value(json_object_get(one, "table")),
+			json_string_value(json_object_get(one, "key")),
+			json_string_value(json_object_get(one, "value")));
+	}
+	json_decref(root);
+	answer_json(request, 200, result_json(site, json_array()));
+}
+
+static void follow(struct site *site, struct http_request *request)
+{
+	struct wait *wait = g_new0(struct wait, 1);
+	char *after = query_value(request->target->str, "after");
+	char *wait_ms = query_value(request->target->str, "wait_ms");
+
+	wait->request = request;
+	wait->table = query_value(request->target->str, "table");
+	wait->after = g_ascii_strtoull(after, NULL, 10);
+	wait->until_s =
+		loop_now(&site->loop) + g_ascii_strtod(wait_ms, NULL) / 1000;
+	g_free(after);
+	g_free(wait_ms);
+	g_queue_push_tail(&site->waiting, wait);
+	answer_waiting(site);
+}
+
+static void control(struct site *site, struct http_request *request)
+{
+	char *id = query_value(request->target->str, "id");
+	unsigned int index = (unsigned int)g_ascii_strtoull(id, NULL, 10);
+	const char *verb = request->target->str + strlen("/control/");
+	unsigned int runs = 0;
+
+	if (g_str_has_prefix(verb, "runs"))
+		runs = site_runs(site, id);
+	else if (g_str_has_prefix(verb, "drain"))
+		site_target_drain(site, index);
+	else if (g_str_has_prefix(verb, "restart"))
+		site_target_restart(site, index);
+	else if (g_str_has_prefix(verb, "down"))
+		site->down = index != 0;
+	else if (g_str_has_prefix(verb, "config"))
+		site_put(site, "op", "config", request->body->str);
+	g_free(id);
+	answer_json(request, 200, json_pack("{si}", "runs", (int)runs));
+}
+
+static void on_request(void *ctx, struct http_request *request)
+{
+	struct site *site = ctx;
+	const char *target = request->target->str;
+
+	if (g_str_has_prefix(target, "/control/")) {
+		control(site, request);
+	} else if (site->down) {
+		answer_json(request, 503, json_object());
+	} else if (g_str_has_prefix(target, "/rows-tx")) {
+		transact(site, request);
+	} else if (g_str_has_prefix(target, "/rows-feed")) {
+		follow(site, request);
+	} else {
+		char *table = query_value(target, "table");
+
+		answer_json(
+			request, 200,
+			result_json(site, rows_json(site, table, 0, false)));
+		g_free(table);
+	}
+}
+
+static void on_gone(void *ctx, struct http_request *request)
+{
+	struct site *site = ctx;
+	GList *at;
+
+	for (at = site->waiting.head; at; at = at->next) {
+		struct wait *wait = at->data;
+
+		if (wait->request != request)
+			continue;
+		g_queue_delete_link(&site->waiting, at);
+		wait_free(wait);
+		return;
+	}
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	answer_waiting(timer->data);
+}
+
+struct http_server *site_store_create(struct site *site)
+{
+	static const struct http_server_ops ops = { on_request, on_gone };
+	static ev_timer tick;
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	GError *error = NULL;
+	struct http_server *server;
+
+	site->tables = g_hash_table_new(g_str_hash, g_str_equal);
+	g_queue_init(&site->waiting);
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	server = http_server_create(&site->loop, &address, &ops, site, &error);
+	if (!server)
+		g_error("store: %s", error->message);
+	ev_timer_init(&tick, on_tick, 0.02, 0.02);
+	tick.data = site;
+	ev_timer_start(site->loop.ev, &tick);
+	return server;
+}
--- /dev/null
+++ b/test/unit/test_net.c
@@ -0,0 +1,397 @@
+/*
+ * HTTP between sockets: order of answers, callers that leave, and bytes that
+ * belong to no request. Also the log, whose reader may stand still.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/event_log.h"
+#include "net/http_channel.h"
+#include "net/http_server.h"
+#include "suite.h"
+
+#define REQUESTS_MAX 8
+
+struct world {
+	struct loop loop;
+	struct http_server *server;
+	struct http_request *requests[REQUESTS_MAX];
+	unsigned int count;
+	unsigned int gone;
+	/** Of a channel. */
+	unsigned int replies;
+	unsigned int ends;
+	enum http_channel_end end;
+	char body[64];
+	const char *wanted;
+};
+
+static void on_request(void *ctx, struct http_request *request)
+{
+	struct world *w = ctx;
+
+	w->requests[w->count++] = request;
+}
+
+static void on_gone(void *ctx, struct http_request *request)
+{
+	(void)request;
+	((struct world *)ctx)->gone++;
+}
+
+static const struct http_server_ops server_ops = { on_request, on_gone };
+
+static void open_world(struct world *w)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+
+	memset(w, 0, sizeof(*w));
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	w->loop.ev = ev_loop_new(EVFLAG_AUTO);
+	w->loop.clock = clock_system();
+	w->server =
+		http_server_create(&w->loop, &address, &server_ops, w, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(w->server);
+}
+
+static void close_world(struct world *w)
+{
+	http_server_destroy(w->server);
+	ev_loop_destroy(w->loop.ev);
+}
+
+/* Lets the loop handle what is there. */
+static void turn(struct world *w)
+{
+	int i;
+
+	for (i = 0; i < 20; i++) {
+		ev_run(w->loop.ev, EVRUN_NOWAIT);
+		g_usleep(1000);
+	}
+}
+
+static int connect_to(struct world *w)
+{
+	struct sockaddr_in address = http_server_address(w->server);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	CU_ASSERT_EQUAL_FATAL(
+		connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	return fd;
+}
+
+static void say(int fd, const char *text)
+{
+	CU_ASSERT_EQUAL(write(fd, text, strlen(text)), (ssize_t)strlen(text));
+}
+
+static void hear(int fd, char *buf, size_t size)
+{
+	ssize_t n = recv(fd, buf, size - 1, MSG_DONTWAIT);
+
+	buf[n > 0 ? n : 0] = '\0';
+}
+
+static void answer(struct http_request *request, const char *body)
+{
+	struct http_answer out = { .status = 200, .body = str_from(body) };
+
+	http_request_answer(request, &out);
+}
+
+static void answers_go_out_in_the_order_of_requests(void)
+{
+	struct world w;
+	char buf[1024];
+	int fd;
+
+	open_world(&w);
+	fd = connect_to(&w);
+	say(fd, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+		"GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+	turn(&w);
+	CU_ASSERT_EQUAL_FATAL(w.count, 2);
+	answer(w.requests[1], "second");
+	turn(&w);
+	hear(fd, buf, sizeof(buf));
+	CU_ASSERT_STRING_EQUAL(buf, "");
+	answer(w.requests[0], "first");
+	turn(&w);
+	hear(fd, buf, sizeof(buf));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(strstr(buf, "first"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(strstr(buf, "first"), "second"));
+	close(fd);
+	close_world(&w);
+}
+
+static void a_caller_that_leaves_is_noticed(void)
+{
+	struct world w;
+	int fd;
+
+	open_world(&w);
+	fd = connect_to(&w);
+	say(fd, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+	turn(&w);
+	CU_ASSERT_EQUAL(w.count, 1);
+	close(fd);
+	turn(&w);
+	CU_ASSERT_EQUAL(w.gone, 1);
+	close_world(&w);
+}
+
+static void what_is_no_request_is_refused(void)
+{
+	static const struct {
+		const char *text;
+		const char *status;
+	} rows[] = {
+		{ "GARBAGE\r\n\r\n", "400" },
+		{ "GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+		  "Transfer-Encoding: chunked\r\n\r\n",
+		  "400" },
+		{ "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+		  "Content-Length: 2\r\n\r\n",
+		  "400" },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		struct world w;
+		char buf[512];
+		int fd;
+
+		open_world(&w);
+		fd = connect_to(&w);
+		say(fd, rows[i].text);
+		turn(&w);
+		hear(fd, buf, sizeof(buf));
+		CU_ASSERT_PTR_NOT_NULL(strstr(buf, rows[i].status));
+		CU_ASSERT_EQUAL(w.count, 0);
+		close(fd);
+		close_world(&w);
+	}
+}
+
+static void draining_closes_behind_the_last_answer_only(void)
+{
+	struct world w;
+	char buf[1024];
+	int fd;
+
+	open_world(&w);
+	fd = connect_to(&w);
+	say(fd, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+		"GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+	turn(&w);
+	http_server_drain(w.server);
+	answer(w.requests[0], "first");
+	turn(&w);
+	hear(fd, buf, sizeof(buf));
+	CU_ASSERT_PTR_NULL(strstr(buf, "Connection: close"));
+	answer(w.requests[1], "second");
+	turn(&w);
+	hear(fd, buf, sizeof(buf));
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "Connection: close"));
+	close(fd);
+	close_world(&w);
+}
+
+/* --- a channel to a server that this test plays byte by byte --- */
+
+static bool on_reply(void *ctx, struct http_channel *channel,
+		     const struct http_reply *reply)
+{
+	struct world *w = ctx;
+	const struct header *id = headers_find(reply->headers, STR("id"));
+
+	(void)channel;
+	if (w->wanted && id && !str_equal(id->value, str_from(w->wanted)))
+		return false;
+	w->replies++;
+	g_strlcpy(w->body, reply->body->str, sizeof(w->body));
+	return true;
+}
+
+static void on_ended(void *ctx, struct http_channel *channel,
+		     enum http_channel_end end)
+{
+	struct world *w = ctx;
+
+	(void)channel;
+	w->ends++;
+	w->end = end;
+}
+
+static const struct http_channel_ops channel_ops = { on_reply, on_ended };
+
+/* Sends a request and plays the bytes as its answer, then an end of the stream
+ * when asked to. */
+static void exchange(struct world *w, const char *bytes, bool close_after,
+		     bool *reusable)
+{
+	static const struct http_channel_options options = {
+		.body_bytes = 1000,
+	};
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t len = sizeof(address);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	struct http_channel *channel;
+	int fd;
+
+	w->loop.ev = ev_loop_new(EVFLAG_AUTO);
+	w->loop.clock = clock_system();
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	CU_ASSERT_EQUAL_FATAL(bind(listener, (struct sockaddr *)&address, len),
+			      0);
+	listen(listener, 1);
+	getsockname(listener, (struct sockaddr *)&address, &len);
+	channel = http_channel_create(&w->loop, &address, &options,
+				      &channel_ops, w);
+	http_channel_send(channel, STR("GET / HTTP/1.1\r\n\r\n"), false);
+	turn(w);
+	fd = accept(listener, NULL, NULL);
+	turn(w);
+	{
+		char buf[256];
+
+		hear(fd, buf, sizeof(buf));
+	}
+	say(fd, bytes);
+	if (close_after)
+		shutdown(fd, SHUT_WR);
+	turn(w);
+	*reusable = http_channel_reusable(channel);
+	http_channel_destroy(channel);
+	close(fd);
+	close(listener);
+	ev_loop_destroy(w->loop.ev);
+}
+
+static void answers_are_taken_whole_or_not_at_all(void)
+{
+	static const struct {
+		const char *bytes;
+		bool close_after;
+		unsigned int replies;
+		const char *body;
+		bool reusable;
+	} rows[] = {
+		{ "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", false, 1,
+		  "ab", true },
+		/* Cut short. */
+		{ "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab", true, 0, "",
+		  false },
+		/* No length: it ends with the connection. */
+		{ "HTTP/1.1 200 OK\r\n\r\nabc", true, 1, "abc", false },
+		/* Bytes behind it belong to no request. */
+		{ "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP/1.1 "
+		  "200 OK\r\nContent-Length: 1\r\n\r\nx",
+		  false, 1, "ab", false },
+		/* The answer of an earlier request comes first. */
+		{ "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 1\r\n\r\nx"
+		  "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n\r\nab",
+		  false, 1, "ab", true },
+		{ "nothing like an answer\r\n\r\n", false, 0, "", false },
+		{ "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+		  "Content-Length: 2\r\n\r\nab",
+		  false, 1, "ab", false },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		struct world w = { .wanted = "own" };
+		bool reusable;
+
+		exchange(&w, rows[i].bytes, rows[i].close_after, &reusable);
+		CU_ASSERT_EQUAL(w.replies, rows[i].replies);
+		CU_ASSERT_STRING_EQUAL(w.body, rows[i].body);
+		CU_ASSERT_EQUAL(reusable, rows[i].reusable);
+		/* An end is told unless the connection still stands. */
+		CU_ASSERT_EQUAL(w.ends,
+				rows[i].close_after || !rows[i].replies);
+	}
+}
+
+/* --- the log --- */
+
+static void a_log_whose_reader_stands_still_blocks_nobody(void)
+{
+	struct event_log_options options = { .lines_per_s = 100000 };
+	struct event_log *log;
+	int ends[2];
+	int i;
+
+	CU_ASSERT_EQUAL_FATAL(pipe(ends), 0);
+	options.fd = ends[1];
+	log = event_log_create(&options);
+	/* Far more than the pipe and the queue hold. */
+	for (i = 0; i < 40000; i++) {
+		event_log_write(log, "info", "test", "event=line number=%d", i);
+		if (i % 100 == 0)
+			event_log_flush(log);
+	}
+	CU_ASSERT_TRUE(event_log_dropped(log) > 0);
+	/* The reader goes away: the thread ends. */
+	close(ends[0]);
+	signal(SIGPIPE, SIG_IGN);
+	event_log_destroy(log);
+	close(ends[1]);
+}
+
+static void a_log_is_bounded_and_says_what_it_left_out(void)
+{
+	struct event_log_options options = { .lines_per_s = 10 };
+	struct event_log *log;
+	char buf[8192] = "";
+	unsigned int lines = 0;
+	int ends[2];
+	int i;
+
+	CU_ASSERT_EQUAL_FATAL(pipe(ends), 0);
+	options.fd = ends[1];
+	log = event_log_create(&options);
+	for (i = 0; i < 100; i++)
+		event_log_write(log, "info", "test", "event=line");
+	g_usleep(G_USEC_PER_SEC / 2);
+	event_log_write(log, "info", "test", "event=last");
+	event_log_destroy(log);
+	CU_ASSERT_TRUE(read(ends[0], buf, sizeof(buf) - 1) > 0);
+	for (i = 0; buf[i]; i++)
+		lines += buf[i] == '\n';
+	CU_ASSERT_TRUE(lines < 20);
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "event=left_out lines="));
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "event=last"));
+	close(ends[0]);
+	close(ends[1]);
+}
+
+int main(void)
+{
+	static const struct suite_case cases[] = {
+		{ "answers go out in the order of requests",
+		  answers_go_out_in_the_order_of_requests },
+		{ "a caller that leaves is noticed",
+		  a_caller_that_leaves_is_noticed },
+		{ "what is no request is refused",
+		  what_is_no_request_is_refused },
+		{ "draining closes behind the last answer only",
+		  draining_closes_behind_the_last_answer_only },
+		{ "answers are taken whole or not at all",
+		  answers_are_taken_whole_or_not_at_all },
+		{ "a log whose reader stands still blocks nobody",
+		  a_log_whose_reader_stands_still_blocks_nobody },
+		{ "a log is bounded and says what it left out",
+		  a_log_is_bounded_and_says_what_it_left_out },
+		{ 0 },
+	};
+
+	return suite_run("net", cases);
+}
