--- a/src/balance/load.c
+++ b/src/balance/load.c
@@ -96,9 +96,6 @@
 		load->silent_since_s = now_s;
 		break;
 	case LOAD_SHED:
-		load->silent_since_s = now_s;
-		smooth(&load->failures, 1, FAILURE_WEIGHT);
-		break;
 	case LOAD_FAILED:
 		load->silent_since_s = now_s;
 		smooth(&load->failures, 1, FAILURE_WEIGHT);
--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -55,12 +55,14 @@
 
 void links_destroy(struct links *links)
 {
-	GList *node;
+	GList *node, *next;
 
 	if (!links)
 		return;
-	while ((node = links->all.head))
+	for (node = links->all.head; node; node = next) {
+		next = node->next;
 		link_free(node->data);
+	}
 	g_free(links);
 }
 
@@ -197,11 +199,13 @@
 
 void links_close_idle(struct links *links, struct upstream *upstream)
 {
-	GList *node;
+	GList *node, *next;
 
 	(void)links;
-	while ((node = upstream->idle.head))
+	for (node = upstream->idle.head; node; node = next) {
+		next = node->next;
 		link_free(node->data);
+	}
 }
 
 void links_tick(struct links *links)
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -83,7 +83,7 @@
 
 	if (end != value && !*end && isfinite(number) && number >= s->min &&
 	    number <= s->max) {
-		*(double *)((char *)settings + s->offset) = number;
+		memcpy((char *)settings + s->offset, &number, sizeof(number));
 		return true;
 	}
 	allowed = g_strdup_printf("%g to %g %s", s->min, s->max, s->unit);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -540,13 +540,15 @@
 
 void http_server_destroy(struct http_server *server)
 {
-	GList *link;
+	GList *link, *next;
 
 	if (!server)
 		return;
 	stop_listening(server);
-	while ((link = server->conns.head))
+	for (link = server->conns.head; link; link = next) {
+		next = link->next;
 		conn_free(link->data);
+	}
 	g_free(server);
 }
 
