cluster: messages between VMs are spaced by their number

Ruled out: the store, which answered all the while. Loads are told 250 times a second by all VMs together, reports and owners more rarely with many VMs; at 12 VMs the pace is what it was.

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -35,7 +35,10 @@
 	struct cluster *cluster = ctx;
 
 	if (!ev_is_active(&cluster->tell_timer)) {
-		ev_timer_set(&cluster->tell_timer, TELL_S, 0);
+		unsigned int vms = roster_vms(cluster->options.roster);
+
+		ev_timer_set(&cluster->tell_timer, MAX(TELL_S, vms * TELL_VM_S),
+			     0);
 		ev_timer_start(cluster->options.loop->ev, &cluster->tell_timer);
 	}
 }
@@ -315,6 +318,7 @@
 void cluster_tick(struct cluster *cluster)
 {
 	double now = cluster_now(cluster);
+	unsigned int vms = roster_vms(cluster->options.roster);
 
 	lease_tick(cluster->lease);
 	if (cluster->leading)
@@ -324,10 +328,16 @@
 		read_maps(cluster, on_stored_maps);
 	}
 	compare_progress(cluster);
-	cluster_send_loads(cluster);
-	if (cluster->leading)
-		cluster_tell_loads(cluster);
-	if (now >= cluster->report_sent_s + REPORT_S)
+	/* Ticks come a little late: half of one makes no difference. */
+	if (now >= cluster->loads_sent_s +
+			   roster_load_interval_s(cluster->options.roster) -
+			   LOADS_SLACK_S) {
+		cluster->loads_sent_s = now;
+		cluster_send_loads(cluster);
+		if (cluster->leading)
+			cluster_tell_loads(cluster);
+	}
+	if (now >= cluster->report_sent_s + MAX(REPORT_S, vms * REPORT_VM_S))
 		cluster_send_report(cluster, false);
 }
 
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -19,6 +19,12 @@
 /* Beats and reports. */
 #define BEAT_S 0.25
 #define REPORT_S 0.1
+/* With many VMs they grow by this for each, so that the leader's work does
+ * not: reports, beats that hold all owners, and changes told. */
+#define REPORT_VM_S 0.008
+#define MAPS_VM_S 0.02
+#define TELL_VM_S 0.00016
+#define LOADS_SLACK_S 0.025
 /* A VM that was not heard of for so long is not counted. */
 #define VM_ALIVE_S 2.0
 /* Without a beat for so long, owners are read from the store. */
@@ -70,6 +76,10 @@
 	double beat_heard_s;
 	double beat_sent_s;
 	double report_sent_s;
+	double loads_sent_s;
+	/** When owners were last told, and by which number. */
+	double maps_sent_s;
+	uint32_t maps_sent_number;
 	ev_timer tell_timer;
 	GArray *crashes;
 	/** The furthest that any VM has read. */
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -117,6 +117,17 @@
 
 static void take_own_maps(struct cluster *cluster, const LeaderBeat *beat);
 
+/* Owners are told when they change, and again in case that was lost. */
+static bool maps_due(const struct cluster *cluster)
+{
+	double again =
+		MAX(BEAT_S, roster_vms(cluster->options.roster) * MAPS_VM_S);
+
+	return cluster->maps_sent_number != cluster->map_number ||
+	       cluster_now(cluster) >=
+		       cluster->maps_sent_s + again - BEAT_S / 4;
+}
+
 static void fill_beat(struct cluster *cluster, struct beat_parts *parts,
 		      LeaderBeat *beat)
 {
@@ -134,7 +145,7 @@
 		g_ptr_array_add(parts->vms, vm_info(vm->name, &vm->address));
 	}
 	g_hash_table_iter_init(&iter, cluster->leaders);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
+	while (maps_due(cluster) && g_hash_table_iter_next(&iter, NULL, &value))
 		g_ptr_array_add(parts->maps, map_message(cluster, value));
 	parts->progress.operator_rows = cluster->progress.operator_rows;
 	parts->progress.upstream_rows = cluster->progress.upstream_rows;
@@ -170,6 +181,10 @@
 	}
 	take_own_maps(cluster, &beat);
 	cluster->beat_sent_s = cluster_now(cluster);
+	if (beat.n_maps) {
+		cluster->maps_sent_s = cluster->beat_sent_s;
+		cluster->maps_sent_number = cluster->map_number;
+	}
 	g_ptr_array_free(parts.vms, TRUE);
 	g_ptr_array_free(parts.maps, TRUE);
 	g_ptr_array_free(parts.crashes, TRUE);
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -6,10 +6,10 @@
 
 #include "entry/forward_impl.h"
 
-/* How long it takes until this VM learns of an answer to another VM: two
- * intervals of the messages about load. An upstream is sent what it can run in
- * that time beyond its slots, so that none of them stands idle. */
-#define NEWS_LAG_S 0.1
+/* Intervals of the messages about load until this VM learns of an answer to
+ * another VM. An upstream is sent what it can run in that time beyond its
+ * slots, so that none of them stands idle. */
+#define NEWS_INTERVALS 2.0
 /* Requests ahead at an upstream at most: upstreams queue about so many. */
 #define AHEAD_MAX 8.0
 /* An upstream in another zone is chosen when it is faster by a usual work, and
@@ -41,11 +41,14 @@
 			  const struct upstream *upstream)
 {
 	double slots = upstream->load.slots;
+	double lag;
 
 	/* Nobody else could run a request for an owner's key. */
 	if (job->key >= 0)
 		return AHEAD_MAX;
-	return MIN(1 + slots * NEWS_LAG_S / job->stats->mean_s, AHEAD_MAX);
+	lag = NEWS_INTERVALS *
+	      roster_load_interval_s(job->forward->options.roster);
+	return MIN(1 + slots * lag / job->stats->mean_s, AHEAD_MAX);
 }
 
 static bool has_room(const struct job *job, const struct upstream *upstream,
--- a/src/entry/roster.c
+++ b/src/entry/roster.c
@@ -11,6 +11,10 @@
 /* Part of the rate and of the connections that is used: lists of live VMs
  * differ for moments. */
 #define SHARE_USED 0.85
+/* Messages about load: twenty a second from each of few VMs, 250 a second from
+ * many together. */
+#define LOAD_INTERVAL_S 0.05
+#define LOAD_INTERVAL_VM_S 0.004
 /* Assumed as long as the number of VMs is not known. */
 #define VMS_UNKNOWN 16
 #define CONNECTIONS_MIN 4
@@ -352,6 +356,11 @@
 	return roster->vms;
 }
 
+double roster_load_interval_s(const struct roster *roster)
+{
+	return MAX(LOAD_INTERVAL_S, roster->vms * LOAD_INTERVAL_VM_S);
+}
+
 bool upstream_takes_work(const struct roster *roster,
 			 const struct upstream *upstream)
 {
--- a/src/entry/roster.h
+++ b/src/entry/roster.h
@@ -109,6 +109,10 @@
 		    const char **names);
 unsigned int roster_vms(const struct roster *roster);
 
+/** Interval of messages about load: it grows with the number of VMs, so that
+ * the leader's work does not. */
+double roster_load_interval_s(const struct roster *roster);
+
 /** Whether an upstream gets new work at all. */
 bool upstream_takes_work(const struct roster *roster,
 			 const struct upstream *upstream);
