test: nothing leaked by the new tests, no signal from a closed pipe

The address sanitizer's run found them: a string of a test, orders that the fuzz target's VMs had not sent when they stopped leading, and a pipe closed before its signal was ignored. The programs themselves leaked nothing.

--- a/test/functional/test_entry.c
+++ b/test/functional/test_entry.c
@@ -245,7 +245,8 @@
 static void what_breaks_the_limits_is_refused(void)
 {
 	char *body = g_strnfill(200000, 'b');
-	char *uri = g_strdup_printf("/plain/%s", g_strnfill(5000, 'u'));
+	char *filler = g_strnfill(5000, 'u');
+	char *uri = g_strdup_printf("/plain/%s", filler);
 	char id[32];
 	struct http_answer *answer;
 
@@ -259,6 +260,7 @@
 	http_answer_destroy(answer);
 	CU_ASSERT_EQUAL(status_of(&entries[0], "/plain/a", 0), 200);
 	g_free(uri);
+	g_free(filler);
 	g_free(body);
 	teardown();
 }
--- a/test/fuzz/fuzz_keys_parts/target.c
+++ b/test/fuzz/fuzz_keys_parts/target.c
@@ -243,6 +243,18 @@
 	}
 }
 
+void target_forget(struct vm *vm)
+{
+	struct delivery *d;
+	unsigned int t;
+
+	for (t = 0; t < TARGETS; t++)
+		while ((d = g_queue_pop_head(&vm->pending[t]))) {
+			d->events++;
+			delivery_unref(d);
+		}
+}
+
 void target_send(struct vm *vm, const struct keeper_order *order, bool release)
 {
 	struct delivery *d = g_new0(struct delivery, 1);
--- a/test/fuzz/fuzz_keys_parts/vm.c
+++ b/test/fuzz/fuzz_keys_parts/vm.c
@@ -163,6 +163,7 @@
 
 static void drop_keeper(struct vm *vm)
 {
+	target_forget(vm);
 	keeper_destroy(vm->keeper);
 	vm->keeper = NULL;
 	vm->keeper_number++;
--- a/test/fuzz/fuzz_keys_parts/world.h
+++ b/test/fuzz/fuzz_keys_parts/world.h
@@ -149,6 +149,8 @@
 };
 
 void target_send(struct vm *vm, const struct keeper_order *order, bool release);
+/** Drops a VM's orders that were not sent. */
+void target_forget(struct vm *vm);
 void target_start(struct world *world, unsigned int index);
 void target_stop(struct world *world, unsigned int index);
 
--- a/test/unit/test_net.c
+++ b/test/unit/test_net.c
@@ -341,7 +341,6 @@
 	CU_ASSERT_TRUE(event_log_dropped(log) > 0);
 	/* The reader goes away: the thread ends. */
 	close(ends[0]);
-	signal(SIGPIPE, SIG_IGN);
 	event_log_destroy(log);
 	close(ends[1]);
 }
@@ -393,5 +392,6 @@
 		{ 0 },
 	};
 
+	signal(SIGPIPE, SIG_IGN);
 	return suite_run("net", cases);
 }
