log: lines wait in a buffer under a lock that is never held while writing

Cause: the thread sanitizer can't see the fences of Concurrency Kit's ring, and ended the entry daemon (functional-test_entry failed in three of twelve cases under it, test_net in one). Lines wait in a bounded buffer that the writing thread swaps for an empty one; the lock is held for the swap and for an append only.

--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -1,6 +1,5 @@
 #include "base/event_log.h"
 
-#include <ck_ring.h>
 #include <errno.h>
 #include <poll.h>
 #include <pthread.h>
@@ -9,8 +8,8 @@
 #include <string.h>
 #include <unistd.h>
 
-/* Lines that wait at most; a power of two, as the ring asks for. */
-#define QUEUE_LINES 8192
+/* Bytes that wait at most. */
+#define PENDING_BYTES ((gsize)1 << 20)
 /* Longest time that the end of a process waits for a slow reader. */
 #define LAST_FLUSH_MS 1000
 #define US_PER_S 1000000.0
@@ -23,15 +22,14 @@
 	uint64_t dropped;
 	uint64_t dropped_told;
 
-	ck_ring_t ring;
-	ck_ring_buffer_t slots[QUEUE_LINES];
-
 	pthread_t thread;
+	/** Held for moments only, never while something is written. */
 	pthread_mutex_t lock;
 	pthread_cond_t wake;
-	/** Guarded by lock. */
+	/** Guarded by lock, as what follows: lines that wait. */
+	GString *pending;
 	bool stopping;
-	bool pending;
+	bool woken;
 };
 
 /* Writes a whole line; gives up on an error or when the reader is gone. */
@@ -57,38 +55,29 @@
 	}
 }
 
-static void drain(struct event_log *log)
-{
-	GString *block = g_string_new(NULL);
-	void *line;
-
-	while (ck_ring_dequeue_spsc(&log->ring, log->slots, &line)) {
-		g_string_append(block, line);
-		g_free(line);
-		if (block->len > (gsize)32 << 10) {
-			write_line(log, block->str);
-			g_string_truncate(block, 0);
-		}
-	}
-	if (block->len)
-		write_line(log, block->str);
-	g_string_free(block, TRUE);
-}
-
 static void *run(void *data)
 {
 	struct event_log *log = data;
+	GString *block = g_string_new(NULL);
 	bool stopping = false;
 
 	while (!stopping) {
+		GString *full;
+
 		pthread_mutex_lock(&log->lock);
-		while (!log->pending && !log->stopping)
+		while (!log->woken && !log->stopping)
 			pthread_cond_wait(&log->wake, &log->lock);
-		log->pending = false;
+		log->woken = false;
 		stopping = log->stopping;
+		full = log->pending;
+		log->pending = block;
 		pthread_mutex_unlock(&log->lock);
-		drain(log);
+		if (full->len)
+			write_line(log, full->str);
+		g_string_truncate(full, 0);
+		block = full;
 	}
+	g_string_free(block, TRUE);
 	return NULL;
 }
 
@@ -100,7 +89,7 @@
 	log->lines_per_s = options->lines_per_s;
 	log->tokens = log->lines_per_s;
 	log->refilled_us = g_get_monotonic_time();
-	ck_ring_init(&log->ring, QUEUE_LINES);
+	log->pending = g_string_new(NULL);
 	pthread_mutex_init(&log->lock, NULL);
 	pthread_cond_init(&log->wake, NULL);
 	if (pthread_create(&log->thread, NULL, run, log))
@@ -111,7 +100,7 @@
 static void signal_thread(struct event_log *log, bool stopping)
 {
 	pthread_mutex_lock(&log->lock);
-	log->pending = true;
+	log->woken = true;
 	log->stopping = log->stopping || stopping;
 	pthread_cond_signal(&log->wake);
 	pthread_mutex_unlock(&log->lock);
@@ -131,6 +120,7 @@
 	}
 	pthread_mutex_destroy(&log->lock);
 	pthread_cond_destroy(&log->wake);
+	g_string_free(log->pending, TRUE);
 	g_free(log);
 }
 
@@ -149,12 +139,18 @@
 	return true;
 }
 
+/* Takes over the line. @return false when there is no room */
 static bool enqueue(struct event_log *log, char *line)
 {
-	if (ck_ring_enqueue_spsc(&log->ring, log->slots, line))
-		return true;
+	bool room;
+
+	pthread_mutex_lock(&log->lock);
+	room = log->pending->len < PENDING_BYTES;
+	if (room)
+		g_string_append(log->pending, line);
+	pthread_mutex_unlock(&log->lock);
 	g_free(line);
-	return false;
+	return room;
 }
 
 static char *line_head(const char *level, const char *part)
@@ -206,7 +202,12 @@
 
 void event_log_flush(struct event_log *log)
 {
-	if (ck_ring_size(&log->ring))
+	bool waits;
+
+	pthread_mutex_lock(&log->lock);
+	waits = log->pending->len > 0;
+	pthread_mutex_unlock(&log->lock);
+	if (waits)
 		signal_thread(log, false);
 }
 
