--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -160,25 +160,31 @@
 	beat->n_crashes = parts->crashes->len;
 }
 
-void cluster_send_beat(struct cluster *cluster)
+static void send_to_vms(struct cluster *cluster, const PeerMessage *message)
 {
-	PeerMessage message = PEER_MESSAGE__INIT;
-	LeaderBeat beat = LEADER_BEAT__INIT;
-	struct beat_parts parts;
 	GHashTableIter iter;
 	gpointer value;
 
-	fill_beat(cluster, &parts, &beat);
-	message.kind_case = PEER_MESSAGE__KIND_BEAT;
-	message.beat = &beat;
 	g_hash_table_iter_init(&iter, cluster->vms);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct vm *vm = value;
 
 		if (strcmp(vm->name, cluster->options.settings->vm) != 0)
 			datagrams_send(cluster->datagrams, &vm->address,
-				       &message);
+				       message);
 	}
+}
+
+void cluster_send_beat(struct cluster *cluster)
+{
+	PeerMessage message = PEER_MESSAGE__INIT;
+	LeaderBeat beat = LEADER_BEAT__INIT;
+	struct beat_parts parts;
+
+	fill_beat(cluster, &parts, &beat);
+	message.kind_case = PEER_MESSAGE__KIND_BEAT;
+	message.beat = &beat;
+	send_to_vms(cluster, &message);
 	take_own_maps(cluster, &beat);
 	cluster->beat_sent_s = cluster_now(cluster);
 	if (beat.n_maps) {
@@ -380,21 +386,6 @@
 	g_ptr_array_free(own, TRUE);
 }
 
-static void send_to_vms(struct cluster *cluster, const PeerMessage *message)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, cluster->vms);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct vm *vm = value;
-
-		if (strcmp(vm->name, cluster->options.settings->vm) != 0)
-			datagrams_send(cluster->datagrams, &vm->address,
-				       message);
-	}
-}
-
 void cluster_tell_loads(struct cluster *cluster)
 {
 	PeerMessage message = PEER_MESSAGE__INIT;
--- a/src/entry/flight.c
+++ b/src/entry/flight.c
@@ -107,7 +107,6 @@
 	flight->upstream = upstream_ref(upstream);
 	flight->started_s = now;
 	flight->busy_before = load_busy(&upstream->load, now);
-	flight->backup = backup;
 	job->flights[free_slot(job)] = flight;
 	job->sends++;
 	note_tried(job, upstream);
--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -46,7 +46,6 @@
 	uint64_t row_version;
 	/** Since when others know of a newer row; 0: they don't. */
 	double behind_s;
-	double heard_s;
 };
 
 static void on_timer(struct ev_loop *loop, ev_timer *timer, int events);
@@ -88,17 +87,10 @@
 	return follower->loaded;
 }
 
-double follower_heard_s(const struct follower *follower)
-{
-	return follower->heard_s;
-}
-
 static void set_contact(struct follower *follower, bool lost)
 {
-	if (!lost) {
-		follower->heard_s = loop_now(follower->loop);
+	if (!lost)
 		follower->retry_s = RETRY_S;
-	}
 	if (follower->lost == lost)
 		return;
 	follower->lost = lost;
--- a/src/entry/follower.h
+++ b/src/entry/follower.h
@@ -44,7 +44,4 @@
 /** Whether the table was read whole once. */
 bool follower_loaded(const struct follower *follower);
 
-/** Loop time of the store's last answer. */
-double follower_heard_s(const struct follower *follower);
-
 #endif
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -30,8 +30,6 @@
 	double busy_before;
 	/** The caller is gone; the work is let run to its end. */
 	bool detached;
-	/** A copy of an earlier one that is still in flight. */
-	bool backup;
 };
 
 struct job {
--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -16,7 +16,6 @@
 	const struct roster *roster;
 	/** Every link. */
 	GQueue all;
-	unsigned long opened;
 };
 
 struct link {
@@ -142,7 +141,6 @@
 	link->node.data = link;
 	link->idle_node.data = link;
 	upstream->connections++;
-	links->opened++;
 	g_queue_push_tail_link(&links->all, &link->node);
 	link->client =
 		http_channel_create(links->loop, &upstream->entry.address,
@@ -220,8 +218,3 @@
 			link_free(link);
 	}
 }
-
-unsigned long links_opened(const struct links *links)
-{
-	return links->opened;
-}
--- a/src/entry/links.h
+++ b/src/entry/links.h
@@ -60,7 +60,4 @@
 /** Closes connections that have been idle for too long. */
 void links_tick(struct links *links);
 
-/** Connections opened so far. */
-unsigned long links_opened(const struct links *links);
-
 #endif
--- a/src/net/http_channel.c
+++ b/src/net/http_channel.c
@@ -319,29 +319,37 @@
 	parse(client, buf, (size_t)n);
 }
 
-static void client_flush(struct http_channel *client)
+/* Writes as much as fits. @return false when the connection is broken */
+static bool write_out(struct http_channel *client)
 {
 	while (client->out_sent < client->out->len) {
 		ssize_t n = socket_write(client->fd,
 					 client->out->str + client->out_sent,
 					 client->out->len - client->out_sent);
 
-		if (n == SOCKET_AGAIN)
-			break;
-		if (n < 0) {
-			on_closed(client, false);
-			return;
-		}
+		if (n < 0)
+			return n == SOCKET_AGAIN;
 		client->sent = true;
 		client->out_sent += (size_t)n;
 	}
-	if (client->out_sent == client->out->len) {
-		g_string_truncate(client->out, 0);
-		client->out_sent = 0;
-	}
+	g_string_truncate(client->out, 0);
+	client->out_sent = 0;
+	return true;
+}
+
+static void watch_output(struct http_channel *client)
+{
 	watch(client, EV_READ | (client->out->len ? EV_WRITE : 0));
 }
 
+static void client_flush(struct http_channel *client)
+{
+	if (write_out(client))
+		watch_output(client);
+	else
+		on_closed(client, false);
+}
+
 static void end_connect(struct http_channel *client)
 {
 	int error = 0;
@@ -429,11 +437,6 @@
 	return client;
 }
 
-void http_channel_set_ctx(struct http_channel *client, void *ctx)
-{
-	client->ctx = ctx;
-}
-
 void http_channel_send(struct http_channel *client, struct str message,
 		       bool head_only)
 {
@@ -445,21 +448,8 @@
 	if (!client->connected)
 		return;
 	/* A failure is reported from the loop, not from within the call. */
-	while (client->out_sent < client->out->len) {
-		ssize_t n = socket_write(client->fd,
-					 client->out->str + client->out_sent,
-					 client->out->len - client->out_sent);
-
-		if (n < 0)
-			break;
-		client->sent = true;
-		client->out_sent += (size_t)n;
-	}
-	if (client->out_sent == client->out->len) {
-		g_string_truncate(client->out, 0);
-		client->out_sent = 0;
-	}
-	watch(client, EV_READ | (client->out->len ? EV_WRITE : 0));
+	(void)write_out(client);
+	watch_output(client);
 }
 
 bool http_channel_reusable(const struct http_channel *client)
@@ -468,11 +458,6 @@
 	       !client->close && !client->out->len;
 }
 
-bool http_channel_connected(const struct http_channel *client)
-{
-	return client->connected;
-}
-
 bool http_channel_sent(const struct http_channel *client)
 {
 	return client->sent;
--- a/src/net/http_channel.h
+++ b/src/net/http_channel.h
@@ -73,9 +73,6 @@
 /** Closes and frees; allowed from within an operation. */
 void http_channel_destroy(struct http_channel *client);
 
-/** Changes whom operations are called for. */
-void http_channel_set_ctx(struct http_channel *client, void *ctx);
-
 /**
  * Sends a request on a connection without one.
  *
@@ -88,9 +85,6 @@
 /** Whether it can take a request: open, idle, nothing unread. */
 bool http_channel_reusable(const struct http_channel *client);
 
-/** Whether the TCP connection stands. */
-bool http_channel_connected(const struct http_channel *client);
-
 /** Whether bytes of the request may have been sent. */
 bool http_channel_sent(const struct http_channel *client);
 
