cluster: leader's messages go on by way of relays; a slow link takes the lease late

A VM with a slow link led, its link was full, its renewals were late and the lease was lost five times in 18 s (log of front-machala-14). Ruled out: processor time (0.0033 of a core in the mean), the store (its other callers were answered at once). Change: beyond 16 VMs the square root of them get a message with a list of those to send it on to, others each time. A VM waits for a free lease up to half a second longer, by the speed of its link; the random part shrinks from 1.0 to 0.5 s. The leader's address is read from the beat.

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -371,6 +371,9 @@
 	cluster->lease =
 		lease_create(options->loop, &options->store, &lease_ops,
 			     cluster, options->settings->vm, address);
+	lease_set_handicap(cluster->lease,
+			   MIN(HANDICAP_MAX_S,
+			       HANDICAP_MBIT / options->settings->link_mbps));
 	cluster->orders =
 		orders_create(options->loop, options->links, options->protocol,
 			      &orders_ops, cluster);
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -31,6 +31,10 @@
 #define BEAT_LOST_S 1.0
 /* A change of owners is told after this, with others of the same moment. */
 #define TELL_S 0.002
+/* A VM with a slow link takes a free lease later, by the time that what a
+ * leader sends in a few seconds occupies it. */
+#define HANDICAP_MBIT 5.0
+#define HANDICAP_MAX_S 0.5
 /* Numbers of maps within one lease. */
 #define MAP_NUMBERS 1000000
 /* Crashes that are told on, and for how long. */
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -160,8 +160,9 @@
 	beat->n_crashes = parts->crashes->len;
 }
 
-static void send_to_vms(struct cluster *cluster, const PeerMessage *message)
+static void send_to_vms(struct cluster *cluster, PeerMessage *message)
 {
+	GArray *to = g_array_new(FALSE, FALSE, sizeof(struct sockaddr_in));
 	GHashTableIter iter;
 	gpointer value;
 
@@ -170,9 +171,10 @@
 		const struct vm *vm = value;
 
 		if (strcmp(vm->name, cluster->options.settings->vm) != 0)
-			datagrams_send(cluster->datagrams, &vm->address,
-				       message);
+			g_array_append_val(to, vm->address);
 	}
+	datagrams_spread(cluster->datagrams, to, message);
+	g_array_free(to, TRUE);
 }
 
 void cluster_send_beat(struct cluster *cluster)
@@ -234,13 +236,11 @@
 	g_array_append_val(cluster->crashes, crash);
 }
 
-static void on_report(void *ctx, const VmReport *report,
-		      const struct sockaddr_in *from)
+static void on_report(void *ctx, const VmReport *report)
 {
 	struct cluster *cluster = ctx;
 	size_t i;
 
-	(void)from;
 	if (!cluster->leading || !report->vm)
 		return;
 	if (report->stopping) {
@@ -310,10 +310,16 @@
 		struct sockaddr_in address;
 
 		names[i] = beat->vms[i]->name;
+		if (cluster->leading ||
+		    !address_parse(str_from(beat->vms[i]->address), &address))
+			continue;
 		/* Whoever leads next has to reach them at once. */
-		if (!cluster->leading &&
-		    address_parse(str_from(beat->vms[i]->address), &address))
-			cluster_hear_vm(cluster, names[i], &address);
+		cluster_hear_vm(cluster, names[i], &address);
+		/* The datagram itself may come from another VM. */
+		if (!strcmp(names[i], beat->vm)) {
+			cluster->leader = address;
+			cluster->leader_known = true;
+		}
 	}
 	roster_set_vms(cluster->options.roster, (unsigned int)beat->n_vms,
 		       names);
@@ -328,8 +334,7 @@
 	take_vms(cluster, beat);
 }
 
-static void on_beat(void *ctx, const LeaderBeat *beat,
-		    const struct sockaddr_in *from)
+static void on_beat(void *ctx, const LeaderBeat *beat)
 {
 	struct cluster *cluster = ctx;
 	size_t i;
@@ -337,8 +342,6 @@
 	if (beat->lease < lease_version(cluster->lease))
 		return;
 	lease_seen(cluster->lease, beat->lease);
-	cluster->leader = *from;
-	cluster->leader_known = true;
 	cluster->beat_heard_s = cluster_now(cluster);
 	take_progress(cluster, beat->progress);
 	take_maps(cluster, beat);
@@ -458,7 +461,7 @@
 	message.kind_case = PEER_MESSAGE__KIND_REPORT;
 	message.report = &out;
 	if (cluster->leading)
-		on_report(cluster, &out, &cluster->options.settings->peers);
+		on_report(cluster, &out);
 	else if (cluster->leader_known)
 		datagrams_send(cluster->datagrams, &cluster->leader, &message);
 	roster_each_service(cluster->options.roster, clear_load, NULL);
--- a/src/entry/datagrams.c
+++ b/src/entry/datagrams.c
@@ -1,6 +1,7 @@
 #include "entry/datagrams.h"
 
 #include <errno.h>
+#include <math.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -10,6 +11,11 @@
 
 /* Largest datagram of UDP over IPv4. */
 #define DATAGRAM_BYTES 65507
+/* An IPv4 address and a port on the wire. */
+#define RELAY_BYTES 6
+/* Up to so many VMs are sent to directly: a second hop would not spare the
+ * sender much. */
+#define DIRECT_MAX 16
 
 struct datagrams {
 	const struct loop *loop;
@@ -19,8 +25,27 @@
 	void *ctx;
 };
 
-static void take(struct datagrams *datagrams, const uint8_t *data, size_t len,
-		 const struct sockaddr_in *from)
+/* Sends a message on to those that its sender left to this VM. */
+static void relay(struct datagrams *datagrams, PeerMessage *message)
+{
+	ProtobufCBinaryData to = message->relay_to;
+	size_t i;
+
+	message->relay_to = (ProtobufCBinaryData){ 0 };
+	for (i = 0; i + RELAY_BYTES <= to.len; i += RELAY_BYTES) {
+		struct sockaddr_in address = { .sin_family = AF_INET };
+
+		memcpy(&address.sin_addr, to.data + i,
+		       sizeof(address.sin_addr));
+		memcpy(&address.sin_port,
+		       to.data + i + sizeof(address.sin_addr),
+		       sizeof(address.sin_port));
+		datagrams_send(datagrams, &address, message);
+	}
+	message->relay_to = to;
+}
+
+static void take(struct datagrams *datagrams, const uint8_t *data, size_t len)
 {
 	PeerMessage *message = peer_message__unpack(NULL, len, data);
 
@@ -28,12 +53,14 @@
 		log_warn("peers", "a datagram can't be read");
 		return;
 	}
+	if (message->relay_to.len)
+		relay(datagrams, message);
 	switch (message->kind_case) {
 	case PEER_MESSAGE__KIND_BEAT:
-		datagrams->ops->beat(datagrams->ctx, message->beat, from);
+		datagrams->ops->beat(datagrams->ctx, message->beat);
 		break;
 	case PEER_MESSAGE__KIND_REPORT:
-		datagrams->ops->report(datagrams->ctx, message->report, from);
+		datagrams->ops->report(datagrams->ctx, message->report);
 		break;
 	case PEER_MESSAGE__KIND_VM_LOADS:
 		datagrams->ops->vm_loads(datagrams->ctx, message->vm_loads);
@@ -58,15 +85,11 @@
 	(void)loop;
 	(void)events;
 	for (;;) {
-		struct sockaddr_in from;
-		socklen_t len = sizeof(from);
-		ssize_t n =
-			recvfrom(datagrams->fd, buf, sizeof(buf), MSG_DONTWAIT,
-				 (struct sockaddr *)&from, &len);
+		ssize_t n = recv(datagrams->fd, buf, sizeof(buf), MSG_DONTWAIT);
 
 		if (n < 0)
 			return;
-		take(datagrams, buf, (size_t)n, &from);
+		take(datagrams, buf, (size_t)n);
 	}
 }
 
@@ -124,3 +147,53 @@
 		     (const struct sockaddr *)to, sizeof(*to));
 	g_free(buf);
 }
+
+static void shuffle(GArray *addresses)
+{
+	guint i;
+
+	for (i = addresses->len; i > 1; i--) {
+		struct sockaddr_in *a =
+			&g_array_index(addresses, struct sockaddr_in, i - 1);
+		struct sockaddr_in *b =
+			&g_array_index(addresses, struct sockaddr_in,
+				       g_random_int_range(0, (gint32)i));
+		struct sockaddr_in kept = *a;
+
+		*a = *b;
+		*b = kept;
+	}
+}
+
+static void append_relay(GByteArray *list, const struct sockaddr_in *address)
+{
+	g_byte_array_append(list, (const guint8 *)&address->sin_addr,
+			    sizeof(address->sin_addr));
+	g_byte_array_append(list, (const guint8 *)&address->sin_port,
+			    sizeof(address->sin_port));
+}
+
+void datagrams_spread(struct datagrams *datagrams, GArray *to,
+		      PeerMessage *message)
+{
+	guint relays =
+		to->len <= DIRECT_MAX ? to->len : (guint)ceil(sqrt(to->len));
+	GByteArray *list = g_byte_array_new();
+	guint i, next;
+
+	shuffle(to);
+	for (i = 0; i < relays; i++) {
+		g_byte_array_set_size(list, 0);
+		for (next = i + relays; next < to->len; next += relays)
+			append_relay(
+				list,
+				&g_array_index(to, struct sockaddr_in, next));
+		message->relay_to.data = list->data;
+		message->relay_to.len = list->len;
+		datagrams_send(datagrams,
+			       &g_array_index(to, struct sockaddr_in, i),
+			       message);
+	}
+	message->relay_to = (ProtobufCBinaryData){ 0 };
+	g_byte_array_free(list, TRUE);
+}
--- a/src/entry/datagrams.h
+++ b/src/entry/datagrams.h
@@ -14,10 +14,8 @@
 struct datagrams;
 
 struct datagram_ops {
-	void (*beat)(void *ctx, const LeaderBeat *beat,
-		     const struct sockaddr_in *from);
-	void (*report)(void *ctx, const VmReport *report,
-		       const struct sockaddr_in *from);
+	void (*beat)(void *ctx, const LeaderBeat *beat);
+	void (*report)(void *ctx, const VmReport *report);
 	void (*vm_loads)(void *ctx, const VmLoads *loads);
 	void (*leader_loads)(void *ctx, const LeaderLoads *loads);
 };
@@ -37,4 +35,14 @@
 void datagrams_send(struct datagrams *datagrams, const struct sockaddr_in *to,
 		    const PeerMessage *message);
 
+/**
+ * Sends a datagram to many VMs. Beyond a handful some are asked to send it on,
+ * others each time, so that no VM's link bears all of it and the loss of one
+ * costs the others a single message.
+ *
+ * @param to of struct sockaddr_in; its order is changed
+ */
+void datagrams_spread(struct datagrams *datagrams, GArray *to,
+		      PeerMessage *message);
+
 #endif
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -32,6 +32,8 @@
 	  "name of this VM, unique among those of the system", AT(vm) },
 	{ "vm", "zone", SETTING_TEXT, "", NULL, 0, 0,
 	  "availability zone of this VM", AT(zone) },
+	{ "vm", "link", SETTING_NUMBER, "Mbit/s", "1000", 0.1, 1000000,
+	  "speed of this VM's network link", AT(link_mbps) },
 	{ "listen", "callers", SETTING_ADDRESS, "IPv4:port", NULL, 0, 0,
 	  "where callers connect", AT(callers) },
 	{ "listen", "ready", SETTING_ADDRESS, "IPv4:port", NULL, 0, 0,
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -13,6 +13,8 @@
 struct entry_settings {
 	char *vm;
 	char *zone;
+	/** Of this VM's network link, in Mbit/s. */
+	double link_mbps;
 	struct sockaddr_in callers;
 	struct sockaddr_in ready;
 	struct sockaddr_in peers;
--- a/src/keys/lease.c
+++ b/src/keys/lease.c
@@ -19,7 +19,7 @@
 /* Candidates begin at different moments, drawn anew for each holder: the first
  * of many begins soon, and is heard before the others try. The store handles
  * their writes one after the other. */
-#define JITTER_S 1.0
+#define JITTER_S 0.5
 /* A row that was not seen for so long is read. */
 #define LOOK_S 0.7
 /* On the store's clock: long ago. */
@@ -49,6 +49,7 @@
 	/** When the version was learned; 0: never. */
 	double seen_s;
 	double jitter_s;
+	double handicap_s;
 	/** When the lease of others is over by what the row says; 0: unknown */
 	double free_s;
 	/** Added to this VM's clock: the store's clock, or a little more. */
@@ -91,6 +92,11 @@
 	g_free(lease);
 }
 
+void lease_set_handicap(struct lease *lease, double handicap_s)
+{
+	lease->handicap_s = handicap_s;
+}
+
 static double now_of(const struct lease *lease)
 {
 	return loop_now(lease->loop);
@@ -213,7 +219,7 @@
 	at = lease->seen_s + LEASE_S * CLOCK_FACTOR;
 	if (lease->free_s && lease->free_s < at)
 		at = lease->free_s;
-	return at + lease->jitter_s;
+	return at + lease->jitter_s + lease->handicap_s;
 }
 
 static const struct store_row *find_row(const struct store_result *result)
--- a/src/keys/lease.h
+++ b/src/keys/lease.h
@@ -40,6 +40,10 @@
 			   const char *vm, const char *address);
 void lease_destroy(struct lease *lease);
 
+/** Lets this VM wait so many seconds longer than others before it takes a lease
+ * that is free. */
+void lease_set_handicap(struct lease *lease, double handicap_s);
+
 /** To be called every 50 ms or so. */
 void lease_tick(struct lease *lease);
 
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -1560,7 +1560,7 @@
   (ProtobufCMessageInit) leader_loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer_message__field_descriptors[4] =
+static const ProtobufCFieldDescriptor peer_message__field_descriptors[5] =
 {
   {
     "beat",
@@ -1610,17 +1610,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "relay_to",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(PeerMessage, relay_to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_message__field_indices_by_name[] = {
   0,   /* field[0] = beat */
   3,   /* field[3] = leader_loads */
+  4,   /* field[4] = relay_to */
   1,   /* field[1] = report */
   2,   /* field[2] = vm_loads */
 };
 static const ProtobufCIntRange peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor peer_message__descriptor =
 {
@@ -1630,7 +1643,7 @@
   "PeerMessage",
   "",
   sizeof(PeerMessage),
-  4,
+  5,
   peer_message__field_descriptors,
   peer_message__field_indices_by_name,
   1,  peer_message__number_ranges,
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -277,6 +277,11 @@
 struct  PeerMessage
 {
   ProtobufCMessage base;
+  /*
+   * IPv4 addresses and ports, six bytes each in network order: whoever gets
+   * the message sends it on to these, without the list.
+   */
+  ProtobufCBinaryData relay_to;
   PeerMessage__KindCase kind_case;
   union {
     LeaderBeat *beat;
@@ -287,7 +292,7 @@
 };
 #define PEER_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_message__descriptor) \
-    , PEER_MESSAGE__KIND__NOT_SET, {0} }
+    , {0,NULL}, PEER_MESSAGE__KIND__NOT_SET, {0} }
 
 
 /* KeySpan methods */
