cluster, store: changed rows are passed on by the leader

Change: the leader and three more VMs of a fixed order follow the store; beats carry the newest changes of both tables with the version that they start from. A VM that misses earlier ones, or hears no beat for 0.75 s, asks the store itself. How far watchers have read still finds a call of the leader that was lost.

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -30,10 +30,8 @@
 	return cluster->leading && lease_held(cluster->lease, ORDER_S);
 }
 
-static void keys_changed(void *ctx)
+static void tell_soon(struct cluster *cluster)
 {
-	struct cluster *cluster = ctx;
-
 	if (!ev_is_active(&cluster->tell_timer)) {
 		unsigned int vms = roster_vms(cluster->options.roster);
 
@@ -43,6 +41,20 @@
 	}
 }
 
+static void keys_changed(void *ctx)
+{
+	struct cluster *cluster = ctx;
+
+	cluster->maps_changed = true;
+	tell_soon(cluster);
+}
+
+void cluster_tell_rows(struct cluster *cluster)
+{
+	if (cluster->leading)
+		tell_soon(cluster);
+}
+
 static void hear_again(gpointer key, gpointer value, gpointer data)
 {
 	struct vm *vm = value;
@@ -160,17 +172,18 @@
 /* Compares what this VM has read with what the others have. */
 static void compare_progress(struct cluster *cluster)
 {
-	static const struct progress unknown;
-	void *ctx = cluster->options.ctx;
-	struct progress own = cluster->options.progress(ctx);
-	bool heard = cluster->leading
-			     ? g_hash_table_size(cluster->vms) > 1
-			     : cluster_now(cluster) <
-				       cluster->beat_heard_s + BEAT_LOST_S / 2;
-
-	cluster_note_progress(cluster, own.operator_rows, own.upstream_rows);
-	cluster->options.others_progress(ctx,
-					 heard ? cluster->progress : unknown);
+	struct follower *operator_rows = cluster->options.operator_rows;
+	struct follower *upstream_rows = cluster->options.upstream_rows;
+	bool heard = cluster->leading ? g_hash_table_size(cluster->vms) > 1
+				      : cluster_now(cluster) <
+						cluster->beat_heard_s + ALONE_S;
+
+	cluster_note_progress(cluster, follower_row_version(operator_rows),
+			      follower_row_version(upstream_rows));
+	follower_hint(operator_rows,
+		      heard ? cluster->progress.operator_rows : 0);
+	follower_hint(upstream_rows,
+		      heard ? cluster->progress.upstream_rows : 0);
 }
 
 static const struct lease_ops lease_ops = {
@@ -198,7 +211,9 @@
 
 	(void)loop;
 	(void)events;
-	cluster->map_number++;
+	if (cluster->maps_changed)
+		cluster->map_number++;
+	cluster->maps_changed = false;
 	if (lease_held(cluster->lease, 0))
 		cluster_send_beat(cluster);
 }
@@ -277,6 +292,8 @@
 	g_hash_table_foreach_remove(cluster->vms, is_silent, cluster);
 	if (now >= cluster->beat_sent_s + BEAT_S)
 		cluster_send_beat(cluster);
+	follower_set_passive(cluster->options.operator_rows, false);
+	follower_set_passive(cluster->options.upstream_rows, false);
 	if (!cluster->options.ready(cluster->options.ctx))
 		return;
 	if (!cluster->maps_read) {
--- a/src/entry/cluster.h
+++ b/src/entry/cluster.h
@@ -8,18 +8,13 @@
 
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "entry/follower.h"
 #include "entry/orders.h"
 #include "entry/settings.h"
 #include "store/store.h"
 
 struct cluster;
 
-/** Versions of the newest rows known of operators and of upstreams. */
-struct progress {
-	uint64_t operator_rows;
-	uint64_t upstream_rows;
-};
-
 struct cluster_options {
 	struct loop *loop;
 	const struct entry_settings *settings;
@@ -29,10 +24,9 @@
 	struct store store;
 	struct event_log *log;
 	struct metrics *metrics;
-	/** How far this VM has read what is declared. */
-	struct progress (*progress)(void *ctx);
-	/** How far others have; zeros: no other VM is heard. */
-	void (*others_progress)(void *ctx, struct progress progress);
+	/** What is declared: the leader passes changes on. */
+	struct follower *operator_rows;
+	struct follower *upstream_rows;
 	/** Whether upstreams and the configuration were read. */
 	bool (*ready)(void *ctx);
 	/** Owners of keys changed. */
@@ -54,6 +48,9 @@
 void cluster_tell_crash(struct cluster *cluster, uint64_t request,
 			const char *upstream);
 
+/** Tells the others of changed rows, if this VM leads. */
+void cluster_tell_rows(struct cluster *cluster);
+
 /** Stops leading, or trying to. */
 void cluster_stop(struct cluster *cluster);
 
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -29,6 +29,8 @@
 #define VM_ALIVE_S 2.0
 /* Without a beat for so long, owners are read from the store. */
 #define BEAT_LOST_S 1.0
+/* Without one for so long, nobody tells of changed rows: three beats. */
+#define ALONE_S 0.75
 /* A change of owners is told after this, with others of the same moment. */
 #define TELL_S 0.002
 /* A VM with a slow link takes a free lease later, by the time that what a
@@ -41,6 +43,16 @@
 #define CRASHES_MAX 64
 #define CRASH_TOLD_S 3.0
 
+/* VMs besides the leader that follow the store themselves, so that a change is
+ * noticed though the leader's own call was lost. */
+#define WATCHERS 3
+
+/** Versions of the newest rows known of operators and of upstreams. */
+struct progress {
+	uint64_t operator_rows;
+	uint64_t upstream_rows;
+};
+
 struct vm {
 	char *name;
 	struct sockaddr_in address;
@@ -85,6 +97,8 @@
 	double maps_sent_s;
 	uint32_t maps_sent_number;
 	ev_timer tell_timer;
+	/** Owners changed since they were last told. */
+	bool maps_changed;
 	GArray *crashes;
 	/** The furthest that any VM has read. */
 	struct progress progress;
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -4,8 +4,10 @@
 #include <string.h>
 
 #include "base/address.h"
+#include "base/hash.h"
 #include "base/log.h"
 #include "entry/cluster_impl.h"
+#include "entry/row_messages.h"
 
 void cluster_note_progress(struct cluster *cluster, uint64_t operator_rows,
 			   uint64_t upstream_rows)
@@ -128,22 +130,42 @@
 		       cluster->maps_sent_s + again - BEAT_S / 4;
 }
 
-static void fill_beat(struct cluster *cluster, struct beat_parts *parts,
-		      LeaderBeat *beat)
+/* In an order that every leader would choose, and that mixes the zones. */
+static gint compare_vms(gconstpointer a, gconstpointer b)
 {
+	const VmInfo *x = *(VmInfo *const *)a, *y = *(VmInfo *const *)b;
+	uint64_t hash_x = hash_key(str_from(x->name));
+	uint64_t hash_y = hash_key(str_from(y->name));
+
+	return hash_x < hash_y ? -1 : hash_x > hash_y;
+}
+
+static GPtrArray *vm_messages(const struct cluster *cluster)
+{
+	GPtrArray *messages = g_ptr_array_new_with_free_func(free_vm_info);
 	GHashTableIter iter;
 	gpointer value;
 
-	progress__init(&parts->progress);
-	parts->vms = g_ptr_array_new_with_free_func(free_vm_info);
-	parts->maps = g_ptr_array_new_with_free_func(free_map_message);
-	parts->crashes = crash_messages(cluster);
 	g_hash_table_iter_init(&iter, cluster->vms);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct vm *vm = value;
 
-		g_ptr_array_add(parts->vms, vm_info(vm->name, &vm->address));
+		g_ptr_array_add(messages, vm_info(vm->name, &vm->address));
 	}
+	g_ptr_array_sort(messages, compare_vms);
+	return messages;
+}
+
+static void fill_beat(struct cluster *cluster, struct beat_parts *parts,
+		      LeaderBeat *beat)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	progress__init(&parts->progress);
+	parts->vms = vm_messages(cluster);
+	parts->maps = g_ptr_array_new_with_free_func(free_map_message);
+	parts->crashes = crash_messages(cluster);
 	g_hash_table_iter_init(&iter, cluster->leaders);
 	while (maps_due(cluster) && g_hash_table_iter_next(&iter, NULL, &value))
 		g_ptr_array_add(parts->maps, map_message(cluster, value));
@@ -158,6 +180,11 @@
 	beat->n_maps = parts->maps->len;
 	beat->crashes = (Crash **)parts->crashes->pdata;
 	beat->n_crashes = parts->crashes->len;
+	beat->operator_changes =
+		row_message_create(cluster->options.operator_rows);
+	beat->upstream_changes =
+		row_message_create(cluster->options.upstream_rows);
+	beat->watchers = WATCHERS;
 }
 
 static void send_to_vms(struct cluster *cluster, PeerMessage *message)
@@ -193,6 +220,8 @@
 		cluster->maps_sent_s = cluster->beat_sent_s;
 		cluster->maps_sent_number = cluster->map_number;
 	}
+	row_message_free(beat.operator_changes);
+	row_message_free(beat.upstream_changes);
 	g_ptr_array_free(parts.vms, TRUE);
 	g_ptr_array_free(parts.maps, TRUE);
 	g_ptr_array_free(parts.crashes, TRUE);
@@ -327,6 +356,22 @@
 	g_free(names);
 }
 
+static void take_rows(struct cluster *cluster, const LeaderBeat *beat)
+{
+	const char *vm = cluster->options.settings->vm;
+	bool watches = false;
+	size_t i;
+
+	for (i = 0; i < beat->n_vms && i < beat->watchers; i++)
+		watches = watches || !strcmp(beat->vms[i]->name, vm);
+	follower_set_passive(cluster->options.operator_rows, !watches);
+	follower_set_passive(cluster->options.upstream_rows, !watches);
+	row_message_take(cluster->options.operator_rows,
+			 beat->operator_changes);
+	row_message_take(cluster->options.upstream_rows,
+			 beat->upstream_changes);
+}
+
 static void take_own_maps(struct cluster *cluster, const LeaderBeat *beat)
 {
 	cluster->beat_heard_s = cluster_now(cluster);
@@ -344,6 +389,7 @@
 	lease_seen(cluster->lease, beat->lease);
 	cluster->beat_heard_s = cluster_now(cluster);
 	take_progress(cluster, beat->progress);
+	take_rows(cluster, beat);
 	take_maps(cluster, beat);
 	take_vms(cluster, beat);
 	for (i = 0; i < beat->n_crashes; i++)
--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -3,6 +3,8 @@
 #include <ev.h>
 #include <string.h>
 
+#include "store/change_log.h"
+
 /* How long the store is asked to wait for a change. A call that was lost is
  * made again when other VMs tell of a newer row; while none is heard, after the
  * short time, so that changes are known within the two seconds allowed. */
@@ -30,6 +32,9 @@
 	/** Rows that the reading in progress has met. */
 	GHashTable *met;
 	uint64_t version;
+	/** The version when the call in progress was made. */
+	uint64_t asked_version;
+	struct change_log *changes;
 	/** Version at the first page of the reading in progress. */
 	uint64_t reading_version;
 	bool loaded;
@@ -39,6 +44,8 @@
 	bool busy;
 	/** Other VMs are heard and would tell of changes. */
 	bool accompanied;
+	/** They pass changes on. */
+	bool passive;
 	double asked_s;
 	double wait_s;
 	double retry_s;
@@ -63,6 +70,7 @@
 	follower->ctx = ctx;
 	follower->known =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	follower->changes = change_log_create();
 	follower->read_whole = true;
 	follower->retry_s = RETRY_S;
 	ev_timer_init(&follower->timer, on_timer, 0, 0);
@@ -75,6 +83,7 @@
 	if (!follower)
 		return;
 	ev_timer_stop(follower->loop->ev, &follower->timer);
+	change_log_destroy(follower->changes);
 	g_hash_table_destroy(follower->known);
 	if (follower->met)
 		g_hash_table_destroy(follower->met);
@@ -164,6 +173,7 @@
 	g_hash_table_destroy(follower->met);
 	follower->met = NULL;
 	follower->version = follower->reading_version;
+	change_log_reset(follower->changes, follower->version);
 	follower->read_whole = false;
 	if (!follower->loaded) {
 		follower->loaded = true;
@@ -214,15 +224,35 @@
 	return waited < follower->wait_s / 2 ? RETRY_S : 0;
 }
 
+/* Rows up to the version reached were passed on by others meanwhile. */
+static void take_changes(struct follower *follower,
+			 const struct follower_changes *changes)
+{
+	double now = loop_now(follower->loop);
+	size_t i;
+
+	for (i = 0; i < changes->count; i++) {
+		if (changes->rows[i].version <= follower->version)
+			continue;
+		take_row(follower, &changes->rows[i]);
+		change_log_add(follower->changes, &changes->rows[i], now);
+	}
+	follower->version = MAX(follower->version, changes->upto);
+}
+
 static void on_changes(void *ctx, const struct store_result *result)
 {
 	struct follower *follower = ctx;
-	size_t i;
+	struct follower_changes changes = {
+		.upto = result->version,
+		.rows = result->rows,
+		.count = result->row_count,
+	};
 
 	follower->busy = false;
 	if (result->status == STORE_HISTORY_GONE ||
 	    (result->status == STORE_OK &&
-	     result->version < follower->version)) {
+	     result->version < follower->asked_version)) {
 		follower->read_whole = true;
 		set_contact(follower, false);
 		later(follower, 0);
@@ -234,10 +264,10 @@
 		return;
 	}
 	set_contact(follower, false);
-	for (i = 0; i < result->row_count; i++)
-		take_row(follower, &result->rows[i]);
-	follower->version = result->version;
+	take_changes(follower, &changes);
 	later(follower, pause_after(follower, result));
+	if (result->row_count)
+		follower->ops->changed(follower->ctx);
 }
 
 static double wait_of(const struct follower *follower)
@@ -249,22 +279,34 @@
 	return follower->accompanied ? WAIT_S : WAIT_ALONE_S;
 }
 
+/* Whether others pass on what changes. */
+static bool is_served(const struct follower *follower)
+{
+	return follower->passive && follower->accompanied && !follower->lost &&
+	       !follower->read_whole;
+}
+
+static void ask_changes(struct follower *follower, double wait_s)
+{
+	follower->busy = true;
+	follower->asked_s = loop_now(follower->loop);
+	follower->asked_version = follower->version;
+	follower->wait_s = wait_s;
+	follower->store.ops->follow(follower->store.impl, follower->table,
+				    follower->version, wait_s, on_changes,
+				    follower);
+}
+
 static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct follower *follower = timer->data;
 
 	(void)loop;
 	(void)events;
-	if (follower->busy)
+	if (follower->busy || is_served(follower))
 		return;
 	if (!follower->read_whole) {
-		follower->busy = true;
-		follower->asked_s = loop_now(follower->loop);
-		follower->wait_s = wait_of(follower);
-		follower->store.ops->follow(follower->store.impl,
-					    follower->table, follower->version,
-					    follower->wait_s, on_changes,
-					    follower);
+		ask_changes(follower, wait_of(follower));
 		return;
 	}
 	if (follower->met)
@@ -281,22 +323,30 @@
 	follower->busy = false;
 	follower->behind_s = 0;
 	follower->retry_s = RETRY_S;
-	later(follower, 0);
+	if (is_served(follower))
+		ask_changes(follower, 0);
+	else
+		later(follower, 0);
 }
 
-void follower_hint(struct follower *follower, uint64_t version)
+/* Goes on alone when nobody passes changes on any more. */
+static void check_served(struct follower *follower)
+{
+	if (!follower->busy && !is_served(follower) &&
+	    !ev_is_active(&follower->timer))
+		later(follower, 0);
+}
+
+void follower_set_passive(struct follower *follower, bool passive)
+{
+	follower->passive = passive;
+	check_served(follower);
+}
+
+static void check_behind(struct follower *follower, uint64_t version)
 {
 	double now = loop_now(follower->loop);
 
-	follower->accompanied = version > 0;
-	if (!follower->loaded || !follower->busy || follower->read_whole)
-		return;
-	if (!version) {
-		if (now > follower->asked_s + WAIT_ALONE_S &&
-		    follower->wait_s > WAIT_ALONE_S)
-			follow_again(follower);
-		return;
-	}
 	if (version <= follower->row_version) {
 		follower->behind_s = 0;
 		return;
@@ -308,6 +358,47 @@
 		follow_again(follower);
 }
 
+void follower_hint(struct follower *follower, uint64_t version)
+{
+	bool waits = follower->busy || is_served(follower);
+
+	follower->accompanied = version > 0;
+	if (!follower->loaded || follower->read_whole)
+		return;
+	if (version && waits)
+		check_behind(follower, version);
+	else if (follower->busy && follower->wait_s > WAIT_ALONE_S &&
+		 loop_now(follower->loop) > follower->asked_s + WAIT_ALONE_S)
+		follow_again(follower);
+	else
+		check_served(follower);
+}
+
+void follower_pass(struct follower *follower,
+		   const struct follower_changes *changes)
+{
+	if (!follower->loaded || follower->read_whole ||
+	    changes->upto <= follower->version)
+		return;
+	if (changes->after <= follower->version)
+		take_changes(follower, changes);
+	else if (is_served(follower) && !follower->busy)
+		ask_changes(follower, 0);
+}
+
+struct follower_changes follower_recent(struct follower *follower)
+{
+	const GArray *rows = change_log_rows(follower->changes);
+
+	change_log_age(follower->changes, loop_now(follower->loop));
+	return (struct follower_changes){
+		.after = change_log_after(follower->changes),
+		.upto = follower->version,
+		.rows = (const struct store_row *)(const void *)rows->data,
+		.count = rows->len,
+	};
+}
+
 uint64_t follower_row_version(const struct follower *follower)
 {
 	return follower->row_version;
--- a/src/entry/follower.h
+++ b/src/entry/follower.h
@@ -10,11 +10,21 @@
 
 struct follower;
 
+/** All changes after one version, up to another. */
+struct follower_changes {
+	uint64_t after;
+	uint64_t upto;
+	const struct store_row *rows;
+	size_t count;
+};
+
 struct follower_ops {
 	/** A row as it stands now. */
 	void (*row)(void *ctx, const struct store_row *row);
 	/** A row is no more. */
 	void (*removed)(void *ctx, const char *key);
+	/** The store told of changes, which can be passed on. */
+	void (*changed)(void *ctx);
 	/** The whole table was read. */
 	void (*loaded)(void *ctx);
 	/** The store does not answer, or answers again. */
@@ -41,6 +51,22 @@
 /** Version of the newest row of the table that is known. */
 uint64_t follower_row_version(const struct follower *follower);
 
+/**
+ * Lets others pass changes on: no call waits for them here as long as others
+ * are heard.
+ */
+void follower_set_passive(struct follower *follower, bool passive);
+
+/**
+ * Takes changes that another VM passes on. One that misses earlier ones asks
+ * the store for them.
+ */
+void follower_pass(struct follower *follower,
+		   const struct follower_changes *changes);
+
+/** The newest changes, to be passed on; rows are the follower's. */
+struct follower_changes follower_recent(struct follower *follower);
+
 /** Whether the table was read whole once. */
 bool follower_loaded(const struct follower *follower);
 
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -129,6 +129,13 @@
 		entry->store_back_s ? entry->store_back_s + LAPSE_S : 0);
 }
 
+static void on_rows_changed(void *ctx)
+{
+	struct entry *entry = ctx;
+
+	cluster_tell_rows(entry->cluster);
+}
+
 static void on_loaded(void *ctx)
 {
 	struct entry *entry = ctx;
@@ -149,6 +156,7 @@
 static const struct follower_ops operator_ops = {
 	.row = on_operator_row,
 	.removed = on_operator_removed,
+	.changed = on_rows_changed,
 	.loaded = on_loaded,
 	.contact = on_contact,
 };
@@ -156,6 +164,7 @@
 static const struct follower_ops upstream_ops = {
 	.row = on_upstream_row,
 	.removed = on_upstream_removed,
+	.changed = on_rows_changed,
 	.loaded = on_loaded,
 	.contact = on_contact,
 };
@@ -262,24 +271,6 @@
 	forward_note_crash(entry->forward, request, upstream);
 }
 
-static struct progress own_progress(void *ctx)
-{
-	const struct entry *entry = ctx;
-
-	return (struct progress){
-		.operator_rows = follower_row_version(entry->operator_rows),
-		.upstream_rows = follower_row_version(entry->upstream_rows),
-	};
-}
-
-static void others_progress(void *ctx, struct progress progress)
-{
-	struct entry *entry = ctx;
-
-	follower_hint(entry->operator_rows, progress.operator_rows);
-	follower_hint(entry->upstream_rows, progress.upstream_rows);
-}
-
 static bool knows_roster(void *ctx)
 {
 	struct entry *entry = ctx;
@@ -392,8 +383,8 @@
 		.store = *store,
 		.log = entry->log,
 		.metrics = entry->metrics,
-		.progress = own_progress,
-		.others_progress = others_progress,
+		.operator_rows = entry->operator_rows,
+		.upstream_rows = entry->upstream_rows,
 		.ready = knows_roster,
 		.keys_changed = roster_changed,
 		.crashed = on_crash_elsewhere,
--- /dev/null
+++ b/src/entry/row_messages.c
@@ -0,0 +1,68 @@
+#include "entry/row_messages.h"
+
+static ChangedRow *row_of(const struct store_row *from)
+{
+	ChangedRow *row = g_new(ChangedRow, 1);
+
+	changed_row__init(row);
+	row->key = from->key;
+	row->version = from->version;
+	row->removed = from->removed;
+	row->value.data = (uint8_t *)from->value->str;
+	row->value.len = from->value->len;
+	return row;
+}
+
+TableChanges *row_message_create(struct follower *follower)
+{
+	struct follower_changes changes = follower_recent(follower);
+	TableChanges *message = g_new(TableChanges, 1);
+	size_t i;
+
+	table_changes__init(message);
+	message->after = changes.after;
+	message->upto = changes.upto;
+	message->n_rows = changes.count;
+	message->rows = g_new(ChangedRow *, changes.count);
+	for (i = 0; i < changes.count; i++)
+		message->rows[i] = row_of(&changes.rows[i]);
+	return message;
+}
+
+void row_message_free(TableChanges *message)
+{
+	size_t i;
+
+	for (i = 0; i < message->n_rows; i++)
+		g_free(message->rows[i]);
+	g_free(message->rows);
+	g_free(message);
+}
+
+void row_message_take(struct follower *follower, const TableChanges *message)
+{
+	struct follower_changes changes = { 0 };
+	struct store_row *rows;
+	size_t i;
+
+	if (!message)
+		return;
+	rows = g_new0(struct store_row, message->n_rows);
+	for (i = 0; i < message->n_rows; i++) {
+		const ChangedRow *from = message->rows[i];
+
+		rows[i].key = from->key;
+		rows[i].version = from->version;
+		rows[i].removed = from->removed;
+		rows[i].value = g_string_new_len((const char *)from->value.data,
+						 (gssize)from->value.len);
+	}
+	changes.after = message->after;
+	changes.upto = message->upto;
+	changes.rows = rows;
+	changes.count = message->n_rows;
+	follower_pass(follower, &changes);
+	for (i = 0; i < message->n_rows; i++)
+		g_string_free(rows[i].value, TRUE);
+	g_free(rows);
+}
--- /dev/null
+++ b/src/store/change_log.c
@@ -0,0 +1,116 @@
+#include "store/change_log.h"
+
+#include <string.h>
+
+/* A change is told at once and with the next beats, so that it outlives a lost
+ * datagram or two. */
+#define KEEP_S 0.6
+/* All changes kept fit one datagram beside the rest of a beat. */
+#define KEEP_BYTES ((size_t)32 << 10)
+/* What a row takes besides its key and value. */
+#define ROW_BYTES 24
+
+struct change_log {
+	uint64_t after;
+	/** Of struct store_row. */
+	GArray *rows;
+	/** When each came; of double. */
+	GArray *times;
+	size_t bytes;
+};
+
+static void clear_row(gpointer data)
+{
+	struct store_row *row = data;
+
+	g_free(row->key);
+	g_string_free(row->value, TRUE);
+}
+
+struct change_log *change_log_create(void)
+{
+	struct change_log *log = g_new0(struct change_log, 1);
+
+	log->rows = g_array_new(FALSE, FALSE, sizeof(struct store_row));
+	g_array_set_clear_func(log->rows, clear_row);
+	log->times = g_array_new(FALSE, FALSE, sizeof(double));
+	return log;
+}
+
+void change_log_destroy(struct change_log *log)
+{
+	if (!log)
+		return;
+	g_array_free(log->rows, TRUE);
+	g_array_free(log->times, TRUE);
+	g_free(log);
+}
+
+void change_log_reset(struct change_log *log, uint64_t version)
+{
+	g_array_set_size(log->rows, 0);
+	g_array_set_size(log->times, 0);
+	log->bytes = 0;
+	log->after = version;
+}
+
+static size_t size_of(const struct store_row *row)
+{
+	return strlen(row->key) + row->value->len + ROW_BYTES;
+}
+
+static void drop_oldest(struct change_log *log)
+{
+	struct store_row *row = &g_array_index(log->rows, struct store_row, 0);
+
+	log->after = MAX(log->after, row->version);
+	log->bytes -= size_of(row);
+	g_array_remove_index(log->rows, 0);
+	g_array_remove_index(log->times, 0);
+}
+
+/* Rows of one transaction stay together: a part of it would look like all. */
+static void drop_transaction(struct change_log *log)
+{
+	do
+		drop_oldest(log);
+	while (log->rows->len &&
+	       g_array_index(log->rows, struct store_row, 0).version <=
+		       log->after);
+}
+
+void change_log_add(struct change_log *log, const struct store_row *row,
+		    double now_s)
+{
+	struct store_row kept = {
+		.key = g_strdup(row->key),
+		.value = g_string_new_len(row->value ? row->value->str : "",
+					  row->value ? (gssize)row->value->len
+						     : 0),
+		.version = row->version,
+		.removed = row->removed,
+	};
+
+	log->bytes += size_of(&kept);
+	g_array_append_val(log->rows, kept);
+	g_array_append_val(log->times, now_s);
+	while (log->rows->len && log->bytes > KEEP_BYTES)
+		drop_transaction(log);
+}
+
+void change_log_age(struct change_log *log, double now_s)
+{
+	while (log->rows->len &&
+	       now_s > g_array_index(log->times, double, 0) + KEEP_S)
+		drop_transaction(log);
+}
+
+uint64_t change_log_after(const struct change_log *log)
+{
+	return log->after;
+}
+
+const GArray *change_log_rows(const struct change_log *log)
+{
+	return log->rows;
+}
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -322,6 +322,96 @@
   assert(message->base.descriptor == &progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   changed_row__init
+                     (ChangedRow         *message)
+{
+  static const ChangedRow init_value = CHANGED_ROW__INIT;
+  *message = init_value;
+}
+size_t changed_row__get_packed_size
+                     (const ChangedRow *message)
+{
+  assert(message->base.descriptor == &changed_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t changed_row__pack
+                     (const ChangedRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &changed_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t changed_row__pack_to_buffer
+                     (const ChangedRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &changed_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ChangedRow *
+       changed_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ChangedRow *)
+     protobuf_c_message_unpack (&changed_row__descriptor,
+                                allocator, len, data);
+}
+void   changed_row__free_unpacked
+                     (ChangedRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &changed_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   table_changes__init
+                     (TableChanges         *message)
+{
+  static const TableChanges init_value = TABLE_CHANGES__INIT;
+  *message = init_value;
+}
+size_t table_changes__get_packed_size
+                     (const TableChanges *message)
+{
+  assert(message->base.descriptor == &table_changes__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t table_changes__pack
+                     (const TableChanges *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &table_changes__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t table_changes__pack_to_buffer
+                     (const TableChanges *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &table_changes__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+TableChanges *
+       table_changes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (TableChanges *)
+     protobuf_c_message_unpack (&table_changes__descriptor,
+                                allocator, len, data);
+}
+void   table_changes__free_unpacked
+                     (TableChanges *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &table_changes__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   leader_beat__init
                      (LeaderBeat         *message)
 {
@@ -1111,7 +1201,148 @@
   (ProtobufCMessageInit) progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor leader_beat__field_descriptors[6] =
+static const ProtobufCFieldDescriptor changed_row__field_descriptors[4] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(ChangedRow, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(ChangedRow, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ChangedRow, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(ChangedRow, removed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned changed_row__field_indices_by_name[] = {
+  0,   /* field[0] = key */
+  3,   /* field[3] = removed */
+  1,   /* field[1] = value */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange changed_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor changed_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ChangedRow",
+  "ChangedRow",
+  "ChangedRow",
+  "",
+  sizeof(ChangedRow),
+  4,
+  changed_row__field_descriptors,
+  changed_row__field_indices_by_name,
+  1,  changed_row__number_ranges,
+  (ProtobufCMessageInit) changed_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor table_changes__field_descriptors[3] =
+{
+  {
+    "after",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TableChanges, after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upto",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TableChanges, upto),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(TableChanges, n_rows),
+    offsetof(TableChanges, rows),
+    &changed_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned table_changes__field_indices_by_name[] = {
+  0,   /* field[0] = after */
+  2,   /* field[2] = rows */
+  1,   /* field[1] = upto */
+};
+static const ProtobufCIntRange table_changes__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor table_changes__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "TableChanges",
+  "TableChanges",
+  "TableChanges",
+  "",
+  sizeof(TableChanges),
+  3,
+  table_changes__field_descriptors,
+  table_changes__field_indices_by_name,
+  1,  table_changes__number_ranges,
+  (ProtobufCMessageInit) table_changes__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor leader_beat__field_descriptors[9] =
 {
   {
     "vm",
@@ -1185,19 +1416,58 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "operator_changes",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(LeaderBeat, operator_changes),
+    &table_changes__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream_changes",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(LeaderBeat, upstream_changes),
+    &table_changes__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "watchers",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(LeaderBeat, watchers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned leader_beat__field_indices_by_name[] = {
   4,   /* field[4] = crashes */
   1,   /* field[1] = lease */
   3,   /* field[3] = maps */
+  6,   /* field[6] = operator_changes */
   5,   /* field[5] = progress */
+  7,   /* field[7] = upstream_changes */
   0,   /* field[0] = vm */
   2,   /* field[2] = vms */
+  8,   /* field[8] = watchers */
 };
 static const ProtobufCIntRange leader_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor leader_beat__descriptor =
 {
@@ -1207,7 +1477,7 @@
   "LeaderBeat",
   "",
   sizeof(LeaderBeat),
-  6,
+  9,
   leader_beat__field_descriptors,
   leader_beat__field_indices_by_name,
   1,  leader_beat__number_ranges,
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -22,6 +22,8 @@
 typedef struct VmInfo VmInfo;
 typedef struct Crash Crash;
 typedef struct Progress Progress;
+typedef struct ChangedRow ChangedRow;
+typedef struct TableChanges TableChanges;
 typedef struct LeaderBeat LeaderBeat;
 typedef struct KeyLoad KeyLoad;
 typedef struct VmReport VmReport;
@@ -148,6 +150,35 @@
     , 0, 0 }
 
 
+struct  ChangedRow
+{
+  ProtobufCMessage base;
+  char *key;
+  ProtobufCBinaryData value;
+  uint64_t version;
+  protobuf_c_boolean removed;
+};
+#define CHANGED_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&changed_row__descriptor) \
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
+
+
+/*
+ * All changes of a table after one version, up to another.
+ */
+struct  TableChanges
+{
+  ProtobufCMessage base;
+  uint64_t after;
+  uint64_t upto;
+  size_t n_rows;
+  ChangedRow **rows;
+};
+#define TABLE_CHANGES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&table_changes__descriptor) \
+    , 0, 0, 0,NULL }
+
+
 /*
  * From the leader to everyone.
  */
@@ -166,10 +197,16 @@
   size_t n_crashes;
   Crash **crashes;
   Progress *progress;
+  TableChanges *operator_changes;
+  TableChanges *upstream_changes;
+  /*
+   * So many VMs at the front of the list follow the store themselves.
+   */
+  uint32_t watchers;
 };
 #define LEADER_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&leader_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL, 0 }
 
 
 struct  KeyLoad
@@ -428,6 +465,44 @@
 void   progress__free_unpacked
                      (Progress *message,
                       ProtobufCAllocator *allocator);
+/* ChangedRow methods */
+void   changed_row__init
+                     (ChangedRow         *message);
+size_t changed_row__get_packed_size
+                     (const ChangedRow   *message);
+size_t changed_row__pack
+                     (const ChangedRow   *message,
+                      uint8_t             *out);
+size_t changed_row__pack_to_buffer
+                     (const ChangedRow   *message,
+                      ProtobufCBuffer     *buffer);
+ChangedRow *
+       changed_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   changed_row__free_unpacked
+                     (ChangedRow *message,
+                      ProtobufCAllocator *allocator);
+/* TableChanges methods */
+void   table_changes__init
+                     (TableChanges         *message);
+size_t table_changes__get_packed_size
+                     (const TableChanges   *message);
+size_t table_changes__pack
+                     (const TableChanges   *message,
+                      uint8_t             *out);
+size_t table_changes__pack_to_buffer
+                     (const TableChanges   *message,
+                      ProtobufCBuffer     *buffer);
+TableChanges *
+       table_changes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   table_changes__free_unpacked
+                     (TableChanges *message,
+                      ProtobufCAllocator *allocator);
 /* LeaderBeat methods */
 void   leader_beat__init
                      (LeaderBeat         *message);
@@ -584,6 +659,12 @@
 typedef void (*Progress_Closure)
                  (const Progress *message,
                   void *closure_data);
+typedef void (*ChangedRow_Closure)
+                 (const ChangedRow *message,
+                  void *closure_data);
+typedef void (*TableChanges_Closure)
+                 (const TableChanges *message,
+                  void *closure_data);
 typedef void (*LeaderBeat_Closure)
                  (const LeaderBeat *message,
                   void *closure_data);
@@ -618,6 +699,8 @@
 extern const ProtobufCMessageDescriptor vm_info__descriptor;
 extern const ProtobufCMessageDescriptor crash__descriptor;
 extern const ProtobufCMessageDescriptor progress__descriptor;
+extern const ProtobufCMessageDescriptor changed_row__descriptor;
+extern const ProtobufCMessageDescriptor table_changes__descriptor;
 extern const ProtobufCMessageDescriptor leader_beat__descriptor;
 extern const ProtobufCMessageDescriptor key_load__descriptor;
 extern const ProtobufCMessageDescriptor vm_report__descriptor;
