forward: a request that could not end before the process is refused while it stops

Ruled out: the listening socket (closed after 2.6 s). Change: from then on a request is taken only if it is given up before the process ends, else refused at once. The test fails without the check.

--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -346,6 +346,21 @@
 	write_own_answer(request, status, retry_after_s);
 }
 
+/* Whether the process could end before the request does. */
+static bool comes_too_late(const struct job *job)
+{
+	const struct forward *forward = job->forward;
+
+	return forward->end_s && job->received_s > forward->accept_s &&
+	       job->give_up_s > forward->end_s;
+}
+
+void forward_stop(struct forward *forward, double accept_s, double end_s)
+{
+	forward->accept_s = accept_s;
+	forward->end_s = end_s;
+}
+
 void forward_request(struct forward *forward, struct http_request *request)
 {
 	const struct config *config = roster_config(forward->options.roster);
@@ -385,6 +400,10 @@
 			   "upstreams_were_lost_under_it");
 		return;
 	}
+	if (comes_too_late(job)) {
+		job_refuse(job, 503, 0, "this_vm_stops");
+		return;
+	}
 	job_arm(job);
 	dispatch_job(job);
 }
--- a/src/entry/forward.h
+++ b/src/entry/forward.h
@@ -38,6 +38,15 @@
 /** The caller of a request is gone. */
 void forward_gone(struct forward *forward, struct http_request *request);
 
+/**
+ * This VM stops.
+ *
+ * @param accept_s until when requests are taken
+ * @param end_s when the process ends: a request that is given up by then is
+ *        taken nevertheless
+ */
+void forward_stop(struct forward *forward, double accept_s, double end_s);
+
 /** Looks again for upstreams for requests that wait. */
 void forward_pump(struct forward *forward);
 
--- a/src/entry/forward_impl.h
+++ b/src/entry/forward_impl.h
@@ -8,6 +8,8 @@
 #include "entry/job.h"
 
 struct forward {
+	/** This VM stops: until when it takes requests, and its end; 0: no. */
+	double accept_s, end_s;
 	struct forward_options options;
 	struct crash_list *crashes;
 	/** struct route_stats by route name. */
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -281,6 +281,11 @@
 
 /* --- start and stop --- */
 
+static double stop_span_s(const struct entry *entry)
+{
+	return entry->settings->stop_s - STOP_RESERVE_S;
+}
+
 static void tick_stop(struct entry *entry)
 {
 	double since = now_of(entry) - entry->stopping_s;
@@ -291,7 +296,7 @@
 	}
 	if ((entry->idle_closed && !http_server_requests(entry->callers) &&
 	     !http_server_connections(entry->callers)) ||
-	    since > entry->settings->stop_s - STOP_RESERVE_S)
+	    since > stop_span_s(entry))
 		ev_break(entry->loop.ev, EVBREAK_ALL);
 }
 
@@ -329,6 +334,8 @@
 			http_server_connections(entry->callers));
 	entry->stopping_s = now_of(entry);
 	http_server_drain(entry->callers);
+	forward_stop(entry->forward, entry->stopping_s + STOP_ACCEPT_S,
+		     entry->stopping_s + stop_span_s(entry));
 	cluster_stop(entry->cluster);
 }
 
--- a/test/functional/test_entry.c
+++ b/test/functional/test_entry.c
@@ -10,6 +10,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "base/address.h"
 #include "cluster_http.h"
 #include "cluster_process.h"
 #include "suite.h"
@@ -402,6 +403,45 @@
 	teardown();
 }
 
+static int open_connection(const char *text)
+{
+	struct sockaddr_in address;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	CU_ASSERT_TRUE_FATAL(address_parse(str_from(text), &address));
+	CU_ASSERT_EQUAL_FATAL(
+		connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	return fd;
+}
+
+static void send_text(int fd, const char *text)
+{
+	CU_ASSERT_EQUAL(send(fd, text, strlen(text), MSG_NOSIGNAL),
+			(ssize_t)strlen(text));
+}
+
+/* A request that begins before a stop and is read whole when the process could
+ * end before it is left to other VMs. */
+static void a_late_request_is_refused_while_it_stops(void)
+{
+	char answer[256] = "";
+	int fd;
+
+	setup();
+	fd = open_connection(entries[0].callers);
+	process_terminate(entries[0].process);
+	g_usleep(G_USEC_PER_SEC);
+	send_text(fd, "GET /plain/a HTTP/1.1\r\n");
+	g_usleep(19UL * G_USEC_PER_SEC / 10);
+	send_text(fd, "Host: app.example\r\nX-Request-Id: late\r\n"
+		      "X-Deadline-Ms: 3000\r\n\r\n");
+	CU_ASSERT_TRUE(recv(fd, answer, sizeof(answer) - 1, 0) > 0);
+	CU_ASSERT_TRUE(g_str_has_prefix(answer, "HTTP/1.1 503 "));
+	CU_ASSERT_EQUAL(runs_of("late"), 0);
+	close(fd);
+	teardown();
+}
+
 static void bad_settings_are_named(void)
 {
 	static const char text[] = "[vm]\nname = a\nzone = z\n[listen]\n"
@@ -448,6 +488,8 @@
 		{ "a configuration takes force and never goes back",
 		  a_configuration_takes_force_and_never_goes_back },
 		{ "a stop cuts nothing off", a_stop_cuts_nothing_off },
+		{ "a late request is refused while it stops",
+		  a_late_request_is_refused_while_it_stops },
 		{ "bad settings are named", bad_settings_are_named },
 		{ 0 },
 	};
