follower, store: large rows arrive on slow links; missed ones are read, not replayed

Cause: with 1440 routes more a configuration takes a quarter of a second on a link of 10 Mbit/s. The feed also repeats the row for each change, and every version of it was decoded. Ruled out: the store (its answers began at once), the leader (its versions were in force in time). Change: an answer of which bytes came within 0.3 s is waited for; the operators' table is read whole to catch up, with a pause as long as the last answer took; only the last change of a row in an answer is taken.

--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -15,6 +15,8 @@
 /* After a change, before the next call: every change costs a call of each VM.
  */
 #define GATHER_S 0.12
+/* Longest pause between calls that catch up with others. */
+#define CATCH_UP_S 0.6
 /* After a failure, and after more of them. */
 #define RETRY_S 0.25
 #define RETRY_MAX_S 0.4
@@ -49,6 +51,8 @@
 	double asked_s;
 	double wait_s;
 	double retry_s;
+	/** Before it, no call catches up with others. */
+	double catch_up_s;
 	/** Newest version among the rows that were met. */
 	uint64_t row_version;
 	/** Since when others know of a newer row; 0: they don't. */
@@ -167,8 +171,19 @@
 				  on_page, follower);
 }
 
+/* How long the last answer took is left between calls: large ones must not
+ * fill a slow link. */
+static void note_answer(struct follower *follower)
+{
+	double now = loop_now(follower->loop);
+	double took_s = follower->wait_s > 0 ? 0 : now - follower->asked_s;
+
+	follower->catch_up_s = now + MIN(took_s, CATCH_UP_S);
+}
+
 static void end_reading(struct follower *follower)
 {
+	note_answer(follower);
 	drop_unmet(follower);
 	g_hash_table_destroy(follower->met);
 	follower->met = NULL;
@@ -224,19 +239,36 @@
 	return waited < follower->wait_s / 2 ? RETRY_S : 0;
 }
 
+/* The last change of each row. */
+static GHashTable *last_changes(const struct follower_changes *changes)
+{
+	GHashTable *last = g_hash_table_new(g_str_hash, g_str_equal);
+	size_t i;
+
+	for (i = 0; i < changes->count; i++)
+		g_hash_table_insert(last, changes->rows[i].key,
+				    (gpointer)&changes->rows[i]);
+	return last;
+}
+
 /* Rows up to the version reached were passed on by others meanwhile. */
 static void take_changes(struct follower *follower,
 			 const struct follower_changes *changes)
 {
+	GHashTable *last = last_changes(changes);
 	double now = loop_now(follower->loop);
 	size_t i;
 
 	for (i = 0; i < changes->count; i++) {
-		if (changes->rows[i].version <= follower->version)
+		const struct store_row *row = &changes->rows[i];
+
+		if (row->version <= follower->version ||
+		    g_hash_table_lookup(last, row->key) != row)
 			continue;
-		take_row(follower, &changes->rows[i]);
-		change_log_add(follower->changes, &changes->rows[i], now);
+		take_row(follower, row);
+		change_log_add(follower->changes, row, now);
 	}
+	g_hash_table_destroy(last);
 	follower->version = MAX(follower->version, changes->upto);
 }
 
@@ -264,6 +296,7 @@
 		return;
 	}
 	set_contact(follower, false);
+	note_answer(follower);
 	take_changes(follower, &changes);
 	later(follower, pause_after(follower, result));
 	if (result->row_count)
@@ -279,6 +312,19 @@
 	return follower->accompanied ? WAIT_S : WAIT_ALONE_S;
 }
 
+static void start_reading(struct follower *follower)
+{
+	if (follower->met)
+		g_hash_table_destroy(follower->met);
+	follower->met =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	follower->read_whole = true;
+	follower->reading_version = 0;
+	follower->asked_s = loop_now(follower->loop);
+	follower->wait_s = 0;
+	read_page(follower, "");
+}
+
 /* Whether others pass on what changes. */
 static bool is_served(const struct follower *follower)
 {
@@ -305,16 +351,21 @@
 	(void)events;
 	if (follower->busy || is_served(follower))
 		return;
-	if (!follower->read_whole) {
+	if (follower->read_whole)
+		start_reading(follower);
+	else
 		ask_changes(follower, wait_of(follower));
+}
+
+/* Asks the store for what others did not pass on. */
+static void catch_up(struct follower *follower)
+{
+	if (loop_now(follower->loop) < follower->catch_up_s)
 		return;
-	}
-	if (follower->met)
-		g_hash_table_destroy(follower->met);
-	follower->met =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	follower->reading_version = 0;
-	read_page(follower, "");
+	if (follower->ops->few_rows)
+		start_reading(follower);
+	else
+		ask_changes(follower, 0);
 }
 
 static void follow_again(struct follower *follower)
@@ -324,7 +375,7 @@
 	follower->behind_s = 0;
 	follower->retry_s = RETRY_S;
 	if (is_served(follower))
-		ask_changes(follower, 0);
+		catch_up(follower);
 	else
 		later(follower, 0);
 }
@@ -354,7 +405,8 @@
 	if (!follower->behind_s)
 		follower->behind_s = now;
 	if (now > follower->behind_s + HINT_S &&
-	    now > follower->asked_s + HINT_S)
+	    now > follower->asked_s + HINT_S &&
+	    !follower->store.ops->arriving(follower->store.impl, follower))
 		follow_again(follower);
 }
 
@@ -383,7 +435,7 @@
 	if (changes->after <= follower->version)
 		take_changes(follower, changes);
 	else if (is_served(follower) && !follower->busy)
-		ask_changes(follower, 0);
+		catch_up(follower);
 }
 
 struct follower_changes follower_recent(struct follower *follower)
--- a/src/entry/follower.h
+++ b/src/entry/follower.h
@@ -19,6 +19,9 @@
 };
 
 struct follower_ops {
+	/** The table has few rows, which may be large: it is read whole to
+	 * catch up, since a feed repeats a row for each of its changes. */
+	bool few_rows;
 	/** A row as it stands now. */
 	void (*row)(void *ctx, const struct store_row *row);
 	/** A row is no more. */
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -154,6 +154,7 @@
 }
 
 static const struct follower_ops operator_ops = {
+	.few_rows = true,
 	.row = on_operator_row,
 	.removed = on_operator_removed,
 	.changed = on_rows_changed,
--- a/src/net/http_channel.c
+++ b/src/net/http_channel.c
@@ -42,6 +42,7 @@
 	/** Depth of calls into the owner; freed at zero. */
 	int depth;
 	bool destroyed;
+	double heard_s;
 	double idle_since_s;
 	double keep_s;
 };
@@ -316,6 +317,7 @@
 		client_fail(client, HTTP_CHANNEL_NOT_CONNECTED);
 		return;
 	}
+	client->heard_s = loop_now(client->loop);
 	parse(client, buf, (size_t)n);
 }
 
@@ -443,6 +445,7 @@
 	client->busy = true;
 	client->sent = false;
 	client->answering = false;
+	client->heard_s = 0;
 	client->head_only = head_only;
 	g_string_append_len(client->out, message.data, (gssize)message.len);
 	if (!client->connected)
@@ -463,6 +466,11 @@
 	return client->sent;
 }
 
+double http_channel_heard_s(const struct http_channel *client)
+{
+	return client->heard_s;
+}
+
 double http_channel_idle_since(const struct http_channel *client)
 {
 	return client->idle_since_s;
--- a/src/net/http_channel.h
+++ b/src/net/http_channel.h
@@ -88,6 +88,9 @@
 /** Whether bytes of the request may have been sent. */
 bool http_channel_sent(const struct http_channel *client);
 
+/** Loop time at which bytes of the current answer last came; 0: none did. */
+double http_channel_heard_s(const struct http_channel *client);
+
 /** Loop time since when it is idle. */
 double http_channel_idle_since(const struct http_channel *client);
 
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -79,6 +79,7 @@
 	uint64_t after;
 	double wait_s;
 	int calls;
+	bool arriving;
 	/** What the follower told. */
 	GString *known;
 	int lost;
@@ -124,7 +125,14 @@
 	((struct fixture *)impl)->call = 0;
 }
 
+static bool is_arriving(void *impl, void *ctx)
+{
+	(void)ctx;
+	return ((struct fixture *)impl)->arriving;
+}
+
 static const struct store_ops store_ops = {
+	.arriving = is_arriving,
 	.read = take_read,
 	.follow = take_follow,
 	.cancel = take_cancel,
@@ -151,6 +159,15 @@
 	((struct fixture *)ctx)->lost = lost;
 }
 
+static const struct follower_ops few_rows_ops = {
+	.few_rows = true,
+	.row = on_row,
+	.removed = on_removed,
+	.changed = on_nothing,
+	.loaded = on_nothing,
+	.contact = on_contact,
+};
+
 static const struct follower_ops follower_ops = {
 	.row = on_row,
 	.removed = on_removed,
@@ -187,7 +204,7 @@
 }
 
 /* A follower that has read row "a" of version 7, the store being at 10. */
-static void setup(struct fixture *f)
+static void setup_with(struct fixture *f, const struct follower_ops *ops)
 {
 	struct store_row a = row_of("a", 7, 1);
 
@@ -200,8 +217,7 @@
 	f->store.ops = &store_ops;
 	f->store.impl = f;
 	f->known = g_string_new(NULL);
-	f->follower =
-		follower_create(&f->loop, &f->store, "t", &follower_ops, f);
+	f->follower = follower_create(&f->loop, &f->store, "t", ops, f);
 	follower_start(f->follower);
 	run(f, 0);
 	CU_ASSERT_EQUAL_FATAL(f->call, 'r');
@@ -211,6 +227,11 @@
 	g_string_free(a.value, TRUE);
 }
 
+static void setup(struct fixture *f)
+{
+	setup_with(f, &follower_ops);
+}
+
 static void teardown(struct fixture *f)
 {
 	follower_destroy(f->follower);
@@ -323,6 +344,64 @@
 	teardown(&f);
 }
 
+/* A large row takes longer on a slow link than others need to tell of it. */
+static void an_answer_that_arrives_is_not_broken_off(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	pass(&f, 12, 15, "c", 15, false);
+	CU_ASSERT_EQUAL_FATAL(f.call, 'f');
+	f.arriving = true;
+	follower_hint(f.follower, 20);
+	run(&f, 0.25);
+	follower_hint(f.follower, 20);
+	CU_ASSERT_EQUAL(f.calls, 2);
+	f.arriving = false;
+	run(&f, 0.25);
+	follower_hint(f.follower, 20);
+	CU_ASSERT_EQUAL(f.calls, 3);
+	teardown(&f);
+}
+
+static void a_table_of_few_rows_is_read_to_catch_up(void)
+{
+	struct store_row b = row_of("b", 12, 1);
+	struct fixture f;
+
+	setup_with(&f, &few_rows_ops);
+	pass(&f, 12, 15, "c", 15, false);
+	CU_ASSERT_EQUAL_FATAL(f.call, 'r');
+	f.now.tv_nsec += 400 * 1000 * 1000;
+	answer(&f, STORE_OK, 15, &b, 1);
+	CU_ASSERT_STRING_EQUAL(f.known->str, "+a +b -a ");
+	/* As long as the answer took, the link is left to callers. */
+	pass(&f, 16, 17, "c", 17, false);
+	CU_ASSERT_EQUAL(f.call, 0);
+	run(&f, 0.45);
+	pass(&f, 16, 17, "c", 17, false);
+	CU_ASSERT_EQUAL(f.call, 'r');
+	g_string_free(b.value, TRUE);
+	teardown(&f);
+}
+
+static void only_the_last_change_of_a_row_is_taken(void)
+{
+	struct store_row rows[] = { row_of("b", 11, 1), row_of("c", 12, 1),
+				    row_of("b", 13, 1) };
+	struct fixture f;
+	size_t i;
+
+	setup(&f);
+	follower_hint(f.follower, 0);
+	run(&f, 0);
+	answer(&f, STORE_OK, 13, rows, 3);
+	CU_ASSERT_STRING_EQUAL(f.known->str, "+a +c +b ");
+	for (i = 0; i < 3; i++)
+		g_string_free(rows[i].value, TRUE);
+	teardown(&f);
+}
+
 static void a_history_that_is_gone_is_read_whole(void)
 {
 	struct fixture f;
@@ -355,6 +434,12 @@
 		  who_hears_nobody_asks_the_store },
 		{ "a newer row elsewhere is asked for",
 		  a_newer_row_elsewhere_is_asked_for },
+		{ "an answer that arrives is not broken off",
+		  an_answer_that_arrives_is_not_broken_off },
+		{ "a table of few rows is read to catch up",
+		  a_table_of_few_rows_is_read_to_catch_up },
+		{ "only the last change of a row is taken",
+		  only_the_last_change_of_a_row_is_taken },
 		{ "a history that is gone is read whole",
 		  a_history_that_is_gone_is_read_whole },
 		{ 0 },
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -1,8 +1,12 @@
 /* What the platform's rows and header fields are read as. */
+#include <arpa/inet.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "http/headers.h"
 #include "platform/decode.h"
+#include "platform/table_store.h"
 #include "suite.h"
 
 static const char config_text[] =
@@ -165,6 +169,94 @@
 	}
 }
 
+/* --- calls to the store --- */
+
+#define BODY "{\"rows\":[],\"ver\":3}"
+
+/* A store that answers one call a few bytes at a time. */
+struct slow_store {
+	struct loop loop;
+	int listener, conn;
+	ev_timer drip;
+	GString *answer;
+	size_t sent, step;
+	enum store_status status;
+	bool ended;
+};
+
+static void on_drip(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct slow_store *slow = timer->data;
+	size_t n = MIN(slow->step, slow->answer->len - slow->sent);
+
+	(void)loop;
+	(void)events;
+	if (slow->conn < 0)
+		slow->conn = accept(slow->listener, NULL, NULL);
+	if (slow->conn >= 0 && n)
+		slow->sent +=
+			(size_t)send(slow->conn, slow->answer->str + slow->sent,
+				     n, MSG_NOSIGNAL);
+}
+
+static void on_store_answer(void *ctx, const struct store_result *result)
+{
+	struct slow_store *slow = ctx;
+
+	slow->status = result->status;
+	slow->ended = true;
+	ev_break(slow->loop.ev, EVBREAK_ALL);
+}
+
+/* @param parts in how many parts, a twentieth of a second apart, it answers */
+static enum store_status ask_slow_store(size_t parts)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n"
+				   "\r\n" BODY;
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t len = sizeof(address);
+	struct slow_store slow = { .conn = -1 };
+	struct table_store *client;
+	struct store store;
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	slow.listener =
+		socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+	CU_ASSERT_EQUAL_FATAL(
+		bind(slow.listener, (struct sockaddr *)&address, len), 0);
+	listen(slow.listener, 4);
+	getsockname(slow.listener, (struct sockaddr *)&address, &len);
+	slow.loop.ev = ev_loop_new(EVFLAG_AUTO);
+	slow.loop.clock = clock_system();
+	slow.answer = g_string_new(head);
+	while (slow.answer->len < strlen(head) + 400 - strlen(BODY))
+		g_string_append_c(slow.answer, ' ');
+	slow.step = parts ? slow.answer->len / parts + 1 : 0;
+	ev_timer_init(&slow.drip, on_drip, 0, 0.05);
+	slow.drip.data = &slow;
+	ev_timer_start(slow.loop.ev, &slow.drip);
+	client = table_store_create(&slow.loop, &address);
+	store = table_store_interface(client);
+	store.ops->read(store.impl, "t", "", on_store_answer, &slow);
+	ev_run(slow.loop.ev, 0);
+	CU_ASSERT_TRUE(slow.ended);
+	table_store_destroy(client);
+	ev_loop_destroy(slow.loop.ev);
+	g_string_free(slow.answer, TRUE);
+	close(slow.listener);
+	if (slow.conn >= 0)
+		close(slow.conn);
+	return slow.status;
+}
+
+static void an_answer_is_awaited_while_it_arrives(void)
+{
+	CU_ASSERT_EQUAL(ask_slow_store(1), STORE_OK);
+	/* Longer than the limit of a call that brings nothing. */
+	CU_ASSERT_EQUAL(ask_slow_store(40), STORE_OK);
+	CU_ASSERT_EQUAL(ask_slow_store(0), STORE_UNKNOWN);
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -176,6 +268,8 @@
 		{ "orders name their upstream", orders_name_their_upstream },
 		{ "replies say whether a request ran",
 		  replies_say_whether_a_request_ran },
+		{ "an answer is awaited while it arrives",
+		  an_answer_is_awaited_while_it_arrives },
 		{ 0 },
 	};
 
