cluster, keys: owners and VMs are told by their changes

Change: all VMs and owners are told every 20 ms times the number of VMs; between, beats hold the spans in ranges that changed since, so that a lost one leaves no trace in the next.

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -23,6 +23,11 @@
 	key_leader_destroy(data);
 }
 
+static void free_told(gpointer data)
+{
+	told_map_destroy(data);
+}
+
 static bool may_order(void *ctx)
 {
 	struct cluster *cluster = ctx;
@@ -75,6 +80,8 @@
 	/* Those that the last leader heard get time to report here. */
 	g_hash_table_foreach(cluster->vms, hear_again, cluster);
 	cluster->maps_read = false;
+	cluster->vms_changed = true;
+	g_hash_table_remove_all(cluster->told_maps);
 	cluster->map_base = lease_version(cluster->lease) * MAP_NUMBERS;
 	cluster->map_number = 0;
 	cluster->hold_s = HOLD_S;
@@ -202,6 +209,7 @@
 		return FALSE;
 	log_info("cluster", "VM %s is silent", (const char *)key);
 	load_share_forget(cluster->loads, key);
+	cluster->vms_changed = true;
 	return TRUE;
 }
 
@@ -398,6 +406,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_vm);
 	cluster->leaders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						 free_leader);
+	cluster->told_maps = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   g_free, free_told);
 	cluster->loads = load_share_create(options->loop, options->roster);
 	cluster->crashes = g_array_new(FALSE, FALSE, sizeof(struct crash));
 	cluster->hold_s = HOLD_S;
@@ -421,6 +431,7 @@
 	datagrams_destroy(cluster->datagrams);
 	load_share_destroy(cluster->loads);
 	g_hash_table_destroy(cluster->vms);
+	g_hash_table_destroy(cluster->told_maps);
 	g_array_free(cluster->crashes, TRUE);
 	g_free(cluster);
 }
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -9,6 +9,7 @@
 #include "entry/key_leader.h"
 #include "entry/load_share.h"
 #include "keys/lease.h"
+#include "keys/told_map.h"
 
 /* For how long keys are given: an owner that falls silent leaves them unserved
  * for so long, and a new leader has to renew them within it. */
@@ -20,9 +21,9 @@
 #define BEAT_S 0.25
 #define REPORT_S 0.1
 /* With many VMs they grow by this for each, so that the leader's work does
- * not: reports, beats that hold all owners, and changes told. */
+ * not: reports, beats that hold all VMs and owners, and changes told. */
 #define REPORT_VM_S 0.008
-#define MAPS_VM_S 0.02
+#define WHOLE_VM_S 0.02
 #define TELL_VM_S 0.00016
 #define LOADS_SLACK_S 0.025
 /* A VM that was not heard of for so long is not counted. */
@@ -93,9 +94,12 @@
 	double beat_sent_s;
 	double report_sent_s;
 	double loads_sent_s;
-	/** When owners were last told, and by which number. */
-	double maps_sent_s;
-	uint32_t maps_sent_number;
+	/** What was told of owners; struct told_map by service. */
+	GHashTable *told_maps;
+	/** When all VMs and owners were last told. */
+	double whole_sent_s;
+	/** VMs came or went since. */
+	bool vms_changed;
 	ev_timer tell_timer;
 	/** Owners changed since they were last told. */
 	bool maps_changed;
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -37,6 +37,7 @@
 		vm->name = g_strdup(name);
 		g_hash_table_insert(cluster->vms, vm->name, vm);
 		log_info("cluster", "VM %s is heard", name);
+		cluster->vms_changed = true;
 	}
 	vm->address = *address;
 	vm->heard_s = cluster_now(cluster);
@@ -47,6 +48,7 @@
 	GPtrArray *maps;
 	GPtrArray *crashes;
 	Progress progress;
+	char address[ADDRESS_TEXT_SIZE];
 };
 
 static VmInfo *vm_info(const char *name, const struct sockaddr_in *address)
@@ -79,20 +81,53 @@
 	g_free(data);
 }
 
+static struct told_map *ensure_told(struct cluster *cluster,
+				    const char *service)
+{
+	struct told_map *told =
+		g_hash_table_lookup(cluster->told_maps, service);
+
+	if (told)
+		return told;
+	told = told_map_create();
+	g_hash_table_insert(cluster->told_maps, g_strdup(service), told);
+	return told;
+}
+
+static KeyMap *pack_map(const struct key_map *map, const char *service,
+			bool partial)
+{
+	GString *packed = key_map_pack(map, service, "");
+	KeyMap *message = key_map__unpack(NULL, packed->len,
+					  (const uint8_t *)packed->str);
+
+	message->partial = partial;
+	g_string_free(packed, TRUE);
+	return message;
+}
+
+/* @return all owners of a service or those that changed; NULL: none did */
 static KeyMap *map_message(struct cluster *cluster,
-			   const struct key_leader *leader)
+			   const struct key_leader *leader, bool whole)
 {
+	const char *service = key_leader_service(leader)->name;
+	struct told_map *told = ensure_told(cluster, service);
 	struct key_map *map = key_map_create();
-	GString *packed;
-	KeyMap *message;
+	struct key_map *changes = key_map_create();
+	KeyMap *message = NULL;
 
 	key_leader_served_map(leader, map);
 	map->version = cluster->map_base + cluster->map_number;
-	packed = key_map_pack(map, key_leader_service(leader)->name, "");
-	message = key_map__unpack(NULL, packed->len,
-				  (const uint8_t *)packed->str);
-	g_string_free(packed, TRUE);
+	if (whole) {
+		told_map_whole(told, map);
+		message = pack_map(map, service, false);
+	} else {
+		told_map_changes(told, map, changes);
+		if (changes->spans->len)
+			message = pack_map(changes, service, true);
+	}
 	key_map_destroy(map);
+	key_map_destroy(changes);
 	return message;
 }
 
@@ -119,15 +154,15 @@
 
 static void take_own_maps(struct cluster *cluster, const LeaderBeat *beat);
 
-/* Owners are told when they change, and again in case that was lost. */
-static bool maps_due(const struct cluster *cluster)
+/* Changes are told as they come, and all at times, in case that was lost. */
+static bool whole_due(const struct cluster *cluster)
 {
 	double again =
-		MAX(BEAT_S, roster_vms(cluster->options.roster) * MAPS_VM_S);
+		MAX(BEAT_S, roster_vms(cluster->options.roster) * WHOLE_VM_S);
 
-	return cluster->maps_sent_number != cluster->map_number ||
+	return cluster->vms_changed ||
 	       cluster_now(cluster) >=
-		       cluster->maps_sent_s + again - BEAT_S / 4;
+		       cluster->whole_sent_s + again - BEAT_S / 4;
 }
 
 /* In an order that every leader would choose, and that mixes the zones. */
@@ -159,23 +194,34 @@
 static void fill_beat(struct cluster *cluster, struct beat_parts *parts,
 		      LeaderBeat *beat)
 {
+	bool whole = whole_due(cluster);
 	GHashTableIter iter;
 	gpointer value;
 
 	progress__init(&parts->progress);
+	address_format(&cluster->options.settings->peers, parts->address);
 	parts->vms = vm_messages(cluster);
 	parts->maps = g_ptr_array_new_with_free_func(free_map_message);
 	parts->crashes = crash_messages(cluster);
 	g_hash_table_iter_init(&iter, cluster->leaders);
-	while (maps_due(cluster) && g_hash_table_iter_next(&iter, NULL, &value))
-		g_ptr_array_add(parts->maps, map_message(cluster, value));
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		KeyMap *map = map_message(cluster, value, whole);
+
+		if (map)
+			g_ptr_array_add(parts->maps, map);
+	}
+	if (whole) {
+		cluster->whole_sent_s = cluster_now(cluster);
+		cluster->vms_changed = false;
+	}
 	parts->progress.operator_rows = cluster->progress.operator_rows;
 	parts->progress.upstream_rows = cluster->progress.upstream_rows;
 	beat->progress = &parts->progress;
 	beat->vm = cluster->options.settings->vm;
 	beat->lease = lease_version(cluster->lease);
 	beat->vms = (VmInfo **)parts->vms->pdata;
-	beat->n_vms = parts->vms->len;
+	beat->n_vms = whole ? parts->vms->len : 0;
+	beat->address = parts->address;
 	beat->maps = (KeyMap **)parts->maps->pdata;
 	beat->n_maps = parts->maps->len;
 	beat->crashes = (Crash **)parts->crashes->pdata;
@@ -216,10 +262,6 @@
 	send_to_vms(cluster, &message);
 	take_own_maps(cluster, &beat);
 	cluster->beat_sent_s = cluster_now(cluster);
-	if (beat.n_maps) {
-		cluster->maps_sent_s = cluster->beat_sent_s;
-		cluster->maps_sent_number = cluster->map_number;
-	}
 	row_message_free(beat.operator_changes);
 	row_message_free(beat.upstream_changes);
 	g_ptr_array_free(parts.vms, TRUE);
@@ -275,6 +317,7 @@
 	if (report->stopping) {
 		load_share_forget(cluster->loads, report->vm->name);
 		g_hash_table_remove(cluster->vms, report->vm->name);
+		cluster->vms_changed = true;
 	} else {
 		struct sockaddr_in address;
 
@@ -302,13 +345,15 @@
 	struct service *service =
 		roster_service(cluster->options.roster, message->service);
 	GString *packed = g_string_new(NULL);
+	struct str bytes;
 	bool ok;
 
 	g_string_set_size(packed, key_map__get_packed_size(message));
 	key_map__pack(message, (uint8_t *)packed->str);
+	bytes = (struct str){ packed->str, packed->len };
 	ok = service &&
-	     key_map_unpack(service->keys,
-			    (struct str){ packed->str, packed->len }, NULL);
+	     (message->partial ? key_map_apply(service->keys, bytes)
+			       : key_map_unpack(service->keys, bytes, NULL));
 	if (ok)
 		service->keys_told_s = cluster_now(cluster);
 	g_string_free(packed, TRUE);
@@ -332,9 +377,12 @@
 
 static void take_vms(struct cluster *cluster, const LeaderBeat *beat)
 {
-	const char **names = g_new0(const char *, beat->n_vms + 1);
+	const char **names;
 	size_t i;
 
+	if (!beat->n_vms)
+		return;
+	names = g_new0(const char *, beat->n_vms + 1);
 	for (i = 0; i < beat->n_vms; i++) {
 		struct sockaddr_in address;
 
@@ -344,11 +392,6 @@
 			continue;
 		/* Whoever leads next has to reach them at once. */
 		cluster_hear_vm(cluster, names[i], &address);
-		/* The datagram itself may come from another VM. */
-		if (!strcmp(names[i], beat->vm)) {
-			cluster->leader = address;
-			cluster->leader_known = true;
-		}
 	}
 	roster_set_vms(cluster->options.roster, (unsigned int)beat->n_vms,
 		       names);
@@ -364,8 +407,10 @@
 
 	for (i = 0; i < beat->n_vms && i < beat->watchers; i++)
 		watches = watches || !strcmp(beat->vms[i]->name, vm);
-	follower_set_passive(cluster->options.operator_rows, !watches);
-	follower_set_passive(cluster->options.upstream_rows, !watches);
+	if (beat->n_vms) {
+		follower_set_passive(cluster->options.operator_rows, !watches);
+		follower_set_passive(cluster->options.upstream_rows, !watches);
+	}
 	row_message_take(cluster->options.operator_rows,
 			 beat->operator_changes);
 	row_message_take(cluster->options.upstream_rows,
@@ -388,6 +433,9 @@
 		return;
 	lease_seen(cluster->lease, beat->lease);
 	cluster->beat_heard_s = cluster_now(cluster);
+	/* The datagram itself may come from another VM. */
+	cluster->leader_known =
+		address_parse(str_from(beat->address), &cluster->leader);
 	take_progress(cluster, beat->progress);
 	take_rows(cluster, beat);
 	take_maps(cluster, beat);
--- a/src/keys/key_map.c
+++ b/src/keys/key_map.c
@@ -135,7 +135,27 @@
 	return out;
 }
 
-static bool read_spans(const KeyMap *message, GArray *spans)
+static bool read_span(const KeyMap *message, const KeySpan *in,
+		      struct key_span *span)
+{
+	if (in->last < in->first || in->last > KEY_LAST ||
+	    in->owner > message->n_owners)
+		return false;
+	span->first = (uint16_t)in->first;
+	span->last = (uint16_t)in->last;
+	span->fence = in->fence;
+	span->wait_s = in->wait_ms / MS_PER_S;
+	if (in->owner) {
+		const KeyOwner *owner = message->owners[in->owner - 1];
+
+		span->owner = g_intern_string(owner->id);
+		span->started_ms = owner->started_ms;
+	}
+	return true;
+}
+
+/* @param gaps whether spans may leave gaps */
+static bool read_spans(const KeyMap *message, GArray *spans, bool gaps)
 {
 	uint32_t next = 0;
 	size_t i;
@@ -144,23 +164,13 @@
 		const KeySpan *in = message->spans[i];
 		struct key_span span = { 0 };
 
-		if (in->first != next || in->last < in->first ||
-		    in->last > KEY_LAST || in->owner > message->n_owners)
+		if (in->first < next || (!gaps && in->first != next) ||
+		    !read_span(message, in, &span))
 			return false;
-		span.first = (uint16_t)in->first;
-		span.last = (uint16_t)in->last;
-		span.fence = in->fence;
-		span.wait_s = in->wait_ms / MS_PER_S;
-		if (in->owner) {
-			const KeyOwner *owner = message->owners[in->owner - 1];
-
-			span.owner = g_intern_string(owner->id);
-			span.started_ms = owner->started_ms;
-		}
 		g_array_append_val(spans, span);
 		next = in->last + 1;
 	}
-	return next == KEY_LAST + 1;
+	return gaps || next == KEY_LAST + 1;
 }
 
 bool key_map_unpack(struct key_map *map, struct str bytes, char **attempt)
@@ -173,7 +183,7 @@
 	if (!message)
 		return false;
 	spans = g_array_new(FALSE, FALSE, sizeof(struct key_span));
-	ok = read_spans(message, spans);
+	ok = read_spans(message, spans, false);
 	if (ok) {
 		g_array_free(map->spans, TRUE);
 		map->spans = spans;
@@ -187,3 +197,56 @@
 	key_map__free_unpacked(message, NULL);
 	return ok;
 }
+
+/* Spans of a map, with others put in their places. */
+static GArray *overlay(const struct key_map *map, const GArray *changes)
+{
+	GArray *spans = g_array_new(FALSE, FALSE, sizeof(struct key_span));
+	uint32_t next = 0;
+	guint i = 0;
+
+	while (next <= KEY_LAST) {
+		const struct key_span *change =
+			i < changes->len
+				? &g_array_index(changes, struct key_span, i)
+				: NULL;
+		struct key_span span;
+
+		if (change && change->first == next) {
+			span = *change;
+			i++;
+		} else {
+			span = *key_map_find(map, (int)next);
+			span.first = (uint16_t)next;
+			if (change && change->first <= span.last)
+				span.last = (uint16_t)(change->first - 1);
+		}
+		g_array_append_val(spans, span);
+		next = (uint32_t)span.last + 1;
+	}
+	return spans;
+}
+
+bool key_map_apply(struct key_map *map, struct str bytes)
+{
+	KeyMap *message =
+		key_map__unpack(NULL, bytes.len, (const uint8_t *)bytes.data);
+	GArray *changes;
+	bool ok;
+
+	if (!message)
+		return false;
+	changes = g_array_new(FALSE, FALSE, sizeof(struct key_span));
+	ok = read_spans(message, changes, true);
+	if (ok) {
+		GArray *spans = overlay(map, changes);
+
+		g_array_free(map->spans, TRUE);
+		map->spans = spans;
+		map->version = message->version;
+		map->fence = message->fence;
+	}
+	g_array_free(changes, TRUE);
+	key_map__free_unpacked(message, NULL);
+	return ok;
+}
--- a/src/keys/key_map.h
+++ b/src/keys/key_map.h
@@ -66,4 +66,11 @@
  */
 bool key_map_unpack(struct key_map *map, struct str bytes, char **attempt);
 
+/**
+ * Puts the spans of a packed map that may leave gaps into a map.
+ *
+ * @return false when the bytes hold no such spans; the map is then unchanged
+ */
+bool key_map_apply(struct key_map *map, struct str bytes);
+
 #endif
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -868,7 +868,7 @@
   (ProtobufCMessageInit) key_owner__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor key_map__field_descriptors[6] =
+static const ProtobufCFieldDescriptor key_map__field_descriptors[7] =
 {
   {
     "service",
@@ -942,11 +942,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "partial",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(KeyMap, partial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned key_map__field_indices_by_name[] = {
   3,   /* field[3] = attempt */
   2,   /* field[2] = fence */
   4,   /* field[4] = owners */
+  6,   /* field[6] = partial */
   0,   /* field[0] = service */
   5,   /* field[5] = spans */
   1,   /* field[1] = version */
@@ -954,7 +967,7 @@
 static const ProtobufCIntRange key_map__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor key_map__descriptor =
 {
@@ -964,7 +977,7 @@
   "KeyMap",
   "",
   sizeof(KeyMap),
-  6,
+  7,
   key_map__field_descriptors,
   key_map__field_indices_by_name,
   1,  key_map__number_ranges,
@@ -1342,7 +1355,7 @@
   (ProtobufCMessageInit) table_changes__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor leader_beat__field_descriptors[9] =
+static const ProtobufCFieldDescriptor leader_beat__field_descriptors[10] =
 {
   {
     "vm",
@@ -1452,8 +1465,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(LeaderBeat, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned leader_beat__field_indices_by_name[] = {
+  9,   /* field[9] = address */
   4,   /* field[4] = crashes */
   1,   /* field[1] = lease */
   3,   /* field[3] = maps */
@@ -1467,7 +1493,7 @@
 static const ProtobufCIntRange leader_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor leader_beat__descriptor =
 {
@@ -1477,7 +1503,7 @@
   "LeaderBeat",
   "",
   sizeof(LeaderBeat),
-  9,
+  10,
   leader_beat__field_descriptors,
   leader_beat__field_indices_by_name,
   1,  leader_beat__number_ranges,
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -83,10 +83,14 @@
   KeyOwner **owners;
   size_t n_spans;
   KeySpan **spans;
+  /*
+   * Spans that changed since a whole map was told; the others stand.
+   */
+  protobuf_c_boolean partial;
 };
 #define KEY_MAP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&key_map__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -190,6 +194,9 @@
    * Version of the lease's row.
    */
   uint64_t lease;
+  /*
+   * None: as told before.
+   */
   size_t n_vms;
   VmInfo **vms;
   size_t n_maps;
@@ -203,10 +210,14 @@
    * So many VMs at the front of the list follow the store themselves.
    */
   uint32_t watchers;
+  /*
+   * Where the leader gets datagrams.
+   */
+  char *address;
 };
 #define LEADER_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&leader_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL, 0, (char *)protobuf_c_empty_string }
 
 
 struct  KeyLoad
--- a/test/unit/test_keys.c
+++ b/test/unit/test_keys.c
@@ -4,6 +4,7 @@
 #include "keys/keeper.h"
 #include "keys/key_load.h"
 #include "keys/lease.h"
+#include "keys/told_map.h"
 #include "suite.h"
 
 static void maps_are_packed_and_read(void)
@@ -47,6 +48,71 @@
 	key_map_destroy(read);
 }
 
+static void set_spans(struct key_map *map, const struct key_span *spans,
+		      guint count)
+{
+	g_array_set_size(map->spans, 0);
+	g_array_append_vals(map->spans, spans, count);
+}
+
+/* One who got all of a map and the last changes knows the map, whichever
+ * changes were lost between. */
+static void changes_of_a_map_are_told_alone(void)
+{
+	const char *a = g_intern_string("a"), *b = g_intern_string("b");
+	struct key_span whole[] = {
+		{ .last = 99, .owner = a, .fence = 1 },
+		{ .first = 100, .last = 199, .owner = b, .fence = 2 },
+		{ .first = 200, .last = KEY_LAST, .owner = a, .fence = 3 },
+	};
+	struct key_span cut[] = {
+		{ .last = 99, .owner = a, .fence = 1 },
+		{ .first = 100, .last = 149, .owner = b, .fence = 2 },
+		{ .first = 150, .last = 199, .wait_s = 1 },
+		{ .first = 200, .last = KEY_LAST, .owner = a, .fence = 3 },
+	};
+	struct key_map *map = key_map_create();
+	struct key_map *other = key_map_create();
+	struct key_map *changes = key_map_create();
+	struct told_map *told = told_map_create();
+	GString *bytes;
+
+	set_spans(map, whole, 3);
+	told_map_whole(told, map);
+	key_map_copy(other, map);
+	told_map_changes(told, map, changes);
+	CU_ASSERT_EQUAL(changes->spans->len, 0);
+
+	set_spans(map, cut, 4);
+	told_map_changes(told, map, changes);
+	CU_ASSERT_EQUAL(changes->spans->len, 2);
+	bytes = key_map_pack(changes, "s", "");
+	CU_ASSERT_TRUE(
+		key_map_apply(other, (struct str){ bytes->str, bytes->len }));
+	CU_ASSERT_EQUAL(other->spans->len, 4);
+	CU_ASSERT_PTR_NULL(key_map_find(other, 150)->owner);
+	CU_ASSERT_PTR_EQUAL(key_map_find(other, 149)->owner, b);
+	CU_ASSERT_PTR_EQUAL(key_map_find(other, 99)->owner, a);
+	CU_ASSERT_PTR_EQUAL(key_map_find(other, 200)->owner, a);
+	/* A map can't be read from changes alone. */
+	CU_ASSERT_FALSE(key_map_unpack(
+		other, (struct str){ bytes->str, bytes->len }, NULL));
+	g_string_free(bytes, TRUE);
+	set_spans(map, whole, 3);
+	told_map_changes(told, map, changes);
+	CU_ASSERT_EQUAL(changes->spans->len, 1);
+	bytes = key_map_pack(changes, "s", "");
+	CU_ASSERT_TRUE(
+		key_map_apply(other, (struct str){ bytes->str, bytes->len }));
+	CU_ASSERT_EQUAL(other->spans->len, 3);
+	CU_ASSERT_PTR_EQUAL(key_map_find(other, 150)->owner, b);
+	g_string_free(bytes, TRUE);
+	told_map_destroy(told);
+	key_map_destroy(map);
+	key_map_destroy(other);
+	key_map_destroy(changes);
+}
+
 static void a_range_is_cut_where_its_load_is(void)
 {
 	struct key_load *load = key_load_create();
@@ -488,6 +554,8 @@
 {
 	static const struct suite_case cases[] = {
 		{ "maps are packed and read", maps_are_packed_and_read },
+		{ "changes of a map are told alone",
+		  changes_of_a_map_are_told_alone },
 		{ "a range is cut where its load is",
 		  a_range_is_cut_where_its_load_is },
 		{ "a lease counts from before its write",
