--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -300,8 +300,8 @@
 	g_hash_table_foreach_remove(cluster->vms, is_silent, cluster);
 	if (now >= cluster->beat_sent_s + BEAT_S)
 		cluster_send_beat(cluster);
-	follower_set_passive(cluster->options.operator_rows, false);
-	follower_set_passive(cluster->options.upstream_rows, false);
+	follower_set_duty(cluster->options.operator_rows, FOLLOWER_LEADS);
+	follower_set_duty(cluster->options.upstream_rows, FOLLOWER_LEADS);
 	if (!cluster->options.ready(cluster->options.ctx))
 		return;
 	if (!cluster->maps_read) {
@@ -411,6 +411,7 @@
 	cluster->loads = load_share_create(options->loop, options->roster);
 	cluster->crashes = g_array_new(FALSE, FALSE, sizeof(struct crash));
 	cluster->hold_s = HOLD_S;
+	cluster->beat_heard_s = cluster_now(cluster) - BEAT_LOST_S / 2;
 	ev_timer_init(&cluster->tell_timer, on_tell, TELL_S, 0);
 	cluster->tell_timer.data = cluster;
 	cluster->leads = metrics_gauge(options->metrics, "auburn_leads", "",
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -402,14 +402,16 @@
 static void take_rows(struct cluster *cluster, const LeaderBeat *beat)
 {
 	const char *vm = cluster->options.settings->vm;
+	enum follower_duty duty;
 	bool watches = false;
 	size_t i;
 
 	for (i = 0; i < beat->n_vms && i < beat->watchers; i++)
 		watches = watches || !strcmp(beat->vms[i]->name, vm);
 	if (beat->n_vms) {
-		follower_set_passive(cluster->options.operator_rows, !watches);
-		follower_set_passive(cluster->options.upstream_rows, !watches);
+		duty = watches ? FOLLOWER_WATCHES : FOLLOWER_LISTENS;
+		follower_set_duty(cluster->options.operator_rows, duty);
+		follower_set_duty(cluster->options.upstream_rows, duty);
 	}
 	row_message_take(cluster->options.operator_rows,
 			 beat->operator_changes);
--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -15,6 +15,10 @@
 /* After a change, before the next call: every change costs a call of each VM.
  */
 #define GATHER_S 0.12
+/* The same for a VM that only watches. */
+#define GATHER_WATCH_S 0.5
+/* From reading a table to following it: others are heard by then. */
+#define SETTLE_S 0.4
 /* Longest pause between calls that catch up with others. */
 #define CATCH_UP_S 0.6
 /* After a failure, and after more of them. */
@@ -46,8 +50,7 @@
 	bool busy;
 	/** Other VMs are heard and would tell of changes. */
 	bool accompanied;
-	/** They pass changes on. */
-	bool passive;
+	enum follower_duty duty;
 	double asked_s;
 	double wait_s;
 	double retry_s;
@@ -194,7 +197,7 @@
 		follower->loaded = true;
 		follower->ops->loaded(follower->ctx);
 	}
-	later(follower, 0);
+	later(follower, follower->accompanied ? 0 : SETTLE_S);
 }
 
 static void on_page(void *ctx, const struct store_result *result)
@@ -235,7 +238,10 @@
 	double waited = loop_now(follower->loop) - follower->asked_s;
 
 	if (result->row_count)
-		return GATHER_S;
+		return follower->duty == FOLLOWER_LEADS ||
+				       !follower->accompanied
+			       ? GATHER_S
+			       : GATHER_WATCH_S;
 	return waited < follower->wait_s / 2 ? RETRY_S : 0;
 }
 
@@ -328,8 +334,8 @@
 /* Whether others pass on what changes. */
 static bool is_served(const struct follower *follower)
 {
-	return follower->passive && follower->accompanied && !follower->lost &&
-	       !follower->read_whole;
+	return follower->duty == FOLLOWER_LISTENS && follower->accompanied &&
+	       !follower->lost && !follower->read_whole;
 }
 
 static void ask_changes(struct follower *follower, double wait_s)
@@ -388,9 +394,9 @@
 		later(follower, 0);
 }
 
-void follower_set_passive(struct follower *follower, bool passive)
+void follower_set_duty(struct follower *follower, enum follower_duty duty)
 {
-	follower->passive = passive;
+	follower->duty = duty;
 	check_served(follower);
 }
 
--- a/src/entry/follower.h
+++ b/src/entry/follower.h
@@ -54,11 +54,17 @@
 /** Version of the newest row of the table that is known. */
 uint64_t follower_row_version(const struct follower *follower);
 
-/**
- * Lets others pass changes on: no call waits for them here as long as others
- * are heard.
- */
-void follower_set_passive(struct follower *follower, bool passive);
+enum follower_duty {
+	/** Others depend on what is read here. */
+	FOLLOWER_LEADS,
+	/** Finds out whether whoever passes changes on misses some. */
+	FOLLOWER_WATCHES,
+	/** No call waits here for changes as long as others pass them on. */
+	FOLLOWER_LISTENS,
+};
+
+/** Sets what a follower does while others are heard; at first it leads. */
+void follower_set_duty(struct follower *follower, enum follower_duty duty);
 
 /**
  * Takes changes that another VM passes on. One that misses earlier ones asks
--- a/src/keys/lease.c
+++ b/src/keys/lease.c
@@ -20,8 +20,9 @@
  * of many begins soon, and is heard before the others try. The store handles
  * their writes one after the other. */
 #define JITTER_S 0.5
-/* A row that was not seen for so long is read. */
-#define LOOK_S 0.7
+/* A row that was not seen for so long is read: with beats it is seen every
+ * renewal and a beat. */
+#define LOOK_S (LEASE_S / 2)
 /* On the store's clock: long ago. */
 #define GIVEN_UP_S 0.001
 /* Writes whose effect may still show. */
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -222,7 +222,7 @@
 	run(f, 0);
 	CU_ASSERT_EQUAL_FATAL(f->call, 'r');
 	follower_hint(f->follower, 7);
-	follower_set_passive(f->follower, true);
+	follower_set_duty(f->follower, FOLLOWER_LISTENS);
 	answer(f, STORE_OK, 10, &a, 1);
 	g_string_free(a.value, TRUE);
 }
