test: a soak with faults from outside, on the real entry daemons

Four daemons, the platform's stand-in and a proxy before the store and each upstream. Planned work (stops, reloads, configurations, leaving) alone in each fourth seed, else with kills, freezes, outages, silence, cuts one way, resets, delays and restarts, overlapping.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 
 BUILD ?= build
 JOBS ?= $(shell nproc)
+SECONDS_EACH ?= 12
 
-.PHONY: all setup build demo check bench prove fuzz format format-check lint \
+.PHONY: all setup build demo check soak bench prove fuzz format format-check lint \
 	proto clean
 
 all: build
@@ -22,6 +23,11 @@
 check: setup build
 	@tools/run-tests.sh $(BUILD)
 
+# Fresh seeds, or SEEDS="7 12".
+soak: setup build
+	@$(BUILD)/functional-soak --seconds $(SECONDS_EACH) \
+		$(or $(SEEDS),$(shell shuf -i 1-1000000000 -n 10))
+
 bench: setup build
 	@tools/bench.sh $(BUILD)
 
--- /dev/null
+++ b/test/soak/callers.c
@@ -0,0 +1,283 @@
+#include "callers.h"
+
+#include <glib.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include "base/address.h"
+
+#define ENTRIES_MAX 16
+#define WAIT_S 5
+#define PAUSE_US 4000
+#define ANSWER_BYTES 65536
+
+struct open_request {
+	char id[32];
+	bool promised;
+};
+
+struct caller {
+	struct callers *callers;
+	unsigned int index;
+	GRand *random;
+	int conns[ENTRIES_MAX];
+	unsigned int sent;
+	struct callers_result result;
+	/** Of struct open_request. */
+	GArray *open;
+	GThread *thread;
+};
+
+struct callers {
+	const char *const *addresses;
+	unsigned int entries;
+	unsigned int threads;
+	atomic_bool stop;
+	struct caller *list;
+};
+
+struct answer {
+	char text[ANSWER_BYTES];
+	size_t len, head_len, body_len;
+	int status;
+};
+
+static int connect_to(const char *text)
+{
+	struct timeval wait = { .tv_sec = WAIT_S };
+	struct sockaddr_in address;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	if (!address_parse(str_from(text), &address) ||
+	    connect(fd, (struct sockaddr *)&address, sizeof(address))) {
+		close(fd);
+		return -1;
+	}
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+	return fd;
+}
+
+/* @return whether the head is whole; sets the lengths */
+static bool read_head(struct answer *answer)
+{
+	const char *end, *length;
+
+	answer->text[answer->len] = '\0';
+	end = strstr(answer->text, "\r\n\r\n");
+	if (!end)
+		return false;
+	answer->head_len = (size_t)(end - answer->text) + 4;
+	answer->status = atoi(answer->text + strlen("HTTP/1.1 "));
+	length = strcasestr(answer->text, "content-length: ");
+	if (length && length < end)
+		answer->body_len =
+			strtoul(length + strlen("content-length: "), NULL, 10);
+	return true;
+}
+
+/* @return false when the connection ended before the whole answer */
+static bool receive(int fd, struct answer *answer)
+{
+	answer->len = answer->head_len = answer->body_len = 0;
+	while (!answer->head_len ||
+	       answer->len < answer->head_len + answer->body_len) {
+		ssize_t n = recv(fd, answer->text + answer->len,
+				 ANSWER_BYTES - 1 - answer->len, 0);
+
+		if (n <= 0)
+			return false;
+		answer->len += (size_t)n;
+		if (!answer->head_len && !read_head(answer))
+			answer->head_len = 0;
+	}
+	return true;
+}
+
+/* An answer of an upstream names the request in its head, and 400 times in its
+ * body; nothing may follow it. */
+static bool is_right(const struct answer *answer, const char *id)
+{
+	size_t expected = 400 * (strlen(id) + 1);
+	const char *at;
+	int count = 0;
+
+	if (answer->len != answer->head_len + answer->body_len)
+		return false;
+	if (answer->status != 200)
+		return true;
+	if (answer->body_len < expected || !strstr(answer->text, id) ||
+	    !strcasestr(answer->text, "x-server-signature: "))
+		return false;
+	at = answer->text + answer->head_len;
+	while ((at = strstr(at, id))) {
+		at += strlen(id);
+		count++;
+	}
+	return count == 400;
+}
+
+static void keep_open(struct caller *caller, const char *id, bool promised)
+{
+	struct open_request open = { .promised = promised };
+
+	g_strlcpy(open.id, id, sizeof(open.id));
+	g_array_append_val(caller->open, open);
+}
+
+static bool promises_not_run(int status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+static void judge(struct caller *caller, const struct answer *answer,
+		  const char *id, bool once)
+{
+	struct callers_result *result = &caller->result;
+
+	if (!is_right(answer, id)) {
+		result->wrong++;
+		fprintf(stderr, "wrong answer to %s: %.*s\n", id,
+			(int)answer->head_len, answer->text);
+	} else if (answer->status == 200) {
+		result->served++;
+	} else if (promises_not_run(answer->status)) {
+		result->refused++;
+		if (once)
+			keep_open(caller, id, true);
+	} else {
+		result->failed++;
+	}
+}
+
+static void drop(struct caller *caller, unsigned int entry)
+{
+	close(caller->conns[entry]);
+	caller->conns[entry] = -1;
+}
+
+static void ask(struct caller *caller, struct answer *answer)
+{
+	static const char *const paths[] = { "plain", "once", "keyed" };
+	unsigned int kind = g_rand_int(caller->random) % 3;
+	unsigned int entry =
+		g_rand_int(caller->random) % caller->callers->entries;
+	char id[32], text[512];
+	int *fd = &caller->conns[entry];
+
+	if (*fd < 0)
+		*fd = connect_to(caller->callers->addresses[entry]);
+	if (*fd < 0)
+		return;
+	g_snprintf(id, sizeof(id), "c%ur%06u", caller->index, caller->sent++);
+	g_snprintf(text, sizeof(text),
+		   "%s /%s/long/work-ms-%u HTTP/1.1\r\nHost: app.example\r\n"
+		   "X-Request-Id: %s\r\nX-Deadline-Ms: 3000\r\n"
+		   "X-Shard-Key: %u\r\nContent-Length: %s\r\n\r\n%s",
+		   kind == 1 ? "POST" : "GET", paths[kind],
+		   g_rand_int(caller->random) % 20, id,
+		   g_rand_int(caller->random) % 65536, kind == 1 ? "4" : "0",
+		   kind == 1 ? "body" : "");
+	if (send(*fd, text, strlen(text), MSG_NOSIGNAL) < 0 ||
+	    !receive(*fd, answer)) {
+		caller->result.unanswered++;
+		keep_open(caller, id, false);
+		drop(caller, entry);
+		return;
+	}
+	judge(caller, answer, id, kind == 1);
+	if (strcasestr(answer->text, "connection: close"))
+		drop(caller, entry);
+}
+
+static gpointer run(gpointer data)
+{
+	struct caller *caller = data;
+	struct answer *answer = g_new0(struct answer, 1);
+	unsigned int i;
+
+	while (!atomic_load(&caller->callers->stop)) {
+		ask(caller, answer);
+		g_usleep(PAUSE_US);
+	}
+	for (i = 0; i < caller->callers->entries; i++)
+		if (caller->conns[i] >= 0)
+			drop(caller, i);
+	g_free(answer);
+	return NULL;
+}
+
+struct callers *callers_start(const char *const *addresses,
+			      unsigned int entries, unsigned int threads,
+			      uint32_t seed)
+{
+	struct callers *callers = g_new0(struct callers, 1);
+	unsigned int i;
+
+	callers->addresses = addresses;
+	callers->entries = entries;
+	callers->threads = threads;
+	callers->list = g_new0(struct caller, threads);
+	for (i = 0; i < threads; i++) {
+		struct caller *caller = &callers->list[i];
+
+		caller->callers = callers;
+		caller->index = i;
+		caller->random = g_rand_new_with_seed(seed + i);
+		memset(caller->conns, -1, sizeof(caller->conns));
+		caller->open =
+			g_array_new(FALSE, FALSE, sizeof(struct open_request));
+		caller->thread = g_thread_new("caller", run, caller);
+	}
+	return callers;
+}
+
+struct callers_result callers_stop(struct callers *callers)
+{
+	struct callers_result sum = { 0 };
+	unsigned int i;
+
+	atomic_store(&callers->stop, true);
+	for (i = 0; i < callers->threads; i++) {
+		struct caller *caller = &callers->list[i];
+
+		g_thread_join(caller->thread);
+		sum.served += caller->result.served;
+		sum.refused += caller->result.refused;
+		sum.failed += caller->result.failed;
+		sum.unanswered += caller->result.unanswered;
+		sum.wrong += caller->result.wrong;
+	}
+	return sum;
+}
+
+void callers_each_open(const struct callers *callers,
+		       void (*fn)(const char *id, bool promised, void *ctx),
+		       void *ctx)
+{
+	unsigned int i;
+	guint j;
+
+	for (i = 0; i < callers->threads; i++)
+		for (j = 0; j < callers->list[i].open->len; j++) {
+			const struct open_request *open = &g_array_index(
+				callers->list[i].open, struct open_request, j);
+
+			fn(open->id, open->promised, ctx);
+		}
+}
+
+void callers_free(struct callers *callers)
+{
+	unsigned int i;
+
+	for (i = 0; i < callers->threads; i++) {
+		g_rand_free(callers->list[i].random);
+		g_array_free(callers->list[i].open, TRUE);
+	}
+	g_free(callers->list);
+	g_free(callers);
+}
--- /dev/null
+++ b/test/soak/soak.c
@@ -0,0 +1,592 @@
+/*
+ * A soak with faults: real entry daemons between callers and the platform's
+ * stand-in, with proxies on every path between daemons, store and upstreams.
+ * Daemons are frozen, killed, stopped and reloaded by signals; connections are
+ * delayed, reset, silenced and cut one way; the store goes down; upstreams
+ * restart and leave. What callers and upstreams see is checked.
+ *
+ * functional-soak [--seconds S] [SEED...]: the seeds given, or those that are
+ * kept because they failed once.
+ */
+#include <arpa/inet.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/address.h"
+#include "callers.h"
+#include "cluster_http.h"
+#include "cluster_process.h"
+#include "proxy.h"
+
+#define ENTRIES 4
+#define TARGETS 4
+#define CALLERS 6
+#define WAIT_US ((int64_t)20 * G_USEC_PER_SEC)
+#define TICK_US 10000
+/* Mean pause between faults; most last longer, so that they overlap. */
+#define PAUSE_S 0.6
+#define GRACE_S 6.0
+#define CALM_S 1.5
+
+/* Seeds that failed once, with the cause, and one of planned work alone: run
+ * when none is given. */
+static const unsigned int kept_seeds[] = {
+	4,
+	/* A stop was taken for one that had begun later on the same entry: a
+	 * fault of the soak itself. */
+	7,
+};
+
+enum fault_kind {
+	/* Planned work: no request may go unanswered. */
+	FAULT_STOP,
+	FAULT_RELOAD,
+	FAULT_CONFIG,
+	FAULT_DRAIN,
+	/* Disruptions. */
+	FAULT_KILL,
+	FAULT_FREEZE,
+	FAULT_STORE_DOWN,
+	FAULT_STORE_SILENT,
+	FAULT_STORE_CUT_REQUESTS,
+	FAULT_STORE_CUT_ANSWERS,
+	FAULT_STORE_RESET,
+	FAULT_TARGET_SILENT,
+	FAULT_TARGET_CUT_ANSWERS,
+	FAULT_TARGET_RESET,
+	FAULT_TARGET_DELAY,
+	FAULT_TARGET_RESTART,
+	FAULT_KINDS,
+};
+
+#define PLANNED_KINDS (FAULT_DRAIN + 1)
+
+struct soak_entry {
+	struct process *process;
+	struct proxy *store;
+	char callers[32];
+	char ready[32];
+	char settings[256];
+	/** A fault holds it. */
+	bool busy;
+	/** It was told to end, and is started again then. */
+	bool ending;
+	/** Stops so far. */
+	unsigned int stops;
+};
+
+struct fault {
+	enum fault_kind kind;
+	unsigned int at;
+	/** Of a stop: its number. */
+	unsigned int number;
+	gint64 end_us;
+};
+
+struct soak {
+	unsigned int seed;
+	bool planned_only;
+	GRand *random;
+	char *folder;
+	struct process *site;
+	struct soak_entry entries[ENTRIES];
+	struct proxy *targets[TARGETS];
+	/** Of struct fault. */
+	GArray *faults;
+	unsigned int begun[FAULT_KINDS];
+	unsigned int version;
+	bool drained;
+	unsigned int broken;
+};
+
+__attribute__((format(printf, 2, 3))) static void
+break_promise(struct soak *soak, const char *format, ...)
+{
+	va_list args;
+
+	va_start(args, format);
+	printf("# seed %u: ", soak->seed);
+	vprintf(format, args);
+	printf("\n");
+	va_end(args);
+	soak->broken++;
+}
+
+static json_t *control(const struct soak *soak, const char *uri,
+		       const char *body)
+{
+	struct http_request request = {
+		.address = process_address(soak->site, "store"),
+		.uri = uri,
+		.body = body,
+	};
+	struct http_answer *answer = http_send(&request);
+	json_t *root =
+		json_loadb(answer->body->str, answer->body->len, 0, NULL);
+
+	http_answer_destroy(answer);
+	return root;
+}
+
+static void command(const struct soak *soak, const char *verb, unsigned int id,
+		    const char *body)
+{
+	char *uri = g_strdup_printf("/control/%s?id=%u", verb, id);
+
+	json_decref(control(soak, uri, body));
+	g_free(uri);
+}
+
+static int control_number(const struct soak *soak, const char *uri,
+			  const char *field)
+{
+	json_t *root = control(soak, uri, NULL);
+	int number = (int)json_integer_value(json_object_get(root, field));
+
+	json_decref(root);
+	return number;
+}
+
+/* --- start --- */
+
+static unsigned int free_port(void)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t len = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (bind(fd, (struct sockaddr *)&address, len) ||
+	    getsockname(fd, (struct sockaddr *)&address, &len))
+		g_error("no free port");
+	close(fd);
+	return ntohs(address.sin_port);
+}
+
+static void write_settings(struct soak *soak, unsigned int index)
+{
+	struct soak_entry *entry = &soak->entries[index];
+	struct sockaddr_in address;
+	char store[ADDRESS_TEXT_SIZE];
+	char *text;
+
+	address_parse(str_from(process_address(soak->site, "store")), &address);
+	entry->store = proxy_create(&address);
+	address = proxy_address(entry->store);
+	address_format(&address, store);
+	g_snprintf(entry->callers, sizeof(entry->callers), "127.0.0.1:%u",
+		   free_port());
+	g_snprintf(entry->ready, sizeof(entry->ready), "127.0.0.1:%u",
+		   free_port());
+	g_snprintf(entry->settings, sizeof(entry->settings), "%s/entry%u.conf",
+		   soak->folder, index);
+	text = g_strdup_printf(
+		"[vm]\nname = vm%u\nzone = z%u\n[listen]\ncallers = %s\n"
+		"ready = %s\npeers = 127.0.0.1:%u\nmetrics = 127.0.0.1:%u\n"
+		"[store]\naddress = %s\n[stop]\ngrace = %.1f\n",
+		index, index % 2 + 1, entry->callers, entry->ready, free_port(),
+		free_port(), store, GRACE_S);
+	g_file_set_contents(entry->settings, text, -1, NULL);
+	g_free(text);
+}
+
+static void start_entry(const struct soak *soak, unsigned int index)
+{
+	struct soak_entry *entry = (struct soak_entry *)&soak->entries[index];
+	const char *argv[] = { PROGRAM_DIR "/auburn-entry", "--settings",
+			       entry->settings, NULL };
+	char name[16];
+	GError *error = NULL;
+
+	g_snprintf(name, sizeof(name), "entry%u", index);
+	entry->process = process_start(name, soak->folder, argv, &error);
+	if (!entry->process)
+		g_error("%s", error->message);
+}
+
+static void start_targets(struct soak *soak)
+{
+	unsigned int i;
+
+	for (i = 0; i < TARGETS; i++) {
+		char *uri = g_strdup_printf("/control/address?id=%u", i);
+		json_t *root = control(soak, uri, NULL);
+		struct sockaddr_in address;
+		char text[ADDRESS_TEXT_SIZE];
+
+		address_parse(str_from(json_string_value(
+				      json_object_get(root, "address"))),
+			      &address);
+		soak->targets[i] = proxy_create(&address);
+		address = proxy_address(soak->targets[i]);
+		command(soak, "list-at", i, address_format(&address, text));
+		json_decref(root);
+		g_free(uri);
+	}
+}
+
+static bool is_served(void *ctx)
+{
+	const struct soak_entry *entry = ctx;
+	static const char *const keys[] = { "X-Shard-Key: 100",
+					    "X-Shard-Key: 60000" };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(keys); i++) {
+		const char *headers[] = { "Host: app.example",
+					  "X-Deadline-Ms: 1000",
+					  "X-Request-Id: probe", keys[i],
+					  NULL };
+		struct http_request request = { .address = entry->callers,
+						.uri = "/keyed/a",
+						.headers = headers,
+						.timeout_ms = 2000 };
+
+		if (http_status(&request) != 200)
+			return false;
+	}
+	return true;
+}
+
+static void wait_served(struct soak *soak, const char *when)
+{
+	unsigned int i;
+
+	for (i = 0; i < ENTRIES; i++)
+		if (!process_wait_until(is_served, &soak->entries[i], WAIT_US))
+			break_promise(soak, "entry %u does not serve %s", i,
+				      when);
+}
+
+static void soak_open(struct soak *soak)
+{
+	const char *argv[] = { PROGRAM_DIR "/standin-site", NULL };
+	GError *error = NULL;
+	unsigned int i;
+
+	soak->random = g_rand_new_with_seed(soak->seed);
+	soak->faults = g_array_new(FALSE, FALSE, sizeof(struct fault));
+	soak->folder = g_dir_make_tmp("auburn-soak-XXXXXX", NULL);
+	soak->site = process_start("site", soak->folder, argv, &error);
+	if (!soak->site || !process_wait_listening(soak->site, WAIT_US, &error))
+		g_error("%s", error->message);
+	start_targets(soak);
+	for (i = 0; i < ENTRIES; i++) {
+		write_settings(soak, i);
+		start_entry(soak, i);
+	}
+	wait_served(soak, "after the start");
+}
+
+static void soak_close(struct soak *soak)
+{
+	unsigned int i;
+
+	for (i = 0; i < ENTRIES; i++)
+		process_destroy(soak->entries[i].process);
+	process_destroy(soak->site);
+	if (!soak->broken)
+		process_remove_folder(soak->folder);
+	else
+		printf("# logs are in %s\n", soak->folder);
+	g_free(soak->folder);
+	g_rand_free(soak->random);
+	g_array_free(soak->faults, TRUE);
+}
+
+/* --- faults --- */
+
+static bool takes_entry(enum fault_kind kind)
+{
+	return kind == FAULT_STOP || kind == FAULT_KILL || kind == FAULT_FREEZE;
+}
+
+static double length_of(struct soak *soak, enum fault_kind kind)
+{
+	switch (kind) {
+	case FAULT_STOP:
+		return GRACE_S + 1;
+	case FAULT_DRAIN:
+	case FAULT_STORE_DOWN:
+		return g_rand_double_range(soak->random, 0.5, 5);
+	default:
+		return g_rand_double_range(soak->random, 0.1, 4);
+	}
+}
+
+static void begin_fault(struct soak *soak, struct fault *fault)
+{
+	struct soak_entry *entry = &soak->entries[fault->at % ENTRIES];
+	struct proxy *target = soak->targets[fault->at % TARGETS];
+
+	soak->begun[fault->kind]++;
+	switch (fault->kind) {
+	case FAULT_STOP:
+		entry->ending = true;
+		fault->number = ++entry->stops;
+		process_terminate(entry->process);
+		break;
+	case FAULT_RELOAD:
+		kill(process_pid(entry->process), SIGHUP);
+		break;
+	case FAULT_CONFIG:
+		command(soak, "touch-config", ++soak->version, NULL);
+		break;
+	case FAULT_DRAIN:
+		command(soak, "drain", fault->at % TARGETS, NULL);
+		break;
+	case FAULT_KILL:
+		entry->ending = true;
+		entry->stops++;
+		process_kill(entry->process);
+		break;
+	case FAULT_FREEZE:
+		process_freeze(entry->process);
+		break;
+	case FAULT_STORE_DOWN:
+		command(soak, "down", 1, NULL);
+		break;
+	case FAULT_STORE_SILENT:
+		proxy_set_mode(entry->store, PROXY_SILENT);
+		break;
+	case FAULT_STORE_CUT_REQUESTS:
+		proxy_set_mode(entry->store, PROXY_CUT_REQUESTS);
+		break;
+	case FAULT_STORE_CUT_ANSWERS:
+		proxy_set_mode(entry->store, PROXY_CUT_ANSWERS);
+		break;
+	case FAULT_STORE_RESET:
+		proxy_reset(entry->store);
+		break;
+	case FAULT_TARGET_SILENT:
+		proxy_set_mode(target, PROXY_SILENT);
+		break;
+	case FAULT_TARGET_CUT_ANSWERS:
+		proxy_set_mode(target, PROXY_CUT_ANSWERS);
+		break;
+	case FAULT_TARGET_RESET:
+		proxy_reset(target);
+		break;
+	case FAULT_TARGET_DELAY:
+		proxy_set_delay(target, 50 + (int)(fault->at % 200));
+		break;
+	case FAULT_TARGET_RESTART:
+		command(soak, "restart", fault->at % TARGETS, NULL);
+		break;
+	case FAULT_KINDS:
+		break;
+	}
+}
+
+static void end_fault(struct soak *soak, const struct fault *fault)
+{
+	struct soak_entry *entry = &soak->entries[fault->at % ENTRIES];
+	struct proxy *target = soak->targets[fault->at % TARGETS];
+
+	switch (fault->kind) {
+	case FAULT_STOP:
+		if (entry->ending && entry->stops == fault->number &&
+		    process_running(entry->process))
+			break_promise(soak, "a stopped entry runs on");
+		break;
+	case FAULT_FREEZE:
+		process_continue(entry->process);
+		entry->busy = false;
+		break;
+	case FAULT_DRAIN:
+		command(soak, "undrain", fault->at % TARGETS, NULL);
+		soak->drained = false;
+		break;
+	case FAULT_STORE_DOWN:
+		command(soak, "down", 0, NULL);
+		break;
+	case FAULT_STORE_SILENT:
+	case FAULT_STORE_CUT_REQUESTS:
+	case FAULT_STORE_CUT_ANSWERS:
+		proxy_set_mode(entry->store, PROXY_PASS);
+		break;
+	case FAULT_TARGET_SILENT:
+	case FAULT_TARGET_CUT_ANSWERS:
+		proxy_set_mode(target, PROXY_PASS);
+		break;
+	case FAULT_TARGET_DELAY:
+		proxy_set_delay(target, 0);
+		break;
+	default:
+		break;
+	}
+}
+
+/* Entries that ended are started again. */
+static void restart_ended(struct soak *soak)
+{
+	GError *error = NULL;
+	unsigned int i;
+
+	for (i = 0; i < ENTRIES; i++) {
+		struct soak_entry *entry = &soak->entries[i];
+
+		if (process_running(entry->process))
+			continue;
+		if (!entry->ending)
+			break_promise(soak, "entry %u ended by itself", i);
+		if (!process_restart(entry->process, &error))
+			g_error("%s", error->message);
+		entry->ending = false;
+		entry->busy = false;
+	}
+}
+
+static void draw_fault(struct soak *soak, gint64 now_us)
+{
+	struct fault fault = { 0 };
+
+	fault.kind = (enum fault_kind)g_rand_int_range(
+		soak->random, 0,
+		soak->planned_only ? PLANNED_KINDS : FAULT_KINDS);
+	fault.at = g_rand_int(soak->random);
+	fault.end_us =
+		now_us + (gint64)(length_of(soak, fault.kind) * G_USEC_PER_SEC);
+	/* One at a time for what would undo each other. */
+	if (takes_entry(fault.kind) || fault.kind == FAULT_RELOAD) {
+		struct soak_entry *entry = &soak->entries[fault.at % ENTRIES];
+
+		if (entry->busy)
+			return;
+		entry->busy = takes_entry(fault.kind);
+	}
+	if (fault.kind == FAULT_DRAIN && soak->drained)
+		return;
+	soak->drained = soak->drained || fault.kind == FAULT_DRAIN;
+	begin_fault(soak, &fault);
+	g_array_append_val(soak->faults, fault);
+}
+
+static void end_faults(struct soak *soak, gint64 until_us)
+{
+	guint i;
+
+	for (i = soak->faults->len; i > 0; i--) {
+		struct fault fault =
+			g_array_index(soak->faults, struct fault, i - 1);
+
+		if (fault.end_us > until_us)
+			continue;
+		g_array_remove_index(soak->faults, i - 1);
+		end_fault(soak, &fault);
+	}
+}
+
+static void play(struct soak *soak, double seconds)
+{
+	gint64 start_us = g_get_monotonic_time();
+	gint64 next_us = start_us;
+	gint64 end_us = start_us + (gint64)(seconds * G_USEC_PER_SEC);
+	gint64 now_us;
+
+	while ((now_us = g_get_monotonic_time()) < end_us ||
+	       soak->faults->len) {
+		if (now_us < end_us && now_us >= next_us) {
+			draw_fault(soak, now_us);
+			next_us =
+				now_us + (gint64)(g_rand_double(soak->random) *
+						  2 * PAUSE_S * G_USEC_PER_SEC);
+		}
+		end_faults(soak, now_us);
+		restart_ended(soak);
+		g_usleep(TICK_US);
+	}
+}
+
+/* --- checks --- */
+
+static void check_open(const char *id, bool promised, void *ctx)
+{
+	struct soak *soak = ctx;
+	char *uri = g_strdup_printf("/control/runs?id=%s", id);
+	int runs = control_number(soak, uri, "runs");
+
+	if (promised && runs)
+		break_promise(soak, "%s was promised not to run and did", id);
+	if (!promised && soak->planned_only && runs)
+		break_promise(soak, "%s was passed on and got no answer", id);
+	g_free(uri);
+}
+
+static void check(struct soak *soak, struct callers *callers,
+		  const struct callers_result *result)
+{
+	int double_owners =
+		control_number(soak, "/control/state", "double_owners");
+	int repeats = control_number(soak, "/control/state", "repeats");
+
+	if (double_owners)
+		break_promise(soak, "%d grants of keys that others held",
+			      double_owners);
+	if (repeats)
+		break_promise(soak, "%d requests ran again that must not",
+			      repeats);
+	if (result->wrong)
+		break_promise(soak, "%u wrong answers", result->wrong);
+	if (result->served < 100)
+		break_promise(soak, "only %u requests were served",
+			      result->served);
+	callers_each_open(callers, check_open, soak);
+}
+
+/* @return whether every promise was kept */
+static bool run_seed(unsigned int seed, double seconds)
+{
+	struct soak soak = { .seed = seed,
+			     .version = 1,
+			     .planned_only = seed % 4 == 0 };
+	const char *addresses[ENTRIES];
+	struct callers_result result;
+	struct callers *callers;
+	unsigned int i, faults = 0;
+
+	soak_open(&soak);
+	for (i = 0; i < ENTRIES; i++)
+		addresses[i] = soak.entries[i].callers;
+	callers = callers_start(addresses, ENTRIES, CALLERS, seed);
+	play(&soak, seconds);
+	wait_served(&soak, "after the last fault");
+	g_usleep((gulong)(CALM_S * G_USEC_PER_SEC));
+	result = callers_stop(callers);
+	check(&soak, callers, &result);
+	for (i = 0; i < FAULT_KINDS; i++)
+		faults += soak.begun[i];
+	printf("# seed %u: %u faults; %u served, %u refused, %u failed, %u "
+	       "without an answer\n",
+	       seed, faults, result.served, result.refused, result.failed,
+	       result.unanswered);
+	callers_free(callers);
+	soak_close(&soak);
+	printf("%s - soak with seed %u\n", soak.broken ? "not ok" : "ok", seed);
+	fflush(stdout);
+	return !soak.broken;
+}
+
+int main(int argc, char **argv)
+{
+	double seconds = 8;
+	bool ok = true;
+	int i, first = 1;
+
+	signal(SIGPIPE, SIG_IGN);
+	if (argc > 2 && !strcmp(argv[1], "--seconds")) {
+		seconds = g_ascii_strtod(argv[2], NULL);
+		first = 3;
+	}
+	for (i = first; i < argc; i++)
+		ok = run_seed((unsigned int)strtoul(argv[i], NULL, 10),
+			      seconds) &&
+		     ok;
+	for (i = 0; argc == first && i < (int)G_N_ELEMENTS(kept_seeds); i++)
+		ok = run_seed(kept_seeds[i], seconds) && ok;
+	return ok ? 0 : 1;
+}
--- a/test/standin/site.h
+++ b/test/standin/site.h
@@ -21,13 +21,23 @@
 	      const char *json);
 void site_remove(struct site *site, const char *table, const char *key);
 
+/** Writes the configuration as a version. */
+void site_put_config(struct site *site, unsigned int version);
+
 /** Upstreams, by number. */
 void site_target_create(struct site *site, const char *service,
 			const char *zone, bool keyed);
-void site_target_drain(struct site *site, unsigned int index);
+/** Its entry says that it leaves, or that it takes work again. */
+void site_target_drain(struct site *site, unsigned int index, bool leaves);
 /** Its process ends, and another life starts at once under the same id. */
 void site_target_restart(struct site *site, unsigned int index);
 
+/** Names another address for it in its entry: that of a proxy. */
+void site_target_list_at(struct site *site, unsigned int index,
+			 const char *address);
+/** Its address as it listens. */
+void site_target_address(struct site *site, unsigned int index, char *text);
+
 /** Runs of a request id at all upstreams. */
 unsigned int site_runs(struct site *site, const char *id);
 
@@ -42,6 +52,10 @@
 	GPtrArray *targets;
 	/** Runs by request id. */
 	GHashTable *runs;
+	/** Grants of keys that another upstream held. */
+	unsigned int double_owners;
+	/** Runs of requests that must not repeat, beyond the first. */
+	unsigned int repeats;
 };
 
 #endif
--- a/test/standin/site_main.c
+++ b/test/standin/site_main.c
@@ -5,21 +5,31 @@
 #include "base/address.h"
 #include "site.h"
 
-static const char config[] =
-	"{\"version\":\"r1\",\"routes\":{\"columns\":[\"name\",\"host\","
-	"\"prefix\",\"kind\",\"timeout_s\",\"aim_s\",\"priority\",\"service\","
-	"\"max_attempts\",\"split\"],\"rows\":["
-	"[\"plain\",\"app.example\",\"/plain/\",\"safe\",3,0.5,1,\"plain\",2,"
-	"null],"
-	"[\"once\",\"app.example\",\"/once/\",\"unsafe\",3,0.5,1,\"plain\",2,"
-	"null],"
-	"[\"keyed\",\"app.example\",\"/keyed/\",\"safe\",3,0.5,1,\"keyed\",2,"
-	"null]]},\"services\":{\"columns\":[\"name\",\"health_path\","
-	"\"max_conns\",\"cold_start_s\",\"cold_per_s\",\"sharded\",\"warm_s\"],"
-	"\"rows\":[[\"plain\",\"/health\",130,3,5.2,null,null],"
-	"[\"keyed\",\"/health\",130,3,5.2,true,3]]},"
-	"\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,"
-	"\"header_timeout_s\":3,\"idle_timeout_s\":15}}";
+#define CONFIG                                                                 \
+	"{\"version\":\"r%u\",\"routes\":{\"columns\":[\"name\",\"host\","     \
+	"\"prefix\",\"kind\",\"timeout_s\",\"aim_s\",\"priority\","            \
+	"\"service\","                                                         \
+	"\"max_attempts\",\"split\"],\"rows\":["                               \
+	"[\"plain\",\"app.example\",\"/plain/\",\"safe\",3,0.5,1,\"plain\",2," \
+	"null],"                                                               \
+	"[\"once\",\"app.example\",\"/once/\",\"unsafe\",3,0.5,1,\"plain\",2," \
+	"null],"                                                               \
+	"[\"keyed\",\"app.example\",\"/keyed/\",\"safe\",3,0.5,1,\"keyed\",2," \
+	"null]]},\"services\":{\"columns\":[\"name\",\"health_path\","         \
+	"\"max_conns\",\"cold_start_s\",\"cold_per_s\",\"sharded\",\"warm_"    \
+	"s\"],"                                                                \
+	"\"rows\":[[\"plain\",\"/health\",130,3,5.2,null,null],"               \
+	"[\"keyed\",\"/health\",130,3,5.2,true,3]]},"                          \
+	"\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,"     \
+	"\"header_timeout_s\":3,\"idle_timeout_s\":15}}"
+
+void site_put_config(struct site *site, unsigned int version)
+{
+	char *text = g_strdup_printf(CONFIG, version);
+
+	site_put(site, "op", "config", text);
+	g_free(text);
+}
 
 int main(void)
 {
@@ -35,7 +45,7 @@
 	site.runs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	store = site_store_create(&site);
-	site_put(&site, "op", "config", config);
+	site_put_config(&site, 1);
 	site_target_create(&site, "plain", "z1", false);
 	site_target_create(&site, "plain", "z2", false);
 	site_target_create(&site, "keyed", "z1", true);
--- a/test/standin/site_store.c
+++ b/test/standin/site_store.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/address.h"
 #include "site.h"
 
 struct row {
@@ -237,20 +238,32 @@
 	char *id = query_value(request->target->str, "id");
 	unsigned int index = (unsigned int)g_ascii_strtoull(id, NULL, 10);
 	const char *verb = request->target->str + strlen("/control/");
+	char address[ADDRESS_TEXT_SIZE] = "";
 	unsigned int runs = 0;
 
 	if (g_str_has_prefix(verb, "runs"))
 		runs = site_runs(site, id);
 	else if (g_str_has_prefix(verb, "drain"))
-		site_target_drain(site, index);
+		site_target_drain(site, index, true);
+	else if (g_str_has_prefix(verb, "undrain"))
+		site_target_drain(site, index, false);
+	else if (g_str_has_prefix(verb, "touch-config"))
+		site_put_config(site, index);
 	else if (g_str_has_prefix(verb, "restart"))
 		site_target_restart(site, index);
 	else if (g_str_has_prefix(verb, "down"))
 		site->down = index != 0;
+	else if (g_str_has_prefix(verb, "list-at"))
+		site_target_list_at(site, index, request->body->str);
+	else if (g_str_has_prefix(verb, "address"))
+		site_target_address(site, index, address);
 	else if (g_str_has_prefix(verb, "config"))
 		site_put(site, "op", "config", request->body->str);
 	g_free(id);
-	answer_json(request, 200, json_pack("{si}", "runs", (int)runs));
+	answer_json(request, 200,
+		    json_pack("{sisisiss}", "runs", (int)runs, "double_owners",
+			      (int)site->double_owners, "repeats",
+			      (int)site->repeats, "address", address));
 }
 
 static void on_request(void *ctx, struct http_request *request)
--- a/test/standin/site_target.c
+++ b/test/standin/site_target.c
@@ -1,5 +1,6 @@
 /* Upstreams: run requests, hold keys, drain, restart. */
 #include <jansson.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -19,6 +20,8 @@
 	bool keyed;
 	bool draining;
 	struct sockaddr_in address;
+	/** As its entry says. */
+	char listed_at[ADDRESS_TEXT_SIZE];
 	struct http_server *server;
 	gint64 started_ms;
 	double held_until_s[KEYS];
@@ -34,11 +37,10 @@
 
 static void list(struct target *target)
 {
-	char address[ADDRESS_TEXT_SIZE];
+	const char *address = target->listed_at;
 	json_t *entry;
 	char *text;
 
-	address_format(&target->address, address);
 	entry = json_pack(
 		"{sssssssssisssfsisI}", "service", target->service, "address",
 		address, "zone", target->zone, "version", "v1", "slots", SLOTS,
@@ -89,6 +91,31 @@
 	headers_destroy(headers);
 }
 
+/* Counts a grant of keys that another upstream holds. */
+static void check_owners(const struct target *target, json_int_t from,
+			 json_int_t to)
+{
+	struct site *site = target->site;
+	double now = loop_now(&site->loop);
+	guint i;
+	json_int_t k;
+
+	for (i = 0; i < site->targets->len; i++) {
+		const struct target *other = site->targets->pdata[i];
+
+		if (other == target || other->service != target->service)
+			continue;
+		for (k = from; k <= to; k++) {
+			if (other->held_until_s[k] <= now)
+				continue;
+			site->double_owners++;
+			fprintf(stderr, "%s gets %d, which %s holds\n",
+				target->id, (int)k, other->id);
+			return;
+		}
+	}
+}
+
 static void order(struct target *target, struct http_request *request,
 		  bool grant)
 {
@@ -106,6 +133,8 @@
 			json_decref(root);
 			return;
 		}
+	if (grant)
+		check_owners(target, from, to);
 	for (k = from; k <= to; k++) {
 		target->fence[k] = MAX(target->fence[k], fence);
 		target->held_until_s[k] =
@@ -116,14 +145,32 @@
 	       "");
 }
 
+/* The upstream's id, and for a caller that asks for it the request's, over and
+ * over, so that a part of it or another's answer is told apart. */
+static char *work_body(const struct work *work)
+{
+	GString *body = g_string_new(work->target->id);
+	char id[64];
+	int i;
+
+	header(work->request, STR("x-request-id"), id, sizeof(id));
+	for (i = 0; strstr(work->request->target->str, "long") && i < 400; i++)
+		g_string_append_printf(body, " %s", id);
+	return g_string_free(body, FALSE);
+}
+
 static void on_done(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct work *work = timer->data;
 
+	char *body;
+
 	(void)loop;
 	(void)events;
 	work->target->running--;
-	answer(work->target, work->request, 200, NULL, work->target->id);
+	body = work_body(work);
+	answer(work->target, work->request, 200, NULL, body);
+	g_free(body);
 	g_free(work);
 }
 
@@ -137,6 +184,8 @@
 		ms ? g_ascii_strtod(ms + 8, NULL) / 1000 : DEFAULT_WORK_S;
 	guint runs = GPOINTER_TO_UINT(g_hash_table_lookup(site->runs, id));
 
+	if (runs && g_str_has_prefix(request->target->str, "/once/"))
+		site->repeats++;
 	g_hash_table_insert(site->runs, g_strdup(id),
 			    GUINT_TO_POINTER(runs + 1));
 	if (strstr(request->target->str, "lose-answer")) {
@@ -214,9 +263,27 @@
 		g_error("target: %s", error->message);
 	target->address = http_server_address(target->server);
 	target->started_ms = g_get_real_time() / 1000;
+	if (!*target->listed_at)
+		address_format(&target->address, target->listed_at);
 	list(target);
 }
 
+void site_target_list_at(struct site *site, unsigned int index,
+			 const char *address)
+{
+	struct target *target = site->targets->pdata[index];
+
+	g_strlcpy(target->listed_at, address, sizeof(target->listed_at));
+	list(target);
+}
+
+void site_target_address(struct site *site, unsigned int index, char *text)
+{
+	const struct target *target = site->targets->pdata[index];
+
+	address_format(&target->address, text);
+}
+
 void site_target_create(struct site *site, const char *service,
 			const char *zone, bool keyed)
 {
@@ -234,11 +301,11 @@
 	start(target);
 }
 
-void site_target_drain(struct site *site, unsigned int index)
+void site_target_drain(struct site *site, unsigned int index, bool leaves)
 {
 	struct target *target = site->targets->pdata[index];
 
-	target->draining = true;
+	target->draining = leaves;
 	list(target);
 }
 
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -47,7 +47,7 @@
 static void rows_of_one_transaction_are_dropped_together(void)
 {
 	struct change_log *log = change_log_create();
-	int i;
+	uint64_t i;
 
 	add(log, 5, 12 << 10, 1.0);
 	add(log, 5, 12 << 10, 1.0);
@@ -58,8 +58,8 @@
 	add(log, 7, 60 << 10, 1.0);
 	CU_ASSERT_EQUAL(change_log_after(log), 7);
 	CU_ASSERT_EQUAL(change_log_rows(log)->len, 0);
-	for (i = 0; i < 1000; i++)
-		add(log, (uint64_t)(8 + i), 100, 1.0);
+	for (i = 8; i < 1008; i++)
+		add(log, i, 100, 1.0);
 	CU_ASSERT_TRUE(change_log_rows(log)->len < 400);
 	change_log_destroy(log);
 }
@@ -372,7 +372,7 @@
 	setup_with(&f, &few_rows_ops);
 	pass(&f, 12, 15, "c", 15, false);
 	CU_ASSERT_EQUAL_FATAL(f.call, 'r');
-	f.now.tv_nsec += 400 * 1000 * 1000;
+	f.now.tv_nsec += 400000000L;
 	answer(&f, STORE_OK, 15, &b, 1);
 	CU_ASSERT_STRING_EQUAL(f.known->str, "+a +b -a ");
 	/* As long as the answer took, the link is left to callers. */
