--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -317,6 +317,10 @@
 	double left = job->give_up_s - forward_now(job->forward);
 	double need = LEAST_PART * job->stats->mean_s;
 
+	if (job_outlives(job)) {
+		job_refuse(job, 503, 0, "this_vm_stops");
+		return;
+	}
 	if (choice == CHOICE_NONE) {
 		job_refuse(job, 503, OWNER_WAIT_S, "no_upstream");
 		return;
@@ -371,6 +375,8 @@
 		need += owner_wait_s(job) / LEAST_PART;
 	if (choice == CHOICE_FOUND)
 		send_to(job, upstream);
+	else if (job_outlives(job))
+		job_refuse(job, 503, 0, "this_vm_stops");
 	else if (choice == CHOICE_NONE || left < LEAST_PART * need)
 		job_refuse(job, 503, dispatch_room_s(job),
 			   choice == CHOICE_NO_OWNER ? "no_owner_in_time"
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -346,12 +346,11 @@
 	write_own_answer(request, status, retry_after_s);
 }
 
-/* Whether the process could end before the request does. */
-static bool comes_too_late(const struct job *job)
+bool job_outlives(const struct job *job)
 {
 	const struct forward *forward = job->forward;
 
-	return forward->end_s && job->received_s > forward->accept_s &&
+	return forward->end_s && forward_now(forward) > forward->accept_s &&
 	       job->give_up_s > forward->end_s;
 }
 
@@ -400,7 +399,7 @@
 			   "upstreams_were_lost_under_it");
 		return;
 	}
-	if (comes_too_late(job)) {
+	if (job_outlives(job)) {
 		job_refuse(job, 503, 0, "this_vm_stops");
 		return;
 	}
--- a/src/entry/forward_impl.h
+++ b/src/entry/forward_impl.h
@@ -78,6 +78,9 @@
 /** Whether a job may be sent once more. */
 bool flight_may_repeat(const struct job *job, bool ran);
 
+/** Whether this VM stops, and could end before a job that is not sent now. */
+bool job_outlives(const struct job *job);
+
 /** Sets a job's timer to its next instant. */
 void job_arm(struct job *job);
 
--- a/test/functional/test_entry.c
+++ b/test/functional/test_entry.c
@@ -29,6 +29,8 @@
 static struct process *site;
 static struct entry entries[ENTRIES];
 static unsigned int next_id;
+/* Of the entries that setup() starts. */
+static double grace_s = 6;
 
 /* A port that was free a moment ago. */
 static unsigned int free_port(void)
@@ -59,9 +61,9 @@
 	text = g_strdup_printf(
 		"[vm]\nname = vm%u\nzone = z1\n[listen]\ncallers = %s\n"
 		"ready = %s\npeers = 127.0.0.1:%u\nmetrics = 127.0.0.1:%u\n"
-		"[store]\naddress = %s\n",
+		"[store]\naddress = %s\n[stop]\ngrace = %.1f\n",
 		index, entry->callers, entry->ready, free_port(), free_port(),
-		store);
+		store, grace_s);
 	g_file_set_contents(entry->settings, text, -1, NULL);
 	g_free(text);
 }
@@ -442,6 +444,50 @@
 	teardown();
 }
 
+/* Requests that still wait for room when a stop leaves no time for them are
+ * refused; none is cut off without an answer unless it was passed on. */
+static void what_waits_is_refused_while_it_stops(void)
+{
+	enum { REQUESTS = 40 };
+	static char ids[REQUESTS][32], lines[REQUESTS][64];
+	const char *headers[REQUESTS][4];
+	struct http_request requests[REQUESTS];
+	struct http_task *tasks[REQUESTS];
+	unsigned int refused = 0;
+	int i;
+
+	grace_s = 3.6;
+	setup();
+	grace_s = 6;
+	process_terminate(entries[0].process);
+	g_usleep(G_USEC_PER_SEC);
+	for (i = 0; i < REQUESTS; i++) {
+		g_snprintf(ids[i], sizeof(ids[i]), "wait%03d", i);
+		g_snprintf(lines[i], sizeof(lines[i]), "X-Request-Id: %s",
+			   ids[i]);
+		headers[i][0] = "Host: app.example";
+		headers[i][1] = "X-Deadline-Ms: 3000";
+		headers[i][2] = lines[i];
+		headers[i][3] = NULL;
+		requests[i] = (struct http_request){
+			.address = entries[0].callers,
+			.uri = "/plain/work-ms-2400",
+			.headers = headers[i],
+		};
+		tasks[i] = http_start(&requests[i]);
+	}
+	for (i = 0; i < REQUESTS; i++) {
+		struct http_answer *answer = http_join(tasks[i]);
+
+		refused += answer->whole && answer->status == 503;
+		if (!runs_of(ids[i]))
+			CU_ASSERT_TRUE(answer->whole && answer->status == 503);
+		http_answer_destroy(answer);
+	}
+	CU_ASSERT_TRUE(refused > 0);
+	teardown();
+}
+
 static void bad_settings_are_named(void)
 {
 	static const char text[] = "[vm]\nname = a\nzone = z\n[listen]\n"
@@ -490,6 +536,8 @@
 		{ "a stop cuts nothing off", a_stop_cuts_nothing_off },
 		{ "a late request is refused while it stops",
 		  a_late_request_is_refused_while_it_stops },
+		{ "what waits is refused while it stops",
+		  what_waits_is_refused_while_it_stops },
 		{ "bad settings are named", bad_settings_are_named },
 		{ 0 },
 	};
