--- a/test/functional/test_router_stop.c
+++ b/test/functional/test_router_stop.c
@@ -1,4 +1,5 @@
 /* Slow readers, long transfers and a router's graceful shutdown. */
+#include <inttypes.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdatomic.h>
@@ -145,6 +146,9 @@
 	CU_ASSERT(process_wait_until(refuses_connections, rig, LIMIT_US));
 	CU_ASSERT(process_running(rig->router));
 	pthread_join(transfer.thread, NULL);
+	if (!transfer.answer->whole)
+		printf("# after %" PRId64 " us: %s\n", transfer.answer->took_us,
+		       transfer.answer->failure);
 	CU_ASSERT(transfer.answer->whole);
 	CU_ASSERT_EQUAL(transfer.answer->body_len, FILE_BYTES);
 	http_answer_destroy(transfer.answer);
--- a/test/soak/proxy.c
+++ b/test/soak/proxy.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <glib.h>
 #include <poll.h>
+#include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -38,7 +39,7 @@
 };
 
 /* Guards the list; pairs belong to the thread. */
-static GMutex lock;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static GPtrArray *proxies;
 static GPtrArray *pairs;
 
@@ -177,7 +178,7 @@
 {
 	guint i;
 
-	g_mutex_lock(&lock);
+	pthread_mutex_lock(&lock);
 	for (i = 0; i < proxies->len; i++) {
 		struct proxy *proxy = proxies->pdata[i];
 
@@ -186,7 +187,7 @@
 		if (atomic_exchange(&proxy->reset, false))
 			reset_pairs(proxy);
 	}
-	g_mutex_unlock(&lock);
+	pthread_mutex_unlock(&lock);
 }
 
 static gpointer run(gpointer data)
@@ -223,14 +224,14 @@
 		 sizeof(address)) ||
 	    listen(proxy->listener, BACKLOG))
 		g_error("proxy: %s", g_strerror(errno));
-	g_mutex_lock(&lock);
+	pthread_mutex_lock(&lock);
 	if (!proxies) {
 		proxies = g_ptr_array_new();
 		pairs = g_ptr_array_new_with_free_func(pair_free);
 		g_thread_unref(g_thread_new("proxies", run, NULL));
 	}
 	g_ptr_array_add(proxies, proxy);
-	g_mutex_unlock(&lock);
+	pthread_mutex_unlock(&lock);
 	return proxy;
 }
 
