flight: an empty body sent in chunks is declared each time it is sent

Cause: fields of one connection were removed from the caller's headers when the first copy was made, and whether the request declared a body was read from them: a second copy of a chunked request with an empty body had no length. Change: read once, when the request is taken. The test fails without it.

--- a/src/entry/flight.c
+++ b/src/entry/flight.c
@@ -39,12 +39,8 @@
 	const struct protocol *protocol = job->forward->options.protocol;
 	struct http_request *caller = job->caller;
 	GString *out = g_string_sized_new(HEAD_BYTES + caller->body->len);
-	bool has_length =
-		headers_find(caller->headers, STR("content-length")) ||
-		headers_find(caller->headers, STR("transfer-encoding"));
 	size_t i;
 
-	headers_strip(caller->headers);
 	g_string_append_printf(out, "%s %s HTTP/1.1\r\n", caller->method->str,
 			       caller->target->str);
 	for (i = 0; i < headers_count(caller->headers); i++) {
@@ -56,7 +52,7 @@
 					       STR_ARG(h->value));
 	}
 	protocol->write_fields(out, left_s, upstream->entry.id);
-	if (has_length || caller->body->len)
+	if (job->has_body || caller->body->len)
 		g_string_append_printf(out, "Content-Length: %zu\r\n",
 				       caller->body->len);
 	g_string_append(out, "\r\n");
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -287,6 +287,10 @@
 	job->forward = forward;
 	job->caller = request;
 	request->data = job;
+	job->has_body =
+		headers_find(request->headers, STR("content-length")) ||
+		headers_find(request->headers, STR("transfer-encoding"));
+	headers_strip(request->headers);
 	job->id = facts.id;
 	job->key = service->config.keyed ? facts.key : -1;
 	job->kind = route->kind;
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -41,6 +41,8 @@
 	enum route_kind kind;
 	unsigned int priority;
 	unsigned int max_attempts;
+	/** The caller declared a body, be it empty. */
+	bool has_body;
 	double objective_s;
 	char *route_name;
 	struct service *service;
--- a/test/functional/test_entry.c
+++ b/test/functional/test_entry.c
@@ -143,6 +143,23 @@
 	return runs;
 }
 
+static int open_connection(const char *text)
+{
+	struct sockaddr_in address;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	CU_ASSERT_TRUE_FATAL(address_parse(str_from(text), &address));
+	CU_ASSERT_EQUAL_FATAL(
+		connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	return fd;
+}
+
+static void send_text(int fd, const char *text)
+{
+	CU_ASSERT_EQUAL(send(fd, text, strlen(text), MSG_NOSIGNAL),
+			(ssize_t)strlen(text));
+}
+
 static bool is_ready(void *ctx)
 {
 	const struct entry *entry = ctx;
@@ -245,6 +262,27 @@
 	teardown();
 }
 
+static void an_empty_body_is_declared_each_time(void)
+{
+	char answer[256] = "";
+	GString *state;
+	int fd;
+
+	setup();
+	fd = open_connection(entries[0].callers);
+	send_text(fd, "POST /plain/lose-answer HTTP/1.1\r\n"
+		      "Host: app.example\r\nX-Request-Id: empty\r\n"
+		      "X-Deadline-Ms: 3000\r\n"
+		      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+	CU_ASSERT_TRUE(recv(fd, answer, sizeof(answer) - 1, 0) > 0);
+	CU_ASSERT_EQUAL(runs_of("empty"), 2);
+	state = control("/control/state", NULL);
+	CU_ASSERT_PTR_NOT_NULL(strstr(state->str, "\"bodies_missing\":0"));
+	g_string_free(state, TRUE);
+	close(fd);
+	teardown();
+}
+
 static void what_breaks_the_limits_is_refused(void)
 {
 	char *body = g_strnfill(200000, 'b');
@@ -405,23 +443,6 @@
 	teardown();
 }
 
-static int open_connection(const char *text)
-{
-	struct sockaddr_in address;
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	CU_ASSERT_TRUE_FATAL(address_parse(str_from(text), &address));
-	CU_ASSERT_EQUAL_FATAL(
-		connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
-	return fd;
-}
-
-static void send_text(int fd, const char *text)
-{
-	CU_ASSERT_EQUAL(send(fd, text, strlen(text), MSG_NOSIGNAL),
-			(ssize_t)strlen(text));
-}
-
 /* A request that begins before a stop and is read whole when the process could
  * end before it is left to other VMs. */
 static void a_late_request_is_refused_while_it_stops(void)
@@ -519,6 +540,8 @@
 		  an_answer_is_passed_on_unchanged },
 		{ "a lost answer is repeated only where allowed",
 		  a_lost_answer_is_repeated_only_where_allowed },
+		{ "an empty body is declared each time",
+		  an_empty_body_is_declared_each_time },
 		{ "what breaks the limits is refused",
 		  what_breaks_the_limits_is_refused },
 		{ "an upstream that leaves gets nothing more",
--- a/test/standin/site.h
+++ b/test/standin/site.h
@@ -54,6 +54,8 @@
 	GHashTable *runs;
 	/** Grants of keys that another upstream held. */
 	unsigned int double_owners;
+	/** Posts that declared no body. */
+	unsigned int bodies_missing;
 	/** Runs of requests that must not repeat, beyond the first. */
 	unsigned int repeats;
 };
--- a/test/standin/site_store.c
+++ b/test/standin/site_store.c
@@ -261,9 +261,11 @@
 		site_put(site, "op", "config", request->body->str);
 	g_free(id);
 	answer_json(request, 200,
-		    json_pack("{sisisiss}", "runs", (int)runs, "double_owners",
-			      (int)site->double_owners, "repeats",
-			      (int)site->repeats, "address", address));
+		    json_pack("{sisisisiss}", "runs", (int)runs,
+			      "bodies_missing", (int)site->bodies_missing,
+			      "double_owners", (int)site->double_owners,
+			      "repeats", (int)site->repeats, "address",
+			      address));
 }
 
 static void on_request(void *ctx, struct http_request *request)
--- a/test/standin/site_target.c
+++ b/test/standin/site_target.c
@@ -184,6 +184,9 @@
 		ms ? g_ascii_strtod(ms + 8, NULL) / 1000 : DEFAULT_WORK_S;
 	guint runs = GPOINTER_TO_UINT(g_hash_table_lookup(site->runs, id));
 
+	if (!strcmp(request->method->str, "POST") &&
+	    !headers_find(request->headers, STR("content-length")))
+		site->bodies_missing++;
 	if (runs && g_str_has_prefix(request->target->str, "/once/"))
 		site->repeats++;
 	g_hash_table_insert(site->runs, g_strdup(id),
