--- /dev/null
+++ b/test/unit/test_datagrams.c
@@ -0,0 +1,160 @@
+/* Datagrams between VMs: each VM gets a message that is spread once. */
+#include <arpa/inet.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "entry/datagrams.h"
+#include "suite.h"
+
+#define VMS_MAX 90
+#define TIMEOUT_S 10.0
+
+struct vm {
+	struct datagrams *datagrams;
+	struct sockaddr_in address;
+	unsigned int beats;
+	struct fixture *fixture;
+};
+
+struct fixture {
+	struct loop loop;
+	struct vm vms[VMS_MAX];
+	unsigned int vms_count;
+	unsigned int waiting;
+	ev_timer timeout;
+};
+
+static void on_beat(void *ctx, const LeaderBeat *beat)
+{
+	struct vm *vm = ctx;
+
+	CU_ASSERT_STRING_EQUAL(beat->vm, "leader");
+	vm->beats++;
+	if (!--vm->fixture->waiting)
+		ev_break(vm->fixture->loop.ev, EVBREAK_ALL);
+}
+
+static void on_timeout(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)timer;
+	(void)events;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+static const struct datagram_ops ops = { .beat = on_beat };
+
+/* A port of the loopback that was free a moment ago. */
+static struct sockaddr_in free_address(void)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t len = sizeof(address);
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	CU_ASSERT_EQUAL(bind(fd, (struct sockaddr *)&address, len), 0);
+	getsockname(fd, (struct sockaddr *)&address, &len);
+	close(fd);
+	return address;
+}
+
+static void setup(struct fixture *f, unsigned int count)
+{
+	unsigned int i;
+
+	memset(f, 0, sizeof(*f));
+	f->vms_count = f->waiting = count;
+	f->loop.ev = ev_loop_new(EVFLAG_AUTO);
+	f->loop.clock = clock_system();
+	for (i = 0; i < count; i++) {
+		f->vms[i].fixture = f;
+		f->vms[i].address = free_address();
+		f->vms[i].datagrams = datagrams_create(
+			&f->loop, &f->vms[i].address, &ops, &f->vms[i], NULL);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(f->vms[i].datagrams);
+	}
+	ev_timer_init(&f->timeout, on_timeout, TIMEOUT_S, 0);
+	ev_timer_start(f->loop.ev, &f->timeout);
+}
+
+static void teardown(struct fixture *f)
+{
+	unsigned int i;
+
+	for (i = 0; i < f->vms_count; i++)
+		datagrams_destroy(f->vms[i].datagrams);
+	ev_loop_destroy(f->loop.ev);
+}
+
+static void spread_beat(struct fixture *f)
+{
+	GArray *to = g_array_new(FALSE, FALSE, sizeof(struct sockaddr_in));
+	PeerMessage message = PEER_MESSAGE__INIT;
+	LeaderBeat beat = LEADER_BEAT__INIT;
+	char leader[] = "leader";
+	unsigned int i;
+
+	for (i = 0; i < f->vms_count; i++)
+		g_array_append_val(to, f->vms[i].address);
+	beat.vm = leader;
+	message.kind_case = PEER_MESSAGE__KIND_BEAT;
+	message.beat = &beat;
+	datagrams_spread(f->vms[0].datagrams, to, &message);
+	CU_ASSERT_EQUAL(message.relay_to.len, 0);
+	g_array_free(to, TRUE);
+}
+
+static void every_vm_gets_a_message_once(void)
+{
+	static const unsigned int counts[] = { 1, 2, 16, 17, 30, 90 };
+	struct fixture f;
+	unsigned int i;
+	size_t c;
+
+	for (c = 0; c < sizeof(counts) / sizeof(counts[0]); c++) {
+		setup(&f, counts[c]);
+		spread_beat(&f);
+		ev_run(f.loop.ev, 0);
+		for (i = 0; i < f.vms_count; i++)
+			CU_ASSERT_EQUAL(f.vms[i].beats, 1);
+		teardown(&f);
+	}
+}
+
+/* Whoever sends a message on differs each time: one VM that is lost costs the
+ * others a message, not all of them. */
+static void a_lost_vm_costs_others_one_message(void)
+{
+	enum { ROUNDS = 20 };
+	struct fixture f;
+	unsigned int i, round;
+
+	setup(&f, 30);
+	f.waiting = 0;
+	datagrams_destroy(f.vms[7].datagrams);
+	f.vms[7].datagrams = NULL;
+	for (round = 0; round < ROUNDS; round++) {
+		spread_beat(&f);
+		/* Both hops. */
+		for (i = 0; i < 4; i++)
+			ev_run(f.loop.ev, EVRUN_NOWAIT);
+	}
+	for (i = 0; i < f.vms_count; i++)
+		if (i != 7)
+			CU_ASSERT_TRUE(f.vms[i].beats > ROUNDS / 2);
+	f.vms[7].datagrams = datagrams_create(&f.loop, &f.vms[7].address, &ops,
+					      &f.vms[7], NULL);
+	teardown(&f);
+}
+
+int main(void)
+{
+	static const struct suite_case cases[] = {
+		{ "every VM gets a message once",
+		  every_vm_gets_a_message_once },
+		{ "a lost VM costs others one message",
+		  a_lost_vm_costs_others_one_message },
+		{ 0 },
+	};
+
+	return suite_run("datagrams", cases);
+}
--- a/test/unit/test_keys.c
+++ b/test/unit/test_keys.c
@@ -312,6 +312,24 @@
 	teardown(&f);
 }
 
+/* Whoever has a handicap lets the others go first. */
+static void a_handicap_delays_the_first_try(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	lease_set_handicap(f.lease, 0.5);
+	advance(&f, 0.05);
+	CU_ASSERT_FALSE_FATAL(f.writing);
+	/* Nobody ever led. */
+	answer(&f, STORE_OK, 0);
+	advance(&f, 0.45);
+	CU_ASSERT_FALSE(f.writing);
+	advance(&f, 0.6);
+	CU_ASSERT_TRUE(f.writing);
+	teardown(&f);
+}
+
 static void a_newer_version_ends_a_lease(void)
 {
 	struct fixture f;
@@ -564,6 +582,8 @@
 		  an_answer_that_comes_too_late_wins_nothing },
 		{ "a lease that is not renewed ends",
 		  a_lease_that_is_not_renewed_ends },
+		{ "a handicap delays the first try",
+		  a_handicap_delays_the_first_try },
 		{ "a newer version ends a lease",
 		  a_newer_version_ends_a_lease },
 		{ "a lease seen is waited for", a_lease_seen_is_waited_for },
