follower: a change that is passed on ends the reading that catches up

Cause, found by reading: while the operators' table was read to catch up, what beats passed on was left aside, so that a reading that hangs (1 s) and is begun again kept a VM behind though the change lay before it. Change: changes that follow on what is known are taken, and the reading ends. Test: what is passed on ends catching up.

--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -54,6 +54,8 @@
 	double asked_s;
 	double wait_s;
 	double retry_s;
+	/** The table is read only for what others did not pass on. */
+	bool catching_up;
 	/** Before it, no call catches up with others. */
 	double catch_up_s;
 	/** Newest version among the rows that were met. */
@@ -193,6 +195,7 @@
 	follower->version = follower->reading_version;
 	change_log_reset(follower->changes, follower->version);
 	follower->read_whole = false;
+	follower->catching_up = false;
 	if (!follower->loaded) {
 		follower->loaded = true;
 		follower->ops->loaded(follower->ctx);
@@ -325,6 +328,7 @@
 	follower->met =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	follower->read_whole = true;
+	follower->catching_up = false;
 	follower->reading_version = 0;
 	follower->asked_s = loop_now(follower->loop);
 	follower->wait_s = 0;
@@ -369,10 +373,12 @@
 	if (loop_now(follower->loop) < follower->catch_up_s)
 		return;
 	follower->behind_s = 0;
-	if (follower->ops->few_rows)
-		start_reading(follower);
-	else
+	if (!follower->ops->few_rows) {
 		ask_changes(follower, 0);
+		return;
+	}
+	start_reading(follower);
+	follower->catching_up = true;
 }
 
 static void follow_again(struct follower *follower)
@@ -437,15 +443,30 @@
 		check_served(follower);
 }
 
+/* What is passed on after all makes the reading needless. */
+static void stop_catching_up(struct follower *follower)
+{
+	if (!follower->catching_up)
+		return;
+	follower->store.ops->cancel(follower->store.impl, follower);
+	ev_timer_stop(follower->loop->ev, &follower->timer);
+	g_clear_pointer(&follower->met, g_hash_table_destroy);
+	follower->busy = false;
+	follower->read_whole = false;
+	follower->catching_up = false;
+	check_served(follower);
+}
+
 void follower_pass(struct follower *follower,
 		   const struct follower_changes *changes)
 {
-	if (!follower->loaded || follower->read_whole ||
-	    changes->upto <= follower->version)
+	if (!follower->loaded || changes->upto <= follower->version ||
+	    (follower->read_whole && !follower->catching_up))
 		return;
-	if (changes->after <= follower->version)
+	if (changes->after <= follower->version) {
 		take_changes(follower, changes);
-	else if (is_served(follower) && !follower->busy)
+		stop_catching_up(follower);
+	} else if (is_served(follower) && !follower->busy)
 		catch_up(follower);
 }
 
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -385,6 +385,24 @@
 	teardown(&f);
 }
 
+/* A reading may hang for long; the change may come by the next beat. */
+static void what_is_passed_on_ends_catching_up(void)
+{
+	struct fixture f;
+
+	setup_with(&f, &few_rows_ops);
+	pass(&f, 12, 15, "c", 15, false);
+	CU_ASSERT_EQUAL_FATAL(f.call, 'r');
+	pass(&f, 9, 15, "c", 15, false);
+	CU_ASSERT_EQUAL(f.call, 0);
+	CU_ASSERT_STRING_EQUAL(f.known->str, "+a +c ");
+	CU_ASSERT_EQUAL(follower_row_version(f.follower), 15);
+	pass(&f, 14, 16, "d", 16, false);
+	CU_ASSERT_STRING_EQUAL(f.known->str, "+a +c +d ");
+	CU_ASSERT_EQUAL(f.calls, 2);
+	teardown(&f);
+}
+
 static void only_the_last_change_of_a_row_is_taken(void)
 {
 	struct store_row rows[] = { row_of("b", 11, 1), row_of("c", 12, 1),
@@ -438,6 +456,8 @@
 		  an_answer_that_arrives_is_not_broken_off },
 		{ "a table of few rows is read to catch up",
 		  a_table_of_few_rows_is_read_to_catch_up },
+		{ "what is passed on ends catching up",
+		  what_is_passed_on_ends_catching_up },
 		{ "only the last change of a row is taken",
 		  only_the_last_change_of_a_row_is_taken },
 		{ "a history that is gone is read whole",
