test: runs of the soak at once have addresses of their own

Both had taken port 59811: the settings of entry2 of one and entry3 of the other name it. The first could not start again, and its callers reached the other run, whose ids are the same. Each run now listens on an address made of its process id.

--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -39,6 +39,9 @@
 	/* A stop was taken for one that had begun later on the same entry: a
 	 * fault of the soak itself. */
 	7,
+	/* Two runs at once took one port: an entry could not start again, and
+	 * callers of one run reached the other's. Also the soak's own. */
+	12511,
 };
 
 enum fault_kind {
@@ -75,6 +78,8 @@
 	bool busy;
 	/** It was told to end, and is started again then. */
 	bool ending;
+	/** That it ended by itself was said. */
+	bool reported;
 	/** Stops so far. */
 	unsigned int stops;
 };
@@ -153,18 +158,30 @@
 
 /* --- start --- */
 
-static unsigned int free_port(void)
+/* A loopback address that no other run of the soak uses, so that a port of an
+ * entry that is being restarted is not taken by another's. */
+static char *own_host(void)
+{
+	unsigned int pid = (unsigned int)getpid();
+
+	return g_strdup_printf("127.%u.%u.%u", (pid >> 14 & 127) + 1,
+			       (pid >> 7 & 127) + 1, (pid & 127) + 1);
+}
+
+/* An address whose port was free a moment ago. */
+static char *free_address(const char *host)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET };
 	socklen_t len = sizeof(address);
+	char text[ADDRESS_TEXT_SIZE];
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	if (bind(fd, (struct sockaddr *)&address, len) ||
+	if (inet_pton(AF_INET, host, &address.sin_addr) != 1 ||
+	    bind(fd, (struct sockaddr *)&address, len) ||
 	    getsockname(fd, (struct sockaddr *)&address, &len))
 		g_error("no free port");
 	close(fd);
-	return ntohs(address.sin_port);
+	return g_strdup(address_format(&address, text));
 }
 
 static void write_settings(struct soak *soak, unsigned int index)
@@ -172,26 +189,32 @@
 	struct soak_entry *entry = &soak->entries[index];
 	struct sockaddr_in address;
 	char store[ADDRESS_TEXT_SIZE];
+	char *host = own_host();
+	char *callers = free_address(host), *ready = free_address(host);
+	char *peers = free_address(host), *metrics = free_address(host);
 	char *text;
 
 	address_parse(str_from(process_address(soak->site, "store")), &address);
 	entry->store = proxy_create(&address);
 	address = proxy_address(entry->store);
 	address_format(&address, store);
-	g_snprintf(entry->callers, sizeof(entry->callers), "127.0.0.1:%u",
-		   free_port());
-	g_snprintf(entry->ready, sizeof(entry->ready), "127.0.0.1:%u",
-		   free_port());
+	g_strlcpy(entry->callers, callers, sizeof(entry->callers));
+	g_strlcpy(entry->ready, ready, sizeof(entry->ready));
 	g_snprintf(entry->settings, sizeof(entry->settings), "%s/entry%u.conf",
 		   soak->folder, index);
 	text = g_strdup_printf(
 		"[vm]\nname = vm%u\nzone = z%u\n[listen]\ncallers = %s\n"
-		"ready = %s\npeers = 127.0.0.1:%u\nmetrics = 127.0.0.1:%u\n"
+		"ready = %s\npeers = %s\nmetrics = %s\n"
 		"[store]\naddress = %s\n[stop]\ngrace = %.1f\n",
-		index, index % 2 + 1, entry->callers, entry->ready, free_port(),
-		free_port(), store, GRACE_S);
+		index, index % 2 + 1, callers, ready, peers, metrics, store,
+		GRACE_S);
 	g_file_set_contents(entry->settings, text, -1, NULL);
 	g_free(text);
+	g_free(callers);
+	g_free(ready);
+	g_free(peers);
+	g_free(metrics);
+	g_free(host);
 }
 
 static void start_entry(const struct soak *soak, unsigned int index)
@@ -432,8 +455,9 @@
 
 		if (process_running(entry->process))
 			continue;
-		if (!entry->ending)
+		if (!entry->ending && !entry->reported)
 			break_promise(soak, "entry %u ended by itself", i);
+		entry->reported = !entry->ending;
 		if (!process_restart(entry->process, &error))
 			g_error("%s", error->message);
 		entry->ending = false;
