keys, cluster: maps go to and from messages once; the list of VMs is made when told

Each map in a beat was packed, unpacked and packed again by the leader, and packed and unpacked again by each VM: key_map_message() and key_map_take() serve rows and datagrams.

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -366,12 +366,6 @@
 		cluster_send_report(cluster, false);
 }
 
-void cluster_tell_crash(struct cluster *cluster, uint64_t request,
-			const char *upstream)
-{
-	cluster_add_crash(cluster, request, upstream);
-}
-
 void cluster_stop(struct cluster *cluster)
 {
 	lease_stop(cluster->lease);
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -124,10 +124,6 @@
 void cluster_note_progress(struct cluster *cluster, uint64_t operator_rows,
 			   uint64_t upstream_rows);
 
-/** Notes a loss of an upstream under a request, to be told on. */
-void cluster_add_crash(struct cluster *cluster, uint64_t request,
-		       const char *upstream);
-
 /** The leader tells VMs, owners and losses. */
 void cluster_send_beat(struct cluster *cluster);
 
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -94,18 +94,6 @@
 	return told;
 }
 
-static KeyMap *pack_map(const struct key_map *map, const char *service,
-			bool partial)
-{
-	GString *packed = key_map_pack(map, service, "");
-	KeyMap *message = key_map__unpack(NULL, packed->len,
-					  (const uint8_t *)packed->str);
-
-	message->partial = partial;
-	g_string_free(packed, TRUE);
-	return message;
-}
-
 /* @return all owners of a service or those that changed; NULL: none did */
 static KeyMap *map_message(struct cluster *cluster,
 			   const struct key_leader *leader, bool whole)
@@ -120,11 +108,13 @@
 	map->version = cluster->map_base + cluster->map_number;
 	if (whole) {
 		told_map_whole(told, map);
-		message = pack_map(map, service, false);
+		message = key_map_message(map, service, "");
 	} else {
 		told_map_changes(told, map, changes);
-		if (changes->spans->len)
-			message = pack_map(changes, service, true);
+		if (changes->spans->len) {
+			message = key_map_message(changes, service, "");
+			message->partial = true;
+		}
 	}
 	key_map_destroy(map);
 	key_map_destroy(changes);
@@ -175,9 +165,8 @@
 	return hash_x < hash_y ? -1 : hash_x > hash_y;
 }
 
-static GPtrArray *vm_messages(const struct cluster *cluster)
+static void list_vms(const struct cluster *cluster, GPtrArray *messages)
 {
-	GPtrArray *messages = g_ptr_array_new_with_free_func(free_vm_info);
 	GHashTableIter iter;
 	gpointer value;
 
@@ -188,7 +177,6 @@
 		g_ptr_array_add(messages, vm_info(vm->name, &vm->address));
 	}
 	g_ptr_array_sort(messages, compare_vms);
-	return messages;
 }
 
 static void fill_beat(struct cluster *cluster, struct beat_parts *parts,
@@ -200,7 +188,7 @@
 
 	progress__init(&parts->progress);
 	address_format(&cluster->options.settings->peers, parts->address);
-	parts->vms = vm_messages(cluster);
+	parts->vms = g_ptr_array_new_with_free_func(free_vm_info);
 	parts->maps = g_ptr_array_new_with_free_func(free_map_message);
 	parts->crashes = crash_messages(cluster);
 	g_hash_table_iter_init(&iter, cluster->leaders);
@@ -211,6 +199,7 @@
 			g_ptr_array_add(parts->maps, map);
 	}
 	if (whole) {
+		list_vms(cluster, parts->vms);
 		cluster->whole_sent_s = cluster_now(cluster);
 		cluster->vms_changed = false;
 	}
@@ -220,7 +209,7 @@
 	beat->vm = cluster->options.settings->vm;
 	beat->lease = lease_version(cluster->lease);
 	beat->vms = (VmInfo **)parts->vms->pdata;
-	beat->n_vms = whole ? parts->vms->len : 0;
+	beat->n_vms = parts->vms->len;
 	beat->address = parts->address;
 	beat->maps = (KeyMap **)parts->maps->pdata;
 	beat->n_maps = parts->maps->len;
@@ -284,8 +273,8 @@
 	}
 }
 
-void cluster_add_crash(struct cluster *cluster, uint64_t request,
-		       const char *upstream)
+void cluster_tell_crash(struct cluster *cluster, uint64_t request,
+			const char *upstream)
 {
 	struct crash crash = {
 		.request = request,
@@ -330,8 +319,8 @@
 			   report->loads[i]->keys.data,
 			   report->loads[i]->keys.len);
 	for (i = 0; i < report->n_crashes; i++) {
-		cluster_add_crash(cluster, report->crashes[i]->request,
-				  report->crashes[i]->upstream);
+		cluster_tell_crash(cluster, report->crashes[i]->request,
+				   report->crashes[i]->upstream);
 		cluster->options.crashed(cluster->options.ctx,
 					 report->crashes[i]->request,
 					 report->crashes[i]->upstream);
@@ -344,20 +333,11 @@
 {
 	struct service *service =
 		roster_service(cluster->options.roster, message->service);
-	GString *packed = g_string_new(NULL);
-	struct str bytes;
-	bool ok;
-
-	g_string_set_size(packed, key_map__get_packed_size(message));
-	key_map__pack(message, (uint8_t *)packed->str);
-	bytes = (struct str){ packed->str, packed->len };
-	ok = service &&
-	     (message->partial ? key_map_apply(service->keys, bytes)
-			       : key_map_unpack(service->keys, bytes, NULL));
-	if (ok)
-		service->keys_told_s = cluster_now(cluster);
-	g_string_free(packed, TRUE);
-	return ok;
+
+	if (!service || !key_map_take(service->keys, message))
+		return false;
+	service->keys_told_s = cluster_now(cluster);
+	return true;
 }
 
 static void take_maps(struct cluster *cluster, const LeaderBeat *beat)
--- a/src/entry/follower.c
+++ b/src/entry/follower.c
@@ -190,8 +190,7 @@
 {
 	note_answer(follower);
 	drop_unmet(follower);
-	g_hash_table_destroy(follower->met);
-	follower->met = NULL;
+	g_clear_pointer(&follower->met, g_hash_table_destroy);
 	follower->version = follower->reading_version;
 	change_log_reset(follower->changes, follower->version);
 	follower->read_whole = false;
@@ -323,8 +322,7 @@
 
 static void start_reading(struct follower *follower)
 {
-	if (follower->met)
-		g_hash_table_destroy(follower->met);
+	g_clear_pointer(&follower->met, g_hash_table_destroy);
 	follower->met =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	follower->read_whole = true;
@@ -383,14 +381,12 @@
 
 static void follow_again(struct follower *follower)
 {
-	if (is_served(follower) && !follower->busy) {
-		catch_up(follower);
-		return;
+	if (follower->busy) {
+		follower->store.ops->cancel(follower->store.impl, follower);
+		follower->busy = false;
+		follower->behind_s = 0;
+		follower->retry_s = RETRY_S;
 	}
-	follower->store.ops->cancel(follower->store.impl, follower);
-	follower->busy = false;
-	follower->behind_s = 0;
-	follower->retry_s = RETRY_S;
 	if (is_served(follower))
 		catch_up(follower);
 	else
--- a/src/keys/key_map.c
+++ b/src/keys/key_map.c
@@ -1,7 +1,5 @@
 #include "keys/key_map.h"
 
-#include "wire/entry.pb-c.h"
-
 #define MS_PER_S 1000.0
 
 struct key_map *key_map_create(void)
@@ -78,14 +76,6 @@
 	return packing->owners->len;
 }
 
-static void free_owner(gpointer data)
-{
-	KeyOwner *owner = data;
-
-	g_free(owner->id);
-	g_free(owner);
-}
-
 static void pack_spans(struct packing *packing, const struct key_map *map)
 {
 	guint i;
@@ -105,33 +95,40 @@
 	}
 }
 
-GString *key_map_pack(const struct key_map *map, const char *service,
-		      const char *attempt)
+KeyMap *key_map_message(const struct key_map *map, const char *service,
+			const char *attempt)
 {
 	struct packing packing = {
 		.index = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       NULL),
-		.owners = g_ptr_array_new_with_free_func(free_owner),
-		.spans = g_ptr_array_new_with_free_func(g_free),
+		.owners = g_ptr_array_new(),
+		.spans = g_ptr_array_new(),
 	};
-	KeyMap message = KEY_MAP__INIT;
-	GString *out;
+	KeyMap *message = g_new(KeyMap, 1);
 
+	key_map__init(message);
 	pack_spans(&packing, map);
-	message.service = (char *)service;
-	message.version = map->version;
-	message.fence = map->fence;
-	message.attempt = (char *)attempt;
-	message.owners = (KeyOwner **)packing.owners->pdata;
-	message.n_owners = packing.owners->len;
-	message.spans = (KeySpan **)packing.spans->pdata;
-	message.n_spans = packing.spans->len;
-	out = g_string_sized_new(key_map__get_packed_size(&message));
-	g_string_set_size(out, key_map__get_packed_size(&message));
-	key_map__pack(&message, (uint8_t *)out->str);
+	message->service = g_strdup(service);
+	message->version = map->version;
+	message->fence = map->fence;
+	message->attempt = g_strdup(attempt);
+	message->n_owners = packing.owners->len;
+	message->n_spans = packing.spans->len;
+	message->owners = (KeyOwner **)g_ptr_array_free(packing.owners, FALSE);
+	message->spans = (KeySpan **)g_ptr_array_free(packing.spans, FALSE);
 	g_hash_table_destroy(packing.index);
-	g_ptr_array_free(packing.owners, TRUE);
-	g_ptr_array_free(packing.spans, TRUE);
+	return message;
+}
+
+GString *key_map_pack(const struct key_map *map, const char *service,
+		      const char *attempt)
+{
+	KeyMap *message = key_map_message(map, service, attempt);
+	GString *out = g_string_new(NULL);
+
+	g_string_set_size(out, key_map__get_packed_size(message));
+	key_map__pack(message, (uint8_t *)out->str);
+	key_map__free_unpacked(message, NULL);
 	return out;
 }
 
@@ -154,8 +151,7 @@
 	return true;
 }
 
-/* @param gaps whether spans may leave gaps */
-static bool read_spans(const KeyMap *message, GArray *spans, bool gaps)
+static bool read_spans(const KeyMap *message, GArray *spans)
 {
 	uint32_t next = 0;
 	size_t i;
@@ -164,38 +160,14 @@
 		const KeySpan *in = message->spans[i];
 		struct key_span span = { 0 };
 
-		if (in->first < next || (!gaps && in->first != next) ||
+		if (in->first < next ||
+		    (!message->partial && in->first != next) ||
 		    !read_span(message, in, &span))
 			return false;
 		g_array_append_val(spans, span);
 		next = in->last + 1;
 	}
-	return gaps || next == KEY_LAST + 1;
-}
-
-bool key_map_unpack(struct key_map *map, struct str bytes, char **attempt)
-{
-	KeyMap *message =
-		key_map__unpack(NULL, bytes.len, (const uint8_t *)bytes.data);
-	GArray *spans;
-	bool ok;
-
-	if (!message)
-		return false;
-	spans = g_array_new(FALSE, FALSE, sizeof(struct key_span));
-	ok = read_spans(message, spans, false);
-	if (ok) {
-		g_array_free(map->spans, TRUE);
-		map->spans = spans;
-		map->version = message->version;
-		map->fence = message->fence;
-		if (attempt)
-			*attempt = g_strdup(message->attempt);
-	} else {
-		g_array_free(spans, TRUE);
-	}
-	key_map__free_unpacked(message, NULL);
-	return ok;
+	return message->partial || next == KEY_LAST + 1;
 }
 
 /* Spans of a map, with others put in their places. */
@@ -227,26 +199,36 @@
 	return spans;
 }
 
-bool key_map_apply(struct key_map *map, struct str bytes)
+bool key_map_take(struct key_map *map, const KeyMap *message)
 {
-	KeyMap *message =
-		key_map__unpack(NULL, bytes.len, (const uint8_t *)bytes.data);
-	GArray *changes;
-	bool ok;
+	GArray *spans = g_array_new(FALSE, FALSE, sizeof(struct key_span));
 
-	if (!message)
+	if (!read_spans(message, spans)) {
+		g_array_free(spans, TRUE);
 		return false;
-	changes = g_array_new(FALSE, FALSE, sizeof(struct key_span));
-	ok = read_spans(message, changes, true);
-	if (ok) {
-		GArray *spans = overlay(map, changes);
-
-		g_array_free(map->spans, TRUE);
-		map->spans = spans;
-		map->version = message->version;
-		map->fence = message->fence;
 	}
-	g_array_free(changes, TRUE);
-	key_map__free_unpacked(message, NULL);
+	if (message->partial) {
+		GArray *changes = spans;
+
+		spans = overlay(map, changes);
+		g_array_free(changes, TRUE);
+	}
+	g_array_free(map->spans, TRUE);
+	map->spans = spans;
+	map->version = message->version;
+	map->fence = message->fence;
+	return true;
+}
+
+bool key_map_unpack(struct key_map *map, struct str bytes, char **attempt)
+{
+	KeyMap *message =
+		key_map__unpack(NULL, bytes.len, (const uint8_t *)bytes.data);
+	bool ok = message && !message->partial && key_map_take(map, message);
+
+	if (ok && attempt)
+		*attempt = g_strdup(message->attempt);
+	if (message)
+		key_map__free_unpacked(message, NULL);
 	return ok;
 }
--- a/src/keys/key_map.h
+++ b/src/keys/key_map.h
@@ -10,6 +10,7 @@
 #include <stdint.h>
 
 #include "base/str.h"
+#include "wire/entry.pb-c.h"
 
 #define KEY_LAST 65535
 
@@ -49,12 +50,24 @@
 void key_map_copy(struct key_map *to, const struct key_map *from);
 
 /**
- * Packs a map for a row or a datagram.
+ * Makes a message of a map.
  *
  * @param service whose keys they are
  * @param attempt the writer's name of this write; empty for none
- * @return the bytes; the caller frees them
+ * @return the message; the caller frees it with key_map__free_unpacked()
  */
+KeyMap *key_map_message(const struct key_map *map, const char *service,
+			const char *attempt);
+
+/**
+ * Takes over what a message holds: a whole map, or spans to be put into the
+ * map.
+ *
+ * @return false when it holds no such spans; the map is then unchanged
+ */
+bool key_map_take(struct key_map *map, const KeyMap *message);
+
+/** Packs a map for a row, as key_map_message(). The caller frees the bytes. */
 GString *key_map_pack(const struct key_map *map, const char *service,
 		      const char *attempt);
 
@@ -66,11 +79,4 @@
  */
 bool key_map_unpack(struct key_map *map, struct str bytes, char **attempt);
 
-/**
- * Puts the spans of a packed map that may leave gaps into a map.
- *
- * @return false when the bytes hold no such spans; the map is then unchanged
- */
-bool key_map_apply(struct key_map *map, struct str bytes);
-
 #endif
--- a/src/keys/told_map.h
+++ b/src/keys/told_map.h
@@ -20,7 +20,7 @@
  * ranges that changed since a whole map was told, so that losing one message
  * leaves no trace in those who get the next.
  *
- * @param changes its spans leave gaps: for key_map_apply() only
+ * @param changes its spans leave gaps: for a partial message only
  */
 void told_map_changes(struct told_map *told, const struct key_map *map,
 		      struct key_map *changes);
--- a/test/unit/test_keys.c
+++ b/test/unit/test_keys.c
@@ -55,6 +55,17 @@
 	g_array_append_vals(map->spans, spans, count);
 }
 
+static bool apply(struct key_map *map, const struct key_map *changes)
+{
+	KeyMap *message = key_map_message(changes, "s", "");
+	bool ok;
+
+	message->partial = true;
+	ok = key_map_take(map, message);
+	key_map__free_unpacked(message, NULL);
+	return ok;
+}
+
 /* One who got all of a map and the last changes knows the map, whichever
  * changes were lost between. */
 static void changes_of_a_map_are_told_alone(void)
@@ -82,31 +93,26 @@
 	key_map_copy(other, map);
 	told_map_changes(told, map, changes);
 	CU_ASSERT_EQUAL(changes->spans->len, 0);
-
 	set_spans(map, cut, 4);
 	told_map_changes(told, map, changes);
 	CU_ASSERT_EQUAL(changes->spans->len, 2);
-	bytes = key_map_pack(changes, "s", "");
-	CU_ASSERT_TRUE(
-		key_map_apply(other, (struct str){ bytes->str, bytes->len }));
+	CU_ASSERT_TRUE(apply(other, changes));
 	CU_ASSERT_EQUAL(other->spans->len, 4);
 	CU_ASSERT_PTR_NULL(key_map_find(other, 150)->owner);
 	CU_ASSERT_PTR_EQUAL(key_map_find(other, 149)->owner, b);
 	CU_ASSERT_PTR_EQUAL(key_map_find(other, 99)->owner, a);
 	CU_ASSERT_PTR_EQUAL(key_map_find(other, 200)->owner, a);
 	/* A map can't be read from changes alone. */
+	bytes = key_map_pack(changes, "s", "");
 	CU_ASSERT_FALSE(key_map_unpack(
 		other, (struct str){ bytes->str, bytes->len }, NULL));
 	g_string_free(bytes, TRUE);
 	set_spans(map, whole, 3);
 	told_map_changes(told, map, changes);
 	CU_ASSERT_EQUAL(changes->spans->len, 1);
-	bytes = key_map_pack(changes, "s", "");
-	CU_ASSERT_TRUE(
-		key_map_apply(other, (struct str){ bytes->str, bytes->len }));
+	CU_ASSERT_TRUE(apply(other, changes));
 	CU_ASSERT_EQUAL(other->spans->len, 3);
 	CU_ASSERT_PTR_EQUAL(key_map_find(other, 150)->owner, b);
-	g_string_free(bytes, TRUE);
 	told_map_destroy(told);
 	key_map_destroy(map);
 	key_map_destroy(other);
