--- a/test/fuzz/planted_keys.c
+++ b/test/fuzz/planted_keys.c
@@ -3,10 +3,9 @@
  * oracle of fuzz_keys to notice, by the rule named.
  */
 #include <glib.h>
-#include <stdio.h>
 
-#include "base/planted.h"
 #include "fuzz_keys_parts/world.h"
+#include "planted_run.h"
 #include "suite.h"
 
 #define INPUT_BYTES 1200
@@ -22,41 +21,19 @@
 	{ PLANTED_CLOCK_STANDS_STILL, "a key has one owner" },
 };
 
-static struct run_result run_seed(uint32_t seed)
+static const char *play(const uint8_t *data, size_t size, uint64_t *steps)
 {
-	uint8_t data[INPUT_BYTES];
-	GRand *rng = g_rand_new_with_seed(seed);
-	size_t i;
+	struct run_result result = run_input(data, size);
 
-	for (i = 0; i < sizeof(data); i++)
-		data[i] = (uint8_t)g_rand_int(rng);
-	g_rand_free(rng);
-	return run_input(data, sizeof(data));
+	*steps += result.steps;
+	return result.rule;
 }
 
-static bool is_caught(enum planted fault, const char *rule)
-{
-	uint64_t steps = 0;
-	uint32_t seed;
-	bool caught = false;
-
-	planted_set(fault);
-	for (seed = 1; seed <= SEEDS_MAX && !caught; seed++) {
-		struct run_result result = run_seed(seed);
-
-		steps += result.steps;
-		caught = !g_strcmp0(result.rule, rule);
-	}
-	planted_set(PLANTED_NONE);
-	if (caught)
-		printf("# %s: \"%s\" at seed %u after %llu steps\n",
-		       planted_name(fault), rule, seed - 1,
-		       (unsigned long long)steps);
-	else
-		printf("# %s: not noticed in %u seeds\n", planted_name(fault),
-		       seed - 1);
-	return caught;
-}
+static const struct planted_run planted_run = {
+	.input_bytes = INPUT_BYTES,
+	.seeds_max = SEEDS_MAX,
+	.play = play,
+};
 
 static void every_planted_fault_is_noticed(void)
 {
@@ -65,7 +42,8 @@
 	CU_ASSERT_EQUAL(G_N_ELEMENTS(rows),
 			PLANTED_COUNT - PLANTED_NO_INHERITED_WAIT);
 	for (i = 0; i < G_N_ELEMENTS(rows); i++)
-		CU_ASSERT_TRUE(is_caught(rows[i].fault, rows[i].rule));
+		CU_ASSERT_TRUE(planted_is_caught(&planted_run, rows[i].fault,
+						 rows[i].rule));
 }
 
 int main(void)
--- a/test/fuzz/planted_request.c
+++ b/test/fuzz/planted_request.c
@@ -3,10 +3,9 @@
  * of fuzz_request to notice, by the rule named.
  */
 #include <glib.h>
-#include <stdio.h>
 
-#include "base/planted.h"
 #include "fuzz_request_parts/run.h"
+#include "planted_run.h"
 #include "suite.h"
 
 /* A multiple of 128: run to its end. */
@@ -37,42 +36,19 @@
 	{ PLANTED_REUSE_SUSPECT, "sent on a connection known to be suspect" },
 };
 
-static struct run_result run_seed(uint32_t seed)
+static const char *play(const uint8_t *data, size_t size, uint64_t *steps)
 {
-	uint8_t data[INPUT_BYTES];
-	GRand *rng = g_rand_new_with_seed(seed);
-	size_t i;
+	struct run_result result = run_input(data, size);
 
-	for (i = 0; i < sizeof(data); i++)
-		data[i] = (uint8_t)g_rand_int(rng);
-	g_rand_free(rng);
-	return run_input(data, sizeof(data));
+	*steps += result.steps;
+	return result.rule;
 }
 
-/* Whether the oracle names the rule within the seeds. */
-static bool is_caught(const struct row *row)
-{
-	uint64_t steps = 0;
-	uint32_t seed;
-
-	planted_set(row->fault);
-	for (seed = 1; seed <= SEEDS_MAX; seed++) {
-		struct run_result result = run_seed(seed);
-
-		steps += result.steps;
-		if (g_strcmp0(result.rule, row->rule) != 0)
-			continue;
-		printf("# %s: \"%s\" at seed %u after %llu steps\n",
-		       planted_name(row->fault), result.rule, seed,
-		       (unsigned long long)steps);
-		planted_set(PLANTED_NONE);
-		return true;
-	}
-	printf("# %s: not noticed in %u seeds\n", planted_name(row->fault),
-	       SEEDS_MAX);
-	planted_set(PLANTED_NONE);
-	return false;
-}
+static const struct planted_run planted_run = {
+	.input_bytes = INPUT_BYTES,
+	.seeds_max = SEEDS_MAX,
+	.play = play,
+};
 
 static void every_planted_fault_is_noticed(void)
 {
@@ -80,7 +56,8 @@
 
 	CU_ASSERT_EQUAL(G_N_ELEMENTS(rows), PLANTED_PUBLISH_UNREAD - 1);
 	for (i = 0; i < G_N_ELEMENTS(rows); i++)
-		CU_ASSERT_TRUE(is_caught(&rows[i]));
+		CU_ASSERT_TRUE(planted_is_caught(&planted_run, rows[i].fault,
+						 rows[i].rule));
 }
 
 int main(void)
--- /dev/null
+++ b/test/fuzz/planted_run.c
@@ -0,0 +1,41 @@
+#include "planted_run.h"
+
+#include <glib.h>
+#include <stdio.h>
+
+static const char *play_seed(const struct planted_run *run, uint32_t seed,
+			     uint64_t *steps)
+{
+	uint8_t *data = g_malloc(run->input_bytes);
+	GRand *rng = g_rand_new_with_seed(seed);
+	const char *rule;
+	size_t i;
+
+	for (i = 0; i < run->input_bytes; i++)
+		data[i] = (uint8_t)g_rand_int(rng);
+	g_rand_free(rng);
+	rule = run->play(data, run->input_bytes, steps);
+	g_free(data);
+	return rule;
+}
+
+bool planted_is_caught(const struct planted_run *run, enum planted fault,
+		       const char *rule)
+{
+	uint64_t steps = 0;
+	uint32_t seed;
+	bool caught = false;
+
+	planted_set(fault);
+	for (seed = 1; seed <= run->seeds_max && !caught; seed++)
+		caught = !g_strcmp0(play_seed(run, seed, &steps), rule);
+	planted_set(PLANTED_NONE);
+	if (caught)
+		printf("# %s: \"%s\" at seed %u after %llu steps\n",
+		       planted_name(fault), rule, seed - 1,
+		       (unsigned long long)steps);
+	else
+		printf("# %s: not noticed in %u seeds\n", planted_name(fault),
+		       seed - 1);
+	return caught;
+}
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "entry/follower.h"
+#include "manual_clock.h"
 #include "store/change_log.h"
 #include "suite.h"
 
@@ -67,8 +68,7 @@
 /* --- the follower, on a store whose calls the test answers --- */
 
 struct fixture {
-	struct timespec now;
-	struct clock clock;
+	struct manual_clock clock;
 	struct loop loop;
 	struct store store;
 	struct follower *follower;
@@ -85,13 +85,6 @@
 	int lost;
 };
 
-static struct timespec fixture_clock(void *ctx)
-{
-	return ((struct fixture *)ctx)->now;
-}
-
-static const struct clock_ops clock_ops = { fixture_clock, fixture_clock };
-
 static void take_read(void *impl, const char *table, const char *from,
 		      store_done_fn done, void *ctx)
 {
@@ -178,11 +171,7 @@
 
 static void run(struct fixture *f, double span_s)
 {
-	double now = (double)f->now.tv_sec + (double)f->now.tv_nsec / 1e9;
-
-	now += span_s;
-	f->now.tv_sec = (time_t)now;
-	f->now.tv_nsec = (long)((now - (double)f->now.tv_sec) * 1e9);
+	manual_clock_advance(&f->clock, span_s);
 	/* Timers are libev's own: what is due at once runs here. */
 	ev_run(f->loop.ev, EVRUN_NOWAIT);
 }
@@ -209,10 +198,8 @@
 	struct store_row a = row_of("a", 7, 1);
 
 	memset(f, 0, sizeof(*f));
-	f->now.tv_sec = 1000;
-	f->clock.ops = &clock_ops;
-	f->clock.ctx = f;
-	f->loop.clock = &f->clock;
+	manual_clock_init(&f->clock);
+	f->loop.clock = &f->clock.clock;
 	f->loop.ev = ev_loop_new(EVFLAG_AUTO);
 	f->store.ops = &store_ops;
 	f->store.impl = f;
@@ -372,7 +359,7 @@
 	setup_with(&f, &few_rows_ops);
 	pass(&f, 12, 15, "c", 15, false);
 	CU_ASSERT_EQUAL_FATAL(f.call, 'r');
-	f.now.tv_nsec += 400000000L;
+	manual_clock_advance(&f.clock, 0.4);
 	answer(&f, STORE_OK, 15, &b, 1);
 	CU_ASSERT_STRING_EQUAL(f.known->str, "+a +b -a ");
 	/* As long as the answer took, the link is left to callers. */
--- a/test/unit/test_keys.c
+++ b/test/unit/test_keys.c
@@ -5,6 +5,7 @@
 #include "keys/key_load.h"
 #include "keys/lease.h"
 #include "keys/told_map.h"
+#include "manual_clock.h"
 #include "suite.h"
 
 static void maps_are_packed_and_read(void)
@@ -139,8 +140,7 @@
 /* --- the lease, on a store of one row --- */
 
 struct fixture {
-	struct timespec now;
-	struct clock clock;
+	struct manual_clock clock;
 	struct loop loop;
 	struct store store;
 	struct lease *lease;
@@ -153,13 +153,6 @@
 	GString *written;
 };
 
-static struct timespec fixture_clock(void *ctx)
-{
-	return ((struct fixture *)ctx)->now;
-}
-
-static const struct clock_ops clock_ops = { fixture_clock, fixture_clock };
-
 static void take_read(void *impl, const char *table, const char *from,
 		      store_done_fn done, void *ctx)
 {
@@ -220,21 +213,15 @@
 
 static void advance(struct fixture *f, double span_s)
 {
-	double now = (double)f->now.tv_sec + (double)f->now.tv_nsec / 1e9;
-
-	now += span_s;
-	f->now.tv_sec = (time_t)now;
-	f->now.tv_nsec = (long)((now - (double)f->now.tv_sec) * 1e9);
+	manual_clock_advance(&f->clock, span_s);
 	lease_tick(f->lease);
 }
 
 static void setup(struct fixture *f)
 {
 	memset(f, 0, sizeof(*f));
-	f->now.tv_sec = 1000;
-	f->clock.ops = &clock_ops;
-	f->clock.ctx = f;
-	f->loop.clock = &f->clock;
+	manual_clock_init(&f->clock);
+	f->loop.clock = &f->clock.clock;
 	f->store.ops = &store_ops;
 	f->store.impl = f;
 	f->written = g_string_new(NULL);
@@ -311,7 +298,7 @@
 	answer(&f, STORE_REFUSED, 0);
 	CU_ASSERT_EQUAL(f.troubled, 1);
 	/* Orders stop before the lease does, also without a tick. */
-	f.now.tv_sec += 2;
+	manual_clock_advance(&f.clock, 2);
 	CU_ASSERT_FALSE(lease_held(f.lease, 0));
 	advance(&f, 0.05);
 	CU_ASSERT_EQUAL(f.lost, 1);
