entry: log and count each step of recognizing a request that crashes upstreams

Whether a crash was never recognized, recognized but not known on another VM, or forgotten too early left the same trace: none. The crash list now lives in entry/crash_watch, which logs suspected, blamed, blame_learned, suspicion_expired and cleared_by_answer with the request's fingerprint and the number of crashes, and counts them. What is blocked, and when, is unchanged.

--- a/src/balance/crash_list.c
+++ b/src/balance/crash_list.c
@@ -81,7 +81,7 @@
 	g_array_append_val(list->suspects, suspect);
 }
 
-void crash_list_blame(struct crash_list *list, uint64_t request,
+bool crash_list_blame(struct crash_list *list, uint64_t request,
 		      const char *upstream, double now_s)
 {
 	const char *name = g_intern_string(upstream);
@@ -96,9 +96,10 @@
 	blame->last_s = now_s;
 	for (i = 0; i < blame->crashes; i++)
 		if (blame->upstreams[i] == name)
-			return;
+			return false;
 	if (blame->crashes < BLOCK_CRASHES)
 		blame->upstreams[blame->crashes++] = name;
+	return true;
 }
 
 void crash_list_upstream_lost(struct crash_list *list, const char *upstream,
@@ -121,15 +122,25 @@
 	}
 }
 
-void crash_list_clear_request(struct crash_list *list, uint64_t request)
+bool crash_list_clear_request(struct crash_list *list, uint64_t request)
 {
+	bool dropped = g_hash_table_remove(list->blames, &request);
 	guint i;
 
-	g_hash_table_remove(list->blames, &request);
 	for (i = list->suspects->len; i > 0; i--)
 		if (g_array_index(list->suspects, struct suspect, i - 1)
-			    .request == request)
+			    .request == request) {
 			g_array_remove_index_fast(list->suspects, i - 1);
+			dropped = true;
+		}
+	return dropped;
+}
+
+unsigned int crash_list_crashes(const struct crash_list *list, uint64_t request)
+{
+	const struct blame *blame = g_hash_table_lookup(list->blames, &request);
+
+	return blame ? blame->crashes : 0;
 }
 
 bool crash_list_blocks(const struct crash_list *list, uint64_t request,
@@ -150,14 +161,19 @@
 	return *(double *)now_s > blame->last_s + BLAME_S;
 }
 
-void crash_list_expire(struct crash_list *list, double now_s)
+void crash_list_expire(struct crash_list *list, double now_s,
+		       crash_expired_fn expired, void *ctx)
 {
 	guint i;
 
-	for (i = list->suspects->len; i > 0; i--)
-		if (now_s >
-		    g_array_index(list->suspects, struct suspect, i - 1).at_s +
-			    SUSPECT_S)
-			g_array_remove_index_fast(list->suspects, i - 1);
+	for (i = list->suspects->len; i > 0; i--) {
+		struct suspect s =
+			g_array_index(list->suspects, struct suspect, i - 1);
+
+		if (now_s <= s.at_s + SUSPECT_S)
+			continue;
+		g_array_remove_index_fast(list->suspects, i - 1);
+		expired(ctx, s.request, s.upstream);
+	}
 	g_hash_table_foreach_remove(list->blames, is_expired, &now_s);
 }
--- a/src/balance/crash_list.h
+++ b/src/balance/crash_list.h
@@ -40,18 +40,38 @@
 /**
  * Records that this VM or another one blames a request for the crash of an
  * upstream.
+ *
+ * @return whether this is news: the request wasn't blamed for this upstream yet
  */
-void crash_list_blame(struct crash_list *list, uint64_t request,
+bool crash_list_blame(struct crash_list *list, uint64_t request,
 		      const char *upstream, double now_s);
 
-/** Records that a request was answered: drops all suspicion and blame of it. */
-void crash_list_clear_request(struct crash_list *list, uint64_t request);
+/**
+ * Records that a request was answered: drops all suspicion and blame of it.
+ *
+ * @return whether there was any
+ */
+bool crash_list_clear_request(struct crash_list *list, uint64_t request);
+
+/** Returns the number of upstreams for whose crash a request is blamed. */
+unsigned int crash_list_crashes(const struct crash_list *list,
+				uint64_t request);
 
 /** Returns whether a request is blocked and must not be sent. */
 bool crash_list_blocks(const struct crash_list *list, uint64_t request,
 		       double now_s);
 
-/** Drops expired suspects and blame. */
-void crash_list_expire(struct crash_list *list, double now_s);
+/** Called when a suspicion is dropped because its upstream was not found to be
+ * down in time. */
+typedef void (*crash_expired_fn)(void *ctx, uint64_t request,
+				 const char *upstream);
+
+/**
+ * Drops expired suspects and blame.
+ *
+ * @param expired called for each suspect that is dropped
+ */
+void crash_list_expire(struct crash_list *list, double now_s,
+		       crash_expired_fn expired, void *ctx);
 
 #endif
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -245,7 +245,7 @@
 	if (attempts_in_flight(req) || req->queued)
 		return;
 	if (attempt_may_retry(req, ran) &&
-	    !crash_list_blocks(forward->crashes, req->fingerprint, now) &&
+	    !crash_watch_blocks(forward->options.crashes, req->fingerprint) &&
 	    (!arrived || retry_window_consume(&req->service->retries, now))) {
 		counter_add(forward->retries, 1);
 		if (req->key >= 0)
@@ -369,7 +369,8 @@
 	attempt_end(attempt, LOAD_ANSWERED);
 	if (req) {
 		route_stats_add(req->stats, took, (double)reply->body->len);
-		crash_list_clear_request(forward->crashes, req->fingerprint);
+		crash_watch_answered(forward->options.crashes,
+				     req->fingerprint);
 		proxy_request_answer(req, reply, attempt);
 	}
 	attempt_free(attempt);
@@ -426,16 +427,6 @@
 	return true;
 }
 
-static void on_blamed(void *ctx, uint64_t fingerprint, const char *upstream)
-{
-	struct forward *forward = ctx;
-
-	event_log_write(forward->options.log, "warning", "request",
-			"event=blamed request=%016" PRIx64 " upstream=%s",
-			fingerprint, upstream);
-	forward->options.crashed(forward->options.ctx, fingerprint, upstream);
-}
-
 /* What is known when a connection ended without an answer. */
 struct end_info {
 	/** Word for the log. */
@@ -459,16 +450,15 @@
 	struct proxy_request *req = attempt->req;
 	struct upstream *upstream = attempt->upstream;
 	struct service *service = upstream->service;
-	double now = forward_now(forward);
 
 	log_reply(attempt, 0, ends[end].name);
 	if (end == HTTP_CHANNEL_RESET && req)
-		crash_list_add_suspect(forward->crashes, req->fingerprint,
-				       upstream->entry.id, now);
-	/* A refused connection shows that the upstream's process is gone. */
+		crash_watch_connection_lost(forward->options.crashes,
+					    req->fingerprint, req->id,
+					    upstream->entry.id);
 	if (end == HTTP_CHANNEL_REFUSED)
-		crash_list_upstream_lost(forward->crashes, upstream->entry.id,
-					 now, on_blamed, forward);
+		crash_watch_refused(forward->options.crashes,
+				    upstream->entry.id);
 	attempt_end(attempt, end == HTTP_CHANNEL_BROKEN ? LOAD_FAILED
 							: LOAD_UNREACHABLE);
 	attempt_free(attempt);
--- /dev/null
+++ b/src/entry/crash_watch.c
@@ -0,0 +1,137 @@
+#include "entry/crash_watch.h"
+
+#include <inttypes.h>
+
+#include "balance/crash_list.h"
+
+struct crash_watch {
+	struct crash_watch_options options;
+	struct crash_list *list;
+	/** Metrics; create_metrics() describes each. */
+	struct counter *suspicions;
+	struct counter *expired;
+	struct counter *blames;
+	struct counter *learned;
+	struct counter *cleared;
+};
+
+static double now_of(const struct crash_watch *watch)
+{
+	return loop_now(watch->options.loop);
+}
+
+static void create_metrics(struct crash_watch *watch)
+{
+	struct metrics *m = watch->options.metrics;
+
+	watch->suspicions = metrics_counter(
+		m, "auburn_crash_suspicions_total", "",
+		"Connections to upstreams that broke under a request.");
+	watch->expired = metrics_counter(
+		m, "auburn_crash_suspicions_expired_total", "",
+		"Suspicions dropped because the upstream was not seen down.");
+	watch->blames =
+		metrics_counter(m, "auburn_crash_blames_total", "",
+				"Crashes that this VM blamed on a request.");
+	watch->learned =
+		metrics_counter(m, "auburn_crash_blames_learned_total", "",
+				"Crashes that another VM blamed on a request.");
+	watch->cleared = metrics_counter(
+		m, "auburn_crash_cleared_total", "",
+		"Suspected or blamed requests cleared by an answer.");
+}
+
+struct crash_watch *
+crash_watch_create(const struct crash_watch_options *options)
+{
+	struct crash_watch *watch = g_new0(struct crash_watch, 1);
+
+	watch->options = *options;
+	watch->list = crash_list_create();
+	create_metrics(watch);
+	return watch;
+}
+
+void crash_watch_destroy(struct crash_watch *watch)
+{
+	if (!watch)
+		return;
+	crash_list_destroy(watch->list);
+	g_free(watch);
+}
+
+/* Logs an event of a request and an upstream.
+ *
+ * @param upstream "-": the event isn't about one upstream */
+static void log_crash(const struct crash_watch *watch, const char *level,
+		      const char *event, uint64_t request, const char *upstream)
+{
+	event_log_write(watch->options.log, level, "crashes",
+			"event=%s request=%016" PRIx64 " upstream=%s "
+			"crashes=%u blocked=%d",
+			event, request, upstream,
+			crash_list_crashes(watch->list, request),
+			crash_watch_blocks(watch, request));
+}
+
+void crash_watch_connection_lost(struct crash_watch *watch, uint64_t request,
+				 struct str id, const char *upstream)
+{
+	crash_list_add_suspect(watch->list, request, upstream, now_of(watch));
+	counter_add(watch->suspicions, 1);
+	event_log_write(watch->options.log, "info", "crashes",
+			"event=suspected id=%.*s request=%016" PRIx64
+			" upstream=%s crashes=%u",
+			STR_ARG(id), request, upstream,
+			crash_list_crashes(watch->list, request));
+}
+
+static void on_blamed(void *ctx, uint64_t request, const char *upstream)
+{
+	struct crash_watch *watch = ctx;
+
+	counter_add(watch->blames, 1);
+	log_crash(watch, "warning", "blamed", request, upstream);
+	watch->options.blamed(watch->options.ctx, request, upstream);
+}
+
+void crash_watch_refused(struct crash_watch *watch, const char *upstream)
+{
+	crash_list_upstream_lost(watch->list, upstream, now_of(watch),
+				 on_blamed, watch);
+}
+
+void crash_watch_learn(struct crash_watch *watch, uint64_t request,
+		       const char *upstream)
+{
+	if (!crash_list_blame(watch->list, request, upstream, now_of(watch)))
+		return;
+	counter_add(watch->learned, 1);
+	log_crash(watch, "warning", "blame_learned", request, upstream);
+}
+
+void crash_watch_answered(struct crash_watch *watch, uint64_t request)
+{
+	if (!crash_list_clear_request(watch->list, request))
+		return;
+	counter_add(watch->cleared, 1);
+	log_crash(watch, "info", "cleared_by_answer", request, "-");
+}
+
+bool crash_watch_blocks(const struct crash_watch *watch, uint64_t request)
+{
+	return crash_list_blocks(watch->list, request, now_of(watch));
+}
+
+static void on_expired(void *ctx, uint64_t request, const char *upstream)
+{
+	struct crash_watch *watch = ctx;
+
+	counter_add(watch->expired, 1);
+	log_crash(watch, "info", "suspicion_expired", request, upstream);
+}
+
+void crash_watch_tick(struct crash_watch *watch)
+{
+	crash_list_expire(watch->list, now_of(watch), on_expired, watch);
+}
--- /dev/null
+++ b/src/entry/crash_watch.h
@@ -0,0 +1,67 @@
+/**
+ * Recognizes requests that crash upstreams on this VM, and logs each step: a
+ * suspicion when a connection breaks under a request, blame when the upstream
+ * turns out to be down, and the block of a request that is blamed for several
+ * crashes. Not thread-safe: one thread owns it.
+ */
+#ifndef ENTRY_CRASH_WATCH_H
+#define ENTRY_CRASH_WATCH_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/event_log.h"
+#include "base/metrics.h"
+#include "base/str.h"
+#include "net/loop.h"
+
+struct crash_watch;
+
+/** What the pointers refer to must outlive the crash watch. */
+struct crash_watch_options {
+	const struct loop *loop;
+	struct event_log *log;
+	struct metrics *metrics;
+	/**
+	 * Called when this VM blames a request for the crash of an upstream.
+	 *
+	 * @param request fingerprint of the request and its copies
+	 * @param upstream id of the upstream
+	 */
+	void (*blamed)(void *ctx, uint64_t request, const char *upstream);
+	void *ctx;
+};
+
+/** Creates a crash watch; freed with crash_watch_destroy(). */
+struct crash_watch *
+crash_watch_create(const struct crash_watch_options *options);
+
+/** Frees a crash watch; NULL is allowed. */
+void crash_watch_destroy(struct crash_watch *watch);
+
+/**
+ * Records that a connection to an upstream broke while a request was on it.
+ *
+ * @param request the request's fingerprint
+ * @param id the request's id, for the log
+ */
+void crash_watch_connection_lost(struct crash_watch *watch, uint64_t request,
+				 struct str id, const char *upstream);
+
+/** Records that an upstream refused a connection: its process is gone. */
+void crash_watch_refused(struct crash_watch *watch, const char *upstream);
+
+/** Records that another VM blames a request for the crash of an upstream. */
+void crash_watch_learn(struct crash_watch *watch, uint64_t request,
+		       const char *upstream);
+
+/** Records that a request was answered, which clears it. */
+void crash_watch_answered(struct crash_watch *watch, uint64_t request);
+
+/** Returns whether a request is blocked and must not be sent. */
+bool crash_watch_blocks(const struct crash_watch *watch, uint64_t request);
+
+/** Drops what has expired; called several times a second. */
+void crash_watch_tick(struct crash_watch *watch);
+
+#endif
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -78,7 +78,6 @@
 	struct forward *forward = g_new0(struct forward, 1);
 
 	forward->options = *options;
-	forward->crashes = crash_list_create();
 	forward->route_stats =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	forward->random = g_rand_new();
@@ -106,7 +105,6 @@
 		upstream_unref(attempt->upstream);
 		g_free(attempt);
 	}
-	crash_list_destroy(forward->crashes);
 	g_hash_table_destroy(forward->detached_attempts);
 	g_hash_table_destroy(forward->requests_in_progress);
 	g_hash_table_destroy(forward->route_stats);
@@ -444,8 +442,7 @@
 
 		g_array_append_val(service->requested_keys, key);
 	}
-	if (crash_list_blocks(forward->crashes, req->fingerprint,
-			      forward_now(forward))) {
+	if (crash_watch_blocks(forward->options.crashes, req->fingerprint)) {
 		proxy_request_refuse(req, 503, req->give_up_s - req->received_s,
 				     "upstreams_were_lost_under_it");
 		return;
@@ -469,15 +466,3 @@
 	req->caller = NULL;
 	proxy_request_free(req);
 }
-
-void forward_record_crash(struct forward *forward, uint64_t fingerprint,
-			  const char *upstream)
-{
-	crash_list_blame(forward->crashes, fingerprint, upstream,
-			 forward_now(forward));
-}
-
-void forward_tick(struct forward *forward)
-{
-	crash_list_expire(forward->crashes, forward_now(forward));
-}
--- a/src/entry/forward.h
+++ b/src/entry/forward.h
@@ -9,6 +9,7 @@
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "directory/protocol.h"
+#include "entry/crash_watch.h"
 #include "entry/links.h"
 #include "entry/roster.h"
 #include "net/http_server.h"
@@ -24,14 +25,8 @@
 	const struct protocol *protocol;
 	struct event_log *log;
 	struct metrics *metrics;
-	/**
-	 * Called when this VM blames a request for the crash of an upstream.
-	 *
-	 * @param fingerprint hash that identifies the request and its copies
-	 * @param upstream id of the upstream
-	 */
-	void (*crashed)(void *ctx, uint64_t fingerprint, const char *upstream);
-	void *ctx;
+	/** Requests that are suspected or blamed for crashes of upstreams. */
+	struct crash_watch *crashes;
 };
 
 /** Creates a forwarder; freed with forward_destroy(). */
@@ -70,18 +65,4 @@
 /** Tries again to send the queued requests of all services. */
 void forward_dispatch_queued(struct forward *forward);
 
-/**
- * Records that another VM blames a request for the crash of an upstream. A
- * request that is blamed for crashes of several upstreams is refused for a
- * while.
- *
- * @param fingerprint as in struct forward_options
- * @param upstream id of the upstream
- */
-void forward_record_crash(struct forward *forward, uint64_t fingerprint,
-			  const char *upstream);
-
-/** Drops expired crash records; called several times a second. */
-void forward_tick(struct forward *forward);
-
 #endif
--- a/src/entry/forward_impl.h
+++ b/src/entry/forward_impl.h
@@ -4,7 +4,6 @@
 #ifndef ENTRY_FORWARD_IMPL_H
 #define ENTRY_FORWARD_IMPL_H
 
-#include "balance/crash_list.h"
 #include "entry/proxy_request.h"
 
 /** A timer counts as due if it fires at most this much before its time, in
@@ -17,8 +16,6 @@
 	 * forward_begin_shutdown(); 0: this VM is not shutting down. */
 	double accept_until_s, exit_s;
 	struct forward_options options;
-	/** Requests that are suspected or blamed for crashes of upstreams. */
-	struct crash_list *crashes;
 	/** Averages of each route (struct route_stats) by the route's name. */
 	GHashTable *route_stats;
 	/** Random numbers for the choice of services and upstreams. */
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -48,6 +48,7 @@
 	struct table_store *table_store;
 	struct roster *roster;
 	struct links *links;
+	struct crash_watch *crashes;
 	struct forward *forward;
 	struct cluster *cluster;
 	struct table_watch *operator_rows;
@@ -297,7 +298,7 @@
 {
 	struct entry_daemon *entry = ctx;
 
-	forward_record_crash(entry->forward, fingerprint, upstream);
+	crash_watch_learn(entry->crashes, fingerprint, upstream);
 }
 
 static bool roster_loaded(void *ctx)
@@ -349,7 +350,7 @@
 	if (++entry->ticks % SLOW_TICKS)
 		return;
 	roster_tick(entry->roster);
-	forward_tick(entry->forward);
+	crash_watch_tick(entry->crashes);
 	links_tick(entry->links);
 	http_server_tick(entry->caller_server);
 	http_server_tick(entry->readiness_server);
@@ -445,6 +446,7 @@
  * failure. */
 static bool entry_open(struct entry_daemon *entry, GError **error)
 {
+	struct crash_watch_options crashes = { 0 };
 	struct forward_options forward = { 0 };
 	struct store store;
 
@@ -456,6 +458,12 @@
 	entry->roster = roster_create(&entry->loop, entry->settings,
 				      &roster_ops, entry);
 	entry->links = links_create(&entry->loop, entry->roster);
+	crashes.loop = &entry->loop;
+	crashes.log = entry->log;
+	crashes.metrics = entry->metrics;
+	crashes.blamed = on_local_crash;
+	crashes.ctx = entry;
+	entry->crashes = crash_watch_create(&crashes);
 	forward.loop = &entry->loop;
 	forward.settings = entry->settings;
 	forward.roster = entry->roster;
@@ -463,8 +471,7 @@
 	forward.protocol = platform_protocol();
 	forward.log = entry->log;
 	forward.metrics = entry->metrics;
-	forward.crashed = on_local_crash;
-	forward.ctx = entry;
+	forward.crashes = entry->crashes;
 	entry->forward = forward_create(&forward);
 	entry->operator_rows = table_watch_create(
 		&entry->loop, &store, entry->directory->operator_table,
@@ -490,6 +497,7 @@
 	cluster_destroy(entry->cluster);
 	links_destroy(entry->links);
 	forward_destroy(entry->forward);
+	crash_watch_destroy(entry->crashes);
 	roster_destroy(entry->roster);
 	metrics_destroy(entry->metrics);
 }
