test/functional: move the deployment of entry daemons out of test_entry.c

Other tests of the entry daemon need the same processes, in other numbers. cluster_entry starts standin-site and up to eight daemons. The cases and their checks are unchanged; a daemon that doesn't serve in time now ends the program instead of the case.

--- a/test/functional/test_entry.c
+++ b/test/functional/test_entry.c
@@ -3,7 +3,6 @@
  * platform with store and upstreams. Covers routing, retries, limits, keys,
  * draining, configuration changes, an outage of the store, and shutdown.
  */
-#include <arpa/inet.h>
 #include <glib/gstdio.h>
 #include <stdio.h>
 #include <string.h>
@@ -12,159 +11,17 @@
 #include <unistd.h>
 
 #include "base/address.h"
-#include "cluster_http.h"
-#include "cluster_process.h"
+#include "cluster_entry.h"
 #include "suite.h"
 
 /* Number of auburn-entry processes. */
 #define ENTRIES 2
-/* Longest wait for a process or a condition. */
-#define WAIT_LIMIT_US ((int64_t)20 * G_USEC_PER_SEC)
-
-/* An auburn-entry process. */
-struct entry {
-	struct process *process;
-	/* "IPv4:port" for callers, and for readiness checks. */
-	char callers[32];
-	char ready[32];
-	/* Path of the settings file. */
-	char settings[256];
-};
-
-static char *folder;
-static struct process *site;
-static struct entry entries[ENTRIES];
-/* Number of the request id that send_request() used last. */
-static unsigned int next_id;
-/* Shutdown grace period that setup() writes into the settings. */
-static double grace_s = 6;
-
-/* Finds a free port by binding to port 0; another process may take it before it
- * is used. */
-static unsigned int free_port(void)
-{
-	struct sockaddr_in address = { .sin_family = AF_INET };
-	socklen_t len = sizeof(address);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	if (fd < 0 || bind(fd, (struct sockaddr *)&address, len) < 0 ||
-	    getsockname(fd, (struct sockaddr *)&address, &len) < 0)
-		g_error("can't find a free loopback port");
-	close(fd);
-	return ntohs(address.sin_port);
-}
+/* Shutdown grace period in the settings, unless a test sets another. */
+#define GRACE_S 6
 
-/* Chooses free ports and writes the settings file of the process vmINDEX, which
- * uses the store at address store. */
-static void write_settings(struct entry *entry, unsigned int index,
-			   const char *store)
-{
-	char *text;
-
-	g_snprintf(entry->callers, sizeof(entry->callers), "127.0.0.1:%u",
-		   free_port());
-	g_snprintf(entry->ready, sizeof(entry->ready), "127.0.0.1:%u",
-		   free_port());
-	g_snprintf(entry->settings, sizeof(entry->settings), "%s/entry%u.conf",
-		   folder, index);
-	text = g_strdup_printf(
-		"[vm]\nname = vm%u\nzone = z1\n[listen]\ncallers = %s\n"
-		"ready = %s\npeers = 127.0.0.1:%u\nmetrics = 127.0.0.1:%u\n"
-		"[store]\naddress = %s\n[stop]\ngrace = %.1f\n",
-		index, entry->callers, entry->ready, free_port(), free_port(),
-		store, grace_s);
-	g_file_set_contents(entry->settings, text, -1, NULL);
-	g_free(text);
-}
-
-static void start_entry(struct entry *entry)
-{
-	const char *argv[] = { PROGRAM_DIR "/auburn-entry", "--settings",
-			       entry->settings, NULL };
-	GError *error = NULL;
-
-	entry->process = process_start("entry", folder, argv, &error);
-	if (!entry->process)
-		g_error("%s", error->message);
-}
-
-/*
- * Sends a request on a new connection; the caller frees the answer.
- *
- * key: number of the key, 0 to 65535; sent with every request
- * id: at least 32 bytes; set to the new request id
- */
-static struct http_answer *send_request(const struct entry *entry,
-					const char *uri, const char *method,
-					int key, const char *body, char *id)
-{
-	char id_line[64], key_line[32];
-	const char *headers[] = { "Host: app.example", "X-Deadline-Ms: 3000",
-				  id_line, key_line, NULL };
-	struct http_request request = {
-		.address = entry->callers,
-		.uri = uri,
-		.method = method,
-		.headers = headers,
-		.body = body,
-	};
-
-	g_snprintf(id, 32, "id%08u", ++next_id);
-	g_snprintf(id_line, sizeof(id_line), "X-Request-Id: %s", id);
-	g_snprintf(key_line, sizeof(key_line), "X-Shard-Key: %d", key);
-	return http_send(&request);
-}
-
-/* Returns the status of a GET; 0 when the answer wasn't whole. */
-static long status_of(const struct entry *entry, const char *uri, int key)
-{
-	char id[32];
-	struct http_answer *answer =
-		send_request(entry, uri, NULL, key, NULL, id);
-	long status = answer->whole ? answer->status : 0;
-
-	http_answer_destroy(answer);
-	return status;
-}
-
-/* Calls the control API of standin-site and returns the body of the answer;
- * the caller frees it. In its URIs, upstreams 0 and 1 serve the service
- * "plain", 2 and 3 the service "keyed". */
-static GString *query_site(const char *uri, const char *body)
-{
-	struct http_request request = {
-		.address = process_address(site, "store"),
-		.uri = uri,
-		.body = body,
-	};
-	struct http_answer *answer = http_send(&request);
-	GString *text =
-		g_string_new_len(answer->body->str, (gssize)answer->body->len);
-
-	http_answer_destroy(answer);
-	return text;
-}
-
-/* Calls the control API of standin-site and drops the answer. */
-static void command_site(const char *uri, const char *body)
-{
-	g_string_free(query_site(uri, body), TRUE);
-}
-
-/* Returns how often the upstreams of standin-site executed a request; -1 on an
- * error. */
-static int runs_of(const char *id)
-{
-	char *uri = g_strdup_printf("/control/runs?id=%s", id);
-	GString *text = query_site(uri, NULL);
-	const char *at = strstr(text->str, ":");
-	int runs = at ? (int)g_ascii_strtoll(at + 1, NULL, 10) : -1;
-
-	g_string_free(text, TRUE);
-	g_free(uri);
-	return runs;
-}
+static struct entry_rig rig;
+/* The rig's entry daemons. */
+static struct entry *const entries = rig.entries;
 
 static int open_connection(const char *text)
 {
@@ -183,53 +40,19 @@
 			(ssize_t)strlen(text));
 }
 
-static bool is_ready(void *ctx)
+static void setup_with_grace(double grace_s)
 {
-	const struct entry *entry = ctx;
-	struct http_request request = { .address = entry->ready,
-					.uri = "/ready" };
-
-	return http_status(&request) == 200;
-}
-
-/* Returns whether a low and a high key are both served. */
-static bool serves_keys(void *ctx)
-{
-	return status_of(ctx, "/keyed/a", 100) == 200 &&
-	       status_of(ctx, "/keyed/a", 60000) == 200;
+	entry_rig_start(&rig, ENTRIES, grace_s);
 }
 
 static void setup(void)
 {
-	const char *argv[] = { PROGRAM_DIR "/standin-site", NULL };
-	GError *error = NULL;
-	unsigned int i;
-
-	folder = g_dir_make_tmp("auburn-entry-XXXXXX", NULL);
-	site = process_start("site", folder, argv, &error);
-	if (!site || !process_wait_listening(site, WAIT_LIMIT_US, &error))
-		g_error("%s", error->message);
-	for (i = 0; i < ENTRIES; i++) {
-		write_settings(&entries[i], i, process_address(site, "store"));
-		start_entry(&entries[i]);
-	}
-	for (i = 0; i < ENTRIES; i++) {
-		CU_ASSERT_TRUE_FATAL(process_wait_until(is_ready, &entries[i],
-							WAIT_LIMIT_US));
-		CU_ASSERT_TRUE_FATAL(process_wait_until(
-			serves_keys, &entries[i], WAIT_LIMIT_US));
-	}
+	setup_with_grace(GRACE_S);
 }
 
 static void teardown(void)
 {
-	unsigned int i;
-
-	for (i = 0; i < ENTRIES; i++)
-		process_destroy(entries[i].process);
-	process_destroy(site);
-	process_remove_folder(folder);
-	g_free(folder);
+	entry_rig_stop(&rig);
 }
 
 static void requests_are_routed(void)
@@ -247,7 +70,7 @@
 	setup();
 	for (i = 0; i < G_N_ELEMENTS(rows); i++)
 		CU_ASSERT_EQUAL(
-			status_of(&entries[i % ENTRIES], rows[i].uri, 7),
+			entry_status(&entries[i % ENTRIES], rows[i].uri, 7),
 			rows[i].status);
 	teardown();
 }
@@ -258,7 +81,7 @@
 	struct http_answer *answer;
 
 	setup();
-	answer = send_request(&entries[0], "/plain/a", "POST", 0, "a body", id);
+	answer = entry_send(&entries[0], "/plain/a", "POST", 0, "a body", id);
 	CU_ASSERT_EQUAL(answer->status, 200);
 	CU_ASSERT_STRING_EQUAL(http_header(answer, "x-request-id"), id);
 	CU_ASSERT_STRING_EQUAL(http_header(answer, "x-server-signature"),
@@ -274,16 +97,16 @@
 	struct http_answer *answer;
 
 	setup();
-	answer = send_request(&entries[0], "/once/lose-answer", "POST", 0, "x",
-			      id);
+	answer = entry_send(&entries[0], "/once/lose-answer", "POST", 0, "x",
+			    id);
 	/* The request may have run, so 503 would be a false promise. */
 	CU_ASSERT_EQUAL(answer->status, 502);
-	CU_ASSERT_EQUAL(runs_of(id), 1);
+	CU_ASSERT_EQUAL(entry_rig_runs(&rig, id), 1);
 	http_answer_destroy(answer);
-	answer = send_request(&entries[0], "/plain/lose-answer", NULL, 0, NULL,
-			      id);
+	answer = entry_send(&entries[0], "/plain/lose-answer", NULL, 0, NULL,
+			    id);
 	CU_ASSERT_EQUAL(answer->status, 502);
-	CU_ASSERT_EQUAL(runs_of(id), 2);
+	CU_ASSERT_EQUAL(entry_rig_runs(&rig, id), 2);
 	http_answer_destroy(answer);
 	teardown();
 }
@@ -301,8 +124,8 @@
 		      "X-Deadline-Ms: 3000\r\n"
 		      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
 	CU_ASSERT_TRUE(recv(fd, answer, sizeof(answer) - 1, 0) > 0);
-	CU_ASSERT_EQUAL(runs_of("empty"), 2);
-	state = query_site("/control/state", NULL);
+	CU_ASSERT_EQUAL(entry_rig_runs(&rig, "empty"), 2);
+	state = entry_rig_query(&rig, "/control/state", NULL);
 	CU_ASSERT_PTR_NOT_NULL(strstr(state->str, "\"bodies_missing\":0"));
 	g_string_free(state, TRUE);
 	close(fd);
@@ -318,14 +141,14 @@
 	struct http_answer *answer;
 
 	setup();
-	answer = send_request(&entries[0], "/plain/a", "POST", 0, body, id);
+	answer = entry_send(&entries[0], "/plain/a", "POST", 0, body, id);
 	CU_ASSERT_EQUAL(answer->status, 413);
-	CU_ASSERT_EQUAL(runs_of(id), 0);
+	CU_ASSERT_EQUAL(entry_rig_runs(&rig, id), 0);
 	http_answer_destroy(answer);
-	answer = send_request(&entries[0], uri, NULL, 0, NULL, id);
+	answer = entry_send(&entries[0], uri, NULL, 0, NULL, id);
 	CU_ASSERT_EQUAL(answer->status, 431);
 	http_answer_destroy(answer);
-	CU_ASSERT_EQUAL(status_of(&entries[0], "/plain/a", 0), 200);
+	CU_ASSERT_EQUAL(entry_status(&entries[0], "/plain/a", 0), 200);
 	g_free(uri);
 	g_free(filler);
 	g_free(body);
@@ -338,7 +161,7 @@
 {
 	char id[32];
 	struct http_answer *answer =
-		send_request(ctx, "/plain/a", NULL, 0, NULL, id);
+		entry_send(ctx, "/plain/a", NULL, 0, NULL, id);
 	bool other = !strcmp(answer->body->str, "t-1");
 
 	http_answer_destroy(answer);
@@ -350,9 +173,9 @@
 	int i;
 
 	setup();
-	command_site("/control/drain?id=0", NULL);
+	entry_rig_command(&rig, "/control/drain?id=0", NULL);
 	CU_ASSERT_TRUE_FATAL(process_wait_until(answered_by_other_upstream,
-						&entries[0], WAIT_LIMIT_US));
+						&entries[0], RIG_WAIT_US));
 	for (i = 0; i < 20; i++)
 		CU_ASSERT_TRUE(answered_by_other_upstream(&entries[0]));
 	teardown();
@@ -364,22 +187,22 @@
 
 	setup();
 	/* No request may fail while the keys are moved. */
-	command_site("/control/drain?id=2", NULL);
+	entry_rig_command(&rig, "/control/drain?id=2", NULL);
 	for (i = 0; i < 40; i++)
-		CU_ASSERT_EQUAL(
-			status_of(&entries[i % ENTRIES], "/keyed/a", i * 1600),
-			200);
+		CU_ASSERT_EQUAL(entry_status(&entries[i % ENTRIES], "/keyed/a",
+					     i * 1600),
+				200);
 	teardown();
 }
 
 static void keys_are_served_after_their_owner_restarts(void)
 {
 	setup();
-	command_site("/control/restart?id=2", NULL);
-	CU_ASSERT_TRUE(
-		process_wait_until(serves_keys, &entries[0], WAIT_LIMIT_US));
-	CU_ASSERT_TRUE(
-		process_wait_until(serves_keys, &entries[1], WAIT_LIMIT_US));
+	entry_rig_command(&rig, "/control/restart?id=2", NULL);
+	CU_ASSERT_TRUE(process_wait_until(entry_serves_keys, &entries[0],
+					  RIG_WAIT_US));
+	CU_ASSERT_TRUE(process_wait_until(entry_serves_keys, &entries[1],
+					  RIG_WAIT_US));
 	teardown();
 }
 
@@ -388,8 +211,8 @@
 	setup();
 	process_kill(entries[0].process);
 	g_usleep(3UL * G_USEC_PER_SEC);
-	CU_ASSERT_TRUE(
-		process_wait_until(serves_keys, &entries[1], WAIT_LIMIT_US));
+	CU_ASSERT_TRUE(process_wait_until(entry_serves_keys, &entries[1],
+					  RIG_WAIT_US));
 	teardown();
 }
 
@@ -399,18 +222,19 @@
 
 	setup();
 	/* id=1 starts the outage of the store, id=0 ends it. */
-	command_site("/control/down?id=1", NULL);
+	entry_rig_command(&rig, "/control/down?id=1", NULL);
 	for (i = 0; i < 16; i++) {
+		CU_ASSERT_EQUAL(entry_status(&entries[i % ENTRIES], "/keyed/a",
+					     i * 4000),
+				200);
 		CU_ASSERT_EQUAL(
-			status_of(&entries[i % ENTRIES], "/keyed/a", i * 4000),
+			entry_status(&entries[i % ENTRIES], "/plain/a", 0),
 			200);
-		CU_ASSERT_EQUAL(status_of(&entries[i % ENTRIES], "/plain/a", 0),
-				200);
 		g_usleep(G_USEC_PER_SEC / 4);
 	}
-	command_site("/control/down?id=0", NULL);
-	CU_ASSERT_TRUE(
-		process_wait_until(serves_keys, &entries[0], WAIT_LIMIT_US));
+	entry_rig_command(&rig, "/control/down?id=0", NULL);
+	CU_ASSERT_TRUE(process_wait_until(entry_serves_keys, &entries[0],
+					  RIG_WAIT_US));
 	teardown();
 }
 
@@ -426,7 +250,7 @@
 
 static bool serves_new_route(void *ctx)
 {
-	return status_of(ctx, "/new/a", 0) == 200;
+	return entry_status(ctx, "/new/a", 0) == 200;
 }
 
 static void an_older_configuration_never_replaces_a_newer_one(void)
@@ -434,17 +258,18 @@
 	unsigned int i;
 
 	setup();
-	command_site("/control/config", CONFIG("r5", "/new/"));
+	entry_rig_command(&rig, "/control/config", CONFIG("r5", "/new/"));
 	for (i = 0; i < ENTRIES; i++)
 		CU_ASSERT_TRUE_FATAL(process_wait_until(
-			serves_new_route, &entries[i], WAIT_LIMIT_US));
-	command_site("/control/config", CONFIG("r4", "/plain/"));
+			serves_new_route, &entries[i], RIG_WAIT_US));
+	entry_rig_command(&rig, "/control/config", CONFIG("r4", "/plain/"));
 	/* Newer, but malformed. */
-	command_site("/control/config", "{\"version\":\"r6\",\"routes\":7}");
+	entry_rig_command(&rig, "/control/config",
+			  "{\"version\":\"r6\",\"routes\":7}");
 	g_usleep(G_USEC_PER_SEC);
 	for (i = 0; i < ENTRIES; i++) {
-		CU_ASSERT_EQUAL(status_of(&entries[i], "/new/a", 0), 200);
-		CU_ASSERT_EQUAL(status_of(&entries[i], "/plain/a", 0), 404);
+		CU_ASSERT_EQUAL(entry_status(&entries[i], "/new/a", 0), 200);
+		CU_ASSERT_EQUAL(entry_status(&entries[i], "/plain/a", 0), 404);
 	}
 	teardown();
 }
@@ -475,7 +300,7 @@
 	CU_ASSERT_TRUE(answer->whole);
 	http_answer_destroy(answer);
 	CU_ASSERT_TRUE(
-		process_wait_end(entries[0].process, WAIT_LIMIT_US, &status));
+		process_wait_end(entries[0].process, RIG_WAIT_US, &status));
 	CU_ASSERT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
 	teardown();
 }
@@ -498,7 +323,7 @@
 		      "X-Deadline-Ms: 3000\r\n\r\n");
 	CU_ASSERT_TRUE(recv(fd, answer, sizeof(answer) - 1, 0) > 0);
 	CU_ASSERT_TRUE(g_str_has_prefix(answer, "HTTP/1.1 503 "));
-	CU_ASSERT_EQUAL(runs_of("late"), 0);
+	CU_ASSERT_EQUAL(entry_rig_runs(&rig, "late"), 0);
 	close(fd);
 	teardown();
 }
@@ -516,9 +341,7 @@
 	unsigned int refused = 0;
 	int i;
 
-	grace_s = 3.6;
-	setup();
-	grace_s = 6;
+	setup_with_grace(3.6);
 	process_terminate(entries[0].process);
 	g_usleep(G_USEC_PER_SEC);
 	for (i = 0; i < REQUESTS; i++) {
@@ -541,7 +364,8 @@
 
 		refused += answer->status == 503;
 		CU_ASSERT_TRUE(answer->whole);
-		CU_ASSERT_EQUAL(answer->status == 503, !runs_of(ids[i]));
+		CU_ASSERT_EQUAL(answer->status == 503,
+				!entry_rig_runs(&rig, ids[i]));
 		http_answer_destroy(answer);
 	}
 	CU_ASSERT_TRUE(refused > 0);
