--- a/test/standin/site.h
+++ b/test/standin/site.h
@@ -76,6 +76,8 @@
 	GHashTable *runs;
 	/** Number of grants of keys that another upstream still held. */
 	unsigned int double_owners;
+	/** Number of crashes of upstreams that a request caused. */
+	unsigned int crashes;
 	/** Number of POST requests without a Content-Length. */
 	unsigned int bodies_missing;
 	/** Number of repeated executions of requests that must run at most
--- a/test/standin/site_store.c
+++ b/test/standin/site_store.c
@@ -276,6 +276,7 @@
  *   touch-config  ID is the version of the built-in configuration to write
  *   config        no ID; the body is the configuration to write
  *   down          the store is down unless ID is 0
+ *   add           ID more upstreams of the service "plain" start
  * The body of list-at is the address to publish for the upstream. An unknown
  * verb has no effect. */
 static void handle_control(struct site *site, struct http_request *request)
@@ -298,6 +299,9 @@
 		site_upstream_restart(site, index);
 	else if (g_str_has_prefix(verb, "down"))
 		site->store_down = index != 0;
+	else if (g_str_has_prefix(verb, "add"))
+		for (; index > 0; index--)
+			site_upstream_create(site, "plain", "z1", false);
 	else if (g_str_has_prefix(verb, "list-at"))
 		site_upstream_publish_address(site, index, request->body->str);
 	else if (g_str_has_prefix(verb, "address"))
@@ -306,11 +310,11 @@
 		site_put_row(site, "op", "config", request->body->str);
 	g_free(id);
 	answer_json(request, 200,
-		    json_pack("{sisisisiss}", "runs", (int)runs,
-			      "bodies_missing", (int)site->bodies_missing,
-			      "double_owners", (int)site->double_owners,
-			      "repeats", (int)site->repeats, "address",
-			      address));
+		    json_pack("{sisisisisiss}", "runs", (int)runs, "crashes",
+			      (int)site->crashes, "bodies_missing",
+			      (int)site->bodies_missing, "double_owners",
+			      (int)site->double_owners, "repeats",
+			      (int)site->repeats, "address", address));
 }
 
 static void on_request(void *ctx, struct http_request *request)
--- a/test/standin/site_upstream.c
+++ b/test/standin/site_upstream.c
@@ -4,6 +4,7 @@
  *   work-ms-N    the execution takes N milliseconds
  *   long         the response body is long, see work_body()
  *   lose-answer  the connection is closed without a response
+ *   crash        the upstream's process ends, and starts again after CRASH_S
  * A request whose path begins with /once/ must run at most once. */
 #include <jansson.h>
 #include <stdio.h>
@@ -20,6 +21,8 @@
 #define KEYS 65536
 /* Duration of an execution unless the path sets another. */
 #define DEFAULT_WORK_S 0.005
+/* Time until an upstream that crashed starts again. */
+#define CRASH_S 2.5
 /* How often a long response body repeats the request id; the soak test expects
  * the same number. */
 #define LONG_BODY_IDS 400
@@ -50,6 +53,8 @@
 	guint64 fence[KEYS];
 	/** Number of requests in execution. */
 	unsigned int running;
+	/** Ends the crashing upstream's server, and later starts it again. */
+	ev_timer crash_timer;
 };
 
 /* The execution of a request: a wait for timer, after which the request is
@@ -216,6 +221,32 @@
 	g_free(work);
 }
 
+static void on_crash_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct upstream *upstream = timer->data;
+
+	(void)events;
+	if (!upstream->server) {
+		site_upstream_restart(upstream->site, upstream->index);
+		return;
+	}
+	http_server_destroy(upstream->server);
+	upstream->server = NULL;
+	ev_timer_set(timer, CRASH_S, 0);
+	ev_timer_start(loop, timer);
+}
+
+/* Ends the upstream's process as soon as its server isn't running a handler. */
+static void crash(struct upstream *upstream)
+{
+	if (ev_is_active(&upstream->crash_timer))
+		return;
+	upstream->site->crashes++;
+	ev_timer_init(&upstream->crash_timer, on_crash_timer, 0, 0);
+	upstream->crash_timer.data = upstream;
+	ev_timer_start(upstream->site->loop.ev, &upstream->crash_timer);
+}
+
 /* Executes a request: counts the execution of its id, and answers it after the
  * time that its path sets. */
 static void start_work(struct upstream *upstream, struct http_request *request,
@@ -236,6 +267,11 @@
 		site->repeats++;
 	g_hash_table_insert(site->runs, g_strdup(id),
 			    GUINT_TO_POINTER(runs + 1));
+	if (strstr(request->target->str, "crash")) {
+		crash(upstream);
+		g_free(work);
+		return;
+	}
 	if (strstr(request->target->str, "lose-answer")) {
 		http_request_abort(request);
 		g_free(work);
@@ -367,6 +403,7 @@
 {
 	struct upstream *upstream = site->upstreams->pdata[index];
 
+	ev_timer_stop(site->loop.ev, &upstream->crash_timer);
 	http_server_destroy(upstream->server);
 	memset(upstream->held_until_s, 0, sizeof(upstream->held_until_s));
 	memset(upstream->fence, 0, sizeof(upstream->fence));
