entry: check whether an upstream is down when a connection breaks under a request

What callers saw: a request that crashed upstreams was sent to more and more of them. Cause: a VM suspected the request when the connection broke, but needed proof that the upstream was down, and only took it from a later request of its own that the same upstream refused within 5 s. Suspicion of a request whose caller had left was not recorded at all.

Ruled out as the cause here: fingerprints shared by different requests (none in 1,814), answers that clear a guilty request (only requests that were answered).

Change: after a broken connection the pool opens a connection to the upstream at once, one per upstream and 50 ms. A refused one proves the crash within two round trips; an accepted one becomes an idle connection. Closing idle connections spares one that is still being opened. Any refused connection now counts as proof, not only that of a request. An attempt keeps its request's fingerprint.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -109,6 +109,7 @@
 
 	attempt->req = req;
 	attempt->forward = forward;
+	attempt->fingerprint = req->fingerprint;
 	attempt->upstream = upstream_ref(upstream);
 	attempt->started_s = now;
 	attempt->busy_before = load_in_flight(&upstream->load, now);
@@ -452,13 +453,13 @@
 	struct service *service = upstream->service;
 
 	log_reply(attempt, 0, ends[end].name);
-	if (end == HTTP_CHANNEL_RESET && req)
-		crash_watch_connection_lost(forward->options.crashes,
-					    req->fingerprint, req->id,
-					    upstream->entry.id);
-	if (end == HTTP_CHANNEL_REFUSED)
-		crash_watch_refused(forward->options.crashes,
-				    upstream->entry.id);
+	if (end == HTTP_CHANNEL_RESET) {
+		crash_watch_connection_lost(
+			forward->options.crashes, attempt->fingerprint,
+			req ? req->id : STR("-"), upstream->entry.id);
+		/* The request is to blame only if the upstream is down. */
+		links_check(forward->options.links, upstream);
+	}
 	attempt_end(attempt, end == HTTP_CHANNEL_BROKEN ? LOAD_FAILED
 							: LOAD_UNREACHABLE);
 	attempt_free(attempt);
--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -13,10 +13,17 @@
  * reused: for most requests, and for those with avoid_stale set. */
 #define IDLE_SHARE 0.75
 #define IDLE_SHARE_AVOID_STALE 0.5
+/* Shortest time between two checks whether an upstream accepts connections, in
+ * seconds. Connections that break together need one check. */
+#define CHECK_INTERVAL_S 0.05
+/* Time that a check may take to connect, in seconds. */
+#define CHECK_TIMEOUT_S 1.0
 
 struct links {
 	struct loop *loop;
 	const struct roster *roster;
+	const struct links_ops *ops;
+	void *ctx;
 	/** All connections (struct link). */
 	GQueue all;
 };
@@ -34,12 +41,15 @@
 	GList idle_node;
 };
 
-struct links *links_create(struct loop *loop, const struct roster *roster)
+struct links *links_create(struct loop *loop, const struct roster *roster,
+			   const struct links_ops *ops, void *ctx)
 {
 	struct links *links = g_new0(struct links, 1);
 
 	links->loop = loop;
 	links->roster = roster;
+	links->ops = ops;
+	links->ctx = ctx;
 	g_queue_init(&links->all);
 	return links;
 }
@@ -92,6 +102,16 @@
 	       idle_s < idle_limit(link, avoid_stale);
 }
 
+/* Whether an idle connection is one of links_check() that is still being
+ * opened, and has time left. */
+static bool is_checking(const struct link *link)
+{
+	return http_channel_connecting(link->channel) &&
+	       loop_now(link->links->loop) <
+		       http_channel_idle_since_s(link->channel) +
+			       CHECK_TIMEOUT_S;
+}
+
 /* Makes a connection idle after an answer, or frees it if it can't be reused.
  */
 static void set_idle(struct link *link)
@@ -126,13 +146,18 @@
 		     enum http_channel_end end)
 {
 	struct link *link = ctx;
+	struct links *links = link->links;
+	struct upstream *upstream = upstream_ref(link->upstream);
 	const struct link_ops *ops = link->ops;
 	void *user = link->user;
 
 	(void)channel;
 	link_free(link);
+	if (end == HTTP_CHANNEL_REFUSED)
+		links->ops->refused(links->ctx, upstream);
 	if (user)
 		ops->ended(user, end);
+	upstream_unref(upstream);
 }
 
 static const struct http_channel_ops channel_ops = {
@@ -201,6 +226,18 @@
 	return link;
 }
 
+void links_check(struct links *links, struct upstream *upstream)
+{
+	double now = loop_now(links->loop);
+	struct link *link;
+
+	if (now < upstream->checked_s + CHECK_INTERVAL_S)
+		return;
+	upstream->checked_s = now;
+	link = link_open(links, upstream);
+	g_queue_push_tail_link(&upstream->idle_links, &link->idle_node);
+}
+
 void link_close(struct link *link)
 {
 	link_free(link);
@@ -230,7 +267,8 @@
 		struct link *link = node->data;
 
 		next = node->next;
-		if (!link->user && !link_reusable(link, false))
+		if (!link->user && !link_reusable(link, false) &&
+		    !is_checking(link))
 			link_free(link);
 	}
 }
--- a/src/entry/links.h
+++ b/src/entry/links.h
@@ -45,8 +45,21 @@
 /** The connections to all upstreams. */
 struct links;
 
-/** Creates a pool without connections; loop and roster must outlive it. */
-struct links *links_create(struct loop *loop, const struct roster *roster);
+/** Functions that the pool calls with what it learns about upstreams. */
+struct links_ops {
+	/** Called when an upstream's port refused a connection: the upstream's
+	 * process is gone. */
+	void (*refused)(void *ctx, const struct upstream *upstream);
+};
+
+/**
+ * Creates a pool without connections.
+ *
+ * @param ops must outlive the pool, as must loop and roster
+ * @param ctx passed to the operations
+ */
+struct links *links_create(struct loop *loop, const struct roster *roster,
+			   const struct links_ops *ops, void *ctx);
 /** Closes all connections without calling handlers, and frees the pool; NULL is
  * allowed. */
 void links_destroy(struct links *links);
@@ -70,6 +83,13 @@
 			const struct link_request *request,
 			const struct link_ops *ops, void *user);
 
+/**
+ * Finds out whether an upstream accepts connections: opens one, unless this was
+ * done a moment ago. links_ops.refused() tells if the upstream's process is
+ * gone; otherwise the connection becomes idle.
+ */
+void links_check(struct links *links, struct upstream *upstream);
+
 /**
  * Closes and frees a connection whose answer is no longer awaited; no handler
  * is called.
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -280,6 +280,17 @@
 		forward_dispatch_queued(entry->forward);
 }
 
+static void on_upstream_refused(void *ctx, const struct upstream *upstream)
+{
+	struct entry_daemon *entry = ctx;
+
+	crash_watch_refused(entry->crashes, upstream->entry.id);
+}
+
+static const struct links_ops links_ops = {
+	.refused = on_upstream_refused,
+};
+
 static const struct roster_ops roster_ops = {
 	.close_idle = close_idle,
 	.changed = roster_changed,
@@ -457,7 +468,8 @@
 	store = table_store_interface(entry->table_store);
 	entry->roster = roster_create(&entry->loop, entry->settings,
 				      &roster_ops, entry);
-	entry->links = links_create(&entry->loop, entry->roster);
+	entry->links =
+		links_create(&entry->loop, entry->roster, &links_ops, entry);
 	crashes.loop = &entry->loop;
 	crashes.log = entry->log;
 	crashes.metrics = entry->metrics;
--- a/src/entry/proxy_request.h
+++ b/src/entry/proxy_request.h
@@ -24,6 +24,8 @@
 	/** The request; NULL if detached. */
 	struct proxy_request *req;
 	struct forward *forward;
+	/** The request's fingerprint, which outlasts the request. */
+	uint64_t fingerprint;
 	struct upstream *upstream;
 	/** The connection on which the copy was sent. */
 	struct link *link;
--- a/src/entry/roster.h
+++ b/src/entry/roster.h
@@ -50,6 +50,8 @@
 	/** Idle connections (struct link), most recently used first; the
 	 * connection pool owns them. */
 	GQueue idle_links;
+	/** When links_check() last opened a connection; 0: never. */
+	double checked_s;
 	/** This VM's connections to the upstream, idle or in use. */
 	unsigned int connections;
 	unsigned int references;
--- a/src/net/http_channel.c
+++ b/src/net/http_channel.c
@@ -502,6 +502,11 @@
 	watch_output(channel);
 }
 
+bool http_channel_connecting(const struct http_channel *channel)
+{
+	return !channel->connected && !channel->closed;
+}
+
 bool http_channel_reusable(const struct http_channel *channel)
 {
 	return channel->connected && !channel->closed && !channel->busy &&
--- a/src/net/http_channel.h
+++ b/src/net/http_channel.h
@@ -99,6 +99,9 @@
 void http_channel_send(struct http_channel *channel, struct str message,
 		       bool head_only);
 
+/** Returns whether the connection is still being opened. */
+bool http_channel_connecting(const struct http_channel *channel);
+
 /** Returns whether another request can be sent: the channel is connected and
  * idle, and the server keeps the connection open. */
 bool http_channel_reusable(const struct http_channel *channel);
--- a/test/functional/test_entry_crashes.c
+++ b/test/functional/test_entry_crashes.c
@@ -19,7 +19,7 @@
 #define LATER_CRASHES_MAX 3
 /* Number of later retries at each daemon, and the pause between them. */
 #define LATER_RETRIES 6
-#define RETRY_PAUSE_US ((gulong)G_USEC_PER_SEC / 10)
+#define RETRY_PAUSE_US ((gulong)G_USEC_PER_SEC / 20)
 
 static struct entry_rig rig;
 
@@ -44,21 +44,20 @@
 	CU_FAIL_FATAL("the request did not crash enough upstreams");
 }
 
-/* Sends the request to every daemon several times, and returns how many
- * upstreams crashed. */
-static int count_later_crashes(const char *method, const char *uri)
+/* Sends the request several times to the daemons from index first to last. */
+static void retry_at(const char *method, const char *uri, unsigned int first,
+		     unsigned int last)
 {
-	int before = entry_rig_count(&rig, "crashes");
-	unsigned int i;
+	unsigned int i, at;
 
-	for (i = 0; i < ENTRIES * LATER_RETRIES; i++) {
-		char id[32];
+	for (i = 0; i < LATER_RETRIES; i++)
+		for (at = first; at <= last; at++) {
+			char id[32];
 
-		http_answer_destroy(entry_send(&rig.entries[i % ENTRIES], uri,
-					       method, 0, "x", id));
-		g_usleep(RETRY_PAUSE_US);
-	}
-	return entry_rig_count(&rig, "crashes") - before;
+			http_answer_destroy(entry_send(&rig.entries[at], uri,
+						       method, 0, "x", id));
+			g_usleep(RETRY_PAUSE_US);
+		}
 }
 
 static void restart(struct entry *entry)
@@ -86,16 +85,21 @@
 
 static void continue_one_vm(void)
 {
-	/* By now the other VMs no longer repeat what they report. */
-	g_usleep(STABLE_WINDOW_US);
 	process_continue(rig.entries[0].process);
 }
 
-static void restart_one_vm(void)
+/* Restarts two VMs one after the other; each gets the request again. */
+static void restart_two_vms(void)
 {
-	g_usleep(STABLE_WINDOW_US);
-	restart(&rig.entries[0]);
-	wait_until_ready(&rig.entries[0]);
+	unsigned int i;
+
+	for (i = 0; i < 2; i++) {
+		restart(&rig.entries[i]);
+		wait_until_ready(&rig.entries[i]);
+		g_usleep(STABLE_WINDOW_US);
+		retry_at("POST", "/once/crash", i, i);
+		g_usleep(STABLE_WINDOW_US);
+	}
 }
 
 /* Restarts all VMs, one after the other. */
@@ -114,8 +118,6 @@
 {
 	unsigned int i;
 
-	/* Time to save what must outlast the processes. */
-	g_usleep(STABLE_WINDOW_US);
 	for (i = 0; i < ENTRIES; i++)
 		process_kill(rig.entries[i].process);
 	for (i = 0; i < ENTRIES; i++)
@@ -138,7 +140,7 @@
 static void run_row(const struct crash_row *row)
 {
 	char uri[32];
-	int later;
+	int before, later;
 
 	entry_rig_start(&rig, ENTRIES, 6);
 	g_snprintf(uri, sizeof(uri), "/control/add?id=%d", MORE_UPSTREAMS);
@@ -146,9 +148,12 @@
 	g_usleep(G_USEC_PER_SEC);
 	row->before();
 	crash_upstreams(row->method, row->uri, row->from);
+	g_usleep(STABLE_WINDOW_US);
+	before = entry_rig_count(&rig, "crashes");
 	row->after();
 	g_usleep(STABLE_WINDOW_US);
-	later = count_later_crashes(row->method, row->uri);
+	retry_at(row->method, row->uri, 0, ENTRIES - 1);
+	later = entry_rig_count(&rig, "crashes") - before;
 	printf("# %d upstreams crashed later\n", later);
 	CU_ASSERT_TRUE(later <= LATER_CRASHES_MAX);
 	entry_rig_stop(&rig);
@@ -170,7 +175,7 @@
 {
 	static const struct crash_row rows[] = {
 		{ "POST", "/once/crash", 1, freeze_one_vm, continue_one_vm },
-		{ "POST", "/once/crash", 0, do_nothing, restart_one_vm },
+		{ "POST", "/once/crash", 0, do_nothing, restart_two_vms },
 	};
 	size_t i;
 
