balance: count the crash of each incarnation of an upstream

A request that crashed the same upstream three times, for example the owner of its key that came back under its id, was blamed once and so never blocked: blame was counted by upstream id. A crash is now named by request, upstream and start time of the incarnation, also in messages between VMs.

The case 'crashes of three incarnations of an upstream block a request' could not be expressed before, as the list took an id only: nine suspicions of one id counted once, and so they do still for one incarnation. The older cases keep their checks and take the new type.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -454,9 +454,14 @@
 
 	log_reply(attempt, 0, ends[end].name);
 	if (end == HTTP_CHANNEL_RESET) {
-		crash_watch_connection_lost(
-			forward->options.crashes, attempt->fingerprint,
-			req ? req->id : STR("-"), upstream->entry.id);
+		struct crash crash = {
+			.request = attempt->fingerprint,
+			.upstream = upstream->entry.id,
+			.started_ms = upstream->entry.started_ms,
+		};
+
+		crash_watch_connection_lost(forward->options.crashes, &crash,
+					    req ? req->id : STR("-"));
 		/* The request is to blame only if the upstream is down. */
 		links_check(forward->options.links, upstream);
 	}
--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -444,7 +444,8 @@
 		g_str_hash, g_str_equal, g_free, free_published_map);
 	cluster->load_exchange =
 		load_exchange_create(options->loop, options->roster);
-	cluster->crashes = g_array_new(FALSE, FALSE, sizeof(struct crash));
+	cluster->crashes =
+		g_array_new(FALSE, FALSE, sizeof(struct crash_report));
 	cluster->hold_s = HOLD_S;
 	cluster->last_heartbeat_s = cluster_now(cluster) - HEARTBEAT_LOST_S / 2;
 	ev_timer_init(&cluster->publish_timer, on_publish_timer,
--- a/src/entry/cluster.h
+++ b/src/entry/cluster.h
@@ -6,6 +6,7 @@
 #ifndef ENTRY_CLUSTER_H
 #define ENTRY_CLUSTER_H
 
+#include "balance/crash_list.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "entry/orders.h"
@@ -36,14 +37,9 @@
 	/** Called when the owners of keys or the loads of upstreams changed, so
 	 * that queued requests can be routed anew. */
 	void (*routing_changed)(void *ctx);
-	/**
-	 * Called when another VM reports that an upstream crashed while it ran
-	 * a request.
-	 *
-	 * @param fingerprint hash that identifies the request
-	 * @param upstream id of the upstream
-	 */
-	void (*crashed)(void *ctx, uint64_t fingerprint, const char *upstream);
+	/** Called when another VM reports that an upstream crashed while it ran
+	 * a request. */
+	crash_fn crashed;
 	void *ctx;
 };
 
@@ -67,15 +63,9 @@
  */
 void cluster_tick(struct cluster *cluster);
 
-/**
- * Reports to the other VMs, with this VM's next reports or heartbeats, that an
- * upstream crashed while it ran a request.
- *
- * @param fingerprint hash that identifies the request
- * @param upstream id of the upstream
- */
-void cluster_report_crash(struct cluster *cluster, uint64_t fingerprint,
-			  const char *upstream);
+/** Reports to the other VMs, with this VM's next reports or heartbeats, that an
+ * upstream crashed while it ran a request. */
+void cluster_report_crash(struct cluster *cluster, const struct crash *crash);
 
 /** If this VM leads, schedules a heartbeat that relays the recent changes of
  * both tables to the other VMs. */
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -82,12 +82,10 @@
 	double last_seen_s;
 };
 
-/** A request during which an upstream crashed. */
-struct crash {
-	/** Fingerprint of the request. */
-	uint64_t fingerprint;
-	/** Id of the upstream, interned. */
-	const char *upstream;
+/** A crash to report. */
+struct crash_report {
+	/** The crash; its upstream id is interned. */
+	struct crash crash;
 	/** Loop time at which this VM learned of the crash. */
 	double recorded_s;
 };
@@ -158,7 +156,7 @@
 	ev_timer publish_timer;
 	/** Owners changed since the timer last fired. */
 	bool maps_changed;
-	/** Recent crashes to report (struct crash), oldest first. */
+	/** Recent crashes to report (struct crash_report), oldest first. */
 	GArray *crashes;
 	/** Newest row versions that any VM has seen. */
 	struct row_versions row_versions;
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -135,16 +135,17 @@
 	guint i;
 
 	for (i = 0; i < cluster->crashes->len; i++) {
-		struct crash *crash =
-			&g_array_index(cluster->crashes, struct crash, i);
+		const struct crash_report *report = &g_array_index(
+			cluster->crashes, struct crash_report, i);
 		Crash *message;
 
-		if (cluster_now(cluster) > crash->recorded_s + CRASH_RESEND_S)
+		if (cluster_now(cluster) > report->recorded_s + CRASH_RESEND_S)
 			continue;
 		message = g_new0(Crash, 1);
 		crash__init(message);
-		message->request = crash->fingerprint;
-		message->upstream = (char *)crash->upstream;
+		message->request = report->crash.request;
+		message->upstream = (char *)report->crash.upstream;
+		message->started_ms = report->crash.started_ms;
 		g_ptr_array_add(messages, message);
 	}
 	return messages;
@@ -291,27 +292,34 @@
 	}
 }
 
-void cluster_report_crash(struct cluster *cluster, uint64_t fingerprint,
-			  const char *upstream)
+void cluster_report_crash(struct cluster *cluster, const struct crash *crash)
 {
-	struct crash crash = {
-		.fingerprint = fingerprint,
-		.upstream = g_intern_string(upstream),
-		.recorded_s = cluster_now(cluster),
-	};
+	struct crash_report report = { .crash = *crash,
+				       .recorded_s = cluster_now(cluster) };
 	guint i;
 
+	report.crash.upstream = g_intern_string(crash->upstream);
 	for (i = 0; i < cluster->crashes->len; i++) {
-		struct crash *known =
-			&g_array_index(cluster->crashes, struct crash, i);
+		const struct crash *known =
+			&g_array_index(cluster->crashes, struct crash_report, i)
+				 .crash;
 
-		if (known->fingerprint == fingerprint &&
-		    known->upstream == crash.upstream)
+		if (known->request == crash->request &&
+		    known->upstream == report.crash.upstream &&
+		    known->started_ms == crash->started_ms)
 			return;
 	}
 	if (cluster->crashes->len >= CRASHES_MAX)
 		g_array_remove_index(cluster->crashes, 0);
-	g_array_append_val(cluster->crashes, crash);
+	g_array_append_val(cluster->crashes, report);
+}
+
+/* Returns the crash that a message describes; refers to the message. */
+static struct crash crash_of(const Crash *message)
+{
+	return (struct crash){ .request = message->request,
+			       .upstream = message->upstream,
+			       .started_ms = message->started_ms };
 }
 
 /* Handles the report of a VM; ignored unless this VM leads. */
@@ -340,11 +348,10 @@
 			   report->loads[i]->keys.data,
 			   report->loads[i]->keys.len);
 	for (i = 0; i < report->n_crashes; i++) {
-		cluster_report_crash(cluster, report->crashes[i]->request,
-				     report->crashes[i]->upstream);
-		cluster->options.crashed(cluster->options.ctx,
-					 report->crashes[i]->request,
-					 report->crashes[i]->upstream);
+		struct crash crash = crash_of(report->crashes[i]);
+
+		cluster_report_crash(cluster, &crash);
+		cluster->options.crashed(cluster->options.ctx, &crash);
 	}
 }
 
@@ -455,10 +462,11 @@
 	apply_row_changes(cluster, beat);
 	apply_maps(cluster, beat);
 	apply_vms(cluster, beat);
-	for (i = 0; i < beat->n_crashes; i++)
-		cluster->options.crashed(cluster->options.ctx,
-					 beat->crashes[i]->request,
-					 beat->crashes[i]->upstream);
+	for (i = 0; i < beat->n_crashes; i++) {
+		struct crash crash = crash_of(beat->crashes[i]);
+
+		cluster->options.crashed(cluster->options.ctx, &crash);
+	}
 }
 
 static void on_vm_loads(void *ctx, const VmLoads *loads)
--- a/src/entry/crash_watch.c
+++ b/src/entry/crash_watch.c
@@ -2,8 +2,6 @@
 
 #include <inttypes.h>
 
-#include "balance/crash_list.h"
-
 struct crash_watch {
 	struct crash_watch_options options;
 	struct crash_list *list;
@@ -74,25 +72,25 @@
 			crash_watch_blocks(watch, request));
 }
 
-void crash_watch_connection_lost(struct crash_watch *watch, uint64_t request,
-				 struct str id, const char *upstream)
+void crash_watch_connection_lost(struct crash_watch *watch,
+				 const struct crash *crash, struct str id)
 {
-	crash_list_add_suspect(watch->list, request, upstream, now_of(watch));
+	crash_list_add_suspect(watch->list, crash, now_of(watch));
 	counter_add(watch->suspicions, 1);
 	event_log_write(watch->options.log, "info", "crashes",
 			"event=suspected id=%.*s request=%016" PRIx64
 			" upstream=%s crashes=%u",
-			STR_ARG(id), request, upstream,
-			crash_list_crashes(watch->list, request));
+			STR_ARG(id), crash->request, crash->upstream,
+			crash_list_crashes(watch->list, crash->request));
 }
 
-static void on_blamed(void *ctx, uint64_t request, const char *upstream)
+static void on_blamed(void *ctx, const struct crash *crash)
 {
 	struct crash_watch *watch = ctx;
 
 	counter_add(watch->blames, 1);
-	log_crash(watch, "warning", "blamed", request, upstream);
-	watch->options.blamed(watch->options.ctx, request, upstream);
+	log_crash(watch, "warning", "blamed", crash->request, crash->upstream);
+	watch->options.blamed(watch->options.ctx, crash);
 }
 
 void crash_watch_refused(struct crash_watch *watch, const char *upstream)
@@ -101,13 +99,13 @@
 				 on_blamed, watch);
 }
 
-void crash_watch_learn(struct crash_watch *watch, uint64_t request,
-		       const char *upstream)
+void crash_watch_learn(struct crash_watch *watch, const struct crash *crash)
 {
-	if (!crash_list_blame(watch->list, request, upstream, now_of(watch)))
+	if (!crash_list_blame(watch->list, crash, now_of(watch)))
 		return;
 	counter_add(watch->learned, 1);
-	log_crash(watch, "warning", "blame_learned", request, upstream);
+	log_crash(watch, "warning", "blame_learned", crash->request,
+		  crash->upstream);
 }
 
 void crash_watch_answered(struct crash_watch *watch, uint64_t request)
@@ -123,12 +121,13 @@
 	return crash_list_blocks(watch->list, request, now_of(watch));
 }
 
-static void on_expired(void *ctx, uint64_t request, const char *upstream)
+static void on_expired(void *ctx, const struct crash *crash)
 {
 	struct crash_watch *watch = ctx;
 
 	counter_add(watch->expired, 1);
-	log_crash(watch, "info", "suspicion_expired", request, upstream);
+	log_crash(watch, "info", "suspicion_expired", crash->request,
+		  crash->upstream);
 }
 
 void crash_watch_tick(struct crash_watch *watch)
--- a/src/entry/crash_watch.h
+++ b/src/entry/crash_watch.h
@@ -10,6 +10,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "balance/crash_list.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "base/str.h"
@@ -22,13 +23,9 @@
 	const struct loop *loop;
 	struct event_log *log;
 	struct metrics *metrics;
-	/**
-	 * Called when this VM blames a request for the crash of an upstream.
-	 *
-	 * @param request fingerprint of the request and its copies
-	 * @param upstream id of the upstream
+	/** Called when this VM blames a request for the crash of an upstream.
 	 */
-	void (*blamed)(void *ctx, uint64_t request, const char *upstream);
+	crash_fn blamed;
 	void *ctx;
 };
 
@@ -42,18 +39,17 @@
 /**
  * Records that a connection to an upstream broke while a request was on it.
  *
- * @param request the request's fingerprint
+ * @param crash the crash that the request is suspected of
  * @param id the request's id, for the log
  */
-void crash_watch_connection_lost(struct crash_watch *watch, uint64_t request,
-				 struct str id, const char *upstream);
+void crash_watch_connection_lost(struct crash_watch *watch,
+				 const struct crash *crash, struct str id);
 
 /** Records that an upstream refused a connection: its process is gone. */
 void crash_watch_refused(struct crash_watch *watch, const char *upstream);
 
 /** Records that another VM blames a request for the crash of an upstream. */
-void crash_watch_learn(struct crash_watch *watch, uint64_t request,
-		       const char *upstream);
+void crash_watch_learn(struct crash_watch *watch, const struct crash *crash);
 
 /** Records that a request was answered, which clears it. */
 void crash_watch_answered(struct crash_watch *watch, uint64_t request);
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -296,20 +296,18 @@
 	.changed = roster_changed,
 };
 
-static void on_local_crash(void *ctx, uint64_t fingerprint,
-			   const char *upstream)
+static void on_local_crash(void *ctx, const struct crash *crash)
 {
 	struct entry_daemon *entry = ctx;
 
-	cluster_report_crash(entry->cluster, fingerprint, upstream);
+	cluster_report_crash(entry->cluster, crash);
 }
 
-static void on_reported_crash(void *ctx, uint64_t fingerprint,
-			      const char *upstream)
+static void on_reported_crash(void *ctx, const struct crash *crash)
 {
 	struct entry_daemon *entry = ctx;
 
-	crash_watch_learn(entry->crashes, fingerprint, upstream);
+	crash_watch_learn(entry->crashes, crash);
 }
 
 static bool roster_loaded(void *ctx)
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -1112,7 +1112,7 @@
   (ProtobufCMessageInit) vm_info__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor crash__field_descriptors[2] =
+static const ProtobufCFieldDescriptor crash__field_descriptors[3] =
 {
   {
     "request",
@@ -1138,15 +1138,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "started_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Crash, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned crash__field_indices_by_name[] = {
   0,   /* field[0] = request */
+  2,   /* field[2] = started_ms */
   1,   /* field[1] = upstream */
 };
 static const ProtobufCIntRange crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor crash__descriptor =
 {
@@ -1156,7 +1169,7 @@
   "Crash",
   "",
   sizeof(Crash),
-  2,
+  3,
   crash__field_descriptors,
   crash__field_indices_by_name,
   1,  crash__number_ranges,
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -170,10 +170,14 @@
    */
   uint64_t request;
   char *upstream;
+  /*
+   * Start time of the upstream's incarnation.
+   */
+  int64_t started_ms;
 };
 #define CRASH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&crash__descriptor) \
-    , 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/test/unit/test_balance.c
+++ b/test/unit/test_balance.c
@@ -120,14 +120,26 @@
 /* Number of calls of count_blamed(). */
 static unsigned int blamed;
 
-static void count_blamed(void *ctx, uint64_t request, const char *upstream)
+static void count_blamed(void *ctx, const struct crash *crash)
 {
 	(void)ctx;
-	(void)request;
-	(void)upstream;
+	(void)crash;
 	blamed++;
 }
 
+/* Returns the crash of an upstream's first incarnation under request 7. */
+static struct crash crash_of(const char *upstream)
+{
+	return (struct crash){ .request = 7, .upstream = upstream };
+}
+
+static void blame(struct crash_list *list, const char *upstream, double now_s)
+{
+	struct crash crash = crash_of(upstream);
+
+	crash_list_blame(list, &crash, now_s);
+}
+
 static void a_request_that_crashes_three_upstreams_is_blocked(void)
 {
 	static const char *const names[] = { "a", "b", "c" };
@@ -136,8 +148,10 @@
 
 	blamed = 0;
 	for (i = 0; i < 3; i++) {
+		struct crash crash = crash_of(names[i]);
+
 		CU_ASSERT_FALSE(crash_list_blocks(list, 7, 10));
-		crash_list_add_suspect(list, 7, names[i], 10);
+		crash_list_add_suspect(list, &crash, 10);
 		crash_list_upstream_lost(list, names[i], 10, count_blamed,
 					 NULL);
 	}
@@ -152,10 +166,11 @@
 static void a_broken_connection_alone_does_not_block_a_request(void)
 {
 	struct crash_list *list = crash_list_create();
+	struct crash crash = crash_of("a");
 	int i;
 
 	for (i = 0; i < 9; i++)
-		crash_list_add_suspect(list, 7, "a", 10);
+		crash_list_add_suspect(list, &crash, 10);
 	CU_ASSERT_FALSE(crash_list_blocks(list, 7, 10));
 	/* Crashes of the same upstream count once. */
 	crash_list_upstream_lost(list, "a", 10, count_blamed, NULL);
@@ -163,18 +178,75 @@
 	crash_list_destroy(list);
 }
 
+static void crashes_of_three_incarnations_of_an_upstream_block_a_request(void)
+{
+	struct crash_list *list = crash_list_create();
+	struct crash crash = crash_of("a");
+
+	for (crash.started_ms = 1; crash.started_ms <= 3; crash.started_ms++) {
+		CU_ASSERT_FALSE(crash_list_blocks(list, 7, 10));
+		CU_ASSERT_TRUE(crash_list_blame(list, &crash, 10));
+		CU_ASSERT_FALSE(crash_list_blame(list, &crash, 10));
+	}
+	CU_ASSERT_TRUE(crash_list_blocks(list, 7, 10));
+	crash_list_destroy(list);
+}
+
 static void an_answer_clears_a_request(void)
 {
 	struct crash_list *list = crash_list_create();
 
-	crash_list_blame(list, 7, "a", 10);
-	crash_list_blame(list, 7, "b", 10);
+	blame(list, "a", 10);
+	blame(list, "b", 10);
 	crash_list_clear_request(list, 7);
-	crash_list_blame(list, 7, "c", 10);
+	blame(list, "c", 10);
 	CU_ASSERT_FALSE(crash_list_blocks(list, 7, 10));
 	crash_list_destroy(list);
 }
 
+static void a_block_of_another_vm_blocks_a_request(void)
+{
+	struct crash_list *list = crash_list_create();
+
+	CU_ASSERT_TRUE(crash_list_block(list, 7, 30, 10));
+	CU_ASSERT_FALSE(crash_list_block(list, 7, 20, 10));
+	CU_ASSERT_TRUE(crash_list_blocks(list, 7, 39));
+	CU_ASSERT_FALSE(crash_list_blocks(list, 7, 41));
+	/* No block lasts longer than one of this VM. */
+	crash_list_block(list, 8, 1e9, 10);
+	CU_ASSERT_FALSE(crash_list_blocks(list, 8, 100));
+	crash_list_destroy(list);
+}
+
+static void a_request_that_keeps_coming_stays_blocked(void)
+{
+	struct crash_list *list = crash_list_create();
+
+	blame(list, "a", 10);
+	blame(list, "b", 10);
+	blame(list, "c", 10);
+	crash_list_renew_block(list, 7, 60);
+	CU_ASSERT_TRUE(crash_list_blocks(list, 7, 100));
+	/* A request that isn't blocked gets no block. */
+	crash_list_renew_block(list, 8, 60);
+	CU_ASSERT_FALSE(crash_list_blocks(list, 8, 60));
+	crash_list_destroy(list);
+}
+
+static void one_crash_after_the_end_of_a_block_renews_it(void)
+{
+	struct crash_list *list = crash_list_create();
+
+	blame(list, "a", 10);
+	blame(list, "b", 10);
+	blame(list, "c", 10);
+	crash_list_expire(list, 100, count_blamed, NULL);
+	CU_ASSERT_FALSE(crash_list_blocks(list, 7, 100));
+	blame(list, "a", 101);
+	CU_ASSERT_TRUE(crash_list_blocks(list, 7, 101));
+	crash_list_destroy(list);
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -190,6 +262,15 @@
 		  reports_of_other_vms_requests_decay },
 		{ "retries are limited to a share of requests",
 		  retries_are_limited_to_a_share_of_requests },
+		{ "crashes of three incarnations of an upstream block a "
+		  "request",
+		  crashes_of_three_incarnations_of_an_upstream_block_a_request },
+		{ "a block of another VM blocks a request",
+		  a_block_of_another_vm_blocks_a_request },
+		{ "a request that keeps coming stays blocked",
+		  a_request_that_keeps_coming_stays_blocked },
+		{ "one crash after the end of a block renews it",
+		  one_crash_after_the_end_of_a_block_renews_it },
 		{ "a request that crashes three upstreams is blocked",
 		  a_request_that_crashes_three_upstreams_is_blocked },
 		{ "a broken connection alone does not block a request",
