entry: keep blocked requests as shared state, in heartbeats and in the store

What callers saw: after three crashes a request was refused by most VMs, but a VM that had started, was frozen or had no leader while the blame was sent let it through, and crashed up to three more upstreams itself. Cause: blame was an event, sent for 3 s, and each VM counted for itself; nothing of it outlasted a process, and the leader's restart forgot it as well. The same class as settings that are only pushed: state that is told by its changes and never repeated.

Change: entry/crash_exchange. VMs report crashes to the leader, at once and again to each new one; without a leader they tell all VMs. The leader lists every blocked request in every heartbeat and saves the list in one row next to the owner maps, which a new leader, and a VM without heartbeats, reads anyway. A VM that blocks a request that the leader doesn't list reports it. A block lasts 60 s from the last time that any VM refused the request; an answer lifts it on all VMs. Requests that are queued, and backup attempts, are checked as well. Heartbeats carry no single blames any more.

Ruled out: that the list becomes stale and extends itself (a block ends on all VMs, an old row doesn't extend one: unit-test_crash_exchange).

functional-test_entry_crashes, upstreams that crash later, 3 allowed: 0 in all six rows; before 6 after restarts of two VMs, 4 and 6 after restarts of all, and 0 with a frozen VM.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -506,6 +506,8 @@
 	double now = forward_now(forward);
 	struct upstream *upstream;
 
+	if (crash_watch_blocks(forward->options.crashes, req->fingerprint))
+		return;
 	if (now + TIMER_TOLERANCE_S < backup_due_s(req) ||
 	    retry_window_left(&req->service->retries, now) < BACKUP_MIN_BUDGET)
 		return;
--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -98,6 +98,7 @@
 		cluster->options.settings->hold_max_s * CLOCK_DRIFT_FACTOR +
 		GRANT_TRAVEL_S;
 	counter_set(cluster->leads, 1);
+	crash_exchange_resend(cluster->crash_exchange);
 	/* The heartbeat makes the other VMs stop competing for the lease. */
 	keys_changed(cluster);
 }
@@ -282,6 +283,18 @@
 	ensure_key_leader(ctx, service, NULL);
 }
 
+/* Applies the row with the blocked requests among those of the owner maps. */
+static void load_blocked_requests(struct cluster *cluster,
+				  const struct store_result *result)
+{
+	size_t i;
+
+	for (i = 0; i < result->row_count; i++)
+		if (!strcmp(result->rows[i].key, BLOCKED_KEY))
+			crash_exchange_load(cluster->crash_exchange,
+					    &result->rows[i]);
+}
+
 /* Creates the key leaders of services with a stored owner map, after this VM
  * won the lease. */
 static void on_inherited_maps(void *ctx, const struct store_result *result)
@@ -292,6 +305,7 @@
 	cluster->reading_maps = false;
 	if (result->status != STORE_OK || !cluster->leading)
 		return;
+	load_blocked_requests(cluster, result);
 	for (i = 0; i < result->row_count; i++) {
 		struct service *service = roster_service(
 			cluster->options.roster, result->rows[i].key);
@@ -348,6 +362,8 @@
 	 * on_renewal_failing(). */
 	if (lease_held(cluster->lease, LEASE_S * 0.6))
 		cluster->hold_s = HOLD_S;
+	if (lease_held(cluster->lease, 0))
+		crash_exchange_save(cluster->crash_exchange);
 	roster_each_service(cluster->options.roster, lead_service, cluster);
 	g_hash_table_foreach(cluster->key_leaders, tick_leader, cluster);
 }
@@ -362,6 +378,7 @@
 	if (result->status != STORE_OK ||
 	    cluster_now(cluster) < cluster->last_heartbeat_s + HEARTBEAT_LOST_S)
 		return;
+	load_blocked_requests(cluster, result);
 	for (i = 0; i < result->row_count; i++) {
 		struct service *service = roster_service(
 			cluster->options.roster, result->rows[i].key);
@@ -411,6 +428,35 @@
 	cluster_send_vm_report(cluster, true);
 }
 
+/* Sends the next heartbeat or report early. */
+static void on_crashes_changed(void *ctx)
+{
+	struct cluster *cluster = ctx;
+
+	if (cluster->leading)
+		schedule_publication(cluster);
+	else
+		cluster->report_sent_s = 0;
+}
+
+static void create_crash_exchange(struct cluster *cluster)
+{
+	struct crash_exchange_options options = {
+		.loop = cluster->options.loop,
+		.store = cluster->options.store,
+		.crashes = cluster->options.crashes,
+		.changed = on_crashes_changed,
+		.ctx = cluster,
+	};
+
+	cluster->crash_exchange = crash_exchange_create(&options);
+}
+
+struct crash_exchange *cluster_crash_exchange(struct cluster *cluster)
+{
+	return cluster->crash_exchange;
+}
+
 struct cluster *cluster_create(const struct cluster_options *options,
 			       GError **error)
 {
@@ -444,8 +490,7 @@
 		g_str_hash, g_str_equal, g_free, free_published_map);
 	cluster->load_exchange =
 		load_exchange_create(options->loop, options->roster);
-	cluster->crashes =
-		g_array_new(FALSE, FALSE, sizeof(struct crash_report));
+	create_crash_exchange(cluster);
 	cluster->hold_s = HOLD_S;
 	cluster->last_heartbeat_s = cluster_now(cluster) - HEARTBEAT_LOST_S / 2;
 	ev_timer_init(&cluster->publish_timer, on_publish_timer,
@@ -470,6 +515,6 @@
 	load_exchange_destroy(cluster->load_exchange);
 	g_hash_table_destroy(cluster->vms);
 	g_hash_table_destroy(cluster->published_maps);
-	g_array_free(cluster->crashes, TRUE);
+	crash_exchange_destroy(cluster->crash_exchange);
 	g_free(cluster);
 }
--- a/src/entry/cluster.h
+++ b/src/entry/cluster.h
@@ -6,9 +6,9 @@
 #ifndef ENTRY_CLUSTER_H
 #define ENTRY_CLUSTER_H
 
-#include "balance/crash_list.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "entry/crash_exchange.h"
 #include "entry/orders.h"
 #include "entry/settings.h"
 #include "entry/table_watch.h"
@@ -37,9 +37,8 @@
 	/** Called when the owners of keys or the loads of upstreams changed, so
 	 * that queued requests can be routed anew. */
 	void (*routing_changed)(void *ctx);
-	/** Called when another VM reports that an upstream crashed while it ran
-	 * a request. */
-	crash_fn crashed;
+	/** Requests that are blamed for crashes of upstreams. */
+	struct crash_watch *crashes;
 	void *ctx;
 };
 
@@ -63,9 +62,9 @@
  */
 void cluster_tick(struct cluster *cluster);
 
-/** Reports to the other VMs, with this VM's next reports or heartbeats, that an
- * upstream crashed while it ran a request. */
-void cluster_report_crash(struct cluster *cluster, const struct crash *crash);
+/** Returns the part that tells the other VMs of requests that crash upstreams;
+ * owned by the cluster. */
+struct crash_exchange *cluster_crash_exchange(struct cluster *cluster);
 
 /** If this VM leads, schedules a heartbeat that relays the recent changes of
  * both tables to the other VMs. */
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -58,10 +58,6 @@
 /* Owner map versions available to one leader: the first is the version of its
  * lease row times this number. */
 #define MAPS_PER_LEASE 1000000
-/* Limits on reported crashes: how many are kept, and for how many seconds each
- * is resent. */
-#define CRASHES_MAX 64
-#define CRASH_RESEND_S 3.0
 
 /* VMs besides the leader that poll the store as well, so that a change is
  * noticed even if the leader's own call was lost. */
@@ -82,14 +78,6 @@
 	double last_seen_s;
 };
 
-/** A crash to report. */
-struct crash_report {
-	/** The crash; its upstream id is interned. */
-	struct crash crash;
-	/** Loop time at which this VM learned of the crash. */
-	double recorded_s;
-};
-
 /** This VM's state in the cluster. Fields ending in _s are loop times in
  * seconds, except hold_s. */
 struct cluster {
@@ -132,6 +120,8 @@
 	/** Address for datagrams to the leader, if it is known. */
 	struct sockaddr_in leader_address;
 	bool leader_address_known;
+	/** Lease version in the last heartbeat; tells leaders apart. */
+	uint64_t heartbeat_lease;
 	/** When the leader's last heartbeat was applied. Set to a later time
 	 * when owners are read from the store instead, which spaces the reads.
 	 */
@@ -156,8 +146,8 @@
 	ev_timer publish_timer;
 	/** Owners changed since the timer last fired. */
 	bool maps_changed;
-	/** Recent crashes to report (struct crash_report), oldest first. */
-	GArray *crashes;
+	/** Tells the other VMs of requests that crash upstreams. */
+	struct crash_exchange *crash_exchange;
 	/** Newest row versions that any VM has seen. */
 	struct row_versions row_versions;
 	/** Metrics: whether this VM leads, and the number of live VMs. */
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -48,7 +48,6 @@
 struct heartbeat_parts {
 	GPtrArray *vms;
 	GPtrArray *maps;
-	GPtrArray *crashes;
 	Progress progress;
 	char address[ADDRESS_TEXT_SIZE];
 };
@@ -78,11 +77,6 @@
 	key_map__free_unpacked(data, NULL);
 }
 
-static void free_crash(gpointer data)
-{
-	g_free(data);
-}
-
 static struct published_map *ensure_published_map(struct cluster *cluster,
 						  const char *service)
 {
@@ -128,29 +122,6 @@
 	return message;
 }
 
-/* Builds messages (Crash) for the crashes that are still to be reported. */
-static GPtrArray *crash_messages(struct cluster *cluster)
-{
-	GPtrArray *messages = g_ptr_array_new_with_free_func(free_crash);
-	guint i;
-
-	for (i = 0; i < cluster->crashes->len; i++) {
-		const struct crash_report *report = &g_array_index(
-			cluster->crashes, struct crash_report, i);
-		Crash *message;
-
-		if (cluster_now(cluster) > report->recorded_s + CRASH_RESEND_S)
-			continue;
-		message = g_new0(Crash, 1);
-		crash__init(message);
-		message->request = report->crash.request;
-		message->upstream = (char *)report->crash.upstream;
-		message->started_ms = report->crash.started_ms;
-		g_ptr_array_add(messages, message);
-	}
-	return messages;
-}
-
 static void apply_own_heartbeat(struct cluster *cluster,
 				const LeaderBeat *beat);
 
@@ -204,7 +175,6 @@
 	address_format(&cluster->options.settings->peers, parts->address);
 	parts->vms = g_ptr_array_new_with_free_func(free_vm_info);
 	parts->maps = g_ptr_array_new_with_free_func(free_map_message);
-	parts->crashes = crash_messages(cluster);
 	g_hash_table_iter_init(&iter, cluster->key_leaders);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		KeyMap *map = map_message(cluster, value, snapshot);
@@ -227,8 +197,7 @@
 	beat->address = parts->address;
 	beat->maps = (KeyMap **)parts->maps->pdata;
 	beat->n_maps = parts->maps->len;
-	beat->crashes = (Crash **)parts->crashes->pdata;
-	beat->n_crashes = parts->crashes->len;
+	crash_exchange_fill_beat(cluster->crash_exchange, beat);
 	beat->operator_changes =
 		delta_message_create(cluster->options.operator_rows);
 	beat->upstream_changes =
@@ -270,7 +239,7 @@
 	delta_message_free(beat.upstream_changes);
 	g_ptr_array_free(parts.vms, TRUE);
 	g_ptr_array_free(parts.maps, TRUE);
-	g_ptr_array_free(parts.crashes, TRUE);
+	crash_exchange_release_beat(&beat);
 }
 
 /* Counts a VM's requests for keys of a service, if this VM leads the service.
@@ -292,42 +261,14 @@
 	}
 }
 
-void cluster_report_crash(struct cluster *cluster, const struct crash *crash)
-{
-	struct crash_report report = { .crash = *crash,
-				       .recorded_s = cluster_now(cluster) };
-	guint i;
-
-	report.crash.upstream = g_intern_string(crash->upstream);
-	for (i = 0; i < cluster->crashes->len; i++) {
-		const struct crash *known =
-			&g_array_index(cluster->crashes, struct crash_report, i)
-				 .crash;
-
-		if (known->request == crash->request &&
-		    known->upstream == report.crash.upstream &&
-		    known->started_ms == crash->started_ms)
-			return;
-	}
-	if (cluster->crashes->len >= CRASHES_MAX)
-		g_array_remove_index(cluster->crashes, 0);
-	g_array_append_val(cluster->crashes, report);
-}
-
-/* Returns the crash that a message describes; refers to the message. */
-static struct crash crash_of(const Crash *message)
-{
-	return (struct crash){ .request = message->request,
-			       .upstream = message->upstream,
-			       .started_ms = message->started_ms };
-}
-
-/* Handles the report of a VM; ignored unless this VM leads. */
+/* Handles the report of a VM. Unless this VM leads, only crashes in it matter.
+ */
 static void on_vm_report(void *ctx, const VmReport *report)
 {
 	struct cluster *cluster = ctx;
 	size_t i;
 
+	crash_exchange_apply_report(cluster->crash_exchange, report);
 	if (!cluster->leading || !report->vm)
 		return;
 	if (report->stopping) {
@@ -347,12 +288,6 @@
 		count_keys(cluster, report->loads[i]->service,
 			   report->loads[i]->keys.data,
 			   report->loads[i]->keys.len);
-	for (i = 0; i < report->n_crashes; i++) {
-		struct crash crash = crash_of(report->crashes[i]);
-
-		cluster_report_crash(cluster, &crash);
-		cluster->options.crashed(cluster->options.ctx, &crash);
-	}
 }
 
 /* --- messages that every VM sends or handles --- */
@@ -448,10 +383,12 @@
 static void on_heartbeat(void *ctx, const LeaderBeat *beat)
 {
 	struct cluster *cluster = ctx;
-	size_t i;
 
 	if (beat->lease < lease_version(cluster->lease))
 		return;
+	if (beat->lease > cluster->heartbeat_lease)
+		crash_exchange_resend(cluster->crash_exchange);
+	cluster->heartbeat_lease = beat->lease;
 	lease_observe_version(cluster->lease, beat->lease);
 	cluster->last_heartbeat_s = cluster_now(cluster);
 	/* The datagram's source may be a VM that relayed it, so the leader's
@@ -462,11 +399,7 @@
 	apply_row_changes(cluster, beat);
 	apply_maps(cluster, beat);
 	apply_vms(cluster, beat);
-	for (i = 0; i < beat->n_crashes; i++) {
-		struct crash crash = crash_of(beat->crashes[i]);
-
-		cluster->options.crashed(cluster->options.ctx, &crash);
-	}
+	crash_exchange_apply_beat(cluster->crash_exchange, beat);
 }
 
 static void on_vm_loads(void *ctx, const VmLoads *loads)
@@ -564,21 +497,28 @@
 	g_array_set_size(service->requested_keys, 0);
 }
 
+/* Whether this VM's report goes to all VMs, because no leader that it reaches
+ * would tell them of a request that crashes upstreams. */
+static bool tells_all_vms(const struct cluster *cluster)
+{
+	return cluster_now(cluster) >
+		       cluster->last_heartbeat_s + RELAY_LOST_S &&
+	       crash_exchange_has_reports(cluster->crash_exchange);
+}
+
 void cluster_send_vm_report(struct cluster *cluster, bool stopping)
 {
 	PeerMessage message = PEER_MESSAGE__INIT;
 	VmReport out = VM_REPORT__INIT;
 	Progress progress = PROGRESS__INIT;
 	GPtrArray *loads = g_ptr_array_new_with_free_func(g_free);
-	GPtrArray *crashes = crash_messages(cluster);
 
 	roster_each_service(cluster->options.roster, add_key_load, loads);
 	out.vm = vm_info(cluster->options.settings->vm,
 			 &cluster->options.settings->peers);
 	out.loads = (KeyLoad **)loads->pdata;
 	out.n_loads = loads->len;
-	out.crashes = (Crash **)crashes->pdata;
-	out.n_crashes = crashes->len;
+	crash_exchange_fill_report(cluster->crash_exchange, &out);
 	out.stopping = stopping;
 	progress.operator_rows = cluster->row_versions.operator_rows;
 	progress.upstream_rows = cluster->row_versions.upstream_rows;
@@ -587,12 +527,14 @@
 	message.report = &out;
 	if (cluster->leading)
 		on_vm_report(cluster, &out);
+	else if (tells_all_vms(cluster))
+		broadcast(cluster, &message);
 	else if (cluster->leader_address_known)
 		datagrams_send(cluster->datagrams, &cluster->leader_address,
 			       &message);
 	roster_each_service(cluster->options.roster, clear_key_load, NULL);
 	free_vm_info(out.vm);
 	g_ptr_array_free(loads, TRUE);
-	g_ptr_array_free(crashes, TRUE);
+	crash_exchange_release_report(&out);
 	cluster->report_sent_s = cluster_now(cluster);
 }
--- a/src/entry/crash_watch.c
+++ b/src/entry/crash_watch.c
@@ -11,6 +11,7 @@
 	struct counter *blames;
 	struct counter *learned;
 	struct counter *cleared;
+	struct counter *blocked;
 };
 
 static double now_of(const struct crash_watch *watch)
@@ -37,6 +38,8 @@
 	watch->cleared = metrics_counter(
 		m, "auburn_crash_cleared_total", "",
 		"Suspected or blamed requests cleared by an answer.");
+	watch->blocked = metrics_gauge(m, "auburn_crash_blocked", "",
+				       "Requests that this VM blocks.");
 }
 
 struct crash_watch *
@@ -99,21 +102,46 @@
 				 on_blamed, watch);
 }
 
-void crash_watch_learn(struct crash_watch *watch, const struct crash *crash)
+bool crash_watch_learn(struct crash_watch *watch, const struct crash *crash)
 {
 	if (!crash_list_blame(watch->list, crash, now_of(watch)))
-		return;
+		return false;
 	counter_add(watch->learned, 1);
 	log_crash(watch, "warning", "blame_learned", crash->request,
 		  crash->upstream);
+	return true;
 }
 
-void crash_watch_answered(struct crash_watch *watch, uint64_t request)
+bool crash_watch_learn_block(struct crash_watch *watch, uint64_t request,
+			     double left_s)
 {
+	if (!crash_list_block(watch->list, request, left_s, now_of(watch)))
+		return false;
+	log_crash(watch, "warning", "block_learned", request, "-");
+	return true;
+}
+
+bool crash_watch_clear(struct crash_watch *watch, uint64_t request)
+{
+	bool known = crash_list_crashes(watch->list, request) ||
+		     crash_watch_blocks(watch, request);
+
 	if (!crash_list_clear_request(watch->list, request))
-		return;
+		return false;
 	counter_add(watch->cleared, 1);
 	log_crash(watch, "info", "cleared_by_answer", request, "-");
+	return known;
+}
+
+void crash_watch_renew_block(struct crash_watch *watch, uint64_t request)
+{
+	crash_list_renew_block(watch->list, request, now_of(watch));
+}
+
+void crash_watch_answered(struct crash_watch *watch, uint64_t request)
+{
+	if (crash_watch_clear(watch, request))
+		watch->options.cleared(watch->options.ctx, request);
 }
 
 bool crash_watch_blocks(const struct crash_watch *watch, uint64_t request)
@@ -121,6 +149,23 @@
 	return crash_list_blocks(watch->list, request, now_of(watch));
 }
 
+bool crash_watch_refuses(struct crash_watch *watch, uint64_t request)
+{
+	if (!crash_watch_blocks(watch, request))
+		return false;
+	crash_watch_renew_block(watch, request);
+	watch->options.refused(watch->options.ctx, request);
+	return true;
+}
+
+void crash_watch_each_blocked(const struct crash_watch *watch,
+			      void (*visit)(void *ctx, uint64_t request,
+					    double left_s),
+			      void *ctx)
+{
+	crash_list_each_blocked(watch->list, now_of(watch), visit, ctx);
+}
+
 static void on_expired(void *ctx, const struct crash *crash)
 {
 	struct crash_watch *watch = ctx;
@@ -130,7 +175,20 @@
 		  crash->upstream);
 }
 
+static void count_blocked(void *ctx, uint64_t request, double left_s)
+{
+	unsigned int *count = ctx;
+
+	(void)request;
+	(void)left_s;
+	(*count)++;
+}
+
 void crash_watch_tick(struct crash_watch *watch)
 {
+	unsigned int blocked = 0;
+
 	crash_list_expire(watch->list, now_of(watch), on_expired, watch);
+	crash_watch_each_blocked(watch, count_blocked, &blocked);
+	counter_set(watch->blocked, blocked);
 }
--- a/src/entry/crash_watch.h
+++ b/src/entry/crash_watch.h
@@ -26,6 +26,11 @@
 	/** Called when this VM blames a request for the crash of an upstream.
 	 */
 	crash_fn blamed;
+	/** Called when an answer clears a request that was blamed or blocked.
+	 */
+	void (*cleared)(void *ctx, uint64_t request);
+	/** Called when a blocked request came again. */
+	void (*refused)(void *ctx, uint64_t request);
 	void *ctx;
 };
 
@@ -48,15 +53,49 @@
 /** Records that an upstream refused a connection: its process is gone. */
 void crash_watch_refused(struct crash_watch *watch, const char *upstream);
 
-/** Records that another VM blames a request for the crash of an upstream. */
-void crash_watch_learn(struct crash_watch *watch, const struct crash *crash);
+/**
+ * Records that another VM blames a request for the crash of an upstream.
+ *
+ * @return whether this is news
+ */
+bool crash_watch_learn(struct crash_watch *watch, const struct crash *crash);
+
+/**
+ * Records that another VM blocks a request.
+ *
+ * @param left_s seconds for which the request stays blocked
+ * @return whether this is news
+ */
+bool crash_watch_learn_block(struct crash_watch *watch, uint64_t request,
+			     double left_s);
+
+/**
+ * Records that another VM had an answer to a request, which clears it.
+ *
+ * @return whether this is news: the request was blamed or blocked
+ */
+bool crash_watch_clear(struct crash_watch *watch, uint64_t request);
+
+/** Records that a blocked request came again at another VM. */
+void crash_watch_renew_block(struct crash_watch *watch, uint64_t request);
 
 /** Records that a request was answered, which clears it. */
 void crash_watch_answered(struct crash_watch *watch, uint64_t request);
 
-/** Returns whether a request is blocked and must not be sent. */
+/** Returns whether a request must not be sent. Use crash_watch_refuses() for a
+ * request that has just come. */
 bool crash_watch_blocks(const struct crash_watch *watch, uint64_t request);
 
+/** Returns whether a request that has just come is blocked. If so, its block is
+ * extended. */
+bool crash_watch_refuses(struct crash_watch *watch, uint64_t request);
+
+/** Calls visit for each blocked request, with the seconds that are left. */
+void crash_watch_each_blocked(const struct crash_watch *watch,
+			      void (*visit)(void *ctx, uint64_t request,
+					    double left_s),
+			      void *ctx);
+
 /** Drops what has expired; called several times a second. */
 void crash_watch_tick(struct crash_watch *watch);
 
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -421,7 +421,10 @@
 		/* MIN_TIME_SHARE below applies to the answer time but not to
 		 * this wait. */
 		need += owner_wait_s(req) / MIN_TIME_SHARE;
-	if (choice == CHOICE_FOUND)
+	if (crash_watch_blocks(req->forward->options.crashes, req->fingerprint))
+		proxy_request_refuse(req, 503, req->give_up_s - req->received_s,
+				     CRASHES_UPSTREAMS);
+	else if (choice == CHOICE_FOUND)
 		send_to(req, upstream);
 	else if (proxy_request_exceeds_shutdown(req))
 		proxy_request_refuse(req, 503, 0, "this_vm_stops");
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -442,9 +442,9 @@
 
 		g_array_append_val(service->requested_keys, key);
 	}
-	if (crash_watch_blocks(forward->options.crashes, req->fingerprint)) {
+	if (crash_watch_refuses(forward->options.crashes, req->fingerprint)) {
 		proxy_request_refuse(req, 503, req->give_up_s - req->received_s,
-				     "upstreams_were_lost_under_it");
+				     CRASHES_UPSTREAMS);
 		return;
 	}
 	if (proxy_request_exceeds_shutdown(req)) {
--- a/src/entry/forward_impl.h
+++ b/src/entry/forward_impl.h
@@ -10,6 +10,10 @@
  * seconds. */
 #define TIMER_TOLERANCE_S 0.0005
 
+/** Reason in the log of the refusal of a request that is blocked because
+ * upstreams crashed under it. */
+#define CRASHES_UPSTREAMS "upstreams_were_lost_under_it"
+
 /** State of the forwarder. */
 struct forward {
 	/** Times of the graceful shutdown, as given to
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -300,14 +300,23 @@
 {
 	struct entry_daemon *entry = ctx;
 
-	cluster_report_crash(entry->cluster, crash);
+	crash_exchange_add_crash(cluster_crash_exchange(entry->cluster), crash);
 }
 
-static void on_reported_crash(void *ctx, const struct crash *crash)
+static void on_cleared_request(void *ctx, uint64_t request)
 {
 	struct entry_daemon *entry = ctx;
 
-	crash_watch_learn(entry->crashes, crash);
+	crash_exchange_add_cleared(cluster_crash_exchange(entry->cluster),
+				   request);
+}
+
+static void on_refused_request(void *ctx, uint64_t request)
+{
+	struct entry_daemon *entry = ctx;
+
+	crash_exchange_add_refused(cluster_crash_exchange(entry->cluster),
+				   request);
 }
 
 static bool roster_loaded(void *ctx)
@@ -443,7 +452,7 @@
 		.upstream_rows = entry->upstream_rows,
 		.roster_loaded = roster_loaded,
 		.routing_changed = roster_changed,
-		.crashed = on_reported_crash,
+		.crashes = entry->crashes,
 		.ctx = entry,
 	};
 
@@ -472,6 +481,8 @@
 	crashes.log = entry->log;
 	crashes.metrics = entry->metrics;
 	crashes.blamed = on_local_crash;
+	crashes.cleared = on_cleared_request;
+	crashes.refused = on_refused_request;
 	crashes.ctx = entry;
 	entry->crashes = crash_watch_create(&crashes);
 	forward.loop = &entry->loop;
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -277,6 +277,96 @@
   assert(message->base.descriptor == &crash__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   blocked_request__init
+                     (BlockedRequest         *message)
+{
+  static const BlockedRequest init_value = BLOCKED_REQUEST__INIT;
+  *message = init_value;
+}
+size_t blocked_request__get_packed_size
+                     (const BlockedRequest *message)
+{
+  assert(message->base.descriptor == &blocked_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t blocked_request__pack
+                     (const BlockedRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &blocked_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t blocked_request__pack_to_buffer
+                     (const BlockedRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &blocked_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+BlockedRequest *
+       blocked_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (BlockedRequest *)
+     protobuf_c_message_unpack (&blocked_request__descriptor,
+                                allocator, len, data);
+}
+void   blocked_request__free_unpacked
+                     (BlockedRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &blocked_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   blocked_requests__init
+                     (BlockedRequests         *message)
+{
+  static const BlockedRequests init_value = BLOCKED_REQUESTS__INIT;
+  *message = init_value;
+}
+size_t blocked_requests__get_packed_size
+                     (const BlockedRequests *message)
+{
+  assert(message->base.descriptor == &blocked_requests__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t blocked_requests__pack
+                     (const BlockedRequests *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &blocked_requests__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t blocked_requests__pack_to_buffer
+                     (const BlockedRequests *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &blocked_requests__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+BlockedRequests *
+       blocked_requests__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (BlockedRequests *)
+     protobuf_c_message_unpack (&blocked_requests__descriptor,
+                                allocator, len, data);
+}
+void   blocked_requests__free_unpacked
+                     (BlockedRequests *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &blocked_requests__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   progress__init
                      (Progress         *message)
 {
@@ -1176,6 +1266,95 @@
   (ProtobufCMessageInit) crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor blocked_request__field_descriptors[2] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(BlockedRequest, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(BlockedRequest, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned blocked_request__field_indices_by_name[] = {
+  1,   /* field[1] = left_ms */
+  0,   /* field[0] = request */
+};
+static const ProtobufCIntRange blocked_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor blocked_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "BlockedRequest",
+  "BlockedRequest",
+  "BlockedRequest",
+  "",
+  sizeof(BlockedRequest),
+  2,
+  blocked_request__field_descriptors,
+  blocked_request__field_indices_by_name,
+  1,  blocked_request__number_ranges,
+  (ProtobufCMessageInit) blocked_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor blocked_requests__field_descriptors[1] =
+{
+  {
+    "requests",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(BlockedRequests, n_requests),
+    offsetof(BlockedRequests, requests),
+    &blocked_request__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned blocked_requests__field_indices_by_name[] = {
+  0,   /* field[0] = requests */
+};
+static const ProtobufCIntRange blocked_requests__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor blocked_requests__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "BlockedRequests",
+  "BlockedRequests",
+  "BlockedRequests",
+  "",
+  sizeof(BlockedRequests),
+  1,
+  blocked_requests__field_descriptors,
+  blocked_requests__field_indices_by_name,
+  1,  blocked_requests__number_ranges,
+  (ProtobufCMessageInit) blocked_requests__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor progress__field_descriptors[2] =
 {
   {
@@ -1368,7 +1547,7 @@
   (ProtobufCMessageInit) table_changes__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor leader_beat__field_descriptors[10] =
+static const ProtobufCFieldDescriptor leader_beat__field_descriptors[11] =
 {
   {
     "vm",
@@ -1418,18 +1597,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "crashes",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(LeaderBeat, n_crashes),
-    offsetof(LeaderBeat, crashes),
-    &crash__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "progress",
     6,
@@ -1490,23 +1657,49 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "blocked",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(LeaderBeat, n_blocked),
+    offsetof(LeaderBeat, blocked),
+    &blocked_request__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cleared",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(LeaderBeat, n_cleared),
+    offsetof(LeaderBeat, cleared),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned leader_beat__field_indices_by_name[] = {
-  9,   /* field[9] = address */
-  4,   /* field[4] = crashes */
+  8,   /* field[8] = address */
+  9,   /* field[9] = blocked */
+  10,   /* field[10] = cleared */
   1,   /* field[1] = lease */
   3,   /* field[3] = maps */
-  6,   /* field[6] = operator_changes */
-  5,   /* field[5] = progress */
-  7,   /* field[7] = upstream_changes */
+  5,   /* field[5] = operator_changes */
+  4,   /* field[4] = progress */
+  6,   /* field[6] = upstream_changes */
   0,   /* field[0] = vm */
   2,   /* field[2] = vms */
-  8,   /* field[8] = watchers */
+  7,   /* field[7] = watchers */
 };
-static const ProtobufCIntRange leader_beat__number_ranges[1 + 1] =
+static const ProtobufCIntRange leader_beat__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 6, 4 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor leader_beat__descriptor =
 {
@@ -1516,10 +1709,10 @@
   "LeaderBeat",
   "",
   sizeof(LeaderBeat),
-  10,
+  11,
   leader_beat__field_descriptors,
   leader_beat__field_indices_by_name,
-  1,  leader_beat__number_ranges,
+  2,  leader_beat__number_ranges,
   (ProtobufCMessageInit) leader_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -1574,7 +1767,7 @@
   (ProtobufCMessageInit) key_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor vm_report__field_descriptors[5] =
+static const ProtobufCFieldDescriptor vm_report__field_descriptors[8] =
 {
   {
     "vm",
@@ -1636,18 +1829,57 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cleared",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(VmReport, n_cleared),
+    offsetof(VmReport, cleared),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(VmReport, n_refused),
+    offsetof(VmReport, refused),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "blocked",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(VmReport, n_blocked),
+    offsetof(VmReport, blocked),
+    &blocked_request__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned vm_report__field_indices_by_name[] = {
+  7,   /* field[7] = blocked */
+  5,   /* field[5] = cleared */
   2,   /* field[2] = crashes */
   1,   /* field[1] = loads */
   4,   /* field[4] = progress */
+  6,   /* field[6] = refused */
   3,   /* field[3] = stopping */
   0,   /* field[0] = vm */
 };
 static const ProtobufCIntRange vm_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor vm_report__descriptor =
 {
@@ -1657,7 +1889,7 @@
   "VmReport",
   "",
   sizeof(VmReport),
-  5,
+  8,
   vm_report__field_descriptors,
   vm_report__field_indices_by_name,
   1,  vm_report__number_ranges,
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -21,6 +21,8 @@
 typedef struct LeaseRow LeaseRow;
 typedef struct VmInfo VmInfo;
 typedef struct Crash Crash;
+typedef struct BlockedRequest BlockedRequest;
+typedef struct BlockedRequests BlockedRequests;
 typedef struct Progress Progress;
 typedef struct ChangedRow ChangedRow;
 typedef struct TableChanges TableChanges;
@@ -180,6 +182,40 @@
     , 0, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * A request that must not be sent to upstreams because it crashes them.
+ */
+struct  BlockedRequest
+{
+  ProtobufCMessage base;
+  /*
+   * Fingerprint of the request.
+   */
+  uint64_t request;
+  /*
+   * Time for which it stays blocked, from when the message was made.
+   */
+  uint32_t left_ms;
+};
+#define BLOCKED_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&blocked_request__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * All blocked requests, as a row of the store.
+ */
+struct  BlockedRequests
+{
+  ProtobufCMessage base;
+  size_t n_requests;
+  BlockedRequest **requests;
+};
+#define BLOCKED_REQUESTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&blocked_requests__descriptor) \
+    , 0,NULL }
+
+
 /*
  * Highest row versions that the sender knows of.
  */
@@ -256,8 +292,6 @@
    */
   size_t n_maps;
   KeyMap **maps;
-  size_t n_crashes;
-  Crash **crashes;
   Progress *progress;
   TableChanges *operator_changes;
   TableChanges *upstream_changes;
@@ -270,10 +304,18 @@
    * "IPv4:port" on which the leader receives datagrams.
    */
   char *address;
+  /*
+   * All blocked requests, and the fingerprints of requests whose block was
+   * lifted lately by an answer.
+   */
+  size_t n_blocked;
+  BlockedRequest **blocked;
+  size_t n_cleared;
+  uint64_t *cleared;
 };
 #define LEADER_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&leader_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, NULL, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, NULL, NULL, NULL, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
 
 
 /*
@@ -309,10 +351,23 @@
    */
   protobuf_c_boolean stopping;
   Progress *progress;
+  /*
+   * Fingerprints of requests that were answered although they had been blamed
+   * for crashes, and of blocked requests that came again.
+   */
+  size_t n_cleared;
+  uint64_t *cleared;
+  size_t n_refused;
+  uint64_t *refused;
+  /*
+   * Blocked requests that the leader's last heartbeat did not list.
+   */
+  size_t n_blocked;
+  BlockedRequest **blocked;
 };
 #define VM_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&vm_report__descriptor) \
-    , NULL, 0,NULL, 0,NULL, 0, NULL }
+    , NULL, 0,NULL, 0,NULL, 0, NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -542,6 +597,44 @@
 void   crash__free_unpacked
                      (Crash *message,
                       ProtobufCAllocator *allocator);
+/* BlockedRequest methods */
+void   blocked_request__init
+                     (BlockedRequest         *message);
+size_t blocked_request__get_packed_size
+                     (const BlockedRequest   *message);
+size_t blocked_request__pack
+                     (const BlockedRequest   *message,
+                      uint8_t             *out);
+size_t blocked_request__pack_to_buffer
+                     (const BlockedRequest   *message,
+                      ProtobufCBuffer     *buffer);
+BlockedRequest *
+       blocked_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   blocked_request__free_unpacked
+                     (BlockedRequest *message,
+                      ProtobufCAllocator *allocator);
+/* BlockedRequests methods */
+void   blocked_requests__init
+                     (BlockedRequests         *message);
+size_t blocked_requests__get_packed_size
+                     (const BlockedRequests   *message);
+size_t blocked_requests__pack
+                     (const BlockedRequests   *message,
+                      uint8_t             *out);
+size_t blocked_requests__pack_to_buffer
+                     (const BlockedRequests   *message,
+                      ProtobufCBuffer     *buffer);
+BlockedRequests *
+       blocked_requests__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   blocked_requests__free_unpacked
+                     (BlockedRequests *message,
+                      ProtobufCAllocator *allocator);
 /* Progress methods */
 void   progress__init
                      (Progress         *message);
@@ -752,6 +845,12 @@
 typedef void (*Crash_Closure)
                  (const Crash *message,
                   void *closure_data);
+typedef void (*BlockedRequest_Closure)
+                 (const BlockedRequest *message,
+                  void *closure_data);
+typedef void (*BlockedRequests_Closure)
+                 (const BlockedRequests *message,
+                  void *closure_data);
 typedef void (*Progress_Closure)
                  (const Progress *message,
                   void *closure_data);
@@ -794,6 +893,8 @@
 extern const ProtobufCMessageDescriptor lease_row__descriptor;
 extern const ProtobufCMessageDescriptor vm_info__descriptor;
 extern const ProtobufCMessageDescriptor crash__descriptor;
+extern const ProtobufCMessageDescriptor blocked_request__descriptor;
+extern const ProtobufCMessageDescriptor blocked_requests__descriptor;
 extern const ProtobufCMessageDescriptor progress__descriptor;
 extern const ProtobufCMessageDescriptor changed_row__descriptor;
 extern const ProtobufCMessageDescriptor table_changes__descriptor;
