platform: read the limit that an upstream names, and log it

Whether an upstream's limit was known to a VM could not be told from any line: the adapter didn't read the header. It does now, and the VM logs (part=limits) when a limit is named, changes or ends, and counts these. Only the upstream's own answers count; an answer without a limit ends it only if its request was sent after the limit was last named. Nothing is decided by it yet.

--- a/src/directory/protocol.h
+++ b/src/directory/protocol.h
@@ -50,6 +50,9 @@
 	double work_factor;
 	/** Seconds for which the upstream stays cold; negative: not given. */
 	double cold_remaining_s;
+	/** Requests per second that the upstream takes from all VMs together;
+	 * negative: it names no limit. */
+	double limit_per_s;
 };
 
 /** A grant or release of a key range. */
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -311,6 +311,15 @@
 			load->work_factor);
 }
 
+/* Whether another upstream answered, which has taken over the address. */
+static bool is_by_another_upstream(const struct upstream_attempt *attempt,
+				   const struct reply_facts *facts)
+{
+	return facts->refused_by.len &&
+	       !str_equal(facts->refused_by,
+			  str_from(attempt->upstream->entry.id));
+}
+
 /* Handles an answer that says that the upstream did not run the request. */
 static void handle_refusal(struct upstream_attempt *attempt,
 			   const struct http_reply *reply,
@@ -319,8 +328,7 @@
 	struct proxy_request *req = attempt->req;
 	struct upstream *upstream = attempt->upstream;
 
-	if (facts->refused_by.len &&
-	    !str_equal(facts->refused_by, str_from(upstream->entry.id)))
+	if (is_by_another_upstream(attempt, facts))
 		upstream->replaced = true;
 	else if (req && req->key >= 0)
 		req->not_before_s = forward_now(req->forward) + KEY_RETRY_S;
@@ -392,6 +400,27 @@
 		load_report(&upstream->load, &report, now);
 }
 
+/* Applies the limit that an upstream's own answer names, or its end. */
+static void record_limit(const struct upstream_attempt *attempt,
+			 const struct reply_facts *facts)
+{
+	struct forward *forward = attempt->forward;
+	struct upstream_limit *limit = &attempt->upstream->limit;
+
+	if (!(facts->signed_by_upstream || facts->not_run) ||
+	    is_by_another_upstream(attempt, facts))
+		return;
+	if (!upstream_limit_apply_answer(limit, facts->limit_per_s,
+					 attempt->started_s,
+					 forward_now(forward)))
+		return;
+	counter_add(forward->limit_changes, 1);
+	event_log_write(forward->options.log, "info", "limits",
+			"event=%s upstream=%s per_s=%.2f",
+			limit->limited ? "named" : "lifted",
+			attempt->upstream->entry.id, limit->per_s);
+}
+
 static bool on_reply(void *user, const struct http_reply *reply)
 {
 	struct upstream_attempt *attempt = user;
@@ -408,6 +437,7 @@
 		return false;
 	}
 	record_load_report(attempt->upstream, &facts, forward_now(forward));
+	record_limit(attempt, &facts);
 	if (facts.not_run && !success) {
 		log_reply(attempt, reply->status, "not_run");
 		handle_refusal(attempt, reply, &facts);
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -65,6 +65,9 @@
 					   "Requests sent once more.");
 	forward->backups = metrics_counter(m, "auburn_backups_total", "",
 					   "Second copies of slow requests.");
+	forward->limit_changes = metrics_counter(
+		m, "auburn_limit_changes_total", "",
+		"Limits that upstreams named, changed or lifted.");
 	forward->answer_time =
 		metrics_histogram(m, "auburn_answer_seconds", "",
 				  "From a request to its answer.");
--- a/src/entry/forward_impl.h
+++ b/src/entry/forward_impl.h
@@ -42,6 +42,7 @@
 	struct counter *abandoned;
 	struct counter *retries;
 	struct counter *backups;
+	struct counter *limit_changes;
 	struct histogram *answer_time;
 	struct histogram *wait_time;
 };
--- a/src/entry/roster.h
+++ b/src/entry/roster.h
@@ -11,6 +11,7 @@
 
 #include "balance/load.h"
 #include "balance/retry_window.h"
+#include "balance/upstream_limit.h"
 #include "directory/directory_defs.h"
 #include "entry/settings.h"
 #include "keys/key_map.h"
@@ -26,6 +27,8 @@
 	struct service *service;
 	/** This VM's estimate of the upstream's load and speed. */
 	struct load load;
+	/** The limit that the upstream names in its answers. */
+	struct upstream_limit limit;
 	/** End of the cold phase, in which the upstream gets requests at a
 	 * limited rate. */
 	double cold_until_s;
--- a/test/unit/test_balance.c
+++ b/test/unit/test_balance.c
@@ -5,6 +5,7 @@
 #include "balance/crash_list.h"
 #include "balance/load.h"
 #include "balance/retry_window.h"
+#include "balance/upstream_limit.h"
 #include "suite.h"
 
 static void a_full_upstream_is_expected_to_take_longer(void)
@@ -247,6 +248,21 @@
 	crash_list_destroy(list);
 }
 
+static void only_a_later_answer_without_a_limit_ends_it(void)
+{
+	struct upstream_limit limit = { 0 };
+
+	CU_ASSERT_FALSE(upstream_limit_apply_answer(&limit, -1, 9, 10));
+	CU_ASSERT_TRUE(upstream_limit_apply_answer(&limit, 4, 9, 10));
+	CU_ASSERT_FALSE(upstream_limit_apply_answer(&limit, 4, 9, 10.1));
+	/* Sent before the last answer that named the limit. */
+	CU_ASSERT_FALSE(upstream_limit_apply_answer(&limit, -1, 9.9, 10.2));
+	CU_ASSERT_TRUE(limit.limited);
+	CU_ASSERT_TRUE(upstream_limit_apply_answer(&limit, 5, 10.2, 10.3));
+	CU_ASSERT_TRUE(upstream_limit_apply_answer(&limit, -1, 10.4, 10.5));
+	CU_ASSERT_FALSE(limit.limited);
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -275,6 +291,8 @@
 		  a_request_that_crashes_three_upstreams_is_blocked },
 		{ "a broken connection alone does not block a request",
 		  a_broken_connection_alone_does_not_block_a_request },
+		{ "only a later answer without a limit ends it",
+		  only_a_later_answer_without_a_limit_ends_it },
 		{ "an answer clears a request", an_answer_clears_a_request },
 		{ 0 },
 	};
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -171,6 +171,31 @@
 	}
 }
 
+static void reply_headers_tell_the_limit_of_the_upstream(void)
+{
+	static const struct {
+		const char *line;
+		/* Negative: no limit is named. */
+		double per_s;
+	} rows[] = {
+		{ "Server-Limit: 4.1", 4.1 }, { "Server-Limit: 0", 0 },
+		{ "Server-Limit: -1", -1 },   { "Server-Limit: many", -1 },
+		{ "Server-Limit: ", -1 },     { "Server-Limit: 4,1", -1 },
+		{ "Server-Limits: 4", -1 },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		struct headers *headers = headers_create();
+		struct reply_facts facts;
+
+		headers_add_line(headers, str_from(rows[i].line));
+		platform_protocol()->read_reply(200, headers, &facts);
+		CU_ASSERT_DOUBLE_EQUAL(facts.limit_per_s, rows[i].per_s, 0.001);
+		headers_destroy(headers);
+	}
+}
+
 /* --- timeout of calls to the store --- */
 
 /* The reply's body, which spaces extend to 400 bytes. */
@@ -284,6 +309,8 @@
 		  grant_requests_name_their_upstream },
 		{ "a reply's headers tell whether the request ran",
 		  reply_headers_tell_whether_request_ran },
+		{ "reply headers tell the limit of the upstream",
+		  reply_headers_tell_the_limit_of_the_upstream },
 		{ "a call doesn't time out while its reply arrives",
 		  arriving_reply_does_not_time_out },
 		{ 0 },
