--- a/test/standin/site.h
+++ b/test/standin/site.h
@@ -45,6 +45,10 @@
 /** Restarts an upstream at its address: same id, new incarnation, no grants. */
 void site_upstream_restart(struct site *site, unsigned int index);
 
+/** Sets the limit that an upstream names in its answers, in requests per
+ * second; negative: none. */
+void site_upstream_limit(struct site *site, unsigned int index, double per_s);
+
 /** Publishes an address for an upstream other than the one on which it listens,
  * such as a proxy's. */
 void site_upstream_publish_address(struct site *site, unsigned int index,
@@ -76,6 +80,8 @@
 	GHashTable *runs;
 	/** Number of grants of keys that another upstream still held. */
 	unsigned int double_owners;
+	/** Number of requests that an upstream got over its named limit. */
+	unsigned int over_limit;
 	/** Number of crashes of upstreams that a request caused. */
 	unsigned int crashes;
 	/** Number of POST requests without a Content-Length. */
--- a/test/standin/site_store.c
+++ b/test/standin/site_store.c
@@ -277,7 +277,8 @@
  *   config        no ID; the body is the configuration to write
  *   down          the store is down unless ID is 0
  *   add           ID more upstreams of the service "plain" start
- * The body of list-at is the address to publish for the upstream. An unknown
+ * The body of list-at is the address to publish for the upstream, that of limit
+ * the requests per second that it names as its limit, or -1. An unknown
  * verb has no effect. */
 static void handle_control(struct site *site, struct http_request *request)
 {
@@ -302,6 +303,9 @@
 	else if (g_str_has_prefix(verb, "add"))
 		for (; index > 0; index--)
 			site_upstream_create(site, "plain", "z1", false);
+	else if (g_str_has_prefix(verb, "limit"))
+		site_upstream_limit(site, index,
+				    g_ascii_strtod(request->body->str, NULL));
 	else if (g_str_has_prefix(verb, "list-at"))
 		site_upstream_publish_address(site, index, request->body->str);
 	else if (g_str_has_prefix(verb, "address"))
@@ -310,8 +314,9 @@
 		site_put_row(site, "op", "config", request->body->str);
 	g_free(id);
 	answer_json(request, 200,
-		    json_pack("{sisisisisiss}", "runs", (int)runs, "crashes",
-			      (int)site->crashes, "bodies_missing",
+		    json_pack("{sisisisisisiss}", "runs", (int)runs, "crashes",
+			      (int)site->crashes, "over_limit",
+			      (int)site->over_limit, "bodies_missing",
 			      (int)site->bodies_missing, "double_owners",
 			      (int)site->double_owners, "repeats",
 			      (int)site->repeats, "address", address));
--- a/test/standin/site_upstream.c
+++ b/test/standin/site_upstream.c
@@ -23,6 +23,13 @@
 #define DEFAULT_WORK_S 0.005
 /* Time until an upstream that crashed starts again. */
 #define CRASH_S 2.5
+/* An upstream that named a limit, in requests per second, counts as over it
+ * from LIMIT_SETTLE_S later on, when within LIMIT_WINDOW_S it gets more than
+ * LIMIT_FACTOR times what the limit allows, and LIMIT_SLACK requests. */
+#define LIMIT_SETTLE_S 3.0
+#define LIMIT_WINDOW_S 4.0
+#define LIMIT_FACTOR 1.5
+#define LIMIT_SLACK 5
 /* How often a long response body repeats the request id; the soak test expects
  * the same number. */
 #define LONG_BODY_IDS 400
@@ -53,6 +60,12 @@
 	guint64 fence[KEYS];
 	/** Number of requests in execution. */
 	unsigned int running;
+	/** Requests per second that the upstream says it takes; negative: it
+	 * doesn't say. */
+	double limit_per_s;
+	/** Since when it says so, and arrivals of requests (double) since. */
+	double limited_since_s;
+	GArray *arrivals;
 	/** Ends the crashing upstream's server, and later starts it again. */
 	ev_timer crash_timer;
 };
@@ -125,6 +138,12 @@
 	/* Running requests, waiting requests, slots, work factor in percent. */
 	g_snprintf(load, sizeof(load), "%u,0,%d,100", upstream->running, SLOTS);
 	headers_add(headers, STR("X-Server-Load"), str_from(load));
+	if (upstream->limit_per_s >= 0) {
+		char limit[32];
+
+		g_snprintf(limit, sizeof(limit), "%.1f", upstream->limit_per_s);
+		headers_add(headers, STR("Server-Limit"), str_from(limit));
+	}
 	http_request_answer(request, &out);
 	headers_destroy(headers);
 }
@@ -221,6 +240,33 @@
 	g_free(work);
 }
 
+/* Counts the arrival of a request, and a violation if too many arrived. */
+static void check_limit(struct upstream *upstream)
+{
+	double now = loop_now(&upstream->site->loop);
+	double allowed = LIMIT_FACTOR * upstream->limit_per_s * LIMIT_WINDOW_S +
+			 LIMIT_SLACK;
+
+	if (upstream->limit_per_s < 0 ||
+	    now < upstream->limited_since_s + LIMIT_SETTLE_S)
+		return;
+	g_array_append_val(upstream->arrivals, now);
+	while (g_array_index(upstream->arrivals, double, 0) <
+	       now - LIMIT_WINDOW_S)
+		g_array_remove_index(upstream->arrivals, 0);
+	if (upstream->arrivals->len > allowed)
+		upstream->site->over_limit++;
+}
+
+void site_upstream_limit(struct site *site, unsigned int index, double per_s)
+{
+	struct upstream *upstream = site->upstreams->pdata[index];
+
+	upstream->limit_per_s = per_s;
+	upstream->limited_since_s = loop_now(&site->loop);
+	g_array_set_size(upstream->arrivals, 0);
+}
+
 static void on_crash_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct upstream *upstream = timer->data;
@@ -312,6 +358,8 @@
 	copy_header(request, STR("x-expect-instance"), expect, sizeof(expect));
 	copy_header(request, STR("x-shard-key"), key, sizeof(key));
 	copy_header(request, STR("x-request-id"), id, sizeof(id));
+	if (*id)
+		check_limit(upstream);
 	if (is_misdirected(upstream, request, expect, atoi(key) % KEYS))
 		answer(upstream, request, 421, "X-Not-Executed: 1", "");
 	else if (has_path(request, "/grant"))
@@ -385,6 +433,8 @@
 	upstream->service = service;
 	upstream->zone = zone;
 	upstream->keyed = keyed;
+	upstream->limit_per_s = -1;
+	upstream->arrivals = g_array_new(FALSE, FALSE, sizeof(double));
 	upstream->address.sin_family = AF_INET;
 	upstream->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	g_ptr_array_add(site->upstreams, upstream);
