entry: keep the limits that upstreams name, over all VMs together

Cause: no decision used the limit. The class: a limit over all VMs needs a shared count; a VM sees a twelfth, or an 82nd, of what an upstream gets.

Change: VMs report the limits that answers name, what they sent and what they wanted to send. The leader keeps an account of each limited upstream and sends all accounts with the load totals. A VM admits a request with the probability that uses up the account within four intervals; without a leader it keeps its equal share. What is not admitted goes to another upstream or waits, and is refused at once (over_the_limit) when more comes than the limit allows. A new leader takes the limits over from the VMs.

Ruled out: equal shares for all VMs all the time (with 82 VMs each could send once in 20 s, and all together at once), a few chosen senders as for cold upstreams (callers of the other VMs would be refused for a key that only this owner serves).

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -99,6 +99,7 @@
 		GRANT_TRAVEL_S;
 	counter_set(cluster->leads, 1);
 	crash_exchange_resend(cluster->crash_exchange);
+	limit_exchange_begin(cluster->limit_exchange);
 	/* The heartbeat makes the other VMs stop competing for the lease. */
 	keys_changed(cluster);
 }
@@ -490,6 +491,8 @@
 		g_str_hash, g_str_equal, g_free, free_published_map);
 	cluster->load_exchange =
 		load_exchange_create(options->loop, options->roster);
+	cluster->limit_exchange =
+		limit_exchange_create(options->loop, options->roster);
 	create_crash_exchange(cluster);
 	cluster->hold_s = HOLD_S;
 	cluster->last_heartbeat_s = cluster_now(cluster) - HEARTBEAT_LOST_S / 2;
@@ -513,6 +516,7 @@
 	lease_destroy(cluster->lease);
 	datagrams_destroy(cluster->datagrams);
 	load_exchange_destroy(cluster->load_exchange);
+	limit_exchange_destroy(cluster->limit_exchange);
 	g_hash_table_destroy(cluster->vms);
 	g_hash_table_destroy(cluster->published_maps);
 	crash_exchange_destroy(cluster->crash_exchange);
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -7,6 +7,7 @@
 #include "entry/cluster.h"
 #include "entry/datagrams.h"
 #include "entry/key_leader.h"
+#include "entry/limit_exchange.h"
 #include "entry/load_exchange.h"
 #include "keys/lease.h"
 #include "keys/published_map.h"
@@ -86,6 +87,7 @@
 	struct orders *orders;
 	struct datagrams *datagrams;
 	struct load_exchange *load_exchange;
+	struct limit_exchange *limit_exchange;
 	/** Live VMs by name (struct vm): on the leader from their reports,
 	 * elsewhere from its heartbeats. */
 	GHashTable *vms;
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -406,10 +406,11 @@
 {
 	struct cluster *cluster = ctx;
 
-	if (cluster->leading)
-		load_exchange_apply_vm_report(cluster->load_exchange, loads->vm,
-					      loads->upstreams,
-					      loads->n_upstreams);
+	if (!cluster->leading)
+		return;
+	load_exchange_apply_vm_report(cluster->load_exchange, loads->vm,
+				      loads->upstreams, loads->n_upstreams);
+	limit_exchange_apply_report(cluster->limit_exchange, loads);
 }
 
 static void on_leader_loads(void *ctx, const LeaderLoads *loads)
@@ -419,6 +420,7 @@
 	if (loads->lease < lease_version(cluster->lease))
 		return;
 	load_exchange_apply_totals(cluster->load_exchange, loads);
+	limit_exchange_apply_totals(cluster->limit_exchange, loads);
 	cluster->options.routing_changed(cluster->options.ctx);
 }
 
@@ -431,6 +433,7 @@
 	out.vm = cluster->options.settings->vm;
 	out.upstreams = (UpstreamLoad **)own->pdata;
 	out.n_upstreams = own->len;
+	limit_exchange_fill_report(cluster->limit_exchange, &out);
 	message.kind_case = PEER_MESSAGE__KIND_VM_LOADS;
 	message.vm_loads = &out;
 	if (cluster->leading)
@@ -439,6 +442,7 @@
 		datagrams_send(cluster->datagrams, &cluster->leader_address,
 			       &message);
 	g_ptr_array_free(own, TRUE);
+	limit_exchange_release_report(&out);
 }
 
 void cluster_send_load_totals(struct cluster *cluster)
@@ -454,10 +458,12 @@
 	if (outcomes)
 		cluster->outcomes_sent_s = now;
 	out->lease = lease_version(cluster->lease);
+	limit_exchange_fill_totals(cluster->limit_exchange, out);
 	message.kind_case = PEER_MESSAGE__KIND_LEADER_LOADS;
 	message.leader_loads = out;
 	broadcast(cluster, &message);
 	on_leader_loads(cluster, out);
+	limit_exchange_release_totals(out);
 	leader_loads_free(out);
 }
 
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -25,16 +25,24 @@
  * of that time, so that VMs with the same view don't all choose the same
  * upstream. */
 #define RANDOM_SHARE 1.0
+/* Most upstreams with a limit that one choice considers. */
+#define LIMIT_DRAWS_MAX 4
 /* A request is refused when its remaining time is less than this share of the
  * route's mean answer time. */
 #define MIN_TIME_SHARE 0.6
 /* Shortest Retry-After of a refused request, in seconds. */
 #define RETRY_MIN_S 0.02
+/* Retry-After, in seconds, of a request for a key whose owner gets more than
+ * the limit that it names: by then keys have usually moved to other owners. */
+#define LIMIT_WAIT_S 0.5
 /* Expected time, in seconds, until a key whose owner left the roster has a new
  * owner, if there is no better estimate. Also the Retry-After if no upstream
  * takes requests. */
 #define OWNER_WAIT_S 0.5
 
+/* Reason in the log: the upstream's limit leaves no room for the request. */
+#define OVER_LIMIT "over_the_limit"
+
 static bool was_tried(const struct proxy_request *req,
 		      const struct upstream *upstream)
 {
@@ -100,9 +108,53 @@
 	       zone_cost_s(req, upstream);
 }
 
-/* Chooses the upstream with the lowest cost for a request without a key. */
-static enum choice choose_any(struct proxy_request *req,
-			      struct upstream **chosen)
+/* Decides whether the limit that an upstream names admits a request. */
+static bool is_within_limit(const struct proxy_request *req,
+			    struct upstream *upstream)
+{
+	struct forward *forward = req->forward;
+
+	return upstream_within_limit(forward->options.roster, upstream,
+				     g_rand_double(forward->random),
+				     !req->queued);
+}
+
+/* Returns the result for a request that an upstream's limit did not admit. */
+static enum choice over_limit_choice(const struct proxy_request *req,
+				     const struct upstream *upstream)
+{
+	return upstream_limit_exceeded(&upstream->limit,
+				       forward_now(req->forward))
+		       ? CHOICE_OVER_LIMIT
+		       : CHOICE_BUSY;
+}
+
+/* Upstreams whose limits did not admit a request, while one is chosen. */
+struct denied {
+	const struct upstream *upstreams[LIMIT_DRAWS_MAX];
+	unsigned int count;
+};
+
+/* Whether an upstream is left out of the choice because of its limit. After
+ * LIMIT_DRAWS_MAX upstreams, all that have a limit are. */
+static bool is_denied(const struct denied *denied,
+		      const struct upstream *upstream)
+{
+	unsigned int i;
+
+	if (!upstream->limit.limited)
+		return false;
+	for (i = 0; i < denied->count; i++)
+		if (denied->upstreams[i] == upstream)
+			return true;
+	return denied->count == LIMIT_DRAWS_MAX;
+}
+
+/* Chooses the upstream with the lowest cost for a request without a key, among
+ * those not denied. */
+static enum choice choose_cheapest(struct proxy_request *req,
+				   const struct denied *denied,
+				   struct upstream **chosen)
 {
 	struct forward *forward = req->forward;
 	const struct roster *roster = forward->options.roster;
@@ -124,6 +176,8 @@
 		if (!load_usable(&u->load, now) ||
 		    !upstream_cold_admits(roster, u) || !has_room(req, u, now))
 			continue;
+		if (is_denied(denied, u))
+			continue;
 		cost = cost_s(req, u, now);
 		if (!*chosen || cost < best) {
 			*chosen = u;
@@ -134,6 +188,42 @@
 	return choice;
 }
 
+/* Whether every upstream that may get new work limits what it takes, and more
+ * comes than they allow. */
+static bool all_exceeded(const struct proxy_request *req)
+{
+	const struct roster *roster = req->forward->options.roster;
+	double now = forward_now(req->forward);
+	guint i;
+
+	for (i = 0; i < req->service->upstreams->len; i++) {
+		const struct upstream *u = req->service->upstreams->pdata[i];
+
+		if (upstream_takes_work(roster, u) &&
+		    load_usable(&u->load, now) &&
+		    !upstream_limit_exceeded(&u->limit, now))
+			return false;
+	}
+	return true;
+}
+
+/* Chooses an upstream for a request without a key. */
+static enum choice choose_any(struct proxy_request *req,
+			      struct upstream **chosen)
+{
+	struct denied denied = { .count = 0 };
+	enum choice choice = choose_cheapest(req, &denied, chosen);
+
+	while (choice == CHOICE_FOUND && (*chosen)->limit.limited &&
+	       !is_within_limit(req, *chosen)) {
+		denied.upstreams[denied.count++] = *chosen;
+		choice = choose_cheapest(req, &denied, chosen);
+	}
+	if (choice == CHOICE_BUSY && denied.count && all_exceeded(req))
+		return CHOICE_OVER_LIMIT;
+	return choice;
+}
+
 /* Chooses the owner of the request's key, if it can take the request now. */
 static enum choice choose_owner(struct proxy_request *req,
 				struct upstream **chosen)
@@ -154,6 +244,8 @@
 		return CHOICE_NO_OWNER;
 	if (!upstream_cold_admits(roster, u) || !has_room(req, u, now))
 		return CHOICE_BUSY;
+	if (!is_within_limit(req, u))
+		return over_limit_choice(req, u);
 	*chosen = u;
 	return CHOICE_FOUND;
 }
@@ -170,6 +262,8 @@
 	unsigned int full;
 	/** At the limit of connections. */
 	unsigned int no_connection;
+	/** None of the other reasons, but it names a limit. */
+	unsigned int limited;
 };
 
 static void count_unavailable(const struct proxy_request *req,
@@ -186,6 +280,8 @@
 		reasons->cold++;
 	else if (!links_has_capacity(req->forward->options.links, u))
 		reasons->no_connection++;
+	else if (u->limit.limited)
+		reasons->limited++;
 	else
 		reasons->full++;
 }
@@ -201,10 +297,10 @@
 		count_unavailable(req, upstreams->pdata[i], now, &reasons);
 	g_snprintf(buf, size,
 		   "upstreams=%u no_work=%u failing=%u cold=%u full=%u "
-		   "no_connection=%u waiting=%u",
+		   "no_connection=%u limited=%u waiting=%u",
 		   upstreams->len, reasons.no_work, reasons.failing,
 		   reasons.cold, reasons.full, reasons.no_connection,
-		   req->service->queue.length);
+		   reasons.limited, req->service->queue.length);
 }
 
 enum choice dispatch_choose(struct proxy_request *req,
@@ -274,6 +370,18 @@
 	return count;
 }
 
+/* Returns the number of an upstream's slots that it keeps busy within the limit
+ * that it names. */
+static double slots_within_limit(const struct proxy_request *req,
+				 const struct upstream *upstream)
+{
+	double slots = upstream->load.slots;
+
+	if (!upstream->limit.limited)
+		return slots;
+	return MIN(slots, upstream->limit.per_s * req->stats->mean_s);
+}
+
 /* Returns the sum of the slots of upstreams that take requests and aren't
  * ejected. */
 static double usable_slots(const struct proxy_request *req)
@@ -288,7 +396,7 @@
 
 		if (upstream_takes_work(roster, u) &&
 		    now >= u->load.ejected_until_s)
-			slots += u->load.slots;
+			slots += slots_within_limit(req, u);
 	}
 	return slots;
 }
@@ -343,6 +451,8 @@
 		return OWNER_WAIT_S;
 	if (!load_usable(&owner->load, now))
 		return MAX(owner->load.ejected_until_s - now, 0);
+	if (upstream_limit_exceeded(&owner->limit, now))
+		return LIMIT_WAIT_S;
 	return MAX(owner_expected_s(req) - req->stats->mean_s, 0);
 }
 
@@ -367,6 +477,11 @@
 		proxy_request_refuse(req, 503, OWNER_WAIT_S, "no_upstream");
 		return;
 	}
+	if (choice == CHOICE_OVER_LIMIT) {
+		proxy_request_refuse(req, 503, dispatch_retry_after_s(req),
+				     OVER_LIMIT);
+		return;
+	}
 	if (choice == CHOICE_BUSY && req->key < 0)
 		need += expected_wait_s(req);
 	else if (choice == CHOICE_BUSY)
@@ -428,6 +543,9 @@
 		send_to(req, upstream);
 	else if (proxy_request_exceeds_shutdown(req))
 		proxy_request_refuse(req, 503, 0, "this_vm_stops");
+	else if (choice == CHOICE_OVER_LIMIT)
+		proxy_request_refuse(req, 503, dispatch_retry_after_s(req),
+				     OVER_LIMIT);
 	else if (choice == CHOICE_NONE || left < MIN_TIME_SHARE * need)
 		proxy_request_refuse(req, 503, dispatch_retry_after_s(req),
 				     choice == CHOICE_NO_OWNER
--- a/src/entry/forward_impl.h
+++ b/src/entry/forward_impl.h
@@ -54,6 +54,9 @@
 	CHOICE_BUSY,
 	/** The key has no reachable owner now: queue the request. */
 	CHOICE_NO_OWNER,
+	/** The upstreams that could take the request limit what they take, and
+	 * more comes than they allow: refuse the request. */
+	CHOICE_OVER_LIMIT,
 	/** No upstream takes new work: refuse the request. */
 	CHOICE_NONE,
 };
--- a/src/entry/load_exchange.c
+++ b/src/entry/load_exchange.c
@@ -2,8 +2,6 @@
 
 #include <math.h>
 
-#include "base/hash.h"
-
 #define PERCENT 100.0
 
 /* The leader's sums of the outcomes that the VMs reported about one upstream
@@ -69,12 +67,6 @@
 	g_free(exchange);
 }
 
-/* Returns the hash that stands for an upstream in messages. */
-static uint32_t upstream_hash(const struct upstream *upstream)
-{
-	return (uint32_t)hash_key(str_from(upstream->entry.id));
-}
-
 /* Appends a copy of a message. */
 static void append_message(GPtrArray *out, const UpstreamLoad *from)
 {
--- a/src/entry/roster.c
+++ b/src/entry/roster.c
@@ -451,11 +451,31 @@
 	double now = loop_now(roster->loop);
 	double rate = upstream->service->config.cold_per_s * SHARE_USED;
 
+	upstream_limit_record_send(&upstream->limit);
 	if (now < upstream->cold_until_s)
 		upstream->cold_next_send_s =
 			now + (rate > 0 ? cold_senders(roster) / rate : 1);
 }
 
+uint32_t upstream_hash(const struct upstream *upstream)
+{
+	return (uint32_t)hash_key(str_from(upstream->entry.id));
+}
+
+bool upstream_within_limit(const struct roster *roster,
+			   struct upstream *upstream, double random, bool first)
+{
+	struct limit_draw draw = {
+		.vms = roster->vm_count,
+		.interval_s = roster_load_interval_s(roster),
+		.random = random,
+		.first = first,
+	};
+
+	return upstream_limit_admits(&upstream->limit, &draw,
+				     loop_now(roster->loop));
+}
+
 unsigned int upstream_connection_limit(const struct roster *roster,
 				       const struct upstream *upstream)
 {
--- a/src/entry/roster.h
+++ b/src/entry/roster.h
@@ -205,6 +205,19 @@
 void upstream_record_send(const struct roster *roster,
 			  struct upstream *upstream);
 
+/** Returns the hash that stands for an upstream in messages between VMs. */
+uint32_t upstream_hash(const struct upstream *upstream);
+
+/**
+ * Whether the limit that an upstream names lets this VM send a request now.
+ *
+ * @param random from 0 up to, but not including, 1
+ * @param first the request has not been tried with this upstream before
+ */
+bool upstream_within_limit(const struct roster *roster,
+			   struct upstream *upstream, double random,
+			   bool first);
+
 /** Returns the number of connections that this VM may have to an upstream. */
 unsigned int upstream_connection_limit(const struct roster *roster,
 				       const struct upstream *upstream);
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -682,6 +682,51 @@
   assert(message->base.descriptor == &upstream_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   vm_limit__init
+                     (VmLimit         *message)
+{
+  static const VmLimit init_value = VM_LIMIT__INIT;
+  *message = init_value;
+}
+size_t vm_limit__get_packed_size
+                     (const VmLimit *message)
+{
+  assert(message->base.descriptor == &vm_limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t vm_limit__pack
+                     (const VmLimit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &vm_limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t vm_limit__pack_to_buffer
+                     (const VmLimit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &vm_limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+VmLimit *
+       vm_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (VmLimit *)
+     protobuf_c_message_unpack (&vm_limit__descriptor,
+                                allocator, len, data);
+}
+void   vm_limit__free_unpacked
+                     (VmLimit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &vm_limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   vm_loads__init
                      (VmLoads         *message)
 {
@@ -727,6 +772,51 @@
   assert(message->base.descriptor == &vm_loads__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   limit_account__init
+                     (LimitAccount         *message)
+{
+  static const LimitAccount init_value = LIMIT_ACCOUNT__INIT;
+  *message = init_value;
+}
+size_t limit_account__get_packed_size
+                     (const LimitAccount *message)
+{
+  assert(message->base.descriptor == &limit_account__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t limit_account__pack
+                     (const LimitAccount *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &limit_account__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t limit_account__pack_to_buffer
+                     (const LimitAccount *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &limit_account__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+LimitAccount *
+       limit_account__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (LimitAccount *)
+     protobuf_c_message_unpack (&limit_account__descriptor,
+                                allocator, len, data);
+}
+void   limit_account__free_unpacked
+                     (LimitAccount *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &limit_account__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   leader_loads__init
                      (LeaderLoads         *message)
 {
@@ -1999,7 +2089,110 @@
   (ProtobufCMessageInit) upstream_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor vm_loads__field_descriptors[2] =
+static const ProtobufCFieldDescriptor vm_limit__field_descriptors[6] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(VmLimit, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "named",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(VmLimit, named),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_s_milli",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(VmLimit, per_s_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(VmLimit, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(VmLimit, sent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(VmLimit, wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned vm_limit__field_indices_by_name[] = {
+  3,   /* field[3] = ended */
+  1,   /* field[1] = named */
+  2,   /* field[2] = per_s_milli */
+  4,   /* field[4] = sent */
+  0,   /* field[0] = upstream */
+  5,   /* field[5] = wanted */
+};
+static const ProtobufCIntRange vm_limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor vm_limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "VmLimit",
+  "VmLimit",
+  "VmLimit",
+  "",
+  sizeof(VmLimit),
+  6,
+  vm_limit__field_descriptors,
+  vm_limit__field_indices_by_name,
+  1,  vm_limit__number_ranges,
+  (ProtobufCMessageInit) vm_limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor vm_loads__field_descriptors[3] =
 {
   {
     "vm",
@@ -2025,15 +2218,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limits",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(VmLoads, n_limits),
+    offsetof(VmLoads, limits),
+    &vm_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned vm_loads__field_indices_by_name[] = {
+  2,   /* field[2] = limits */
   1,   /* field[1] = upstreams */
   0,   /* field[0] = vm */
 };
 static const ProtobufCIntRange vm_loads__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor vm_loads__descriptor =
 {
@@ -2043,14 +2249,91 @@
   "VmLoads",
   "",
   sizeof(VmLoads),
-  2,
+  3,
   vm_loads__field_descriptors,
   vm_loads__field_indices_by_name,
   1,  vm_loads__number_ranges,
   (ProtobufCMessageInit) vm_loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor leader_loads__field_descriptors[4] =
+static const ProtobufCFieldDescriptor limit_account__field_descriptors[4] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(LimitAccount, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_s_milli",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(LimitAccount, per_s_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "level_milli",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(LimitAccount, level_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted_per_s_milli",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(LimitAccount, wanted_per_s_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned limit_account__field_indices_by_name[] = {
+  2,   /* field[2] = level_milli */
+  1,   /* field[1] = per_s_milli */
+  0,   /* field[0] = upstream */
+  3,   /* field[3] = wanted_per_s_milli */
+};
+static const ProtobufCIntRange limit_account__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor limit_account__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "LimitAccount",
+  "LimitAccount",
+  "LimitAccount",
+  "",
+  sizeof(LimitAccount),
+  4,
+  limit_account__field_descriptors,
+  limit_account__field_indices_by_name,
+  1,  limit_account__number_ranges,
+  (ProtobufCMessageInit) limit_account__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor leader_loads__field_descriptors[5] =
 {
   {
     "lease",
@@ -2100,17 +2383,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limits",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(LeaderLoads, n_limits),
+    offsetof(LeaderLoads, limits),
+    &limit_account__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned leader_loads__field_indices_by_name[] = {
   2,   /* field[2] = busy */
   3,   /* field[3] = flights */
   0,   /* field[0] = lease */
+  4,   /* field[4] = limits */
   1,   /* field[1] = upstreams */
 };
 static const ProtobufCIntRange leader_loads__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor leader_loads__descriptor =
 {
@@ -2120,7 +2416,7 @@
   "LeaderLoads",
   "",
   sizeof(LeaderLoads),
-  4,
+  5,
   leader_loads__field_descriptors,
   leader_loads__field_indices_by_name,
   1,  leader_loads__number_ranges,
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -30,7 +30,9 @@
 typedef struct KeyLoad KeyLoad;
 typedef struct VmReport VmReport;
 typedef struct UpstreamLoad UpstreamLoad;
+typedef struct VmLimit VmLimit;
 typedef struct VmLoads VmLoads;
+typedef struct LimitAccount LimitAccount;
 typedef struct LeaderLoads LeaderLoads;
 typedef struct PeerMessage PeerMessage;
 
@@ -403,6 +405,37 @@
     , 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * What one VM knows of an upstream that limits its requests. The counts cover
+ * the time since the last message.
+ */
+struct  VmLimit
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of the upstream's id.
+   */
+  uint32_t upstream;
+  /*
+   * An answer named the limit, in thousandths of a request per second.
+   */
+  protobuf_c_boolean named;
+  uint32_t per_s_milli;
+  /*
+   * An answer showed that the limit has ended.
+   */
+  protobuf_c_boolean ended;
+  /*
+   * Requests that were sent, and requests that were sent or not admitted.
+   */
+  uint32_t sent;
+  uint32_t wanted;
+};
+#define VM_LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&vm_limit__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
 /*
  * Upstream loads that one VM measured, sent to the leader.
  */
@@ -412,10 +445,41 @@
   char *vm;
   size_t n_upstreams;
   UpstreamLoad **upstreams;
+  size_t n_limits;
+  VmLimit **limits;
 };
 #define VM_LOADS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&vm_loads__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
+
+
+/*
+ * The leader's account of an upstream that limits its requests. All numbers are
+ * in thousandths.
+ */
+struct  LimitAccount
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of the upstream's id.
+   */
+  uint32_t upstream;
+  /*
+   * Requests per second that the upstream takes.
+   */
+  uint32_t per_s_milli;
+  /*
+   * Requests that may be sent now.
+   */
+  int32_t level_milli;
+  /*
+   * Requests per second that the VMs want to send.
+   */
+  uint32_t wanted_per_s_milli;
+};
+#define LIMIT_ACCOUNT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&limit_account__descriptor) \
+    , 0, 0, 0, 0 }
 
 
 /*
@@ -444,10 +508,15 @@
    * busy, one byte each; 255 stands for 255 or more.
    */
   ProtobufCBinaryData flights;
+  /*
+   * Accounts of all limited upstreams.
+   */
+  size_t n_limits;
+  LimitAccount **limits;
 };
 #define LEADER_LOADS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&leader_loads__descriptor) \
-    , 0, 0,NULL, 0,NULL, {0,NULL} }
+    , 0, 0,NULL, 0,NULL, {0,NULL}, 0,NULL }
 
 
 typedef enum {
@@ -768,6 +837,25 @@
 void   upstream_load__free_unpacked
                      (UpstreamLoad *message,
                       ProtobufCAllocator *allocator);
+/* VmLimit methods */
+void   vm_limit__init
+                     (VmLimit         *message);
+size_t vm_limit__get_packed_size
+                     (const VmLimit   *message);
+size_t vm_limit__pack
+                     (const VmLimit   *message,
+                      uint8_t             *out);
+size_t vm_limit__pack_to_buffer
+                     (const VmLimit   *message,
+                      ProtobufCBuffer     *buffer);
+VmLimit *
+       vm_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   vm_limit__free_unpacked
+                     (VmLimit *message,
+                      ProtobufCAllocator *allocator);
 /* VmLoads methods */
 void   vm_loads__init
                      (VmLoads         *message);
@@ -787,6 +875,25 @@
 void   vm_loads__free_unpacked
                      (VmLoads *message,
                       ProtobufCAllocator *allocator);
+/* LimitAccount methods */
+void   limit_account__init
+                     (LimitAccount         *message);
+size_t limit_account__get_packed_size
+                     (const LimitAccount   *message);
+size_t limit_account__pack
+                     (const LimitAccount   *message,
+                      uint8_t             *out);
+size_t limit_account__pack_to_buffer
+                     (const LimitAccount   *message,
+                      ProtobufCBuffer     *buffer);
+LimitAccount *
+       limit_account__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   limit_account__free_unpacked
+                     (LimitAccount *message,
+                      ProtobufCAllocator *allocator);
 /* LeaderLoads methods */
 void   leader_loads__init
                      (LeaderLoads         *message);
@@ -872,9 +979,15 @@
 typedef void (*UpstreamLoad_Closure)
                  (const UpstreamLoad *message,
                   void *closure_data);
+typedef void (*VmLimit_Closure)
+                 (const VmLimit *message,
+                  void *closure_data);
 typedef void (*VmLoads_Closure)
                  (const VmLoads *message,
                   void *closure_data);
+typedef void (*LimitAccount_Closure)
+                 (const LimitAccount *message,
+                  void *closure_data);
 typedef void (*LeaderLoads_Closure)
                  (const LeaderLoads *message,
                   void *closure_data);
@@ -902,7 +1015,9 @@
 extern const ProtobufCMessageDescriptor key_load__descriptor;
 extern const ProtobufCMessageDescriptor vm_report__descriptor;
 extern const ProtobufCMessageDescriptor upstream_load__descriptor;
+extern const ProtobufCMessageDescriptor vm_limit__descriptor;
 extern const ProtobufCMessageDescriptor vm_loads__descriptor;
+extern const ProtobufCMessageDescriptor limit_account__descriptor;
 extern const ProtobufCMessageDescriptor leader_loads__descriptor;
 extern const ProtobufCMessageDescriptor peer_message__descriptor;
 
