keys: give owners that limit their requests no more keys than they take

Cause: keys move by load relative to a weight that knows slots, slowness and failures, and a limited owner shows none of them. Also, the balancer compared plain request counts with their noise: an owner with a small weight and as many requests as the others never looked overloaded.

Change: key_capacity_apply_limits() lowers the weights of limited owners so that their share of the requests fits their limits and the rest is shared by the others. The balancer compares weighted loads with their weighted deviation, which is the same where weights are equal. Requests that a limit doesn't admit may wait while less than 1.25 times the limit comes.

--- a/src/balance/upstream_limit.c
+++ b/src/balance/upstream_limit.c
@@ -16,6 +16,9 @@
 /* Requests are admitted so that they use up the level in this many intervals
  * between two messages. A VM learns what the others sent after one or two. */
 #define HORIZON_INTERVALS 4.0
+/* Requests that are not admitted may wait while fewer than this many times the
+ * limit are wanted. */
+#define EXCEEDED_FACTOR 1.25
 /* An account that is older, in seconds, is not used: the leader is lost. */
 #define ACCOUNT_FRESH_S 1.0
 /* Time after the last answer that named a limit, in seconds: until the account
@@ -180,8 +183,9 @@
 
 bool upstream_limit_exceeded(const struct upstream_limit *limit, double now_s)
 {
-	return limit->limited && (!has_account(limit, now_s) ||
-				  limit->wanted_per_s > rate_of(limit->per_s));
+	return limit->limited &&
+	       (!has_account(limit, now_s) ||
+		limit->wanted_per_s > EXCEEDED_FACTOR * rate_of(limit->per_s));
 }
 
 void upstream_limit_record_send(struct upstream_limit *limit)
--- a/src/entry/key_leader.c
+++ b/src/entry/key_leader.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "keys/key_capacity.h"
 
 /* Timeout of a write of the owner map to the store, in seconds. */
 #define SAVE_TIMEOUT_S 0.8
@@ -392,6 +393,7 @@
 static GArray *list_candidates(struct key_leader *leader)
 {
 	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct key_candidate));
+	GArray *limits = g_array_new(FALSE, FALSE, sizeof(double));
 	double now = now_of(leader);
 	guint i;
 
@@ -403,11 +405,20 @@
 			.weight = weight_of(u, now),
 		};
 
+		double limit = u->limit.limited ? u->limit.per_s : -1;
+
 		remember_upstream(leader, u);
-		if (upstream_takes_work(leader->options.roster, u) &&
-		    load_usable(&u->load, now))
-			g_array_append_val(list, candidate);
+		if (!upstream_takes_work(leader->options.roster, u) ||
+		    !load_usable(&u->load, now))
+			continue;
+		g_array_append_val(list, candidate);
+		g_array_append_val(limits, limit);
 	}
+	key_capacity_apply_limits(
+		(struct key_candidate *)(void *)list->data,
+		(const double *)(const void *)limits->data, list->len,
+		key_allocator_requests_per_s(leader->key_allocator));
+	g_array_free(limits, TRUE);
 	return list;
 }
 
--- a/src/keys/key_allocator.c
+++ b/src/keys/key_allocator.c
@@ -74,6 +74,11 @@
 	key_load_add(allocator->load, key);
 }
 
+double key_allocator_requests_per_s(const struct key_allocator *allocator)
+{
+	return key_load_per_s(allocator->load);
+}
+
 /* Returns a new order id, skipping 0, which stands for no order. */
 static uint32_t new_order(struct key_allocator *allocator)
 {
--- a/src/keys/key_allocator.h
+++ b/src/keys/key_allocator.h
@@ -175,6 +175,10 @@
 /** Counts a request for a key, for load balancing. */
 void key_allocator_count_request(struct key_allocator *allocator, uint16_t key);
 
+/** Returns the number of requests per second for all keys together, as counted
+ * lately. */
+double key_allocator_requests_per_s(const struct key_allocator *allocator);
+
 /** Fills in the map that requests are routed by. In it, key ranges that are
  * being moved have an expected wait instead of an owner. The version is left as
  * it is. */
--- a/src/keys/key_allocator_balance.c
+++ b/src/keys/key_allocator_balance.c
@@ -10,8 +10,7 @@
 #define BALANCE_S 0.15
 /* Nothing is moved while the highest and the lowest load differ by less than
  * the fraction IMBALANCE_PART of the mean, or by fewer than NOISE_DEVIATIONS
- * standard deviations of the request counts, because such a difference may be
- * chance. */
+ * standard deviations, because such a difference may be chance. */
 #define IMBALANCE_PART 0.25
 #define NOISE_DEVIATIONS 2.0
 /* Maximum number of moves in progress. */
@@ -218,6 +217,12 @@
 	return count;
 }
 
+/* Returns the standard deviation of an owner's weighted load. */
+static double deviation(const struct owner_load *load)
+{
+	return sqrt(load->observed) / load->candidate->weight;
+}
+
 /* Starts one move from the most to the least loaded owner.
  *
  * @return false when the loads are balanced or nothing can be moved */
@@ -243,9 +248,8 @@
 		     (mean - loads[low].weighted_load) *
 			     loads[low].candidate->weight);
 	if (high != low && difference > IMBALANCE_PART * mean &&
-	    loads[high].requests - loads[low].requests >
-		    NOISE_DEVIATIONS *
-			    sqrt(loads[high].observed + loads[low].observed) &&
+	    difference > NOISE_DEVIATIONS * hypot(deviation(&loads[high]),
+						  deviation(&loads[low])) &&
 	    amount > MOVE_MIN_PART * total / (double)allocator->candidate_count)
 		moved = shift_load(allocator, &loads[high], &loads[low],
 				   amount);
--- a/src/keys/key_load.c
+++ b/src/keys/key_load.c
@@ -78,6 +78,11 @@
 	return sum;
 }
 
+double key_load_per_s(const struct key_load *load)
+{
+	return key_load_requests(load, 0, KEY_LAST) / DECAY_S;
+}
+
 double key_load_estimate(const struct key_load *load, uint16_t first,
 			 uint16_t last)
 {
--- a/src/keys/key_load.h
+++ b/src/keys/key_load.h
@@ -25,6 +25,9 @@
 double key_load_requests(const struct key_load *load, uint16_t first,
 			 uint16_t last);
 
+/** Returns the number of requests per second for all keys together. */
+double key_load_per_s(const struct key_load *load);
+
 /** Returns the expected load of keys first to last: key_load_requests() plus a
  * small constant per key, so that idle keys are spread over the owners too. */
 double key_load_estimate(const struct key_load *load, uint16_t first,
--- a/test/unit/test_keys.c
+++ b/test/unit/test_keys.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "keys/key_allocator.h"
+#include "keys/key_capacity.h"
 #include "keys/key_load.h"
 #include "keys/lease.h"
 #include "keys/published_map.h"
@@ -586,6 +587,43 @@
 	key_allocator_destroy(o.allocator);
 }
 
+static void limited_owners_get_no_more_keys_than_they_take(void)
+{
+	static const struct {
+		double requests_per_s;
+		/* Negative: no limit. */
+		double limits[3];
+		/* Requests per second that each is expected to get. */
+		double expected[3];
+	} rows[] = {
+		{ 30, { -1, -1, -1 }, { 10, 10, 10 } },
+		{ 30, { 5, -1, -1 }, { 5, 12.5, 12.5 } },
+		{ 30, { 5, 11, -1 }, { 5, 11, 14 } },
+		/* A limit above the share does not bind. */
+		{ 30, { 12, -1, -1 }, { 10, 10, 10 } },
+		/* All limits bind: in proportion to them. */
+		{ 30, { 2, 4, 4 }, { 6, 12, 12 } },
+		{ 0, { 5, 0, -1 }, { 0, 0, 0 } },
+	};
+	size_t i, c;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct key_candidate candidates[3] = { { .weight = 2 },
+						       { .weight = 2 },
+						       { .weight = 2 } };
+		double total = 0;
+
+		key_capacity_apply_limits(candidates, rows[i].limits, 3,
+					  rows[i].requests_per_s);
+		for (c = 0; c < 3; c++)
+			total += candidates[c].weight;
+		for (c = 0; c < 3; c++)
+			CU_ASSERT_DOUBLE_EQUAL(candidates[c].weight / total *
+						       rows[i].requests_per_s,
+					       rows[i].expected[c], 0.01);
+	}
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -615,6 +653,8 @@
 		  a_broken_connection_needs_a_new_token },
 		{ "load is spread over upstreams",
 		  load_is_spread_over_upstreams },
+		{ "limited owners get no more keys than they take",
+		  limited_owners_get_no_more_keys_than_they_take },
 		{ 0 },
 	};
 
