net, entry: bound what an upstream's endless bytes take

What could happen: bytes that are no answer, or an answer without an end, were read until the caller's time was up; a request that must not repeat kept its connection for ever once its caller had left, and read on. Connections to upstreams that stop within an answer to a POST were never closed, and empty lines and interim answers were read without a limit.

Change: the answers that are being received share a budget, a quarter of the memory that the settings name ([vm] memory, from the platform's limits); near the limit, holders of a large part are refused first. What precedes the body of an answer is limited to 128 KiB. An attempt whose caller is gone is closed one second after its time limit, which its upstream knows. Large buffers are freed after an answer. Metrics auburn_answer_bytes and auburn_answer_bytes_peak.

The stub upstream counted a client that closed during its first bytes as still there; it is counted now, as its comment says.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -15,6 +15,9 @@
 /* Delay, in seconds, before a request that its key's owner refused is sent
  * again; by then the new owner map has usually arrived. */
 #define KEY_RETRY_S 0.04
+/* Time, in seconds, after a request's time limit from which on no answer of its
+ * upstream is awaited any more. Upstreams know the limit. */
+#define DETACHED_S 1.0
 /* Initial buffer size for the head of a message, in bytes. */
 #define HEAD_BYTES 512
 /* Status for a failed request if no upstream sent an error answer. */
@@ -112,6 +115,7 @@
 	attempt->fingerprint = req->fingerprint;
 	attempt->upstream = upstream_ref(upstream);
 	attempt->started_s = now;
+	attempt->give_up_s = req->give_up_s;
 	attempt->busy_before = load_in_flight(&upstream->load, now);
 	req->attempts[unused_attempt_index(req)] = attempt;
 	req->sends++;
@@ -211,6 +215,25 @@
 	}
 }
 
+void attempt_end_detached(struct forward *forward)
+{
+	double now = forward_now(forward);
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, forward->detached_attempts);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct upstream_attempt *attempt = key;
+
+		if (now < attempt->give_up_s + DETACHED_S)
+			continue;
+		g_hash_table_iter_remove(&iter);
+		load_end(&attempt->upstream->load, LOAD_TIMED_OUT, 1, now);
+		link_close(attempt->link);
+		attempt_free(attempt);
+	}
+}
+
 bool attempt_in_progress(const struct proxy_request *req)
 {
 	return attempts_in_flight(req) > 0;
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -469,3 +469,8 @@
 	req->caller = NULL;
 	proxy_request_free(req);
 }
+
+void forward_tick(struct forward *forward)
+{
+	attempt_end_detached(forward);
+}
--- a/src/entry/forward.h
+++ b/src/entry/forward.h
@@ -65,4 +65,8 @@
 /** Tries again to send the queued requests of all services. */
 void forward_dispatch_queued(struct forward *forward);
 
+/** Ends attempts whose callers are gone and whose time is up; called several
+ * times a second. */
+void forward_tick(struct forward *forward);
+
 #endif
--- a/src/entry/forward_impl.h
+++ b/src/entry/forward_impl.h
@@ -105,6 +105,10 @@
  */
 void attempt_cancel_all(struct proxy_request *req);
 
+/** Closes the connections of detached attempts whose upstream must have given
+ * up by now. */
+void attempt_end_detached(struct forward *forward);
+
 /** Sends a backup attempt if the first attempt is overdue, an upstream has a
  * free slot, and the retry budget allows it. */
 void attempt_send_backup(struct proxy_request *req);
--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -24,6 +24,8 @@
 	const struct roster *roster;
 	const struct links_ops *ops;
 	void *ctx;
+	/** Limits the answers that are being received. */
+	struct byte_budget *budget;
 	/** All connections (struct link). */
 	GQueue all;
 };
@@ -42,12 +44,14 @@
 };
 
 struct links *links_create(struct loop *loop, const struct roster *roster,
+			   struct byte_budget *budget,
 			   const struct links_ops *ops, void *ctx)
 {
 	struct links *links = g_new0(struct links, 1);
 
 	links->loop = loop;
 	links->roster = roster;
+	links->budget = budget;
 	links->ops = ops;
 	links->ctx = ctx;
 	g_queue_init(&links->all);
@@ -167,10 +171,11 @@
 
 static struct link *link_open(struct links *links, struct upstream *upstream)
 {
-	static const struct http_channel_options options = {
+	const struct http_channel_options options = {
 		.user_timeout_ms = USER_TIMEOUT_MS,
 		.keepalive_s = KEEPALIVE_S,
 		.body_bytes = ANSWER_BYTES_MAX,
+		.budget = links->budget,
 	};
 	struct link *link = g_new0(struct link, 1);
 
--- a/src/entry/links.h
+++ b/src/entry/links.h
@@ -55,10 +55,12 @@
 /**
  * Creates a pool without connections.
  *
- * @param ops must outlive the pool, as must loop and roster
+ * @param budget limits the answers that are being received
+ * @param ops must outlive the pool, as must loop, roster and budget
  * @param ctx passed to the operations
  */
 struct links *links_create(struct loop *loop, const struct roster *roster,
+			   struct byte_budget *budget,
 			   const struct links_ops *ops, void *ctx);
 /** Closes all connections without calling handlers, and frees the pool; NULL is
  * allowed. */
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -34,6 +34,10 @@
 /* Time, in seconds, at the end of settings->stop_s that is reserved for the
  * exit itself: unanswered requests are refused before. */
 #define STOP_RESERVE_S 0.4
+/* Part of the memory that answers may take while they are received. An answer
+ * that is complete is copied for its caller. */
+#define ANSWERS_MEMORY_PART 0.25
+#define BYTES_PER_MB (1024.0 * 1024.0)
 /* Part of that reserve, in seconds, in which the last answers are sent. */
 #define STOP_FLUSH_S 0.15
 
@@ -48,6 +52,11 @@
 	struct table_store *table_store;
 	struct roster *roster;
 	struct links *links;
+	/** Limits the answers of upstreams that are being received, and shows
+	 * their size. */
+	struct byte_budget answers;
+	struct counter *answer_bytes;
+	struct counter *answer_bytes_peak;
 	struct crash_watch *crashes;
 	struct forward *forward;
 	struct cluster *cluster;
@@ -235,12 +244,13 @@
 static void on_metrics_request(void *ctx, struct http_request *request)
 {
 	struct entry_daemon *entry = ctx;
-	char *text = metrics_render(entry->metrics);
-	struct http_answer answer = {
-		.status = 200,
-		.body = str_from(text),
-	};
+	char *text;
+	struct http_answer answer = { .status = 200 };
 
+	counter_set(entry->answer_bytes, entry->answers.used);
+	counter_set(entry->answer_bytes_peak, entry->answers.peak);
+	text = metrics_render(entry->metrics);
+	answer.body = str_from(text);
 	http_request_answer(request, &answer);
 	g_free(text);
 }
@@ -368,6 +378,7 @@
 	if (++entry->ticks % SLOW_TICKS)
 		return;
 	roster_tick(entry->roster);
+	forward_tick(entry->forward);
 	crash_watch_tick(entry->crashes);
 	links_tick(entry->links);
 	http_server_tick(entry->caller_server);
@@ -460,6 +471,18 @@
 	return entry->cluster != NULL;
 }
 
+static void create_answer_budget(struct entry_daemon *entry)
+{
+	entry->answers.limit = (size_t)(entry->settings->memory_mb *
+					BYTES_PER_MB * ANSWERS_MEMORY_PART);
+	entry->answer_bytes =
+		metrics_gauge(entry->metrics, "auburn_answer_bytes", "",
+			      "Bytes of answers that are being received.");
+	entry->answer_bytes_peak =
+		metrics_gauge(entry->metrics, "auburn_answer_bytes_peak", "",
+			      "Highest value of auburn_answer_bytes.");
+}
+
 /* Creates all modules and starts them; entry_close() frees them, also after a
  * failure. */
 static bool entry_open(struct entry_daemon *entry, GError **error)
@@ -475,8 +498,9 @@
 	store = table_store_interface(entry->table_store);
 	entry->roster = roster_create(&entry->loop, entry->settings,
 				      &roster_ops, entry);
-	entry->links =
-		links_create(&entry->loop, entry->roster, &links_ops, entry);
+	create_answer_budget(entry);
+	entry->links = links_create(&entry->loop, entry->roster,
+				    &entry->answers, &links_ops, entry);
 	crashes.loop = &entry->loop;
 	crashes.log = entry->log;
 	crashes.metrics = entry->metrics;
--- a/src/entry/proxy_request.h
+++ b/src/entry/proxy_request.h
@@ -34,9 +34,8 @@
 	/** Estimate of the requests that the upstream already had when this
 	 * copy was sent. */
 	double busy_before;
-	/** Not used: struct forward lists the attempts whose callers are gone.
-	 */
-	bool detached;
+	/** Loop time at which the request had to be answered. */
+	double give_up_s;
 };
 
 /** A caller's request; owned by the forwarder. */
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -39,6 +39,8 @@
 	  "availability zone of this VM", OFFSET(zone) },
 	{ "vm", "link", SETTING_NUMBER, "Mbit/s", "1000", 0.1, 1000000,
 	  "speed of this VM's network link", OFFSET(link_mbps) },
+	{ "vm", "memory", SETTING_NUMBER, "MB", "256", 32, 1000000,
+	  "memory that the process may use", OFFSET(memory_mb) },
 	{ "listen", "callers", SETTING_ADDRESS, "IPv4:port", NULL, 0, 0,
 	  "where callers connect", OFFSET(callers) },
 	{ "listen", "ready", SETTING_ADDRESS, "IPv4:port", NULL, 0, 0,
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -17,6 +17,8 @@
 	char *zone;
 	/** Speed of this VM's network link, in Mbit/s. */
 	double link_mbps;
+	/** Memory that the process may use, in MB. */
+	double memory_mb;
 	/** Listening address for callers. */
 	struct sockaddr_in callers;
 	/** Listening address of the readiness probe. */
--- a/src/net/http_channel.c
+++ b/src/net/http_channel.c
@@ -14,6 +14,11 @@
 #define READ_BYTES ((size_t)64 << 10)
 /* Number of unanswered TCP keep-alive probes that end the connection. */
 #define KEEPALIVE_PROBES 1
+/* Most bytes that may precede the body of a response: its head, interim
+ * responses and empty lines. */
+#define HEAD_BYTES_MAX ((size_t)128 << 10)
+/* A larger buffer is freed after the response instead of kept for the next. */
+#define BODY_KEEP_BYTES ((size_t)64 << 10)
 
 struct http_channel {
 	struct loop *loop;
@@ -45,6 +50,12 @@
 	bool sent;
 	/** Bytes of the response to the current request were received. */
 	bool reply_started;
+	/** The head of the response was received; interim ones don't count. */
+	bool head_complete;
+	/** Bytes received before that. */
+	size_t head_bytes;
+	/** Bytes of the body taken from options.budget. */
+	size_t body_held;
 	/** The parser has read a complete response. */
 	bool reply_complete;
 	/** The connection can't be used for another request. */
@@ -63,8 +74,17 @@
 	double server_idle_s;
 };
 
+/* Gives the bytes of the body back to the budget. */
+static void release_body(struct http_channel *channel)
+{
+	if (channel->options.budget)
+		byte_budget_return(channel->options.budget, channel->body_held);
+	channel->body_held = 0;
+}
+
 static void channel_free(struct http_channel *channel)
 {
+	release_body(channel);
 	headers_destroy(channel->reply.headers);
 	g_string_free(channel->reply.body, TRUE);
 	g_string_free(channel->field, TRUE);
@@ -141,6 +161,11 @@
 static void begin_reply(struct http_channel *channel)
 {
 	headers_clear(channel->reply.headers);
+	release_body(channel);
+	if (channel->reply.body->allocated_len > BODY_KEEP_BYTES) {
+		g_string_free(channel->reply.body, TRUE);
+		channel->reply.body = g_string_new(NULL);
+	}
 	g_string_truncate(channel->reply.body, 0);
 	channel->reply.status = 0;
 	channel->in_value = false;
@@ -218,6 +243,7 @@
 	/* An Upgrade field must not end the parsing of HTTP. */
 	parser->upgrade = 0;
 	read_keep_alive(channel);
+	channel->head_complete = channel->reply.status / 100 != 1;
 	/* 1 tells the parser that no body follows. */
 	return channel->head_only ? 1 : 0;
 }
@@ -228,6 +254,10 @@
 
 	if (channel->reply.body->len + len > channel->options.body_bytes)
 		return 1;
+	if (channel->options.budget &&
+	    !byte_budget_take(channel->options.budget, channel->body_held, len))
+		return 1;
+	channel->body_held += channel->options.budget ? len : 0;
 	g_string_append_len(channel->reply.body, at, (gssize)len);
 	return 0;
 }
@@ -272,8 +302,11 @@
 	if (leftover)
 		channel->not_reusable = true;
 	channel->idle_since_s = loop_now(channel->loop);
-	if (channel->ops->reply(channel->ctx, channel, &channel->reply))
+	if (channel->ops->reply(channel->ctx, channel, &channel->reply)) {
+		if (!channel->busy)
+			begin_reply(channel);
 		return true;
+	}
 	/* The response to the current request is still to come. */
 	channel->busy = true;
 	return false;
@@ -285,6 +318,8 @@
 	size_t used = 0;
 
 	channel->reply_started = channel->reply_started || len > 0;
+	if (!channel->head_complete)
+		channel->head_bytes += len;
 	while (!channel->closed) {
 		size_t n =
 			http_parser_execute(&channel->parser, &parser_settings,
@@ -307,10 +342,12 @@
 			if (used >= len)
 				return;
 			/* The remaining bytes begin the next response. */
+			channel->head_complete = false;
 			channel->not_reusable = false;
 			continue;
 		}
-		if (error != HPE_OK)
+		if (error != HPE_OK || (!channel->head_complete &&
+					channel->head_bytes > HEAD_BYTES_MAX))
 			channel_fail(channel, HTTP_CHANNEL_BROKEN);
 		return;
 	}
@@ -492,6 +529,8 @@
 	channel->busy = true;
 	channel->sent = false;
 	channel->reply_started = false;
+	channel->head_complete = false;
+	channel->head_bytes = 0;
 	channel->last_byte_s = 0;
 	channel->head_only = head_only;
 	g_string_append_len(channel->out, message.data, (gssize)message.len);
--- a/src/net/http_channel.h
+++ b/src/net/http_channel.h
@@ -13,6 +13,7 @@
 
 #include "base/str.h"
 #include "http/headers.h"
+#include "net/byte_budget.h"
 #include "net/loop.h"
 
 struct http_channel;
@@ -68,6 +69,9 @@
 	/** Maximum size of a response body, in bytes; a longer one ends the
 	 * connection with HTTP_CHANNEL_BROKEN. */
 	size_t body_bytes;
+	/** Budget for the bodies that are being received, or NULL; exceeding it
+	 * has the same effect. Must outlive the channel. */
+	struct byte_budget *budget;
 };
 
 /**
--- a/test/functional/cluster_stub_upstream.c
+++ b/test/functional/cluster_stub_upstream.c
@@ -226,8 +226,10 @@
 	pthread_mutex_unlock(&c->stub->lock);
 	if (reply.delay_ms && !wait_ms(c, reply.delay_ms))
 		return false;
-	if (reply.bytes && !write_all(c, reply.bytes, strlen(reply.bytes)))
+	if (reply.bytes && !write_all(c, reply.bytes, strlen(reply.bytes))) {
+		c->stub->disconnects++;
 		return false;
+	}
 	if (!write_zeroes(c, reply.zero_bytes)) {
 		c->stub->disconnects++;
 		return false;
