--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -39,6 +39,9 @@
  * requests. The interval may be long because receivers smooth the outcomes over
  * a longer time. */
 #define OUTCOMES_VM_S 0.004
+/* Largest heartbeat, in bytes, that fits into a datagram together with the list
+ * of VMs to which it is relayed. */
+#define HEARTBEAT_BYTES_MAX 60000
 /* A VM whose last report is older than this, in seconds, does not count as
  * alive. */
 #define VM_ALIVE_S 2.0
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -223,20 +223,35 @@
 	g_array_free(to, TRUE);
 }
 
+/* Removes the row changes from a heartbeat that would be too large for a
+ * datagram. The VMs see from the row versions that they missed changes, and
+ * read them from the store. */
+static void omit_large_changes(LeaderBeat *beat)
+{
+	if (leader_beat__get_packed_size(beat) <= HEARTBEAT_BYTES_MAX)
+		return;
+	beat->operator_changes = NULL;
+	beat->upstream_changes = NULL;
+}
+
 void cluster_send_heartbeat(struct cluster *cluster)
 {
 	PeerMessage message = PEER_MESSAGE__INIT;
 	LeaderBeat beat = LEADER_BEAT__INIT;
+	TableChanges *operator_changes, *upstream_changes;
 	struct heartbeat_parts parts;
 
 	fill_heartbeat(cluster, &parts, &beat);
+	operator_changes = beat.operator_changes;
+	upstream_changes = beat.upstream_changes;
 	message.kind_case = PEER_MESSAGE__KIND_BEAT;
 	message.beat = &beat;
+	omit_large_changes(&beat);
 	broadcast(cluster, &message);
 	apply_own_heartbeat(cluster, &beat);
 	cluster->heartbeat_sent_s = cluster_now(cluster);
-	delta_message_free(beat.operator_changes);
-	delta_message_free(beat.upstream_changes);
+	delta_message_free(operator_changes);
+	delta_message_free(upstream_changes);
 	g_ptr_array_free(parts.vms, TRUE);
 	g_ptr_array_free(parts.maps, TRUE);
 	crash_exchange_release_beat(&beat);
--- a/test/functional/test_entry.c
+++ b/test/functional/test_entry.c
@@ -181,6 +181,56 @@
 	teardown();
 }
 
+/* Entries that another writer left among those of the upstreams. */
+static void odd_entries_do_not_stop_the_daemons(void)
+{
+	char *nested = g_strnfill(45000, '[');
+	char *inner =
+		g_strconcat("{\"service\":\"plain\",\"zone\":", nested, NULL);
+	char *text = g_strnfill(45000, 'x');
+	char *large = g_strconcat("{\"service\":\"", text, "\"}", NULL);
+	const char *const values[] = {
+		nested,
+		inner,
+		large,
+		"{\"service\":1e999}",
+		"{\"service\":\"plain\",\"slots\":99999999999999999999999}",
+		"{\"service\":\"plain\",\"zone\":\"z1\",\"address\":"
+		"\"127.0.0.1:70000\",\"slots\":3,\"state\":\"ready\"}",
+		"{\"service\":\"plain\",\"zone\":\"z1\",\"address\":"
+		"\"127.0.0.1:0\",\"slots\":4294967299,\"state\":\"ready\"}",
+		"\\u0000",
+		"",
+	};
+	unsigned int i;
+
+	setup();
+	for (i = 0; i < G_N_ELEMENTS(values); i++) {
+		char *uri = g_strdup_printf("/control/entry?id=odd-%u", i);
+
+		entry_rig_command(&rig, uri, values[i]);
+		g_free(uri);
+	}
+	/* The daemons still follow the list, also one that starts now. */
+	process_kill(entries[1].process);
+	CU_ASSERT_TRUE(process_restart(entries[1].process, NULL));
+	entry_rig_command(&rig, "/control/drain?id=0", NULL);
+	for (i = 0; i < ENTRIES; i++) {
+		CU_ASSERT_TRUE(process_wait_until(entry_is_ready, &entries[i],
+						  RIG_WAIT_US));
+		CU_ASSERT_TRUE(process_wait_until(answered_by_other_upstream,
+						  &entries[i], RIG_WAIT_US));
+		CU_ASSERT_TRUE(process_wait_until(entry_serves_keys,
+						  &entries[i], RIG_WAIT_US));
+		CU_ASSERT_TRUE(process_running(entries[i].process));
+	}
+	teardown();
+	g_free(nested);
+	g_free(inner);
+	g_free(text);
+	g_free(large);
+}
+
 static void keys_of_a_draining_upstream_are_moved(void)
 {
 	int i;
@@ -409,6 +459,8 @@
 		  requests_over_the_size_limits_are_refused },
 		{ "a draining upstream gets no new requests",
 		  a_draining_upstream_gets_no_new_requests },
+		{ "odd entries do not stop the daemons",
+		  odd_entries_do_not_stop_the_daemons },
 		{ "keys of a draining upstream are moved",
 		  keys_of_a_draining_upstream_are_moved },
 		{ "keys are served after their owner restarts",
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -82,8 +82,13 @@
 	}
 }
 
+#define ENTRY(address, slots, born)                                            \
+	"{\"service\":\"s\",\"address\":\"" address "\",\"zone\":\"z\","       \
+	"\"slots\":" slots ",\"state\":\"ready\",\"born\":" born "}"
+
 static void malformed_upstream_entries_are_refused(void)
 {
+	static char nested[49000];
 	static const struct {
 		const char *text;
 		bool ok;
@@ -106,9 +111,25 @@
 		  false },
 		{ "{\"service\":7}", false },
 		{ "\xff\x01", false },
+		{ ENTRY("10.0.0.1:80", "3", "5"), true },
+		/* Ports out of range. */
+		{ ENTRY("10.0.0.1:65536", "3", "5"), false },
+		{ ENTRY("10.0.0.1:0", "3", "5"), false },
+		{ ENTRY("10.0.0.1:-1", "3", "5"), false },
+		{ ENTRY("10.0.0.1:99999999999999999999", "3", "5"), false },
+		/* Numbers that are too large. */
+		{ ENTRY("10.0.0.1:80", "4294967299", "5"), false },
+		{ ENTRY("10.0.0.1:80", "65536", "5"), false },
+		{ ENTRY("10.0.0.1:80", "1e400", "5"), false },
+		{ ENTRY("10.0.0.1:80", "3", "9223372036854775807"), false },
+		{ ENTRY("10.0.0.1:80", "3", "99999999999999999999"), false },
+		{ ENTRY("10.0.0.1:80", "3", "5,\"cold_left_s\":1e300"), false },
+		/* Deeply nested. */
+		{ nested, false },
 	};
 	size_t i;
 
+	memset(nested, '[', sizeof(nested) - 1);
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
 		struct upstream_entry entry;
 		GError *error = NULL;
