entry: don't take a repeated refusal for that of a later request

What callers saw: 'not run, try again' for requests that an upstream had run or was running, or such a request run by a second upstream. Cause: an answer without an id was taken for that of the present request, also on a kept connection, where a faulty upstream may write an earlier refusal once more; and a request that was sent to the same upstream again could use the connection that had carried its refusal, so that the repetition even had its id. Besides, an attempt whose caller had left checked no id at all, and a request that was queued for a retry after it may have run was refused with 503.

Change: each attempt keeps its request's id and checks it. An answer without an id on a connection that carried another request before is a failure that may have run, and the connection is closed. A request goes to an upstream that got it before on a new connection only. A refusal of a request that may have run has the upstream's error or 502, never 503, in whichever way it ends.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -20,8 +20,6 @@
 #define DETACHED_S 1.0
 /* Initial buffer size for the head of a message, in bytes. */
 #define HEAD_BYTES 512
-/* Status for a failed request if no upstream sent an error answer. */
-#define BAD_GATEWAY 502
 
 static const struct link_ops link_ops;
 
@@ -108,11 +106,13 @@
 	struct link_request request = {
 		.head_only = !strcmp(req->caller->method->str, "HEAD"),
 		.avoid_stale = !is_idempotent(req),
+		.new_connection = dispatch_was_tried(req, upstream),
 	};
 
 	attempt->req = req;
 	attempt->forward = forward;
 	attempt->fingerprint = req->fingerprint;
+	attempt->id = str_dup(req->id);
 	attempt->upstream = upstream_ref(upstream);
 	attempt->started_s = now;
 	attempt->give_up_s = req->give_up_s;
@@ -160,6 +160,7 @@
 static void attempt_free(struct upstream_attempt *attempt)
 {
 	upstream_unref(attempt->upstream);
+	g_free(attempt->id);
 	g_free(attempt);
 }
 
@@ -272,18 +273,10 @@
 	    !crash_watch_blocks(forward->options.crashes, req->fingerprint) &&
 	    (!arrived || retry_window_consume(&req->service->retries, now))) {
 		counter_add(forward->retries, 1);
-		if (req->key >= 0)
-			req->tried_count = 0;
 		dispatch_request(req);
 		return;
 	}
-	if (req->error_answer)
-		proxy_request_answer(req, req->error_answer, NULL);
-	else if (req->may_have_run)
-		proxy_request_refuse(req, BAD_GATEWAY, 0, reason);
-	else
-		proxy_request_refuse(req, 503, dispatch_retry_after_s(req),
-				     reason);
+	proxy_request_refuse(req, 503, dispatch_retry_after_s(req), reason);
 }
 
 /* Copies an upstream's error answer, unless there is a copy of an earlier one.
@@ -444,6 +437,15 @@
 			attempt->upstream->entry.id, limit->per_s);
 }
 
+/* Whether an answer without an id may be a repetition of that to an earlier
+ * request on the connection. */
+static bool is_unattributable(const struct upstream_attempt *attempt,
+			      const struct reply_facts *facts)
+{
+	return !facts->id.len && *attempt->id &&
+	       link_used_before(attempt->link);
+}
+
 static bool on_reply(void *user, const struct http_reply *reply)
 {
 	struct upstream_attempt *attempt = user;
@@ -455,13 +457,17 @@
 
 	forward->options.protocol->read_reply(reply->status, reply->headers,
 					      &facts);
-	if (req && facts.id.len && !str_equal(facts.id, req->id)) {
+	if (facts.id.len && !str_equal(facts.id, str_from(attempt->id))) {
 		log_reply(attempt, reply->status, "of_another_request");
 		return false;
 	}
 	record_load_report(attempt->upstream, &facts, forward_now(forward));
 	record_limit(attempt, &facts);
-	if (facts.not_run && !success) {
+	if (is_unattributable(attempt, &facts)) {
+		log_reply(attempt, reply->status, "without_id");
+		link_retire(attempt->link);
+		handle_failure(attempt, reply, false);
+	} else if (facts.not_run && !success) {
 		log_reply(attempt, reply->status, "not_run");
 		handle_refusal(attempt, reply, &facts);
 	} else if (success &&
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -43,8 +43,8 @@
 /* Reason in the log: the upstream's limit leaves no room for the request. */
 #define OVER_LIMIT "over_the_limit"
 
-static bool was_tried(const struct proxy_request *req,
-		      const struct upstream *upstream)
+bool dispatch_was_tried(const struct proxy_request *req,
+			const struct upstream *upstream)
 {
 	unsigned int i;
 
@@ -170,7 +170,8 @@
 
 		if (!upstream_takes_work(roster, u))
 			continue;
-		if (was_tried(req, u) && req->service->upstreams->len > 1)
+		if (dispatch_was_tried(req, u) &&
+		    req->service->upstreams->len > 1)
 			continue;
 		choice = choice == CHOICE_FOUND ? choice : CHOICE_BUSY;
 		if (!load_usable(&u->load, now) ||
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -106,6 +106,7 @@
 		struct upstream_attempt *attempt = key;
 
 		upstream_unref(attempt->upstream);
+		g_free(attempt->id);
 		g_free(attempt);
 	}
 	g_hash_table_destroy(forward->detached_attempts);
@@ -172,6 +173,14 @@
 	char availability[160];
 	char detail[320];
 
+	if (status == 503 && req->may_have_run) {
+		if (req->error_answer) {
+			proxy_request_answer(req, req->error_answer, NULL);
+			return;
+		}
+		status = BAD_GATEWAY;
+		retry_after_s = 0;
+	}
 	dispatch_describe(req, availability, sizeof(availability));
 	g_snprintf(detail, sizeof(detail), "reason=%s retry_after_ms=%.0f %s",
 		   reason, retry_after_s * 1000, availability);
--- a/src/entry/forward_impl.h
+++ b/src/entry/forward_impl.h
@@ -14,6 +14,10 @@
  * upstreams crashed under it. */
 #define CRASHES_UPSTREAMS "upstreams_were_lost_under_it"
 
+/** Status for a failed request that may have run, if no upstream sent an error
+ * answer. */
+#define BAD_GATEWAY 502
+
 /** State of the forwarder. */
 struct forward {
 	/** Times of the graceful shutdown, as given to
@@ -70,6 +74,10 @@
 enum choice dispatch_choose(struct proxy_request *req,
 			    struct upstream **upstream);
 
+/** Whether an upstream has got an attempt of the request already. */
+bool dispatch_was_tried(const struct proxy_request *req,
+			const struct upstream *upstream);
+
 /** Sends, queues or refuses a request; may free it. */
 void dispatch_request(struct proxy_request *req);
 
--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -38,6 +38,10 @@
 	/** The request's context for the handlers; NULL while the link is idle.
 	 */
 	void *user;
+	/** Number of requests that were sent. */
+	unsigned int requests;
+	/** The connection gets no further request. */
+	bool retired;
 	/** List nodes in links->all and in the upstream's idle list. */
 	GList node;
 	GList idle_node;
@@ -121,7 +125,8 @@
 static void set_idle(struct link *link)
 {
 	link->user = NULL;
-	if (link->upstream->removed || !http_channel_reusable(link->channel)) {
+	if (link->upstream->removed || link->retired ||
+	    !http_channel_reusable(link->channel)) {
 		/* link_free() expects an idle connection in this list. */
 		g_queue_push_head_link(&link->upstream->idle_links,
 				       &link->idle_node);
@@ -221,10 +226,13 @@
 			const struct link_request *request,
 			const struct link_ops *ops, void *user)
 {
-	struct link *link = pop_idle_link(upstream, request);
+	struct link *link = NULL;
 
+	if (!request->new_connection)
+		link = pop_idle_link(upstream, request);
 	if (!link)
 		link = link_open(links, upstream);
+	link->requests++;
 	link->ops = ops;
 	link->user = user;
 	http_channel_send(link->channel, request->message, request->head_only);
@@ -248,6 +256,16 @@
 	link_free(link);
 }
 
+bool link_used_before(const struct link *link)
+{
+	return link->requests > 1;
+}
+
+void link_retire(struct link *link)
+{
+	link->retired = true;
+}
+
 bool link_may_have_sent(const struct link *link)
 {
 	return http_channel_may_have_sent(link->channel);
--- a/src/entry/links.h
+++ b/src/entry/links.h
@@ -40,6 +40,9 @@
 	 * Don't use an idle connection that the upstream may be about to close.
 	 */
 	bool avoid_stale;
+	/** Use a new connection: an earlier answer on an idle one may be
+	 * repeated and taken for that of this request. */
+	bool new_connection;
 };
 
 /** The connections to all upstreams. */
@@ -98,6 +101,12 @@
  */
 void link_close(struct link *link);
 
+/** Whether another request was sent over the connection before this one. */
+bool link_used_before(const struct link *link);
+
+/** Has the connection closed after the present request. */
+void link_retire(struct link *link);
+
 /** Whether bytes of the request may have been sent. */
 bool link_may_have_sent(const struct link *link);
 
--- a/src/entry/proxy_request.h
+++ b/src/entry/proxy_request.h
@@ -24,8 +24,9 @@
 	/** The request; NULL if detached. */
 	struct proxy_request *req;
 	struct forward *forward;
-	/** The request's fingerprint, which outlasts the request. */
+	/** The request's fingerprint and id, which outlast the request. */
 	uint64_t fingerprint;
+	char *id;
 	struct upstream *upstream;
 	/** The connection on which the copy was sent. */
 	struct link *link;
@@ -78,9 +79,7 @@
 	unsigned int sends;
 	/** Number of ended attempts that the upstream may have run. */
 	unsigned int runs;
-	/** Interned ids of the first upstreams that got an attempt. A keyed
-	 * request forgets them before a retry, since only the key's owner may
-	 * get it. */
+	/** Interned ids of the first upstreams that got an attempt. */
 	const char *tried[TRIED_MAX];
 	unsigned int tried_count;
 	/** An attempt may have run, but gave no usable answer. */
@@ -100,7 +99,9 @@
  * Answers the caller with an error of this daemon, logs it, and frees the
  * request.
  *
- * @param status 503 promises the caller that the request did not run
+ * @param status 503 promises the caller that the request did not run; if an
+ *        attempt may have run, the caller gets an upstream's error answer, if
+ *        there is one, or 502 instead
  * @param retry_after_s sent as Retry-After; 0: not sent
  * @param reason one word, written to the log
  */
