--- a/src/entry/crash_exchange.c
+++ b/src/entry/crash_exchange.c
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "entry/key_leader.h"
+#include "wire/message_list.h"
 
 /* Reports: how many are kept, for how many seconds each is sent again, and for
  * how many seconds it is kept to tell a new leader. */
@@ -214,7 +215,7 @@
 /* Builds messages (Crash) for the reported crashes.
  *
  * @param count set to their number
- * @return the messages, freed with free_messages() */
+ * @return the messages, freed with message_list_free() */
 static Crash **crash_messages(const struct crash_exchange *exchange,
 			      size_t *count)
 {
@@ -303,16 +304,6 @@
 	return (uint64_t *)(void *)g_array_free(requests, FALSE);
 }
 
-static void free_messages(void *messages, size_t count)
-{
-	void **list = messages;
-	size_t i;
-
-	for (i = 0; i < count; i++)
-		g_free(list[i]);
-	g_free(messages);
-}
-
 void crash_exchange_fill_report(const struct crash_exchange *exchange,
 				VmReport *report)
 {
@@ -326,8 +317,8 @@
 
 void crash_exchange_release_report(VmReport *report)
 {
-	free_messages(report->crashes, report->n_crashes);
-	free_messages(report->blocked, report->n_blocked);
+	message_list_free(report->crashes, report->n_crashes);
+	message_list_free(report->blocked, report->n_blocked);
 	g_free(report->cleared);
 	g_free(report->refused);
 }
@@ -342,7 +333,7 @@
 
 void crash_exchange_release_beat(LeaderBeat *beat)
 {
-	free_messages(beat->blocked, beat->n_blocked);
+	message_list_free(beat->blocked, beat->n_blocked);
 	g_free(beat->cleared);
 }
 
@@ -553,5 +544,5 @@
 						  packed->len });
 		g_byte_array_free(packed, TRUE);
 	}
-	free_messages(message.requests, message.n_requests);
+	message_list_free(message.requests, message.n_requests);
 }
--- a/src/entry/limit_exchange.c
+++ b/src/entry/limit_exchange.c
@@ -2,6 +2,8 @@
 
 #include <math.h>
 
+#include "wire/message_list.h"
+
 #define MILLI 1000.0
 /* Time after this VM began to lead, in seconds, in which it takes over the
  * limits that the other VMs know from the previous leader. Later such a report
@@ -76,16 +78,6 @@
 	g_ptr_array_add(ctx, message);
 }
 
-static void free_messages(void *messages, size_t count)
-{
-	void **list = messages;
-	size_t i;
-
-	for (i = 0; i < count; i++)
-		g_free(list[i]);
-	g_free(messages);
-}
-
 void limit_exchange_fill_report(struct limit_exchange *exchange, VmLoads *loads)
 {
 	GPtrArray *messages = g_ptr_array_new();
@@ -97,7 +89,7 @@
 
 void limit_exchange_release_report(VmLoads *loads)
 {
-	free_messages(loads->limits, loads->n_limits);
+	message_list_free(loads->limits, loads->n_limits);
 }
 
 /* Returns an upstream's account, added if an answer named the limit or if this
@@ -179,7 +171,7 @@
 
 void limit_exchange_release_totals(LeaderLoads *loads)
 {
-	free_messages(loads->limits, loads->n_limits);
+	message_list_free(loads->limits, loads->n_limits);
 }
 
 /* A message with accounts while it is applied. */
--- a/src/entry/load_exchange.c
+++ b/src/entry/load_exchange.c
@@ -2,6 +2,8 @@
 
 #include <math.h>
 
+#include "wire/message_list.h"
+
 #define PERCENT 100.0
 
 /* The leader's sums of the outcomes that the VMs reported about one upstream
@@ -236,11 +238,7 @@
 
 void leader_loads_free(LeaderLoads *loads)
 {
-	size_t i;
-
-	for (i = 0; i < loads->n_upstreams; i++)
-		g_free(loads->upstreams[i]);
-	g_free(loads->upstreams);
+	message_list_free(loads->upstreams, loads->n_upstreams);
 	g_free(loads->busy);
 	g_free(loads->flights.data);
 	g_free(loads);
