--- a/test/functional/test_entry_crashes.c
+++ b/test/functional/test_entry_crashes.c
@@ -143,7 +143,7 @@
 	int before, later;
 
 	entry_rig_start(&rig, ENTRIES, 6);
-	g_snprintf(uri, sizeof(uri), "/control/add?id=%d", MORE_UPSTREAMS);
+	g_snprintf(uri, sizeof(uri), "/control/more?id=%d", MORE_UPSTREAMS);
 	entry_rig_command(&rig, uri, NULL);
 	g_usleep(G_USEC_PER_SEC);
 	row->before();
--- a/test/functional/test_entry_limit.c
+++ b/test/functional/test_entry_limit.c
@@ -126,7 +126,7 @@
 	load.uri = row->uri;
 	load.method = row->method;
 	entry_rig_start(&rig, ENTRIES, 6);
-	entry_rig_command(&rig, "/control/add?id=" G_STRINGIFY(MORE_UPSTREAMS),
+	entry_rig_command(&rig, "/control/more?id=" G_STRINGIFY(MORE_UPSTREAMS),
 			  NULL);
 	g_usleep(G_USEC_PER_SEC);
 	for (i = 0; i < CALLERS; i++)
--- a/test/standin/site_store.c
+++ b/test/standin/site_store.c
@@ -276,7 +276,7 @@
  *   touch-config  ID is the version of the built-in configuration to write
  *   config        no ID; the body is the configuration to write
  *   down          the store is down unless ID is 0
- *   add           ID more upstreams of the service "plain" start
+ *   more          ID more upstreams of the service "plain" start
  *   entry         ID is the key of a row of upstreams, the body its value
  * The body of list-at is the address to publish for the upstream, that of limit
  * the requests per second that it names as its limit, or -1. An unknown
@@ -303,7 +303,7 @@
 		site->store_down = index != 0;
 	else if (g_str_has_prefix(verb, "entry"))
 		site_put_row(site, "servers", id, request->body->str);
-	else if (g_str_has_prefix(verb, "add"))
+	else if (g_str_has_prefix(verb, "more"))
 		for (; index > 0; index--)
 			site_upstream_create(site, "plain", "z1", false);
 	else if (g_str_has_prefix(verb, "limit"))
