--- a/test/functional/test_entry_faulty.c
+++ b/test/functional/test_entry_faulty.c
@@ -17,7 +17,7 @@
 #define LONG_TEXT_BYTES ((size_t)4 << 20)
 /* Most bytes of answers that a daemon may hold, with the memory limit of the
  * rig's settings, which is the default: a quarter of it. */
-#define HELD_BYTES_MAX (64 * 1024 * 1024)
+#define HELD_BYTES_MAX ((int64_t)64 << 20)
 
 /* Time for the other upstream's draining to be known. */
 #define DRAIN_US ((gulong)G_USEC_PER_SEC)
--- a/test/unit/test_crash_exchange.c
+++ b/test/unit/test_crash_exchange.c
@@ -3,6 +3,7 @@
  * exchanges on one clock, between which the test passes messages, and a store
  * that the test answers for.
  */
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -168,10 +169,10 @@
  * time. */
 static void run_rounds(struct vm *leader, double span_s)
 {
-	double passed;
+	unsigned int rounds = (unsigned int)ceil(span_s / ROUND_S);
 	int i;
 
-	for (passed = 0; passed < span_s; passed += ROUND_S) {
+	while (rounds--) {
 		for (i = 0; i < VMS; i++)
 			if (&vms[i] != leader)
 				send_report(&vms[i], leader);
