soak: reserve the ports of all entry daemons before the first one starts

Cause: free_address() closed each socket before the next call, so the system could give the same port again: two daemons of one run had the same ready address. Now the sockets stay open until the settings of all daemons are written.

--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -130,6 +130,8 @@
 	GRand *random;
 	/** Temporary folder of settings files and logs. */
 	char *folder;
+	/** Sockets (int) bound to ports that entry daemons will listen on. */
+	GArray *reserved_ports;
 	/** standin-site: the store and the upstreams. */
 	struct process *site;
 	struct soak_entry entries[ENTRIES];
@@ -214,9 +216,9 @@
 			       (pid >> 7 & 127) + 1, (pid & 127) + 1);
 }
 
-/* Returns an address with a port that was free when it was checked; the caller
- * frees it. */
-static char *free_address(const char *host)
+/* Returns an address with a free port, which the caller frees. The port stays
+ * taken until release_ports(), so that no other call returns it. */
+static char *reserve_address(struct soak *soak, const char *host)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET };
 	socklen_t len = sizeof(address);
@@ -227,10 +229,20 @@
 	    bind(fd, (struct sockaddr *)&address, len) ||
 	    getsockname(fd, (struct sockaddr *)&address, &len))
 		g_error("cannot bind a free port on the loopback address");
-	close(fd);
+	g_array_append_val(soak->reserved_ports, fd);
 	return g_strdup(address_format(&address, text));
 }
 
+/* Closes the sockets that reserve_address() bound. */
+static void release_ports(struct soak *soak)
+{
+	guint i;
+
+	for (i = 0; i < soak->reserved_ports->len; i++)
+		close(g_array_index(soak->reserved_ports, int, i));
+	g_array_set_size(soak->reserved_ports, 0);
+}
+
 /* Starts the proxy between an entry daemon and the store, and writes the
  * daemon's settings file with free listening addresses. */
 static void write_settings(struct soak *soak, unsigned int index)
@@ -239,8 +251,10 @@
 	struct sockaddr_in address;
 	char store[ADDRESS_TEXT_SIZE];
 	char *host = unique_loopback_host();
-	char *callers = free_address(host), *ready = free_address(host);
-	char *peers = free_address(host), *metrics = free_address(host);
+	char *callers = reserve_address(soak, host);
+	char *ready = reserve_address(soak, host);
+	char *peers = reserve_address(soak, host);
+	char *metrics = reserve_address(soak, host);
 	char *text;
 
 	address_parse(str_from(process_address(soak->site, "store")), &address);
@@ -353,15 +367,17 @@
 
 	soak->random = g_rand_new_with_seed(soak->seed);
 	soak->faults = g_array_new(FALSE, FALSE, sizeof(struct fault));
+	soak->reserved_ports = g_array_new(FALSE, FALSE, sizeof(int));
 	soak->folder = g_dir_make_tmp("auburn-soak-XXXXXX", NULL);
 	soak->site = process_start("site", soak->folder, argv, &error);
 	if (!soak->site || !process_wait_listening(soak->site, WAIT_US, &error))
 		g_error("%s", error->message);
 	start_upstream_proxies(soak);
-	for (i = 0; i < ENTRIES; i++) {
+	for (i = 0; i < ENTRIES; i++)
 		write_settings(soak, i);
+	release_ports(soak);
+	for (i = 0; i < ENTRIES; i++)
 		start_entry(soak, i);
-	}
 	wait_until_entries_serve(soak, "after the start");
 }
 
@@ -380,6 +396,7 @@
 	g_free(soak->folder);
 	g_rand_free(soak->random);
 	g_array_free(soak->faults, TRUE);
+	g_array_free(soak->reserved_ports, TRUE);
 }
 
 /* --- faults --- */
