--- a/src/assigner/assigner_impl.h
+++ b/src/assigner/assigner_impl.h
@@ -45,6 +45,8 @@
 	uint64_t vms_sent_version;
 	/** A read of the platform's VM list is in flight. */
 	bool vms_reading;
+	/** The last read of the platform's VM list failed. */
+	bool vms_unreachable;
 	/** Text that names the entries skipped in the last VM list, as it was
 	 * logged; NULL when none was skipped. */
 	char *vms_skipped;
--- a/src/assigner/assigner_platform.c
+++ b/src/assigner/assigner_platform.c
@@ -92,6 +92,20 @@
 	a->vms_skipped = g_strdup(skipped);
 }
 
+/* Logs the first failed read of the VM list, and the first successful one after
+ * it. */
+static void log_vms_reachability(struct assigner *a, bool reachable)
+{
+	if (a->vms_unreachable == !reachable)
+		return;
+	a->vms_unreachable = !reachable;
+	if (reachable)
+		log_info("vms", "the platform's VM list is read again");
+	else
+		log_warn("vms", "the platform's VM list can't be read; the "
+				"last list stays in use");
+}
+
 static void on_vms(void *ctx, enum table_status status, struct str body)
 {
 	struct assigner *a = ctx;
@@ -99,6 +113,7 @@
 	GError *error = NULL;
 
 	a->vms_reading = false;
+	log_vms_reachability(a, status == TABLE_OK);
 	if (status != TABLE_OK)
 		return;
 	if (!vm_list_parse(body, &list, &error)) {
