--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -9,6 +9,7 @@
 
 #include "base/address.h"
 #include "base/log.h"
+#include "store/store_calls.h"
 
 double cluster_now(const struct cluster *cluster)
 {
@@ -322,11 +323,13 @@
 
 /* Reads the owner maps of all services from the store, unless a read is in
  * progress already. */
-static void read_maps(struct cluster *cluster, store_done_fn done)
+static void read_maps(struct cluster *cluster, store_done_fn done,
+		      const char *reason)
 {
 	if (cluster->reading_maps)
 		return;
 	cluster->reading_maps = true;
+	store_calls_count(cluster->options.store.calls, KEY_TABLE, reason);
 	cluster->options.store.ops->read(cluster->options.store.impl, KEY_TABLE,
 					 "", done, cluster);
 }
@@ -356,7 +359,7 @@
 	if (!cluster->options.roster_loaded(cluster->options.ctx))
 		return;
 	if (!cluster->maps_read) {
-		read_maps(cluster, on_inherited_maps);
+		read_maps(cluster, on_inherited_maps, "inherit");
 		return;
 	}
 	/* The lease is renewed again: end the extension of grants by
@@ -407,7 +410,7 @@
 		run_leader(cluster);
 	else if (now > cluster->last_heartbeat_s + HEARTBEAT_LOST_S) {
 		cluster->last_heartbeat_s = now - HEARTBEAT_LOST_S / 2;
-		read_maps(cluster, on_fallback_maps);
+		read_maps(cluster, on_fallback_maps, "fallback");
 	}
 	exchange_row_versions(cluster);
 	/* Sending up to half a tick early makes up for ticks that come late. */
--- a/src/entry/crash_exchange.c
+++ b/src/entry/crash_exchange.c
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "entry/key_leader.h"
+#include "store/store_calls.h"
 #include "wire/message_list.h"
 
 /* Reports: how many are kept, for how many seconds each is sent again, and for
@@ -518,6 +519,7 @@
 	};
 
 	exchange->saving = true;
+	store_calls_count(exchange->options.store.calls, write.table, "save");
 	exchange->options.store.ops->write(exchange->options.store.impl, &write,
 					   SAVE_TIMEOUT_S, on_saved, exchange);
 }
--- a/src/entry/key_leader.c
+++ b/src/entry/key_leader.c
@@ -5,6 +5,7 @@
 
 #include "base/log.h"
 #include "keys/key_capacity.h"
+#include "store/store_calls.h"
 
 /* Timeout of a write of the owner map to the store, in seconds. */
 #define SAVE_TIMEOUT_S 0.8
@@ -303,6 +304,7 @@
 	g_free(name);
 	write.value = (struct str){ value->str, value->len };
 	leader->writing = true;
+	store_calls_count(leader->options.store.calls, write.table, "save");
 	leader->options.store.ops->write(leader->options.store.impl, &write,
 					 SAVE_TIMEOUT_S, on_saved, leader);
 	g_string_free(value, TRUE);
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -16,6 +16,7 @@
 #include "entry/table_watch.h"
 #include "platform/decode.h"
 #include "platform/table_store.h"
+#include "store/store_calls.h"
 
 /* Period of on_tick(), in seconds. */
 #define TICK_S 0.05
@@ -50,6 +51,7 @@
 	struct metrics *metrics;
 	const struct directory_codec *directory;
 	struct table_store *table_store;
+	struct store_calls *store_calls;
 	struct roster *roster;
 	struct links *links;
 	/** Limits the answers of upstreams that are being received, and shows
@@ -496,6 +498,8 @@
 	entry->table_store =
 		table_store_create(&entry->loop, &entry->settings->store);
 	store = table_store_interface(entry->table_store);
+	entry->store_calls = store_calls_create(entry->metrics);
+	store.calls = entry->store_calls;
 	entry->roster = roster_create(&entry->loop, entry->settings,
 				      &roster_ops, entry);
 	create_answer_budget(entry);
@@ -540,6 +544,7 @@
 	table_watch_destroy(entry->upstream_rows);
 	table_store_destroy(entry->table_store);
 	cluster_destroy(entry->cluster);
+	store_calls_destroy(entry->store_calls);
 	links_destroy(entry->links);
 	forward_destroy(entry->forward);
 	crash_watch_destroy(entry->crashes);
--- a/src/entry/table_watch.c
+++ b/src/entry/table_watch.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "store/change_log.h"
+#include "store/store_calls.h"
 
 /* Timeouts of a long poll, in seconds. A lost call is repeated when other VMs
  * report a newer row. While no other VM is live, the short timeout applies, so
@@ -204,6 +205,9 @@
 
 static void read_page(struct table_watch *table_watch, const char *from)
 {
+	store_calls_count(table_watch->store.calls, table_watch->table,
+			  table_watch->catch_up_snapshot ? "catch_up"
+							 : "snapshot");
 	table_watch->call_pending = true;
 	table_watch->store.ops->read(table_watch->store.impl,
 				     table_watch->table, from, on_snapshot_page,
@@ -361,13 +365,16 @@
 	return table_watch->has_live_peers ? LONG_POLL_S : LONG_POLL_ALONE_S;
 }
 
-static void start_snapshot(struct table_watch *table_watch)
+/* Starts to read the whole table.
+ *
+ * @param catch_up see catch_up_snapshot */
+static void start_snapshot(struct table_watch *table_watch, bool catch_up)
 {
 	g_clear_pointer(&table_watch->seen_keys, g_hash_table_destroy);
 	table_watch->seen_keys =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	table_watch->needs_snapshot = true;
-	table_watch->catch_up_snapshot = false;
+	table_watch->catch_up_snapshot = catch_up;
 	table_watch->snapshot_version = 0;
 	table_watch->call_started_s = loop_now(table_watch->loop);
 	table_watch->long_poll_s = 0;
@@ -383,8 +390,10 @@
 }
 
 /* Asks the store for changes; waits for one for up to wait_s seconds. */
-static void request_changes(struct table_watch *table_watch, double wait_s)
+static void request_changes(struct table_watch *table_watch, double wait_s,
+			    const char *reason)
 {
+	store_calls_count(table_watch->store.calls, table_watch->table, reason);
 	table_watch->call_pending = true;
 	table_watch->call_started_s = loop_now(table_watch->loop);
 	table_watch->call_version = table_watch->version;
@@ -403,9 +412,10 @@
 	if (table_watch->call_pending || relies_on_peers(table_watch))
 		return;
 	if (table_watch->needs_snapshot)
-		start_snapshot(table_watch);
+		start_snapshot(table_watch, false);
 	else
-		request_changes(table_watch, long_poll_timeout_s(table_watch));
+		request_changes(table_watch, long_poll_timeout_s(table_watch),
+				table_watch->unreachable ? "probe" : "poll");
 }
 
 /* Asks the store for changes that were not relayed. */
@@ -415,11 +425,10 @@
 		return;
 	table_watch->behind_since_s = 0;
 	if (!table_watch->ops->catch_up_by_snapshot) {
-		request_changes(table_watch, 0);
+		request_changes(table_watch, 0, "catch_up");
 		return;
 	}
-	start_snapshot(table_watch);
-	table_watch->catch_up_snapshot = true;
+	start_snapshot(table_watch, true);
 }
 
 /* Cancels the pending call, which is taken for lost, and calls the store again.
--- a/src/keys/lease.c
+++ b/src/keys/lease.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "store/store_calls.h"
 #include "wire/entry.pb-c.h"
 
 /* Table and key of the lease's row in the store. */
@@ -292,6 +293,7 @@
 {
 	lease->call_in_progress = true;
 	lease->sent_s = now_of(lease);
+	store_calls_count(lease->store.calls, LEASE_TABLE, "read");
 	lease->store.ops->read(lease->store.impl, LEASE_TABLE, "", on_read,
 			       lease);
 }
@@ -362,6 +364,10 @@
 	lease->attempts[number % ATTEMPTS_MAX].number = number;
 	lease->attempts[number % ATTEMPTS_MAX].sent_s = now_of(lease);
 	lease->sent_s = now_of(lease);
+	store_calls_count(lease->store.calls, LEASE_TABLE,
+			  lease->stopped   ? "release"
+			  : lease->holding ? "renew"
+					   : "acquire");
 	lease->store.ops->write(lease->store.impl, &write, WRITE_TIMEOUT_S,
 				on_written, lease);
 	g_string_free(value, TRUE);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -109,6 +109,8 @@
 struct store {
 	const struct store_ops *ops;
 	void *impl;
+	/** Counts the calls; NULL: they aren't counted. */
+	struct store_calls *calls;
 };
 
 #endif
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -6,6 +6,7 @@
 #include "entry/table_watch.h"
 #include "manual_clock.h"
 #include "store/change_log.h"
+#include "store/store_calls.h"
 #include "suite.h"
 
 /* --- change log --- */
@@ -95,6 +96,8 @@
 	GString *reported;
 	/** The watch reported last that the store is unreachable. */
 	int unreachable;
+	/** Counts the calls by reason. */
+	struct metrics *metrics;
 };
 
 static void fake_read(void *impl, const char *table, const char *from,
@@ -219,6 +222,8 @@
 	f->loop.ev = ev_loop_new(EVFLAG_AUTO);
 	f->store.ops = &store_ops;
 	f->store.impl = f;
+	f->metrics = metrics_create();
+	f->store.calls = store_calls_create(f->metrics);
 	f->reported = g_string_new(NULL);
 	f->table_watch = table_watch_create(&f->loop, &f->store, "t", ops, f);
 	table_watch_start(f->table_watch);
@@ -240,6 +245,8 @@
 	table_watch_destroy(f->table_watch);
 	ev_loop_destroy(f->loop.ev);
 	g_string_free(f->reported, TRUE);
+	store_calls_destroy(f->store.calls);
+	metrics_destroy(f->metrics);
 }
 
 /* Applies a delta that another VM relays, with one changed row. */
@@ -315,6 +322,34 @@
 	teardown(&f);
 }
 
+/* Returns the number of calls of a reason that were counted. */
+static uint64_t counted(const struct fixture *f, const char *reason)
+{
+	char *labels = g_strdup_printf("table=\"t\",reason=\"%s\"", reason);
+	uint64_t count = counter_value(metrics_counter(
+		f->metrics, "auburn_store_calls_total", labels, ""));
+
+	g_free(labels);
+	return count;
+}
+
+static void calls_are_counted_by_reason(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	relay(&f, 12, 15, "c", 15, false);
+	answer(&f, STORE_HISTORY_GONE, 0, NULL, 0);
+	answer(&f, STORE_OK, 15, NULL, 0);
+	table_watch_set_peer_version(f.table_watch, 0);
+	advance(&f, 0);
+	CU_ASSERT_EQUAL(counted(&f, "snapshot"), 2);
+	CU_ASSERT_EQUAL(counted(&f, "catch_up"), 1);
+	CU_ASSERT_EQUAL(counted(&f, "poll"), 1);
+	CU_ASSERT_EQUAL(f.calls, 4);
+	teardown(&f);
+}
+
 static void without_peers_the_store_is_polled(void)
 {
 	struct fixture f;
@@ -456,6 +491,7 @@
 		  missed_changes_are_requested_at_once },
 		{ "an older answer does not restore a deleted row",
 		  an_older_answer_does_not_restore_a_deleted_row },
+		{ "calls are counted by reason", calls_are_counted_by_reason },
 		{ "without peers the store is polled",
 		  without_peers_the_store_is_polled },
 		{ "a newer row on a peer is requested",
