entry: VMs that start get copies of the tables; fewer calls without a leader

Cause, by the new counters: each VM reads both tables and polls them until it hears the leader, with an empty table also after that (version 0 counted as 'no peer'); all VMs read the lease after 1 s of silence, read the owner maps twice a second, and repeat each failed call up to five times a second. Change: the leader sends VMs that start compressed copies of the tables (table_copy, copy_exchange); a VM that gets none in 0.7 s reads them itself, and one that leads reads at once. Owner maps are read only when the lease shows a leader that the VM doesn't hear. Eight VMs on average watch a silent leader closely, the others leave it to these; retries without success get rarer with the number of VMs, up to 3 s. Ways weighed: pages of 500 rows (no difference), the change feed from version 0 (gone after 20 s).

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -101,6 +101,12 @@
 	counter_set(cluster->leads, 0);
 }
 
+/* Whether the leader's heartbeats arrive. */
+static bool hears_leader(const struct cluster *cluster)
+{
+	return cluster_now(cluster) < cluster->last_heartbeat_s + RELAY_LOST_S;
+}
+
 static void on_leader_learned(void *ctx, const char *vm, const char *address)
 {
 	struct cluster *cluster = ctx;
@@ -116,6 +122,9 @@
 	}
 	cluster->leader_address = leader;
 	cluster->leader_address_known = true;
+	/* The leader may not know this VM: report at once. */
+	if (!hears_leader(cluster))
+		cluster->report_sent_s = 0;
 }
 
 static void renew_all(gpointer key, gpointer value, gpointer data)
@@ -183,21 +192,17 @@
 {
 	struct table_watch *operator_rows = cluster->options.operator_rows;
 	struct table_watch *upstream_rows = cluster->options.upstream_rows;
-	bool has_live_peers =
-		cluster->leading
-			? live_vms_count(cluster->vms) > 1
-			: cluster_now(cluster) <
-				  cluster->last_heartbeat_s + RELAY_LOST_S;
+	bool has_live_peers = cluster->leading
+				      ? live_vms_count(cluster->vms) > 1
+				      : hears_leader(cluster);
 
 	cluster_update_row_versions(cluster,
 				    table_watch_row_version(operator_rows),
 				    table_watch_row_version(upstream_rows));
-	table_watch_set_peer_version(
-		operator_rows,
-		has_live_peers ? cluster->row_versions.operator_rows : 0);
-	table_watch_set_peer_version(
-		upstream_rows,
-		has_live_peers ? cluster->row_versions.upstream_rows : 0);
+	table_watch_set_peer_version(operator_rows, has_live_peers,
+				     cluster->row_versions.operator_rows);
+	table_watch_set_peer_version(upstream_rows, has_live_peers,
+				     cluster->row_versions.upstream_rows);
 }
 
 static const struct lease_ops lease_ops = {
@@ -329,6 +334,8 @@
 	live_vms_expire(cluster->vms, now, on_vm_timed_out, cluster);
 	if (now >= cluster->heartbeat_sent_s + HEARTBEAT_S)
 		cluster_send_heartbeat(cluster);
+	copy_exchange_send(cluster->copy_exchange,
+			   lease_version(cluster->lease));
 	table_watch_set_mode(cluster->options.operator_rows,
 			     TABLE_WATCH_LEADER);
 	table_watch_set_mode(cluster->options.upstream_rows,
@@ -377,15 +384,25 @@
 	cluster->options.routing_changed(cluster->options.ctx);
 }
 
+/* Whether a VM renewed the lease without this VM hearing its heartbeats. Only
+ * then may owners have changed, which that leader saves before. */
+static bool has_unheard_leader(const struct cluster *cluster)
+{
+	uint64_t version = lease_version(cluster->lease);
+
+	return version > cluster->heartbeat_lease &&
+	       version > cluster->fallback_lease;
+}
+
 /* Returns the interval of this VM's reports to the leader. */
 static double report_interval_s(const struct cluster *cluster)
 {
 	unsigned int vms = roster_vm_count(cluster->options.roster);
-	bool heard =
-		cluster_now(cluster) < cluster->last_heartbeat_s + RELAY_LOST_S;
 
-	return heard ? live_vms_report_interval_s(vms)
-		     : live_vms_unheard_report_interval_s(vms);
+	if (!hears_leader(cluster) ||
+	    copy_exchange_waits(cluster->copy_exchange))
+		return live_vms_unheard_report_interval_s(vms);
+	return live_vms_report_interval_s(vms);
 }
 
 void cluster_tick(struct cluster *cluster)
@@ -395,8 +412,9 @@
 	lease_tick(cluster->lease);
 	if (cluster->leading)
 		run_leader(cluster);
-	else if (now > cluster->last_heartbeat_s + HEARTBEAT_LOST_S) {
-		cluster->last_heartbeat_s = now - HEARTBEAT_LOST_S / 2;
+	else if (now > cluster->last_heartbeat_s + HEARTBEAT_LOST_S &&
+		 has_unheard_leader(cluster)) {
+		cluster->fallback_lease = lease_version(cluster->lease);
 		read_maps(cluster, on_fallback_maps, "fallback");
 	}
 	exchange_row_versions(cluster);
@@ -443,6 +461,21 @@
 	cluster->crash_exchange = crash_exchange_create(&options);
 }
 
+static void create_copy_exchange(struct cluster *cluster)
+{
+	struct copy_exchange_options options = {
+		.loop = cluster->options.loop,
+		.datagrams = cluster->datagrams,
+		.log = cluster->options.log,
+		.watches = {
+			[COPIED_OPERATOR_ROWS] = cluster->options.operator_rows,
+			[COPIED_UPSTREAM_ROWS] = cluster->options.upstream_rows,
+		},
+	};
+
+	cluster->copy_exchange = copy_exchange_create(&options);
+}
+
 struct crash_exchange *cluster_crash_exchange(struct cluster *cluster)
 {
 	return cluster->crash_exchange;
@@ -470,6 +503,7 @@
 		cluster->lease,
 		MIN(ACQUIRE_DELAY_MAX_S,
 		    ACQUIRE_DELAY_MBIT / options->settings->link_mbps));
+	lease_begin(cluster->lease);
 	cluster->orders =
 		orders_create(options->loop, options->links, options->protocol,
 			      &orders_ops, cluster);
@@ -483,8 +517,9 @@
 	cluster->limit_exchange =
 		limit_exchange_create(options->loop, options->roster);
 	create_crash_exchange(cluster);
+	create_copy_exchange(cluster);
 	cluster->hold_s = HOLD_S;
-	cluster->last_heartbeat_s = cluster_now(cluster) - HEARTBEAT_LOST_S / 2;
+	cluster->last_heartbeat_s = cluster_now(cluster);
 	ev_timer_init(&cluster->publish_timer, on_publish_timer,
 		      PUBLISH_DELAY_S, 0);
 	cluster->publish_timer.data = cluster;
@@ -509,5 +544,6 @@
 	live_vms_destroy(cluster->vms);
 	g_hash_table_destroy(cluster->published_maps);
 	crash_exchange_destroy(cluster->crash_exchange);
+	copy_exchange_destroy(cluster->copy_exchange);
 	g_free(cluster);
 }
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -5,6 +5,7 @@
 #define ENTRY_CLUSTER_IMPL_H
 
 #include "entry/cluster.h"
+#include "entry/copy_exchange.h"
 #include "entry/datagrams.h"
 #include "entry/key_leader.h"
 #include "entry/limit_exchange.h"
@@ -76,6 +77,7 @@
 	struct datagrams *datagrams;
 	struct load_exchange *load_exchange;
 	struct limit_exchange *limit_exchange;
+	struct copy_exchange *copy_exchange;
 	/** On the leader from the VMs' messages, elsewhere from its heartbeats.
 	 */
 	struct live_vms *vms;
@@ -112,8 +114,10 @@
 	bool leader_address_known;
 	/** Lease version in the last heartbeat; tells leaders apart. */
 	uint64_t heartbeat_lease;
-	/** When the leader's last heartbeat was applied. Set to a later time
-	 * when owners are read from the store instead, which spaces the reads.
+	/** Lease version at which the owners were last read from the store in
+	 * place of a heartbeat. */
+	uint64_t fallback_lease;
+	/** When the leader's last heartbeat was applied, or this VM started.
 	 */
 	double last_heartbeat_s;
 	/** When this VM last sent: a heartbeat as leader, its report to the
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -296,9 +296,12 @@
 	} else {
 		struct sockaddr_in address;
 
-		if (address_parse(str_from(report->vm->address), &address))
+		if (address_parse(str_from(report->vm->address), &address)) {
 			cluster_record_vm_alive(cluster, report->vm->name,
 						&address);
+			copy_exchange_add_request(cluster->copy_exchange,
+						  report, &address);
+		}
 	}
 	apply_row_versions(cluster, report->progress);
 	for (i = 0; i < report->n_loads; i++)
@@ -361,6 +364,11 @@
 	}
 	roster_set_vms(cluster->options.roster, (unsigned int)beat->n_vms,
 		       names);
+	lease_set_vms(cluster->lease, (unsigned int)beat->n_vms);
+	table_watch_set_vms(cluster->options.operator_rows,
+			    (unsigned int)beat->n_vms);
+	table_watch_set_vms(cluster->options.upstream_rows,
+			    (unsigned int)beat->n_vms);
 	counter_set(cluster->vms_alive, beat->n_vms);
 	g_free(names);
 }
@@ -413,12 +421,22 @@
 	cluster->leader_address_known = address_parse(str_from(beat->address),
 						      &cluster->leader_address);
 	apply_row_versions(cluster, beat->progress);
+	copy_exchange_observe_heartbeat(cluster->copy_exchange, beat);
 	apply_row_changes(cluster, beat);
 	apply_maps(cluster, beat);
 	apply_vms(cluster, beat);
 	crash_exchange_apply_beat(cluster->crash_exchange, beat);
 }
 
+/* Handles a part of a table's copy; one of an earlier leader is ignored. */
+static void on_table_copy(void *ctx, const TableCopyPart *part)
+{
+	struct cluster *cluster = ctx;
+
+	if (!cluster->leading && part->lease >= lease_version(cluster->lease))
+		copy_exchange_apply(cluster->copy_exchange, part);
+}
+
 static void on_vm_loads(void *ctx, const VmLoads *loads)
 {
 	struct cluster *cluster = ctx;
@@ -492,6 +510,7 @@
 		.leader_loads = on_leader_loads,
 		.heartbeat = on_heartbeat,
 		.vm_report = on_vm_report,
+		.table_copy = on_table_copy,
 	};
 
 	return &ops;
@@ -543,6 +562,7 @@
 	out.loads = (KeyLoad **)loads->pdata;
 	out.n_loads = loads->len;
 	crash_exchange_fill_report(cluster->crash_exchange, &out);
+	copy_exchange_fill_report(cluster->copy_exchange, &out);
 	out.stopping = stopping;
 	progress.operator_rows = cluster->row_versions.operator_rows;
 	progress.upstream_rows = cluster->row_versions.upstream_rows;
--- a/src/entry/delta_messages.c
+++ b/src/entry/delta_messages.c
@@ -14,22 +14,28 @@
 	return row;
 }
 
-TableChanges *delta_message_create(struct table_watch *table_watch)
+TableChanges *delta_message_from(const struct table_delta *changes)
 {
-	struct table_delta changes = table_watch_recent_delta(table_watch);
 	TableChanges *message = g_new(TableChanges, 1);
 	size_t i;
 
 	table_changes__init(message);
-	message->after = changes.after;
-	message->upto = changes.upto;
-	message->n_rows = changes.count;
-	message->rows = g_new(ChangedRow *, changes.count);
-	for (i = 0; i < changes.count; i++)
-		message->rows[i] = row_message(&changes.rows[i]);
+	message->after = changes->after;
+	message->upto = changes->upto;
+	message->n_rows = changes->count;
+	message->rows = g_new(ChangedRow *, changes->count);
+	for (i = 0; i < changes->count; i++)
+		message->rows[i] = row_message(&changes->rows[i]);
 	return message;
 }
 
+TableChanges *delta_message_create(struct table_watch *table_watch)
+{
+	struct table_delta changes = table_watch_recent_delta(table_watch);
+
+	return delta_message_from(&changes);
+}
+
 void delta_message_free(TableChanges *message)
 {
 	size_t i;
@@ -40,15 +46,16 @@
 	g_free(message);
 }
 
-void delta_message_apply(struct table_watch *table_watch,
-			 const TableChanges *message)
+/* Passes the rows of a message to a function of the watch. */
+static void apply_message(struct table_watch *table_watch,
+			  const TableChanges *message,
+			  void (*apply)(struct table_watch *table_watch,
+					const struct table_delta *changes))
 {
 	struct table_delta changes = { 0 };
 	struct store_row *rows;
 	size_t i;
 
-	if (!message)
-		return;
 	rows = g_new0(struct store_row, message->n_rows);
 	for (i = 0; i < message->n_rows; i++) {
 		const ChangedRow *from = message->rows[i];
@@ -63,8 +70,21 @@
 	changes.upto = message->upto;
 	changes.rows = rows;
 	changes.count = message->n_rows;
-	table_watch_apply_delta(table_watch, &changes);
+	apply(table_watch, &changes);
 	for (i = 0; i < message->n_rows; i++)
 		g_string_free(rows[i].value, TRUE);
 	g_free(rows);
 }
+
+void delta_message_apply(struct table_watch *table_watch,
+			 const TableChanges *message)
+{
+	if (message)
+		apply_message(table_watch, message, table_watch_apply_delta);
+}
+
+void copy_message_apply(struct table_watch *table_watch,
+			const TableChanges *message)
+{
+	apply_message(table_watch, message, table_watch_apply_copy);
+}
--- a/src/entry/delta_messages.h
+++ b/src/entry/delta_messages.h
@@ -8,6 +8,14 @@
 #include "entry/table_watch.h"
 #include "wire/entry.pb-c.h"
 
+/**
+ * Builds a message with changes. It refers to their rows, and must be freed
+ * before them.
+ *
+ * @return the message; freed with delta_message_free()
+ */
+TableChanges *delta_message_from(const struct table_delta *changes);
+
 /**
  * Builds a message with a table's recent changes. It refers to the watch's
  * rows, so it must be freed before the watch runs again.
@@ -18,6 +26,10 @@
 /** Frees a message of delta_message_create(), but not the rows. */
 void delta_message_free(TableChanges *message);
 
+/** Applies a copy of the whole table that the leader sent. */
+void copy_message_apply(struct table_watch *table_watch,
+			const TableChanges *message);
+
 /**
  * Applies changes that the leader relayed.
  *
--- a/src/entry/table_watch.c
+++ b/src/entry/table_watch.c
@@ -33,6 +33,10 @@
 #define RETRY_S 0.25
 #define RETRY_MAX_S 0.4
 #define RETRY_FACTOR 1.5
+/* Shortest interval between the retries of all passive watches of a table
+ * together, in seconds, and longest delay of one watch's retry. */
+#define RETRY_VM_S 0.012
+#define RETRY_PASSIVE_MAX_S 3.0
 
 struct table_watch {
 	struct loop *loop;
@@ -42,8 +46,8 @@
 	void *ctx;
 	/** Fires when the next call to the store is due. */
 	ev_timer timer;
-	/** Version (uint64_t) of each existing row by key. */
-	GHashTable *row_versions;
+	/** Existing rows (struct store_row) by key. */
+	GHashTable *rows;
 	/** Set of the keys seen by the snapshot in progress, or NULL. */
 	GHashTable *seen_keys;
 	/** All changes up to this version were applied. */
@@ -65,6 +69,8 @@
 	/** Other VMs are live and would relay changes. */
 	bool has_live_peers;
 	enum table_watch_mode mode;
+	/** Number of VMs, each of which has such a watch. */
+	unsigned int vms;
 	/** Loop time at which the last call to the store, or the snapshot in
 	 * progress, was started. */
 	double call_started_s;
@@ -85,10 +91,33 @@
 	/** Loop time since which other VMs have known a newer row than this VM;
 	 * 0: they don't. */
 	double behind_since_s;
+	/** Loop time until which the watch waits for another VM's copy of the
+	 * table before it reads it; 0: it doesn't wait. */
+	double copy_until_s;
 };
 
 static void on_timer(struct ev_loop *loop, ev_timer *timer, int events);
 
+static void free_row(gpointer data)
+{
+	struct store_row *row = data;
+
+	g_free(row->key);
+	g_string_free(row->value, TRUE);
+	g_free(row);
+}
+
+static struct store_row *copy_row(const struct store_row *row)
+{
+	struct store_row *copy = g_new0(struct store_row, 1);
+
+	copy->key = g_strdup(row->key);
+	copy->value =
+		g_string_new_len(row->value->str, (gssize)row->value->len);
+	copy->version = row->version;
+	return copy;
+}
+
 struct table_watch *table_watch_create(struct loop *loop,
 				       const struct store *store,
 				       const char *table,
@@ -102,8 +131,8 @@
 	table_watch->table = g_strdup(table);
 	table_watch->ops = ops;
 	table_watch->ctx = ctx;
-	table_watch->row_versions =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	table_watch->rows =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_row);
 	table_watch->changes = change_log_create();
 	table_watch->needs_snapshot = true;
 	table_watch->retry_delay_s = RETRY_S;
@@ -118,7 +147,7 @@
 		return;
 	ev_timer_stop(table_watch->loop->ev, &table_watch->timer);
 	change_log_destroy(table_watch->changes);
-	g_hash_table_destroy(table_watch->row_versions);
+	g_hash_table_destroy(table_watch->rows);
 	if (table_watch->seen_keys)
 		g_hash_table_destroy(table_watch->seen_keys);
 	g_free(table_watch->table);
@@ -154,23 +183,22 @@
 static void apply_row(struct table_watch *table_watch,
 		      const struct store_row *row)
 {
-	uint64_t *known =
-		g_hash_table_lookup(table_watch->row_versions, row->key);
+	const struct store_row *known =
+		g_hash_table_lookup(table_watch->rows, row->key);
+	struct store_row *copy;
 
 	if (row->version > table_watch->row_version)
 		table_watch->row_version = row->version;
 
-	if (known && *known >= row->version)
+	if (known && known->version >= row->version)
 		return;
 	if (row->removed) {
-		if (g_hash_table_remove(table_watch->row_versions, row->key))
+		if (g_hash_table_remove(table_watch->rows, row->key))
 			table_watch->ops->removed(table_watch->ctx, row->key);
 		return;
 	}
-	known = g_new(uint64_t, 1);
-	*known = row->version;
-	g_hash_table_insert(table_watch->row_versions, g_strdup(row->key),
-			    known);
+	copy = copy_row(row);
+	g_hash_table_replace(table_watch->rows, copy->key, copy);
 	table_watch->ops->row(table_watch->ctx, row);
 }
 
@@ -182,21 +210,33 @@
 	gpointer key;
 	guint i;
 
-	g_hash_table_iter_init(&iter, table_watch->row_versions);
+	g_hash_table_iter_init(&iter, table_watch->rows);
 	while (g_hash_table_iter_next(&iter, &key, NULL))
 		if (!g_hash_table_contains(table_watch->seen_keys, key))
 			g_ptr_array_add(unseen, g_strdup(key));
 	for (i = 0; i < unseen->len; i++) {
-		g_hash_table_remove(table_watch->row_versions,
-				    unseen->pdata[i]);
+		g_hash_table_remove(table_watch->rows, unseen->pdata[i]);
 		table_watch->ops->removed(table_watch->ctx, unseen->pdata[i]);
 	}
 	g_ptr_array_free(unseen, TRUE);
 }
 
+/* Returns the shortest delay of a retry, in seconds. The watches that the store
+ * fails call it together about as often as a few would. */
+static double least_retry_delay_s(const struct table_watch *table_watch)
+{
+	double delay_s =
+		table_watch->vms * RETRY_VM_S * (0.5 + g_random_double());
+
+	return table_watch->mode == TABLE_WATCH_PASSIVE
+		       ? MIN(delay_s, RETRY_PASSIVE_MAX_S)
+		       : 0;
+}
+
 static void retry_later(struct table_watch *table_watch)
 {
-	schedule(table_watch, table_watch->retry_delay_s);
+	schedule(table_watch, MAX(table_watch->retry_delay_s,
+				  least_retry_delay_s(table_watch)));
 	table_watch->retry_delay_s =
 		MIN(table_watch->retry_delay_s * RETRY_FACTOR, RETRY_MAX_S);
 }
@@ -229,12 +269,11 @@
 static void finish_snapshot(struct table_watch *table_watch)
 {
 	set_catch_up_pause(table_watch);
-	remove_unseen_rows(table_watch);
-	g_clear_pointer(&table_watch->seen_keys, g_hash_table_destroy);
 	table_watch->version = table_watch->snapshot_version;
 	change_log_reset(table_watch->changes, table_watch->version);
 	table_watch->needs_snapshot = false;
 	table_watch->catch_up_snapshot = false;
+	table_watch->copy_until_s = 0;
 	if (!table_watch->loaded) {
 		table_watch->loaded = true;
 		table_watch->ops->loaded(table_watch->ctx);
@@ -263,6 +302,8 @@
 		apply_row(table_watch, &result->rows[i]);
 	}
 	if (!result->more || !result->row_count) {
+		remove_unseen_rows(table_watch);
+		g_clear_pointer(&table_watch->seen_keys, g_hash_table_destroy);
 		finish_snapshot(table_watch);
 		return;
 	}
@@ -411,6 +452,7 @@
 	(void)events;
 	if (table_watch->call_pending || relies_on_peers(table_watch))
 		return;
+	table_watch->copy_until_s = 0;
 	if (table_watch->needs_snapshot)
 		start_snapshot(table_watch, false);
 	else
@@ -456,10 +498,20 @@
 		schedule(table_watch, 0);
 }
 
+void table_watch_set_vms(struct table_watch *table_watch, unsigned int vms)
+{
+	table_watch->vms = vms;
+}
+
 void table_watch_set_mode(struct table_watch *table_watch,
 			  enum table_watch_mode mode)
 {
 	table_watch->mode = mode;
+	/* The leader has no one to get a copy from. */
+	if (mode == TABLE_WATCH_LEADER && table_watch->copy_until_s) {
+		table_watch->copy_until_s = 0;
+		schedule(table_watch, 0);
+	}
 	resume_calls(table_watch);
 }
 
@@ -484,16 +536,21 @@
 		restart_call(table_watch);
 }
 
-void table_watch_set_peer_version(struct table_watch *table_watch,
+void table_watch_set_peer_version(struct table_watch *table_watch, bool live,
 				  uint64_t version)
 {
 	bool awaits_changes =
 		table_watch->call_pending || relies_on_peers(table_watch);
 
-	table_watch->has_live_peers = version > 0;
+	table_watch->has_live_peers = live;
+	/* Those that relay the changes reach the store. */
+	if (live && table_watch->loaded &&
+	    table_watch->mode == TABLE_WATCH_PASSIVE &&
+	    table_watch->unreachable && !table_watch->call_pending)
+		set_unreachable(table_watch, false);
 	if (!table_watch->loaded || table_watch->needs_snapshot)
 		return;
-	if (version && awaits_changes)
+	if (live && awaits_changes)
 		check_staleness(table_watch, version);
 	else if (table_watch->call_pending &&
 		 table_watch->long_poll_s > LONG_POLL_ALONE_S &&
@@ -549,7 +606,66 @@
 	return table_watch->row_version;
 }
 
-void table_watch_start(struct table_watch *table_watch)
+void table_watch_start(struct table_watch *table_watch, double copy_wait_s)
+{
+	if (copy_wait_s > 0)
+		table_watch->copy_until_s =
+			loop_now(table_watch->loop) + copy_wait_s;
+	schedule(table_watch, copy_wait_s);
+}
+
+bool table_watch_wants_copy(const struct table_watch *table_watch)
+{
+	return table_watch->copy_until_s > 0;
+}
+
+void table_watch_extend_copy_wait(struct table_watch *table_watch,
+				  double wait_s)
 {
-	schedule(table_watch, 0);
+	double until_s = loop_now(table_watch->loop) + wait_s;
+
+	if (!table_watch->copy_until_s || until_s <= table_watch->copy_until_s)
+		return;
+	table_watch->copy_until_s = until_s;
+	schedule(table_watch, wait_s);
+}
+
+bool table_watch_copy(const struct table_watch *table_watch,
+		      struct table_delta *copy)
+{
+	GHashTableIter iter;
+	struct store_row *rows;
+	gpointer row;
+	size_t n = 0;
+
+	if (!table_watch->loaded || table_watch->needs_snapshot)
+		return false;
+	rows = g_new0(struct store_row, g_hash_table_size(table_watch->rows));
+	g_hash_table_iter_init(&iter, table_watch->rows);
+	while (g_hash_table_iter_next(&iter, NULL, &row))
+		rows[n++] = *(const struct store_row *)row;
+	*copy = (struct table_delta){
+		.upto = table_watch->version,
+		.rows = rows,
+		.count = n,
+	};
+	return true;
+}
+
+void table_watch_apply_copy(struct table_watch *table_watch,
+			    const struct table_delta *copy)
+{
+	size_t i;
+
+	if (!table_watch->copy_until_s)
+		return;
+	for (i = 0; i < copy->count; i++)
+		apply_row(table_watch, &copy->rows[i]);
+	table_watch->snapshot_version = copy->upto;
+	table_watch->call_started_s = loop_now(table_watch->loop);
+	finish_snapshot(table_watch);
+	/* A VM that gets a copy does not lead. Its first heartbeat follows. */
+	if (table_watch->mode == TABLE_WATCH_LEADER)
+		table_watch->mode = TABLE_WATCH_PASSIVE;
+	schedule(table_watch, ALONE_DELAY_S);
 }
--- a/src/entry/table_watch.h
+++ b/src/entry/table_watch.h
@@ -63,23 +63,57 @@
  * yet must not be answered after this. */
 void table_watch_destroy(struct table_watch *table_watch);
 
-/** Starts to read the first snapshot. */
-void table_watch_start(struct table_watch *table_watch);
+/**
+ * Starts to read the first snapshot.
+ *
+ * @param copy_wait_s time, in seconds, for which another VM may deliver a copy
+ *        of the table instead; the wait ends early when this VM leads
+ */
+void table_watch_start(struct table_watch *table_watch, double copy_wait_s);
+
+/** Whether the watch waits for a copy of the table (table_watch_start()). */
+bool table_watch_wants_copy(const struct table_watch *table_watch);
+
+/** Extends the wait for a copy, if the watch still waits, until wait_s seconds
+ * from now. */
+void table_watch_extend_copy_wait(struct table_watch *table_watch,
+				  double wait_s);
+
+/**
+ * Returns all rows, for a VM that wants a copy.
+ *
+ * @param copy set on success; the caller frees copy->rows with g_free(). The
+ *        watch owns what they refer to until it runs again
+ * @return false when the watch has not read the table
+ */
+bool table_watch_copy(const struct table_watch *table_watch,
+		      struct table_delta *copy);
+
+/** Replaces the table by another VM's copy, unless the watch doesn't wait for
+ * one. */
+void table_watch_apply_copy(struct table_watch *table_watch,
+			    const struct table_delta *copy);
 
 /**
  * Sets the newest row version that other VMs have seen; to be called about
  * every 50 ms. If it stays newer than this VM's, the watch assumes that its
  * pending call was lost, and calls the store again.
  *
- * @param version result of table_watch_row_version() on another VM; 0: no other
- *        VM is live, so that only short long polls are used
+ * @param live another VM is live and relays changes; otherwise only short long
+ *        polls are used
+ * @param version result of table_watch_row_version() on another VM; ignored
+ *        unless one is live
  */
-void table_watch_set_peer_version(struct table_watch *table_watch,
+void table_watch_set_peer_version(struct table_watch *table_watch, bool live,
 				  uint64_t version);
 
 /** Returns the newest row version that this watch has seen. */
 uint64_t table_watch_row_version(const struct table_watch *table_watch);
 
+/** Sets the number of VMs. The more there are, the longer a passive watch waits
+ * before it calls a store again that did not answer. */
+void table_watch_set_vms(struct table_watch *table_watch, unsigned int vms);
+
 /** Whether a watch polls the store while other VMs are live. */
 enum table_watch_mode {
 	/** Polls for changes and relays them to the other VMs. */
--- a/src/keys/lease.c
+++ b/src/keys/lease.c
@@ -27,6 +27,21 @@
 /* The row is read when its version was not observed for this long. Heartbeats
  * normally report it within one renewal and one heartbeat interval. */
 #define READ_AFTER_S (LEASE_S / 2)
+/* Number of VMs, on average, that read the row so early. The others leave a
+ * leader that they don't hear to these, and try to acquire its lease later by
+ * LATE_S. */
+#define EARLY_VMS 8
+#define EARLY_JITTER_S 0.25
+#define LATE_S 0.5
+/* Shortest interval between the calls of all VMs together, in seconds, while
+ * the store doesn't answer, and the longest delay of one VM's retry. */
+#define RETRY_VM_S 0.012
+#define RETRY_MAX_S 3.0
+/* Without a leader, VMs that start at the same time read the row at random
+ * times within START_READ_S, and the first ones try to acquire the lease within
+ * START_JITTER_S: the later ones read who leads. */
+#define START_READ_S 0.3
+#define START_JITTER_S 0.02
 /* Expiry, on the store's clock, that is written to give up the lease: a time
  * long past. */
 #define EXPIRED_S 0.001
@@ -79,12 +94,24 @@
 	bool call_in_progress;
 	/** Earliest time of the next read or write. */
 	double next_call_s;
+	/** Number of VMs that compete for the lease. */
+	unsigned int vms;
+	/** This VM is among the EARLY_VMS for the row's present version. */
+	bool early;
 	/** renewal_failing() was called since the last successful renewal. */
 	bool renewal_failing;
 	/** lease_stop() was called. */
 	bool stopped;
 };
 
+/* Draws what this VM does when the present holder doesn't renew its lease. */
+static void draw_delays(struct lease *lease)
+{
+	lease->early = g_random_double() * lease->vms < EARLY_VMS;
+	lease->jitter_s =
+		g_random_double() * (lease->early ? EARLY_JITTER_S : JITTER_S);
+}
+
 struct lease *lease_create(const struct loop *loop, const struct store *store,
 			   const struct lease_ops *ops, void *ctx,
 			   const char *vm, const char *address)
@@ -100,7 +127,8 @@
 	lease->attempt_prefix = g_strdup_printf("%s-%08x%08x-", vm,
 						g_random_int(), g_random_int());
 	lease->next_attempt = 1;
-	lease->jitter_s = g_random_double() * JITTER_S;
+	lease->vms = 1;
+	draw_delays(lease);
 	return lease;
 }
 
@@ -124,6 +152,28 @@
 	return loop_now(lease->loop);
 }
 
+void lease_set_vms(struct lease *lease, unsigned int vms)
+{
+	lease->vms = vms;
+}
+
+void lease_begin(struct lease *lease)
+{
+	lease->jitter_s = g_random_double() * START_JITTER_S;
+	lease->next_call_s = now_of(lease) + g_random_double() * START_READ_S;
+}
+
+/* Returns when to call again after a call without success. While no VM leads,
+ * the VMs together call about as often as a few would. */
+static double retry_at_s(const struct lease *lease)
+{
+	double delay_s = lease->vms * RETRY_VM_S * (0.5 + g_random_double());
+
+	if (lease->holding)
+		delay_s = 0;
+	return now_of(lease) + CLAMP(delay_s, RETRY_S, RETRY_MAX_S);
+}
+
 bool lease_held(const struct lease *lease, double for_s)
 {
 	return lease->holding && now_of(lease) + for_s < lease->held_until_s;
@@ -152,7 +202,7 @@
 	lease->version = version;
 	lease->version_seen_s = now_of(lease);
 	lease->other_until_s = 0;
-	lease->jitter_s = g_random_double() * JITTER_S;
+	draw_delays(lease);
 }
 
 /* Handles a successful write of the row by this VM. */
@@ -227,7 +277,7 @@
 		if (row->version != lease->version) {
 			lease->version = row->version;
 			lease->version_seen_s = now_of(lease);
-			lease->jitter_s = g_random_double() * JITTER_S;
+			draw_delays(lease);
 		}
 		lose_lease(lease, "another VM leads");
 		if (message)
@@ -251,6 +301,8 @@
 	at = lease->version_seen_s + LEASE_S * CLOCK_FACTOR;
 	if (lease->other_until_s && lease->other_until_s < at)
 		at = lease->other_until_s;
+	if (!lease->early)
+		at += LATE_S;
 	return at + lease->jitter_s + lease->acquire_delay_s;
 }
 
@@ -271,7 +323,7 @@
 	const struct store_row *row;
 
 	lease->call_in_progress = false;
-	lease->next_call_s = now_of(lease) + RETRY_S;
+	lease->next_call_s = retry_at_s(lease);
 	if (result->status != STORE_OK)
 		return;
 	update_store_clock(lease, result);
@@ -315,7 +367,7 @@
 	const struct store_row *row = find_row(result);
 
 	lease->call_in_progress = false;
-	lease->next_call_s = now_of(lease) + RETRY_S;
+	lease->next_call_s = retry_at_s(lease);
 	switch (result->status) {
 	case STORE_OK:
 		update_store_clock(lease, result);
@@ -323,6 +375,7 @@
 		lease->next_call_s = sent_s + RENEW_S;
 		break;
 	case STORE_CONFLICT:
+		lease->next_call_s = now_of(lease) + RETRY_S;
 		update_store_clock(lease, result);
 		if (row)
 			handle_row(lease, row, result->now_s);
@@ -388,7 +441,7 @@
 	    (acquire_at_s(lease) > 0 && now > acquire_at_s(lease)))
 		write_row(lease);
 	else if (!lease->version_seen_s ||
-		 now > lease->version_seen_s + READ_AFTER_S)
+		 (lease->early && now > lease->version_seen_s + READ_AFTER_S))
 		read_row(lease);
 }
 
--- a/src/keys/lease.h
+++ b/src/keys/lease.h
@@ -55,6 +55,15 @@
  * acquire an expired lease; 0 by default. */
 void lease_set_acquire_delay(struct lease *lease, double acquire_delay_s);
 
+/** Sets the number of VMs that compete for the lease. The more there are, the
+ * fewer of them call the store when the holder is silent or the store doesn't
+ * answer. */
+void lease_set_vms(struct lease *lease, unsigned int vms);
+
+/** Begins to compete for the lease on a VM that starts, at a random time within
+ * a fraction of a second: a whole fleet may start at once. */
+void lease_begin(struct lease *lease);
+
 /** Renews, acquires or reads the lease when due; call about every 50 ms. */
 void lease_tick(struct lease *lease);
 
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -502,6 +502,51 @@
   assert(message->base.descriptor == &table_changes__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   table_copy_part__init
+                     (TableCopyPart         *message)
+{
+  static const TableCopyPart init_value = TABLE_COPY_PART__INIT;
+  *message = init_value;
+}
+size_t table_copy_part__get_packed_size
+                     (const TableCopyPart *message)
+{
+  assert(message->base.descriptor == &table_copy_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t table_copy_part__pack
+                     (const TableCopyPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &table_copy_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t table_copy_part__pack_to_buffer
+                     (const TableCopyPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &table_copy_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+TableCopyPart *
+       table_copy_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (TableCopyPart *)
+     protobuf_c_message_unpack (&table_copy_part__descriptor,
+                                allocator, len, data);
+}
+void   table_copy_part__free_unpacked
+                     (TableCopyPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &table_copy_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   leader_beat__init
                      (LeaderBeat         *message)
 {
@@ -1637,6 +1682,109 @@
   (ProtobufCMessageInit) table_changes__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor table_copy_part__field_descriptors[6] =
+{
+  {
+    "lease",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TableCopyPart, lease),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TableCopyPart, table),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upto",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(TableCopyPart, upto),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TableCopyPart, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TableCopyPart, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(TableCopyPart, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned table_copy_part__field_indices_by_name[] = {
+  4,   /* field[4] = count */
+  5,   /* field[5] = data */
+  3,   /* field[3] = index */
+  0,   /* field[0] = lease */
+  1,   /* field[1] = table */
+  2,   /* field[2] = upto */
+};
+static const ProtobufCIntRange table_copy_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor table_copy_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "TableCopyPart",
+  "TableCopyPart",
+  "TableCopyPart",
+  "",
+  sizeof(TableCopyPart),
+  6,
+  table_copy_part__field_descriptors,
+  table_copy_part__field_indices_by_name,
+  1,  table_copy_part__number_ranges,
+  (ProtobufCMessageInit) table_copy_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor leader_beat__field_descriptors[11] =
 {
   {
@@ -1857,7 +2005,7 @@
   (ProtobufCMessageInit) key_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor vm_report__field_descriptors[8] =
+static const ProtobufCFieldDescriptor vm_report__field_descriptors[9] =
 {
   {
     "vm",
@@ -1955,6 +2103,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wanted_copies",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(VmReport, n_wanted_copies),
+    offsetof(VmReport, wanted_copies),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned vm_report__field_indices_by_name[] = {
   7,   /* field[7] = blocked */
@@ -1965,11 +2125,12 @@
   6,   /* field[6] = refused */
   3,   /* field[3] = stopping */
   0,   /* field[0] = vm */
+  8,   /* field[8] = wanted_copies */
 };
 static const ProtobufCIntRange vm_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor vm_report__descriptor =
 {
@@ -1979,7 +2140,7 @@
   "VmReport",
   "",
   sizeof(VmReport),
-  8,
+  9,
   vm_report__field_descriptors,
   vm_report__field_indices_by_name,
   1,  vm_report__number_ranges,
@@ -2423,7 +2584,7 @@
   (ProtobufCMessageInit) leader_loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer_message__field_descriptors[5] =
+static const ProtobufCFieldDescriptor peer_message__field_descriptors[6] =
 {
   {
     "beat",
@@ -2485,18 +2646,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "table_copy",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PeerMessage, kind_case),
+    offsetof(PeerMessage, table_copy),
+    &table_copy_part__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_message__field_indices_by_name[] = {
   0,   /* field[0] = beat */
   3,   /* field[3] = leader_loads */
   4,   /* field[4] = relay_to */
   1,   /* field[1] = report */
+  5,   /* field[5] = table_copy */
   2,   /* field[2] = vm_loads */
 };
 static const ProtobufCIntRange peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer_message__descriptor =
 {
@@ -2506,7 +2680,7 @@
   "PeerMessage",
   "",
   sizeof(PeerMessage),
-  5,
+  6,
   peer_message__field_descriptors,
   peer_message__field_indices_by_name,
   1,  peer_message__number_ranges,
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -26,6 +26,7 @@
 typedef struct Progress Progress;
 typedef struct ChangedRow ChangedRow;
 typedef struct TableChanges TableChanges;
+typedef struct TableCopyPart TableCopyPart;
 typedef struct LeaderBeat LeaderBeat;
 typedef struct KeyLoad KeyLoad;
 typedef struct VmReport VmReport;
@@ -267,6 +268,39 @@
     , 0, 0, 0,NULL }
 
 
+/*
+ * Part of a copy of a whole table, which the leader sends to VMs that start.
+ */
+struct  TableCopyPart
+{
+  ProtobufCMessage base;
+  /*
+   * As in LeaderBeat.
+   */
+  uint64_t lease;
+  /*
+   * Table: 0 for the operators', 1 for the upstreams'.
+   */
+  uint32_t table;
+  /*
+   * Version of the store that the copy shows.
+   */
+  uint64_t upto;
+  /*
+   * Number of this part, and of all parts.
+   */
+  uint32_t index;
+  uint32_t count;
+  /*
+   * This part of the bytes of table_copy_encode().
+   */
+  ProtobufCBinaryData data;
+};
+#define TABLE_COPY_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&table_copy_part__descriptor) \
+    , 0, 0, 0, 0, 0, {0,NULL} }
+
+
 /*
  * Heartbeat of the leader to all VMs.
  */
@@ -366,10 +400,15 @@
    */
   size_t n_blocked;
   BlockedRequest **blocked;
+  /*
+   * Tables of which the VM wants a copy, by the numbers of TableCopyPart.
+   */
+  size_t n_wanted_copies;
+  uint32_t *wanted_copies;
 };
 #define VM_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&vm_report__descriptor) \
-    , NULL, 0,NULL, 0,NULL, 0, NULL, 0,NULL, 0,NULL, 0,NULL }
+    , NULL, 0,NULL, 0,NULL, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -524,7 +563,8 @@
   PEER_MESSAGE__KIND_BEAT = 1,
   PEER_MESSAGE__KIND_REPORT = 2,
   PEER_MESSAGE__KIND_VM_LOADS = 3,
-  PEER_MESSAGE__KIND_LEADER_LOADS = 4
+  PEER_MESSAGE__KIND_LEADER_LOADS = 4,
+  PEER_MESSAGE__KIND_TABLE_COPY = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER_MESSAGE__KIND__CASE)
 } PeerMessage__KindCase;
 
@@ -545,6 +585,7 @@
     VmReport *report;
     VmLoads *vm_loads;
     LeaderLoads *leader_loads;
+    TableCopyPart *table_copy;
   };
 };
 #define PEER_MESSAGE__INIT \
@@ -761,6 +802,25 @@
 void   table_changes__free_unpacked
                      (TableChanges *message,
                       ProtobufCAllocator *allocator);
+/* TableCopyPart methods */
+void   table_copy_part__init
+                     (TableCopyPart         *message);
+size_t table_copy_part__get_packed_size
+                     (const TableCopyPart   *message);
+size_t table_copy_part__pack
+                     (const TableCopyPart   *message,
+                      uint8_t             *out);
+size_t table_copy_part__pack_to_buffer
+                     (const TableCopyPart   *message,
+                      ProtobufCBuffer     *buffer);
+TableCopyPart *
+       table_copy_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   table_copy_part__free_unpacked
+                     (TableCopyPart *message,
+                      ProtobufCAllocator *allocator);
 /* LeaderBeat methods */
 void   leader_beat__init
                      (LeaderBeat         *message);
@@ -967,6 +1027,9 @@
 typedef void (*TableChanges_Closure)
                  (const TableChanges *message,
                   void *closure_data);
+typedef void (*TableCopyPart_Closure)
+                 (const TableCopyPart *message,
+                  void *closure_data);
 typedef void (*LeaderBeat_Closure)
                  (const LeaderBeat *message,
                   void *closure_data);
@@ -1011,6 +1074,7 @@
 extern const ProtobufCMessageDescriptor progress__descriptor;
 extern const ProtobufCMessageDescriptor changed_row__descriptor;
 extern const ProtobufCMessageDescriptor table_changes__descriptor;
+extern const ProtobufCMessageDescriptor table_copy_part__descriptor;
 extern const ProtobufCMessageDescriptor leader_beat__descriptor;
 extern const ProtobufCMessageDescriptor key_load__descriptor;
 extern const ProtobufCMessageDescriptor vm_report__descriptor;
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -226,10 +226,10 @@
 	f->store.calls = store_calls_create(f->metrics);
 	f->reported = g_string_new(NULL);
 	f->table_watch = table_watch_create(&f->loop, &f->store, "t", ops, f);
-	table_watch_start(f->table_watch);
+	table_watch_start(f->table_watch, 0);
 	advance(f, 0);
 	CU_ASSERT_EQUAL_FATAL(f->call, 'r');
-	table_watch_set_peer_version(f->table_watch, 7);
+	table_watch_set_peer_version(f->table_watch, true, 7);
 	table_watch_set_mode(f->table_watch, TABLE_WATCH_PASSIVE);
 	answer(f, STORE_OK, 10, &a, 1);
 	g_string_free(a.value, TRUE);
@@ -341,7 +341,7 @@
 	relay(&f, 12, 15, "c", 15, false);
 	answer(&f, STORE_HISTORY_GONE, 0, NULL, 0);
 	answer(&f, STORE_OK, 15, NULL, 0);
-	table_watch_set_peer_version(f.table_watch, 0);
+	table_watch_set_peer_version(f.table_watch, false, 0);
 	advance(&f, 0);
 	CU_ASSERT_EQUAL(counted(&f, "snapshot"), 2);
 	CU_ASSERT_EQUAL(counted(&f, "catch_up"), 1);
@@ -356,13 +356,13 @@
 
 	setup(&f);
 	CU_ASSERT_EQUAL(f.call, 0);
-	table_watch_set_peer_version(f.table_watch, 0);
+	table_watch_set_peer_version(f.table_watch, false, 0);
 	advance(&f, 0);
 	CU_ASSERT_EQUAL_FATAL(f.call, 'f');
 	CU_ASSERT_TRUE(f.wait_s > 0 && f.wait_s < 2);
 	/* The watch does not become passive while the store does not answer,
 	 * even if peers report their versions. */
-	table_watch_set_peer_version(f.table_watch, 7);
+	table_watch_set_peer_version(f.table_watch, true, 7);
 	answer(&f, STORE_REFUSED, 0, NULL, 0);
 	CU_ASSERT_EQUAL(f.unreachable, 1);
 	relay(&f, 9, 12, "b", 12, false);
@@ -375,10 +375,10 @@
 	struct fixture f;
 
 	setup(&f);
-	table_watch_set_peer_version(f.table_watch, 20);
+	table_watch_set_peer_version(f.table_watch, true, 20);
 	CU_ASSERT_EQUAL(f.call, 0);
 	advance(&f, 0.25);
-	table_watch_set_peer_version(f.table_watch, 20);
+	table_watch_set_peer_version(f.table_watch, true, 20);
 	CU_ASSERT_EQUAL_FATAL(f.call, 'f');
 	CU_ASSERT_EQUAL(f.wait_s, 0);
 	teardown(&f);
@@ -394,13 +394,13 @@
 	relay(&f, 12, 15, "c", 15, false);
 	CU_ASSERT_EQUAL_FATAL(f.call, 'f');
 	f.receiving = true;
-	table_watch_set_peer_version(f.table_watch, 20);
+	table_watch_set_peer_version(f.table_watch, true, 20);
 	advance(&f, 0.25);
-	table_watch_set_peer_version(f.table_watch, 20);
+	table_watch_set_peer_version(f.table_watch, true, 20);
 	CU_ASSERT_EQUAL(f.calls, 2);
 	f.receiving = false;
 	advance(&f, 0.25);
-	table_watch_set_peer_version(f.table_watch, 20);
+	table_watch_set_peer_version(f.table_watch, true, 20);
 	CU_ASSERT_EQUAL(f.calls, 3);
 	teardown(&f);
 }
@@ -454,7 +454,7 @@
 	size_t i;
 
 	setup(&f);
-	table_watch_set_peer_version(f.table_watch, 0);
+	table_watch_set_peer_version(f.table_watch, false, 0);
 	advance(&f, 0);
 	answer(&f, STORE_OK, 13, rows, 3);
 	CU_ASSERT_STRING_EQUAL(f.reported->str, "+a +c +b ");
@@ -478,6 +478,102 @@
 	teardown(&f);
 }
 
+/* --- copies of the table from another VM --- */
+
+/* Creates a watch that waits for a copy for a time. */
+static void setup_waiting(struct fixture *f, double copy_wait_s)
+{
+	memset(f, 0, sizeof(*f));
+	manual_clock_init(&f->clock);
+	f->loop.clock = &f->clock.clock;
+	f->loop.ev = ev_loop_new(EVFLAG_AUTO);
+	f->store.ops = &store_ops;
+	f->store.impl = f;
+	f->metrics = metrics_create();
+	f->store.calls = store_calls_create(f->metrics);
+	f->reported = g_string_new(NULL);
+	f->table_watch = table_watch_create(&f->loop, &f->store, "t",
+					    &table_watch_ops, f);
+	table_watch_start(f->table_watch, copy_wait_s);
+	advance(f, 0);
+}
+
+static void apply_copy(struct fixture *f, uint64_t upto, char *key,
+		       uint64_t version)
+{
+	struct store_row row = make_row(key, version, 1);
+	struct table_delta copy = { .upto = upto, .rows = &row, .count = 1 };
+
+	table_watch_apply_copy(f->table_watch, &copy);
+	g_string_free(row.value, TRUE);
+}
+
+static void a_copy_replaces_the_first_snapshot(void)
+{
+	struct table_delta copy;
+	struct fixture f;
+
+	setup_waiting(&f, 1);
+	CU_ASSERT_EQUAL(f.calls, 0);
+	CU_ASSERT_TRUE(table_watch_wants_copy(f.table_watch));
+	CU_ASSERT_FALSE(table_watch_copy(f.table_watch, &copy));
+	apply_copy(&f, 10, "a", 7);
+	CU_ASSERT_TRUE(table_watch_loaded(f.table_watch));
+	CU_ASSERT_FALSE(table_watch_wants_copy(f.table_watch));
+	/* Relayed changes follow, and the watch can pass the table on. */
+	relay(&f, 9, 12, "b", 12, false);
+	CU_ASSERT_STRING_EQUAL(f.reported->str, "+a +b ");
+	CU_ASSERT_TRUE_FATAL(table_watch_copy(f.table_watch, &copy));
+	CU_ASSERT_EQUAL(copy.upto, 12);
+	CU_ASSERT_EQUAL(copy.count, 2);
+	g_free((void *)copy.rows);
+	/* A second copy, which may be older, changes nothing. */
+	apply_copy(&f, 9, "c", 8);
+	CU_ASSERT_STRING_EQUAL(f.reported->str, "+a +b ");
+	CU_ASSERT_EQUAL(f.calls, 0);
+	teardown(&f);
+}
+
+/* The copy is as old as the leader's table; a gap between it and the next
+ * relayed change is read from the store. */
+static void changes_after_a_copy_are_not_missed(void)
+{
+	struct fixture f;
+
+	setup_waiting(&f, 1);
+	apply_copy(&f, 10, "a", 7);
+	table_watch_set_peer_version(f.table_watch, true, 7);
+	relay(&f, 12, 15, "c", 15, false);
+	CU_ASSERT_EQUAL_FATAL(f.call, 'f');
+	CU_ASSERT_EQUAL(f.after, 10);
+	teardown(&f);
+}
+
+static void a_leader_does_not_wait_for_a_copy(void)
+{
+	struct fixture f;
+
+	setup_waiting(&f, 1);
+	table_watch_set_mode(f.table_watch, TABLE_WATCH_LEADER);
+	advance(&f, 0);
+	CU_ASSERT_EQUAL(f.call, 'r');
+	CU_ASSERT_FALSE(table_watch_wants_copy(f.table_watch));
+	teardown(&f);
+}
+
+static void without_a_copy_the_table_is_read(void)
+{
+	struct fixture f;
+
+	setup_waiting(&f, 0.02);
+	CU_ASSERT_EQUAL(f.calls, 0);
+	g_usleep(30000);
+	advance(&f, 0.03);
+	CU_ASSERT_EQUAL(f.call, 'r');
+	CU_ASSERT_FALSE(table_watch_wants_copy(f.table_watch));
+	teardown(&f);
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -506,6 +602,14 @@
 		  only_the_last_change_of_a_row_is_applied },
 		{ "a lost history is replaced by a snapshot",
 		  a_lost_history_is_replaced_by_a_snapshot },
+		{ "a copy replaces the first snapshot",
+		  a_copy_replaces_the_first_snapshot },
+		{ "changes after a copy are not missed",
+		  changes_after_a_copy_are_not_missed },
+		{ "a leader does not wait for a copy",
+		  a_leader_does_not_wait_for_a_copy },
+		{ "without a copy the table is read",
+		  without_a_copy_the_table_is_read },
 		{ 0 },
 	};
 
