entry: backups of the leader relay row changes while it is silent

Cause: 0.75 s after the last heartbeat every VM polls both tables itself, and repeats calls that fail. Change: the three VMs that watch the store beside the leader send what they read to all, four times a second, as long as no heartbeat comes; a VM that hears them does not poll. If the store does not answer them either they say so, and the others wait with them: the one that reaches the store again, or a new leader, ends it. A VM that hears nobody still polls by itself. Way weighed: poll later; it would use up the time in which a leaving upstream must be known when the leader is lost.

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -58,6 +58,8 @@
 {
 	if (cluster->leading)
 		schedule_publication(cluster);
+	else
+		cluster->relay_sent_s = 0;
 }
 
 static void on_won(void *ctx)
@@ -186,23 +188,37 @@
 	g_hash_table_foreach(cluster->key_leaders, renew_all, cluster);
 }
 
+/* Returns what other VMs do for this VM's table watches. */
+static enum table_watch_peers peers_of(const struct cluster *cluster)
+{
+	double now = cluster_now(cluster);
+
+	if (cluster->leading)
+		return live_vms_count(cluster->vms) > 1
+			       ? TABLE_WATCH_PEERS_RELAY
+			       : TABLE_WATCH_NO_PEERS;
+	if (hears_leader(cluster) || now < cluster->last_relay_s + RELAY_LOST_S)
+		return TABLE_WATCH_PEERS_RELAY;
+	return now < cluster->last_waiting_relay_s + RELAY_LOST_S
+		       ? TABLE_WATCH_PEERS_WAIT
+		       : TABLE_WATCH_NO_PEERS;
+}
+
 /* Exchanges row versions with the table watches, so that they notice changes
  * that this VM missed. */
 static void exchange_row_versions(struct cluster *cluster)
 {
 	struct table_watch *operator_rows = cluster->options.operator_rows;
 	struct table_watch *upstream_rows = cluster->options.upstream_rows;
-	bool has_live_peers = cluster->leading
-				      ? live_vms_count(cluster->vms) > 1
-				      : hears_leader(cluster);
+	enum table_watch_peers peers = peers_of(cluster);
 
 	cluster_update_row_versions(cluster,
 				    table_watch_row_version(operator_rows),
 				    table_watch_row_version(upstream_rows));
-	table_watch_set_peer_version(operator_rows, has_live_peers,
-				     cluster->row_versions.operator_rows);
-	table_watch_set_peer_version(upstream_rows, has_live_peers,
-				     cluster->row_versions.upstream_rows);
+	table_watch_set_peers(operator_rows, peers,
+			      cluster->row_versions.operator_rows);
+	table_watch_set_peers(upstream_rows, peers,
+			      cluster->row_versions.upstream_rows);
 }
 
 static const struct lease_ops lease_ops = {
@@ -418,6 +434,10 @@
 		read_maps(cluster, on_fallback_maps, "fallback");
 	}
 	exchange_row_versions(cluster);
+	if (cluster->is_backup && !cluster->leading &&
+	    now > cluster->last_heartbeat_s + LATE_HEARTBEAT_S &&
+	    now >= cluster->relay_sent_s + HEARTBEAT_S)
+		cluster_send_row_relay(cluster);
 	/* Sending up to half a tick early makes up for ticks that come late. */
 	if (now >= cluster->loads_sent_s +
 			   roster_load_interval_s(cluster->options.roster) -
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -46,6 +46,9 @@
 /* After this time, in seconds, without a heartbeat (three intervals), no VM is
  * assumed to relay row changes. */
 #define RELAY_LOST_S 0.75
+/* After this time, in seconds, without a heartbeat, the backups of the leader
+ * relay row changes in its place. */
+#define LATE_HEARTBEAT_S 0.5
 /* Delay before the leader publishes a change, so that changes of the same
  * moment share a heartbeat. */
 #define PUBLISH_DELAY_S 0.002
@@ -120,8 +123,17 @@
 	/** When the leader's last heartbeat was applied, or this VM started.
 	 */
 	double last_heartbeat_s;
-	/** When this VM last sent: a heartbeat as leader, its report to the
-	 * leader, its load report, and as leader the outcomes of requests. */
+	/** This VM is a backup of the leader, which watches the store as well.
+	 */
+	bool is_backup;
+	/** When the last relay of a backup arrived that reaches the store, and
+	 * of any backup. */
+	double last_relay_s;
+	double last_waiting_relay_s;
+	/** When this VM last sent: a relay as a backup, a heartbeat as leader,
+	 * its report to the leader, its load report, and as leader the outcomes
+	 * of requests. */
+	double relay_sent_s;
 	double heartbeat_sent_s;
 	double report_sent_s;
 	double loads_sent_s;
@@ -162,6 +174,10 @@
 				 uint64_t operator_rows,
 				 uint64_t upstream_rows);
 
+/** As a backup of a leader that isn't heard, sends all VMs the changes that
+ * this VM read from the store. */
+void cluster_send_row_relay(struct cluster *cluster);
+
 /**
  * As leader, sends a heartbeat with live VMs, owners, crashes and row changes.
  */
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -236,6 +236,15 @@
 	beat->upstream_changes = NULL;
 }
 
+/* Does the same to a relay. */
+static void omit_large_relay(RowRelay *relay)
+{
+	if (row_relay__get_packed_size(relay) <= HEARTBEAT_BYTES_MAX)
+		return;
+	relay->operator_changes = NULL;
+	relay->upstream_changes = NULL;
+}
+
 void cluster_send_heartbeat(struct cluster *cluster)
 {
 	PeerMessage message = PEER_MESSAGE__INIT;
@@ -259,6 +268,33 @@
 	crash_exchange_release_beat(&beat);
 }
 
+void cluster_send_row_relay(struct cluster *cluster)
+{
+	struct table_watch *operator_rows = cluster->options.operator_rows;
+	struct table_watch *upstream_rows = cluster->options.upstream_rows;
+	PeerMessage message = PEER_MESSAGE__INIT;
+	RowRelay relay = ROW_RELAY__INIT;
+	TableChanges *operator_changes, *upstream_changes;
+	Progress progress = PROGRESS__INIT;
+
+	progress.operator_rows = cluster->row_versions.operator_rows;
+	progress.upstream_rows = cluster->row_versions.upstream_rows;
+	relay.progress = &progress;
+	relay.store_unreachable = table_watch_unreachable(operator_rows) ||
+				  table_watch_unreachable(upstream_rows);
+	operator_changes = delta_message_create(operator_rows);
+	upstream_changes = delta_message_create(upstream_rows);
+	relay.operator_changes = operator_changes;
+	relay.upstream_changes = upstream_changes;
+	omit_large_relay(&relay);
+	message.kind_case = PEER_MESSAGE__KIND_ROW_RELAY;
+	message.row_relay = &relay;
+	broadcast(cluster, &message);
+	delta_message_free(operator_changes);
+	delta_message_free(upstream_changes);
+	cluster->relay_sent_s = cluster_now(cluster);
+}
+
 /* Counts a VM's requests for keys of a service, if this VM leads the service.
  *
  * @param bytes the requested keys, two little-endian bytes each
@@ -385,6 +421,7 @@
 	for (i = 0; i < beat->n_vms && i < beat->watchers; i++)
 		watches = watches || !strcmp(beat->vms[i]->name, vm);
 	if (beat->n_vms) {
+		cluster->is_backup = watches;
 		mode = watches ? TABLE_WATCH_BACKUP : TABLE_WATCH_PASSIVE;
 		table_watch_set_mode(cluster->options.operator_rows, mode);
 		table_watch_set_mode(cluster->options.upstream_rows, mode);
@@ -428,6 +465,20 @@
 	crash_exchange_apply_beat(cluster->crash_exchange, beat);
 }
 
+static void on_row_relay(void *ctx, const RowRelay *relay)
+{
+	struct cluster *cluster = ctx;
+
+	cluster->last_waiting_relay_s = cluster_now(cluster);
+	if (!relay->store_unreachable)
+		cluster->last_relay_s = cluster_now(cluster);
+	apply_row_versions(cluster, relay->progress);
+	delta_message_apply(cluster->options.operator_rows,
+			    relay->operator_changes);
+	delta_message_apply(cluster->options.upstream_rows,
+			    relay->upstream_changes);
+}
+
 /* Handles a part of a table's copy; one of an earlier leader is ignored. */
 static void on_table_copy(void *ctx, const TableCopyPart *part)
 {
@@ -510,6 +561,7 @@
 		.leader_loads = on_leader_loads,
 		.heartbeat = on_heartbeat,
 		.vm_report = on_vm_report,
+		.row_relay = on_row_relay,
 		.table_copy = on_table_copy,
 	};
 
--- a/src/entry/datagrams.c
+++ b/src/entry/datagrams.c
@@ -71,6 +71,9 @@
 		datagrams->ops->leader_loads(datagrams->ctx,
 					     message->leader_loads);
 		break;
+	case PEER_MESSAGE__KIND_ROW_RELAY:
+		datagrams->ops->row_relay(datagrams->ctx, message->row_relay);
+		break;
 	case PEER_MESSAGE__KIND_TABLE_COPY:
 		datagrams->ops->table_copy(datagrams->ctx, message->table_copy);
 		break;
--- a/src/entry/datagrams.h
+++ b/src/entry/datagrams.h
@@ -20,6 +20,7 @@
 	void (*vm_report)(void *ctx, const VmReport *report);
 	void (*vm_loads)(void *ctx, const VmLoads *loads);
 	void (*leader_loads)(void *ctx, const LeaderLoads *loads);
+	void (*row_relay)(void *ctx, const RowRelay *relay);
 	void (*table_copy)(void *ctx, const TableCopyPart *part);
 };
 
--- a/src/entry/table_watch.c
+++ b/src/entry/table_watch.c
@@ -66,8 +66,7 @@
 	bool unreachable;
 	/** A call to the store is in progress. */
 	bool call_pending;
-	/** Other VMs are live and would relay changes. */
-	bool has_live_peers;
+	enum table_watch_peers peers;
 	enum table_watch_mode mode;
 	/** Number of VMs, each of which has such a watch. */
 	unsigned int vms;
@@ -278,7 +277,9 @@
 		table_watch->loaded = true;
 		table_watch->ops->loaded(table_watch->ctx);
 	}
-	schedule(table_watch, table_watch->has_live_peers ? 0 : ALONE_DELAY_S);
+	schedule(table_watch, table_watch->peers != TABLE_WATCH_NO_PEERS
+				      ? 0
+				      : ALONE_DELAY_S);
 }
 
 static void on_snapshot_page(void *ctx, const struct store_result *result)
@@ -325,7 +326,8 @@
 
 	if (result->row_count)
 		return table_watch->mode == TABLE_WATCH_LEADER ||
-				       !table_watch->has_live_peers
+				       table_watch->peers ==
+					       TABLE_WATCH_NO_PEERS
 			       ? BATCH_PAUSE_S
 			       : BATCH_PAUSE_BACKUP_S;
 	return waited < table_watch->long_poll_s / 2 ? RETRY_S : 0;
@@ -403,7 +405,8 @@
 	 * is abandoned soon, and the next one finds the connection restored. */
 	if (table_watch->unreachable)
 		return 0;
-	return table_watch->has_live_peers ? LONG_POLL_S : LONG_POLL_ALONE_S;
+	return table_watch->peers != TABLE_WATCH_NO_PEERS ? LONG_POLL_S
+							  : LONG_POLL_ALONE_S;
 }
 
 /* Starts to read the whole table.
@@ -426,7 +429,7 @@
 static bool relies_on_peers(const struct table_watch *table_watch)
 {
 	return table_watch->mode == TABLE_WATCH_PASSIVE &&
-	       table_watch->has_live_peers && !table_watch->unreachable &&
+	       table_watch->peers != TABLE_WATCH_NO_PEERS &&
 	       !table_watch->needs_snapshot;
 }
 
@@ -536,21 +539,19 @@
 		restart_call(table_watch);
 }
 
-void table_watch_set_peer_version(struct table_watch *table_watch, bool live,
-				  uint64_t version)
+void table_watch_set_peers(struct table_watch *table_watch,
+			   enum table_watch_peers peers, uint64_t version)
 {
 	bool awaits_changes =
 		table_watch->call_pending || relies_on_peers(table_watch);
 
-	table_watch->has_live_peers = live;
-	/* Those that relay the changes reach the store. */
-	if (live && table_watch->loaded &&
-	    table_watch->mode == TABLE_WATCH_PASSIVE &&
-	    table_watch->unreachable && !table_watch->call_pending)
-		set_unreachable(table_watch, false);
+	table_watch->peers = peers;
+	if (table_watch->loaded && !table_watch->call_pending &&
+	    relies_on_peers(table_watch))
+		set_unreachable(table_watch, peers == TABLE_WATCH_PEERS_WAIT);
 	if (!table_watch->loaded || table_watch->needs_snapshot)
 		return;
-	if (live && awaits_changes)
+	if (peers != TABLE_WATCH_NO_PEERS && awaits_changes)
 		check_staleness(table_watch, version);
 	else if (table_watch->call_pending &&
 		 table_watch->long_poll_s > LONG_POLL_ALONE_S &&
@@ -601,6 +602,11 @@
 	};
 }
 
+bool table_watch_unreachable(const struct table_watch *table_watch)
+{
+	return table_watch->unreachable;
+}
+
 uint64_t table_watch_row_version(const struct table_watch *table_watch)
 {
 	return table_watch->row_version;
--- a/src/entry/table_watch.h
+++ b/src/entry/table_watch.h
@@ -94,18 +94,30 @@
 void table_watch_apply_copy(struct table_watch *table_watch,
 			    const struct table_delta *copy);
 
+/** What other VMs do for this one. */
+enum table_watch_peers {
+	/** None is live, so that only short long polls are used. */
+	TABLE_WATCH_NO_PEERS,
+	/** One watches the store, which doesn't answer it. */
+	TABLE_WATCH_PEERS_WAIT,
+	/** One is live and relays changes. */
+	TABLE_WATCH_PEERS_RELAY,
+};
+
 /**
- * Sets the newest row version that other VMs have seen; to be called about
- * every 50 ms. If it stays newer than this VM's, the watch assumes that its
- * pending call was lost, and calls the store again.
+ * Sets what other VMs do, and the newest row version that they have seen; to be
+ * called about every 50 ms. If it stays newer than this VM's, the watch assumes
+ * that its pending call was lost, and calls the store again.
  *
- * @param live another VM is live and relays changes; otherwise only short long
- *        polls are used
  * @param version result of table_watch_row_version() on another VM; ignored
- *        unless one is live
+ *        without peers
  */
-void table_watch_set_peer_version(struct table_watch *table_watch, bool live,
-				  uint64_t version);
+void table_watch_set_peers(struct table_watch *table_watch,
+			   enum table_watch_peers peers, uint64_t version);
+
+/** Whether the last call to the store, or those of the VMs that this one relies
+ * on, were not answered. */
+bool table_watch_unreachable(const struct table_watch *table_watch);
 
 /** Returns the newest row version that this watch has seen. */
 uint64_t table_watch_row_version(const struct table_watch *table_watch);
--- a/src/keys/lease.c
+++ b/src/keys/lease.c
@@ -35,8 +35,8 @@
 #define LATE_S 0.5
 /* Shortest interval between the calls of all VMs together, in seconds, while
  * the store doesn't answer, and the longest delay of one VM's retry. */
-#define RETRY_VM_S 0.012
-#define RETRY_MAX_S 3.0
+#define RETRY_VM_S 0.02
+#define RETRY_MAX_S 5.0
 /* Without a leader, VMs that start at the same time read the row at random
  * times within START_READ_S, and the first ones try to acquire the lease within
  * START_JITTER_S: the later ones read who leads. */
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -592,6 +592,51 @@
   assert(message->base.descriptor == &leader_beat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   row_relay__init
+                     (RowRelay         *message)
+{
+  static const RowRelay init_value = ROW_RELAY__INIT;
+  *message = init_value;
+}
+size_t row_relay__get_packed_size
+                     (const RowRelay *message)
+{
+  assert(message->base.descriptor == &row_relay__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t row_relay__pack
+                     (const RowRelay *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &row_relay__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t row_relay__pack_to_buffer
+                     (const RowRelay *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &row_relay__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RowRelay *
+       row_relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RowRelay *)
+     protobuf_c_message_unpack (&row_relay__descriptor,
+                                allocator, len, data);
+}
+void   row_relay__free_unpacked
+                     (RowRelay *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &row_relay__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   key_load__init
                      (KeyLoad         *message)
 {
@@ -1954,6 +1999,83 @@
   (ProtobufCMessageInit) leader_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor row_relay__field_descriptors[4] =
+{
+  {
+    "store_unreachable",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RowRelay, store_unreachable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "progress",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(RowRelay, progress),
+    &progress__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "operator_changes",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(RowRelay, operator_changes),
+    &table_changes__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream_changes",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(RowRelay, upstream_changes),
+    &table_changes__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned row_relay__field_indices_by_name[] = {
+  2,   /* field[2] = operator_changes */
+  1,   /* field[1] = progress */
+  0,   /* field[0] = store_unreachable */
+  3,   /* field[3] = upstream_changes */
+};
+static const ProtobufCIntRange row_relay__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor row_relay__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RowRelay",
+  "RowRelay",
+  "RowRelay",
+  "",
+  sizeof(RowRelay),
+  4,
+  row_relay__field_descriptors,
+  row_relay__field_indices_by_name,
+  1,  row_relay__number_ranges,
+  (ProtobufCMessageInit) row_relay__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor key_load__field_descriptors[2] =
 {
   {
@@ -2584,7 +2706,7 @@
   (ProtobufCMessageInit) leader_loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer_message__field_descriptors[6] =
+static const ProtobufCFieldDescriptor peer_message__field_descriptors[7] =
 {
   {
     "beat",
@@ -2658,19 +2780,32 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "row_relay",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PeerMessage, kind_case),
+    offsetof(PeerMessage, row_relay),
+    &row_relay__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_message__field_indices_by_name[] = {
   0,   /* field[0] = beat */
   3,   /* field[3] = leader_loads */
   4,   /* field[4] = relay_to */
   1,   /* field[1] = report */
+  6,   /* field[6] = row_relay */
   5,   /* field[5] = table_copy */
   2,   /* field[2] = vm_loads */
 };
 static const ProtobufCIntRange peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor peer_message__descriptor =
 {
@@ -2680,7 +2815,7 @@
   "PeerMessage",
   "",
   sizeof(PeerMessage),
-  6,
+  7,
   peer_message__field_descriptors,
   peer_message__field_indices_by_name,
   1,  peer_message__number_ranges,
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -28,6 +28,7 @@
 typedef struct TableChanges TableChanges;
 typedef struct TableCopyPart TableCopyPart;
 typedef struct LeaderBeat LeaderBeat;
+typedef struct RowRelay RowRelay;
 typedef struct KeyLoad KeyLoad;
 typedef struct VmReport VmReport;
 typedef struct UpstreamLoad UpstreamLoad;
@@ -354,6 +355,26 @@
     , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, NULL, NULL, NULL, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
 
 
+/*
+ * What a backup of the leader read from the store, sent to all VMs while no
+ * heartbeat arrives.
+ */
+struct  RowRelay
+{
+  ProtobufCMessage base;
+  /*
+   * The store did not answer the sender's last call.
+   */
+  protobuf_c_boolean store_unreachable;
+  Progress *progress;
+  TableChanges *operator_changes;
+  TableChanges *upstream_changes;
+};
+#define ROW_RELAY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&row_relay__descriptor) \
+    , 0, NULL, NULL, NULL }
+
+
 /*
  * Requested keys of one service.
  */
@@ -564,7 +585,8 @@
   PEER_MESSAGE__KIND_REPORT = 2,
   PEER_MESSAGE__KIND_VM_LOADS = 3,
   PEER_MESSAGE__KIND_LEADER_LOADS = 4,
-  PEER_MESSAGE__KIND_TABLE_COPY = 6
+  PEER_MESSAGE__KIND_TABLE_COPY = 6,
+  PEER_MESSAGE__KIND_ROW_RELAY = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER_MESSAGE__KIND__CASE)
 } PeerMessage__KindCase;
 
@@ -586,6 +608,7 @@
     VmLoads *vm_loads;
     LeaderLoads *leader_loads;
     TableCopyPart *table_copy;
+    RowRelay *row_relay;
   };
 };
 #define PEER_MESSAGE__INIT \
@@ -840,6 +863,25 @@
 void   leader_beat__free_unpacked
                      (LeaderBeat *message,
                       ProtobufCAllocator *allocator);
+/* RowRelay methods */
+void   row_relay__init
+                     (RowRelay         *message);
+size_t row_relay__get_packed_size
+                     (const RowRelay   *message);
+size_t row_relay__pack
+                     (const RowRelay   *message,
+                      uint8_t             *out);
+size_t row_relay__pack_to_buffer
+                     (const RowRelay   *message,
+                      ProtobufCBuffer     *buffer);
+RowRelay *
+       row_relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   row_relay__free_unpacked
+                     (RowRelay *message,
+                      ProtobufCAllocator *allocator);
 /* KeyLoad methods */
 void   key_load__init
                      (KeyLoad         *message);
@@ -1033,6 +1075,9 @@
 typedef void (*LeaderBeat_Closure)
                  (const LeaderBeat *message,
                   void *closure_data);
+typedef void (*RowRelay_Closure)
+                 (const RowRelay *message,
+                  void *closure_data);
 typedef void (*KeyLoad_Closure)
                  (const KeyLoad *message,
                   void *closure_data);
@@ -1076,6 +1121,7 @@
 extern const ProtobufCMessageDescriptor table_changes__descriptor;
 extern const ProtobufCMessageDescriptor table_copy_part__descriptor;
 extern const ProtobufCMessageDescriptor leader_beat__descriptor;
+extern const ProtobufCMessageDescriptor row_relay__descriptor;
 extern const ProtobufCMessageDescriptor key_load__descriptor;
 extern const ProtobufCMessageDescriptor vm_report__descriptor;
 extern const ProtobufCMessageDescriptor upstream_load__descriptor;
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -229,7 +229,7 @@
 	table_watch_start(f->table_watch, 0);
 	advance(f, 0);
 	CU_ASSERT_EQUAL_FATAL(f->call, 'r');
-	table_watch_set_peer_version(f->table_watch, true, 7);
+	table_watch_set_peers(f->table_watch, TABLE_WATCH_PEERS_RELAY, 7);
 	table_watch_set_mode(f->table_watch, TABLE_WATCH_PASSIVE);
 	answer(f, STORE_OK, 10, &a, 1);
 	g_string_free(a.value, TRUE);
@@ -341,7 +341,7 @@
 	relay(&f, 12, 15, "c", 15, false);
 	answer(&f, STORE_HISTORY_GONE, 0, NULL, 0);
 	answer(&f, STORE_OK, 15, NULL, 0);
-	table_watch_set_peer_version(f.table_watch, false, 0);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_NO_PEERS, 0);
 	advance(&f, 0);
 	CU_ASSERT_EQUAL(counted(&f, "snapshot"), 2);
 	CU_ASSERT_EQUAL(counted(&f, "catch_up"), 1);
@@ -356,13 +356,13 @@
 
 	setup(&f);
 	CU_ASSERT_EQUAL(f.call, 0);
-	table_watch_set_peer_version(f.table_watch, false, 0);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_NO_PEERS, 0);
 	advance(&f, 0);
 	CU_ASSERT_EQUAL_FATAL(f.call, 'f');
 	CU_ASSERT_TRUE(f.wait_s > 0 && f.wait_s < 2);
 	/* The watch does not become passive while the store does not answer,
 	 * even if peers report their versions. */
-	table_watch_set_peer_version(f.table_watch, true, 7);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 7);
 	answer(&f, STORE_REFUSED, 0, NULL, 0);
 	CU_ASSERT_EQUAL(f.unreachable, 1);
 	relay(&f, 9, 12, "b", 12, false);
@@ -370,15 +370,42 @@
 	teardown(&f);
 }
 
+/* Backups of the leader watch the store; as long as it doesn't answer them, the
+ * other VMs don't call it either. */
+static void peers_that_wait_for_the_store_keep_a_watch_quiet(void)
+{
+	struct fixture f;
+	int i;
+
+	setup(&f);
+	for (i = 0; i < 100; i++) {
+		table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_WAIT, 7);
+		advance(&f, 0.05);
+	}
+	CU_ASSERT_EQUAL(f.calls, 1);
+	CU_ASSERT_EQUAL(f.unreachable, 1);
+	/* The store is back: changes come through the peers. */
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 7);
+	CU_ASSERT_EQUAL(f.unreachable, 0);
+	relay(&f, 9, 12, "b", 12, false);
+	CU_ASSERT_STRING_EQUAL(f.reported->str, "+a +b ");
+	CU_ASSERT_EQUAL(f.calls, 1);
+	/* Without the peers the watch calls the store itself. */
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_NO_PEERS, 0);
+	advance(&f, 0);
+	CU_ASSERT_EQUAL(f.call, 'f');
+	teardown(&f);
+}
+
 static void a_newer_row_on_a_peer_is_requested(void)
 {
 	struct fixture f;
 
 	setup(&f);
-	table_watch_set_peer_version(f.table_watch, true, 20);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 20);
 	CU_ASSERT_EQUAL(f.call, 0);
 	advance(&f, 0.25);
-	table_watch_set_peer_version(f.table_watch, true, 20);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 20);
 	CU_ASSERT_EQUAL_FATAL(f.call, 'f');
 	CU_ASSERT_EQUAL(f.wait_s, 0);
 	teardown(&f);
@@ -394,13 +421,13 @@
 	relay(&f, 12, 15, "c", 15, false);
 	CU_ASSERT_EQUAL_FATAL(f.call, 'f');
 	f.receiving = true;
-	table_watch_set_peer_version(f.table_watch, true, 20);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 20);
 	advance(&f, 0.25);
-	table_watch_set_peer_version(f.table_watch, true, 20);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 20);
 	CU_ASSERT_EQUAL(f.calls, 2);
 	f.receiving = false;
 	advance(&f, 0.25);
-	table_watch_set_peer_version(f.table_watch, true, 20);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 20);
 	CU_ASSERT_EQUAL(f.calls, 3);
 	teardown(&f);
 }
@@ -454,7 +481,7 @@
 	size_t i;
 
 	setup(&f);
-	table_watch_set_peer_version(f.table_watch, false, 0);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_NO_PEERS, 0);
 	advance(&f, 0);
 	answer(&f, STORE_OK, 13, rows, 3);
 	CU_ASSERT_STRING_EQUAL(f.reported->str, "+a +c +b ");
@@ -542,7 +569,7 @@
 
 	setup_waiting(&f, 1);
 	apply_copy(&f, 10, "a", 7);
-	table_watch_set_peer_version(f.table_watch, true, 7);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 7);
 	relay(&f, 12, 15, "c", 15, false);
 	CU_ASSERT_EQUAL_FATAL(f.call, 'f');
 	CU_ASSERT_EQUAL(f.after, 10);
@@ -590,6 +617,8 @@
 		{ "calls are counted by reason", calls_are_counted_by_reason },
 		{ "without peers the store is polled",
 		  without_peers_the_store_is_polled },
+		{ "peers that wait for the store keep a watch quiet",
+		  peers_that_wait_for_the_store_keep_a_watch_quiet },
 		{ "a newer row on a peer is requested",
 		  a_newer_row_on_a_peer_is_requested },
 		{ "a call is not cancelled while its answer arrives",
