entry: leave upstreams alone that say that they leave or ask for a pause

Leaving counts at once and until the upstream starts again, whatever its entry says, with the store down too; the leader hears of it in the VM's next report, which is sent early, and moves the upstream's keys. A pause holds on the VM that was asked for it, for all kinds of requests; a request that could only run after its time is refused at once. Values that are no number of seconds are no pause, and one lasts 60 s at most. New incarnations have neither. Lines event=said_leaving, event=paused; paused= in refusals; metric auburn_pauses_total.

--- a/src/directory/protocol.h
+++ b/src/directory/protocol.h
@@ -53,6 +53,11 @@
 	/** Requests per second that the upstream takes from all VMs together;
 	 * negative: it names no limit. */
 	double limit_per_s;
+	/** The upstream says that it leaves. */
+	bool leaving;
+	/** Seconds for which the upstream, which refused the request, wants no
+	 * other one from this VM; negative: it doesn't say. */
+	double pause_s;
 };
 
 /** A grant or release of a key range. */
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -437,6 +437,35 @@
 			attempt->upstream->entry.id, limit->per_s);
 }
 
+/* Applies what an upstream's own answer says of its leaving, and the pause that
+ * it asks for. */
+static void record_signals(const struct upstream_attempt *attempt,
+			   const struct reply_facts *facts)
+{
+	struct forward *forward = attempt->forward;
+	struct upstream *upstream = attempt->upstream;
+	double now = forward_now(forward);
+
+	if (!(facts->signed_by_upstream || facts->not_run) ||
+	    is_by_another_upstream(attempt, facts))
+		return;
+	if (facts->leaving &&
+	    roster_set_leaving(forward->options.roster, upstream)) {
+		event_log_write(forward->options.log, "info", "roster",
+				"event=said_leaving upstream=%s id=%s",
+				upstream->entry.id, attempt->id);
+		forward->options.said_leaving(forward->options.ctx);
+	}
+	if (facts->pause_s <= 0 ||
+	    now + facts->pause_s < upstream->paused_until_s)
+		return;
+	upstream->paused_until_s = now + facts->pause_s;
+	counter_add(forward->pauses, 1);
+	event_log_write(forward->options.log, "info", "roster",
+			"event=paused upstream=%s pause_s=%.2f id=%s",
+			upstream->entry.id, facts->pause_s, attempt->id);
+}
+
 /* Whether an answer without an id may be a repetition of that to an earlier
  * request on the connection. */
 static bool is_unattributable(const struct upstream_attempt *attempt,
@@ -463,6 +492,7 @@
 	}
 	record_load_report(attempt->upstream, &facts, forward_now(forward));
 	record_limit(attempt, &facts);
+	record_signals(attempt, &facts);
 	if (is_unattributable(attempt, &facts)) {
 		log_reply(attempt, reply->status, "without_id");
 		link_retire(attempt->link);
--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -451,6 +451,11 @@
 		cluster_send_vm_report(cluster, false);
 }
 
+void cluster_report_soon(struct cluster *cluster)
+{
+	cluster->report_sent_s = 0;
+}
+
 void cluster_stop(struct cluster *cluster)
 {
 	lease_stop(cluster->lease);
--- a/src/entry/cluster.h
+++ b/src/entry/cluster.h
@@ -56,6 +56,9 @@
  * given up: see cluster_stop(). */
 void cluster_destroy(struct cluster *cluster);
 
+/** Sends this VM's next report early: it has news for the leader. */
+void cluster_report_soon(struct cluster *cluster);
+
 /**
  * Renews or competes for the lease, sends reports and heartbeats that are due,
  * and, as leader, assigns keys. Must be called about every 50 ms.
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -314,6 +314,21 @@
 	}
 }
 
+/* Notes the upstreams that told another VM that they leave: their keys move. */
+static void apply_leaving(struct cluster *cluster, const VmReport *report)
+{
+	size_t i;
+
+	for (i = 0; i < report->n_leaving; i++) {
+		struct upstream *upstream = roster_upstream(
+			cluster->options.roster, report->leaving[i]->id);
+
+		if (upstream && upstream->entry.started_ms ==
+					report->leaving[i]->started_ms)
+			roster_set_leaving(cluster->options.roster, upstream);
+	}
+}
+
 /* Handles the report of a VM. Unless this VM leads, only crashes in it matter.
  */
 static void on_vm_report(void *ctx, const VmReport *report)
@@ -340,6 +355,7 @@
 		}
 	}
 	apply_row_versions(cluster, report->progress);
+	apply_leaving(cluster, report);
 	for (i = 0; i < report->n_loads; i++)
 		count_keys(cluster, report->loads[i]->service,
 			   report->loads[i]->keys.data,
@@ -592,6 +608,22 @@
 	g_array_set_size(service->requested_keys, 0);
 }
 
+/* Appends a message if an upstream said that it leaves, and its entry doesn't
+ * say so. */
+static void add_leaving(struct upstream *upstream, void *ctx)
+{
+	GPtrArray *list = ctx;
+	KeyOwner *owner;
+
+	if (!upstream->said_leaving || upstream->entry.leaving)
+		return;
+	owner = g_new0(KeyOwner, 1);
+	key_owner__init(owner);
+	owner->id = upstream->entry.id;
+	owner->started_ms = upstream->entry.started_ms;
+	g_ptr_array_add(list, owner);
+}
+
 /* Whether this VM's report goes to all VMs, because no leader that it reaches
  * would tell them of a request that crashes upstreams. */
 static bool tells_all_vms(const struct cluster *cluster)
@@ -607,8 +639,12 @@
 	VmReport out = VM_REPORT__INIT;
 	Progress progress = PROGRESS__INIT;
 	GPtrArray *loads = g_ptr_array_new_with_free_func(g_free);
+	GPtrArray *leaving = g_ptr_array_new_with_free_func(g_free);
 
 	roster_each_service(cluster->options.roster, add_key_load, loads);
+	roster_each_upstream(cluster->options.roster, add_leaving, leaving);
+	out.leaving = (KeyOwner **)leaving->pdata;
+	out.n_leaving = leaving->len;
 	out.vm = vm_info(cluster->options.settings->vm,
 			 &cluster->options.settings->peers);
 	out.loads = (KeyLoad **)loads->pdata;
@@ -631,6 +667,7 @@
 	roster_each_service(cluster->options.roster, clear_key_load, NULL);
 	free_vm_info(out.vm);
 	g_ptr_array_free(loads, TRUE);
+	g_ptr_array_free(leaving, TRUE);
 	crash_exchange_release_report(&out);
 	cluster->report_sent_s = cluster_now(cluster);
 }
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -174,7 +174,7 @@
 		    req->service->upstreams->len > 1)
 			continue;
 		choice = choice == CHOICE_FOUND ? choice : CHOICE_BUSY;
-		if (!load_usable(&u->load, now) ||
+		if (!load_usable(&u->load, now) || upstream_paused(roster, u) ||
 		    !upstream_cold_admits(roster, u) || !has_room(req, u, now))
 			continue;
 		if (is_denied(denied, u))
@@ -243,7 +243,8 @@
 	    u->entry.started_ms != span->started_ms ||
 	    !upstream_serves_keys(roster, u) || !load_usable(&u->load, now))
 		return CHOICE_NO_OWNER;
-	if (!upstream_cold_admits(roster, u) || !has_room(req, u, now))
+	if (upstream_paused(roster, u) || !upstream_cold_admits(roster, u) ||
+	    !has_room(req, u, now))
 		return CHOICE_BUSY;
 	if (!is_within_limit(req, u))
 		return over_limit_choice(req, u);
@@ -261,6 +262,8 @@
 	unsigned int cold;
 	/** None of the other reasons: at the limit of requests in flight. */
 	unsigned int full;
+	/** Asked this VM for a pause. */
+	unsigned int paused;
 	/** At the limit of connections. */
 	unsigned int no_connection;
 	/** None of the other reasons, but it names a limit. */
@@ -277,6 +280,8 @@
 		reasons->no_work++;
 	else if (!load_usable(&u->load, now))
 		reasons->failing++;
+	else if (upstream_paused(roster, u))
+		reasons->paused++;
 	else if (!upstream_cold_admits(roster, u))
 		reasons->cold++;
 	else if (!links_has_capacity(req->forward->options.links, u))
@@ -298,10 +303,10 @@
 		count_unavailable(req, upstreams->pdata[i], now, &reasons);
 	g_snprintf(buf, size,
 		   "upstreams=%u no_work=%u failing=%u cold=%u full=%u "
-		   "no_connection=%u limited=%u waiting=%u",
+		   "no_connection=%u limited=%u paused=%u waiting=%u",
 		   upstreams->len, reasons.no_work, reasons.failing,
 		   reasons.cold, reasons.full, reasons.no_connection,
-		   reasons.limited, req->service->queue.length);
+		   reasons.limited, reasons.paused, req->service->queue.length);
 }
 
 enum choice dispatch_choose(struct proxy_request *req,
@@ -396,6 +401,7 @@
 		const struct upstream *u = req->service->upstreams->pdata[i];
 
 		if (upstream_takes_work(roster, u) &&
+		    !upstream_paused(roster, u) &&
 		    now >= u->load.ejected_until_s)
 			slots += slots_within_limit(req, u);
 	}
@@ -425,15 +431,49 @@
 		     : req->stats->mean_s;
 }
 
+/* Returns the time, in seconds, until the first upstream that takes requests
+ * doesn't want a pause any more; 0 if there is one already. */
+static double shortest_pause_s(const struct proxy_request *req)
+{
+	const struct roster *roster = req->forward->options.roster;
+	double now = forward_now(req->forward);
+	double shortest = G_MAXDOUBLE;
+	guint i;
+
+	for (i = 0; i < req->service->upstreams->len; i++) {
+		const struct upstream *u = req->service->upstreams->pdata[i];
+
+		if (upstream_takes_work(roster, u))
+			shortest =
+				MIN(shortest, MAX(u->paused_until_s - now, 0));
+	}
+	return shortest < G_MAXDOUBLE ? shortest : 0;
+}
+
+/* Returns the rest, in seconds, of the pauses that the upstreams which may run
+ * the request asked for. */
+static double pause_left_s(const struct proxy_request *req)
+{
+	const struct upstream *owner;
+
+	if (req->key < 0)
+		return shortest_pause_s(req);
+	owner = owner_of(req);
+	return owner ? MAX(owner->paused_until_s - forward_now(req->forward), 0)
+		     : 0;
+}
+
 /* Returns the expected time, in seconds, until a request that is queued now is
  * sent. Assumes that every other VM has as many requests queued as this one. */
 static double expected_wait_s(const struct proxy_request *req)
 {
+	double pause_s = pause_left_s(req);
 	double ahead = (queued_before(req) + 1.0) *
 		       roster_vm_count(req->forward->options.roster);
 	double slots = usable_slots(req);
 
-	return ahead * req->stats->mean_s / (slots > 1 ? slots : 1);
+	return MAX(pause_s,
+		   ahead * req->stats->mean_s / (slots > 1 ? slots : 1));
 }
 
 /* Returns the expected time, in seconds, until the key's owner can take the
@@ -454,7 +494,8 @@
 		return MAX(owner->load.ejected_until_s - now, 0);
 	if (upstream_limit_exceeded(&owner->limit, now))
 		return LIMIT_WAIT_S;
-	return MAX(owner_expected_s(req) - req->stats->mean_s, 0);
+	return MAX(MAX(owner_expected_s(req) - req->stats->mean_s, 0),
+		   pause_left_s(req));
 }
 
 double dispatch_retry_after_s(const struct proxy_request *req)
@@ -486,7 +527,8 @@
 	if (choice == CHOICE_BUSY && req->key < 0)
 		need += expected_wait_s(req);
 	else if (choice == CHOICE_BUSY)
-		need = MIN_TIME_SHARE * owner_expected_s(req);
+		need = MAX(MIN_TIME_SHARE * owner_expected_s(req),
+			   need + pause_left_s(req));
 	else
 		need += owner_wait_s(req);
 	if (left < need) {
@@ -547,7 +589,10 @@
 	else if (choice == CHOICE_OVER_LIMIT)
 		proxy_request_refuse(req, 503, dispatch_retry_after_s(req),
 				     OVER_LIMIT);
-	else if (choice == CHOICE_NONE || left < MIN_TIME_SHARE * need)
+	else if (choice == CHOICE_NONE || left < MIN_TIME_SHARE * need ||
+		 (choice == CHOICE_BUSY &&
+		  left < pause_left_s(req) +
+				  MIN_TIME_SHARE * req->stats->mean_s))
 		proxy_request_refuse(req, 503, dispatch_retry_after_s(req),
 				     choice == CHOICE_NO_OWNER
 					     ? "no_owner_in_time"
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -65,6 +65,9 @@
 					   "Requests sent once more.");
 	forward->backups = metrics_counter(m, "auburn_backups_total", "",
 					   "Second copies of slow requests.");
+	forward->pauses =
+		metrics_counter(m, "auburn_pauses_total", "",
+				"Pauses that upstreams asked this VM for.");
 	forward->limit_changes = metrics_counter(
 		m, "auburn_limit_changes_total", "",
 		"Limits that upstreams named, changed or lifted.");
--- a/src/entry/forward.h
+++ b/src/entry/forward.h
@@ -27,6 +27,10 @@
 	struct metrics *metrics;
 	/** Requests that are suspected or blamed for crashes of upstreams. */
 	struct crash_watch *crashes;
+	/** Called when an answer said for the first time that its upstream
+	 * leaves. */
+	void (*said_leaving)(void *ctx);
+	void *ctx;
 };
 
 /** Creates a forwarder; freed with forward_destroy(). */
--- a/src/entry/forward_impl.h
+++ b/src/entry/forward_impl.h
@@ -47,6 +47,7 @@
 	struct counter *retries;
 	struct counter *backups;
 	struct counter *limit_changes;
+	struct counter *pauses;
 	struct histogram *answer_time;
 	struct histogram *wait_time;
 };
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -332,6 +332,13 @@
 				   request);
 }
 
+static void on_said_leaving(void *ctx)
+{
+	struct entry_daemon *entry = ctx;
+
+	cluster_report_soon(entry->cluster);
+}
+
 static bool roster_loaded(void *ctx)
 {
 	struct entry_daemon *entry = ctx;
@@ -522,6 +529,8 @@
 	forward.log = entry->log;
 	forward.metrics = entry->metrics;
 	forward.crashes = entry->crashes;
+	forward.said_leaving = on_said_leaving;
+	forward.ctx = entry;
 	entry->forward = forward_create(&forward);
 	entry->operator_rows = table_watch_create(
 		&entry->loop, &store, entry->directory->operator_table,
--- a/src/entry/roster.c
+++ b/src/entry/roster.c
@@ -229,7 +229,7 @@
 	upstream->remove_at_s = 0;
 	if (entry->leaving && !upstream->leaving_since_s)
 		upstream->leaving_since_s = now;
-	else if (!entry->leaving)
+	else if (!entry->leaving && !upstream->said_leaving)
 		upstream->leaving_since_s = 0;
 	upstream->cold_until_s =
 		entry->cold_remaining_s > 0 ? now + entry->cold_remaining_s : 0;
@@ -271,6 +271,17 @@
 	roster->ops->changed(roster->ctx);
 }
 
+bool roster_set_leaving(struct roster *roster, struct upstream *upstream)
+{
+	if (upstream->said_leaving)
+		return false;
+	upstream->said_leaving = true;
+	if (!upstream->leaving_since_s)
+		upstream->leaving_since_s = loop_now(roster->loop);
+	roster->ops->changed(roster->ctx);
+	return true;
+}
+
 void roster_remove_upstream(struct roster *roster, const char *id,
 			    double remove_at_s)
 {
@@ -452,6 +463,12 @@
 			now + (rate > 0 ? cold_senders(roster) / rate : 1);
 }
 
+bool upstream_paused(const struct roster *roster,
+		     const struct upstream *upstream)
+{
+	return loop_now(roster->loop) < upstream->paused_until_s;
+}
+
 uint32_t upstream_hash(const struct upstream *upstream)
 {
 	return (uint32_t)hash_key(str_from(upstream->entry.id));
--- a/src/entry/roster.h
+++ b/src/entry/roster.h
@@ -37,6 +37,11 @@
 	/** Time at which this VM learned that the upstream is draining; 0: the
 	 * upstream isn't draining. */
 	double leaving_since_s;
+	/** An answer of this incarnation said that it leaves, whatever its
+	 * entry says. */
+	bool said_leaving;
+	/** End of the pause that the upstream asked this VM for. */
+	double paused_until_s;
 	/** An upstream with another id answered at this one's address, so this
 	 * one gets no more requests. */
 	bool replaced;
@@ -137,6 +142,14 @@
 /** Removes the upstreams whose removal time has come. */
 void roster_tick(struct roster *roster);
 
+/**
+ * Notes that an upstream said in an answer that it leaves. This holds until it
+ * starts again.
+ *
+ * @return false when it was noted before
+ */
+bool roster_set_leaving(struct roster *roster, struct upstream *upstream);
+
 /** Takes an availability zone out of service, or back in. */
 void roster_set_zone_out(struct roster *roster, const char *zone, bool out);
 /** Whether a zone was taken out of service by roster_set_zone_out(). */
@@ -205,6 +218,10 @@
 void upstream_record_send(const struct roster *roster,
 			  struct upstream *upstream);
 
+/** Whether the upstream asked this VM for a pause that has not ended. */
+bool upstream_paused(const struct roster *roster,
+		     const struct upstream *upstream);
+
 /** Returns the hash that stands for an upstream in messages between VMs. */
 uint32_t upstream_hash(const struct upstream *upstream);
 
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -2127,7 +2127,7 @@
   (ProtobufCMessageInit) key_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor vm_report__field_descriptors[9] =
+static const ProtobufCFieldDescriptor vm_report__field_descriptors[10] =
 {
   {
     "vm",
@@ -2237,11 +2237,24 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(VmReport, n_leaving),
+    offsetof(VmReport, leaving),
+    &key_owner__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned vm_report__field_indices_by_name[] = {
   7,   /* field[7] = blocked */
   5,   /* field[5] = cleared */
   2,   /* field[2] = crashes */
+  9,   /* field[9] = leaving */
   1,   /* field[1] = loads */
   4,   /* field[4] = progress */
   6,   /* field[6] = refused */
@@ -2252,7 +2265,7 @@
 static const ProtobufCIntRange vm_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor vm_report__descriptor =
 {
@@ -2262,7 +2275,7 @@
   "VmReport",
   "",
   sizeof(VmReport),
-  9,
+  10,
   vm_report__field_descriptors,
   vm_report__field_indices_by_name,
   1,  vm_report__number_ranges,
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -421,6 +421,11 @@
    */
   size_t n_blocked;
   BlockedRequest **blocked;
+  /*
+   * Upstreams that told the VM in an answer that they leave.
+   */
+  size_t n_leaving;
+  KeyOwner **leaving;
   /*
    * Tables of which the VM wants a copy, by the numbers of TableCopyPart.
    */
@@ -429,7 +434,7 @@
 };
 #define VM_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&vm_report__descriptor) \
-    , NULL, 0,NULL, 0,NULL, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , NULL, 0,NULL, 0,NULL, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/test/standin/site.h
+++ b/test/standin/site.h
@@ -49,6 +49,15 @@
  * second; negative: none. */
 void site_upstream_limit(struct site *site, unsigned int index, double per_s);
 
+/** Has an upstream say in all its answers that it leaves. */
+void site_upstream_say_leaving(struct site *site, unsigned int index);
+
+/** Has an upstream refuse its next request with status 503 and a Retry-After.
+ *
+ * @param text value of the header field */
+void site_upstream_pause(struct site *site, unsigned int index,
+			 const char *text);
+
 /** Publishes an address for an upstream other than the one on which it listens,
  * such as a proxy's. */
 void site_upstream_publish_address(struct site *site, unsigned int index,
@@ -82,6 +91,9 @@
 	unsigned int double_owners;
 	/** Number of requests that an upstream got over its named limit. */
 	unsigned int over_limit;
+	/** Requests that reached an upstream LEAVING_S after it said that it
+	 * leaves, and those that reached one in the pause that it asked for. */
+	unsigned int after_leaving, while_paused;
 	/** Number of crashes of upstreams that a request caused. */
 	unsigned int crashes;
 	/** Number of POST requests without a Content-Length. */
--- a/test/standin/site_store.c
+++ b/test/standin/site_store.c
@@ -278,6 +278,8 @@
  *   down          the store is down unless ID is 0
  *   more          ID more upstreams of the service "plain" start
  *   entry         ID is the key of a row of upstreams, the body its value
+ *   leaving       the upstream says in its answers that it leaves
+ *   pause         it refuses one request; the body is its Retry-After
  * The body of list-at is the address to publish for the upstream, that of limit
  * the requests per second that it names as its limit, or -1. An unknown
  * verb has no effect. */
@@ -309,6 +311,10 @@
 	else if (g_str_has_prefix(verb, "limit"))
 		site_upstream_limit(site, index,
 				    g_ascii_strtod(request->body->str, NULL));
+	else if (g_str_has_prefix(verb, "leaving"))
+		site_upstream_say_leaving(site, index);
+	else if (g_str_has_prefix(verb, "pause"))
+		site_upstream_pause(site, index, request->body->str);
 	else if (g_str_has_prefix(verb, "list-at"))
 		site_upstream_publish_address(site, index, request->body->str);
 	else if (g_str_has_prefix(verb, "address"))
@@ -317,9 +323,11 @@
 		site_put_row(site, "op", "config", request->body->str);
 	g_free(id);
 	answer_json(request, 200,
-		    json_pack("{sisisisisisiss}", "runs", (int)runs, "crashes",
-			      (int)site->crashes, "over_limit",
-			      (int)site->over_limit, "bodies_missing",
+		    json_pack("{sisisisisisisisiss}", "runs", (int)runs,
+			      "crashes", (int)site->crashes, "over_limit",
+			      (int)site->over_limit, "after_leaving",
+			      (int)site->after_leaving, "while_paused",
+			      (int)site->while_paused, "bodies_missing",
 			      (int)site->bodies_missing, "double_owners",
 			      (int)site->double_owners, "repeats",
 			      (int)site->repeats, "address", address));
--- a/test/standin/site_upstream.c
+++ b/test/standin/site_upstream.c
@@ -23,6 +23,10 @@
 #define DEFAULT_WORK_S 0.005
 /* Time until an upstream that crashed starts again. */
 #define CRASH_S 2.5
+/* Time in which entry daemons have to stop sending to an upstream that said
+ * that it leaves, or that asked for a pause. */
+#define LEAVING_S 2.0
+#define PAUSE_SETTLE_S 0.5
 /* An upstream that named a limit, in requests per second, counts as over it
  * from LIMIT_SETTLE_S later on, when within LIMIT_WINDOW_S it gets more than
  * LIMIT_FACTOR times what the limit allows, and LIMIT_SLACK requests. */
@@ -66,6 +70,13 @@
 	/** Since when it says so, and arrivals of requests (double) since. */
 	double limited_since_s;
 	GArray *arrivals;
+	/** It says that it leaves, and since when; 0: it didn't say so yet. */
+	bool says_leaving;
+	double leaving_said_s;
+	/** Retry-After of the next answer; NULL: none. */
+	char *pause;
+	/** The pause that it asked for last. */
+	double paused_from_s, paused_until_s;
 	/** Ends the crashing upstream's server, and later starts it again. */
 	ev_timer crash_timer;
 };
@@ -144,6 +155,12 @@
 		g_snprintf(limit, sizeof(limit), "%.1f", upstream->limit_per_s);
 		headers_add(headers, STR("Server-Limit"), str_from(limit));
 	}
+	if (upstream->says_leaving) {
+		headers_add(headers, STR("Server-Leaving"), STR("1"));
+		if (!upstream->leaving_said_s)
+			upstream->leaving_said_s =
+				loop_now(&upstream->site->loop);
+	}
 	http_request_answer(request, &out);
 	headers_destroy(headers);
 }
@@ -258,6 +275,54 @@
 		upstream->site->over_limit++;
 }
 
+/* Counts the arrival of a request that the upstream does not want any more. */
+static void check_signals(struct upstream *upstream)
+{
+	double now = loop_now(&upstream->site->loop);
+
+	if (upstream->leaving_said_s &&
+	    now > upstream->leaving_said_s + LEAVING_S)
+		upstream->site->after_leaving++;
+	if (now > upstream->paused_from_s + PAUSE_SETTLE_S &&
+	    now < upstream->paused_until_s)
+		upstream->site->while_paused++;
+}
+
+void site_upstream_say_leaving(struct site *site, unsigned int index)
+{
+	struct upstream *upstream = site->upstreams->pdata[index];
+
+	upstream->says_leaving = true;
+}
+
+void site_upstream_pause(struct site *site, unsigned int index,
+			 const char *text)
+{
+	struct upstream *upstream = site->upstreams->pdata[index];
+
+	g_free(upstream->pause);
+	upstream->pause = g_strdup(text);
+}
+
+/* Refuses a request and asks for a pause. */
+static void begin_pause(struct upstream *upstream, struct http_request *request)
+{
+	struct headers *headers = headers_create();
+	struct http_answer out = { .status = 503, .headers = headers };
+	double now = loop_now(&upstream->site->loop);
+	char id[64];
+
+	copy_header(request, STR("x-request-id"), id, sizeof(id));
+	headers_add(headers, STR("X-Request-Id"), str_from(id));
+	headers_add(headers, STR("X-Not-Executed"), STR("1"));
+	headers_add(headers, STR("Retry-After"), str_from(upstream->pause));
+	upstream->paused_from_s = now;
+	upstream->paused_until_s = now + g_ascii_strtod(upstream->pause, NULL);
+	g_clear_pointer(&upstream->pause, g_free);
+	http_request_answer(request, &out);
+	headers_destroy(headers);
+}
+
 void site_upstream_limit(struct site *site, unsigned int index, double per_s)
 {
 	struct upstream *upstream = site->upstreams->pdata[index];
@@ -358,14 +423,18 @@
 	copy_header(request, STR("x-expect-instance"), expect, sizeof(expect));
 	copy_header(request, STR("x-shard-key"), key, sizeof(key));
 	copy_header(request, STR("x-request-id"), id, sizeof(id));
-	if (*id)
+	if (*id) {
 		check_limit(upstream);
+		check_signals(upstream);
+	}
 	if (is_misdirected(upstream, request, expect, atoi(key) % KEYS))
 		answer(upstream, request, 421, "X-Not-Executed: 1", "");
 	else if (has_path(request, "/grant"))
 		handle_grant_order(upstream, request, true);
 	else if (has_path(request, "/release"))
 		handle_grant_order(upstream, request, false);
+	else if (upstream->pause)
+		begin_pause(upstream, request);
 	else if (upstream->running >= 2 * SLOTS)
 		answer(upstream, request, 503, "X-Not-Executed: 1", "");
 	else
@@ -457,6 +526,10 @@
 	http_server_destroy(upstream->server);
 	memset(upstream->held_until_s, 0, sizeof(upstream->held_until_s));
 	memset(upstream->fence, 0, sizeof(upstream->fence));
+	/* The signals were those of the earlier incarnation. */
+	upstream->says_leaving = false;
+	upstream->leaving_said_s = 0;
+	upstream->paused_until_s = 0;
 	start_server(upstream);
 }
 
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -161,6 +161,50 @@
 	g_string_free(text, TRUE);
 }
 
+/* What an upstream says of its leaving, and the pause that it asks for. */
+static void reply_headers_tell_leaving_and_pauses(void)
+{
+	static const struct {
+		unsigned int status;
+		const char *line;
+		bool leaving;
+		double pause_s;
+	} rows[] = {
+		{ 200, "Server-Leaving: 1", true, -1 },
+		{ 503, "Server-Leaving: 1", true, -1 },
+		{ 200, "Server-Leaving: 0", false, -1 },
+		{ 200, "Server-Leaving: ", false, -1 },
+		{ 200, "Server-Leaving: 11", false, -1 },
+		{ 503, "Retry-After: 2", false, 2 },
+		{ 503, "Retry-After: 0.25", false, 0.25 },
+		{ 503, "Retry-After: 0", false, 0 },
+		{ 429, "Retry-After: 2", false, -1 },
+		{ 200, "Retry-After: 2", false, -1 },
+		{ 503, "Retry-After: -2", false, -1 },
+		{ 503, "Retry-After: +2", false, -1 },
+		{ 503, "Retry-After: inf", false, -1 },
+		{ 503, "Retry-After: 2s", false, -1 },
+		{ 503, "Retry-After: Wed, 21 Oct 2065 07:28:00 GMT", false,
+		  -1 },
+		/* A mistake must not take the upstream out for good. */
+		{ 503, "Retry-After: 86400", false, 60 },
+		{ 503, "Retry-After: 99999999999999999999999999", false, 60 },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		struct headers *headers = headers_create();
+		struct reply_facts facts;
+
+		headers_add_line(headers, str_from(rows[i].line));
+		platform_protocol()->read_reply(rows[i].status, headers,
+						&facts);
+		CU_ASSERT_EQUAL(facts.leaving, rows[i].leaving);
+		CU_ASSERT_DOUBLE_EQUAL(facts.pause_s, rows[i].pause_s, 1e-9);
+		headers_destroy(headers);
+	}
+}
+
 static void reply_headers_tell_whether_request_ran(void)
 {
 	static const struct {
@@ -328,6 +372,8 @@
 		  malformed_upstream_entries_are_refused },
 		{ "grant and release requests name their upstream",
 		  grant_requests_name_their_upstream },
+		{ "reply headers tell leaving and pauses",
+		  reply_headers_tell_leaving_and_pauses },
 		{ "a reply's headers tell whether the request ran",
 		  reply_headers_tell_whether_request_ran },
 		{ "reply headers tell the limit of the upstream",
