net: read what arrived before idle connections are closed in a stop

Cause: 2.6 s after SIGTERM the listening socket and idle connections are closed without a look at what they hold. A process that got no processor time for a while has connections to accept and requests to read at that moment; they were reset. Now it accepts and reads them first. A case of unit-test_net has both, and fails before.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -515,13 +515,10 @@
 		conn_free(conn);
 }
 
-static void on_accept(struct ev_loop *loop, ev_io *io, int events)
+static void accept_all(struct http_server *server)
 {
-	struct http_server *server = io->data;
 	int fd;
 
-	(void)loop;
-	(void)events;
 	while ((fd = socket_accept(server->fd)) >= 0) {
 		struct http_conn *conn = g_new0(struct http_conn, 1);
 
@@ -543,6 +540,13 @@
 	}
 }
 
+static void on_accept(struct ev_loop *loop, ev_io *io, int events)
+{
+	(void)loop;
+	(void)events;
+	accept_all(io->data);
+}
+
 struct http_server *http_server_create(struct loop *loop,
 				       const struct sockaddr_in *address,
 				       const struct http_server_ops *ops,
@@ -649,10 +653,31 @@
 	server->draining = true;
 }
 
+/* Accepts the connections and reads the requests that arrived so far. */
+static void read_arrived(struct http_server *server)
+{
+	GList *link, *next;
+
+	if (server->fd >= 0)
+		accept_all(server);
+	for (link = server->conns.head; link; link = next) {
+		struct http_conn *conn = link->data;
+
+		next = link->next;
+		if (!conn->closed && !conn->closing && !conn->half_closed)
+			conn_read(conn);
+		if (conn->closed)
+			conn_free(conn);
+	}
+}
+
 void http_server_close_idle(struct http_server *server)
 {
 	GList *link;
 
+	/* A caller can't tell that a request on a connection that is closed now
+	 * was not read. */
+	read_arrived(server);
 	stop_listening(server);
 	for (link = server->conns.head; link; link = link->next) {
 		struct http_conn *conn = link->data;
--- a/test/unit/test_net.c
+++ b/test/unit/test_net.c
@@ -215,6 +215,46 @@
 	teardown(&w);
 }
 
+/* A process that gets little processor time may find, when it has to close idle
+ * connections, that requests came on them, or connections with requests, that
+ * it has not read yet. */
+static void requests_that_came_before_the_close_are_read(void)
+{
+	static const char request[] = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+	struct fixture w;
+	char buf[1024];
+	int kept, fresh, idle;
+
+	setup(&w);
+	kept = connect_to(&w);
+	idle = connect_to(&w);
+	run_loop(&w);
+	http_server_drain(w.server);
+	send_text(kept, request);
+	fresh = connect_to(&w);
+	send_text(fresh, request);
+	g_usleep(1000);
+	http_server_close_idle(w.server);
+	run_loop(&w);
+	CU_ASSERT_EQUAL_FATAL(w.count, 2);
+	answer(w.requests[0], "first");
+	answer(w.requests[1], "second");
+	run_loop(&w);
+	receive_text(kept, buf, sizeof(buf));
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "first"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "Connection: close"));
+	receive_text(fresh, buf, sizeof(buf));
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "second"));
+	/* The one without a request was closed. */
+	CU_ASSERT_EQUAL(recv(idle, buf, sizeof(buf), MSG_DONTWAIT), 0);
+	close(kept);
+	close(fresh);
+	close(idle);
+	run_loop(&w);
+	CU_ASSERT_EQUAL(http_server_connections(w.server), 0);
+	teardown(&w);
+}
+
 /* --- the client channel, with the test as its server --- */
 
 static bool on_reply(void *ctx, struct http_channel *channel,
@@ -399,6 +439,8 @@
 		  invalid_requests_are_rejected },
 		{ "draining closes after the last answer only",
 		  draining_closes_after_the_last_answer_only },
+		{ "requests that came before the close are read",
+		  requests_that_came_before_the_close_are_read },
 		{ "only complete responses are delivered",
 		  only_complete_responses_are_delivered },
 		{ "a blocked log reader does not block writers",
