keys: a VM with a fast link succeeds a lost leader again

Cause: the eight VMs that watch a silent leader closely were drawn from all 295, of which 15 have a fast link, so that a VM with a tenth of a core and 20 Mbit/s led. Fit VMs are now drawn far more often. A case of unit-test_lease_fleet fails before.

--- a/src/keys/lease.c
+++ b/src/keys/lease.c
@@ -27,10 +27,14 @@
 /* The row is read when its version was not observed for this long. Heartbeats
  * normally report it within one renewal and one heartbeat interval. */
 #define READ_AFTER_S (LEASE_S / 2)
-/* Number of VMs, on average, that read the row so early. The others leave a
- * leader that they don't hear to these, and try to acquire its lease later by
- * LATE_S. */
+/* Number of VMs, on average, that read the row so early: of a fleet in which
+ * all are fit to lead, and of one in which none is. The others leave a leader
+ * that they don't hear to these, and try to acquire its lease later by LATE_S.
+ */
+#define EARLY_FIT_VMS 120
 #define EARLY_VMS 8
+/* A VM is fit to lead when its acquire delay is at most this, in seconds. */
+#define FIT_DELAY_S 0.05
 #define EARLY_JITTER_S 0.25
 #define LATE_S 0.5
 /* Shortest interval between the calls of all VMs together, in seconds, while
@@ -107,7 +111,10 @@
 /* Draws what this VM does when the present holder doesn't renew its lease. */
 static void draw_delays(struct lease *lease)
 {
-	lease->early = g_random_double() * lease->vms < EARLY_VMS;
+	double early_vms = lease->acquire_delay_s <= FIT_DELAY_S ? EARLY_FIT_VMS
+								 : EARLY_VMS;
+
+	lease->early = g_random_double() * lease->vms < early_vms;
 	lease->jitter_s =
 		g_random_double() * (lease->early ? EARLY_JITTER_S : JITTER_S);
 }
--- a/test/unit/test_lease_fleet.c
+++ b/test/unit/test_lease_fleet.c
@@ -112,11 +112,18 @@
 static const struct lease_ops lease_ops = { on_won, on_lost, on_learned,
 					    on_renewal_failing };
 
+/* Whether a VM has a fast link: one in twenty. */
+static bool is_fit(unsigned int number)
+{
+	return number % 20 == 0;
+}
+
 static void setup(struct fleet *f, unsigned int size)
 {
 	unsigned int i;
 
 	memset(f, 0, sizeof(*f));
+	g_random_set_seed(size);
 	manual_clock_init(&f->clock);
 	f->loop.clock = &f->clock.clock;
 	f->size = size;
@@ -130,6 +137,9 @@
 		f->vms[i].value = g_string_new(NULL);
 		f->vms[i].lease = lease_create(&f->loop, &store, &lease_ops,
 					       &f->vms[i], name, "127.0.0.1:1");
+		/* Some VMs have fast links and should lead. */
+		lease_set_acquire_delay(f->vms[i].lease,
+					is_fit(i) ? 0.025 : 0.25);
 		lease_begin(f->vms[i].lease);
 	}
 }
@@ -266,6 +276,27 @@
 	}
 }
 
+/* The successor of a leader is a VM with a fast link, but for a few times: the
+ * leader's work exceeds the processors and links of the others. */
+static void a_fit_vm_succeeds(void)
+{
+	unsigned int round, fit = 0;
+	struct fleet f;
+
+	setup(&f, 295);
+	run_fleet(&f, 5);
+	for (round = 0; round < 10; round++) {
+		struct vm *leader = leader_of(&f);
+
+		leader->lost = true;
+		run_fleet(&f, SUCCESSION_MAX_S + 1);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(leader_of(&f));
+		fit += is_fit((unsigned int)(leader_of(&f) - f.vms));
+	}
+	CU_ASSERT_TRUE(fit >= 8);
+	teardown(&f);
+}
+
 /* An outage takes the leader's lease. Its calls are bounded for any size of the
  * fleet, and its end is noticed at once. */
 static void an_outage_costs_a_bounded_rate_of_calls(void)
@@ -299,6 +330,7 @@
 		  in_calm_only_the_leader_calls },
 		{ "a lost leader is succeeded by few calls",
 		  a_lost_leader_is_succeeded_by_few_calls },
+		{ "a fit VM succeeds", a_fit_vm_succeeds },
 		{ "an outage costs a bounded rate of calls",
 		  an_outage_costs_a_bounded_rate_of_calls },
 		{ 0 },
