--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -653,37 +653,31 @@
 	server->draining = true;
 }
 
-/* Accepts the connections and reads the requests that arrived so far. */
-static void read_arrived(struct http_server *server)
+/* Whether a connection has no request and no bytes to send. */
+static bool conn_idle(const struct http_conn *conn)
+{
+	return !conn->requests.length && !conn->reading && !conn->out->len &&
+	       !conn->half_closed;
+}
+
+void http_server_close_idle(struct http_server *server)
 {
 	GList *link, *next;
 
+	/* Connections and requests that arrived but were not read are not idle:
+	 * their callers can't tell that nothing was read. */
 	if (server->fd >= 0)
 		accept_all(server);
+	stop_listening(server);
 	for (link = server->conns.head; link; link = next) {
 		struct http_conn *conn = link->data;
 
 		next = link->next;
 		if (!conn->closed && !conn->closing && !conn->half_closed)
 			conn_read(conn);
-		if (conn->closed)
+		if (conn->closed) {
 			conn_free(conn);
-	}
-}
-
-void http_server_close_idle(struct http_server *server)
-{
-	GList *link;
-
-	/* A caller can't tell that a request on a connection that is closed now
-	 * was not read. */
-	read_arrived(server);
-	stop_listening(server);
-	for (link = server->conns.head; link; link = link->next) {
-		struct http_conn *conn = link->data;
-
-		if (!conn->requests.length && !conn->reading &&
-		    !conn->out->len && !conn->half_closed) {
+		} else if (conn_idle(conn)) {
 			conn->closing = true;
 			conn_half_close(conn);
 		}
--- a/test/unit/test_table_copy.c
+++ b/test/unit/test_table_copy.c
@@ -100,6 +100,8 @@
 		parts = table_copy_parts_create();
 		copy = deliver(parts, bytes, 7, -1);
 		CU_ASSERT_PTR_NOT_NULL_FATAL(copy);
+		if (!copy)
+			return;
 		CU_ASSERT_EQUAL(copy->upto, 7);
 		CU_ASSERT_EQUAL(copy->n_rows, shape->rows);
 		if (shape->rows)
@@ -120,6 +122,8 @@
 	CU_ASSERT_PTR_NULL(deliver(parts, older, 7, 1));
 	copy = deliver(parts, newer, 8, -1);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(copy);
+	if (!copy)
+		return;
 	CU_ASSERT_EQUAL(copy->upto, 8);
 	table_changes__free_unpacked(copy, NULL);
 	/* An older copy that is late is not taken. */
