--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -528,7 +528,8 @@
 		cluster->lease,
 		MIN(ACQUIRE_DELAY_MAX_S,
 		    ACQUIRE_DELAY_MBIT / options->settings->link_mbps));
-	lease_begin(cluster->lease);
+	if (options->settings->copy_wait_s > 0)
+		lease_begin(cluster->lease);
 	cluster->orders =
 		orders_create(options->loop, options->links, options->protocol,
 			      &orders_ops, cluster);
@@ -544,7 +545,7 @@
 	create_crash_exchange(cluster);
 	create_copy_exchange(cluster);
 	cluster->hold_s = HOLD_S;
-	cluster->last_heartbeat_s = cluster_now(cluster);
+	cluster->last_heartbeat_s = cluster_now(cluster) - HEARTBEAT_LOST_S / 2;
 	ev_timer_init(&cluster->publish_timer, on_publish_timer,
 		      PUBLISH_DELAY_S, 0);
 	cluster->publish_timer.data = cluster;
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -12,7 +12,6 @@
 #include "base/address.h"
 #include "base/log.h"
 #include "entry/cluster.h"
-#include "entry/copy_exchange.h"
 #include "entry/forward.h"
 #include "entry/table_watch.h"
 #include "platform/decode.h"
@@ -540,8 +539,8 @@
 		&upstream_ops, entry);
 	if (!open_servers(entry, error) || !open_cluster(entry, &store, error))
 		return false;
-	table_watch_start(entry->operator_rows, COPY_WAIT_S);
-	table_watch_start(entry->upstream_rows, COPY_WAIT_S);
+	table_watch_start(entry->operator_rows, entry->settings->copy_wait_s);
+	table_watch_start(entry->upstream_rows, entry->settings->copy_wait_s);
 	return true;
 }
 
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -41,6 +41,11 @@
 	  "speed of this VM's network link", OFFSET(link_mbps) },
 	{ "vm", "memory", SETTING_NUMBER, "MB", "256", 32, 1000000,
 	  "memory that the process may use", OFFSET(memory_mb) },
+	{ "vm", "copy_wait", SETTING_NUMBER, "seconds", "0", 0, 60,
+	  "time for which a VM that starts waits for the leader's copies of "
+	  "the "
+	  "tables; 0 reads them from the store at once",
+	  OFFSET(copy_wait_s) },
 	{ "listen", "callers", SETTING_ADDRESS, "IPv4:port", NULL, 0, 0,
 	  "where callers connect", OFFSET(callers) },
 	{ "listen", "ready", SETTING_ADDRESS, "IPv4:port", NULL, 0, 0,
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -19,6 +19,9 @@
 	double link_mbps;
 	/** Memory that the process may use, in MB. */
 	double memory_mb;
+	/** Seconds for which a VM that starts waits for copies of the tables.
+	 */
+	double copy_wait_s;
 	/** Listening address for callers. */
 	struct sockaddr_in callers;
 	/** Listening address of the readiness probe. */
--- a/src/keys/lease.h
+++ b/src/keys/lease.h
@@ -60,8 +60,8 @@
  * answer. */
 void lease_set_vms(struct lease *lease, unsigned int vms);
 
-/** Begins to compete for the lease on a VM that starts, at a random time within
- * a fraction of a second: a whole fleet may start at once. */
+/** Begins to compete for the lease at a random time within a fraction of a
+ * second, because a whole fleet starts at once and nobody waits for it. */
 void lease_begin(struct lease *lease);
 
 /** Renews, acquires or reads the lease when due; call about every 50 ms. */
