test/functional: entry daemons of a rig listen on a loopback address of their own

The kept folder shows that the daemon ended while it opened its listening addresses: a port that was free when it was chosen was taken before it was used. Each test process now has an address derived from its id, as the soak has.

--- a/test/functional/cluster_entry.c
+++ b/test/functional/cluster_entry.c
@@ -5,11 +5,33 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/address.h"
+
 /* Listening addresses of one entry daemon. */
 #define PORTS 4
 
-/* Finds free ports. All are bound at the same time, so that they differ;
- * another process may take one before it is used. */
+/* Returns a loopback address derived from the process id, in network byte
+ * order: ports that are free there are not taken by tests that run at the same
+ * time, or by their connections. */
+static in_addr_t own_loopback_host(void)
+{
+	in_addr_t pid = (in_addr_t)getpid();
+
+	return htonl(INADDR_LOOPBACK | (pid & 0x3fffff) << 2 | 2);
+}
+
+/* Writes "IPv4:port" on own_loopback_host() to a buffer of 32 bytes. */
+static void write_address(char *buf, unsigned int port)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	char text[ADDRESS_TEXT_SIZE];
+
+	address.sin_addr.s_addr = own_loopback_host();
+	address.sin_port = htons((uint16_t)port);
+	g_strlcpy(buf, address_format(&address, text), 32);
+}
+
+/* Finds free ports. All are bound at the same time, so that they differ. */
 static void free_ports(unsigned int ports[PORTS])
 {
 	int fds[PORTS];
@@ -19,7 +41,7 @@
 		struct sockaddr_in address = { .sin_family = AF_INET };
 		socklen_t len = sizeof(address);
 
-		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		address.sin_addr.s_addr = own_loopback_host();
 		fds[i] = socket(AF_INET, SOCK_STREAM, 0);
 		if (fds[i] < 0 ||
 		    bind(fds[i], (struct sockaddr *)&address, len) < 0 ||
@@ -36,22 +58,21 @@
 			   struct entry *entry, double grace_s)
 {
 	unsigned int ports[PORTS];
+	char peers[32];
 	char *text;
 
 	free_ports(ports);
-	g_snprintf(entry->callers, sizeof(entry->callers), "127.0.0.1:%u",
-		   ports[0]);
-	g_snprintf(entry->ready, sizeof(entry->ready), "127.0.0.1:%u",
-		   ports[1]);
-	g_snprintf(entry->metrics, sizeof(entry->metrics), "127.0.0.1:%u",
-		   ports[2]);
+	write_address(entry->callers, ports[0]);
+	write_address(entry->ready, ports[1]);
+	write_address(entry->metrics, ports[2]);
+	write_address(peers, ports[3]);
 	g_snprintf(entry->settings, sizeof(entry->settings), "%s/entry%u.conf",
 		   rig->folder, index);
 	text = g_strdup_printf(
 		"[vm]\nname = vm%u\nzone = z1\n[listen]\ncallers = %s\n"
-		"ready = %s\npeers = 127.0.0.1:%u\nmetrics = %s\n"
+		"ready = %s\npeers = %s\nmetrics = %s\n"
 		"[store]\naddress = %s\n[stop]\ngrace = %.1f\n",
-		index, entry->callers, entry->ready, ports[3], entry->metrics,
+		index, entry->callers, entry->ready, peers, entry->metrics,
 		process_address(rig->site, "store"), grace_s);
 	g_file_set_contents(entry->settings, text, -1, NULL);
 	g_free(text);
