--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -416,6 +416,15 @@
 		load_report(&upstream->load, &report, now);
 }
 
+/* Whether the upstream made the answer, rather than another one at its address
+ * or something on the way. */
+static bool is_own_answer(const struct upstream_attempt *attempt,
+			  const struct reply_facts *facts)
+{
+	return (facts->signed_by_upstream || facts->not_run) &&
+	       !is_by_another_upstream(attempt, facts);
+}
+
 /* Applies the limit that an upstream's own answer names, or its end. */
 static void record_limit(const struct upstream_attempt *attempt,
 			 const struct reply_facts *facts)
@@ -423,8 +432,7 @@
 	struct forward *forward = attempt->forward;
 	struct upstream_limit *limit = &attempt->upstream->limit;
 
-	if (!(facts->signed_by_upstream || facts->not_run) ||
-	    is_by_another_upstream(attempt, facts))
+	if (!is_own_answer(attempt, facts))
 		return;
 	if (!upstream_limit_apply_answer(limit, facts->limit_per_s,
 					 attempt->started_s,
@@ -446,8 +454,7 @@
 	struct upstream *upstream = attempt->upstream;
 	double now = forward_now(forward);
 
-	if (!(facts->signed_by_upstream || facts->not_run) ||
-	    is_by_another_upstream(attempt, facts))
+	if (!is_own_answer(attempt, facts))
 		return;
 	if (facts->leaving &&
 	    roster_set_leaving(forward->options.roster, upstream)) {
--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -126,7 +126,7 @@
 	cluster->leader_address_known = true;
 	/* The leader may not know this VM: report at once. */
 	if (!hears_leader(cluster))
-		cluster->report_sent_s = 0;
+		cluster_report_soon(cluster);
 }
 
 static void renew_all(gpointer key, gpointer value, gpointer data)
@@ -470,7 +470,7 @@
 	if (cluster->leading)
 		schedule_publication(cluster);
 	else
-		cluster->report_sent_s = 0;
+		cluster_report_soon(cluster);
 }
 
 static void create_crash_exchange(struct cluster *cluster)
--- a/src/entry/copy_exchange.c
+++ b/src/entry/copy_exchange.c
@@ -7,6 +7,10 @@
  * one copy. */
 #define SEND_INTERVAL_S 0.15
 
+/* Time, in seconds, for which a VM that waits for copies goes on waiting after
+ * a heartbeat of a leader that has not read the tables itself. */
+#define COPY_WAIT_S 0.7
+
 /* One table. */
 struct copied {
 	struct table_watch *watch;
--- a/src/entry/copy_exchange.h
+++ b/src/entry/copy_exchange.h
@@ -17,10 +17,6 @@
 	COPIED_TABLES,
 };
 
-/** Time, in seconds, for which a VM that waits for copies waits for a copy of a
- * table from a leader that could send it, before it reads the table itself. */
-#define COPY_WAIT_S 0.7
-
 struct copy_exchange;
 
 /** What the pointers refer to must outlive the exchange. */
--- a/test/functional/cluster_entry.c
+++ b/test/functional/cluster_entry.c
@@ -10,23 +10,13 @@
 /* Listening addresses of one entry daemon. */
 #define PORTS 4
 
-/* Returns a loopback address derived from the process id, in network byte
- * order: ports that are free there are not taken by tests that run at the same
- * time, or by their connections. */
-static in_addr_t own_loopback_host(void)
-{
-	in_addr_t pid = (in_addr_t)getpid();
-
-	return htonl(INADDR_LOOPBACK | (pid & 0x3fffff) << 2 | 2);
-}
-
-/* Writes "IPv4:port" on own_loopback_host() to a buffer of 32 bytes. */
+/* Writes "IPv4:port" on process_loopback_host() to a buffer of 32 bytes. */
 static void write_address(char *buf, unsigned int port)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET };
 	char text[ADDRESS_TEXT_SIZE];
 
-	address.sin_addr.s_addr = own_loopback_host();
+	address.sin_addr.s_addr = process_loopback_host();
 	address.sin_port = htons((uint16_t)port);
 	g_strlcpy(buf, address_format(&address, text), 32);
 }
@@ -41,7 +31,7 @@
 		struct sockaddr_in address = { .sin_family = AF_INET };
 		socklen_t len = sizeof(address);
 
-		address.sin_addr.s_addr = own_loopback_host();
+		address.sin_addr.s_addr = process_loopback_host();
 		fds[i] = socket(AF_INET, SOCK_STREAM, 0);
 		if (fds[i] < 0 ||
 		    bind(fds[i], (struct sockaddr *)&address, len) < 0 ||
--- a/test/functional/cluster_process.c
+++ b/test/functional/cluster_process.c
@@ -108,6 +108,13 @@
 	return NULL;
 }
 
+in_addr_t process_loopback_host(void)
+{
+	in_addr_t pid = (in_addr_t)getpid();
+
+	return htonl(INADDR_LOOPBACK | (pid & 0x3fffff) << 2 | 2);
+}
+
 void process_destroy(struct process *process)
 {
 	if (!process)
--- a/test/functional/cluster_process.h
+++ b/test/functional/cluster_process.h
@@ -6,6 +6,7 @@
 #define CLUSTER_PROCESS_H
 
 #include <glib.h>
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <sys/types.h>
@@ -25,6 +26,13 @@
 struct process *process_start(const char *name, const char *dir,
 			      const char *const *argv, GError **error);
 
+/**
+ * Returns a loopback address derived from the id of the calling process, in
+ * network byte order. Ports that are free there are not taken by tests that run
+ * at the same time, or by their connections.
+ */
+in_addr_t process_loopback_host(void);
+
 /** Kills the process if it runs, and frees it. */
 void process_destroy(struct process *process);
 
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -205,28 +205,17 @@
 
 /* --- start --- */
 
-/* Returns a loopback address derived from the process id, so that concurrent
- * runs don't take the port of an entry daemon that is being restarted; the
- * caller frees it. */
-static char *unique_loopback_host(void)
-{
-	unsigned int pid = (unsigned int)getpid();
-
-	return g_strdup_printf("127.%u.%u.%u", (pid >> 14 & 127) + 1,
-			       (pid >> 7 & 127) + 1, (pid & 127) + 1);
-}
-
 /* Returns an address with a free port, which the caller frees. The port stays
  * taken until release_ports(), so that no other call returns it. */
-static char *reserve_address(struct soak *soak, const char *host)
+static char *reserve_address(struct soak *soak)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET };
 	socklen_t len = sizeof(address);
 	char text[ADDRESS_TEXT_SIZE];
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
-	if (inet_pton(AF_INET, host, &address.sin_addr) != 1 ||
-	    bind(fd, (struct sockaddr *)&address, len) ||
+	address.sin_addr.s_addr = process_loopback_host();
+	if (bind(fd, (struct sockaddr *)&address, len) ||
 	    getsockname(fd, (struct sockaddr *)&address, &len))
 		g_error("cannot bind a free port on the loopback address");
 	g_array_append_val(soak->reserved_ports, fd);
@@ -250,11 +239,10 @@
 	struct soak_entry *entry = &soak->entries[index];
 	struct sockaddr_in address;
 	char store[ADDRESS_TEXT_SIZE];
-	char *host = unique_loopback_host();
-	char *callers = reserve_address(soak, host);
-	char *ready = reserve_address(soak, host);
-	char *peers = reserve_address(soak, host);
-	char *metrics = reserve_address(soak, host);
+	char *callers = reserve_address(soak);
+	char *ready = reserve_address(soak);
+	char *peers = reserve_address(soak);
+	char *metrics = reserve_address(soak);
 	char *text;
 
 	address_parse(str_from(process_address(soak->site, "store")), &address);
@@ -277,7 +265,6 @@
 	g_free(ready);
 	g_free(peers);
 	g_free(metrics);
-	g_free(host);
 }
 
 static void start_entry(const struct soak *soak, unsigned int index)
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -210,12 +210,10 @@
 	ev_run(f->loop.ev, EVRUN_NOWAIT);
 }
 
-/* Creates a watch in passive mode that has read row "a" of version 7 while the
- * store is at version 10. */
-static void setup_with(struct fixture *f, const struct table_watch_ops *ops)
+/* Creates and starts a watch. */
+static void start_watch(struct fixture *f, const struct table_watch_ops *ops,
+			double copy_wait_s)
 {
-	struct store_row a = make_row("a", 7, 1);
-
 	memset(f, 0, sizeof(*f));
 	manual_clock_init(&f->clock);
 	f->loop.clock = &f->clock.clock;
@@ -226,8 +224,17 @@
 	f->store.calls = store_calls_create(f->metrics);
 	f->reported = g_string_new(NULL);
 	f->table_watch = table_watch_create(&f->loop, &f->store, "t", ops, f);
-	table_watch_start(f->table_watch, 0);
+	table_watch_start(f->table_watch, copy_wait_s);
 	advance(f, 0);
+}
+
+/* Creates a watch in passive mode that has read row "a" of version 7 while the
+ * store is at version 10. */
+static void setup_with(struct fixture *f, const struct table_watch_ops *ops)
+{
+	struct store_row a = make_row("a", 7, 1);
+
+	start_watch(f, ops, 0);
 	CU_ASSERT_EQUAL_FATAL(f->call, 'r');
 	table_watch_set_peers(f->table_watch, TABLE_WATCH_PEERS_RELAY, 7);
 	table_watch_set_mode(f->table_watch, TABLE_WATCH_PASSIVE);
@@ -510,19 +517,7 @@
 /* Creates a watch that waits for a copy for a time. */
 static void setup_waiting(struct fixture *f, double copy_wait_s)
 {
-	memset(f, 0, sizeof(*f));
-	manual_clock_init(&f->clock);
-	f->loop.clock = &f->clock.clock;
-	f->loop.ev = ev_loop_new(EVFLAG_AUTO);
-	f->store.ops = &store_ops;
-	f->store.impl = f;
-	f->metrics = metrics_create();
-	f->store.calls = store_calls_create(f->metrics);
-	f->reported = g_string_new(NULL);
-	f->table_watch = table_watch_create(&f->loop, &f->store, "t",
-					    &table_watch_ops, f);
-	table_watch_start(f->table_watch, copy_wait_s);
-	advance(f, 0);
+	start_watch(f, &table_watch_ops, copy_wait_s);
 }
 
 static void apply_copy(struct fixture *f, uint64_t upto, char *key,
