review: show requests dropped on connections closed in a stop

After SIGTERM the daemon shuts down the sending side of idle connections, and reads and drops what arrives on them. Where the end of the connection waits in a slow link's queue, callers send requests that are read and never answered (LOST).

--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 out=build/review
 cmake -S . -B "$out" -DCMAKE_BUILD_TYPE=Release
 cmake --build "$out" -j4 --target standin-site
-for program in holders leaving
+for program in holders leaving slowlink
 do
 	"${CC:-cc}" -std=gnu11 -Wall -Wextra -O2 -o "$out/$program" \
 		"review/$program.c" review/net.c -pthread
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -60,7 +60,8 @@
 }
 
 # Starts a number of entry daemons, each on a loopback address of its own, and
-# waits until they are ready. Further lines of the settings may follow.
+# waits until they are ready. link_mbit is the speed of their links.
+link_mbit=1000
 start_entries() {
 	local count=$1 i n ports
 
@@ -75,6 +76,7 @@
 [vm]
 name = vm$n
 zone = z1
+link = $link_mbit
 [listen]
 callers = ${callers[n]}
 ready = ${ready[n]}
