review: drop the cases that the earlier review shows

Cases 6 to 8 of part one (a stray answer taken for that to a release, the crash when a leaving target's client has gone, pipelined requests dropped in a stop) are the earlier review's cases 1 to 3. The two others move up.

--- a/review/stand-ins-2/foreign_entry.c
+++ b/review/stand-ins-2/foreign_entry.c
@@ -1,5 +1,5 @@
 /*
- * Case 9. The store has an entry of another writer: its service isn't named in
+ * Case 6. The store has an entry of another writer: its service isn't named in
  * the configuration, its address is that of a target that holds keys. Then that
  * target is partitioned from the store while requests still reach it. Its keys
  * must not go to another target before it gave them back or its hold ran out.
