review: show ready answers cut under callers that read late

Callers' connections have a TCP user timeout of 2 s, which also ends those of a live caller that doesn't read for so long. Five clients stop reading a download for 2.7 s, within their deadline of 3 s, and lose it and the answer behind it (LOST).

What only dropped cases used is gone from stand-ins-2/.

--- a/review/stand-ins-2/lab.h
+++ b/review/stand-ins-2/lab.h
@@ -85,33 +85,13 @@
 const char *target_id(const struct target *target);
 const char *target_address(const struct target *target);
 gint64 target_born(const struct target *target);
-/** From now on its entry says draining. */
-void target_drain(struct target *target);
-/** It has left: its entry is removed. */
-void target_end(struct target *target);
 /** Partitions it from the store: no more heartbeats, and its entry is removed
  * after three intervals. Requests still reach it. */
 void target_cut(struct target *target);
-/** The next answer is sent once more, when another message has arrived on its
- * connection: "an extra response may arrive late". */
-void target_repeat_next_answer(struct target *target);
-/** From now on it says Server-Leaving in all answers. */
-void target_say_leaving(struct target *target);
-/** What a target does with the request of this id: "hold" (it runs until
- * plan_finish()) or "queue, pause S" (it waits in the target's queue until
- * then, and is rejected with 503, X-Not-Executed and a Retry-After of S
- * seconds). */
-void plan_request(const char *id, const char *what);
-void plan_finish(const char *id);
 /** Returns the target that the request of this id reached last, or NULL. */
 struct target *target_of_request(const char *id);
 /** Times that a target began to run the request of this id. */
 unsigned int runs_of_request(const char *id);
-/** Whether a target stopped work on it because its connection was closed. */
-bool request_was_dropped(const char *id);
-/** Whether a target has run the request and written its answer. */
-bool request_was_answered(const char *id);
-
 /* --- daemons --- */
 
 struct daemon;
--- a/review/stand-ins-2/lab_target.c
+++ b/review/stand-ins-2/lab_target.c
@@ -12,6 +12,9 @@
 /* Intervals of silence after which an entry is removed. */
 #define SILENT_HEARTBEATS 3
 #define DEFAULT_WORK_S 0.005
+/* Body of an answer to a path with /big/, in bytes: those of the sites'
+ * downloads have up to 540,000. */
+#define BIG_BYTES 400000
 /* Step in which running work looks at its connection. */
 #define STEP_S 0.002
 /* A key that two targets hold for longer breaks the rule. */
@@ -26,12 +29,9 @@
 	char address_text[32];
 	gint64 born;
 	unsigned int seq;
-	bool draining;
 	/** Since when it is partitioned from the store; 0: it isn't. */
 	double cut_s;
 	bool entry_removed;
-	bool repeat_next;
-	bool leaving;
 	unsigned int running;
 	/** Requests at work by key. */
 	unsigned int at_work[LAB_KEYS];
@@ -47,15 +47,8 @@
 
 /** What is known of a request by its id. */
 struct trace {
-	char *plan;
-	bool finish;
 	struct target *target;
 	unsigned int runs;
-	bool dropped;
-	/** A target rejected it. */
-	bool rejected;
-	/** The answer of the target that ran it was written. */
-	bool answered;
 };
 
 static GMutex mutex;
@@ -84,9 +77,8 @@
 	json_t *entry = json_pack("{sssssssssisssfsisI}", "service", t->service,
 				  "address", t->address_text, "zone", t->zone,
 				  "version", "v1", "slots", LAB_SLOTS, "state",
-				  t->draining ? "draining" : "ready",
-				  "cold_left_s", 0.0, "seq", (int)++t->seq,
-				  "born", (json_int_t)t->born);
+				  "ready", "cold_left_s", 0.0, "seq",
+				  (int)++t->seq, "born", (json_int_t)t->born);
 	char *text = json_dumps(entry, JSON_COMPACT);
 
 	store_put("servers", t->id, text);
@@ -280,7 +272,7 @@
 /* --- requests --- */
 
 static GString *answer(const struct target *t, int status, const char *id,
-		       const char *extra)
+		       const char *extra, const char *body)
 {
 	GString *out = g_string_new(NULL);
 
@@ -290,11 +282,8 @@
 			status, t->running, LAB_SLOTS, extra);
 	if (*id)
 		g_string_append_printf(out, "X-Request-Id: %s\r\n", id);
-	if (t->leaving)
-		g_string_append(out, "Server-Leaving: 1\r\n");
 	g_string_append_printf(out, "Content-Length: %zu\r\n\r\n%s",
-			       status == 200 ? strlen(t->id) : 0,
-			       status == 200 ? t->id : "");
+			       strlen(body), body);
 	return out;
 }
 
@@ -302,23 +291,21 @@
 {
 	char *extra = g_strdup_printf(
 		"X-Not-Executed: 1\r\nX-Instance-Id: %s\r\n", t->id);
-	GString *out = answer(t, 421, id, extra);
+	GString *out = answer(t, 421, id, extra, "");
 
 	g_free(extra);
 	return out;
 }
 
-/* Waits until plan_finish(), or for the time that the path sets; false if the
- * connection was closed meanwhile. */
-static bool wait_in_turn(const struct message *request,
-			 const struct trace *trace, const struct stream *stream)
+/* Works for the time that the path sets; false if the connection was closed
+ * meanwhile. */
+static bool work(const struct message *request, const struct stream *stream)
 {
 	const char *ms = strstr(request->head->str, "/ms-");
 	double until = lab_now() + (ms ? g_ascii_strtod(ms + 4, NULL) / 1000
 				       : DEFAULT_WORK_S);
-	bool hold = trace->plan != NULL;
 
-	while (hold ? !trace->finish : lab_now() < until) {
+	while (lab_now() < until) {
 		g_mutex_unlock(&mutex);
 		lab_sleep(STEP_S);
 		g_mutex_lock(&mutex);
@@ -328,46 +315,25 @@
 	return true;
 }
 
-/* Keeps a request in the queue for a while and rejects it, with a pause. */
-static GString *reject_from_queue(struct target *t,
-				  const struct message *request,
-				  struct trace *trace,
-				  const struct stream *stream)
-{
-	char *id = message_field(request, "X-Request-Id");
-	GString *out = NULL;
-	char *extra;
-
-	lab_record("%s queues request %s", t->id, id);
-	if (wait_in_turn(request, trace, stream)) {
-		extra = g_strdup_printf(
-			"X-Not-Executed: 1\r\nRetry-After: %s\r\n",
-			trace->plan + strlen("queue, pause "));
-		out = answer(t, 503, id, extra);
-		g_free(extra);
-		lab_record("%s rejects request %s with a Retry-After", t->id,
-			   id);
-	}
-	trace->rejected = true;
-	g_free(id);
-	return out;
-}
-
 static GString *run(struct target *t, const struct message *request,
 		    const char *id, int key, const struct stream *stream)
 {
 	struct trace *trace = trace_of(id);
 	GString *out = NULL;
+	char *body;
 
 	trace->runs++;
 	t->running++;
 	t->at_work[key]++;
 	lab_record("%s begins request %s", t->id, id);
-	if (wait_in_turn(request, trace, stream)) {
+	if (work(request, stream)) {
 		lab_record("%s ends request %s", t->id, id);
-		out = answer(t, 200, id, "X-Server-Signature: sig\r\n");
+		body = strstr(request->head->str, "/big/")
+			       ? g_strnfill(BIG_BYTES, 'x')
+			       : g_strdup(t->id);
+		out = answer(t, 200, id, "X-Server-Signature: sig\r\n", body);
+		g_free(body);
 	} else {
-		trace->dropped = true;
 		lab_record("%s drops request %s: its connection was closed",
 			   t->id, id);
 	}
@@ -387,7 +353,6 @@
 	int key = atoi(key_text) % LAB_KEYS;
 	const char *start = request->head->str;
 	struct trace *trace = trace_of(id);
-	const char *plan = trace->plan ? trace->plan : "";
 	struct order order;
 	GString *out = NULL;
 
@@ -397,20 +362,18 @@
 		out = misdirected(t, id);
 	} else if (g_str_has_prefix(start, "POST /grant ")) {
 		order = read_order(request);
-		out = answer(t, grant(t, &order), id, "");
+		out = answer(t, grant(t, &order), id, "", "");
 	} else if (g_str_has_prefix(start, "POST /release ")) {
 		order = read_order(request);
 		release(t, &order);
-		out = answer(t, 200, id, "X-Handover: 5c0e7a21d94b36f8\r\n");
+		out = answer(t, 200, id, "X-Handover: 5c0e7a21d94b36f8\r\n",
+			     "");
 	} else if (!*id) {
-		out = answer(t, 400, id, "X-Not-Executed: 1\r\n");
+		out = answer(t, 400, id, "X-Not-Executed: 1\r\n", "");
 	} else if (t->keyed && lab_now() >= t->held_until_s[key]) {
 		lab_record("%s doesn't hold key %d of request %s", t->id, key,
 			   id);
 		out = misdirected(t, id);
-	} else if (g_str_has_prefix(plan, "queue, pause ") &&
-		   !trace->rejected) {
-		out = reject_from_queue(t, request, trace, stream);
 	} else {
 		out = run(t, request, id, key, stream);
 	}
@@ -420,51 +383,23 @@
 	return out;
 }
 
-static void mark_answered(const struct message *request)
-{
-	char *id = message_field(request, "X-Request-Id");
-
-	g_mutex_lock(&mutex);
-	if (trace_of(id)->runs)
-		trace_of(id)->answered = true;
-	g_mutex_unlock(&mutex);
-	g_free(id);
-}
-
 static void serve(void *ctx, struct stream *stream)
 {
 	struct target *t = ctx;
-	GString *late = NULL;
 	struct message request;
 	bool open = true;
 
 	while (open && message_read(stream, &request)) {
 		GString *out;
 
-		if (late) {
-			lab_record("%s sends an answer of this connection once "
-				   "more",
-				   t->id);
-			open = net_write(stream->fd, late);
-			g_string_free(late, TRUE);
-			late = NULL;
-		}
 		g_mutex_lock(&mutex);
 		out = handle(t, &request, stream);
-		if (out && t->repeat_next &&
-		    strstr(out->str, "X-Server-Signature")) {
-			t->repeat_next = false;
-			late = g_string_new_len(out->str, (gssize)out->len);
-		}
 		g_mutex_unlock(&mutex);
-		open = open && out && net_write(stream->fd, out);
-		mark_answered(&request);
+		open = out && net_write(stream->fd, out);
 		if (out)
 			g_string_free(out, TRUE);
 		message_clear(&request);
 	}
-	if (late)
-		g_string_free(late, TRUE);
 }
 
 /* --- interface --- */
@@ -507,25 +442,6 @@
 	return target->born;
 }
 
-void target_drain(struct target *target)
-{
-	g_mutex_lock(&mutex);
-	target->draining = true;
-	lab_record("%s reports draining", target->id);
-	publish(target);
-	g_mutex_unlock(&mutex);
-}
-
-void target_end(struct target *target)
-{
-	g_mutex_lock(&mutex);
-	target->cut_s = lab_now();
-	target->entry_removed = true;
-	store_remove("servers", target->id);
-	lab_record("%s has left, its entry is removed", target->id);
-	g_mutex_unlock(&mutex);
-}
-
 void target_cut(struct target *target)
 {
 	g_mutex_lock(&mutex);
@@ -534,35 +450,6 @@
 	g_mutex_unlock(&mutex);
 }
 
-void target_repeat_next_answer(struct target *target)
-{
-	g_mutex_lock(&mutex);
-	target->repeat_next = true;
-	g_mutex_unlock(&mutex);
-}
-
-void target_say_leaving(struct target *target)
-{
-	g_mutex_lock(&mutex);
-	target->leaving = true;
-	lab_record("%s says Server-Leaving from now on", target->id);
-	g_mutex_unlock(&mutex);
-}
-
-void plan_request(const char *id, const char *what)
-{
-	g_mutex_lock(&mutex);
-	trace_of(id)->plan = g_strdup(what);
-	g_mutex_unlock(&mutex);
-}
-
-void plan_finish(const char *id)
-{
-	g_mutex_lock(&mutex);
-	trace_of(id)->finish = true;
-	g_mutex_unlock(&mutex);
-}
-
 struct target *target_of_request(const char *id)
 {
 	struct target *target;
@@ -582,23 +469,3 @@
 	g_mutex_unlock(&mutex);
 	return runs;
 }
-
-bool request_was_dropped(const char *id)
-{
-	bool dropped;
-
-	g_mutex_lock(&mutex);
-	dropped = trace_of(id)->dropped;
-	g_mutex_unlock(&mutex);
-	return dropped;
-}
-
-bool request_was_answered(const char *id)
-{
-	bool answered;
-
-	g_mutex_lock(&mutex);
-	answered = trace_of(id)->answered;
-	g_mutex_unlock(&mutex);
-	return answered;
-}
--- a/review/stand-ins-2/request_trailer.c
+++ b/review/stand-ins-2/request_trailer.c
@@ -1,5 +1,5 @@
 /*
- * Case 7. Clients send bodies in chunks. The last chunk is followed by a
+ * Case 8. Clients send bodies in chunks. The last chunk is followed by a
  * trailer field, which HTTP/1.1 allows, and then by the next request on the
  * connection. That request is proper and must not get a 404.
  */
