entry: a foreign entry with an owner's address doesn't end its grant

Callers and upstreams saw: two upstreams held the same keys for over two seconds.

Cause: removed_state() in key_leader.c took any entry of the roster with the owner's address and a later start as proof that the owner's process has ended. The roster also keeps entries of services that aren't configured, because a later configuration may add them. owner_ended() then granted the keys to another upstream at once, without a release.

The same cause nearby: the entry may be under the owner's own id. The roster then has that one under the id, so releases went to its address, and the owner counted as restarted. The leader now looks an owner up among the upstreams of its own service.

Ruled out: that the grant was waited for too briefly.

Change: upstream_is_foreign(); such an entry proves nothing. A target of a configured service at the address still ends the wait. The owner is released or its grant expires, as without the entry.

--- a/src/entry/key_leader.c
+++ b/src/entry/key_leader.c
@@ -66,12 +66,23 @@
 	return loop_now(leader->options.loop);
 }
 
-/* Finds an upstream by id, also one that left the roster; returns NULL if it is
- * unknown. */
+/* Finds an upstream of the service in the roster by id. An entry of another
+ * service may have its id. */
+static struct upstream *find_listed(const struct key_leader *leader,
+				    const char *id)
+{
+	struct upstream *upstream = roster_upstream(leader->options.roster, id);
+
+	return upstream && upstream->service == leader->service ? upstream
+								: NULL;
+}
+
+/* Finds an upstream of the service by id, also one that left the roster;
+ * returns NULL if it is unknown. */
 static struct upstream *find_upstream(const struct key_leader *leader,
 				      const char *id)
 {
-	struct upstream *upstream = roster_upstream(leader->options.roster, id);
+	struct upstream *upstream = find_listed(leader, id);
 
 	return upstream ? upstream : g_hash_table_lookup(leader->upstreams, id);
 }
@@ -86,6 +97,7 @@
 /* Search for a newer upstream at the address of an owner that left the roster.
  */
 struct address_search {
+	const struct roster *roster;
 	const struct upstream *owner;
 	bool replaced;
 };
@@ -96,7 +108,8 @@
 
 	if (upstream != search->owner &&
 	    same_address(upstream, search->owner) &&
-	    upstream->entry.started_ms > search->owner->entry.started_ms)
+	    upstream->entry.started_ms > search->owner->entry.started_ms &&
+	    !upstream_is_foreign(search->roster, upstream))
 		search->replaced = true;
 }
 
@@ -106,6 +119,7 @@
 				      const char *id)
 {
 	struct address_search search = {
+		.roster = leader->options.roster,
 		.owner = g_hash_table_lookup(leader->upstreams, id),
 	};
 
@@ -121,8 +135,7 @@
 				    int64_t started_ms)
 {
 	const struct key_leader *leader = ctx;
-	const struct upstream *upstream =
-		roster_upstream(leader->options.roster, id);
+	const struct upstream *upstream = find_listed(leader, id);
 
 	if (!upstream)
 		return removed_state(leader, id);
--- a/src/entry/roster.c
+++ b/src/entry/roster.c
@@ -237,6 +237,13 @@
 	upstream->entry.slots = entry->slots;
 }
 
+bool upstream_is_foreign(const struct roster *roster,
+			 const struct upstream *upstream)
+{
+	return roster->config &&
+	       !config_service(roster->config, upstream->entry.service);
+}
+
 void roster_put_upstream(struct roster *roster, struct upstream_entry *entry)
 {
 	struct upstream *upstream = roster_upstream(roster, entry->id);
--- a/src/entry/roster.h
+++ b/src/entry/roster.h
@@ -218,6 +218,15 @@
 void upstream_record_send(const struct roster *roster,
 			  struct upstream *upstream);
 
+/**
+ * Whether the configuration in force lacks the upstream's service. The entry is
+ * kept, since a later configuration may add the service. Until then it may as
+ * well be of another writer of the store, so that neither its address nor its
+ * start tells anything about other upstreams.
+ */
+bool upstream_is_foreign(const struct roster *roster,
+			 const struct upstream *upstream);
+
 /** Whether the upstream asked this VM for a pause that has not ended. */
 bool upstream_paused(const struct roster *roster,
 		     const struct upstream *upstream);
--- a/test/standin/site.h
+++ b/test/standin/site.h
@@ -42,6 +42,8 @@
 			  const char *zone, bool keyed);
 /** Publishes an upstream as draining, or as ready again. */
 void site_upstream_drain(struct site *site, unsigned int index, bool draining);
+/** Removes an upstream's entry; the upstream runs on and keeps its grants. */
+void site_upstream_lapse(struct site *site, unsigned int index);
 /** Restarts an upstream at its address: same id, new incarnation, no grants. */
 void site_upstream_restart(struct site *site, unsigned int index);
 
--- a/test/standin/site_store.c
+++ b/test/standin/site_store.c
@@ -278,6 +278,8 @@
  *   down          the store is down unless ID is 0
  *   more          ID more upstreams of the service "plain" start
  *   entry         ID is the key of a row of upstreams, the body its value
+ *   lapse         the upstream's entry disappears, as if the upstream were
+ *                 partitioned from the store; it runs on
  *   leaving       the upstream says in its answers that it leaves
  *   pause         it refuses one request; the body is its Retry-After
  * The body of list-at is the address to publish for the upstream, that of limit
@@ -311,6 +313,8 @@
 	else if (g_str_has_prefix(verb, "limit"))
 		site_upstream_limit(site, index,
 				    g_ascii_strtod(request->body->str, NULL));
+	else if (g_str_has_prefix(verb, "lapse"))
+		site_upstream_lapse(site, index);
 	else if (g_str_has_prefix(verb, "leaving"))
 		site_upstream_say_leaving(site, index);
 	else if (g_str_has_prefix(verb, "pause"))
--- a/test/standin/site_upstream.c
+++ b/test/standin/site_upstream.c
@@ -518,6 +518,13 @@
 	publish_entry(upstream);
 }
 
+void site_upstream_lapse(struct site *site, unsigned int index)
+{
+	const struct upstream *upstream = site->upstreams->pdata[index];
+
+	site_remove_row(site, "servers", upstream->id);
+}
+
 void site_upstream_restart(struct site *site, unsigned int index)
 {
 	struct upstream *upstream = site->upstreams->pdata[index];
