entry: an upstream is used again after a foreign entry had its id

Callers saw: an upstream got no requests any more until the daemon's restart, after an entry of another writer had replaced its own in the store for a moment.

Cause: roster_put_upstream() ignores an entry of an earlier incarnation than the registered one. The foreign entry had a later start, so that the upstream's own later entries were ignored ("a later incarnation is registered").

Change: a foreign upstream's start is not compared; any entry replaces it. Entries of earlier incarnations of a configured service are ignored as before.

--- a/src/entry/roster.c
+++ b/src/entry/roster.c
@@ -249,7 +249,8 @@
 	struct upstream *upstream = roster_upstream(roster, entry->id);
 	struct upstream_entry state = *entry;
 
-	if (upstream && upstream->entry.started_ms > entry->started_ms) {
+	if (upstream && !upstream_is_foreign(roster, upstream) &&
+	    upstream->entry.started_ms > entry->started_ms) {
 		log_warn(
 			"roster",
 			"ignored the entry of upstream %s: a later incarnation "
--- a/src/entry/roster.h
+++ b/src/entry/roster.h
@@ -123,7 +123,7 @@
 /**
  * Adds or updates an upstream. An entry of a later incarnation, or with another
  * service, zone or address, replaces the upstream; an entry of an earlier
- * incarnation is ignored.
+ * incarnation is ignored, unless the upstream is foreign.
  *
  * @param entry its contents are moved out or freed
  */
--- a/test/functional/test_entry_foreign.c
+++ b/test/functional/test_entry_foreign.c
@@ -1,7 +1,7 @@
 /*
  * Entries of other writers among those of the upstreams: they name a service
- * that the configuration doesn't have. Such an entry must not end the wait for
- * an owner's grant.
+ * that the configuration doesn't have. Such an entry must neither end the wait
+ * for an owner's grant nor take an upstream out of use.
  */
 #include <string.h>
 
@@ -90,11 +90,42 @@
 	}
 }
 
+/* Whether upstream 0 answers a request; upstream 1 gets requests as well. */
+static bool upstream_0_answers(void *ctx)
+{
+	char id[32];
+	struct http_answer *answer =
+		entry_send(ctx, "/plain/a", NULL, 0, NULL, id);
+	bool found = !strcmp(answer->body->str, "t-0");
+
+	http_answer_destroy(answer);
+	return found;
+}
+
+/* Guards against an upstream that gets no more requests, because a foreign
+ * entry with a later start replaced its own for a moment. */
+static void an_upstream_is_used_again_after_a_foreign_entry(void)
+{
+	unsigned int i;
+
+	entry_rig_start(&rig, ENTRIES, GRACE_S);
+	put_foreign_entry("t-0", 0);
+	g_usleep(G_USEC_PER_SEC);
+	/* The upstream writes its entry again. */
+	entry_rig_command(&rig, "/control/undrain?id=0", NULL);
+	for (i = 0; i < ENTRIES; i++)
+		CU_ASSERT_TRUE(process_wait_until(
+			upstream_0_answers, &rig.entries[i], RIG_WAIT_US));
+	entry_rig_stop(&rig);
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
 		{ "a foreign entry does not end an owner's grant",
 		  a_foreign_entry_does_not_end_an_owners_grant },
+		{ "an upstream is used again after a foreign entry",
+		  an_upstream_is_used_again_after_a_foreign_entry },
 		{ 0 },
 	};
 
