platform: refuse entries of upstreams that lack a field

Cause: read_entry() looked at the fields that are used. The entry of an upstream has version, seq and cold_left_s as well; "fields missing or of another type" mark another writer's.

Change: these three are required, with their types.

unit-test_platform, "malformed upstream entries are refused": five rows failed before. Its entries lacked the three fields, so that they would now be refused for that alone; the rows are written anew with all fields but the one in question, and none was dropped.

--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -82,10 +82,23 @@
 	}
 }
 
+/* An entry with all fields but one; more is appended to the others. */
+#define ENTRY_WITH(version, address, slots, state, cold, seq, more)            \
+	"{\"service\":\"s\",\"zone\":\"z\"" version address slots state cold   \
+		seq more "}"
+#define VERSION ",\"version\":\"v1\""
+#define ADDRESS ",\"address\":\"10.0.0.1:80\""
+#define SLOTS ",\"slots\":3"
+#define STATE ",\"state\":\"ready\""
+#define COLD ",\"cold_left_s\":0"
+#define SEQ ",\"seq\":4"
+#define BORN ",\"born\":5"
+
 #define ENTRY(address, slots, born)                                            \
-	"{\"service\":\"s\",\"address\":\"" address "\",\"zone\":\"z\","       \
-	"\"slots\":" slots ",\"state\":\"ready\",\"born\":" born "}"
+	ENTRY_WITH(VERSION, ",\"address\":\"" address "\"",                    \
+		   ",\"slots\":" slots, STATE, COLD, SEQ, ",\"born\":" born)
 
+/* Guards against taking an entry of another writer for an upstream's. */
 static void malformed_upstream_entries_are_refused(void)
 {
 	static char nested[49000];
@@ -93,22 +106,41 @@
 		const char *text;
 		bool ok;
 	} rows[] = {
-		{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
-		  "\"z\",\"slots\":3,\"state\":\"ready\",\"cold_left_s\":0,"
-		  "\"seq\":4,\"born\":5}",
+		{ ENTRY_WITH(VERSION, ADDRESS, SLOTS, STATE, COLD, SEQ, BORN),
 		  true },
-		{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
-		  "\"z\",\"slots\":3,\"state\":\"ready\",\"born\":5.5}",
+		/* One field is missing. */
+		{ ENTRY_WITH("", ADDRESS, SLOTS, STATE, COLD, SEQ, BORN),
+		  false },
+		{ ENTRY_WITH(VERSION, "", SLOTS, STATE, COLD, SEQ, BORN),
+		  false },
+		{ ENTRY_WITH(VERSION, ADDRESS, "", STATE, COLD, SEQ, BORN),
+		  false },
+		{ ENTRY_WITH(VERSION, ADDRESS, SLOTS, "", COLD, SEQ, BORN),
+		  false },
+		{ ENTRY_WITH(VERSION, ADDRESS, SLOTS, STATE, "", SEQ, BORN),
+		  false },
+		{ ENTRY_WITH(VERSION, ADDRESS, SLOTS, STATE, COLD, "", BORN),
+		  false },
+		/* One field has another type or value. */
+		{ ENTRY_WITH(",\"version\":1", ADDRESS, SLOTS, STATE, COLD, SEQ,
+			     BORN),
+		  false },
+		{ ENTRY_WITH(VERSION, ADDRESS, ",\"slots\":\"3\"", STATE, COLD,
+			     SEQ, BORN),
+		  false },
+		{ ENTRY_WITH(VERSION, ADDRESS, SLOTS, ",\"state\":\"resting\"",
+			     COLD, SEQ, BORN),
 		  false },
-		{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
-		  "\"z\",\"slots\":\"3\",\"state\":\"ready\"}",
+		{ ENTRY_WITH(VERSION, ADDRESS, SLOTS, STATE,
+			     ",\"cold_left_s\":\"0\"", SEQ, BORN),
 		  false },
-		{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
-		  "\"z\",\"slots\":3,\"state\":\"resting\"}",
+		{ ENTRY_WITH(VERSION, ADDRESS, SLOTS, STATE, COLD,
+			     ",\"seq\":\"4\"", BORN),
 		  false },
-		{ "{\"service\":\"s\",\"address\":\"host:80\",\"zone\":\"z\","
-		  "\"slots\":3,\"state\":\"ready\"}",
+		{ ENTRY_WITH(VERSION, ADDRESS, SLOTS, STATE, COLD, SEQ,
+			     ",\"born\":5.5"),
 		  false },
+		{ ENTRY("host:80", "3", "5"), false },
 		{ "{\"service\":7}", false },
 		{ "\xff\x01", false },
 		{ ENTRY("10.0.0.1:80", "3", "5"), true },
