entry: the VM that others rely on notices a lost long poll in time

Cause: the leader and three backups follow a table by a long poll of 10 s, and the other VMs rely on them. A connection can go silent without a reset: the store stops answering, loses an answer, or something between the two ends forgets the connection. Then only the end of the call shows it, 10.8 s after it was sent. All four polls begin at the same moment, after the last change, and so are lost together; no VM knows a newer row, so that the check for missed rows has nothing to go by.

That this is what the users saw is likely, not shown: their record lacks the lines of the store and the configuration.

Change: a watch that others rely on (the leader's, and a backup's while the leader isn't heard), or that can rely on none, waits for half of the time in which a change must be in force, the new setting [store] apply, from the platform's bound. A long poll that was begun before is ended. Backups go on with long polls while the leader is heard. It costs one call a second and table by one VM, whatever the size of the fleet.

Related: the table of upstreams is followed in the same way, so that upstreams that drain were noticed as late.

unit-test_follower, "a watch that others rely on polls for a short time" and "a backup that relays ends its long poll": with the old wait both fail (trial on a scratch copy).

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -221,6 +221,12 @@
 			      cluster->row_versions.upstream_rows);
 }
 
+void cluster_set_watch_mode(struct cluster *cluster, enum table_watch_mode mode)
+{
+	table_watch_set_mode(cluster->options.operator_rows, mode);
+	table_watch_set_mode(cluster->options.upstream_rows, mode);
+}
+
 static const struct lease_ops lease_ops = {
 	.won = on_won,
 	.lost = on_lost,
@@ -352,10 +358,7 @@
 		cluster_send_heartbeat(cluster);
 	copy_exchange_send(cluster->copy_exchange,
 			   lease_version(cluster->lease));
-	table_watch_set_mode(cluster->options.operator_rows,
-			     TABLE_WATCH_LEADER);
-	table_watch_set_mode(cluster->options.upstream_rows,
-			     TABLE_WATCH_LEADER);
+	cluster_set_watch_mode(cluster, TABLE_WATCH_LEADER);
 	if (!cluster->options.roster_loaded(cluster->options.ctx))
 		return;
 	if (!cluster->maps_read) {
@@ -421,6 +424,15 @@
 	return live_vms_report_interval_s(vms);
 }
 
+/* Does the work of a backup while the leader isn't heard: the other VMs rely on
+ * this one for changes of the tables. */
+static void stand_in_for_leader(struct cluster *cluster)
+{
+	cluster_set_watch_mode(cluster, TABLE_WATCH_LEADER);
+	if (cluster_now(cluster) >= cluster->relay_sent_s + HEARTBEAT_S)
+		cluster_send_row_relay(cluster);
+}
+
 void cluster_tick(struct cluster *cluster)
 {
 	double now = cluster_now(cluster);
@@ -435,9 +447,8 @@
 	}
 	exchange_row_versions(cluster);
 	if (cluster->is_backup && !cluster->leading &&
-	    now > cluster->last_heartbeat_s + LATE_HEARTBEAT_S &&
-	    now >= cluster->relay_sent_s + HEARTBEAT_S)
-		cluster_send_row_relay(cluster);
+	    now > cluster->last_heartbeat_s + LATE_HEARTBEAT_S)
+		stand_in_for_leader(cluster);
 	/* Sending up to half a tick early makes up for ticks that come late. */
 	if (now >= cluster->loads_sent_s +
 			   roster_load_interval_s(cluster->options.roster) -
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -174,6 +174,10 @@
 				 uint64_t operator_rows,
 				 uint64_t upstream_rows);
 
+/** Sets whether this VM polls the store for both tables. */
+void cluster_set_watch_mode(struct cluster *cluster,
+			    enum table_watch_mode mode);
+
 /** As a backup of a leader that isn't heard, sends all VMs the changes that
  * this VM read from the store. */
 void cluster_send_row_relay(struct cluster *cluster);
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -439,8 +439,7 @@
 	if (beat->n_vms) {
 		cluster->is_backup = watches;
 		mode = watches ? TABLE_WATCH_BACKUP : TABLE_WATCH_PASSIVE;
-		table_watch_set_mode(cluster->options.operator_rows, mode);
-		table_watch_set_mode(cluster->options.upstream_rows, mode);
+		cluster_set_watch_mode(cluster, mode);
 	}
 	delta_message_apply(cluster->options.operator_rows,
 			    beat->operator_changes);
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -28,6 +28,10 @@
  * meanwhile. Live upstreams register again within 2 s of the store's return,
  * which this VM may notice up to 0.6 s late. */
 #define LAPSE_GRACE_S 1.4
+/* Part of settings->apply_s for which a call to the store waits for a change.
+ * If its connection went silent, the rest is for noticing that and for asking
+ * again. */
+#define POLL_PART 0.5
 /* Time, in seconds from the stop signal, until which every request is accepted;
  * then idle connections are closed. By then the load balancer has seen that
  * this VM is not ready. */
@@ -533,10 +537,10 @@
 	entry->forward = forward_create(&forward);
 	entry->operator_rows = table_watch_create(
 		&entry->loop, &store, entry->directory->operator_table,
-		&operator_ops, entry);
+		entry->settings->apply_s * POLL_PART, &operator_ops, entry);
 	entry->upstream_rows = table_watch_create(
 		&entry->loop, &store, entry->directory->upstream_table,
-		&upstream_ops, entry);
+		entry->settings->apply_s * POLL_PART, &upstream_ops, entry);
 	if (!open_servers(entry, error) || !open_cluster(entry, &store, error))
 		return false;
 	table_watch_start(entry->operator_rows, entry->settings->copy_wait_s);
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -30,6 +30,9 @@
 	struct sockaddr_in peers;
 	/** Address of the platform's table service. */
 	struct sockaddr_in store;
+	/** Seconds from a change in the store, such as a new configuration, by
+	 * which it must be in force on every VM. */
+	double apply_s;
 	/** Listening address for metrics. */
 	struct sockaddr_in metrics;
 	/** Seconds from SIGTERM until the process must have exited. */
--- a/src/entry/table_watch.c
+++ b/src/entry/table_watch.c
@@ -6,11 +6,9 @@
 #include "store/change_log.h"
 #include "store/store_calls.h"
 
-/* Timeouts of a long poll, in seconds. A lost call is repeated when other VMs
- * report a newer row. While no other VM is live, the short timeout applies, so
- * that changes become known within the required two seconds. */
+/* Wait of a long poll, in seconds, while the leader polls as well. If the call
+ * is lost, the leader reports a newer row. */
 #define LONG_POLL_S 10.0
-#define LONG_POLL_ALONE_S 1.8
 /* Time, in seconds, allowed for a change to arrive through the pending long
  * poll. If other VMs have known a newer row for longer, the call is taken for
  * lost. */
@@ -42,6 +40,9 @@
 	struct loop *loop;
 	struct store store;
 	char *table;
+	/** Wait of a long poll, in seconds, while no other VM polls for this
+	 * one. */
+	double poll_s;
 	const struct table_watch_ops *ops;
 	void *ctx;
 	/** Fires when the next call to the store is due. */
@@ -119,7 +120,7 @@
 
 struct table_watch *table_watch_create(struct loop *loop,
 				       const struct store *store,
-				       const char *table,
+				       const char *table, double poll_s,
 				       const struct table_watch_ops *ops,
 				       void *ctx)
 {
@@ -128,6 +129,7 @@
 	table_watch->loop = loop;
 	table_watch->store = *store;
 	table_watch->table = g_strdup(table);
+	table_watch->poll_s = poll_s;
 	table_watch->ops = ops;
 	table_watch->ctx = ctx;
 	table_watch->rows =
@@ -399,14 +401,29 @@
 		table_watch->ops->changed(table_watch->ctx);
 }
 
-static double long_poll_timeout_s(const struct table_watch *table_watch)
+/* Returns how long a long poll may wait. A connection can go silent without
+ * being reset, which only the end of this wait shows. So it is short for a
+ * watch that others rely on, or that can rely on none. */
+static double longest_poll_s(const struct table_watch *table_watch)
 {
-	/* While the store is unreachable, do not long-poll: a call that hangs
-	 * is abandoned soon, and the next one finds the connection restored. */
-	if (table_watch->unreachable)
-		return 0;
-	return table_watch->peers != TABLE_WATCH_NO_PEERS ? LONG_POLL_S
-							  : LONG_POLL_ALONE_S;
+	return table_watch->mode != TABLE_WATCH_LEADER &&
+			       table_watch->peers == TABLE_WATCH_PEERS_RELAY
+		       ? LONG_POLL_S
+		       : table_watch->poll_s;
+}
+
+/* Whether the call in progress is a long poll that has waited for too long: the
+ * watch began it while it could rely on others. */
+static bool is_poll_overdue(struct table_watch *table_watch)
+{
+	double limit_s = longest_poll_s(table_watch);
+
+	return table_watch->call_pending &&
+	       table_watch->long_poll_s > limit_s &&
+	       loop_now(table_watch->loop) >
+		       table_watch->call_started_s + limit_s &&
+	       !table_watch->store.ops->receiving(table_watch->store.impl,
+						  table_watch);
 }
 
 /* Starts to read the whole table.
@@ -459,7 +476,13 @@
 	if (table_watch->needs_snapshot)
 		start_snapshot(table_watch, false);
 	else
-		request_changes(table_watch, long_poll_timeout_s(table_watch),
+		/* While the store is unreachable, do not wait: a call that
+		 * hangs is abandoned soon, and the next one finds the
+		 * connection restored. */
+		request_changes(table_watch,
+				table_watch->unreachable
+					? 0
+					: longest_poll_s(table_watch),
 				table_watch->unreachable ? "probe" : "poll");
 }
 
@@ -551,13 +574,10 @@
 		set_unreachable(table_watch, peers == TABLE_WATCH_PEERS_WAIT);
 	if (!table_watch->loaded || table_watch->needs_snapshot)
 		return;
-	if (peers != TABLE_WATCH_NO_PEERS && awaits_changes)
-		check_staleness(table_watch, version);
-	else if (table_watch->call_pending &&
-		 table_watch->long_poll_s > LONG_POLL_ALONE_S &&
-		 loop_now(table_watch->loop) >
-			 table_watch->call_started_s + LONG_POLL_ALONE_S)
+	if (is_poll_overdue(table_watch))
 		restart_call(table_watch);
+	else if (peers != TABLE_WATCH_NO_PEERS && awaits_changes)
+		check_staleness(table_watch, version);
 	else
 		resume_calls(table_watch);
 }
--- a/src/entry/table_watch.h
+++ b/src/entry/table_watch.h
@@ -52,11 +52,13 @@
  *
  * @param store copied
  * @param table name of the table; copied
+ * @param poll_s wait of a long poll, in seconds, while no other VM polls for
+ *        this one; a change whose answer is lost becomes known after that
  * @param ops must outlive the watch
  */
 struct table_watch *table_watch_create(struct loop *loop,
 				       const struct store *store,
-				       const char *table,
+				       const char *table, double poll_s,
 				       const struct table_watch_ops *ops,
 				       void *ctx);
 /** Frees the watch; NULL is allowed. A call to the store that isn't answered
@@ -96,7 +98,7 @@
 
 /** What other VMs do for this one. */
 enum table_watch_peers {
-	/** None is live, so that only short long polls are used. */
+	/** None is live. */
 	TABLE_WATCH_NO_PEERS,
 	/** One watches the store, which doesn't answer it. */
 	TABLE_WATCH_PEERS_WAIT,
@@ -128,7 +130,8 @@
 
 /** Whether a watch polls the store while other VMs are live. */
 enum table_watch_mode {
-	/** Polls for changes and relays them to the other VMs. */
+	/** Polls for changes and relays them to the other VMs: the leader,
+	 * or a backup in its place. */
 	TABLE_WATCH_LEADER,
 	/** Polls as well, to notice changes that the leader missed. */
 	TABLE_WATCH_BACKUP,
--- a/test/standin/site_store.c
+++ b/test/standin/site_store.c
@@ -155,6 +155,16 @@
 	}
 }
 
+/* Drops all feed requests that wait, without an answer, as if their
+ * connections had gone silent. */
+static void drop_watches(struct site *site)
+{
+	struct watch *watch;
+
+	while ((watch = g_queue_pop_head(&site->watches)))
+		watch_free(watch);
+}
+
 /* Changes a row under a new version; value is Base64, or NULL to remove the
  * row. */
 static void set_row(struct site *site, const char *table, const char *key,
@@ -276,6 +286,7 @@
  *   touch-config  ID is the version of the built-in configuration to write
  *   config        no ID; the body is the configuration to write
  *   down          the store is down unless ID is 0
+ *   lose-feeds    feed requests that wait are never answered
  *   more          ID more upstreams of the service "plain" start
  *   entry         ID is the key of a row of upstreams, the body its value
  *   lapse         the upstream's entry disappears, as if the upstream were
@@ -305,6 +316,8 @@
 		site_upstream_restart(site, index);
 	else if (g_str_has_prefix(verb, "down"))
 		site->store_down = index != 0;
+	else if (g_str_has_prefix(verb, "lose-feeds"))
+		drop_watches(site);
 	else if (g_str_has_prefix(verb, "entry"))
 		site_put_row(site, "servers", id, request->body->str);
 	else if (g_str_has_prefix(verb, "more"))
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -71,6 +71,9 @@
 
 /* --- table watch on a fake store, whose calls the test answers --- */
 
+/* Wait of a long poll, in seconds, while no other VM polls. */
+#define POLL_S 1.0
+
 struct fixture {
 	struct manual_clock clock;
 	struct loop loop;
@@ -223,7 +226,8 @@
 	f->metrics = metrics_create();
 	f->store.calls = store_calls_create(f->metrics);
 	f->reported = g_string_new(NULL);
-	f->table_watch = table_watch_create(&f->loop, &f->store, "t", ops, f);
+	f->table_watch =
+		table_watch_create(&f->loop, &f->store, "t", POLL_S, ops, f);
 	table_watch_start(f->table_watch, copy_wait_s);
 	advance(f, 0);
 }
@@ -404,6 +408,71 @@
 	teardown(&f);
 }
 
+/* Guards against changes that become known only at the end of a wait of ten
+ * seconds, because the connections of all VMs that poll went silent. */
+static void a_watch_that_others_rely_on_polls_for_a_short_time(void)
+{
+	static const struct {
+		enum table_watch_mode mode;
+		enum table_watch_peers peers;
+		bool is_short;
+	} rows[] = {
+		{ TABLE_WATCH_LEADER, TABLE_WATCH_PEERS_RELAY, true },
+		{ TABLE_WATCH_LEADER, TABLE_WATCH_NO_PEERS, true },
+		{ TABLE_WATCH_BACKUP, TABLE_WATCH_PEERS_RELAY, false },
+		{ TABLE_WATCH_BACKUP, TABLE_WATCH_PEERS_WAIT, true },
+		{ TABLE_WATCH_BACKUP, TABLE_WATCH_NO_PEERS, true },
+		{ TABLE_WATCH_PASSIVE, TABLE_WATCH_NO_PEERS, true },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct fixture f;
+
+		setup(&f);
+		table_watch_set_mode(f.table_watch, rows[i].mode);
+		table_watch_set_peers(f.table_watch, rows[i].peers, 7);
+		advance(&f, 0);
+		CU_ASSERT_EQUAL_FATAL(f.call, 'f');
+		CU_ASSERT_TRUE(f.wait_s > 0);
+		CU_ASSERT_EQUAL(f.wait_s <= POLL_S, rows[i].is_short);
+		teardown(&f);
+	}
+}
+
+/* Guards against the same when the leader is lost as well: a backup relays
+ * changes in its place, on a long poll that it began before. */
+static void a_backup_that_relays_ends_its_long_poll(void)
+{
+	struct fixture f;
+	int i;
+
+	setup(&f);
+	table_watch_set_mode(f.table_watch, TABLE_WATCH_BACKUP);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 7);
+	advance(&f, 0);
+	CU_ASSERT_EQUAL_FATAL(f.call, 'f');
+	CU_ASSERT_TRUE(f.wait_s > POLL_S);
+	for (i = 0; i < 100; i++) {
+		advance(&f, 0.05);
+		table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY,
+				      7);
+	}
+	CU_ASSERT_EQUAL(f.calls, 2);
+	table_watch_set_mode(f.table_watch, TABLE_WATCH_LEADER);
+	/* The answer is arriving. */
+	f.receiving = true;
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 7);
+	CU_ASSERT_EQUAL(f.calls, 2);
+	f.receiving = false;
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 7);
+	advance(&f, 0);
+	CU_ASSERT_EQUAL(f.calls, 3);
+	CU_ASSERT_EQUAL(f.call, 'f');
+	CU_ASSERT_TRUE(f.wait_s <= POLL_S);
+	teardown(&f);
+}
+
 static void a_newer_row_on_a_peer_is_requested(void)
 {
 	struct fixture f;
@@ -614,6 +683,10 @@
 		  without_peers_the_store_is_polled },
 		{ "peers that wait for the store keep a watch quiet",
 		  peers_that_wait_for_the_store_keep_a_watch_quiet },
+		{ "a watch that others rely on polls for a short time",
+		  a_watch_that_others_rely_on_polls_for_a_short_time },
+		{ "a backup that relays ends its long poll",
+		  a_backup_that_relays_ends_its_long_poll },
 		{ "a newer row on a peer is requested",
 		  a_newer_row_on_a_peer_is_requested },
 		{ "a call is not cancelled while its answer arrives",
