platform: a call that times out ends the use of idle connections

Cause: the client keeps up to four idle connections. After a timeout it dropped the one on which the call was, and made the next call on another idle one, which was silent as well: up to four timeouts of 0.5 to 1.8 s, one after the other.

--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -384,6 +384,125 @@
 	return slow.status;
 }
 
+/* --- connections to the store that go silent --- */
+
+#define CONNECTIONS_MAX 16
+/* Calls that the client makes at the same time, each on its own connection. */
+#define CONCURRENT_CALLS 3
+
+/* A server that answers every request, but none on the connections that were
+ * open when it was told to be silent. */
+struct silent_server {
+	struct loop loop;
+	int listener;
+	int conns[CONNECTIONS_MAX];
+	unsigned int conn_count;
+	/* Number of connections, the oldest ones, that get no answer. */
+	unsigned int silent_count;
+	ev_timer serve_timer;
+	/* Calls of the client without a result, and the last result. */
+	unsigned int pending;
+	enum store_status status;
+};
+
+static void on_serve_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	static const char reply[] =
+		"HTTP/1.1 200 OK\r\nContent-Length: 19\r\n\r\n" BODY;
+	struct silent_server *server = timer->data;
+	int fd = accept(server->listener, NULL, NULL);
+	unsigned int i;
+
+	(void)loop;
+	(void)events;
+	if (fd >= 0 && server->conn_count < CONNECTIONS_MAX)
+		server->conns[server->conn_count++] = fd;
+	for (i = server->silent_count; i < server->conn_count; i++) {
+		char buf[1024];
+
+		/* The client's requests are small and arrive whole. */
+		if (recv(server->conns[i], buf, sizeof(buf), MSG_DONTWAIT) > 0)
+			send(server->conns[i], reply, strlen(reply),
+			     MSG_NOSIGNAL);
+	}
+}
+
+static void on_silent_answer(void *ctx, const struct store_result *result)
+{
+	struct silent_server *server = ctx;
+
+	server->status = result->status;
+	if (!--server->pending)
+		ev_break(server->loop.ev, EVBREAK_ALL);
+}
+
+static void silent_server_start(struct silent_server *server,
+				struct sockaddr_in *address)
+{
+	socklen_t len = sizeof(*address);
+
+	memset(server, 0, sizeof(*server));
+	memset(address, 0, sizeof(*address));
+	address->sin_family = AF_INET;
+	address->sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	server->listener =
+		socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+	CU_ASSERT_EQUAL_FATAL(
+		bind(server->listener, (struct sockaddr *)address, len), 0);
+	listen(server->listener, CONNECTIONS_MAX);
+	getsockname(server->listener, (struct sockaddr *)address, &len);
+	server->loop.ev = ev_loop_new(EVFLAG_AUTO);
+	server->loop.clock = clock_system();
+	ev_timer_init(&server->serve_timer, on_serve_timer, 0, 0.005);
+	server->serve_timer.data = server;
+	ev_timer_start(server->loop.ev, &server->serve_timer);
+}
+
+static void silent_server_stop(struct silent_server *server)
+{
+	unsigned int i;
+
+	for (i = 0; i < server->conn_count; i++)
+		close(server->conns[i]);
+	close(server->listener);
+	ev_loop_destroy(server->loop.ev);
+}
+
+/* Makes calls at the same time and waits for their results. */
+static void read_rows(struct silent_server *server, const struct store *store,
+		      unsigned int calls)
+{
+	server->pending = calls;
+	while (calls--)
+		store->ops->read(store->impl, "t", "", on_silent_answer,
+				 server);
+	ev_run(server->loop.ev, 0);
+}
+
+/* Guards against one timeout after the other when the open connections to the
+ * store went silent together: only the first call may fail. */
+static void a_timeout_ends_the_use_of_idle_connections(void)
+{
+	struct silent_server server;
+	struct sockaddr_in address;
+	struct table_store *client;
+	struct store store;
+
+	silent_server_start(&server, &address);
+	client = table_store_create(&server.loop, &address);
+	store = table_store_interface(client);
+	read_rows(&server, &store, CONCURRENT_CALLS);
+	CU_ASSERT_EQUAL(server.status, STORE_OK);
+	CU_ASSERT_EQUAL(server.conn_count, CONCURRENT_CALLS);
+	server.silent_count = server.conn_count;
+	read_rows(&server, &store, 1);
+	CU_ASSERT_EQUAL(server.status, STORE_UNKNOWN);
+	read_rows(&server, &store, 1);
+	CU_ASSERT_EQUAL(server.status, STORE_OK);
+	table_store_destroy(client);
+	silent_server_stop(&server);
+}
+
 static void arriving_reply_does_not_time_out(void)
 {
 	CU_ASSERT_EQUAL(read_from_slow_server(1), STORE_OK);
@@ -412,6 +531,8 @@
 		  reply_headers_tell_the_limit_of_the_upstream },
 		{ "a call doesn't time out while its reply arrives",
 		  arriving_reply_does_not_time_out },
+		{ "a timeout ends the use of idle connections",
+		  a_timeout_ends_the_use_of_idle_connections },
 		{ 0 },
 	};
 
