net: heads of answers without an end count against the budget

Reported by other operators: a faulty upstream sent bytes that were no answer, without end, in a head or in a body; the VM kept them all, ran out of memory and lost the other callers' requests.

Looked at: functional-test_entry_faulty sends endless bodies (with a length, in chunks, up to the end of the connection), fields, values, empty lines, interim answers, chunk extensions and plain bytes, eight at a time, for requests that may repeat and that may not.

Cause of what is left: the budget counts bodies only. A head that doesn't end is kept up to 80 to 128 KB on each connection, whatever the other connections hold. A VM has up to 110 connections to each upstream of a service with 130, or 64 where the configuration sets no number; at 64 for each of 41 upstreams that would be 200 MB and more of heads.

Change: bytes of a head that isn't complete are taken from the same budget, and given back with the response. A head that comes whole in one read isn't counted, so that usual answers cost nothing.

unit-test_net, "heads without end count against the budget": eight heads of 60 KB and a budget of 256 KB; none was ended before, some are now, and all bytes are given back.

--- a/src/net/http_channel.c
+++ b/src/net/http_channel.c
@@ -54,8 +54,8 @@
 	bool head_complete;
 	/** Bytes received before that. */
 	size_t head_bytes;
-	/** Bytes of the body taken from options.budget. */
-	size_t body_held;
+	/** Bytes taken from options.budget for the response. */
+	size_t held;
 	/** The parser has read a complete response. */
 	bool reply_complete;
 	/** The connection can't be used for another request. */
@@ -74,17 +74,31 @@
 	double server_idle_s;
 };
 
-/* Gives the bytes of the body back to the budget. */
-static void release_body(struct http_channel *channel)
+/* Takes bytes of the response from the budget, if there is one; returns false
+ * when it has none left. */
+static bool hold_bytes(struct http_channel *channel, size_t len)
+{
+	struct byte_budget *budget = channel->options.budget;
+
+	if (!budget)
+		return true;
+	if (!byte_budget_take(budget, channel->held, len))
+		return false;
+	channel->held += len;
+	return true;
+}
+
+/* Gives the bytes of the response back to the budget. */
+static void release_bytes(struct http_channel *channel)
 {
 	if (channel->options.budget)
-		byte_budget_return(channel->options.budget, channel->body_held);
-	channel->body_held = 0;
+		byte_budget_return(channel->options.budget, channel->held);
+	channel->held = 0;
 }
 
 static void channel_free(struct http_channel *channel)
 {
-	release_body(channel);
+	release_bytes(channel);
 	headers_destroy(channel->reply.headers);
 	g_string_free(channel->reply.body, TRUE);
 	g_string_free(channel->field, TRUE);
@@ -161,7 +175,7 @@
 static void begin_reply(struct http_channel *channel)
 {
 	headers_clear(channel->reply.headers);
-	release_body(channel);
+	release_bytes(channel);
 	if (channel->reply.body->allocated_len > BODY_KEEP_BYTES) {
 		g_string_free(channel->reply.body, TRUE);
 		channel->reply.body = g_string_new(NULL);
@@ -254,10 +268,8 @@
 
 	if (channel->reply.body->len + len > channel->options.body_bytes)
 		return 1;
-	if (channel->options.budget &&
-	    !byte_budget_take(channel->options.budget, channel->body_held, len))
+	if (!hold_bytes(channel, len))
 		return 1;
-	channel->body_held += channel->options.budget ? len : 0;
 	g_string_append_len(channel->reply.body, at, (gssize)len);
 	return 0;
 }
@@ -312,6 +324,15 @@
 	return false;
 }
 
+/* Holds received bytes of a head that isn't complete; returns false when it is
+ * too long. */
+static bool hold_head(struct http_channel *channel, size_t len)
+{
+	return channel->head_complete ||
+	       (channel->head_bytes <= HEAD_BYTES_MAX &&
+		hold_bytes(channel, len));
+}
+
 /* Parses received bytes and delivers complete responses. */
 static void parse(struct http_channel *channel, const char *data, size_t len)
 {
@@ -346,8 +367,7 @@
 			channel->not_reusable = false;
 			continue;
 		}
-		if (error != HPE_OK || (!channel->head_complete &&
-					channel->head_bytes > HEAD_BYTES_MAX))
+		if (error != HPE_OK || !hold_head(channel, len))
 			channel_fail(channel, HTTP_CHANNEL_BROKEN);
 		return;
 	}
--- a/test/unit/test_net.c
+++ b/test/unit/test_net.c
@@ -378,6 +378,56 @@
 
 /* --- the event log --- */
 
+/* Guards against upstreams that send a head without end on many connections:
+ * together they may hold what the budget allows. */
+static void heads_without_end_count_against_the_budget(void)
+{
+	struct byte_budget budget = { .limit = (size_t)256 << 10 };
+	const struct http_channel_options options = {
+		.body_bytes = 1000,
+		.budget = &budget,
+	};
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t len = sizeof(address);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	struct http_channel *channels[REQUESTS_MAX];
+	int fds[REQUESTS_MAX];
+	struct fixture w = { 0 };
+	char *value = g_strnfill(60000, 'a');
+	size_t i;
+
+	w.loop.ev = ev_loop_new(EVFLAG_AUTO);
+	w.loop.clock = clock_system();
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	CU_ASSERT_EQUAL_FATAL(bind(listener, (struct sockaddr *)&address, len),
+			      0);
+	listen(listener, REQUESTS_MAX);
+	getsockname(listener, (struct sockaddr *)&address, &len);
+	for (i = 0; i < REQUESTS_MAX; i++) {
+		channels[i] = http_channel_create(&w.loop, &address, &options,
+						  &channel_ops, &w);
+		http_channel_send(channels[i], STR("GET / HTTP/1.1\r\n\r\n"),
+				  false);
+		run_loop(&w);
+		fds[i] = accept(listener, NULL, NULL);
+		send_text(fds[i], "HTTP/1.1 200 OK\r\nX-A: ");
+		send_text(fds[i], value);
+		run_loop(&w);
+	}
+	CU_ASSERT_TRUE(budget.peak <= budget.limit);
+	CU_ASSERT_TRUE(w.ends > 0);
+	CU_ASSERT_TRUE(w.ends < REQUESTS_MAX);
+	CU_ASSERT_EQUAL(w.end, HTTP_CHANNEL_BROKEN);
+	for (i = 0; i < REQUESTS_MAX; i++) {
+		http_channel_destroy(channels[i]);
+		close(fds[i]);
+	}
+	CU_ASSERT_EQUAL(budget.used, 0);
+	close(listener);
+	ev_loop_destroy(w.loop.ev);
+	g_free(value);
+}
+
 static void a_blocked_log_reader_does_not_block_writers(void)
 {
 	struct event_log_options options = { .lines_per_s = 100000 };
@@ -443,6 +493,8 @@
 		  requests_that_came_before_the_close_are_read },
 		{ "only complete responses are delivered",
 		  only_complete_responses_are_delivered },
+		{ "heads without end count against the budget",
+		  heads_without_end_count_against_the_budget },
 		{ "a blocked log reader does not block writers",
 		  a_blocked_log_reader_does_not_block_writers },
 		{ "log lines are limited and drops reported",
