entry: error answers kept for a retry count against the budget

Cause: when an upstream answers with an error and the request is tried again, a copy of the answer is kept until the next attempt ends, for the case that it fails as well. The copies were not counted: any number of them, of up to half of the budget each, beside the answers that are being received.

Change: the copy takes its bytes from the same budget, and the request gives them back. When none are left, the copy isn't kept, and the caller gets 502 or 504 if the next attempt fails too. auburn_answer_bytes shows these bytes as well.

functional-test_entry_faulty, "a kept error answer counts as held": with 8 MB kept during a retry of 2.5 s the metric stayed at 0 before, in each of 20 requests.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -279,14 +279,17 @@
 	proxy_request_refuse(req, 503, dispatch_retry_after_s(req), reason);
 }
 
-/* Copies an upstream's error answer, unless there is a copy of an earlier one.
- * The caller gets it if no later attempt succeeds. */
+/* Copies an upstream's error answer, unless there is a copy of an earlier one
+ * or no memory is left for it. The caller gets it if no later attempt succeeds.
+ */
 static void save_error_answer(struct proxy_request *req,
 			      const struct http_reply *reply)
 {
 	size_t i;
 
-	if (req->error_answer)
+	if (req->error_answer ||
+	    !byte_budget_take(req->forward->options.answers, 0,
+			      reply->body->len))
 		return;
 	req->error_answer = g_new0(struct http_reply, 1);
 	req->error_answer->status = reply->status;
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -160,6 +160,8 @@
 	attempt_cancel_all(req);
 	g_hash_table_remove(forward->requests_in_progress, req);
 	if (req->error_answer) {
+		byte_budget_return(forward->options.answers,
+				   req->error_answer->body->len);
 		headers_destroy(req->error_answer->headers);
 		g_string_free(req->error_answer->body, TRUE);
 		g_free(req->error_answer);
--- a/src/entry/forward.h
+++ b/src/entry/forward.h
@@ -25,6 +25,9 @@
 	const struct protocol *protocol;
 	struct event_log *log;
 	struct metrics *metrics;
+	/** Limits the error answers that are kept while a request is tried
+	 * again. */
+	struct byte_budget *answers;
 	/** Requests that are suspected or blamed for crashes of upstreams. */
 	struct crash_watch *crashes;
 	/** Called when an answer said for the first time that its upstream
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -490,7 +490,8 @@
 					BYTES_PER_MB * ANSWERS_MEMORY_PART);
 	entry->answer_bytes =
 		metrics_gauge(entry->metrics, "auburn_answer_bytes", "",
-			      "Bytes of answers that are being received.");
+			      "Bytes of answers that are being received, and "
+			      "of error answers that are kept during a retry.");
 	entry->answer_bytes_peak =
 		metrics_gauge(entry->metrics, "auburn_answer_bytes_peak", "",
 			      "Highest value of auburn_answer_bytes.");
@@ -531,6 +532,7 @@
 	forward.protocol = platform_protocol();
 	forward.log = entry->log;
 	forward.metrics = entry->metrics;
+	forward.answers = &entry->answers;
 	forward.crashes = entry->crashes;
 	forward.said_leaving = on_said_leaving;
 	forward.ctx = entry;
--- a/test/functional/test_entry_faulty.c
+++ b/test/functional/test_entry_faulty.c
@@ -199,10 +199,59 @@
 	g_free(extension);
 }
 
+/* Length of a large error answer. */
+#define ERROR_BYTES ((int64_t)8 << 20)
+
+/* Whether the daemon holds an error answer. */
+static bool holds_error_answer(void *ctx)
+{
+	(void)ctx;
+	return metric("auburn_answer_bytes") >= ERROR_BYTES;
+}
+
+/* Guards against large error answers that are kept while their requests are
+ * tried again, without a limit on their sum. */
+static void a_kept_error_answer_counts_as_held(void)
+{
+	static const struct stub_reply error = {
+		.bytes = "HTTP/1.1 500 Failed\r\n"
+			 "Content-Length: 8388608\r\n\r\n",
+		.zero_bytes = (uint64_t)ERROR_BYTES,
+	};
+	const char *headers[] = { "Host: app.example", "X-Deadline-Ms: 3000",
+				  "X-Request-Id: kept", NULL };
+	struct http_request request = {
+		.address = rig.entries[0].callers,
+		.uri = "/plain/work-ms-2500",
+		.headers = headers,
+	};
+	bool held = false;
+	int i;
+
+	setup();
+	wait_for_stub();
+	stub_upstream_set_reply(stub, &error);
+	/* The upstream that takes longer is there again for the retry. */
+	entry_rig_command(&rig, "/control/undrain?id=1", NULL);
+	/* Some of the requests are sent to the other upstream first. */
+	for (i = 0; i < 20 && !held; i++) {
+		struct http_task *task = http_start(&request);
+
+		held = process_wait_until(holds_error_answer, NULL,
+					  G_USEC_PER_SEC);
+		http_answer_destroy(http_join(task));
+	}
+	CU_ASSERT_TRUE(held);
+	CU_ASSERT_EQUAL(metric("auburn_answer_bytes"), 0);
+	teardown();
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
 		{ "an endless answer is ended", an_endless_answer_is_ended },
+		{ "a kept error answer counts as held",
+		  a_kept_error_answer_counts_as_held },
 		{ 0 },
 	};
 
