--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -182,13 +182,15 @@
 	forward_dispatch_queued(entry->forward);
 }
 
-static void on_reachability_changed(void *ctx, bool unreachable)
+static void on_reachability_changed(void *ctx, const char *table,
+				    bool unreachable, double call_s)
 {
 	struct entry_daemon *entry = ctx;
 
 	event_log_write(entry->log, unreachable ? "warning" : "info", "store",
-			"event=%s",
-			unreachable ? "contact_lost" : "contact_regained");
+			"event=%s table=%s call_ms=%.0f",
+			unreachable ? "contact_lost" : "contact_regained",
+			table, call_s * 1000);
 	if (!unreachable)
 		entry->store_back_s = now_of(entry);
 }
--- a/src/entry/table_watch.c
+++ b/src/entry/table_watch.c
@@ -160,15 +160,29 @@
 	return table_watch->loaded;
 }
 
+/* Whether this watch need not poll because other VMs relay changes. */
+static bool relies_on_peers(const struct table_watch *table_watch)
+{
+	return table_watch->mode == TABLE_WATCH_PASSIVE &&
+	       table_watch->peers != TABLE_WATCH_NO_PEERS &&
+	       !table_watch->needs_snapshot;
+}
+
 /* Records whether the store answered the last call. */
 static void set_unreachable(struct table_watch *table_watch, bool unreachable)
 {
+	double call_s = relies_on_peers(table_watch)
+				? 0
+				: loop_now(table_watch->loop) -
+					  table_watch->call_started_s;
+
 	if (!unreachable)
 		table_watch->retry_delay_s = RETRY_S;
 	if (table_watch->unreachable == unreachable)
 		return;
 	table_watch->unreachable = unreachable;
-	table_watch->ops->reachability_changed(table_watch->ctx, unreachable);
+	table_watch->ops->reachability_changed(
+		table_watch->ctx, table_watch->table, unreachable, call_s);
 }
 
 /* Sets the time of the next call to the store. */
@@ -442,14 +456,6 @@
 	read_page(table_watch, "");
 }
 
-/* Whether this watch need not poll because other VMs relay changes. */
-static bool relies_on_peers(const struct table_watch *table_watch)
-{
-	return table_watch->mode == TABLE_WATCH_PASSIVE &&
-	       table_watch->peers != TABLE_WATCH_NO_PEERS &&
-	       !table_watch->needs_snapshot;
-}
-
 /* Asks the store for changes; waits for one for up to wait_s seconds. */
 static void request_changes(struct table_watch *table_watch, double wait_s,
 			    const char *reason)
--- a/src/entry/table_watch.h
+++ b/src/entry/table_watch.h
@@ -43,8 +43,12 @@
 	/**
 	 * Called when a call to the store fails, unless the previous one failed
 	 * too, and when the store answers again.
+	 *
+	 * @param call_s time, in seconds, since that call was sent; 0 if other
+	 *        VMs called the store
 	 */
-	void (*reachability_changed)(void *ctx, bool unreachable);
+	void (*reachability_changed)(void *ctx, const char *table,
+				     bool unreachable, double call_s);
 };
 
 /**
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -165,9 +165,14 @@
 	(void)ctx;
 }
 
-static void on_reachability_changed(void *ctx, bool unreachable)
+static void on_reachability_changed(void *ctx, const char *table,
+				    bool unreachable, double call_s)
 {
-	((struct fixture *)ctx)->unreachable = unreachable;
+	struct fixture *f = ctx;
+
+	CU_ASSERT_STRING_EQUAL(table, "t");
+	CU_ASSERT_TRUE(call_s >= 0);
+	f->unreachable = unreachable;
 }
 
 static const struct table_watch_ops snapshot_ops = {
