--- a/test/functional/test_entry_foreign.c
+++ b/test/functional/test_entry_foreign.c
@@ -21,12 +21,15 @@
 {
 	char *uri = g_strdup_printf("/control/address?id=%u", index);
 	GString *state = entry_rig_query(&rig, uri, NULL);
-	const char *at = strstr(state->str, "\"address\":");
-	char *address;
+	static const char name[] = "\"address\":";
+	const char *at = strstr(state->str, name);
+	char *address = NULL;
 
 	CU_ASSERT_PTR_NOT_NULL_FATAL(at);
-	at = strchr(at, ':') + 1;
-	address = g_strndup(at, strcspn(at + 1, "\"") + 2);
+	if (at) {
+		at += strlen(name);
+		address = g_strndup(at, strcspn(at + 1, "\"") + 2);
+	}
 	g_string_free(state, TRUE);
 	g_free(uri);
 	return address;
