soak: move routes between services, and forget open connections

The soak's configuration change wrote the same routes under another version, and nothing checked which service ran a request. Its silent proxies delivered what they had held back, so that connections worked again afterwards. So it couldn't show a change that is in force too late.

Now the built-in configuration of standin-site has a route that each version moves to the other one of two services, and callers ask for it; the proxies can forget what is open, to the store and to upstreams, while new connections work. At the end of each seed a route moves, the open connections to the store are forgotten unless the run is planned work only, the route moves again, and the old service must not run a request on it later than 5 s after that: the time until a VM whose connections were harmed counts as in touch again, and the one that a change may take.

--- a/test/soak/callers.c
+++ b/test/soak/callers.c
@@ -27,6 +27,7 @@
 	ROUTE_PLAIN,
 	ROUTE_ONCE,
 	ROUTE_KEYED,
+	ROUTE_MOVED,
 	ROUTE_COUNT,
 };
 
@@ -209,6 +210,7 @@
 		[ROUTE_PLAIN] = "plain",
 		[ROUTE_ONCE] = "once",
 		[ROUTE_KEYED] = "keyed",
+		[ROUTE_MOVED] = "moved",
 	};
 	unsigned int route = g_rand_int(caller->random) % ROUTE_COUNT;
 	unsigned int entry =
--- a/test/soak/proxy.c
+++ b/test/soak/proxy.c
@@ -37,6 +37,8 @@
 	/* Sockets of the two connections. */
 	int client, server;
 	struct stream requests, answers;
+	/* No bytes are forwarded any more, and the peers aren't told. */
+	bool forgotten;
 	/* The connection is freed at the end of the round. */
 	bool closed;
 };
@@ -49,8 +51,10 @@
 	/* An enum proxy_mode. */
 	atomic_int mode;
 	atomic_int delay_ms;
-	/* Asks the proxy thread to reset the open connections. */
+	/* Ask the proxy thread to reset the open connections, or to forget
+	 * them. */
 	atomic_bool reset;
+	atomic_bool forget;
 };
 
 /* Guards the list of proxies. The list of connections needs no lock: only the
@@ -170,7 +174,7 @@
 {
 	int mode = atomic_load(&connection->proxy->mode);
 
-	if (mode == PROXY_SILENT)
+	if (mode == PROXY_SILENT || connection->forgotten)
 		return;
 	if (has_socket_error(connection->client) ||
 	    has_socket_error(connection->server)) {
@@ -202,7 +206,19 @@
 	}
 }
 
-/* Accepts connections and carries out requested resets. */
+static void forget_connections(const struct proxy *proxy)
+{
+	guint i;
+
+	for (i = 0; i < connections->len; i++) {
+		struct connection *connection = connections->pdata[i];
+
+		if (connection->proxy == proxy)
+			connection->forgotten = true;
+	}
+}
+
+/* Accepts connections and carries out what was requested for the open ones. */
 static void update_proxies(void)
 {
 	guint i;
@@ -215,6 +231,8 @@
 			accept_connection(proxy);
 		if (atomic_exchange(&proxy->reset, false))
 			reset_connections(proxy);
+		if (atomic_exchange(&proxy->forget, false))
+			forget_connections(proxy);
 	}
 	pthread_mutex_unlock(&proxies_lock);
 }
@@ -289,3 +307,8 @@
 {
 	atomic_store(&proxy->reset, true);
 }
+
+void proxy_forget(struct proxy *proxy)
+{
+	atomic_store(&proxy->forget, true);
+}
--- a/test/soak/proxy.h
+++ b/test/soak/proxy.h
@@ -47,4 +47,8 @@
 /** Resets all open connections of a proxy, once. */
 void proxy_reset(struct proxy *proxy);
 
+/** Forwards no more bytes on the open connections of a proxy, for good and
+ * without closing them; new connections work. */
+void proxy_forget(struct proxy *proxy);
+
 #endif
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -2,9 +2,10 @@
  * Soak test with random faults. Real entry daemons route requests from callers
  * to the upstreams of standin-site, through proxies on every path between
  * daemons, store and upstreams. Daemons are frozen, killed, stopped and
- * reloaded by signals; connections are delayed, reset, and blocked in one or
- * both directions; the store goes down; upstreams restart and drain. The test
- * checks each response, the executions and the key grants.
+ * reloaded by signals; connections are delayed, reset, forgotten, and blocked
+ * in one or both directions; the store goes down; routes move between services;
+ * upstreams restart and drain. The test checks each response, the executions
+ * and the key grants.
  *
  * functional-soak [--seconds S] [SEED...]: runs each seed for S seconds;
  * without seeds, those in regression_seeds.
@@ -36,8 +37,10 @@
 #define FAULT_PAUSE_S 0.6
 /* Grace time of a daemon's graceful shutdown. */
 #define STOP_GRACE_S 6.0
-/* Time with traffic and without faults at the end. */
-#define SETTLE_S 1.5
+/* Time with traffic and without faults at the end, in two parts: before a route
+ * moves, and until the new configuration must be in force on all daemons. */
+#define SETTLE_S 1.0
+#define MOVE_S 6.0
 
 /* Seeds to run by default: 4, which only does planned maintenance as all
  * multiples of 4 do, and seeds that failed once, with the cause. */
@@ -59,7 +62,8 @@
 	/* An entry daemon gets SIGTERM, or SIGHUP for a reload. */
 	FAULT_STOP,
 	FAULT_RELOAD,
-	/* The store's configuration gets a new version. */
+	/* The store's configuration gets a new version, which moves a route to
+	 * another service. */
 	FAULT_CONFIG,
 	/* An upstream drains for a time. */
 	FAULT_DRAIN,
@@ -74,10 +78,13 @@
 	FAULT_STORE_CUT_REQUESTS,
 	FAULT_STORE_CUT_ANSWERS,
 	FAULT_STORE_RESET,
+	/* The proxies between all daemons and the store forget what is open. */
+	FAULT_STORE_FORGET,
 	/* Faults of the proxy between all daemons and one upstream. */
 	FAULT_UPSTREAM_SILENT,
 	FAULT_UPSTREAM_CUT_ANSWERS,
 	FAULT_UPSTREAM_RESET,
+	FAULT_UPSTREAM_FORGET,
 	FAULT_UPSTREAM_DELAY,
 	/* An upstream restarts without grants. */
 	FAULT_UPSTREAM_RESTART,
@@ -410,6 +417,20 @@
 	}
 }
 
+/* Has the open connections of all daemons to the store go silent for good. */
+static void forget_store_connections(struct soak *soak)
+{
+	unsigned int i;
+
+	for (i = 0; i < ENTRIES; i++)
+		proxy_forget(soak->entries[i].store);
+}
+
+static void move_route(struct soak *soak)
+{
+	control_command(soak, "touch-config", ++soak->config_version, NULL);
+}
+
 static void begin_fault(struct soak *soak, struct fault *fault)
 {
 	struct soak_entry *entry =
@@ -428,8 +449,7 @@
 		kill(process_pid(entry->process), SIGHUP);
 		break;
 	case FAULT_CONFIG:
-		control_command(soak, "touch-config", ++soak->config_version,
-				NULL);
+		move_route(soak);
 		break;
 	case FAULT_DRAIN:
 		control_command(soak, "drain", fault->random_number % UPSTREAMS,
@@ -458,6 +478,9 @@
 	case FAULT_STORE_RESET:
 		proxy_reset(entry->store);
 		break;
+	case FAULT_STORE_FORGET:
+		forget_store_connections(soak);
+		break;
 	case FAULT_UPSTREAM_SILENT:
 		proxy_set_mode(upstream, PROXY_SILENT);
 		break;
@@ -467,6 +490,9 @@
 	case FAULT_UPSTREAM_RESET:
 		proxy_reset(upstream);
 		break;
+	case FAULT_UPSTREAM_FORGET:
+		proxy_forget(upstream);
+		break;
 	case FAULT_UPSTREAM_DELAY:
 		proxy_set_delay(upstream,
 				50 + (int)(fault->random_number % 200));
@@ -617,6 +643,29 @@
 
 /* --- checks --- */
 
+/* Moves a route just after another change and after the connections to the
+ * store went silent, and checks that the old service runs no request on it once
+ * the change must be in force everywhere. */
+static void check_moved_route(struct soak *soak)
+{
+	static const char state[] = "/control/state";
+	int before, after;
+
+	move_route(soak);
+	g_usleep((gulong)(SETTLE_S * G_USEC_PER_SEC));
+	if (!soak->planned_only)
+		forget_store_connections(soak);
+	move_route(soak);
+	before = control_number(soak, state, "runs_by_old_service");
+	g_usleep((gulong)(MOVE_S * G_USEC_PER_SEC));
+	after = control_number(soak, state, "runs_by_old_service");
+	if (after > before)
+		report_violation(soak,
+				 "%d requests were run by the old service long "
+				 "after their route had moved",
+				 after - before);
+}
+
 /* Checks that a request that was reported as not executed did not run. When the
  * run injects only planned maintenance, a request without a response must not
  * have run either. */
@@ -682,7 +731,7 @@
 	callers = callers_start(addresses, ENTRIES, CALLERS, seed);
 	inject_faults(&soak, seconds);
 	wait_until_entries_serve(&soak, "after the last fault");
-	g_usleep((gulong)(SETTLE_S * G_USEC_PER_SEC));
+	check_moved_route(&soak);
 	result = callers_stop(callers);
 	check_results(&soak, callers, &result);
 	for (i = 0; i < FAULT_KINDS; i++)
--- a/test/standin/site.h
+++ b/test/standin/site.h
@@ -26,7 +26,9 @@
 /** Removes a row of a table, which the feed reports as a change. */
 void site_remove_row(struct site *site, const char *table, const char *key);
 
-/** Writes the built-in configuration under a version number. */
+/** Writes the built-in configuration under a version number. Its route "moved"
+ * leads to the service "plain" under odd numbers, to "other" under even ones.
+ */
 void site_put_config(struct site *site, unsigned int version);
 
 /**
@@ -85,6 +87,12 @@
 	GQueue watches;
 	/** The store responds with 503 to all but the tests' control calls. */
 	bool store_down;
+	/** Service of the route "moved", and loop time since when. */
+	const char *moved_to;
+	double moved_s;
+	/** Number of requests on this route that another service ran later than
+	 * MOVED_IN_FORCE_S after the configuration was written. */
+	unsigned int runs_by_old_service;
 	/** Array of struct upstream of site_upstream.c, by index. */
 	GPtrArray *upstreams;
 	/** Maps a request id to its number of executions. */
--- a/test/standin/site_main.c
+++ b/test/standin/site_main.c
@@ -1,7 +1,7 @@
 /* standin-site: a small deployment's store and upstreams, for tests of the
- * entry daemon. Starts two upstreams without keys, index 0 and 1, and two with
- * keys, 2 and 3. Prints "listening store=IPv4:port" and runs until it is
- * killed. */
+ * entry daemon. Starts two upstreams without keys, index 0 and 1, two with
+ * keys, 2 and 3, and one of another service without keys, 4. Prints "listening
+ * store=IPv4:port" and runs until it is killed. */
 #include <signal.h>
 #include <stdio.h>
 
@@ -9,7 +9,8 @@
 #include "site.h"
 
 /* The configuration of routes, services and limits as JSON; a format string
- * whose argument is the version number. */
+ * whose arguments are the version number and the service of the route "moved".
+ */
 #define CONFIG                                                                 \
 	"{\"version\":\"r%u\",\"routes\":{\"columns\":[\"name\",\"host\","     \
 	"\"prefix\",\"kind\",\"timeout_s\",\"aim_s\",\"priority\","            \
@@ -19,19 +20,25 @@
 	"null],"                                                               \
 	"[\"once\",\"app.example\",\"/once/\",\"unsafe\",3,0.5,1,\"plain\",2," \
 	"null],"                                                               \
+	"[\"moved\",\"app.example\",\"/moved/\",\"safe\",3,0.5,1,\"%s\",2,"    \
+	"null],"                                                               \
 	"[\"keyed\",\"app.example\",\"/keyed/\",\"safe\",3,0.5,1,\"keyed\",2," \
 	"null]]},\"services\":{\"columns\":[\"name\",\"health_path\","         \
 	"\"max_conns\",\"cold_start_s\",\"cold_per_s\",\"sharded\",\"warm_"    \
 	"s\"],"                                                                \
 	"\"rows\":[[\"plain\",\"/health\",130,3,5.2,null,null],"               \
+	"[\"other\",\"/health\",130,3,5.2,null,null],"                         \
 	"[\"keyed\",\"/health\",130,3,5.2,true,3]]},"                          \
 	"\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,"     \
 	"\"header_timeout_s\":3,\"idle_timeout_s\":15}}"
 
 void site_put_config(struct site *site, unsigned int version)
 {
-	char *text = g_strdup_printf(CONFIG, version);
+	char *text;
 
+	site->moved_to = version % 2 ? "plain" : "other";
+	site->moved_s = loop_now(&site->loop);
+	text = g_strdup_printf(CONFIG, version, site->moved_to);
 	site_put_row(site, "op", "config", text);
 	g_free(text);
 }
@@ -55,6 +62,7 @@
 	site_upstream_create(&site, "plain", "z2", false);
 	site_upstream_create(&site, "keyed", "z1", true);
 	site_upstream_create(&site, "keyed", "z2", true);
+	site_upstream_create(&site, "other", "z1", false);
 	/* Entry daemons must skip this malformed entry in the table of
 	 * upstreams. */
 	site_put_row(&site, "servers", "odd", "{\"service\":7}");
--- a/test/standin/site_store.c
+++ b/test/standin/site_store.c
@@ -283,7 +283,8 @@
 /* Handles a call of a test, /control/VERB?id=ID, and responds with the
  * counters. ID is the index of an upstream, except for these verbs:
  *   runs          ID is a request id, whose executions are counted
- *   touch-config  ID is the version of the built-in configuration to write
+ *   touch-config  ID is the version of the built-in configuration to write,
+ *                 which moves a route, see site_put_config()
  *   config        no ID; the body is the configuration to write
  *   down          the store is down unless ID is 0
  *   lose-feeds    feed requests that wait are never answered
@@ -340,8 +341,10 @@
 		site_put_row(site, "op", "config", request->body->str);
 	g_free(id);
 	answer_json(request, 200,
-		    json_pack("{sisisisisisisisiss}", "runs", (int)runs,
-			      "crashes", (int)site->crashes, "over_limit",
+		    json_pack("{sisisisisisisisisiss}", "runs", (int)runs,
+			      "runs_by_old_service",
+			      (int)site->runs_by_old_service, "crashes",
+			      (int)site->crashes, "over_limit",
 			      (int)site->over_limit, "after_leaving",
 			      (int)site->after_leaving, "while_paused",
 			      (int)site->while_paused, "bodies_missing",
--- a/test/standin/site_upstream.c
+++ b/test/standin/site_upstream.c
@@ -34,6 +34,9 @@
 #define LIMIT_WINDOW_S 4.0
 #define LIMIT_FACTOR 1.5
 #define LIMIT_SLACK 5
+/* Time from the last configuration until which a VM whose connections were
+ * harmed may still use the one before. */
+#define MOVED_IN_FORCE_S 5.0
 /* How often a long response body repeats the request id; the soak test expects
  * the same number. */
 #define LONG_BODY_IDS 400
@@ -288,6 +291,18 @@
 		upstream->site->while_paused++;
 }
 
+/* Counts a request on the route "moved" that doesn't lead here any more. */
+static void check_moved(const struct upstream *upstream,
+			const struct http_request *request)
+{
+	struct site *site = upstream->site;
+
+	if (g_str_has_prefix(request->target->str, "/moved/") &&
+	    strcmp(upstream->service, site->moved_to) != 0 &&
+	    loop_now(&site->loop) > site->moved_s + MOVED_IN_FORCE_S)
+		site->runs_by_old_service++;
+}
+
 void site_upstream_say_leaving(struct site *site, unsigned int index)
 {
 	struct upstream *upstream = site->upstreams->pdata[index];
@@ -371,6 +386,7 @@
 		   : DEFAULT_WORK_S;
 	guint runs = GPOINTER_TO_UINT(g_hash_table_lookup(site->runs, id));
 
+	check_moved(upstream, request);
 	if (!strcmp(request->method->str, "POST") &&
 	    !headers_find(request->headers, STR("content-length")))
 		site->bodies_missing++;
