--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -424,9 +424,9 @@
 	return live_vms_report_interval_s(vms);
 }
 
-/* Does the work of a backup while the leader isn't heard: the other VMs rely on
- * this one for changes of the tables. */
-static void stand_in_for_leader(struct cluster *cluster)
+/* Relays changes of the tables while the leader isn't heard: the other VMs rely
+ * on this one. */
+static void relay_for_leader(struct cluster *cluster)
 {
 	cluster_set_watch_mode(cluster, TABLE_WATCH_LEADER);
 	if (cluster_now(cluster) >= cluster->relay_sent_s + HEARTBEAT_S)
@@ -448,7 +448,7 @@
 	exchange_row_versions(cluster);
 	if (cluster->is_backup && !cluster->leading &&
 	    now > cluster->last_heartbeat_s + LATE_HEARTBEAT_S)
-		stand_in_for_leader(cluster);
+		relay_for_leader(cluster);
 	/* Sending up to half a tick early makes up for ticks that come late. */
 	if (now >= cluster->loads_sent_s +
 			   roster_load_interval_s(cluster->options.roster) -
--- a/test/functional/test_entry_foreign.c
+++ b/test/functional/test_entry_foreign.c
@@ -55,11 +55,6 @@
 	g_free(uri);
 }
 
-static bool serves_all_keys(void *ctx)
-{
-	return entry_serves_keys(ctx);
-}
-
 /* Guards against granting keys whose owner was only cut off from the store,
  * because a foreign entry has the owner's address or its id. Upstreams 2 and 3
  * own all keys. */
@@ -87,7 +82,7 @@
 		 * other one, once they were released or its grant expired. */
 		g_usleep(G_USEC_PER_SEC);
 		CU_ASSERT_TRUE(process_wait_until(
-			serves_all_keys, &rig.entries[0], RIG_WAIT_US));
+			entry_serves_keys, &rig.entries[0], RIG_WAIT_US));
 		CU_ASSERT_EQUAL(entry_rig_count(&rig, "double_owners"), 0);
 		entry_rig_stop(&rig);
 	}
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -38,7 +38,8 @@
 /* Grace time of a daemon's graceful shutdown. */
 #define STOP_GRACE_S 6.0
 /* Time with traffic and without faults at the end, in two parts: before a route
- * moves, and until the new configuration must be in force on all daemons. */
+ * moves, and until standin-site has counted for a second the requests that the
+ * old service must not run any more. */
 #define SETTLE_S 1.0
 #define MOVE_S 6.0
 
