entry: a backup that relays in the leader's place keeps its pauses between calls

It took over the leader's mode and with it the pause of 0.12 s after a change instead of 0.5 s, so that three backups broadcast more often while the tables change fast. That this is the cause is not shown by this commit.

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -428,7 +428,7 @@
  * on this one. */
 static void relay_for_leader(struct cluster *cluster)
 {
-	cluster_set_watch_mode(cluster, TABLE_WATCH_LEADER);
+	cluster_set_watch_mode(cluster, TABLE_WATCH_RELAY);
 	if (cluster_now(cluster) >= cluster->relay_sent_s + HEARTBEAT_S)
 		cluster_send_row_relay(cluster);
 }
--- a/src/entry/table_watch.c
+++ b/src/entry/table_watch.c
@@ -420,8 +420,10 @@
  * watch that others rely on, or that can rely on none. */
 static double longest_poll_s(const struct table_watch *table_watch)
 {
-	return table_watch->mode != TABLE_WATCH_LEADER &&
-			       table_watch->peers == TABLE_WATCH_PEERS_RELAY
+	bool relied_on = table_watch->mode == TABLE_WATCH_LEADER ||
+			 table_watch->mode == TABLE_WATCH_RELAY;
+
+	return !relied_on && table_watch->peers == TABLE_WATCH_PEERS_RELAY
 		       ? LONG_POLL_S
 		       : table_watch->poll_s;
 }
--- a/src/entry/table_watch.h
+++ b/src/entry/table_watch.h
@@ -134,11 +134,12 @@
 
 /** Whether a watch polls the store while other VMs are live. */
 enum table_watch_mode {
-	/** Polls for changes and relays them to the other VMs: the leader,
-	 * or a backup in its place. */
+	/** Polls for changes and relays them to the other VMs. */
 	TABLE_WATCH_LEADER,
 	/** Polls as well, to notice changes that the leader missed. */
 	TABLE_WATCH_BACKUP,
+	/** A backup that relays changes because the leader isn't heard. */
+	TABLE_WATCH_RELAY,
 	/** Does not poll as long as other VMs relay the changes. */
 	TABLE_WATCH_PASSIVE,
 };
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -424,6 +424,7 @@
 	} rows[] = {
 		{ TABLE_WATCH_LEADER, TABLE_WATCH_PEERS_RELAY, true },
 		{ TABLE_WATCH_LEADER, TABLE_WATCH_NO_PEERS, true },
+		{ TABLE_WATCH_RELAY, TABLE_WATCH_PEERS_RELAY, true },
 		{ TABLE_WATCH_BACKUP, TABLE_WATCH_PEERS_RELAY, false },
 		{ TABLE_WATCH_BACKUP, TABLE_WATCH_PEERS_WAIT, true },
 		{ TABLE_WATCH_BACKUP, TABLE_WATCH_NO_PEERS, true },
@@ -464,7 +465,7 @@
 				      7);
 	}
 	CU_ASSERT_EQUAL(f.calls, 2);
-	table_watch_set_mode(f.table_watch, TABLE_WATCH_LEADER);
+	table_watch_set_mode(f.table_watch, TABLE_WATCH_RELAY);
 	/* The answer is arriving. */
 	f.receiving = true;
 	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 7);
