--- a/src/keys/lease.c
+++ b/src/keys/lease.c
@@ -472,6 +472,7 @@
 void lease_tick(struct lease *lease)
 {
 	double now = now_of(lease);
+	bool awaits_store = lease->store_away && !is_fit(lease);
 
 	if (lease->holding && now >= lease->held_until_s)
 		lose_lease(lease, "the lease could not be renewed in time");
@@ -480,12 +481,10 @@
 	if (lease->call_in_progress || now < lease->next_call_s ||
 	    lease->stopped)
 		return;
-	if (!lease->holding && lease->store_away && !is_fit(lease))
-		read_row(lease);
-	else if (lease->holding ||
-		 (acquire_at_s(lease) > 0 && now > acquire_at_s(lease)))
+	if (lease->holding || (!awaits_store && acquire_at_s(lease) > 0 &&
+			       now > acquire_at_s(lease)))
 		write_row(lease);
-	else if (!lease->version_seen_s ||
+	else if (awaits_store || !lease->version_seen_s ||
 		 (lease->early && now > lease->version_seen_s + READ_AFTER_S))
 		read_row(lease);
 }
