test/functional: reserve the ports of all daemons before the first one starts

Cause: the ports of a daemon were closed before those of the next were chosen, and the daemon may not have bound them yet.

Change: the sockets that hold the ports stay open until all settings are written, so that all ports of a rig differ.

--- a/test/functional/cluster_entry.c
+++ b/test/functional/cluster_entry.c
@@ -21,10 +21,12 @@
 	g_strlcpy(buf, address_format(&address, text), 32);
 }
 
-/* Finds free ports. All are bound at the same time, so that they differ. */
-static void free_ports(unsigned int ports[PORTS])
+/* Finds free ports and keeps them bound: a daemon that hasn't started yet must
+ * not share one with another.
+ *
+ * @param fds set to the sockets that hold the ports */
+static void reserve_ports(unsigned int ports[PORTS], int fds[PORTS])
 {
-	int fds[PORTS];
 	unsigned int i;
 
 	for (i = 0; i < PORTS; i++) {
@@ -39,19 +41,19 @@
 			g_error("can't find a free loopback port");
 		ports[i] = ntohs(address.sin_port);
 	}
-	for (i = 0; i < PORTS; i++)
-		close(fds[i]);
 }
 
-/* Chooses free ports and writes the settings file of the VM "vmINDEX". */
+/* Chooses free ports and writes the settings file of the VM "vmINDEX".
+ *
+ * @param fds set to the sockets that hold the ports */
 static void write_settings(const struct entry_rig *rig, unsigned int index,
-			   struct entry *entry, double grace_s)
+			   struct entry *entry, double grace_s, int fds[PORTS])
 {
 	unsigned int ports[PORTS];
 	char peers[32];
 	char *text;
 
-	free_ports(ports);
+	reserve_ports(ports, fds);
 	write_address(entry->callers, ports[0]);
 	write_address(entry->ready, ports[1]);
 	write_address(entry->metrics, ports[2]);
@@ -184,8 +186,9 @@
 		     double grace_s)
 {
 	const char *argv[] = { PROGRAM_DIR "/standin-site", NULL };
+	int fds[RIG_ENTRIES_MAX][PORTS];
 	GError *error = NULL;
-	unsigned int i;
+	unsigned int i, port;
 
 	rig->entry_count = entry_count;
 	rig->folder = g_dir_make_tmp("auburn-entry-XXXXXX", NULL);
@@ -193,10 +196,13 @@
 	if (!rig->site ||
 	    !process_wait_listening(rig->site, RIG_WAIT_US, &error))
 		g_error("%s", error->message);
-	for (i = 0; i < entry_count; i++) {
-		write_settings(rig, i, &rig->entries[i], grace_s);
+	for (i = 0; i < entry_count; i++)
+		write_settings(rig, i, &rig->entries[i], grace_s, fds[i]);
+	for (i = 0; i < entry_count; i++)
+		for (port = 0; port < PORTS; port++)
+			close(fds[i][port]);
+	for (i = 0; i < entry_count; i++)
 		start_entry(rig, &rig->entries[i]);
-	}
 	for (i = 0; i < entry_count; i++) {
 		struct entry *entry = &rig->entries[i];
 
