test: one way to listen on loopback and to walk a proxy's connections

The tests of the store's client opened a listening socket twice in the same way, and the soak's proxy had one loop to reset connections and its copy to forget them.

--- a/test/soak/proxy.c
+++ b/test/soak/proxy.c
@@ -194,19 +194,14 @@
 		connection->closed = true;
 }
 
-static void reset_connections(const struct proxy *proxy)
+static void forget_connection(struct connection *connection)
 {
-	guint i;
-
-	for (i = 0; i < connections->len; i++) {
-		struct connection *connection = connections->pdata[i];
-
-		if (connection->proxy == proxy)
-			reset_connection(connection);
-	}
+	connection->forgotten = true;
 }
 
-static void forget_connections(const struct proxy *proxy)
+/* Calls a function for each open connection of a proxy. */
+static void each_connection(const struct proxy *proxy,
+			    void (*fn)(struct connection *connection))
 {
 	guint i;
 
@@ -214,7 +209,7 @@
 		struct connection *connection = connections->pdata[i];
 
 		if (connection->proxy == proxy)
-			connection->forgotten = true;
+			fn(connection);
 	}
 }
 
@@ -230,9 +225,9 @@
 		if (atomic_load(&proxy->mode) != PROXY_SILENT)
 			accept_connection(proxy);
 		if (atomic_exchange(&proxy->reset, false))
-			reset_connections(proxy);
+			each_connection(proxy, reset_connection);
 		if (atomic_exchange(&proxy->forget, false))
-			forget_connections(proxy);
+			each_connection(proxy, forget_connection);
 	}
 	pthread_mutex_unlock(&proxies_lock);
 }
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -295,6 +295,26 @@
 
 /* --- timeout of calls to the store --- */
 
+/* Connections that a test's server handles at most. */
+#define CONNECTIONS_MAX 16
+
+/* Returns a listening socket that doesn't block, on a free loopback port.
+ *
+ * @param address set to the socket's address */
+static int listen_on_loopback(struct sockaddr_in *address)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+	socklen_t len = sizeof(*address);
+
+	memset(address, 0, sizeof(*address));
+	address->sin_family = AF_INET;
+	address->sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	CU_ASSERT_EQUAL_FATAL(bind(fd, (struct sockaddr *)address, len), 0);
+	listen(fd, CONNECTIONS_MAX);
+	getsockname(fd, (struct sockaddr *)address, &len);
+	return fd;
+}
+
 /* The reply's body, which spaces extend to 400 bytes. */
 #define BODY "{\"rows\":[],\"ver\":3}"
 
@@ -348,19 +368,12 @@
 {
 	static const char head[] = "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n"
 				   "\r\n" BODY;
-	struct sockaddr_in address = { .sin_family = AF_INET };
-	socklen_t len = sizeof(address);
+	struct sockaddr_in address;
 	struct slow_server slow = { .conn = -1 };
 	struct table_store *client;
 	struct store store;
 
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	slow.listener =
-		socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-	CU_ASSERT_EQUAL_FATAL(
-		bind(slow.listener, (struct sockaddr *)&address, len), 0);
-	listen(slow.listener, 4);
-	getsockname(slow.listener, (struct sockaddr *)&address, &len);
+	slow.listener = listen_on_loopback(&address);
 	slow.loop.ev = ev_loop_new(EVFLAG_AUTO);
 	slow.loop.clock = clock_system();
 	slow.answer = g_string_new(head);
@@ -386,7 +399,6 @@
 
 /* --- connections to the store that go silent --- */
 
-#define CONNECTIONS_MAX 16
 /* Calls that the client makes at the same time, each on its own connection. */
 #define CONCURRENT_CALLS 3
 
@@ -439,18 +451,8 @@
 static void silent_server_start(struct silent_server *server,
 				struct sockaddr_in *address)
 {
-	socklen_t len = sizeof(*address);
-
 	memset(server, 0, sizeof(*server));
-	memset(address, 0, sizeof(*address));
-	address->sin_family = AF_INET;
-	address->sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	server->listener =
-		socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-	CU_ASSERT_EQUAL_FATAL(
-		bind(server->listener, (struct sockaddr *)address, len), 0);
-	listen(server->listener, CONNECTIONS_MAX);
-	getsockname(server->listener, (struct sockaddr *)address, &len);
+	server->listener = listen_on_loopback(address);
 	server->loop.ev = ev_loop_new(EVFLAG_AUTO);
 	server->loop.clock = clock_system();
 	ev_timer_init(&server->serve_timer, on_serve_timer, 0, 0.005);
