platform: one invalid route no longer stops the whole configuration

Cause: decode.c refused a configuration as soon as one route had an unknown kind. A route of the kind "upload" thus stopped every customer: all requests got 503 no_configuration.

Change: upload is a kind that must run at most once. A route of an unknown kind counts as one that must not be repeated; one with an invalid list of services refuses its requests; one without host or prefix, and a service without a name, are left out. They are counted in the line in_force and in auburn_invalid_routes.

--- a/src/directory/config.c
+++ b/src/directory/config.c
@@ -2,22 +2,39 @@
 
 #include <string.h>
 
+bool route_kind_is_idempotent(enum route_kind kind)
+{
+	return kind == ROUTE_SAFE || kind == ROUTE_DOWNLOAD;
+}
+
+void route_clear_parts(struct route *route)
+{
+	size_t i;
+
+	for (i = 0; i < route->part_count; i++)
+		g_free(route->parts[i].service);
+	g_free(route->parts);
+	route->parts = NULL;
+	route->part_count = 0;
+}
+
+void route_clear(struct route *route)
+{
+	route_clear_parts(route);
+	g_free(route->name);
+	g_free(route->host);
+	g_free(route->prefix);
+	memset(route, 0, sizeof(*route));
+}
+
 void config_free(struct config *config)
 {
-	size_t i, j;
+	size_t i;
 
 	if (!config)
 		return;
-	for (i = 0; i < config->route_count; i++) {
-		struct route *route = &config->routes[i];
-
-		for (j = 0; j < route->part_count; j++)
-			g_free(route->parts[j].service);
-		g_free(route->parts);
-		g_free(route->name);
-		g_free(route->host);
-		g_free(route->prefix);
-	}
+	for (i = 0; i < config->route_count; i++)
+		route_clear(&config->routes[i]);
 	for (i = 0; i < config->service_count; i++)
 		g_free(config->services[i].name);
 	g_free(config->routes);
--- a/src/directory/directory_defs.h
+++ b/src/directory/directory_defs.h
@@ -21,6 +21,8 @@
 	ROUTE_UNSAFE,
 	/** Idempotent, with a large answer. */
 	ROUTE_DOWNLOAD,
+	/** Must run at most once, with a large body. */
+	ROUTE_UPLOAD,
 };
 
 /** One service of a route, with its share of the route's requests. */
@@ -48,7 +50,8 @@
 	/** Most attempts of one request, not counting those that did not run.
 	 */
 	unsigned int max_attempts;
-	/** Services that the route's requests are spread over. */
+	/** Services that the route's requests are spread over; none if the
+	 * operator's list is invalid. */
 	struct route_part *parts;
 	size_t part_count;
 };
@@ -80,6 +83,12 @@
 	size_t service_count;
 	/** Limits of the entry daemon's HTTP server. */
 	struct http_limits limits;
+	/** Routes with an invalid value. One without host or prefix is left
+	 * out. One of an unknown kind counts as ROUTE_UNSAFE, and one with an
+	 * invalid list of services refuses its requests. */
+	unsigned int invalid_routes;
+	/** Services that are left out because they have no name. */
+	unsigned int invalid_services;
 };
 
 /** An upstream's registration in the directory. */
@@ -100,6 +109,15 @@
 	int64_t started_ms;
 };
 
+/** Whether requests of a kind may run more than once. */
+bool route_kind_is_idempotent(enum route_kind kind);
+
+/** Frees the list of services of a route. */
+void route_clear_parts(struct route *route);
+
+/** Frees what a route points to, and zeroes it. */
+void route_clear(struct route *route);
+
 /** Frees a configuration; NULL is allowed. */
 void config_free(struct config *config);
 
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -25,7 +25,7 @@
 
 static bool is_idempotent(const struct proxy_request *req)
 {
-	return req->kind != ROUTE_UNSAFE;
+	return route_kind_is_idempotent(req->kind);
 }
 
 /* Whether a header field of the caller's request is passed on; build_message()
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -277,13 +277,16 @@
 	return stats;
 }
 
-/* Picks one of the route's services at random, in proportion to its weight. */
+/* Picks one of the route's services at random, in proportion to its weight;
+ * returns NULL if it isn't configured. */
 static struct service *choose_service(struct forward *forward,
 				      const struct route *route)
 {
 	double total = 0, at;
 	size_t i;
 
+	if (!route->part_count)
+		return NULL;
 	for (i = 0; i < route->part_count; i++)
 		total += route->parts[i].weight;
 	at = g_rand_double(forward->random) * total;
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -63,6 +63,8 @@
 	struct byte_budget answers;
 	struct counter *answer_bytes;
 	struct counter *answer_bytes_peak;
+	/** Metric: invalid routes of the configuration in force. */
+	struct counter *invalid_routes;
 	struct crash_watch *crashes;
 	struct forward *forward;
 	struct cluster *cluster;
@@ -101,6 +103,7 @@
 	const struct directory_codec *d = entry->directory;
 	struct str value = { row->value->str, row->value->len };
 	GError *error = NULL;
+	unsigned int invalid_routes, invalid_services;
 	struct config *config;
 	uint64_t version;
 
@@ -119,12 +122,19 @@
 		return;
 	}
 	version = config->version;
+	invalid_routes = config->invalid_routes;
+	invalid_services = config->invalid_services;
 	http_server_set_limits(entry->caller_server, &config->limits);
-	if (roster_set_config(entry->roster, config))
-		event_log_write(entry->log, "info", "config",
-				"event=in_force version=%" PRIu64
-				" row=%" PRIu64,
-				version, row->version);
+	if (!roster_set_config(entry->roster, config))
+		return;
+	counter_set(entry->invalid_routes, invalid_routes);
+	event_log_write(entry->log,
+			invalid_routes || invalid_services ? "warning" : "info",
+			"config",
+			"event=in_force version=%" PRIu64 " row=%" PRIu64
+			" invalid_routes=%u invalid_services=%u",
+			version, row->version, invalid_routes,
+			invalid_services);
 }
 
 static void on_operator_removed(void *ctx, const char *key)
@@ -508,6 +518,10 @@
 	struct store store;
 
 	entry->metrics = metrics_create();
+	entry->invalid_routes =
+		metrics_gauge(entry->metrics, "auburn_invalid_routes", "",
+			      "Routes of the configuration in force with an "
+			      "invalid value.");
 	entry->directory = platform_directory();
 	entry->table_store =
 		table_store_create(&entry->loop, &entry->settings->store);
