fanout: broadcasts send one copy to each zone

Cause: beyond 16 VMs, a broadcast went to a random sample of VMs with lists of others, without regard to zones. At 300 VMs in three zones about two thirds of all copies crossed zones, which is charged.

Change: src/fanout/ plans the copies. One copy goes to each other zone, to a VM drawn for each message, and is relayed inside the zone by a tree whose width is the square root of the zone's VMs. VmInfo and the messages' relay lists carry what that needs. Heartbeats with changes of the operators' table go by two relays.

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -352,7 +352,8 @@
 	double now = cluster_now(cluster);
 
 	cluster_record_vm_alive(cluster, cluster->options.settings->vm,
-				&cluster->options.settings->peers);
+				&cluster->options.settings->peers,
+				cluster->options.settings->zone);
 	live_vms_expire(cluster->vms, now, on_vm_timed_out, cluster);
 	if (now >= cluster->heartbeat_sent_s + HEARTBEAT_S)
 		cluster_send_heartbeat(cluster);
@@ -526,6 +527,7 @@
 	cluster->options = *options;
 	cluster->datagrams =
 		datagrams_create(options->loop, &options->settings->peers,
+				 options->settings->zone,
 				 cluster_datagram_ops(), cluster, error);
 	if (!cluster->datagrams) {
 		g_free(cluster);
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -164,10 +164,11 @@
 /** Returns the loop's time, in seconds. */
 double cluster_now(const struct cluster *cluster);
 
-/** Records that a VM is alive, and the address at which it receives datagrams.
- */
+/** Records that a VM is alive, the address at which it receives datagrams, and
+ * its zone. */
 void cluster_record_vm_alive(struct cluster *cluster, const char *name,
-			     const struct sockaddr_in *address);
+			     const struct sockaddr_in *address,
+			     const char *zone);
 
 /** Records row versions that some VM has seen, if they are the newest. */
 void cluster_update_row_versions(struct cluster *cluster,
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -29,9 +29,11 @@
 /* --- messages that the leader sends or handles --- */
 
 void cluster_record_vm_alive(struct cluster *cluster, const char *name,
-			     const struct sockaddr_in *address)
+			     const struct sockaddr_in *address,
+			     const char *zone)
 {
-	if (!live_vms_record(cluster->vms, name, address, cluster_now(cluster)))
+	if (!live_vms_record(cluster->vms, name, address, zone,
+			     cluster_now(cluster)))
 		return;
 	log_info("cluster", "VM %s is alive", name);
 	cluster->vms_changed = true;
@@ -45,7 +47,8 @@
 	char address[ADDRESS_TEXT_SIZE];
 };
 
-static VmInfo *vm_info(const char *name, const struct sockaddr_in *address)
+static VmInfo *vm_info(const char *name, const struct sockaddr_in *address,
+		       const char *zone)
 {
 	VmInfo *info = g_new0(VmInfo, 1);
 
@@ -53,6 +56,7 @@
 	info->name = g_strdup(name);
 	info->address = g_malloc(ADDRESS_TEXT_SIZE);
 	address_format(address, info->address);
+	info->zone = g_strdup(zone);
 	return info;
 }
 
@@ -62,6 +66,7 @@
 
 	g_free(info->name);
 	g_free(info->address);
+	g_free(info->zone);
 	g_free(info);
 }
 
@@ -145,7 +150,7 @@
 
 static void append_vm(const struct live_vm *vm, void *ctx)
 {
-	g_ptr_array_add(ctx, vm_info(vm->name, &vm->address));
+	g_ptr_array_add(ctx, vm_info(vm->name, &vm->address, vm->zone));
 }
 
 static void append_vms(const struct cluster *cluster, GPtrArray *messages)
@@ -199,30 +204,34 @@
 struct recipients {
 	/** Name of the sender, which gets no copy. */
 	const char *sender;
-	/** Addresses (struct sockaddr_in). */
-	GArray *addresses;
+	/** Addresses and zones (struct fanout_target). */
+	GArray *targets;
 };
 
 static void append_recipient(const struct live_vm *vm, void *ctx)
 {
 	struct recipients *to = ctx;
+	struct fanout_target target = { vm->address, vm->zone };
 
 	if (strcmp(vm->name, to->sender) != 0)
-		g_array_append_val(to->addresses, vm->address);
+		g_array_append_val(to->targets, target);
 }
 
-/* Sends a message to all live VMs but this one. */
-static void broadcast(struct cluster *cluster, PeerMessage *message)
+/* Sends a message to all live VMs but this one.
+ *
+ * @param copies as in datagrams_broadcast() */
+static void broadcast(struct cluster *cluster, unsigned int copies,
+		      PeerMessage *message)
 {
 	struct recipients to = {
 		.sender = cluster->options.settings->vm,
-		.addresses =
-			g_array_new(FALSE, FALSE, sizeof(struct sockaddr_in)),
+		.targets =
+			g_array_new(FALSE, FALSE, sizeof(struct fanout_target)),
 	};
 
 	live_vms_each(cluster->vms, append_recipient, &to);
-	datagrams_broadcast(cluster->datagrams, to.addresses, message);
-	g_array_free(to.addresses, TRUE);
+	datagrams_broadcast(cluster->datagrams, to.targets, copies, message);
+	g_array_free(to.targets, TRUE);
 }
 
 /* Removes the row changes from a heartbeat that would be too large for a
@@ -245,6 +254,13 @@
 	relay->upstream_changes = NULL;
 }
 
+/* Whether a heartbeat carries changes of the operators' table, which are rare
+ * and have to arrive in time. Each VM gets such a heartbeat by two relays. */
+static bool carries_configuration(const LeaderBeat *beat)
+{
+	return beat->operator_changes && beat->operator_changes->n_rows;
+}
+
 void cluster_send_heartbeat(struct cluster *cluster)
 {
 	PeerMessage message = PEER_MESSAGE__INIT;
@@ -258,7 +274,7 @@
 	message.kind_case = PEER_MESSAGE__KIND_BEAT;
 	message.beat = &beat;
 	omit_large_changes(&beat);
-	broadcast(cluster, &message);
+	broadcast(cluster, carries_configuration(&beat) ? 2 : 1, &message);
 	apply_own_heartbeat(cluster, &beat);
 	cluster->heartbeat_sent_s = cluster_now(cluster);
 	delta_message_free(operator_changes);
@@ -289,7 +305,7 @@
 	omit_large_relay(&relay);
 	message.kind_case = PEER_MESSAGE__KIND_ROW_RELAY;
 	message.row_relay = &relay;
-	broadcast(cluster, &message);
+	broadcast(cluster, 1, &message);
 	delta_message_free(operator_changes);
 	delta_message_free(upstream_changes);
 	cluster->relay_sent_s = cluster_now(cluster);
@@ -349,7 +365,7 @@
 
 		if (address_parse(str_from(report->vm->address), &address)) {
 			cluster_record_vm_alive(cluster, report->vm->name,
-						&address);
+						&address, report->vm->zone);
 			copy_exchange_add_request(cluster->copy_exchange,
 						  report, &address);
 		}
@@ -412,7 +428,8 @@
 			continue;
 		/* Keep the addresses: if this VM leads next, it has to reach
 		 * all VMs at once. */
-		cluster_record_vm_alive(cluster, names[i], &address);
+		cluster_record_vm_alive(cluster, names[i], &address,
+					beat->vms[i]->zone);
 	}
 	roster_set_vms(cluster->options.roster, (unsigned int)beat->n_vms,
 		       names);
@@ -563,7 +580,7 @@
 	limit_exchange_fill_totals(cluster->limit_exchange, out);
 	message.kind_case = PEER_MESSAGE__KIND_LEADER_LOADS;
 	message.leader_loads = out;
-	broadcast(cluster, &message);
+	broadcast(cluster, 1, &message);
 	on_leader_loads(cluster, out);
 	limit_exchange_release_totals(out);
 	leader_loads_free(out);
@@ -645,7 +662,8 @@
 	out.leaving = (KeyOwner **)leaving->pdata;
 	out.n_leaving = leaving->len;
 	out.vm = vm_info(cluster->options.settings->vm,
-			 &cluster->options.settings->peers);
+			 &cluster->options.settings->peers,
+			 cluster->options.settings->zone);
 	out.loads = (KeyLoad **)loads->pdata;
 	out.n_loads = loads->len;
 	crash_exchange_fill_report(cluster->crash_exchange, &out);
@@ -659,7 +677,7 @@
 	if (cluster->leading)
 		on_vm_report(cluster, &out);
 	else if (tells_all_vms(cluster))
-		broadcast(cluster, &message);
+		broadcast(cluster, 1, &message);
 	else if (cluster->leader_address_known)
 		datagrams_send(cluster->datagrams, &cluster->leader_address,
 			       &message);
--- a/src/entry/copy_exchange.c
+++ b/src/entry/copy_exchange.c
@@ -16,7 +16,7 @@
 	struct table_watch *watch;
 	/** Parts of the copy that this VM receives. */
 	struct table_copy_parts *parts;
-	/** Addresses (struct sockaddr_in) of the VMs that want a copy. */
+	/** The VMs (struct fanout_target) that want a copy. */
 	GArray *requests;
 	/** Loop time at which copies were last sent. */
 	double sent_s;
@@ -42,7 +42,7 @@
 		table->watch = options->watches[i];
 		table->parts = table_copy_parts_create();
 		table->requests =
-			g_array_new(FALSE, FALSE, sizeof(struct sockaddr_in));
+			g_array_new(FALSE, FALSE, sizeof(struct fanout_target));
 	}
 	return exchange;
 }
@@ -87,29 +87,34 @@
 	       a->sin_port == b->sin_port;
 }
 
-/* Adds an address to a list that doesn't have it yet. */
-static void add_address(GArray *list, const struct sockaddr_in *address)
+/* Adds a VM to a list that doesn't have it yet. */
+static void add_target(GArray *list, const struct fanout_target *target)
 {
 	guint i;
 
 	for (i = 0; i < list->len; i++)
-		if (same_address(&g_array_index(list, struct sockaddr_in, i),
-				 address))
+		if (same_address(&g_array_index(list, struct fanout_target, i)
+					  .address,
+				 &target->address))
 			return;
-	g_array_append_val(list, *address);
+	g_array_append_val(list, *target);
 }
 
 void copy_exchange_add_request(struct copy_exchange *exchange,
 			       const VmReport *report,
 			       const struct sockaddr_in *address)
 {
+	struct fanout_target target = {
+		.address = *address,
+		.zone = g_intern_string(report->vm->zone),
+	};
 	size_t i;
 
 	for (i = 0; i < report->n_wanted_copies; i++)
 		if (report->wanted_copies[i] < COPIED_TABLES)
-			add_address(exchange->tables[report->wanted_copies[i]]
-					    .requests,
-				    address);
+			add_target(exchange->tables[report->wanted_copies[i]]
+					   .requests,
+				   &target);
 }
 
 /* Sends the parts of an encoded copy to the VMs that want it. */
@@ -123,7 +128,8 @@
 	message.table_copy = part;
 	for (i = 0; i < table_copy_part_count(bytes); i++) {
 		table_copy_part(bytes, i, part);
-		datagrams_broadcast(exchange->options.datagrams, to, &message);
+		datagrams_broadcast(exchange->options.datagrams, to, 1,
+				    &message);
 	}
 }
 
--- a/src/entry/copy_exchange.h
+++ b/src/entry/copy_exchange.h
@@ -45,7 +45,9 @@
 void copy_exchange_fill_report(struct copy_exchange *exchange,
 			       VmReport *report);
 
-/** As leader, notes the copies that a VM wants. */
+/** As leader, notes the copies that a VM wants.
+ *
+ * @param report its vm must be set */
 void copy_exchange_add_request(struct copy_exchange *exchange,
 			       const VmReport *report,
 			       const struct sockaddr_in *address);
--- a/src/entry/datagrams.c
+++ b/src/entry/datagrams.c
@@ -1,7 +1,6 @@
 #include "entry/datagrams.h"
 
 #include <errno.h>
-#include <math.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -11,11 +10,6 @@
 
 /* Largest payload of a UDP datagram over IPv4. */
 #define DATAGRAM_BYTES 65507
-/* Encoded size of an IPv4 address and port. */
-#define RELAY_ADDRESS_BYTES 6
-/* With at most this many recipients, the sender sends every copy itself: relays
- * would hardly reduce its traffic. */
-#define DIRECT_MAX 16
 
 struct datagrams {
 	const struct loop *loop;
@@ -23,26 +17,60 @@
 	ev_io io;
 	const struct datagram_ops *ops;
 	void *ctx;
+	/** Zone of this VM. */
+	char *zone;
+	/** Draws the relays of broadcasts. */
+	GRand *random;
 };
 
-/* Forwards a message to the VMs in its relay list, without that list. */
+void datagrams_send(struct datagrams *datagrams, const struct sockaddr_in *to,
+		    const PeerMessage *message)
+{
+	size_t len = peer_message__get_packed_size(message);
+	uint8_t *buf;
+
+	if (len > DATAGRAM_BYTES) {
+		log_warn("peers",
+			 "a message to another VM was not sent: its %zu bytes "
+			 "exceed the size limit of a datagram",
+			 len);
+		return;
+	}
+	buf = g_malloc(len);
+	peer_message__pack(message, buf);
+	/* The next message makes up for a lost datagram. */
+	(void)sendto(datagrams->fd, buf, len, MSG_DONTWAIT,
+		     (const struct sockaddr *)to, sizeof(*to));
+	g_free(buf);
+}
+
+/* A message that is sent in several copies. */
+struct copies {
+	struct datagrams *datagrams;
+	PeerMessage *message;
+};
+
+/* Sends a copy of a message with its relay list. */
+static void send_copy(void *ctx, const struct fanout_copy *copy)
+{
+	struct copies *copies = ctx;
+	PeerMessage *message = copies->message;
+
+	message->relay_to.data = (uint8_t *)copy->relay_to;
+	message->relay_to.len = copy->relay_to_len;
+	message->relay_width = copy->relay_to_len ? copy->width : 0;
+	datagrams_send(copies->datagrams, copy->to, message);
+	message->relay_to = (ProtobufCBinaryData){ 0 };
+	message->relay_width = 0;
+}
+
+/* Forwards a message to the VMs in its relay list. */
 static void relay_message(struct datagrams *datagrams, PeerMessage *message)
 {
+	struct copies copies = { datagrams, message };
 	ProtobufCBinaryData to = message->relay_to;
-	size_t i;
 
-	message->relay_to = (ProtobufCBinaryData){ 0 };
-	for (i = 0; i + RELAY_ADDRESS_BYTES <= to.len;
-	     i += RELAY_ADDRESS_BYTES) {
-		struct sockaddr_in address = { .sin_family = AF_INET };
-
-		memcpy(&address.sin_addr, to.data + i,
-		       sizeof(address.sin_addr));
-		memcpy(&address.sin_port,
-		       to.data + i + sizeof(address.sin_addr),
-		       sizeof(address.sin_port));
-		datagrams_send(datagrams, &address, message);
-	}
+	fanout_relay(to.data, to.len, message->relay_width, send_copy, &copies);
 	message->relay_to = to;
 }
 
@@ -104,6 +132,7 @@
 
 struct datagrams *datagrams_create(const struct loop *loop,
 				   const struct sockaddr_in *address,
+				   const char *zone,
 				   const struct datagram_ops *ops, void *ctx,
 				   GError **error)
 {
@@ -123,6 +152,8 @@
 	datagrams = g_new0(struct datagrams, 1);
 	datagrams->loop = loop;
 	datagrams->fd = fd;
+	datagrams->zone = g_strdup(zone);
+	datagrams->random = g_rand_new();
 	datagrams->ops = ops;
 	datagrams->ctx = ctx;
 	ev_io_init(&datagrams->io, on_readable, fd, EV_READ);
@@ -137,81 +168,20 @@
 		return;
 	ev_io_stop(datagrams->loop->ev, &datagrams->io);
 	close(datagrams->fd);
+	g_free(datagrams->zone);
+	g_rand_free(datagrams->random);
 	g_free(datagrams);
 }
 
-void datagrams_send(struct datagrams *datagrams, const struct sockaddr_in *to,
-		    const PeerMessage *message)
-{
-	size_t len = peer_message__get_packed_size(message);
-	uint8_t *buf;
-
-	if (len > DATAGRAM_BYTES) {
-		log_warn("peers",
-			 "a message to another VM was not sent: its %zu bytes "
-			 "exceed the size limit of a datagram",
-			 len);
-		return;
-	}
-	buf = g_malloc(len);
-	peer_message__pack(message, buf);
-	/* The next message makes up for a lost datagram. */
-	(void)sendto(datagrams->fd, buf, len, MSG_DONTWAIT,
-		     (const struct sockaddr *)to, sizeof(*to));
-	g_free(buf);
-}
-
-/* Puts the addresses (struct sockaddr_in) into a random order. */
-static void shuffle(GArray *addresses)
-{
-	guint i;
-
-	for (i = addresses->len; i > 1; i--) {
-		struct sockaddr_in *a =
-			&g_array_index(addresses, struct sockaddr_in, i - 1);
-		struct sockaddr_in *b =
-			&g_array_index(addresses, struct sockaddr_in,
-				       g_random_int_range(0, (gint32)i));
-		struct sockaddr_in swapped = *a;
-
-		*a = *b;
-		*b = swapped;
-	}
-}
-
-static void append_relay_address(GByteArray *list,
-				 const struct sockaddr_in *address)
-{
-	g_byte_array_append(list, (const guint8 *)&address->sin_addr,
-			    sizeof(address->sin_addr));
-	g_byte_array_append(list, (const guint8 *)&address->sin_port,
-			    sizeof(address->sin_port));
-}
-
 void datagrams_broadcast(struct datagrams *datagrams, GArray *to,
-			 PeerMessage *message)
+			 unsigned int copies, PeerMessage *message)
 {
-	/* With about sqrt(n) relays, no VM sends more than about sqrt(n)
-	 * copies.
-	 */
-	guint relays =
-		to->len <= DIRECT_MAX ? to->len : (guint)ceil(sqrt(to->len));
-	GByteArray *list = g_byte_array_new();
-	guint i, next;
-
-	shuffle(to);
-	for (i = 0; i < relays; i++) {
-		g_byte_array_set_size(list, 0);
-		for (next = i + relays; next < to->len; next += relays)
-			append_relay_address(
-				list,
-				&g_array_index(to, struct sockaddr_in, next));
-		message->relay_to.data = list->data;
-		message->relay_to.len = list->len;
-		datagrams_send(datagrams,
-			       &g_array_index(to, struct sockaddr_in, i),
-			       message);
-	}
-	message->relay_to = (ProtobufCBinaryData){ 0 };
-	g_byte_array_free(list, TRUE);
+	struct copies sent = { datagrams, message };
+	struct fanout_plan plan = {
+		.zone = datagrams->zone,
+		.copies = copies,
+		.random = datagrams->random,
+	};
+
+	fanout_send(&plan, to, send_copy, &sent);
 }
--- a/src/entry/datagrams.h
+++ b/src/entry/datagrams.h
@@ -9,6 +9,7 @@
 #include <glib.h>
 #include <netinet/in.h>
 
+#include "fanout/fanout.h"
 #include "net/loop.h"
 #include "wire/entry.pb-c.h"
 
@@ -29,12 +30,14 @@
  *
  * @param loop must outlive the object
  * @param address the address to receive datagrams at
+ * @param zone this VM's zone; copied
  * @param ops handlers of received messages; must outlive the object
  * @param error set to AUBURN_ERROR_UNAVAILABLE if the socket can't be opened
  * @return the object, or NULL; freed with datagrams_destroy()
  */
 struct datagrams *datagrams_create(const struct loop *loop,
 				   const struct sockaddr_in *address,
+				   const char *zone,
 				   const struct datagram_ops *ops, void *ctx,
 				   GError **error);
 /** Closes the socket; NULL is allowed. */
@@ -49,14 +52,15 @@
 		    const PeerMessage *message);
 
 /**
- * Sends a datagram to many VMs. With more than 16 recipients, some of them,
- * chosen at random each time, relay it to the rest. So no VM's link carries all
- * copies, and losing a relay costs the others a single message.
+ * Sends a datagram to many VMs. With more than FANOUT_DIRECT_MAX recipients,
+ * the message reaches other zones in few copies and is relayed by their VMs
+ * (fanout/fanout.h).
  *
- * @param to addresses (struct sockaddr_in); their order is changed
+ * @param to recipients (struct fanout_target); their order is changed
+ * @param copies copies that each VM gets, by different relays: 1 or 2
  * @param message message to send; its relay list is overwritten
  */
 void datagrams_broadcast(struct datagrams *datagrams, GArray *to,
-			 PeerMessage *message);
+			 unsigned int copies, PeerMessage *message);
 
 #endif
--- a/src/entry/live_vms.c
+++ b/src/entry/live_vms.c
@@ -48,7 +48,8 @@
 }
 
 bool live_vms_record(struct live_vms *live, const char *name,
-		     const struct sockaddr_in *address, double now_s)
+		     const struct sockaddr_in *address, const char *zone,
+		     double now_s)
 {
 	struct live_vm *vm = g_hash_table_lookup(live->by_name, name);
 	bool added = !vm;
@@ -59,6 +60,7 @@
 		g_hash_table_insert(live->by_name, vm->name, vm);
 	}
 	vm->address = *address;
+	vm->zone = g_intern_string(zone);
 	vm->last_seen_s = now_s;
 	return added;
 }
--- a/src/entry/live_vms.h
+++ b/src/entry/live_vms.h
@@ -15,6 +15,8 @@
 	char *name;
 	/** Address at which the VM receives datagrams. */
 	struct sockaddr_in address;
+	/** The VM's zone; "": unknown. Interned, because there are few. */
+	const char *zone;
 	/** When the VM was last heard of. */
 	double last_seen_s;
 };
@@ -28,12 +30,14 @@
 void live_vms_destroy(struct live_vms *live);
 
 /**
- * Records that a VM is alive, and its address.
+ * Records that a VM is alive, its address and its zone.
  *
+ * @param zone copied; "": unknown
  * @return whether the VM was not in the set before
  */
 bool live_vms_record(struct live_vms *live, const char *name,
-		     const struct sockaddr_in *address, double now_s);
+		     const struct sockaddr_in *address, const char *zone,
+		     double now_s);
 
 /** Records that a VM sent a message without its address. A VM that isn't in the
  * set stays out of it. */
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -1331,7 +1331,7 @@
   (ProtobufCMessageInit) lease_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor vm_info__field_descriptors[2] =
+static const ProtobufCFieldDescriptor vm_info__field_descriptors[3] =
 {
   {
     "name",
@@ -1357,15 +1357,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "zone",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(VmInfo, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned vm_info__field_indices_by_name[] = {
   1,   /* field[1] = address */
   0,   /* field[0] = name */
+  2,   /* field[2] = zone */
 };
 static const ProtobufCIntRange vm_info__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor vm_info__descriptor =
 {
@@ -1375,7 +1388,7 @@
   "VmInfo",
   "",
   sizeof(VmInfo),
-  2,
+  3,
   vm_info__field_descriptors,
   vm_info__field_indices_by_name,
   1,  vm_info__number_ranges,
@@ -2719,7 +2732,7 @@
   (ProtobufCMessageInit) leader_loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer_message__field_descriptors[7] =
+static const ProtobufCFieldDescriptor peer_message__field_descriptors[8] =
 {
   {
     "beat",
@@ -2805,11 +2818,24 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "relay_width",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerMessage, relay_width),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_message__field_indices_by_name[] = {
   0,   /* field[0] = beat */
   3,   /* field[3] = leader_loads */
   4,   /* field[4] = relay_to */
+  7,   /* field[7] = relay_width */
   1,   /* field[1] = report */
   6,   /* field[6] = row_relay */
   5,   /* field[5] = table_copy */
@@ -2818,7 +2844,7 @@
 static const ProtobufCIntRange peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor peer_message__descriptor =
 {
@@ -2828,7 +2854,7 @@
   "PeerMessage",
   "",
   sizeof(PeerMessage),
-  7,
+  8,
   peer_message__field_descriptors,
   peer_message__field_indices_by_name,
   1,  peer_message__number_ranges,
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -159,10 +159,14 @@
    * "IPv4:port" on which the VM receives datagrams.
    */
   char *address;
+  /*
+   * Availability zone of the VM; empty: unknown.
+   */
+  char *zone;
 };
 #define VM_INFO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&vm_info__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -606,6 +610,10 @@
    * address and port of each, six bytes in network byte order.
    */
   ProtobufCBinaryData relay_to;
+  /*
+   * Most copies that any of the message's relays sends.
+   */
+  uint32_t relay_width;
   PeerMessage__KindCase kind_case;
   union {
     LeaderBeat *beat;
@@ -618,7 +626,7 @@
 };
 #define PEER_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_message__descriptor) \
-    , {0,NULL}, PEER_MESSAGE__KIND__NOT_SET, {0} }
+    , {0,NULL}, 0, PEER_MESSAGE__KIND__NOT_SET, {0} }
 
 
 /* KeySpan methods */
--- a/test/unit/test_datagrams.c
+++ b/test/unit/test_datagrams.c
@@ -72,8 +72,9 @@
 	for (i = 0; i < count; i++) {
 		f->vms[i].fixture = f;
 		f->vms[i].address = free_address();
-		f->vms[i].datagrams = datagrams_create(
-			&f->loop, &f->vms[i].address, &ops, &f->vms[i], NULL);
+		f->vms[i].datagrams =
+			datagrams_create(&f->loop, &f->vms[i].address, "zone",
+					 &ops, &f->vms[i], NULL);
 		CU_ASSERT_PTR_NOT_NULL_FATAL(f->vms[i].datagrams);
 	}
 	ev_timer_init(&f->timeout, on_timeout, TIMEOUT_S, 0);
@@ -92,18 +93,25 @@
 /* Broadcasts a heartbeat from the first VM to all VMs, itself included. */
 static void broadcast_heartbeat(struct fixture *f)
 {
-	GArray *to = g_array_new(FALSE, FALSE, sizeof(struct sockaddr_in));
+	GArray *to = g_array_new(FALSE, FALSE, sizeof(struct fanout_target));
 	PeerMessage message = PEER_MESSAGE__INIT;
 	LeaderBeat beat = LEADER_BEAT__INIT;
 	char leader[] = "leader";
 	unsigned int i;
 
-	for (i = 0; i < f->vms_count; i++)
-		g_array_append_val(to, f->vms[i].address);
+	for (i = 0; i < f->vms_count; i++) {
+		static const char *const zones[] = { "zone", "a", "b", "" };
+		struct fanout_target target = {
+			.address = f->vms[i].address,
+			.zone = zones[i % G_N_ELEMENTS(zones)],
+		};
+
+		g_array_append_val(to, target);
+	}
 	beat.vm = leader;
 	message.kind_case = PEER_MESSAGE__KIND_BEAT;
 	message.beat = &beat;
-	datagrams_broadcast(f->vms[0].datagrams, to, &message);
+	datagrams_broadcast(f->vms[0].datagrams, to, 1, &message);
 	CU_ASSERT_EQUAL(message.relay_to.len, 0);
 	g_array_free(to, TRUE);
 }
@@ -146,8 +154,8 @@
 	for (i = 0; i < f.vms_count; i++)
 		if (i != 7)
 			CU_ASSERT_TRUE(f.vms[i].heartbeats > ROUNDS / 2);
-	f.vms[7].datagrams = datagrams_create(&f.loop, &f.vms[7].address, &ops,
-					      &f.vms[7], NULL);
+	f.vms[7].datagrams = datagrams_create(&f.loop, &f.vms[7].address,
+					      "zone", &ops, &f.vms[7], NULL);
 	teardown(&f);
 }
 
--- a/test/unit/test_live_vms.c
+++ b/test/unit/test_live_vms.c
@@ -51,7 +51,7 @@
 	f->random = g_rand_new_with_seed(vms);
 	for (i = 0; i < vms; i++)
 		CU_ASSERT_TRUE(live_vms_record(f->live, vm_name(name, i),
-					       &address, 0));
+					       &address, "zone", 0));
 }
 
 static void teardown(struct fixture *f)
@@ -80,7 +80,8 @@
 
 	if (is_due(now_s, live_vms_report_interval_s(f->vms), vm) &&
 	    g_rand_double(f->random) >= loss)
-		live_vms_record(f->live, vm_name(name, vm), &address, now_s);
+		live_vms_record(f->live, vm_name(name, vm), &address, "zone",
+				now_s);
 	if (is_due(now_s, live_vms_load_interval_s(f->vms), vm) &&
 	    g_rand_double(f->random) >= loss)
 		live_vms_touch(f->live, vm_name(name, vm), now_s);
