datagrams: count messages and bytes by kind and those to other zones

The metrics address shows what each VM sends and receives by kind of message, relayed copies included, and the bytes that go to other zones. Heartbeats name the leader's zone, so that reports are counted right.

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -124,6 +124,7 @@
 	}
 	cluster->leader_address = leader;
 	cluster->leader_address_known = true;
+	cluster->leader_zone = "";
 	/* The leader may not know this VM: report at once. */
 	if (!hears_leader(cluster))
 		cluster_report_soon(cluster);
@@ -518,6 +519,20 @@
 	return cluster->crash_exchange;
 }
 
+static struct datagrams *open_datagrams(struct cluster *cluster, GError **error)
+{
+	struct datagrams_options options = {
+		.loop = cluster->options.loop,
+		.address = &cluster->options.settings->peers,
+		.zone = cluster->options.settings->zone,
+		.metrics = cluster->options.metrics,
+		.ops = cluster_datagram_ops(),
+		.ctx = cluster,
+	};
+
+	return datagrams_create(&options, error);
+}
+
 struct cluster *cluster_create(const struct cluster_options *options,
 			       GError **error)
 {
@@ -525,10 +540,7 @@
 	char address[ADDRESS_TEXT_SIZE];
 
 	cluster->options = *options;
-	cluster->datagrams =
-		datagrams_create(options->loop, &options->settings->peers,
-				 options->settings->zone,
-				 cluster_datagram_ops(), cluster, error);
+	cluster->datagrams = open_datagrams(cluster, error);
 	if (!cluster->datagrams) {
 		g_free(cluster);
 		return NULL;
@@ -558,6 +570,7 @@
 	create_crash_exchange(cluster);
 	create_copy_exchange(cluster);
 	cluster->hold_s = HOLD_S;
+	cluster->leader_zone = "";
 	cluster->last_heartbeat_s = cluster_now(cluster) - HEARTBEAT_LOST_S / 2;
 	ev_timer_init(&cluster->publish_timer, on_publish_timer,
 		      PUBLISH_DELAY_S, 0);
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -115,6 +115,8 @@
 	/** Address for datagrams to the leader, if it is known. */
 	struct sockaddr_in leader_address;
 	bool leader_address_known;
+	/** The leader's zone, interned; "": unknown. */
+	const char *leader_zone;
 	/** Lease version in the last heartbeat; tells leaders apart. */
 	uint64_t heartbeat_lease;
 	/** Lease version at which the owners were last read from the store in
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -190,6 +190,7 @@
 	beat->vms = (VmInfo **)parts->vms->pdata;
 	beat->n_vms = parts->vms->len;
 	beat->address = parts->address;
+	beat->zone = cluster->options.settings->zone;
 	beat->maps = (KeyMap **)parts->maps->pdata;
 	beat->n_maps = parts->maps->len;
 	crash_exchange_fill_beat(cluster->crash_exchange, beat);
@@ -489,6 +490,7 @@
 	 * address is part of the message. */
 	cluster->leader_address_known = address_parse(str_from(beat->address),
 						      &cluster->leader_address);
+	cluster->leader_zone = g_intern_string(beat->zone);
 	apply_row_versions(cluster, beat->progress);
 	copy_exchange_observe_heartbeat(cluster->copy_exchange, beat);
 	apply_row_changes(cluster, beat);
@@ -559,7 +561,7 @@
 		on_vm_loads(cluster, &out);
 	else if (cluster->leader_address_known)
 		datagrams_send(cluster->datagrams, &cluster->leader_address,
-			       &message);
+			       cluster->leader_zone, &message);
 	g_ptr_array_free(own, TRUE);
 	limit_exchange_release_report(&out);
 }
@@ -680,7 +682,7 @@
 		broadcast(cluster, 1, &message);
 	else if (cluster->leader_address_known)
 		datagrams_send(cluster->datagrams, &cluster->leader_address,
-			       &message);
+			       cluster->leader_zone, &message);
 	roster_each_service(cluster->options.roster, clear_key_load, NULL);
 	free_vm_info(out.vm);
 	g_ptr_array_free(loads, TRUE);
--- a/src/entry/datagrams.c
+++ b/src/entry/datagrams.c
@@ -7,6 +7,7 @@
 
 #include "base/error.h"
 #include "base/log.h"
+#include "wire/message_meter.h"
 
 /* Largest payload of a UDP datagram over IPv4. */
 #define DATAGRAM_BYTES 65507
@@ -21,10 +22,12 @@
 	char *zone;
 	/** Draws the relays of broadcasts. */
 	GRand *random;
+	struct message_meter *meter;
 };
 
-void datagrams_send(struct datagrams *datagrams, const struct sockaddr_in *to,
-		    const PeerMessage *message)
+static void send_message(struct datagrams *datagrams,
+			 const struct sockaddr_in *to, bool other_zone,
+			 const PeerMessage *message)
 {
 	size_t len = peer_message__get_packed_size(message);
 	uint8_t *buf;
@@ -41,9 +44,19 @@
 	/* The next message makes up for a lost datagram. */
 	(void)sendto(datagrams->fd, buf, len, MSG_DONTWAIT,
 		     (const struct sockaddr *)to, sizeof(*to));
+	message_meter_sent(datagrams->meter, message->kind_case, len,
+			   other_zone);
 	g_free(buf);
 }
 
+void datagrams_send(struct datagrams *datagrams, const struct sockaddr_in *to,
+		    const char *zone, const PeerMessage *message)
+{
+	bool other_zone = !*zone || strcmp(zone, datagrams->zone) != 0;
+
+	send_message(datagrams, to, other_zone, message);
+}
+
 /* A message that is sent in several copies. */
 struct copies {
 	struct datagrams *datagrams;
@@ -59,7 +72,7 @@
 	message->relay_to.data = (uint8_t *)copy->relay_to;
 	message->relay_to.len = copy->relay_to_len;
 	message->relay_width = copy->relay_to_len ? copy->width : 0;
-	datagrams_send(copies->datagrams, copy->to, message);
+	send_message(copies->datagrams, copy->to, copy->other_zone, message);
 	message->relay_to = (ProtobufCBinaryData){ 0 };
 	message->relay_width = 0;
 }
@@ -83,6 +96,7 @@
 		log_warn("peers", "ignored a datagram that can't be decoded");
 		return;
 	}
+	message_meter_received(datagrams->meter, message->kind_case, len);
 	if (message->relay_to.len)
 		relay_message(datagrams, message);
 	switch (message->kind_case) {
@@ -130,17 +144,14 @@
 	}
 }
 
-struct datagrams *datagrams_create(const struct loop *loop,
-				   const struct sockaddr_in *address,
-				   const char *zone,
-				   const struct datagram_ops *ops, void *ctx,
+struct datagrams *datagrams_create(const struct datagrams_options *options,
 				   GError **error)
 {
 	struct datagrams *datagrams;
 	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
-	if (fd < 0 ||
-	    bind(fd, (const struct sockaddr *)address, sizeof(*address)) < 0) {
+	if (fd < 0 || bind(fd, (const struct sockaddr *)options->address,
+			   sizeof(*options->address)) < 0) {
 		g_set_error(error, AUBURN_ERROR, AUBURN_ERROR_UNAVAILABLE,
 			    "cannot open the socket for datagrams of other VMs "
 			    "([listen] peers): %s",
@@ -150,15 +161,16 @@
 		return NULL;
 	}
 	datagrams = g_new0(struct datagrams, 1);
-	datagrams->loop = loop;
+	datagrams->loop = options->loop;
 	datagrams->fd = fd;
-	datagrams->zone = g_strdup(zone);
+	datagrams->zone = g_strdup(options->zone);
 	datagrams->random = g_rand_new();
-	datagrams->ops = ops;
-	datagrams->ctx = ctx;
+	datagrams->meter = message_meter_create(options->metrics);
+	datagrams->ops = options->ops;
+	datagrams->ctx = options->ctx;
 	ev_io_init(&datagrams->io, on_readable, fd, EV_READ);
 	datagrams->io.data = datagrams;
-	ev_io_start(loop->ev, &datagrams->io);
+	ev_io_start(options->loop->ev, &datagrams->io);
 	return datagrams;
 }
 
@@ -170,6 +182,7 @@
 	close(datagrams->fd);
 	g_free(datagrams->zone);
 	g_rand_free(datagrams->random);
+	message_meter_destroy(datagrams->meter);
 	g_free(datagrams);
 }
 
--- a/src/entry/datagrams.h
+++ b/src/entry/datagrams.h
@@ -9,6 +9,7 @@
 #include <glib.h>
 #include <netinet/in.h>
 
+#include "base/metrics.h"
 #include "fanout/fanout.h"
 #include "net/loop.h"
 #include "wire/entry.pb-c.h"
@@ -25,20 +26,28 @@
 	void (*table_copy)(void *ctx, const TableCopyPart *part);
 };
 
+/** What the pointers refer to must outlive the object, unless stated. */
+struct datagrams_options {
+	const struct loop *loop;
+	/** Address to receive datagrams at; copied. */
+	const struct sockaddr_in *address;
+	/** This VM's zone; copied. */
+	const char *zone;
+	/** Counts messages and bytes (wire/message_meter.h). */
+	struct metrics *metrics;
+	/** Handlers of received messages, and their argument. */
+	const struct datagram_ops *ops;
+	void *ctx;
+};
+
 /**
  * Opens the socket and starts to receive.
  *
- * @param loop must outlive the object
- * @param address the address to receive datagrams at
- * @param zone this VM's zone; copied
- * @param ops handlers of received messages; must outlive the object
+ * @param options copied
  * @param error set to AUBURN_ERROR_UNAVAILABLE if the socket can't be opened
  * @return the object, or NULL; freed with datagrams_destroy()
  */
-struct datagrams *datagrams_create(const struct loop *loop,
-				   const struct sockaddr_in *address,
-				   const char *zone,
-				   const struct datagram_ops *ops, void *ctx,
+struct datagrams *datagrams_create(const struct datagrams_options *options,
 				   GError **error);
 /** Closes the socket; NULL is allowed. */
 void datagrams_destroy(struct datagrams *datagrams);
@@ -47,9 +56,11 @@
  * Sends a datagram to one VM. A message that is too large for a datagram is
  * logged; other errors are ignored, because the next message makes up for a
  * lost one.
+ *
+ * @param zone the recipient's zone, for the metrics; "": unknown
  */
 void datagrams_send(struct datagrams *datagrams, const struct sockaddr_in *to,
-		    const PeerMessage *message);
+		    const char *zone, const PeerMessage *message);
 
 /**
  * Sends a datagram to many VMs. With more than FANOUT_DIRECT_MAX recipients,
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -1843,7 +1843,7 @@
   (ProtobufCMessageInit) table_copy_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor leader_beat__field_descriptors[11] =
+static const ProtobufCFieldDescriptor leader_beat__field_descriptors[12] =
 {
   {
     "vm",
@@ -1977,6 +1977,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "zone",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(LeaderBeat, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned leader_beat__field_indices_by_name[] = {
   8,   /* field[8] = address */
@@ -1990,12 +2002,14 @@
   0,   /* field[0] = vm */
   2,   /* field[2] = vms */
   7,   /* field[7] = watchers */
+  11,   /* field[11] = zone */
 };
-static const ProtobufCIntRange leader_beat__number_ranges[2 + 1] =
+static const ProtobufCIntRange leader_beat__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 11 }
+  { 20, 11 },
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor leader_beat__descriptor =
 {
@@ -2005,10 +2019,10 @@
   "LeaderBeat",
   "",
   sizeof(LeaderBeat),
-  11,
+  12,
   leader_beat__field_descriptors,
   leader_beat__field_indices_by_name,
-  2,  leader_beat__number_ranges,
+  3,  leader_beat__number_ranges,
   (ProtobufCMessageInit) leader_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -353,10 +353,14 @@
   BlockedRequest **blocked;
   size_t n_cleared;
   uint64_t *cleared;
+  /*
+   * Zone of the leader's VM.
+   */
+  char *zone;
 };
 #define LEADER_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&leader_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, NULL, NULL, NULL, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, NULL, NULL, NULL, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string }
 
 
 /*
--- a/test/unit/test_datagrams.c
+++ b/test/unit/test_datagrams.c
@@ -21,6 +21,8 @@
 
 struct fixture {
 	struct loop loop;
+	/** Metrics of all VMs together. */
+	struct metrics *metrics;
 	struct vm vms[VMS_MAX];
 	unsigned int vms_count;
 	/** Number of heartbeats after which the event loop stops. */
@@ -61,6 +63,20 @@
 	return address;
 }
 
+static void open_datagrams(struct fixture *f, struct vm *vm)
+{
+	struct datagrams_options options = {
+		.loop = &f->loop,
+		.address = &vm->address,
+		.zone = "zone",
+		.metrics = f->metrics,
+		.ops = &ops,
+		.ctx = vm,
+	};
+
+	vm->datagrams = datagrams_create(&options, NULL);
+}
+
 static void setup(struct fixture *f, unsigned int count)
 {
 	unsigned int i;
@@ -69,12 +85,11 @@
 	f->vms_count = f->awaited_heartbeats = count;
 	f->loop.ev = ev_loop_new(EVFLAG_AUTO);
 	f->loop.clock = clock_system();
+	f->metrics = metrics_create();
 	for (i = 0; i < count; i++) {
 		f->vms[i].fixture = f;
 		f->vms[i].address = free_address();
-		f->vms[i].datagrams =
-			datagrams_create(&f->loop, &f->vms[i].address, "zone",
-					 &ops, &f->vms[i], NULL);
+		open_datagrams(f, &f->vms[i]);
 		CU_ASSERT_PTR_NOT_NULL_FATAL(f->vms[i].datagrams);
 	}
 	ev_timer_init(&f->timeout, on_timeout, TIMEOUT_S, 0);
@@ -88,6 +103,7 @@
 	for (i = 0; i < f->vms_count; i++)
 		datagrams_destroy(f->vms[i].datagrams);
 	ev_loop_destroy(f->loop.ev);
+	metrics_destroy(f->metrics);
 }
 
 /* Broadcasts a heartbeat from the first VM to all VMs, itself included. */
@@ -154,8 +170,33 @@
 	for (i = 0; i < f.vms_count; i++)
 		if (i != 7)
 			CU_ASSERT_TRUE(f.vms[i].heartbeats > ROUNDS / 2);
-	f.vms[7].datagrams = datagrams_create(&f.loop, &f.vms[7].address,
-					      "zone", &ops, &f.vms[7], NULL);
+	open_datagrams(&f, &f.vms[7]);
+	teardown(&f);
+}
+
+static uint64_t count(struct fixture *f, const char *name)
+{
+	return counter_value(
+		metrics_counter(f->metrics, name, "kind=\"heartbeat\"", ""));
+}
+
+/* Guards against traffic that the counters leave out: relayed copies, or copies
+ * to other zones counted as copies inside the sender's zone. */
+static void the_meter_counts_all_copies(void)
+{
+	struct fixture f;
+	uint64_t sent, other_zone;
+
+	setup(&f, 60);
+	broadcast_heartbeat(&f);
+	ev_run(f.loop.ev, 0);
+	CU_ASSERT_EQUAL(count(&f, "auburn_peer_messages_sent_total"), 60);
+	CU_ASSERT_EQUAL(count(&f, "auburn_peer_messages_received_total"), 60);
+	sent = count(&f, "auburn_peer_bytes_sent_total");
+	CU_ASSERT_EQUAL(count(&f, "auburn_peer_bytes_received_total"), sent);
+	/* The sender's three copies to other zones, with the longest lists. */
+	other_zone = count(&f, "auburn_peer_bytes_sent_other_zone_total");
+	CU_ASSERT_TRUE(other_zone > sent / 20 && other_zone < sent / 3);
 	teardown(&f);
 }
 
@@ -166,6 +207,7 @@
 		  every_vm_receives_a_broadcast_once },
 		{ "losing a relay costs others one message",
 		  losing_a_relay_costs_others_one_message },
+		{ "the meter counts all copies", the_meter_counts_all_copies },
 		{ 0 },
 	};
 
