loads: load messages use agreed numbers of upstreams and packed columns

Cause: load totals had four bytes of hash for each busy upstream and some 16 bytes for each upstream with outcomes.

Change: the leader numbers the upstreams (src/loads/load_index), messages state count and sum of the numbers, and a VM that can't follow asks for the list. Rates are unchanged.

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -86,6 +86,7 @@
 	counter_set(cluster->leads, 1);
 	crash_exchange_resend(cluster->crash_exchange);
 	limit_exchange_begin(cluster->limit_exchange);
+	g_array_set_size(cluster->index_requests, 0);
 	/* The heartbeat makes the other VMs stop competing for the lease. */
 	keys_changed(cluster);
 }
@@ -565,6 +566,8 @@
 		g_str_hash, g_str_equal, g_free, free_published_map);
 	cluster->load_exchange =
 		load_exchange_create(options->loop, options->roster);
+	cluster->index_requests =
+		g_array_new(FALSE, FALSE, sizeof(struct fanout_target));
 	cluster->limit_exchange =
 		limit_exchange_create(options->loop, options->roster);
 	create_crash_exchange(cluster);
@@ -592,6 +595,7 @@
 	lease_destroy(cluster->lease);
 	datagrams_destroy(cluster->datagrams);
 	load_exchange_destroy(cluster->load_exchange);
+	g_array_free(cluster->index_requests, TRUE);
 	limit_exchange_destroy(cluster->limit_exchange);
 	live_vms_destroy(cluster->vms);
 	g_hash_table_destroy(cluster->published_maps);
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -79,6 +79,9 @@
 	struct orders *orders;
 	struct datagrams *datagrams;
 	struct load_exchange *load_exchange;
+	/** As leader, the VMs (struct fanout_target) that want the numbers of
+	 * upstreams in load messages. */
+	GArray *index_requests;
 	struct limit_exchange *limit_exchange;
 	struct copy_exchange *copy_exchange;
 	/** On the leader from the VMs' messages, elsewhere from its heartbeats.
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -522,6 +522,44 @@
 		copy_exchange_apply(cluster->copy_exchange, part);
 }
 
+/* Notes that a VM wants the numbers of upstreams in load messages. */
+static void add_index_request(struct cluster *cluster, const char *vm)
+{
+	const struct live_vm *live = live_vms_find(cluster->vms, vm);
+	struct fanout_target target;
+
+	if (!live)
+		return;
+	target.address = live->address;
+	target.zone = live->zone;
+	g_array_append_val(cluster->index_requests, target);
+}
+
+/* Sends the numbers of upstreams to the VMs that want them. */
+static void send_load_index(struct cluster *cluster)
+{
+	PeerMessage message = PEER_MESSAGE__INIT;
+	LoadIndex index = LOAD_INDEX__INIT;
+
+	if (!cluster->index_requests->len)
+		return;
+	index.lease = lease_version(cluster->lease);
+	load_exchange_fill_index(cluster->load_exchange, &index);
+	message.kind_case = PEER_MESSAGE__KIND_LOAD_INDEX;
+	message.load_index = &index;
+	datagrams_broadcast(cluster->datagrams, cluster->index_requests, 1,
+			    &message);
+	g_array_set_size(cluster->index_requests, 0);
+}
+
+static void on_load_index(void *ctx, const LoadIndex *index)
+{
+	struct cluster *cluster = ctx;
+
+	if (!cluster->leading && index->lease >= lease_version(cluster->lease))
+		load_exchange_apply_index(cluster->load_exchange, index);
+}
+
 static void on_vm_loads(void *ctx, const VmLoads *loads)
 {
 	struct cluster *cluster = ctx;
@@ -529,8 +567,9 @@
 	if (!cluster->leading)
 		return;
 	live_vms_touch(cluster->vms, loads->vm, cluster_now(cluster));
-	load_exchange_apply_vm_report(cluster->load_exchange, loads->vm,
-				      loads->upstreams, loads->n_upstreams);
+	load_exchange_apply_vm_report(cluster->load_exchange, loads);
+	if (loads->wants_index)
+		add_index_request(cluster, loads->vm);
 	limit_exchange_apply_report(cluster->limit_exchange, loads);
 }
 
@@ -549,11 +588,9 @@
 {
 	PeerMessage message = PEER_MESSAGE__INIT;
 	VmLoads out = VM_LOADS__INIT;
-	GPtrArray *own = load_exchange_local_report(cluster->load_exchange);
 
 	out.vm = cluster->options.settings->vm;
-	out.upstreams = (UpstreamLoad **)own->pdata;
-	out.n_upstreams = own->len;
+	load_exchange_fill_report(cluster->load_exchange, &out);
 	limit_exchange_fill_report(cluster->limit_exchange, &out);
 	message.kind_case = PEER_MESSAGE__KIND_VM_LOADS;
 	message.vm_loads = &out;
@@ -562,7 +599,7 @@
 	else if (cluster->leader_address_known)
 		datagrams_send(cluster->datagrams, &cluster->leader_address,
 			       cluster->leader_zone, &message);
-	g_ptr_array_free(own, TRUE);
+	load_exchange_release_report(&out);
 	limit_exchange_release_report(&out);
 }
 
@@ -584,6 +621,7 @@
 	message.leader_loads = out;
 	broadcast(cluster, 1, &message);
 	on_leader_loads(cluster, out);
+	send_load_index(cluster);
 	limit_exchange_release_totals(out);
 	leader_loads_free(out);
 }
@@ -597,6 +635,7 @@
 		.vm_report = on_vm_report,
 		.row_relay = on_row_relay,
 		.table_copy = on_table_copy,
+		.load_index = on_load_index,
 	};
 
 	return &ops;
--- a/src/entry/datagrams.c
+++ b/src/entry/datagrams.c
@@ -119,6 +119,9 @@
 	case PEER_MESSAGE__KIND_TABLE_COPY:
 		datagrams->ops->table_copy(datagrams->ctx, message->table_copy);
 		break;
+	case PEER_MESSAGE__KIND_LOAD_INDEX:
+		datagrams->ops->load_index(datagrams->ctx, message->load_index);
+		break;
 	default:
 		log_warn("peers",
 			 "ignored a datagram with a message of unknown kind %d",
--- a/src/entry/datagrams.h
+++ b/src/entry/datagrams.h
@@ -24,6 +24,7 @@
 	void (*leader_loads)(void *ctx, const LeaderLoads *loads);
 	void (*row_relay)(void *ctx, const RowRelay *relay);
 	void (*table_copy)(void *ctx, const TableCopyPart *part);
+	void (*load_index)(void *ctx, const LoadIndex *index);
 };
 
 /** What the pointers refer to must outlive the object, unless stated. */
--- a/src/entry/live_vms.c
+++ b/src/entry/live_vms.c
@@ -110,6 +110,12 @@
 	return any;
 }
 
+const struct live_vm *live_vms_find(const struct live_vms *live,
+				    const char *name)
+{
+	return g_hash_table_lookup(live->by_name, name);
+}
+
 unsigned int live_vms_count(const struct live_vms *live)
 {
 	return g_hash_table_size(live->by_name);
--- a/src/entry/live_vms.h
+++ b/src/entry/live_vms.h
@@ -59,6 +59,10 @@
 		     void (*removed)(void *ctx, const struct live_vm *vm),
 		     void *ctx);
 
+/** Finds a VM by name; returns NULL if it isn't in the set. */
+const struct live_vm *live_vms_find(const struct live_vms *live,
+				    const char *name);
+
 /** Returns the number of VMs. */
 unsigned int live_vms_count(const struct live_vms *live);
 
--- a/src/entry/load_exchange.c
+++ b/src/entry/load_exchange.c
@@ -1,7 +1,10 @@
 #include "entry/load_exchange.h"
 
-#include <math.h>
+#include <string.h>
 
+#include "base/log.h"
+#include "loads/load_columns.h"
+#include "loads/load_index.h"
 #include "wire/message_list.h"
 
 #define PERCENT 100.0
@@ -9,22 +12,22 @@
 /* The leader's sums of the outcomes that the VMs reported about one upstream
  * since they were last sent. */
 struct outcome_totals {
-	/** Hash of the upstream's id. */
-	uint32_t upstream;
-	/** Number of answers. */
-	uint32_t answers;
-	/** Sum over the answers of the response time, in percent of the route's
+	unsigned int answers;
+	/** Sum over the answers of the response time divided by the route's
 	 * usual one. */
-	uint32_t relative_percent;
-	/** Number of failures. */
-	uint32_t failures;
-	/** Latest reported work factor (struct load), in percent. */
-	uint32_t work_percent;
+	double relative_sum;
+	unsigned int failures;
+	/** Latest reported work factor (struct load); 0: none. */
+	double work_factor;
 };
 
 struct load_exchange {
 	const struct loop *loop;
 	struct roster *roster;
+	/** Numbers of upstreams in messages. */
+	struct load_index *index;
+	/** This VM does not know the leader's numbers. */
+	bool wants_index;
 	/** Sums of outcomes (struct outcome_totals) by the hash of the
 	 * upstream's id. */
 	GHashTable *totals;
@@ -33,11 +36,6 @@
 	 * to count.
 	 */
 	GHashTable *in_flight_by_vm;
-	/**
-	 * The roster's upstreams by the hash of their ids; built anew for each
-	 * message that is applied.
-	 */
-	GHashTable *upstreams;
 };
 
 static void free_vm_in_flight(gpointer data)
@@ -52,10 +50,10 @@
 
 	exchange->loop = loop;
 	exchange->roster = roster;
+	exchange->index = load_index_create();
 	exchange->totals = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	exchange->in_flight_by_vm = g_hash_table_new_full(
 		g_str_hash, g_str_equal, g_free, free_vm_in_flight);
-	exchange->upstreams = g_hash_table_new(NULL, NULL);
 	return exchange;
 }
 
@@ -63,51 +61,97 @@
 {
 	if (!exchange)
 		return;
+	load_index_destroy(exchange->index);
 	g_hash_table_destroy(exchange->totals);
 	g_hash_table_destroy(exchange->in_flight_by_vm);
-	g_hash_table_destroy(exchange->upstreams);
 	g_free(exchange);
 }
 
-/* Appends a copy of a message. */
-static void append_message(GPtrArray *out, const UpstreamLoad *from)
+/* A report that is being built. */
+struct report {
+	const struct load_exchange *exchange;
+	/** Loads of numbered upstreams (struct load_report_entry). */
+	GArray *entries;
+	/** Messages of other upstreams (UpstreamLoad). */
+	GPtrArray *others;
+};
+
+static void add_entry(struct report *report, uint32_t hash,
+		      const struct load_entry *load)
 {
-	UpstreamLoad *message = g_new(UpstreamLoad, 1);
+	struct load_report_entry entry = {
+		.number = load_index_number(report->exchange->index, hash),
+		.load = *load,
+	};
+	UpstreamLoad *message;
 
-	*message = *from;
-	g_ptr_array_add(out, message);
+	if (entry.number != LOAD_INDEX_NONE) {
+		g_array_append_val(report->entries, entry);
+		return;
+	}
+	message = g_new(UpstreamLoad, 1);
+	upstream_load__init(message);
+	message->upstream = hash;
+	message->flights = load->flights;
+	message->answers = load->answers;
+	message->relative_percent =
+		(uint32_t)(load->relative * load->answers * PERCENT);
+	message->failures = load->failures;
+	message->work_percent = (uint32_t)(load->work_factor * PERCENT);
+	g_ptr_array_add(report->others, message);
 }
 
-/* Appends a message with this VM's load on an upstream, unless there is none,
- * and begins a new count of outcomes. */
+/* Adds this VM's load on an upstream, unless there is none, and begins a new
+ * count of outcomes. */
 static void add_local_load(struct upstream *upstream, void *ctx)
 {
 	struct load *load = &upstream->load;
-	UpstreamLoad message = UPSTREAM_LOAD__INIT;
+	struct load_entry entry = {
+		.flights = load->in_flight,
+		.answers = load->unreported_answers,
+		.failures = load->unreported_failures,
+		.work_factor = load->work_factor,
+	};
 
 	load->reported_in_flight = load->in_flight;
-	if (!load->in_flight && !load->unreported_answers &&
-	    !load->unreported_failures)
+	if (!entry.flights && !entry.answers && !entry.failures)
 		return;
-	message.upstream = upstream_hash(upstream);
-	message.flights = load->in_flight;
-	message.answers = load->unreported_answers;
-	message.relative_percent =
-		(uint32_t)(load->unreported_relative * PERCENT);
-	message.failures = load->unreported_failures;
-	message.work_percent = (uint32_t)(load->work_factor * PERCENT);
+	if (entry.answers)
+		entry.relative = load->unreported_relative / entry.answers;
 	load->unreported_answers = 0;
 	load->unreported_relative = 0;
 	load->unreported_failures = 0;
-	append_message(ctx, &message);
+	add_entry(ctx, upstream_hash(upstream), &entry);
 }
 
-GPtrArray *load_exchange_local_report(struct load_exchange *exchange)
+void load_exchange_fill_report(struct load_exchange *exchange, VmLoads *out)
 {
-	GPtrArray *out = g_ptr_array_new_with_free_func(g_free);
+	struct load_index_state state = load_index_state(exchange->index);
+	struct report report = {
+		.exchange = exchange,
+		.entries = g_array_new(FALSE, FALSE,
+				       sizeof(struct load_report_entry)),
+		.others = g_ptr_array_new(),
+	};
+	GByteArray *bytes;
+
+	roster_each_upstream(exchange->roster, add_local_load, &report);
+	bytes = load_report_encode(report.entries);
+	out->index_count = state.count;
+	out->index_sum = state.sum;
+	out->wants_index = exchange->wants_index;
+	out->loads.len = bytes->len;
+	out->loads.data = g_byte_array_free(bytes, FALSE);
+	out->n_upstreams = report.others->len;
+	out->upstreams =
+		(UpstreamLoad **)g_ptr_array_free(report.others, FALSE);
+	g_array_free(report.entries, TRUE);
+}
 
-	roster_each_upstream(exchange->roster, add_local_load, out);
-	return out;
+void load_exchange_release_report(VmLoads *out)
+{
+	g_free(out->loads.data);
+	message_list_free(out->upstreams, out->n_upstreams);
 }
 
 static struct outcome_totals *ensure_totals(struct load_exchange *exchange,
@@ -119,38 +163,83 @@
 	if (total)
 		return total;
 	total = g_new0(struct outcome_totals, 1);
-	total->upstream = upstream;
 	g_hash_table_insert(exchange->totals, GUINT_TO_POINTER(upstream),
 			    total);
 	return total;
 }
 
+/* Adds a VM's load on one upstream.
+ *
+ * @param flights the VM's requests in flight by upstream, which is updated */
+static void apply_vm_load(struct load_exchange *exchange, GHashTable *flights,
+			  uint32_t upstream, const struct load_entry *load)
+{
+	struct outcome_totals *total;
+
+	if (load->flights)
+		g_hash_table_insert(flights, GUINT_TO_POINTER(upstream),
+				    GUINT_TO_POINTER(load->flights));
+	if (!load->answers && !load->failures)
+		return;
+	total = ensure_totals(exchange, upstream);
+	total->answers += load->answers;
+	total->relative_sum += load->relative * load->answers;
+	total->failures += load->failures;
+	if (load->work_factor > 0)
+		total->work_factor = load->work_factor;
+}
+
+/* Applies the loads of numbered upstreams, if the VM uses the same numbers. */
+static void apply_numbered(struct load_exchange *exchange, GHashTable *flights,
+			   const VmLoads *report)
+{
+	struct load_index_state state = { report->index_count,
+					  report->index_sum };
+	GArray *entries;
+	guint i;
+
+	if (!load_index_knows(exchange->index, &state))
+		return;
+	entries = load_report_decode(report->loads.data, report->loads.len);
+	for (i = 0; entries && i < entries->len; i++) {
+		const struct load_report_entry *entry =
+			&g_array_index(entries, struct load_report_entry, i);
+
+		if (entry->number < state.count)
+			apply_vm_load(exchange, flights,
+				      load_index_upstream(exchange->index,
+							  entry->number),
+				      &entry->load);
+	}
+	if (entries)
+		g_array_free(entries, TRUE);
+}
+
 void load_exchange_apply_vm_report(struct load_exchange *exchange,
-				   const char *vm, UpstreamLoad *const *loads,
-				   size_t count)
+				   const VmLoads *report)
 {
 	/* A report lists all requests in flight, so a lost one has no lasting
 	 * effect. */
 	GHashTable *flights = g_hash_table_new(NULL, NULL);
 	size_t i;
 
-	for (i = 0; i < count; i++) {
-		const UpstreamLoad *load = loads[i];
-		struct outcome_totals *total;
-
-		if (load->flights)
-			g_hash_table_insert(flights,
-					    GUINT_TO_POINTER(load->upstream),
-					    GUINT_TO_POINTER(load->flights));
-		if (!load->answers && !load->failures)
-			continue;
-		total = ensure_totals(exchange, load->upstream);
-		total->answers += load->answers;
-		total->relative_percent += load->relative_percent;
-		total->failures += load->failures;
-		total->work_percent = load->work_percent;
+	apply_numbered(exchange, flights, report);
+	for (i = 0; i < report->n_upstreams; i++) {
+		const UpstreamLoad *from = report->upstreams[i];
+		struct load_entry load = {
+			.flights = from->flights,
+			.answers = from->answers,
+			.failures = from->failures,
+			.work_factor = from->work_percent / PERCENT,
+		};
+
+		if (from->answers)
+			load.relative = from->relative_percent / PERCENT /
+					from->answers;
+		apply_vm_load(exchange, flights, from->upstream, &load);
 	}
-	g_hash_table_insert(exchange->in_flight_by_vm, g_strdup(vm), flights);
+	g_hash_table_insert(exchange->in_flight_by_vm, g_strdup(report->vm),
+			    flights);
 }
 
 void load_exchange_remove_vm(struct load_exchange *exchange, const char *vm)
@@ -181,125 +270,225 @@
 	return sums;
 }
 
-static void fill_in_flight(const struct load_exchange *exchange,
-			   LeaderLoads *out)
+/* Sets an entry for each number to the load of all VMs. */
+static void fill_flights(const struct load_exchange *exchange,
+			 struct load_entry *entries)
 {
 	GHashTable *sums = sum_in_flight(exchange);
-	guint size = g_hash_table_size(sums);
 	GHashTableIter iter;
 	gpointer upstream, count;
 
-	out->busy = g_new(uint32_t, size);
-	out->flights.data = g_malloc(size);
-	out->flights.len = size;
 	g_hash_table_iter_init(&iter, sums);
 	while (g_hash_table_iter_next(&iter, &upstream, &count)) {
-		out->flights.data[out->n_busy] =
-			(uint8_t)MIN(GPOINTER_TO_UINT(count), UINT8_MAX);
-		out->busy[out->n_busy++] = GPOINTER_TO_UINT(upstream);
+		uint32_t number = load_index_number(exchange->index,
+						    GPOINTER_TO_UINT(upstream));
+
+		if (number != LOAD_INDEX_NONE)
+			entries[number].flights = GPOINTER_TO_UINT(count);
 	}
 	g_hash_table_destroy(sums);
 }
 
-/* Moves the sums of outcomes into a message; new sums begin at 0. */
-static void fill_outcomes(struct load_exchange *exchange, LeaderLoads *out)
+/* Moves the sums of outcomes into the entries; new sums begin at 0. */
+static void move_outcomes(struct load_exchange *exchange,
+			  struct load_entry *entries)
 {
-	GPtrArray *list = g_ptr_array_new();
 	GHashTableIter iter;
-	gpointer value;
+	gpointer upstream, value;
 
 	g_hash_table_iter_init(&iter, exchange->totals);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+	while (g_hash_table_iter_next(&iter, &upstream, &value)) {
 		const struct outcome_totals *total = value;
-		UpstreamLoad message = UPSTREAM_LOAD__INIT;
-
-		message.upstream = total->upstream;
-		message.answers = total->answers;
-		message.relative_percent = total->relative_percent;
-		message.failures = total->failures;
-		message.work_percent = total->work_percent;
-		append_message(list, &message);
+		uint32_t number = load_index_number(exchange->index,
+						    GPOINTER_TO_UINT(upstream));
+		struct load_entry *entry;
+
+		if (number == LOAD_INDEX_NONE)
+			continue;
+		entry = &entries[number];
+		entry->answers = total->answers;
+		entry->failures = total->failures;
+		entry->work_factor = total->work_factor;
+		if (total->answers)
+			entry->relative = total->relative_sum / total->answers;
 	}
 	g_hash_table_remove_all(exchange->totals);
-	out->n_upstreams = list->len;
-	out->upstreams = (UpstreamLoad **)g_ptr_array_free(list, FALSE);
+}
+
+static void add_hash(struct upstream *upstream, void *ctx)
+{
+	uint32_t hash = upstream_hash(upstream);
+
+	g_array_append_val((GArray *)ctx, hash);
+}
+
+/* Returns the hashes (uint32_t) of all upstreams that this VM knows; the caller
+ * frees the array. */
+static GArray *roster_hashes(const struct load_exchange *exchange)
+{
+	GArray *hashes = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+
+	roster_each_upstream(exchange->roster, add_hash, hashes);
+	return hashes;
+}
+
+/* Numbers new upstreams, and states the numbers in a message. */
+static void fill_index_state(struct load_exchange *exchange, LeaderLoads *out)
+{
+	double now = loop_now(exchange->loop);
+	GArray *hashes = roster_hashes(exchange);
+	struct load_index_state state;
+	const uint32_t *recent;
+
+	load_index_update(exchange->index, hashes, now);
+	g_array_free(hashes, TRUE);
+	state = load_index_state(exchange->index);
+	out->index_count = state.count;
+	out->index_sum = state.sum;
+	recent = load_index_recent(exchange->index, now, &out->n_index_recent);
+	out->index_recent =
+		g_memdup2(recent, out->n_index_recent * sizeof(*recent));
+}
+
+static ProtobufCBinaryData take_bytes(GByteArray *bytes)
+{
+	ProtobufCBinaryData out = { .len = bytes->len };
+
+	out.data = g_byte_array_free(bytes, FALSE);
+	return out;
 }
 
 LeaderLoads *load_exchange_totals(struct load_exchange *exchange, bool outcomes)
 {
 	LeaderLoads *out = g_new(LeaderLoads, 1);
+	struct load_entry *entries;
 
 	leader_loads__init(out);
-	fill_in_flight(exchange, out);
-	if (outcomes)
-		fill_outcomes(exchange, out);
+	fill_index_state(exchange, out);
+	entries = g_new0(struct load_entry, out->index_count);
+	fill_flights(exchange, entries);
+	out->flights =
+		take_bytes(load_flights_encode(entries, out->index_count));
+	if (outcomes) {
+		move_outcomes(exchange, entries);
+		out->outcomes = take_bytes(
+			load_outcomes_encode(entries, out->index_count));
+	}
+	g_free(entries);
 	return out;
 }
 
 void leader_loads_free(LeaderLoads *loads)
 {
-	message_list_free(loads->upstreams, loads->n_upstreams);
-	g_free(loads->busy);
+	g_free(loads->index_recent);
 	g_free(loads->flights.data);
+	g_free(loads->outcomes.data);
 	g_free(loads);
 }
 
-static void index_upstream(struct upstream *upstream, void *ctx)
+/* Loads by number, while they are applied to the upstreams. */
+struct application {
+	struct load_exchange *exchange;
+	const struct load_entry *entries;
+	bool has_outcomes;
+	double now_s;
+};
+
+static void apply_outcomes(struct load *load, const struct load_entry *entry,
+			   double now_s)
 {
-	g_hash_table_insert(ctx, GUINT_TO_POINTER(upstream_hash(upstream)),
-			    upstream);
+	struct load_shared_stats stats = {
+		.answers = entry->answers,
+		.failures = entry->failures,
+		.relative = entry->relative,
+		.work_factor = entry->work_factor,
+	};
+
+	load_apply_shared_stats(load, &stats, now_s);
 }
 
-/* Sets the number of other VMs' requests in flight to 0, because the message
- * omits upstreams without any. */
-static void reset_other_vms(struct upstream *upstream, void *now_s)
+static void apply_entry(struct upstream *upstream, void *ctx)
 {
-	upstream->load.others = 0;
-	upstream->load.others_s = *(double *)now_s;
+	const struct application *application = ctx;
+	uint32_t number = load_index_number(application->exchange->index,
+					    upstream_hash(upstream));
+	const struct load_entry *entry;
+
+	/* The leader does not know the upstream: no VM reported it. */
+	if (number == LOAD_INDEX_NONE) {
+		upstream->load.others = 0;
+		upstream->load.others_s = application->now_s;
+		return;
+	}
+	entry = &application->entries[number];
+	load_apply_total_in_flight(&upstream->load, entry->flights,
+				   application->now_s);
+	if (application->has_outcomes)
+		apply_outcomes(&upstream->load, entry, application->now_s);
 }
 
-static struct upstream *find_upstream(const struct load_exchange *exchange,
-				      uint32_t hash)
+/* Takes over the leader's numbers; returns false if this VM does not know
+ * them. */
+static bool follow_index(struct load_exchange *exchange,
+			 const LeaderLoads *loads)
 {
-	return g_hash_table_lookup(exchange->upstreams, GUINT_TO_POINTER(hash));
+	struct load_index_state state = { loads->index_count,
+					  loads->index_sum };
+	GArray *hashes;
+	bool known =
+		load_index_follow(exchange->index, &state, loads->index_recent,
+				  loads->n_index_recent);
+
+	if (!known) {
+		hashes = roster_hashes(exchange);
+		known = load_index_adopt(exchange->index, &state, hashes);
+		g_array_free(hashes, TRUE);
+	}
+	exchange->wants_index = !known;
+	return known;
 }
 
-static void apply_outcomes(struct load_exchange *exchange,
-			   const UpstreamLoad *from, double now)
+void load_exchange_apply_totals(struct load_exchange *exchange,
+				const LeaderLoads *loads)
 {
-	struct upstream *upstream = find_upstream(exchange, from->upstream);
-	struct load_shared_stats stats = {
-		.answers = from->answers,
-		.failures = from->failures,
-		.work_factor = from->work_percent / PERCENT,
+	struct application application = {
+		.exchange = exchange,
+		.has_outcomes = loads->outcomes.len > 0,
+		.now_s = loop_now(exchange->loop),
 	};
+	struct load_entry *entries;
 
-	if (!upstream)
+	if (!follow_index(exchange, loads))
 		return;
-	if (from->answers)
-		stats.relative =
-			from->relative_percent / PERCENT / from->answers;
-	load_apply_shared_stats(&upstream->load, &stats, now);
+	entries = g_new0(struct load_entry, loads->index_count);
+	application.entries = entries;
+	if (!load_flights_decode(loads->flights.data, loads->flights.len,
+				 entries, loads->index_count) ||
+	    (application.has_outcomes &&
+	     !load_outcomes_decode(loads->outcomes.data, loads->outcomes.len,
+				   entries, loads->index_count)))
+		log_warn("peers", "ignored load totals that can't be decoded");
+	else
+		roster_each_upstream(exchange->roster, apply_entry,
+				     &application);
+	g_free(entries);
 }
 
-void load_exchange_apply_totals(struct load_exchange *exchange,
-				const LeaderLoads *loads)
+void load_exchange_fill_index(const struct load_exchange *exchange,
+			      LoadIndex *out)
 {
-	double now = loop_now(exchange->loop);
-	size_t i;
+	const GArray *all = load_index_all(exchange->index);
 
-	g_hash_table_remove_all(exchange->upstreams);
-	roster_each_upstream(exchange->roster, index_upstream,
-			     exchange->upstreams);
-	roster_each_upstream(exchange->roster, reset_other_vms, &now);
-	for (i = 0; i < loads->n_busy && i < loads->flights.len; i++) {
-		struct upstream *upstream =
-			find_upstream(exchange, loads->busy[i]);
-
-		if (upstream)
-			load_apply_total_in_flight(&upstream->load,
-						   loads->flights.data[i], now);
-	}
-	for (i = 0; i < loads->n_upstreams; i++)
-		apply_outcomes(exchange, loads->upstreams[i], now);
+	out->n_upstreams = all->len;
+	out->upstreams = (uint32_t *)(void *)all->data;
+}
+
+void load_exchange_apply_index(struct load_exchange *exchange,
+			       const LoadIndex *message)
+{
+	if (!exchange->wants_index)
+		return;
+	load_index_replace(exchange->index, message->upstreams,
+			   message->n_upstreams);
+	exchange->wants_index = false;
 }
--- a/src/entry/load_exchange.h
+++ b/src/entry/load_exchange.h
@@ -18,23 +18,20 @@
 void load_exchange_destroy(struct load_exchange *exchange);
 
 /**
- * Builds this VM's load report: requests in flight, and the outcomes of
+ * Adds this VM's load to a report: requests in flight, and the outcomes of
  * requests that ended since the last call.
  *
- * @return messages (UpstreamLoad); the caller frees the array
+ * @param out load_exchange_release_report() frees what is added
  */
-GPtrArray *load_exchange_local_report(struct load_exchange *exchange);
+void load_exchange_fill_report(struct load_exchange *exchange, VmLoads *out);
+void load_exchange_release_report(VmLoads *out);
 
 /**
  * As leader, adds the outcomes in a VM's load report to the totals, and
  * replaces the numbers of the VM's requests in flight.
- *
- * @param vm name of the VM
- * @param loads the report, one message for each upstream
  */
 void load_exchange_apply_vm_report(struct load_exchange *exchange,
-				   const char *vm, UpstreamLoad *const *loads,
-				   size_t count);
+				   const VmLoads *report);
 
 /** As leader, drops the requests in flight that a VM reported before it left.
  */
@@ -46,15 +43,26 @@
  * @param outcomes whether to include the outcomes of requests since they were
  *        last included
  * @return the message, for which the caller sets the lease; freed with
- *        leader_loads_free()
+ *         leader_loads_free()
  */
 LeaderLoads *load_exchange_totals(struct load_exchange *exchange,
 				  bool outcomes);
 /** Frees a message of load_exchange_totals(). */
 void leader_loads_free(LeaderLoads *loads);
 
-/** Applies the leader's totals to the upstreams of this VM's roster. */
+/** Applies the leader's totals to the upstreams of this VM's roster. Has no
+ * effect while this VM doesn't know the leader's numbers, for which its next
+ * report asks. */
 void load_exchange_apply_totals(struct load_exchange *exchange,
 				const LeaderLoads *loads);
 
+/** As leader, sets a message to the numbers of upstreams; it refers to the
+ * exchange. */
+void load_exchange_fill_index(const struct load_exchange *exchange,
+			      LoadIndex *out);
+
+/** Applies the leader's numbers of upstreams. */
+void load_exchange_apply_index(struct load_exchange *exchange,
+			       const LoadIndex *message);
+
 #endif
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -952,6 +952,51 @@
   assert(message->base.descriptor == &leader_loads__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   load_index__init
+                     (LoadIndex         *message)
+{
+  static const LoadIndex init_value = LOAD_INDEX__INIT;
+  *message = init_value;
+}
+size_t load_index__get_packed_size
+                     (const LoadIndex *message)
+{
+  assert(message->base.descriptor == &load_index__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t load_index__pack
+                     (const LoadIndex *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &load_index__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t load_index__pack_to_buffer
+                     (const LoadIndex *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &load_index__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+LoadIndex *
+       load_index__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (LoadIndex *)
+     protobuf_c_message_unpack (&load_index__descriptor,
+                                allocator, len, data);
+}
+void   load_index__free_unpacked
+                     (LoadIndex *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &load_index__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer_message__init
                      (PeerMessage         *message)
 {
@@ -2515,7 +2560,7 @@
   (ProtobufCMessageInit) vm_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor vm_loads__field_descriptors[3] =
+static const ProtobufCFieldDescriptor vm_loads__field_descriptors[7] =
 {
   {
     "vm",
@@ -2553,16 +2598,69 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "index_count",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(VmLoads, index_count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index_sum",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(VmLoads, index_sum),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loads",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(VmLoads, loads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wants_index",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(VmLoads, wants_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned vm_loads__field_indices_by_name[] = {
+  3,   /* field[3] = index_count */
+  4,   /* field[4] = index_sum */
   2,   /* field[2] = limits */
+  5,   /* field[5] = loads */
   1,   /* field[1] = upstreams */
   0,   /* field[0] = vm */
+  6,   /* field[6] = wants_index */
 };
-static const ProtobufCIntRange vm_loads__number_ranges[1 + 1] =
+static const ProtobufCIntRange vm_loads__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 20, 3 },
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor vm_loads__descriptor =
 {
@@ -2572,10 +2670,10 @@
   "VmLoads",
   "",
   sizeof(VmLoads),
-  3,
+  7,
   vm_loads__field_descriptors,
   vm_loads__field_indices_by_name,
-  1,  vm_loads__number_ranges,
+  2,  vm_loads__number_ranges,
   (ProtobufCMessageInit) vm_loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -2656,7 +2754,7 @@
   (ProtobufCMessageInit) limit_account__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor leader_loads__field_descriptors[5] =
+static const ProtobufCFieldDescriptor leader_loads__field_descriptors[7] =
 {
   {
     "lease",
@@ -2671,24 +2769,48 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "upstreams",
-    2,
+    "limits",
+    5,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(LeaderLoads, n_upstreams),
-    offsetof(LeaderLoads, upstreams),
-    &upstream_load__descriptor,
+    offsetof(LeaderLoads, n_limits),
+    offsetof(LeaderLoads, limits),
+    &limit_account__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "busy",
-    3,
+    "index_count",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(LeaderLoads, index_count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index_sum",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(LeaderLoads, index_sum),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index_recent",
+    22,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_FIXED32,
-    offsetof(LeaderLoads, n_busy),
-    offsetof(LeaderLoads, busy),
+    offsetof(LeaderLoads, n_index_recent),
+    offsetof(LeaderLoads, index_recent),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -2696,7 +2818,7 @@
   },
   {
     "flights",
-    4,
+    23,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
@@ -2707,29 +2829,33 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "limits",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(LeaderLoads, n_limits),
-    offsetof(LeaderLoads, limits),
-    &limit_account__descriptor,
+    "outcomes",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(LeaderLoads, outcomes),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned leader_loads__field_indices_by_name[] = {
-  2,   /* field[2] = busy */
-  3,   /* field[3] = flights */
+  5,   /* field[5] = flights */
+  2,   /* field[2] = index_count */
+  4,   /* field[4] = index_recent */
+  3,   /* field[3] = index_sum */
   0,   /* field[0] = lease */
-  4,   /* field[4] = limits */
-  1,   /* field[1] = upstreams */
+  1,   /* field[1] = limits */
+  6,   /* field[6] = outcomes */
 };
-static const ProtobufCIntRange leader_loads__number_ranges[1 + 1] =
+static const ProtobufCIntRange leader_loads__number_ranges[3 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 5, 1 },
+  { 20, 2 },
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor leader_loads__descriptor =
 {
@@ -2739,14 +2865,65 @@
   "LeaderLoads",
   "",
   sizeof(LeaderLoads),
-  5,
+  7,
   leader_loads__field_descriptors,
   leader_loads__field_indices_by_name,
-  1,  leader_loads__number_ranges,
+  3,  leader_loads__number_ranges,
   (ProtobufCMessageInit) leader_loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer_message__field_descriptors[8] =
+static const ProtobufCFieldDescriptor load_index__field_descriptors[2] =
+{
+  {
+    "lease",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(LoadIndex, lease),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstreams",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(LoadIndex, n_upstreams),
+    offsetof(LoadIndex, upstreams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned load_index__field_indices_by_name[] = {
+  0,   /* field[0] = lease */
+  1,   /* field[1] = upstreams */
+};
+static const ProtobufCIntRange load_index__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor load_index__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "LoadIndex",
+  "LoadIndex",
+  "LoadIndex",
+  "",
+  sizeof(LoadIndex),
+  2,
+  load_index__field_descriptors,
+  load_index__field_indices_by_name,
+  1,  load_index__number_ranges,
+  (ProtobufCMessageInit) load_index__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer_message__field_descriptors[9] =
 {
   {
     "beat",
@@ -2844,10 +3021,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "load_index",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PeerMessage, kind_case),
+    offsetof(PeerMessage, load_index),
+    &load_index__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_message__field_indices_by_name[] = {
   0,   /* field[0] = beat */
   3,   /* field[3] = leader_loads */
+  8,   /* field[8] = load_index */
   4,   /* field[4] = relay_to */
   7,   /* field[7] = relay_width */
   1,   /* field[1] = report */
@@ -2855,10 +3045,11 @@
   5,   /* field[5] = table_copy */
   2,   /* field[2] = vm_loads */
 };
-static const ProtobufCIntRange peer_message__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer_message__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 20, 8 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor peer_message__descriptor =
 {
@@ -2868,10 +3059,10 @@
   "PeerMessage",
   "",
   sizeof(PeerMessage),
-  8,
+  9,
   peer_message__field_descriptors,
   peer_message__field_indices_by_name,
-  1,  peer_message__number_ranges,
+  2,  peer_message__number_ranges,
   (ProtobufCMessageInit) peer_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -36,6 +36,7 @@
 typedef struct VmLoads VmLoads;
 typedef struct LimitAccount LimitAccount;
 typedef struct LeaderLoads LeaderLoads;
+typedef struct LoadIndex LoadIndex;
 typedef struct PeerMessage PeerMessage;
 
 
@@ -520,10 +521,25 @@
   UpstreamLoad **upstreams;
   size_t n_limits;
   VmLimit **limits;
+  /*
+   * Numbers of upstreams that loads refers to: how many, and their sum
+   * (loads/load_index.h).
+   */
+  uint32_t index_count;
+  uint32_t index_sum;
+  /*
+   * Loads of numbered upstreams (load_report_encode()); upstreams lists only
+   * those without a number.
+   */
+  ProtobufCBinaryData loads;
+  /*
+   * The VM does not know the leader's numbers.
+   */
+  protobuf_c_boolean wants_index;
 };
 #define VM_LOADS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&vm_loads__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0, {0,NULL}, 0 }
 
 
 /*
@@ -566,30 +582,52 @@
    */
   uint64_t lease;
   /*
-   * Answers and failures since the last message that listed them; flights is
-   * not set.
+   * Accounts of all limited upstreams.
    */
-  size_t n_upstreams;
-  UpstreamLoad **upstreams;
+  size_t n_limits;
+  LimitAccount **limits;
   /*
-   * Hashes of the ids of all upstreams with requests in flight.
+   * The leader's numbers of upstreams: how many, their sum, and the hashes of
+   * the ids that were numbered lately, which are the last ones.
    */
-  size_t n_busy;
-  uint32_t *busy;
+  uint32_t index_count;
+  uint32_t index_sum;
+  size_t n_index_recent;
+  uint32_t *index_recent;
   /*
-   * Number of requests in flight at each of these upstreams, in the order of
-   * busy, one byte each; 255 stands for 255 or more.
+   * Requests in flight at each numbered upstream (load_flights_encode()).
    */
   ProtobufCBinaryData flights;
   /*
-   * Accounts of all limited upstreams.
+   * Outcomes at each numbered upstream since the last message that had them
+   * (load_outcomes_encode()); empty: not in this message.
    */
-  size_t n_limits;
-  LimitAccount **limits;
+  ProtobufCBinaryData outcomes;
 };
 #define LEADER_LOADS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&leader_loads__descriptor) \
-    , 0, 0,NULL, 0,NULL, {0,NULL}, 0,NULL }
+    , 0, 0,NULL, 0, 0, 0,NULL, {0,NULL}, {0,NULL} }
+
+
+/*
+ * The leader's numbers of upstreams, for VMs that don't know them.
+ */
+struct  LoadIndex
+{
+  ProtobufCMessage base;
+  /*
+   * As in LeaderBeat.
+   */
+  uint64_t lease;
+  /*
+   * Hashes of the upstreams' ids, by number.
+   */
+  size_t n_upstreams;
+  uint32_t *upstreams;
+};
+#define LOAD_INDEX__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&load_index__descriptor) \
+    , 0, 0,NULL }
 
 
 typedef enum {
@@ -599,7 +637,8 @@
   PEER_MESSAGE__KIND_VM_LOADS = 3,
   PEER_MESSAGE__KIND_LEADER_LOADS = 4,
   PEER_MESSAGE__KIND_TABLE_COPY = 6,
-  PEER_MESSAGE__KIND_ROW_RELAY = 7
+  PEER_MESSAGE__KIND_ROW_RELAY = 7,
+  PEER_MESSAGE__KIND_LOAD_INDEX = 20
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER_MESSAGE__KIND__CASE)
 } PeerMessage__KindCase;
 
@@ -626,6 +665,7 @@
     LeaderLoads *leader_loads;
     TableCopyPart *table_copy;
     RowRelay *row_relay;
+    LoadIndex *load_index;
   };
 };
 #define PEER_MESSAGE__INIT \
@@ -1032,6 +1072,25 @@
 void   leader_loads__free_unpacked
                      (LeaderLoads *message,
                       ProtobufCAllocator *allocator);
+/* LoadIndex methods */
+void   load_index__init
+                     (LoadIndex         *message);
+size_t load_index__get_packed_size
+                     (const LoadIndex   *message);
+size_t load_index__pack
+                     (const LoadIndex   *message,
+                      uint8_t             *out);
+size_t load_index__pack_to_buffer
+                     (const LoadIndex   *message,
+                      ProtobufCBuffer     *buffer);
+LoadIndex *
+       load_index__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   load_index__free_unpacked
+                     (LoadIndex *message,
+                      ProtobufCAllocator *allocator);
 /* PeerMessage methods */
 void   peer_message__init
                      (PeerMessage         *message);
@@ -1116,6 +1175,9 @@
 typedef void (*LeaderLoads_Closure)
                  (const LeaderLoads *message,
                   void *closure_data);
+typedef void (*LoadIndex_Closure)
+                 (const LoadIndex *message,
+                  void *closure_data);
 typedef void (*PeerMessage_Closure)
                  (const PeerMessage *message,
                   void *closure_data);
@@ -1146,6 +1208,7 @@
 extern const ProtobufCMessageDescriptor vm_loads__descriptor;
 extern const ProtobufCMessageDescriptor limit_account__descriptor;
 extern const ProtobufCMessageDescriptor leader_loads__descriptor;
+extern const ProtobufCMessageDescriptor load_index__descriptor;
 extern const ProtobufCMessageDescriptor peer_message__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/wire/message_meter.c
+++ b/src/wire/message_meter.c
@@ -22,6 +22,7 @@
 	{ PEER_MESSAGE__KIND_LEADER_LOADS, "load_totals" },
 	{ PEER_MESSAGE__KIND_TABLE_COPY, "table_copy" },
 	{ PEER_MESSAGE__KIND_ROW_RELAY, "row_relay" },
+	{ PEER_MESSAGE__KIND_LOAD_INDEX, "load_index" },
 };
 
 struct message_meter {
