keys: hot keys are spread though one of them is too hot for any upstream

Cause: balance_once() took the busiest range of the most loaded owner and gave up for the round when this was a single key with more load than could be moved. Ranges of lost owners, which wait for grants to expire, used up the limit of moves. Keys asked for reached the leader every 8 ms times the VMs, 0.66 s at 83. Weights were proportional to speed, so slow upstreams answered after the objective while fast ones had room.

Change: an owner with a dominant key loses its other keys, the next owner is tried where one has nothing to move, and only moves for balance count for the limit, a quarter of the upstreams. Loads are computed once a round, not once a move. Weights equalize the marginal response time. Keys asked for come with load reports.

--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -351,7 +351,6 @@
 static void on_vm_report(void *ctx, const VmReport *report)
 {
 	struct cluster *cluster = ctx;
-	size_t i;
 
 	crash_exchange_apply_report(cluster->crash_exchange, report);
 	if (!cluster->leading || !report->vm)
@@ -373,10 +372,6 @@
 	}
 	apply_row_versions(cluster, report->progress);
 	apply_leaving(cluster, report);
-	for (i = 0; i < report->n_loads; i++)
-		count_keys(cluster, report->loads[i]->service,
-			   report->loads[i]->keys.data,
-			   report->loads[i]->keys.len);
 }
 
 /* --- messages that every VM sends or handles --- */
@@ -563,9 +558,13 @@
 static void on_vm_loads(void *ctx, const VmLoads *loads)
 {
 	struct cluster *cluster = ctx;
+	size_t i;
 
 	if (!cluster->leading)
 		return;
+	for (i = 0; i < loads->n_keys; i++)
+		count_keys(cluster, loads->keys[i]->service,
+			   loads->keys[i]->keys.data, loads->keys[i]->keys.len);
 	live_vms_touch(cluster->vms, loads->vm, cluster_now(cluster));
 	load_exchange_apply_vm_report(cluster->load_exchange, loads);
 	if (loads->wants_index)
@@ -584,11 +583,39 @@
 	cluster->options.routing_changed(cluster->options.ctx);
 }
 
+/* Appends a message with the keys of a service that were requested here. */
+static void add_key_load(struct service *service, void *ctx)
+{
+	GPtrArray *loads = ctx;
+	KeyLoad *load;
+
+	if (!service->requested_keys->len)
+		return;
+	load = g_new0(KeyLoad, 1);
+	key_load__init(load);
+	load->service = service->name;
+	load->keys.len = service->requested_keys->len * sizeof(uint16_t);
+	/* The message holds little-endian numbers, and so do all supported
+	 * platforms. */
+	load->keys.data = (uint8_t *)service->requested_keys->data;
+	g_ptr_array_add(loads, load);
+}
+
+static void clear_key_load(struct service *service, void *ctx)
+{
+	(void)ctx;
+	g_array_set_size(service->requested_keys, 0);
+}
+
 void cluster_send_load_report(struct cluster *cluster)
 {
 	PeerMessage message = PEER_MESSAGE__INIT;
 	VmLoads out = VM_LOADS__INIT;
+	GPtrArray *keys = g_ptr_array_new_with_free_func(g_free);
 
+	roster_each_service(cluster->options.roster, add_key_load, keys);
+	out.keys = (KeyLoad **)keys->pdata;
+	out.n_keys = keys->len;
 	out.vm = cluster->options.settings->vm;
 	load_exchange_fill_report(cluster->load_exchange, &out);
 	limit_exchange_fill_report(cluster->limit_exchange, &out);
@@ -599,6 +626,8 @@
 	else if (cluster->leader_address_known)
 		datagrams_send(cluster->datagrams, &cluster->leader_address,
 			       cluster->leader_zone, &message);
+	roster_each_service(cluster->options.roster, clear_key_load, NULL);
+	g_ptr_array_free(keys, TRUE);
 	load_exchange_release_report(&out);
 	limit_exchange_release_report(&out);
 }
@@ -641,30 +670,6 @@
 	return &ops;
 }
 
-/* Appends a message with the keys of a service that were requested here. */
-static void add_key_load(struct service *service, void *ctx)
-{
-	GPtrArray *loads = ctx;
-	KeyLoad *load;
-
-	if (!service->requested_keys->len)
-		return;
-	load = g_new0(KeyLoad, 1);
-	key_load__init(load);
-	load->service = service->name;
-	load->keys.len = service->requested_keys->len * sizeof(uint16_t);
-	/* The message holds little-endian numbers, and so do all supported
-	 * platforms. */
-	load->keys.data = (uint8_t *)service->requested_keys->data;
-	g_ptr_array_add(loads, load);
-}
-
-static void clear_key_load(struct service *service, void *ctx)
-{
-	(void)ctx;
-	g_array_set_size(service->requested_keys, 0);
-}
-
 /* Appends a message if an upstream said that it leaves, and its entry doesn't
  * say so. */
 static void add_leaving(struct upstream *upstream, void *ctx)
@@ -695,18 +700,14 @@
 	PeerMessage message = PEER_MESSAGE__INIT;
 	VmReport out = VM_REPORT__INIT;
 	Progress progress = PROGRESS__INIT;
-	GPtrArray *loads = g_ptr_array_new_with_free_func(g_free);
 	GPtrArray *leaving = g_ptr_array_new_with_free_func(g_free);
 
-	roster_each_service(cluster->options.roster, add_key_load, loads);
 	roster_each_upstream(cluster->options.roster, add_leaving, leaving);
 	out.leaving = (KeyOwner **)leaving->pdata;
 	out.n_leaving = leaving->len;
 	out.vm = vm_info(cluster->options.settings->vm,
 			 &cluster->options.settings->peers,
 			 cluster->options.settings->zone);
-	out.loads = (KeyLoad **)loads->pdata;
-	out.n_loads = loads->len;
 	crash_exchange_fill_report(cluster->crash_exchange, &out);
 	copy_exchange_fill_report(cluster->copy_exchange, &out);
 	out.stopping = stopping;
@@ -722,9 +723,7 @@
 	else if (cluster->leader_address_known)
 		datagrams_send(cluster->datagrams, &cluster->leader_address,
 			       cluster->leader_zone, &message);
-	roster_each_service(cluster->options.roster, clear_key_load, NULL);
 	free_vm_info(out.vm);
-	g_ptr_array_free(loads, TRUE);
 	g_ptr_array_free(leaving, TRUE);
 	crash_exchange_release_report(&out);
 	cluster->report_sent_s = cluster_now(cluster);
--- a/src/entry/key_leader.c
+++ b/src/entry/key_leader.c
@@ -23,10 +23,8 @@
  */
 #define SLOWNESS_MIN 0.5
 #define SLOWNESS_MAX 4.0
-/* Cost of a refused or failed request for its caller, as a multiple of the
- * usual work of a request; lowers the weight of an upstream that refuses or
- * fails a part of its requests. */
-#define FAILURE_COST 4.0
+/* Time constant, in seconds, of the smoothed demand for capacity. */
+#define DEMAND_SMOOTH_S 1.0
 /* Most upstreams remembered by id. Those that left the roster can be sent
  * releases until the table overflows and is cleared. */
 #define KNOWN_UPSTREAMS_MAX 4096
@@ -59,6 +57,10 @@
 	double hold_s;
 	/** key_leader_destroy() was called during a write. */
 	bool destroyed;
+	/** Smoothed capacity in use, in slots of an upstream with the usual
+	 * execution time, and when it was last updated. */
+	double demand;
+	double demand_s;
 };
 
 static double now_of(const struct key_leader *leader)
@@ -379,16 +381,38 @@
 		leader_free(leader);
 }
 
-/* Returns the share of keys that an upstream should own, relative to the other
- * upstreams. */
-static double weight_of(const struct upstream *upstream, double now)
+/* Returns what is known of an upstream as an owner of keys. */
+static struct key_server server_of(const struct upstream *upstream, double now)
 {
-	double slowness =
-		fmin(fmax(upstream->load.slowness, SLOWNESS_MIN), SLOWNESS_MAX);
-	double weight = upstream->load.slots / slowness /
-			(1 + FAILURE_COST * upstream->load.failures);
+	struct key_server server = {
+		.slots = upstream->load.slots,
+		.slowness = fmin(fmax(upstream->load.slowness, SLOWNESS_MIN),
+				 SLOWNESS_MAX),
+		.failures = upstream->load.failures,
+		.capacity_factor =
+			now < upstream->cold_until_s ? COLD_WEIGHT : 1,
+	};
+
+	return server;
+}
 
-	return now < upstream->cold_until_s ? weight * COLD_WEIGHT : weight;
+/* Returns the capacity of an upstream that is in use, in slots of one with the
+ * usual execution time. */
+static double capacity_in_use(const struct upstream *upstream,
+			      const struct key_server *server, double now)
+{
+	return fmin(load_in_flight(&upstream->load, now), server->slots) /
+	       server->slowness;
+}
+
+/* Updates the smoothed demand. */
+static void smooth_demand(struct key_leader *leader, double demand)
+{
+	double now = now_of(leader);
+	double part = 1 - exp(-(now - leader->demand_s) / DEMAND_SMOOTH_S);
+
+	leader->demand += part * (demand - leader->demand);
+	leader->demand_s = now;
 }
 
 static void remember_upstream(struct key_leader *leader,
@@ -409,7 +433,9 @@
 {
 	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct key_candidate));
 	GArray *limits = g_array_new(FALSE, FALSE, sizeof(double));
+	GArray *servers = g_array_new(FALSE, FALSE, sizeof(struct key_server));
 	double now = now_of(leader);
+	double demand = 0;
 	guint i;
 
 	for (i = 0; i < leader->service->upstreams->len; i++) {
@@ -417,9 +443,8 @@
 		struct key_candidate candidate = {
 			.id = g_intern_string(u->entry.id),
 			.started_ms = u->entry.started_ms,
-			.weight = weight_of(u, now),
 		};
-
+		struct key_server server = server_of(u, now);
 		double limit = u->limit.limited ? u->limit.per_s : -1;
 
 		remember_upstream(leader, u);
@@ -428,12 +453,20 @@
 			continue;
 		g_array_append_val(list, candidate);
 		g_array_append_val(limits, limit);
+		g_array_append_val(servers, server);
+		demand += capacity_in_use(u, &server, now);
 	}
+	smooth_demand(leader, demand);
+	key_capacity_set_weights(
+		(struct key_candidate *)(void *)list->data,
+		(const struct key_server *)(const void *)servers->data,
+		list->len, leader->demand);
 	key_capacity_apply_limits(
 		(struct key_candidate *)(void *)list->data,
 		(const double *)(const void *)limits->data, list->len,
 		key_allocator_requests_per_s(leader->key_allocator));
 	g_array_free(limits, TRUE);
+	g_array_free(servers, TRUE);
 	return list;
 }
 
--- a/src/keys/key_allocator.c
+++ b/src/keys/key_allocator.c
@@ -166,6 +166,7 @@
 			     reason);
 	set_next_owner(state, to);
 	state->same_owner = false;
+	state->for_balance = false;
 	state->phase = PHASE_RELEASING;
 	state->failed_orders = 0;
 	state->next_order_s = 0;
@@ -242,7 +243,7 @@
 		/* fall through */
 	case OWNER_UNREACHABLE:
 	case OWNER_LEAVING:
-		to = key_allocator_least_loaded(allocator);
+		to = key_allocator_choose_owner(allocator, state);
 		if (to && to->id != state->span.owner) {
 			key_allocator_move(allocator, state, to,
 					   "owner_leaves");
@@ -297,7 +298,7 @@
 		state->granted_until_s = now_s;
 	if (now_s <= grants_end_s(state))
 		return;
-	to = key_allocator_least_loaded(allocator);
+	to = key_allocator_choose_owner(allocator, state);
 	if (!to)
 		return;
 	set_next_owner(state, to);
@@ -411,6 +412,7 @@
 	if (allocator->save_wanted && !allocator->saving &&
 	    now_s >= allocator->save_at_s)
 		start_save(allocator);
+	key_allocator_forget_loads(allocator);
 	allocator->candidates = NULL;
 	allocator->candidate_count = 0;
 }
--- a/src/keys/key_allocator_impl.h
+++ b/src/keys/key_allocator_impl.h
@@ -57,8 +57,12 @@
 	bool same_owner;
 	/** The save in progress names the next owner. */
 	bool in_save;
+	/** The range moves to balance load; the present owner could keep it. */
+	bool for_balance;
 };
 
+struct balance;
+
 /** The key ranges of one service, as the leader allocates them. */
 struct key_allocator {
 	const struct key_allocator_ops *ops;
@@ -83,6 +87,9 @@
 	 * it does not run. */
 	const struct key_candidate *candidates;
 	size_t candidate_count;
+	/** Loads of the candidates, computed at most twice in a tick; NULL
+	 * outside. */
+	struct balance *balance;
 };
 
 /** Returns a key range by its index; valid until ranges are split or merged. */
@@ -103,10 +110,15 @@
 			struct span_state *state,
 			const struct key_candidate *to, const char *reason);
 
-/** Returns the candidate with the least load in proportion to its weight, or
- * NULL if there are no candidates. */
+/** Returns the candidate with the least load in proportion to its weight, as
+ * the next owner of a key range, or NULL if there are no candidates. Later
+ * calls of the same tick count the range for it. */
 const struct key_candidate *
-key_allocator_least_loaded(struct key_allocator *allocator);
+key_allocator_choose_owner(struct key_allocator *allocator,
+			   const struct span_state *state);
+
+/** Frees the loads that were computed in a tick. */
+void key_allocator_forget_loads(struct key_allocator *allocator);
 
 /** Balances load between the candidates: starts to move key ranges, and splits
  * and merges them. Does nothing until the next balancing round is due. */
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -2199,7 +2199,7 @@
   (ProtobufCMessageInit) key_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor vm_report__field_descriptors[10] =
+static const ProtobufCFieldDescriptor vm_report__field_descriptors[9] =
 {
   {
     "vm",
@@ -2213,18 +2213,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "loads",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(VmReport, n_loads),
-    offsetof(VmReport, loads),
-    &key_load__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "crashes",
     3,
@@ -2323,21 +2311,21 @@
   },
 };
 static const unsigned vm_report__field_indices_by_name[] = {
-  7,   /* field[7] = blocked */
-  5,   /* field[5] = cleared */
-  2,   /* field[2] = crashes */
-  9,   /* field[9] = leaving */
-  1,   /* field[1] = loads */
-  4,   /* field[4] = progress */
-  6,   /* field[6] = refused */
-  3,   /* field[3] = stopping */
+  6,   /* field[6] = blocked */
+  4,   /* field[4] = cleared */
+  1,   /* field[1] = crashes */
+  8,   /* field[8] = leaving */
+  3,   /* field[3] = progress */
+  5,   /* field[5] = refused */
+  2,   /* field[2] = stopping */
   0,   /* field[0] = vm */
-  8,   /* field[8] = wanted_copies */
+  7,   /* field[7] = wanted_copies */
 };
-static const ProtobufCIntRange vm_report__number_ranges[1 + 1] =
+static const ProtobufCIntRange vm_report__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 3, 1 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor vm_report__descriptor =
 {
@@ -2347,10 +2335,10 @@
   "VmReport",
   "",
   sizeof(VmReport),
-  10,
+  9,
   vm_report__field_descriptors,
   vm_report__field_indices_by_name,
-  1,  vm_report__number_ranges,
+  2,  vm_report__number_ranges,
   (ProtobufCMessageInit) vm_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -2560,7 +2548,7 @@
   (ProtobufCMessageInit) vm_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor vm_loads__field_descriptors[7] =
+static const ProtobufCFieldDescriptor vm_loads__field_descriptors[8] =
 {
   {
     "vm",
@@ -2598,6 +2586,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "keys",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(VmLoads, n_keys),
+    offsetof(VmLoads, keys),
+    &key_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "index_count",
     20,
@@ -2648,19 +2648,21 @@
   },
 };
 static const unsigned vm_loads__field_indices_by_name[] = {
-  3,   /* field[3] = index_count */
-  4,   /* field[4] = index_sum */
+  4,   /* field[4] = index_count */
+  5,   /* field[5] = index_sum */
+  3,   /* field[3] = keys */
   2,   /* field[2] = limits */
-  5,   /* field[5] = loads */
+  6,   /* field[6] = loads */
   1,   /* field[1] = upstreams */
   0,   /* field[0] = vm */
-  6,   /* field[6] = wants_index */
+  7,   /* field[7] = wants_index */
 };
-static const ProtobufCIntRange vm_loads__number_ranges[2 + 1] =
+static const ProtobufCIntRange vm_loads__number_ranges[3 + 1] =
 {
   { 1, 0 },
-  { 20, 3 },
-  { 0, 7 }
+  { 15, 3 },
+  { 20, 4 },
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor vm_loads__descriptor =
 {
@@ -2670,10 +2672,10 @@
   "VmLoads",
   "",
   sizeof(VmLoads),
-  7,
+  8,
   vm_loads__field_descriptors,
   vm_loads__field_indices_by_name,
-  2,  vm_loads__number_ranges,
+  3,  vm_loads__number_ranges,
   (ProtobufCMessageInit) vm_loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -408,8 +408,6 @@
 {
   ProtobufCMessage base;
   VmInfo *vm;
-  size_t n_loads;
-  KeyLoad **loads;
   size_t n_crashes;
   Crash **crashes;
   /*
@@ -443,7 +441,7 @@
 };
 #define VM_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&vm_report__descriptor) \
-    , NULL, 0,NULL, 0,NULL, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , NULL, 0,NULL, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -521,6 +519,11 @@
   UpstreamLoad **upstreams;
   size_t n_limits;
   VmLimit **limits;
+  /*
+   * Requested keys, so that hot keys are seen as fast as loads.
+   */
+  size_t n_keys;
+  KeyLoad **keys;
   /*
    * Numbers of upstreams that loads refers to: how many, and their sum
    * (loads/load_index.h).
@@ -539,7 +542,7 @@
 };
 #define VM_LOADS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&vm_loads__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0, {0,NULL}, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0, 0, {0,NULL}, 0 }
 
 
 /*
