entry: requests that can meet their objective go first; idle connections are preferred

Cause: up to 8 requests waited in each owner's queue in the order of arrival, so that under load most answers came after the objective. A VM chose among all upstreams alike, and found its connections timed out (46,000 new connections for 87,000 requests). The expected wait for an owner that sheds requests was multiplied by its failures, and its callers were told to come back after 1.8 s in the mean.

--- a/src/balance/load.c
+++ b/src/balance/load.c
@@ -162,7 +162,7 @@
 	return load->in_flight + load->others * exp(-age / OTHERS_DECAY_S);
 }
 
-double load_expected_s(const struct load *load, double work_s, double now_s)
+double load_response_s(const struct load *load, double work_s, double now_s)
 {
 	double age = now_s - load->work_factor_s;
 	double factor =
@@ -177,7 +177,13 @@
 		expected += single_s * ahead / load->slots;
 	if (overdue_s > OVERDUE_FACTOR * single_s)
 		expected += overdue_s;
-	return expected * (1 + FAILURE_COST * load->failures);
+	return expected;
+}
+
+double load_expected_s(const struct load *load, double work_s, double now_s)
+{
+	return load_response_s(load, work_s, now_s) *
+	       (1 + FAILURE_COST * load->failures);
 }
 
 bool load_usable(const struct load *load, double now_s)
--- a/src/balance/load.h
+++ b/src/balance/load.h
@@ -137,6 +137,14 @@
  */
 double load_in_flight(const struct load *load, double now_s);
 
+/**
+ * Returns the expected response time of one more request at the upstream, in
+ * seconds, whether it succeeds or not.
+ *
+ * @param work_s usual response time of the request's route, in seconds
+ */
+double load_response_s(const struct load *load, double work_s, double now_s);
+
 /**
  * Returns the expected response time of a request that is sent now.
  *
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -349,8 +349,11 @@
 
 	if (is_by_another_upstream(attempt, facts))
 		upstream->replaced = true;
-	else if (req && req->key >= 0)
+	else if (req && req->key >= 0) {
 		req->not_before_s = forward_now(req->forward) + KEY_RETRY_S;
+		req->shed_with_room = reply->status == 503 && facts->has_load &&
+				      facts->running < facts->slots;
+	}
 	attempt_end(attempt, LOAD_SHED);
 	attempt_free(attempt);
 	if (!req)
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -15,12 +15,23 @@
 /* Most requests in flight beyond an upstream's slots, because upstreams queue
  * about 8 requests. */
 #define QUEUE_AHEAD_MAX 8.0
+/* The same for the owner of a key. A request that waits here instead can be
+ * overtaken by one that is answered within its objective. */
+#define OWNER_AHEAD_MAX 4.0
+/* The same for a request that can't be answered within its route's objective
+ * any more: it leaves the room to those that can. */
+#define LATE_AHEAD_MAX 1.0
 /* Penalty of an upstream in another zone: this many times the route's mean
  * answer time, plus a number of seconds for each MB that the answer sends
  * between zones. */
 #define OTHER_ZONE_MEANS 1.0
 #define OTHER_ZONE_S_PER_MB 2.0
 #define BYTES_PER_MB 1e6
+/* Penalty of an upstream to which this VM has no idle connection, in multiples
+ * of the route's mean answer time. Opening one costs a round trip and may
+ * occupy a slot of the upstream, and with many VMs and upstreams a VM that
+ * spreads its requests over all upstreams finds idle connections timed out. */
+#define NEW_CONNECTION_MEANS 1.0
 /* Largest random addition to an upstream's expected response time, as a share
  * of that time, so that VMs with the same view don't all choose the same
  * upstream. */
@@ -54,6 +65,13 @@
 	return false;
 }
 
+/* Whether a request can't be answered within its route's objective any more. */
+static bool is_late(const struct proxy_request *req)
+{
+	return forward_now(req->forward) + req->stats->mean_s >
+	       req->received_s + req->objective_s;
+}
+
 /* Number of requests beyond its slots that an upstream may have in flight and
  * still get another one. */
 static double queue_ahead_limit(const struct proxy_request *req,
@@ -62,10 +80,12 @@
 	double slots = upstream->load.slots;
 	double lag;
 
+	if (is_late(req))
+		return LATE_AHEAD_MAX;
 	/* Only the owner may run the request, so there is no alternative that
 	 * could start the request earlier. */
 	if (req->key >= 0)
-		return QUEUE_AHEAD_MAX;
+		return OWNER_AHEAD_MAX;
 	lag = QUEUE_AHEAD_INTERVALS *
 	      roster_load_interval_s(req->forward->options.roster);
 	return MIN(1 + slots * lag / req->stats->mean_s, QUEUE_AHEAD_MAX);
@@ -95,8 +115,21 @@
 	       OTHER_ZONE_S_PER_MB * req->stats->answer_bytes / BYTES_PER_MB;
 }
 
+/* Returns the penalty in seconds of an upstream to which a connection has to be
+ * opened; 0 if there is an idle one. */
+static double connection_cost_s(const struct proxy_request *req,
+				const struct upstream *upstream)
+{
+	bool avoid_stale = !route_kind_is_idempotent(req->kind);
+
+	return links_has_idle(upstream, avoid_stale)
+		       ? 0
+		       : NEW_CONNECTION_MEANS * req->stats->mean_s;
+}
+
 /* Returns the cost in seconds of sending a request to an upstream: its expected
- * response time, with a random addition, and the penalty for its zone. */
+ * response time, with a random addition, and the penalties for its zone and for
+ * a new connection. */
 static double cost_s(const struct proxy_request *req,
 		     const struct upstream *upstream, double now)
 {
@@ -105,7 +138,7 @@
 	double expected = load_expected_s(&upstream->load, work, now);
 
 	return expected * (1 + RANDOM_SHARE * g_rand_double(forward->random)) +
-	       zone_cost_s(req, upstream);
+	       zone_cost_s(req, upstream) + connection_cost_s(req, upstream);
 }
 
 /* Decides whether the limit that an upstream names admits a request. */
@@ -427,7 +460,8 @@
 	const struct upstream *owner = owner_of(req);
 	double now = forward_now(req->forward);
 
-	return owner ? load_expected_s(&owner->load, req->stats->mean_s, now)
+	/* Refusals and failures count only where there is a choice. */
+	return owner ? load_response_s(&owner->load, req->stats->mean_s, now)
 		     : req->stats->mean_s;
 }
 
@@ -502,6 +536,10 @@
 {
 	double wait = req->key >= 0 ? owner_wait_s(req) : expected_wait_s(req);
 
+	/* The upstream refuses a part of what it gets, whatever its load: the
+	 * next try may be accepted at any time. */
+	if (req->shed_with_room)
+		return RETRY_MIN_S;
 	return wait > RETRY_MIN_S ? wait : RETRY_MIN_S;
 }
 
@@ -612,18 +650,31 @@
 	return queued;
 }
 
+/* Tries queued requests again.
+ *
+ * @param late those that can't be answered within their objective any more, or
+ *        the others */
+static void retry_all(struct forward *forward, const GPtrArray *queued,
+		      bool late)
+{
+	guint i;
+
+	for (i = 0; i < queued->len; i++)
+		if (g_hash_table_contains(forward->requests_in_progress,
+					  queued->pdata[i]) &&
+		    is_late(queued->pdata[i]) == late)
+			retry_queued(queued->pdata[i]);
+}
+
 void dispatch_queued(struct forward *forward, struct service *service)
 {
 	GPtrArray *queued;
-	guint i;
 
 	if (!service->queue.length)
 		return;
 	queued = copy_queue(service);
-	for (i = 0; i < queued->len; i++)
-		if (g_hash_table_contains(forward->requests_in_progress,
-					  queued->pdata[i]))
-			retry_queued(queued->pdata[i]);
+	retry_all(forward, queued, false);
+	retry_all(forward, queued, true);
 	g_ptr_array_free(queued, TRUE);
 	if (!forward->queued_count)
 		ev_timer_stop(forward->options.loop->ev, &forward->queue_timer);
--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -214,6 +214,16 @@
 	return NULL;
 }
 
+bool links_has_idle(const struct upstream *upstream, bool avoid_stale)
+{
+	const GList *node;
+
+	for (node = upstream->idle_links.head; node; node = node->next)
+		if (link_reusable(node->data, avoid_stale))
+			return true;
+	return false;
+}
+
 bool links_has_capacity(const struct links *links,
 			const struct upstream *upstream)
 {
--- a/src/entry/links.h
+++ b/src/entry/links.h
@@ -76,6 +76,13 @@
 bool links_has_capacity(const struct links *links,
 			const struct upstream *upstream);
 
+/**
+ * Whether an idle connection to an upstream can be used.
+ *
+ * @param avoid_stale as in struct link_request
+ */
+bool links_has_idle(const struct upstream *upstream, bool avoid_stale);
+
 /**
  * Sends a request to an upstream over an idle or a new connection.
  *
--- a/src/entry/proxy_request.h
+++ b/src/entry/proxy_request.h
@@ -87,6 +87,9 @@
 	/** Loop time before which the request isn't sent to its key's owner, or
 	 * 0; set when the owner refused the request. */
 	double not_before_s;
+	/** The key's owner refused the last attempt, though it had free slots.
+	 */
+	bool shed_with_room;
 	/** The request is in its service's queue, linked by queue_node. */
 	bool queued;
 	GList queue_node;
