keys: load moves only from owners that got requests lately

Cause: with few requests, weights that follow measured speeds differ by chance, and ranges moved for the load of keys that nobody asks for. A range that moves when the store fails has no owner until the store is back: functional-test_entry, requests are served during an outage of the store, failed (5 of 16 requests).

Change: an owner must have got 8 requests lately, unless the upstream that takes the load has nearly none.

--- a/src/keys/key_allocator_balance.c
+++ b/src/keys/key_allocator_balance.c
@@ -28,6 +28,13 @@
 #define SPANS_PER_UPSTREAM 6
 /* Smallest load to move, as a fraction of an upstream's mean load. */
 #define MOVE_MIN_PART 0.1
+/* Recent requests that an owner must have got before load is taken from it.
+ * With fewer, nobody waits, and a range that moves when the store fails stays
+ * without owner until the store is back. */
+#define OBSERVED_MIN 8.0
+/* An upstream with less than this part of the mean load has joined or come
+ * back: it gets keys whatever the others' load. */
+#define JOINED_PART 0.25
 /* A single key with more than this multiple of an upstream's mean load occupies
  * its owner alone: the owner's other keys move away. */
 #define DOMINANT_FACTOR 1.0
@@ -416,6 +423,20 @@
 	return best;
 }
 
+/* Whether moving load between two owners is worth it. */
+static bool is_worth_moving(const struct balance *balance,
+			    const struct owner_load *most,
+			    const struct owner_load *least)
+{
+	double noise =
+		NOISE_DEVIATIONS * hypot(deviation(most), deviation(least));
+
+	if (most->observed < OBSERVED_MIN &&
+	    weighted(least) > JOINED_PART * balance->mean)
+		return false;
+	return weighted(most) - weighted(least) > noise;
+}
+
 /* Starts one move from the most to the least loaded owner, or from the next
  * one if nothing of the former can be moved.
  *
@@ -438,8 +459,7 @@
 
 		if (high == low || difference <= IMBALANCE_PART * balance->mean)
 			return false;
-		if (difference > NOISE_DEVIATIONS * hypot(deviation(most),
-							  deviation(least)) &&
+		if (is_worth_moving(balance, most, least) &&
 		    amount > least_move &&
 		    shift_load(allocator, high, low, amount))
 			return true;
