net: keep trailer fields and bodiless answers within their message

The HTTP parser reports trailer fields through the callbacks for header fields. The last one stayed in the buffers, and the first header field of the next request on the connection began with its text; without its Host the request got 404. Other trailer fields were added to the header fields, behind their checks. Answers with status 304 or 204 and a stated length, and interim ones, were read as if a body followed. The punctuation of a field counted towards the limit of the head once for each piece of its value.

Trailer fields are dropped and have a limit of their own. Answers to HEAD, interim ones, 204 and 304 end with their head. socket_detect_loss() takes the options that http_channel.c set itself.

--- a/src/net/http_channel.c
+++ b/src/net/http_channel.c
@@ -2,7 +2,6 @@
 
 #include <errno.h>
 #include <http_parser.h>
-#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -12,8 +11,6 @@
 
 /* Maximum number of bytes received at a time. */
 #define READ_BYTES ((size_t)64 << 10)
-/* Number of unanswered TCP keep-alive probes that end the connection. */
-#define KEEPALIVE_PROBES 1
 /* Most bytes that may precede the body of a response: its head, interim
  * responses and empty lines. */
 #define HEAD_BYTES_MAX ((size_t)128 << 10)
@@ -216,6 +213,9 @@
 {
 	struct http_channel *channel = parser->data;
 
+	/* Trailer fields are dropped: they must not pass for header fields. */
+	if (parser->flags & F_TRAILING)
+		return 0;
 	if (channel->in_value && end_field(channel))
 		return 1;
 	g_string_append_len(channel->field, at, (gssize)len);
@@ -226,6 +226,8 @@
 {
 	struct http_channel *channel = parser->data;
 
+	if (parser->flags & F_TRAILING)
+		return 0;
 	channel->in_value = true;
 	g_string_append_len(channel->value, at, (gssize)len);
 	return 0;
@@ -247,6 +249,16 @@
 	g_free(text);
 }
 
+/* Returns whether a response ends with its head, whatever length it states (RFC
+ * 9112, section 6.3). */
+static bool ends_with_head(const struct http_channel *channel)
+{
+	unsigned int status = channel->reply.status;
+
+	return channel->head_only || status / 100 == 1 || status == 204 ||
+	       status == 304;
+}
+
 static int on_head(http_parser *parser)
 {
 	struct http_channel *channel = parser->data;
@@ -259,7 +271,7 @@
 	read_keep_alive(channel);
 	channel->head_complete = channel->reply.status / 100 != 1;
 	/* 1 tells the parser that no body follows. */
-	return channel->head_only ? 1 : 0;
+	return ends_with_head(channel) ? 1 : 0;
 }
 
 static int on_body(http_parser *parser, const char *at, size_t len)
@@ -490,25 +502,6 @@
 	end_io(channel);
 }
 
-static void set_option(int fd, int level, int name, int value)
-{
-	/* On failure, a lost connection is only detected later. */
-	(void)setsockopt(fd, level, name, &value, sizeof(value));
-}
-
-static void set_options(int fd, const struct http_channel_options *options)
-{
-	if (options->user_timeout_ms)
-		set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
-			   (int)options->user_timeout_ms);
-	if (!options->keepalive_s)
-		return;
-	set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
-	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, (int)options->keepalive_s);
-	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, (int)options->keepalive_s);
-	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
-}
-
 struct http_channel *
 http_channel_create(struct loop *loop, const struct sockaddr_in *address,
 		    const struct http_channel_options *options,
@@ -533,7 +526,8 @@
 	channel->io.data = channel;
 	channel->events = EV_WRITE;
 	if (channel->fd >= 0) {
-		set_options(channel->fd, options);
+		socket_detect_loss(channel->fd, options->user_timeout_ms,
+				   options->keepalive_s);
 		ev_io_start(loop->ev, &channel->io);
 	} else {
 		/* The owner learns of this failure from the event loop, as
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -31,8 +31,8 @@
 	GString *value;
 	/** The field's name is complete; the parser is reading the value. */
 	bool in_value;
-	/** Number of bytes of the current request's target and header fields
-	 * received so far. */
+	/** Number of bytes of the current request's target and header fields,
+	 * or of its trailer fields, received so far. */
 	size_t head_bytes;
 	/** The request that is being received, or NULL. */
 	struct http_request *reading;
@@ -336,12 +336,14 @@
 	conn->head_bytes = 0;
 	conn->head_started_s = loop_now(conn->server->loop);
 	conn->in_value = false;
+	g_string_truncate(conn->field, 0);
+	g_string_truncate(conn->value, 0);
 	return 0;
 }
 
-/* Counts bytes of the request's head.
+/* Counts bytes of the request's head or trailer.
  *
- * @return nonzero when the head is too long */
+ * @return nonzero when it is too long */
 static int count_head(struct http_conn *conn, size_t len)
 {
 	conn->head_bytes += len;
@@ -378,8 +380,14 @@
 {
 	struct http_conn *conn = parser->data;
 
+	/* Trailer fields are dropped: they must not pass for header fields. */
+	if (parser->flags & F_TRAILING)
+		return count_head(conn, len);
 	if (conn->in_value && end_field(conn))
 		return 1;
+	/* Four more bytes for ": " and the end of the line. */
+	if (!conn->field->len)
+		conn->head_bytes += 4;
 	g_string_append_len(conn->field, at, (gssize)len);
 	return count_head(conn, len);
 }
@@ -388,10 +396,11 @@
 {
 	struct http_conn *conn = parser->data;
 
+	if (parser->flags & F_TRAILING)
+		return count_head(conn, len);
 	conn->in_value = true;
 	g_string_append_len(conn->value, at, (gssize)len);
-	/* Four more bytes for ": " and the end of the line. */
-	return count_head(conn, len + 4);
+	return count_head(conn, len);
 }
 
 static int on_head(http_parser *parser)
@@ -428,6 +437,17 @@
 	return 0;
 }
 
+static int on_chunk(http_parser *parser)
+{
+	struct http_conn *conn = parser->data;
+
+	/* The trailer follows the last chunk, and has the same limit as the
+	 * head. */
+	if (parser->flags & F_TRAILING)
+		conn->head_bytes = 0;
+	return 0;
+}
+
 static int on_complete(http_parser *parser)
 {
 	struct http_conn *conn = parser->data;
@@ -437,6 +457,9 @@
 	conn->reading = NULL;
 	request->complete = true;
 	request->received_s = loop_now(server->loop);
+	/* A trailer may have a Connection field. */
+	if (!http_should_keep_alive(parser))
+		request->close_after_answer = true;
 	if (request->close_after_answer)
 		conn->closing = true;
 	g_queue_push_tail(&conn->requests, request);
@@ -454,6 +477,7 @@
 	.on_header_value = on_value,
 	.on_headers_complete = on_head,
 	.on_body = on_body,
+	.on_chunk_header = on_chunk,
 	.on_message_complete = on_complete,
 };
 
--- a/src/wire/socket.c
+++ b/src/wire/socket.c
@@ -13,6 +13,8 @@
 #define BACKLOG 512
 /* A connection breaks when sent bytes stay unacknowledged this long. */
 #define USER_TIMEOUT_MS 2000
+/* Number of unanswered TCP keep-alive probes that end the connection. */
+#define KEEPALIVE_PROBES 1
 
 static void set_tcp_options(int fd)
 {
@@ -71,6 +73,24 @@
 	return fd;
 }
 
+static void set_option(int fd, int level, int name, unsigned int value)
+{
+	(void)setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+void socket_detect_loss(int fd, unsigned int user_timeout_ms,
+			unsigned int keepalive_s)
+{
+	if (user_timeout_ms)
+		set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
+	if (!keepalive_s)
+		return;
+	set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_s);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_s);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
+}
+
 bool socket_address(int fd, struct sockaddr_in *addr)
 {
 	socklen_t len = sizeof(*addr);
--- a/src/wire/socket.h
+++ b/src/wire/socket.h
@@ -42,6 +42,18 @@
  */
 bool socket_address(int fd, struct sockaddr_in *addr);
 
+/**
+ * Sets after which time a connection counts as lost. If that fails, a loss is
+ * only noticed later.
+ *
+ * @param user_timeout_ms time after which sent bytes that aren't acknowledged
+ *        end the connection; 0 for the setting that the socket has
+ * @param keepalive_s time without traffic before a keep-alive probe, whose
+ *        failure ends the connection after the same time; 0 for no probes
+ */
+void socket_detect_loss(int fd, unsigned int user_timeout_ms,
+			unsigned int keepalive_s);
+
 /** Result of a read or write that would block or was interrupted. */
 #define SOCKET_AGAIN (-1)
 /** Result of a read or write on a closed or failed connection. */
