net: one rule for the end of a caller's connection

Requests that were read got no answer in a planned stop. The answer that closes a connection was chosen when it was handed over; while it waited for earlier answers, more requests were read, passed on and then freed. And a connection whose sending direction was shut down read and dropped what arrived for a second, which hid from callers that their requests weren't read.

The rule is stated in src/net/http_conn.h and followed by http_conn_end.c: every request that was read is answered; the closing answer is chosen when it is sent, after all bytes of a read were parsed; what follows stays in the socket, so that closing it resets the connection; only the rest of a refused body is discarded; idle connections and late requests are judged after what has arrived was read. A request that stops arriving gets 408.

--- /dev/null
+++ b/src/net/http_conn.h
@@ -0,0 +1,145 @@
+/**
+ * A caller's connection to the HTTP server, and the rule for its end. Internal
+ * to http_server.c and http_conn_end.c.
+ *
+ * How a connection ends:
+ *
+ * - Every request that was read completely is answered. Answers leave in the
+ *   order of the requests.
+ * - Which answer closes the connection is decided when it is moved to the bytes
+ *   to send: the last one, with no request behind it, once the connection
+ *   accepts no further request or the server drains.
+ * - What follows the closing answer is not read, and so never passed on or
+ *   dropped. Only the rest of a request that was refused while its body arrived
+ *   is read and discarded, up to the end of this request.
+ * - A connection without requests is ended only after what has arrived was
+ *   read, and without a closing answer.
+ * - The sending direction is shut down when everything is sent. The socket is
+ *   closed when the caller has ended its direction too, or LINGER_S after it
+ *   has acknowledged everything. If it then holds bytes that weren't read, the
+ *   system resets the connection: the caller can tell that a request behind the
+ *   last answer wasn't read.
+ *
+ * The rule is the same for a planned stop, the time limits, a request that is
+ * refused because of its bytes, and a caller that asks for the end.
+ */
+#ifndef NET_HTTP_CONN_H
+#define NET_HTTP_CONN_H
+
+#include <http_parser.h>
+
+#include "net/http_server.h"
+
+/** A caller's connection. */
+struct http_conn {
+	struct http_server *server;
+	int fd;
+	ev_io io;
+	/** Events that io watches: EV_READ, EV_WRITE. */
+	int events;
+	http_parser parser;
+	/** Name and value of the header field that the parser is reading. */
+	GString *field;
+	GString *value;
+	/** The field's name is complete; the parser is reading the value. */
+	bool in_value;
+	/** Number of bytes of the current request's target and header fields,
+	 * or of its trailer fields, received so far. */
+	size_t head_bytes;
+	/** The request that is being received, or NULL. */
+	struct http_request *reading;
+	/** Complete requests in the order of arrival: struct http_request. */
+	GQueue requests;
+	/** Bytes to send, and how many of them are sent. */
+	GString *out;
+	size_t out_sent;
+	/** Loop time when data was last received or an answer was queued. */
+	double last_activity_s;
+	/** Loop time at which the first byte of the current request arrived. */
+	double head_started_s;
+	/** Received bytes are being parsed; answers wait until the end. */
+	bool parsing;
+	/** The connection accepts no further request. */
+	bool closing;
+	/** The current request is refused because of its body, the rest of
+	 * which is to be read and discarded. */
+	bool body_refused;
+	/** Bytes have arrived that are not to be read. */
+	bool unread;
+	/** The sending direction is shut down. */
+	bool half_closed;
+	/** Loop time at which a half-closed connection is closed; 0 until the
+	 * caller has acknowledged everything. */
+	double linger_until_s;
+	/** The socket is closed; the connection is freed by on_io() or by
+	 * http_server_tick(). */
+	bool closed;
+	/** Element of http_server.conns. */
+	GList link;
+};
+
+struct http_server {
+	struct loop *loop;
+	/** The listening socket; -1 after http_server_close_idle(). */
+	int fd;
+	/** Watcher for connections to accept. */
+	ev_io accept;
+	const struct http_server_ops *ops;
+	void *ctx;
+	struct http_limits limits;
+	/** Open connections: struct http_conn. */
+	GQueue conns;
+	/** Value of http_server_requests(). */
+	unsigned int requests;
+	/** http_server_drain() was called. */
+	bool draining;
+};
+
+/* --- http_server.c --- */
+
+/** Frees a request. */
+void http_request_free(struct http_request *request);
+
+/**
+ * Reads what has arrived, passes complete requests on, and sends what can be
+ * sent. May close the connection.
+ *
+ * @return whether bytes were read
+ */
+bool http_conn_read(struct http_conn *conn);
+
+/** Parses bytes that have arrived.
+ *
+ * @return the number of bytes that the parser took */
+size_t http_conn_parse(struct http_conn *conn, const char *data, size_t len);
+
+/** Answers an invalid or late request with an error status, which closes the
+ * connection. */
+void http_conn_reject(struct http_conn *conn, unsigned int status);
+
+/* --- http_conn_end.c --- */
+
+/** Closes the socket. Frees all requests; calls gone() for complete ones
+ * without an answer. Does nothing if the socket is closed. */
+void http_conn_close(struct http_conn *conn);
+
+/** Returns whether the answer to the first request, which is about to be sent,
+ * closes the connection. */
+bool http_conn_answer_closes(const struct http_conn *conn);
+
+/** Writes as much as the socket accepts. Shuts down the sending direction of a
+ * connection that accepts no further request once everything is sent. */
+void http_conn_flush(struct http_conn *conn);
+
+/** Handles readability of a connection that accepts no further request: notices
+ * its end, and reads the rest of a refused request only. */
+void http_conn_read_closing(struct http_conn *conn);
+
+/** Ends a connection without requests in progress, after it has read what has
+ * arrived. */
+void http_conn_end_idle(struct http_conn *conn);
+
+/** Applies the time limits to a connection. */
+void http_conn_tick(struct http_conn *conn, double now);
+
+#endif
--- /dev/null
+++ b/src/net/http_conn_end.c
@@ -0,0 +1,204 @@
+#include "net/http_conn.h"
+
+#include <poll.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "wire/socket.h"
+
+/* The server doesn't read from a connection while this many of its requests are
+ * in progress. The last read can bring in more. */
+#define PIPELINE_MAX 16
+/* How long a connection stays open, after the caller has acknowledged
+ * everything, for the caller to end it. Closing it with unread bytes resets it,
+ * and the caller could lose an answer that it hasn't taken from its system. */
+#define LINGER_S 1.0
+/* Maximum number of bytes of a refused body that are discarded at a time. */
+#define DISCARD_BYTES ((size_t)64 << 10)
+
+/* Frees all requests; calls gone() for complete ones without an answer. */
+static void free_requests(struct http_conn *conn)
+{
+	struct http_server *server = conn->server;
+	struct http_request *request;
+
+	while ((request = g_queue_pop_head(&conn->requests))) {
+		server->requests--;
+		if (!request->answer)
+			server->ops->gone(server->ctx, request);
+		http_request_free(request);
+	}
+	if (conn->reading)
+		http_request_free(conn->reading);
+	conn->reading = NULL;
+}
+
+void http_conn_close(struct http_conn *conn)
+{
+	if (conn->closed)
+		return;
+	conn->closed = true;
+	ev_io_stop(conn->server->loop->ev, &conn->io);
+	close(conn->fd);
+	free_requests(conn);
+}
+
+/* Sets the events, EV_READ and EV_WRITE, that the connection waits for. */
+static void watch(struct http_conn *conn, int events)
+{
+	if (conn->closed || conn->events == events)
+		return;
+	conn->events = events;
+	ev_io_stop(conn->server->loop->ev, &conn->io);
+	if (!events)
+		return;
+	ev_io_set(&conn->io, conn->fd, events);
+	ev_io_start(conn->server->loop->ev, &conn->io);
+}
+
+/* Returns whether readability is of interest. */
+static bool wants_read(const struct http_conn *conn)
+{
+	if (conn->closing)
+		return !conn->unread;
+	return conn->requests.length < PIPELINE_MAX;
+}
+
+static bool has_requests(const struct http_conn *conn)
+{
+	return conn->requests.length || conn->reading;
+}
+
+bool http_conn_answer_closes(const struct http_conn *conn)
+{
+	return conn->requests.length == 1 && !conn->reading &&
+	       (conn->closing || conn->server->draining);
+}
+
+/* Shuts down the sending direction; nothing is read from now on but the rest of
+ * a refused request. */
+static void half_close(struct http_conn *conn)
+{
+	if (conn->half_closed)
+		return;
+	conn->closing = true;
+	conn->half_closed = true;
+	if (shutdown(conn->fd, SHUT_WR) < 0)
+		http_conn_close(conn);
+}
+
+void http_conn_flush(struct http_conn *conn)
+{
+	while (conn->out_sent < conn->out->len) {
+		ssize_t n =
+			socket_write(conn->fd, conn->out->str + conn->out_sent,
+				     conn->out->len - conn->out_sent);
+
+		if (n == SOCKET_AGAIN)
+			break;
+		if (n < 0) {
+			http_conn_close(conn);
+			return;
+		}
+		conn->out_sent += (size_t)n;
+	}
+	if (conn->out_sent == conn->out->len) {
+		g_string_truncate(conn->out, 0);
+		conn->out_sent = 0;
+		if (conn->closing && !has_requests(conn))
+			half_close(conn);
+	}
+	watch(conn, (wants_read(conn) ? EV_READ : 0) |
+			    (conn->out->len ? EV_WRITE : 0));
+}
+
+/* Discards bytes of a refused request, which the parser delimits. */
+static void discard(struct http_conn *conn, const char *data, size_t len)
+{
+	static char taken[DISCARD_BYTES];
+	size_t used = http_conn_parse(conn, data, len);
+
+	if (used)
+		(void)socket_read(conn->fd, taken, used);
+}
+
+void http_conn_read_closing(struct http_conn *conn)
+{
+	static char buf[DISCARD_BYTES];
+	ssize_t n = socket_peek(conn->fd, buf, sizeof(buf));
+
+	if (n == SOCKET_AGAIN)
+		return;
+	if (n <= 0)
+		http_conn_close(conn);
+	else if (conn->body_refused)
+		discard(conn, buf, (size_t)n);
+	else
+		conn->unread = true;
+	if (!conn->closed)
+		http_conn_flush(conn);
+}
+
+/* Returns whether a half-closed connection is to be closed. */
+static bool lingered(struct http_conn *conn, double now)
+{
+	if (socket_peer_ended(conn->fd))
+		return true;
+	if (!conn->linger_until_s && !socket_unacknowledged(conn->fd))
+		conn->linger_until_s = now + LINGER_S;
+	return conn->linger_until_s && now > conn->linger_until_s;
+}
+
+static bool is_idle(const struct http_conn *conn)
+{
+	return !has_requests(conn) && !conn->out->len && !conn->closing;
+}
+
+void http_conn_end_idle(struct http_conn *conn)
+{
+	if (conn->closed || conn->closing)
+		return;
+	/* The caller can't tell that what has arrived wasn't read yet. */
+	if (http_conn_read(conn) || conn->closed || !is_idle(conn))
+		return;
+	half_close(conn);
+	watch(conn, EV_READ);
+}
+
+/* Returns the status that refuses a request which takes too long to arrive; 0
+ * if it doesn't. */
+static unsigned int late_status(const struct http_conn *conn, double now)
+{
+	const struct http_limits *limits = &conn->server->limits;
+
+	if (!conn->reading || conn->closing)
+		return 0;
+	/* The method is set once the head is complete. */
+	if (!conn->reading->method->len &&
+	    now - conn->head_started_s > limits->header_timeout_s)
+		return 408;
+	return now - conn->last_activity_s > limits->idle_timeout_s ? 408 : 0;
+}
+
+void http_conn_tick(struct http_conn *conn, double now)
+{
+	const struct http_limits *limits = &conn->server->limits;
+
+	if (conn->closed)
+		return;
+	if (conn->half_closed) {
+		if (lingered(conn, now))
+			http_conn_close(conn);
+		return;
+	}
+	if (late_status(conn, now)) {
+		/* After a suspension of the VM the rest may have arrived. */
+		(void)http_conn_read(conn);
+		if (!conn->closed && late_status(conn, now))
+			http_conn_reject(conn, late_status(conn, now));
+	} else if (is_idle(conn) &&
+		   now - conn->last_activity_s > limits->idle_timeout_s) {
+		http_conn_end_idle(conn);
+	}
+}
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -1,79 +1,15 @@
 #include "net/http_server.h"
 
 #include <errno.h>
-#include <http_parser.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "net/http_conn.h"
 #include "wire/socket.h"
 
-/* The server doesn't read from a connection while this many of its requests are
- * in progress. The last read can bring in more. */
-#define PIPELINE_MAX 16
 /* Maximum number of bytes received at a time. */
 #define READ_BYTES ((size_t)64 << 10)
-/* After the last answer, a connection's data is read and discarded for this
- * many seconds. Closing a connection with unread data would reset it, and the
- * caller could lose the answer. */
-#define LINGER_S 1.0
-
-/* A caller's connection. */
-struct http_conn {
-	struct http_server *server;
-	int fd;
-	ev_io io;
-	/** Events that io watches: EV_READ, EV_WRITE. */
-	int events;
-	http_parser parser;
-	/** Name and value of the header field that the parser is reading. */
-	GString *field;
-	GString *value;
-	/** The field's name is complete; the parser is reading the value. */
-	bool in_value;
-	/** Number of bytes of the current request's target and header fields,
-	 * or of its trailer fields, received so far. */
-	size_t head_bytes;
-	/** The request that is being received, or NULL. */
-	struct http_request *reading;
-	/** Complete requests in the order of arrival: struct http_request. */
-	GQueue requests;
-	/** Bytes to send, and how many of them are sent. */
-	GString *out;
-	size_t out_sent;
-	/** Loop time when data was last received or an answer was queued. */
-	double last_activity_s;
-	/** Loop time at which the first byte of the current request arrived. */
-	double head_started_s;
-	/** The connection accepts no further request. */
-	bool closing;
-	/** The sending direction is shut down. */
-	bool half_closed;
-	/** Loop time at which a half-closed connection is closed. */
-	double linger_until_s;
-	/** The socket is closed; the connection is freed by on_io() or by
-	 * http_server_tick(). */
-	bool closed;
-	/** Element of http_server.conns. */
-	GList link;
-};
-
-struct http_server {
-	struct loop *loop;
-	/** The listening socket; -1 after http_server_close_idle(). */
-	int fd;
-	/** Watcher for connections to accept. */
-	ev_io accept;
-	const struct http_server_ops *ops;
-	void *ctx;
-	struct http_limits limits;
-	/** Open connections: struct http_conn. */
-	GQueue conns;
-	/** Value of http_server_requests(). */
-	unsigned int requests;
-	/** http_server_drain() was called. */
-	bool draining;
-};
 
 /* Limits until http_server_set_limits() is called. */
 static const struct http_limits default_limits = {
@@ -125,7 +61,7 @@
 	return request;
 }
 
-static void request_free(struct http_request *request)
+void http_request_free(struct http_request *request)
 {
 	g_string_free(request->method, TRUE);
 	g_string_free(request->target, TRUE);
@@ -136,36 +72,9 @@
 	g_free(request);
 }
 
-/* Frees all requests; calls gone() for complete ones without an answer. */
-static void conn_free_requests(struct http_conn *conn)
-{
-	struct http_server *server = conn->server;
-	struct http_request *request;
-
-	while ((request = g_queue_pop_head(&conn->requests))) {
-		server->requests--;
-		if (!request->answer)
-			server->ops->gone(server->ctx, request);
-		request_free(request);
-	}
-	if (conn->reading)
-		request_free(conn->reading);
-	conn->reading = NULL;
-}
-
-static void conn_close(struct http_conn *conn)
-{
-	if (conn->closed)
-		return;
-	conn->closed = true;
-	ev_io_stop(conn->server->loop->ev, &conn->io);
-	close(conn->fd);
-	conn_free_requests(conn);
-}
-
 static void conn_free(struct http_conn *conn)
 {
-	conn_close(conn);
+	http_conn_close(conn);
 	g_queue_unlink(&conn->server->conns, &conn->link);
 	g_string_free(conn->field, TRUE);
 	g_string_free(conn->value, TRUE);
@@ -173,111 +82,56 @@
 	g_free(conn);
 }
 
-/* Sets the events, EV_READ and EV_WRITE, that the connection waits for. */
-static void conn_watch(struct http_conn *conn, int events)
+static bool request_is(const struct http_request *request, const char *method)
 {
-	if (conn->closed || conn->events == events)
-		return;
-	conn->events = events;
-	ev_io_stop(conn->server->loop->ev, &conn->io);
-	if (!events)
-		return;
-	ev_io_set(&conn->io, conn->fd, events);
-	ev_io_start(conn->server->loop->ev, &conn->io);
+	return !strcmp(request->method->str, method);
 }
 
-static bool conn_accepts_requests(const struct http_conn *conn)
+/* Moves the answer to the first request to the bytes to send. */
+static void queue_answer(struct http_conn *conn)
 {
-	return conn->requests.length < PIPELINE_MAX;
-}
+	struct http_request *request = g_queue_peek_head(&conn->requests);
+	const GString *answer = request->answer;
+	bool closes = http_conn_answer_closes(conn);
+	GString *out = conn->out;
 
-/* Shuts down the sending direction; received data is discarded from now on. */
-static void conn_half_close(struct http_conn *conn)
-{
-	if (conn->half_closed)
-		return;
-	conn->half_closed = true;
-	conn->linger_until_s = loop_now(conn->server->loop) + LINGER_S;
-	if (shutdown(conn->fd, SHUT_WR) < 0)
-		conn_close(conn);
-}
-
-/* Writes as much as the socket accepts. Half-closes a connection that accepts
- * no further request once everything is sent. */
-static void conn_flush(struct http_conn *conn)
-{
-	while (conn->out_sent < conn->out->len) {
-		ssize_t n =
-			socket_write(conn->fd, conn->out->str + conn->out_sent,
-				     conn->out->len - conn->out_sent);
-
-		if (n == SOCKET_AGAIN)
-			break;
-		if (n < 0) {
-			conn_close(conn);
-			return;
-		}
-		conn->out_sent += (size_t)n;
-	}
-	if (conn->out_sent == conn->out->len) {
-		g_string_truncate(conn->out, 0);
-		conn->out_sent = 0;
-		if (conn->closing && !conn->requests.length && !conn->reading)
-			conn_half_close(conn);
-	}
-	conn_watch(conn, (conn_accepts_requests(conn) ? EV_READ : 0) |
-				 (conn->out->len ? EV_WRITE : 0));
+	if (closes)
+		conn->closing = true;
+	g_string_append_len(out, answer->str, (gssize)request->answer_head);
+	if (closes)
+		g_string_append(out, "Connection: close\r\n");
+	else if (request->http10)
+		g_string_append(out, "Connection: keep-alive\r\n");
+	g_string_append(out, "\r\n");
+	g_string_append_len(out, answer->str + request->answer_head,
+			    (gssize)(answer->len - request->answer_head));
+	g_queue_pop_head(&conn->requests);
+	conn->server->requests--;
+	http_request_free(request);
+	conn->last_activity_s = loop_now(conn->server->loop);
 }
 
 /* Sends the answers at the head of the queue, in the order of the requests. */
 static void conn_send_answers(struct http_conn *conn)
 {
-	struct http_request *request;
-
-	while (!conn->closed &&
-	       (request = g_queue_peek_head(&conn->requests)) &&
-	       request->answer) {
-		bool close_after = request->close_after_answer;
-
-		g_string_append_len(conn->out, request->answer->str,
-				    (gssize)request->answer->len);
-		g_queue_pop_head(&conn->requests);
-		conn->server->requests--;
-		request_free(request);
-		conn->last_activity_s = loop_now(conn->server->loop);
-		if (close_after) {
-			conn->closing = true;
-			conn_free_requests(conn);
-		}
-	}
-	if (!conn->closed)
-		conn_flush(conn);
-}
+	const struct http_request *request;
 
-static bool request_is(const struct http_request *request, const char *method)
-{
-	return !strcmp(request->method->str, method);
-}
-
-/* Returns whether no other request of the connection is in progress behind this
- * one.
- * Closing the connection after its answer would lose such requests. */
-static bool is_last_request(const struct http_request *request)
-{
-	return !request->conn->reading &&
-	       g_queue_peek_tail(&request->conn->requests) == request;
+	/* More requests may follow in the bytes that are being parsed. */
+	if (conn->parsing)
+		return;
+	while ((request = g_queue_peek_head(&conn->requests)) &&
+	       request->answer)
+		queue_answer(conn);
+	http_conn_flush(conn);
 }
 
 void http_request_answer(struct http_request *request,
 			 const struct http_answer *answer)
 {
-	struct http_conn *conn = request->conn;
 	GString *out = g_string_sized_new(answer->body.len + 512);
 	size_t i;
 
 	request->data = NULL;
-	if (conn->server->draining && is_last_request(request))
-		request->close_after_answer = true;
 	g_string_append_printf(out, "HTTP/1.1 %u %s\r\n", answer->status,
 			       http_reason(answer->status));
 	for (i = 0; answer->headers && i < headers_count(answer->headers);
@@ -290,16 +144,12 @@
 	if (answer->status != 204 && answer->status != 304)
 		g_string_append_printf(out, "Content-Length: %zu\r\n",
 				       answer->body.len);
-	if (request->close_after_answer)
-		g_string_append(out, "Connection: close\r\n");
-	else if (request->http10)
-		g_string_append(out, "Connection: keep-alive\r\n");
-	g_string_append(out, "\r\n");
+	request->answer_head = out->len;
 	if (!request_is(request, "HEAD") && answer->body.len)
 		g_string_append_len(out, answer->body.data,
 				    (gssize)answer->body.len);
 	request->answer = out;
-	conn_send_answers(conn);
+	conn_send_answers(request->conn);
 }
 
 void http_request_abort(struct http_request *request)
@@ -308,12 +158,10 @@
 
 	request->data = NULL;
 	request->answer = g_string_new(NULL);
-	conn_close(conn);
+	http_conn_close(conn);
 }
 
-/* Answers an invalid or late request with an error status and closes the
- * connection. */
-static void conn_reject(struct http_conn *conn, unsigned int status)
+void http_conn_reject(struct http_conn *conn, unsigned int status)
 {
 	struct http_request *request = conn->reading;
 	struct http_answer answer = { .status = status };
@@ -322,7 +170,6 @@
 		request = request_create(conn);
 	conn->reading = NULL;
 	conn->closing = true;
-	request->close_after_answer = true;
 	g_queue_push_tail(&conn->requests, request);
 	conn->server->requests++;
 	http_request_answer(request, &answer);
@@ -413,13 +260,14 @@
 		return -1;
 	g_string_assign(request->method,
 			http_method_str((enum http_method)parser->method));
-	request->close_after_answer = !http_should_keep_alive(parser);
 	request->http10 = parser->http_minor == 0;
 	/* An Upgrade field must not end the parsing of HTTP. */
 	parser->upgrade = 0;
 	if (parser->flags & F_CONTENTLENGTH &&
-	    parser->content_length > conn->server->limits.body_bytes)
-		return -1;
+	    parser->content_length > conn->server->limits.body_bytes) {
+		conn->body_refused = true;
+		return 0;
+	}
 	expect = headers_find(request->headers, STR("expect"));
 	if (expect && !conn->requests.length && !conn->out->len)
 		g_string_append(conn->out, "HTTP/1.1 100 Continue\r\n\r\n");
@@ -429,11 +277,14 @@
 static int on_body(http_parser *parser, const char *at, size_t len)
 {
 	struct http_conn *conn = parser->data;
-	GString *body = conn->reading->body;
-
-	if (body->len + len > conn->server->limits.body_bytes)
-		return 1;
-	g_string_append_len(body, at, (gssize)len);
+	size_t limit = conn->server->limits.body_bytes;
+
+	if (conn->body_refused)
+		return 0;
+	if (conn->reading->body->len + len > limit)
+		conn->body_refused = true;
+	else
+		g_string_append_len(conn->reading->body, at, (gssize)len);
 	return 0;
 }
 
@@ -454,13 +305,16 @@
 	struct http_server *server = conn->server;
 	struct http_request *request = conn->reading;
 
+	if (conn->body_refused) {
+		/* Nothing behind this request is read. */
+		http_parser_pause(parser, 1);
+		return 0;
+	}
 	conn->reading = NULL;
 	request->complete = true;
 	request->received_s = loop_now(server->loop);
-	/* A trailer may have a Connection field. */
+	/* Header and trailer may have a Connection field. */
 	if (!http_should_keep_alive(parser))
-		request->close_after_answer = true;
-	if (request->close_after_answer)
 		conn->closing = true;
 	g_queue_push_tail(&conn->requests, request);
 	server->requests++;
@@ -490,40 +344,54 @@
 	if (conn->head_bytes > limits->header_bytes ||
 	    error == HPE_HEADER_OVERFLOW)
 		return 431;
-	if (error == HPE_CB_body ||
-	    (error == HPE_CB_headers_complete &&
-	     conn->parser.content_length > limits->body_bytes &&
-	     conn->parser.flags & F_CONTENTLENGTH))
-		return 413;
 	return 400;
 }
 
-static void conn_parse(struct http_conn *conn, const char *data, size_t len)
+size_t http_conn_parse(struct http_conn *conn, const char *data, size_t len)
 {
-	if (conn->closing)
-		return;
-	conn->last_activity_s = loop_now(conn->server->loop);
-	http_parser_execute(&conn->parser, &parser_settings, data, len);
-	if (conn->closed || conn->closing)
-		return;
-	if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK)
-		conn_reject(conn, parse_error_status(conn));
+	enum http_errno error;
+	size_t used;
+
+	conn->parsing = true;
+	used = http_parser_execute(&conn->parser, &parser_settings, data, len);
+	conn->parsing = false;
+	if (conn->closed)
+		return used;
+	error = HTTP_PARSER_ERRNO(&conn->parser);
+	if (error != HPE_OK && conn->body_refused) {
+		/* The refused request has ended, or can't be delimited. */
+		conn->body_refused = false;
+		if (conn->reading)
+			http_conn_reject(conn, 413);
+	} else if (conn->body_refused && conn->reading) {
+		http_conn_reject(conn, 413);
+	} else if (error != HPE_OK && !conn->closing) {
+		http_conn_reject(conn, parse_error_status(conn));
+	}
+	return used;
 }
 
-static void conn_read(struct http_conn *conn)
+bool http_conn_read(struct http_conn *conn)
 {
 	static char buf[READ_BYTES];
-	ssize_t n = socket_read(conn->fd, buf, sizeof(buf));
+	ssize_t n;
 
+	if (conn->closing) {
+		http_conn_read_closing(conn);
+		return false;
+	}
+	n = socket_read(conn->fd, buf, sizeof(buf));
 	if (n == SOCKET_AGAIN)
-		return;
+		return false;
 	if (n <= 0) {
-		conn_close(conn);
-		return;
+		http_conn_close(conn);
+		return false;
 	}
-	conn_parse(conn, buf, (size_t)n);
+	conn->last_activity_s = loop_now(conn->server->loop);
+	(void)http_conn_parse(conn, buf, (size_t)n);
 	if (!conn->closed)
-		conn_flush(conn);
+		conn_send_answers(conn);
+	return true;
 }
 
 static void on_io(struct ev_loop *loop, ev_io *io, int events)
@@ -532,9 +400,9 @@
 
 	(void)loop;
 	if (events & EV_WRITE)
-		conn_flush(conn);
+		http_conn_flush(conn);
 	if (!conn->closed && events & EV_READ)
-		conn_read(conn);
+		(void)http_conn_read(conn);
 	if (conn->closed)
 		conn_free(conn);
 }
@@ -631,32 +499,6 @@
 	server->limits = *limits;
 }
 
-/* Closes the connection if one of its time limits has passed. */
-static void conn_tick(struct http_conn *conn, double now)
-{
-	const struct http_limits *limits = &conn->server->limits;
-
-	if (conn->closed)
-		return;
-	if (conn->half_closed) {
-		if (now > conn->linger_until_s)
-			conn_close(conn);
-		return;
-	}
-	if (conn->reading) {
-		/* The method is set once the head is complete. */
-		if (now - conn->head_started_s > limits->header_timeout_s &&
-		    !conn->reading->complete && !conn->reading->method->len)
-			conn_reject(conn, 408);
-		else if (now - conn->last_activity_s > limits->idle_timeout_s)
-			conn_close(conn);
-		return;
-	}
-	if (!conn->requests.length && !conn->out->len &&
-	    now - conn->last_activity_s > limits->idle_timeout_s)
-		conn_close(conn);
-}
-
 void http_server_tick(struct http_server *server)
 {
 	double now = loop_now(server->loop);
@@ -666,7 +508,7 @@
 		struct http_conn *conn = link->data;
 
 		next = link->next;
-		conn_tick(conn, now);
+		http_conn_tick(conn, now);
 		if (conn->closed)
 			conn_free(conn);
 	}
@@ -677,13 +519,6 @@
 	server->draining = true;
 }
 
-/* Whether a connection has no request and no bytes to send. */
-static bool conn_idle(const struct http_conn *conn)
-{
-	return !conn->requests.length && !conn->reading && !conn->out->len &&
-	       !conn->half_closed;
-}
-
 void http_server_close_idle(struct http_server *server)
 {
 	GList *link, *next;
@@ -697,14 +532,9 @@
 		struct http_conn *conn = link->data;
 
 		next = link->next;
-		if (!conn->closed && !conn->closing && !conn->half_closed)
-			conn_read(conn);
-		if (conn->closed) {
+		http_conn_end_idle(conn);
+		if (conn->closed)
 			conn_free(conn);
-		} else if (conn_idle(conn)) {
-			conn->closing = true;
-			conn_half_close(conn);
-		}
 	}
 }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -60,12 +60,13 @@
 	void *data;
 
 	/** This member and those below are private to the server. The response
-	 * as sent; NULL until the request is answered. */
+	 * without the Connection field and the empty line behind its head; NULL
+	 * until the request is answered. */
 	GString *answer;
+	/** Number of bytes of the head in it. */
+	size_t answer_head;
 	/** The request was received completely. */
 	bool complete;
-	/** The connection is closed after the answer. */
-	bool close_after_answer;
 	/** The caller uses HTTP/1.0. */
 	bool http10;
 };
--- a/src/wire/socket.c
+++ b/src/wire/socket.c
@@ -1,8 +1,11 @@
 #include "wire/socket.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -73,6 +76,20 @@
 	return fd;
 }
 
+bool socket_peer_ended(int fd)
+{
+	struct pollfd state = { .fd = fd, .events = POLLRDHUP };
+
+	return poll(&state, 1, 0) > 0;
+}
+
+size_t socket_unacknowledged(int fd)
+{
+	int bytes = 0;
+
+	return ioctl(fd, SIOCOUTQ, &bytes) < 0 ? 0 : (size_t)bytes;
+}
+
 static void set_option(int fd, int level, int name, unsigned int value)
 {
 	(void)setsockopt(fd, level, name, &value, sizeof(value));
@@ -115,6 +132,13 @@
 	return n > 0 ? n : io_status(n);
 }
 
+ssize_t socket_peek(int fd, void *buf, size_t size)
+{
+	ssize_t n = recv(fd, buf, size, MSG_PEEK);
+
+	return n > 0 ? n : io_status(n);
+}
+
 ssize_t socket_write(int fd, const void *buf, size_t size)
 {
 	ssize_t n = send(fd, buf, size, MSG_NOSIGNAL);
--- a/src/wire/socket.h
+++ b/src/wire/socket.h
@@ -54,6 +54,14 @@
 void socket_detect_loss(int fd, unsigned int user_timeout_ms,
 			unsigned int keepalive_s);
 
+/** Returns whether the peer has ended its sending direction or reset the
+ * connection, also when bytes that came before are unread. */
+bool socket_peer_ended(int fd);
+
+/** Returns the number of bytes, and of the end of the sending direction, that
+ * the peer's system has not acknowledged. */
+size_t socket_unacknowledged(int fd);
+
 /** Result of a read or write that would block or was interrupted. */
 #define SOCKET_AGAIN (-1)
 /** Result of a read or write on a closed or failed connection. */
@@ -66,6 +74,13 @@
  */
 ssize_t socket_read(int fd, void *buf, size_t size);
 
+/**
+ * Copies up to size available bytes without taking them from the socket.
+ *
+ * @return the number of bytes, SOCKET_AGAIN or SOCKET_CLOSED
+ */
+ssize_t socket_peek(int fd, void *buf, size_t size);
+
 /**
  * Writes as many bytes as the socket accepts.
  *
--- a/test/unit/test_message_bounds.c
+++ b/test/unit/test_message_bounds.c
@@ -6,6 +6,7 @@
  * meaning depends on how it was split.
  */
 #include <arpa/inet.h>
+#include <poll.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -21,6 +22,8 @@
 #define WAIT_US ((gint64)G_USEC_PER_SEC)
 /* Value of a split that sends one byte at a time. */
 #define EACH_BYTE SIZE_MAX
+/* Longest wait for bytes that a loopback peer has sent. */
+#define GUARD_S 0.02
 #define HEADER_BYTES 400
 /* A head near HEADER_BYTES, with this many bytes in one field's value. */
 #define LONG_VALUE 330
@@ -65,14 +68,24 @@
 	return fd;
 }
 
-/* Handles what has arrived; bytes that a loopback peer sent are there at once.
- */
-static void run_pending(struct fixture *w)
+static void on_guard(struct ev_loop *loop, ev_timer *timer, int events)
 {
-	int i;
+	(void)loop;
+	(void)timer;
+	(void)events;
+}
 
-	for (i = 0; i < 3; i++)
-		ev_run(w->loop.ev, EVRUN_NOWAIT);
+/* Waits for an event, for up to GUARD_S, and handles what has arrived. */
+static void run_pending(struct fixture *w)
+{
+	ev_timer guard;
+
+	ev_now_update(w->loop.ev);
+	ev_timer_init(&guard, on_guard, GUARD_S, 0);
+	ev_timer_start(w->loop.ev, &guard);
+	ev_run(w->loop.ev, EVRUN_ONCE);
+	ev_timer_stop(w->loop.ev, &guard);
+	ev_run(w->loop.ev, EVRUN_NOWAIT);
 }
 
 /* Runs the loop until count messages were received or the channel ended. */
@@ -80,12 +93,8 @@
 {
 	gint64 end_us = g_get_monotonic_time() + WAIT_US;
 
-	run_pending(w);
-	while (w->count < count && !w->ended &&
-	       g_get_monotonic_time() < end_us) {
-		g_usleep(200);
+	while (w->count < count && !w->ended && g_get_monotonic_time() < end_us)
 		run_pending(w);
-	}
 }
 
 /* Sends bytes in two parts, or one by one, and has each part handled. */
@@ -136,6 +145,18 @@
 	g_free(seen);
 }
 
+/* Takes the request that a client has sent. */
+static void take_request(struct fixture *w, int fd)
+{
+	struct pollfd state = { .fd = fd, .events = POLLIN };
+	gint64 end_us = g_get_monotonic_time() + WAIT_US;
+	char buf[512];
+
+	while (!poll(&state, 1, 0) && g_get_monotonic_time() < end_us)
+		run_pending(w);
+	CU_ASSERT_TRUE(recv(fd, buf, sizeof(buf), MSG_DONTWAIT) > 0);
+}
+
 /* --- requests of callers --- */
 
 static void on_request(void *ctx, struct http_request *request)
@@ -376,13 +397,10 @@
 static void exchange(struct fixture *w, struct http_channel *channel, int fd,
 		     const struct answer_row *row, size_t at)
 {
-	char buf[256];
-
 	w->count = 0;
 	g_string_truncate(w->seen, 0);
 	http_channel_send(channel, STR("GET / HTTP/1.1\r\n\r\n"), row->head);
-	run_pending(w);
-	CU_ASSERT_TRUE(recv(fd, buf, sizeof(buf), MSG_DONTWAIT) > 0);
+	take_request(w, fd);
 	send_split(w, fd, row->bytes, at);
 	if (row->closes)
 		shutdown(fd, SHUT_WR);
@@ -483,12 +501,9 @@
 static void answer_call(struct fixture *w, int fd, const struct answer_row *row,
 			size_t at)
 {
-	char buf[512];
-
 	w->count = 0;
 	g_string_truncate(w->seen, 0);
-	run_pending(w);
-	CU_ASSERT_TRUE(recv(fd, buf, sizeof(buf), MSG_DONTWAIT) > 0);
+	take_request(w, fd);
 	send_split(w, fd, row->bytes, at);
 	run_until(w, 1);
 	check_seen(w, row->bytes, at, row->expected);
