net: wait for callers that read late or end their sending direction

A TCP user timeout of 2 s on callers' connections ended those of live callers whose receive window was closed: the system counts it from the moment from which data waits, whether or not the peer answers the probes.

Callers' connections have no user timeout. A caller is waited for until its deadline or the route's timeout (http_request.wait_until_s). After that its connection ends when its machine has acknowledged nothing for 2 s or when it has taken nothing for the idle timeout. Keep-alive probes cover idle callers. A caller that has only ended its sending direction gets its answers; one that has left is told apart by the first bytes of its next answer, which its system resets. This also notices callers that leave with 16 requests in progress.

--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -346,6 +346,7 @@
 	req->deadline_s = req->received_s + wait_s;
 	req->give_up_s =
 		MIN(req->deadline_s, req->received_s + route->timeout_s);
+	request->wait_until_s = req->give_up_s;
 	ev_timer_init(&req->timer, on_request_timer, 0, 0);
 	req->timer.data = req;
 	g_hash_table_add(forward->requests_in_progress, req);
--- a/src/net/http_channel.c
+++ b/src/net/http_channel.c
@@ -502,6 +502,17 @@
 	end_io(channel);
 }
 
+static void detect_loss(int fd, const struct http_channel_options *options)
+{
+	const struct socket_loss loss = {
+		.user_timeout_ms = options->user_timeout_ms,
+		.keepalive_s = options->keepalive_s,
+		.probes = 1,
+	};
+
+	socket_detect_loss(fd, &loss);
+}
+
 struct http_channel *
 http_channel_create(struct loop *loop, const struct sockaddr_in *address,
 		    const struct http_channel_options *options,
@@ -526,8 +537,7 @@
 	channel->io.data = channel;
 	channel->events = EV_WRITE;
 	if (channel->fd >= 0) {
-		socket_detect_loss(channel->fd, options->user_timeout_ms,
-				   options->keepalive_s);
+		detect_loss(channel->fd, options);
 		ev_io_start(loop->ev, &channel->io);
 	} else {
 		/* The owner learns of this failure from the event loop, as
--- a/src/net/http_conn.h
+++ b/src/net/http_conn.h
@@ -20,6 +20,14 @@
  *   system resets the connection: the caller can tell that a request behind the
  *   last answer wasn't read.
  *
+ * - A caller that ends its sending direction gets the answers to its requests.
+ *   Whether it has left is found out by sending it BEGINNING, with which every
+ *   answer begins: the system of a caller that has left resets the connection.
+ * - A caller that doesn't take its answers is waited for until the time for
+ *   which it waits (http_request.wait_until_s). After that the connection ends
+ *   when its machine has acknowledged nothing for LOST_MS, or when nothing was
+ *   taken for the idle timeout.
+ *
  * The rule is the same for a planned stop, the time limits, a request that is
  * refused because of its bytes, and a caller that asks for the end.
  */
@@ -66,6 +74,19 @@
 	bool body_refused;
 	/** Bytes have arrived that are not to be read. */
 	bool unread;
+	/** The caller has ended its sending direction. */
+	bool input_ended;
+	/** BEGINNING, of the answer to the first request, is sent. */
+	bool begun;
+	/** The caller's system had acknowledged everything when this was last
+	 * checked, and nothing was sent since. */
+	bool acknowledged;
+	/** Latest time until which the caller waits for an answer. */
+	double wait_until_s;
+	/** Number of bytes that the caller had not taken when this was last
+	 * checked, and the loop time since which it hasn't changed. */
+	size_t untaken;
+	double untaken_since_s;
 	/** The sending direction is shut down. */
 	bool half_closed;
 	/** Loop time at which a half-closed connection is closed; 0 until the
@@ -95,6 +116,9 @@
 	bool draining;
 };
 
+/** The beginning of every answer. */
+#define BEGINNING "HTTP/1.1 "
+
 /* --- http_server.c --- */
 
 /** Frees a request. */
@@ -131,6 +155,9 @@
  * connection that accepts no further request once everything is sent. */
 void http_conn_flush(struct http_conn *conn);
 
+/** Handles the end of the caller's sending direction, or of the connection. */
+void http_conn_on_input_end(struct http_conn *conn);
+
 /** Handles readability of a connection that accepts no further request: notices
  * its end, and reads the rest of a refused request only. */
 void http_conn_read_closing(struct http_conn *conn);
--- a/src/net/http_conn_end.c
+++ b/src/net/http_conn_end.c
@@ -14,6 +14,9 @@
  * everything, for the caller to end it. Closing it with unread bytes resets it,
  * and the caller could lose an answer that it hasn't taken from its system. */
 #define LINGER_S 1.0
+/* Time without an acknowledgement of sent bytes after which the machine of a
+ * caller that doesn't wait any more counts as gone. */
+#define LOST_MS 2000
 /* Maximum number of bytes of a refused body that are discarded at a time. */
 #define DISCARD_BYTES ((size_t)64 << 10)
 
@@ -61,7 +64,7 @@
 static bool wants_read(const struct http_conn *conn)
 {
 	if (conn->closing)
-		return !conn->unread;
+		return !conn->unread && !conn->input_ended;
 	return conn->requests.length < PIPELINE_MAX;
 }
 
@@ -84,7 +87,9 @@
 		return;
 	conn->closing = true;
 	conn->half_closed = true;
-	if (shutdown(conn->fd, SHUT_WR) < 0)
+	/* Without unread bytes the system goes on sending after the close. */
+	if ((conn->input_ended && !conn->unread) ||
+	    shutdown(conn->fd, SHUT_WR) < 0)
 		http_conn_close(conn);
 }
 
@@ -102,10 +107,12 @@
 			return;
 		}
 		conn->out_sent += (size_t)n;
+		conn->acknowledged = false;
 	}
 	if (conn->out_sent == conn->out->len) {
 		g_string_truncate(conn->out, 0);
 		conn->out_sent = 0;
+		conn->untaken = 0;
 		if (conn->closing && !has_requests(conn))
 			half_close(conn);
 	}
@@ -113,6 +120,42 @@
 			    (conn->out->len ? EV_WRITE : 0));
 }
 
+/* Sends the beginning of the next answer, unless an answer is being sent, so
+ * that the system of a caller that has left resets the connection. */
+static void probe(struct http_conn *conn)
+{
+	if (conn->begun || conn->out->len)
+		return;
+	conn->begun = true;
+	g_string_append(conn->out, BEGINNING);
+	http_conn_flush(conn);
+}
+
+void http_conn_on_input_end(struct http_conn *conn)
+{
+	conn->input_ended = true;
+	conn->closing = true;
+	if (conn->reading)
+		http_request_free(conn->reading);
+	conn->reading = NULL;
+	if (socket_is_reset(conn->fd) || conn->half_closed ||
+	    (!conn->requests.length && !conn->out->len))
+		http_conn_close(conn);
+	else if (conn->requests.length)
+		probe(conn);
+}
+
+/* Notices that a caller has left whose connection isn't being read. */
+static void check_caller(struct http_conn *conn)
+{
+	if (!conn->requests.length || conn->events & EV_READ)
+		return;
+	if (socket_is_reset(conn->fd))
+		http_conn_close(conn);
+	else if (socket_peer_ended(conn->fd))
+		probe(conn);
+}
+
 /* Discards bytes of a refused request, which the parser delimits. */
 static void discard(struct http_conn *conn, const char *data, size_t len)
 {
@@ -131,7 +174,7 @@
 	if (n == SOCKET_AGAIN)
 		return;
 	if (n <= 0)
-		http_conn_close(conn);
+		http_conn_on_input_end(conn);
 	else if (conn->body_refused)
 		discard(conn, buf, (size_t)n);
 	else
@@ -140,14 +183,35 @@
 		http_conn_flush(conn);
 }
 
+/* Returns whether the caller no longer takes what is sent to it. */
+static bool is_stalled(struct http_conn *conn, double now)
+{
+	size_t untaken = conn->out->len - conn->out_sent +
+			 socket_unacknowledged(conn->fd);
+
+	if (untaken != conn->untaken) {
+		conn->untaken = untaken;
+		conn->untaken_since_s = now;
+	}
+	if (!untaken || now < conn->wait_until_s)
+		return false;
+	return now - conn->untaken_since_s >
+		       conn->server->limits.idle_timeout_s ||
+	       socket_peer_lost(conn->fd, LOST_MS);
+}
+
 /* Returns whether a half-closed connection is to be closed. */
 static bool lingered(struct http_conn *conn, double now)
 {
-	if (socket_peer_ended(conn->fd))
+	if (socket_is_reset(conn->fd))
+		return true;
+	if (socket_unacknowledged(conn->fd))
+		return is_stalled(conn, now);
+	if (!conn->unread && socket_peer_ended(conn->fd))
 		return true;
-	if (!conn->linger_until_s && !socket_unacknowledged(conn->fd))
+	if (!conn->linger_until_s)
 		conn->linger_until_s = now + LINGER_S;
-	return conn->linger_until_s && now > conn->linger_until_s;
+	return now > conn->linger_until_s;
 }
 
 static bool is_idle(const struct http_conn *conn)
@@ -192,6 +256,12 @@
 			http_conn_close(conn);
 		return;
 	}
+	check_caller(conn);
+	if (!conn->closed && !conn->acknowledged && is_stalled(conn, now))
+		http_conn_close(conn);
+	if (conn->closed)
+		return;
+	conn->acknowledged = !conn->untaken;
 	if (late_status(conn, now)) {
 		/* After a suspension of the VM the rest may have arrived. */
 		(void)http_conn_read(conn);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -11,6 +11,11 @@
 /* Maximum number of bytes received at a time. */
 #define READ_BYTES ((size_t)64 << 10)
 
+/* Detects callers whose machine is gone while nothing is sent to them. Poor
+ * links lose single probes. */
+#define KEEPALIVE_S 5
+#define KEEPALIVE_PROBES 3
+
 /* Limits until http_server_set_limits() is called. */
 static const struct http_limits default_limits = {
 	.header_bytes = 16384,
@@ -94,10 +99,16 @@
 	const GString *answer = request->answer;
 	bool closes = http_conn_answer_closes(conn);
 	GString *out = conn->out;
+	size_t begun = 0;
 
 	if (closes)
 		conn->closing = true;
-	g_string_append_len(out, answer->str, (gssize)request->answer_head);
+	if (conn->begun)
+		begun = strlen(BEGINNING);
+	conn->begun = false;
+	conn->wait_until_s = MAX(conn->wait_until_s, request->wait_until_s);
+	g_string_append_len(out, answer->str + begun,
+			    (gssize)(request->answer_head - begun));
 	if (closes)
 		g_string_append(out, "Connection: close\r\n");
 	else if (request->http10)
@@ -132,7 +143,7 @@
 	size_t i;
 
 	request->data = NULL;
-	g_string_append_printf(out, "HTTP/1.1 %u %s\r\n", answer->status,
+	g_string_append_printf(out, BEGINNING "%u %s\r\n", answer->status,
 			       http_reason(answer->status));
 	for (i = 0; answer->headers && i < headers_count(answer->headers);
 	     i++) {
@@ -384,7 +395,7 @@
 	if (n == SOCKET_AGAIN)
 		return false;
 	if (n <= 0) {
-		http_conn_close(conn);
+		http_conn_on_input_end(conn);
 		return false;
 	}
 	conn->last_activity_s = loop_now(conn->server->loop);
@@ -409,17 +420,23 @@
 
 static void accept_all(struct http_server *server)
 {
+	static const struct socket_loss loss = {
+		.keepalive_s = KEEPALIVE_S,
+		.probes = KEEPALIVE_PROBES,
+	};
 	int fd;
 
 	while ((fd = socket_accept(server->fd)) >= 0) {
 		struct http_conn *conn = g_new0(struct http_conn, 1);
 
+		socket_detect_loss(fd, &loss);
 		conn->server = server;
 		conn->fd = fd;
 		conn->field = g_string_new(NULL);
 		conn->value = g_string_new(NULL);
 		conn->out = g_string_new(NULL);
 		conn->last_activity_s = loop_now(server->loop);
+		conn->acknowledged = true;
 		conn->link.data = conn;
 		g_queue_init(&conn->requests);
 		http_parser_init(&conn->parser, HTTP_REQUEST);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -30,7 +30,8 @@
 	/** Time to receive the head of a request; a slower caller is answered
 	 * with 408. */
 	double header_timeout_s;
-	/** Time without traffic before a connection is closed. */
+	/** Time without traffic before a connection is closed, and time after
+	 * which a caller that takes nothing of its answers is given up. */
 	double idle_timeout_s;
 };
 
@@ -40,7 +41,9 @@
 	 * http_request_answer() now or later. */
 	void (*request)(void *ctx, struct http_request *request);
 	/** The connection was closed, or is about to be, before the request was
-	 * answered. The request is freed after this call. */
+	 * answered. The request is freed after this call. A caller that has
+	 * only ended its sending direction gets its answer; that it has left is
+	 * noticed by http_server_tick(). */
 	void (*gone)(void *ctx, struct http_request *request);
 };
 
@@ -58,6 +61,10 @@
 	double received_s;
 	/** Pointer for use by the server's owner; NULL after the answer. */
 	void *data;
+	/** Loop time until which the caller waits for the answer, set by the
+	 * owner; 0 if unknown. The connection doesn't end before because the
+	 * answer isn't taken. */
+	double wait_until_s;
 
 	/** This member and those below are private to the server. The response
 	 * without the Connection field and the empty line behind its head; NULL
--- a/src/wire/hub.c
+++ b/src/wire/hub.c
@@ -181,12 +181,16 @@
 
 static void accept_pending(struct hub *hub)
 {
+	static const struct socket_loss loss = {
+		.user_timeout_ms = SOCKET_USER_TIMEOUT_MS,
+	};
 	int fd;
 
 	while ((fd = socket_accept(hub->listener)) >= 0) {
-		struct hub_link *entry =
-			add_link(hub, link_accepted(fd), false);
+		struct hub_link *entry;
 
+		socket_detect_loss(fd, &loss);
+		entry = add_link(hub, link_accepted(fd), false);
 		entry->announced = true;
 		hub->ops->opened(hub->ctx, entry->link, false);
 	}
--- a/src/wire/socket.c
+++ b/src/wire/socket.c
@@ -14,19 +14,14 @@
 
 /* Maximum number of connections that wait to be accepted. */
 #define BACKLOG 512
-/* A connection breaks when sent bytes stay unacknowledged this long. */
-#define USER_TIMEOUT_MS 2000
-/* Number of unanswered TCP keep-alive probes that end the connection. */
-#define KEEPALIVE_PROBES 1
+/* Fewest unanswered retransmissions, or probes of a closed window, of a peer
+ * that counts as lost. A live peer may leave out the answer to a probe that
+ * follows another one within half a second. */
+#define UNANSWERED_MIN 3
 
-static void set_tcp_options(int fd)
+static void set_option(int fd, int level, int name, unsigned int value)
 {
-	int on = 1;
-	unsigned int timeout_ms = USER_TIMEOUT_MS;
-
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
-		   sizeof(timeout_ms));
+	(void)setsockopt(fd, level, name, &value, sizeof(value));
 }
 
 static int open_socket(void)
@@ -59,7 +54,8 @@
 
 	if (fd < 0)
 		return -1;
-	set_tcp_options(fd);
+	set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, SOCKET_USER_TIMEOUT_MS);
 	if (!connect(fd, (const struct sockaddr *)addr, sizeof(*addr)) ||
 	    errno == EINPROGRESS)
 		return fd;
@@ -72,7 +68,7 @@
 	int fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
 	if (fd >= 0)
-		set_tcp_options(fd);
+		set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
 	return fd;
 }
 
@@ -90,22 +86,36 @@
 	return ioctl(fd, SIOCOUTQ, &bytes) < 0 ? 0 : (size_t)bytes;
 }
 
-static void set_option(int fd, int level, int name, unsigned int value)
+bool socket_is_reset(int fd)
 {
-	(void)setsockopt(fd, level, name, &value, sizeof(value));
+	struct pollfd state = { .fd = fd };
+
+	return poll(&state, 1, 0) > 0;
+}
+
+bool socket_peer_lost(int fd, unsigned int timeout_ms)
+{
+	struct tcp_info info = { 0 };
+	socklen_t len = sizeof(info);
+
+	if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) < 0)
+		return false;
+	return info.tcpi_last_ack_recv >= timeout_ms &&
+	       (info.tcpi_unacked ? info.tcpi_retransmits : info.tcpi_probes) >=
+		       UNANSWERED_MIN;
 }
 
-void socket_detect_loss(int fd, unsigned int user_timeout_ms,
-			unsigned int keepalive_s)
+void socket_detect_loss(int fd, const struct socket_loss *loss)
 {
-	if (user_timeout_ms)
-		set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
-	if (!keepalive_s)
+	if (loss->user_timeout_ms)
+		set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+			   loss->user_timeout_ms);
+	if (!loss->keepalive_s)
 		return;
 	set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
-	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_s);
-	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_s);
-	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, loss->keepalive_s);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, loss->keepalive_s);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, loss->probes);
 }
 
 bool socket_address(int fd, struct sockaddr_in *addr)
--- a/src/wire/socket.h
+++ b/src/wire/socket.h
@@ -28,7 +28,8 @@
 int socket_connect(const struct sockaddr_in *addr);
 
 /**
- * Accepts one pending connection.
+ * Accepts one pending connection, without a limit on the time for which sent
+ * bytes may be unacknowledged.
  *
  * @return the descriptor, or -1 when none is pending or accepting fails
  */
@@ -42,17 +43,35 @@
  */
 bool socket_address(int fd, struct sockaddr_in *addr);
 
+/** User timeout of connections between the project's own processes. */
+#define SOCKET_USER_TIMEOUT_MS 2000
+
+/** After which time a connection counts as lost. */
+struct socket_loss {
+	/** Time after which sent bytes that aren't taken end the connection; 0
+	 * for the setting that the socket has. It also ends the connection of a
+	 * live peer whose receive window is closed for that long. */
+	unsigned int user_timeout_ms;
+	/** Time without traffic before a keep-alive probe, and between probes;
+	 * 0 for no probes. */
+	unsigned int keepalive_s;
+	/** Number of unanswered probes that end the connection. */
+	unsigned int probes;
+};
+
+/** Sets when a connection counts as lost. If that fails, a loss is only noticed
+ * later. */
+void socket_detect_loss(int fd, const struct socket_loss *loss);
+
 /**
- * Sets after which time a connection counts as lost. If that fails, a loss is
- * only noticed later.
- *
- * @param user_timeout_ms time after which sent bytes that aren't acknowledged
- *        end the connection; 0 for the setting that the socket has
- * @param keepalive_s time without traffic before a keep-alive probe, whose
- *        failure ends the connection after the same time; 0 for no probes
+ * Returns whether sent bytes, or probes of a closed receive window, have gone
+ * without any acknowledgement for a time. A live peer that doesn't read
+ * acknowledges the probes.
  */
-void socket_detect_loss(int fd, unsigned int user_timeout_ms,
-			unsigned int keepalive_s);
+bool socket_peer_lost(int fd, unsigned int timeout_ms);
+
+/** Returns whether the connection was reset, or has failed. */
+bool socket_is_reset(int fd);
 
 /** Returns whether the peer has ended its sending direction or reset the
  * connection, also when bytes that came before are unread. */
--- a/test/unit/test_conn_end.c
+++ b/test/unit/test_conn_end.c
@@ -6,6 +6,7 @@
  */
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/filter.h>
 #include <poll.h>
 #include <signal.h>
 #include <string.h>
@@ -15,9 +16,11 @@
 #include "manual_clock.h"
 #include "net/http_server.h"
 #include "suite.h"
+#include "wire/socket.h"
 
 #define REQUESTS_MAX 24
 #define BODY_BYTES 1000
+#define LONG_BYTES ((size_t)16 << 20)
 #define HEADER_TIMEOUT_S 3
 #define IDLE_TIMEOUT_S 15
 /* Longer than a connection stays open after its last answer. */
@@ -163,6 +166,15 @@
 	return poll(&state, 1, 0) > 0 && state.revents & POLLERR;
 }
 
+/* Waits until the server's socket holds what was sent. */
+static void wait_for_arrival(const struct fixture *w)
+{
+	gint64 end_us = g_get_monotonic_time() + G_USEC_PER_SEC;
+
+	while (socket_unacknowledged(w->fd) && g_get_monotonic_time() < end_us)
+		g_usleep(1000);
+}
+
 /* Lets time pass, in which a suspended server handles nothing, and applies the
  * time limits. */
 static void pass_time(struct fixture *w, double span_s)
@@ -273,12 +285,14 @@
 	setup(&w);
 	w.answers_at_once = true;
 	send_text(&w, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+	wait_for_arrival(&w);
 	pass_time(&w, (IDLE_TIMEOUT_S + 1));
 	CU_ASSERT_TRUE(receive(&w));
 	CU_ASSERT_EQUAL(count_text(&w, "200 OK"), 1);
 	send_text(&w, "GET /2 HTTP/1.1\r\nHost:");
 	run_loop(&w);
 	send_text(&w, " h\r\n\r\n");
+	wait_for_arrival(&w);
 	pass_time(&w, (HEADER_TIMEOUT_S + 1));
 	CU_ASSERT_TRUE(receive(&w));
 	CU_ASSERT_EQUAL(count_text(&w, "200 OK"), 2);
@@ -352,6 +366,166 @@
 	g_free(part);
 }
 
+/* A caller may end its sending direction when it has sent its requests. */
+static void a_caller_that_half_closes_gets_its_answers(void)
+{
+	struct fixture w;
+
+	setup(&w);
+	send_get(&w, "/1");
+	send_get(&w, "/2");
+	shutdown(w.fd, SHUT_WR);
+	run_loop(&w);
+	pass_time(&w, 1);
+	CU_ASSERT_EQUAL(w.gone, 0);
+	if (!w.gone)
+		answer(w.requests[1]);
+	CU_ASSERT_TRUE(receive(&w));
+	if (!w.gone)
+		answer(w.requests[0]);
+	CU_ASSERT_FALSE(receive(&w));
+	CU_ASSERT_TRUE(g_str_has_prefix(w.in->str, "HTTP/1.1 200 OK\r\n"));
+	CU_ASSERT_EQUAL(count_text(&w, "HTTP/1.1"), 2);
+	CU_ASSERT_EQUAL(count_text(&w, "Connection: close"), 1);
+	CU_ASSERT_TRUE(g_str_has_suffix(w.in->str, "\r\n\r\n/2"));
+	pass_time(&w, 1);
+	CU_ASSERT_EQUAL(http_server_connections(w.server), 0);
+	teardown(&w);
+}
+
+/* Guards against requests that occupy upstreams although their callers have
+ * left, also when the server doesn't read from their connections. */
+static void a_caller_that_leaves_is_noticed(void)
+{
+	static const unsigned int counts[] = { 1, 2, 16, 18 };
+	size_t i;
+	unsigned int j;
+
+	for (i = 0; i < G_N_ELEMENTS(counts); i++) {
+		struct fixture w;
+		unsigned int read;
+
+		setup(&w);
+		for (j = 0; j < counts[i]; j++)
+			send_get(&w, "/1");
+		read = w.count;
+		CU_ASSERT_EQUAL(read, MIN(counts[i], 16));
+		close(w.fd);
+		w.fd = -1;
+		run_loop(&w);
+		pass_time(&w, 0.25);
+		pass_time(&w, 0.25);
+		CU_ASSERT_EQUAL(w.gone, read);
+		CU_ASSERT_EQUAL(http_server_connections(w.server), 0);
+		teardown(&w);
+	}
+}
+
+/* Answers with more bytes than the sockets' buffers hold, and lets the server
+ * fill them. */
+static void send_long_answer(struct fixture *w, double wait_s)
+{
+	struct http_answer out = { .status = 200 };
+	GString *body = g_string_new(NULL);
+
+	g_string_set_size(body, LONG_BYTES);
+	memset(body->str, 'x', body->len);
+	out.body = (struct str){ body->str, body->len };
+	send_get(w, "/long");
+	CU_ASSERT_EQUAL_FATAL(w->count, 1);
+	w->requests[0]->wait_until_s = loop_now(&w->loop) + wait_s;
+	http_request_answer(w->requests[0], &out);
+	run_loop(w);
+	g_string_free(body, TRUE);
+}
+
+/* review/7: the system's user timeout ended connections whose callers didn't
+ * read for two seconds, which a closed receive window shows. */
+static void a_caller_that_reads_late_gets_its_answer(void)
+{
+	struct fixture w;
+	int i;
+
+	setup(&w);
+	send_long_answer(&w, 3);
+	g_usleep(2700000);
+	pass_time(&w, 2.7);
+	for (i = 0; i < 200 && w.in->len < LONG_BYTES; i++)
+		(void)receive(&w);
+	CU_ASSERT_TRUE(w.in->len > LONG_BYTES);
+	CU_ASSERT_EQUAL(http_server_connections(w.server), 1);
+	teardown(&w);
+}
+
+/* Guards against connections of live callers that never read: they end, but
+ * not before the time for which the caller waits. */
+static void a_caller_that_never_reads_is_given_up(void)
+{
+	struct fixture w;
+
+	setup(&w);
+	send_long_answer(&w, 4 * IDLE_TIMEOUT_S);
+	pass_time(&w, 1);
+	pass_time(&w, 2 * IDLE_TIMEOUT_S);
+	CU_ASSERT_EQUAL(http_server_connections(w.server), 1);
+	pass_time(&w, 2 * IDLE_TIMEOUT_S);
+	CU_ASSERT_EQUAL(http_server_connections(w.server), 0);
+	teardown(&w);
+}
+
+/* Makes the caller's socket drop all that arrives, as if its machine were gone.
+ */
+static void drop_packets(const struct fixture *w)
+{
+	struct sock_filter drop = BPF_STMT(BPF_RET | BPF_K, 0);
+	struct sock_fprog program = { .len = 1, .filter = &drop };
+
+	CU_ASSERT_EQUAL_FATAL(setsockopt(w->fd, SOL_SOCKET, SO_ATTACH_FILTER,
+					 &program, sizeof(program)),
+			      0);
+}
+
+/* Guards against connections that stay open for callers whose machine is gone:
+ * with a short answer, which waits in the system, and with a closed receive
+ * window. A machine that may come back in time is waited for. */
+static void a_caller_whose_machine_is_gone_is_given_up(void)
+{
+	static const struct {
+		bool full;
+		double wait_s;
+		unsigned int left;
+	} rows[] = { { false, 0, 0 }, { true, 0, 0 }, { false, 10, 1 } };
+	size_t i;
+	int j;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct fixture w;
+
+		setup(&w);
+		if (rows[i].full) {
+			send_long_answer(&w, rows[i].wait_s);
+			drop_packets(&w);
+		} else {
+			send_get(&w, "/1");
+			CU_ASSERT_EQUAL_FATAL(w.count, 1);
+			w.requests[0]->wait_until_s =
+				loop_now(&w.loop) + rows[i].wait_s;
+			drop_packets(&w);
+			answer(w.requests[0]);
+		}
+		/* The system's timers need real time, up to 8 s. */
+		for (j = 0; j < 80 && http_server_connections(w.server); j++) {
+			g_usleep(80000);
+			pass_time(&w, 0.01);
+			if (rows[i].left && j >= 30)
+				break;
+		}
+		CU_ASSERT_EQUAL(http_server_connections(w.server),
+				rows[i].left);
+		teardown(&w);
+	}
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -369,6 +543,16 @@
 		  a_request_that_stops_arriving_gets_408 },
 		{ "a refused body is read to its end",
 		  a_refused_body_is_read_to_its_end },
+		{ "a caller that half closes gets its answers",
+		  a_caller_that_half_closes_gets_its_answers },
+		{ "a caller that leaves is noticed",
+		  a_caller_that_leaves_is_noticed },
+		{ "a caller that reads late gets its answer",
+		  a_caller_that_reads_late_gets_its_answer },
+		{ "a caller that never reads is given up",
+		  a_caller_that_never_reads_is_given_up },
+		{ "a caller whose machine is gone is given up",
+		  a_caller_whose_machine_is_gone_is_given_up },
 		{ 0 },
 	};
 
--- a/test/unit/test_net.c
+++ b/test/unit/test_net.c
@@ -154,6 +154,9 @@
 	CU_ASSERT_EQUAL(w.count, 1);
 	close(fd);
 	run_loop(&w);
+	/* The server can't tell at once from one that has only ended its
+	 * sending direction. */
+	http_server_tick(w.server);
 	CU_ASSERT_EQUAL(w.gone, 1);
 	teardown(&w);
 }
