--- a/src/wire/socket.h
+++ b/src/wire/socket.h
@@ -28,7 +28,8 @@
 int socket_connect(const struct sockaddr_in *addr);
 
 /**
- * Accepts one pending connection.
+ * Accepts one pending connection, without a limit on the time for which sent
+ * bytes may be unacknowledged.
  *
  * @return the descriptor, or -1 when none is pending or accepting fails
  */
@@ -42,6 +43,44 @@
  */
 bool socket_address(int fd, struct sockaddr_in *addr);
 
+/** User timeout of connections between the project's own processes. */
+#define SOCKET_USER_TIMEOUT_MS 2000
+
+/** After which time a connection counts as lost. */
+struct socket_loss {
+	/** Time after which sent bytes that aren't taken end the connection; 0
+	 * for the setting that the socket has. It also ends the connection of a
+	 * live peer whose receive window is closed for that long. */
+	unsigned int user_timeout_ms;
+	/** Time without traffic before a keep-alive probe, and between probes;
+	 * 0 for no probes. */
+	unsigned int keepalive_s;
+	/** Number of unanswered probes that end the connection. */
+	unsigned int probes;
+};
+
+/** Sets when a connection counts as lost. If that fails, a loss is only noticed
+ * later. */
+void socket_detect_loss(int fd, const struct socket_loss *loss);
+
+/**
+ * Returns whether sent bytes, or probes of a closed receive window, have gone
+ * without any acknowledgement for a time. A live peer that doesn't read
+ * acknowledges the probes.
+ */
+bool socket_peer_lost(int fd, unsigned int timeout_ms);
+
+/** Returns whether the connection was reset, or has failed. */
+bool socket_is_reset(int fd);
+
+/** Returns whether the peer has ended its sending direction or reset the
+ * connection, also when bytes that came before are unread. */
+bool socket_peer_ended(int fd);
+
+/** Returns the number of bytes, and of the end of the sending direction, that
+ * the peer's system has not acknowledged. */
+size_t socket_unacknowledged(int fd);
+
 /** Result of a read or write that would block or was interrupted. */
 #define SOCKET_AGAIN (-1)
 /** Result of a read or write on a closed or failed connection. */
@@ -54,6 +93,13 @@
  */
 ssize_t socket_read(int fd, void *buf, size_t size);
 
+/**
+ * Copies up to size available bytes without taking them from the socket.
+ *
+ * @return the number of bytes, SOCKET_AGAIN or SOCKET_CLOSED
+ */
+ssize_t socket_peek(int fd, void *buf, size_t size);
+
 /**
  * Writes as many bytes as the socket accepts.
  *
