entry: the event loop tries the queues when no handler runs

Cause: an answer that says that its upstream leaves made the roster change, which tried all queues at once. A request without an upstream was refused; writing the refusal to a caller that had left failed, and the server dropped the other requests of the connection, among them the one whose answer was being handled. on_reply() went on with a freed attempt.

Change: whatever makes queued requests worth another try calls forward_dispatch_soon(); the event loop tries the queues once the running handler has returned, and dispatch_queued() has no other caller. The timer of the queues stops when nothing is queued.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -523,7 +523,7 @@
 		log_reply(attempt, reply->status, "answered");
 		handle_answer(attempt, reply);
 	}
-	dispatch_queued(forward, service);
+	dispatch_queued_soon(forward, service);
 	return true;
 }
 
@@ -575,7 +575,7 @@
 		retry_or_finish(req, ends[end].arrived, ends[end].arrived,
 				ends[end].name);
 	}
-	dispatch_queued(forward, service);
+	dispatch_queued_soon(forward, service);
 }
 
 static const struct link_ops link_ops = {
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -612,6 +612,15 @@
 	return queued;
 }
 
+void dispatch_queued_soon(struct forward *forward, struct service *service)
+{
+	if (service->dispatch_due || !service->queue.length)
+		return;
+	service->dispatch_due = true;
+	g_ptr_array_add(forward->due_services, service);
+	ev_feed_event(forward->options.loop->ev, &forward->dispatch, EV_CUSTOM);
+}
+
 void dispatch_queued(struct forward *forward, struct service *service)
 {
 	GPtrArray *queued;
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -26,22 +26,42 @@
 	return loop_now(forward->options.loop);
 }
 
-static void dispatch_service_queue(struct service *service, void *ctx)
+static void dispatch_service_soon(struct service *service, void *ctx)
 {
-	dispatch_queued(ctx, service);
+	dispatch_queued_soon(ctx, service);
 }
 
-void forward_dispatch_queued(struct forward *forward)
+void forward_dispatch_soon(struct forward *forward)
 {
-	roster_each_service(forward->options.roster, dispatch_service_queue,
+	roster_each_service(forward->options.roster, dispatch_service_soon,
 			    forward);
 }
 
 static void on_queue_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
+	struct forward *forward = timer->data;
+
+	(void)events;
+	if (!forward->queued_count)
+		ev_timer_stop(loop, timer);
+	forward_dispatch_soon(forward);
+}
+
+/* Tries the queues of the services that are due. */
+static void on_dispatch(struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+	struct forward *forward = watcher->data;
+	GPtrArray *due = forward->due_services;
+
 	(void)loop;
 	(void)events;
-	forward_dispatch_queued(timer->data);
+	while (due->len) {
+		struct service *service =
+			g_ptr_array_remove_index(due, due->len - 1);
+
+		service->dispatch_due = false;
+		dispatch_queued(forward, service);
+	}
 }
 
 static void create_metrics(struct forward *forward)
@@ -93,6 +113,9 @@
 	ev_timer_init(&forward->queue_timer, on_queue_timer, QUEUE_RETRY_S,
 		      QUEUE_RETRY_S);
 	forward->queue_timer.data = forward;
+	forward->due_services = g_ptr_array_new();
+	ev_prepare_init(&forward->dispatch, on_dispatch);
+	forward->dispatch.data = forward;
 	return forward;
 }
 
@@ -104,6 +127,8 @@
 	if (!forward)
 		return;
 	ev_timer_stop(forward->options.loop->ev, &forward->queue_timer);
+	ev_clear_pending(forward->options.loop->ev, &forward->dispatch);
+	g_ptr_array_free(forward->due_services, TRUE);
 	g_hash_table_iter_init(&iter, forward->detached_attempts);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		struct upstream_attempt *attempt = key;
--- a/src/entry/forward.h
+++ b/src/entry/forward.h
@@ -2,6 +2,20 @@
  * Forwards callers' requests to upstreams: finds the route, chooses an
  * upstream, queues, sends and retries, and answers or refuses the caller. Not
  * thread-safe: one thread owns it.
+ *
+ * Who may free requests and attempts, and when: answering a caller may find its
+ * connection broken, which frees all other requests of this connection and
+ * their attempts. So
+ *
+ * - a handler of an event (an answer, a broken connection, a timer, a row, a
+ *   datagram) ends only the request that the event is about; an attempt that
+ *   ended is unlinked from its request, and thereby owned by its handler,
+ * before any caller is answered;
+ * - whatever makes other requests worth trying again only calls
+ *   forward_dispatch_soon(); the event loop tries the queues when no handler
+ *   runs, and only then are requests answered that no event is about;
+ * - a loop over requests that answers callers goes over a copy of the list, and
+ *   looks each one up before using it.
  */
 #ifndef ENTRY_FORWARD_H
 #define ENTRY_FORWARD_H
@@ -31,7 +45,8 @@
 	/** Requests that are suspected or blamed for crashes of upstreams. */
 	struct crash_watch *crashes;
 	/** Called when an answer said for the first time that its upstream
-	 * leaves. */
+	 * leaves, while the answer is being handled: must not answer a caller.
+	 */
 	void (*said_leaving)(void *ctx);
 	void *ctx;
 };
@@ -69,8 +84,9 @@
 /** Refuses every request that is still unanswered; the process exits next. */
 void forward_refuse_all(struct forward *forward);
 
-/** Tries again to send the queued requests of all services. */
-void forward_dispatch_queued(struct forward *forward);
+/** Has the event loop try again to send the queued requests of all services,
+ * once the running handler has returned. */
+void forward_dispatch_soon(struct forward *forward);
 
 /** Ends attempts whose callers are gone and whose time is up; called several
  * times a second. */
--- a/src/entry/forward_impl.h
+++ b/src/entry/forward_impl.h
@@ -35,9 +35,14 @@
 	GHashTable *detached_attempts;
 	/** Number of requests in the queues of all services. */
 	unsigned int queued_count;
-	/** Calls forward_dispatch_queued() periodically while requests are
+	/** Calls forward_dispatch_soon() periodically while requests are
 	 * queued. */
 	ev_timer queue_timer;
+	/** Services (struct service) whose queues are to be tried again. */
+	GPtrArray *due_services;
+	/** Tries their queues; never started, but fed to the event loop, which
+	 * calls it once the running handler has returned. */
+	ev_prepare dispatch;
 	/** Metrics; create_metrics() describes each. */
 	struct counter *requests;
 	struct counter *answered;
@@ -86,9 +91,14 @@
 void dispatch_withdraw(struct proxy_request *req);
 
 /** Sends as many queued requests of a service as its upstreams can take, and
- * refuses those that can't be served in time. */
+ * refuses those that can't be served in time. Answers callers: only the event
+ * loop calls it, by forward->dispatch. */
 void dispatch_queued(struct forward *forward, struct service *service);
 
+/** Has the event loop try the queue of a service again, once the running
+ * handler has returned. */
+void dispatch_queued_soon(struct forward *forward, struct service *service);
+
 /** Writes to buf why the upstreams of a request's service can't take it now:
  * the number of upstreams by reason, as key=value pairs for the log. */
 void dispatch_describe(const struct proxy_request *req, char *buf, size_t size);
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -189,7 +189,7 @@
 {
 	struct entry_daemon *entry = ctx;
 
-	forward_dispatch_queued(entry->forward);
+	forward_dispatch_soon(entry->forward);
 }
 
 static void on_reachability_changed(void *ctx, const char *table,
@@ -305,7 +305,7 @@
 	struct entry_daemon *entry = ctx;
 
 	if (entry->forward)
-		forward_dispatch_queued(entry->forward);
+		forward_dispatch_soon(entry->forward);
 }
 
 static void on_upstream_refused(void *ctx, const struct upstream *upstream)
--- a/src/entry/roster.h
+++ b/src/entry/roster.h
@@ -77,6 +77,8 @@
 	/** Requests (struct proxy_request) that wait for an upstream, most
 	 * urgent first. */
 	GQueue queue;
+	/** The event loop is about to try the queue again. */
+	bool dispatch_due;
 	/** This VM's retry budget for the service. */
 	struct retry_window retries;
 	/** Owner of each key; without owners when the service is not keyed. */
@@ -92,7 +94,8 @@
 struct roster_ops {
 	/** Called to close the idle connections of an upstream. */
 	void (*close_idle)(void *ctx, struct upstream *upstream);
-	/** Called when upstreams, zones or the configuration changed. */
+	/** Called when upstreams, zones or the configuration changed, also
+	 * from within the handling of an answer: must not answer a caller. */
 	void (*changed)(void *ctx);
 };
 
