entry: an answer counts only for the call that it belongs to

Cause: orders about keys carry no id, and releases shared their connections with callers' requests. A late second copy of another answer was taken for that to a release, and the keys were granted while their owner was at work. On the grant connection, the copy of a refusal undid a grant in force.

Change: a release gets a connection of its own, at most 8 at a time to one upstream. On a grant connection only the first answer is beyond doubt: a later one that denies the grant, or one too many, closes the connection, and the owner counts as holding its keys for the full time from then on.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -5,6 +5,7 @@
  */
 #include <string.h>
 
+#include "base/hash.h"
 #include "entry/forward_impl.h"
 
 /* Most attempts of a request, including those that did not run. */
@@ -106,7 +107,11 @@
 	struct link_request request = {
 		.head_only = !strcmp(req->caller->method->str, "HEAD"),
 		.avoid_stale = !is_idempotent(req),
-		.new_connection = dispatch_was_tried(req, upstream),
+		/* Without an id, only the first answer on a connection can be
+		 * told to be that of this request. */
+		.new_connection =
+			!req->id.len || dispatch_was_tried(req, upstream),
+		.id_hash = req->id.len ? hash_key(req->id) : 0,
 	};
 
 	attempt->req = req;
@@ -481,8 +486,7 @@
 static bool is_unattributable(const struct upstream_attempt *attempt,
 			      const struct reply_facts *facts)
 {
-	return !facts->id.len && *attempt->id &&
-	       link_used_before(attempt->link);
+	return !facts->id.len && link_used_before(attempt->link);
 }
 
 static bool on_reply(void *user, const struct http_reply *reply)
--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -137,40 +137,51 @@
 	key_leader_renew_all(value, cluster->hold_s);
 }
 
-static void notify_owner_disconnected(gpointer key, gpointer value,
-				      gpointer upstream)
+/* What is to be told to all key leaders of one upstream. */
+struct owner_event {
+	void (*tell)(struct key_leader *leader, const char *upstream);
+	const char *upstream;
+};
+
+static void tell_key_leader(gpointer key, gpointer value, gpointer data)
 {
+	const struct owner_event *event = data;
+
 	(void)key;
-	key_leader_owner_disconnected(value, upstream);
+	event->tell(value, event->upstream);
 }
 
 static void on_owner_disconnected(void *ctx, const char *upstream)
 {
+	struct owner_event event = { key_leader_owner_disconnected, upstream };
 	struct cluster *cluster = ctx;
 
-	g_hash_table_foreach(cluster->key_leaders, notify_owner_disconnected,
-			     (char *)upstream);
+	g_hash_table_foreach(cluster->key_leaders, tell_key_leader, &event);
 }
 
-static void notify_owner_reconnecting(gpointer key, gpointer value,
-				      gpointer upstream)
+static void on_owner_reconnecting(void *ctx, const char *upstream)
 {
-	(void)key;
-	key_leader_owner_reconnecting(value, upstream);
+	struct owner_event event = { key_leader_owner_reconnecting, upstream };
+	struct cluster *cluster = ctx;
+
+	g_hash_table_foreach(cluster->key_leaders, tell_key_leader, &event);
 }
 
-static void on_owner_reconnecting(void *ctx, const char *upstream)
+static void on_owner_doubted(void *ctx, const char *upstream)
 {
+	struct owner_event event = { key_leader_owner_doubted, upstream };
 	struct cluster *cluster = ctx;
 
-	g_hash_table_foreach(cluster->key_leaders, notify_owner_reconnecting,
-			     (char *)upstream);
+	event_log_write(cluster->options.log, "warning", "keys",
+			"event=answer_in_doubt upstream=%s", upstream);
+	g_hash_table_foreach(cluster->key_leaders, tell_key_leader, &event);
 }
 
 static const struct orders_ops orders_ops = {
 	.may_send_orders = may_send_orders,
 	.disconnected = on_owner_disconnected,
 	.reconnecting = on_owner_reconnecting,
+	.doubted = on_owner_doubted,
 };
 
 /* The lease can't be renewed, and the store may be unreachable for long. While
--- a/src/entry/key_leader.c
+++ b/src/entry/key_leader.c
@@ -487,6 +487,12 @@
 					 g_intern_string(id));
 }
 
+void key_leader_owner_doubted(struct key_leader *leader, const char *id)
+{
+	key_allocator_owner_doubted(leader->key_allocator, g_intern_string(id),
+				    now_of(leader));
+}
+
 void key_leader_count_request(struct key_leader *leader, uint16_t key)
 {
 	key_allocator_count_request(leader->key_allocator, key);
--- a/src/entry/key_leader.h
+++ b/src/entry/key_leader.h
@@ -72,6 +72,9 @@
  * tokens. */
 void key_leader_owner_reconnecting(struct key_leader *leader, const char *id);
 
+/** See key_allocator_owner_doubted(). */
+void key_leader_owner_doubted(struct key_leader *leader, const char *id);
+
 /** Counts a request for a key; the counts are used to balance owners. */
 void key_leader_count_request(struct key_leader *leader, uint16_t key);
 
--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -16,6 +16,9 @@
 /* Shortest time between two checks whether an upstream accepts connections, in
  * seconds. Connections that break together need one check. */
 #define CHECK_INTERVAL_S 0.05
+/* Number of requests whose ids a connection remembers. A repeated answer comes
+ * where the next one is expected, so the latest few are enough. */
+#define IDS_KEPT 8
 /* Time that a check may take to connect, in seconds. */
 #define CHECK_TIMEOUT_S 1.0
 
@@ -42,6 +45,8 @@
 	unsigned int requests;
 	/** The connection gets no further request. */
 	bool retired;
+	/** Hashes of the ids of the latest requests; 0: none. */
+	uint64_t id_hashes[IDS_KEPT];
 	/** List nodes in links->all and in the upstream's idle list. */
 	GList node;
 	GList idle_node;
@@ -196,6 +201,17 @@
 	return link;
 }
 
+/* Whether a connection lately carried a request with an id. */
+static bool carried_id(const struct link *link, uint64_t id_hash)
+{
+	unsigned int i;
+
+	for (i = 0; id_hash && i < IDS_KEPT; i++)
+		if (link->id_hashes[i] == id_hash)
+			return true;
+	return false;
+}
+
 /* Takes a connection that may be reused for a request from the upstream's idle
  * list; returns NULL if there is none. */
 static struct link *pop_idle_link(struct upstream *upstream,
@@ -206,7 +222,8 @@
 	for (node = upstream->idle_links.head; node; node = node->next) {
 		struct link *link = node->data;
 
-		if (!link_reusable(link, request->avoid_stale))
+		if (!link_reusable(link, request->avoid_stale) ||
+		    carried_id(link, request->id_hash))
 			continue;
 		g_queue_unlink(&upstream->idle_links, &link->idle_node);
 		return link;
@@ -232,7 +249,7 @@
 		link = pop_idle_link(upstream, request);
 	if (!link)
 		link = link_open(links, upstream);
-	link->requests++;
+	link->id_hashes[link->requests++ % IDS_KEPT] = request->id_hash;
 	link->ops = ops;
 	link->user = user;
 	http_channel_send(link->channel, request->message, request->head_only);
--- a/src/entry/links.h
+++ b/src/entry/links.h
@@ -43,6 +43,9 @@
 	/** Use a new connection: an earlier answer on an idle one may be
 	 * repeated and taken for that of this request. */
 	bool new_connection;
+	/** Hash of the id by which the answer is known, or 0. Don't use a
+	 * connection that lately carried a request with this id. */
+	uint64_t id_hash;
 };
 
 /** The connections to all upstreams. */
--- a/src/entry/orders.c
+++ b/src/entry/orders.c
@@ -12,6 +12,9 @@
 #define USER_TIMEOUT_MS 500
 /* Seconds without traffic before a TCP keep-alive probe, and between probes. */
 #define KEEPALIVE_S 1
+/* Most releases that are sent to an upstream at the same time, each over a
+ * connection of its own. */
+#define RELEASES_AT_ONCE 8
 /* Largest body of an answer to a grant, in bytes. */
 #define ANSWER_BYTES_MAX ((size_t)64 << 10)
 
@@ -26,6 +29,8 @@
 	GHashTable *grant_queues;
 	/** Releases (struct order) that were sent and aren't answered yet. */
 	GQueue releases;
+	/** Releases (struct order) that aren't sent yet, oldest first. */
+	GQueue waiting_releases;
 };
 
 /* A grant or release that is queued or sent. */
@@ -47,7 +52,8 @@
 	ev_timer timer;
 	order_done_fn done;
 	void *ctx;
-	/** List node of a release in orders->releases. */
+	/** List node of a release in orders->releases or
+	 * orders->waiting_releases. */
 	GList node;
 };
 
@@ -58,6 +64,9 @@
 	struct http_channel *channel;
 	/** Counts the connections opened so far; numbers the current one. */
 	unsigned int connection_number;
+	/** A grant was answered on the current connection: the next answer may
+	 * be a copy of that one. */
+	bool answered;
 	/** The grant that was sent and isn't answered yet, or NULL. */
 	struct order *current;
 	/** Grants (struct order) that aren't sent yet. */
@@ -135,31 +144,52 @@
 }
 
 /* Closes the grant connection after it broke or a grant timed out, ends the
- * current grant with a result, and sends the next grant. */
+ * current grant with a result, and sends the next grant.
+ *
+ * @param doubted answers on the connection may have been those to earlier
+ *        grants */
 static void grant_queue_disconnected(struct grant_queue *queue,
-				     enum order_result result)
+				     enum order_result result, bool doubted)
 {
 	struct orders *orders = queue->orders;
 	struct order *order = queue->current;
 
 	queue->current = NULL;
 	grant_queue_close(queue);
+	if (doubted && queue->answered)
+		orders->ops->doubted(orders->ctx, queue->upstream->entry.id);
 	orders->ops->disconnected(orders->ctx, queue->upstream->entry.id);
 	if (order)
 		order_end(order, result, NULL);
 	grant_queue_send_next(queue);
 }
 
+/* Whether an answer on a connection that carried earlier grants can't be
+ * believed: it says that the grant has no effect, or another answer follows. */
+static bool is_doubtful(const struct grant_queue *queue,
+			enum order_result result)
+{
+	return queue->answered &&
+	       (result == ORDER_FENCED || result == ORDER_NOT_SENT ||
+		http_channel_has_surplus(queue->channel));
+}
+
 static bool on_granted(void *ctx, struct http_channel *channel,
 		       const struct http_reply *reply)
 {
 	struct grant_queue *queue = ctx;
 	struct order *order = queue->current;
+	enum order_result result = status_to_result(reply->status);
 
 	(void)channel;
+	if (is_doubtful(queue, result)) {
+		grant_queue_disconnected(queue, ORDER_UNKNOWN, true);
+		return true;
+	}
+	queue->answered = true;
 	queue->current = NULL;
 	if (order)
-		order_end(order, status_to_result(reply->status), NULL);
+		order_end(order, result, NULL);
 	grant_queue_send_next(queue);
 	return true;
 }
@@ -167,11 +197,12 @@
 static void on_grant_ended(void *ctx, struct http_channel *channel,
 			   enum http_channel_end end)
 {
-	(void)channel;
-	grant_queue_disconnected(ctx, end == HTTP_CHANNEL_RESET ||
-						      end == HTTP_CHANNEL_BROKEN
-					      ? ORDER_UNKNOWN
-					      : ORDER_NOT_SENT);
+	grant_queue_disconnected(ctx,
+				 end == HTTP_CHANNEL_RESET ||
+						 end == HTTP_CHANNEL_BROKEN
+					 ? ORDER_UNKNOWN
+					 : ORDER_NOT_SENT,
+				 http_channel_has_surplus(channel));
 }
 
 static const struct http_channel_ops channel_ops = {
@@ -190,7 +221,8 @@
 	grant_queue_disconnected(queue,
 				 http_channel_may_have_sent(queue->channel)
 					 ? ORDER_UNKNOWN
-					 : ORDER_NOT_SENT);
+					 : ORDER_NOT_SENT,
+				 true);
 }
 
 /* Opens a new grant connection, in place of the current one. */
@@ -204,6 +236,7 @@
 	struct orders *orders = queue->orders;
 
 	grant_queue_close(queue);
+	queue->answered = false;
 	queue->connection_number++;
 	orders->ops->reconnecting(orders->ctx, queue->upstream->entry.id);
 	queue->channel = http_channel_create(orders->loop,
@@ -315,11 +348,16 @@
 
 /* --- releases --- */
 
+static void releases_send(struct orders *orders);
+
 static void release_end(struct order *order, enum order_result result,
 			const char *handover)
 {
-	g_queue_unlink(&order->orders->releases, &order->node);
+	struct orders *orders = order->orders;
+
+	g_queue_unlink(&orders->releases, &order->node);
 	order_end(order, result, handover);
+	releases_send(orders);
 }
 
 static bool on_released(void *user, const struct http_reply *reply)
@@ -357,20 +395,64 @@
 	release_end(order, ORDER_UNKNOWN, NULL);
 }
 
+/* Sends a release over a new connection, which is closed after the answer. */
+static void release_send(struct order *order)
+{
+	struct orders *orders = order->orders;
+	struct link_request request = {
+		.message = { order->message->str, order->message->len },
+		.new_connection = true,
+	};
+
+	g_queue_push_tail_link(&orders->releases, &order->node);
+	start_timer(order, on_release_timeout, RELEASE_TIMEOUT_S);
+	order->link = links_send(orders->links, order->upstream, &request,
+				 &release_ops, order);
+	link_retire(order->link);
+}
+
+/* Returns the number of releases that were sent to an upstream and aren't
+ * answered yet. */
+static unsigned int releases_in_flight(const struct orders *orders,
+				       const struct upstream *upstream)
+{
+	unsigned int count = 0;
+	GList *node;
+
+	for (node = orders->releases.head; node; node = node->next)
+		count += ((struct order *)node->data)->upstream == upstream;
+	return count;
+}
+
+/* Sends the waiting releases for which there is room at their upstreams. */
+static void releases_send(struct orders *orders)
+{
+	GList *node, *next;
+
+	for (node = orders->waiting_releases.head; node; node = next) {
+		struct order *order = node->data;
+
+		next = node->next;
+		if (releases_in_flight(orders, order->upstream) >=
+		    RELEASES_AT_ONCE)
+			continue;
+		g_queue_unlink(&orders->waiting_releases, node);
+		if (orders->ops->may_send_orders(orders->ctx))
+			release_send(order);
+		else
+			order_end(order, ORDER_NOT_SENT, NULL);
+	}
+}
+
 void orders_release(struct orders *orders, struct upstream *upstream,
 		    const struct key_order *from, order_done_fn done, void *ctx)
 {
 	struct key_grant grant = key_grant_of(from);
 	struct order *order = order_create(orders, upstream, from, done, ctx);
-	struct link_request request = { .avoid_stale = true };
 
 	order->message = orders->protocol->release(&upstream->entry, &grant);
-	request.message =
-		(struct str){ order->message->str, order->message->len };
-	g_queue_push_tail_link(&orders->releases, &order->node);
-	start_timer(order, on_release_timeout, RELEASE_TIMEOUT_S);
-	order->link = links_send(orders->links, upstream, &request,
-				 &release_ops, order);
+	g_queue_push_tail_link(&orders->waiting_releases, &order->node);
+	releases_send(orders);
 }
 
 /* --- create and destroy --- */
@@ -389,6 +471,7 @@
 	orders->grant_queues =
 		g_hash_table_new_full(NULL, NULL, NULL, grant_queue_free);
 	g_queue_init(&orders->releases);
+	g_queue_init(&orders->waiting_releases);
 	return orders;
 }
 
@@ -404,6 +487,10 @@
 		link_close(order->link);
 		order_free(order);
 	}
+	while ((node = orders->waiting_releases.head)) {
+		g_queue_unlink(&orders->waiting_releases, node);
+		order_free(node->data);
+	}
 }
 
 void orders_destroy(struct orders *orders)
--- a/src/entry/orders.h
+++ b/src/entry/orders.h
@@ -3,8 +3,18 @@
  * range for some time, a release takes a range back. A grant is sent only if
  * the leader's lease outlasts the grant's timeout.
  *
- * All grants to an upstream go over one connection, one at a time: while it is
- * open, the same incarnation of the upstream answers.
+ * Answers to orders carry no id, and an upstream may send a second copy of an
+ * answer where the connection's next answer is expected. So an answer is beyond
+ * doubt only if it is the first on its connection. What a wrongly believed
+ * answer does decides which connection an order gets:
+ *
+ * - A release gets a connection of its own, which carries nothing else: if its
+ *   answer were believed too early, the keys would get a second owner.
+ * - All grants to an upstream go over one connection, one at a time: while it
+ *   is open, the same incarnation of the upstream answers. A later answer is
+ *   believed if it says that the grant is in force, which keeps the keys with
+ *   the owner. One that says that the grant has no effect, and one answer too
+ *   many, end the connection and are reported with doubted().
  */
 #ifndef ENTRY_ORDERS_H
 #define ENTRY_ORDERS_H
@@ -29,10 +39,15 @@
 	void (*disconnected)(void *ctx, const char *upstream);
 	/** Called before a new grant connection to an upstream is opened. */
 	void (*reconnecting)(void *ctx, const char *upstream);
+	/** Called before disconnected() when earlier answers on the grant
+	 * connection may have been those to still earlier grants, so that
+	 * grants may have taken effect later than they were answered. */
+	void (*doubted)(void *ctx, const char *upstream);
 };
 
 /**
- * Called once for each order that isn't cancelled, with its result.
+ * Called once for each order that isn't cancelled, with its result. May not
+ * cancel or send orders.
  *
  * @param order id of the order
  * @param handover hand-over token in the answer to a release, to be sent with
@@ -64,7 +79,8 @@
 void orders_grant(struct orders *orders, struct upstream *upstream,
 		  const struct key_order *order, order_done_fn done, void *ctx);
 
-/** Sends a release to an upstream; done() gets its result later. */
+/** Queues a release for an upstream; done() gets its result later, or from
+ * within this call. */
 void orders_release(struct orders *orders, struct upstream *upstream,
 		    const struct key_order *order, order_done_fn done,
 		    void *ctx);
--- a/src/keys/key_allocator.c
+++ b/src/keys/key_allocator.c
@@ -103,6 +103,7 @@
 
 	state->order = order.id;
 	state->order_hold_s = hold_s;
+	state->grant_hold_s = hold_s;
 	state->token_sent = true;
 	allocator->ops->grant(allocator->ctx, &order);
 }
@@ -456,12 +457,18 @@
 		*until = at;
 }
 
+/* Returns when a grant that takes effect now has expired on any clock. */
+static double grant_end_s(double now_s, double hold_s)
+{
+	return now_s + hold_s * CLOCK_FACTOR + MARGIN_S;
+}
+
 static void handle_grant_result(struct key_allocator *allocator,
 				struct span_state *state,
 				enum order_result result, double now_s)
 {
 	double hold_s = state->order_hold_s;
-	double end = now_s + hold_s * CLOCK_FACTOR + MARGIN_S;
+	double end = grant_end_s(now_s, hold_s);
 
 	switch (result) {
 	case ORDER_DONE:
@@ -584,6 +591,24 @@
 			span_state_at(allocator, i)->needs_new_fence = true;
 }
 
+void key_allocator_owner_doubted(struct key_allocator *allocator,
+				 const char *id, double now_s)
+{
+	guint i;
+
+	for (i = 0; i < allocator->span_states->len; i++) {
+		struct span_state *state = span_state_at(allocator, i);
+
+		if (state->span.owner != id || !state->token_sent)
+			continue;
+		/* The owner has released its keys already. */
+		if (state->phase == PHASE_SAVING && !state->same_owner)
+			continue;
+		extend_to(&state->unconfirmed_until_s,
+			  grant_end_s(now_s, state->grant_hold_s));
+	}
+}
+
 /* Returns whether requests for the key range may be sent to its owner. */
 static bool is_served(const struct span_state *state)
 {
--- a/src/keys/key_allocator.h
+++ b/src/keys/key_allocator.h
@@ -169,6 +169,16 @@
 void key_allocator_owner_reconnecting(struct key_allocator *allocator,
 				      const char *id);
 
+/**
+ * Reports that answers to an owner's grants were perhaps those to earlier
+ * ones: what it was granted may have taken effect as late as now, so that it
+ * holds its keys for the duration of the grants from now on.
+ *
+ * @param id the owner's id, interned
+ */
+void key_allocator_owner_doubted(struct key_allocator *allocator,
+				 const char *id, double now_s);
+
 /** Whether a map change waits to be saved by the next tick. */
 bool key_allocator_needs_save(const struct key_allocator *allocator);
 
--- a/src/keys/key_allocator_impl.h
+++ b/src/keys/key_allocator_impl.h
@@ -43,6 +43,8 @@
 	uint32_t order;
 	/** Duration of the grant in progress; 0 for a release. */
 	double order_hold_s;
+	/** Duration of the last grant that was sent. */
+	double grant_hold_s;
 	/** Consecutive orders that were not sent or not answered. */
 	unsigned int failed_orders;
 	/** The owner acknowledged a grant under the current fencing token. */
--- a/src/net/http_channel.c
+++ b/src/net/http_channel.c
@@ -60,6 +60,8 @@
 	bool reply_complete;
 	/** The connection can't be used for another request. */
 	bool not_reusable;
+	/** Value of http_channel_has_surplus(). */
+	bool surplus;
 	/** The socket is closed: the connection ended or the channel was
 	 * destroyed. */
 	bool closed;
@@ -311,6 +313,7 @@
 		channel->not_reusable = true;
 	channel->reply_started = false;
 	channel->busy = false;
+	channel->surplus = leftover;
 	if (leftover)
 		channel->not_reusable = true;
 	channel->idle_since_s = loop_now(channel->loop);
@@ -414,6 +417,7 @@
 	if (!channel->busy) {
 		/* Bytes that answer no request make the connection unusable.
 		 */
+		channel->surplus = true;
 		channel_fail(channel, HTTP_CHANNEL_NOT_CONNECTED);
 		return;
 	}
@@ -572,6 +576,11 @@
 	       !channel->not_reusable && !channel->out->len;
 }
 
+bool http_channel_has_surplus(const struct http_channel *channel)
+{
+	return channel->surplus;
+}
+
 bool http_channel_may_have_sent(const struct http_channel *channel)
 {
 	return channel->sent;
--- a/src/net/http_channel.h
+++ b/src/net/http_channel.h
@@ -110,6 +110,11 @@
  * idle, and the server keeps the connection open. */
 bool http_channel_reusable(const struct http_channel *channel);
 
+/** Returns whether bytes were received that belong to no response to a request
+ * on this channel: behind a complete response, or while no request was in
+ * flight. Such a channel is not reusable. */
+bool http_channel_has_surplus(const struct http_channel *channel);
+
 /** Returns whether bytes of the current request may have been sent. */
 bool http_channel_may_have_sent(const struct http_channel *channel);
 
--- a/test/functional/test_entry_doubled.c
+++ b/test/functional/test_entry_doubled.c
@@ -20,6 +20,7 @@
 static struct entry_rig rig;
 static struct stub_upstream *stub;
 
+/* Sends a request with an id, or without one if it is NULL. */
 static struct http_answer *send_with_id(const char *method, const char *uri,
 					const char *id)
 {
@@ -34,7 +35,10 @@
 		.body = "x",
 	};
 
-	g_snprintf(id_line, sizeof(id_line), "X-Request-Id: %s", id);
+	if (id)
+		g_snprintf(id_line, sizeof(id_line), "X-Request-Id: %s", id);
+	else
+		headers[3] = NULL;
 	return http_send(&request);
 }
 
@@ -143,6 +147,38 @@
 	teardown();
 }
 
+/* Guards against a request on a connection on which an earlier answer can't be
+ * told from its own: it has no id, or that of an earlier request there. */
+static void a_request_that_an_id_does_not_tell_apart_gets_a_new_connection(void)
+{
+	static const struct {
+		const char *id, *answer;
+		unsigned int new_connections;
+	} rows[] = {
+		{ "a", SUCCESS "X-Request-Id: a\r\n\r\nok", 0 },
+		{ "b", SUCCESS "X-Request-Id: b\r\n\r\nok", 0 },
+		{ "b", SUCCESS "X-Request-Id: b\r\n\r\nok", 1 },
+		{ "a", SUCCESS "X-Request-Id: a\r\n\r\nok", 0 },
+		{ NULL, SUCCESS "\r\nok", 1 },
+		{ NULL, SUCCESS "\r\nok", 1 },
+	};
+	size_t i;
+
+	setup();
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		unsigned int before = stub_upstream_connection_count(stub);
+		struct http_answer *answer;
+
+		set_reply(rows[i].answer);
+		answer = send_with_id("GET", "/plain/a", rows[i].id);
+		CU_ASSERT_EQUAL(answer->status, 200);
+		CU_ASSERT_EQUAL(stub_upstream_connection_count(stub) - before,
+				rows[i].new_connections);
+		http_answer_destroy(answer);
+	}
+	teardown();
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -150,6 +186,9 @@
 		  a_repeated_refusal_is_not_taken_for_that_of_a_later_request },
 		{ "a refusal without id on a new connection is believed",
 		  a_refusal_without_id_on_a_new_connection_is_believed },
+		{ "a request that an id does not tell apart gets a new "
+		  "connection",
+		  a_request_that_an_id_does_not_tell_apart_gets_a_new_connection },
 		{ 0 },
 	};
 
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -97,7 +97,7 @@
 static void remove_held(struct rig *rig, unsigned int i)
 {
 	memmove(&rig->held[i], &rig->held[i + 1],
-		(--rig->held_count - i) * sizeof(rig->held[0]));
+		(--rig->held_count - i) * sizeof(struct http_request *));
 }
 
 static void on_target_gone(void *ctx, struct http_request *request)
--- a/test/unit/test_keys.c
+++ b/test/unit/test_keys.c
@@ -540,6 +540,34 @@
 	key_allocator_destroy(o.allocator);
 }
 
+/* Guards against keys that are granted to another upstream too early, because
+ * the grant of their owner took effect later than it was thought to. */
+static void a_doubted_grant_expires_from_the_doubt_on(void)
+{
+	struct key_candidate b = candidate("b");
+	struct orders o;
+	double now = 11;
+
+	start_granting_all_keys(&o);
+	key_allocator_order_done(o.allocator, o.last.id, ORDER_DONE, NULL,
+				 10.02);
+	key_allocator_owner_doubted(o.allocator, g_intern_string("other"), 15);
+	key_allocator_owner_doubted(o.allocator, g_intern_string("a"), now);
+	o.state = OWNER_UNREACHABLE;
+	for (; o.saves == 1 && now < 20; now += 0.01) {
+		uint32_t order = o.last.id;
+
+		key_allocator_tick(o.allocator, now, 3, &b, 1);
+		if (o.last.id != order)
+			key_allocator_order_done(o.allocator, o.last.id,
+						 ORDER_NOT_SENT, NULL, now);
+	}
+	/* The grant lasts 3 s on a clock that may be 2% slow. */
+	CU_ASSERT_TRUE(now > 11 + 3.06);
+	CU_ASSERT_TRUE(now < 11 + 3.06 + 0.2);
+	key_allocator_destroy(o.allocator);
+}
+
 static void a_broken_connection_needs_a_new_token(void)
 {
 	struct key_candidate a = candidate("a");
@@ -649,6 +677,8 @@
 		  a_handover_is_passed_on_once },
 		{ "the grant of an unresponsive owner must expire",
 		  the_grant_of_an_unresponsive_owner_must_expire },
+		{ "a doubted grant expires from the doubt on",
+		  a_doubted_grant_expires_from_the_doubt_on },
 		{ "a broken connection needs a new token",
 		  a_broken_connection_needs_a_new_token },
 		{ "load is spread over upstreams",
