net: bytes that are no HTTP response are not passed on as one

Cause: the parser accepts any status up to 999, with any number of leading zeros and spaces, and the channel delivered what it accepted. Callers got answers with the status 000 or 999 of failing upstreams.

Responses 1xx, 204 and 304 have no body, whatever their fields say.

--- a/src/net/http_channel.c
+++ b/src/net/http_channel.c
@@ -2,18 +2,17 @@
 
 #include <errno.h>
 #include <http_parser.h>
-#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "net/socket_options.h"
+#include "net/status_line.h"
 #include "wire/socket.h"
 
 /* Maximum number of bytes received at a time. */
 #define READ_BYTES ((size_t)64 << 10)
-/* Number of unanswered TCP keep-alive probes that end the connection. */
-#define KEEPALIVE_PROBES 1
 /* Most bytes that may precede the body of a response: its head, interim
  * responses and empty lines. */
 #define HEAD_BYTES_MAX ((size_t)128 << 10)
@@ -31,8 +30,10 @@
 	const struct http_channel_ops *ops;
 	void *ctx;
 	http_parser parser;
-	/** The response that the parser is reading. */
+	/** The response that the parser is reading, and the check of its first
+	 * line. */
 	struct http_reply reply;
+	struct status_line status_line;
 	/** Name and value of the header field that the parser is reading. */
 	GString *field;
 	GString *value;
@@ -109,24 +110,13 @@
 	g_free(channel);
 }
 
-/* Makes close() reset the connection and discard unsent bytes. Otherwise the
- * kernel would retransmit them, and after a network partition they could arrive
- * when the request has long been given up. */
-static void set_abortive(int fd)
-{
-	struct linger linger = { .l_onoff = 1, .l_linger = 0 };
-
-	/* On failure, close() doesn't reset the connection. */
-	(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
-}
-
 static void channel_close(struct http_channel *channel)
 {
 	if (channel->closed)
 		return;
 	channel->closed = true;
 	if (channel->busy && channel->fd >= 0)
-		set_abortive(channel->fd);
+		socket_set_abortive(channel->fd);
 	ev_io_stop(channel->loop->ev, &channel->io);
 	if (channel->fd >= 0)
 		close(channel->fd);
@@ -249,6 +239,12 @@
 	g_free(text);
 }
 
+/* Whether responses with a status have no body, whatever their fields say. */
+static bool has_no_body(unsigned int status)
+{
+	return status / 100 == 1 || status == 204 || status == 304;
+}
+
 static int on_head(http_parser *parser)
 {
 	struct http_channel *channel = parser->data;
@@ -259,9 +255,12 @@
 	/* An Upgrade field must not end the parsing of HTTP. */
 	parser->upgrade = 0;
 	read_keep_alive(channel);
+	/* No request asks for another protocol. */
+	if (channel->reply.status == 101)
+		return -1;
 	channel->head_complete = channel->reply.status / 100 != 1;
 	/* 1 tells the parser that no body follows. */
-	return channel->head_only ? 1 : 0;
+	return channel->head_only || has_no_body(channel->reply.status) ? 1 : 0;
 }
 
 static int on_body(http_parser *parser, const char *at, size_t len)
@@ -280,14 +279,16 @@
 {
 	struct http_channel *channel = parser->data;
 
-	/* Interim (1xx) responses are skipped. */
-	if (channel->reply.status / 100 == 1 || channel->closed)
+	if (channel->closed)
 		return 0;
-	if (!http_should_keep_alive(parser))
-		channel->not_reusable = true;
 	/* Makes the parser return here, as further bytes are not part of this
 	 * response. */
 	http_parser_pause(parser, 1);
+	/* Interim (1xx) responses are skipped. */
+	if (channel->reply.status / 100 == 1)
+		return 0;
+	if (!http_should_keep_alive(parser))
+		channel->not_reusable = true;
 	channel->reply_complete = true;
 	return 0;
 }
@@ -345,14 +346,24 @@
 	if (!channel->head_complete)
 		channel->head_bytes += len;
 	while (!channel->closed) {
-		size_t n =
-			http_parser_execute(&channel->parser, &parser_settings,
-					    data + used, len - used);
-		enum http_errno error = HTTP_PARSER_ERRNO(&channel->parser);
+		enum http_errno error;
 
-		used += n;
-		if (channel->reply_complete) {
+		if (!status_line_check(&channel->status_line, data + used,
+				       len - used)) {
+			channel_fail(channel, HTTP_CHANNEL_BROKEN);
+			return;
+		}
+		used += http_parser_execute(&channel->parser, &parser_settings,
+					    data + used, len - used);
+		error = HTTP_PARSER_ERRNO(&channel->parser);
+		if (error == HPE_PAUSED) {
 			http_parser_pause(&channel->parser, 0);
+			channel->status_line.checked = 0;
+			error = HPE_OK;
+			if (!channel->reply_complete && used < len)
+				continue;
+		}
+		if (channel->reply_complete) {
 			if (deliver(channel, used < len))
 				return;
 			if (channel->closed)
@@ -494,25 +505,6 @@
 	end_io(channel);
 }
 
-static void set_option(int fd, int level, int name, int value)
-{
-	/* On failure, a lost connection is only detected later. */
-	(void)setsockopt(fd, level, name, &value, sizeof(value));
-}
-
-static void set_options(int fd, const struct http_channel_options *options)
-{
-	if (options->user_timeout_ms)
-		set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
-			   (int)options->user_timeout_ms);
-	if (!options->keepalive_s)
-		return;
-	set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
-	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, (int)options->keepalive_s);
-	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, (int)options->keepalive_s);
-	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
-}
-
 struct http_channel *
 http_channel_create(struct loop *loop, const struct sockaddr_in *address,
 		    const struct http_channel_options *options,
@@ -537,7 +529,8 @@
 	channel->io.data = channel;
 	channel->events = EV_WRITE;
 	if (channel->fd >= 0) {
-		set_options(channel->fd, options);
+		socket_set_timeouts(channel->fd, options->user_timeout_ms,
+				    options->keepalive_s);
 		ev_io_start(loop->ev, &channel->io);
 	} else {
 		/* The owner learns of this failure from the event loop, as
@@ -555,6 +548,7 @@
 	channel->reply_started = false;
 	channel->head_complete = false;
 	channel->head_bytes = 0;
+	channel->status_line.checked = 0;
 	channel->last_byte_s = 0;
 	channel->head_only = head_only;
 	g_string_append_len(channel->out, message.data, (gssize)message.len);
--- a/test/functional/test_entry_faulty.c
+++ b/test/functional/test_entry_faulty.c
@@ -246,10 +246,62 @@
 	teardown();
 }
 
+/* Fields of an answer to the request with the id "odd". */
+#define ODD_FIELDS                                                             \
+	"X-Request-Id: odd\r\nX-Server-Signature: s\r\n"                       \
+	"Content-Length: 0\r\n\r\n"
+
+/* Guards against bytes that are no HTTP response but reach the caller as one.
+ * The request may have run, so the caller must not be told that it did not. */
+static void bytes_that_are_no_answer_do_not_reach_the_caller(void)
+{
+	static const char *const rows[] = {
+		"HTTP/1.1 000 Unknown\r\n" ODD_FIELDS,
+		"HTTP/1.1 000 \r\nX-Not-Executed: 1\r\n" ODD_FIELDS,
+		"HTTP/1.1 20 OK\r\n" ODD_FIELDS,
+		"HTTP/1.1 999 Unknown\r\n" ODD_FIELDS,
+		"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+	};
+	static const char *const methods[] = { "GET", "POST" };
+	static const char *const uris[] = { "/plain/a", "/once/a" };
+	const char *headers[] = { "Host: app.example", "X-Deadline-Ms: 1000",
+				  "X-Request-Id: odd", NULL };
+	size_t i, m;
+
+	setup();
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct stub_reply reply = { .bytes = rows[i] };
+
+		for (m = 0; m < G_N_ELEMENTS(methods); m++) {
+			struct http_request request = {
+				.address = rig.entries[0].callers,
+				.uri = uris[m],
+				.method = methods[m],
+				.headers = headers,
+				.body = "x",
+			};
+			unsigned int runs;
+			struct http_answer *answer;
+
+			wait_for_stub();
+			stub_upstream_set_reply(stub, &reply);
+			runs = stub_upstream_run_count(stub);
+			answer = http_send(&request);
+			CU_ASSERT_TRUE(stub_upstream_run_count(stub) > runs);
+			CU_ASSERT_EQUAL(answer->status, 502);
+			http_answer_destroy(answer);
+		}
+	}
+	CU_ASSERT_TRUE(process_running(rig.entries[0].process));
+	teardown();
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
 		{ "an endless answer is ended", an_endless_answer_is_ended },
+		{ "bytes that are no answer do not reach the caller",
+		  bytes_that_are_no_answer_do_not_reach_the_caller },
 		{ "a kept error answer counts as held",
 		  a_kept_error_answer_counts_as_held },
 		{ 0 },
