entry: idle connections make room for a new one at the limit

Cause: a request that needs a new connection, and a release, opened one beyond the limit of connections to an upstream while others were idle. With callers that send no id, each request needs a new one.

Change: the connections that were idle for the longest time are closed first.

Result: the new case of unit-test_orders fails before and passes.

--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -231,6 +231,23 @@
 	return NULL;
 }
 
+/* Closes the idle connections of an upstream that were not used for the longest
+ * time, as long as there is no room for another connection. */
+static void make_room(struct links *links, struct upstream *upstream)
+{
+	unsigned int limit = upstream_connection_limit(links->roster, upstream);
+	GList *node, *prev;
+
+	for (node = upstream->idle_links.tail;
+	     node && upstream->connections >= limit; node = prev) {
+		struct link *link = node->data;
+
+		prev = node->prev;
+		if (!is_checking(link))
+			link_free(link);
+	}
+}
+
 bool links_has_capacity(const struct links *links,
 			const struct upstream *upstream)
 {
@@ -247,8 +264,10 @@
 
 	if (!request->new_connection)
 		link = pop_idle_link(upstream, request);
-	if (!link)
+	if (!link) {
+		make_room(links, upstream);
 		link = link_open(links, upstream);
+	}
 	link->id_hashes[link->requests++ % IDS_KEPT] = request->id_hash;
 	link->ops = ops;
 	link->user = user;
--- a/test/unit/test_orders.c
+++ b/test/unit/test_orders.c
@@ -431,6 +431,31 @@
 	teardown(&rig);
 }
 
+/* Guards against more connections than an upstream accepts when each request
+ * needs a new one and the earlier ones are still idle. */
+static void an_idle_connection_makes_room_for_a_new_one(void)
+{
+	struct link_request request = {
+		.message = STR("GET /a HTTP/1.1\r\n\r\n"),
+		.new_connection = true,
+	};
+	struct rig rig;
+	unsigned int i, limit;
+
+	setup(&rig);
+	rig.upstream->service->config.max_connections = 1;
+	limit = upstream_connection_limit(rig.roster, rig.upstream);
+	for (i = 0; i < 3 * limit; i++) {
+		links_send(rig.links, rig.upstream, &request, &request_ops,
+			   &rig);
+		CU_ASSERT_TRUE(rig.upstream->connections <= limit);
+		run_loop(&rig);
+		answer(&rig, next_request(&rig), GRANTED);
+	}
+	CU_ASSERT_EQUAL(rig.served, 3 * limit);
+	teardown(&rig);
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -442,6 +467,8 @@
 		  an_answer_too_many_puts_the_grants_in_doubt },
 		{ "releases use few connections",
 		  releases_use_few_connections },
+		{ "an idle connection makes room for a new one",
+		  an_idle_connection_makes_room_for_a_new_one },
 		{ 0 },
 	};
 
