--- a/src/net/http_channel.c
+++ b/src/net/http_channel.c
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "net/status_line.h"
 #include "wire/socket.h"
 
 /* Maximum number of bytes received at a time. */
@@ -28,8 +29,10 @@
 	const struct http_channel_ops *ops;
 	void *ctx;
 	http_parser parser;
-	/** The response that the parser is reading. */
+	/** The response that the parser is reading, and the check of its first
+	 * line. */
 	struct http_reply reply;
+	struct status_line status_line;
 	/** Name and value of the header field that the parser is reading. */
 	GString *field;
 	GString *value;
@@ -57,6 +60,8 @@
 	bool reply_complete;
 	/** The connection can't be used for another request. */
 	bool not_reusable;
+	/** Value of http_channel_has_surplus(). */
+	bool surplus;
 	/** The socket is closed: the connection ended or the channel was
 	 * destroyed. */
 	bool closed;
@@ -104,24 +109,13 @@
 	g_free(channel);
 }
 
-/* Makes close() reset the connection and discard unsent bytes. Otherwise the
- * kernel would retransmit them, and after a network partition they could arrive
- * when the request has long been given up. */
-static void set_abortive(int fd)
-{
-	struct linger linger = { .l_onoff = 1, .l_linger = 0 };
-
-	/* On failure, close() doesn't reset the connection. */
-	(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
-}
-
 static void channel_close(struct http_channel *channel)
 {
 	if (channel->closed)
 		return;
 	channel->closed = true;
 	if (channel->busy && channel->fd >= 0)
-		set_abortive(channel->fd);
+		socket_set_abortive(channel->fd);
 	ev_io_stop(channel->loop->ev, &channel->io);
 	if (channel->fd >= 0)
 		close(channel->fd);
@@ -269,6 +263,9 @@
 	/* An Upgrade field must not end the parsing of HTTP. */
 	parser->upgrade = 0;
 	read_keep_alive(channel);
+	/* No request asks for another protocol. */
+	if (channel->reply.status == 101)
+		return -1;
 	channel->head_complete = channel->reply.status / 100 != 1;
 	/* 1 tells the parser that no body follows. */
 	return ends_with_head(channel) ? 1 : 0;
@@ -290,14 +287,16 @@
 {
 	struct http_channel *channel = parser->data;
 
-	/* Interim (1xx) responses are skipped. */
-	if (channel->reply.status / 100 == 1 || channel->closed)
+	if (channel->closed)
 		return 0;
-	if (!http_should_keep_alive(parser))
-		channel->not_reusable = true;
 	/* Makes the parser return here, as further bytes are not part of this
 	 * response. */
 	http_parser_pause(parser, 1);
+	/* Interim (1xx) responses are skipped. */
+	if (channel->reply.status / 100 == 1)
+		return 0;
+	if (!http_should_keep_alive(parser))
+		channel->not_reusable = true;
 	channel->reply_complete = true;
 	return 0;
 }
@@ -323,6 +322,7 @@
 		channel->not_reusable = true;
 	channel->reply_started = false;
 	channel->busy = false;
+	channel->surplus = leftover;
 	if (leftover)
 		channel->not_reusable = true;
 	channel->idle_since_s = loop_now(channel->loop);
@@ -354,14 +354,24 @@
 	if (!channel->head_complete)
 		channel->head_bytes += len;
 	while (!channel->closed) {
-		size_t n =
-			http_parser_execute(&channel->parser, &parser_settings,
-					    data + used, len - used);
-		enum http_errno error = HTTP_PARSER_ERRNO(&channel->parser);
+		enum http_errno error;
 
-		used += n;
-		if (channel->reply_complete) {
+		if (!status_line_check(&channel->status_line, data + used,
+				       len - used)) {
+			channel_fail(channel, HTTP_CHANNEL_BROKEN);
+			return;
+		}
+		used += http_parser_execute(&channel->parser, &parser_settings,
+					    data + used, len - used);
+		error = HTTP_PARSER_ERRNO(&channel->parser);
+		if (error == HPE_PAUSED) {
 			http_parser_pause(&channel->parser, 0);
+			channel->status_line.checked = 0;
+			error = HPE_OK;
+			if (!channel->reply_complete && used < len)
+				continue;
+		}
+		if (channel->reply_complete) {
 			if (deliver(channel, used < len))
 				return;
 			if (channel->closed)
@@ -426,6 +436,7 @@
 	if (!channel->busy) {
 		/* Bytes that answer no request make the connection unusable.
 		 */
+		channel->surplus = true;
 		channel_fail(channel, HTTP_CHANNEL_NOT_CONNECTED);
 		return;
 	}
@@ -555,6 +566,7 @@
 	channel->reply_started = false;
 	channel->head_complete = false;
 	channel->head_bytes = 0;
+	channel->status_line.checked = 0;
 	channel->last_byte_s = 0;
 	channel->head_only = head_only;
 	g_string_append_len(channel->out, message.data, (gssize)message.len);
@@ -576,6 +588,11 @@
 	       !channel->not_reusable && !channel->out->len;
 }
 
+bool http_channel_has_surplus(const struct http_channel *channel)
+{
+	return channel->surplus;
+}
+
 bool http_channel_may_have_sent(const struct http_channel *channel)
 {
 	return channel->sent;
--- a/src/wire/socket.c
+++ b/src/wire/socket.c
@@ -86,6 +86,14 @@
 	return ioctl(fd, SIOCOUTQ, &bytes) < 0 ? 0 : (size_t)bytes;
 }
 
+void socket_set_abortive(int fd)
+{
+	struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+	/* On failure, close() doesn't reset the connection. */
+	(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
+
 bool socket_is_reset(int fd)
 {
 	struct pollfd state = { .fd = fd };
--- a/src/wire/socket.h
+++ b/src/wire/socket.h
@@ -70,6 +70,13 @@
  */
 bool socket_peer_lost(int fd, unsigned int timeout_ms);
 
+/**
+ * Makes close() reset the connection and discard unsent bytes. Otherwise the
+ * kernel would retransmit them, and after a network partition they could arrive
+ * when the request has long been given up.
+ */
+void socket_set_abortive(int fd);
+
 /** Returns whether the connection was reset, or has failed. */
 bool socket_is_reset(int fd);
 
