--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -1,7 +1,9 @@
 /*
  * Membership of this VM in the cluster: competes for the lease, runs the key
  * leaders while this VM leads, and times reports and heartbeats. The messages
- * are in cluster_messages.c.
+ * are
+ * in cluster_messages.c and cluster_heartbeat.c, and the owner maps of the
+ * store in cluster_maps.c.
  */
 #include "entry/cluster_impl.h"
 
@@ -26,7 +28,7 @@
 	published_map_destroy(data);
 }
 
-static bool may_send_orders(void *ctx)
+bool cluster_may_send_orders(void *ctx)
 {
 	struct cluster *cluster = ctx;
 
@@ -46,7 +48,7 @@
 	}
 }
 
-static void keys_changed(void *ctx)
+void cluster_keys_changed(void *ctx)
 {
 	struct cluster *cluster = ctx;
 
@@ -87,8 +89,9 @@
 	crash_exchange_resend(cluster->crash_exchange);
 	limit_exchange_begin(cluster->limit_exchange);
 	g_array_set_size(cluster->index_requests, 0);
+	g_array_set_size(cluster->snapshot_requests, 0);
 	/* The heartbeat makes the other VMs stop competing for the lease. */
-	keys_changed(cluster);
+	cluster_keys_changed(cluster);
 }
 
 static void on_lost(void *ctx, const char *reason)
@@ -170,7 +173,7 @@
 }
 
 static const struct orders_ops orders_ops = {
-	.may_send_orders = may_send_orders,
+	.may_send_orders = cluster_may_send_orders,
 	.disconnected = on_owner_disconnected,
 	.reconnecting = on_owner_reconnecting,
 };
@@ -181,7 +184,7 @@
 {
 	struct cluster *cluster = ctx;
 
-	if (!may_send_orders(cluster))
+	if (!cluster_may_send_orders(cluster))
 		return;
 	cluster->hold_s = cluster->options.settings->hold_max_s;
 	event_log_write(cluster->options.log, "warning", "lease",
@@ -259,87 +262,6 @@
 		cluster_send_heartbeat(cluster);
 }
 
-/* Creates the key leader of a service that is keyed and has none.
- *
- * @param row the service's saved owner map, or NULL */
-static void ensure_key_leader(struct cluster *cluster, struct service *service,
-			      const struct store_row *row)
-{
-	struct key_leader_options options = {
-		.loop = cluster->options.loop,
-		.roster = cluster->options.roster,
-		.store = cluster->options.store,
-		.orders = cluster->orders,
-		.log = cluster->options.log,
-		.may_send_orders = may_send_orders,
-		.changed = keys_changed,
-		.ctx = cluster,
-	};
-
-	if (!service->configured || !service->config.keyed ||
-	    g_hash_table_contains(cluster->key_leaders, service->name))
-		return;
-	g_hash_table_insert(cluster->key_leaders, service->name,
-			    key_leader_create(&options, service, row,
-					      cluster->inherited_until_s));
-}
-
-/* Creates the key leader of a keyed service that has none, such as a service
- * without a stored owner map. */
-static void lead_service(struct service *service, void *ctx)
-{
-	ensure_key_leader(ctx, service, NULL);
-}
-
-/* Applies the row with the blocked requests among those of the owner maps. */
-static void load_blocked_requests(struct cluster *cluster,
-				  const struct store_result *result)
-{
-	size_t i;
-
-	for (i = 0; i < result->row_count; i++)
-		if (!strcmp(result->rows[i].key, BLOCKED_KEY))
-			crash_exchange_load(cluster->crash_exchange,
-					    &result->rows[i]);
-}
-
-/* Creates the key leaders of services with a stored owner map, after this VM
- * won the lease. */
-static void on_inherited_maps(void *ctx, const struct store_result *result)
-{
-	struct cluster *cluster = ctx;
-	size_t i;
-
-	cluster->reading_maps = false;
-	if (result->status != STORE_OK || !cluster->leading)
-		return;
-	load_blocked_requests(cluster, result);
-	for (i = 0; i < result->row_count; i++) {
-		struct service *service = roster_service(
-			cluster->options.roster, result->rows[i].key);
-
-		if (service)
-			ensure_key_leader(cluster, service, &result->rows[i]);
-	}
-	cluster->maps_read = true;
-	event_log_write(cluster->options.log, "info", "keys",
-			"event=leading maps=%zu version=%" PRIu64,
-			result->row_count, result->version);
-}
-
-/* Reads the owner maps of all services from the store, unless a read is in
- * progress already. */
-static void read_maps(struct cluster *cluster, store_done_fn done,
-		      const char *reason)
-{
-	if (cluster->reading_maps)
-		return;
-	cluster->reading_maps = true;
-	store_calls_count(cluster->options.store.calls, KEY_TABLE, reason);
-	cluster->options.store.ops->read(cluster->options.store.impl, KEY_TABLE,
-					 "", done, cluster);
-}
-
 static void tick_leader(gpointer key, gpointer value, gpointer data)
 {
 	struct cluster *cluster = data;
@@ -365,7 +287,7 @@
 	if (!cluster->options.roster_loaded(cluster->options.ctx))
 		return;
 	if (!cluster->maps_read) {
-		read_maps(cluster, on_inherited_maps, "inherit");
+		cluster_inherit_maps(cluster);
 		return;
 	}
 	/* The lease is renewed again: end the extension of grants by
@@ -374,54 +296,16 @@
 		cluster->hold_s = HOLD_S;
 	if (lease_held(cluster->lease, 0))
 		crash_exchange_save(cluster->crash_exchange);
-	roster_each_service(cluster->options.roster, lead_service, cluster);
+	cluster_lead_services(cluster);
 	g_hash_table_foreach(cluster->key_leaders, tick_leader, cluster);
 }
 
-/* Applies the owner maps from the store, unless a heartbeat arrived lately. */
-static void on_fallback_maps(void *ctx, const struct store_result *result)
-{
-	struct cluster *cluster = ctx;
-	size_t i;
-
-	cluster->reading_maps = false;
-	if (result->status != STORE_OK ||
-	    cluster_now(cluster) < cluster->last_heartbeat_s + HEARTBEAT_LOST_S)
-		return;
-	load_blocked_requests(cluster, result);
-	for (i = 0; i < result->row_count; i++) {
-		struct service *service = roster_service(
-			cluster->options.roster, result->rows[i].key);
-		const GString *value = result->rows[i].value;
-
-		if (service &&
-		    !key_map_unpack(service->keys,
-				    (struct str){ value->str, value->len },
-				    NULL))
-			log_warn("keys",
-				 "ignored the owner map of service %s in the "
-				 "store: it can't be decoded",
-				 service->name);
-	}
-	cluster->options.routing_changed(cluster->options.ctx);
-}
-
-/* Whether a VM renewed the lease without this VM hearing its heartbeats. Only
- * then may owners have changed, which that leader saves before. */
-static bool has_unheard_leader(const struct cluster *cluster)
-{
-	uint64_t version = lease_version(cluster->lease);
-
-	return version > cluster->heartbeat_lease &&
-	       version > cluster->fallback_lease;
-}
-
 /* Returns the interval of this VM's reports to the leader. */
 static double report_interval_s(const struct cluster *cluster)
 {
 	unsigned int vms = roster_vm_count(cluster->options.roster);
 
-	if (!hears_leader(cluster) ||
+	if (!hears_leader(cluster) || cluster->heard_snapshot.missed ||
 	    copy_exchange_waits(cluster->copy_exchange))
 		return live_vms_unheard_report_interval_s(vms);
 	return live_vms_report_interval_s(vms);
@@ -443,11 +327,8 @@
 	lease_tick(cluster->lease);
 	if (cluster->leading)
 		run_leader(cluster);
-	else if (now > cluster->last_heartbeat_s + HEARTBEAT_LOST_S &&
-		 has_unheard_leader(cluster)) {
-		cluster->fallback_lease = lease_version(cluster->lease);
-		read_maps(cluster, on_fallback_maps, "fallback");
-	}
+	else if (now > cluster->last_heartbeat_s + HEARTBEAT_LOST_S)
+		cluster_read_fallback_maps(cluster);
 	exchange_row_versions(cluster);
 	if (cluster->is_backup && !cluster->leading &&
 	    now > cluster->last_heartbeat_s + LATE_HEARTBEAT_S)
@@ -566,6 +447,8 @@
 		g_str_hash, g_str_equal, g_free, free_published_map);
 	cluster->load_exchange =
 		load_exchange_create(options->loop, options->roster);
+	cluster->snapshot_requests =
+		g_array_new(FALSE, FALSE, sizeof(struct fanout_target));
 	cluster->index_requests =
 		g_array_new(FALSE, FALSE, sizeof(struct fanout_target));
 	cluster->limit_exchange =
@@ -596,6 +479,7 @@
 	datagrams_destroy(cluster->datagrams);
 	load_exchange_destroy(cluster->load_exchange);
 	g_array_free(cluster->index_requests, TRUE);
+	g_array_free(cluster->snapshot_requests, TRUE);
 	limit_exchange_destroy(cluster->limit_exchange);
 	live_vms_destroy(cluster->vms);
 	g_hash_table_destroy(cluster->published_maps);
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -1,5 +1,5 @@
 /**
- * Definitions that cluster.c and cluster_messages.c share.
+ * Definitions that the files of the cluster share.
  */
 #ifndef ENTRY_CLUSTER_IMPL_H
 #define ENTRY_CLUSTER_IMPL_H
@@ -11,6 +11,7 @@
 #include "entry/limit_exchange.h"
 #include "entry/live_vms.h"
 #include "entry/load_exchange.h"
+#include "fanout/snapshots.h"
 #include "keys/lease.h"
 #include "keys/published_map.h"
 
@@ -25,10 +26,8 @@
 #define GRANT_TRAVEL_S 0.6
 /* Interval, in seconds, of the leader's heartbeats. */
 #define HEARTBEAT_S 0.25
-/* Seconds per VM: the smallest interval of heartbeats with a full snapshot of
- * VMs and owners, and the smallest delay before changes are published. They
- * grow with the number of VMs so that the leader's work does not. */
-#define SNAPSHOT_VM_S 0.02
+/* Seconds per VM: the smallest delay before changes are published. It grows
+ * with the number of VMs so that the leader's work does not. */
 #define PUBLISH_VM_S 0.00016
 /* Load reports may be sent this much early, in seconds: half of the interval
  * between calls of cluster_tick(). */
@@ -146,11 +145,12 @@
 	/** Owner maps as last sent to the VMs, by service (struct
 	 * published_map). */
 	GHashTable *published_maps;
-	/**
-	 * When a heartbeat with a full snapshot of VMs and owners was last
-	 * sent.
+	/** The snapshots that this VM sent as leader, and those received. */
+	struct snapshot_sender snapshots;
+	struct snapshot_receiver heard_snapshot;
+	/** As leader, the VMs (struct fanout_target) that missed the last one.
 	 */
-	double snapshot_sent_s;
+	GArray *snapshot_requests;
 	/** VMs joined or left since the last snapshot was sent. */
 	bool vms_changed;
 	/** Sends a heartbeat after owners or rows changed. */
@@ -180,6 +180,41 @@
 				 uint64_t operator_rows,
 				 uint64_t upstream_rows);
 
+/** Sends a message to all live VMs but this one.
+ *
+ * @param copies as in datagrams_broadcast() */
+void cluster_broadcast(struct cluster *cluster, unsigned int copies,
+		       PeerMessage *message);
+
+/** Creates the message that describes a VM; freed with
+ * cluster_free_vm_info(). */
+VmInfo *cluster_vm_info(const char *name, const struct sockaddr_in *address,
+			const char *zone);
+void cluster_free_vm_info(VmInfo *info);
+
+/** Applies owners and VMs of a heartbeat on the leader itself, which knows the
+ * other parts already. */
+void cluster_apply_own_heartbeat(struct cluster *cluster,
+				 const LeaderBeat *beat);
+
+/** Whether this VM may give orders to owners now; ctx is the cluster. */
+bool cluster_may_send_orders(void *ctx);
+
+/** Notes that owners changed, and sends a heartbeat soon; ctx is the cluster.
+ */
+void cluster_keys_changed(void *ctx);
+
+/** As new leader, reads the owner maps of the previous leader from the store
+ * and creates the key leaders, unless a read is in progress. */
+void cluster_inherit_maps(struct cluster *cluster);
+
+/** As leader, creates the key leaders of keyed services that have none. */
+void cluster_lead_services(struct cluster *cluster);
+
+/** Reads the owner maps from the store, once for each leader that renewed the
+ * lease but whose heartbeats aren't heard. */
+void cluster_read_fallback_maps(struct cluster *cluster);
+
 /** Sets whether this VM polls the store for both tables. */
 void cluster_set_watch_mode(struct cluster *cluster,
 			    enum table_watch_mode mode);
--- /dev/null
+++ b/src/entry/cluster_maps.c
@@ -0,0 +1,146 @@
+/*
+ * Owner maps that the cluster reads from the store: those of the previous
+ * leader, and those of a leader that isn't heard.
+ */
+#include <string.h>
+
+#include "base/log.h"
+#include "entry/cluster_impl.h"
+#include "store/store_calls.h"
+
+/* Creates the key leader of a service that is keyed and has none.
+ *
+ * @param row the service's saved owner map, or NULL */
+static void ensure_key_leader(struct cluster *cluster, struct service *service,
+			      const struct store_row *row)
+{
+	struct key_leader_options options = {
+		.loop = cluster->options.loop,
+		.roster = cluster->options.roster,
+		.store = cluster->options.store,
+		.orders = cluster->orders,
+		.log = cluster->options.log,
+		.may_send_orders = cluster_may_send_orders,
+		.changed = cluster_keys_changed,
+		.ctx = cluster,
+	};
+
+	if (!service->configured || !service->config.keyed ||
+	    g_hash_table_contains(cluster->key_leaders, service->name))
+		return;
+	g_hash_table_insert(cluster->key_leaders, service->name,
+			    key_leader_create(&options, service, row,
+					      cluster->inherited_until_s));
+}
+
+/* Creates the key leader of a keyed service that has none, such as a service
+ * without a stored owner map. */
+static void lead_service(struct service *service, void *ctx)
+{
+	ensure_key_leader(ctx, service, NULL);
+}
+
+/* Applies the row with the blocked requests among those of the owner maps. */
+static void load_blocked_requests(struct cluster *cluster,
+				  const struct store_result *result)
+{
+	size_t i;
+
+	for (i = 0; i < result->row_count; i++)
+		if (!strcmp(result->rows[i].key, BLOCKED_KEY))
+			crash_exchange_load(cluster->crash_exchange,
+					    &result->rows[i]);
+}
+
+/* Creates the key leaders of services with a stored owner map, after this VM
+ * won the lease. */
+static void on_inherited_maps(void *ctx, const struct store_result *result)
+{
+	struct cluster *cluster = ctx;
+	size_t i;
+
+	cluster->reading_maps = false;
+	if (result->status != STORE_OK || !cluster->leading)
+		return;
+	load_blocked_requests(cluster, result);
+	for (i = 0; i < result->row_count; i++) {
+		struct service *service = roster_service(
+			cluster->options.roster, result->rows[i].key);
+
+		if (service)
+			ensure_key_leader(cluster, service, &result->rows[i]);
+	}
+	cluster->maps_read = true;
+	event_log_write(cluster->options.log, "info", "keys",
+			"event=leading maps=%zu version=%" PRIu64,
+			result->row_count, result->version);
+}
+
+/* Reads the owner maps of all services from the store, unless a read is in
+ * progress already. */
+static void read_maps(struct cluster *cluster, store_done_fn done,
+		      const char *reason)
+{
+	if (cluster->reading_maps)
+		return;
+	cluster->reading_maps = true;
+	store_calls_count(cluster->options.store.calls, KEY_TABLE, reason);
+	cluster->options.store.ops->read(cluster->options.store.impl, KEY_TABLE,
+					 "", done, cluster);
+}
+
+void cluster_inherit_maps(struct cluster *cluster)
+{
+	read_maps(cluster, on_inherited_maps, "inherit");
+}
+
+void cluster_lead_services(struct cluster *cluster)
+{
+	roster_each_service(cluster->options.roster, lead_service, cluster);
+}
+
+/* Applies the owner maps from the store, unless a heartbeat arrived lately. */
+static void on_fallback_maps(void *ctx, const struct store_result *result)
+{
+	struct cluster *cluster = ctx;
+	size_t i;
+
+	cluster->reading_maps = false;
+	if (result->status != STORE_OK ||
+	    cluster_now(cluster) < cluster->last_heartbeat_s + HEARTBEAT_LOST_S)
+		return;
+	load_blocked_requests(cluster, result);
+	for (i = 0; i < result->row_count; i++) {
+		struct service *service = roster_service(
+			cluster->options.roster, result->rows[i].key);
+		const GString *value = result->rows[i].value;
+
+		if (service &&
+		    !key_map_unpack(service->keys,
+				    (struct str){ value->str, value->len },
+				    NULL))
+			log_warn("keys",
+				 "ignored the owner map of service %s in the "
+				 "store: it can't be decoded",
+				 service->name);
+	}
+	cluster->options.routing_changed(cluster->options.ctx);
+}
+
+/* Whether a VM renewed the lease without this VM hearing its heartbeats. Only
+ * then may owners have changed, which that leader saves before. */
+static bool has_unheard_leader(const struct cluster *cluster)
+{
+	uint64_t version = lease_version(cluster->lease);
+
+	return version > cluster->heartbeat_lease &&
+	       version > cluster->fallback_lease;
+}
+
+void cluster_read_fallback_maps(struct cluster *cluster)
+{
+	if (!has_unheard_leader(cluster))
+		return;
+	cluster->fallback_lease = lease_version(cluster->lease);
+	read_maps(cluster, on_fallback_maps, "fallback");
+}
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -1,10 +1,10 @@
 /*
- * Encodes, sends and handles the messages between VMs.
+ * Handles the messages between VMs, and sends reports and loads. Heartbeats are
+ * sent by cluster_heartbeat.c.
  */
 #include <string.h>
 
 #include "base/address.h"
-#include "base/hash.h"
 #include "base/log.h"
 #include "entry/cluster_impl.h"
 #include "entry/delta_messages.h"
@@ -39,279 +39,6 @@
 	cluster->vms_changed = true;
 }
 
-/* Parts of a heartbeat; the message refers to them until it has been sent. */
-struct heartbeat_parts {
-	GPtrArray *vms;
-	GPtrArray *maps;
-	Progress progress;
-	char address[ADDRESS_TEXT_SIZE];
-};
-
-static VmInfo *vm_info(const char *name, const struct sockaddr_in *address,
-		       const char *zone)
-{
-	VmInfo *info = g_new0(VmInfo, 1);
-
-	vm_info__init(info);
-	info->name = g_strdup(name);
-	info->address = g_malloc(ADDRESS_TEXT_SIZE);
-	address_format(address, info->address);
-	info->zone = g_strdup(zone);
-	return info;
-}
-
-static void free_vm_info(gpointer data)
-{
-	VmInfo *info = data;
-
-	g_free(info->name);
-	g_free(info->address);
-	g_free(info->zone);
-	g_free(info);
-}
-
-static void free_map_message(gpointer data)
-{
-	key_map__free_unpacked(data, NULL);
-}
-
-static struct published_map *ensure_published_map(struct cluster *cluster,
-						  const char *service)
-{
-	struct published_map *published =
-		g_hash_table_lookup(cluster->published_maps, service);
-
-	if (published)
-		return published;
-	published = published_map_create();
-	g_hash_table_insert(cluster->published_maps, g_strdup(service),
-			    published);
-	return published;
-}
-
-/* Builds the message with a service's owners.
- *
- * @param snapshot whether to include all owners, or only changed ones
- * @return the message, owned by the caller, or NULL when nothing changed */
-static KeyMap *map_message(struct cluster *cluster,
-			   const struct key_leader *leader, bool snapshot)
-{
-	const char *service = key_leader_service(leader)->name;
-	struct published_map *published =
-		ensure_published_map(cluster, service);
-	struct key_map *map = key_map_create();
-	struct key_map *changes = key_map_create();
-	KeyMap *message = NULL;
-
-	key_leader_copy_served_map(leader, map);
-	map->version = cluster->map_base + cluster->map_number;
-	if (snapshot) {
-		published_map_snapshot(published, map);
-		message = key_map_to_message(map, service, "");
-	} else {
-		published_map_delta(published, map, changes);
-		if (changes->spans->len) {
-			message = key_map_to_message(changes, service, "");
-			message->partial = true;
-		}
-	}
-	key_map_destroy(map);
-	key_map_destroy(changes);
-	return message;
-}
-
-static void apply_own_heartbeat(struct cluster *cluster,
-				const LeaderBeat *beat);
-
-/* Whether the next heartbeat must be a full snapshot. Changes are sent when
- * they occur; periodic snapshots make up for lost datagrams. A snapshot may be
- * a quarter of a heartbeat interval early. */
-static bool snapshot_due(const struct cluster *cluster)
-{
-	double interval_s =
-		MAX(HEARTBEAT_S,
-		    roster_vm_count(cluster->options.roster) * SNAPSHOT_VM_S);
-
-	return cluster->vms_changed ||
-	       cluster_now(cluster) >=
-		       cluster->snapshot_sent_s + interval_s - HEARTBEAT_S / 4;
-}
-
-/* Orders VMs by a hash of their names: every leader gets the same order, and it
- * mixes the zones. */
-static gint compare_vms(gconstpointer a, gconstpointer b)
-{
-	const VmInfo *x = *(VmInfo *const *)a, *y = *(VmInfo *const *)b;
-	uint64_t hash_x = hash_key(str_from(x->name));
-	uint64_t hash_y = hash_key(str_from(y->name));
-
-	return hash_x < hash_y ? -1 : hash_x > hash_y;
-}
-
-static void append_vm(const struct live_vm *vm, void *ctx)
-{
-	g_ptr_array_add(ctx, vm_info(vm->name, &vm->address, vm->zone));
-}
-
-static void append_vms(const struct cluster *cluster, GPtrArray *messages)
-{
-	live_vms_each(cluster->vms, append_vm, messages);
-	g_ptr_array_sort(messages, compare_vms);
-}
-
-static void fill_heartbeat(struct cluster *cluster,
-			   struct heartbeat_parts *parts, LeaderBeat *beat)
-{
-	bool snapshot = snapshot_due(cluster);
-	GHashTableIter iter;
-	gpointer value;
-
-	progress__init(&parts->progress);
-	address_format(&cluster->options.settings->peers, parts->address);
-	parts->vms = g_ptr_array_new_with_free_func(free_vm_info);
-	parts->maps = g_ptr_array_new_with_free_func(free_map_message);
-	g_hash_table_iter_init(&iter, cluster->key_leaders);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		KeyMap *map = map_message(cluster, value, snapshot);
-
-		if (map)
-			g_ptr_array_add(parts->maps, map);
-	}
-	if (snapshot) {
-		append_vms(cluster, parts->vms);
-		cluster->snapshot_sent_s = cluster_now(cluster);
-		cluster->vms_changed = false;
-	}
-	parts->progress.operator_rows = cluster->row_versions.operator_rows;
-	parts->progress.upstream_rows = cluster->row_versions.upstream_rows;
-	beat->progress = &parts->progress;
-	beat->vm = cluster->options.settings->vm;
-	beat->lease = lease_version(cluster->lease);
-	beat->vms = (VmInfo **)parts->vms->pdata;
-	beat->n_vms = parts->vms->len;
-	beat->address = parts->address;
-	beat->zone = cluster->options.settings->zone;
-	beat->maps = (KeyMap **)parts->maps->pdata;
-	beat->n_maps = parts->maps->len;
-	crash_exchange_fill_beat(cluster->crash_exchange, beat);
-	beat->operator_changes =
-		delta_message_create(cluster->options.operator_rows);
-	beat->upstream_changes =
-		delta_message_create(cluster->options.upstream_rows);
-	beat->watchers = BACKUP_WATCHERS;
-}
-
-/* Addresses of the VMs that a broadcast goes to. */
-struct recipients {
-	/** Name of the sender, which gets no copy. */
-	const char *sender;
-	/** Addresses and zones (struct fanout_target). */
-	GArray *targets;
-};
-
-static void append_recipient(const struct live_vm *vm, void *ctx)
-{
-	struct recipients *to = ctx;
-	struct fanout_target target = { vm->address, vm->zone };
-
-	if (strcmp(vm->name, to->sender) != 0)
-		g_array_append_val(to->targets, target);
-}
-
-/* Sends a message to all live VMs but this one.
- *
- * @param copies as in datagrams_broadcast() */
-static void broadcast(struct cluster *cluster, unsigned int copies,
-		      PeerMessage *message)
-{
-	struct recipients to = {
-		.sender = cluster->options.settings->vm,
-		.targets =
-			g_array_new(FALSE, FALSE, sizeof(struct fanout_target)),
-	};
-
-	live_vms_each(cluster->vms, append_recipient, &to);
-	datagrams_broadcast(cluster->datagrams, to.targets, copies, message);
-	g_array_free(to.targets, TRUE);
-}
-
-/* Removes the row changes from a heartbeat that would be too large for a
- * datagram. The VMs see from the row versions that they missed changes, and
- * read them from the store. */
-static void omit_large_changes(LeaderBeat *beat)
-{
-	if (leader_beat__get_packed_size(beat) <= HEARTBEAT_BYTES_MAX)
-		return;
-	beat->operator_changes = NULL;
-	beat->upstream_changes = NULL;
-}
-
-/* Does the same to a relay. */
-static void omit_large_relay(RowRelay *relay)
-{
-	if (row_relay__get_packed_size(relay) <= HEARTBEAT_BYTES_MAX)
-		return;
-	relay->operator_changes = NULL;
-	relay->upstream_changes = NULL;
-}
-
-/* Whether a heartbeat carries changes of the operators' table, which are rare
- * and have to arrive in time. Each VM gets such a heartbeat by two relays. */
-static bool carries_configuration(const LeaderBeat *beat)
-{
-	return beat->operator_changes && beat->operator_changes->n_rows;
-}
-
-void cluster_send_heartbeat(struct cluster *cluster)
-{
-	PeerMessage message = PEER_MESSAGE__INIT;
-	LeaderBeat beat = LEADER_BEAT__INIT;
-	TableChanges *operator_changes, *upstream_changes;
-	struct heartbeat_parts parts;
-
-	fill_heartbeat(cluster, &parts, &beat);
-	operator_changes = beat.operator_changes;
-	upstream_changes = beat.upstream_changes;
-	message.kind_case = PEER_MESSAGE__KIND_BEAT;
-	message.beat = &beat;
-	omit_large_changes(&beat);
-	broadcast(cluster, carries_configuration(&beat) ? 2 : 1, &message);
-	apply_own_heartbeat(cluster, &beat);
-	cluster->heartbeat_sent_s = cluster_now(cluster);
-	delta_message_free(operator_changes);
-	delta_message_free(upstream_changes);
-	g_ptr_array_free(parts.vms, TRUE);
-	g_ptr_array_free(parts.maps, TRUE);
-	crash_exchange_release_beat(&beat);
-}
-
-void cluster_send_row_relay(struct cluster *cluster)
-{
-	struct table_watch *operator_rows = cluster->options.operator_rows;
-	struct table_watch *upstream_rows = cluster->options.upstream_rows;
-	PeerMessage message = PEER_MESSAGE__INIT;
-	RowRelay relay = ROW_RELAY__INIT;
-	TableChanges *operator_changes, *upstream_changes;
-	Progress progress = PROGRESS__INIT;
-
-	progress.operator_rows = cluster->row_versions.operator_rows;
-	progress.upstream_rows = cluster->row_versions.upstream_rows;
-	relay.progress = &progress;
-	relay.store_unreachable = table_watch_unreachable(operator_rows) ||
-				  table_watch_unreachable(upstream_rows);
-	operator_changes = delta_message_create(operator_rows);
-	upstream_changes = delta_message_create(upstream_rows);
-	relay.operator_changes = operator_changes;
-	relay.upstream_changes = upstream_changes;
-	omit_large_relay(&relay);
-	message.kind_case = PEER_MESSAGE__KIND_ROW_RELAY;
-	message.row_relay = &relay;
-	broadcast(cluster, 1, &message);
-	delta_message_free(operator_changes);
-	delta_message_free(upstream_changes);
-	cluster->relay_sent_s = cluster_now(cluster);
-}
-
 /* Counts a VM's requests for keys of a service, if this VM leads the service.
  *
  * @param bytes the requested keys, two little-endian bytes each
@@ -346,6 +73,15 @@
 	}
 }
 
+/* Adds a VM to those (struct fanout_target) that want something. */
+static void add_request(GArray *requests, const struct sockaddr_in *address,
+			const char *zone)
+{
+	struct fanout_target target = { *address, g_intern_string(zone) };
+
+	g_array_append_val(requests, target);
+}
+
 /* Handles the report of a VM. Unless this VM leads, only crashes in it matter.
  */
 static void on_vm_report(void *ctx, const VmReport *report)
@@ -369,6 +105,9 @@
 						&address, report->vm->zone);
 			copy_exchange_add_request(cluster->copy_exchange,
 						  report, &address);
+			if (report->wants_snapshot)
+				add_request(cluster->snapshot_requests,
+					    &address, report->vm->zone);
 		}
 	}
 	apply_row_versions(cluster, report->progress);
@@ -465,9 +204,8 @@
 			    beat->upstream_changes);
 }
 
-/* Applies owners and VMs of a heartbeat on the leader itself, which knows the
- * other parts already. */
-static void apply_own_heartbeat(struct cluster *cluster, const LeaderBeat *beat)
+void cluster_apply_own_heartbeat(struct cluster *cluster,
+				 const LeaderBeat *beat)
 {
 	cluster->last_heartbeat_s = cluster_now(cluster);
 	apply_maps(cluster, beat);
@@ -496,6 +234,9 @@
 	apply_row_changes(cluster, beat);
 	apply_maps(cluster, beat);
 	apply_vms(cluster, beat);
+	if (snapshot_observe(&cluster->heard_snapshot, beat->lease,
+			     beat->snapshot, beat->n_vms > 0))
+		cluster_report_soon(cluster);
 	crash_exchange_apply_beat(cluster->crash_exchange, beat);
 }
 
@@ -522,19 +263,6 @@
 		copy_exchange_apply(cluster->copy_exchange, part);
 }
 
-/* Notes that a VM wants the numbers of upstreams in load messages. */
-static void add_index_request(struct cluster *cluster, const char *vm)
-{
-	const struct live_vm *live = live_vms_find(cluster->vms, vm);
-	struct fanout_target target;
-
-	if (!live)
-		return;
-	target.address = live->address;
-	target.zone = live->zone;
-	g_array_append_val(cluster->index_requests, target);
-}
-
 /* Sends the numbers of upstreams to the VMs that want them. */
 static void send_load_index(struct cluster *cluster)
 {
@@ -563,13 +291,15 @@
 static void on_vm_loads(void *ctx, const VmLoads *loads)
 {
 	struct cluster *cluster = ctx;
+	const struct live_vm *vm;
 
 	if (!cluster->leading)
 		return;
 	live_vms_touch(cluster->vms, loads->vm, cluster_now(cluster));
 	load_exchange_apply_vm_report(cluster->load_exchange, loads);
-	if (loads->wants_index)
-		add_index_request(cluster, loads->vm);
+	vm = live_vms_find(cluster->vms, loads->vm);
+	if (loads->wants_index && vm)
+		add_request(cluster->index_requests, &vm->address, vm->zone);
 	limit_exchange_apply_report(cluster->limit_exchange, loads);
 }
 
@@ -619,7 +349,7 @@
 	limit_exchange_fill_totals(cluster->limit_exchange, out);
 	message.kind_case = PEER_MESSAGE__KIND_LEADER_LOADS;
 	message.leader_loads = out;
-	broadcast(cluster, 1, &message);
+	cluster_broadcast(cluster, 1, &message);
 	on_leader_loads(cluster, out);
 	send_load_index(cluster);
 	limit_exchange_release_totals(out);
@@ -702,14 +432,15 @@
 	roster_each_upstream(cluster->options.roster, add_leaving, leaving);
 	out.leaving = (KeyOwner **)leaving->pdata;
 	out.n_leaving = leaving->len;
-	out.vm = vm_info(cluster->options.settings->vm,
-			 &cluster->options.settings->peers,
-			 cluster->options.settings->zone);
+	out.vm = cluster_vm_info(cluster->options.settings->vm,
+				 &cluster->options.settings->peers,
+				 cluster->options.settings->zone);
 	out.loads = (KeyLoad **)loads->pdata;
 	out.n_loads = loads->len;
 	crash_exchange_fill_report(cluster->crash_exchange, &out);
 	copy_exchange_fill_report(cluster->copy_exchange, &out);
 	out.stopping = stopping;
+	out.wants_snapshot = cluster->heard_snapshot.missed;
 	progress.operator_rows = cluster->row_versions.operator_rows;
 	progress.upstream_rows = cluster->row_versions.upstream_rows;
 	out.progress = &progress;
@@ -718,12 +449,12 @@
 	if (cluster->leading)
 		on_vm_report(cluster, &out);
 	else if (tells_all_vms(cluster))
-		broadcast(cluster, 1, &message);
+		cluster_broadcast(cluster, 1, &message);
 	else if (cluster->leader_address_known)
 		datagrams_send(cluster->datagrams, &cluster->leader_address,
 			       cluster->leader_zone, &message);
 	roster_each_service(cluster->options.roster, clear_key_load, NULL);
-	free_vm_info(out.vm);
+	cluster_free_vm_info(out.vm);
 	g_ptr_array_free(loads, TRUE);
 	g_ptr_array_free(leaving, TRUE);
 	crash_exchange_release_report(&out);
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -1888,7 +1888,7 @@
   (ProtobufCMessageInit) table_copy_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor leader_beat__field_descriptors[12] =
+static const ProtobufCFieldDescriptor leader_beat__field_descriptors[13] =
 {
   {
     "vm",
@@ -2034,6 +2034,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "snapshot",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(LeaderBeat, snapshot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned leader_beat__field_indices_by_name[] = {
   8,   /* field[8] = address */
@@ -2043,6 +2055,7 @@
   3,   /* field[3] = maps */
   5,   /* field[5] = operator_changes */
   4,   /* field[4] = progress */
+  12,   /* field[12] = snapshot */
   6,   /* field[6] = upstream_changes */
   0,   /* field[0] = vm */
   2,   /* field[2] = vms */
@@ -2054,7 +2067,7 @@
   { 1, 0 },
   { 6, 4 },
   { 20, 11 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor leader_beat__descriptor =
 {
@@ -2064,7 +2077,7 @@
   "LeaderBeat",
   "",
   sizeof(LeaderBeat),
-  12,
+  13,
   leader_beat__field_descriptors,
   leader_beat__field_indices_by_name,
   3,  leader_beat__number_ranges,
@@ -2199,7 +2212,7 @@
   (ProtobufCMessageInit) key_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor vm_report__field_descriptors[10] =
+static const ProtobufCFieldDescriptor vm_report__field_descriptors[11] =
 {
   {
     "vm",
@@ -2321,6 +2334,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wants_snapshot",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(VmReport, wants_snapshot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned vm_report__field_indices_by_name[] = {
   7,   /* field[7] = blocked */
@@ -2333,11 +2358,13 @@
   3,   /* field[3] = stopping */
   0,   /* field[0] = vm */
   8,   /* field[8] = wanted_copies */
+  10,   /* field[10] = wants_snapshot */
 };
-static const ProtobufCIntRange vm_report__number_ranges[1 + 1] =
+static const ProtobufCIntRange vm_report__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 20, 10 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor vm_report__descriptor =
 {
@@ -2347,10 +2374,10 @@
   "VmReport",
   "",
   sizeof(VmReport),
-  10,
+  11,
   vm_report__field_descriptors,
   vm_report__field_indices_by_name,
-  1,  vm_report__number_ranges,
+  2,  vm_report__number_ranges,
   (ProtobufCMessageInit) vm_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -358,10 +358,14 @@
    * Zone of the leader's VM.
    */
   char *zone;
+  /*
+   * Number of this leader's last snapshot. A VM that missed it asks for it.
+   */
+  uint64_t snapshot;
 };
 #define LEADER_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&leader_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, NULL, NULL, NULL, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, NULL, NULL, NULL, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -440,10 +444,14 @@
    */
   size_t n_wanted_copies;
   uint32_t *wanted_copies;
+  /*
+   * The VM missed the leader's last snapshot.
+   */
+  protobuf_c_boolean wants_snapshot;
 };
 #define VM_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&vm_report__descriptor) \
-    , NULL, 0,NULL, 0,NULL, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , NULL, 0,NULL, 0,NULL, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
