--- /dev/null
+++ b/src/entry/table_watch_impl.h
@@ -0,0 +1,118 @@
+/**
+ * Definitions that the files of the table watch share: table_watch.c calls the
+ * store, table_watch_peers.c handles what other VMs do for this one.
+ */
+#ifndef ENTRY_TABLE_WATCH_IMPL_H
+#define ENTRY_TABLE_WATCH_IMPL_H
+
+#include <ev.h>
+
+#include "entry/table_watch.h"
+#include "store/change_log.h"
+
+/* Delay, in seconds, from a snapshot to the next long poll if no other VM is
+ * known to be live. After the first snapshot, other VMs that are live become
+ * known in this time. */
+#define ALONE_DELAY_S 0.4
+/* First delay, in seconds, after a failed call, and the pause after a long poll
+ * that returns early without a change. */
+#define RETRY_S 0.25
+
+struct table_watch {
+	struct loop *loop;
+	struct store store;
+	char *table;
+	/** Wait of a long poll, in seconds, while no other VM polls for this
+	 * one. */
+	double poll_s;
+	const struct table_watch_ops *ops;
+	void *ctx;
+	/** Fires when the next call to the store is due. */
+	ev_timer timer;
+	/** Existing rows (struct store_row) by key. */
+	GHashTable *rows;
+	/** Set of the keys seen by the snapshot in progress, or NULL. */
+	GHashTable *seen_keys;
+	/** All changes up to this version were applied. */
+	uint64_t version;
+	/** Value of version when the pending long poll was sent. */
+	uint64_t call_version;
+	/** Recent changes, for relaying. */
+	struct change_log *changes;
+	/** Store version at the first page of the snapshot in progress. */
+	uint64_t snapshot_version;
+	/** The first snapshot is complete. */
+	bool loaded;
+	/** Changes were missed, so that a snapshot has to be read. */
+	bool needs_snapshot;
+	/** The last call failed or was not answered. */
+	bool unreachable;
+	/** A call to the store is in progress. */
+	bool call_pending;
+	enum table_watch_peers peers;
+	enum table_watch_mode mode;
+	/** Number of VMs, each of which has such a watch. */
+	unsigned int vms;
+	/** Loop time at which the last call to the store, or the snapshot in
+	 * progress, was started. */
+	double call_started_s;
+	/** Timeout of the long poll in progress, in seconds; 0 for other calls.
+	 */
+	double long_poll_s;
+	/** Delay of the retry after the next failed call, in seconds. */
+	double retry_delay_s;
+	/**
+	 * The snapshot in progress only fetches changes that were not relayed;
+	 * it is cancelled when they arrive by relay after all.
+	 */
+	bool catch_up_snapshot;
+	/** Earliest loop time of the next call by catch_up(). */
+	double catch_up_after_s;
+	/** Newest row version seen so far. */
+	uint64_t row_version;
+	/** Loop time since which other VMs have known a newer row than this VM;
+	 * 0: they don't. */
+	double behind_since_s;
+	/** Loop time until which the watch waits for another VM's copy of the
+	 * table before it reads it; 0: it doesn't wait. */
+	double copy_until_s;
+};
+
+/** Whether this watch need not poll because other VMs relay changes. */
+bool table_watch_relies_on_peers(const struct table_watch *table_watch);
+
+/** Records whether the store answered the last call. */
+void table_watch_set_unreachable(struct table_watch *table_watch,
+				 bool unreachable);
+
+/** Sets the time of the next call to the store. */
+void table_watch_schedule(struct table_watch *table_watch, double after_s);
+
+/** Records a row's version and reports the change, unless this version or a
+ * newer one is known already. */
+void table_watch_apply_row(struct table_watch *table_watch,
+			   const struct store_row *row);
+
+/** Ends a snapshot that showed snapshot_version. */
+void table_watch_finish_snapshot(struct table_watch *table_watch);
+
+/** Applies a delta. Rows up to the current version are skipped. */
+void table_watch_apply_changes(struct table_watch *table_watch,
+			       const struct table_delta *changes);
+
+/** Whether the call in progress is a long poll that has waited for too long:
+ * the watch began it while it could rely on others. */
+bool table_watch_poll_overdue(struct table_watch *table_watch);
+
+/** Starts to read the whole table.
+ *
+ * @param catch_up see catch_up_snapshot */
+void table_watch_start_snapshot(struct table_watch *table_watch, bool catch_up);
+
+/** Asks the store for changes; waits for one for up to wait_s seconds.
+ *
+ * @param reason counted with the call */
+void table_watch_request_changes(struct table_watch *table_watch, double wait_s,
+				 const char *reason);
+
+#endif
--- /dev/null
+++ b/src/entry/table_watch_peers.c
@@ -0,0 +1,205 @@
+/*
+ * What other VMs do for a table watch: they relay changes, know newer rows and
+ * send copies.
+ */
+#include "entry/table_watch_impl.h"
+
+/* Time, in seconds, allowed for a change to arrive through the pending long
+ * poll. If other VMs have known a newer row for longer, the call is taken for
+ * lost. */
+#define STALE_AFTER_S 0.2
+
+/* Asks the store for changes that were not relayed. */
+static void catch_up(struct table_watch *table_watch)
+{
+	if (loop_now(table_watch->loop) < table_watch->catch_up_after_s)
+		return;
+	table_watch->behind_since_s = 0;
+	if (!table_watch->ops->catch_up_by_snapshot) {
+		table_watch_request_changes(table_watch, 0, "catch_up");
+		return;
+	}
+	table_watch_start_snapshot(table_watch, true);
+}
+
+/* Cancels the pending call, which is taken for lost, and calls the store again.
+ */
+static void restart_call(struct table_watch *table_watch)
+{
+	if (table_watch->call_pending) {
+		table_watch->store.ops->cancel(table_watch->store.impl,
+					       table_watch);
+		table_watch->call_pending = false;
+		table_watch->behind_since_s = 0;
+		table_watch->retry_delay_s = RETRY_S;
+	}
+	if (table_watch_relies_on_peers(table_watch))
+		catch_up(table_watch);
+	else
+		table_watch_schedule(table_watch, 0);
+}
+
+/* Resumes polling when no VM relays changes any more. */
+static void resume_calls(struct table_watch *table_watch)
+{
+	if (!table_watch->call_pending &&
+	    !table_watch_relies_on_peers(table_watch) &&
+	    !ev_is_active(&table_watch->timer))
+		table_watch_schedule(table_watch, 0);
+}
+
+void table_watch_set_vms(struct table_watch *table_watch, unsigned int vms)
+{
+	table_watch->vms = vms;
+}
+
+void table_watch_set_mode(struct table_watch *table_watch,
+			  enum table_watch_mode mode)
+{
+	table_watch->mode = mode;
+	/* The leader has no one to get a copy from. */
+	if (mode == TABLE_WATCH_LEADER && table_watch->copy_until_s) {
+		table_watch->copy_until_s = 0;
+		table_watch_schedule(table_watch, 0);
+	}
+	resume_calls(table_watch);
+}
+
+/* Calls the store again if other VMs have known a newer row for too long,
+ * unless an answer is just arriving.
+ *
+ * @param version newest row version that other VMs have seen */
+static void check_staleness(struct table_watch *table_watch, uint64_t version)
+{
+	double now = loop_now(table_watch->loop);
+
+	if (version <= table_watch->row_version) {
+		table_watch->behind_since_s = 0;
+		return;
+	}
+	if (!table_watch->behind_since_s)
+		table_watch->behind_since_s = now;
+	if (now > table_watch->behind_since_s + STALE_AFTER_S &&
+	    now > table_watch->call_started_s + STALE_AFTER_S &&
+	    !table_watch->store.ops->receiving(table_watch->store.impl,
+					       table_watch))
+		restart_call(table_watch);
+}
+
+void table_watch_set_peers(struct table_watch *table_watch,
+			   enum table_watch_peers peers, uint64_t version)
+{
+	bool awaits_changes = table_watch->call_pending ||
+			      table_watch_relies_on_peers(table_watch);
+
+	table_watch->peers = peers;
+	if (table_watch->loaded && !table_watch->call_pending &&
+	    table_watch_relies_on_peers(table_watch))
+		table_watch_set_unreachable(table_watch,
+					    peers == TABLE_WATCH_PEERS_WAIT);
+	if (!table_watch->loaded || table_watch->needs_snapshot)
+		return;
+	if (table_watch_poll_overdue(table_watch))
+		restart_call(table_watch);
+	else if (peers != TABLE_WATCH_NO_PEERS && awaits_changes)
+		check_staleness(table_watch, version);
+	else
+		resume_calls(table_watch);
+}
+
+/* Cancels a catch-up snapshot whose changes have been relayed meanwhile. */
+static void cancel_catch_up(struct table_watch *table_watch)
+{
+	if (!table_watch->catch_up_snapshot)
+		return;
+	table_watch->store.ops->cancel(table_watch->store.impl, table_watch);
+	ev_timer_stop(table_watch->loop->ev, &table_watch->timer);
+	g_clear_pointer(&table_watch->seen_keys, g_hash_table_destroy);
+	table_watch->call_pending = false;
+	table_watch->needs_snapshot = false;
+	table_watch->catch_up_snapshot = false;
+	resume_calls(table_watch);
+}
+
+void table_watch_apply_delta(struct table_watch *table_watch,
+			     const struct table_delta *changes)
+{
+	if (!table_watch->loaded || changes->upto <= table_watch->version ||
+	    (table_watch->needs_snapshot && !table_watch->catch_up_snapshot))
+		return;
+	if (changes->after <= table_watch->version) {
+		table_watch_apply_changes(table_watch, changes);
+		cancel_catch_up(table_watch);
+	} else if (table_watch_relies_on_peers(table_watch) &&
+		   !table_watch->call_pending)
+		catch_up(table_watch);
+}
+
+struct table_delta table_watch_recent_delta(struct table_watch *table_watch)
+{
+	const GArray *rows = change_log_rows(table_watch->changes);
+
+	change_log_expire(table_watch->changes, loop_now(table_watch->loop));
+	return (struct table_delta){
+		.after = change_log_after(table_watch->changes),
+		.upto = table_watch->version,
+		.rows = (const struct store_row *)(const void *)rows->data,
+		.count = rows->len,
+	};
+}
+
+bool table_watch_wants_copy(const struct table_watch *table_watch)
+{
+	return table_watch->copy_until_s > 0;
+}
+
+void table_watch_extend_copy_wait(struct table_watch *table_watch,
+				  double wait_s)
+{
+	double until_s = loop_now(table_watch->loop) + wait_s;
+
+	if (!table_watch->copy_until_s || until_s <= table_watch->copy_until_s)
+		return;
+	table_watch->copy_until_s = until_s;
+	table_watch_schedule(table_watch, wait_s);
+}
+
+bool table_watch_copy(const struct table_watch *table_watch,
+		      struct table_delta *copy)
+{
+	GHashTableIter iter;
+	struct store_row *rows;
+	gpointer row;
+	size_t n = 0;
+
+	if (!table_watch->loaded || table_watch->needs_snapshot)
+		return false;
+	rows = g_new0(struct store_row, g_hash_table_size(table_watch->rows));
+	g_hash_table_iter_init(&iter, table_watch->rows);
+	while (g_hash_table_iter_next(&iter, NULL, &row))
+		rows[n++] = *(const struct store_row *)row;
+	*copy = (struct table_delta){
+		.upto = table_watch->version,
+		.rows = rows,
+		.count = n,
+	};
+	return true;
+}
+
+void table_watch_apply_copy(struct table_watch *table_watch,
+			    const struct table_delta *copy)
+{
+	size_t i;
+
+	if (!table_watch->copy_until_s)
+		return;
+	for (i = 0; i < copy->count; i++)
+		table_watch_apply_row(table_watch, &copy->rows[i]);
+	table_watch->snapshot_version = copy->upto;
+	table_watch->call_started_s = loop_now(table_watch->loop);
+	table_watch_finish_snapshot(table_watch);
+	/* A VM that gets a copy does not lead. Its first heartbeat follows. */
+	if (table_watch->mode == TABLE_WATCH_LEADER)
+		table_watch->mode = TABLE_WATCH_PASSIVE;
+	table_watch_schedule(table_watch, ALONE_DELAY_S);
+}
