change_push: large changes of tables reach the VMs in parts, before loads

Cause: rows over 32 KB were not relayed; 300 VMs read a configuration from the store with pauses (4.6 s, bound 2.5 s). Heartbeats repeated up to 32 KB a dozen times each on the leader's link.

Heartbeats that omit them make VMs wait for the parts. Copies for VMs that start use the same queue, behind changes; load totals wait for configurations.

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -339,7 +339,9 @@
 			   LOAD_TIMER_SLACK_S) {
 		cluster->loads_sent_s = now;
 		cluster_send_load_report(cluster);
-		if (cluster->leading)
+		/* A configuration goes before loads. */
+		if (cluster->leading &&
+		    !bulk_sender_has(cluster->bulk_sender, BULK_CONFIGURATION))
 			cluster_send_load_totals(cluster);
 	}
 	if (now >= cluster->report_sent_s + report_interval_s(cluster))
@@ -385,7 +387,7 @@
 {
 	struct copy_exchange_options options = {
 		.loop = cluster->options.loop,
-		.datagrams = cluster->datagrams,
+		.sender = cluster->bulk_sender,
 		.log = cluster->options.log,
 		.watches = {
 			[COPIED_OPERATOR_ROWS] = cluster->options.operator_rows,
@@ -396,6 +398,21 @@
 	cluster->copy_exchange = copy_exchange_create(&options);
 }
 
+static void create_change_push(struct cluster *cluster)
+{
+	struct change_push_options options = {
+		.loop = cluster->options.loop,
+		.sender = cluster->bulk_sender,
+		.log = cluster->options.log,
+		.watches = {
+			[COPIED_OPERATOR_ROWS] = cluster->options.operator_rows,
+			[COPIED_UPSTREAM_ROWS] = cluster->options.upstream_rows,
+		},
+	};
+
+	cluster->change_push = change_push_create(&options);
+}
+
 struct crash_exchange *cluster_crash_exchange(struct cluster *cluster)
 {
 	return cluster->crash_exchange;
@@ -454,7 +471,11 @@
 	cluster->limit_exchange =
 		limit_exchange_create(options->loop, options->roster);
 	create_crash_exchange(cluster);
+	cluster->bulk_sender =
+		bulk_sender_create(options->loop, cluster->datagrams,
+				   options->settings->link_mbps);
 	create_copy_exchange(cluster);
+	create_change_push(cluster);
 	cluster->hold_s = HOLD_S;
 	cluster->leader_zone = "";
 	cluster->last_heartbeat_s = cluster_now(cluster) - HEARTBEAT_LOST_S / 2;
@@ -476,6 +497,8 @@
 	orders_destroy(cluster->orders);
 	g_hash_table_destroy(cluster->key_leaders);
 	lease_destroy(cluster->lease);
+	bulk_sender_destroy(cluster->bulk_sender);
+	change_push_destroy(cluster->change_push);
 	datagrams_destroy(cluster->datagrams);
 	load_exchange_destroy(cluster->load_exchange);
 	g_array_free(cluster->index_requests, TRUE);
--- a/src/entry/cluster_heartbeat.c
+++ b/src/entry/cluster_heartbeat.c
@@ -189,9 +189,9 @@
 	note_snapshot(cluster, content, beat);
 	crash_exchange_fill_beat(cluster->crash_exchange, beat);
 	beat->operator_changes =
-		delta_message_create(cluster->options.operator_rows);
+		change_push_message(cluster->change_push, COPIED_OPERATOR_ROWS);
 	beat->upstream_changes =
-		delta_message_create(cluster->options.upstream_rows);
+		change_push_message(cluster->change_push, COPIED_UPSTREAM_ROWS);
 	beat->watchers = BACKUP_WATCHERS;
 }
 
@@ -212,8 +212,9 @@
 		g_array_append_val(to->targets, target);
 }
 
-void cluster_broadcast(struct cluster *cluster, unsigned int copies,
-		       PeerMessage *message)
+/* Returns all live VMs but this one (struct fanout_target); the caller frees
+ * the array. */
+static GArray *all_other_vms(const struct cluster *cluster)
 {
 	struct recipients to = {
 		.sender = cluster->options.settings->vm,
@@ -222,28 +223,26 @@
 	};
 
 	live_vms_each(cluster->vms, append_recipient, &to);
-	datagrams_broadcast(cluster->datagrams, to.targets, copies, message);
-	g_array_free(to.targets, TRUE);
+	return to.targets;
 }
 
-/* Removes the row changes from a heartbeat that would be too large for a
- * datagram. The VMs see from the row versions that they missed changes, and
- * read them from the store. */
-static void omit_large_changes(LeaderBeat *beat)
+/* Sends the row changes that are too large for a heartbeat. */
+static void push_changes(struct cluster *cluster)
 {
-	if (leader_beat__get_packed_size(beat) <= HEARTBEAT_BYTES_MAX)
-		return;
-	beat->operator_changes = NULL;
-	beat->upstream_changes = NULL;
+	GArray *to = all_other_vms(cluster);
+
+	change_push_send(cluster->change_push, lease_version(cluster->lease),
+			 to);
+	g_array_free(to, TRUE);
 }
 
-/* Does the same to a relay. */
-static void omit_large_relay(RowRelay *relay)
+void cluster_broadcast(struct cluster *cluster, enum fanout_way way,
+		       PeerMessage *message)
 {
-	if (row_relay__get_packed_size(relay) <= HEARTBEAT_BYTES_MAX)
-		return;
-	relay->operator_changes = NULL;
-	relay->upstream_changes = NULL;
+	GArray *to = all_other_vms(cluster);
+
+	datagrams_broadcast(cluster->datagrams, to, way, message);
+	g_array_free(to, TRUE);
 }
 
 /* Whether a heartbeat carries changes of the operators' table, which are rare
@@ -259,27 +258,26 @@
 {
 	PeerMessage message = PEER_MESSAGE__INIT;
 	LeaderBeat beat = LEADER_BEAT__INIT;
-	TableChanges *operator_changes, *upstream_changes;
 	struct heartbeat_parts parts;
 
 	fill_heartbeat(cluster, &parts, content, &beat);
-	operator_changes = beat.operator_changes;
-	upstream_changes = beat.upstream_changes;
 	message.kind_case = PEER_MESSAGE__KIND_BEAT;
 	message.beat = &beat;
-	omit_large_changes(&beat);
 	if (content == REPEATED_SNAPSHOT) {
 		datagrams_broadcast(cluster->datagrams,
-				    cluster->snapshot_requests, 1, &message);
+				    cluster->snapshot_requests, FANOUT_ONCE,
+				    &message);
 		g_array_set_size(cluster->snapshot_requests, 0);
 	} else {
-		cluster_broadcast(cluster, carries_configuration(&beat) ? 2 : 1,
+		cluster_broadcast(cluster,
+				  carries_configuration(&beat) ? FANOUT_TWICE
+							       : FANOUT_ONCE,
 				  &message);
 		cluster_apply_own_heartbeat(cluster, &beat);
 		cluster->heartbeat_sent_s = cluster_now(cluster);
 	}
-	delta_message_free(operator_changes);
-	delta_message_free(upstream_changes);
+	delta_message_free(beat.operator_changes);
+	delta_message_free(beat.upstream_changes);
 	g_ptr_array_free(parts.vms, TRUE);
 	g_ptr_array_free(parts.maps, TRUE);
 	crash_exchange_release_beat(&beat);
@@ -287,6 +285,8 @@
 
 void cluster_send_heartbeat(struct cluster *cluster)
 {
+	/* The configuration goes before everything else. */
+	push_changes(cluster);
 	if (needs_snapshot(cluster)) {
 		/* All VMs get it. */
 		g_array_set_size(cluster->snapshot_requests, 0);
@@ -304,7 +304,6 @@
 	struct table_watch *upstream_rows = cluster->options.upstream_rows;
 	PeerMessage message = PEER_MESSAGE__INIT;
 	RowRelay relay = ROW_RELAY__INIT;
-	TableChanges *operator_changes, *upstream_changes;
 	Progress progress = PROGRESS__INIT;
 
 	progress.operator_rows = cluster->row_versions.operator_rows;
@@ -312,15 +311,15 @@
 	relay.progress = &progress;
 	relay.store_unreachable = table_watch_unreachable(operator_rows) ||
 				  table_watch_unreachable(upstream_rows);
-	operator_changes = delta_message_create(operator_rows);
-	upstream_changes = delta_message_create(upstream_rows);
-	relay.operator_changes = operator_changes;
-	relay.upstream_changes = upstream_changes;
-	omit_large_relay(&relay);
+	relay.operator_changes =
+		change_push_message(cluster->change_push, COPIED_OPERATOR_ROWS);
+	relay.upstream_changes =
+		change_push_message(cluster->change_push, COPIED_UPSTREAM_ROWS);
 	message.kind_case = PEER_MESSAGE__KIND_ROW_RELAY;
 	message.row_relay = &relay;
-	cluster_broadcast(cluster, 1, &message);
-	delta_message_free(operator_changes);
-	delta_message_free(upstream_changes);
+	cluster_broadcast(cluster, FANOUT_ONCE, &message);
+	delta_message_free(relay.operator_changes);
+	delta_message_free(relay.upstream_changes);
+	push_changes(cluster);
 	cluster->relay_sent_s = cluster_now(cluster);
 }
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -4,6 +4,7 @@
 #ifndef ENTRY_CLUSTER_IMPL_H
 #define ENTRY_CLUSTER_IMPL_H
 
+#include "entry/change_push.h"
 #include "entry/cluster.h"
 #include "entry/copy_exchange.h"
 #include "entry/datagrams.h"
@@ -36,9 +37,6 @@
  * requests. The interval may be long because receivers smooth the outcomes over
  * a longer time. */
 #define OUTCOMES_VM_S 0.004
-/* Largest heartbeat, in bytes, that fits into a datagram together with the list
- * of VMs to which it is relayed. */
-#define HEARTBEAT_BYTES_MAX 60000
 /* After this time, in seconds, without a heartbeat, a VM reads the owners of
  * keys from the store. */
 #define HEARTBEAT_LOST_S 1.0
@@ -83,6 +81,8 @@
 	GArray *index_requests;
 	struct limit_exchange *limit_exchange;
 	struct copy_exchange *copy_exchange;
+	struct bulk_sender *bulk_sender;
+	struct change_push *change_push;
 	/** On the leader from the VMs' messages, elsewhere from its heartbeats.
 	 */
 	struct live_vms *vms;
@@ -180,10 +180,8 @@
 				 uint64_t operator_rows,
 				 uint64_t upstream_rows);
 
-/** Sends a message to all live VMs but this one.
- *
- * @param copies as in datagrams_broadcast() */
-void cluster_broadcast(struct cluster *cluster, unsigned int copies,
+/** Sends a message to all live VMs but this one. */
+void cluster_broadcast(struct cluster *cluster, enum fanout_way way,
 		       PeerMessage *message);
 
 /** Creates the message that describes a VM; freed with
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -7,7 +7,6 @@
 #include "base/address.h"
 #include "base/log.h"
 #include "entry/cluster_impl.h"
-#include "entry/delta_messages.h"
 
 void cluster_update_row_versions(struct cluster *cluster,
 				 uint64_t operator_rows, uint64_t upstream_rows)
@@ -198,9 +197,9 @@
 		mode = watches ? TABLE_WATCH_BACKUP : TABLE_WATCH_PASSIVE;
 		cluster_set_watch_mode(cluster, mode);
 	}
-	delta_message_apply(cluster->options.operator_rows,
+	change_push_observe(cluster->change_push, COPIED_OPERATOR_ROWS,
 			    beat->operator_changes);
-	delta_message_apply(cluster->options.upstream_rows,
+	change_push_observe(cluster->change_push, COPIED_UPSTREAM_ROWS,
 			    beat->upstream_changes);
 }
 
@@ -248,9 +247,9 @@
 	if (!relay->store_unreachable)
 		cluster->last_relay_s = cluster_now(cluster);
 	apply_row_versions(cluster, relay->progress);
-	delta_message_apply(cluster->options.operator_rows,
+	change_push_observe(cluster->change_push, COPIED_OPERATOR_ROWS,
 			    relay->operator_changes);
-	delta_message_apply(cluster->options.upstream_rows,
+	change_push_observe(cluster->change_push, COPIED_UPSTREAM_ROWS,
 			    relay->upstream_changes);
 }
 
@@ -259,7 +258,11 @@
 {
 	struct cluster *cluster = ctx;
 
-	if (!cluster->leading && part->lease >= lease_version(cluster->lease))
+	/* Changes are right whoever sends them. */
+	if (part->is_changes)
+		change_push_apply(cluster->change_push, part);
+	else if (!cluster->leading &&
+		 part->lease >= lease_version(cluster->lease))
 		copy_exchange_apply(cluster->copy_exchange, part);
 }
 
@@ -275,8 +278,8 @@
 	load_exchange_fill_index(cluster->load_exchange, &index);
 	message.kind_case = PEER_MESSAGE__KIND_LOAD_INDEX;
 	message.load_index = &index;
-	datagrams_broadcast(cluster->datagrams, cluster->index_requests, 1,
-			    &message);
+	datagrams_broadcast(cluster->datagrams, cluster->index_requests,
+			    FANOUT_ONCE, &message);
 	g_array_set_size(cluster->index_requests, 0);
 }
 
@@ -349,7 +352,7 @@
 	limit_exchange_fill_totals(cluster->limit_exchange, out);
 	message.kind_case = PEER_MESSAGE__KIND_LEADER_LOADS;
 	message.leader_loads = out;
-	cluster_broadcast(cluster, 1, &message);
+	cluster_broadcast(cluster, FANOUT_ONCE, &message);
 	on_leader_loads(cluster, out);
 	send_load_index(cluster);
 	limit_exchange_release_totals(out);
@@ -449,7 +452,7 @@
 	if (cluster->leading)
 		on_vm_report(cluster, &out);
 	else if (tells_all_vms(cluster))
-		cluster_broadcast(cluster, 1, &message);
+		cluster_broadcast(cluster, FANOUT_ONCE, &message);
 	else if (cluster->leader_address_known)
 		datagrams_send(cluster->datagrams, &cluster->leader_address,
 			       cluster->leader_zone, &message);
--- a/src/entry/copy_exchange.c
+++ b/src/entry/copy_exchange.c
@@ -117,22 +117,6 @@
 				   &target);
 }
 
-/* Sends the parts of an encoded copy to the VMs that want it. */
-static void send_parts(struct copy_exchange *exchange, const GByteArray *bytes,
-		       GArray *to, TableCopyPart *part)
-{
-	PeerMessage message = PEER_MESSAGE__INIT;
-	unsigned int i;
-
-	message.kind_case = PEER_MESSAGE__KIND_TABLE_COPY;
-	message.table_copy = part;
-	for (i = 0; i < table_copy_part_count(bytes); i++) {
-		table_copy_part(bytes, i, part);
-		datagrams_broadcast(exchange->options.datagrams, to, 1,
-				    &message);
-	}
-}
-
 /* Sends a table to the VMs that want it, if this VM has read it. */
 static void send_table(struct copy_exchange *exchange, uint32_t number,
 		       uint64_t lease)
@@ -156,8 +140,9 @@
 		bytes ? "sent" : "too_large", number, copy.upto, copy.count,
 		bytes ? bytes->len : 0, table->requests->len);
 	if (bytes) {
-		send_parts(exchange, bytes, table->requests, &part);
-		g_byte_array_free(bytes, TRUE);
+		bulk_sender_send(exchange->options.sender, bytes, &part,
+				 table->requests, BULK_COPIES);
+		g_byte_array_unref(bytes);
 	}
 	g_free((void *)copy.rows);
 	g_array_set_size(table->requests, 0);
--- a/src/entry/copy_exchange.h
+++ b/src/entry/copy_exchange.h
@@ -7,7 +7,7 @@
 #define ENTRY_COPY_EXCHANGE_H
 
 #include "base/event_log.h"
-#include "entry/datagrams.h"
+#include "entry/bulk_sender.h"
 #include "entry/table_watch.h"
 
 /** Tables, by their numbers in messages. */
@@ -22,7 +22,7 @@
 /** What the pointers refer to must outlive the exchange. */
 struct copy_exchange_options {
 	const struct loop *loop;
-	struct datagrams *datagrams;
+	struct bulk_sender *sender;
 	struct event_log *log;
 	struct table_watch *watches[COPIED_TABLES];
 };
--- a/src/entry/datagrams.c
+++ b/src/entry/datagrams.c
@@ -25,9 +25,10 @@
 	struct message_meter *meter;
 };
 
-static void send_message(struct datagrams *datagrams,
-			 const struct sockaddr_in *to, bool other_zone,
-			 const PeerMessage *message)
+/* Returns the size of the datagram in bytes; 0: it is too large. */
+static size_t send_message(struct datagrams *datagrams,
+			   const struct sockaddr_in *to, bool other_zone,
+			   const PeerMessage *message)
 {
 	size_t len = peer_message__get_packed_size(message);
 	uint8_t *buf;
@@ -37,7 +38,7 @@
 			 "a message to another VM was not sent: its %zu bytes "
 			 "exceed the size limit of a datagram",
 			 len);
-		return;
+		return 0;
 	}
 	buf = g_malloc(len);
 	peer_message__pack(message, buf);
@@ -47,6 +48,7 @@
 	message_meter_sent(datagrams->meter, message->kind_case, len,
 			   other_zone);
 	g_free(buf);
+	return len;
 }
 
 void datagrams_send(struct datagrams *datagrams, const struct sockaddr_in *to,
@@ -61,6 +63,8 @@
 struct copies {
 	struct datagrams *datagrams;
 	PeerMessage *message;
+	/** Bytes sent so far. */
+	size_t bytes;
 };
 
 /* Sends a copy of a message with its relay list. */
@@ -72,7 +76,8 @@
 	message->relay_to.data = (uint8_t *)copy->relay_to;
 	message->relay_to.len = copy->relay_to_len;
 	message->relay_width = copy->relay_to_len ? copy->width : 0;
-	send_message(copies->datagrams, copy->to, copy->other_zone, message);
+	copies->bytes += send_message(copies->datagrams, copy->to,
+				      copy->other_zone, message);
 	message->relay_to = (ProtobufCBinaryData){ 0 };
 	message->relay_width = 0;
 }
@@ -80,7 +85,7 @@
 /* Forwards a message to the VMs in its relay list. */
 static void relay_message(struct datagrams *datagrams, PeerMessage *message)
 {
-	struct copies copies = { datagrams, message };
+	struct copies copies = { datagrams, message, 0 };
 	ProtobufCBinaryData to = message->relay_to;
 
 	fanout_relay(to.data, to.len, message->relay_width, send_copy, &copies);
@@ -189,15 +194,16 @@
 	g_free(datagrams);
 }
 
-void datagrams_broadcast(struct datagrams *datagrams, GArray *to,
-			 unsigned int copies, PeerMessage *message)
+size_t datagrams_broadcast(struct datagrams *datagrams, GArray *to,
+			   enum fanout_way way, PeerMessage *message)
 {
-	struct copies sent = { datagrams, message };
+	struct copies sent = { datagrams, message, 0 };
 	struct fanout_plan plan = {
 		.zone = datagrams->zone,
-		.copies = copies,
+		.way = way,
 		.random = datagrams->random,
 	};
 
 	fanout_send(&plan, to, send_copy, &sent);
+	return sent.bytes;
 }
--- a/src/entry/datagrams.h
+++ b/src/entry/datagrams.h
@@ -69,10 +69,10 @@
  * (fanout/fanout.h).
  *
  * @param to recipients (struct fanout_target); their order is changed
- * @param copies copies that each VM gets, by different relays: 1 or 2
  * @param message message to send; its relay list is overwritten
+ * @return number of bytes that this VM sent
  */
-void datagrams_broadcast(struct datagrams *datagrams, GArray *to,
-			 unsigned int copies, PeerMessage *message);
+size_t datagrams_broadcast(struct datagrams *datagrams, GArray *to,
+			   enum fanout_way way, PeerMessage *message);
 
 #endif
--- a/src/entry/delta_messages.c
+++ b/src/entry/delta_messages.c
@@ -40,6 +40,8 @@
 {
 	size_t i;
 
+	if (!message)
+		return;
 	for (i = 0; i < message->n_rows; i++)
 		g_free(message->rows[i]);
 	g_free(message->rows);
--- a/src/entry/delta_messages.h
+++ b/src/entry/delta_messages.h
@@ -23,7 +23,8 @@
  * @return the message; freed with delta_message_free()
  */
 TableChanges *delta_message_create(struct table_watch *table_watch);
-/** Frees a message of delta_message_create(), but not the rows. */
+/** Frees a message of delta_message_create(), but not the rows; NULL is
+ * allowed. */
 void delta_message_free(TableChanges *message);
 
 /** Applies a copy of the whole table that the leader sent. */
--- a/src/entry/table_copy.c
+++ b/src/entry/table_copy.c
@@ -12,9 +12,10 @@
 #define MESSAGE_BYTES_MAX (16u << 20)
 
 struct table_copy_parts {
-	/** Lease and version of the copy that is being collected. */
+	/** Lease, version and checksum of the copy that is being collected. */
 	uint64_t lease;
 	uint64_t upto;
+	uint32_t check;
 	unsigned int count;
 	/** The parts (GByteArray) by their number; NULL: not received. */
 	GByteArray *received[TABLE_COPY_PARTS_MAX];
@@ -149,11 +150,12 @@
 	    part->index >= part->count || is_older(parts, part))
 		return NULL;
 	if (part->lease != parts->lease || part->upto != parts->upto ||
-	    part->count != parts->count) {
+	    part->count != parts->count || part->check != parts->check) {
 		drop_parts(parts);
 		parts->lease = part->lease;
 		parts->upto = part->upto;
 		parts->count = part->count;
+		parts->check = part->check;
 	}
 	if (parts->received[part->index])
 		return NULL;
--- a/src/entry/table_copy.h
+++ b/src/entry/table_copy.h
@@ -11,9 +11,10 @@
 #include "entry/table_watch.h"
 #include "wire/entry.pb-c.h"
 
-/** Largest part of a copy, in bytes, and largest number of parts. */
-#define TABLE_COPY_PART_BYTES 40000u
-#define TABLE_COPY_PARTS_MAX 16u
+/** Largest part of a copy, in bytes, and largest number of parts. A dozen
+ * copies of a part, to relays, take 0.08 s on a link of 10 Mbit/s. */
+#define TABLE_COPY_PART_BYTES 8000u
+#define TABLE_COPY_PARTS_MAX 80u
 
 /**
  * Encodes a copy.
@@ -38,7 +39,7 @@
 void table_copy_part(const GByteArray *bytes, unsigned int index,
 		     TableCopyPart *part);
 
-/** Collects the parts of one copy of a table. */
+/** Collects the parts of one copy of a table, or of changes. */
 struct table_copy_parts;
 
 /** Creates a collection without any part. */
--- a/src/entry/table_watch.c
+++ b/src/entry/table_watch.c
@@ -45,6 +45,10 @@
 	return copy;
 }
 
+/* Recent changes that are kept for relaying, in bytes: several configurations
+ * of 1,500 routes, or the entries of all upstreams of 300 VMs. */
+#define CHANGES_BYTES_MAX ((size_t)2 << 20)
+
 struct table_watch *table_watch_create(struct loop *loop,
 				       const struct store *store,
 				       const char *table, double poll_s,
@@ -61,7 +65,7 @@
 	table_watch->ctx = ctx;
 	table_watch->rows =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_row);
-	table_watch->changes = change_log_create();
+	table_watch->changes = change_log_create(CHANGES_BYTES_MAX);
 	table_watch->needs_snapshot = true;
 	table_watch->retry_delay_s = RETRY_S;
 	ev_timer_init(&table_watch->timer, on_timer, 0, 0);
--- a/src/entry/table_watch.h
+++ b/src/entry/table_watch.h
@@ -158,6 +158,12 @@
 void table_watch_apply_delta(struct table_watch *table_watch,
 			     const struct table_delta *changes);
 
+/** Waits for changes that another VM sends in parts before asking the store for
+ * them.
+ *
+ * @param wait_s seconds from now */
+void table_watch_expect_changes(struct table_watch *table_watch, double wait_s);
+
 /**
  * Returns the most recent changes, for relaying to other VMs. The watch owns
  * the rows; they are valid until it applies another change or is asked again.
--- a/src/entry/table_watch_impl.h
+++ b/src/entry/table_watch_impl.h
@@ -73,6 +73,8 @@
 	/** Loop time since which other VMs have known a newer row than this VM;
 	 * 0: they don't. */
 	double behind_since_s;
+	/** Loop time until which another VM sends changes in parts. */
+	double changes_until_s;
 	/** Loop time until which the watch waits for another VM's copy of the
 	 * table before it reads it; 0: it doesn't wait. */
 	double copy_until_s;
--- a/src/entry/table_watch_peers.c
+++ b/src/entry/table_watch_peers.c
@@ -79,7 +79,8 @@
 	}
 	if (!table_watch->behind_since_s)
 		table_watch->behind_since_s = now;
-	if (now > table_watch->behind_since_s + STALE_AFTER_S &&
+	if (now > table_watch->changes_until_s &&
+	    now > table_watch->behind_since_s + STALE_AFTER_S &&
 	    now > table_watch->call_started_s + STALE_AFTER_S &&
 	    !table_watch->store.ops->receiving(table_watch->store.impl,
 					       table_watch))
@@ -135,6 +136,11 @@
 		catch_up(table_watch);
 }
 
+void table_watch_expect_changes(struct table_watch *table_watch, double wait_s)
+{
+	table_watch->changes_until_s = loop_now(table_watch->loop) + wait_s;
+}
+
 struct table_delta table_watch_recent_delta(struct table_watch *table_watch)
 {
 	const GArray *rows = change_log_rows(table_watch->changes);
--- a/src/fanout/fanout.c
+++ b/src/fanout/fanout.c
@@ -77,8 +77,8 @@
 
 /* Sends one copy to all VMs of a zone: through one relay, or through several if
  * the zone is the sender's own. */
-static void send_to_zone(const GByteArray *list, bool own, fanout_send_fn send,
-			 void *ctx)
+static void send_to_zone(const struct fanout_plan *plan, const GByteArray *list,
+			 bool own, fanout_send_fn send, void *ctx)
 {
 	size_t members = list->len / ADDRESS_BYTES;
 	unsigned int width = zone_width((guint)members);
@@ -88,10 +88,10 @@
 		.relay_to = list->data + ADDRESS_BYTES,
 		.relay_to_len = list->len - ADDRESS_BYTES,
 		.width = width,
-		.other_zone = true,
+		.other_zone = !own,
 	};
 
-	if (own)
+	if (own && plan->way != FANOUT_SPARING)
 		send_groups(list->data, members, width, false, send, ctx);
 	else
 		send(ctx, &copy);
@@ -121,11 +121,12 @@
 {
 	const char *zone = target_at(targets, begin)->zone;
 	bool own = *zone && !strcmp(zone, plan->zone);
+	unsigned int copies = plan->way == FANOUT_TWICE ? 2 : 1;
 	guint members = end - begin;
 	unsigned int copy;
 
 	shuffle(targets, begin, end, plan->random);
-	for (copy = 0; copy < plan->copies; copy++) {
+	for (copy = 0; copy < copies; copy++) {
 		/* Relays are at the start of the list and of its groups. Half a
 		 * group further, others are, except in a tiny zone. */
 		guint shift = copy * (zone_width(members) / 2);
@@ -137,7 +138,7 @@
 				       &target_at(targets,
 						  begin + (i + shift) % members)
 						->address);
-		send_to_zone(list, own, send, ctx);
+		send_to_zone(plan, list, own, send, ctx);
 		g_byte_array_free(list, TRUE);
 	}
 }
--- a/src/fanout/fanout.h
+++ b/src/fanout/fanout.h
@@ -43,16 +43,22 @@
 /** Sends a copy. */
 typedef void (*fanout_send_fn)(void *ctx, const struct fanout_copy *copy);
 
+/** Ways to distribute a message to more than FANOUT_DIRECT_MAX recipients. */
+enum fanout_way {
+	/** Each VM gets it once. */
+	FANOUT_ONCE,
+	/** Each VM gets it twice, by different relays. */
+	FANOUT_TWICE,
+	/** Each VM gets it once, and the sender sends one copy to its own zone
+	 * as well. For large messages on a slow link. */
+	FANOUT_SPARING,
+};
+
 /** How a message is distributed. */
 struct fanout_plan {
 	/** Zone of the sender; "": unknown. */
 	const char *zone;
-	/**
-	 * Copies of the message that each VM gets, by different relays: 1 or 2.
-	 * More than FANOUT_DIRECT_MAX recipients only; with fewer, no relay can
-	 * be lost.
-	 */
-	unsigned int copies;
+	enum fanout_way way;
 	/** Source of random numbers; not owned. */
 	GRand *random;
 };
--- a/src/store/change_log.c
+++ b/src/store/change_log.c
@@ -5,13 +5,12 @@
 /* A change is sent at once and repeated with the next four heartbeats, so that
  * it survives lost datagrams. */
 #define RETENTION_S 1.0
-/* All retained changes must fit into one datagram together with the rest of a
- * heartbeat. */
-#define RETENTION_BYTES ((size_t)32 << 10)
 /* Estimated encoded size of a row besides its key and value. */
 #define ROW_OVERHEAD_BYTES 24
 
 struct change_log {
+	/** Largest value of bytes. */
+	size_t bytes_max;
 	/** The log holds every change after this version. */
 	uint64_t after_version;
 	/** Changed rows (struct store_row), oldest first. */
@@ -30,10 +29,11 @@
 	g_string_free(row->value, TRUE);
 }
 
-struct change_log *change_log_create(void)
+struct change_log *change_log_create(size_t bytes_max)
 {
 	struct change_log *log = g_new0(struct change_log, 1);
 
+	log->bytes_max = bytes_max;
 	log->rows = g_array_new(FALSE, FALSE, sizeof(struct store_row));
 	g_array_set_clear_func(log->rows, clear_row);
 	log->times = g_array_new(FALSE, FALSE, sizeof(double));
@@ -99,7 +99,7 @@
 	log->bytes += row_size(&copy);
 	g_array_append_val(log->rows, copy);
 	g_array_append_val(log->times, now_s);
-	while (log->rows->len && log->bytes > RETENTION_BYTES)
+	while (log->rows->len && log->bytes > log->bytes_max)
 		drop_transaction(log);
 }
 
--- a/src/store/change_log.h
+++ b/src/store/change_log.h
@@ -10,8 +10,13 @@
 /** The log of one table. */
 struct change_log;
 
-/** @return a new, empty log; free with change_log_destroy() */
-struct change_log *change_log_create(void);
+/**
+ * Creates an empty log.
+ *
+ * @param bytes_max estimated encoded size of the changes that it holds, at most
+ * @return the log, freed with change_log_destroy()
+ */
+struct change_log *change_log_create(size_t bytes_max);
 
 /** Frees a log; NULL is allowed. */
 void change_log_destroy(struct change_log *log);
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -1785,7 +1785,7 @@
   (ProtobufCMessageInit) table_changes__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor table_copy_part__field_descriptors[6] =
+static const ProtobufCFieldDescriptor table_copy_part__field_descriptors[8] =
 {
   {
     "lease",
@@ -1859,19 +1859,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_changes",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TableCopyPart, is_changes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "check",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(TableCopyPart, check),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned table_copy_part__field_indices_by_name[] = {
+  7,   /* field[7] = check */
   4,   /* field[4] = count */
   5,   /* field[5] = data */
   3,   /* field[3] = index */
+  6,   /* field[6] = is_changes */
   0,   /* field[0] = lease */
   1,   /* field[1] = table */
   2,   /* field[2] = upto */
 };
-static const ProtobufCIntRange table_copy_part__number_ranges[1 + 1] =
+static const ProtobufCIntRange table_copy_part__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 20, 6 },
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor table_copy_part__descriptor =
 {
@@ -1881,10 +1908,10 @@
   "TableCopyPart",
   "",
   sizeof(TableCopyPart),
-  6,
+  8,
   table_copy_part__field_descriptors,
   table_copy_part__field_indices_by_name,
-  1,  table_copy_part__number_ranges,
+  2,  table_copy_part__number_ranges,
   (ProtobufCMessageInit) table_copy_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -275,7 +275,8 @@
 
 
 /*
- * Part of a copy of a whole table, which the leader sends to VMs that start.
+ * Part of a copy of a whole table, which the leader sends to VMs that start, or
+ * of changes that are too large for a heartbeat.
  */
 struct  TableCopyPart
 {
@@ -301,10 +302,19 @@
    * This part of the bytes of table_copy_encode().
    */
   ProtobufCBinaryData data;
+  /*
+   * The bytes hold changes, not a whole table.
+   */
+  protobuf_c_boolean is_changes;
+  /*
+   * Checksum of all parts of changes, whose sender may be the leader or one of
+   * its backups.
+   */
+  uint32_t check;
 };
 #define TABLE_COPY_PART__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&table_copy_part__descriptor) \
-    , 0, 0, 0, 0, 0, {0,NULL} }
+    , 0, 0, 0, 0, 0, {0,NULL}, 0, 0 }
 
 
 /*
