entry: hundreds of VMs that start at once do not overload the store

Cause, by a model: 300 VMs read 1.5 MB each at once, give up calls after 1 s and repeat them while the store works on those given up. After 10 s 77 VMs had the tables, none led, 3,009 of 7,500 calls were answered too late.

Change: a VM that starts reads the lease first, whose row names the number of VMs; beyond 100, the reads of tables are spread, and the leader's copies are taken meanwhile, also after a read that failed. Retries of first reads and of the lease back off. A VM without the tables leaves a free lease to the others for a second. Copies wait for the last ones to be sent.

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -113,11 +113,27 @@
 	return cluster_now(cluster) < cluster->last_heartbeat_s + RELAY_LOST_S;
 }
 
+/* Once this VM knows the size of the fleet, decides when it reads the tables,
+ * unless the leader sends them before. */
+static void begin_reading(struct cluster *cluster)
+{
+	double wait_s = live_vms_start_wait_s(lease_row_vms(cluster->lease)) *
+			g_random_double();
+
+	if (cluster->reading_begun ||
+	    cluster->options.settings->copy_wait_s > 0)
+		return;
+	cluster->reading_begun = true;
+	table_watch_set_copy_wait(cluster->options.operator_rows, wait_s);
+	table_watch_set_copy_wait(cluster->options.upstream_rows, wait_s);
+}
+
 static void on_leader_learned(void *ctx, const char *vm, const char *address)
 {
 	struct cluster *cluster = ctx;
 	struct sockaddr_in leader;
 
+	begin_reading(cluster);
 	if (!address_parse(str_from(address), &leader)) {
 		log_warn(
 			"lease",
@@ -324,6 +340,11 @@
 {
 	double now = cluster_now(cluster);
 
+	/* In the first start no VM has the tables before one leads. */
+	lease_set_ready(
+		cluster->lease,
+		cluster->options.settings->copy_wait_s > 0 ||
+			cluster->options.roster_loaded(cluster->options.ctx));
 	lease_tick(cluster->lease);
 	if (cluster->leading)
 		run_leader(cluster);
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -91,6 +91,8 @@
 	 * leads.
 	 */
 	GHashTable *key_leaders;
+	/** The time at which this VM reads the tables is decided. */
+	bool reading_begun;
 	/** This VM holds the lease. */
 	bool leading;
 	/** Since this VM began to lead, the owner maps of the previous leader
--- a/src/entry/copy_exchange.c
+++ b/src/entry/copy_exchange.c
@@ -153,6 +153,9 @@
 	double now = loop_now(exchange->options.loop);
 	uint32_t i;
 
+	/* VMs that ask while copies are being sent share the next ones. */
+	if (bulk_sender_has(exchange->options.sender, BULK_COPIES))
+		return;
 	for (i = 0; i < COPIED_TABLES; i++)
 		if (exchange->tables[i].requests->len &&
 		    now >= exchange->tables[i].sent_s + SEND_INTERVAL_S)
--- a/src/entry/live_vms.c
+++ b/src/entry/live_vms.c
@@ -17,6 +17,12 @@
 #define TIMEOUT_S 2.0
 #define TIMEOUT_INTERVALS 3.2
 
+/* Seconds per VM beyond START_AT_ONCE_VMS over which the reads of all tables by
+ * the VMs of a fleet are spread. Up to so many VMs, the store serves all at
+ * once: 100 VMs were back after 0.5 s, 300 not within 30 s. */
+#define START_VM_S 0.02
+#define START_AT_ONCE_VMS 100
+
 struct live_vms {
 	/** VMs (struct live_vm) by name. */
 	GHashTable *by_name;
@@ -148,6 +154,12 @@
 	return MAX(LOAD_INTERVAL_S, vms * LOAD_INTERVAL_VM_S);
 }
 
+double live_vms_start_wait_s(unsigned int vms)
+{
+	return vms > START_AT_ONCE_VMS ? (vms - START_AT_ONCE_VMS) * START_VM_S
+				       : 0;
+}
+
 double live_vms_timeout_s(unsigned int vms)
 {
 	return MAX(TIMEOUT_S,
--- a/src/entry/live_vms.h
+++ b/src/entry/live_vms.h
@@ -83,6 +83,12 @@
  * well that it is alive. */
 double live_vms_load_interval_s(unsigned int vms);
 
+/** Returns the longest time, in seconds, for which a VM that starts leaves the
+ * tables to be sent by the leader before it reads them. VMs draw their times at
+ * random, so that a large fleet which starts at once does not overload the
+ * store. */
+double live_vms_start_wait_s(unsigned int vms);
+
 /** Returns the time, in seconds, without a message after which a VM doesn't
  * count as alive. */
 double live_vms_timeout_s(unsigned int vms);
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -46,6 +46,11 @@
 /* Part of that reserve, in seconds, in which the last answers are sent. */
 #define STOP_FLUSH_S 0.15
 
+/* A VM that starts reads the lease first, which names the size of the fleet,
+ * and the tables after this time, in seconds, at the latest if the store
+ * doesn't answer. */
+#define LEASE_READ_WAIT_S 0.25
+
 /** The daemon's modules and state. */
 struct entry_daemon {
 	struct loop loop;
@@ -516,6 +521,7 @@
 	struct crash_watch_options crashes = { 0 };
 	struct forward_options forward = { 0 };
 	struct store store;
+	double copy_wait_s;
 
 	entry->metrics = metrics_create();
 	entry->invalid_routes =
@@ -561,8 +567,11 @@
 		entry->settings->apply_s * POLL_PART, &upstream_ops, entry);
 	if (!open_servers(entry, error) || !open_cluster(entry, &store, error))
 		return false;
-	table_watch_start(entry->operator_rows, entry->settings->copy_wait_s);
-	table_watch_start(entry->upstream_rows, entry->settings->copy_wait_s);
+	copy_wait_s = MAX(entry->settings->copy_wait_s, LEASE_READ_WAIT_S);
+	table_watch_start(entry->operator_rows, copy_wait_s);
+	table_watch_start(entry->upstream_rows, copy_wait_s);
+	/* Reads the lease at once. */
+	cluster_tick(entry->cluster);
 	return true;
 }
 
--- a/src/entry/table_watch.c
+++ b/src/entry/table_watch.c
@@ -49,6 +49,15 @@
  * of 1,500 routes, or the entries of all upstreams of 300 VMs. */
 #define CHANGES_BYTES_MAX ((size_t)2 << 20)
 
+/* Delays, in seconds, of the retries of a first snapshot on a VM that doesn't
+ * lead: the first one, the longest one, and the factor of their growth, before
+ * a random factor of 0.5 to 1.5. When hundreds of VMs start at once, the store
+ * can't answer all in time. It works on calls that were given up as well, so
+ * quick retries would keep it from answering any. */
+#define START_RETRY_S 0.25
+#define START_RETRY_MAX_S 4.0
+#define START_RETRY_FACTOR 4.0
+
 struct table_watch *table_watch_create(struct loop *loop,
 				       const struct store *store,
 				       const char *table, double poll_s,
@@ -68,6 +77,7 @@
 	table_watch->changes = change_log_create(CHANGES_BYTES_MAX);
 	table_watch->needs_snapshot = true;
 	table_watch->retry_delay_s = RETRY_S;
+	table_watch->start_retry_s = START_RETRY_S;
 	ev_timer_init(&table_watch->timer, on_timer, 0, 0);
 	table_watch->timer.data = table_watch;
 	return table_watch;
@@ -175,8 +185,24 @@
 		       : 0;
 }
 
+/* Retries a first snapshot later. Until then the leader may send a copy. */
+static void retry_start_later(struct table_watch *table_watch)
+{
+	double delay_s = table_watch->start_retry_s * (0.5 + g_random_double());
+
+	table_watch->start_failed = true;
+	table_watch->start_retry_s =
+		MIN(table_watch->start_retry_s * START_RETRY_FACTOR,
+		    START_RETRY_MAX_S);
+	table_watch_schedule(table_watch, delay_s);
+}
+
 static void retry_later(struct table_watch *table_watch)
 {
+	if (!table_watch->loaded && !table_watch->leads) {
+		retry_start_later(table_watch);
+		return;
+	}
 	table_watch_schedule(table_watch,
 			     MAX(table_watch->retry_delay_s,
 				 least_retry_delay_s(table_watch)));
--- a/src/entry/table_watch.h
+++ b/src/entry/table_watch.h
@@ -77,7 +77,12 @@
  */
 void table_watch_start(struct table_watch *table_watch, double copy_wait_s);
 
-/** Whether the watch waits for a copy of the table (table_watch_start()). */
+/** Replaces the wait of table_watch_start(), while it lasts, by one of wait_s
+ * seconds from now; 0 reads the table at once. */
+void table_watch_set_copy_wait(struct table_watch *table_watch, double wait_s);
+
+/** Whether the watch waits for a copy of the table (table_watch_start()), or
+ * failed to read the table since this VM started. */
 bool table_watch_wants_copy(const struct table_watch *table_watch);
 
 /** Extends the wait for a copy, if the watch still waits, until wait_s seconds
--- a/src/entry/table_watch_impl.h
+++ b/src/entry/table_watch_impl.h
@@ -59,8 +59,14 @@
 	/** Timeout of the long poll in progress, in seconds; 0 for other calls.
 	 */
 	double long_poll_s;
-	/** Delay of the retry after the next failed call, in seconds. */
+	/** Delay of the retry after the next failed call, in seconds, and of
+	 * the retry of a first snapshot. */
 	double retry_delay_s;
+	double start_retry_s;
+	/** A call for the first snapshot failed. */
+	bool start_failed;
+	/** This VM leads: table_watch_set_mode() said so. */
+	bool leads;
 	/**
 	 * The snapshot in progress only fetches changes that were not relayed;
 	 * it is cancelled when they arrive by relay after all.
--- a/src/entry/table_watch_peers.c
+++ b/src/entry/table_watch_peers.c
@@ -57,6 +57,12 @@
 			  enum table_watch_mode mode)
 {
 	table_watch->mode = mode;
+	/* A new leader reads at once what it failed to read before. */
+	if (mode == TABLE_WATCH_LEADER && !table_watch->leads &&
+	    table_watch->start_failed && !table_watch->loaded &&
+	    !table_watch->call_pending)
+		table_watch_schedule(table_watch, 0);
+	table_watch->leads = mode == TABLE_WATCH_LEADER;
 	/* The leader has no one to get a copy from. */
 	if (mode == TABLE_WATCH_LEADER && table_watch->copy_until_s) {
 		table_watch->copy_until_s = 0;
@@ -156,7 +162,17 @@
 
 bool table_watch_wants_copy(const struct table_watch *table_watch)
 {
-	return table_watch->copy_until_s > 0;
+	return table_watch->copy_until_s > 0 ||
+	       (table_watch->start_failed && !table_watch->loaded &&
+		!table_watch->leads);
+}
+
+void table_watch_set_copy_wait(struct table_watch *table_watch, double wait_s)
+{
+	if (!table_watch->copy_until_s)
+		return;
+	table_watch->copy_until_s = loop_now(table_watch->loop) + wait_s;
+	table_watch_schedule(table_watch, wait_s);
 }
 
 void table_watch_extend_copy_wait(struct table_watch *table_watch,
@@ -197,8 +213,14 @@
 {
 	size_t i;
 
-	if (!table_watch->copy_until_s)
+	if (!table_watch_wants_copy(table_watch))
 		return;
+	if (table_watch->call_pending) {
+		table_watch->store.ops->cancel(table_watch->store.impl,
+					       table_watch);
+		table_watch->call_pending = false;
+		g_clear_pointer(&table_watch->seen_keys, g_hash_table_destroy);
+	}
 	for (i = 0; i < copy->count; i++)
 		table_watch_apply_row(table_watch, &copy->rows[i]);
 	table_watch->snapshot_version = copy->upto;
--- a/src/keys/lease.c
+++ b/src/keys/lease.c
@@ -1,5 +1,6 @@
 #include "keys/lease.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "store/store_calls.h"
@@ -44,6 +45,12 @@
 /* Part of the interval of a VM's retries by which a VM that isn't fit to lead
  * acquires the lease later after an outage. */
 #define LATE_RETRY_PART 0.25
+/* Longest delay, in seconds, before a VM that has not read the row since it
+ * started calls again. The delays double, and a random factor of 0.5 to 1.5
+ * spreads them: hundreds of VMs that start at once overload the store. */
+#define UNREAD_RETRY_MAX_S 2.0
+/* A VM that is not ready to lead acquires the lease this much later. */
+#define NOT_READY_S 1.0
 /* Without a leader, VMs that start at the same time read the row at random
  * times within START_READ_S, and the first ones try to acquire the lease within
  * START_JITTER_S: the later ones read who leads. */
@@ -101,8 +108,14 @@
 	bool call_in_progress;
 	/** Earliest time of the next read or write. */
 	double next_call_s;
-	/** Number of VMs that compete for the lease. */
+	/** Number of VMs that compete for the lease, and that number in the
+	 * row. */
 	unsigned int vms;
+	unsigned int row_vms;
+	/** Calls that failed since this VM started, until one succeeds. */
+	unsigned int unread_failures;
+	/** This VM has what it needs to lead. */
+	bool ready;
 	/** This VM is among the EARLY_VMS for the row's present version. */
 	bool early;
 	/** The store did not answer the last call. */
@@ -146,6 +159,7 @@
 						g_random_int(), g_random_int());
 	lease->next_attempt = 1;
 	lease->vms = 1;
+	lease->ready = true;
 	draw_delays(lease);
 	return lease;
 }
@@ -170,6 +184,16 @@
 	return loop_now(lease->loop);
 }
 
+void lease_set_ready(struct lease *lease, bool ready)
+{
+	lease->ready = ready;
+}
+
+unsigned int lease_row_vms(const struct lease *lease)
+{
+	return lease->row_vms;
+}
+
 void lease_set_vms(struct lease *lease, unsigned int vms)
 {
 	lease->vms = vms;
@@ -181,12 +205,25 @@
 	lease->next_call_s = now_of(lease) + g_random_double() * START_READ_S;
 }
 
+/* Returns the delay of the next call of a VM that has not read the row since it
+ * started, 0 for others. */
+static double unread_delay_s(const struct lease *lease)
+{
+	double delay_s;
+
+	if (lease->version_seen_s || !lease->unread_failures)
+		return 0;
+	delay_s = ldexp(RETRY_S, (int)MIN(lease->unread_failures, 8) - 1);
+	return MIN(delay_s, UNREAD_RETRY_MAX_S) * (0.5 + g_random_double());
+}
+
 /* Returns when to call again after a call without success. While no VM leads,
  * the VMs together call about as often as a few would. */
 static double retry_at_s(const struct lease *lease)
 {
 	double delay_s = lease->vms * RETRY_VM_S * (0.5 + g_random_double());
 
+	delay_s = MAX(delay_s, unread_delay_s(lease));
 	if (lease->holding)
 		delay_s = 0;
 	return now_of(lease) + CLAMP(delay_s, RETRY_S, RETRY_MAX_S);
@@ -292,6 +329,11 @@
 	if (sent_s > 0) {
 		record_own_write(lease, row->version, sent_s);
 	} else {
+		if (message)
+			lease->row_vms = message->vms;
+		/* A VM that starts learns how many compete. */
+		if (lease->vms == 1 && lease->row_vms)
+			lease->vms = lease->row_vms;
 		if (row->version != lease->version) {
 			lease->version = row->version;
 			lease->version_seen_s = now_of(lease);
@@ -333,6 +375,8 @@
 		at = lease->store_back_s + late_after_outage_s(lease);
 	else if (!lease->early)
 		at += LATE_S;
+	if (!lease->ready)
+		at += NOT_READY_S;
 	return at + lease->jitter_s + lease->acquire_delay_s;
 }
 
@@ -363,6 +407,8 @@
 	const struct store_row *row;
 
 	lease->call_in_progress = false;
+	if (result->status != STORE_OK)
+		lease->unread_failures++;
 	lease->next_call_s = retry_at_s(lease);
 	set_store_away(lease, result->status != STORE_OK);
 	if (result->status != STORE_OK)
@@ -444,6 +490,7 @@
 
 	message.vm = lease->vm;
 	message.address = lease->address;
+	message.vms = lease->vms;
 	message.attempt =
 		g_strdup_printf("%s%u", lease->attempt_prefix, number);
 	if (lease->stopped)
--- a/src/keys/lease.h
+++ b/src/keys/lease.h
@@ -55,6 +55,14 @@
  * acquire an expired lease; 0 by default. */
 void lease_set_acquire_delay(struct lease *lease, double acquire_delay_s);
 
+/** Returns the number of VMs that the last leader knew, according to the row;
+ * 0: unknown. */
+unsigned int lease_row_vms(const struct lease *lease);
+
+/** Sets whether this VM has what it needs to lead; initially it has. A VM that
+ * hasn't leaves a free lease to the others for a second. */
+void lease_set_ready(struct lease *lease, bool ready);
+
 /** Sets the number of VMs that compete for the lease. The more there are, the
  * fewer of them call the store when the holder is silent or the store doesn't
  * answer. */
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -1299,7 +1299,7 @@
   (ProtobufCMessageInit) key_map__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lease_row__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lease_row__field_descriptors[5] =
 {
   {
     "vm",
@@ -1349,17 +1349,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "vms",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(LeaseRow, vms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lease_row__field_indices_by_name[] = {
   1,   /* field[1] = address */
   2,   /* field[2] = attempt */
   3,   /* field[3] = until_s */
   0,   /* field[0] = vm */
+  4,   /* field[4] = vms */
 };
-static const ProtobufCIntRange lease_row__number_ranges[1 + 1] =
+static const ProtobufCIntRange lease_row__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 20, 4 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lease_row__descriptor =
 {
@@ -1369,10 +1383,10 @@
   "LeaseRow",
   "",
   sizeof(LeaseRow),
-  4,
+  5,
   lease_row__field_descriptors,
   lease_row__field_indices_by_name,
-  1,  lease_row__number_ranges,
+  2,  lease_row__number_ranges,
   (ProtobufCMessageInit) lease_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -146,10 +146,14 @@
    * End of the lease in seconds of the store's clock; 0: unknown.
    */
   double until_s;
+  /*
+   * Number of VMs, for those that start; 0: unknown.
+   */
+  uint32_t vms;
 };
 #define LEASE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lease_row__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  VmInfo
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -676,6 +676,44 @@
 	teardown(&f);
 }
 
+/* When hundreds of VMs start at once, the store doesn't answer all in time.
+ * Guards against a VM that goes on without the leader's copy. */
+static void a_copy_replaces_a_read_that_failed(void)
+{
+	struct store_row a = make_row("a", 7, 1);
+	struct table_delta copy = { .upto = 9, .rows = &a, .count = 1 };
+	struct fixture f;
+
+	start_watch(&f, &table_watch_ops, 0);
+	CU_ASSERT_FALSE(table_watch_wants_copy(f.table_watch));
+	answer(&f, STORE_UNKNOWN, 0, NULL, 0);
+	CU_ASSERT_TRUE(table_watch_wants_copy(f.table_watch));
+	/* The copy arrives while the next read is not answered. */
+	g_usleep(400000);
+	advance(&f, 0.4);
+	CU_ASSERT_EQUAL_FATAL(f.call, 'r');
+	table_watch_apply_copy(f.table_watch, &copy);
+	CU_ASSERT_EQUAL(f.call, 0);
+	CU_ASSERT_TRUE(table_watch_loaded(f.table_watch));
+	CU_ASSERT_FALSE(table_watch_wants_copy(f.table_watch));
+	g_string_free(a.value, TRUE);
+	teardown(&f);
+}
+
+/* A leader has no one to get a copy from, and all others wait for it. */
+static void a_new_leader_reads_at_once_what_it_failed_to_read(void)
+{
+	struct fixture f;
+
+	start_watch(&f, &table_watch_ops, 0);
+	answer(&f, STORE_UNKNOWN, 0, NULL, 0);
+	table_watch_set_mode(f.table_watch, TABLE_WATCH_LEADER);
+	advance(&f, 0);
+	CU_ASSERT_EQUAL(f.call, 'r');
+	CU_ASSERT_FALSE(table_watch_wants_copy(f.table_watch));
+	teardown(&f);
+}
+
 static void without_a_copy_the_table_is_read(void)
 {
 	struct fixture f;
@@ -731,6 +769,10 @@
 		  changes_after_a_copy_are_not_missed },
 		{ "a leader does not wait for a copy",
 		  a_leader_does_not_wait_for_a_copy },
+		{ "a copy replaces a read that failed",
+		  a_copy_replaces_a_read_that_failed },
+		{ "a new leader reads at once what it failed to read",
+		  a_new_leader_reads_at_once_what_it_failed_to_read },
 		{ "without a copy the table is read",
 		  without_a_copy_the_table_is_read },
 		{ 0 },
--- a/test/unit/test_lease_fleet.c
+++ b/test/unit/test_lease_fleet.c
@@ -351,6 +351,43 @@
 	}
 }
 
+/* Guards against hundreds of VMs that start while the store is overloaded, and
+ * keep it so: a VM that knows nothing of the others calls ever more rarely. */
+static void vms_that_start_call_an_overloaded_store_rarely(void)
+{
+	struct fleet f;
+
+	setup(&f, 295);
+	f.down = true;
+	run_fleet(&f, 4);
+	CU_ASSERT_TRUE(run_fleet(&f, 10) <= 10 * 295);
+	f.down = false;
+	run_fleet(&f, 5);
+	CU_ASSERT_PTR_NOT_NULL(leader_of(&f));
+	teardown(&f);
+}
+
+/* Guards against a leader that has to read the tables first, while all others
+ * wait for its copies. */
+static void a_vm_that_is_ready_leads(void)
+{
+	unsigned int round, i, ready = 0;
+
+	for (round = 0; round < 5; round++) {
+		struct fleet f;
+
+		setup(&f, 82);
+		g_random_set_seed(round);
+		for (i = 0; i < f.size; i++)
+			lease_set_ready(f.vms[i].lease, i % 10 == 3);
+		run_fleet(&f, 4);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(leader_of(&f));
+		ready += (unsigned int)(leader_of(&f) - f.vms) % 10 == 3;
+		teardown(&f);
+	}
+	CU_ASSERT_EQUAL(ready, 5);
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -363,6 +400,9 @@
 		{ "a fit VM succeeds", a_fit_vm_succeeds },
 		{ "a fit VM leads after an outage",
 		  a_fit_vm_leads_after_an_outage },
+		{ "VMs that start call an overloaded store rarely",
+		  vms_that_start_call_an_overloaded_store_rarely },
+		{ "a VM that is ready leads", a_vm_that_is_ready_leads },
 		{ "an outage costs a bounded rate of calls",
 		  an_outage_costs_a_bounded_rate_of_calls },
 		{ 0 },
