--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -1299,7 +1299,7 @@
   (ProtobufCMessageInit) key_map__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lease_row__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lease_row__field_descriptors[5] =
 {
   {
     "vm",
@@ -1349,17 +1349,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "vms",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(LeaseRow, vms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lease_row__field_indices_by_name[] = {
   1,   /* field[1] = address */
   2,   /* field[2] = attempt */
   3,   /* field[3] = until_s */
   0,   /* field[0] = vm */
+  4,   /* field[4] = vms */
 };
-static const ProtobufCIntRange lease_row__number_ranges[1 + 1] =
+static const ProtobufCIntRange lease_row__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 20, 4 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lease_row__descriptor =
 {
@@ -1369,10 +1383,10 @@
   "LeaseRow",
   "",
   sizeof(LeaseRow),
-  4,
+  5,
   lease_row__field_descriptors,
   lease_row__field_indices_by_name,
-  1,  lease_row__number_ranges,
+  2,  lease_row__number_ranges,
   (ProtobufCMessageInit) lease_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -1785,7 +1799,7 @@
   (ProtobufCMessageInit) table_changes__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor table_copy_part__field_descriptors[6] =
+static const ProtobufCFieldDescriptor table_copy_part__field_descriptors[8] =
 {
   {
     "lease",
@@ -1859,19 +1873,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_changes",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TableCopyPart, is_changes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "check",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(TableCopyPart, check),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned table_copy_part__field_indices_by_name[] = {
+  7,   /* field[7] = check */
   4,   /* field[4] = count */
   5,   /* field[5] = data */
   3,   /* field[3] = index */
+  6,   /* field[6] = is_changes */
   0,   /* field[0] = lease */
   1,   /* field[1] = table */
   2,   /* field[2] = upto */
 };
-static const ProtobufCIntRange table_copy_part__number_ranges[1 + 1] =
+static const ProtobufCIntRange table_copy_part__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 20, 6 },
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor table_copy_part__descriptor =
 {
@@ -1881,14 +1922,14 @@
   "TableCopyPart",
   "",
   sizeof(TableCopyPart),
-  6,
+  8,
   table_copy_part__field_descriptors,
   table_copy_part__field_indices_by_name,
-  1,  table_copy_part__number_ranges,
+  2,  table_copy_part__number_ranges,
   (ProtobufCMessageInit) table_copy_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor leader_beat__field_descriptors[12] =
+static const ProtobufCFieldDescriptor leader_beat__field_descriptors[13] =
 {
   {
     "vm",
@@ -2034,6 +2075,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "snapshot",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(LeaderBeat, snapshot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned leader_beat__field_indices_by_name[] = {
   8,   /* field[8] = address */
@@ -2043,6 +2096,7 @@
   3,   /* field[3] = maps */
   5,   /* field[5] = operator_changes */
   4,   /* field[4] = progress */
+  12,   /* field[12] = snapshot */
   6,   /* field[6] = upstream_changes */
   0,   /* field[0] = vm */
   2,   /* field[2] = vms */
@@ -2054,7 +2108,7 @@
   { 1, 0 },
   { 6, 4 },
   { 20, 11 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor leader_beat__descriptor =
 {
@@ -2064,7 +2118,7 @@
   "LeaderBeat",
   "",
   sizeof(LeaderBeat),
-  12,
+  13,
   leader_beat__field_descriptors,
   leader_beat__field_indices_by_name,
   3,  leader_beat__number_ranges,
@@ -2199,7 +2253,7 @@
   (ProtobufCMessageInit) key_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor vm_report__field_descriptors[9] =
+static const ProtobufCFieldDescriptor vm_report__field_descriptors[10] =
 {
   {
     "vm",
@@ -2309,6 +2363,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wants_snapshot",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(VmReport, wants_snapshot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned vm_report__field_indices_by_name[] = {
   6,   /* field[6] = blocked */
@@ -2320,12 +2386,14 @@
   2,   /* field[2] = stopping */
   0,   /* field[0] = vm */
   7,   /* field[7] = wanted_copies */
+  9,   /* field[9] = wants_snapshot */
 };
-static const ProtobufCIntRange vm_report__number_ranges[2 + 1] =
+static const ProtobufCIntRange vm_report__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 3, 1 },
-  { 0, 9 }
+  { 20, 9 },
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor vm_report__descriptor =
 {
@@ -2335,10 +2403,10 @@
   "VmReport",
   "",
   sizeof(VmReport),
-  9,
+  10,
   vm_report__field_descriptors,
   vm_report__field_indices_by_name,
-  2,  vm_report__number_ranges,
+  3,  vm_report__number_ranges,
   (ProtobufCMessageInit) vm_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -146,10 +146,14 @@
    * End of the lease in seconds of the store's clock; 0: unknown.
    */
   double until_s;
+  /*
+   * Number of VMs, for those that start; 0: unknown.
+   */
+  uint32_t vms;
 };
 #define LEASE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lease_row__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  VmInfo
@@ -275,7 +279,8 @@
 
 
 /*
- * Part of a copy of a whole table, which the leader sends to VMs that start.
+ * Part of a copy of a whole table, which the leader sends to VMs that start, or
+ * of changes that are too large for a heartbeat.
  */
 struct  TableCopyPart
 {
@@ -301,10 +306,19 @@
    * This part of the bytes of table_copy_encode().
    */
   ProtobufCBinaryData data;
+  /*
+   * The bytes hold changes, not a whole table.
+   */
+  protobuf_c_boolean is_changes;
+  /*
+   * Checksum of all parts of changes, whose sender may be the leader or one of
+   * its backups.
+   */
+  uint32_t check;
 };
 #define TABLE_COPY_PART__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&table_copy_part__descriptor) \
-    , 0, 0, 0, 0, 0, {0,NULL} }
+    , 0, 0, 0, 0, 0, {0,NULL}, 0, 0 }
 
 
 /*
@@ -358,10 +372,14 @@
    * Zone of the leader's VM.
    */
   char *zone;
+  /*
+   * Number of this leader's last snapshot. A VM that missed it asks for it.
+   */
+  uint64_t snapshot;
 };
 #define LEADER_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&leader_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, NULL, NULL, NULL, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, NULL, NULL, NULL, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -438,10 +456,14 @@
    */
   size_t n_wanted_copies;
   uint32_t *wanted_copies;
+  /*
+   * The VM missed the leader's last snapshot.
+   */
+  protobuf_c_boolean wants_snapshot;
 };
 #define VM_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&vm_report__descriptor) \
-    , NULL, 0,NULL, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , NULL, 0,NULL, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
