entry: authenticate requests by customers' API keys

A configuration may name customers with API keys. Requests then need a known key unless their route is public; others get 401. Upstreams get the customer's name, set by this daemon, and never the key. A customer's priority replaces the route's. The key is checked again before each send, so that queued requests follow a newer configuration.

A VM that was cut off or frozen may hold keys that have been removed. It relies on its configuration only for 0.8 of [store] apply after the store or another VM confirmed it, and refuses with 503 until it regains contact; the only VM of a system goes on serving.

--- /dev/null
+++ b/src/customers/config_contact.c
@@ -0,0 +1,42 @@
+#include "customers/config_contact.h"
+
+#include <math.h>
+
+/* Ticks come every 50 ms. A longer time without one, in seconds, means that the
+ * process was frozen. Busy machines delay ticks by less. */
+#define FROZEN_AFTER_S 1.0
+/* Time, in seconds, after the process resumes in which datagrams may still be
+ * read that arrived while it was frozen. */
+#define BACKLOG_S 0.1
+
+static bool is_frozen(const struct config_contact *contact, double now_s)
+{
+	return now_s - contact->tick_s > FROZEN_AFTER_S;
+}
+
+void config_contact_tick(struct config_contact *contact, double now_s)
+{
+	if (contact->tick_s && is_frozen(contact, now_s))
+		contact->resumed_s = now_s;
+	contact->tick_s = now_s;
+}
+
+void config_contact_store_answered(struct config_contact *contact,
+				   double asked_s, double now_s)
+{
+	if (asked_s >= contact->resumed_s && !is_frozen(contact, now_s))
+		contact->confirmed_s = now_s;
+}
+
+void config_contact_peer_heard(struct config_contact *contact, double heard_s)
+{
+	if (!contact->resumed_s || heard_s > contact->resumed_s + BACKLOG_S)
+		contact->confirmed_s = fmax(contact->confirmed_s, heard_s);
+}
+
+bool config_contact_is_current(const struct config_contact *contact,
+			       double age_s, double now_s)
+{
+	return !is_frozen(contact, now_s) &&
+	       now_s <= contact->confirmed_s + age_s;
+}
--- /dev/null
+++ b/src/customers/customers.c
@@ -0,0 +1,177 @@
+#include "customers/customers.h"
+
+#include <string.h>
+
+#include "base/hash.h"
+
+/* Share of the time in which a change must be in force for which this VM may
+ * rely on a configuration that was the newest. The rest covers the time until
+ * the sender of that confirmation learned of the change. */
+#define CONTACT_SHARE 0.8
+/* Longest API key, in bytes; longer ones are unknown. */
+#define KEY_BYTES_MAX 255
+
+struct customers {
+	struct metrics *metrics;
+	double apply_s;
+	unsigned int vms;
+	struct config_contact contact;
+	/** A configuration was set; its version, and whether it has customers.
+	 */
+	bool has_config;
+	uint64_t version;
+	bool required;
+	/** All customers (struct customer) by name. */
+	GHashTable *by_name;
+	/** The configured customers by API key, as bytes up to a NUL. */
+	GHashTable *by_key;
+};
+
+static void free_customer(gpointer data)
+{
+	struct customer *customer = data;
+
+	g_free(customer->name);
+	g_free(customer);
+}
+
+struct customers *customers_create(struct metrics *metrics, double apply_s)
+{
+	struct customers *customers = g_new0(struct customers, 1);
+
+	customers->metrics = metrics;
+	customers->apply_s = apply_s;
+	customers->by_name = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   NULL, free_customer);
+	customers->by_key =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return customers;
+}
+
+void customers_destroy(struct customers *customers)
+{
+	if (!customers)
+		return;
+	g_hash_table_destroy(customers->by_key);
+	g_hash_table_destroy(customers->by_name);
+	g_free(customers);
+}
+
+/* Creates the metrics of a customer. */
+static void create_metrics(struct customers *customers,
+			   struct customer *customer)
+{
+	char *name = metrics_escape(customer->name);
+	char *labels = g_strdup_printf("customer=\"%s\"", name);
+
+	customer->requests = metrics_counter(
+		customers->metrics, "auburn_customer_requests_total", labels,
+		"Requests with an API key of the customer.");
+	g_free(labels);
+	g_free(name);
+}
+
+static struct customer *ensure_customer(struct customers *customers,
+					const char *name)
+{
+	struct customer *customer =
+		g_hash_table_lookup(customers->by_name, name);
+
+	if (customer)
+		return customer;
+	customer = g_new0(struct customer, 1);
+	customer->name = g_strdup(name);
+	customer->hash = (uint32_t)hash_key(str_from(name));
+	create_metrics(customers, customer);
+	g_hash_table_insert(customers->by_name, customer->name, customer);
+	return customer;
+}
+
+static void apply_customer(struct customers *customers,
+			   const struct customer_config *config)
+{
+	struct customer *customer = ensure_customer(customers, config->name);
+	char **key;
+
+	customer->configured = true;
+	customer->has_priority = config->has_priority;
+	customer->priority = config->priority;
+	/* A key of two customers stays that of the first one. */
+	for (key = config->api_keys; *key; key++)
+		if (!g_hash_table_contains(customers->by_key, *key))
+			g_hash_table_insert(customers->by_key, g_strdup(*key),
+					    customer);
+}
+
+void customers_set_config(struct customers *customers,
+			  const struct config *config)
+{
+	GHashTableIter iter;
+	gpointer value;
+	size_t i;
+
+	if (customers->has_config && customers->version == config->version)
+		return;
+	customers->has_config = true;
+	customers->version = config->version;
+	customers->required = config->has_customers;
+	g_hash_table_remove_all(customers->by_key);
+	g_hash_table_iter_init(&iter, customers->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct customer *)value)->configured = false;
+	for (i = 0; i < config->customer_count; i++)
+		apply_customer(customers, &config->customers[i]);
+}
+
+struct config_contact *customers_contact(struct customers *customers)
+{
+	return &customers->contact;
+}
+
+void customers_set_vms(struct customers *customers, unsigned int vms)
+{
+	customers->vms = vms;
+}
+
+bool customers_required(const struct customers *customers)
+{
+	return customers->required;
+}
+
+/* Returns the customer of an API key, or NULL. */
+static struct customer *find_key(const struct customers *customers,
+				 struct str key)
+{
+	char text[KEY_BYTES_MAX + 1];
+
+	if (!key.len || key.len > KEY_BYTES_MAX ||
+	    memchr(key.data, '\0', key.len))
+		return NULL;
+	memcpy(text, key.data, key.len);
+	text[key.len] = '\0';
+	return g_hash_table_lookup(customers->by_key, text);
+}
+
+/* Whether the configuration in force may be relied on. */
+static bool is_current(const struct customers *customers, double now_s)
+{
+	return customers->vms == 1 ||
+	       config_contact_is_current(&customers->contact,
+					 customers->apply_s * CONTACT_SHARE,
+					 now_s);
+}
+
+enum customer_verdict customers_identify(const struct customers *customers,
+					 struct str key, bool is_public,
+					 double now_s,
+					 struct customer **customer)
+{
+	*customer = NULL;
+	if (!customers->required)
+		return CUSTOMER_ACCEPTED;
+	if (!is_public && !is_current(customers, now_s))
+		return CUSTOMER_OUT_OF_CONTACT;
+	*customer = find_key(customers, key);
+	return *customer || is_public ? CUSTOMER_ACCEPTED
+				      : CUSTOMER_UNKNOWN_KEY;
+}
--- a/src/directory/config.c
+++ b/src/directory/config.c
@@ -27,6 +27,13 @@
 	memset(route, 0, sizeof(*route));
 }
 
+void customer_config_clear(struct customer_config *customer)
+{
+	g_free(customer->name);
+	g_strfreev(customer->api_keys);
+	memset(customer, 0, sizeof(*customer));
+}
+
 void config_free(struct config *config)
 {
 	size_t i;
@@ -37,6 +44,9 @@
 		route_clear(&config->routes[i]);
 	for (i = 0; i < config->service_count; i++)
 		g_free(config->services[i].name);
+	for (i = 0; i < config->customer_count; i++)
+		customer_config_clear(&config->customers[i]);
+	g_free(config->customers);
 	g_free(config->routes);
 	g_free(config->services);
 	g_free(config);
--- a/src/directory/directory_defs.h
+++ b/src/directory/directory_defs.h
@@ -54,6 +54,23 @@
 	 * operator's list is invalid. */
 	struct route_part *parts;
 	size_t part_count;
+	/** Requests need no API key, even if the configuration has customers.
+	 */
+	bool is_public;
+};
+
+/** A customer: requests with one of its API keys are its own. */
+struct customer_config {
+	char *name;
+	/** API keys; ends with NULL. */
+	char **api_keys;
+	/** Whether priority is given; it then replaces that of the route. */
+	bool has_priority;
+	unsigned int priority;
+	/** Quota over all VMs: requests per second, and requests beyond that in
+	 * any time. A rate of 0: no limit. */
+	double rate_per_s;
+	double burst;
 };
 
 /** Configuration of a service. */
@@ -81,6 +98,10 @@
 	size_t route_count;
 	struct service_config *services;
 	size_t service_count;
+	/** Requests need an API key of one of the customers. */
+	bool has_customers;
+	struct customer_config *customers;
+	size_t customer_count;
 	/** Limits of the entry daemon's HTTP server. */
 	struct http_limits limits;
 	/** Routes with an invalid value. One without host or prefix is left
@@ -89,6 +110,9 @@
 	unsigned int invalid_routes;
 	/** Services that are left out because they have no name. */
 	unsigned int invalid_services;
+	/** Customers with an invalid value. One without a name is left out, an
+	 * invalid key is, and an invalid rate counts as 0. */
+	unsigned int invalid_customers;
 };
 
 /** An upstream's registration in the directory. */
@@ -118,6 +142,9 @@
 /** Frees what a route points to, and zeroes it. */
 void route_clear(struct route *route);
 
+/** Frees what a customer points to, and zeroes it. */
+void customer_config_clear(struct customer_config *customer);
+
 /** Frees a configuration; NULL is allowed. */
 void config_free(struct config *config);
 
--- a/src/directory/protocol.h
+++ b/src/directory/protocol.h
@@ -23,6 +23,9 @@
 	double wait_s;
 	/** The key, from 0 to 65535; -1: not given. */
 	int key;
+	/** The customer's API key; empty: not given. Points into the headers.
+	 * Never logged. */
+	struct str api_key;
 };
 
 /** Values of the platform's header fields in an upstream's answer. */
@@ -81,17 +84,25 @@
 	/** Reads the platform's header fields of an upstream's answer. */
 	void (*read_reply)(unsigned int status, const struct headers *headers,
 			   struct reply_facts *facts);
-	/** Returns whether a caller's header field is dropped, because
-	 * write_fields() writes it anew. */
-	bool (*is_rewritten_field)(struct str name);
+	/**
+	 * Returns whether a caller's header field is dropped, because
+	 * write_fields() writes it anew or because it is not for upstreams.
+	 *
+	 * @param customers the configuration has customers
+	 */
+	bool (*is_rewritten_field)(struct str name, bool customers);
 	/**
 	 * Appends the header fields that are added to a request.
 	 *
 	 * @param left_s seconds until the request must be answered
 	 * @param upstream_id the upstream that the request is sent to
+	 * @param customer name of the request's customer, or NULL
 	 */
 	void (*write_fields)(GString *out, double left_s,
-			     const char *upstream_id);
+			     const char *upstream_id, const char *customer);
+	/** Scheme of the authentication that requests need, for the field
+	 * WWW-Authenticate of an answer 401. */
+	const char *authentication;
 	/**
 	 * Builds the HTTP request that grants or releases keys; the caller
 	 * frees it. It names the upstream, so that another upstream at the same
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -5,6 +5,7 @@
  */
 #include <string.h>
 
+#include "entry/authorize.h"
 #include "entry/forward_impl.h"
 
 /* Most attempts of a request, including those that did not run. */
@@ -30,11 +31,12 @@
 
 /* Whether a header field of the caller's request is passed on; build_message()
  * writes Content-Length itself. */
-static bool passes_to_upstream(const struct protocol *protocol, struct str name)
+static bool passes_to_upstream(const struct forward *forward, struct str name)
 {
 	return !headers_name_equal(name, STR("content-length")) &&
 	       !headers_name_equal(name, STR("expect")) &&
-	       !protocol->is_rewritten_field(name);
+	       !forward->options.protocol->is_rewritten_field(
+		       name, customers_required(forward->options.customers));
 }
 
 /* Builds the HTTP request for an upstream; the caller frees it.
@@ -53,12 +55,13 @@
 	for (i = 0; i < headers_count(caller->headers); i++) {
 		const struct header *h = headers_at(caller->headers, i);
 
-		if (passes_to_upstream(protocol, h->name))
+		if (passes_to_upstream(req->forward, h->name))
 			g_string_append_printf(out, "%.*s: %.*s\r\n",
 					       STR_ARG(h->name),
 					       STR_ARG(h->value));
 	}
-	protocol->write_fields(out, left_s, upstream->entry.id);
+	protocol->write_fields(out, left_s, upstream->entry.id,
+			       req->customer ? req->customer->name : NULL);
 	if (req->has_body || caller->body->len)
 		g_string_append_printf(out, "Content-Length: %zu\r\n",
 				       caller->body->len);
@@ -605,7 +608,8 @@
 	double now = forward_now(forward);
 	struct upstream *upstream;
 
-	if (crash_watch_blocks(forward->options.crashes, req->fingerprint))
+	if (crash_watch_blocks(forward->options.crashes, req->fingerprint) ||
+	    authorize_send(req))
 		return;
 	if (now + TIMER_TOLERANCE_S < backup_due_s(req) ||
 	    retry_window_left(&req->service->retries, now) < BACKUP_MIN_BUDGET)
--- /dev/null
+++ b/src/entry/authorize.c
@@ -0,0 +1,54 @@
+#include "entry/authorize.h"
+
+#include "entry/forward_impl.h"
+
+static const struct refusal refusals[] = {
+	[CUSTOMER_UNKNOWN_KEY] = { 401, 0, "unknown_key" },
+	[CUSTOMER_OUT_OF_CONTACT] = { 503, OUT_OF_CONTACT_RETRY_S,
+				      "out_of_contact" },
+};
+
+/* Identifies the customer of a request with these header fields. */
+static const struct refusal *identify(struct forward *forward,
+				      const struct headers *headers,
+				      bool is_public,
+				      struct customer **customer)
+{
+	struct request_facts facts;
+	enum customer_verdict verdict;
+
+	forward->options.protocol->read_request(headers, &facts);
+	verdict = customers_identify(forward->options.customers, facts.api_key,
+				     is_public, forward_now(forward), customer);
+	return verdict == CUSTOMER_ACCEPTED ? NULL : &refusals[verdict];
+}
+
+const struct refusal *authorize_arrival(struct forward *forward,
+					const struct http_request *request,
+					const struct route *route,
+					struct customer **customer)
+{
+	return identify(forward, request->headers, route && route->is_public,
+			customer);
+}
+
+const struct refusal *authorize_send(struct proxy_request *req)
+{
+	struct forward *forward = req->forward;
+	const struct config *config = roster_config(forward->options.roster);
+	const struct http_request *caller = req->caller;
+
+	if (!customers_required(forward->options.customers)) {
+		req->customer = NULL;
+		return NULL;
+	}
+	if (req->config_version != config->version) {
+		const struct route *route = config_route(
+			config, forward_host(caller), forward_path(caller));
+
+		req->config_version = config->version;
+		req->is_public = route && route->is_public;
+	}
+	return identify(forward, caller->headers, req->is_public,
+			&req->customer);
+}
--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -211,10 +211,17 @@
 	struct table_watch *operator_rows = cluster->options.operator_rows;
 	struct table_watch *upstream_rows = cluster->options.upstream_rows;
 	enum table_watch_peers peers = peers_of(cluster);
+	struct config_contact *contact =
+		customers_contact(cluster->options.customers);
 
 	cluster_update_row_versions(cluster,
 				    table_watch_row_version(operator_rows),
 				    table_watch_row_version(upstream_rows));
+	config_contact_tick(contact, cluster_now(cluster));
+	if (table_watch_row_version(operator_rows) >=
+	    cluster->row_versions.operator_rows)
+		config_contact_peer_heard(contact,
+					  cluster->row_versions_heard_s);
 	table_watch_set_peers(operator_rows, peers,
 			      cluster->row_versions.operator_rows);
 	table_watch_set_peers(upstream_rows, peers,
--- a/src/entry/cluster.h
+++ b/src/entry/cluster.h
@@ -8,6 +8,7 @@
 
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "customers/customers.h"
 #include "entry/crash_exchange.h"
 #include "entry/orders.h"
 #include "entry/settings.h"
@@ -39,6 +40,8 @@
 	void (*routing_changed)(void *ctx);
 	/** Requests that are blamed for crashes of upstreams. */
 	struct crash_watch *crashes;
+	/** Gets to know what other VMs say about the configuration's age. */
+	struct customers *customers;
 	void *ctx;
 };
 
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -130,6 +130,8 @@
 	 * of any backup. */
 	double last_relay_s;
 	double last_waiting_relay_s;
+	/** When another VM last told which rows of the store it knows. */
+	double row_versions_heard_s;
 	/** When this VM last sent: a relay as a backup, a heartbeat as leader,
 	 * its report to the leader, its load report, and as leader the outcomes
 	 * of requests. */
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -21,9 +21,11 @@
 static void apply_row_versions(struct cluster *cluster,
 			       const Progress *progress)
 {
-	if (progress)
-		cluster_update_row_versions(cluster, progress->operator_rows,
-					    progress->upstream_rows);
+	if (!progress)
+		return;
+	cluster_update_row_versions(cluster, progress->operator_rows,
+				    progress->upstream_rows);
+	cluster->row_versions_heard_s = cluster_now(cluster);
 }
 
 /* --- messages that the leader sends or handles --- */
@@ -354,7 +356,8 @@
 						  report, &address);
 		}
 	}
-	apply_row_versions(cluster, report->progress);
+	if (strcmp(report->vm->name, cluster->options.settings->vm) != 0)
+		apply_row_versions(cluster, report->progress);
 	apply_leaving(cluster, report);
 	for (i = 0; i < report->n_loads; i++)
 		count_keys(cluster, report->loads[i]->service,
@@ -416,6 +419,8 @@
 	}
 	roster_set_vms(cluster->options.roster, (unsigned int)beat->n_vms,
 		       names);
+	customers_set_vms(cluster->options.customers,
+			  (unsigned int)beat->n_vms);
 	lease_set_vms(cluster->lease, (unsigned int)beat->n_vms);
 	table_watch_set_vms(cluster->options.operator_rows,
 			    (unsigned int)beat->n_vms);
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -5,6 +5,7 @@
  */
 #include <string.h>
 
+#include "entry/authorize.h"
 #include "entry/forward_impl.h"
 
 /* An upstream gets as many requests beyond its slots as it completes within
@@ -553,11 +554,27 @@
 	attempt_send(req, upstream, false);
 }
 
+/* Refuses a request whose API key is no longer known.
+ *
+ * @return whether the request was refused and freed */
+static bool refuse_unauthorized(struct proxy_request *req)
+{
+	const struct refusal *refusal = authorize_send(req);
+
+	if (refusal)
+		proxy_request_refuse(req, refusal->status,
+				     refusal->retry_after_s, refusal->reason);
+	return refusal != NULL;
+}
+
 void dispatch_request(struct proxy_request *req)
 {
 	struct upstream *upstream;
-	enum choice choice = dispatch_choose(req, &upstream);
+	enum choice choice;
 
+	if (refuse_unauthorized(req))
+		return;
+	choice = dispatch_choose(req, &upstream);
 	if (choice == CHOICE_FOUND)
 		send_to(req, upstream);
 	else
@@ -568,11 +585,14 @@
  * longer be served in time. */
 static void retry_queued(struct proxy_request *req)
 {
-	struct upstream *upstream;
-	enum choice choice = dispatch_choose(req, &upstream);
 	double left = req->give_up_s - forward_now(req->forward);
 	double need = req->stats->mean_s;
+	struct upstream *upstream;
+	enum choice choice;
 
+	if (refuse_unauthorized(req))
+		return;
+	choice = dispatch_choose(req, &upstream);
 	if (choice == CHOICE_BUSY && req->key >= 0)
 		need = owner_expected_s(req);
 	else if (choice == CHOICE_NO_OWNER)
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "base/hash.h"
+#include "entry/authorize.h"
 #include "entry/forward_impl.h"
 
 /* Period, in seconds, at which queued requests are tried again, because no
@@ -59,6 +60,9 @@
 	forward->failed =
 		metrics_counter(m, "auburn_failed_total", "",
 				"Requests that failed and may have run.");
+	forward->unauthorized = metrics_counter(
+		m, "auburn_unauthorized_total", "",
+		"Requests refused because they have no known API key.");
 	forward->abandoned = metrics_counter(m, "auburn_abandoned_total", "",
 					     "Requests whose callers left.");
 	forward->retries = metrics_counter(m, "auburn_repeats_total", "",
@@ -120,7 +124,8 @@
 }
 
 /* Answers a request with an error of this daemon. */
-static void answer_with_error(struct http_request *request, unsigned int status,
+static void answer_with_error(const struct forward *forward,
+			      struct http_request *request, unsigned int status,
 			      double retry_after_s)
 {
 	struct headers *headers = headers_create();
@@ -131,10 +136,26 @@
 		g_ascii_formatd(text, sizeof(text), "%.3f", retry_after_s);
 		headers_add(headers, STR("Retry-After"), str_from(text));
 	}
+	if (status == UNAUTHORIZED)
+		headers_add(
+			headers, STR("WWW-Authenticate"),
+			str_from(forward->options.protocol->authentication));
 	http_request_answer(request, &answer);
 	headers_destroy(headers);
 }
 
+/* Counts a refusal or failure by its status. */
+static void count_error(const struct forward *forward, unsigned int status)
+{
+	struct counter *counter = forward->failed;
+
+	if (status == UNAUTHORIZED)
+		counter = forward->unauthorized;
+	else if (status == 503)
+		counter = forward->refused;
+	counter_add(counter, 1);
+}
+
 /* Logs an event of a request; detail holds more key=value pairs. */
 static void log_request(const struct proxy_request *req, const char *event,
 			unsigned int status, const char *detail)
@@ -143,12 +164,14 @@
 
 	event_log_write(req->forward->options.log, "info", "request",
 			"event=%s id=%.*s route=%s service=%s key=%d status=%u "
-			"%s sends=%u age_ms=%.0f left_ms=%.0f config=%" PRIu64,
+			"%s sends=%u age_ms=%.0f left_ms=%.0f config=%" PRIu64
+			" customer=%s",
 			event, STR_ARG(req->id), req->route_name,
 			req->service->name, req->key, status, detail,
 			req->sends, (now - req->received_s) * 1000,
 			(req->give_up_s - now) * 1000,
-			roster_config(req->forward->options.roster)->version);
+			roster_config(req->forward->options.roster)->version,
+			req->customer ? req->customer->name : "-");
 }
 
 void proxy_request_free(struct proxy_request *req)
@@ -178,7 +201,7 @@
 	char availability[160];
 	char detail[320];
 
-	if (status == 503 && req->may_have_run) {
+	if (status != 504 && req->may_have_run) {
 		if (req->error_answer) {
 			proxy_request_answer(req, req->error_answer, NULL);
 			return;
@@ -190,12 +213,12 @@
 	g_snprintf(detail, sizeof(detail), "reason=%s retry_after_ms=%.0f %s",
 		   reason, retry_after_s * 1000, availability);
 	log_request(req, "refused", status, detail);
-	counter_add(status == 503 ? forward->refused : forward->failed, 1);
+	count_error(forward, status);
 	req->caller = NULL;
 	/* Freed before the answer is sent: that frees the caller's request,
 	 * into which req->id points. */
 	proxy_request_free(req);
-	answer_with_error(caller, status, retry_after_s);
+	answer_with_error(forward, caller, status, retry_after_s);
 }
 
 /* Whether a header field of an upstream's answer is passed on; the server
@@ -317,7 +340,8 @@
 static struct proxy_request *proxy_request_create(struct forward *forward,
 						  struct http_request *request,
 						  const struct route *route,
-						  struct service *service)
+						  struct service *service,
+						  struct customer *customer)
 {
 	struct proxy_request *req = g_new0(struct proxy_request, 1);
 	struct request_facts facts;
@@ -334,7 +358,11 @@
 	req->id = facts.id;
 	req->key = service->config.keyed ? facts.key : -1;
 	req->kind = route->kind;
-	req->priority = route->priority;
+	req->customer = customer;
+	req->config_version = roster_config(forward->options.roster)->version;
+	req->is_public = route->is_public;
+	req->priority = customer && customer->has_priority ? customer->priority
+							   : route->priority;
 	req->max_attempts = MAX(route->max_attempts, 1);
 	req->objective_s = route->objective_s;
 	req->route_name = g_strdup(route->name);
@@ -352,8 +380,7 @@
 	return req;
 }
 
-/* Returns the request's host without the port; empty if there is none. */
-static struct str host_of(const struct http_request *request)
+struct str forward_host(const struct http_request *request)
 {
 	const struct header *h = headers_find(request->headers, STR("host"));
 	struct str host = h ? h->value : (struct str){ "", 0 };
@@ -364,8 +391,7 @@
 	return host;
 }
 
-/* Returns the request's path without the query. */
-static struct str path_of(const struct http_request *request)
+struct str forward_path(const struct http_request *request)
 {
 	struct str path = { request->target->str, request->target->len };
 	const char *query = memchr(path.data, '?', path.len);
@@ -375,7 +401,8 @@
 	return path;
 }
 
-/* Refuses a request for which there is no configuration, route or service. */
+/* Refuses a request for which there is no configuration, route or service, or
+ * that has no known API key. */
 static void refuse_unrouted(struct forward *forward,
 			    struct http_request *request, unsigned int status,
 			    double retry_after_s, const char *reason)
@@ -389,8 +416,11 @@
 			id ? (int)id->value.len : 1, id ? id->value.data : "-",
 			status, reason, (int)MIN(request->target->len, 120),
 			request->target->str);
-	counter_add(forward->refused, 1);
-	answer_with_error(request, status, retry_after_s);
+	if (status == UNAUTHORIZED)
+		count_error(forward, status);
+	else
+		counter_add(forward->refused, 1);
+	answer_with_error(forward, request, status, retry_after_s);
 }
 
 bool proxy_request_exceeds_shutdown(const struct proxy_request *req)
@@ -432,8 +462,10 @@
 void forward_request(struct forward *forward, struct http_request *request)
 {
 	const struct config *config = roster_config(forward->options.roster);
-	struct str host = host_of(request);
+	struct str host = forward_host(request);
 	const struct route *route;
+	const struct refusal *refusal;
+	struct customer *customer;
 	struct service *service;
 	struct proxy_request *req;
 
@@ -443,7 +475,15 @@
 				"no_configuration");
 		return;
 	}
-	route = config_route(config, host, path_of(request));
+	route = config_route(config, host, forward_path(request));
+	refusal = authorize_arrival(forward, request, route, &customer);
+	if (refusal) {
+		refuse_unrouted(forward, request, refusal->status,
+				refusal->retry_after_s, refusal->reason);
+		return;
+	}
+	if (customer)
+		counter_add(customer->requests, 1);
 	if (!route) {
 		refuse_unrouted(forward, request, 404, 0, "no_route");
 		return;
@@ -455,7 +495,7 @@
 		return;
 	}
 	retry_window_request(&service->retries, forward_now(forward));
-	req = proxy_request_create(forward, request, route, service);
+	req = proxy_request_create(forward, request, route, service, customer);
 	req->fingerprint = fingerprint_of(request, host);
 	if (req->key >= 0) {
 		uint16_t key = (uint16_t)req->key;
--- a/src/entry/forward.h
+++ b/src/entry/forward.h
@@ -8,6 +8,7 @@
 
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "customers/customers.h"
 #include "directory/protocol.h"
 #include "entry/crash_watch.h"
 #include "entry/links.h"
@@ -30,6 +31,8 @@
 	struct byte_budget *answers;
 	/** Requests that are suspected or blamed for crashes of upstreams. */
 	struct crash_watch *crashes;
+	/** Customers, of which requests need an API key. */
+	struct customers *customers;
 	/** Called when an answer said for the first time that its upstream
 	 * leaves. */
 	void (*said_leaving)(void *ctx);
--- a/src/entry/forward_impl.h
+++ b/src/entry/forward_impl.h
@@ -18,6 +18,9 @@
  * answer. */
 #define BAD_GATEWAY 502
 
+/** Status for a request without a known API key. */
+#define UNAUTHORIZED 401
+
 /** State of the forwarder. */
 struct forward {
 	/** Times of the graceful shutdown, as given to
@@ -43,6 +46,7 @@
 	struct counter *answered;
 	struct counter *refused;
 	struct counter *failed;
+	struct counter *unauthorized;
 	struct counter *abandoned;
 	struct counter *retries;
 	struct counter *backups;
@@ -152,6 +156,11 @@
 /** Frees a request whose caller was answered or is gone. */
 void proxy_request_free(struct proxy_request *req);
 
+/** Returns the request's host without the port; empty if there is none. */
+struct str forward_host(const struct http_request *request);
+/** Returns the request's path without the query. */
+struct str forward_path(const struct http_request *request);
+
 /** Returns the loop's time, in seconds. */
 double forward_now(const struct forward *forward);
 
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -11,6 +11,7 @@
 
 #include "base/address.h"
 #include "base/log.h"
+#include "customers/customers.h"
 #include "entry/cluster.h"
 #include "entry/forward.h"
 #include "entry/table_watch.h"
@@ -66,6 +67,7 @@
 	/** Metric: invalid routes of the configuration in force. */
 	struct counter *invalid_routes;
 	struct crash_watch *crashes;
+	struct customers *customers;
 	struct forward *forward;
 	struct cluster *cluster;
 	struct table_watch *operator_rows;
@@ -103,7 +105,7 @@
 	const struct directory_codec *d = entry->directory;
 	struct str value = { row->value->str, row->value->len };
 	GError *error = NULL;
-	unsigned int invalid_routes, invalid_services;
+	unsigned int invalid_routes, invalid_services, invalid_customers;
 	struct config *config;
 	uint64_t version;
 
@@ -124,17 +126,21 @@
 	version = config->version;
 	invalid_routes = config->invalid_routes;
 	invalid_services = config->invalid_services;
+	invalid_customers = config->invalid_customers;
 	http_server_set_limits(entry->caller_server, &config->limits);
 	if (!roster_set_config(entry->roster, config))
 		return;
 	counter_set(entry->invalid_routes, invalid_routes);
 	event_log_write(entry->log,
-			invalid_routes || invalid_services ? "warning" : "info",
+			invalid_routes || invalid_services || invalid_customers
+				? "warning"
+				: "info",
 			"config",
 			"event=in_force version=%" PRIu64 " row=%" PRIu64
-			" invalid_routes=%u invalid_services=%u",
-			version, row->version, invalid_routes,
-			invalid_services);
+			" invalid_routes=%u invalid_services=%u"
+			" invalid_customers=%u",
+			version, row->version, invalid_routes, invalid_services,
+			invalid_customers);
 }
 
 static void on_operator_removed(void *ctx, const char *key)
@@ -185,6 +191,14 @@
 	cluster_send_row_changes(entry->cluster);
 }
 
+static void on_operator_answered(void *ctx, double asked_s)
+{
+	struct entry_daemon *entry = ctx;
+
+	config_contact_store_answered(customers_contact(entry->customers),
+				      asked_s, now_of(entry));
+}
+
 static void on_loaded(void *ctx)
 {
 	struct entry_daemon *entry = ctx;
@@ -210,6 +224,7 @@
 	.row = on_operator_row,
 	.removed = on_operator_removed,
 	.changed = on_rows_changed,
+	.answered = on_operator_answered,
 	.loaded = on_loaded,
 	.reachability_changed = on_reachability_changed,
 };
@@ -304,6 +319,9 @@
 {
 	struct entry_daemon *entry = ctx;
 
+	if (roster_config(entry->roster))
+		customers_set_config(entry->customers,
+				     roster_config(entry->roster));
 	if (entry->forward)
 		forward_dispatch_queued(entry->forward);
 }
@@ -489,6 +507,7 @@
 		.roster_loaded = roster_loaded,
 		.routing_changed = roster_changed,
 		.crashes = entry->crashes,
+		.customers = entry->customers,
 		.ctx = entry,
 	};
 
@@ -528,6 +547,9 @@
 	store = table_store_interface(entry->table_store);
 	entry->store_calls = store_calls_create(entry->metrics);
 	store.calls = entry->store_calls;
+	entry->customers =
+		customers_create(entry->metrics, entry->settings->apply_s);
+	config_contact_tick(customers_contact(entry->customers), now_of(entry));
 	entry->roster = roster_create(&entry->loop, entry->settings,
 				      &roster_ops, entry);
 	create_answer_budget(entry);
@@ -550,6 +572,7 @@
 	forward.metrics = entry->metrics;
 	forward.answers = &entry->answers;
 	forward.crashes = entry->crashes;
+	forward.customers = entry->customers;
 	forward.said_leaving = on_said_leaving;
 	forward.ctx = entry;
 	entry->forward = forward_create(&forward);
@@ -580,6 +603,7 @@
 	forward_destroy(entry->forward);
 	crash_watch_destroy(entry->crashes);
 	roster_destroy(entry->roster);
+	customers_destroy(entry->customers);
 	metrics_destroy(entry->metrics);
 }
 
--- a/src/entry/proxy_request.h
+++ b/src/entry/proxy_request.h
@@ -52,7 +52,14 @@
 	/** Hash of host, method, target and body; names the request in the
 	 * crash list. */
 	uint64_t fingerprint;
-	/** Copies of the fields of struct route; see there. */
+	/** The customer whose API key the request has, or NULL. */
+	struct customer *customer;
+	/** The configuration by which the customer was identified, and whether
+	 * the route needs no API key by that. */
+	uint64_t config_version;
+	bool is_public;
+	/** Copies of the fields of struct route; see there. The priority may be
+	 * the customer's. */
 	enum route_kind kind;
 	unsigned int priority;
 	unsigned int max_attempts;
--- a/src/entry/table_watch.c
+++ b/src/entry/table_watch.c
@@ -256,6 +256,14 @@
 		MIN(table_watch->retry_delay_s * RETRY_FACTOR, RETRY_MAX_S);
 }
 
+/* Reports that the store's answer was applied. */
+static void report_answered(const struct table_watch *table_watch)
+{
+	if (table_watch->ops->answered)
+		table_watch->ops->answered(table_watch->ctx,
+					   table_watch->call_started_s);
+}
+
 static void on_snapshot_page(void *ctx, const struct store_result *result);
 
 static void read_page(struct table_watch *table_watch, const char *from)
@@ -321,6 +329,7 @@
 	if (!result->more || !result->row_count) {
 		remove_unseen_rows(table_watch);
 		g_clear_pointer(&table_watch->seen_keys, g_hash_table_destroy);
+		report_answered(table_watch);
 		finish_snapshot(table_watch);
 		return;
 	}
@@ -410,6 +419,7 @@
 	set_unreachable(table_watch, false);
 	set_catch_up_pause(table_watch);
 	apply_changes(table_watch, &changes);
+	report_answered(table_watch);
 	schedule(table_watch, pause_after(table_watch, result));
 	if (result->row_count)
 		table_watch->ops->changed(table_watch->ctx);
--- a/src/entry/table_watch.h
+++ b/src/entry/table_watch.h
@@ -38,6 +38,13 @@
 	 * VMs.
 	 */
 	void (*changed)(void *ctx);
+	/**
+	 * Called when the store answered and its answer was applied. May be
+	 * NULL.
+	 *
+	 * @param asked_s loop time at which the call was sent
+	 */
+	void (*answered)(void *ctx, double asked_s);
 	/** Called once, when the first snapshot is complete. */
 	void (*loaded)(void *ctx);
 	/**
--- a/test/standin/site.h
+++ b/test/standin/site.h
@@ -97,6 +97,10 @@
 	GPtrArray *upstreams;
 	/** Maps a request id to its number of executions. */
 	GHashTable *runs;
+	/** Maps a request id to the fields about its customer, as an upstream
+	 * received them last: "customer=NAME authorization=VALUE", with "-" for
+	 * a field that is missing. */
+	GHashTable *customers;
 	/** Number of grants of keys that another upstream still held. */
 	unsigned int double_owners;
 	/** Number of requests that an upstream got over its named limit. */
--- a/test/standin/site_main.c
+++ b/test/standin/site_main.c
@@ -56,6 +56,8 @@
 	site.upstreams = g_ptr_array_new();
 	site.runs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	site.customers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	store = site_store_create(&site);
 	site_put_config(&site, 1);
 	site_upstream_create(&site, "plain", "z1", false);
--- a/test/standin/site_store.c
+++ b/test/standin/site_store.c
@@ -282,7 +282,8 @@
 
 /* Handles a call of a test, /control/VERB?id=ID, and responds with the
  * counters. ID is the index of an upstream, except for these verbs:
- *   runs          ID is a request id, whose executions are counted
+ *   runs          ID is a request id, whose executions are counted, and whose
+ *                 fields about the customer are shown
  *   touch-config  ID is the version of the built-in configuration to write,
  *                 which moves a route, see site_put_config()
  *   config        no ID; the body is the configuration to write
@@ -303,11 +304,13 @@
 	unsigned int index = (unsigned int)g_ascii_strtoull(id, NULL, 10);
 	const char *verb = request->target->str + strlen("/control/");
 	char address[ADDRESS_TEXT_SIZE] = "";
+	const char *customer = NULL;
 	unsigned int runs = 0;
 
-	if (g_str_has_prefix(verb, "runs"))
+	if (g_str_has_prefix(verb, "runs")) {
 		runs = site_run_count(site, id);
-	else if (g_str_has_prefix(verb, "drain"))
+		customer = g_hash_table_lookup(site->customers, id);
+	} else if (g_str_has_prefix(verb, "drain"))
 		site_upstream_drain(site, index, true);
 	else if (g_str_has_prefix(verb, "undrain"))
 		site_upstream_drain(site, index, false);
@@ -341,7 +344,7 @@
 		site_put_row(site, "op", "config", request->body->str);
 	g_free(id);
 	answer_json(request, 200,
-		    json_pack("{sisisisisisisisisiss}", "runs", (int)runs,
+		    json_pack("{sisisisisisisisisissss}", "runs", (int)runs,
 			      "runs_by_old_service",
 			      (int)site->runs_by_old_service, "crashes",
 			      (int)site->crashes, "over_limit",
@@ -350,7 +353,8 @@
 			      (int)site->while_paused, "bodies_missing",
 			      (int)site->bodies_missing, "double_owners",
 			      (int)site->double_owners, "repeats",
-			      (int)site->repeats, "address", address));
+			      (int)site->repeats, "address", address,
+			      "customer", customer ? customer : ""));
 }
 
 static void on_request(void *ctx, struct http_request *request)
--- a/test/standin/site_upstream.c
+++ b/test/standin/site_upstream.c
@@ -373,6 +373,23 @@
 	ev_timer_start(upstream->site->loop.ev, &upstream->crash_timer);
 }
 
+/* Records the fields about a request's customer. */
+static void record_customer(const struct site *site,
+			    const struct http_request *request, const char *id)
+{
+	const struct header *customer =
+		headers_find(request->headers, STR("x-tenant"));
+	const struct header *authorization =
+		headers_find(request->headers, STR("authorization"));
+	struct str none = STR("-");
+	struct str name = customer ? customer->value : none;
+	struct str key = authorization ? authorization->value : none;
+
+	g_hash_table_replace(site->customers, g_strdup(id),
+			     g_strdup_printf("customer=%.*s authorization=%.*s",
+					     STR_ARG(name), STR_ARG(key)));
+}
+
 /* Executes a request: counts the execution of its id, and answers it after the
  * time that its path sets. */
 static void start_work(struct upstream *upstream, struct http_request *request,
@@ -387,6 +404,7 @@
 	guint runs = GPOINTER_TO_UINT(g_hash_table_lookup(site->runs, id));
 
 	check_moved(upstream, request);
+	record_customer(site, request, id);
 	if (!strcmp(request->method->str, "POST") &&
 	    !headers_find(request->headers, STR("content-length")))
 		site->bodies_missing++;
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -141,6 +141,134 @@
 	}
 }
 
+#define CONFIG_WITH_CUSTOMERS(customers)                                       \
+	"{\"version\":\"r1\",\"routes\":{\"columns\":[\"name\",\"host\","      \
+	"\"prefix\",\"kind\",\"service\",\"public\"],\"rows\":["               \
+	"[\"a\",\"h\",\"/a/\",\"safe\",\"s\",true],"                           \
+	"[\"b\",\"h\",\"/b/\",\"safe\",\"s\",null]]},"                         \
+	"\"services\":{\"columns\":[\"name\"],\"rows\":[[\"s\"]]}" customers   \
+	"}"
+#define CUSTOMER_ROWS(rows)                                                    \
+	",\"tenants\":{\"columns\":[\"name\",\"api_keys\",\"priority\","       \
+	"\"rate_per_s\",\"burst\"],\"rows\":[" rows "]}"
+
+/* Guards against a key that is taken for valid, or a configuration that is
+ * ignored, because one customer has an invalid value. */
+static void customers_are_decoded(void)
+{
+	static const struct {
+		const char *json;
+		bool has_customers;
+		unsigned int count, invalid;
+		/** Of the first customer. */
+		unsigned int keys;
+		bool has_priority;
+		double rate_per_s, burst;
+	} rows[] = {
+		{ CONFIG_WITH_CUSTOMERS(""), false, 0, 0, 0, false, 0, 0 },
+		{ CONFIG_WITH_CUSTOMERS(",\"tenants\":null"), false, 0, 0, 0,
+		  false, 0, 0 },
+		{ CONFIG_WITH_CUSTOMERS(CUSTOMER_ROWS("")), true, 0, 0, 0,
+		  false, 0, 0 },
+		{ CONFIG_WITH_CUSTOMERS(
+			  CUSTOMER_ROWS("[\"c\",[\"k1\",\"k2\"],1,233,200]")),
+		  true, 1, 0, 2, true, 233, 200 },
+		{ CONFIG_WITH_CUSTOMERS(
+			  CUSTOMER_ROWS("[\"c\",[\"k\"],null,null,null]")),
+		  true, 1, 0, 1, false, 0, 0 },
+		{ CONFIG_WITH_CUSTOMERS(CUSTOMER_ROWS("[\"c\",null,0,1.5,2]")),
+		  true, 1, 0, 0, true, 1.5, 2 },
+		/* Invalid keys, rates and names. */
+		{ CONFIG_WITH_CUSTOMERS(
+			  CUSTOMER_ROWS("[\"c\",[\"k\",\"\",7],0,1,1]")),
+		  true, 1, 1, 1, true, 1, 1 },
+		{ CONFIG_WITH_CUSTOMERS(CUSTOMER_ROWS("[\"c\",\"k\",0,1,1]")),
+		  true, 1, 1, 0, true, 1, 1 },
+		{ CONFIG_WITH_CUSTOMERS(
+			  CUSTOMER_ROWS("[\"c\",[\"k\"],0,-1,\"1\"]")),
+		  true, 1, 1, 1, true, 0, 0 },
+		{ CONFIG_WITH_CUSTOMERS(CUSTOMER_ROWS(
+			  "[\"c\\r\\nX: 1\",[\"k\"],0,1,1],"
+			  "[null,[\"l\"],0,1,1],[\"c\",[\"m\"],0,1,1]")),
+		  true, 1, 2, 1, true, 1, 1 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct config *config =
+			platform_decode_config(str_from(rows[i].json), NULL);
+		const struct customer_config *customer;
+
+		CU_ASSERT_PTR_NOT_NULL(config);
+		if (!config)
+			continue;
+		CU_ASSERT_EQUAL(config->has_customers, rows[i].has_customers);
+		CU_ASSERT_EQUAL(config->customer_count, rows[i].count);
+		CU_ASSERT_EQUAL(config->invalid_customers, rows[i].invalid);
+		CU_ASSERT_TRUE(config->routes[0].is_public);
+		CU_ASSERT_FALSE(config->routes[1].is_public);
+		customer = config->customers;
+		if (config->customer_count) {
+			CU_ASSERT_STRING_EQUAL(customer->name, "c");
+			CU_ASSERT_EQUAL(g_strv_length(customer->api_keys),
+					rows[i].keys);
+			CU_ASSERT_EQUAL(customer->has_priority,
+					rows[i].has_priority);
+			CU_ASSERT_EQUAL(customer->rate_per_s,
+					rows[i].rate_per_s);
+			CU_ASSERT_EQUAL(customer->burst, rows[i].burst);
+		}
+		config_free(config);
+	}
+	CU_ASSERT_PTR_NULL(platform_decode_config(
+		STR(CONFIG_WITH_CUSTOMERS(",\"tenants\":[]")), NULL));
+}
+
+/* Guards against a key that is read from something else, passed on to an
+ * upstream, or dropped where the deployment has no customers. */
+static void api_keys_are_read_and_not_passed_on(void)
+{
+	static const struct {
+		const char *line;
+		const char *key;
+	} rows[] = {
+		{ "Authorization: Token abc", "abc" },
+		{ "authorization: token abc", "abc" },
+		{ "Authorization: Token   abc", "abc" },
+		{ "Authorization: Token abc d", "abc d" },
+		{ "Authorization: Token", "" },
+		{ "Authorization: Token ", "" },
+		{ "Authorization: Tokenabc", "" },
+		{ "Authorization: Bearer abc", "" },
+		{ "X-Other: Token abc", "" },
+	};
+	const struct protocol *protocol = platform_protocol();
+	GString *out = g_string_new(NULL);
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct headers *headers = headers_create();
+		struct request_facts facts;
+
+		headers_add_line(headers, str_from(rows[i].line));
+		protocol->read_request(headers, &facts);
+		CU_ASSERT_TRUE(str_equal(facts.api_key, str_from(rows[i].key)));
+		headers_destroy(headers);
+	}
+	CU_ASSERT_TRUE(
+		protocol->is_rewritten_field(STR("AUTHORIZATION"), true));
+	CU_ASSERT_TRUE(protocol->is_rewritten_field(STR("x-tenant"), true));
+	CU_ASSERT_FALSE(
+		protocol->is_rewritten_field(STR("Authorization"), false));
+	CU_ASSERT_FALSE(protocol->is_rewritten_field(STR("X-Tenant"), false));
+	protocol->write_fields(out, 1, "u", "c");
+	CU_ASSERT_PTR_NOT_NULL(strstr(out->str, "X-Tenant: c\r\n"));
+	g_string_truncate(out, 0);
+	protocol->write_fields(out, 1, "u", NULL);
+	CU_ASSERT_PTR_NULL(strstr(out->str, "X-Tenant"));
+	g_string_free(out, TRUE);
+}
+
 /* An entry with all fields but one; more is appended to the others. */
 #define ENTRY_WITH(version, address, slots, state, cold, seq, more)            \
 	"{\"service\":\"s\",\"zone\":\"z\"" version address slots state cold   \
@@ -582,6 +710,9 @@
 		  malformed_configuration_is_refused },
 		{ "an invalid route leaves the others in force",
 		  invalid_route_leaves_the_others_in_force },
+		{ "customers are decoded", customers_are_decoded },
+		{ "API keys are read, and not passed on",
+		  api_keys_are_read_and_not_passed_on },
 		{ "malformed upstream entries are refused",
 		  malformed_upstream_entries_are_refused },
 		{ "grant and release requests name their upstream",
--- a/tools/check-names.sh
+++ b/tools/check-names.sh
@@ -7,7 +7,7 @@
 
 names='rows-(tx|get|feed|parts)|X-(Expect-Instance|Server-Load|Not-Executed'
 names="$names|Server-Signature|Instance-Id|Cold-Ms|Shard-Key|Handover)"
-names="$names|cold_left_s|hold_s\\\\\"|max_conns|AUBURNLOOM_NODE_FILE"
+names="$names|X-Tenant|cold_left_s|hold_s\\\\\"|max_conns|AUBURNLOOM_NODE_FILE"
 if git grep -nE "$names" -- 'src/*.[ch]'
 then
 	echo "check-names: the lines above use names of the platform;" \
