entry: quotas of customers over all VMs

A customer sends few requests per second to each VM, so that shares of its rate refuse requests within the quota. The leader keeps an account of each customer, from which all VMs draw in proportion to what all want; accounts that are well filled aren't sent. A VM without a fresh account spends slots of its share, which follow from the time alone. The leader leaves VMs that it lost their shares. Requests over the quota get 429 with Retry-After.

The token bucket and the smoothed demand of upstreams' limits become rate_account, which both use.

--- a/src/balance/upstream_limit.c
+++ b/src/balance/upstream_limit.c
@@ -9,10 +9,8 @@
  * LEVEL_MIN. Requests come unevenly, and the rate is kept over seconds. */
 #define LEVEL_S 0.6
 #define LEVEL_MIN 1.0
-/* Time constant of the smoothed rate of wanted requests, and shortest time
- * between two updates, in seconds. */
+/* Time constant of the smoothed rate of wanted requests, in seconds. */
 #define WANTED_SMOOTH_S 0.5
-#define WANTED_STEP_S 0.1
 /* Requests are admitted so that they use up the level in this many intervals
  * between two messages. A VM learns what the others sent after one or two. */
 #define HORIZON_INTERVALS 4.0
@@ -31,13 +29,26 @@
 	return fmax(per_s, PER_S_MIN);
 }
 
+/* Returns what an account allows. */
+static struct rate_terms terms_of(const struct limit_account *account)
+{
+	double rate = rate_of(account->per_s);
+
+	return (struct rate_terms){
+		.per_s = rate,
+		.level_min = -HUGE_VAL,
+		.level_max = fmax(rate * LEVEL_S, LEVEL_MIN),
+		.smooth_s = WANTED_SMOOTH_S,
+	};
+}
+
 void limit_account_name(struct limit_account *account, double per_s,
 			double now_s)
 {
 	limit_account_update(account, now_s);
 	/* A new account admits nothing until it knows how much is wanted. */
 	if (!account->named_s)
-		account->level -= rate_of(per_s) * WANTED_SMOOTH_S;
+		account->flow.level -= rate_of(per_s) * WANTED_SMOOTH_S;
 	account->per_s = per_s;
 	account->named_s = now_s;
 }
@@ -45,32 +56,16 @@
 void limit_account_charge(struct limit_account *account, unsigned int sent,
 			  unsigned int wanted, double now_s)
 {
-	limit_account_update(account, now_s);
-	account->level -= sent;
-	account->wanted += wanted;
+	struct rate_terms terms = terms_of(account);
+
+	rate_account_charge(&account->flow, &terms, sent, wanted, now_s);
 }
 
 void limit_account_update(struct limit_account *account, double now_s)
 {
-	double rate = rate_of(account->per_s);
-	double span = now_s - account->wanted_s;
+	struct rate_terms terms = terms_of(account);
 
-	if (!account->level_s) {
-		account->level_s = now_s;
-		account->wanted_s = now_s;
-		return;
-	}
-	account->level =
-		fmin(account->level + rate * (now_s - account->level_s),
-		     fmax(rate * LEVEL_S, LEVEL_MIN));
-	account->level_s = now_s;
-	if (span < WANTED_STEP_S)
-		return;
-	account->wanted_per_s +=
-		(1 - exp(-span / WANTED_SMOOTH_S)) *
-		(account->wanted / span - account->wanted_per_s);
-	account->wanted = 0;
-	account->wanted_s = now_s;
+	rate_account_update(&account->flow, &terms, now_s);
 }
 
 bool limit_account_expired(const struct limit_account *account, double now_s)
@@ -122,8 +117,8 @@
 	if (!limit->limited)
 		begin_limit(limit, now_s);
 	limit->per_s = account->per_s;
-	limit->level = account->level;
-	limit->wanted_per_s = account->wanted_per_s;
+	limit->level = account->flow.level;
+	limit->wanted_per_s = account->flow.wanted_per_s;
 	limit->account_s = now_s;
 	limit->sent_since_account = limit->unreported_sent;
 	limit->own_tokens_s = 0;
@@ -149,7 +144,7 @@
 	double wanted =
 		limit->wanted_per_s * HORIZON_INTERVALS * draw->interval_s;
 
-	return level > 0 && draw->random * wanted < level;
+	return rate_account_draw(level, wanted, draw->random);
 }
 
 /* Decides without an account: this VM's equal share of the rate. */
--- a/src/balance/upstream_limit.h
+++ b/src/balance/upstream_limit.h
@@ -10,21 +10,13 @@
 
 #include <stdbool.h>
 
+#include "balance/rate_account.h"
+
 /** The leader's account of a limited upstream; zero-initialized: new. */
 struct limit_account {
 	/** Requests per second that the upstream takes. */
 	double per_s;
-	/** Requests that may be sent now; negative after too many. */
-	double level;
-	/** When level was last raised by the rate; 0: never. */
-	double level_s;
-	/** Smoothed number per second of requests that were to be sent,
-	 * whether admitted or not. */
-	double wanted_per_s;
-	/** Such requests since wanted_per_s was last updated, and when that
-	 * was. */
-	double wanted;
-	double wanted_s;
+	struct rate_account flow;
 	/** When a VM last reported that an answer named the limit. */
 	double named_s;
 };
--- a/src/customers/config_contact.c
+++ b/src/customers/config_contact.c
@@ -28,9 +28,21 @@
 		contact->confirmed_s = now_s;
 }
 
+static bool is_after_backlog(const struct config_contact *contact,
+			     double heard_s)
+{
+	return !contact->resumed_s || heard_s > contact->resumed_s + BACKLOG_S;
+}
+
+bool config_contact_trusts(const struct config_contact *contact, double heard_s,
+			   double now_s)
+{
+	return is_after_backlog(contact, heard_s) && !is_frozen(contact, now_s);
+}
+
 void config_contact_peer_heard(struct config_contact *contact, double heard_s)
 {
-	if (!contact->resumed_s || heard_s > contact->resumed_s + BACKLOG_S)
+	if (is_after_backlog(contact, heard_s))
 		contact->confirmed_s = fmax(contact->confirmed_s, heard_s);
 }
 
--- a/src/customers/config_contact.h
+++ b/src/customers/config_contact.h
@@ -41,6 +41,14 @@
  */
 void config_contact_peer_heard(struct config_contact *contact, double heard_s);
 
+/**
+ * Returns whether a message that arrived at heard_s is as recent as that: the
+ * process isn't frozen, and the message was not in the socket's buffer while it
+ * was.
+ */
+bool config_contact_trusts(const struct config_contact *contact, double heard_s,
+			   double now_s);
+
 /** Returns whether the configuration was the newest at most age_s ago. */
 bool config_contact_is_current(const struct config_contact *contact,
 			       double age_s, double now_s);
--- a/src/customers/customers.c
+++ b/src/customers/customers.c
@@ -11,9 +11,24 @@
 /* Longest API key, in bytes; longer ones are unknown. */
 #define KEY_BYTES_MAX 255
 
+/* The leader's accounts are used for this many intervals between two messages,
+ * in seconds within these bounds: some are late or lost, and without them a VM
+ * can't notice that a customer sends more. */
+#define FRESH_INTERVALS 4.0
+#define FRESH_MIN_S 0.5
+#define FRESH_MAX_S 1.5
+
 struct customers {
 	struct metrics *metrics;
 	double apply_s;
+	struct quota_bounds bounds;
+	double started_s;
+	/** When the leader's accounts last arrived, 0: never, and for how long
+	 * they are used. */
+	double accounts_s;
+	double fresh_s;
+	/** Number of VMs that share the quotas; 0: unknown. */
+	unsigned int quota_vms;
 	unsigned int vms;
 	struct config_contact contact;
 	/** A configuration was set; its version, and whether it has customers.
@@ -21,8 +36,9 @@
 	bool has_config;
 	uint64_t version;
 	bool required;
-	/** All customers (struct customer) by name. */
+	/** All customers (struct customer) by name, and by hash. */
 	GHashTable *by_name;
+	GHashTable *by_hash;
 	/** The configured customers by API key, as bytes up to a NUL. */
 	GHashTable *by_key;
 };
@@ -35,12 +51,17 @@
 	g_free(customer);
 }
 
-struct customers *customers_create(struct metrics *metrics, double apply_s)
+struct customers *customers_create(struct metrics *metrics, double apply_s,
+				   const struct quota_bounds *bounds,
+				   double now_s)
 {
 	struct customers *customers = g_new0(struct customers, 1);
 
 	customers->metrics = metrics;
 	customers->apply_s = apply_s;
+	customers->bounds = *bounds;
+	customers->started_s = now_s;
+	customers->by_hash = g_hash_table_new(NULL, NULL);
 	customers->by_name = g_hash_table_new_full(g_str_hash, g_str_equal,
 						   NULL, free_customer);
 	customers->by_key =
@@ -53,6 +74,7 @@
 	if (!customers)
 		return;
 	g_hash_table_destroy(customers->by_key);
+	g_hash_table_destroy(customers->by_hash);
 	g_hash_table_destroy(customers->by_name);
 	g_free(customers);
 }
@@ -67,6 +89,12 @@
 	customer->requests = metrics_counter(
 		customers->metrics, "auburn_customer_requests_total", labels,
 		"Requests with an API key of the customer.");
+	customer->sent = metrics_counter(
+		customers->metrics, "auburn_customer_sent_total", labels,
+		"Requests of the customer that were sent to an upstream.");
+	customer->over_quota = metrics_counter(
+		customers->metrics, "auburn_customer_over_quota_total", labels,
+		"Requests of the customer that were refused with 429.");
 	g_free(labels);
 	g_free(name);
 }
@@ -82,7 +110,10 @@
 	customer = g_new0(struct customer, 1);
 	customer->name = g_strdup(name);
 	customer->hash = (uint32_t)hash_key(str_from(name));
+	customer->quota.phase = g_random_double();
 	create_metrics(customers, customer);
+	g_hash_table_insert(customers->by_hash,
+			    GUINT_TO_POINTER(customer->hash), customer);
 	g_hash_table_insert(customers->by_name, customer->name, customer);
 	return customer;
 }
@@ -96,6 +127,8 @@
 	customer->configured = true;
 	customer->has_priority = config->has_priority;
 	customer->priority = config->priority;
+	customer->quota.limit.per_s = config->rate_per_s;
+	customer->quota.limit.burst = config->burst;
 	/* A key of two customers stays that of the first one. */
 	for (key = config->api_keys; *key; key++)
 		if (!g_hash_table_contains(customers->by_key, *key))
@@ -155,10 +188,11 @@
 /* Whether the configuration in force may be relied on. */
 static bool is_current(const struct customers *customers, double now_s)
 {
-	return customers->vms == 1 ||
-	       config_contact_is_current(&customers->contact,
-					 customers->apply_s * CONTACT_SHARE,
-					 now_s);
+	bool alone = customers->vms == 1 && customers->quota_vms <= 1;
+
+	return alone || config_contact_is_current(
+				&customers->contact,
+				customers->apply_s * CONTACT_SHARE, now_s);
 }
 
 enum customer_verdict customers_identify(const struct customers *customers,
@@ -175,3 +209,104 @@
 	return *customer || is_public ? CUSTOMER_ACCEPTED
 				      : CUSTOMER_UNKNOWN_KEY;
 }
+
+/* Returns what all quotas have in common now. */
+static struct quota_view view_of(const struct customers *customers,
+				 double now_s)
+{
+	double until_s = customers->accounts_s + customers->fresh_s;
+	bool fresh = customers->accounts_s && now_s < until_s;
+
+	return (struct quota_view){
+		.bounds = customers->bounds,
+		.has_accounts = fresh && config_contact_trusts(
+						 &customers->contact,
+						 customers->accounts_s, now_s),
+		.share_since_s =
+			customers->accounts_s ? until_s : customers->started_s,
+		.vms = customers->quota_vms,
+	};
+}
+
+bool customers_still_admit(const struct customers *customers,
+			   const struct customer *customer, double random,
+			   double now_s, double *retry_after_s)
+{
+	struct quota_view view = view_of(customers, now_s);
+
+	if (quota_admits(&customer->quota, &view, random, now_s, retry_after_s))
+		return true;
+	counter_add(customer->over_quota, 1);
+	return false;
+}
+
+bool customers_admit(const struct customers *customers,
+		     struct customer *customer, double random, double now_s,
+		     double *retry_after_s)
+{
+	quota_record_wanted(&customer->quota);
+	return customers_still_admit(customers, customer, random, now_s,
+				     retry_after_s);
+}
+
+void customers_record_send(const struct customers *customers,
+			   struct customer *customer, double now_s)
+{
+	struct quota_view view = view_of(customers, now_s);
+
+	quota_record_send(&customer->quota, &view, now_s);
+	counter_add(customer->sent, 1);
+}
+
+void customers_apply_accounts(struct customers *customers, unsigned int vms,
+			      double interval_s, double now_s)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	customers->quota_vms = vms;
+	customers->accounts_s = now_s;
+	customers->fresh_s =
+		CLAMP(interval_s * FRESH_INTERVALS, FRESH_MIN_S, FRESH_MAX_S);
+	g_hash_table_iter_init(&iter, customers->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		quota_apply_account(&((struct customer *)value)->quota, NULL);
+}
+
+void customers_apply_account(struct customers *customers, uint32_t hash,
+			     const struct rate_account *account)
+{
+	struct customer *customer = customers_find(customers, hash);
+
+	if (customer)
+		quota_apply_account(&customer->quota, account);
+}
+
+unsigned int customers_quota_vms(const struct customers *customers)
+{
+	return customers->quota_vms;
+}
+
+const struct quota_bounds *
+customers_quota_bounds(const struct customers *customers)
+{
+	return &customers->bounds;
+}
+
+struct customer *customers_find(const struct customers *customers,
+				uint32_t hash)
+{
+	return g_hash_table_lookup(customers->by_hash, GUINT_TO_POINTER(hash));
+}
+
+void customers_each(const struct customers *customers,
+		    void (*visit)(struct customer *customer, void *ctx),
+		    void *ctx)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, customers->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		visit(value, ctx);
+}
--- a/src/customers/customers.h
+++ b/src/customers/customers.h
@@ -1,7 +1,7 @@
 /**
  * The customers of the configuration in force: who sent a request, by its API
- * key. Decides without I/O; times are seconds on one clock, which the caller
- * passes in.
+ * key, and whether the customer's quota has room for it. Decides without I/O;
+ * times are seconds on one clock, which the caller passes in.
  */
 #ifndef CUSTOMERS_CUSTOMERS_H
 #define CUSTOMERS_CUSTOMERS_H
@@ -12,6 +12,7 @@
 #include "base/metrics.h"
 #include "base/str.h"
 #include "customers/config_contact.h"
+#include "customers/quota.h"
 #include "directory/directory_defs.h"
 
 /** A customer; exists until the customers are destroyed, even if a later
@@ -25,8 +26,13 @@
 	/** Whether priority is given; it then replaces that of the route. */
 	bool has_priority;
 	unsigned int priority;
-	/** Metrics: requests with one of the customer's keys. */
+	struct quota quota;
+	/** Metrics: requests with one of the customer's keys, those that were
+	 * sent to an upstream, and those that were refused because of the
+	 * quota. */
 	struct counter *requests;
+	struct counter *sent;
+	struct counter *over_quota;
 };
 
 struct customers;
@@ -36,8 +42,12 @@
  *
  * @param apply_s time, in seconds, from a change of the configuration until it
  *        must be in force
+ * @param bounds copied
+ * @param now_s when this VM started
  */
-struct customers *customers_create(struct metrics *metrics, double apply_s);
+struct customers *customers_create(struct metrics *metrics, double apply_s,
+				   const struct quota_bounds *bounds,
+				   double now_s);
 /** Frees the set; NULL is allowed. */
 void customers_destroy(struct customers *customers);
 
@@ -81,4 +91,58 @@
 					 double now_s,
 					 struct customer **customer);
 
+/**
+ * Decides whether the quota of a request's customer has room for it. To be
+ * called once for each request, before it is sent for the first time.
+ *
+ * @param random from 0 up to, but not including, 1
+ * @param retry_after_s set to the time, in seconds, until there is probably
+ *        room, if there is none now
+ */
+bool customers_admit(const struct customers *customers,
+		     struct customer *customer, double random, double now_s,
+		     double *retry_after_s);
+
+/** Decides again about a request that was admitted and then queued; otherwise
+ * like customers_admit(). */
+bool customers_still_admit(const struct customers *customers,
+			   const struct customer *customer, double random,
+			   double now_s, double *retry_after_s);
+
+/** Charges a request that is sent for the first time. */
+void customers_record_send(const struct customers *customers,
+			   struct customer *customer, double now_s);
+
+/**
+ * Begins to apply the leader's accounts: those that
+ * customers_apply_account() doesn't set are well filled.
+ *
+ * @param vms number of VMs that share the quotas, with those that the leader
+ *        lost
+ * @param interval_s time between two messages with accounts
+ */
+void customers_apply_accounts(struct customers *customers, unsigned int vms,
+			      double interval_s, double now_s);
+
+/** Applies one account of the message. */
+void customers_apply_account(struct customers *customers, uint32_t hash,
+			     const struct rate_account *account);
+
+/** Returns the number of VMs that share the quotas; 0 if it is unknown. */
+unsigned int customers_quota_vms(const struct customers *customers);
+
+/** Returns how strictly quotas are kept. */
+const struct quota_bounds *
+customers_quota_bounds(const struct customers *customers);
+
+/** Finds a customer by its hash; returns NULL if there is none. */
+struct customer *customers_find(const struct customers *customers,
+				uint32_t hash);
+
+/** Calls visit for each customer, also for those that the configuration lacks.
+ */
+void customers_each(const struct customers *customers,
+		    void (*visit)(struct customer *customer, void *ctx),
+		    void *ctx);
+
 #endif
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -121,7 +121,9 @@
 	attempt->give_up_s = req->give_up_s;
 	attempt->busy_before = load_in_flight(&upstream->load, now);
 	req->attempts[unused_attempt_index(req)] = attempt;
-	req->sends++;
+	if (!req->sends++ && req->customer)
+		customers_record_send(forward->options.customers, req->customer,
+				      now);
 	record_tried_upstream(req, upstream);
 	load_start(&upstream->load, now);
 	upstream_record_send(forward->options.roster, upstream);
--- a/src/entry/authorize.c
+++ b/src/entry/authorize.c
@@ -52,3 +52,23 @@
 	return identify(forward, caller->headers, req->is_public,
 			&req->customer);
 }
+
+bool authorize_refuses_over_quota(struct proxy_request *req, bool queued)
+{
+	const struct forward *forward = req->forward;
+	const struct customers *customers = forward->options.customers;
+	double now = forward_now(forward);
+	double random = g_rand_double(forward->random);
+	double retry_after_s = 0;
+
+	if (!req->customer || req->sends)
+		return false;
+	if (queued ? customers_still_admit(customers, req->customer, random,
+					   now, &retry_after_s)
+		   : customers_admit(customers, req->customer, random, now,
+				     &retry_after_s))
+		return false;
+	proxy_request_refuse(req, TOO_MANY_REQUESTS, retry_after_s,
+			     "over_quota");
+	return true;
+}
--- a/src/entry/authorize.h
+++ b/src/entry/authorize.h
@@ -1,7 +1,7 @@
 /**
  * Authentication of callers' requests, when they arrive and before each time
- * that they are sent: the configuration may have changed in between. Private to
- * the forwarding module.
+ * that they are sent, because the configuration may have changed in between;
+ * and the quotas of customers. Private to the forwarding module.
  */
 #ifndef ENTRY_AUTHORIZE_H
 #define ENTRY_AUTHORIZE_H
@@ -39,4 +39,13 @@
  */
 const struct refusal *authorize_send(struct proxy_request *req);
 
+/**
+ * Refuses a request that hasn't been sent yet if its customer's quota has no
+ * room for it.
+ *
+ * @param queued the request was admitted before, and then queued
+ * @return whether the request was refused and freed
+ */
+bool authorize_refuses_over_quota(struct proxy_request *req, bool queued);
+
 #endif
--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -86,6 +86,8 @@
 	counter_set(cluster->leads, 1);
 	crash_exchange_resend(cluster->crash_exchange);
 	limit_exchange_begin(cluster->limit_exchange);
+	quota_exchange_begin(cluster->quota_exchange,
+			     live_vms_count(cluster->vms));
 	/* The heartbeat makes the other VMs stop competing for the lease. */
 	keys_changed(cluster);
 }
@@ -248,6 +250,7 @@
 
 	log_info("cluster", "VM %s timed out: no recent report", vm->name);
 	load_exchange_remove_vm(cluster->load_exchange, vm->name);
+	quota_exchange_vm_lost(cluster->quota_exchange, vm->name);
 	cluster->vms_changed = true;
 }
 
@@ -560,6 +563,8 @@
 		load_exchange_create(options->loop, options->roster);
 	cluster->limit_exchange =
 		limit_exchange_create(options->loop, options->roster);
+	cluster->quota_exchange =
+		quota_exchange_create(options->loop, options->customers);
 	create_crash_exchange(cluster);
 	create_copy_exchange(cluster);
 	cluster->hold_s = HOLD_S;
@@ -585,6 +590,7 @@
 	datagrams_destroy(cluster->datagrams);
 	load_exchange_destroy(cluster->load_exchange);
 	limit_exchange_destroy(cluster->limit_exchange);
+	quota_exchange_destroy(cluster->quota_exchange);
 	live_vms_destroy(cluster->vms);
 	g_hash_table_destroy(cluster->published_maps);
 	crash_exchange_destroy(cluster->crash_exchange);
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -11,6 +11,7 @@
 #include "entry/limit_exchange.h"
 #include "entry/live_vms.h"
 #include "entry/load_exchange.h"
+#include "entry/quota_exchange.h"
 #include "keys/lease.h"
 #include "keys/published_map.h"
 
@@ -80,6 +81,7 @@
 	struct datagrams *datagrams;
 	struct load_exchange *load_exchange;
 	struct limit_exchange *limit_exchange;
+	struct quota_exchange *quota_exchange;
 	struct copy_exchange *copy_exchange;
 	/** On the leader from the VMs' messages, elsewhere from its heartbeats.
 	 */
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -36,6 +36,7 @@
 	if (!live_vms_record(cluster->vms, name, address, cluster_now(cluster)))
 		return;
 	log_info("cluster", "VM %s is alive", name);
+	quota_exchange_vm_known(cluster->quota_exchange, name);
 	cluster->vms_changed = true;
 }
 
@@ -345,6 +346,8 @@
 		load_exchange_remove_vm(cluster->load_exchange,
 					report->vm->name);
 		live_vms_remove(cluster->vms, report->vm->name);
+		quota_exchange_vm_known(cluster->quota_exchange,
+					report->vm->name);
 		cluster->vms_changed = true;
 	} else {
 		struct sockaddr_in address;
@@ -518,6 +521,7 @@
 	load_exchange_apply_vm_report(cluster->load_exchange, loads->vm,
 				      loads->upstreams, loads->n_upstreams);
 	limit_exchange_apply_report(cluster->limit_exchange, loads);
+	quota_exchange_apply_report(cluster->quota_exchange, loads);
 }
 
 static void on_leader_loads(void *ctx, const LeaderLoads *loads)
@@ -528,6 +532,9 @@
 		return;
 	load_exchange_apply_totals(cluster->load_exchange, loads);
 	limit_exchange_apply_totals(cluster->limit_exchange, loads);
+	quota_exchange_apply_totals(
+		cluster->quota_exchange, loads,
+		roster_load_interval_s(cluster->options.roster));
 	cluster->options.routing_changed(cluster->options.ctx);
 }
 
@@ -541,6 +548,7 @@
 	out.upstreams = (UpstreamLoad **)own->pdata;
 	out.n_upstreams = own->len;
 	limit_exchange_fill_report(cluster->limit_exchange, &out);
+	quota_exchange_fill_report(cluster->quota_exchange, &out);
 	message.kind_case = PEER_MESSAGE__KIND_VM_LOADS;
 	message.vm_loads = &out;
 	if (cluster->leading)
@@ -550,6 +558,7 @@
 			       &message);
 	g_ptr_array_free(own, TRUE);
 	limit_exchange_release_report(&out);
+	quota_exchange_release_report(&out);
 }
 
 void cluster_send_load_totals(struct cluster *cluster)
@@ -566,11 +575,14 @@
 		cluster->outcomes_sent_s = now;
 	out->lease = lease_version(cluster->lease);
 	limit_exchange_fill_totals(cluster->limit_exchange, out);
+	quota_exchange_fill_totals(cluster->quota_exchange,
+				   live_vms_count(cluster->vms), out);
 	message.kind_case = PEER_MESSAGE__KIND_LEADER_LOADS;
 	message.leader_loads = out;
 	broadcast(cluster, &message);
 	on_leader_loads(cluster, out);
 	limit_exchange_release_totals(out);
+	quota_exchange_release_totals(out);
 	leader_loads_free(out);
 }
 
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -41,6 +41,11 @@
  * takes requests. */
 #define OWNER_WAIT_S 0.5
 
+/* Time in a queue, in seconds, after which a request's quota is checked again.
+ * Requests that waited for so long may be sent together with others that came
+ * since, and the quota counts when they are sent. */
+#define QUOTA_RECHECK_S 0.2
+
 /* Reason in the log: the upstream's limit leaves no room for the request. */
 #define OVER_LIMIT "over_the_limit"
 
@@ -581,6 +586,17 @@
 		wait_or_refuse(req, choice);
 }
 
+/* Sends a queued request, unless its customer used up its quota while it
+ * waited. */
+static void send_queued(struct proxy_request *req, struct upstream *upstream)
+{
+	double waited_s = forward_now(req->forward) - req->received_s;
+
+	if (waited_s < QUOTA_RECHECK_S ||
+	    !authorize_refuses_over_quota(req, true))
+		send_to(req, upstream);
+}
+
 /* Sends a queued request if an upstream can take it; refuses it if it can no
  * longer be served in time. */
 static void retry_queued(struct proxy_request *req)
@@ -603,7 +619,7 @@
 		proxy_request_refuse(req, 503, req->give_up_s - req->received_s,
 				     CRASHES_UPSTREAMS);
 	else if (choice == CHOICE_FOUND)
-		send_to(req, upstream);
+		send_queued(req, upstream);
 	else if (proxy_request_exceeds_shutdown(req))
 		proxy_request_refuse(req, 503, 0, "this_vm_stops");
 	else if (choice == CHOICE_OVER_LIMIT)
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -63,6 +63,9 @@
 	forward->unauthorized = metrics_counter(
 		m, "auburn_unauthorized_total", "",
 		"Requests refused because they have no known API key.");
+	forward->over_quota =
+		metrics_counter(m, "auburn_over_quota_total", "",
+				"Requests refused because of a quota.");
 	forward->abandoned = metrics_counter(m, "auburn_abandoned_total", "",
 					     "Requests whose callers left.");
 	forward->retries = metrics_counter(m, "auburn_repeats_total", "",
@@ -151,6 +154,8 @@
 
 	if (status == UNAUTHORIZED)
 		counter = forward->unauthorized;
+	else if (status == TOO_MANY_REQUESTS)
+		counter = forward->over_quota;
 	else if (status == 503)
 		counter = forward->refused;
 	counter_add(counter, 1);
@@ -511,6 +516,8 @@
 		proxy_request_refuse(req, 503, 0, "this_vm_stops");
 		return;
 	}
+	if (authorize_refuses_over_quota(req, false))
+		return;
 	proxy_request_arm_timer(req);
 	dispatch_request(req);
 }
--- a/src/entry/forward_impl.h
+++ b/src/entry/forward_impl.h
@@ -21,6 +21,9 @@
 /** Status for a request without a known API key. */
 #define UNAUTHORIZED 401
 
+/** Status for a request that its customer's quota has no room for. */
+#define TOO_MANY_REQUESTS 429
+
 /** State of the forwarder. */
 struct forward {
 	/** Times of the graceful shutdown, as given to
@@ -47,6 +50,7 @@
 	struct counter *refused;
 	struct counter *failed;
 	struct counter *unauthorized;
+	struct counter *over_quota;
 	struct counter *abandoned;
 	struct counter *retries;
 	struct counter *backups;
--- a/src/entry/limit_exchange.c
+++ b/src/entry/limit_exchange.c
@@ -161,8 +161,10 @@
 		message->upstream = GPOINTER_TO_UINT(key);
 		message->per_s_milli = to_milli(account->per_s);
 		message->level_milli = (int32_t)fmax(
-			fmin(account->level * MILLI, INT32_MAX), INT32_MIN);
-		message->wanted_per_s_milli = to_milli(account->wanted_per_s);
+			fmin(account->flow.level * MILLI, INT32_MAX),
+			INT32_MIN);
+		message->wanted_per_s_milli =
+			to_milli(account->flow.wanted_per_s);
 		g_ptr_array_add(messages, message);
 	}
 	loads->n_limits = messages->len;
@@ -196,8 +198,8 @@
 	}
 	account = (struct limit_account){
 		.per_s = message->per_s_milli / MILLI,
-		.level = message->level_milli / MILLI,
-		.wanted_per_s = message->wanted_per_s_milli / MILLI,
+		.flow.level = message->level_milli / MILLI,
+		.flow.wanted_per_s = message->wanted_per_s_milli / MILLI,
 	};
 	upstream_limit_apply_account(&upstream->limit, &account, now);
 }
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -528,6 +528,20 @@
 			      "Highest value of auburn_answer_bytes.");
 }
 
+static void create_customers(struct entry_daemon *entry)
+{
+	const struct quota_bounds bounds = {
+		.window_s = entry->settings->quota_window_s,
+		.overshoot = entry->settings->quota_overshoot,
+		.slack = entry->settings->quota_slack,
+	};
+
+	entry->customers =
+		customers_create(entry->metrics, entry->settings->apply_s,
+				 &bounds, now_of(entry));
+	config_contact_tick(customers_contact(entry->customers), now_of(entry));
+}
+
 /* Creates all modules and starts them; entry_close() frees them, also after a
  * failure. */
 static bool entry_open(struct entry_daemon *entry, GError **error)
@@ -547,9 +561,7 @@
 	store = table_store_interface(entry->table_store);
 	entry->store_calls = store_calls_create(entry->metrics);
 	store.calls = entry->store_calls;
-	entry->customers =
-		customers_create(entry->metrics, entry->settings->apply_s);
-	config_contact_tick(customers_contact(entry->customers), now_of(entry));
+	create_customers(entry);
 	entry->roster = roster_create(&entry->loop, entry->settings,
 				      &roster_ops, entry);
 	create_answer_budget(entry);
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -55,6 +55,10 @@
 	/** Longest time, in seconds, for which a grant lets an owner hold keys.
 	 */
 	double hold_max_s;
+	/** How strictly customers' quotas are kept, see struct quota_bounds. */
+	double quota_window_s;
+	double quota_overshoot;
+	double quota_slack;
 	/** Log lines per second; more are dropped and counted. */
 	double log_lines;
 };
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -2488,7 +2488,7 @@
   (ProtobufCMessageInit) vm_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor vm_loads__field_descriptors[3] =
+static const ProtobufCFieldDescriptor vm_loads__field_descriptors[6] =
 {
   {
     "vm",
@@ -2526,16 +2526,55 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota_customers",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(VmLoads, n_quota_customers),
+    offsetof(VmLoads, quota_customers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_sent",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(VmLoads, n_quota_sent),
+    offsetof(VmLoads, quota_sent),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_wanted",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(VmLoads, n_quota_wanted),
+    offsetof(VmLoads, quota_wanted),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned vm_loads__field_indices_by_name[] = {
   2,   /* field[2] = limits */
+  3,   /* field[3] = quota_customers */
+  4,   /* field[4] = quota_sent */
+  5,   /* field[5] = quota_wanted */
   1,   /* field[1] = upstreams */
   0,   /* field[0] = vm */
 };
 static const ProtobufCIntRange vm_loads__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor vm_loads__descriptor =
 {
@@ -2545,7 +2584,7 @@
   "VmLoads",
   "",
   sizeof(VmLoads),
-  3,
+  6,
   vm_loads__field_descriptors,
   vm_loads__field_indices_by_name,
   1,  vm_loads__number_ranges,
@@ -2629,7 +2668,7 @@
   (ProtobufCMessageInit) limit_account__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor leader_loads__field_descriptors[5] =
+static const ProtobufCFieldDescriptor leader_loads__field_descriptors[9] =
 {
   {
     "lease",
@@ -2691,18 +2730,70 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota_vms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(LeaderLoads, quota_vms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_customers",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(LeaderLoads, n_quota_customers),
+    offsetof(LeaderLoads, quota_customers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_levels",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_SINT32,
+    offsetof(LeaderLoads, n_quota_levels),
+    offsetof(LeaderLoads, quota_levels),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_wanted",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(LeaderLoads, n_quota_wanted),
+    offsetof(LeaderLoads, quota_wanted),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned leader_loads__field_indices_by_name[] = {
   2,   /* field[2] = busy */
   3,   /* field[3] = flights */
   0,   /* field[0] = lease */
   4,   /* field[4] = limits */
+  6,   /* field[6] = quota_customers */
+  7,   /* field[7] = quota_levels */
+  5,   /* field[5] = quota_vms */
+  8,   /* field[8] = quota_wanted */
   1,   /* field[1] = upstreams */
 };
 static const ProtobufCIntRange leader_loads__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor leader_loads__descriptor =
 {
@@ -2712,7 +2803,7 @@
   "LeaderLoads",
   "",
   sizeof(LeaderLoads),
-  5,
+  9,
   leader_loads__field_descriptors,
   leader_loads__field_indices_by_name,
   1,  leader_loads__number_ranges,
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -512,10 +512,20 @@
   UpstreamLoad **upstreams;
   size_t n_limits;
   VmLimit **limits;
+  /*
+   * Hashes of the names of customers with a quota, and for each, since the last
+   * message, the requests that were sent and those that were to be sent.
+   */
+  size_t n_quota_customers;
+  uint32_t *quota_customers;
+  size_t n_quota_sent;
+  uint32_t *quota_sent;
+  size_t n_quota_wanted;
+  uint32_t *quota_wanted;
 };
 #define VM_LOADS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&vm_loads__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -578,10 +588,26 @@
    */
   size_t n_limits;
   LimitAccount **limits;
+  /*
+   * Number of VMs that share the customers' quotas; 0: the message has no
+   * accounts of them.
+   */
+  uint32_t quota_vms;
+  /*
+   * Hashes of the names of customers whose accounts are not well filled, and
+   * for each the level and the requests per second that the VMs want to send,
+   * both in tenths.
+   */
+  size_t n_quota_customers;
+  uint32_t *quota_customers;
+  size_t n_quota_levels;
+  int32_t *quota_levels;
+  size_t n_quota_wanted;
+  uint32_t *quota_wanted;
 };
 #define LEADER_LOADS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&leader_loads__descriptor) \
-    , 0, 0,NULL, 0,NULL, {0,NULL}, 0,NULL }
+    , 0, 0,NULL, 0,NULL, {0,NULL}, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 typedef enum {
--- a/test/functional/test_entry_customers.c
+++ b/test/functional/test_entry_customers.c
@@ -39,6 +39,16 @@
 #define ROW_A_OTHER_KEY "[\"a\",[\"keya2\",\"keya3\"],null,null,null]"
 #define ROW_B ",[\"b\",[\"keyb\"],1,null,null]"
 
+/* A customer with a quota of QUOTA_PER_S requests per second and as many
+ * beyond, and the most that it may send within 5 s: (rate x 5 + burst) x 1.1 +
+ * 20. */
+#define QUOTA_PER_S 20
+#define QUOTA_WINDOW_US ((gint64)5 * G_USEC_PER_SEC)
+#define QUOTA_MOST 152
+#define ROW_QUOTA                                                              \
+	",[\"q\",[\"keyq\"],1," G_STRINGIFY(QUOTA_PER_S) "," G_STRINGIFY(      \
+		QUOTA_PER_S) "]"
+
 static struct entry_rig rig;
 
 static void put_config(unsigned int version, const char *customers)
@@ -52,7 +62,7 @@
 static void setup(void)
 {
 	entry_rig_start(&rig, ENTRIES, 6);
-	put_config(2, ROW_A ROW_B);
+	put_config(2, ROW_A ROW_B ROW_QUOTA);
 	g_usleep(APPLY_US);
 }
 
@@ -268,6 +278,128 @@
 	entry_rig_stop(&rig);
 }
 
+/* What a customer sends, and what it gets. */
+struct quota_row {
+	/** Time between two requests, and for how long they are sent. */
+	gint64 pause_us;
+	double span_s;
+	/** The leader is killed after 3 s. */
+	bool kill_leader;
+	/** Lowest share of the quota, or of the requests if they are fewer,
+	 * that is served, and highest share of the requests that are refused,
+	 * in percent. */
+	int served_percent, refused_percent;
+};
+
+/* Returns the largest number of times within QUOTA_WINDOW_US. */
+static guint most_in_window(const GArray *times)
+{
+	guint most = 0, first = 0, i;
+
+	for (i = 0; i < times->len; i++) {
+		gint64 at = g_array_index(times, gint64, i);
+
+		while (g_array_index(times, gint64, first) <
+		       at - QUOTA_WINDOW_US)
+			first++;
+		most = MAX(most, i - first + 1);
+	}
+	return most;
+}
+
+/* Returns the entry daemon that leads; -1 if there is none. */
+static int find_leader(void)
+{
+	unsigned int i;
+
+	for (i = 0; i < ENTRIES; i++) {
+		struct http_request request = { .address =
+							rig.entries[i].metrics,
+						.uri = "/metrics" };
+		struct http_answer *answer = http_send(&request);
+		bool leads =
+			strstr(answer->body->str, "\nauburn_leads 1") != NULL;
+
+		http_answer_destroy(answer);
+		if (leads)
+			return (int)i;
+	}
+	return -1;
+}
+
+static void run_quota_row(const struct quota_row *row)
+{
+	GArray *served = g_array_new(FALSE, FALSE, sizeof(gint64));
+	gint64 start = g_get_monotonic_time(), at = start;
+	int leader = find_leader(), killed = -1;
+	unsigned int sent = 0, refused = 0, other = 0;
+	double allowed;
+
+	while (at < start + (gint64)(row->span_s * G_USEC_PER_SEC)) {
+		unsigned int entry = sent++ % ENTRIES;
+		struct call call;
+		struct http_answer *answer;
+
+		if (row->kill_leader && killed < 0 && leader >= 0 &&
+		    at > start + (gint64)3 * G_USEC_PER_SEC) {
+			killed = leader;
+			process_kill(rig.entries[killed].process);
+		}
+		if ((int)entry == killed)
+			entry = (entry + 1) % ENTRIES;
+		answer = send_call(&call, entry, "/plain/x", "keyq", NULL);
+		if (answer->status == 200) {
+			g_array_append_val(served, at);
+		} else if (answer->status == 429) {
+			double wait_s = g_ascii_strtod(
+				http_header(answer, "retry-after"), NULL);
+
+			refused++;
+			CU_ASSERT_TRUE(wait_s > 0 && wait_s <= 5);
+			CU_ASSERT_EQUAL(entry_rig_runs(&rig, call.id), 0);
+		} else {
+			other++;
+		}
+		http_answer_destroy(answer);
+		at += row->pause_us;
+		if (at > g_get_monotonic_time())
+			g_usleep((gulong)(at - g_get_monotonic_time()));
+		at = g_get_monotonic_time();
+	}
+	allowed = MIN(QUOTA_PER_S * row->span_s, sent);
+	printf("# sent %u, served %u, most in 5 s %u, 429 %u, other %u\n", sent,
+	       served->len, most_in_window(served), refused, other);
+	CU_ASSERT_TRUE(most_in_window(served) <= QUOTA_MOST);
+	CU_ASSERT_TRUE(served->len * 100 >= row->served_percent * allowed);
+	CU_ASSERT_TRUE(refused * 100 <=
+		       (unsigned int)row->refused_percent * sent);
+	CU_ASSERT_TRUE(refused + served->len > 0);
+	if (!row->kill_leader)
+		CU_ASSERT_EQUAL(other, 0);
+	/* Another customer is not affected. */
+	CU_ASSERT_EQUAL(status_of(killed == 1 ? 2 : 1, "/plain/x", "keyb"),
+			200);
+	g_array_free(served, TRUE);
+}
+
+/* Guards against refusing requests within the quota, and against serving more
+ * than it allows, over several VMs and with the leader lost. */
+static void quotas_hold_over_all_vms(void)
+{
+	static const struct quota_row rows[] = {
+		{ G_USEC_PER_SEC / 12, 6, false, 100, 0 },
+		{ G_USEC_PER_SEC / 70, 9, false, 90, 90 },
+		{ G_USEC_PER_SEC / 70, 10, true, 50, 90 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		setup();
+		run_quota_row(&rows[i]);
+		entry_rig_stop(&rig);
+	}
+}
+
 static bool accepts_callers(void *ctx)
 {
 	(void)ctx;
@@ -307,6 +439,7 @@
 		  changes_of_keys_are_in_force_in_time },
 		{ "queued requests lose their key",
 		  queued_requests_lose_their_key },
+		{ "quotas hold over all VMs", quotas_hold_over_all_vms },
 		{ "a VM without a configuration refuses with 503",
 		  a_vm_without_a_configuration_refuses_with_503 },
 		{ 0 },
--- a/test/unit/test_customers.c
+++ b/test/unit/test_customers.c
@@ -52,7 +52,9 @@
 static struct customers *create(struct metrics *metrics,
 				const struct config *config)
 {
-	struct customers *customers = customers_create(metrics, APPLY_S);
+	static const struct quota_bounds bounds = { 5, 0.1, 20 };
+	struct customers *customers =
+		customers_create(metrics, APPLY_S, &bounds, 1);
 
 	config_contact_tick(customers_contact(customers), 1);
 	customers_set_config(customers, config);
