--- a/test/functional/test_entry_customers.c
+++ b/test/functional/test_entry_customers.c
@@ -45,9 +45,7 @@
 #define QUOTA_PER_S 20
 #define QUOTA_WINDOW_US ((gint64)5 * G_USEC_PER_SEC)
 #define QUOTA_MOST 152
-#define ROW_QUOTA                                                              \
-	",[\"q\",[\"keyq\"],1," G_STRINGIFY(QUOTA_PER_S) "," G_STRINGIFY(      \
-		QUOTA_PER_S) "]"
+#define ROW_QUOTA ",[\"q\",[\"keyq\"],1,20,20]"
 
 static struct entry_rig rig;
 
--- a/test/unit/test_customers.c
+++ b/test/unit/test_customers.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "customers/customers.h"
+#include "customers/lost_vms.h"
 #include "suite.h"
 
 #define APPLY_S 2.5
@@ -41,10 +42,8 @@
 /* Ticks until a time, starting at the last one. */
 static void tick_until(struct config_contact *contact, double until_s)
 {
-	double now_s;
-
-	for (now_s = contact->tick_s; now_s < until_s; now_s += TICK_S)
-		config_contact_tick(contact, now_s);
+	while (contact->tick_s + TICK_S < until_s)
+		config_contact_tick(contact, contact->tick_s + TICK_S);
 	config_contact_tick(contact, until_s);
 }
 
@@ -226,6 +225,29 @@
 	metrics_destroy(metrics);
 }
 
+/* Guards against a leader that spends the shares of VMs which it doesn't hear,
+ * or keeps the shares of those that stopped or are gone. */
+static void the_shares_of_lost_vms_are_kept(void)
+{
+	struct lost_vms *lost = lost_vms_create();
+
+	lost_vms_begin(lost, 2, 100);
+	CU_ASSERT_EQUAL(lost_vms_count(lost, 100), 2);
+	lost_vms_add(lost, "a", 200);
+	lost_vms_add(lost, "b", 200);
+	lost_vms_add(lost, "a", 250);
+	CU_ASSERT_EQUAL(lost_vms_count(lost, 300), 4);
+	lost_vms_remove(lost, "b");
+	lost_vms_remove(lost, "c");
+	CU_ASSERT_EQUAL(lost_vms_count(lost, 300), 3);
+	CU_ASSERT_EQUAL(lost_vms_count(lost, 701), 1);
+	CU_ASSERT_EQUAL(lost_vms_count(lost, 851), 0);
+	lost_vms_add(lost, "d", 900);
+	lost_vms_begin(lost, 0, 901);
+	CU_ASSERT_EQUAL(lost_vms_count(lost, 902), 0);
+	lost_vms_destroy(lost);
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -237,6 +259,8 @@
 		  a_vm_out_of_contact_relies_on_no_key },
 		{ "a frozen VM notices before its first tick",
 		  a_frozen_vm_notices_before_its_first_tick },
+		{ "the shares of lost VMs are kept",
+		  the_shares_of_lost_vms_are_kept },
 		{ 0 },
 	};
 
--- a/test/unit/test_quota.c
+++ b/test/unit/test_quota.c
@@ -57,8 +57,7 @@
 	double restart_s, restart_each_s;
 	/** No VM ever hears another one. */
 	bool deaf;
-	/** Requests that are sent at least, as a share of those that one token
-	 * bucket for all VMs would admit. */
+	/** Least requests, as a share of what one token bucket would admit. */
 	double used;
 };
 
@@ -388,8 +387,7 @@
 	return most;
 }
 
-/* Returns the requests that were sent, as a share of those that one token
- * bucket for all VMs would have admitted. */
+/* Returns the requests that were sent, as a share of the ideal ones. */
 static double share_used(const struct play *play)
 {
 	unsigned int sent = 0;
