customers: VMs join a leader's accounts after it knows their demand

A VM that hears a leader again, or a new one, goes on spending its share for 0.6 s and two intervals. The pause of a new leader is covered by the same rule.

--- a/src/customers/customers.c
+++ b/src/customers/customers.c
@@ -11,22 +11,32 @@
 /* Longest API key, in bytes; longer ones are unknown. */
 #define KEY_BYTES_MAX 255
 
-/* The leader's accounts are used for this many intervals between two messages,
- * in seconds within these bounds: some are late or lost, and without them a VM
- * can't notice that a customer sends more. */
-#define FRESH_INTERVALS 4.0
-#define FRESH_MIN_S 0.5
-#define FRESH_MAX_S 1.5
+/* The leader's accounts are used for two intervals between messages, because
+ * one may be lost, and this time, in seconds, in which one may be late. A
+ * longer time lets VMs that lose the leader send more when a customer's demand
+ * jumps. */
+#define FRESH_INTERVALS 2.0
+#define FRESH_LATE_S 0.25
+/* A VM that hears a leader begins to use its accounts after this many
+ * intervals, and this time in seconds. By then the leader knows what the VM
+ * sent lately and wants to send, and the smoothed rate of wanted requests comes
+ * near the true one. */
+#define JOIN_INTERVALS 2.0
+#define JOIN_S 0.6
 
 struct customers {
 	struct metrics *metrics;
 	double apply_s;
 	struct quota_bounds bounds;
-	double started_s;
-	/** When the leader's accounts last arrived, 0: never, and for how long
+	/** When the leader's accounts last arrived, 0: never, and until when
 	 * they are used. */
 	double accounts_s;
-	double fresh_s;
+	double fresh_until_s;
+	/** Lease of that leader, and from when on its accounts are used. */
+	uint64_t lease;
+	double joined_s;
+	/** Since when this VM has spent its share; holds until it joins. */
+	double share_since_s;
 	/** Number of VMs that share the quotas; 0: unknown. */
 	unsigned int quota_vms;
 	unsigned int vms;
@@ -60,7 +70,7 @@
 	customers->metrics = metrics;
 	customers->apply_s = apply_s;
 	customers->bounds = *bounds;
-	customers->started_s = now_s;
+	customers->share_since_s = now_s;
 	customers->by_hash = g_hash_table_new(NULL, NULL);
 	customers->by_name = g_hash_table_new_full(g_str_hash, g_str_equal,
 						   NULL, free_customer);
@@ -214,16 +224,18 @@
 static struct quota_view view_of(const struct customers *customers,
 				 double now_s)
 {
-	double until_s = customers->accounts_s + customers->fresh_s;
-	bool fresh = customers->accounts_s && now_s < until_s;
+	bool fresh = customers->accounts_s && now_s < customers->fresh_until_s;
+	bool joined = fresh && now_s >= customers->joined_s;
+	bool lapsed = !fresh && customers->accounts_s &&
+		      customers->fresh_until_s >= customers->joined_s;
 
 	return (struct quota_view){
 		.bounds = customers->bounds,
-		.has_accounts = fresh && config_contact_trusts(
-						 &customers->contact,
-						 customers->accounts_s, now_s),
-		.share_since_s =
-			customers->accounts_s ? until_s : customers->started_s,
+		.has_accounts = joined && config_contact_trusts(
+						  &customers->contact,
+						  customers->accounts_s, now_s),
+		.share_since_s = lapsed ? customers->fresh_until_s
+					: customers->share_since_s,
 		.vms = customers->quota_vms,
 	};
 }
@@ -258,16 +270,31 @@
 	counter_add(customer->sent, 1);
 }
 
-void customers_apply_accounts(struct customers *customers, unsigned int vms,
-			      double interval_s, double now_s)
+/* Begins to hear a leader: this VM goes on spending its share for a while. */
+static void begin_to_join(struct customers *customers, uint64_t lease,
+			  double interval_s, double now_s)
+{
+	struct quota_view view = view_of(customers, now_s);
+
+	customers->share_since_s =
+		view.has_accounts ? now_s : view.share_since_s;
+	customers->lease = lease;
+	customers->joined_s = now_s + interval_s * JOIN_INTERVALS + JOIN_S;
+}
+
+void customers_apply_accounts(struct customers *customers,
+			      const struct quota_news *news, double now_s)
 {
 	GHashTableIter iter;
 	gpointer value;
 
-	customers->quota_vms = vms;
+	if (!customers->accounts_s || now_s >= customers->fresh_until_s ||
+	    news->lease != customers->lease)
+		begin_to_join(customers, news->lease, news->interval_s, now_s);
+	customers->quota_vms = news->vms;
 	customers->accounts_s = now_s;
-	customers->fresh_s =
-		CLAMP(interval_s * FRESH_INTERVALS, FRESH_MIN_S, FRESH_MAX_S);
+	customers->fresh_until_s =
+		now_s + news->interval_s * FRESH_INTERVALS + FRESH_LATE_S;
 	g_hash_table_iter_init(&iter, customers->by_name);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		quota_apply_account(&((struct customer *)value)->quota, NULL);
--- a/src/customers/customers.h
+++ b/src/customers/customers.h
@@ -113,16 +113,23 @@
 void customers_record_send(const struct customers *customers,
 			   struct customer *customer, double now_s);
 
+/** What a message with the leader's accounts says besides the accounts. */
+struct quota_news {
+	/** Version of the leader's lease. */
+	uint64_t lease;
+	/** Number of VMs that share the quotas, with those that the leader
+	 * lost. */
+	unsigned int vms;
+	/** Time between two such messages, in seconds. */
+	double interval_s;
+};
+
 /**
  * Begins to apply the leader's accounts: those that
  * customers_apply_account() doesn't set are well filled.
- *
- * @param vms number of VMs that share the quotas, with those that the leader
- *        lost
- * @param interval_s time between two messages with accounts
  */
-void customers_apply_accounts(struct customers *customers, unsigned int vms,
-			      double interval_s, double now_s);
+void customers_apply_accounts(struct customers *customers,
+			      const struct quota_news *news, double now_s);
 
 /** Applies one account of the message. */
 void customers_apply_account(struct customers *customers, uint32_t hash,
--- a/src/customers/quota_accounts.c
+++ b/src/customers/quota_accounts.c
@@ -1,14 +1,7 @@
 #include "customers/quota_accounts.h"
 
-/* Time, in seconds, from when this VM leads until it sends accounts: an
- * interval of reports, a message, and the time in which the smoothed rate of
- * wanted requests comes near the true one. Earlier accounts would admit too
- * much. */
-#define WARM_UP_S 0.8
-
 struct quota_accounts {
 	struct customers *customers;
-	double begun_s;
 	/** Share of the rates that the VMs which this VM hears may spend. */
 	double share;
 	/** Accounts (struct rate_account) by customer (struct customer). */
@@ -33,10 +26,9 @@
 	g_free(accounts);
 }
 
-void quota_accounts_begin(struct quota_accounts *accounts, double now_s)
+void quota_accounts_begin(struct quota_accounts *accounts)
 {
 	g_hash_table_remove_all(accounts->accounts);
-	accounts->begun_s = now_s;
 }
 
 /* Returns a customer's account, up to date. A new one is empty: its customer
@@ -79,11 +71,6 @@
 	rate_account_charge(account, &terms, sent, wanted, now_s);
 }
 
-bool quota_accounts_ready(const struct quota_accounts *accounts, double now_s)
-{
-	return now_s >= accounts->begun_s + WARM_UP_S;
-}
-
 /* A walk over the accounts. */
 struct walk {
 	struct quota_accounts *accounts;
--- a/src/customers/quota_accounts.h
+++ b/src/customers/quota_accounts.h
@@ -15,7 +15,7 @@
 void quota_accounts_destroy(struct quota_accounts *accounts);
 
 /** Begins with empty accounts, because this VM begins to lead. */
-void quota_accounts_begin(struct quota_accounts *accounts, double now_s);
+void quota_accounts_begin(struct quota_accounts *accounts);
 
 /** Charges what a VM reports of a customer. A customer that the configuration
  * lacks is ignored. */
@@ -23,10 +23,6 @@
 			   unsigned int sent, unsigned int wanted,
 			   double now_s);
 
-/** Returns whether enough time has passed since quota_accounts_begin() to know
- * what all VMs want to send. Until then the accounts are not sent. */
-bool quota_accounts_ready(const struct quota_accounts *accounts, double now_s);
-
 /**
  * Calls visit for each account that isn't well filled, with up to date figures.
  *
--- a/src/entry/quota_exchange.c
+++ b/src/entry/quota_exchange.c
@@ -42,7 +42,7 @@
 	unsigned int shared = customers_quota_vms(exchange->customers);
 	double now = loop_now(exchange->loop);
 
-	quota_accounts_begin(exchange->accounts, now);
+	quota_accounts_begin(exchange->accounts);
 	lost_vms_begin(exchange->lost, shared > vms ? shared - vms : 0, now);
 }
 
@@ -153,8 +153,7 @@
 	unsigned int shared = vms + lost_vms_count(exchange->lost, now);
 	struct columns columns;
 
-	if (!customers_required(exchange->customers) || !vms ||
-	    !quota_accounts_ready(exchange->accounts, now))
+	if (!customers_required(exchange->customers) || !vms)
 		return;
 	columns = columns_create();
 	quota_accounts_each_listed(exchange->accounts, vms / (double)shared,
@@ -178,12 +177,17 @@
 void quota_exchange_apply_totals(struct quota_exchange *exchange,
 				 const LeaderLoads *loads, double interval_s)
 {
+	const struct quota_news news = {
+		.lease = loads->lease,
+		.vms = loads->quota_vms,
+		.interval_s = interval_s,
+	};
 	size_t i;
 
 	if (!loads->quota_vms)
 		return;
-	customers_apply_accounts(exchange->customers, loads->quota_vms,
-				 interval_s, loop_now(exchange->loop));
+	customers_apply_accounts(exchange->customers, &news,
+				 loop_now(exchange->loop));
 	for (i = 0; i < loads->n_quota_customers && i < loads->n_quota_levels &&
 		    i < loads->n_quota_wanted;
 	     i++) {
