--- a/src/customers/quota_accounts.c
+++ b/src/customers/quota_accounts.c
@@ -1,5 +1,9 @@
 #include "customers/quota_accounts.h"
 
+/* Time, in seconds, after which a VM that isn't heard counts as lost
+ * (live_vms_timeout_s()). What it spent meanwhile was not charged. */
+#define LOST_AFTER_S 2.0
+
 struct quota_accounts {
 	struct customers *customers;
 	/** Share of the rates that the VMs which this VM hears may spend. */
@@ -29,6 +33,7 @@
 void quota_accounts_begin(struct quota_accounts *accounts)
 {
 	g_hash_table_remove_all(accounts->accounts);
+	accounts->share = 1;
 }
 
 /* Returns a customer's account, up to date. A new one is empty: its customer
@@ -75,6 +80,8 @@
 struct walk {
 	struct quota_accounts *accounts;
 	double now_s;
+	/** Share of the VMs that were lost since the last walk. */
+	double lost;
 	void (*visit)(void *ctx, uint32_t customer,
 		      const struct rate_account *account);
 	void *ctx;
@@ -92,6 +99,8 @@
 	}
 	terms = terms_of(walk->accounts, customer);
 	account = ensure_account(walk->accounts, customer, &terms, walk->now_s);
+	account->level -=
+		customer->quota.limit.per_s * walk->lost * LOST_AFTER_S;
 	if (!quota_account_is_full(account, &terms))
 		walk->visit(walk->ctx, customer->hash, account);
 }
@@ -105,6 +114,7 @@
 	struct walk walk = {
 		.accounts = accounts,
 		.now_s = now_s,
+		.lost = MAX(accounts->share - share, 0),
 		.visit = visit,
 		.ctx = ctx,
 	};
--- a/test/functional/test_entry_customers.c
+++ b/test/functional/test_entry_customers.c
@@ -37,6 +37,7 @@
 	"\"header_timeout_s\":3,\"idle_timeout_s\":15}}"
 #define ROW_A "[\"a\",[\"keya1\",\"keya2\"],null,null,null]"
 #define ROW_A_OTHER_KEY "[\"a\",[\"keya2\",\"keya3\"],null,null,null]"
+#define ROW_URGENT ",[\"u\",[\"keyu\"],0,null,null]"
 #define ROW_B ",[\"b\",[\"keyb\"],1,null,null]"
 
 /* A customer with a quota of QUOTA_PER_S requests per second and as many
@@ -60,7 +61,7 @@
 static void setup(void)
 {
 	entry_rig_start(&rig, ENTRIES, 6);
-	put_config(2, ROW_A ROW_B ROW_QUOTA);
+	put_config(2, ROW_A ROW_B ROW_URGENT ROW_QUOTA);
 	g_usleep(APPLY_US);
 }
 
@@ -276,6 +277,46 @@
 	entry_rig_stop(&rig);
 }
 
+/* Guards against the route's priority for a customer that has its own: of two
+ * requests that wait, the customer's is sent first, although it came later. */
+static void a_customers_priority_precedes_the_routes(void)
+{
+	static const char *const waiters[] = { "keya1", "keyu" };
+	struct call calls[FILLERS + G_N_ELEMENTS(waiters)];
+	struct http_task *tasks[FILLERS + G_N_ELEMENTS(waiters)];
+	gint64 took_us[G_N_ELEMENTS(waiters)];
+	char uris[FILLERS][32];
+	unsigned int i;
+
+	setup();
+	/* The upstreams get room for one request after the other. */
+	for (i = 0; i < FILLERS; i++) {
+		g_snprintf(uris[i], sizeof(uris[i]), "/plain/work-ms-%u",
+			   1500 + 250 * i);
+		call_init(&calls[i], &rig.entries[i % ENTRIES], uris[i],
+			  "keya1", NULL);
+		tasks[i] = http_start(&calls[i].request);
+	}
+	for (i = 0; i < G_N_ELEMENTS(waiters); i++) {
+		g_usleep(G_USEC_PER_SEC / 2);
+		call_init(&calls[FILLERS + i], &rig.entries[0],
+			  "/plain/work-ms-1000", waiters[i], NULL);
+		tasks[FILLERS + i] = http_start(&calls[FILLERS + i].request);
+	}
+	for (i = 0; i < FILLERS + G_N_ELEMENTS(waiters); i++) {
+		struct http_answer *answer = http_join(tasks[i]);
+
+		CU_ASSERT_EQUAL(answer->status, 200);
+		if (i >= FILLERS)
+			took_us[i - FILLERS] = answer->took_us;
+		http_answer_destroy(answer);
+	}
+	printf("# %ld ms, urgent %ld ms\n", (long)(took_us[0] / 1000),
+	       (long)(took_us[1] / 1000));
+	CU_ASSERT_TRUE(took_us[1] + G_USEC_PER_SEC * 6 / 10 < took_us[0]);
+	entry_rig_stop(&rig);
+}
+
 /* What a customer sends, and what it gets. */
 struct quota_row {
 	/** Time between two requests, and for how long they are sent. */
@@ -437,6 +478,8 @@
 		  changes_of_keys_are_in_force_in_time },
 		{ "queued requests lose their key",
 		  queued_requests_lose_their_key },
+		{ "a customer's priority precedes the route's",
+		  a_customers_priority_precedes_the_routes },
 		{ "quotas hold over all VMs", quotas_hold_over_all_vms },
 		{ "a VM without a configuration refuses with 503",
 		  a_vm_without_a_configuration_refuses_with_503 },
--- a/test/unit/test_quota.c
+++ b/test/unit/test_quota.c
@@ -13,7 +13,7 @@
 
 #define VMS 82
 #define STEP_S 0.01
-/* Interval of reports and of accounts, as for 82 VMs. */
+/* Interval of reports and of accounts. */
 #define INTERVAL_STEPS 10
 /* A message takes up to this many steps; one of LOST_ONE_OF is lost. */
 #define DELAY_STEPS_MAX 20
@@ -89,9 +89,9 @@
 	unsigned int active_count;
 };
 
-static bool within(const struct play *play, double from_s, double until_s)
+static bool within(const struct play *play, double from_s, double to_s)
 {
-	return play->now_s >= from_s && play->now_s < until_s;
+	return play->now_s >= from_s && play->now_s < to_s;
 }
 
 static bool is_frozen(const struct play *play)
@@ -310,7 +310,6 @@
 		(each && step > first && (step - first) % each == 0));
 }
 
-/* Does what is due in one step besides requests. */
 static void run_step(struct play *play, unsigned int step)
 {
 	unsigned int vm;
@@ -391,8 +390,7 @@
 /* Returns the sent requests as a share of the ideal ones. */
 static double share_used(const struct play *play)
 {
-	unsigned int sent = 0;
-	guint i;
+	unsigned int i, sent = 0;
 
 	for (i = 0; i < play->sent->len; i++)
 		sent += g_array_index(play->sent, double, i) >= SETTLE_S;
