--- a/test/functional/test_entry_customers.c
+++ b/test/functional/test_entry_customers.c
@@ -284,7 +284,7 @@
 	static const char *const waiters[] = { "keya1", "keyu" };
 	struct call calls[FILLERS + G_N_ELEMENTS(waiters)];
 	struct http_task *tasks[FILLERS + G_N_ELEMENTS(waiters)];
-	gint64 took_us[G_N_ELEMENTS(waiters)];
+	gint64 took_us[G_N_ELEMENTS(waiters)] = { 0 };
 	char uris[FILLERS][32];
 	unsigned int i;
 
