--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/hash.h"
+#include "entry/authorize.h"
 #include "entry/forward_impl.h"
 
 /* Most attempts of a request, including those that did not run. */
@@ -31,11 +32,12 @@
 
 /* Whether a header field of the caller's request is passed on; build_message()
  * writes Content-Length itself. */
-static bool passes_to_upstream(const struct protocol *protocol, struct str name)
+static bool passes_to_upstream(const struct forward *forward, struct str name)
 {
 	return !headers_name_equal(name, STR("content-length")) &&
 	       !headers_name_equal(name, STR("expect")) &&
-	       !protocol->is_rewritten_field(name);
+	       !forward->options.protocol->is_rewritten_field(
+		       name, customers_required(forward->options.customers));
 }
 
 /* Builds the HTTP request for an upstream; the caller frees it.
@@ -54,12 +56,13 @@
 	for (i = 0; i < headers_count(caller->headers); i++) {
 		const struct header *h = headers_at(caller->headers, i);
 
-		if (passes_to_upstream(protocol, h->name))
+		if (passes_to_upstream(req->forward, h->name))
 			g_string_append_printf(out, "%.*s: %.*s\r\n",
 					       STR_ARG(h->name),
 					       STR_ARG(h->value));
 	}
-	protocol->write_fields(out, left_s, upstream->entry.id);
+	protocol->write_fields(out, left_s, upstream->entry.id,
+			       req->customer ? req->customer->name : NULL);
 	if (req->has_body || caller->body->len)
 		g_string_append_printf(out, "Content-Length: %zu\r\n",
 				       caller->body->len);
@@ -123,7 +126,9 @@
 	attempt->give_up_s = req->give_up_s;
 	attempt->busy_before = load_in_flight(&upstream->load, now);
 	req->attempts[unused_attempt_index(req)] = attempt;
-	req->sends++;
+	if (!req->sends++ && req->customer)
+		customers_record_send(forward->options.customers, req->customer,
+				      now);
 	record_tried_upstream(req, upstream);
 	load_start(&upstream->load, now);
 	upstream_record_send(forward->options.roster, upstream);
@@ -612,7 +617,8 @@
 	double now = forward_now(forward);
 	struct upstream *upstream;
 
-	if (crash_watch_blocks(forward->options.crashes, req->fingerprint))
+	if (crash_watch_blocks(forward->options.crashes, req->fingerprint) ||
+	    authorize_send(req))
 		return;
 	if (now + TIMER_TOLERANCE_S < backup_due_s(req) ||
 	    retry_window_left(&req->service->retries, now) < BACKUP_MIN_BUDGET)
--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -90,6 +90,8 @@
 	limit_exchange_begin(cluster->limit_exchange);
 	g_array_set_size(cluster->index_requests, 0);
 	g_array_set_size(cluster->snapshot_requests, 0);
+	quota_exchange_begin(cluster->quota_exchange,
+			     live_vms_count(cluster->vms));
 	/* The heartbeat makes the other VMs stop competing for the lease. */
 	cluster_keys_changed(cluster);
 }
@@ -243,10 +245,17 @@
 	struct table_watch *operator_rows = cluster->options.operator_rows;
 	struct table_watch *upstream_rows = cluster->options.upstream_rows;
 	enum table_watch_peers peers = peers_of(cluster);
+	struct config_contact *contact =
+		customers_contact(cluster->options.customers);
 
 	cluster_update_row_versions(cluster,
 				    table_watch_row_version(operator_rows),
 				    table_watch_row_version(upstream_rows));
+	config_contact_tick(contact, cluster_now(cluster));
+	if (table_watch_row_version(operator_rows) >=
+	    cluster->row_versions.operator_rows)
+		config_contact_peer_heard(contact,
+					  cluster->row_versions_heard_s);
 	table_watch_set_peers(operator_rows, peers,
 			      cluster->row_versions.operator_rows);
 	table_watch_set_peers(upstream_rows, peers,
@@ -273,6 +282,7 @@
 
 	log_info("cluster", "VM %s timed out: no recent report", vm->name);
 	load_exchange_remove_vm(cluster->load_exchange, vm->name);
+	quota_exchange_vm_lost(cluster->quota_exchange, vm->name);
 	cluster->vms_changed = true;
 }
 
@@ -502,6 +512,8 @@
 		g_array_new(FALSE, FALSE, sizeof(struct fanout_target));
 	cluster->limit_exchange =
 		limit_exchange_create(options->loop, options->roster);
+	cluster->quota_exchange =
+		quota_exchange_create(options->loop, options->customers);
 	create_crash_exchange(cluster);
 	cluster->bulk_sender =
 		bulk_sender_create(options->loop, cluster->datagrams,
@@ -536,6 +548,7 @@
 	g_array_free(cluster->index_requests, TRUE);
 	g_array_free(cluster->snapshot_requests, TRUE);
 	limit_exchange_destroy(cluster->limit_exchange);
+	quota_exchange_destroy(cluster->quota_exchange);
 	live_vms_destroy(cluster->vms);
 	g_hash_table_destroy(cluster->published_maps);
 	crash_exchange_destroy(cluster->crash_exchange);
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -12,6 +12,7 @@
 #include "entry/limit_exchange.h"
 #include "entry/live_vms.h"
 #include "entry/load_exchange.h"
+#include "entry/quota_exchange.h"
 #include "fanout/snapshots.h"
 #include "keys/lease.h"
 #include "keys/published_map.h"
@@ -80,6 +81,7 @@
 	 * upstreams in load messages. */
 	GArray *index_requests;
 	struct limit_exchange *limit_exchange;
+	struct quota_exchange *quota_exchange;
 	struct copy_exchange *copy_exchange;
 	struct bulk_sender *bulk_sender;
 	struct change_push *change_push;
@@ -136,6 +138,8 @@
 	 * of any backup. */
 	double last_relay_s;
 	double last_waiting_relay_s;
+	/** When another VM last told which rows of the store it knows. */
+	double row_versions_heard_s;
 	/** When this VM last sent: a relay as a backup, a heartbeat as leader,
 	 * its report to the leader, its load report, and as leader the outcomes
 	 * of requests. */
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -20,9 +20,11 @@
 static void apply_row_versions(struct cluster *cluster,
 			       const Progress *progress)
 {
-	if (progress)
-		cluster_update_row_versions(cluster, progress->operator_rows,
-					    progress->upstream_rows);
+	if (!progress)
+		return;
+	cluster_update_row_versions(cluster, progress->operator_rows,
+				    progress->upstream_rows);
+	cluster->row_versions_heard_s = cluster_now(cluster);
 }
 
 /* --- messages that the leader sends or handles --- */
@@ -35,6 +37,7 @@
 			     cluster_now(cluster)))
 		return;
 	log_info("cluster", "VM %s is alive", name);
+	quota_exchange_vm_known(cluster->quota_exchange, name);
 	cluster->vms_changed = true;
 }
 
@@ -94,6 +97,8 @@
 		load_exchange_remove_vm(cluster->load_exchange,
 					report->vm->name);
 		live_vms_remove(cluster->vms, report->vm->name);
+		quota_exchange_vm_known(cluster->quota_exchange,
+					report->vm->name);
 		cluster->vms_changed = true;
 	} else {
 		struct sockaddr_in address;
@@ -108,7 +113,8 @@
 					    &address, report->vm->zone);
 		}
 	}
-	apply_row_versions(cluster, report->progress);
+	if (strcmp(report->vm->name, cluster->options.settings->vm) != 0)
+		apply_row_versions(cluster, report->progress);
 	apply_leaving(cluster, report);
 }
 
@@ -167,6 +173,8 @@
 	}
 	roster_set_vms(cluster->options.roster, (unsigned int)beat->n_vms,
 		       names);
+	customers_set_vms(cluster->options.customers,
+			  (unsigned int)beat->n_vms);
 	lease_set_vms(cluster->lease, (unsigned int)beat->n_vms);
 	table_watch_set_vms(cluster->options.operator_rows,
 			    (unsigned int)beat->n_vms);
@@ -303,6 +311,7 @@
 	if (loads->wants_index && vm)
 		add_request(cluster->index_requests, &vm->address, vm->zone);
 	limit_exchange_apply_report(cluster->limit_exchange, loads);
+	quota_exchange_apply_report(cluster->quota_exchange, loads);
 }
 
 static void on_leader_loads(void *ctx, const LeaderLoads *loads)
@@ -313,6 +322,9 @@
 		return;
 	load_exchange_apply_totals(cluster->load_exchange, loads);
 	limit_exchange_apply_totals(cluster->limit_exchange, loads);
+	quota_exchange_apply_totals(
+		cluster->quota_exchange, loads,
+		roster_load_interval_s(cluster->options.roster));
 	cluster->options.routing_changed(cluster->options.ctx);
 }
 
@@ -352,6 +364,7 @@
 	out.vm = cluster->options.settings->vm;
 	load_exchange_fill_report(cluster->load_exchange, &out);
 	limit_exchange_fill_report(cluster->limit_exchange, &out);
+	quota_exchange_fill_report(cluster->quota_exchange, &out);
 	message.kind_case = PEER_MESSAGE__KIND_VM_LOADS;
 	message.vm_loads = &out;
 	if (cluster->leading)
@@ -363,6 +376,7 @@
 	g_ptr_array_free(keys, TRUE);
 	load_exchange_release_report(&out);
 	limit_exchange_release_report(&out);
+	quota_exchange_release_report(&out);
 }
 
 void cluster_send_load_totals(struct cluster *cluster)
@@ -379,12 +393,15 @@
 		cluster->outcomes_sent_s = now;
 	out->lease = lease_version(cluster->lease);
 	limit_exchange_fill_totals(cluster->limit_exchange, out);
+	quota_exchange_fill_totals(cluster->quota_exchange,
+				   live_vms_count(cluster->vms), out);
 	message.kind_case = PEER_MESSAGE__KIND_LEADER_LOADS;
 	message.leader_loads = out;
 	cluster_broadcast(cluster, FANOUT_ONCE, &message);
 	on_leader_loads(cluster, out);
 	send_load_index(cluster);
 	limit_exchange_release_totals(out);
+	quota_exchange_release_totals(out);
 	leader_loads_free(out);
 }
 
--- a/src/entry/forward_impl.h
+++ b/src/entry/forward_impl.h
@@ -18,6 +18,12 @@
  * answer. */
 #define BAD_GATEWAY 502
 
+/** Status for a request without a known API key. */
+#define UNAUTHORIZED 401
+
+/** Status for a request that its customer's quota has no room for. */
+#define TOO_MANY_REQUESTS 429
+
 /** State of the forwarder. */
 struct forward {
 	/** Times of the graceful shutdown, as given to
@@ -48,6 +54,8 @@
 	struct counter *answered;
 	struct counter *refused;
 	struct counter *failed;
+	struct counter *unauthorized;
+	struct counter *over_quota;
 	struct counter *abandoned;
 	struct counter *retries;
 	struct counter *backups;
@@ -162,6 +170,11 @@
 /** Frees a request whose caller was answered or is gone. */
 void proxy_request_free(struct proxy_request *req);
 
+/** Returns the request's host without the port; empty if there is none. */
+struct str forward_host(const struct http_request *request);
+/** Returns the request's path without the query. */
+struct str forward_path(const struct http_request *request);
+
 /** Returns the loop's time, in seconds. */
 double forward_now(const struct forward *forward);
 
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -2616,7 +2616,7 @@
   (ProtobufCMessageInit) vm_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor vm_loads__field_descriptors[8] =
+static const ProtobufCFieldDescriptor vm_loads__field_descriptors[11] =
 {
   {
     "vm",
@@ -2654,6 +2654,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota_customers",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(VmLoads, n_quota_customers),
+    offsetof(VmLoads, quota_customers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_sent",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(VmLoads, n_quota_sent),
+    offsetof(VmLoads, quota_sent),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_wanted",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(VmLoads, n_quota_wanted),
+    offsetof(VmLoads, quota_wanted),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "keys",
     15,
@@ -2716,21 +2752,24 @@
   },
 };
 static const unsigned vm_loads__field_indices_by_name[] = {
-  4,   /* field[4] = index_count */
-  5,   /* field[5] = index_sum */
-  3,   /* field[3] = keys */
+  7,   /* field[7] = index_count */
+  8,   /* field[8] = index_sum */
+  6,   /* field[6] = keys */
   2,   /* field[2] = limits */
-  6,   /* field[6] = loads */
+  9,   /* field[9] = loads */
+  3,   /* field[3] = quota_customers */
+  4,   /* field[4] = quota_sent */
+  5,   /* field[5] = quota_wanted */
   1,   /* field[1] = upstreams */
   0,   /* field[0] = vm */
-  7,   /* field[7] = wants_index */
+  10,   /* field[10] = wants_index */
 };
 static const ProtobufCIntRange vm_loads__number_ranges[3 + 1] =
 {
   { 1, 0 },
-  { 15, 3 },
-  { 20, 4 },
-  { 0, 8 }
+  { 15, 6 },
+  { 20, 7 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor vm_loads__descriptor =
 {
@@ -2740,7 +2779,7 @@
   "VmLoads",
   "",
   sizeof(VmLoads),
-  8,
+  11,
   vm_loads__field_descriptors,
   vm_loads__field_indices_by_name,
   3,  vm_loads__number_ranges,
@@ -2824,7 +2863,7 @@
   (ProtobufCMessageInit) limit_account__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor leader_loads__field_descriptors[7] =
+static const ProtobufCFieldDescriptor leader_loads__field_descriptors[11] =
 {
   {
     "lease",
@@ -2850,6 +2889,54 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota_vms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(LeaderLoads, quota_vms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_customers",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(LeaderLoads, n_quota_customers),
+    offsetof(LeaderLoads, quota_customers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_levels",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_SINT32,
+    offsetof(LeaderLoads, n_quota_levels),
+    offsetof(LeaderLoads, quota_levels),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_wanted",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(LeaderLoads, n_quota_wanted),
+    offsetof(LeaderLoads, quota_wanted),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "index_count",
     20,
@@ -2912,20 +2999,24 @@
   },
 };
 static const unsigned leader_loads__field_indices_by_name[] = {
-  5,   /* field[5] = flights */
-  2,   /* field[2] = index_count */
-  4,   /* field[4] = index_recent */
-  3,   /* field[3] = index_sum */
+  9,   /* field[9] = flights */
+  6,   /* field[6] = index_count */
+  8,   /* field[8] = index_recent */
+  7,   /* field[7] = index_sum */
   0,   /* field[0] = lease */
   1,   /* field[1] = limits */
-  6,   /* field[6] = outcomes */
+  10,   /* field[10] = outcomes */
+  3,   /* field[3] = quota_customers */
+  4,   /* field[4] = quota_levels */
+  2,   /* field[2] = quota_vms */
+  5,   /* field[5] = quota_wanted */
 };
 static const ProtobufCIntRange leader_loads__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 5, 1 },
-  { 20, 2 },
-  { 0, 7 }
+  { 20, 6 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor leader_loads__descriptor =
 {
@@ -2935,7 +3026,7 @@
   "LeaderLoads",
   "",
   sizeof(LeaderLoads),
-  7,
+  11,
   leader_loads__field_descriptors,
   leader_loads__field_indices_by_name,
   3,  leader_loads__number_ranges,
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -541,6 +541,16 @@
   UpstreamLoad **upstreams;
   size_t n_limits;
   VmLimit **limits;
+  /*
+   * Hashes of the names of customers with a quota, and for each, since the last
+   * message, the requests that were sent and those that were to be sent.
+   */
+  size_t n_quota_customers;
+  uint32_t *quota_customers;
+  size_t n_quota_sent;
+  uint32_t *quota_sent;
+  size_t n_quota_wanted;
+  uint32_t *quota_wanted;
   /*
    * Requested keys, so that hot keys are seen as fast as loads.
    */
@@ -564,7 +574,7 @@
 };
 #define VM_LOADS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&vm_loads__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0, 0, {0,NULL}, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, {0,NULL}, 0 }
 
 
 /*
@@ -611,6 +621,22 @@
    */
   size_t n_limits;
   LimitAccount **limits;
+  /*
+   * Number of VMs that share the customers' quotas; 0: the message has no
+   * accounts of them.
+   */
+  uint32_t quota_vms;
+  /*
+   * Hashes of the names of customers whose accounts are not well filled, and
+   * for each the level and the requests per second that the VMs want to send,
+   * both in tenths.
+   */
+  size_t n_quota_customers;
+  uint32_t *quota_customers;
+  size_t n_quota_levels;
+  int32_t *quota_levels;
+  size_t n_quota_wanted;
+  uint32_t *quota_wanted;
   /*
    * The leader's numbers of upstreams: how many, their sum, and the hashes of
    * the ids that were numbered lately, which are the last ones.
@@ -631,7 +657,7 @@
 };
 #define LEADER_LOADS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&leader_loads__descriptor) \
-    , 0, 0,NULL, 0, 0, 0,NULL, {0,NULL}, {0,NULL} }
+    , 0, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, {0,NULL}, {0,NULL} }
 
 
 /*
