--- a/src/entry/change_push.c
+++ b/src/entry/change_push.c
@@ -95,7 +95,7 @@
 /* Sends the changes of a table after a version. */
 static void send_changes(struct change_push *push, enum copied_table table,
 			 const struct table_delta *recent, uint64_t after,
-			 uint64_t lease, const GArray *to)
+			 uint64_t term, const GArray *to)
 {
 	struct table_delta changes = last_changes(recent, after);
 	GByteArray *bytes = table_copy_encode(&changes);
@@ -108,7 +108,7 @@
 			changes.upto, changes.count, bytes ? bytes->len : 0,
 			to->len);
 	if (bytes) {
-		header.lease = lease;
+		header.term = term;
 		header.table = table;
 		header.upto = changes.upto;
 		header.is_changes = true;
@@ -123,7 +123,7 @@
 }
 
 static void send_table(struct change_push *push, enum copied_table table,
-		       uint64_t lease, const GArray *to)
+		       uint64_t term, const GArray *to)
 {
 	struct pushed *pushed = &push->tables[table];
 	double now = loop_now(push->options.loop);
@@ -136,21 +136,20 @@
 	}
 	recent = table_watch_recent_delta(pushed->watch);
 	if (recent.upto > pushed->upto) {
-		send_changes(push, table, &recent, pushed->upto, lease, to);
+		send_changes(push, table, &recent, pushed->upto, term, to);
 		pushed->upto = recent.upto;
 		pushed->sent_s = now;
 	} else if (recent.upto > pushed->repeated_upto &&
 		   now >= pushed->sent_s + REPEAT_S) {
-		send_changes(push, table, &recent, 0, lease, to);
+		send_changes(push, table, &recent, 0, term, to);
 		pushed->repeated_upto = recent.upto;
 	}
 }
 
-void change_push_send(struct change_push *push, uint64_t lease,
-		      const GArray *to)
+void change_push_send(struct change_push *push, uint64_t term, const GArray *to)
 {
-	send_table(push, COPIED_OPERATOR_ROWS, lease, to);
-	send_table(push, COPIED_UPSTREAM_ROWS, lease, to);
+	send_table(push, COPIED_OPERATOR_ROWS, term, to);
+	send_table(push, COPIED_UPSTREAM_ROWS, term, to);
 }
 
 void change_push_apply(struct change_push *push, const TableCopyPart *part)
--- a/src/entry/change_push.h
+++ b/src/entry/change_push.h
@@ -47,10 +47,10 @@
  * Sends the large changes that are new or due a second time; to be called when
  * a heartbeat or relay is sent.
  *
- * @param lease version of the lease that this VM holds or knows
+ * @param term version of the lease with which the last known leader began
  * @param to all live VMs but this one (struct fanout_target)
  */
-void change_push_send(struct change_push *push, uint64_t lease,
+void change_push_send(struct change_push *push, uint64_t term,
 		      const GArray *to);
 
 /** Handles a part of pushed changes. */
--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -80,6 +80,7 @@
 	g_hash_table_remove_all(cluster->published_maps);
 	cluster->map_base = lease_version(cluster->lease) * MAPS_PER_LEASE;
 	cluster->map_number = 0;
+	cluster->snapshots.number = cluster->map_base;
 	cluster->hold_s = HOLD_S;
 	cluster->inherited_until_s =
 		cluster_now(cluster) +
@@ -297,8 +298,7 @@
 	live_vms_expire(cluster->vms, now, on_vm_timed_out, cluster);
 	if (now >= cluster->heartbeat_sent_s + HEARTBEAT_S)
 		cluster_send_heartbeat(cluster);
-	copy_exchange_send(cluster->copy_exchange,
-			   lease_version(cluster->lease));
+	copy_exchange_send(cluster->copy_exchange, cluster_term(cluster));
 	cluster_set_watch_mode(cluster, TABLE_WATCH_LEADER);
 	if (!cluster->options.roster_loaded(cluster->options.ctx))
 		return;
--- a/src/entry/cluster_heartbeat.c
+++ b/src/entry/cluster_heartbeat.c
@@ -231,8 +231,7 @@
 {
 	GArray *to = all_other_vms(cluster);
 
-	change_push_send(cluster->change_push, lease_version(cluster->lease),
-			 to);
+	change_push_send(cluster->change_push, cluster_term(cluster), to);
 	g_array_free(to, TRUE);
 }
 
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -182,6 +182,11 @@
 				 uint64_t operator_rows,
 				 uint64_t upstream_rows);
 
+/** Returns the version of the lease's row with which the last known leader, or
+ * this VM, began to lead. Unlike the row's present version, it stays the same
+ * while parts of a table are on their way. */
+uint64_t cluster_term(const struct cluster *cluster);
+
 /** Sends a message to all live VMs but this one. */
 void cluster_broadcast(struct cluster *cluster, enum fanout_way way,
 		       PeerMessage *message);
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -233,8 +233,8 @@
 	apply_row_changes(cluster, beat);
 	apply_maps(cluster, beat);
 	apply_vms(cluster, beat);
-	if (snapshot_observe(&cluster->heard_snapshot, beat->lease,
-			     beat->snapshot, beat->n_vms > 0))
+	if (snapshot_observe(&cluster->heard_snapshot, beat->snapshot,
+			     beat->n_vms > 0))
 		cluster_report_soon(cluster);
 	crash_exchange_apply_beat(cluster->crash_exchange, beat);
 }
@@ -253,6 +253,13 @@
 			    relay->upstream_changes);
 }
 
+uint64_t cluster_term(const struct cluster *cluster)
+{
+	return (cluster->leading ? cluster->map_base
+				 : cluster->heard_snapshot.number) /
+	       MAPS_PER_LEASE;
+}
+
 /* Handles a part of a table's copy; one of an earlier leader is ignored. */
 static void on_table_copy(void *ctx, const TableCopyPart *part)
 {
@@ -261,8 +268,7 @@
 	/* Changes are right whoever sends them. */
 	if (part->is_changes)
 		change_push_apply(cluster->change_push, part);
-	else if (!cluster->leading &&
-		 part->lease >= lease_version(cluster->lease))
+	else if (!cluster->leading && part->term >= cluster_term(cluster))
 		copy_exchange_apply(cluster->copy_exchange, part);
 }
 
--- a/src/entry/copy_exchange.c
+++ b/src/entry/copy_exchange.c
@@ -119,7 +119,7 @@
 
 /* Sends a table to the VMs that want it, if this VM has read it. */
 static void send_table(struct copy_exchange *exchange, uint32_t number,
-		       uint64_t lease)
+		       uint64_t term)
 {
 	struct copied *table = &exchange->tables[number];
 	TableCopyPart part = TABLE_COPY_PART__INIT;
@@ -129,7 +129,7 @@
 	if (!table_watch_copy(table->watch, &copy))
 		return;
 	table->sent_s = loop_now(exchange->options.loop);
-	part.lease = lease;
+	part.term = term;
 	part.table = number;
 	part.upto = copy.upto;
 	bytes = table_copy_encode(&copy);
@@ -148,7 +148,7 @@
 	g_array_set_size(table->requests, 0);
 }
 
-void copy_exchange_send(struct copy_exchange *exchange, uint64_t lease)
+void copy_exchange_send(struct copy_exchange *exchange, uint64_t term)
 {
 	double now = loop_now(exchange->options.loop);
 	uint32_t i;
@@ -159,7 +159,7 @@
 	for (i = 0; i < COPIED_TABLES; i++)
 		if (exchange->tables[i].requests->len &&
 		    now >= exchange->tables[i].sent_s + SEND_INTERVAL_S)
-			send_table(exchange, i, lease);
+			send_table(exchange, i, term);
 }
 
 void copy_exchange_apply(struct copy_exchange *exchange,
--- a/src/entry/copy_exchange.h
+++ b/src/entry/copy_exchange.h
@@ -54,8 +54,8 @@
 
 /** As leader, sends the copies that VMs want.
  *
- * @param lease version of the lease under which this VM leads */
-void copy_exchange_send(struct copy_exchange *exchange, uint64_t lease);
+ * @param term version of the lease with which this VM began to lead */
+void copy_exchange_send(struct copy_exchange *exchange, uint64_t term);
 
 /** Handles a part of a copy. */
 void copy_exchange_apply(struct copy_exchange *exchange,
--- a/src/entry/table_copy.c
+++ b/src/entry/table_copy.c
@@ -12,8 +12,8 @@
 #define MESSAGE_BYTES_MAX (16u << 20)
 
 struct table_copy_parts {
-	/** Lease, version and checksum of the copy that is being collected. */
-	uint64_t lease;
+	/** Term, version and checksum of the copy that is being collected. */
+	uint64_t term;
 	uint64_t upto;
 	uint32_t check;
 	unsigned int count;
@@ -121,8 +121,8 @@
 static bool is_older(const struct table_copy_parts *parts,
 		     const TableCopyPart *part)
 {
-	return part->lease < parts->lease ||
-	       (part->lease == parts->lease && part->upto < parts->upto);
+	return part->term < parts->term ||
+	       (part->term == parts->term && part->upto < parts->upto);
 }
 
 /* Joins the parts; returns NULL when one is missing or they are no copy. */
@@ -149,10 +149,10 @@
 	if (!part->count || part->count > TABLE_COPY_PARTS_MAX ||
 	    part->index >= part->count || is_older(parts, part))
 		return NULL;
-	if (part->lease != parts->lease || part->upto != parts->upto ||
+	if (part->term != parts->term || part->upto != parts->upto ||
 	    part->count != parts->count || part->check != parts->check) {
 		drop_parts(parts);
-		parts->lease = part->lease;
+		parts->term = part->term;
 		parts->upto = part->upto;
 		parts->count = part->count;
 		parts->check = part->check;
--- a/src/fanout/snapshots.c
+++ b/src/fanout/snapshots.c
@@ -26,16 +26,13 @@
 	sender->changes_bytes += bytes;
 }
 
-bool snapshot_observe(struct snapshot_receiver *receiver, uint64_t lease,
-		      uint64_t number, bool included)
+bool snapshot_observe(struct snapshot_receiver *receiver, uint64_t number,
+		      bool included)
 {
 	bool missed_before = receiver->missed;
 
-	if (included) {
-		receiver->lease = lease;
+	if (included)
 		receiver->number = number;
-	}
-	receiver->missed =
-		receiver->lease != lease || receiver->number != number;
+	receiver->missed = receiver->number != number;
 	return receiver->missed && !missed_before;
 }
--- a/src/fanout/snapshots.h
+++ b/src/fanout/snapshots.h
@@ -22,7 +22,8 @@
 	/** Its size in bytes, and that of the changes sent since then. */
 	size_t snapshot_bytes;
 	size_t changes_bytes;
-	/** Its number. */
+	/** Its number. A new leader continues with a higher one than that of
+	 * any leader before. */
 	uint64_t number;
 };
 
@@ -43,8 +44,7 @@
 
 /** The snapshots that a VM received; zero before the first one. */
 struct snapshot_receiver {
-	/** Lease of the leader that sent the last one, and its number. */
-	uint64_t lease;
+	/** Number of the last one. */
 	uint64_t number;
 	/** The VM missed the leader's last snapshot. */
 	bool missed;
@@ -53,12 +53,11 @@
 /**
  * Notes a message of the leader.
  *
- * @param lease version of the leader's lease
  * @param number number of the leader's last snapshot
  * @param included the message is that snapshot
  * @return whether the VM just noticed that it missed a snapshot
  */
-bool snapshot_observe(struct snapshot_receiver *receiver, uint64_t lease,
-		      uint64_t number, bool included);
+bool snapshot_observe(struct snapshot_receiver *receiver, uint64_t number,
+		      bool included);
 
 #endif
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -1802,12 +1802,12 @@
 static const ProtobufCFieldDescriptor table_copy_part__field_descriptors[8] =
 {
   {
-    "lease",
+    "term",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(TableCopyPart, lease),
+    offsetof(TableCopyPart, term),
     NULL,
     NULL,
     0,             /* flags */
@@ -1904,8 +1904,8 @@
   5,   /* field[5] = data */
   3,   /* field[3] = index */
   6,   /* field[6] = is_changes */
-  0,   /* field[0] = lease */
   1,   /* field[1] = table */
+  0,   /* field[0] = term */
   2,   /* field[2] = upto */
 };
 static const ProtobufCIntRange table_copy_part__number_ranges[2 + 1] =
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -286,9 +286,9 @@
 {
   ProtobufCMessage base;
   /*
-   * As in LeaderBeat.
+   * Version of the lease's row with which the leader began to lead.
    */
-  uint64_t lease;
+  uint64_t term;
   /*
    * Table: 0 for the operators', 1 for the upstreams'.
    */
@@ -373,7 +373,8 @@
    */
   char *zone;
   /*
-   * Number of this leader's last snapshot. A VM that missed it asks for it.
+   * Number of the leader's last snapshot, above those of earlier leaders. A VM
+   * that missed it asks for it.
    */
   uint64_t snapshot;
 };
--- a/test/unit/test_snapshots.c
+++ b/test/unit/test_snapshots.c
@@ -73,7 +73,7 @@
 		if (due)
 			snapshot_sent(&sender, SNAPSHOT_BYTES, now_s);
 		if (g_rand_double(random) >= loss)
-			snapshot_observe(&receiver, 7, sender.number,
+			snapshot_observe(&receiver, sender.number,
 					 due || asked);
 		asked = receiver.missed && g_rand_double(random) >= loss;
 		without_s = receiver.number == sender.number
@@ -96,16 +96,20 @@
 	g_rand_free(random);
 }
 
-static void a_new_leaders_snapshot_is_another_one(void)
+/* Guards against VMs that ask again and again, although nothing is missing. */
+static void a_vm_asks_once_for_what_it_missed(void)
 {
 	struct snapshot_receiver receiver = { 0 };
 
-	CU_ASSERT_TRUE(snapshot_observe(&receiver, 5, 1, false));
-	CU_ASSERT_FALSE(snapshot_observe(&receiver, 5, 1, false));
+	CU_ASSERT_TRUE(snapshot_observe(&receiver, 5, false));
+	CU_ASSERT_FALSE(snapshot_observe(&receiver, 5, false));
 	CU_ASSERT_TRUE(receiver.missed);
-	CU_ASSERT_FALSE(snapshot_observe(&receiver, 5, 1, true));
+	CU_ASSERT_FALSE(snapshot_observe(&receiver, 5, true));
 	CU_ASSERT_FALSE(receiver.missed);
-	CU_ASSERT_TRUE(snapshot_observe(&receiver, 6, 1, false));
+	CU_ASSERT_FALSE(snapshot_observe(&receiver, 5, false));
+	CU_ASSERT_FALSE(receiver.missed);
+	/* A new leader's numbers are others. */
+	CU_ASSERT_TRUE(snapshot_observe(&receiver, 1000006, false));
 }
 
 int main(void)
@@ -115,8 +119,8 @@
 		  snapshots_cost_no_more_than_changes },
 		{ "a missed snapshot comes soon",
 		  a_missed_snapshot_comes_soon },
-		{ "a new leader's snapshot is another one",
-		  a_new_leaders_snapshot_is_another_one },
+		{ "a VM asks once for what it missed",
+		  a_vm_asks_once_for_what_it_missed },
 		{ 0 },
 	};
 
--- a/test/unit/test_table_copy.c
+++ b/test/unit/test_table_copy.c
@@ -67,7 +67,7 @@
 	for (i = (int)table_copy_part_count(bytes) - 1; i >= 0; i--) {
 		TableCopyPart part = TABLE_COPY_PART__INIT;
 
-		part.lease = 5;
+		part.term = 5;
 		part.upto = version;
 		table_copy_part(bytes, (unsigned int)i, &part);
 		if (i == missing)
@@ -149,7 +149,7 @@
 	for (i = 0; i < table_copy_part_count(backups); i++) {
 		TableCopyPart part = TABLE_COPY_PART__INIT;
 
-		part.lease = 5;
+		part.term = 5;
 		part.upto = 7;
 		part.check = 1;
 		table_copy_part(backups, i, &part);
