--- a/src/keys/lease.c
+++ b/src/keys/lease.c
@@ -184,11 +184,6 @@
 	return loop_now(lease->loop);
 }
 
-void lease_set_ready(struct lease *lease, bool ready)
-{
-	lease->ready = ready;
-}
-
 unsigned int lease_row_vms(const struct lease *lease)
 {
 	return lease->row_vms;
@@ -536,6 +531,17 @@
 		read_row(lease);
 }
 
+void lease_set_ready(struct lease *lease, bool ready)
+{
+	if (lease->ready == ready)
+		return;
+	lease->ready = ready;
+	/* It may acquire the lease earlier than it planned. */
+	if (ready && !lease->store_away && acquire_at_s(lease) > 0)
+		lease->next_call_s =
+			MIN(lease->next_call_s, acquire_at_s(lease));
+}
+
 void lease_stop(struct lease *lease)
 {
 	bool held = lease->holding;
