customers: a renewal of the leader's lease doesn't make VMs leave its accounts

Cause: VMs join the accounts of a new leader after two intervals and 0.6 s, and told leaders apart by the version of the lease, which each renewal raises twice a second. So no VM ever joined: all refused by their own share.

Change: messages carry the version with which the leader began to lead.

--- a/src/customers/customers.c
+++ b/src/customers/customers.c
@@ -33,7 +33,7 @@
 	double accounts_s;
 	double fresh_until_s;
 	/** Lease of that leader, and from when on its accounts are used. */
-	uint64_t lease;
+	uint64_t term;
 	double joined_s;
 	/** Since when this VM has spent its share; holds until it joins. */
 	double share_since_s;
@@ -271,14 +271,14 @@
 }
 
 /* Begins to hear a leader: this VM goes on spending its share for a while. */
-static void begin_to_join(struct customers *customers, uint64_t lease,
+static void begin_to_join(struct customers *customers, uint64_t term,
 			  double interval_s, double now_s)
 {
 	struct quota_view view = view_of(customers, now_s);
 
 	customers->share_since_s =
 		view.has_accounts ? now_s : view.share_since_s;
-	customers->lease = lease;
+	customers->term = term;
 	customers->joined_s = now_s + interval_s * JOIN_INTERVALS + JOIN_S;
 }
 
@@ -289,8 +289,8 @@
 	gpointer value;
 
 	if (!customers->accounts_s || now_s >= customers->fresh_until_s ||
-	    news->lease != customers->lease)
-		begin_to_join(customers, news->lease, news->interval_s, now_s);
+	    news->term != customers->term)
+		begin_to_join(customers, news->term, news->interval_s, now_s);
 	customers->quota_vms = news->vms;
 	customers->accounts_s = now_s;
 	customers->fresh_until_s =
--- a/src/customers/customers.h
+++ b/src/customers/customers.h
@@ -115,8 +115,9 @@
 
 /** What a message with the leader's accounts says besides the accounts. */
 struct quota_news {
-	/** Version of the leader's lease. */
-	uint64_t lease;
+	/** Version of the lease with which the leader began to lead; its
+	 * renewals have others. */
+	uint64_t term;
 	/** Number of VMs that share the quotas, with those that the leader
 	 * lost. */
 	unsigned int vms;
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -398,6 +398,7 @@
 	if (outcomes)
 		cluster->outcomes_sent_s = now;
 	out->lease = lease_version(cluster->lease);
+	out->term = cluster_term(cluster);
 	limit_exchange_fill_totals(cluster->limit_exchange, out);
 	quota_exchange_fill_totals(cluster->quota_exchange,
 				   live_vms_count(cluster->vms), out);
--- a/src/entry/quota_exchange.c
+++ b/src/entry/quota_exchange.c
@@ -178,7 +178,7 @@
 				 const LeaderLoads *loads, double interval_s)
 {
 	const struct quota_news news = {
-		.lease = loads->lease,
+		.term = loads->term,
 		.vms = loads->quota_vms,
 		.interval_s = interval_s,
 	};
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -2863,7 +2863,7 @@
   (ProtobufCMessageInit) limit_account__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor leader_loads__field_descriptors[11] =
+static const ProtobufCFieldDescriptor leader_loads__field_descriptors[12] =
 {
   {
     "lease",
@@ -2937,6 +2937,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "term",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(LeaderLoads, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "index_count",
     20,
@@ -2999,24 +3011,25 @@
   },
 };
 static const unsigned leader_loads__field_indices_by_name[] = {
-  9,   /* field[9] = flights */
-  6,   /* field[6] = index_count */
-  8,   /* field[8] = index_recent */
-  7,   /* field[7] = index_sum */
+  10,   /* field[10] = flights */
+  7,   /* field[7] = index_count */
+  9,   /* field[9] = index_recent */
+  8,   /* field[8] = index_sum */
   0,   /* field[0] = lease */
   1,   /* field[1] = limits */
-  10,   /* field[10] = outcomes */
+  11,   /* field[11] = outcomes */
   3,   /* field[3] = quota_customers */
   4,   /* field[4] = quota_levels */
   2,   /* field[2] = quota_vms */
   5,   /* field[5] = quota_wanted */
+  6,   /* field[6] = term */
 };
 static const ProtobufCIntRange leader_loads__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 5, 1 },
-  { 20, 6 },
-  { 0, 11 }
+  { 20, 7 },
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor leader_loads__descriptor =
 {
@@ -3026,7 +3039,7 @@
   "LeaderLoads",
   "",
   sizeof(LeaderLoads),
-  11,
+  12,
   leader_loads__field_descriptors,
   leader_loads__field_indices_by_name,
   3,  leader_loads__number_ranges,
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -622,6 +622,10 @@
    */
   size_t n_limits;
   LimitAccount **limits;
+  /*
+   * Version of the lease with which the leader began to lead.
+   */
+  uint64_t term;
   /*
    * Number of VMs that share the customers' quotas; 0: the message has no
    * accounts of them.
@@ -658,7 +662,7 @@
 };
 #define LEADER_LOADS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&leader_loads__descriptor) \
-    , 0, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, {0,NULL}, {0,NULL} }
+    , 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, {0,NULL}, {0,NULL} }
 
 
 /*
--- a/test/unit/test_quota.c
+++ b/test/unit/test_quota.c
@@ -273,7 +273,7 @@
 		memset(report, 0, sizeof(*report));
 		if (news->sent) {
 			const struct quota_news quota_news = {
-				.lease = news->lease,
+				.term = news->lease,
 				.vms = VMS,
 				.interval_s = INTERVAL_STEPS * STEP_S,
 			};
