entry, keys: upstreams that join get requests

In keyed services the load of an owner had to exceed noise before an upstream without keys got any.

Change: a tenth of the choices leave out the penalty for a new connection; an upstream with nearly no load takes keys whatever the noise.

--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -33,6 +33,9 @@
  * occupy a slot of the upstream, and with many VMs and upstreams a VM that
  * spreads its requests over all upstreams finds idle connections timed out. */
 #define NEW_CONNECTION_MEANS 1.0
+/* Share of the choices that leave this penalty out, so that an upstream that
+ * has joined gets requests, and its speed stays known. */
+#define EXPLORE_SHARE 0.1
 /* Largest random addition to an upstream's expected response time, as a share
  * of that time, so that VMs with the same view don't all choose the same
  * upstream. */
@@ -135,16 +138,19 @@
 
 /* Returns the cost in seconds of sending a request to an upstream: its expected
  * response time, with a random addition, and the penalties for its zone and for
- * a new connection. */
+ * a new connection.
+ *
+ * @param explore leave out the latter */
 static double cost_s(const struct proxy_request *req,
-		     const struct upstream *upstream, double now)
+		     const struct upstream *upstream, bool explore, double now)
 {
 	struct forward *forward = req->forward;
 	double work = req->stats->mean_s;
 	double expected = load_expected_s(&upstream->load, work, now);
 
 	return expected * (1 + RANDOM_SHARE * g_rand_double(forward->random)) +
-	       zone_cost_s(req, upstream) + connection_cost_s(req, upstream);
+	       zone_cost_s(req, upstream) +
+	       (explore ? 0 : connection_cost_s(req, upstream));
 }
 
 /* Decides whether the limit that an upstream names admits a request. */
@@ -198,6 +204,7 @@
 	struct forward *forward = req->forward;
 	const struct roster *roster = forward->options.roster;
 	double now = forward_now(forward);
+	bool explore = g_rand_double(forward->random) < EXPLORE_SHARE;
 	enum choice choice = CHOICE_NONE;
 	double best = 0;
 	guint i;
@@ -218,7 +225,7 @@
 			continue;
 		if (is_denied(denied, u))
 			continue;
-		cost = cost_s(req, u, now);
+		cost = cost_s(req, u, explore, now);
 		if (!*chosen || cost < best) {
 			*chosen = u;
 			best = cost;
--- a/src/keys/key_allocator_balance.c
+++ b/src/keys/key_allocator_balance.c
@@ -431,8 +431,9 @@
 	double noise =
 		NOISE_DEVIATIONS * hypot(deviation(most), deviation(least));
 
-	if (most->observed < OBSERVED_MIN &&
-	    weighted(least) > JOINED_PART * balance->mean)
+	if (weighted(least) < JOINED_PART * balance->mean)
+		return true;
+	if (most->observed < OBSERVED_MIN)
 		return false;
 	return weighted(most) - weighted(least) > noise;
 }
