--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -125,15 +125,17 @@
 }
 
 /* Returns the penalty in seconds of an upstream to which a connection has to be
- * opened; 0 if there is an idle one. */
+ * opened; 0 if there is an idle one, or if the upstream is cold: then few VMs
+ * may send to it, which others don't replace. */
 static double connection_cost_s(const struct proxy_request *req,
 				const struct upstream *upstream)
 {
 	bool avoid_stale = !route_kind_is_idempotent(req->kind);
 
-	return links_has_idle(upstream, avoid_stale)
-		       ? 0
-		       : NEW_CONNECTION_MEANS * req->stats->mean_s;
+	if (forward_now(req->forward) < upstream->cold_until_s ||
+	    links_has_idle(upstream, avoid_stale))
+		return 0;
+	return NEW_CONNECTION_MEANS * req->stats->mean_s;
 }
 
 /* Returns the cost in seconds of sending a request to an upstream: its expected
