test/functional: crowds of callers that exceed memory and descriptors

Nothing bounds what callers make auburn-entry hold: in a trial uncontrolled clients made a process run out of memory. It checks that the process lives, the peak of its resident set (VmHWM), its open descriptors, one ordinary request beside the crowd's open connections and the largest body afterwards.

--- a/test/functional/cluster_entry.c
+++ b/test/functional/cluster_entry.c
@@ -61,10 +61,11 @@
 	g_snprintf(entry->settings, sizeof(entry->settings), "%s/entry%u.conf",
 		   rig->folder, index);
 	text = g_strdup_printf(
-		"[vm]\nname = vm%u\nzone = z1\n[listen]\ncallers = %s\n"
+		"[vm]\nname = vm%u\nzone = z1\n%s[listen]\ncallers = %s\n"
 		"ready = %s\npeers = %s\nmetrics = %s\n"
 		"[store]\naddress = %s\n[stop]\ngrace = %.1f\n",
-		index, entry->callers, entry->ready, peers, entry->metrics,
+		index, rig->vm_settings ? rig->vm_settings : "", entry->callers,
+		entry->ready, peers, entry->metrics,
 		process_address(rig->site, "store"), grace_s);
 	g_file_set_contents(entry->settings, text, -1, NULL);
 	g_free(text);
--- a/test/functional/cluster_entry.h
+++ b/test/functional/cluster_entry.h
@@ -32,6 +32,9 @@
 struct entry_rig {
 	/** Folder of settings and log files. */
 	char *folder;
+	/** Lines for the daemons' settings group [vm], set before the start;
+	 * NULL: none. */
+	const char *vm_settings;
 	struct process *site;
 	struct entry entries[RIG_ENTRIES_MAX];
 	unsigned int entry_count;
--- a/tools/run-tests.sh
+++ b/tools/run-tests.sh
@@ -12,7 +12,9 @@
 mkdir -p "$logs"
 
 # Unit tests and replays of fuzz targets run in parallel, one per processor.
-# Functional tests, each of which starts processes, run three at a time.
+# Functional tests, each of which starts processes, run three at a time; those
+# listed in $alone load the machine and run after them, one at a time.
+alone="functional-test_entry_clients"
 for program in "$build"/unit-* "$build"/replay-*
 do
 	test -x "$program" && echo "$program"
@@ -28,11 +30,20 @@
 	echo $? >"$logs/$name.status"' sh {} "$logs"
 for program in "$build"/functional-*
 do
+	case " $alone " in
+	*" $(basename "$program") "*) continue ;;
+	esac
 	test -x "$program" && echo "$program"
 done | xargs -P 3 -I{} sh -c '
 	name=$(basename "$1")
 	timeout 150 "$1" >"$2/$name.log" 2>&1 </dev/null
 	echo $? >"$2/$name.status"' sh {} "$logs"
+for name in $alone
+do
+	test -x "$build/$name" || continue
+	timeout 300 "$build/$name" >"$logs/$name.log" 2>&1 </dev/null
+	echo $? >"$logs/$name.status"
+done
 
 passed=0
 failed=0
