net: one budget for what callers make the daemon hold

Bodies, heads, requests in progress and answers that callers don't read had no common limit, a body was copied twice for each upstream, and an answer once more behind those before it. Freed bodies and the buffers of idle connections stayed with the process.

src/net/caller_budget.[ch] accounts them as part of [vm] memory (0.6, of which 0.05 are for holders of up to 64 KiB) and decides who gives way: first the largest holders that move less than 16 KiB in 0.5 s; for answers and small holders any request that is being received. Requests get 503 with Retry-After, connections with unread answers are closed. Bodies are shared with the connections to upstreams, answers move to the send buffer without a copy, large buffers are freed after use and given back to the system.

Callers' connections are limited to three quarters of the new setting [vm] descriptors (3075). Beyond it the connection that is idle longest is closed, or the new one gets 503. Without a descriptor left, accepting pauses until the next tick instead of spinning. A body has [callers] body_timeout (600 s), then 408. Log lines of part "callers", metrics auburn_caller_....

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -28,7 +28,7 @@
 	return route_kind_is_idempotent(req->kind);
 }
 
-/* Whether a header field of the caller's request is passed on; build_message()
+/* Whether a header field of the caller's request is passed on; build_head()
  * writes Content-Length itself. */
 static bool passes_to_upstream(const struct protocol *protocol, struct str name)
 {
@@ -37,15 +37,15 @@
 	       !protocol->is_rewritten_field(name);
 }
 
-/* Builds the HTTP request for an upstream; the caller frees it.
+/* Builds the head of the HTTP request for an upstream; the caller frees it.
  *
  * @param left_s seconds until the request must be answered */
-static GString *build_message(const struct proxy_request *req,
-			      const struct upstream *upstream, double left_s)
+static GString *build_head(const struct proxy_request *req,
+			   const struct upstream *upstream, double left_s)
 {
 	const struct protocol *protocol = req->forward->options.protocol;
 	struct http_request *caller = req->caller;
-	GString *out = g_string_sized_new(HEAD_BYTES + caller->body->len);
+	GString *out = g_string_sized_new(HEAD_BYTES);
 	size_t i;
 
 	g_string_append_printf(out, "%s %s HTTP/1.1\r\n", caller->method->str,
@@ -63,7 +63,6 @@
 		g_string_append_printf(out, "Content-Length: %zu\r\n",
 				       caller->body->len);
 	g_string_append(out, "\r\n");
-	g_string_append_len(out, caller->body->str, (gssize)caller->body->len);
 	return out;
 }
 
@@ -102,7 +101,7 @@
 	struct forward *forward = req->forward;
 	struct upstream_attempt *attempt = g_new0(struct upstream_attempt, 1);
 	double now = forward_now(forward);
-	GString *message = build_message(req, upstream, req->give_up_s - now);
+	GString *head = build_head(req, upstream, req->give_up_s - now);
 	struct link_request request = {
 		.head_only = !strcmp(req->caller->method->str, "HEAD"),
 		.avoid_stale = !is_idempotent(req),
@@ -133,10 +132,11 @@
 			1000,
 		upstream->load.slowness, (now - upstream->load.others_s) * 1000,
 		backup);
-	request.message = (struct str){ message->str, message->len };
+	request.message = (struct str){ head->str, head->len };
+	request.body = req->caller->shared_body;
 	attempt->link = links_send(forward->options.links, upstream, &request,
 				   &link_ops, attempt);
-	g_string_free(message, TRUE);
+	g_string_free(head, TRUE);
 	proxy_request_arm_timer(req);
 }
 
--- /dev/null
+++ b/src/entry/caller_limits.c
@@ -0,0 +1,120 @@
+#include "entry/caller_limits.h"
+
+#include <malloc.h>
+#include <sys/resource.h>
+
+#define BYTES_PER_MB (1024.0 * 1024.0)
+/* Part of the memory that callers' requests and unread answers may take, and
+ * the part of the memory, within that, which is kept for callers of little. The
+ * first without the second holds a body of 64 MiB on a VM of 120 MB. The
+ * answers of upstreams take a quarter besides (main.c), and 0.15 are left for
+ * the tables, which take 9 to 16 MB. */
+#define MEMORY_PART 0.6
+#define RESERVE_PART 0.05
+/* Part of the descriptors that callers' connections may take. The others are
+ * for connections to upstreams, the store and the daemon's own sockets. */
+#define CONNECTIONS_PART 0.75
+/* Allocations from this size on are given back to the system when freed. glibc
+ * would raise the size up to 32 MiB after such an allocation was freed, and
+ * keep freed bodies below it in the heap. */
+#define MMAP_BYTES (128 * 1024)
+/* Freed memory is given back when the sum has fallen by this part of its limit.
+ */
+#define TRIM_PART 0.125
+
+struct refusal_info {
+	/** Reason in log lines and in the metric's label. */
+	const char *reason;
+	/** Name of the log event. */
+	const char *event;
+};
+
+static const struct refusal_info infos[CALLER_REFUSALS] = {
+	[CALLER_REFUSED_MEMORY] = { "memory", "refused" },
+	[CALLER_CLOSED_MEMORY] = { "memory_unread", "closed" },
+	[CALLER_REFUSED_CONNECTIONS] = { "connections", "refused" },
+	[CALLER_CLOSED_IDLE] = { "connections_idle", "closed" },
+	[CALLER_NO_DESCRIPTOR] = { "no_descriptor", "paused" },
+};
+
+static void on_refused(void *ctx, enum caller_refusal refusal, size_t held)
+{
+	struct caller_limits *limits = ctx;
+
+	counter_add(limits->refusals[refusal], 1);
+	event_log_write(limits->log, "warning", "callers",
+			"event=%s reason=%s held=%zu all=%zu limit=%zu",
+			infos[refusal].event, infos[refusal].reason, held,
+			limits->budget.used, limits->budget.limit);
+}
+
+/* Returns the number of descriptors that the process may open. */
+static double descriptors(const struct entry_settings *settings)
+{
+	struct rlimit allowed;
+
+	if (!getrlimit(RLIMIT_NOFILE, &allowed) &&
+	    allowed.rlim_cur != RLIM_INFINITY)
+		return MIN(settings->descriptors, (double)allowed.rlim_cur);
+	return settings->descriptors;
+}
+
+void caller_limits_init(struct caller_limits *limits,
+			const struct entry_settings *settings,
+			struct event_log *log, struct metrics *metrics)
+{
+	double memory = settings->memory_mb * BYTES_PER_MB;
+	int i;
+
+	limits->log = log;
+	limits->budget.limit = (size_t)(memory * MEMORY_PART);
+	limits->budget.reserve = (size_t)(memory * RESERVE_PART);
+	limits->budget.connections =
+		(unsigned int)(descriptors(settings) * CONNECTIONS_PART);
+	limits->budget.body_timeout_s = settings->body_timeout_s;
+	g_queue_init(&limits->budget.holders);
+	limits->budget.refused = on_refused;
+	limits->budget.ctx = limits;
+	limits->bytes = metrics_gauge(
+		metrics, "auburn_caller_bytes", "",
+		"Bytes held for callers: requests, and answers not yet read.");
+	limits->bytes_peak =
+		metrics_gauge(metrics, "auburn_caller_bytes_peak", "",
+			      "Highest value of "
+			      "auburn_caller_bytes.");
+	limits->connections =
+		metrics_gauge(metrics, "auburn_caller_connections", "",
+			      "Connections of callers.");
+	for (i = 0; i < CALLER_REFUSALS; i++) {
+		char label[64];
+
+		g_snprintf(label, sizeof(label), "reason=\"%s\"",
+			   infos[i].reason);
+		limits->refusals[i] = metrics_counter(
+			metrics, "auburn_caller_refusals_total", label,
+			"Requests and connections of callers that were refused "
+			"or closed at a limit of memory or descriptors.");
+	}
+	mallopt(M_MMAP_THRESHOLD, MMAP_BYTES);
+	mallopt(M_TRIM_THRESHOLD, MMAP_BYTES);
+}
+
+void caller_limits_update_metrics(struct caller_limits *limits,
+				  unsigned int connections)
+{
+	counter_set(limits->bytes, limits->budget.used);
+	counter_set(limits->bytes_peak, limits->budget.peak);
+	counter_set(limits->connections, connections);
+}
+
+void caller_limits_tick(struct caller_limits *limits)
+{
+	size_t used = limits->budget.used;
+
+	limits->peak_since_trim = MAX(limits->peak_since_trim, used);
+	if ((double)(limits->peak_since_trim - used) <
+	    TRIM_PART * (double)limits->budget.limit)
+		return;
+	malloc_trim(0);
+	limits->peak_since_trim = used;
+}
--- /dev/null
+++ b/src/entry/caller_limits.h
@@ -0,0 +1,41 @@
+/**
+ * The entry daemon's limits on what callers make it hold: derives them from the
+ * settings, logs refusals and shows the amounts held as metrics.
+ */
+#ifndef ENTRY_CALLER_LIMITS_H
+#define ENTRY_CALLER_LIMITS_H
+
+#include "base/event_log.h"
+#include "base/metrics.h"
+#include "entry/settings.h"
+#include "net/caller_budget.h"
+
+/** The budget with its metrics; its members are private. */
+struct caller_limits {
+	struct caller_budget budget;
+	struct event_log *log;
+	struct counter *bytes;
+	struct counter *bytes_peak;
+	struct counter *connections;
+	struct counter *refusals[CALLER_REFUSALS];
+	/** Highest sum of bytes since freed memory was last given back to the
+	 * system. */
+	size_t peak_since_trim;
+};
+
+/** Sets the limits up; the object must not be moved afterwards. */
+void caller_limits_init(struct caller_limits *limits,
+			const struct entry_settings *settings,
+			struct event_log *log, struct metrics *metrics);
+
+/** Updates the metrics before they are shown.
+ *
+ * @param connections number of callers' connections */
+void caller_limits_update_metrics(struct caller_limits *limits,
+				  unsigned int connections);
+
+/** Gives freed memory back to the system after a peak; called several times a
+ * second. */
+void caller_limits_tick(struct caller_limits *limits);
+
+#endif
--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -235,7 +235,8 @@
 	link->requests++;
 	link->ops = ops;
 	link->user = user;
-	http_channel_send(link->channel, request->message, request->head_only);
+	http_channel_send_body(link->channel, request->message, request->body,
+			       request->head_only);
 	return link;
 }
 
--- a/src/entry/links.h
+++ b/src/entry/links.h
@@ -32,8 +32,10 @@
 
 /** A request to send. */
 struct link_request {
-	/** Head and body as they are sent. */
+	/** Head as it is sent, and body unless that is given apart. */
 	struct str message;
+	/** The body, which the connection refers to; NULL: none. */
+	struct caller_body *body;
 	/** The answer will have no body, because this is a HEAD request. */
 	bool head_only;
 	/**
@@ -79,7 +81,8 @@
 /**
  * Sends a request to an upstream over an idle or a new connection.
  *
- * @param request the request's bytes and how to send them; copied
+ * @param request the request's bytes and how to send them; the message is
+ * copied
  * @param ops handlers for this request; must outlive it
  * @param user passed to the handlers
  * @return the connection; the pool owns it
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -11,6 +11,7 @@
 
 #include "base/address.h"
 #include "base/log.h"
+#include "entry/caller_limits.h"
 #include "entry/cluster.h"
 #include "entry/forward.h"
 #include "entry/table_watch.h"
@@ -63,6 +64,8 @@
 	struct byte_budget answers;
 	struct counter *answer_bytes;
 	struct counter *answer_bytes_peak;
+	/** Limits what callers make the process hold. */
+	struct caller_limits caller_limits;
 	/** Metric: invalid routes of the configuration in force. */
 	struct counter *invalid_routes;
 	struct crash_watch *crashes;
@@ -267,6 +270,9 @@
 
 	counter_set(entry->answer_bytes, entry->answers.used);
 	counter_set(entry->answer_bytes_peak, entry->answers.peak);
+	caller_limits_update_metrics(
+		&entry->caller_limits,
+		http_server_connections(entry->caller_server));
 	text = metrics_render(entry->metrics);
 	answer.body = str_from(text);
 	http_request_answer(request, &answer);
@@ -407,6 +413,7 @@
 	crash_watch_tick(entry->crashes);
 	links_tick(entry->links);
 	http_server_tick(entry->caller_server);
+	caller_limits_tick(&entry->caller_limits);
 	http_server_tick(entry->readiness_server);
 	http_server_tick(entry->metrics_server);
 }
@@ -463,6 +470,8 @@
 						  &caller_ops, entry, error);
 	if (!entry->caller_server)
 		return false;
+	http_server_set_budget(entry->caller_server,
+			       &entry->caller_limits.budget);
 	entry->readiness_server = http_server_create(&entry->loop, &s->ready,
 						     &ready_ops, entry, error);
 	if (!entry->readiness_server)
@@ -531,6 +540,8 @@
 	entry->roster = roster_create(&entry->loop, entry->settings,
 				      &roster_ops, entry);
 	create_answer_budget(entry);
+	caller_limits_init(&entry->caller_limits, entry->settings, entry->log,
+			   entry->metrics);
 	entry->links = links_create(&entry->loop, entry->roster,
 				    &entry->answers, &links_ops, entry);
 	crashes.loop = &entry->loop;
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -41,6 +41,11 @@
 	  "speed of this VM's network link", OFFSET(link_mbps) },
 	{ "vm", "memory", SETTING_NUMBER, "MB", "256", 32, 1000000,
 	  "memory that the process may use", OFFSET(memory_mb) },
+	{ "vm", "descriptors", SETTING_NUMBER, "descriptors", "3075", 64,
+	  10000000,
+	  "descriptors that the process may open; callers' connections take "
+	  "three quarters at most",
+	  OFFSET(descriptors) },
 	{ "vm", "copy_wait", SETTING_NUMBER, "seconds", "0", 0, 60,
 	  "time for which a VM that starts waits for the leader's copies of "
 	  "the "
@@ -78,6 +83,8 @@
 	  "repeats allowed besides, by all VMs together", OFFSET(retry_slack) },
 	{ "keys", "hold_max", SETTING_NUMBER, "seconds", "10", 0.5, 3600,
 	  "longest time for which keys are given", OFFSET(hold_max_s) },
+	{ "callers", "body_timeout", SETTING_NUMBER, "seconds", "600", 1, 86400,
+	  "time for a request's body to be received", OFFSET(body_timeout_s) },
 	{ "log", "lines", SETTING_NUMBER, "lines a second", "500", 1, 100000,
 	  "log lines beyond it are left out and counted", OFFSET(log_lines) },
 };
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -19,6 +19,10 @@
 	double link_mbps;
 	/** Memory that the process may use, in MB. */
 	double memory_mb;
+	/** Descriptors that the process may open. */
+	double descriptors;
+	/** Seconds that the body of a caller's request may take. */
+	double body_timeout_s;
 	/** Seconds for which a VM that starts waits for copies of the tables.
 	 */
 	double copy_wait_s;
--- /dev/null
+++ b/src/net/caller_budget.c
@@ -0,0 +1,161 @@
+#include "net/caller_budget.h"
+
+/* A holder of at most this many bytes holds little: ordinary requests and their
+ * answers stay below it. It may use the reserve and is never evicted. */
+#define LITTLE_BYTES ((size_t)64 << 10)
+/* A holder that moved fewer than PROGRESS_BYTES in the last STALL_S seconds
+ * makes no progress. Half of a slow VM's link of 10 Mbit/s, shared by ten
+ * callers, moves twice as much. */
+#define STALL_S 0.5
+#define PROGRESS_BYTES ((size_t)16 << 10)
+
+void caller_budget_join(struct caller_budget *budget,
+			struct caller_holder *holder, double now)
+{
+	holder->state = CALLER_IDLE;
+	holder->held = 0;
+	holder->moved = 0;
+	holder->progress_s = now;
+	holder->link.data = holder;
+	g_queue_push_tail_link(&budget->holders, &holder->link);
+}
+
+void caller_budget_leave(struct caller_budget *budget,
+			 struct caller_holder *holder)
+{
+	g_queue_unlink(&budget->holders, &holder->link);
+}
+
+/* Whether the sum stays below the limit for a holder that has held bytes. */
+static bool fits(const struct caller_budget *budget, size_t held, size_t len)
+{
+	size_t limit = budget->limit;
+
+	if (held + len > LITTLE_BYTES)
+		limit -= budget->reserve;
+	return len <= limit && budget->used <= limit - len;
+}
+
+/* Returns the holder to evict next: that of most bytes among those that make no
+ * progress; if there is none, that of most among those that are received, which
+ * may still be refused. NULL: none can go.
+ *
+ * @param any_receiving the second kind can go */
+static struct caller_holder *choose_victim(const struct caller_budget *budget,
+					   const struct caller_holder *self,
+					   bool any_receiving, double now)
+{
+	struct caller_holder *stalled = NULL, *receiving = NULL;
+	GList *link;
+
+	for (link = budget->holders.head; link; link = link->next) {
+		struct caller_holder *h = link->data;
+
+		if (h == self || h->held <= LITTLE_BYTES ||
+		    (h->state != CALLER_RECEIVING &&
+		     h->state != CALLER_SENDING))
+			continue;
+		if (now - h->progress_s >= STALL_S) {
+			if (!stalled || h->held > stalled->held)
+				stalled = h;
+		} else if (h->state == CALLER_RECEIVING) {
+			if (!receiving || h->held > receiving->held)
+				receiving = h;
+		}
+	}
+	if (stalled || !any_receiving)
+		return stalled;
+	return receiving;
+}
+
+/* Evicts holders until the bytes fit; returns whether they do. */
+static bool make_room(struct caller_budget *budget,
+		      struct caller_holder *holder, size_t len, bool answer,
+		      double now)
+{
+	bool little = holder->held + len <= LITTLE_BYTES;
+
+	while (!fits(budget, holder->held, len)) {
+		struct caller_holder *victim =
+			choose_victim(budget, holder, answer || little, now);
+		enum caller_refusal refusal;
+		size_t used = budget->used;
+
+		if (!victim)
+			return false;
+		refusal = victim->state == CALLER_RECEIVING
+				  ? CALLER_REFUSED_MEMORY
+				  : CALLER_CLOSED_MEMORY;
+		caller_budget_refuse(budget, refusal, victim->held);
+		budget->ops->evict(victim);
+		if (budget->used >= used)
+			return false;
+	}
+	return true;
+}
+
+void caller_budget_add(struct caller_budget *budget,
+		       struct caller_holder *holder, size_t len)
+{
+	holder->held += len;
+	budget->used += len;
+	budget->peak = MAX(budget->peak, budget->used);
+}
+
+bool caller_budget_has_room(struct caller_budget *budget,
+			    struct caller_holder *holder, size_t len,
+			    double now)
+{
+	return make_room(budget, holder, len, false, now);
+}
+
+bool caller_budget_take(struct caller_budget *budget,
+			struct caller_holder *holder, size_t len, bool answer,
+			double now)
+{
+	if (!make_room(budget, holder, len, answer, now))
+		return false;
+	caller_budget_add(budget, holder, len);
+	return true;
+}
+
+void caller_budget_return(struct caller_budget *budget,
+			  struct caller_holder *holder, size_t len)
+{
+	if (holder)
+		holder->held -= len;
+	budget->used -= len;
+}
+
+void caller_budget_detach(struct caller_holder *holder, size_t len)
+{
+	holder->held -= len;
+}
+
+void caller_budget_progress(struct caller_holder *holder, size_t len,
+			    double now)
+{
+	holder->moved += len;
+	if (holder->moved < PROGRESS_BYTES)
+		return;
+	holder->moved = 0;
+	holder->progress_s = now;
+}
+
+void caller_budget_set_state(struct caller_holder *holder,
+			     enum caller_state state, double now)
+{
+	if (holder->state == state)
+		return;
+	holder->state = state;
+	holder->moved = 0;
+	holder->progress_s = now;
+}
+
+void caller_budget_refuse(struct caller_budget *budget,
+			  enum caller_refusal refusal, size_t held)
+{
+	budget->refusals[refusal]++;
+	if (budget->refused)
+		budget->refused(budget->ctx, refusal, held);
+}
--- a/src/net/http_channel.c
+++ b/src/net/http_channel.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "net/out_buffer.h"
 #include "wire/socket.h"
 
 /* Maximum number of bytes received at a time. */
@@ -38,9 +39,8 @@
 	GString *value;
 	/** The field's name is complete; the parser is reading the value. */
 	bool in_value;
-	/** Bytes to send, and how many of them are sent. */
-	GString *out;
-	size_t out_sent;
+	/** Bytes to send. */
+	struct out_buffer out;
 	bool connected;
 	/** A request is in flight. */
 	bool busy;
@@ -103,7 +103,7 @@
 	g_string_free(channel->reply.body, TRUE);
 	g_string_free(channel->field, TRUE);
 	g_string_free(channel->value, TRUE);
-	g_string_free(channel->out, TRUE);
+	out_buffer_clear(&channel->out);
 	g_free(channel);
 }
 
@@ -307,7 +307,7 @@
 {
 	channel->reply_complete = false;
 	/* The server responded before the whole request was sent. */
-	if (channel->not_reusable || channel->out->len)
+	if (out_buffer_pending(&channel->out))
 		channel->not_reusable = true;
 	channel->reply_started = false;
 	channel->busy = false;
@@ -426,24 +426,20 @@
  * @return false when the connection is broken */
 static bool write_out(struct http_channel *channel)
 {
-	while (channel->out_sent < channel->out->len) {
-		ssize_t n = socket_write(channel->fd,
-					 channel->out->str + channel->out_sent,
-					 channel->out->len - channel->out_sent);
+	while (out_buffer_pending(&channel->out)) {
+		ssize_t n = out_buffer_write(&channel->out, channel->fd);
 
 		if (n < 0)
 			return n == SOCKET_AGAIN;
 		channel->sent = true;
-		channel->out_sent += (size_t)n;
 	}
-	g_string_truncate(channel->out, 0);
-	channel->out_sent = 0;
 	return true;
 }
 
 static void watch_output(struct http_channel *channel)
 {
-	watch(channel, EV_READ | (channel->out->len ? EV_WRITE : 0));
+	watch(channel,
+	      EV_READ | (out_buffer_pending(&channel->out) ? EV_WRITE : 0));
 }
 
 static void channel_flush(struct http_channel *channel)
@@ -524,7 +520,7 @@
 	channel->reply.body = g_string_new(NULL);
 	channel->field = g_string_new(NULL);
 	channel->value = g_string_new(NULL);
-	channel->out = g_string_new(NULL);
+	out_buffer_init(&channel->out);
 	channel->idle_since_s = loop_now(loop);
 	http_parser_init(&channel->parser, HTTP_RESPONSE);
 	channel->parser.data = channel;
@@ -543,8 +539,8 @@
 	return channel;
 }
 
-void http_channel_send(struct http_channel *channel, struct str message,
-		       bool head_only)
+void http_channel_send_body(struct http_channel *channel, struct str head,
+			    struct caller_body *body, bool head_only)
 {
 	channel->busy = true;
 	channel->sent = false;
@@ -553,7 +549,9 @@
 	channel->head_bytes = 0;
 	channel->last_byte_s = 0;
 	channel->head_only = head_only;
-	g_string_append_len(channel->out, message.data, (gssize)message.len);
+	out_buffer_append(&channel->out, head);
+	if (body)
+		out_buffer_set_body(&channel->out, body);
 	if (!channel->connected)
 		return;
 	/* The event loop detects and reports a failure. */
@@ -561,6 +559,12 @@
 	watch_output(channel);
 }
 
+void http_channel_send(struct http_channel *channel, struct str message,
+		       bool head_only)
+{
+	http_channel_send_body(channel, message, NULL, head_only);
+}
+
 bool http_channel_connecting(const struct http_channel *channel)
 {
 	return !channel->connected && !channel->closed;
@@ -569,7 +573,7 @@
 bool http_channel_reusable(const struct http_channel *channel)
 {
 	return channel->connected && !channel->closed && !channel->busy &&
-	       !channel->not_reusable && !channel->out->len;
+	       !channel->not_reusable && !out_buffer_pending(&channel->out);
 }
 
 bool http_channel_may_have_sent(const struct http_channel *channel)
--- a/src/net/http_channel.h
+++ b/src/net/http_channel.h
@@ -14,6 +14,7 @@
 #include "base/str.h"
 #include "http/headers.h"
 #include "net/byte_budget.h"
+#include "net/caller_body.h"
 #include "net/loop.h"
 
 struct http_channel;
@@ -103,6 +104,15 @@
 void http_channel_send(struct http_channel *channel, struct str message,
 		       bool head_only);
 
+/**
+ * Sends a request as http_channel_send() does, with a body that isn't copied.
+ *
+ * @param head copied
+ * @param body the channel keeps a reference until it is sent; NULL: none
+ */
+void http_channel_send_body(struct http_channel *channel, struct str head,
+			    struct caller_body *body, bool head_only);
+
 /** Returns whether the connection is still being opened. */
 bool http_channel_connecting(const struct http_channel *channel);
 
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -17,6 +17,21 @@
  * many seconds. Closing a connection with unread data would reset it, and the
  * caller could lose the answer. */
 #define LINGER_S 1.0
+/* What a connection, a request and a header field take besides their bytes, as
+ * measured with the allocator's overhead and rounded up. */
+#define CONN_BYTES ((size_t)1024)
+#define REQUEST_BYTES ((size_t)4096)
+#define FIELD_BYTES ((size_t)32)
+/* Size of an answer's head that is assumed for its account. */
+#define ANSWER_HEAD_BYTES ((size_t)512)
+/* Text buffers of an idle connection that are larger than this are freed. */
+#define KEEP_BYTES ((size_t)1024)
+/* Retry-After of a request that is refused for lack of memory, in seconds:
+ * holders that make no progress are evicted within half of that. */
+#define REFUSED_RETRY_S "1"
+/* An idle connection may be closed for a new one from this time on, in seconds.
+ */
+#define IDLE_MIN_S 0.5
 
 /* A caller's connection. */
 struct http_conn {
@@ -51,6 +66,18 @@
 	bool half_closed;
 	/** Loop time at which a half-closed connection is closed. */
 	double linger_until_s;
+	/** Account in the server's budget, and what of it is for out. */
+	struct caller_holder holder;
+	size_t out_held;
+	/** The budget has no room for the request that is being received. */
+	bool no_room;
+	/** What the connection held was freed. on_io() refuses the request that
+	 * was being received or, if answers were lost, closes the connection.
+	 */
+	bool evicted;
+	bool answers_lost;
+	/** Loop time at which the head of the current request was complete. */
+	double body_started_s;
 	/** The socket is closed; the connection is freed by on_io() or by
 	 * http_server_tick(). */
 	bool closed;
@@ -67,6 +94,10 @@
 	const struct http_server_ops *ops;
 	void *ctx;
 	struct http_limits limits;
+	/** Limits what the connections hold; NULL: no limit. */
+	struct caller_budget *budget;
+	/** Accepting is paused until the next tick: no descriptor is left. */
+	bool accept_paused;
 	/** Open connections: struct http_conn. */
 	GQueue conns;
 	/** Value of http_server_requests(). */
@@ -113,6 +144,50 @@
 	return "Status";
 }
 
+static double conn_now(const struct http_conn *conn)
+{
+	return loop_now(conn->server->loop);
+}
+
+/* Takes bytes from the server's budget; returns false when there is no room. */
+static bool conn_hold(struct http_conn *conn, size_t len, bool answer)
+{
+	struct caller_budget *budget = conn->server->budget;
+
+	return !budget || caller_budget_take(budget, &conn->holder, len, answer,
+					     conn_now(conn));
+}
+
+/* Gives bytes back and zeroes their count. */
+static void conn_return(struct http_conn *conn, size_t *held)
+{
+	if (conn->server->budget)
+		caller_budget_return(conn->server->budget, &conn->holder,
+				     *held);
+	*held = 0;
+}
+
+/* Frees a text buffer that has grown. */
+static void shrink(GString **text)
+{
+	g_string_truncate(*text, 0);
+	if ((*text)->allocated_len <= KEEP_BYTES)
+		return;
+	g_string_free(*text, TRUE);
+	*text = g_string_new(NULL);
+}
+
+/* Drops the request's reference to its body. */
+static void request_free_body(struct http_request *request)
+{
+	if (request->conn->server->budget)
+		caller_budget_detach(&request->conn->holder,
+				     request->shared_body->held);
+	caller_body_unref(request->shared_body);
+	request->shared_body = caller_body_create(NULL);
+	request->body = request->shared_body->bytes;
+}
+
 static struct http_request *request_create(struct http_conn *conn)
 {
 	struct http_request *request = g_new0(struct http_request, 1);
@@ -121,7 +196,8 @@
 	request->method = g_string_new(NULL);
 	request->target = g_string_new(NULL);
 	request->headers = headers_create();
-	request->body = g_string_new(NULL);
+	request->shared_body = caller_body_create(conn->server->budget);
+	request->body = request->shared_body->bytes;
 	return request;
 }
 
@@ -130,7 +206,10 @@
 	g_string_free(request->method, TRUE);
 	g_string_free(request->target, TRUE);
 	headers_destroy(request->headers);
-	g_string_free(request->body, TRUE);
+	request_free_body(request);
+	caller_body_unref(request->shared_body);
+	conn_return(request->conn, &request->head_held);
+	conn_return(request->conn, &request->answer_held);
 	if (request->answer)
 		g_string_free(request->answer, TRUE);
 	g_free(request);
@@ -161,11 +240,22 @@
 	ev_io_stop(conn->server->loop->ev, &conn->io);
 	close(conn->fd);
 	conn_free_requests(conn);
+	conn->out_sent = 0;
+	shrink(&conn->out);
+	conn_return(conn, &conn->out_held);
+	conn->holder.state = CALLER_IDLE;
 }
 
 static void conn_free(struct http_conn *conn)
 {
 	conn_close(conn);
+	conn_return(conn, &conn->out_held);
+	if (conn->server->budget) {
+		size_t rest = conn->holder.held;
+
+		conn_return(conn, &rest);
+		caller_budget_leave(conn->server->budget, &conn->holder);
+	}
 	g_queue_unlink(&conn->server->conns, &conn->link);
 	g_string_free(conn->field, TRUE);
 	g_string_free(conn->value, TRUE);
@@ -176,7 +266,8 @@
 /* Sets the events, EV_READ and EV_WRITE, that the connection waits for. */
 static void conn_watch(struct http_conn *conn, int events)
 {
-	if (conn->closed || conn->events == events)
+	/* Stopping the watcher would also drop the event of an eviction. */
+	if (conn->closed || conn->evicted || conn->events == events)
 		return;
 	conn->events = events;
 	ev_io_stop(conn->server->loop->ev, &conn->io);
@@ -202,10 +293,57 @@
 		conn_close(conn);
 }
 
+/* Tells the budget what the connection holds bytes for. */
+static void conn_update_state(struct http_conn *conn)
+{
+	const struct http_request *first = g_queue_peek_head(&conn->requests);
+	enum caller_state state = CALLER_IDLE;
+
+	if (conn->out->len || (first && first->answer))
+		state = CALLER_SENDING;
+	else if (conn->reading)
+		state = CALLER_RECEIVING;
+	else if (first)
+		state = CALLER_RUNNING;
+	caller_budget_set_state(&conn->holder, state, conn_now(conn));
+}
+
+/* Frees what a connection holds, for the budget. Its requests are only told
+ * from the event loop, since this is called from within others' handlers. */
+static void conn_evict(struct caller_holder *holder)
+{
+	struct http_conn *conn =
+		(struct http_conn *)((char *)holder -
+				     offsetof(struct http_conn, holder));
+	GList *link;
+
+	conn->evicted = true;
+	if (conn->reading)
+		request_free_body(conn->reading);
+	if (holder->state == CALLER_SENDING) {
+		conn->answers_lost = true;
+		conn->out_sent = 0;
+		shrink(&conn->out);
+		conn_return(conn, &conn->out_held);
+		for (link = conn->requests.head; link; link = link->next) {
+			struct http_request *request = link->data;
+
+			if (!request->answer)
+				continue;
+			g_string_free(request->answer, TRUE);
+			request->answer = g_string_new(NULL);
+			conn_return(conn, &request->answer_held);
+		}
+	}
+	ev_feed_event(conn->server->loop->ev, &conn->io, EV_CUSTOM);
+}
+
 /* Writes as much as the socket accepts. Half-closes a connection that accepts
  * no further request once everything is sent. */
 static void conn_flush(struct http_conn *conn)
 {
+	if (conn->evicted)
+		return;
 	while (conn->out_sent < conn->out->len) {
 		ssize_t n =
 			socket_write(conn->fd, conn->out->str + conn->out_sent,
@@ -218,10 +356,13 @@
 			return;
 		}
 		conn->out_sent += (size_t)n;
+		caller_budget_progress(&conn->holder, (size_t)n,
+				       conn_now(conn));
 	}
 	if (conn->out_sent == conn->out->len) {
-		g_string_truncate(conn->out, 0);
+		shrink(&conn->out);
 		conn->out_sent = 0;
+		conn_return(conn, &conn->out_held);
 		if (conn->closing && !conn->requests.length && !conn->reading)
 			conn_half_close(conn);
 	}
@@ -234,13 +375,19 @@
 {
 	struct http_request *request;
 
-	while (!conn->closed &&
+	conn_flush(conn);
+	while (!conn->closed && !conn->evicted && !conn->out->len &&
 	       (request = g_queue_peek_head(&conn->requests)) &&
 	       request->answer) {
+		GString *sent = conn->out;
 		bool close_after = request->close_after_answer;
 
-		g_string_append_len(conn->out, request->answer->str,
-				    (gssize)request->answer->len);
+		/* The answer moves without a copy; the next one waits until it
+		 * is sent. */
+		conn->out = request->answer;
+		conn->out_held = request->answer_held;
+		request->answer = sent;
+		request->answer_held = 0;
 		g_queue_pop_head(&conn->requests);
 		conn->server->requests--;
 		request_free(request);
@@ -249,9 +396,9 @@
 			conn->closing = true;
 			conn_free_requests(conn);
 		}
-	}
-	if (!conn->closed)
 		conn_flush(conn);
+	}
+	conn_update_state(conn);
 }
 
 static bool request_is(const struct http_request *request, const char *method)
@@ -268,14 +415,45 @@
 	       g_queue_peek_tail(&request->conn->requests) == request;
 }
 
+/* Drops an answer for which there is no memory; the connection is closed from
+ * the event loop, since the answer's owner may still use the request. */
+static void drop_answer(struct http_request *request, size_t len)
+{
+	struct http_conn *conn = request->conn;
+
+	request->answer = g_string_new(NULL);
+	conn->evicted = true;
+	conn->answers_lost = true;
+	caller_budget_refuse(conn->server->budget, CALLER_CLOSED_MEMORY,
+			     conn->holder.held + len);
+	ev_feed_event(conn->server->loop->ev, &conn->io, EV_CUSTOM);
+}
+
+/* Whether an answer's body is part of its request's body. */
+static bool is_echo(const struct http_request *request,
+		    const struct http_answer *answer)
+{
+	return answer->body.len && answer->body.data >= request->body->str &&
+	       answer->body.data <= request->body->str + request->body->len;
+}
+
 void http_request_answer(struct http_request *request,
 			 const struct http_answer *answer)
 {
 	struct http_conn *conn = request->conn;
-	GString *out = g_string_sized_new(answer->body.len + 512);
+	size_t held = answer->body.len + ANSWER_HEAD_BYTES;
+	GString *out;
 	size_t i;
 
 	request->data = NULL;
+	if (!is_echo(request, answer))
+		request_free_body(request);
+	if (!conn_hold(conn, held, true)) {
+		drop_answer(request, held);
+		return;
+	}
+	request->answer_held = held;
+	out = g_string_sized_new(held);
 	if (conn->server->draining && is_last_request(request))
 		request->close_after_answer = true;
 	g_string_append_printf(out, "HTTP/1.1 %u %s\r\n", answer->status,
@@ -299,6 +477,7 @@
 		g_string_append_len(out, answer->body.data,
 				    (gssize)answer->body.len);
 	request->answer = out;
+	request_free_body(request);
 	conn_send_answers(conn);
 }
 
@@ -316,8 +495,11 @@
 static void conn_reject(struct http_conn *conn, unsigned int status)
 {
 	struct http_request *request = conn->reading;
-	struct http_answer answer = { .status = status };
+	struct headers *headers = headers_create();
+	struct http_answer answer = { .status = status, .headers = headers };
 
+	if (status == 503)
+		headers_add(headers, STR("Retry-After"), STR(REFUSED_RETRY_S));
 	if (!request)
 		request = request_create(conn);
 	conn->reading = NULL;
@@ -326,6 +508,28 @@
 	g_queue_push_tail(&conn->requests, request);
 	conn->server->requests++;
 	http_request_answer(request, &answer);
+	headers_destroy(headers);
+}
+
+/* Counts and reports that the request being received has no room. */
+static void refuse_for_memory(struct http_conn *conn)
+{
+	conn->no_room = true;
+	caller_budget_refuse(conn->server->budget, CALLER_REFUSED_MEMORY,
+			     conn->holder.held);
+}
+
+/* Takes bytes for the head of the request that is being received.
+ *
+ * @return false when there is no room */
+static bool hold_head(struct http_conn *conn, size_t len)
+{
+	if (!conn_hold(conn, len, false)) {
+		refuse_for_memory(conn);
+		return false;
+	}
+	conn->reading->head_held += len;
+	return true;
 }
 
 static int on_begin(http_parser *parser)
@@ -336,7 +540,8 @@
 	conn->head_bytes = 0;
 	conn->head_started_s = loop_now(conn->server->loop);
 	conn->in_value = false;
-	return 0;
+	conn_update_state(conn);
+	return hold_head(conn, REQUEST_BYTES) ? 0 : 1;
 }
 
 /* Counts bytes of the request's head.
@@ -345,7 +550,8 @@
 static int count_head(struct http_conn *conn, size_t len)
 {
 	conn->head_bytes += len;
-	return conn->head_bytes > conn->server->limits.header_bytes;
+	return conn->head_bytes > conn->server->limits.header_bytes ||
+	       !hold_head(conn, len + FIELD_BYTES);
 }
 
 static int on_url(http_parser *parser, const char *at, size_t len)
@@ -402,6 +608,9 @@
 
 	if (end_field(conn))
 		return -1;
+	shrink(&conn->field);
+	shrink(&conn->value);
+	conn->body_started_s = conn_now(conn);
 	g_string_assign(request->method,
 			http_method_str((enum http_method)parser->method));
 	request->close_after_answer = !http_should_keep_alive(parser);
@@ -411,6 +620,13 @@
 	if (parser->flags & F_CONTENTLENGTH &&
 	    parser->content_length > conn->server->limits.body_bytes)
 		return -1;
+	if (parser->flags & F_CONTENTLENGTH && conn->server->budget &&
+	    !caller_budget_has_room(conn->server->budget, &conn->holder,
+				    (size_t)parser->content_length,
+				    conn_now(conn))) {
+		refuse_for_memory(conn);
+		return -1;
+	}
 	expect = headers_find(request->headers, STR("expect"));
 	if (expect && !conn->requests.length && !conn->out->len)
 		g_string_append(conn->out, "HTTP/1.1 100 Continue\r\n\r\n");
@@ -424,6 +640,12 @@
 
 	if (body->len + len > conn->server->limits.body_bytes)
 		return 1;
+	if (!conn_hold(conn, len, false)) {
+		refuse_for_memory(conn);
+		return 1;
+	}
+	conn->reading->shared_body->held += len;
+	caller_budget_progress(&conn->holder, len, conn_now(conn));
 	g_string_append_len(body, at, (gssize)len);
 	return 0;
 }
@@ -441,8 +663,9 @@
 		conn->closing = true;
 	g_queue_push_tail(&conn->requests, request);
 	server->requests++;
+	conn_update_state(conn);
 	server->ops->request(server->ctx, request);
-	if (conn->closed || conn->closing)
+	if (conn->closed || conn->closing || conn->evicted)
 		http_parser_pause(parser, 1);
 	return 0;
 }
@@ -463,6 +686,8 @@
 	enum http_errno error = HTTP_PARSER_ERRNO(&conn->parser);
 	const struct http_limits *limits = &conn->server->limits;
 
+	if (conn->no_room)
+		return 503;
 	if (conn->head_bytes > limits->header_bytes ||
 	    error == HPE_HEADER_OVERFLOW)
 		return 431;
@@ -476,11 +701,11 @@
 
 static void conn_parse(struct http_conn *conn, const char *data, size_t len)
 {
-	if (conn->closing)
+	if (conn->closing || conn->evicted)
 		return;
 	conn->last_activity_s = loop_now(conn->server->loop);
 	http_parser_execute(&conn->parser, &parser_settings, data, len);
-	if (conn->closed || conn->closing)
+	if (conn->closed || conn->closing || conn->evicted)
 		return;
 	if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK)
 		conn_reject(conn, parse_error_status(conn));
@@ -499,7 +724,19 @@
 	}
 	conn_parse(conn, buf, (size_t)n);
 	if (!conn->closed)
-		conn_flush(conn);
+		conn_send_answers(conn);
+}
+
+/* Ends what the connection held when it was evicted. */
+static void conn_end_eviction(struct http_conn *conn)
+{
+	conn->evicted = false;
+	if (conn->answers_lost)
+		conn_close(conn);
+	else if (!conn->closing)
+		conn_reject(conn, 503);
+	else
+		conn_send_answers(conn);
 }
 
 static void on_io(struct ev_loop *loop, ev_io *io, int events)
@@ -507,37 +744,125 @@
 	struct http_conn *conn = io->data;
 
 	(void)loop;
-	if (events & EV_WRITE)
-		conn_flush(conn);
+	if (conn->evicted && !conn->closed)
+		conn_end_eviction(conn);
+	if (!conn->closed && events & EV_WRITE)
+		conn_send_answers(conn);
 	if (!conn->closed && events & EV_READ)
 		conn_read(conn);
 	if (conn->closed)
 		conn_free(conn);
 }
 
+static void conn_open(struct http_server *server, int fd)
+{
+	struct http_conn *conn = g_new0(struct http_conn, 1);
+
+	conn->server = server;
+	conn->fd = fd;
+	conn->field = g_string_new(NULL);
+	conn->value = g_string_new(NULL);
+	conn->out = g_string_new(NULL);
+	conn->last_activity_s = loop_now(server->loop);
+	conn->link.data = conn;
+	g_queue_init(&conn->requests);
+	http_parser_init(&conn->parser, HTTP_REQUEST);
+	conn->parser.data = conn;
+	ev_io_init(&conn->io, on_io, fd, EV_READ);
+	conn->io.data = conn;
+	conn->events = EV_READ;
+	ev_io_start(server->loop->ev, &conn->io);
+	g_queue_push_tail_link(&server->conns, &conn->link);
+	if (!server->budget)
+		return;
+	caller_budget_join(server->budget, &conn->holder, conn_now(conn));
+	/* The number of connections is limited, so these bytes may exceed the
+	 * budget when nothing can be evicted for them. */
+	if (!conn_hold(conn, CONN_BYTES, false))
+		caller_budget_add(server->budget, &conn->holder, CONN_BYTES);
+}
+
+/* Whether a connection has no request and no bytes to send. */
+static bool conn_idle(const struct http_conn *conn)
+{
+	return !conn->requests.length && !conn->reading && !conn->out->len &&
+	       !conn->half_closed;
+}
+
+/* Whether a connection has no request and no bytes to send or to read. */
+static bool conn_quiet(const struct http_conn *conn)
+{
+	char byte;
+
+	return !conn->closed && conn_idle(conn) &&
+	       recv(conn->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
+}
+
+/* Closes the connection that has been idle longest, to make room for another;
+ * returns whether there was one. */
+static bool close_longest_idle(struct http_server *server)
+{
+	double now = loop_now(server->loop);
+	struct http_conn *oldest = NULL;
+	GList *link;
+
+	for (link = server->conns.head; link; link = link->next) {
+		struct http_conn *conn = link->data;
+
+		if (now - conn->last_activity_s > IDLE_MIN_S &&
+		    (!oldest ||
+		     conn->last_activity_s < oldest->last_activity_s) &&
+		    conn_quiet(conn))
+			oldest = conn;
+	}
+	if (!oldest)
+		return false;
+	caller_budget_refuse(server->budget, CALLER_CLOSED_IDLE,
+			     oldest->holder.held);
+	conn_free(oldest);
+	return true;
+}
+
+/* Refuses a connection that was accepted; nothing is read from it. */
+static void refuse_connection(struct http_server *server, int fd)
+{
+	static const char text[] = "HTTP/1.1 503 Service Unavailable\r\n"
+				   "Retry-After: " REFUSED_RETRY_S "\r\n"
+				   "Content-Length: 0\r\n"
+				   "Connection: close\r\n\r\n";
+
+	caller_budget_refuse(server->budget, CALLER_REFUSED_CONNECTIONS, 0);
+	/* A caller whose connection breaks first learns nothing, either way. */
+	(void)socket_write(fd, text, sizeof(text) - 1);
+	close(fd);
+}
+
+/* Pauses accepting when no descriptor is left: the socket stays readable, and
+ * the event loop would call without end. */
+static void pause_accepting(struct http_server *server)
+{
+	if (server->budget)
+		caller_budget_refuse(server->budget, CALLER_NO_DESCRIPTOR, 0);
+	ev_io_stop(server->loop->ev, &server->accept);
+	server->accept_paused = true;
+}
+
 static void accept_all(struct http_server *server)
 {
+	const struct caller_budget *budget = server->budget;
 	int fd;
 
 	while ((fd = socket_accept(server->fd)) >= 0) {
-		struct http_conn *conn = g_new0(struct http_conn, 1);
-
-		conn->server = server;
-		conn->fd = fd;
-		conn->field = g_string_new(NULL);
-		conn->value = g_string_new(NULL);
-		conn->out = g_string_new(NULL);
-		conn->last_activity_s = loop_now(server->loop);
-		conn->link.data = conn;
-		g_queue_init(&conn->requests);
-		http_parser_init(&conn->parser, HTTP_REQUEST);
-		conn->parser.data = conn;
-		ev_io_init(&conn->io, on_io, fd, EV_READ);
-		conn->io.data = conn;
-		conn->events = EV_READ;
-		ev_io_start(server->loop->ev, &conn->io);
-		g_queue_push_tail_link(&server->conns, &conn->link);
+		if (budget && budget->connections &&
+		    server->conns.length >= budget->connections &&
+		    !close_longest_idle(server))
+			refuse_connection(server, fd);
+		else
+			conn_open(server, fd);
 	}
+	if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
+	    errno == ENOMEM)
+		pause_accepting(server);
 }
 
 static void on_accept(struct ev_loop *loop, ev_io *io, int events)
@@ -601,12 +926,30 @@
 	return address;
 }
 
+void http_server_set_budget(struct http_server *server,
+			    struct caller_budget *budget)
+{
+	static const struct caller_budget_ops ops = { .evict = conn_evict };
+
+	budget->ops = &ops;
+	server->budget = budget;
+}
+
 void http_server_set_limits(struct http_server *server,
 			    const struct http_limits *limits)
 {
 	server->limits = *limits;
 }
 
+/* Whether the body of the request took longer than the budget allows. */
+static bool body_timed_out(const struct http_conn *conn, double now)
+{
+	const struct caller_budget *budget = conn->server->budget;
+
+	return budget && budget->body_timeout_s > 0 &&
+	       now - conn->body_started_s > budget->body_timeout_s;
+}
+
 /* Closes the connection if one of its time limits has passed. */
 static void conn_tick(struct http_conn *conn, double now)
 {
@@ -624,6 +967,9 @@
 		if (now - conn->head_started_s > limits->header_timeout_s &&
 		    !conn->reading->complete && !conn->reading->method->len)
 			conn_reject(conn, 408);
+		else if (conn->reading->method->len &&
+			 body_timed_out(conn, now))
+			conn_reject(conn, 408);
 		else if (now - conn->last_activity_s > limits->idle_timeout_s)
 			conn_close(conn);
 		return;
@@ -638,6 +984,9 @@
 	double now = loop_now(server->loop);
 	GList *link, *next;
 
+	if (server->accept_paused && server->fd >= 0)
+		ev_io_start(server->loop->ev, &server->accept);
+	server->accept_paused = false;
 	for (link = server->conns.head; link; link = next) {
 		struct http_conn *conn = link->data;
 
@@ -653,13 +1002,6 @@
 	server->draining = true;
 }
 
-/* Whether a connection has no request and no bytes to send. */
-static bool conn_idle(const struct http_conn *conn)
-{
-	return !conn->requests.length && !conn->reading && !conn->out->len &&
-	       !conn->half_closed;
-}
-
 void http_server_close_idle(struct http_server *server)
 {
 	GList *link, *next;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -14,6 +14,8 @@
 
 #include "base/str.h"
 #include "http/headers.h"
+#include "net/caller_body.h"
+#include "net/caller_budget.h"
 #include "net/loop.h"
 
 struct http_server;
@@ -52,8 +54,10 @@
 	GString *target;
 	/** End-to-end and hop-by-hop header fields as received. */
 	struct headers *headers;
-	/** The body, without chunked encoding. */
+	/** The body, without chunked encoding; owned by shared_body. */
 	GString *body;
+	/** The body for others to keep a reference of. */
+	struct caller_body *shared_body;
 	/** Loop time at which the request was complete. */
 	double received_s;
 	/** Pointer for use by the server's owner; NULL after the answer. */
@@ -62,6 +66,10 @@
 	/** This member and those below are private to the server. The response
 	 * as sent; NULL until the request is answered. */
 	GString *answer;
+	/** Number of bytes taken from the server's budget for the head, and for
+	 * the answer. */
+	size_t head_held;
+	size_t answer_held;
 	/** The request was received completely. */
 	bool complete;
 	/** The connection is closed after the answer. */
@@ -102,6 +110,15 @@
 void http_server_set_limits(struct http_server *server,
 			    const struct http_limits *limits);
 
+/**
+ * Limits what the server's connections hold, from before the first connection
+ * on. Sets the budget's ops.
+ *
+ * @param budget must outlive the server and all references to bodies
+ */
+void http_server_set_budget(struct http_server *server,
+			    struct caller_budget *budget);
+
 /** Closes connections whose time limit has passed (struct http_limits) and
  * frees closed ones; to be called a few times a second. */
 void http_server_tick(struct http_server *server);
--- a/test/functional/cluster_crowd.c
+++ b/test/functional/cluster_crowd.c
@@ -149,6 +149,8 @@
 {
 	const char *bytes;
 
+	if (c->fd < 0)
+		return 0;
 	return (short)((c->message->no_read ? 0 : POLLIN) |
 		       (next_bytes(c, &bytes) ? POLLOUT : 0));
 }
@@ -163,7 +165,7 @@
 		const struct caller *c = &crowd->callers[i];
 
 		crowd->polls[i].fd = c->fd;
-		crowd->polls[i].events = c->fd >= 0 ? wanted_events(c) : 0;
+		crowd->polls[i].events = wanted_events(c);
 		if (c->fd >= 0 && crowd->polls[i].events & POLLOUT)
 			sending = true;
 	}
