net: stalled heads and connections give way too

Callers of little were never evicted, so that many heads or small bodies that are not finished could hold the whole budget until their time-outs, and keep small requests out. They now give way to answers and to other small requests, after all others. At the limit of connections, one whose request makes no progress gets 503, and one whose answers are not read is closed, when no idle one is left.

--- a/src/entry/caller_limits.c
+++ b/src/entry/caller_limits.c
@@ -34,6 +34,7 @@
 	[CALLER_CLOSED_MEMORY] = { "memory_unread", "closed" },
 	[CALLER_REFUSED_CONNECTIONS] = { "connections", "refused" },
 	[CALLER_CLOSED_IDLE] = { "connections_idle", "closed" },
+	[CALLER_CLOSED_UNREAD] = { "connections_unread", "closed" },
 	[CALLER_NO_DESCRIPTOR] = { "no_descriptor", "paused" },
 };
 
--- a/src/net/caller_budget.c
+++ b/src/net/caller_budget.c
@@ -1,8 +1,11 @@
 #include "net/caller_budget.h"
 
 /* A holder of at most this many bytes holds little: ordinary requests and their
- * answers stay below it. It may use the reserve and is never evicted. */
+ * answers stay below it. It may use the reserve, and is evicted last. */
 #define LITTLE_BYTES ((size_t)64 << 10)
+/* Evicting a holder of fewer bytes, which are mostly the connection's own, is
+ * of no use. */
+#define EVICT_MIN_BYTES ((size_t)4 << 10)
 /* A holder that moved fewer than PROGRESS_BYTES in the last STALL_S seconds
  * makes no progress. Half of a slow VM's link of 10 Mbit/s, shared by ten
  * callers, moves twice as much. */
@@ -36,36 +39,47 @@
 	return len <= limit && budget->used <= limit - len;
 }
 
-/* Returns the holder to evict next: that of most bytes among those that make no
- * progress; if there is none, that of most among those that are received, which
- * may still be refused. NULL: none can go.
+/* Returns whether a holder gives way before another in the same class. */
+static bool holds_more(const struct caller_holder *holder,
+		       const struct caller_holder *best)
+{
+	return !best || holder->held > best->held;
+}
+
+/* Returns the holder to evict next, that of most bytes in the first class that
+ * has one: those of much without progress; requests of much that are being
+ * received; those of little without progress. NULL: none can go.
  *
- * @param any_receiving the second kind can go */
+ * @param precedence the second and the third class can go */
 static struct caller_holder *choose_victim(const struct caller_budget *budget,
 					   const struct caller_holder *self,
-					   bool any_receiving, double now)
+					   bool precedence, double now)
 {
-	struct caller_holder *stalled = NULL, *receiving = NULL;
+	struct caller_holder *stalled = NULL, *receiving = NULL, *little = NULL;
 	GList *link;
 
 	for (link = budget->holders.head; link; link = link->next) {
 		struct caller_holder *h = link->data;
+		bool moves = now - h->progress_s < STALL_S;
 
-		if (h == self || h->held <= LITTLE_BYTES ||
+		if (h == self || h->held < EVICT_MIN_BYTES ||
 		    (h->state != CALLER_RECEIVING &&
 		     h->state != CALLER_SENDING))
 			continue;
-		if (now - h->progress_s >= STALL_S) {
-			if (!stalled || h->held > stalled->held)
+		if (h->held <= LITTLE_BYTES) {
+			if (!moves && holds_more(h, little))
+				little = h;
+		} else if (!moves) {
+			if (holds_more(h, stalled))
 				stalled = h;
-		} else if (h->state == CALLER_RECEIVING) {
-			if (!receiving || h->held > receiving->held)
-				receiving = h;
+		} else if (h->state == CALLER_RECEIVING &&
+			   holds_more(h, receiving)) {
+			receiving = h;
 		}
 	}
-	if (stalled || !any_receiving)
+	if (stalled || !precedence)
 		return stalled;
-	return receiving;
+	return receiving ? receiving : little;
 }
 
 /* Evicts holders until the bytes fit; returns whether they do. */
@@ -119,6 +133,44 @@
 	return true;
 }
 
+/* Returns the place of a state in the order in which connections are closed. */
+static int closing_rank(enum caller_state state)
+{
+	switch (state) {
+	case CALLER_IDLE:
+		return 0;
+	case CALLER_RECEIVING:
+		return 1;
+	case CALLER_SENDING:
+		return 2;
+	case CALLER_RUNNING:
+		break;
+	}
+	return 3;
+}
+
+struct caller_holder *
+caller_budget_choose_connection(const struct caller_budget *budget, double now)
+{
+	struct caller_holder *best = NULL;
+	GList *link;
+
+	for (link = budget->holders.head; link; link = link->next) {
+		struct caller_holder *h = link->data;
+		int rank = closing_rank(h->state);
+		int best_rank = best ? closing_rank(best->state) : 3;
+
+		if (now - h->progress_s < STALL_S || rank > best_rank ||
+		    rank == closing_rank(CALLER_RUNNING))
+			continue;
+		if (rank == best_rank && h->progress_s >= best->progress_s)
+			continue;
+		if (budget->ops->may_close(h))
+			best = h;
+	}
+	return best;
+}
+
 void caller_budget_return(struct caller_budget *budget,
 			  struct caller_holder *holder, size_t len)
 {
--- a/src/net/caller_budget.h
+++ b/src/net/caller_budget.h
@@ -44,10 +44,14 @@
 	/** Answers that were not read had to give way, or an answer did not
 	 * fit; the connection was closed. */
 	CALLER_CLOSED_MEMORY,
-	/** There were too many connections, and the new one got 503. */
+	/** There were too many connections, and the new one, or one whose
+	 * request made no progress, got 503. */
 	CALLER_REFUSED_CONNECTIONS,
 	/** There were too many connections, and an idle one was closed. */
 	CALLER_CLOSED_IDLE,
+	/** There were too many connections, and one whose answers were not read
+	 * was closed. */
+	CALLER_CLOSED_UNREAD,
 	/** No descriptor was left to accept a connection with. */
 	CALLER_NO_DESCRIPTOR,
 	CALLER_REFUSALS,
@@ -59,6 +63,9 @@
 	 * holds, and calls caller_budget_return() for it. Must not call back
 	 * into code that handles requests. */
 	void (*evict)(struct caller_holder *holder);
+	/** Returns whether closing the connection ends no request that is
+	 * complete or that may have arrived. */
+	bool (*may_close)(const struct caller_holder *holder);
 };
 
 /** The bytes and connections that all callers together may hold. */
@@ -98,8 +105,8 @@
 /**
  * Takes bytes for a holder. If the limit is reached, holders of much that make
  * no progress are evicted first, in the order of what they hold. For an answer,
- * and for a holder of little, requests that are being received are evicted as
- * well.
+ * and for a holder of little, requests of much that are being received are
+ * evicted as well, and then holders of little that make no progress.
  *
  * @param answer the bytes are those of an answer
  * @return false when the holder must be refused
@@ -120,6 +127,16 @@
 			    struct caller_holder *holder, size_t len,
 			    double now);
 
+/**
+ * Chooses a connection to close when there are too many: the one that has made
+ * no progress for longest, among those that are idle; if there are none, among
+ * those that send a request; then among those that don't read answers.
+ *
+ * @return NULL if none can be closed
+ */
+struct caller_holder *
+caller_budget_choose_connection(const struct caller_budget *budget, double now);
+
 /** Gives bytes of a holder back. */
 void caller_budget_return(struct caller_budget *budget,
 			  struct caller_holder *holder, size_t len);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -29,9 +29,6 @@
 /* Retry-After of a request that is refused for lack of memory, in seconds:
  * holders that make no progress are evicted within half of that. */
 #define REFUSED_RETRY_S "1"
-/* An idle connection may be closed for a new one from this time on, in seconds.
- */
-#define IDLE_MIN_S 0.5
 
 /* A caller's connection. */
 struct http_conn {
@@ -308,18 +305,35 @@
 	caller_budget_set_state(&conn->holder, state, conn_now(conn));
 }
 
+/* Frees what was received of a request, except the method. */
+static void request_free_content(struct http_conn *conn,
+				 struct http_request *request)
+{
+	request_free_body(request);
+	headers_destroy(request->headers);
+	request->headers = headers_create();
+	shrink(&request->target);
+	shrink(&conn->field);
+	shrink(&conn->value);
+	conn_return(conn, &request->head_held);
+}
+
+static struct http_conn *conn_of(const struct caller_holder *holder)
+{
+	return (struct http_conn *)((char *)holder -
+				    offsetof(struct http_conn, holder));
+}
+
 /* Frees what a connection holds, for the budget. Its requests are only told
  * from the event loop, since this is called from within others' handlers. */
 static void conn_evict(struct caller_holder *holder)
 {
-	struct http_conn *conn =
-		(struct http_conn *)((char *)holder -
-				     offsetof(struct http_conn, holder));
+	struct http_conn *conn = conn_of(holder);
 	GList *link;
 
 	conn->evicted = true;
 	if (conn->reading)
-		request_free_body(conn->reading);
+		request_free_content(conn, conn->reading);
 	if (holder->state == CALLER_SENDING) {
 		conn->answers_lost = true;
 		conn->out_sent = 0;
@@ -789,52 +803,59 @@
 	       !conn->half_closed;
 }
 
-/* Whether a connection has no request and no bytes to send or to read. */
-static bool conn_quiet(const struct http_conn *conn)
+/* Whether a connection can be closed for the budget: no request on it is in
+ * progress, and of an idle one nothing was received that is not read yet. */
+static bool conn_may_close(const struct caller_holder *holder)
 {
+	struct http_conn *conn = conn_of(holder);
+	const struct http_request *last = g_queue_peek_tail(&conn->requests);
 	char byte;
 
-	return !conn->closed && conn_idle(conn) &&
-	       recv(conn->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
-}
-
-/* Closes the connection that has been idle longest, to make room for another;
- * returns whether there was one. */
-static bool close_longest_idle(struct http_server *server)
-{
-	double now = loop_now(server->loop);
-	struct http_conn *oldest = NULL;
-	GList *link;
-
-	for (link = server->conns.head; link; link = link->next) {
-		struct http_conn *conn = link->data;
-
-		if (now - conn->last_activity_s > IDLE_MIN_S &&
-		    (!oldest ||
-		     conn->last_activity_s < oldest->last_activity_s) &&
-		    conn_quiet(conn))
-			oldest = conn;
-	}
-	if (!oldest)
+	if (conn->closed || conn->closing || conn->evicted)
 		return false;
-	caller_budget_refuse(server->budget, CALLER_CLOSED_IDLE,
-			     oldest->holder.held);
-	conn_free(oldest);
-	return true;
+	if (holder->state == CALLER_SENDING)
+		return !conn->reading && (!last || last->answer);
+	if (holder->state == CALLER_RECEIVING)
+		return !last;
+	return conn_idle(conn) &&
+	       recv(conn->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
 }
 
-/* Refuses a connection that was accepted; nothing is read from it. */
-static void refuse_connection(struct http_server *server, int fd)
+/* Sends a refusal on a connection on which nothing is in progress, which is to
+ * be closed next. */
+static void send_refusal(int fd)
 {
 	static const char text[] = "HTTP/1.1 503 Service Unavailable\r\n"
 				   "Retry-After: " REFUSED_RETRY_S "\r\n"
 				   "Content-Length: 0\r\n"
 				   "Connection: close\r\n\r\n";
 
-	caller_budget_refuse(server->budget, CALLER_REFUSED_CONNECTIONS, 0);
 	/* A caller whose connection breaks first learns nothing, either way. */
 	(void)socket_write(fd, text, sizeof(text) - 1);
-	close(fd);
+}
+
+/* Closes a connection to make room for another; returns whether there was one
+ * to close. */
+static bool close_one(struct http_server *server)
+{
+	static const enum caller_refusal refusals[] = {
+		[CALLER_IDLE] = CALLER_CLOSED_IDLE,
+		[CALLER_RECEIVING] = CALLER_REFUSED_CONNECTIONS,
+		[CALLER_SENDING] = CALLER_CLOSED_UNREAD,
+	};
+	struct caller_holder *holder = caller_budget_choose_connection(
+		server->budget, loop_now(server->loop));
+	struct http_conn *conn;
+
+	if (!holder)
+		return false;
+	conn = conn_of(holder);
+	caller_budget_refuse(server->budget, refusals[holder->state],
+			     holder->held);
+	if (holder->state == CALLER_RECEIVING)
+		send_refusal(conn->fd);
+	conn_free(conn);
+	return true;
 }
 
 /* Pauses accepting when no descriptor is left: the socket stays readable, and
@@ -855,10 +876,14 @@
 	while ((fd = socket_accept(server->fd)) >= 0) {
 		if (budget && budget->connections &&
 		    server->conns.length >= budget->connections &&
-		    !close_longest_idle(server))
-			refuse_connection(server, fd);
-		else
+		    !close_one(server)) {
+			caller_budget_refuse(server->budget,
+					     CALLER_REFUSED_CONNECTIONS, 0);
+			send_refusal(fd);
+			close(fd);
+		} else {
 			conn_open(server, fd);
+		}
 	}
 	if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
 	    errno == ENOMEM)
@@ -929,7 +954,10 @@
 void http_server_set_budget(struct http_server *server,
 			    struct caller_budget *budget)
 {
-	static const struct caller_budget_ops ops = { .evict = conn_evict };
+	static const struct caller_budget_ops ops = {
+		.evict = conn_evict,
+		.may_close = conn_may_close,
+	};
 
 	budget->ops = &ops;
 	server->budget = budget;
@@ -941,11 +969,16 @@
 	server->limits = *limits;
 }
 
-/* Whether the body of the request took longer than the budget allows. */
-static bool body_timed_out(const struct http_conn *conn, double now)
+/* Whether the head or the body of the request that is being received took
+ * longer than allowed. */
+static bool reading_timed_out(const struct http_conn *conn, double now)
 {
 	const struct caller_budget *budget = conn->server->budget;
 
+	/* The method is set once the head is complete. */
+	if (!conn->reading->method->len)
+		return now - conn->head_started_s >
+		       conn->server->limits.header_timeout_s;
 	return budget && budget->body_timeout_s > 0 &&
 	       now - conn->body_started_s > budget->body_timeout_s;
 }
@@ -963,12 +996,7 @@
 		return;
 	}
 	if (conn->reading) {
-		/* The method is set once the head is complete. */
-		if (now - conn->head_started_s > limits->header_timeout_s &&
-		    !conn->reading->complete && !conn->reading->method->len)
-			conn_reject(conn, 408);
-		else if (conn->reading->method->len &&
-			 body_timed_out(conn, now))
+		if (reading_timed_out(conn, now))
 			conn_reject(conn, 408);
 		else if (now - conn->last_activity_s > limits->idle_timeout_s)
 			conn_close(conn);
