--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -17,11 +17,11 @@
  * many seconds. Closing a connection with unread data would reset it, and the
  * caller could lose the answer. */
 #define LINGER_S 1.0
-/* What a connection, a request and a header field take besides their bytes, as
- * measured with the allocator's overhead and rounded up. */
+/* What a connection, a request and a header field take besides their bytes:
+ * estimates from the sizes of the structures, rounded up for the allocator. */
 #define CONN_BYTES ((size_t)1024)
 #define REQUEST_BYTES ((size_t)4096)
-#define FIELD_BYTES ((size_t)32)
+#define FIELD_BYTES ((size_t)64)
 /* Size of an answer's head that is assumed for its account. */
 #define ANSWER_HEAD_BYTES ((size_t)512)
 /* Text buffers of an idle connection that are larger than this are freed. */
@@ -565,7 +565,7 @@
 {
 	conn->head_bytes += len;
 	return conn->head_bytes > conn->server->limits.header_bytes ||
-	       !hold_head(conn, len + FIELD_BYTES);
+	       !hold_head(conn, len);
 }
 
 static int on_url(http_parser *parser, const char *at, size_t len)
@@ -600,6 +600,8 @@
 
 	if (conn->in_value && end_field(conn))
 		return 1;
+	if (!conn->field->len && !hold_head(conn, FIELD_BYTES))
+		return 1;
 	g_string_append_len(conn->field, at, (gssize)len);
 	return count_head(conn, len);
 }
@@ -862,8 +864,10 @@
  * the event loop would call without end. */
 static void pause_accepting(struct http_server *server)
 {
-	if (server->budget)
+	if (server->budget) {
 		caller_budget_refuse(server->budget, CALLER_NO_DESCRIPTOR, 0);
+		(void)close_one(server);
+	}
 	ev_io_stop(server->loop->ev, &server->accept);
 	server->accept_paused = true;
 }
--- a/test/unit/test_server_limits.c
+++ b/test/unit/test_server_limits.c
@@ -4,6 +4,7 @@
  */
 #include <arpa/inet.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -333,6 +334,40 @@
 	teardown();
 }
 
+/* Guards against a loop that spins when no descriptor is left, and against
+ * callers that are never accepted after that. */
+static void accepting_waits_for_a_descriptor(void)
+{
+	struct rlimit before, low;
+	int fds[3], i;
+
+	setup(0);
+	fds[0] = connect_caller();
+	for (i = 1; i < 3; i++)
+		fds[i] = socket(AF_INET, SOCK_STREAM, 0);
+	getrlimit(RLIMIT_NOFILE, &before);
+	low = before;
+	low.rlim_cur = (rlim_t)fds[2] + 1;
+	CU_ASSERT_EQUAL_FATAL(setrlimit(RLIMIT_NOFILE, &low), 0);
+	for (i = 1; i < 3; i++) {
+		struct sockaddr_in address = http_server_address(w.server);
+
+		CU_ASSERT_EQUAL(connect(fds[i], (struct sockaddr *)&address,
+					sizeof(address)),
+				0);
+	}
+	run_loop(50);
+	CU_ASSERT_EQUAL(w.budget.refusals[CALLER_NO_DESCRIPTOR], 1);
+	CU_ASSERT_EQUAL(http_server_connections(w.server), 1);
+	CU_ASSERT_EQUAL(setrlimit(RLIMIT_NOFILE, &before), 0);
+	http_server_tick(w.server);
+	send_get(fds[1]);
+	send_get(fds[2]);
+	for (i = 0; i < 3; i++)
+		close(fds[i]);
+	teardown();
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -343,6 +378,8 @@
 		{ "a body has a time limit", a_body_has_a_time_limit },
 		{ "pipelined answers stay whole",
 		  pipelined_answers_stay_whole },
+		{ "accepting waits for a descriptor",
+		  accepting_waits_for_a_descriptor },
 		{ 0 },
 	};
 
