--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -5,6 +5,8 @@
  */
 #include <string.h>
 
+#include "base/hash.h"
+#include "entry/authorize.h"
 #include "entry/forward_impl.h"
 
 /* Most attempts of a request, including those that did not run. */
@@ -30,11 +32,12 @@
 
 /* Whether a header field of the caller's request is passed on; build_head()
  * writes Content-Length itself. */
-static bool passes_to_upstream(const struct protocol *protocol, struct str name)
+static bool passes_to_upstream(const struct forward *forward, struct str name)
 {
 	return !headers_name_equal(name, STR("content-length")) &&
 	       !headers_name_equal(name, STR("expect")) &&
-	       !protocol->is_rewritten_field(name);
+	       !forward->options.protocol->is_rewritten_field(
+		       name, customers_required(forward->options.customers));
 }
 
 /* Builds the head of the HTTP request for an upstream; the caller frees it.
@@ -53,12 +56,13 @@
 	for (i = 0; i < headers_count(caller->headers); i++) {
 		const struct header *h = headers_at(caller->headers, i);
 
-		if (passes_to_upstream(protocol, h->name))
+		if (passes_to_upstream(req->forward, h->name))
 			g_string_append_printf(out, "%.*s: %.*s\r\n",
 					       STR_ARG(h->name),
 					       STR_ARG(h->value));
 	}
-	protocol->write_fields(out, left_s, upstream->entry.id);
+	protocol->write_fields(out, left_s, upstream->entry.id,
+			       req->customer ? req->customer->name : NULL);
 	if (req->has_body || caller->body->len)
 		g_string_append_printf(out, "Content-Length: %zu\r\n",
 				       caller->body->len);
@@ -105,7 +109,11 @@
 	struct link_request request = {
 		.head_only = !strcmp(req->caller->method->str, "HEAD"),
 		.avoid_stale = !is_idempotent(req),
-		.new_connection = dispatch_was_tried(req, upstream),
+		/* Without an id, only the first answer on a connection can be
+		 * told to be that of this request. */
+		.new_connection =
+			!req->id.len || dispatch_was_tried(req, upstream),
+		.id_hash = req->id.len ? hash_key(req->id) : 0,
 	};
 
 	attempt->req = req;
@@ -117,7 +125,9 @@
 	attempt->give_up_s = req->give_up_s;
 	attempt->busy_before = load_in_flight(&upstream->load, now);
 	req->attempts[unused_attempt_index(req)] = attempt;
-	req->sends++;
+	if (!req->sends++ && req->customer)
+		customers_record_send(forward->options.customers, req->customer,
+				      now);
 	record_tried_upstream(req, upstream);
 	load_start(&upstream->load, now);
 	upstream_record_send(forward->options.roster, upstream);
@@ -349,8 +359,11 @@
 
 	if (is_by_another_upstream(attempt, facts))
 		upstream->replaced = true;
-	else if (req && req->key >= 0)
+	else if (req && req->key >= 0) {
 		req->not_before_s = forward_now(req->forward) + KEY_RETRY_S;
+		req->shed_with_room = reply->status == 503 && facts->has_load &&
+				      facts->running < facts->slots;
+	}
 	attempt_end(attempt, LOAD_SHED);
 	attempt_free(attempt);
 	if (!req)
@@ -481,8 +494,7 @@
 static bool is_unattributable(const struct upstream_attempt *attempt,
 			      const struct reply_facts *facts)
 {
-	return !facts->id.len && *attempt->id &&
-	       link_used_before(attempt->link);
+	return !facts->id.len && link_used_before(attempt->link);
 }
 
 static bool on_reply(void *user, const struct http_reply *reply)
@@ -523,7 +535,7 @@
 		log_reply(attempt, reply->status, "answered");
 		handle_answer(attempt, reply);
 	}
-	dispatch_queued(forward, service);
+	dispatch_queued_soon(forward, service);
 	return true;
 }
 
@@ -575,7 +587,7 @@
 		retry_or_finish(req, ends[end].arrived, ends[end].arrived,
 				ends[end].name);
 	}
-	dispatch_queued(forward, service);
+	dispatch_queued_soon(forward, service);
 }
 
 static const struct link_ops link_ops = {
@@ -605,7 +617,8 @@
 	double now = forward_now(forward);
 	struct upstream *upstream;
 
-	if (crash_watch_blocks(forward->options.crashes, req->fingerprint))
+	if (crash_watch_blocks(forward->options.crashes, req->fingerprint) ||
+	    authorize_send(req))
 		return;
 	if (now + TIMER_TOLERANCE_S < backup_due_s(req) ||
 	    retry_window_left(&req->service->retries, now) < BACKUP_MIN_BUDGET)
--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -1,7 +1,9 @@
 /*
  * Membership of this VM in the cluster: competes for the lease, runs the key
  * leaders while this VM leads, and times reports and heartbeats. The messages
- * are in cluster_messages.c.
+ * are
+ * in cluster_messages.c and cluster_heartbeat.c, and the owner maps of the
+ * store in cluster_maps.c.
  */
 #include "entry/cluster_impl.h"
 
@@ -26,7 +28,7 @@
 	published_map_destroy(data);
 }
 
-static bool may_send_orders(void *ctx)
+bool cluster_may_send_orders(void *ctx)
 {
 	struct cluster *cluster = ctx;
 
@@ -46,7 +48,7 @@
 	}
 }
 
-static void keys_changed(void *ctx)
+void cluster_keys_changed(void *ctx)
 {
 	struct cluster *cluster = ctx;
 
@@ -86,8 +88,12 @@
 	counter_set(cluster->leads, 1);
 	crash_exchange_resend(cluster->crash_exchange);
 	limit_exchange_begin(cluster->limit_exchange);
+	g_array_set_size(cluster->index_requests, 0);
+	g_array_set_size(cluster->snapshot_requests, 0);
+	quota_exchange_begin(cluster->quota_exchange,
+			     live_vms_count(cluster->vms));
 	/* The heartbeat makes the other VMs stop competing for the lease. */
-	keys_changed(cluster);
+	cluster_keys_changed(cluster);
 }
 
 static void on_lost(void *ctx, const char *reason)
@@ -109,11 +115,27 @@
 	return cluster_now(cluster) < cluster->last_heartbeat_s + RELAY_LOST_S;
 }
 
+/* Once this VM knows the size of the fleet, decides when it reads the tables,
+ * unless the leader sends them before. */
+static void begin_reading(struct cluster *cluster)
+{
+	double wait_s = live_vms_start_wait_s(lease_row_vms(cluster->lease)) *
+			g_random_double();
+
+	if (cluster->reading_begun ||
+	    cluster->options.settings->copy_wait_s > 0)
+		return;
+	cluster->reading_begun = true;
+	table_watch_set_copy_wait(cluster->options.operator_rows, wait_s);
+	table_watch_set_copy_wait(cluster->options.upstream_rows, wait_s);
+}
+
 static void on_leader_learned(void *ctx, const char *vm, const char *address)
 {
 	struct cluster *cluster = ctx;
 	struct sockaddr_in leader;
 
+	begin_reading(cluster);
 	if (!address_parse(str_from(address), &leader)) {
 		log_warn(
 			"lease",
@@ -124,6 +146,7 @@
 	}
 	cluster->leader_address = leader;
 	cluster->leader_address_known = true;
+	cluster->leader_zone = "";
 	/* The leader may not know this VM: report at once. */
 	if (!hears_leader(cluster))
 		cluster_report_soon(cluster);
@@ -137,40 +160,51 @@
 	key_leader_renew_all(value, cluster->hold_s);
 }
 
-static void notify_owner_disconnected(gpointer key, gpointer value,
-				      gpointer upstream)
+/* What is to be told to all key leaders of one upstream. */
+struct owner_event {
+	void (*tell)(struct key_leader *leader, const char *upstream);
+	const char *upstream;
+};
+
+static void tell_key_leader(gpointer key, gpointer value, gpointer data)
 {
+	const struct owner_event *event = data;
+
 	(void)key;
-	key_leader_owner_disconnected(value, upstream);
+	event->tell(value, event->upstream);
 }
 
 static void on_owner_disconnected(void *ctx, const char *upstream)
 {
+	struct owner_event event = { key_leader_owner_disconnected, upstream };
 	struct cluster *cluster = ctx;
 
-	g_hash_table_foreach(cluster->key_leaders, notify_owner_disconnected,
-			     (char *)upstream);
+	g_hash_table_foreach(cluster->key_leaders, tell_key_leader, &event);
 }
 
-static void notify_owner_reconnecting(gpointer key, gpointer value,
-				      gpointer upstream)
+static void on_owner_reconnecting(void *ctx, const char *upstream)
 {
-	(void)key;
-	key_leader_owner_reconnecting(value, upstream);
+	struct owner_event event = { key_leader_owner_reconnecting, upstream };
+	struct cluster *cluster = ctx;
+
+	g_hash_table_foreach(cluster->key_leaders, tell_key_leader, &event);
 }
 
-static void on_owner_reconnecting(void *ctx, const char *upstream)
+static void on_owner_doubted(void *ctx, const char *upstream)
 {
+	struct owner_event event = { key_leader_owner_doubted, upstream };
 	struct cluster *cluster = ctx;
 
-	g_hash_table_foreach(cluster->key_leaders, notify_owner_reconnecting,
-			     (char *)upstream);
+	event_log_write(cluster->options.log, "warning", "keys",
+			"event=answer_in_doubt upstream=%s", upstream);
+	g_hash_table_foreach(cluster->key_leaders, tell_key_leader, &event);
 }
 
 static const struct orders_ops orders_ops = {
-	.may_send_orders = may_send_orders,
+	.may_send_orders = cluster_may_send_orders,
 	.disconnected = on_owner_disconnected,
 	.reconnecting = on_owner_reconnecting,
+	.doubted = on_owner_doubted,
 };
 
 /* The lease can't be renewed, and the store may be unreachable for long. While
@@ -179,7 +213,7 @@
 {
 	struct cluster *cluster = ctx;
 
-	if (!may_send_orders(cluster))
+	if (!cluster_may_send_orders(cluster))
 		return;
 	cluster->hold_s = cluster->options.settings->hold_max_s;
 	event_log_write(cluster->options.log, "warning", "lease",
@@ -211,10 +245,17 @@
 	struct table_watch *operator_rows = cluster->options.operator_rows;
 	struct table_watch *upstream_rows = cluster->options.upstream_rows;
 	enum table_watch_peers peers = peers_of(cluster);
+	struct config_contact *contact =
+		customers_contact(cluster->options.customers);
 
 	cluster_update_row_versions(cluster,
 				    table_watch_row_version(operator_rows),
 				    table_watch_row_version(upstream_rows));
+	config_contact_tick(contact, cluster_now(cluster));
+	if (table_watch_row_version(operator_rows) >=
+	    cluster->row_versions.operator_rows)
+		config_contact_peer_heard(contact,
+					  cluster->row_versions_heard_s);
 	table_watch_set_peers(operator_rows, peers,
 			      cluster->row_versions.operator_rows);
 	table_watch_set_peers(upstream_rows, peers,
@@ -241,6 +282,7 @@
 
 	log_info("cluster", "VM %s timed out: no recent report", vm->name);
 	load_exchange_remove_vm(cluster->load_exchange, vm->name);
+	quota_exchange_vm_lost(cluster->quota_exchange, vm->name);
 	cluster->vms_changed = true;
 }
 
@@ -257,87 +299,6 @@
 		cluster_send_heartbeat(cluster);
 }
 
-/* Creates the key leader of a service that is keyed and has none.
- *
- * @param row the service's saved owner map, or NULL */
-static void ensure_key_leader(struct cluster *cluster, struct service *service,
-			      const struct store_row *row)
-{
-	struct key_leader_options options = {
-		.loop = cluster->options.loop,
-		.roster = cluster->options.roster,
-		.store = cluster->options.store,
-		.orders = cluster->orders,
-		.log = cluster->options.log,
-		.may_send_orders = may_send_orders,
-		.changed = keys_changed,
-		.ctx = cluster,
-	};
-
-	if (!service->configured || !service->config.keyed ||
-	    g_hash_table_contains(cluster->key_leaders, service->name))
-		return;
-	g_hash_table_insert(cluster->key_leaders, service->name,
-			    key_leader_create(&options, service, row,
-					      cluster->inherited_until_s));
-}
-
-/* Creates the key leader of a keyed service that has none, such as a service
- * without a stored owner map. */
-static void lead_service(struct service *service, void *ctx)
-{
-	ensure_key_leader(ctx, service, NULL);
-}
-
-/* Applies the row with the blocked requests among those of the owner maps. */
-static void load_blocked_requests(struct cluster *cluster,
-				  const struct store_result *result)
-{
-	size_t i;
-
-	for (i = 0; i < result->row_count; i++)
-		if (!strcmp(result->rows[i].key, BLOCKED_KEY))
-			crash_exchange_load(cluster->crash_exchange,
-					    &result->rows[i]);
-}
-
-/* Creates the key leaders of services with a stored owner map, after this VM
- * won the lease. */
-static void on_inherited_maps(void *ctx, const struct store_result *result)
-{
-	struct cluster *cluster = ctx;
-	size_t i;
-
-	cluster->reading_maps = false;
-	if (result->status != STORE_OK || !cluster->leading)
-		return;
-	load_blocked_requests(cluster, result);
-	for (i = 0; i < result->row_count; i++) {
-		struct service *service = roster_service(
-			cluster->options.roster, result->rows[i].key);
-
-		if (service)
-			ensure_key_leader(cluster, service, &result->rows[i]);
-	}
-	cluster->maps_read = true;
-	event_log_write(cluster->options.log, "info", "keys",
-			"event=leading maps=%zu version=%" PRIu64,
-			result->row_count, result->version);
-}
-
-/* Reads the owner maps of all services from the store, unless a read is in
- * progress already. */
-static void read_maps(struct cluster *cluster, store_done_fn done,
-		      const char *reason)
-{
-	if (cluster->reading_maps)
-		return;
-	cluster->reading_maps = true;
-	store_calls_count(cluster->options.store.calls, KEY_TABLE, reason);
-	cluster->options.store.ops->read(cluster->options.store.impl, KEY_TABLE,
-					 "", done, cluster);
-}
-
 static void tick_leader(gpointer key, gpointer value, gpointer data)
 {
 	struct cluster *cluster = data;
@@ -352,7 +313,8 @@
 	double now = cluster_now(cluster);
 
 	cluster_record_vm_alive(cluster, cluster->options.settings->vm,
-				&cluster->options.settings->peers);
+				&cluster->options.settings->peers,
+				cluster->options.settings->zone);
 	live_vms_expire(cluster->vms, now, on_vm_timed_out, cluster);
 	if (now >= cluster->heartbeat_sent_s + HEARTBEAT_S)
 		cluster_send_heartbeat(cluster);
@@ -362,7 +324,7 @@
 	if (!cluster->options.roster_loaded(cluster->options.ctx))
 		return;
 	if (!cluster->maps_read) {
-		read_maps(cluster, on_inherited_maps, "inherit");
+		cluster_inherit_maps(cluster);
 		return;
 	}
 	/* The lease is renewed again: end the extension of grants by
@@ -371,54 +333,16 @@
 		cluster->hold_s = HOLD_S;
 	if (lease_held(cluster->lease, 0))
 		crash_exchange_save(cluster->crash_exchange);
-	roster_each_service(cluster->options.roster, lead_service, cluster);
+	cluster_lead_services(cluster);
 	g_hash_table_foreach(cluster->key_leaders, tick_leader, cluster);
 }
 
-/* Applies the owner maps from the store, unless a heartbeat arrived lately. */
-static void on_fallback_maps(void *ctx, const struct store_result *result)
-{
-	struct cluster *cluster = ctx;
-	size_t i;
-
-	cluster->reading_maps = false;
-	if (result->status != STORE_OK ||
-	    cluster_now(cluster) < cluster->last_heartbeat_s + HEARTBEAT_LOST_S)
-		return;
-	load_blocked_requests(cluster, result);
-	for (i = 0; i < result->row_count; i++) {
-		struct service *service = roster_service(
-			cluster->options.roster, result->rows[i].key);
-		const GString *value = result->rows[i].value;
-
-		if (service &&
-		    !key_map_unpack(service->keys,
-				    (struct str){ value->str, value->len },
-				    NULL))
-			log_warn("keys",
-				 "ignored the owner map of service %s in the "
-				 "store: it can't be decoded",
-				 service->name);
-	}
-	cluster->options.routing_changed(cluster->options.ctx);
-}
-
-/* Whether a VM renewed the lease without this VM hearing its heartbeats. Only
- * then may owners have changed, which that leader saves before. */
-static bool has_unheard_leader(const struct cluster *cluster)
-{
-	uint64_t version = lease_version(cluster->lease);
-
-	return version > cluster->heartbeat_lease &&
-	       version > cluster->fallback_lease;
-}
-
 /* Returns the interval of this VM's reports to the leader. */
 static double report_interval_s(const struct cluster *cluster)
 {
 	unsigned int vms = roster_vm_count(cluster->options.roster);
 
-	if (!hears_leader(cluster) ||
+	if (!hears_leader(cluster) || cluster->heard_snapshot.missed ||
 	    copy_exchange_waits(cluster->copy_exchange))
 		return live_vms_unheard_report_interval_s(vms);
 	return live_vms_report_interval_s(vms);
@@ -437,14 +361,16 @@
 {
 	double now = cluster_now(cluster);
 
+	/* In the first start no VM has the tables before one leads. */
+	lease_set_ready(
+		cluster->lease,
+		cluster->options.settings->copy_wait_s > 0 ||
+			cluster->options.roster_loaded(cluster->options.ctx));
 	lease_tick(cluster->lease);
 	if (cluster->leading)
 		run_leader(cluster);
-	else if (now > cluster->last_heartbeat_s + HEARTBEAT_LOST_S &&
-		 has_unheard_leader(cluster)) {
-		cluster->fallback_lease = lease_version(cluster->lease);
-		read_maps(cluster, on_fallback_maps, "fallback");
-	}
+	else if (now > cluster->last_heartbeat_s + HEARTBEAT_LOST_S)
+		cluster_read_fallback_maps(cluster);
 	exchange_row_versions(cluster);
 	if (cluster->is_backup && !cluster->leading &&
 	    now > cluster->last_heartbeat_s + LATE_HEARTBEAT_S)
@@ -455,7 +381,9 @@
 			   LOAD_TIMER_SLACK_S) {
 		cluster->loads_sent_s = now;
 		cluster_send_load_report(cluster);
-		if (cluster->leading)
+		/* A configuration goes before loads. */
+		if (cluster->leading &&
+		    !bulk_sender_has(cluster->bulk_sender, BULK_CONFIGURATION))
 			cluster_send_load_totals(cluster);
 	}
 	if (now >= cluster->report_sent_s + report_interval_s(cluster))
@@ -501,7 +429,7 @@
 {
 	struct copy_exchange_options options = {
 		.loop = cluster->options.loop,
-		.datagrams = cluster->datagrams,
+		.sender = cluster->bulk_sender,
 		.log = cluster->options.log,
 		.watches = {
 			[COPIED_OPERATOR_ROWS] = cluster->options.operator_rows,
@@ -512,11 +440,40 @@
 	cluster->copy_exchange = copy_exchange_create(&options);
 }
 
+static void create_change_push(struct cluster *cluster)
+{
+	struct change_push_options options = {
+		.loop = cluster->options.loop,
+		.sender = cluster->bulk_sender,
+		.log = cluster->options.log,
+		.watches = {
+			[COPIED_OPERATOR_ROWS] = cluster->options.operator_rows,
+			[COPIED_UPSTREAM_ROWS] = cluster->options.upstream_rows,
+		},
+	};
+
+	cluster->change_push = change_push_create(&options);
+}
+
 struct crash_exchange *cluster_crash_exchange(struct cluster *cluster)
 {
 	return cluster->crash_exchange;
 }
 
+static struct datagrams *open_datagrams(struct cluster *cluster, GError **error)
+{
+	struct datagrams_options options = {
+		.loop = cluster->options.loop,
+		.address = &cluster->options.settings->peers,
+		.zone = cluster->options.settings->zone,
+		.metrics = cluster->options.metrics,
+		.ops = cluster_datagram_ops(),
+		.ctx = cluster,
+	};
+
+	return datagrams_create(&options, error);
+}
+
 struct cluster *cluster_create(const struct cluster_options *options,
 			       GError **error)
 {
@@ -524,9 +481,7 @@
 	char address[ADDRESS_TEXT_SIZE];
 
 	cluster->options = *options;
-	cluster->datagrams =
-		datagrams_create(options->loop, &options->settings->peers,
-				 cluster_datagram_ops(), cluster, error);
+	cluster->datagrams = open_datagrams(cluster, error);
 	if (!cluster->datagrams) {
 		g_free(cluster);
 		return NULL;
@@ -551,11 +506,22 @@
 		g_str_hash, g_str_equal, g_free, free_published_map);
 	cluster->load_exchange =
 		load_exchange_create(options->loop, options->roster);
+	cluster->snapshot_requests =
+		g_array_new(FALSE, FALSE, sizeof(struct fanout_target));
+	cluster->index_requests =
+		g_array_new(FALSE, FALSE, sizeof(struct fanout_target));
 	cluster->limit_exchange =
 		limit_exchange_create(options->loop, options->roster);
+	cluster->quota_exchange =
+		quota_exchange_create(options->loop, options->customers);
 	create_crash_exchange(cluster);
+	cluster->bulk_sender =
+		bulk_sender_create(options->loop, cluster->datagrams,
+				   options->settings->link_mbps);
 	create_copy_exchange(cluster);
+	create_change_push(cluster);
 	cluster->hold_s = HOLD_S;
+	cluster->leader_zone = "";
 	cluster->last_heartbeat_s = cluster_now(cluster) - HEARTBEAT_LOST_S / 2;
 	ev_timer_init(&cluster->publish_timer, on_publish_timer,
 		      PUBLISH_DELAY_S, 0);
@@ -575,9 +541,14 @@
 	orders_destroy(cluster->orders);
 	g_hash_table_destroy(cluster->key_leaders);
 	lease_destroy(cluster->lease);
+	bulk_sender_destroy(cluster->bulk_sender);
+	change_push_destroy(cluster->change_push);
 	datagrams_destroy(cluster->datagrams);
 	load_exchange_destroy(cluster->load_exchange);
+	g_array_free(cluster->index_requests, TRUE);
+	g_array_free(cluster->snapshot_requests, TRUE);
 	limit_exchange_destroy(cluster->limit_exchange);
+	quota_exchange_destroy(cluster->quota_exchange);
 	live_vms_destroy(cluster->vms);
 	g_hash_table_destroy(cluster->published_maps);
 	crash_exchange_destroy(cluster->crash_exchange);
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -1,9 +1,10 @@
 /**
- * Definitions that cluster.c and cluster_messages.c share.
+ * Definitions that the files of the cluster share.
  */
 #ifndef ENTRY_CLUSTER_IMPL_H
 #define ENTRY_CLUSTER_IMPL_H
 
+#include "entry/change_push.h"
 #include "entry/cluster.h"
 #include "entry/copy_exchange.h"
 #include "entry/datagrams.h"
@@ -11,6 +12,8 @@
 #include "entry/limit_exchange.h"
 #include "entry/live_vms.h"
 #include "entry/load_exchange.h"
+#include "entry/quota_exchange.h"
+#include "fanout/snapshots.h"
 #include "keys/lease.h"
 #include "keys/published_map.h"
 
@@ -25,10 +28,8 @@
 #define GRANT_TRAVEL_S 0.6
 /* Interval, in seconds, of the leader's heartbeats. */
 #define HEARTBEAT_S 0.25
-/* Seconds per VM: the smallest interval of heartbeats with a full snapshot of
- * VMs and owners, and the smallest delay before changes are published. They
- * grow with the number of VMs so that the leader's work does not. */
-#define SNAPSHOT_VM_S 0.02
+/* Seconds per VM: the smallest delay before changes are published. It grows
+ * with the number of VMs so that the leader's work does not. */
 #define PUBLISH_VM_S 0.00016
 /* Load reports may be sent this much early, in seconds: half of the interval
  * between calls of cluster_tick(). */
@@ -37,9 +38,6 @@
  * requests. The interval may be long because receivers smooth the outcomes over
  * a longer time. */
 #define OUTCOMES_VM_S 0.004
-/* Largest heartbeat, in bytes, that fits into a datagram together with the list
- * of VMs to which it is relayed. */
-#define HEARTBEAT_BYTES_MAX 60000
 /* After this time, in seconds, without a heartbeat, a VM reads the owners of
  * keys from the store. */
 #define HEARTBEAT_LOST_S 1.0
@@ -79,8 +77,14 @@
 	struct orders *orders;
 	struct datagrams *datagrams;
 	struct load_exchange *load_exchange;
+	/** As leader, the VMs (struct fanout_target) that want the numbers of
+	 * upstreams in load messages. */
+	GArray *index_requests;
 	struct limit_exchange *limit_exchange;
+	struct quota_exchange *quota_exchange;
 	struct copy_exchange *copy_exchange;
+	struct bulk_sender *bulk_sender;
+	struct change_push *change_push;
 	/** On the leader from the VMs' messages, elsewhere from its heartbeats.
 	 */
 	struct live_vms *vms;
@@ -89,6 +93,8 @@
 	 * leads.
 	 */
 	GHashTable *key_leaders;
+	/** The time at which this VM reads the tables is decided. */
+	bool reading_begun;
 	/** This VM holds the lease. */
 	bool leading;
 	/** Since this VM began to lead, the owner maps of the previous leader
@@ -115,6 +121,8 @@
 	/** Address for datagrams to the leader, if it is known. */
 	struct sockaddr_in leader_address;
 	bool leader_address_known;
+	/** The leader's zone, interned; "": unknown. */
+	const char *leader_zone;
 	/** Lease version in the last heartbeat; tells leaders apart. */
 	uint64_t heartbeat_lease;
 	/** Lease version at which the owners were last read from the store in
@@ -130,6 +138,8 @@
 	 * of any backup. */
 	double last_relay_s;
 	double last_waiting_relay_s;
+	/** When another VM last told which rows of the store it knows. */
+	double row_versions_heard_s;
 	/** When this VM last sent: a relay as a backup, a heartbeat as leader,
 	 * its report to the leader, its load report, and as leader the outcomes
 	 * of requests. */
@@ -141,11 +151,12 @@
 	/** Owner maps as last sent to the VMs, by service (struct
 	 * published_map). */
 	GHashTable *published_maps;
-	/**
-	 * When a heartbeat with a full snapshot of VMs and owners was last
-	 * sent.
+	/** The snapshots that this VM sent as leader, and those received. */
+	struct snapshot_sender snapshots;
+	struct snapshot_receiver heard_snapshot;
+	/** As leader, the VMs (struct fanout_target) that missed the last one.
 	 */
-	double snapshot_sent_s;
+	GArray *snapshot_requests;
 	/** VMs joined or left since the last snapshot was sent. */
 	bool vms_changed;
 	/** Sends a heartbeat after owners or rows changed. */
@@ -164,16 +175,50 @@
 /** Returns the loop's time, in seconds. */
 double cluster_now(const struct cluster *cluster);
 
-/** Records that a VM is alive, and the address at which it receives datagrams.
- */
+/** Records that a VM is alive, the address at which it receives datagrams, and
+ * its zone. */
 void cluster_record_vm_alive(struct cluster *cluster, const char *name,
-			     const struct sockaddr_in *address);
+			     const struct sockaddr_in *address,
+			     const char *zone);
 
 /** Records row versions that some VM has seen, if they are the newest. */
 void cluster_update_row_versions(struct cluster *cluster,
 				 uint64_t operator_rows,
 				 uint64_t upstream_rows);
 
+/** Sends a message to all live VMs but this one. */
+void cluster_broadcast(struct cluster *cluster, enum fanout_way way,
+		       PeerMessage *message);
+
+/** Creates the message that describes a VM; freed with
+ * cluster_free_vm_info(). */
+VmInfo *cluster_vm_info(const char *name, const struct sockaddr_in *address,
+			const char *zone);
+void cluster_free_vm_info(VmInfo *info);
+
+/** Applies owners and VMs of a heartbeat on the leader itself, which knows the
+ * other parts already. */
+void cluster_apply_own_heartbeat(struct cluster *cluster,
+				 const LeaderBeat *beat);
+
+/** Whether this VM may give orders to owners now; ctx is the cluster. */
+bool cluster_may_send_orders(void *ctx);
+
+/** Notes that owners changed, and sends a heartbeat soon; ctx is the cluster.
+ */
+void cluster_keys_changed(void *ctx);
+
+/** As new leader, reads the owner maps of the previous leader from the store
+ * and creates the key leaders, unless a read is in progress. */
+void cluster_inherit_maps(struct cluster *cluster);
+
+/** As leader, creates the key leaders of keyed services that have none. */
+void cluster_lead_services(struct cluster *cluster);
+
+/** Reads the owner maps from the store, once for each leader that renewed the
+ * lease but whose heartbeats aren't heard. */
+void cluster_read_fallback_maps(struct cluster *cluster);
+
 /** Sets whether this VM polls the store for both tables. */
 void cluster_set_watch_mode(struct cluster *cluster,
 			    enum table_watch_mode mode);
--- a/src/entry/datagrams.c
+++ b/src/entry/datagrams.c
@@ -1,21 +1,16 @@
 #include "entry/datagrams.h"
 
 #include <errno.h>
-#include <math.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "base/error.h"
 #include "base/log.h"
+#include "wire/message_meter.h"
 
 /* Largest payload of a UDP datagram over IPv4. */
 #define DATAGRAM_BYTES 65507
-/* Encoded size of an IPv4 address and port. */
-#define RELAY_ADDRESS_BYTES 6
-/* With at most this many recipients, the sender sends every copy itself: relays
- * would hardly reduce its traffic. */
-#define DIRECT_MAX 16
 
 struct datagrams {
 	const struct loop *loop;
@@ -23,26 +18,77 @@
 	ev_io io;
 	const struct datagram_ops *ops;
 	void *ctx;
+	/** Zone of this VM. */
+	char *zone;
+	/** Draws the relays of broadcasts. */
+	GRand *random;
+	struct message_meter *meter;
 };
 
-/* Forwards a message to the VMs in its relay list, without that list. */
+/* Returns the size of the datagram in bytes; 0: it is too large. */
+static size_t send_message(struct datagrams *datagrams,
+			   const struct sockaddr_in *to, bool other_zone,
+			   const PeerMessage *message)
+{
+	size_t len = peer_message__get_packed_size(message);
+	uint8_t *buf;
+
+	if (len > DATAGRAM_BYTES) {
+		log_warn("peers",
+			 "a message to another VM was not sent: its %zu bytes "
+			 "exceed the size limit of a datagram",
+			 len);
+		return 0;
+	}
+	buf = g_malloc(len);
+	peer_message__pack(message, buf);
+	/* The next message makes up for a lost datagram. */
+	(void)sendto(datagrams->fd, buf, len, MSG_DONTWAIT,
+		     (const struct sockaddr *)to, sizeof(*to));
+	message_meter_sent(datagrams->meter, message->kind_case, len,
+			   other_zone);
+	g_free(buf);
+	return len;
+}
+
+void datagrams_send(struct datagrams *datagrams, const struct sockaddr_in *to,
+		    const char *zone, const PeerMessage *message)
+{
+	bool other_zone = !*zone || strcmp(zone, datagrams->zone) != 0;
+
+	send_message(datagrams, to, other_zone, message);
+}
+
+/* A message that is sent in several copies. */
+struct copies {
+	struct datagrams *datagrams;
+	PeerMessage *message;
+	/** Bytes sent so far. */
+	size_t bytes;
+};
+
+/* Sends a copy of a message with its relay list. */
+static void send_copy(void *ctx, const struct fanout_copy *copy)
+{
+	struct copies *copies = ctx;
+	PeerMessage *message = copies->message;
+
+	message->relay_to.data = (uint8_t *)copy->relay_to;
+	message->relay_to.len = copy->relay_to_len;
+	message->relay_width = copy->relay_to_len ? copy->width : 0;
+	copies->bytes += send_message(copies->datagrams, copy->to,
+				      copy->other_zone, message);
+	message->relay_to = (ProtobufCBinaryData){ 0 };
+	message->relay_width = 0;
+}
+
+/* Forwards a message to the VMs in its relay list. */
 static void relay_message(struct datagrams *datagrams, PeerMessage *message)
 {
+	struct copies copies = { datagrams, message, 0 };
 	ProtobufCBinaryData to = message->relay_to;
-	size_t i;
 
-	message->relay_to = (ProtobufCBinaryData){ 0 };
-	for (i = 0; i + RELAY_ADDRESS_BYTES <= to.len;
-	     i += RELAY_ADDRESS_BYTES) {
-		struct sockaddr_in address = { .sin_family = AF_INET };
-
-		memcpy(&address.sin_addr, to.data + i,
-		       sizeof(address.sin_addr));
-		memcpy(&address.sin_port,
-		       to.data + i + sizeof(address.sin_addr),
-		       sizeof(address.sin_port));
-		datagrams_send(datagrams, &address, message);
-	}
+	fanout_relay(to.data, to.len, message->relay_width, send_copy, &copies);
 	message->relay_to = to;
 }
 
@@ -55,6 +101,7 @@
 		log_warn("peers", "ignored a datagram that can't be decoded");
 		return;
 	}
+	message_meter_received(datagrams->meter, message->kind_case, len);
 	if (message->relay_to.len)
 		relay_message(datagrams, message);
 	switch (message->kind_case) {
@@ -77,6 +124,9 @@
 	case PEER_MESSAGE__KIND_TABLE_COPY:
 		datagrams->ops->table_copy(datagrams->ctx, message->table_copy);
 		break;
+	case PEER_MESSAGE__KIND_LOAD_INDEX:
+		datagrams->ops->load_index(datagrams->ctx, message->load_index);
+		break;
 	default:
 		log_warn("peers",
 			 "ignored a datagram with a message of unknown kind %d",
@@ -102,16 +152,14 @@
 	}
 }
 
-struct datagrams *datagrams_create(const struct loop *loop,
-				   const struct sockaddr_in *address,
-				   const struct datagram_ops *ops, void *ctx,
+struct datagrams *datagrams_create(const struct datagrams_options *options,
 				   GError **error)
 {
 	struct datagrams *datagrams;
 	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
-	if (fd < 0 ||
-	    bind(fd, (const struct sockaddr *)address, sizeof(*address)) < 0) {
+	if (fd < 0 || bind(fd, (const struct sockaddr *)options->address,
+			   sizeof(*options->address)) < 0) {
 		g_set_error(error, AUBURN_ERROR, AUBURN_ERROR_UNAVAILABLE,
 			    "cannot open the socket for datagrams of other VMs "
 			    "([listen] peers): %s",
@@ -121,13 +169,16 @@
 		return NULL;
 	}
 	datagrams = g_new0(struct datagrams, 1);
-	datagrams->loop = loop;
+	datagrams->loop = options->loop;
 	datagrams->fd = fd;
-	datagrams->ops = ops;
-	datagrams->ctx = ctx;
+	datagrams->zone = g_strdup(options->zone);
+	datagrams->random = g_rand_new();
+	datagrams->meter = message_meter_create(options->metrics);
+	datagrams->ops = options->ops;
+	datagrams->ctx = options->ctx;
 	ev_io_init(&datagrams->io, on_readable, fd, EV_READ);
 	datagrams->io.data = datagrams;
-	ev_io_start(loop->ev, &datagrams->io);
+	ev_io_start(options->loop->ev, &datagrams->io);
 	return datagrams;
 }
 
@@ -137,81 +188,22 @@
 		return;
 	ev_io_stop(datagrams->loop->ev, &datagrams->io);
 	close(datagrams->fd);
+	g_free(datagrams->zone);
+	g_rand_free(datagrams->random);
+	message_meter_destroy(datagrams->meter);
 	g_free(datagrams);
 }
 
-void datagrams_send(struct datagrams *datagrams, const struct sockaddr_in *to,
-		    const PeerMessage *message)
+size_t datagrams_broadcast(struct datagrams *datagrams, GArray *to,
+			   enum fanout_way way, PeerMessage *message)
 {
-	size_t len = peer_message__get_packed_size(message);
-	uint8_t *buf;
-
-	if (len > DATAGRAM_BYTES) {
-		log_warn("peers",
-			 "a message to another VM was not sent: its %zu bytes "
-			 "exceed the size limit of a datagram",
-			 len);
-		return;
-	}
-	buf = g_malloc(len);
-	peer_message__pack(message, buf);
-	/* The next message makes up for a lost datagram. */
-	(void)sendto(datagrams->fd, buf, len, MSG_DONTWAIT,
-		     (const struct sockaddr *)to, sizeof(*to));
-	g_free(buf);
-}
-
-/* Puts the addresses (struct sockaddr_in) into a random order. */
-static void shuffle(GArray *addresses)
-{
-	guint i;
-
-	for (i = addresses->len; i > 1; i--) {
-		struct sockaddr_in *a =
-			&g_array_index(addresses, struct sockaddr_in, i - 1);
-		struct sockaddr_in *b =
-			&g_array_index(addresses, struct sockaddr_in,
-				       g_random_int_range(0, (gint32)i));
-		struct sockaddr_in swapped = *a;
-
-		*a = *b;
-		*b = swapped;
-	}
-}
-
-static void append_relay_address(GByteArray *list,
-				 const struct sockaddr_in *address)
-{
-	g_byte_array_append(list, (const guint8 *)&address->sin_addr,
-			    sizeof(address->sin_addr));
-	g_byte_array_append(list, (const guint8 *)&address->sin_port,
-			    sizeof(address->sin_port));
-}
-
-void datagrams_broadcast(struct datagrams *datagrams, GArray *to,
-			 PeerMessage *message)
-{
-	/* With about sqrt(n) relays, no VM sends more than about sqrt(n)
-	 * copies.
-	 */
-	guint relays =
-		to->len <= DIRECT_MAX ? to->len : (guint)ceil(sqrt(to->len));
-	GByteArray *list = g_byte_array_new();
-	guint i, next;
-
-	shuffle(to);
-	for (i = 0; i < relays; i++) {
-		g_byte_array_set_size(list, 0);
-		for (next = i + relays; next < to->len; next += relays)
-			append_relay_address(
-				list,
-				&g_array_index(to, struct sockaddr_in, next));
-		message->relay_to.data = list->data;
-		message->relay_to.len = list->len;
-		datagrams_send(datagrams,
-			       &g_array_index(to, struct sockaddr_in, i),
-			       message);
-	}
-	message->relay_to = (ProtobufCBinaryData){ 0 };
-	g_byte_array_free(list, TRUE);
+	struct copies sent = { datagrams, message, 0 };
+	struct fanout_plan plan = {
+		.zone = datagrams->zone,
+		.way = way,
+		.random = datagrams->random,
+	};
+
+	fanout_send(&plan, to, send_copy, &sent);
+	return sent.bytes;
 }
--- a/src/entry/datagrams.h
+++ b/src/entry/datagrams.h
@@ -9,6 +9,8 @@
 #include <glib.h>
 #include <netinet/in.h>
 
+#include "base/metrics.h"
+#include "fanout/fanout.h"
 #include "net/loop.h"
 #include "wire/entry.pb-c.h"
 
@@ -22,20 +24,31 @@
 	void (*leader_loads)(void *ctx, const LeaderLoads *loads);
 	void (*row_relay)(void *ctx, const RowRelay *relay);
 	void (*table_copy)(void *ctx, const TableCopyPart *part);
+	void (*load_index)(void *ctx, const LoadIndex *index);
+};
+
+/** What the pointers refer to must outlive the object, unless stated. */
+struct datagrams_options {
+	const struct loop *loop;
+	/** Address to receive datagrams at; copied. */
+	const struct sockaddr_in *address;
+	/** This VM's zone; copied. */
+	const char *zone;
+	/** Counts messages and bytes (wire/message_meter.h). */
+	struct metrics *metrics;
+	/** Handlers of received messages, and their argument. */
+	const struct datagram_ops *ops;
+	void *ctx;
 };
 
 /**
  * Opens the socket and starts to receive.
  *
- * @param loop must outlive the object
- * @param address the address to receive datagrams at
- * @param ops handlers of received messages; must outlive the object
+ * @param options copied
  * @param error set to AUBURN_ERROR_UNAVAILABLE if the socket can't be opened
  * @return the object, or NULL; freed with datagrams_destroy()
  */
-struct datagrams *datagrams_create(const struct loop *loop,
-				   const struct sockaddr_in *address,
-				   const struct datagram_ops *ops, void *ctx,
+struct datagrams *datagrams_create(const struct datagrams_options *options,
 				   GError **error);
 /** Closes the socket; NULL is allowed. */
 void datagrams_destroy(struct datagrams *datagrams);
@@ -44,19 +57,22 @@
  * Sends a datagram to one VM. A message that is too large for a datagram is
  * logged; other errors are ignored, because the next message makes up for a
  * lost one.
+ *
+ * @param zone the recipient's zone, for the metrics; "": unknown
  */
 void datagrams_send(struct datagrams *datagrams, const struct sockaddr_in *to,
-		    const PeerMessage *message);
+		    const char *zone, const PeerMessage *message);
 
 /**
- * Sends a datagram to many VMs. With more than 16 recipients, some of them,
- * chosen at random each time, relay it to the rest. So no VM's link carries all
- * copies, and losing a relay costs the others a single message.
+ * Sends a datagram to many VMs. With more than FANOUT_DIRECT_MAX recipients,
+ * the message reaches other zones in few copies and is relayed by their VMs
+ * (fanout/fanout.h).
  *
- * @param to addresses (struct sockaddr_in); their order is changed
+ * @param to recipients (struct fanout_target); their order is changed
  * @param message message to send; its relay list is overwritten
+ * @return number of bytes that this VM sent
  */
-void datagrams_broadcast(struct datagrams *datagrams, GArray *to,
-			 PeerMessage *message);
+size_t datagrams_broadcast(struct datagrams *datagrams, GArray *to,
+			   enum fanout_way way, PeerMessage *message);
 
 #endif
--- a/src/entry/forward_impl.h
+++ b/src/entry/forward_impl.h
@@ -18,6 +18,12 @@
  * answer. */
 #define BAD_GATEWAY 502
 
+/** Status for a request without a known API key. */
+#define UNAUTHORIZED 401
+
+/** Status for a request that its customer's quota has no room for. */
+#define TOO_MANY_REQUESTS 429
+
 /** State of the forwarder. */
 struct forward {
 	/** Times of the graceful shutdown, as given to
@@ -35,14 +41,21 @@
 	GHashTable *detached_attempts;
 	/** Number of requests in the queues of all services. */
 	unsigned int queued_count;
-	/** Calls forward_dispatch_queued() periodically while requests are
+	/** Calls forward_dispatch_soon() periodically while requests are
 	 * queued. */
 	ev_timer queue_timer;
+	/** Services (struct service) whose queues are to be tried again. */
+	GPtrArray *due_services;
+	/** Tries their queues; never started, but fed to the event loop, which
+	 * calls it once the running handler has returned. */
+	ev_prepare dispatch;
 	/** Metrics; create_metrics() describes each. */
 	struct counter *requests;
 	struct counter *answered;
 	struct counter *refused;
 	struct counter *failed;
+	struct counter *unauthorized;
+	struct counter *over_quota;
 	struct counter *abandoned;
 	struct counter *retries;
 	struct counter *backups;
@@ -86,9 +99,14 @@
 void dispatch_withdraw(struct proxy_request *req);
 
 /** Sends as many queued requests of a service as its upstreams can take, and
- * refuses those that can't be served in time. */
+ * refuses those that can't be served in time. Answers callers: only the event
+ * loop calls it, by forward->dispatch. */
 void dispatch_queued(struct forward *forward, struct service *service);
 
+/** Has the event loop try the queue of a service again, once the running
+ * handler has returned. */
+void dispatch_queued_soon(struct forward *forward, struct service *service);
+
 /** Writes to buf why the upstreams of a request's service can't take it now:
  * the number of upstreams by reason, as key=value pairs for the log. */
 void dispatch_describe(const struct proxy_request *req, char *buf, size_t size);
@@ -152,6 +170,11 @@
 /** Frees a request whose caller was answered or is gone. */
 void proxy_request_free(struct proxy_request *req);
 
+/** Returns the request's host without the port; empty if there is none. */
+struct str forward_host(const struct http_request *request);
+/** Returns the request's path without the query. */
+struct str forward_path(const struct http_request *request);
+
 /** Returns the loop's time, in seconds. */
 double forward_now(const struct forward *forward);
 
--- a/src/entry/links.h
+++ b/src/entry/links.h
@@ -45,6 +45,9 @@
 	/** Use a new connection: an earlier answer on an idle one may be
 	 * repeated and taken for that of this request. */
 	bool new_connection;
+	/** Hash of the id by which the answer is known, or 0. Don't use a
+	 * connection that lately carried a request with this id. */
+	uint64_t id_hash;
 };
 
 /** The connections to all upstreams. */
@@ -78,6 +81,13 @@
 bool links_has_capacity(const struct links *links,
 			const struct upstream *upstream);
 
+/**
+ * Whether an idle connection to an upstream can be used.
+ *
+ * @param avoid_stale as in struct link_request
+ */
+bool links_has_idle(const struct upstream *upstream, bool avoid_stale);
+
 /**
  * Sends a request to an upstream over an idle or a new connection.
  *
--- a/src/entry/live_vms.c
+++ b/src/entry/live_vms.c
@@ -17,6 +17,12 @@
 #define TIMEOUT_S 2.0
 #define TIMEOUT_INTERVALS 3.2
 
+/* Seconds per VM beyond START_AT_ONCE_VMS over which the reads of all tables by
+ * the VMs of a fleet are spread. Up to so many VMs, the store serves all at
+ * once: 100 VMs were back after 0.5 s, 300 not within 30 s. */
+#define START_VM_S 0.02
+#define START_AT_ONCE_VMS 100
+
 struct live_vms {
 	/** VMs (struct live_vm) by name. */
 	GHashTable *by_name;
@@ -48,7 +54,8 @@
 }
 
 bool live_vms_record(struct live_vms *live, const char *name,
-		     const struct sockaddr_in *address, double now_s)
+		     const struct sockaddr_in *address, const char *zone,
+		     double now_s)
 {
 	struct live_vm *vm = g_hash_table_lookup(live->by_name, name);
 	bool added = !vm;
@@ -59,6 +66,7 @@
 		g_hash_table_insert(live->by_name, vm->name, vm);
 	}
 	vm->address = *address;
+	vm->zone = g_intern_string(zone);
 	vm->last_seen_s = now_s;
 	return added;
 }
@@ -108,6 +116,12 @@
 	return any;
 }
 
+const struct live_vm *live_vms_find(const struct live_vms *live,
+				    const char *name)
+{
+	return g_hash_table_lookup(live->by_name, name);
+}
+
 unsigned int live_vms_count(const struct live_vms *live)
 {
 	return g_hash_table_size(live->by_name);
@@ -140,6 +154,12 @@
 	return MAX(LOAD_INTERVAL_S, vms * LOAD_INTERVAL_VM_S);
 }
 
+double live_vms_start_wait_s(unsigned int vms)
+{
+	return vms > START_AT_ONCE_VMS ? (vms - START_AT_ONCE_VMS) * START_VM_S
+				       : 0;
+}
+
 double live_vms_timeout_s(unsigned int vms)
 {
 	return MAX(TIMEOUT_S,
--- a/src/entry/live_vms.h
+++ b/src/entry/live_vms.h
@@ -15,6 +15,8 @@
 	char *name;
 	/** Address at which the VM receives datagrams. */
 	struct sockaddr_in address;
+	/** The VM's zone; "": unknown. Interned, because there are few. */
+	const char *zone;
 	/** When the VM was last heard of. */
 	double last_seen_s;
 };
@@ -28,12 +30,14 @@
 void live_vms_destroy(struct live_vms *live);
 
 /**
- * Records that a VM is alive, and its address.
+ * Records that a VM is alive, its address and its zone.
  *
+ * @param zone copied; "": unknown
  * @return whether the VM was not in the set before
  */
 bool live_vms_record(struct live_vms *live, const char *name,
-		     const struct sockaddr_in *address, double now_s);
+		     const struct sockaddr_in *address, const char *zone,
+		     double now_s);
 
 /** Records that a VM sent a message without its address. A VM that isn't in the
  * set stays out of it. */
@@ -55,6 +59,10 @@
 		     void (*removed)(void *ctx, const struct live_vm *vm),
 		     void *ctx);
 
+/** Finds a VM by name; returns NULL if it isn't in the set. */
+const struct live_vm *live_vms_find(const struct live_vms *live,
+				    const char *name);
+
 /** Returns the number of VMs. */
 unsigned int live_vms_count(const struct live_vms *live);
 
@@ -75,6 +83,12 @@
  * well that it is alive. */
 double live_vms_load_interval_s(unsigned int vms);
 
+/** Returns the longest time, in seconds, for which a VM that starts leaves the
+ * tables to be sent by the leader before it reads them. VMs draw their times at
+ * random, so that a large fleet which starts at once does not overload the
+ * store. */
+double live_vms_start_wait_s(unsigned int vms);
+
 /** Returns the time, in seconds, without a message after which a VM doesn't
  * count as alive. */
 double live_vms_timeout_s(unsigned int vms);
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -11,6 +11,7 @@
 
 #include "base/address.h"
 #include "base/log.h"
+#include "customers/customers.h"
 #include "entry/caller_limits.h"
 #include "entry/cluster.h"
 #include "entry/forward.h"
@@ -47,6 +48,11 @@
 /* Part of that reserve, in seconds, in which the last answers are sent. */
 #define STOP_FLUSH_S 0.15
 
+/* A VM that starts reads the lease first, which names the size of the fleet,
+ * and the tables after this time, in seconds, at the latest if the store
+ * doesn't answer. */
+#define LEASE_READ_WAIT_S 0.25
+
 /** The daemon's modules and state. */
 struct entry_daemon {
 	struct loop loop;
@@ -69,6 +75,7 @@
 	/** Metric: invalid routes of the configuration in force. */
 	struct counter *invalid_routes;
 	struct crash_watch *crashes;
+	struct customers *customers;
 	struct forward *forward;
 	struct cluster *cluster;
 	struct table_watch *operator_rows;
@@ -106,7 +113,7 @@
 	const struct directory_codec *d = entry->directory;
 	struct str value = { row->value->str, row->value->len };
 	GError *error = NULL;
-	unsigned int invalid_routes, invalid_services;
+	unsigned int invalid_routes, invalid_services, invalid_customers;
 	struct config *config;
 	uint64_t version;
 
@@ -127,17 +134,21 @@
 	version = config->version;
 	invalid_routes = config->invalid_routes;
 	invalid_services = config->invalid_services;
+	invalid_customers = config->invalid_customers;
 	http_server_set_limits(entry->caller_server, &config->limits);
 	if (!roster_set_config(entry->roster, config))
 		return;
 	counter_set(entry->invalid_routes, invalid_routes);
 	event_log_write(entry->log,
-			invalid_routes || invalid_services ? "warning" : "info",
+			invalid_routes || invalid_services || invalid_customers
+				? "warning"
+				: "info",
 			"config",
 			"event=in_force version=%" PRIu64 " row=%" PRIu64
-			" invalid_routes=%u invalid_services=%u",
-			version, row->version, invalid_routes,
-			invalid_services);
+			" invalid_routes=%u invalid_services=%u"
+			" invalid_customers=%u",
+			version, row->version, invalid_routes, invalid_services,
+			invalid_customers);
 }
 
 static void on_operator_removed(void *ctx, const char *key)
@@ -188,11 +199,19 @@
 	cluster_send_row_changes(entry->cluster);
 }
 
+static void on_operator_answered(void *ctx, double asked_s)
+{
+	struct entry_daemon *entry = ctx;
+
+	config_contact_store_answered(customers_contact(entry->customers),
+				      asked_s, now_of(entry));
+}
+
 static void on_loaded(void *ctx)
 {
 	struct entry_daemon *entry = ctx;
 
-	forward_dispatch_queued(entry->forward);
+	forward_dispatch_soon(entry->forward);
 }
 
 static void on_reachability_changed(void *ctx, const char *table,
@@ -213,6 +232,7 @@
 	.row = on_operator_row,
 	.removed = on_operator_removed,
 	.changed = on_rows_changed,
+	.answered = on_operator_answered,
 	.loaded = on_loaded,
 	.reachability_changed = on_reachability_changed,
 };
@@ -310,8 +330,11 @@
 {
 	struct entry_daemon *entry = ctx;
 
+	if (roster_config(entry->roster))
+		customers_set_config(entry->customers,
+				     roster_config(entry->roster));
 	if (entry->forward)
-		forward_dispatch_queued(entry->forward);
+		forward_dispatch_soon(entry->forward);
 }
 
 static void on_upstream_refused(void *ctx, const struct upstream *upstream)
@@ -497,6 +520,7 @@
 		.roster_loaded = roster_loaded,
 		.routing_changed = roster_changed,
 		.crashes = entry->crashes,
+		.customers = entry->customers,
 		.ctx = entry,
 	};
 
@@ -517,6 +541,20 @@
 			      "Highest value of auburn_answer_bytes.");
 }
 
+static void create_customers(struct entry_daemon *entry)
+{
+	const struct quota_bounds bounds = {
+		.window_s = entry->settings->quota_window_s,
+		.overshoot = entry->settings->quota_overshoot,
+		.slack = entry->settings->quota_slack,
+	};
+
+	entry->customers =
+		customers_create(entry->metrics, entry->settings->apply_s,
+				 &bounds, now_of(entry));
+	config_contact_tick(customers_contact(entry->customers), now_of(entry));
+}
+
 /* Creates all modules and starts them; entry_close() frees them, also after a
  * failure. */
 static bool entry_open(struct entry_daemon *entry, GError **error)
@@ -524,6 +562,7 @@
 	struct crash_watch_options crashes = { 0 };
 	struct forward_options forward = { 0 };
 	struct store store;
+	double copy_wait_s;
 
 	entry->metrics = metrics_create();
 	entry->invalid_routes =
@@ -536,6 +575,7 @@
 	store = table_store_interface(entry->table_store);
 	entry->store_calls = store_calls_create(entry->metrics);
 	store.calls = entry->store_calls;
+	create_customers(entry);
 	entry->roster = roster_create(&entry->loop, entry->settings,
 				      &roster_ops, entry);
 	create_answer_budget(entry);
@@ -560,6 +600,7 @@
 	forward.metrics = entry->metrics;
 	forward.answers = &entry->answers;
 	forward.crashes = entry->crashes;
+	forward.customers = entry->customers;
 	forward.said_leaving = on_said_leaving;
 	forward.ctx = entry;
 	entry->forward = forward_create(&forward);
@@ -571,8 +612,11 @@
 		entry->settings->apply_s * POLL_PART, &upstream_ops, entry);
 	if (!open_servers(entry, error) || !open_cluster(entry, &store, error))
 		return false;
-	table_watch_start(entry->operator_rows, entry->settings->copy_wait_s);
-	table_watch_start(entry->upstream_rows, entry->settings->copy_wait_s);
+	copy_wait_s = MAX(entry->settings->copy_wait_s, LEASE_READ_WAIT_S);
+	table_watch_start(entry->operator_rows, copy_wait_s);
+	table_watch_start(entry->upstream_rows, copy_wait_s);
+	/* Reads the lease at once. */
+	cluster_tick(entry->cluster);
 	return true;
 }
 
@@ -590,6 +634,7 @@
 	forward_destroy(entry->forward);
 	crash_watch_destroy(entry->crashes);
 	roster_destroy(entry->roster);
+	customers_destroy(entry->customers);
 	metrics_destroy(entry->metrics);
 }
 
--- a/src/entry/proxy_request.h
+++ b/src/entry/proxy_request.h
@@ -52,7 +52,14 @@
 	/** Hash of host, method, target and body; names the request in the
 	 * crash list. */
 	uint64_t fingerprint;
-	/** Copies of the fields of struct route; see there. */
+	/** The customer whose API key the request has, or NULL. */
+	struct customer *customer;
+	/** The configuration by which the customer was identified, and whether
+	 * the route needs no API key by that. */
+	uint64_t config_version;
+	bool is_public;
+	/** Copies of the fields of struct route; see there. The priority may be
+	 * the customer's. */
 	enum route_kind kind;
 	unsigned int priority;
 	unsigned int max_attempts;
@@ -87,6 +94,9 @@
 	/** Loop time before which the request isn't sent to its key's owner, or
 	 * 0; set when the owner refused the request. */
 	double not_before_s;
+	/** The key's owner refused the last attempt, though it had free slots.
+	 */
+	bool shed_with_room;
 	/** The request is in its service's queue, linked by queue_node. */
 	bool queued;
 	GList queue_node;
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -952,6 +952,51 @@
   assert(message->base.descriptor == &leader_loads__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   load_index__init
+                     (LoadIndex         *message)
+{
+  static const LoadIndex init_value = LOAD_INDEX__INIT;
+  *message = init_value;
+}
+size_t load_index__get_packed_size
+                     (const LoadIndex *message)
+{
+  assert(message->base.descriptor == &load_index__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t load_index__pack
+                     (const LoadIndex *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &load_index__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t load_index__pack_to_buffer
+                     (const LoadIndex *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &load_index__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+LoadIndex *
+       load_index__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (LoadIndex *)
+     protobuf_c_message_unpack (&load_index__descriptor,
+                                allocator, len, data);
+}
+void   load_index__free_unpacked
+                     (LoadIndex *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &load_index__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer_message__init
                      (PeerMessage         *message)
 {
@@ -1254,7 +1299,7 @@
   (ProtobufCMessageInit) key_map__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lease_row__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lease_row__field_descriptors[5] =
 {
   {
     "vm",
@@ -1304,17 +1349,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "vms",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(LeaseRow, vms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lease_row__field_indices_by_name[] = {
   1,   /* field[1] = address */
   2,   /* field[2] = attempt */
   3,   /* field[3] = until_s */
   0,   /* field[0] = vm */
+  4,   /* field[4] = vms */
 };
-static const ProtobufCIntRange lease_row__number_ranges[1 + 1] =
+static const ProtobufCIntRange lease_row__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 20, 4 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lease_row__descriptor =
 {
@@ -1324,14 +1383,14 @@
   "LeaseRow",
   "",
   sizeof(LeaseRow),
-  4,
+  5,
   lease_row__field_descriptors,
   lease_row__field_indices_by_name,
-  1,  lease_row__number_ranges,
+  2,  lease_row__number_ranges,
   (ProtobufCMessageInit) lease_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor vm_info__field_descriptors[2] =
+static const ProtobufCFieldDescriptor vm_info__field_descriptors[3] =
 {
   {
     "name",
@@ -1357,15 +1416,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "zone",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(VmInfo, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned vm_info__field_indices_by_name[] = {
   1,   /* field[1] = address */
   0,   /* field[0] = name */
+  2,   /* field[2] = zone */
 };
 static const ProtobufCIntRange vm_info__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor vm_info__descriptor =
 {
@@ -1375,7 +1447,7 @@
   "VmInfo",
   "",
   sizeof(VmInfo),
-  2,
+  3,
   vm_info__field_descriptors,
   vm_info__field_indices_by_name,
   1,  vm_info__number_ranges,
@@ -1727,7 +1799,7 @@
   (ProtobufCMessageInit) table_changes__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor table_copy_part__field_descriptors[6] =
+static const ProtobufCFieldDescriptor table_copy_part__field_descriptors[8] =
 {
   {
     "lease",
@@ -1801,19 +1873,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_changes",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TableCopyPart, is_changes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "check",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(TableCopyPart, check),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned table_copy_part__field_indices_by_name[] = {
+  7,   /* field[7] = check */
   4,   /* field[4] = count */
   5,   /* field[5] = data */
   3,   /* field[3] = index */
+  6,   /* field[6] = is_changes */
   0,   /* field[0] = lease */
   1,   /* field[1] = table */
   2,   /* field[2] = upto */
 };
-static const ProtobufCIntRange table_copy_part__number_ranges[1 + 1] =
+static const ProtobufCIntRange table_copy_part__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 20, 6 },
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor table_copy_part__descriptor =
 {
@@ -1823,14 +1922,14 @@
   "TableCopyPart",
   "",
   sizeof(TableCopyPart),
-  6,
+  8,
   table_copy_part__field_descriptors,
   table_copy_part__field_indices_by_name,
-  1,  table_copy_part__number_ranges,
+  2,  table_copy_part__number_ranges,
   (ProtobufCMessageInit) table_copy_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor leader_beat__field_descriptors[11] =
+static const ProtobufCFieldDescriptor leader_beat__field_descriptors[13] =
 {
   {
     "vm",
@@ -1964,6 +2063,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "zone",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(LeaderBeat, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "snapshot",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(LeaderBeat, snapshot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned leader_beat__field_indices_by_name[] = {
   8,   /* field[8] = address */
@@ -1973,16 +2096,19 @@
   3,   /* field[3] = maps */
   5,   /* field[5] = operator_changes */
   4,   /* field[4] = progress */
+  12,   /* field[12] = snapshot */
   6,   /* field[6] = upstream_changes */
   0,   /* field[0] = vm */
   2,   /* field[2] = vms */
   7,   /* field[7] = watchers */
+  11,   /* field[11] = zone */
 };
-static const ProtobufCIntRange leader_beat__number_ranges[2 + 1] =
+static const ProtobufCIntRange leader_beat__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 11 }
+  { 20, 11 },
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor leader_beat__descriptor =
 {
@@ -1992,10 +2118,10 @@
   "LeaderBeat",
   "",
   sizeof(LeaderBeat),
-  11,
+  13,
   leader_beat__field_descriptors,
   leader_beat__field_indices_by_name,
-  2,  leader_beat__number_ranges,
+  3,  leader_beat__number_ranges,
   (ProtobufCMessageInit) leader_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -2141,18 +2267,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "loads",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(VmReport, n_loads),
-    offsetof(VmReport, loads),
-    &key_load__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "crashes",
     3,
@@ -2249,22 +2363,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wants_snapshot",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(VmReport, wants_snapshot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned vm_report__field_indices_by_name[] = {
-  7,   /* field[7] = blocked */
-  5,   /* field[5] = cleared */
-  2,   /* field[2] = crashes */
-  9,   /* field[9] = leaving */
-  1,   /* field[1] = loads */
-  4,   /* field[4] = progress */
-  6,   /* field[6] = refused */
-  3,   /* field[3] = stopping */
+  6,   /* field[6] = blocked */
+  4,   /* field[4] = cleared */
+  1,   /* field[1] = crashes */
+  8,   /* field[8] = leaving */
+  3,   /* field[3] = progress */
+  5,   /* field[5] = refused */
+  2,   /* field[2] = stopping */
   0,   /* field[0] = vm */
-  8,   /* field[8] = wanted_copies */
+  7,   /* field[7] = wanted_copies */
+  9,   /* field[9] = wants_snapshot */
 };
-static const ProtobufCIntRange vm_report__number_ranges[1 + 1] =
+static const ProtobufCIntRange vm_report__number_ranges[3 + 1] =
 {
   { 1, 0 },
+  { 3, 1 },
+  { 20, 9 },
   { 0, 10 }
 };
 const ProtobufCMessageDescriptor vm_report__descriptor =
@@ -2278,7 +2406,7 @@
   10,
   vm_report__field_descriptors,
   vm_report__field_indices_by_name,
-  1,  vm_report__number_ranges,
+  3,  vm_report__number_ranges,
   (ProtobufCMessageInit) vm_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -2488,7 +2616,7 @@
   (ProtobufCMessageInit) vm_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor vm_loads__field_descriptors[3] =
+static const ProtobufCFieldDescriptor vm_loads__field_descriptors[11] =
 {
   {
     "vm",
@@ -2526,16 +2654,122 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota_customers",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(VmLoads, n_quota_customers),
+    offsetof(VmLoads, quota_customers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_sent",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(VmLoads, n_quota_sent),
+    offsetof(VmLoads, quota_sent),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_wanted",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(VmLoads, n_quota_wanted),
+    offsetof(VmLoads, quota_wanted),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keys",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(VmLoads, n_keys),
+    offsetof(VmLoads, keys),
+    &key_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index_count",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(VmLoads, index_count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index_sum",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(VmLoads, index_sum),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loads",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(VmLoads, loads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wants_index",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(VmLoads, wants_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned vm_loads__field_indices_by_name[] = {
+  7,   /* field[7] = index_count */
+  8,   /* field[8] = index_sum */
+  6,   /* field[6] = keys */
   2,   /* field[2] = limits */
+  9,   /* field[9] = loads */
+  3,   /* field[3] = quota_customers */
+  4,   /* field[4] = quota_sent */
+  5,   /* field[5] = quota_wanted */
   1,   /* field[1] = upstreams */
   0,   /* field[0] = vm */
+  10,   /* field[10] = wants_index */
 };
-static const ProtobufCIntRange vm_loads__number_ranges[1 + 1] =
+static const ProtobufCIntRange vm_loads__number_ranges[3 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 15, 6 },
+  { 20, 7 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor vm_loads__descriptor =
 {
@@ -2545,10 +2779,10 @@
   "VmLoads",
   "",
   sizeof(VmLoads),
-  3,
+  11,
   vm_loads__field_descriptors,
   vm_loads__field_indices_by_name,
-  1,  vm_loads__number_ranges,
+  3,  vm_loads__number_ranges,
   (ProtobufCMessageInit) vm_loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -2629,7 +2863,7 @@
   (ProtobufCMessageInit) limit_account__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor leader_loads__field_descriptors[5] =
+static const ProtobufCFieldDescriptor leader_loads__field_descriptors[11] =
 {
   {
     "lease",
@@ -2644,24 +2878,96 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "upstreams",
-    2,
+    "limits",
+    5,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(LeaderLoads, n_upstreams),
-    offsetof(LeaderLoads, upstreams),
-    &upstream_load__descriptor,
+    offsetof(LeaderLoads, n_limits),
+    offsetof(LeaderLoads, limits),
+    &limit_account__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "busy",
-    3,
+    "quota_vms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(LeaderLoads, quota_vms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_customers",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(LeaderLoads, n_quota_customers),
+    offsetof(LeaderLoads, quota_customers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_levels",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_SINT32,
+    offsetof(LeaderLoads, n_quota_levels),
+    offsetof(LeaderLoads, quota_levels),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_wanted",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(LeaderLoads, n_quota_wanted),
+    offsetof(LeaderLoads, quota_wanted),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index_count",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(LeaderLoads, index_count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index_sum",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(LeaderLoads, index_sum),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index_recent",
+    22,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_FIXED32,
-    offsetof(LeaderLoads, n_busy),
-    offsetof(LeaderLoads, busy),
+    offsetof(LeaderLoads, n_index_recent),
+    offsetof(LeaderLoads, index_recent),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -2669,7 +2975,7 @@
   },
   {
     "flights",
-    4,
+    23,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
@@ -2680,29 +2986,37 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "limits",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(LeaderLoads, n_limits),
-    offsetof(LeaderLoads, limits),
-    &limit_account__descriptor,
+    "outcomes",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(LeaderLoads, outcomes),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned leader_loads__field_indices_by_name[] = {
-  2,   /* field[2] = busy */
-  3,   /* field[3] = flights */
+  9,   /* field[9] = flights */
+  6,   /* field[6] = index_count */
+  8,   /* field[8] = index_recent */
+  7,   /* field[7] = index_sum */
   0,   /* field[0] = lease */
-  4,   /* field[4] = limits */
-  1,   /* field[1] = upstreams */
+  1,   /* field[1] = limits */
+  10,   /* field[10] = outcomes */
+  3,   /* field[3] = quota_customers */
+  4,   /* field[4] = quota_levels */
+  2,   /* field[2] = quota_vms */
+  5,   /* field[5] = quota_wanted */
 };
-static const ProtobufCIntRange leader_loads__number_ranges[1 + 1] =
+static const ProtobufCIntRange leader_loads__number_ranges[3 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 5, 1 },
+  { 20, 6 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor leader_loads__descriptor =
 {
@@ -2712,14 +3026,65 @@
   "LeaderLoads",
   "",
   sizeof(LeaderLoads),
-  5,
+  11,
   leader_loads__field_descriptors,
   leader_loads__field_indices_by_name,
-  1,  leader_loads__number_ranges,
+  3,  leader_loads__number_ranges,
   (ProtobufCMessageInit) leader_loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer_message__field_descriptors[7] =
+static const ProtobufCFieldDescriptor load_index__field_descriptors[2] =
+{
+  {
+    "lease",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(LoadIndex, lease),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstreams",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(LoadIndex, n_upstreams),
+    offsetof(LoadIndex, upstreams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned load_index__field_indices_by_name[] = {
+  0,   /* field[0] = lease */
+  1,   /* field[1] = upstreams */
+};
+static const ProtobufCIntRange load_index__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor load_index__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "LoadIndex",
+  "LoadIndex",
+  "LoadIndex",
+  "",
+  sizeof(LoadIndex),
+  2,
+  load_index__field_descriptors,
+  load_index__field_indices_by_name,
+  1,  load_index__number_ranges,
+  (ProtobufCMessageInit) load_index__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer_message__field_descriptors[9] =
 {
   {
     "beat",
@@ -2805,20 +3170,47 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "relay_width",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerMessage, relay_width),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load_index",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PeerMessage, kind_case),
+    offsetof(PeerMessage, load_index),
+    &load_index__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_message__field_indices_by_name[] = {
   0,   /* field[0] = beat */
   3,   /* field[3] = leader_loads */
+  8,   /* field[8] = load_index */
   4,   /* field[4] = relay_to */
+  7,   /* field[7] = relay_width */
   1,   /* field[1] = report */
   6,   /* field[6] = row_relay */
   5,   /* field[5] = table_copy */
   2,   /* field[2] = vm_loads */
 };
-static const ProtobufCIntRange peer_message__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer_message__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 20, 8 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor peer_message__descriptor =
 {
@@ -2828,10 +3220,10 @@
   "PeerMessage",
   "",
   sizeof(PeerMessage),
-  7,
+  9,
   peer_message__field_descriptors,
   peer_message__field_indices_by_name,
-  1,  peer_message__number_ranges,
+  2,  peer_message__number_ranges,
   (ProtobufCMessageInit) peer_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -36,6 +36,7 @@
 typedef struct VmLoads VmLoads;
 typedef struct LimitAccount LimitAccount;
 typedef struct LeaderLoads LeaderLoads;
+typedef struct LoadIndex LoadIndex;
 typedef struct PeerMessage PeerMessage;
 
 
@@ -145,10 +146,14 @@
    * End of the lease in seconds of the store's clock; 0: unknown.
    */
   double until_s;
+  /*
+   * Number of VMs, for those that start; 0: unknown.
+   */
+  uint32_t vms;
 };
 #define LEASE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lease_row__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  VmInfo
@@ -159,10 +164,14 @@
    * "IPv4:port" on which the VM receives datagrams.
    */
   char *address;
+  /*
+   * Availability zone of the VM; empty: unknown.
+   */
+  char *zone;
 };
 #define VM_INFO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&vm_info__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -270,7 +279,8 @@
 
 
 /*
- * Part of a copy of a whole table, which the leader sends to VMs that start.
+ * Part of a copy of a whole table, which the leader sends to VMs that start, or
+ * of changes that are too large for a heartbeat.
  */
 struct  TableCopyPart
 {
@@ -296,10 +306,19 @@
    * This part of the bytes of table_copy_encode().
    */
   ProtobufCBinaryData data;
+  /*
+   * The bytes hold changes, not a whole table.
+   */
+  protobuf_c_boolean is_changes;
+  /*
+   * Checksum of all parts of changes, whose sender may be the leader or one of
+   * its backups.
+   */
+  uint32_t check;
 };
 #define TABLE_COPY_PART__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&table_copy_part__descriptor) \
-    , 0, 0, 0, 0, 0, {0,NULL} }
+    , 0, 0, 0, 0, 0, {0,NULL}, 0, 0 }
 
 
 /*
@@ -349,10 +368,18 @@
   BlockedRequest **blocked;
   size_t n_cleared;
   uint64_t *cleared;
+  /*
+   * Zone of the leader's VM.
+   */
+  char *zone;
+  /*
+   * Number of this leader's last snapshot. A VM that missed it asks for it.
+   */
+  uint64_t snapshot;
 };
 #define LEADER_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&leader_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, NULL, NULL, NULL, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, NULL, NULL, NULL, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -399,8 +426,6 @@
 {
   ProtobufCMessage base;
   VmInfo *vm;
-  size_t n_loads;
-  KeyLoad **loads;
   size_t n_crashes;
   Crash **crashes;
   /*
@@ -431,10 +456,14 @@
    */
   size_t n_wanted_copies;
   uint32_t *wanted_copies;
+  /*
+   * The VM missed the leader's last snapshot.
+   */
+  protobuf_c_boolean wants_snapshot;
 };
 #define VM_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&vm_report__descriptor) \
-    , NULL, 0,NULL, 0,NULL, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , NULL, 0,NULL, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -512,10 +541,40 @@
   UpstreamLoad **upstreams;
   size_t n_limits;
   VmLimit **limits;
+  /*
+   * Hashes of the names of customers with a quota, and for each, since the last
+   * message, the requests that were sent and those that were to be sent.
+   */
+  size_t n_quota_customers;
+  uint32_t *quota_customers;
+  size_t n_quota_sent;
+  uint32_t *quota_sent;
+  size_t n_quota_wanted;
+  uint32_t *quota_wanted;
+  /*
+   * Requested keys, so that hot keys are seen as fast as loads.
+   */
+  size_t n_keys;
+  KeyLoad **keys;
+  /*
+   * Numbers of upstreams that loads refers to: how many, and their sum
+   * (loads/load_index.h).
+   */
+  uint32_t index_count;
+  uint32_t index_sum;
+  /*
+   * Loads of numbered upstreams (load_report_encode()); upstreams lists only
+   * those without a number.
+   */
+  ProtobufCBinaryData loads;
+  /*
+   * The VM does not know the leader's numbers.
+   */
+  protobuf_c_boolean wants_index;
 };
 #define VM_LOADS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&vm_loads__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, {0,NULL}, 0 }
 
 
 /*
@@ -558,30 +617,68 @@
    */
   uint64_t lease;
   /*
-   * Answers and failures since the last message that listed them; flights is
-   * not set.
+   * Accounts of all limited upstreams.
    */
-  size_t n_upstreams;
-  UpstreamLoad **upstreams;
+  size_t n_limits;
+  LimitAccount **limits;
   /*
-   * Hashes of the ids of all upstreams with requests in flight.
+   * Number of VMs that share the customers' quotas; 0: the message has no
+   * accounts of them.
    */
-  size_t n_busy;
-  uint32_t *busy;
+  uint32_t quota_vms;
   /*
-   * Number of requests in flight at each of these upstreams, in the order of
-   * busy, one byte each; 255 stands for 255 or more.
+   * Hashes of the names of customers whose accounts are not well filled, and
+   * for each the level and the requests per second that the VMs want to send,
+   * both in tenths.
+   */
+  size_t n_quota_customers;
+  uint32_t *quota_customers;
+  size_t n_quota_levels;
+  int32_t *quota_levels;
+  size_t n_quota_wanted;
+  uint32_t *quota_wanted;
+  /*
+   * The leader's numbers of upstreams: how many, their sum, and the hashes of
+   * the ids that were numbered lately, which are the last ones.
+   */
+  uint32_t index_count;
+  uint32_t index_sum;
+  size_t n_index_recent;
+  uint32_t *index_recent;
+  /*
+   * Requests in flight at each numbered upstream (load_flights_encode()).
    */
   ProtobufCBinaryData flights;
   /*
-   * Accounts of all limited upstreams.
+   * Outcomes at each numbered upstream since the last message that had them
+   * (load_outcomes_encode()); empty: not in this message.
    */
-  size_t n_limits;
-  LimitAccount **limits;
+  ProtobufCBinaryData outcomes;
 };
 #define LEADER_LOADS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&leader_loads__descriptor) \
-    , 0, 0,NULL, 0,NULL, {0,NULL}, 0,NULL }
+    , 0, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, {0,NULL}, {0,NULL} }
+
+
+/*
+ * The leader's numbers of upstreams, for VMs that don't know them.
+ */
+struct  LoadIndex
+{
+  ProtobufCMessage base;
+  /*
+   * As in LeaderBeat.
+   */
+  uint64_t lease;
+  /*
+   * Hashes of the upstreams' ids, by number.
+   */
+  size_t n_upstreams;
+  uint32_t *upstreams;
+};
+#define LOAD_INDEX__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&load_index__descriptor) \
+    , 0, 0,NULL }
 
 
 typedef enum {
@@ -591,7 +688,8 @@
   PEER_MESSAGE__KIND_VM_LOADS = 3,
   PEER_MESSAGE__KIND_LEADER_LOADS = 4,
   PEER_MESSAGE__KIND_TABLE_COPY = 6,
-  PEER_MESSAGE__KIND_ROW_RELAY = 7
+  PEER_MESSAGE__KIND_ROW_RELAY = 7,
+  PEER_MESSAGE__KIND_LOAD_INDEX = 20
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER_MESSAGE__KIND__CASE)
 } PeerMessage__KindCase;
 
@@ -606,6 +704,10 @@
    * address and port of each, six bytes in network byte order.
    */
   ProtobufCBinaryData relay_to;
+  /*
+   * Most copies that any of the message's relays sends.
+   */
+  uint32_t relay_width;
   PeerMessage__KindCase kind_case;
   union {
     LeaderBeat *beat;
@@ -614,11 +716,12 @@
     LeaderLoads *leader_loads;
     TableCopyPart *table_copy;
     RowRelay *row_relay;
+    LoadIndex *load_index;
   };
 };
 #define PEER_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_message__descriptor) \
-    , {0,NULL}, PEER_MESSAGE__KIND__NOT_SET, {0} }
+    , {0,NULL}, 0, PEER_MESSAGE__KIND__NOT_SET, {0} }
 
 
 /* KeySpan methods */
@@ -1020,6 +1123,25 @@
 void   leader_loads__free_unpacked
                      (LeaderLoads *message,
                       ProtobufCAllocator *allocator);
+/* LoadIndex methods */
+void   load_index__init
+                     (LoadIndex         *message);
+size_t load_index__get_packed_size
+                     (const LoadIndex   *message);
+size_t load_index__pack
+                     (const LoadIndex   *message,
+                      uint8_t             *out);
+size_t load_index__pack_to_buffer
+                     (const LoadIndex   *message,
+                      ProtobufCBuffer     *buffer);
+LoadIndex *
+       load_index__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   load_index__free_unpacked
+                     (LoadIndex *message,
+                      ProtobufCAllocator *allocator);
 /* PeerMessage methods */
 void   peer_message__init
                      (PeerMessage         *message);
@@ -1104,6 +1226,9 @@
 typedef void (*LeaderLoads_Closure)
                  (const LeaderLoads *message,
                   void *closure_data);
+typedef void (*LoadIndex_Closure)
+                 (const LoadIndex *message,
+                  void *closure_data);
 typedef void (*PeerMessage_Closure)
                  (const PeerMessage *message,
                   void *closure_data);
@@ -1134,6 +1259,7 @@
 extern const ProtobufCMessageDescriptor vm_loads__descriptor;
 extern const ProtobufCMessageDescriptor limit_account__descriptor;
 extern const ProtobufCMessageDescriptor leader_loads__descriptor;
+extern const ProtobufCMessageDescriptor load_index__descriptor;
 extern const ProtobufCMessageDescriptor peer_message__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/wire/socket.c
+++ b/src/wire/socket.c
@@ -1,8 +1,11 @@
 #include "wire/socket.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -11,17 +14,14 @@
 
 /* Maximum number of connections that wait to be accepted. */
 #define BACKLOG 512
-/* A connection breaks when sent bytes stay unacknowledged this long. */
-#define USER_TIMEOUT_MS 2000
+/* Fewest unanswered retransmissions, or probes of a closed window, of a peer
+ * that counts as lost. A live peer may leave out the answer to a probe that
+ * follows another one within half a second. */
+#define UNANSWERED_MIN 3
 
-static void set_tcp_options(int fd)
+static void set_option(int fd, int level, int name, unsigned int value)
 {
-	int on = 1;
-	unsigned int timeout_ms = USER_TIMEOUT_MS;
-
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
-		   sizeof(timeout_ms));
+	(void)setsockopt(fd, level, name, &value, sizeof(value));
 }
 
 static int open_socket(void)
@@ -54,7 +54,8 @@
 
 	if (fd < 0)
 		return -1;
-	set_tcp_options(fd);
+	set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, SOCKET_USER_TIMEOUT_MS);
 	if (!connect(fd, (const struct sockaddr *)addr, sizeof(*addr)) ||
 	    errno == EINPROGRESS)
 		return fd;
@@ -67,10 +68,64 @@
 	int fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
 	if (fd >= 0)
-		set_tcp_options(fd);
+		set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
 	return fd;
 }
 
+bool socket_peer_ended(int fd)
+{
+	struct pollfd state = { .fd = fd, .events = POLLRDHUP };
+
+	return poll(&state, 1, 0) > 0;
+}
+
+size_t socket_unacknowledged(int fd)
+{
+	int bytes = 0;
+
+	return ioctl(fd, SIOCOUTQ, &bytes) < 0 ? 0 : (size_t)bytes;
+}
+
+void socket_set_abortive(int fd)
+{
+	struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+	/* On failure, close() doesn't reset the connection. */
+	(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
+
+bool socket_is_reset(int fd)
+{
+	struct pollfd state = { .fd = fd };
+
+	return poll(&state, 1, 0) > 0;
+}
+
+bool socket_peer_lost(int fd, unsigned int timeout_ms)
+{
+	struct tcp_info info = { 0 };
+	socklen_t len = sizeof(info);
+
+	if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) < 0)
+		return false;
+	return info.tcpi_last_ack_recv >= timeout_ms &&
+	       (info.tcpi_unacked ? info.tcpi_retransmits : info.tcpi_probes) >=
+		       UNANSWERED_MIN;
+}
+
+void socket_detect_loss(int fd, const struct socket_loss *loss)
+{
+	if (loss->user_timeout_ms)
+		set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+			   loss->user_timeout_ms);
+	if (!loss->keepalive_s)
+		return;
+	set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, loss->keepalive_s);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, loss->keepalive_s);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, loss->probes);
+}
+
 bool socket_address(int fd, struct sockaddr_in *addr)
 {
 	socklen_t len = sizeof(*addr);
@@ -95,6 +150,13 @@
 	return n > 0 ? n : io_status(n);
 }
 
+ssize_t socket_peek(int fd, void *buf, size_t size)
+{
+	ssize_t n = recv(fd, buf, size, MSG_PEEK);
+
+	return n > 0 ? n : io_status(n);
+}
+
 ssize_t socket_write(int fd, const void *buf, size_t size)
 {
 	ssize_t n = send(fd, buf, size, MSG_NOSIGNAL);
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -33,7 +33,7 @@
 
 static void changes_are_retained_for_a_second(void)
 {
-	struct change_log *log = change_log_create();
+	struct change_log *log = change_log_create(32 << 10);
 
 	change_log_reset(log, 10);
 	add_change(log, 11, 10, 1.0);
@@ -51,7 +51,7 @@
 
 static void rows_of_one_transaction_are_dropped_together(void)
 {
-	struct change_log *log = change_log_create();
+	struct change_log *log = change_log_create(32 << 10);
 	uint64_t i;
 
 	add_change(log, 5, 12 << 10, 1.0);
@@ -493,6 +493,24 @@
 	teardown(&f);
 }
 
+/* Guards against VMs that all read a large row from the store while its parts
+ * are on their way from the leader, and against one that waits for ever. */
+static void a_watch_waits_for_changes_in_parts(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 20);
+	table_watch_expect_changes(f.table_watch, 0.5);
+	advance(&f, 0.45);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 20);
+	CU_ASSERT_EQUAL(f.call, 0);
+	advance(&f, 0.1);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 20);
+	CU_ASSERT_EQUAL_FATAL(f.call, 'f');
+	teardown(&f);
+}
+
 /* On a slow link a large row takes longer to arrive than other VMs need to
  * report it; cancelling the call would start it over each time. */
 static void a_call_is_not_cancelled_while_its_answer_arrives(void)
@@ -658,6 +676,44 @@
 	teardown(&f);
 }
 
+/* When hundreds of VMs start at once, the store doesn't answer all in time.
+ * Guards against a VM that goes on without the leader's copy. */
+static void a_copy_replaces_a_read_that_failed(void)
+{
+	struct store_row a = make_row("a", 7, 1);
+	struct table_delta copy = { .upto = 9, .rows = &a, .count = 1 };
+	struct fixture f;
+
+	start_watch(&f, &table_watch_ops, 0);
+	CU_ASSERT_FALSE(table_watch_wants_copy(f.table_watch));
+	answer(&f, STORE_UNKNOWN, 0, NULL, 0);
+	CU_ASSERT_TRUE(table_watch_wants_copy(f.table_watch));
+	/* The copy arrives while the next read is not answered. */
+	g_usleep(400000);
+	advance(&f, 0.4);
+	CU_ASSERT_EQUAL_FATAL(f.call, 'r');
+	table_watch_apply_copy(f.table_watch, &copy);
+	CU_ASSERT_EQUAL(f.call, 0);
+	CU_ASSERT_TRUE(table_watch_loaded(f.table_watch));
+	CU_ASSERT_FALSE(table_watch_wants_copy(f.table_watch));
+	g_string_free(a.value, TRUE);
+	teardown(&f);
+}
+
+/* A leader has no one to get a copy from, and all others wait for it. */
+static void a_new_leader_reads_at_once_what_it_failed_to_read(void)
+{
+	struct fixture f;
+
+	start_watch(&f, &table_watch_ops, 0);
+	answer(&f, STORE_UNKNOWN, 0, NULL, 0);
+	table_watch_set_mode(f.table_watch, TABLE_WATCH_LEADER);
+	advance(&f, 0);
+	CU_ASSERT_EQUAL(f.call, 'r');
+	CU_ASSERT_FALSE(table_watch_wants_copy(f.table_watch));
+	teardown(&f);
+}
+
 static void without_a_copy_the_table_is_read(void)
 {
 	struct fixture f;
@@ -695,6 +751,8 @@
 		  a_backup_that_relays_ends_its_long_poll },
 		{ "a newer row on a peer is requested",
 		  a_newer_row_on_a_peer_is_requested },
+		{ "a watch waits for changes in parts",
+		  a_watch_waits_for_changes_in_parts },
 		{ "a call is not cancelled while its answer arrives",
 		  a_call_is_not_cancelled_while_its_answer_arrives },
 		{ "a table of few rows catches up by snapshot",
@@ -711,6 +769,10 @@
 		  changes_after_a_copy_are_not_missed },
 		{ "a leader does not wait for a copy",
 		  a_leader_does_not_wait_for_a_copy },
+		{ "a copy replaces a read that failed",
+		  a_copy_replaces_a_read_that_failed },
+		{ "a new leader reads at once what it failed to read",
+		  a_new_leader_reads_at_once_what_it_failed_to_read },
 		{ "without a copy the table is read",
 		  without_a_copy_the_table_is_read },
 		{ 0 },
