--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "customers/customers.h"
 #include "entry/forward.h"
 #include "platform/decode.h"
 #include "suite.h"
@@ -57,6 +58,7 @@
 	struct metrics *metrics;
 	struct event_log *log;
 	struct crash_watch *crashes;
+	struct customers *customers;
 	struct forward *forward;
 	struct http_server *callers;
 	struct target targets[2];
@@ -207,6 +209,7 @@
 					       .cleared = on_fingerprint,
 					       .refused = on_fingerprint };
 	struct forward_options forward = { .said_leaving = on_leaving };
+	const struct quota_bounds bounds = { .window_s = 5 };
 
 	memset(rig, 0, sizeof(*rig));
 	signal(SIGPIPE, SIG_IGN);
@@ -236,6 +239,9 @@
 	forward.metrics = rig->metrics;
 	forward.answers = &rig->answers;
 	forward.crashes = rig->crashes;
+	rig->customers = customers_create(rig->metrics, 2.5, &bounds,
+					  loop_now(&rig->loop));
+	forward.customers = rig->customers;
 	forward.ctx = rig;
 	rig->forward = forward_create(&forward);
 	rig->callers = listen_on_loopback(rig, &caller_ops, rig);
@@ -253,6 +259,7 @@
 	http_server_destroy(rig->targets[0].server);
 	http_server_destroy(rig->targets[1].server);
 	forward_destroy(rig->forward);
+	customers_destroy(rig->customers);
 	crash_watch_destroy(rig->crashes);
 	roster_destroy(rig->roster);
 	event_log_destroy(rig->log);
