--- a/src/net/http_conn.h
+++ b/src/net/http_conn.h
@@ -1,14 +1,15 @@
 /**
  * A caller's connection to the HTTP server, and the rule for its end. Internal
- * to http_server.c and http_conn_end.c.
+ * to http_server.c and the files http_conn_*.c.
  *
  * How a connection ends:
  *
  * - Every request that was read completely is answered. Answers leave in the
  *   order of the requests.
- * - Which answer closes the connection is decided when it is moved to the bytes
- *   to send: the last one, with no request behind it, once the connection
- *   accepts no further request or the server drains.
+ * - Answers are moved to the bytes to send one at a time, the next one when all
+ *   of the last is written. Which answer closes the connection is decided then:
+ *   the last one, with no request behind it, once the connection accepts no
+ *   further request or the server drains.
  * - What follows the closing answer is not read, and so never passed on or
  *   dropped. Only the rest of a request that was refused while its body arrived
  *   is read and discarded, up to the end of this request.
@@ -28,6 +29,11 @@
  *   when its machine has acknowledged nothing for LOST_MS, or when nothing was
  *   taken for the idle timeout.
  *
+ * - A connection whose answers give way to others in the budget of the server,
+ *   or whose answer has no room in it, is closed at once: its bytes are needed.
+ *   A request that gives way while it arrives is refused by the rule above.
+ *   docs/design/client-limits.md
+ *
  * The rule is the same for a planned stop, the time limits, a request that is
  * refused because of its bytes, and a caller that asks for the end.
  */
@@ -58,7 +64,7 @@
 	struct http_request *reading;
 	/** Complete requests in the order of arrival: struct http_request. */
 	GQueue requests;
-	/** Bytes to send, and how many of them are sent. */
+	/** Bytes to send, and how many of them are sent or not to be sent. */
 	GString *out;
 	size_t out_sent;
 	/** Loop time when data was last received or an answer was queued. */
@@ -92,6 +98,18 @@
 	/** Loop time at which a half-closed connection is closed; 0 until the
 	 * caller has acknowledged everything. */
 	double linger_until_s;
+	/** Account in the server's budget, and what of it is for out. */
+	struct caller_holder holder;
+	size_t out_held;
+	/** The budget has no room for the request that is being received. */
+	bool no_room;
+	/** What the connection held was freed. on_io() refuses the request that
+	 * was being received or, if answers were lost, closes the connection.
+	 * Until then nothing is read, sent or watched. */
+	bool evicted;
+	bool answers_lost;
+	/** Loop time at which the head of the current request was complete. */
+	double body_started_s;
 	/** The socket is closed; the connection is freed by on_io() or by
 	 * http_server_tick(). */
 	bool closed;
@@ -108,6 +126,10 @@
 	const struct http_server_ops *ops;
 	void *ctx;
 	struct http_limits limits;
+	/** Limits what the connections hold; NULL: no limit. */
+	struct caller_budget *budget;
+	/** Accepting is paused until the next tick: no descriptor is left. */
+	bool accept_paused;
 	/** Open connections: struct http_conn. */
 	GQueue conns;
 	/** Value of http_server_requests(). */
@@ -118,12 +140,21 @@
 
 /** The beginning of every answer. */
 #define BEGINNING "HTTP/1.1 "
+/** Retry-After of a request that is refused for lack of memory, in seconds:
+ * holders that make no progress are evicted within half of that. */
+#define REFUSED_RETRY_S "1"
 
 /* --- http_server.c --- */
 
+/** Returns an empty request of a connection. */
+struct http_request *http_request_create(struct http_conn *conn);
+
 /** Frees a request. */
 void http_request_free(struct http_request *request);
 
+/** Closes and frees a connection. */
+void http_conn_free(struct http_conn *conn);
+
 /**
  * Reads what has arrived, passes complete requests on, and sends what can be
  * sent. May close the connection.
@@ -137,6 +168,12 @@
  * @return the number of bytes that the parser took */
 size_t http_conn_parse(struct http_conn *conn, const char *data, size_t len);
 
+/* --- http_conn_answer.c --- */
+
+/** Moves the answer to the first request, if there is one and no bytes wait, to
+ * the bytes to send. */
+void http_conn_next_answer(struct http_conn *conn);
+
 /** Answers an invalid or late request with an error status, which closes the
  * connection. */
 void http_conn_reject(struct http_conn *conn, unsigned int status);
@@ -151,8 +188,9 @@
  * closes the connection. */
 bool http_conn_answer_closes(const struct http_conn *conn);
 
-/** Writes as much as the socket accepts. Shuts down the sending direction of a
- * connection that accepts no further request once everything is sent. */
+/** Writes as many answers as the socket accepts, in the order of the requests.
+ * Shuts down the sending direction of a connection that accepts no further
+ * request once everything is sent. */
 void http_conn_flush(struct http_conn *conn);
 
 /** Handles the end of the caller's sending direction, or of the connection. */
@@ -169,4 +207,64 @@
 /** Applies the time limits to a connection. */
 void http_conn_tick(struct http_conn *conn, double now);
 
+/* --- http_conn_limits.c --- */
+
+/** Takes bytes from the server's budget.
+ *
+ * @param answer the bytes are those of an answer
+ * @return false when there is no room */
+bool http_conn_hold(struct http_conn *conn, size_t len, bool answer);
+
+/** Takes bytes for the head of the request that is being received.
+ *
+ * @return false when there is no room: the request must be refused */
+bool http_conn_hold_head(struct http_conn *conn, size_t len);
+
+/** As http_conn_hold_head(), for bytes of the body. */
+bool http_conn_hold_body(struct http_conn *conn, size_t len);
+
+/** Returns whether a body of this size has room; takes none. If not, the
+ * request must be refused. */
+bool http_conn_body_fits(struct http_conn *conn, size_t len);
+
+/** Gives bytes back to the budget and zeroes their count. */
+void http_conn_return(struct http_conn *conn, size_t *held);
+
+/** Empties a text buffer, and frees it if it has grown. */
+void http_conn_shrink(GString **text);
+
+/** Frees the bytes to send. */
+void http_conn_drop_out(struct http_conn *conn);
+
+/** Drops the request's reference to its body. */
+void http_request_free_body(struct http_request *request);
+
+/** Drops an answer of len bytes for which there is no room. The connection is
+ * closed from the event loop, since the answer's owner may still use the
+ * request. */
+void http_conn_drop_answer(struct http_request *request, size_t len);
+
+/** Opens the connection's account in the budget. */
+void http_conn_join_budget(struct http_conn *conn);
+
+/** Returns all bytes of the connection and closes its account. */
+void http_conn_leave_budget(struct http_conn *conn);
+
+/** Tells the budget what the connection holds bytes for. */
+void http_conn_update_state(struct http_conn *conn);
+
+/** Ends what the connection held when it was evicted. */
+void http_conn_end_eviction(struct http_conn *conn);
+
+/** Makes room for a connection that was accepted. If there is none, refuses and
+ * closes it.
+ *
+ * @return false when the socket was closed */
+bool http_server_admit(struct http_server *server, int fd);
+
+/** Pauses accepting, after it failed with the given errno, if no descriptor is
+ * left: the socket stays readable, and the event loop would call without end.
+ */
+void http_server_check_accept(struct http_server *server, int error);
+
 #endif
--- a/src/net/http_conn_end.c
+++ b/src/net/http_conn_end.c
@@ -45,12 +45,15 @@
 	ev_io_stop(conn->server->loop->ev, &conn->io);
 	close(conn->fd);
 	free_requests(conn);
+	http_conn_drop_out(conn);
+	conn->holder.state = CALLER_IDLE;
 }
 
 /* Sets the events, EV_READ and EV_WRITE, that the connection waits for. */
 static void watch(struct http_conn *conn, int events)
 {
-	if (conn->closed || conn->events == events)
+	/* Stopping the watcher would also drop the event of an eviction. */
+	if (conn->closed || conn->evicted || conn->events == events)
 		return;
 	conn->events = events;
 	ev_io_stop(conn->server->loop->ev, &conn->io);
@@ -73,6 +76,14 @@
 	return conn->requests.length || conn->reading;
 }
 
+/* Returns whether the first request is answered. */
+static bool has_answer(struct http_conn *conn)
+{
+	const struct http_request *first = g_queue_peek_head(&conn->requests);
+
+	return first && first->answer;
+}
+
 bool http_conn_answer_closes(const struct http_conn *conn)
 {
 	return conn->requests.length == 1 && !conn->reading &&
@@ -93,7 +104,11 @@
 		http_conn_close(conn);
 }
 
-void http_conn_flush(struct http_conn *conn)
+/* Writes as much as the socket accepts of the bytes to send, and frees them
+ * when all are written.
+ *
+ * @return whether all are written */
+static bool write_out(struct http_conn *conn)
 {
 	while (conn->out_sent < conn->out->len) {
 		ssize_t n =
@@ -101,23 +116,38 @@
 				     conn->out->len - conn->out_sent);
 
 		if (n == SOCKET_AGAIN)
-			break;
+			return false;
 		if (n < 0) {
 			http_conn_close(conn);
-			return;
+			return false;
 		}
 		conn->out_sent += (size_t)n;
 		conn->acknowledged = false;
+		caller_budget_progress(&conn->holder, (size_t)n,
+				       loop_now(conn->server->loop));
 	}
-	if (conn->out_sent == conn->out->len) {
-		g_string_truncate(conn->out, 0);
-		conn->out_sent = 0;
-		conn->untaken = 0;
-		if (conn->closing && !has_requests(conn))
-			half_close(conn);
-	}
+	http_conn_drop_out(conn);
+	conn->untaken = 0;
+	return true;
+}
+
+void http_conn_flush(struct http_conn *conn)
+{
+	/* More requests may follow in the bytes that are being parsed. */
+	if (conn->closed || conn->evicted || conn->parsing)
+		return;
+	do {
+		http_conn_next_answer(conn);
+	} while (write_out(conn) && has_answer(conn));
+	if (conn->closed)
+		return;
+	if (!conn->out->len && conn->closing && !has_requests(conn))
+		half_close(conn);
+	if (conn->closed)
+		return;
 	watch(conn, (wants_read(conn) ? EV_READ : 0) |
 			    (conn->out->len ? EV_WRITE : 0));
+	http_conn_update_state(conn);
 }
 
 /* Sends the beginning of the next answer, unless an answer is being sent, so
@@ -221,7 +251,7 @@
 
 void http_conn_end_idle(struct http_conn *conn)
 {
-	if (conn->closed || conn->closing)
+	if (conn->closed || conn->closing || conn->evicted)
 		return;
 	/* The caller can't tell that what has arrived wasn't read yet. */
 	if (http_conn_read(conn) || conn->closed || !is_idle(conn))
@@ -235,6 +265,7 @@
 static unsigned int late_status(const struct http_conn *conn, double now)
 {
 	const struct http_limits *limits = &conn->server->limits;
+	const struct caller_budget *budget = conn->server->budget;
 
 	if (!conn->reading || conn->closing)
 		return 0;
@@ -242,6 +273,10 @@
 	if (!conn->reading->method->len &&
 	    now - conn->head_started_s > limits->header_timeout_s)
 		return 408;
+	if (conn->reading->method->len && budget &&
+	    budget->body_timeout_s > 0 &&
+	    now - conn->body_started_s > budget->body_timeout_s)
+		return 408;
 	return now - conn->last_activity_s > limits->idle_timeout_s ? 408 : 0;
 }
 
@@ -249,7 +284,7 @@
 {
 	const struct http_limits *limits = &conn->server->limits;
 
-	if (conn->closed)
+	if (conn->closed || conn->evicted)
 		return;
 	if (conn->half_closed) {
 		if (lingered(conn, now))
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -15,6 +15,10 @@
  * links lose single probes. */
 #define KEEPALIVE_S 5
 #define KEEPALIVE_PROBES 3
+/* What a request and a header field take besides their bytes: estimates from
+ * the sizes of the structures, rounded up for the allocator. */
+#define REQUEST_BYTES ((size_t)4096)
+#define FIELD_BYTES ((size_t)64)
 
 /* Limits until http_server_set_limits() is called. */
 static const struct http_limits default_limits = {
@@ -24,37 +28,7 @@
 	.idle_timeout_s = 60,
 };
 
-struct status_text {
-	unsigned int status;
-	const char *text;
-};
-
-static const struct status_text status_texts[] = {
-	{ 200, "OK" },
-	{ 400, "Bad Request" },
-	{ 404, "Not Found" },
-	{ 408, "Request Timeout" },
-	{ 413, "Content Too Large" },
-	{ 421, "Misdirected Request" },
-	{ 429, "Too Many Requests" },
-	{ 431, "Request Header Fields Too Large" },
-	{ 500, "Internal Server Error" },
-	{ 502, "Bad Gateway" },
-	{ 503, "Service Unavailable" },
-	{ 504, "Gateway Timeout" },
-};
-
-const char *http_reason(unsigned int status)
-{
-	size_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(status_texts); i++)
-		if (status_texts[i].status == status)
-			return status_texts[i].text;
-	return "Status";
-}
-
-static struct http_request *request_create(struct http_conn *conn)
+struct http_request *http_request_create(struct http_conn *conn)
 {
 	struct http_request *request = g_new0(struct http_request, 1);
 
@@ -62,7 +36,8 @@
 	request->method = g_string_new(NULL);
 	request->target = g_string_new(NULL);
 	request->headers = headers_create();
-	request->body = g_string_new(NULL);
+	request->shared_body = caller_body_create(conn->server->budget);
+	request->body = request->shared_body->bytes;
 	return request;
 }
 
@@ -71,15 +46,19 @@
 	g_string_free(request->method, TRUE);
 	g_string_free(request->target, TRUE);
 	headers_destroy(request->headers);
-	g_string_free(request->body, TRUE);
+	http_request_free_body(request);
+	caller_body_unref(request->shared_body);
+	http_conn_return(request->conn, &request->head_held);
+	http_conn_return(request->conn, &request->answer_held);
 	if (request->answer)
 		g_string_free(request->answer, TRUE);
 	g_free(request);
 }
 
-static void conn_free(struct http_conn *conn)
+void http_conn_free(struct http_conn *conn)
 {
 	http_conn_close(conn);
+	http_conn_leave_budget(conn);
 	g_queue_unlink(&conn->server->conns, &conn->link);
 	g_string_free(conn->field, TRUE);
 	g_string_free(conn->value, TRUE);
@@ -87,125 +66,31 @@
 	g_free(conn);
 }
 
-static bool request_is(const struct http_request *request, const char *method)
-{
-	return !strcmp(request->method->str, method);
-}
-
-/* Moves the answer to the first request to the bytes to send. */
-static void queue_answer(struct http_conn *conn)
-{
-	struct http_request *request = g_queue_peek_head(&conn->requests);
-	const GString *answer = request->answer;
-	bool closes = http_conn_answer_closes(conn);
-	GString *out = conn->out;
-	size_t begun = 0;
-
-	if (closes)
-		conn->closing = true;
-	if (conn->begun)
-		begun = strlen(BEGINNING);
-	conn->begun = false;
-	conn->wait_until_s = MAX(conn->wait_until_s, request->wait_until_s);
-	g_string_append_len(out, answer->str + begun,
-			    (gssize)(request->answer_head - begun));
-	if (closes)
-		g_string_append(out, "Connection: close\r\n");
-	else if (request->http10)
-		g_string_append(out, "Connection: keep-alive\r\n");
-	g_string_append(out, "\r\n");
-	g_string_append_len(out, answer->str + request->answer_head,
-			    (gssize)(answer->len - request->answer_head));
-	g_queue_pop_head(&conn->requests);
-	conn->server->requests--;
-	http_request_free(request);
-	conn->last_activity_s = loop_now(conn->server->loop);
-}
-
-/* Sends the answers at the head of the queue, in the order of the requests. */
-static void conn_send_answers(struct http_conn *conn)
-{
-	const struct http_request *request;
-
-	/* More requests may follow in the bytes that are being parsed. */
-	if (conn->parsing)
-		return;
-	while ((request = g_queue_peek_head(&conn->requests)) &&
-	       request->answer)
-		queue_answer(conn);
-	http_conn_flush(conn);
-}
-
-void http_request_answer(struct http_request *request,
-			 const struct http_answer *answer)
-{
-	GString *out = g_string_sized_new(answer->body.len + 512);
-	size_t i;
-
-	request->data = NULL;
-	g_string_append_printf(out, BEGINNING "%u %s\r\n", answer->status,
-			       http_reason(answer->status));
-	for (i = 0; answer->headers && i < headers_count(answer->headers);
-	     i++) {
-		const struct header *h = headers_at(answer->headers, i);
-
-		g_string_append_printf(out, "%.*s: %.*s\r\n", STR_ARG(h->name),
-				       STR_ARG(h->value));
-	}
-	if (answer->status != 204 && answer->status != 304)
-		g_string_append_printf(out, "Content-Length: %zu\r\n",
-				       answer->body.len);
-	request->answer_head = out->len;
-	if (!request_is(request, "HEAD") && answer->body.len)
-		g_string_append_len(out, answer->body.data,
-				    (gssize)answer->body.len);
-	request->answer = out;
-	conn_send_answers(request->conn);
-}
-
-void http_request_abort(struct http_request *request)
-{
-	struct http_conn *conn = request->conn;
-
-	request->data = NULL;
-	request->answer = g_string_new(NULL);
-	http_conn_close(conn);
-}
-
-void http_conn_reject(struct http_conn *conn, unsigned int status)
-{
-	struct http_request *request = conn->reading;
-	struct http_answer answer = { .status = status };
-
-	if (!request)
-		request = request_create(conn);
-	conn->reading = NULL;
-	conn->closing = true;
-	g_queue_push_tail(&conn->requests, request);
-	conn->server->requests++;
-	http_request_answer(request, &answer);
-}
-
 static int on_begin(http_parser *parser)
 {
 	struct http_conn *conn = parser->data;
 
-	conn->reading = request_create(conn);
+	conn->reading = http_request_create(conn);
 	conn->head_bytes = 0;
 	conn->head_started_s = loop_now(conn->server->loop);
 	conn->in_value = false;
 	g_string_truncate(conn->field, 0);
 	g_string_truncate(conn->value, 0);
-	return 0;
+	http_conn_update_state(conn);
+	return http_conn_hold_head(conn, REQUEST_BYTES) ? 0 : 1;
 }
 
-/* Counts bytes of the request's head or trailer.
+/* Counts bytes of the request's head or trailer, which isn't kept.
  *
- * @return nonzero when it is too long */
+ * @return nonzero when it is too long or has no room */
 static int count_head(struct http_conn *conn, size_t len)
 {
 	conn->head_bytes += len;
-	return conn->head_bytes > conn->server->limits.header_bytes;
+	if (conn->head_bytes > conn->server->limits.header_bytes)
+		return 1;
+	if (conn->parser.flags & F_TRAILING)
+		return 0;
+	return http_conn_hold_head(conn, len) ? 0 : 1;
 }
 
 static int on_url(http_parser *parser, const char *at, size_t len)
@@ -244,8 +129,11 @@
 	if (conn->in_value && end_field(conn))
 		return 1;
 	/* Four more bytes for ": " and the end of the line. */
-	if (!conn->field->len)
+	if (!conn->field->len) {
 		conn->head_bytes += 4;
+		if (!http_conn_hold_head(conn, FIELD_BYTES + 4))
+			return 1;
+	}
 	g_string_append_len(conn->field, at, (gssize)len);
 	return count_head(conn, len);
 }
@@ -269,13 +157,17 @@
 
 	if (end_field(conn))
 		return -1;
+	http_conn_shrink(&conn->field);
+	http_conn_shrink(&conn->value);
+	conn->body_started_s = loop_now(conn->server->loop);
 	g_string_assign(request->method,
 			http_method_str((enum http_method)parser->method));
 	request->http10 = parser->http_minor == 0;
 	/* An Upgrade field must not end the parsing of HTTP. */
 	parser->upgrade = 0;
 	if (parser->flags & F_CONTENTLENGTH &&
-	    parser->content_length > conn->server->limits.body_bytes) {
+	    (parser->content_length > conn->server->limits.body_bytes ||
+	     !http_conn_body_fits(conn, (size_t)parser->content_length))) {
 		conn->body_refused = true;
 		return 0;
 	}
@@ -292,7 +184,8 @@
 
 	if (conn->body_refused)
 		return 0;
-	if (conn->reading->body->len + len > limit)
+	if (conn->reading->body->len + len > limit ||
+	    !http_conn_hold_body(conn, len))
 		conn->body_refused = true;
 	else
 		g_string_append_len(conn->reading->body, at, (gssize)len);
@@ -329,8 +222,9 @@
 		conn->closing = true;
 	g_queue_push_tail(&conn->requests, request);
 	server->requests++;
+	http_conn_update_state(conn);
 	server->ops->request(server->ctx, request);
-	if (conn->closed || conn->closing)
+	if (conn->closed || conn->closing || conn->evicted)
 		http_parser_pause(parser, 1);
 	return 0;
 }
@@ -352,12 +246,20 @@
 	enum http_errno error = HTTP_PARSER_ERRNO(&conn->parser);
 	const struct http_limits *limits = &conn->server->limits;
 
+	if (conn->no_room)
+		return 503;
 	if (conn->head_bytes > limits->header_bytes ||
 	    error == HPE_HEADER_OVERFLOW)
 		return 431;
 	return 400;
 }
 
+/* Returns the status that answers a request whose body is refused. */
+static unsigned int body_status(const struct http_conn *conn)
+{
+	return conn->no_room ? 503 : 413;
+}
+
 size_t http_conn_parse(struct http_conn *conn, const char *data, size_t len)
 {
 	enum http_errno error;
@@ -366,16 +268,16 @@
 	conn->parsing = true;
 	used = http_parser_execute(&conn->parser, &parser_settings, data, len);
 	conn->parsing = false;
-	if (conn->closed)
+	if (conn->closed || conn->evicted)
 		return used;
 	error = HTTP_PARSER_ERRNO(&conn->parser);
 	if (error != HPE_OK && conn->body_refused) {
 		/* The refused request has ended, or can't be delimited. */
 		conn->body_refused = false;
 		if (conn->reading)
-			http_conn_reject(conn, 413);
+			http_conn_reject(conn, body_status(conn));
 	} else if (conn->body_refused && conn->reading) {
-		http_conn_reject(conn, 413);
+		http_conn_reject(conn, body_status(conn));
 	} else if (error != HPE_OK && !conn->closing) {
 		http_conn_reject(conn, parse_error_status(conn));
 	}
@@ -387,6 +289,8 @@
 	static char buf[READ_BYTES];
 	ssize_t n;
 
+	if (conn->evicted)
+		return false;
 	if (conn->closing) {
 		http_conn_read_closing(conn);
 		return false;
@@ -401,7 +305,7 @@
 	conn->last_activity_s = loop_now(conn->server->loop);
 	(void)http_conn_parse(conn, buf, (size_t)n);
 	if (!conn->closed)
-		conn_send_answers(conn);
+		http_conn_flush(conn);
 	return true;
 }
 
@@ -410,43 +314,52 @@
 	struct http_conn *conn = io->data;
 
 	(void)loop;
-	if (events & EV_WRITE)
+	if (conn->evicted && !conn->closed)
+		http_conn_end_eviction(conn);
+	if (!conn->closed && events & EV_WRITE)
 		http_conn_flush(conn);
 	if (!conn->closed && events & EV_READ)
 		(void)http_conn_read(conn);
 	if (conn->closed)
-		conn_free(conn);
+		http_conn_free(conn);
 }
 
-static void accept_all(struct http_server *server)
+static void conn_open(struct http_server *server, int fd)
 {
 	static const struct socket_loss loss = {
 		.keepalive_s = KEEPALIVE_S,
 		.probes = KEEPALIVE_PROBES,
 	};
+	struct http_conn *conn = g_new0(struct http_conn, 1);
+
+	socket_detect_loss(fd, &loss);
+	conn->server = server;
+	conn->fd = fd;
+	conn->field = g_string_new(NULL);
+	conn->value = g_string_new(NULL);
+	conn->out = g_string_new(NULL);
+	conn->last_activity_s = loop_now(server->loop);
+	conn->acknowledged = true;
+	conn->link.data = conn;
+	g_queue_init(&conn->requests);
+	http_parser_init(&conn->parser, HTTP_REQUEST);
+	conn->parser.data = conn;
+	ev_io_init(&conn->io, on_io, fd, EV_READ);
+	conn->io.data = conn;
+	conn->events = EV_READ;
+	ev_io_start(server->loop->ev, &conn->io);
+	g_queue_push_tail_link(&server->conns, &conn->link);
+	http_conn_join_budget(conn);
+}
+
+static void accept_all(struct http_server *server)
+{
 	int fd;
 
-	while ((fd = socket_accept(server->fd)) >= 0) {
-		struct http_conn *conn = g_new0(struct http_conn, 1);
-
-		socket_detect_loss(fd, &loss);
-		conn->server = server;
-		conn->fd = fd;
-		conn->field = g_string_new(NULL);
-		conn->value = g_string_new(NULL);
-		conn->out = g_string_new(NULL);
-		conn->last_activity_s = loop_now(server->loop);
-		conn->acknowledged = true;
-		conn->link.data = conn;
-		g_queue_init(&conn->requests);
-		http_parser_init(&conn->parser, HTTP_REQUEST);
-		conn->parser.data = conn;
-		ev_io_init(&conn->io, on_io, fd, EV_READ);
-		conn->io.data = conn;
-		conn->events = EV_READ;
-		ev_io_start(server->loop->ev, &conn->io);
-		g_queue_push_tail_link(&server->conns, &conn->link);
-	}
+	while ((fd = socket_accept(server->fd)) >= 0)
+		if (http_server_admit(server, fd))
+			conn_open(server, fd);
+	http_server_check_accept(server, errno);
 }
 
 static void on_accept(struct ev_loop *loop, ev_io *io, int events)
@@ -497,7 +410,7 @@
 	stop_listening(server);
 	for (link = server->conns.head; link; link = next) {
 		next = link->next;
-		conn_free(link->data);
+		http_conn_free(link->data);
 	}
 	g_free(server);
 }
@@ -521,13 +434,16 @@
 	double now = loop_now(server->loop);
 	GList *link, *next;
 
+	if (server->accept_paused && server->fd >= 0)
+		ev_io_start(server->loop->ev, &server->accept);
+	server->accept_paused = false;
 	for (link = server->conns.head; link; link = next) {
 		struct http_conn *conn = link->data;
 
 		next = link->next;
 		http_conn_tick(conn, now);
 		if (conn->closed)
-			conn_free(conn);
+			http_conn_free(conn);
 	}
 }
 
@@ -551,7 +467,7 @@
 		next = link->next;
 		http_conn_end_idle(conn);
 		if (conn->closed)
-			conn_free(conn);
+			http_conn_free(conn);
 	}
 }
 
