entry: a request of which no byte was sent gets 503 when its time is up

A request whose connection was still being opened when its time was up got 504, after which its caller may not send it again if it must run at most once. on_request_timer() took each attempt in flight for one that may have run. Attempts now count only if bytes of them may have been sent, and unsent ones are closed rather than detached, so that the promise of 503 holds. functional-test_entry_unsent gets 504 before, 503 with Retry-After now.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -210,7 +210,7 @@
 		if (!attempt)
 			continue;
 		req->attempts[i] = NULL;
-		if (!is_idempotent(req)) {
+		if (!is_idempotent(req) && link_may_have_sent(attempt->link)) {
 			/* A request that must run at most once isn't aborted:
 			 * the upstream may be running it. */
 			attempt->req = NULL;
@@ -245,9 +245,15 @@
 	}
 }
 
-bool attempt_in_progress(const struct proxy_request *req)
+bool attempt_may_run(const struct proxy_request *req)
 {
-	return attempts_in_flight(req) > 0;
+	int i;
+
+	for (i = 0; i < CONCURRENT_ATTEMPTS_MAX; i++)
+		if (req->attempts[i] &&
+		    link_may_have_sent(req->attempts[i]->link))
+			return true;
+	return false;
 }
 
 bool attempt_may_retry(const struct proxy_request *req, bool ran)
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -308,7 +308,7 @@
 	}
 	if (req->error_answer)
 		proxy_request_answer(req, req->error_answer, NULL);
-	else if (attempt_in_progress(req) || req->may_have_run)
+	else if (attempt_may_run(req) || req->may_have_run)
 		proxy_request_refuse(req, 504, 0, "time_is_up");
 	else
 		proxy_request_refuse(req, 503, dispatch_retry_after_s(req),
@@ -482,7 +482,7 @@
 		 * other requests of that connection. */
 		if (!g_hash_table_contains(forward->requests_in_progress, req))
 			continue;
-		if (attempt_in_progress(req) || req->may_have_run)
+		if (attempt_may_run(req) || req->may_have_run)
 			proxy_request_refuse(req, 504, 0, "this_vm_ends");
 		else
 			proxy_request_refuse(req, 503, 0, "this_vm_ends");
--- a/src/entry/forward_impl.h
+++ b/src/entry/forward_impl.h
@@ -126,9 +126,9 @@
 		  bool backup);
 
 /**
- * Ends a request's attempts. If the request is idempotent, their connections
- * are closed; otherwise the attempts run to their end, detached from the
- * request.
+ * Ends a request's attempts. If the request is idempotent, or no byte of the
+ * attempt was sent, their connections are closed; otherwise the attempts run to
+ * their end, detached from the request.
  */
 void attempt_cancel_all(struct proxy_request *req);
 
@@ -140,8 +140,9 @@
  * free slot, and the retry budget allows it. */
 void attempt_send_backup(struct proxy_request *req);
 
-/** Whether an attempt of the request is in flight. */
-bool attempt_in_progress(const struct proxy_request *req);
+/** Whether an attempt in flight may run: bytes of it may have been sent. One
+ * whose connection is still being opened can't run once that is closed. */
+bool attempt_may_run(const struct proxy_request *req);
 
 /**
  * Whether the request's route and remaining time allow another attempt. The
