entry: a queued request is sent once when it becomes late meanwhile

Cause: queues are tried in two passes, requests that can meet their objective first. A request that the first pass sent and that was late by the second was tried again, and so sent twice.

Change: only queued requests are tried.

--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -704,11 +704,15 @@
 {
 	guint i;
 
-	for (i = 0; i < queued->len; i++)
-		if (g_hash_table_contains(forward->requests_in_progress,
-					  queued->pdata[i]) &&
-		    is_late(queued->pdata[i]) == late)
-			retry_queued(queued->pdata[i]);
+	for (i = 0; i < queued->len; i++) {
+		struct proxy_request *req = queued->pdata[i];
+
+		/* A request that was sent in the first pass may have become
+		 * late since. */
+		if (g_hash_table_contains(forward->requests_in_progress, req) &&
+		    req->queued && is_late(req) == late)
+			retry_queued(req);
+	}
 }
 
 void dispatch_queued_soon(struct forward *forward, struct service *service)
--- a/test/unit/test_loads.c
+++ b/test/unit/test_loads.c
@@ -16,14 +16,18 @@
 
 static void ratios_are_kept_within_the_error(void)
 {
-	double ratio;
+	int step;
 
 	CU_ASSERT_EQUAL(load_ratio_decode(load_ratio_encode(0)), 0);
-	for (ratio = 0.02; ratio < 900; ratio *= 1.013)
+	/* From 0.02 to 900 in steps of 1.3%. */
+	for (step = 0; step < 829; step++) {
+		double ratio = 0.02 * pow(1.013, step);
+
 		CU_ASSERT_TRUE(
 			fabs(load_ratio_decode(load_ratio_encode(ratio)) /
 				     ratio -
 			     1) < LOAD_RATIO_ERROR);
+	}
 	CU_ASSERT_TRUE(load_ratio_decode(load_ratio_encode(1e-9)) > 0);
 	CU_ASSERT_TRUE(load_ratio_decode(load_ratio_encode(1e9)) > 900);
 }
--- a/test/unit/test_snapshots.c
+++ b/test/unit/test_snapshots.c
@@ -18,11 +18,13 @@
 {
 	enum { END_S = 600 };
 	struct snapshot_sender sender = { 0 };
-	double now_s;
 	size_t bytes = 0;
+	int beat;
 
 	*snapshots = 0;
-	for (now_s = 1000; now_s < 1000 + END_S; now_s += BEAT_S) {
+	for (beat = 0; beat < END_S / BEAT_S; beat++) {
+		double now_s = 1000 + beat * BEAT_S;
+
 		if (snapshot_due(&sender, vms, BEAT_S, now_s)) {
 			snapshot_sent(&sender, SNAPSHOT_BYTES, now_s);
 			bytes += SNAPSHOT_BYTES;
@@ -64,10 +66,12 @@
 {
 	struct snapshot_sender sender = { 0 };
 	struct snapshot_receiver receiver = { 0 };
-	double now_s, without_s = 0, longest_s = 0;
+	double without_s = 0, longest_s = 0;
 	bool asked = false;
+	int beat;
 
-	for (now_s = 1000; now_s < 3000; now_s += BEAT_S) {
+	for (beat = 0; beat < 2000 / BEAT_S; beat++) {
+		double now_s = 1000 + beat * BEAT_S;
 		bool due = snapshot_due(&sender, vms, BEAT_S, now_s);
 
 		if (due)
