net: test that a body without room is read to its end

A caller whose body is refused or evicted for lack of memory can send the rest and read the refusal; the connection isn't reset for it. With the rest of an evicted body left unread the test fails.

--- a/src/net/http_conn_answer.c
+++ b/src/net/http_conn_answer.c
@@ -8,7 +8,7 @@
  * to make room for one; its body, which may be large, stays. */
 #define KEEP_ALIVE "Connection: keep-alive\r\n"
 #define CLOSE "Connection: close\r\n"
-#define FIELD_ROOM strlen(KEEP_ALIVE)
+#define FIELD_ROOM (sizeof(KEEP_ALIVE) - 1)
 
 struct status_text {
 	unsigned int status;
@@ -49,16 +49,16 @@
  * answer's head.
  *
  * @return position at which the answer begins */
-static size_t insert_field(const struct http_request *request,
-			   const char *field)
+static size_t insert_field(const struct http_request *request, struct str field)
 {
 	char *text = request->answer->str;
-	size_t len = strlen(field);
-	size_t begin = FIELD_ROOM - len;
+	size_t begin = FIELD_ROOM - field.len;
 
 	memmove(text + begin, text + FIELD_ROOM,
 		request->answer_head - FIELD_ROOM);
-	memcpy(text + request->answer_head - len, field, len);
+	if (field.len)
+		memcpy(text + request->answer_head - field.len, field.data,
+		       field.len);
 	return begin;
 }
 
@@ -66,15 +66,15 @@
 {
 	struct http_request *request = g_queue_peek_head(&conn->requests);
 	GString *written = conn->out;
-	const char *field = "";
+	struct str field = { 0 };
 
 	if (!request || !request->answer || written->len)
 		return;
 	if (http_conn_answer_closes(conn)) {
 		conn->closing = true;
-		field = CLOSE;
+		field = STR(CLOSE);
 	} else if (request->http10) {
-		field = KEEP_ALIVE;
+		field = STR(KEEP_ALIVE);
 	}
 	/* The text moves without a copy. */
 	conn->out_sent = insert_field(request, field);
--- a/test/unit/test_server_limits.c
+++ b/test/unit/test_server_limits.c
@@ -3,6 +3,7 @@
  * callers get, and that each byte taken from the budget is given back.
  */
 #include <arpa/inet.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -181,6 +182,55 @@
 	teardown();
 }
 
+/* Guards against a caller that can't send the rest of a refused body, or whose
+ * connection is reset for it: it could lose the refusal. */
+static void a_body_without_room_is_read_to_its_end(void)
+{
+	static const bool evicted[] = { false, true };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(evicted); i++) {
+		size_t sent = evicted[i] ? 650 * KB : 0;
+		struct pollfd state = { 0 };
+		int holder, refused;
+
+		setup(0);
+		holder = connect_caller();
+		refused = connect_caller();
+		if (evicted[i])
+			send_body(refused, 700 * KB, sent);
+		else
+			send_body(holder, 700 * KB, 650 * KB);
+		run_loop(evicted[i] ? 600 : 0);
+		if (evicted[i])
+			send_body(holder, 300 * KB, 300 * KB);
+		else
+			send_body(refused, 700 * KB, 0);
+		CU_ASSERT_TRUE(received(refused, "HTTP/1.1 503 "));
+		for (; sent < 700 * KB; sent += KB) {
+			char part[1024];
+
+			memset(part, 'r', sizeof(part));
+			CU_ASSERT_EQUAL(
+				send(refused, part, sizeof(part), MSG_NOSIGNAL),
+				(ssize_t)sizeof(part));
+			run_loop(1);
+		}
+		http_server_tick(w.server);
+		run_loop(1100);
+		http_server_tick(w.server);
+		/* Reports a reset; the refusal may still be there to read. */
+		state.fd = refused;
+		CU_ASSERT_EQUAL(poll(&state, 1, 0), 0);
+		CU_ASSERT_TRUE(received(refused, "HTTP/1.1 503 "));
+		CU_ASSERT_EQUAL(http_server_connections(w.server), 1);
+		CU_ASSERT_EQUAL(w.count, evicted[i] ? 1 : 0);
+		close(holder);
+		close(refused);
+		teardown();
+	}
+}
+
 /* Guards against heads that are never finished and hold the reserve. */
 static void stalled_heads_give_way(void)
 {
@@ -372,6 +422,8 @@
 {
 	static const struct suite_case cases[] = {
 		{ "a stalled body gives way", a_stalled_body_gives_way },
+		{ "a body without room is read to its end",
+		  a_body_without_room_is_read_to_its_end },
 		{ "stalled heads give way", stalled_heads_give_way },
 		{ "unread answers give way", unread_answers_give_way },
 		{ "connections are limited", connections_are_limited },
