--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -621,7 +621,7 @@
 
 void dispatch_request(struct proxy_request *req)
 {
-	struct upstream *upstream;
+	struct upstream *upstream = NULL;
 	enum choice choice;
 
 	if (refuse_unauthorized(req))
@@ -650,7 +650,7 @@
 {
 	double left = req->give_up_s - forward_now(req->forward);
 	double need = req->stats->mean_s;
-	struct upstream *upstream;
+	struct upstream *upstream = NULL;
 	enum choice choice;
 
 	if (refuse_unauthorized(req))
