--- a/src/entry/forward_impl.h
+++ b/src/entry/forward_impl.h
@@ -24,6 +24,11 @@
 /** Status for a request that its customer's quota has no room for. */
 #define TOO_MANY_REQUESTS 429
 
+/** Expected time, in seconds, until a key whose owner left the roster has a new
+ * owner, if there is no better estimate. Also the Retry-After if no upstream
+ * takes requests. */
+#define OWNER_WAIT_S 0.5
+
 /** State of the forwarder. */
 struct forward {
 	/** Times of the graceful shutdown, as given to
@@ -111,6 +116,27 @@
  * the number of upstreams by reason, as key=value pairs for the log. */
 void dispatch_describe(const struct proxy_request *req, char *buf, size_t size);
 
+/** Compares two requests: negative if a is more urgent than b, positive if a is
+ * less urgent, 0 if both are as urgent. */
+int dispatch_compare_urgency(const struct proxy_request *a,
+			     const struct proxy_request *b);
+
+/** Returns the expected response time, in seconds, of one more request at the
+ * key's owner, including the time in the owner's queue. */
+double dispatch_owner_expected_s(const struct proxy_request *req);
+
+/** Returns the rest, in seconds, of the pauses that the upstreams which may run
+ * the request asked for. */
+double dispatch_pause_left_s(const struct proxy_request *req);
+
+/** Returns the expected time, in seconds, until a request without a key that is
+ * queued now is sent. */
+double dispatch_expected_wait_s(const struct proxy_request *req);
+
+/** Returns the expected time, in seconds, until the key's owner can take the
+ * request. */
+double dispatch_owner_wait_s(const struct proxy_request *req);
+
 /** Returns the Retry-After of a refused request: the estimated time, in
  * seconds, until it could be sent. */
 double dispatch_retry_after_s(const struct proxy_request *req);
