table_watch: a VM that misses parts of changes reads the store after 0.8 s

Cause: each heartbeat that omits a large change made a VM wait half a second more for its parts.

Change: without a newer row for 0.8 s it no longer waits for parts.

--- a/src/entry/table_watch_impl.h
+++ b/src/entry/table_watch_impl.h
@@ -79,6 +79,9 @@
 	/** Loop time since which other VMs have known a newer row than this VM;
 	 * 0: they don't. */
 	double behind_since_s;
+	/** Newest row version at the last check, and when it was seen first. */
+	uint64_t progress_version;
+	double progress_s;
 	/** Loop time until which another VM sends changes in parts. */
 	double changes_until_s;
 	/** Loop time until which the watch waits for another VM's copy of the
--- a/src/entry/table_watch_peers.c
+++ b/src/entry/table_watch_peers.c
@@ -9,6 +9,22 @@
  * lost. */
 #define STALE_AFTER_S 0.2
 
+/* Longest time, in seconds, without a newer row for which a VM that is behind
+ * waits for parts of large changes. Each newer change that is announced would
+ * otherwise prolong the wait, and in a quick succession of configurations a VM
+ * that misses parts would fall behind for seconds. */
+#define PARTS_WAIT_MAX_S 0.8
+
+/* Whether parts of large changes are expected and not overdue. */
+static bool awaits_parts(const struct table_watch *table_watch, double now)
+{
+	double since_s =
+		MAX(table_watch->behind_since_s, table_watch->progress_s);
+
+	return now <= table_watch->changes_until_s &&
+	       now <= since_s + PARTS_WAIT_MAX_S;
+}
+
 /* Asks the store for changes that were not relayed. */
 static void catch_up(struct table_watch *table_watch)
 {
@@ -79,13 +95,17 @@
 {
 	double now = loop_now(table_watch->loop);
 
+	if (table_watch->row_version != table_watch->progress_version) {
+		table_watch->progress_version = table_watch->row_version;
+		table_watch->progress_s = now;
+	}
 	if (version <= table_watch->row_version) {
 		table_watch->behind_since_s = 0;
 		return;
 	}
 	if (!table_watch->behind_since_s)
 		table_watch->behind_since_s = now;
-	if (now > table_watch->changes_until_s &&
+	if (!awaits_parts(table_watch, now) &&
 	    now > table_watch->behind_since_s + STALE_AFTER_S &&
 	    now > table_watch->call_started_s + STALE_AFTER_S &&
 	    !table_watch->store.ops->receiving(table_watch->store.impl,
