--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -511,6 +511,24 @@
 	teardown(&f);
 }
 
+/* Guards against a VM that misses the parts of several large changes in quick
+ * succession, and never reads the store because each is announced anew. */
+static void a_watch_does_not_wait_for_parts_again_and_again(void)
+{
+	struct fixture f;
+	int i;
+
+	setup(&f);
+	for (i = 0; i < 10 && !f.call; i++) {
+		table_watch_expect_changes(f.table_watch, 0.5);
+		table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY,
+				      20 + (uint64_t)i);
+		advance(&f, 0.1);
+	}
+	CU_ASSERT_EQUAL(f.call, 'f');
+	teardown(&f);
+}
+
 /* On a slow link a large row takes longer to arrive than other VMs need to
  * report it; cancelling the call would start it over each time. */
 static void a_call_is_not_cancelled_while_its_answer_arrives(void)
@@ -753,6 +771,8 @@
 		  a_newer_row_on_a_peer_is_requested },
 		{ "a watch waits for changes in parts",
 		  a_watch_waits_for_changes_in_parts },
+		{ "a watch does not wait for parts again and again",
+		  a_watch_does_not_wait_for_parts_again_and_again },
 		{ "a call is not cancelled while its answer arrives",
 		  a_call_is_not_cancelled_while_its_answer_arrives },
 		{ "a table of few rows catches up by snapshot",
