test/functional: crowds that pipeline, send in pieces and never end

The tests had no crowd that sends bodies in pieces, chunked bodies sent whole, chunk extensions, trailers or heads without an end, or requests one behind the other without reading answers. Bytes that were received and not read, which count as memory of the VM, were not measured, and descriptors only after the crowd had been sent.

Each crowd is a case of a table; the bounds are those of test_entry_clients.c, whose deployment moves to cluster_limited.c.

--- a/test/functional/cluster_crowd.c
+++ b/test/functional/cluster_crowd.c
@@ -49,22 +49,46 @@
 	return fd;
 }
 
-struct crowd *crowd_create(const char *address, unsigned int callers,
-			   const struct crowd_message *message,
-			   const struct crowd_message *eighth)
+static struct crowd *crowd_alloc(unsigned int callers)
 {
 	struct crowd *crowd = g_new0(struct crowd, 1);
-	unsigned int i;
 
 	crowd->count = callers;
 	crowd->callers = g_new0(struct caller, callers);
 	crowd->polls = g_new0(struct pollfd, callers);
-	for (i = 0; i < callers; i++) {
-		struct caller *c = &crowd->callers[i];
+	return crowd;
+}
 
-		c->message = eighth && i % 8 == 7 ? eighth : message;
-		c->fd = connect_caller(address, c->message->no_read);
-	}
+static void caller_open(struct caller *c, const char *address,
+			const struct crowd_message *message)
+{
+	c->message = message;
+	c->fd = connect_caller(address, message->no_read);
+}
+
+struct crowd *crowd_create(const char *address, unsigned int callers,
+			   const struct crowd_message *message,
+			   const struct crowd_message *eighth)
+{
+	struct crowd *crowd = crowd_alloc(callers);
+	unsigned int i;
+
+	for (i = 0; i < callers; i++)
+		caller_open(&crowd->callers[i], address,
+			    eighth && i % 8 == 7 ? eighth : message);
+	return crowd;
+}
+
+struct crowd *crowd_create_mixed(const char *address, unsigned int callers,
+				 const struct crowd_message *messages,
+				 unsigned int message_count)
+{
+	struct crowd *crowd = crowd_alloc(callers);
+	unsigned int i;
+
+	for (i = 0; i < callers; i++)
+		caller_open(&crowd->callers[i], address,
+			    &messages[i % message_count]);
 	return crowd;
 }
 
@@ -104,16 +128,18 @@
 /* Sends what the socket takes in one turn. */
 static void caller_send(struct caller *c)
 {
+	size_t most =
+		c->message->piece_len ? c->message->piece_len : TURN_BYTES;
 	size_t turn = 0;
 
-	while (turn < TURN_BYTES) {
+	while (turn < most) {
 		const char *bytes;
 		size_t len = next_bytes(c, &bytes);
 		ssize_t n;
 
 		if (!len)
 			return;
-		n = send(c->fd, bytes, MIN(len, TURN_BYTES - turn),
+		n = send(c->fd, bytes, MIN(len, most - turn),
 			 MSG_DONTWAIT | MSG_NOSIGNAL);
 		if (n < 0) {
 			if (errno != EAGAIN && errno != EINTR)
--- a/test/functional/cluster_crowd.h
+++ b/test/functional/cluster_crowd.h
@@ -21,6 +21,8 @@
 	uint64_t block_bytes;
 	/** Text sent last; NULL: none. */
 	const char *tail;
+	/** Most bytes sent at a time; 0: 64 KiB. */
+	size_t piece_len;
 	/** The caller leaves what it receives in its small socket buffer. */
 	bool no_read;
 };
@@ -42,6 +44,16 @@
 			   const struct crowd_message *message,
 			   const struct crowd_message *eighth);
 
+/**
+ * Connects a crowd of callers that send different messages: the first caller
+ * sends the first message, and so on, repeatedly.
+ *
+ * @param messages not copied
+ */
+struct crowd *crowd_create_mixed(const char *address, unsigned int callers,
+				 const struct crowd_message *messages,
+				 unsigned int message_count);
+
 /**
  * Sends, a block of bytes for each caller in turn, until each caller has sent
  * everything or its connection was closed, or sends nothing any more.
--- a/test/functional/test_entry_clients.c
+++ b/test/functional/test_entry_clients.c
@@ -3,24 +3,12 @@
  * descriptors can hold. Guards against a process that grows until the machine
  * ends it, and against one that lives but serves nobody any more.
  */
-#include <dirent.h>
 #include <stdio.h>
 #include <string.h>
 
-#include "cluster_crowd.h"
-#include "cluster_entry.h"
 #include "cluster_stub_upstream.h"
-#include "suite.h"
+#include "limited_suite.h"
 
-/* [vm] memory of the daemon, and the largest body, which has nearly the same
- * share of it as 64 MiB have of the smallest VM's 120 MB. */
-#define MEMORY_MB 64
-#define BODY_BYTES ((uint64_t)32 << 20)
-/* [vm] descriptors of the daemon. */
-#define DESCRIPTORS 256
-/* Bounds on the peak of the resident set and on open descriptors. */
-#define RESIDENT_KIB_MAX ((int64_t)MEMORY_MB * 1024)
-#define OPEN_MAX DESCRIPTORS
 /* Callers that send bodies; 16 of the largest are 8 times the memory. */
 #define SENDERS 16
 /* Callers that only connect, or send a part of a head. */
@@ -35,177 +23,19 @@
 #define SMALL_CHUNK 16
 /* What a caller sends of a body without end. */
 #define ENDLESS_BYTES ((uint64_t)128 << 20)
-/* The crowd's run ends when nothing moves for so long. */
-#define STILL_MS 1000
 
-#define POST_HEAD                                                              \
-	"POST /upload/a HTTP/1.1\r\nHost: app.example\r\n"                     \
-	"X-Deadline-Ms: 9000\r\n"
-#define CHUNKED_HEAD POST_HEAD "Transfer-Encoding: chunked\r\n\r\n"
-
-/* As standin-site's own configuration, but for the limits and the route for
- * uploads, which leads to an upstream of its own. */
-static const char config[] =
-	"{\"version\":\"r9\",\"routes\":{\"columns\":[\"name\",\"host\","
-	"\"prefix\",\"kind\",\"timeout_s\",\"aim_s\",\"priority\",\"service\","
-	"\"max_attempts\",\"split\"],\"rows\":["
-	"[\"plain\",\"app.example\",\"/plain/\",\"safe\",9,0.5,1,\"plain\",2,"
-	"null],"
-	"[\"upload\",\"app.example\",\"/upload/\",\"upload\",10,0.5,1,"
-	"\"other\",2,null],"
-	"[\"keyed\",\"app.example\",\"/keyed/\",\"safe\",3,0.5,1,\"keyed\",2,"
-	"null]]},\"services\":{\"columns\":[\"name\",\"health_path\","
-	"\"max_conns\",\"cold_start_s\",\"cold_per_s\",\"sharded\","
-	"\"warm_s\"],\"rows\":["
-	"[\"plain\",\"/health\",130,3,5.2,null,null],"
-	"[\"other\",\"/health\",130,3,5.2,null,null],"
-	"[\"keyed\",\"/health\",130,3,5.2,true,3]]},"
-	"\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":33554432,"
-	"\"header_timeout_s\":3,\"idle_timeout_s\":15}}";
-
-static struct entry_rig rig;
-/* Highest number of descriptors that a case saw open. */
-static unsigned int most_open;
-
-/* Returns the peak of the daemon's resident set. */
-static int64_t resident_peak_kib(void)
-{
-	char *path = g_strdup_printf("/proc/%d/status",
-				     (int)process_pid(rig.entries[0].process));
-	char *text = NULL;
-	const char *at = NULL;
-	int64_t kib = -1;
-
-	if (g_file_get_contents(path, &text, NULL, NULL))
-		at = strstr(text, "VmHWM:");
-	if (at)
-		kib = g_ascii_strtoll(at + strlen("VmHWM:"), NULL, 10);
-	g_free(text);
-	g_free(path);
-	return kib;
-}
-
-/* Counts the daemon's open descriptors. */
-static void count_open(void)
-{
-	char *path = g_strdup_printf("/proc/%d/fd",
-				     (int)process_pid(rig.entries[0].process));
-	DIR *dir = opendir(path);
-	const struct dirent *entry;
-	unsigned int count = 0;
-
-	while (dir && (entry = readdir(dir)))
-		count += entry->d_name[0] != '.';
-	if (dir)
-		closedir(dir);
-	g_free(path);
-	most_open = MAX(most_open, count);
-}
-
-/* Sends the largest allowed body and returns the status. */
-static long send_largest(void)
-{
-	const char *headers[] = { "Host: app.example", "X-Deadline-Ms: 9000",
-				  "X-Request-Id: largest", NULL };
-	char *body = g_strnfill(BODY_BYTES, 'b');
-	struct http_request request = {
-		.address = rig.entries[0].callers,
-		.uri = "/upload/largest",
-		.headers = headers,
-		.body = body,
-	};
-	long status = http_status(&request);
-
-	g_free(body);
-	return status;
-}
-
-static bool serves_largest(void *ctx)
-{
-	(void)ctx;
-	return send_largest() == 200;
-}
-
-static bool serves_upload(void *ctx)
-{
-	char id[32];
-	struct http_answer *answer = entry_send(&rig.entries[0], "/upload/a",
-						NULL, 100, "small", id);
-	long status = answer->status;
-
-	(void)ctx;
-	http_answer_destroy(answer);
-	return status == 200;
-}
-
-static bool serves_ordinary(void *ctx)
-{
-	(void)ctx;
-	return entry_status(&rig.entries[0], "/keyed/a", 100) == 200;
-}
-
-static void setup(void)
-{
-	static char vm_settings[64];
-
-	most_open = 0;
-	g_snprintf(vm_settings, sizeof(vm_settings),
-		   "memory = %d\ndescriptors = %d\n", MEMORY_MB, DESCRIPTORS);
-	rig.vm_settings = vm_settings;
-	entry_rig_start(&rig, 1, 6);
-	entry_rig_command(&rig, "/control/config", config);
-	CU_ASSERT_TRUE_FATAL(
-		process_wait_until(serves_upload, NULL, RIG_WAIT_US));
-}
-
-/* Checks the peak of the resident set. */
-static void check_resident(const char *name)
-{
-	int64_t peak = resident_peak_kib();
-
-	printf("# %s: resident peak %" G_GINT64_FORMAT " KiB of "
-	       "%" G_GINT64_FORMAT "\n",
-	       name, peak, RESIDENT_KIB_MAX);
-#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
-	/* Shadow memory and quarantine multiply the resident set. */
-	printf("# %s: sanitizer build, bound on the resident set skipped\n",
-	       name);
-#else
-	CU_ASSERT_TRUE(peak > 0 && peak <= RESIDENT_KIB_MAX);
-#endif
-}
-
-static void check_bounds(const char *name, const struct crowd *crowd)
-{
-	printf("# %s: sent %" G_GUINT64_FORMAT " MB, %u descriptors of %d, "
-	       "%u connections left open, 200: %u 408: %u 413: %u 503: %u\n",
-	       name, crowd_sent_bytes(crowd) >> 20, most_open, OPEN_MAX,
-	       crowd_open(crowd), crowd_status_count(crowd, 200),
-	       crowd_status_count(crowd, 408), crowd_status_count(crowd, 413),
-	       crowd_status_count(crowd, 503));
-	CU_ASSERT_TRUE(process_running(rig.entries[0].process));
-	CU_ASSERT_TRUE(most_open > 0 && most_open <= OPEN_MAX);
-	check_resident(name);
-}
-
-/* Runs a crowd against a daemon, then checks the bounds, an ordinary request
- * beside the crowd's open connections, and the largest request after it. */
+/* Runs a crowd in which each eighth caller may send another message. */
 static void run_crowd(const char *name, unsigned int callers,
 		      const struct crowd_message *message,
 		      const struct crowd_message *eighth)
 {
-	struct crowd *crowd;
+	struct limited_result result;
 
-	crowd = crowd_create(rig.entries[0].callers, callers, message, eighth);
-	crowd_run(crowd, STILL_MS);
-	count_open();
-	CU_ASSERT_TRUE(process_running(rig.entries[0].process));
-	CU_ASSERT_TRUE(process_wait_until(serves_ordinary, NULL, RIG_WAIT_US));
-	count_open();
-	check_bounds(name, crowd);
-	crowd_destroy(crowd);
-	CU_ASSERT_TRUE(process_wait_until(serves_largest, NULL, RIG_WAIT_US));
-	CU_ASSERT_TRUE(process_running(rig.entries[0].process));
+	limited_run_crowd(name,
+			  crowd_create(limited_rig.entries[0].callers, callers,
+				       message, eighth),
+			  false, &result);
+	limited_check_result(&result);
 }
 
 /* Returns a chunk of a body; the caller frees it. */
@@ -223,23 +53,24 @@
  * caller may leave out the end. */
 static void run_lengths(const char *name, bool short_of_end)
 {
-	char *head = g_strdup_printf(
-		POST_HEAD "Content-Length: %" G_GUINT64_FORMAT "\r\n\r\n",
-		BODY_BYTES);
+	char *head =
+		g_strdup_printf(LIMITED_POST_HEAD
+				"Content-Length: %" G_GUINT64_FORMAT "\r\n\r\n",
+				LIMITED_BODY_BYTES);
 	char *block = g_strnfill(65536, 'b');
 	struct crowd_message whole = {
 		.head = head,
 		.heads = 1,
 		.block = block,
 		.block_len = 65536,
-		.block_bytes = BODY_BYTES,
+		.block_bytes = LIMITED_BODY_BYTES,
 	};
 	struct crowd_message cut = whole;
 
-	cut.block_bytes = BODY_BYTES - 100;
-	setup();
+	cut.block_bytes = LIMITED_BODY_BYTES - 100;
+	CU_ASSERT_TRUE_FATAL(limited_start());
 	run_crowd(name, SENDERS, short_of_end ? &cut : &whole, &whole);
-	entry_rig_stop(&rig);
+	limited_stop();
 	g_free(block);
 	g_free(head);
 }
@@ -261,7 +92,7 @@
 	size_t len;
 	char *block = chunk_of(chunk, &len);
 	struct crowd_message whole = {
-		.head = CHUNKED_HEAD,
+		.head = LIMITED_CHUNKED_HEAD,
 		.heads = 1,
 		.block = block,
 		.block_len = len,
@@ -271,15 +102,15 @@
 	struct crowd_message cut = whole;
 
 	cut.tail = "0\r\n";
-	setup();
+	CU_ASSERT_TRUE_FATAL(limited_start());
 	run_crowd(name, SENDERS, &cut, &whole);
-	entry_rig_stop(&rig);
+	limited_stop();
 	g_free(block);
 }
 
 static void large_chunks(void)
 {
-	run_chunks("large chunks", 1 << 20, BODY_BYTES);
+	run_chunks("large chunks", 1 << 20, LIMITED_BODY_BYTES);
 }
 
 static void small_chunks(void)
@@ -291,16 +122,17 @@
 {
 	char *block = g_strnfill(65536, 'b');
 	struct crowd_message message = {
-		.head = POST_HEAD "Content-Length: 1099511627776\r\n\r\n",
+		.head = LIMITED_POST_HEAD
+		"Content-Length: 1099511627776\r\n\r\n",
 		.heads = 1,
 		.block = block,
 		.block_len = 65536,
 		.block_bytes = ENDLESS_BYTES,
 	};
 
-	setup();
+	CU_ASSERT_TRUE_FATAL(limited_start());
 	run_crowd("announced too large", SENDERS, &message, NULL);
-	entry_rig_stop(&rig);
+	limited_stop();
 	g_free(block);
 }
 
@@ -309,27 +141,27 @@
 	size_t len;
 	char *block = chunk_of(65536, &len);
 	struct crowd_message message = {
-		.head = CHUNKED_HEAD,
+		.head = LIMITED_CHUNKED_HEAD,
 		.heads = 1,
 		.block = block,
 		.block_len = len,
 		.block_bytes = ENDLESS_BYTES,
 	};
 
-	setup();
+	CU_ASSERT_TRUE_FATAL(limited_start());
 	run_crowd("chunked without end", SENDERS, &message, NULL);
-	entry_rig_stop(&rig);
+	limited_stop();
 	g_free(block);
 }
 
 static void silent_connections(void)
 {
 	struct crowd_message silent = { 0 };
-	struct crowd_message part = { .head = POST_HEAD, .heads = 1 };
+	struct crowd_message part = { .head = LIMITED_POST_HEAD, .heads = 1 };
 
-	setup();
+	CU_ASSERT_TRUE_FATAL(limited_start());
 	run_crowd("silent connections", CONNECTIONS, &silent, &part);
-	entry_rig_stop(&rig);
+	limited_stop();
 }
 
 static void late_readers(void)
@@ -348,17 +180,17 @@
 	};
 	struct stub_upstream *stub = stub_upstream_start();
 
-	setup();
+	CU_ASSERT_TRUE_FATAL(limited_start());
 	stub_upstream_set_reply(stub, &reply);
-	entry_rig_command(&rig, "/control/list-at?id=0",
+	entry_rig_command(&limited_rig, "/control/list-at?id=0",
 			  stub_upstream_address(stub));
-	entry_rig_command(&rig, "/control/drain?id=1", NULL);
+	entry_rig_command(&limited_rig, "/control/drain?id=1", NULL);
 	g_usleep(G_USEC_PER_SEC);
 	run_crowd("late readers", LATE_READERS, &message, NULL);
 	printf("# late readers: %u requests ran\n",
 	       stub_upstream_run_count(stub));
 	CU_ASSERT_TRUE(stub_upstream_run_count(stub) > 0);
-	entry_rig_stop(&rig);
+	limited_stop();
 	stub_upstream_stop(stub);
 }
 
@@ -366,10 +198,10 @@
  * its body that exceed the memory. */
 static void largest_in_calm(void)
 {
-	setup();
-	CU_ASSERT_EQUAL(send_largest(), 200);
-	check_resident("largest in calm");
-	entry_rig_stop(&rig);
+	CU_ASSERT_TRUE_FATAL(limited_start());
+	CU_ASSERT_EQUAL(limited_send_largest(), 200);
+	CU_ASSERT_TRUE(limited_is_resident_bounded("largest in calm"));
+	limited_stop();
 }
 
 int main(void)
