test/unit: a caller that never reads, once its system takes no more

The server has no fault; the test assumed that the system was done after 20 ms.

The test now waits until the caller's system takes no more bytes.

--- a/test/unit/test_conn_end.c
+++ b/test/unit/test_conn_end.c
@@ -10,6 +10,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -457,6 +458,23 @@
 	teardown(&w);
 }
 
+/* Waits until the caller's system takes no more bytes, which can be a fraction
+ * of a second after the last were sent. */
+static void wait_until_nothing_is_taken(struct fixture *w)
+{
+	unsigned int unchanged = 0;
+	int taken = -1;
+
+	while (unchanged < 25) {
+		int now_taken = 0;
+
+		CU_ASSERT_EQUAL_FATAL(ioctl(w->fd, FIONREAD, &now_taken), 0);
+		unchanged = now_taken == taken ? unchanged + 1 : 0;
+		taken = now_taken;
+		run_loop(w);
+	}
+}
+
 /* Guards against connections of live callers that never read: they end, but
  * not before the time for which the caller waits. */
 static void a_caller_that_never_reads_is_given_up(void)
@@ -465,6 +483,7 @@
 
 	setup(&w);
 	send_long_answer(&w, 4 * IDLE_TIMEOUT_S);
+	wait_until_nothing_is_taken(&w);
 	pass_time(&w, 1);
 	pass_time(&w, 2 * IDLE_TIMEOUT_S);
 	CU_ASSERT_EQUAL(http_server_connections(w.server), 1);
