net, entry: one account for all descriptors

At the process's limit calls to the store, other VMs and the metrics address would fail, and each request that could not be sent counted against a healthy upstream.

All connections are in one account now, which keeps a part for the system's own use. Requests without a connection to an upstream wait in their queue; idle connections to upstreams give way to callers and to other upstreams. A socket that can't be opened for want of a local resource ends with HTTP_CHANNEL_NO_SOCKET and says nothing about the upstream. Readiness and metrics have 8 connections each.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -551,14 +551,19 @@
 	const char *name;
 	/** The upstream may have received the request. */
 	bool arrived;
+	/** What it says about the upstream. */
+	enum load_outcome outcome;
 };
 
 static const struct end_info ends[] = {
-	[HTTP_CHANNEL_NOT_CONNECTED] = { "not_connected", false },
-	[HTTP_CHANNEL_REFUSED] = { "connection_refused", false },
-	[HTTP_CHANNEL_UNSENT] = { "unsent", false },
-	[HTTP_CHANNEL_RESET] = { "connection_lost", true },
-	[HTTP_CHANNEL_BROKEN] = { "answer_broken", true },
+	[HTTP_CHANNEL_NOT_CONNECTED] = { "not_connected", false,
+					 LOAD_UNREACHABLE },
+	[HTTP_CHANNEL_REFUSED] = { "connection_refused", false,
+				   LOAD_UNREACHABLE },
+	[HTTP_CHANNEL_UNSENT] = { "unsent", false, LOAD_UNREACHABLE },
+	[HTTP_CHANNEL_RESET] = { "connection_lost", true, LOAD_UNREACHABLE },
+	[HTTP_CHANNEL_BROKEN] = { "answer_broken", true, LOAD_FAILED },
+	[HTTP_CHANNEL_NO_SOCKET] = { "no_socket", false, LOAD_CANCELLED },
 };
 
 static void on_ended(void *user, enum http_channel_end end)
@@ -582,8 +587,7 @@
 		/* The request is to blame only if the upstream is down. */
 		links_check(forward->options.links, upstream);
 	}
-	attempt_end(attempt, end == HTTP_CHANNEL_BROKEN ? LOAD_FAILED
-							: LOAD_UNREACHABLE);
+	attempt_end(attempt, ends[end].outcome);
 	attempt_free(attempt);
 	if (req) {
 		if (ends[end].arrived) {
--- a/src/entry/caller_limits.c
+++ b/src/entry/caller_limits.c
@@ -11,9 +11,10 @@
  * the tables, which take 9 to 16 MB. */
 #define MEMORY_PART 0.6
 #define RESERVE_PART 0.05
-/* Part of the descriptors that callers' connections may take. The others are
- * for connections to upstreams, the store and the daemon's own sockets. */
-#define CONNECTIONS_PART 0.75
+/* Most connections to each of the addresses for readiness and metrics, and
+ * bytes that they may hold. */
+#define OPERATOR_CONNECTIONS 8
+#define OPERATOR_BYTES ((size_t)1 << 20)
 /* Allocations from this size on are mapped by themselves and given back to the
  * system when freed: while callers hold much, and otherwise. Smaller blocks
  * leave holes in the heap, which stay resident: with 128 KiB, 2,200 callers
@@ -39,6 +40,13 @@
 	[CALLER_NO_DESCRIPTOR] = { "no_descriptor", "paused" },
 };
 
+/* Values of the label "use". */
+static const char *const use_names[DESCRIPTOR_USES] = {
+	[DESCRIPTOR_SYSTEM] = "system",
+	[DESCRIPTOR_CALLER] = "callers",
+	[DESCRIPTOR_UPSTREAM] = "upstreams",
+};
+
 static void on_refused(void *ctx, enum caller_refusal refusal, size_t held)
 {
 	struct caller_limits *limits = ctx;
@@ -68,7 +76,7 @@
 }
 
 /* Returns the number of descriptors that the process may open. */
-static double descriptors(const struct entry_settings *settings)
+static double descriptor_limit(const struct entry_settings *settings)
 {
 	struct rlimit allowed;
 
@@ -78,6 +86,32 @@
 	return settings->descriptors;
 }
 
+static void init_operator_budget(struct caller_budget *budget)
+{
+	budget->limit = OPERATOR_BYTES;
+	budget->connections = OPERATOR_CONNECTIONS;
+	budget->use = DESCRIPTOR_SYSTEM;
+	g_queue_init(&budget->holders);
+}
+
+static void init_descriptors(struct caller_limits *limits,
+			     const struct entry_settings *settings,
+			     struct metrics *metrics)
+{
+	int i;
+
+	limits->descriptors =
+		descriptors_create((unsigned int)descriptor_limit(settings));
+	for (i = 0; i < DESCRIPTOR_USES; i++) {
+		char label[64];
+
+		g_snprintf(label, sizeof(label), "use=\"%s\"", use_names[i]);
+		limits->open[i] =
+			metrics_gauge(metrics, "auburn_descriptors", label,
+				      "Open connections by what they are for.");
+	}
+}
+
 void caller_limits_init(struct caller_limits *limits,
 			const struct entry_settings *settings,
 			struct event_log *log, struct metrics *metrics)
@@ -88,8 +122,12 @@
 	limits->log = log;
 	limits->budget.limit = (size_t)(memory * MEMORY_PART);
 	limits->budget.reserve = (size_t)(memory * RESERVE_PART);
+	init_descriptors(limits, settings, metrics);
+	init_operator_budget(&limits->readiness);
+	init_operator_budget(&limits->operators);
 	limits->budget.connections =
-		(unsigned int)(descriptors(settings) * CONNECTIONS_PART);
+		descriptors_limit(limits->descriptors, DESCRIPTOR_CALLER);
+	limits->budget.use = DESCRIPTOR_CALLER;
 	limits->budget.body_timeout_s = settings->body_timeout_s;
 	g_queue_init(&limits->budget.holders);
 	limits->budget.refused = on_refused;
@@ -120,10 +158,43 @@
 	mallopt(M_TRIM_THRESHOLD, MMAP_BYTES_CALM);
 }
 
+void caller_limits_clear(struct caller_limits *limits)
+{
+	descriptors_destroy(limits->descriptors);
+	limits->descriptors = NULL;
+}
+
+void caller_limits_tick(struct caller_limits *limits)
+{
+	unsigned int open =
+		descriptors_open(limits->descriptors, DESCRIPTOR_UPSTREAM);
+	unsigned int limit =
+		descriptors_limit(limits->descriptors, DESCRIPTOR_UPSTREAM);
+	bool full = open >= limit;
+
+	if (full != limits->upstreams_full)
+		event_log_write(limits->log, full ? "warning" : "info",
+				"descriptors",
+				"event=%s use=upstreams open=%u limit=%u "
+				"callers=%u system=%u",
+				full ? "full" : "room", open, limit,
+				descriptors_open(limits->descriptors,
+						 DESCRIPTOR_CALLER),
+				descriptors_open(limits->descriptors,
+						 DESCRIPTOR_SYSTEM));
+	limits->upstreams_full = full;
+}
+
 void caller_limits_update_metrics(struct caller_limits *limits,
 				  unsigned int connections)
 {
+	int i;
+
 	counter_set(limits->bytes, limits->budget.used);
 	counter_set(limits->bytes_peak, limits->budget.peak);
 	counter_set(limits->connections, connections);
+	for (i = 0; i < DESCRIPTOR_USES; i++)
+		counter_set(limits->open[i],
+			    descriptors_open(limits->descriptors,
+					     (enum descriptor_use)i));
 }
--- a/src/entry/caller_limits.h
+++ b/src/entry/caller_limits.h
@@ -10,9 +10,17 @@
 #include "entry/settings.h"
 #include "net/caller_budget.h"
 
-/** The budget with its metrics; its members are private. */
+/** The budgets with their metrics; its members are private. */
 struct caller_limits {
+	/** Of callers' connections, and of those for readiness and metrics. */
 	struct caller_budget budget;
+	struct caller_budget readiness;
+	struct caller_budget operators;
+	struct descriptors *descriptors;
+	/** The connections to upstreams were at their limit at the last tick.
+	 */
+	bool upstreams_full;
+	struct counter *open[DESCRIPTOR_USES];
 	struct event_log *log;
 	struct counter *bytes;
 	struct counter *bytes_peak;
@@ -25,6 +33,13 @@
 			const struct entry_settings *settings,
 			struct event_log *log, struct metrics *metrics);
 
+/** Frees the account of descriptors. */
+void caller_limits_clear(struct caller_limits *limits);
+
+/** Logs when connections to upstreams reach their limit; to be called a few
+ * times a second. */
+void caller_limits_tick(struct caller_limits *limits);
+
 /** Updates the metrics before they are shown.
  *
  * @param connections number of callers' connections */
--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -31,6 +31,8 @@
 	struct byte_budget *budget;
 	/** All connections (struct link). */
 	GQueue all;
+	/** Number of idle ones. */
+	unsigned int idle_count;
 };
 
 struct link {
@@ -67,6 +69,18 @@
 	return links;
 }
 
+static void enter_idle(struct link *link)
+{
+	link->links->idle_count++;
+	g_queue_push_head_link(&link->upstream->idle_links, &link->idle_node);
+}
+
+static void leave_idle(struct link *link)
+{
+	link->links->idle_count--;
+	g_queue_unlink(&link->upstream->idle_links, &link->idle_node);
+}
+
 /* Closes and frees a connection, without calling a handler. An idle one must be
  * in its upstream's idle list. */
 static void link_free(struct link *link)
@@ -74,7 +88,7 @@
 	struct upstream *upstream = link->upstream;
 
 	if (!link->user)
-		g_queue_unlink(&upstream->idle_links, &link->idle_node);
+		leave_idle(link);
 	upstream->connections--;
 	g_queue_unlink(&link->links->all, &link->node);
 	http_channel_destroy(link->channel);
@@ -132,13 +146,12 @@
 	link->user = NULL;
 	if (link->upstream->removed || link->retired ||
 	    !http_channel_reusable(link->channel)) {
-		/* link_free() expects an idle connection in this list. */
-		g_queue_push_head_link(&link->upstream->idle_links,
-				       &link->idle_node);
+		/* link_free() expects an idle connection in the list. */
+		enter_idle(link);
 		link_free(link);
 		return;
 	}
-	g_queue_push_head_link(&link->upstream->idle_links, &link->idle_node);
+	enter_idle(link);
 }
 
 static bool on_reply(void *ctx, struct http_channel *channel,
@@ -185,6 +198,7 @@
 		.user_timeout_ms = USER_TIMEOUT_MS,
 		.keepalive_s = KEEPALIVE_S,
 		.body_bytes = ANSWER_BYTES_MAX,
+		.use = DESCRIPTOR_UPSTREAM,
 		.budget = links->budget,
 	};
 	struct link *link = g_new0(struct link, 1);
@@ -225,7 +239,7 @@
 		if (!link_reusable(link, request->avoid_stale) ||
 		    carried_id(link, request->id_hash))
 			continue;
-		g_queue_unlink(&upstream->idle_links, &link->idle_node);
+		leave_idle(link);
 		return link;
 	}
 	return NULL;
@@ -241,6 +255,46 @@
 	return false;
 }
 
+bool links_close_idlest(struct links *links)
+{
+	struct link *idlest = NULL;
+	double since_s = G_MAXDOUBLE;
+	GList *node;
+
+	for (node = links->idle_count ? links->all.head : NULL; node;
+	     node = node->next) {
+		struct link *link = node->data;
+
+		if (link->user ||
+		    http_channel_idle_since_s(link->channel) >= since_s)
+			continue;
+		idlest = link;
+		since_s = http_channel_idle_since_s(link->channel);
+	}
+	if (idlest)
+		link_free(idlest);
+	return idlest != NULL;
+}
+
+/* Whether a connection can be opened, possibly in place of an idle one. */
+static bool has_descriptor(const struct links *links)
+{
+	struct descriptors *descriptors = links->loop->descriptors;
+
+	return !descriptors || links->idle_count ||
+	       descriptors_have_room(descriptors, DESCRIPTOR_UPSTREAM);
+}
+
+/* Closes an idle connection if another one could not be opened otherwise. */
+static void make_descriptor_room(struct links *links)
+{
+	struct descriptors *descriptors = links->loop->descriptors;
+
+	if (descriptors && links->idle_count &&
+	    !descriptors_have_room(descriptors, DESCRIPTOR_UPSTREAM))
+		(void)links_close_idlest(links);
+}
+
 /* Closes the idle connections of an upstream that were not used for the longest
  * time, as long as there is no room for another connection. */
 static void make_room(struct links *links, struct upstream *upstream)
@@ -262,8 +316,9 @@
 			const struct upstream *upstream)
 {
 	return upstream->idle_links.length ||
-	       upstream->connections <
-		       upstream_connection_limit(links->roster, upstream);
+	       (upstream->connections <
+			upstream_connection_limit(links->roster, upstream) &&
+		has_descriptor(links));
 }
 
 struct link *links_send(struct links *links, struct upstream *upstream,
@@ -276,6 +331,7 @@
 		link = pop_idle_link(upstream, request);
 	if (!link) {
 		make_room(links, upstream);
+		make_descriptor_room(links);
 		link = link_open(links, upstream);
 	}
 	link->id_hashes[link->requests++ % IDS_KEPT] = request->id_hash;
@@ -294,7 +350,11 @@
 	if (now < upstream->checked_s + CHECK_INTERVAL_S)
 		return;
 	upstream->checked_s = now;
+	if (!has_descriptor(links))
+		return;
+	make_descriptor_room(links);
 	link = link_open(links, upstream);
+	links->idle_count++;
 	g_queue_push_tail_link(&upstream->idle_links, &link->idle_node);
 }
 
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -348,6 +348,15 @@
 	.refused = on_upstream_refused,
 };
 
+static bool close_idle_upstream(void *ctx)
+{
+	return links_close_idlest(ctx);
+}
+
+static const struct descriptors_ops descriptors_ops = {
+	.close_idle_upstream = close_idle_upstream,
+};
+
 static const struct roster_ops roster_ops = {
 	.close_idle = close_idle,
 	.changed = roster_changed,
@@ -435,6 +444,7 @@
 	forward_tick(entry->forward);
 	crash_watch_tick(entry->crashes);
 	links_tick(entry->links);
+	caller_limits_tick(&entry->caller_limits);
 	http_server_tick(entry->caller_server);
 	http_server_tick(entry->readiness_server);
 	http_server_tick(entry->metrics_server);
@@ -498,9 +508,15 @@
 						     &ready_ops, entry, error);
 	if (!entry->readiness_server)
 		return false;
+	http_server_set_budget(entry->readiness_server,
+			       &entry->caller_limits.readiness);
 	entry->metrics_server = http_server_create(&entry->loop, &s->metrics,
 						   &metrics_ops, entry, error);
-	return entry->metrics_server != NULL;
+	if (!entry->metrics_server)
+		return false;
+	http_server_set_budget(entry->metrics_server,
+			       &entry->caller_limits.operators);
+	return true;
 }
 
 static bool open_cluster(struct entry_daemon *entry, const struct store *store,
@@ -569,6 +585,9 @@
 		metrics_gauge(entry->metrics, "auburn_invalid_routes", "",
 			      "Routes of the configuration in force with an "
 			      "invalid value.");
+	caller_limits_init(&entry->caller_limits, entry->settings, entry->log,
+			   entry->metrics);
+	entry->loop.descriptors = entry->caller_limits.descriptors;
 	entry->directory = platform_directory();
 	entry->table_store =
 		table_store_create(&entry->loop, &entry->settings->store);
@@ -579,10 +598,10 @@
 	entry->roster = roster_create(&entry->loop, entry->settings,
 				      &roster_ops, entry);
 	create_answer_budget(entry);
-	caller_limits_init(&entry->caller_limits, entry->settings, entry->log,
-			   entry->metrics);
 	entry->links = links_create(&entry->loop, entry->roster,
 				    &entry->answers, &links_ops, entry);
+	descriptors_set_ops(entry->loop.descriptors, &descriptors_ops,
+			    entry->links);
 	crashes.loop = &entry->loop;
 	crashes.log = entry->log;
 	crashes.metrics = entry->metrics;
@@ -635,6 +654,7 @@
 	crash_watch_destroy(entry->crashes);
 	roster_destroy(entry->roster);
 	customers_destroy(entry->customers);
+	caller_limits_clear(&entry->caller_limits);
 	metrics_destroy(entry->metrics);
 }
 
--- a/src/net/caller_budget.h
+++ b/src/net/caller_budget.h
@@ -11,6 +11,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "net/descriptors.h"
+
 /** What a caller's connection holds bytes for. */
 enum caller_state {
 	/** Nothing: there is no request. */
@@ -83,6 +85,8 @@
 	bool is_pressed;
 	/** Limit on the number of connections; 0: none. */
 	unsigned int connections;
+	/** What they count as in the loop's account of descriptors. */
+	enum descriptor_use use;
 	/** Time for the body of a request to be received, in seconds; 0: no
 	 * limit. */
 	double body_timeout_s;
--- a/src/net/http_channel.c
+++ b/src/net/http_channel.c
@@ -25,6 +25,8 @@
 	/** The socket; -1 if it could not be opened. */
 	int fd;
 	ev_io io;
+	/** The socket could not be opened for want of a local resource. */
+	bool no_socket;
 	/** Events that io watches: EV_READ, EV_WRITE. */
 	int events;
 	struct http_channel_options options;
@@ -118,8 +120,10 @@
 	if (channel->busy && channel->fd >= 0)
 		socket_set_abortive(channel->fd);
 	ev_io_stop(channel->loop->ev, &channel->io);
-	if (channel->fd >= 0)
-		close(channel->fd);
+	if (channel->fd < 0)
+		return;
+	close(channel->fd);
+	descriptors_closed(channel->loop->descriptors, channel->options.use);
 }
 
 void http_channel_destroy(struct http_channel *channel)
@@ -455,6 +459,10 @@
 	int error = 0;
 	socklen_t len = sizeof(error);
 
+	if (channel->no_socket) {
+		channel_fail(channel, HTTP_CHANNEL_NO_SOCKET);
+		return;
+	}
 	if (channel->fd < 0 ||
 	    getsockopt(channel->fd, SOL_SOCKET, SO_ERROR, &error, &len) < 0)
 		error = EIO;
@@ -520,9 +528,11 @@
 	channel->io.data = channel;
 	channel->events = EV_WRITE;
 	if (channel->fd >= 0) {
+		descriptors_opened(loop->descriptors, options->use);
 		detect_loss(channel->fd, options);
 		ev_io_start(loop->ev, &channel->io);
 	} else {
+		channel->no_socket = socket_lacks_resource(errno);
 		/* The owner learns of this failure from the event loop, as
 		 * of all others. */
 		ev_feed_event(loop->ev, &channel->io, EV_WRITE);
--- a/src/net/http_channel.h
+++ b/src/net/http_channel.h
@@ -15,6 +15,7 @@
 #include "http/headers.h"
 #include "net/byte_budget.h"
 #include "net/caller_body.h"
+#include "net/descriptors.h"
 #include "net/loop.h"
 
 struct http_channel;
@@ -41,6 +42,9 @@
 	HTTP_CHANNEL_RESET,
 	/** The response was incomplete or invalid. */
 	HTTP_CHANNEL_BROKEN,
+	/** This process could not open a socket: it has no descriptor, port or
+	 * kernel memory left. Says nothing about the server. */
+	HTTP_CHANNEL_NO_SOCKET,
 };
 
 /** Callbacks to the channel's owner, called by the event loop. */
@@ -70,6 +74,9 @@
 	/** Maximum size of a response body, in bytes; a longer one ends the
 	 * connection with HTTP_CHANNEL_BROKEN. */
 	size_t body_bytes;
+	/** What the connection counts as in the loop's account of descriptors.
+	 */
+	enum descriptor_use use;
 	/** Budget for the bodies that are being received, or NULL; exceeding it
 	 * has the same effect. Must outlive the channel. */
 	struct byte_budget *budget;
--- a/src/net/http_conn.h
+++ b/src/net/http_conn.h
@@ -209,6 +209,11 @@
 
 /* --- http_conn_limits.c --- */
 
+/** Returns what a server's connections count as in the account of descriptors.
+ */
+enum descriptor_use
+http_server_descriptor_use(const struct http_server *server);
+
 /** Takes bytes from the server's budget.
  *
  * @param answer the bytes are those of an answer
--- a/src/net/http_conn_end.c
+++ b/src/net/http_conn_end.c
@@ -44,6 +44,8 @@
 	conn->closed = true;
 	ev_io_stop(conn->server->loop->ev, &conn->io);
 	close(conn->fd);
+	descriptors_closed(conn->server->loop->descriptors,
+			   http_server_descriptor_use(conn->server));
 	free_requests(conn);
 	http_conn_drop_out(conn);
 	conn->holder.state = CALLER_IDLE;
--- a/src/net/http_conn_limits.c
+++ b/src/net/http_conn_limits.c
@@ -1,6 +1,5 @@
 #include "net/http_conn.h"
 
-#include <errno.h>
 #include <stddef.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -279,12 +278,28 @@
 	return true;
 }
 
+enum descriptor_use http_server_descriptor_use(const struct http_server *server)
+{
+	return server->budget ? server->budget->use : DESCRIPTOR_SYSTEM;
+}
+
+/* Whether the account of descriptors has room for another connection. */
+static bool has_descriptor(const struct http_server *server)
+{
+	struct descriptors *descriptors = server->loop->descriptors;
+
+	return !descriptors ||
+	       descriptors_have_room(descriptors, server->budget->use);
+}
+
 bool http_server_admit(struct http_server *server, int fd)
 {
 	const struct caller_budget *budget = server->budget;
 
 	if (!budget || !budget->connections ||
-	    server->conns.length < budget->connections || close_one(server))
+	    (server->conns.length < budget->connections &&
+	     has_descriptor(server)) ||
+	    close_one(server))
 		return true;
 	caller_budget_refuse(server->budget, CALLER_REFUSED_CONNECTIONS, 0);
 	send_refusal(fd);
@@ -294,8 +309,7 @@
 
 void http_server_check_accept(struct http_server *server, int error)
 {
-	if (error != EMFILE && error != ENFILE && error != ENOBUFS &&
-	    error != ENOMEM)
+	if (!socket_lacks_resource(error))
 		return;
 	if (server->budget) {
 		caller_budget_refuse(server->budget, CALLER_NO_DESCRIPTOR, 0);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -333,6 +333,8 @@
 	struct http_conn *conn = g_new0(struct http_conn, 1);
 
 	socket_detect_loss(fd, &loss);
+	descriptors_opened(server->loop->descriptors,
+			   http_server_descriptor_use(server));
 	conn->server = server;
 	conn->fd = fd;
 	conn->field = g_string_new(NULL);
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -9,11 +9,16 @@
 
 #include "base/clock.h"
 
-/** A libev loop and the clock for its times. */
+struct descriptors;
+
+/** A libev loop, the clock for its times, and the account of the descriptors
+ * that its connections use. */
 struct loop {
 	/** The libev loop. */
 	struct ev_loop *ev;
 	const struct clock *clock;
+	/** NULL: not counted. */
+	struct descriptors *descriptors;
 };
 
 /** Returns the loop time: the clock's time in seconds. */
--- a/src/wire/socket.c
+++ b/src/wire/socket.c
@@ -51,6 +51,7 @@
 int socket_connect(const struct sockaddr_in *addr)
 {
 	int fd = open_socket();
+	int error;
 
 	if (fd < 0)
 		return -1;
@@ -59,10 +60,18 @@
 	if (!connect(fd, (const struct sockaddr *)addr, sizeof(*addr)) ||
 	    errno == EINPROGRESS)
 		return fd;
+	error = errno;
 	close(fd);
+	errno = error;
 	return -1;
 }
 
+bool socket_lacks_resource(int error)
+{
+	return error == EMFILE || error == ENFILE || error == ENOBUFS ||
+	       error == ENOMEM || error == EADDRNOTAVAIL;
+}
+
 int socket_accept(int listener)
 {
 	int fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
--- a/src/wire/socket.h
+++ b/src/wire/socket.h
@@ -23,10 +23,16 @@
  * Starts to connect. The socket becomes writable when connecting succeeded or
  * failed.
  *
- * @return the descriptor, or -1 when connecting fails at once
+ * @return the descriptor, or -1 with errno set when connecting fails at once
  */
 int socket_connect(const struct sockaddr_in *addr);
 
+/**
+ * Returns whether an errno of socket_connect() or socket_accept() says that the
+ * process or its machine lacks a descriptor, a port or memory for a socket.
+ */
+bool socket_lacks_resource(int error);
+
 /**
  * Accepts one pending connection, without a limit on the time for which sent
  * bytes may be unacknowledged.
--- a/test/unit/test_channel.c
+++ b/test/unit/test_channel.c
@@ -5,6 +5,7 @@
  */
 #include <arpa/inet.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -235,6 +236,27 @@
 	teardown(&rig);
 }
 
+/* Guards against a server that is taken for unreachable because this process
+ * has no descriptor left. */
+static void a_missing_descriptor_says_nothing_about_the_server(void)
+{
+	struct rlimit before, low;
+	struct rig rig;
+
+	setup(&rig);
+	getrlimit(RLIMIT_NOFILE, &before);
+	low = before;
+	low.rlim_cur = (rlim_t)rig.listen_fd + 1;
+	CU_ASSERT_EQUAL_FATAL(setrlimit(RLIMIT_NOFILE, &low), 0);
+	open_channel(&rig);
+	CU_ASSERT_EQUAL(setrlimit(RLIMIT_NOFILE, &before), 0);
+	run_loop(&rig);
+	CU_ASSERT_EQUAL(rig.ends, 1);
+	CU_ASSERT_EQUAL(rig.end, HTTP_CHANNEL_NO_SOCKET);
+	http_channel_destroy(rig.channel);
+	teardown(&rig);
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -242,6 +264,8 @@
 		  bytes_that_are_no_response_are_not_delivered },
 		{ "a response leaves the next one whole",
 		  a_response_leaves_the_next_one_whole },
+		{ "a missing descriptor says nothing about the server",
+		  a_missing_descriptor_says_nothing_about_the_server },
 		{ 0 },
 	};
 
