net: callers are read in turns

The daemon handled some 75,000 requests a second, nearly all refused at once, but one iteration of its event loop read up to 64 KiB from each connection before anything else ran, so that grants to the upstreams that own keys were renewed too late.

An iteration now reads from callers for 20 ms; the others wait in a queue that the next iteration reads first. Without this test_server_turns handles all 60 requests in one iteration.

--- a/src/net/http_conn.h
+++ b/src/net/http_conn.h
@@ -110,6 +110,9 @@
 	bool answers_lost;
 	/** Loop time at which the head of the current request was complete. */
 	double body_started_s;
+	/** Element of http_server.waiting while in_queue is set. */
+	GList turn_link;
+	bool in_queue;
 	/** The socket is closed; the connection is freed by on_io() or by
 	 * http_server_tick(). */
 	bool closed;
@@ -132,6 +135,15 @@
 	bool accept_paused;
 	/** Open connections: struct http_conn. */
 	GQueue conns;
+	/** Readable connections that wait for the next iteration of the event
+	 * loop, in the order in which they are read then: struct http_conn. */
+	GQueue waiting;
+	/** Reads them; active while there are any. */
+	ev_check next_turn;
+	/** Iteration of the event loop in which connections were last read, and
+	 * the loop time until which they are in this iteration. */
+	unsigned int iteration;
+	double turn_ends_s;
 	/** Value of http_server_requests(). */
 	unsigned int requests;
 	/** http_server_drain() was called. */
@@ -168,6 +180,20 @@
  * @return the number of bytes that the parser took */
 size_t http_conn_parse(struct http_conn *conn, const char *data, size_t len);
 
+/* --- http_conn_turn.c --- */
+
+/** Prepares the queue of connections that wait to be read. */
+void http_server_init_turns(struct http_server *server);
+
+/**
+ * Reads from a connection, or has it read in the next iteration of the event
+ * loop if this one has read for long enough. May close the connection.
+ */
+void http_conn_read_in_turn(struct http_conn *conn);
+
+/** Removes a connection from the queue, if it is in it. */
+void http_conn_leave_queue(struct http_conn *conn);
+
 /* --- http_conn_answer.c --- */
 
 /** Moves the answer to the first request, if there is one and no bytes wait, to
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -58,6 +58,7 @@
 void http_conn_free(struct http_conn *conn)
 {
 	http_conn_close(conn);
+	http_conn_leave_queue(conn);
 	http_conn_leave_budget(conn);
 	g_queue_unlink(&conn->server->conns, &conn->link);
 	g_string_free(conn->field, TRUE);
@@ -319,7 +320,7 @@
 	if (!conn->closed && events & EV_WRITE)
 		http_conn_flush(conn);
 	if (!conn->closed && events & EV_READ)
-		(void)http_conn_read(conn);
+		http_conn_read_in_turn(conn);
 	if (conn->closed)
 		http_conn_free(conn);
 }
@@ -388,6 +389,7 @@
 	server->ctx = ctx;
 	server->limits = default_limits;
 	g_queue_init(&server->conns);
+	http_server_init_turns(server);
 	ev_io_init(&server->accept, on_accept, fd, EV_READ);
 	server->accept.data = server;
 	ev_io_start(loop->ev, &server->accept);
