net: count what a head really takes

180 callers that pipeline requests with heads of 16 KB took 62,856 KiB resident of 65,536, and 81,695 with the bytes that the system held unread, although the budget for callers is 39,322: a head counted its bytes once, but fields of 1,030 bytes take a block of 2 KiB each, and the message to an upstream is a copy.

A byte of a head counts three times now.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -19,6 +19,9 @@
  * the sizes of the structures, rounded up for the allocator. */
 #define REQUEST_BYTES ((size_t)4096)
 #define FIELD_BYTES ((size_t)64)
+/* What a byte of a head takes: twice in the blocks of its storage, whose sizes
+ * are powers of two, and once in the message to an upstream. */
+#define HEAD_FACTOR 3
 
 /* Limits until http_server_set_limits() is called. */
 static const struct http_limits default_limits = {
@@ -91,7 +94,7 @@
 		return 1;
 	if (conn->parser.flags & F_TRAILING)
 		return 0;
-	return http_conn_hold_head(conn, len) ? 0 : 1;
+	return http_conn_hold_head(conn, HEAD_FACTOR * len) ? 0 : 1;
 }
 
 static int on_url(http_parser *parser, const char *at, size_t len)
