net: limit what the system holds unread

Bytes that were received and not read count as memory of the VM. 180 callers that pipelined requests made the system hold over 100 MB beside a process of 36 MB (152,408 KiB together, of 65,536 allowed): while 16 requests of a connection are in progress, or other callers are read, it isn't read, and its receive buffer had grown to megabytes.

All callers' connections now have a receive buffer of the same size, for which all of them stay within a tenth of the memory. A large body gets a larger one while there is little load.

--- a/src/net/caller_budget.h
+++ b/src/net/caller_budget.h
@@ -87,6 +87,9 @@
 	unsigned int connections;
 	/** What they count as in the loop's account of descriptors. */
 	enum descriptor_use use;
+	/** Limit on the sum of the connections' receive buffers, in bytes, as
+	 * far as these don't get too small for it; 0: the system's sizes. */
+	size_t unread;
 	/** Time for the body of a request to be received, in seconds; 0: no
 	 * limit. */
 	double body_timeout_s;
--- a/src/net/http_conn.h
+++ b/src/net/http_conn.h
@@ -101,6 +101,9 @@
 	/** Account in the server's budget, and what of it is for out. */
 	struct caller_holder holder;
 	size_t out_held;
+	/** Bytes taken from the budget for a larger receive buffer than that of
+	 * other connections; 0: it has none. */
+	size_t wide_held;
 	/** The budget has no room for the request that is being received. */
 	bool no_room;
 	/** What the connection held was freed. on_io() refuses the request that
@@ -131,6 +134,8 @@
 	struct http_limits limits;
 	/** Limits what the connections hold; NULL: no limit. */
 	struct caller_budget *budget;
+	/** Receive buffer of each connection, in bytes; 0: the system's. */
+	size_t receive_bytes;
 	/** Accepting is paused until the next tick: no descriptor is left. */
 	bool accept_paused;
 	/** Open connections: struct http_conn. */
@@ -180,6 +185,18 @@
  * @return the number of bytes that the parser took */
 size_t http_conn_parse(struct http_conn *conn, const char *data, size_t len);
 
+/* --- http_conn_window.c --- */
+
+/** Adapts the receive buffers of all connections to their number. */
+void http_server_size_windows(struct http_server *server);
+
+/** Enlarges the receive buffer of a connection that receives a large body, if
+ * the budget isn't under pressure. */
+void http_conn_widen(struct http_conn *conn);
+
+/** Ends http_conn_widen(): the body is complete or refused. */
+void http_conn_narrow(struct http_conn *conn);
+
 /* --- http_conn_turn.c --- */
 
 /** Prepares the queue of connections that wait to be read. */
--- a/src/net/http_conn_answer.c
+++ b/src/net/http_conn_answer.c
@@ -168,6 +168,7 @@
 		headers_add(headers, STR("Retry-After"), STR(REFUSED_RETRY_S));
 	if (!request)
 		request = http_request_create(conn);
+	http_conn_narrow(conn);
 	conn->reading = NULL;
 	conn->closing = true;
 	g_queue_push_tail(&conn->requests, request);
--- a/src/net/http_conn_limits.c
+++ b/src/net/http_conn_limits.c
@@ -76,6 +76,7 @@
 {
 	size_t rest = conn->holder.held;
 
+	conn->wide_held = 0;
 	if (!conn->server->budget)
 		return;
 	http_conn_return(conn, &rest);
@@ -122,6 +123,7 @@
 	}
 	conn->reading->shared_body->held += len;
 	caller_budget_progress(&conn->holder, len, conn_now(conn));
+	http_conn_widen(conn);
 	return true;
 }
 
@@ -191,6 +193,7 @@
 	struct http_conn *conn = conn_of(holder);
 
 	conn->evicted = true;
+	http_conn_narrow(conn);
 	if (conn->reading)
 		free_content(conn, conn->reading);
 	if (holder->state == CALLER_SENDING)
@@ -329,4 +332,5 @@
 
 	budget->ops = &ops;
 	server->budget = budget;
+	http_server_size_windows(server);
 }
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -218,6 +218,7 @@
 		http_parser_pause(parser, 1);
 		return 0;
 	}
+	http_conn_narrow(conn);
 	conn->reading = NULL;
 	request->complete = true;
 	request->received_s = loop_now(server->loop);
@@ -356,6 +357,7 @@
 	ev_io_start(server->loop->ev, &conn->io);
 	g_queue_push_tail_link(&server->conns, &conn->link);
 	http_conn_join_budget(conn);
+	http_server_size_windows(server);
 }
 
 static void accept_all(struct http_server *server)
--- a/src/wire/socket.c
+++ b/src/wire/socket.c
@@ -95,6 +95,11 @@
 	return ioctl(fd, SIOCOUTQ, &bytes) < 0 ? 0 : (size_t)bytes;
 }
 
+void socket_set_receive_buffer(int fd, size_t bytes)
+{
+	set_option(fd, SOL_SOCKET, SO_RCVBUF, (unsigned int)bytes);
+}
+
 void socket_set_abortive(int fd)
 {
 	struct linger linger = { .l_onoff = 1, .l_linger = 0 };
--- a/src/wire/socket.h
+++ b/src/wire/socket.h
@@ -76,6 +76,14 @@
  */
 bool socket_peer_lost(int fd, unsigned int timeout_ms);
 
+/**
+ * Sets the size of a socket's receive buffer. A listening socket passes it on
+ * to the connections that it accepts. If that fails, the system's size stays.
+ *
+ * @param bytes bytes of data; the system reserves as much for its own
+ */
+void socket_set_receive_buffer(int fd, size_t bytes);
+
 /**
  * Makes close() reset the connection and discard unsent bytes. Otherwise the
  * kernel would retransmit them, and after a network partition they could arrive
