net: limit the answers that the system holds

The system takes what is written to a socket until its send buffer, which grows to 4 MB, is full; the budget counts only what the process still holds.

Each socket takes as many unsent bytes now as it has receive buffer; what was sent doesn't count, so that the speed of a link isn't limited by it.

--- a/src/entry/caller_limits.c
+++ b/src/entry/caller_limits.c
@@ -11,9 +11,10 @@
  * the tables, which take 9 to 16 MB. */
 #define MEMORY_PART 0.6
 #define RESERVE_PART 0.05
-/* Part of the memory that the receive buffers of callers' connections take. It
- * lies within the part that is left for tables. */
-#define UNREAD_PART 0.1
+/* Part of the memory that the receive buffers of callers' connections take, and
+ * bytes of answers that the system hasn't sent. It lies within the part that is
+ * left for tables. */
+#define SYSTEM_PART 0.1
 /* Most connections to each of the addresses for readiness and metrics, and
  * bytes that they may hold. */
 #define OPERATOR_CONNECTIONS 8
@@ -125,7 +126,7 @@
 	limits->log = log;
 	limits->budget.limit = (size_t)(memory * MEMORY_PART);
 	limits->budget.reserve = (size_t)(memory * RESERVE_PART);
-	limits->budget.unread = (size_t)(memory * UNREAD_PART);
+	limits->budget.system_bytes = (size_t)(memory * SYSTEM_PART);
 	init_descriptors(limits, settings, metrics);
 	init_operator_budget(&limits->readiness);
 	init_operator_budget(&limits->operators);
--- a/src/net/caller_budget.h
+++ b/src/net/caller_budget.h
@@ -87,9 +87,10 @@
 	unsigned int connections;
 	/** What they count as in the loop's account of descriptors. */
 	enum descriptor_use use;
-	/** Limit on the sum of the connections' receive buffers, in bytes, as
-	 * far as these don't get too small for it; 0: the system's sizes. */
-	size_t unread;
+	/** Limit on the sum of the connections' receive buffers, and on that of
+	 * the bytes which the system holds unsent, as far as a connection's
+	 * part doesn't get too small; 0: the system's sizes. */
+	size_t system_bytes;
 	/** Time for the body of a request to be received, in seconds; 0: no
 	 * limit. */
 	double body_timeout_s;
--- a/src/net/http_conn.h
+++ b/src/net/http_conn.h
@@ -134,8 +134,9 @@
 	struct http_limits limits;
 	/** Limits what the connections hold; NULL: no limit. */
 	struct caller_budget *budget;
-	/** Receive buffer of each connection, in bytes; 0: the system's. */
-	size_t receive_bytes;
+	/** Receive buffer of each connection, and limit on what it hasn't sent,
+	 * in bytes; 0: the system's. */
+	size_t buffer_bytes;
 	/** Accepting is paused until the next tick: no descriptor is left. */
 	bool accept_paused;
 	/** Open connections: struct http_conn. */
@@ -187,7 +188,7 @@
 
 /* --- http_conn_window.c --- */
 
-/** Adapts the receive buffers of all connections to their number. */
+/** Adapts the buffers of all connections to their number. */
 void http_server_size_windows(struct http_server *server);
 
 /** Enlarges the receive buffer of a connection that receives a large body, if
--- a/src/net/http_conn_window.c
+++ b/src/net/http_conn_window.c
@@ -1,12 +1,13 @@
 /*
- * Limits the bytes that callers have sent and the server hasn't read, which the
- * system holds: a server that doesn't read from a connection for a while, or
- * never again, gets them all the same, up to the socket's receive buffer.
+ * Limits the bytes that the system holds for callers. A server that doesn't
+ * read from a connection for a while, or never again, receives all the same, up
+ * to the socket's receive buffer; and the system takes megabytes of answers
+ * that a caller doesn't read.
  */
 #include "net/http_conn.h"
 #include "wire/socket.h"
 
-/* Bounds on a connection's receive buffer, in bytes. */
+/* Bounds on a connection's buffers, in bytes. */
 #define NARROW_MIN ((size_t)8 << 10)
 #define NARROW_MAX ((size_t)64 << 10)
 /* A body of more than BODY_MIN bytes gets a receive buffer of WIDE_BYTES while
@@ -14,11 +15,12 @@
 #define BODY_MIN ((size_t)64 << 10)
 #define WIDE_BYTES ((size_t)256 << 10)
 
-/* Returns the receive buffer of each connection for their number: a power of
+/* Returns the size of each connection's buffers for their number: a power of
  * two, so that it seldom changes. */
-static size_t receive_bytes_for(const struct http_server *server)
+static size_t buffer_bytes_for(const struct http_server *server)
 {
-	size_t share = server->budget->unread / MAX(server->conns.length, 1);
+	size_t share =
+		server->budget->system_bytes / MAX(server->conns.length, 1);
 	size_t bytes = NARROW_MAX;
 
 	while (bytes > NARROW_MIN && bytes > share)
@@ -30,28 +32,33 @@
  * connections, or was for a slightly larger one. */
 static bool still_suits(const struct http_server *server, size_t bytes)
 {
-	size_t suitable = receive_bytes_for(server);
+	size_t suitable = buffer_bytes_for(server);
 
 	return bytes == suitable || bytes * 2 == suitable;
 }
 
+static void set_buffers(int fd, size_t bytes)
+{
+	socket_set_receive_buffer(fd, bytes);
+	socket_set_unsent_limit(fd, bytes);
+}
+
 void http_server_size_windows(struct http_server *server)
 {
-	size_t before = server->receive_bytes;
+	size_t before = server->buffer_bytes;
 	GList *link;
 
-	if (!server->budget || !server->budget->unread ||
+	if (!server->budget || !server->budget->system_bytes ||
 	    still_suits(server, before))
 		return;
-	server->receive_bytes = receive_bytes_for(server);
+	server->buffer_bytes = buffer_bytes_for(server);
 	if (server->fd >= 0)
-		socket_set_receive_buffer(server->fd, server->receive_bytes);
+		set_buffers(server->fd, server->buffer_bytes);
 	for (link = server->conns.head; link; link = link->next) {
 		const struct http_conn *conn = link->data;
 
 		if (!conn->wide_held && !conn->closed)
-			socket_set_receive_buffer(conn->fd,
-						  server->receive_bytes);
+			set_buffers(conn->fd, server->buffer_bytes);
 	}
 }
 
@@ -59,7 +66,7 @@
 {
 	struct http_server *server = conn->server;
 
-	if (conn->wide_held || !server->receive_bytes ||
+	if (conn->wide_held || !server->buffer_bytes ||
 	    server->budget->is_pressed ||
 	    conn->reading->shared_body->held < BODY_MIN)
 		return;
@@ -73,5 +80,5 @@
 	if (!conn->wide_held)
 		return;
 	http_conn_return(conn, &conn->wide_held);
-	socket_set_receive_buffer(conn->fd, conn->server->receive_bytes);
+	socket_set_receive_buffer(conn->fd, conn->server->buffer_bytes);
 }
--- a/src/wire/socket.c
+++ b/src/wire/socket.c
@@ -100,6 +100,11 @@
 	set_option(fd, SOL_SOCKET, SO_RCVBUF, (unsigned int)bytes);
 }
 
+void socket_set_unsent_limit(int fd, size_t bytes)
+{
+	set_option(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, (unsigned int)bytes);
+}
+
 void socket_set_abortive(int fd)
 {
 	struct linger linger = { .l_onoff = 1, .l_linger = 0 };
--- a/src/wire/socket.h
+++ b/src/wire/socket.h
@@ -84,6 +84,13 @@
  */
 void socket_set_receive_buffer(int fd, size_t bytes);
 
+/**
+ * Limits the bytes that a socket accepts for sending and has not sent yet; what
+ * was sent and isn't acknowledged doesn't count. A listening socket passes the
+ * limit on. If that fails, the system's limit stays.
+ */
+void socket_set_unsent_limit(int fd, size_t bytes);
+
 /**
  * Makes close() reset the connection and discard unsent bytes. Otherwise the
  * kernel would retransmit them, and after a network partition they could arrive
--- a/test/functional/cluster_limited.c
+++ b/test/functional/cluster_limited.c
@@ -50,7 +50,7 @@
 	/* Set to end the thread. */
 	gint stop;
 	/* Highest number of descriptors seen, and highest sum of the resident
-	 * set and the bytes that callers sent and the daemon hasn't read. */
+	 * set and the bytes that the system holds for callers. */
 	unsigned int most_open;
 	int64_t footprint_kib;
 };
@@ -84,8 +84,9 @@
 		   (unsigned int)ntohs(address.sin_port));
 }
 
-/* Returns the bytes that were received on a local address and not read. */
-static int64_t unread_bytes(const char *local)
+/* Returns the bytes that the system holds for a local address: received and not
+ * read, or sent and not acknowledged. */
+static int64_t held_by_system(const char *local)
 {
 	FILE *file = fopen("/proc/net/tcp", "r");
 	char line[256];
@@ -93,14 +94,14 @@
 
 	while (file && fgets(line, sizeof(line), file)) {
 		char address[16];
-		unsigned int unread;
+		unsigned int unsent, unread;
 
 		/* Number, local and remote address, state, bytes to send and
 		 * to read; a listening socket has its backlog there. */
-		if (sscanf(line, " %*u: %15s %*s %*x %*x:%x", address,
-			   &unread) == 2 &&
+		if (sscanf(line, " %*u: %15s %*s %*x %x:%x", address, &unsent,
+			   &unread) == 3 &&
 		    !strcmp(address, local) && !strstr(line, " 0A "))
-			sum += unread;
+			sum += (int64_t)unsent + unread;
 	}
 	if (file)
 		fclose(file);
@@ -129,7 +130,7 @@
 	do {
 		unsigned int count = count_open(watch->pid);
 		int64_t footprint = status_kib(watch->pid, "VmRSS:") +
-				    unread_bytes(watch->callers) / 1024;
+				    held_by_system(watch->callers) / 1024;
 
 		watch->most_open = MAX(watch->most_open, count);
 		watch->footprint_kib = MAX(watch->footprint_kib, footprint);
@@ -223,12 +224,13 @@
 	return !RESIDENT_MEASURED || (peak > 0 && peak <= LIMITED_RESIDENT_KIB);
 }
 
-/* Prints the highest sum of the resident set and of unread bytes; returns
+/* Prints the highest sum of the resident set and the system's bytes; returns
  * whether it is within the bound on the resident set. */
 static bool is_footprint_bounded(const char *name,
 				 const struct usage_watch *watch)
 {
-	printf("# %s: resident and unread %" G_GINT64_FORMAT " KiB of "
+	printf("# %s: resident and held by the system %" G_GINT64_FORMAT
+	       " KiB of "
 	       "%" G_GINT64_FORMAT "\n",
 	       name, watch->footprint_kib, LIMITED_RESIDENT_KIB);
 	return !RESIDENT_MEASURED ||
--- a/test/functional/cluster_limited.h
+++ b/test/functional/cluster_limited.h
@@ -60,8 +60,9 @@
 	unsigned int most_open;
 	/** The peak of the resident set is within its bound. */
 	bool resident_bounded;
-	/** So is the highest sum of the resident set and of the bytes that
-	 * callers sent and the daemon hadn't read. */
+	/** So is the highest sum of the resident set and of the bytes that the
+	 * system held for callers: those that the daemon hadn't read, and
+	 * answers that they hadn't taken. */
 	bool footprint_bounded;
 	/** An ordinary request was served beside the crowd. */
 	bool serves_beside;
