--- a/test/functional/cluster_limited.c
+++ b/test/functional/cluster_limited.c
@@ -21,10 +21,13 @@
 
 /* As standin-site's own configuration, but for the limits and the route for
  * uploads, which leads to an upstream of its own. */
-static const char config[] =
-	"{\"version\":\"r9\",\"routes\":{\"columns\":[\"name\",\"host\","
+#define CONFIG_VERSION 9
+static const char config_format[] =
+	"{\"version\":\"r%u\",\"routes\":{\"columns\":[\"name\",\"host\","
 	"\"prefix\",\"kind\",\"timeout_s\",\"aim_s\",\"priority\",\"service\","
 	"\"max_attempts\",\"split\"],\"rows\":["
+	"[\"more\",\"app.example\",\"%s\",\"safe\",9,0.5,1,\"plain\",2,"
+	"null],"
 	"[\"plain\",\"app.example\",\"/plain/\",\"safe\",9,0.5,1,\"plain\",2,"
 	"null],"
 	"[\"upload\",\"app.example\",\"/upload/\",\"upload\",10,0.5,1,"
@@ -195,7 +198,15 @@
 	return entry_status(&limited_rig.entries[0], "/keyed/a", 100) == 200;
 }
 
-bool limited_start(void)
+void limited_put_config(unsigned int version, const char *prefix)
+{
+	char *text = g_strdup_printf(config_format, version, prefix);
+
+	entry_rig_command(&limited_rig, "/control/config", text);
+	g_free(text);
+}
+
+bool limited_start(unsigned int daemons)
 {
 	static char vm_settings[64];
 
@@ -203,8 +214,8 @@
 		   "memory = %d\ndescriptors = %d\n", LIMITED_MEMORY_MB,
 		   LIMITED_DESCRIPTORS);
 	limited_rig.vm_settings = vm_settings;
-	entry_rig_start(&limited_rig, 1, 6);
-	entry_rig_command(&limited_rig, "/control/config", config);
+	entry_rig_start(&limited_rig, daemons, 6);
+	limited_put_config(CONFIG_VERSION, "/other/");
 	return process_wait_until(limited_serves_upload, NULL, RIG_WAIT_US);
 }
 
@@ -213,10 +224,10 @@
 	entry_rig_stop(&limited_rig);
 }
 
-bool limited_is_resident_bounded(const char *name)
+bool limited_is_resident_bounded(const char *name, unsigned int daemon)
 {
-	int64_t peak = status_kib(process_pid(limited_rig.entries[0].process),
-				  "VmHWM:");
+	int64_t peak = status_kib(
+		process_pid(limited_rig.entries[daemon].process), "VmHWM:");
 
 	printf("# %s: resident peak %" G_GINT64_FORMAT " KiB of "
 	       "%" G_GINT64_FORMAT "\n",
@@ -259,7 +270,7 @@
 	       LIMITED_OPEN, crowd_open(crowd), crowd_status_count(crowd, 200),
 	       crowd_status_count(crowd, 408), crowd_status_count(crowd, 413),
 	       crowd_status_count(crowd, 503));
-	result->resident_bounded = limited_is_resident_bounded(name);
+	result->resident_bounded = limited_is_resident_bounded(name, 0);
 	crowd_destroy(crowd);
 	result->serves_largest_after =
 		process_wait_until(limited_serves_largest, NULL, RIG_WAIT_US);
--- a/test/functional/cluster_limited.h
+++ b/test/functional/cluster_limited.h
@@ -29,11 +29,20 @@
 #define LIMITED_CHUNKED_HEAD                                                   \
 	LIMITED_POST_HEAD "Transfer-Encoding: chunked\r\n\r\n"
 
-/** The deployment, with one entry daemon. */
+/** The deployment. */
 extern struct entry_rig limited_rig;
 
-/** Starts the deployment; returns whether an upload is served in time. */
-bool limited_start(void);
+/** Starts the deployment with some entry daemons; returns whether the first
+ * serves an upload in time. */
+bool limited_start(unsigned int daemons);
+
+/**
+ * Writes a version of the configuration, with one more route.
+ *
+ * @param version above 9, the version at the start
+ * @param prefix of the route, which leads to the same service as "/plain/"
+ */
+void limited_put_config(unsigned int version, const char *prefix);
 
 /** Stops the deployment. */
 void limited_stop(void);
@@ -47,9 +56,13 @@
 bool limited_serves_ordinary(void *ctx);
 bool limited_serves_largest(void *ctx);
 
-/** Prints the peak of the daemon's resident set; returns whether it is within
- * its bound. */
-bool limited_is_resident_bounded(const char *name);
+/**
+ * Prints the peak of a daemon's resident set; returns whether it is within its
+ * bound.
+ *
+ * @param daemon index of the daemon
+ */
+bool limited_is_resident_bounded(const char *name, unsigned int daemon);
 
 /** What was seen of a daemon beside a crowd whose connections stay open, and
  * after it. */
--- a/test/functional/test_entry_clients.c
+++ b/test/functional/test_entry_clients.c
@@ -68,7 +68,7 @@
 	struct crowd_message cut = whole;
 
 	cut.block_bytes = LIMITED_BODY_BYTES - 100;
-	CU_ASSERT_TRUE_FATAL(limited_start());
+	CU_ASSERT_TRUE_FATAL(limited_start(1));
 	run_crowd(name, SENDERS, short_of_end ? &cut : &whole, &whole);
 	limited_stop();
 	g_free(block);
@@ -102,7 +102,7 @@
 	struct crowd_message cut = whole;
 
 	cut.tail = "0\r\n";
-	CU_ASSERT_TRUE_FATAL(limited_start());
+	CU_ASSERT_TRUE_FATAL(limited_start(1));
 	run_crowd(name, SENDERS, &cut, &whole);
 	limited_stop();
 	g_free(block);
@@ -130,7 +130,7 @@
 		.block_bytes = ENDLESS_BYTES,
 	};
 
-	CU_ASSERT_TRUE_FATAL(limited_start());
+	CU_ASSERT_TRUE_FATAL(limited_start(1));
 	run_crowd("announced too large", SENDERS, &message, NULL);
 	limited_stop();
 	g_free(block);
@@ -148,7 +148,7 @@
 		.block_bytes = ENDLESS_BYTES,
 	};
 
-	CU_ASSERT_TRUE_FATAL(limited_start());
+	CU_ASSERT_TRUE_FATAL(limited_start(1));
 	run_crowd("chunked without end", SENDERS, &message, NULL);
 	limited_stop();
 	g_free(block);
@@ -159,7 +159,7 @@
 	struct crowd_message silent = { 0 };
 	struct crowd_message part = { .head = LIMITED_POST_HEAD, .heads = 1 };
 
-	CU_ASSERT_TRUE_FATAL(limited_start());
+	CU_ASSERT_TRUE_FATAL(limited_start(1));
 	run_crowd("silent connections", CONNECTIONS, &silent, &part);
 	limited_stop();
 }
@@ -180,7 +180,7 @@
 	};
 	struct stub_upstream *stub = stub_upstream_start();
 
-	CU_ASSERT_TRUE_FATAL(limited_start());
+	CU_ASSERT_TRUE_FATAL(limited_start(1));
 	stub_upstream_set_reply(stub, &reply);
 	entry_rig_command(&limited_rig, "/control/list-at?id=0",
 			  stub_upstream_address(stub));
@@ -198,9 +198,9 @@
  * its body that exceed the memory. */
 static void largest_in_calm(void)
 {
-	CU_ASSERT_TRUE_FATAL(limited_start());
+	CU_ASSERT_TRUE_FATAL(limited_start(1));
 	CU_ASSERT_EQUAL(limited_send_largest(), 200);
-	CU_ASSERT_TRUE(limited_is_resident_bounded("largest in calm"));
+	CU_ASSERT_TRUE(limited_is_resident_bounded("largest in calm", 0));
 	limited_stop();
 }
 
