net: give freed memory back also while callers hold much

Freed blocks were given back to the system after the sum of all callers had fallen, but at the limit it doesn't fall: what one caller gives back another takes, in blocks of other sizes, beside the old ones.

They are now also given back when an eighth of the limit was given back above half of it.

--- a/src/entry/caller_limits.c
+++ b/src/entry/caller_limits.c
@@ -62,8 +62,8 @@
 			limits->budget.used, limits->budget.limit);
 }
 
-/* Gives freed memory back to the system after a peak; small blocks stay in the
- * heap otherwise. */
+/* Gives freed memory back to the system after a peak, and while callers take
+ * turns at the limit; small blocks stay in the heap otherwise. */
 static void on_fell(void *ctx)
 {
 	(void)ctx;
--- a/src/net/caller_budget.c
+++ b/src/net/caller_budget.c
@@ -185,6 +185,14 @@
 	return best;
 }
 
+/* Whether the sum has fallen by an eighth of the limit from above half of it.
+ */
+static bool has_fallen(const struct caller_budget *budget)
+{
+	return budget->high > budget->limit / 2 &&
+	       budget->high - budget->used >= budget->limit / 8;
+}
+
 void caller_budget_return(struct caller_budget *budget,
 			  struct caller_holder *holder, size_t len)
 {
@@ -192,10 +200,12 @@
 		holder->held -= len;
 	budget->used -= len;
 	check_pressure(budget);
-	if (budget->high <= budget->limit / 2 ||
-	    budget->high - budget->used < budget->limit / 8)
+	if (budget->used >= budget->limit / 2)
+		budget->turnover += len;
+	if (!has_fallen(budget) && budget->turnover < budget->limit / 8)
 		return;
 	budget->high = budget->used;
+	budget->turnover = 0;
 	if (budget->fell)
 		budget->fell(budget->ctx);
 }
--- a/src/net/caller_budget.h
+++ b/src/net/caller_budget.h
@@ -81,6 +81,9 @@
 	size_t peak;
 	/** Highest sum since fell() was called last. */
 	size_t high;
+	/** Bytes given back since then while the sum was above half of the
+	 * limit. */
+	size_t turnover;
 	/** pressed() was called with true last. */
 	bool is_pressed;
 	/** Limit on the number of connections; 0: none. */
@@ -108,7 +111,8 @@
 	 * Must not use the budget. */
 	void (*pressed)(void *ctx, bool pressed);
 	/** Called when the sum has fallen by an eighth of the limit from a
-	 * value above half of it, or NULL. Must not use the budget. */
+	 * value above half of it, and when as much was given back and taken by
+	 * others above that; or NULL. Must not use the budget. */
 	void (*fell)(void *ctx);
 	void *ctx;
 };
--- a/test/functional/test_entry_crowds.c
+++ b/test/functional/test_entry_crowds.c
@@ -8,6 +8,9 @@
 #include "cluster_sender.h"
 #include "limited_suite.h"
 
+/* An earlier crowd leaves when nothing moved for so long. */
+#define EARLIER_STILL_MS 200
+
 struct crowd_case {
 	const char *name;
 	unsigned int callers;
@@ -15,6 +18,8 @@
 	struct sender senders[SENDERS_MAX];
 	/* The largest body is served beside the crowd. */
 	bool largest_beside;
+	/* Number of crowds before it that have left. */
+	unsigned int earlier;
 };
 
 static const struct crowd_case crowds[] = {
@@ -75,6 +80,13 @@
 		       SENDER_ONE_BYTE_CHUNKS, SENDER_ENDLESS_EXTENSION,
 		       SENDER_ENDLESS_HEAD, SENDER_EXPECT_ONLY,
 		       SENDER_SMALL_CUT_SHORT, SENDER_PIPELINED } },
+	{ .name = "crowds of all kinds one after the other",
+	  .callers = 150,
+	  .senders = { SENDER_IN_PIECES(100), SENDER_LARGE_CHUNKS("0\r\n"),
+		       SENDER_ONE_BYTE_CHUNKS, SENDER_ENDLESS_HEAD,
+		       SENDER_SMALL_CUT_SHORT, SENDER_PIPELINED,
+		       SENDER_WAITING_REQUESTS },
+	  .earlier = 6 },
 };
 
 /* The cases to run, and the number of those that have begun; suite_run() passes
@@ -93,6 +105,14 @@
 		if (c->senders[i].head || c->senders[i].prefix)
 			messages[count++] = sender_message(&c->senders[i]);
 	CU_ASSERT_TRUE_FATAL(limited_start(1));
+	for (i = 0; i < c->earlier; i++) {
+		struct crowd *crowd =
+			crowd_create_mixed(limited_rig.entries[0].callers,
+					   c->callers, messages, count);
+
+		crowd_run(crowd, EARLIER_STILL_MS);
+		crowd_destroy(crowd);
+	}
 	limited_run_crowd(c->name,
 			  crowd_create_mixed(limited_rig.entries[0].callers,
 					     c->callers, messages, count),
--- a/test/unit/test_caller_budget.c
+++ b/test/unit/test_caller_budget.c
@@ -252,6 +252,24 @@
 	CU_ASSERT_EQUAL(falls, 2);
 }
 
+/* Guards against freed memory that is kept while others take as much: blocks of
+ * different sizes don't take each other's place. */
+static void memory_is_given_back_during_a_peak(void)
+{
+	int i;
+
+	setup();
+	falls = 0;
+	budget.fell = on_fell;
+	caller_budget_add(&budget, &holders[0], 800 * KB);
+	for (i = 0; i < 10; i++) {
+		caller_budget_add(&budget, &holders[1], 50 * KB);
+		caller_budget_return(&budget, &holders[1], 50 * KB);
+	}
+	/* 500 KB in turns of at least 125. */
+	CU_ASSERT_EQUAL(falls, 3);
+}
+
 static int pressed_calls[2];
 
 static void on_pressed(void *ctx, bool pressed)
@@ -295,6 +313,8 @@
 		  a_shared_body_counts_until_its_last_reference },
 		{ "memory is given back after a peak",
 		  memory_is_given_back_after_a_peak },
+		{ "memory is given back during a peak",
+		  memory_is_given_back_during_a_peak },
 		{ "pressure has two bounds", pressure_has_two_bounds },
 		{ 0 },
 	};
