--- a/test/functional/cluster_crowd.c
+++ b/test/functional/cluster_crowd.c
@@ -257,6 +257,15 @@
 	return count;
 }
 
+unsigned int crowd_status(const struct crowd *crowd, unsigned int caller)
+{
+	const char *line = crowd->callers[caller].status_line;
+
+	return g_str_has_prefix(line, "HTTP/1.1 ")
+		       ? (unsigned int)g_ascii_strtoull(line + 9, NULL, 10)
+		       : 0;
+}
+
 void crowd_destroy(struct crowd *crowd)
 {
 	unsigned int i;
--- a/test/functional/cluster_crowd.h
+++ b/test/functional/cluster_crowd.h
@@ -71,6 +71,9 @@
 /** Returns the number of callers whose first response has this status. */
 unsigned int crowd_status_count(const struct crowd *crowd, unsigned int status);
 
+/** Returns the status of a caller's first response; 0 if it got none. */
+unsigned int crowd_status(const struct crowd *crowd, unsigned int caller);
+
 /** Closes all connections and frees the crowd. */
 void crowd_destroy(struct crowd *crowd);
 
