entry: limit the keys of a load report

Each request for a key, also one that is refused at once, added two bytes to the next report to the leader, which is one datagram. With the 75,000 requests a second that one crowd made a daemon handle, and the interval of 0.35 s of a fleet of 295 VMs, that is 53 KB of the 65 KB that fit; more and the report is not sent, so that the leader misses this VM's load.

A report holds 8,192 keys of a service at most.

--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -528,11 +528,8 @@
 	retry_window_request(&service->retries, forward_now(forward));
 	req = proxy_request_create(forward, request, route, service, customer);
 	req->fingerprint = fingerprint_of(request, host);
-	if (req->key >= 0) {
-		uint16_t key = (uint16_t)req->key;
-
-		g_array_append_val(service->requested_keys, key);
-	}
+	if (req->key >= 0)
+		service_record_key(service, (uint16_t)req->key);
 	if (crash_watch_refuses(forward->options.crashes, req->fingerprint)) {
 		proxy_request_refuse(req, 503, req->give_up_s - req->received_s,
 				     CRASHES_UPSTREAMS);
--- a/src/entry/roster.c
+++ b/src/entry/roster.c
@@ -496,6 +496,12 @@
 				     loop_now(roster->loop));
 }
 
+void service_record_key(struct service *service, uint16_t key)
+{
+	if (service->requested_keys->len < REQUESTED_KEYS_MAX)
+		g_array_append_val(service->requested_keys, key);
+}
+
 unsigned int upstream_connection_limit(const struct roster *roster,
 				       const struct upstream *upstream)
 {
--- a/src/entry/roster.h
+++ b/src/entry/roster.h
@@ -86,10 +86,18 @@
 	/** Loop time at which this VM last applied owners that the leader sent.
 	 */
 	double keys_updated_s;
-	/** Keys (uint16_t) requested since the last report to the leader. */
+	/** Keys (uint16_t) requested since the last report to the leader, the
+	 * first REQUESTED_KEYS_MAX of them. */
 	GArray *requested_keys;
 };
 
+/** Most requested keys in a report to the leader: a report with more would not
+ * fit in a datagram, and the leader would not hear this VM. */
+#define REQUESTED_KEYS_MAX 8192
+
+/** Records that a key of a service was requested. */
+void service_record_key(struct service *service, uint16_t key);
+
 /** Functions that the roster calls. */
 struct roster_ops {
 	/** Called to close the idle connections of an upstream. */
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -385,11 +385,30 @@
 	teardown(&rig);
 }
 
+/* Guards against a report to the leader that fits in no datagram, since callers
+ * sent many requests since the last one. */
+static void the_keys_of_a_report_are_limited(void)
+{
+	struct service *service;
+	struct rig rig;
+	unsigned int i;
+
+	setup(&rig);
+	service = roster_service(rig.roster, SERVICE);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(service);
+	for (i = 0; i < 100000; i++)
+		service_record_key(service, (uint16_t)i);
+	CU_ASSERT_EQUAL(service->requested_keys->len, REQUESTED_KEYS_MAX);
+	teardown(&rig);
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
 		{ "an answer is handled whole when its caller leaves",
 		  an_answer_is_handled_whole_when_its_caller_leaves },
+		{ "the keys of a report are limited",
+		  the_keys_of_a_report_are_limited },
 		{ 0 },
 	};
 
