test/soak: crowds of callers among the faults

The soak had no callers that misbehave. Each seed that injects failures now also has crowds, at daemons and times that the seed draws from a generator of their own, so that the faults of recorded seeds stay the same; daemons have 64 MB and 256 descriptors, and their resident set is checked.

--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -4,8 +4,9 @@
  * daemons, store and upstreams. Daemons are frozen, killed, stopped and
  * reloaded by signals; connections are delayed, reset, forgotten, and blocked
  * in one or both directions; the store goes down; routes move between services;
- * upstreams restart and drain. The test checks each response, the executions
- * and the key grants.
+ * upstreams restart and drain; crowds of misbehaving callers come and go. The
+ * test checks each response, the executions, the key grants and the memory of
+ * the daemons.
  *
  * functional-soak [--seconds S] [SEED...]: runs each seed for S seconds;
  * without seeds, those in regression_seeds.
@@ -22,6 +23,7 @@
 #include "callers.h"
 #include "cluster_http.h"
 #include "cluster_process.h"
+#include "crowds.h"
 #include "proxy.h"
 
 /* Numbers of entry daemons, upstreams and calling threads. */
@@ -37,6 +39,10 @@
 #define FAULT_PAUSE_S 0.6
 /* Grace time of a daemon's graceful shutdown. */
 #define STOP_GRACE_S 6.0
+/* [vm] memory and descriptors of a daemon: few enough for a crowd to reach
+ * them. */
+#define MEMORY_MB 64
+#define DESCRIPTORS 256
 /* Time with traffic and without faults at the end, in two parts: before a route
  * moves, and until standin-site has counted for a second the requests that the
  * old service must not run any more. */
@@ -261,12 +267,13 @@
 	g_strlcpy(entry->ready, ready, sizeof(entry->ready));
 	g_snprintf(entry->settings, sizeof(entry->settings), "%s/entry%u.conf",
 		   soak->folder, index);
-	text = g_strdup_printf(
-		"[vm]\nname = vm%u\nzone = z%u\n[listen]\ncallers = %s\n"
-		"ready = %s\npeers = %s\nmetrics = %s\n"
-		"[store]\naddress = %s\n[stop]\ngrace = %.1f\n",
-		index, index % 2 + 1, callers, ready, peers, metrics, store,
-		STOP_GRACE_S);
+	text = g_strdup_printf("[vm]\nname = vm%u\nzone = z%u\nmemory = %d\n"
+			       "descriptors = %d\n[listen]\ncallers = %s\n"
+			       "ready = %s\npeers = %s\nmetrics = %s\n"
+			       "[store]\naddress = %s\n[stop]\ngrace = %.1f\n",
+			       index, index % 2 + 1, MEMORY_MB, DESCRIPTORS,
+			       callers, ready, peers, metrics, store,
+			       STOP_GRACE_S);
 	g_file_set_contents(entry->settings, text, -1, NULL);
 	g_free(text);
 	g_free(callers);
@@ -687,6 +694,26 @@
 	g_free(uri);
 }
 
+/* Checks that the daemons stay within their memory. */
+static void check_memory(struct soak *soak)
+{
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
+	unsigned int i;
+
+	for (i = 0; i < ENTRIES; i++) {
+		int64_t kib = process_memory_kib(soak->entries[i].process);
+
+		if (kib > (int64_t)MEMORY_MB * 1024)
+			report_violation(soak,
+					 "entry daemon %u has %" G_GINT64_FORMAT
+					 " KiB resident",
+					 i, kib);
+	}
+#else
+	(void)soak;
+#endif
+}
+
 /* Checks the counters of the site and the callers. */
 static void check_results(struct soak *soak, struct callers *callers,
 			  const struct callers_result *result)
@@ -724,13 +751,19 @@
 	const char *addresses[ENTRIES];
 	struct callers_result result;
 	struct callers *callers;
+	struct crowds *crowds = NULL;
 	unsigned int i, faults = 0;
 
 	soak_open(&soak);
 	for (i = 0; i < ENTRIES; i++)
 		addresses[i] = soak.entries[i].callers;
 	callers = callers_start(addresses, ENTRIES, CALLERS, seed);
+	if (!soak.planned_only)
+		crowds = crowds_start(addresses, ENTRIES, seed);
 	inject_faults(&soak, seconds);
+	if (crowds)
+		printf("# seed %u: %u crowds\n", seed, crowds_stop(crowds));
+	check_memory(&soak);
 	wait_until_entries_serve(&soak, "after the last fault");
 	check_moved_route(&soak);
 	result = callers_stop(callers);
