entry: a caller who doesn't wait says nothing about an upstream

A request that its caller gave 20 or 120 ms, less than the 150 that answers of the route take, counted as a failure of the upstream when that time was up, and after 0.15 s without an answer took the upstream out of use for up to 2 s: a crowd with short deadlines makes healthy upstreams look like failing ones, so that others are refused. Found by reading; the new case of test_forward failed at both deadlines before.

An attempt counts as timed out only if it had the route's mean answer time, which is learned from answers within callers' deadlines. A silent upstream still counts as failing for callers who wait that long.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -198,6 +198,20 @@
 	attempt_unlink(attempt);
 }
 
+/* Returns what an attempt without an answer says about its upstream. Less time
+ * than an answer takes says nothing: else callers with short deadlines would
+ * make healthy upstreams look like failing ones. */
+static enum load_outcome
+unanswered_outcome(const struct upstream_attempt *attempt, double now)
+{
+	const struct proxy_request *req = attempt->req;
+
+	if (now < req->give_up_s ||
+	    now - attempt->started_s < req->stats->mean_s)
+		return LOAD_CANCELLED;
+	return LOAD_TIMED_OUT;
+}
+
 void attempt_cancel_all(struct proxy_request *req)
 {
 	struct forward *forward = req->forward;
@@ -218,9 +232,7 @@
 			continue;
 		}
 		load_end(&attempt->upstream->load,
-			 now >= req->give_up_s ? LOAD_TIMED_OUT
-					       : LOAD_CANCELLED,
-			 1, now);
+			 unanswered_outcome(attempt, now), 1, now);
 		link_close(attempt->link);
 		attempt_free(attempt);
 	}
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -385,6 +385,56 @@
 	teardown(&rig);
 }
 
+/* A caller's time limit, and whether an upstream that stays silent in it counts
+ * as failing. */
+struct patience_case {
+	const char *deadline_ms;
+	bool counts;
+};
+
+/* Guards against callers who wait for less time than answers take, and so make
+ * healthy upstreams look like failing ones. */
+static void impatient_callers_say_nothing_about_an_upstream(void)
+{
+	/* Answers are assumed to take 150 ms until some are known. */
+	static const struct patience_case rows[] = {
+		{ "1", false },
+		{ "20", false },
+		{ "120", false },
+		{ "260", true },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		const struct upstream *upstream;
+		struct rig rig;
+		unsigned int wait;
+		char *text;
+		int caller;
+
+		setup(&rig);
+		caller = connect_caller(&rig);
+		text = g_strdup_printf("GET /later/x HTTP/1.1\r\n"
+				       "Host: app.example\r\n"
+				       "X-Request-Id: impatient\r\n"
+				       "X-Deadline-Ms: %s\r\n\r\n",
+				       rows[i].deadline_ms);
+		CU_ASSERT_EQUAL(send(caller, text, strlen(text), 0),
+				(ssize_t)strlen(text));
+		for (wait = 0; wait < 20; wait++)
+			run_loop(&rig);
+		upstream = roster_upstream(rig.roster, "p-busy");
+		CU_ASSERT_PTR_NOT_NULL_FATAL(upstream);
+		CU_ASSERT_EQUAL(upstream->load.failures > 0, rows[i].counts);
+		CU_ASSERT_EQUAL(upstream->load.ejected_until_s > 0,
+				rows[i].counts);
+		g_free(text);
+		close(caller);
+		run_loop(&rig);
+		teardown(&rig);
+	}
+}
+
 /* Guards against a report to the leader that fits in no datagram, since callers
  * sent many requests since the last one. */
 static void the_keys_of_a_report_are_limited(void)
@@ -409,6 +459,8 @@
 		  an_answer_is_handled_whole_when_its_caller_leaves },
 		{ "the keys of a report are limited",
 		  the_keys_of_a_report_are_limited },
+		{ "impatient callers say nothing about an upstream",
+		  impatient_callers_say_nothing_about_an_upstream },
 		{ 0 },
 	};
 
