--- a/src/entry/caller_limits.c
+++ b/src/entry/caller_limits.c
@@ -149,6 +149,12 @@
 	limits->connections =
 		metrics_gauge(metrics, "auburn_caller_connections", "",
 			      "Connections of callers.");
+	limits->full_turns = metrics_counter(
+		metrics, "auburn_caller_full_turns_total", "",
+		"Iterations of the event loop that left callers unread.");
+	limits->buffer_bytes =
+		metrics_gauge(metrics, "auburn_caller_buffer_bytes", "",
+			      "Receive buffer of each caller's connection.");
 	for (i = 0; i < CALLER_REFUSALS; i++) {
 		char label[64];
 
@@ -191,13 +197,15 @@
 }
 
 void caller_limits_update_metrics(struct caller_limits *limits,
-				  unsigned int connections)
+				  const struct http_server *server)
 {
 	int i;
 
 	counter_set(limits->bytes, limits->budget.used);
 	counter_set(limits->bytes_peak, limits->budget.peak);
-	counter_set(limits->connections, connections);
+	counter_set(limits->connections, http_server_connections(server));
+	counter_set(limits->full_turns, http_server_full_turns(server));
+	counter_set(limits->buffer_bytes, http_server_buffer_bytes(server));
 	for (i = 0; i < DESCRIPTOR_USES; i++)
 		counter_set(limits->open[i],
 			    descriptors_open(limits->descriptors,
--- a/src/entry/caller_limits.h
+++ b/src/entry/caller_limits.h
@@ -9,6 +9,7 @@
 #include "base/metrics.h"
 #include "entry/settings.h"
 #include "net/caller_budget.h"
+#include "net/http_server.h"
 
 /** The budgets with their metrics; its members are private. */
 struct caller_limits {
@@ -25,6 +26,8 @@
 	struct counter *bytes;
 	struct counter *bytes_peak;
 	struct counter *connections;
+	struct counter *full_turns;
+	struct counter *buffer_bytes;
 	struct counter *refusals[CALLER_REFUSALS];
 };
 
@@ -42,8 +45,8 @@
 
 /** Updates the metrics before they are shown.
  *
- * @param connections number of callers' connections */
+ * @param server where callers connect */
 void caller_limits_update_metrics(struct caller_limits *limits,
-				  unsigned int connections);
+				  const struct http_server *server);
 
 #endif
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -290,9 +290,8 @@
 
 	counter_set(entry->answer_bytes, entry->answers.used);
 	counter_set(entry->answer_bytes_peak, entry->answers.peak);
-	caller_limits_update_metrics(
-		&entry->caller_limits,
-		http_server_connections(entry->caller_server));
+	caller_limits_update_metrics(&entry->caller_limits,
+				     entry->caller_server);
 	text = metrics_render(entry->metrics);
 	answer.body = str_from(text);
 	http_request_answer(request, &answer);
--- a/src/net/http_conn.h
+++ b/src/net/http_conn.h
@@ -150,6 +150,10 @@
 	 * the loop time until which they are in this iteration. */
 	unsigned int iteration;
 	double turn_ends_s;
+	/** Value of http_server_full_turns(), and the iteration that it counted
+	 * last. */
+	uint64_t full_turns;
+	unsigned int counted_iteration;
 	/** Value of http_server_requests(). */
 	unsigned int requests;
 	/** http_server_drain() was called. */
--- a/src/net/http_conn_turn.c
+++ b/src/net/http_conn_turn.c
@@ -28,6 +28,9 @@
 {
 	struct http_server *server = conn->server;
 
+	if (server->counted_iteration != server->iteration)
+		server->full_turns++;
+	server->counted_iteration = server->iteration;
 	conn->in_queue = true;
 	conn->turn_link.data = conn;
 	g_queue_push_tail_link(&server->waiting, &conn->turn_link);
@@ -73,6 +76,11 @@
 	server->next_turn.data = server;
 }
 
+uint64_t http_server_full_turns(const struct http_server *server)
+{
+	return server->full_turns;
+}
+
 void http_conn_read_in_turn(struct http_conn *conn)
 {
 	if (conn->in_queue)
--- a/src/net/http_conn_window.c
+++ b/src/net/http_conn_window.c
@@ -82,3 +82,8 @@
 	http_conn_return(conn, &conn->wide_held);
 	socket_set_receive_buffer(conn->fd, conn->server->buffer_bytes);
 }
+
+size_t http_server_buffer_bytes(const struct http_server *server)
+{
+	return server->buffer_bytes;
+}
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -141,6 +141,14 @@
 /** Returns the number of open connections. */
 unsigned int http_server_connections(const struct http_server *server);
 
+/** Returns in how many iterations of the event loop connections were left
+ * unread because the others took the time for it. */
+uint64_t http_server_full_turns(const struct http_server *server);
+
+/** Returns the size of each connection's buffers in the system, in bytes; 0:
+ * the system's own. */
+size_t http_server_buffer_bytes(const struct http_server *server);
+
 /** Returns the number of complete requests whose answer is not being sent yet.
  */
 unsigned int http_server_requests(const struct http_server *server);
