--- a/src/entry/caller_limits.c
+++ b/src/entry/caller_limits.c
@@ -15,10 +15,8 @@
  * bytes of answers that the system hasn't sent. It lies within the part that is
  * left for tables. */
 #define SYSTEM_PART 0.1
-/* Most connections to each of the addresses for readiness and metrics, and
- * bytes that they may hold. */
+/* Most connections to each of the addresses for readiness and metrics. */
 #define OPERATOR_CONNECTIONS 8
-#define OPERATOR_BYTES ((size_t)1 << 20)
 /* Allocations from this size on are mapped by themselves and given back to the
  * system when freed: while callers hold much, and otherwise. Smaller blocks
  * leave holes in the heap, which stay resident: with 128 KiB, 2,200 callers
@@ -92,7 +90,7 @@
 
 static void init_operator_budget(struct caller_budget *budget)
 {
-	budget->limit = OPERATOR_BYTES;
+	budget->limit = G_MAXSIZE;
 	budget->connections = OPERATOR_CONNECTIONS;
 	budget->use = DESCRIPTOR_SYSTEM;
 	g_queue_init(&budget->holders);
--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -255,9 +255,9 @@
 	return false;
 }
 
-bool links_close_idlest(struct links *links)
+bool links_close_longest_idle(struct links *links)
 {
-	struct link *idlest = NULL;
+	struct link *longest = NULL;
 	double since_s = G_MAXDOUBLE;
 	GList *node;
 
@@ -268,12 +268,12 @@
 		if (link->user ||
 		    http_channel_idle_since_s(link->channel) >= since_s)
 			continue;
-		idlest = link;
+		longest = link;
 		since_s = http_channel_idle_since_s(link->channel);
 	}
-	if (idlest)
-		link_free(idlest);
-	return idlest != NULL;
+	if (longest)
+		link_free(longest);
+	return longest != NULL;
 }
 
 /* Whether a connection can be opened, possibly in place of an idle one. */
@@ -292,7 +292,7 @@
 
 	if (descriptors && links->idle_count &&
 	    !descriptors_have_room(descriptors, DESCRIPTOR_UPSTREAM))
-		(void)links_close_idlest(links);
+		(void)links_close_longest_idle(links);
 }
 
 /* Closes the idle connections of an upstream that were not used for the longest
--- a/src/entry/links.h
+++ b/src/entry/links.h
@@ -125,7 +125,7 @@
 
 /** Closes the connection that has been idle longest; returns false if none is
  * idle. */
-bool links_close_idlest(struct links *links);
+bool links_close_longest_idle(struct links *links);
 
 /** Closes an upstream's idle connections. */
 void links_close_idle(struct links *links, struct upstream *upstream);
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -349,7 +349,7 @@
 
 static bool close_idle_upstream(void *ctx)
 {
-	return links_close_idlest(ctx);
+	return links_close_longest_idle(ctx);
 }
 
 static const struct descriptors_ops descriptors_ops = {
