test: 900 s for each test that runs alone

functional-test_entry_crowds takes 100 to 130 s in the plain build and starts 17 daemons; with the thread sanitizer it could reach the 300 s after which the runner ends a program. No case has a time bound of its own in this.

--- a/tools/run-tests.sh
+++ b/tools/run-tests.sh
@@ -42,7 +42,7 @@
 for name in $alone
 do
 	test -x "$build/$name" || continue
-	timeout 300 "$build/$name" >"$logs/$name.log" 2>&1 </dev/null
+	timeout 900 "$build/$name" >"$logs/$name.log" 2>&1 </dev/null
 	echo $? >"$logs/$name.status"
 done
 
