--- a/tools/run-tests.sh
+++ b/tools/run-tests.sh
@@ -14,8 +14,8 @@
 # Unit tests and replays of fuzz targets run in parallel, one per processor.
 # Functional tests, each of which starts processes, run three at a time; those
 # listed in $alone load the machine and run after them, one at a time.
-alone="functional-test_entry_clients functional-test_entry_crowds
-	functional-test_entry_fleet_crowds functional-test_entry_promises"
+alone="functional-test_entry_clients functional-test_entry_crowds"
+alone="$alone functional-test_entry_fleet_crowds functional-test_entry_promises"
 for program in "$build"/unit-* "$build"/replay-*
 do
 	test -x "$program" && echo "$program"
