--- a/test/functional/cluster_sender.h
+++ b/test/functional/cluster_sender.h
@@ -21,8 +21,9 @@
 #define SENDER_FIELD_BYTES 1030
 #define SENDER_FIELDS 15
 
-/** What one kind of callers sends: a text, then a repeated text of a prefix,
- * some bytes of filling and a suffix, then another text. */
+/** What one kind of callers sends: a text (head), then a repeated text that
+ * consists of a prefix, header fields, some bytes of filling and a suffix, then
+ * another text (tail). */
 struct sender {
 	const char *head;
 	const char *prefix;
@@ -38,6 +39,7 @@
 	bool no_read;
 };
 
+/** Head of a request with a body of a length. */
 #define SENDER_LENGTH_HEAD(length)                                             \
 	LIMITED_POST_HEAD "Content-Length: " length "\r\n\r\n"
 #define SENDER_LARGEST "33554432"
@@ -104,10 +106,11 @@
 		.filling = SENDER_SMALL_BODY, .repeats = 200, .no_read = true  \
 	}
 
-/** Requests that wait long, one behind the other; answers are not read. */
+/** Head of a request that an upstream works on for 5 s, without its end. */
 #define SENDER_GET_HEAD                                                        \
 	"GET /plain/work-ms-5000/a HTTP/1.1\r\nHost: app.example\r\n"          \
 	"X-Deadline-Ms: 9000\r\n"
+/** Such requests, one behind the other; answers are not read. */
 #define SENDER_WAITING_REQUESTS                                                \
 	{                                                                      \
 		.prefix = SENDER_GET_HEAD "\r\n",                              \
--- a/test/functional/test_entry_fleet_crowds.c
+++ b/test/functional/test_entry_fleet_crowds.c
@@ -19,7 +19,8 @@
 #define STILL_MS 200
 /* For how long the crowd goes on beside a fault. */
 #define FAULT_US ((gulong)3 * G_USEC_PER_SEC)
-/* Grace period of a shutdown, and the time by which the process has ended. */
+/* Time by which a daemon that is stopped, with a grace period of 6 s, has
+ * ended. */
 #define STOP_WAIT_US ((int64_t)10 * G_USEC_PER_SEC)
 
 /* A crowd on a thread, which connects again when all its connections are
@@ -27,8 +28,8 @@
 struct crowd_thread {
 	GThread *thread;
 	const char *address;
+	/* Set to end the thread. */
 	gint stop;
-	uint64_t sent;
 };
 
 /* Where the crowd is. */
@@ -73,7 +74,6 @@
 		do {
 			crowd_run(crowd, STILL_MS);
 		} while (!g_atomic_int_get(&c->stop) && crowd_open(crowd));
-		c->sent += crowd_sent_bytes(crowd);
 		crowd_destroy(crowd);
 		/* A daemon that ended refuses connections. */
 		g_usleep(G_USEC_PER_SEC / 10);
--- a/test/functional/test_entry_promises.c
+++ b/test/functional/test_entry_promises.c
@@ -18,7 +18,7 @@
 #define STILL_MS 1000
 #define ID_FORMAT "promise%03u"
 
-/* Most statuses that promise that a request hasn't run. */
+/* Returns whether a status promises that the request has not run. */
 static bool promises_not_run(unsigned int status)
 {
 	return status == 408 || status == 421 || status == 429 || status == 503;
