net, entry, test: use what is there

Read again as a whole: each caller of the account of descriptors checked for a missing one, though opening and closing accept NULL; finding room does too now.

No change of behaviour.

--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -279,19 +279,16 @@
 /* Whether a connection can be opened, possibly in place of an idle one. */
 static bool has_descriptor(const struct links *links)
 {
-	struct descriptors *descriptors = links->loop->descriptors;
-
-	return !descriptors || links->idle_count ||
-	       descriptors_have_room(descriptors, DESCRIPTOR_UPSTREAM);
+	return links->idle_count ||
+	       descriptors_have_room(links->loop->descriptors,
+				     DESCRIPTOR_UPSTREAM);
 }
 
 /* Closes an idle connection if another one could not be opened otherwise. */
 static void make_descriptor_room(struct links *links)
 {
-	struct descriptors *descriptors = links->loop->descriptors;
-
-	if (descriptors && links->idle_count &&
-	    !descriptors_have_room(descriptors, DESCRIPTOR_UPSTREAM))
+	if (!descriptors_have_room(links->loop->descriptors,
+				   DESCRIPTOR_UPSTREAM))
 		(void)links_close_longest_idle(links);
 }
 
--- a/src/net/descriptors.c
+++ b/src/net/descriptors.c
@@ -94,7 +94,7 @@
 
 bool descriptors_have_room(struct descriptors *d, enum descriptor_use use)
 {
-	if (use == DESCRIPTOR_SYSTEM || is_below_limits(d, use))
+	if (!d || use == DESCRIPTOR_SYSTEM || is_below_limits(d, use))
 		return true;
 	if (use == DESCRIPTOR_CALLER && d->ops &&
 	    d->open[DESCRIPTOR_CALLER] < d->callers &&
--- a/src/net/descriptors.h
+++ b/src/net/descriptors.h
@@ -50,7 +50,8 @@
 
 /**
  * Returns whether a descriptor may be opened for a use. For a caller, an idle
- * connection to an upstream is closed if that makes room.
+ * connection to an upstream is closed if that makes room. Without an account,
+ * NULL, there is always room.
  */
 bool descriptors_have_room(struct descriptors *descriptors,
 			   enum descriptor_use use);
--- a/src/net/http_conn_limits.c
+++ b/src/net/http_conn_limits.c
@@ -76,7 +76,6 @@
 {
 	size_t rest = conn->holder.held;
 
-	conn->wide_held = 0;
 	if (!conn->server->budget)
 		return;
 	http_conn_return(conn, &rest);
@@ -286,22 +285,13 @@
 	return server->budget ? server->budget->use : DESCRIPTOR_SYSTEM;
 }
 
-/* Whether the account of descriptors has room for another connection. */
-static bool has_descriptor(const struct http_server *server)
-{
-	struct descriptors *descriptors = server->loop->descriptors;
-
-	return !descriptors ||
-	       descriptors_have_room(descriptors, server->budget->use);
-}
-
 bool http_server_admit(struct http_server *server, int fd)
 {
 	const struct caller_budget *budget = server->budget;
 
 	if (!budget || !budget->connections ||
 	    (server->conns.length < budget->connections &&
-	     has_descriptor(server)) ||
+	     descriptors_have_room(server->loop->descriptors, budget->use)) ||
 	    close_one(server))
 		return true;
 	caller_budget_refuse(server->budget, CALLER_REFUSED_CONNECTIONS, 0);
--- a/src/net/http_conn_window.c
+++ b/src/net/http_conn_window.c
@@ -28,15 +28,6 @@
 	return bytes;
 }
 
-/* Whether a buffer of these bytes is the right one for the present number of
- * connections, or was for a slightly larger one. */
-static bool still_suits(const struct http_server *server, size_t bytes)
-{
-	size_t suitable = buffer_bytes_for(server);
-
-	return bytes == suitable || bytes * 2 == suitable;
-}
-
 static void set_buffers(int fd, size_t bytes)
 {
 	socket_set_receive_buffer(fd, bytes);
@@ -45,13 +36,17 @@
 
 void http_server_size_windows(struct http_server *server)
 {
-	size_t before = server->buffer_bytes;
+	size_t suitable;
 	GList *link;
 
-	if (!server->budget || !server->budget->system_bytes ||
-	    still_suits(server, before))
+	if (!server->budget || !server->budget->system_bytes)
+		return;
+	suitable = buffer_bytes_for(server);
+	/* Half of it was right for a slightly larger number. */
+	if (server->buffer_bytes == suitable ||
+	    server->buffer_bytes * 2 == suitable)
 		return;
-	server->buffer_bytes = buffer_bytes_for(server);
+	server->buffer_bytes = suitable;
 	if (server->fd >= 0)
 		set_buffers(server->fd, server->buffer_bytes);
 	for (link = server->conns.head; link; link = link->next) {
--- a/test/functional/cluster_crowd.c
+++ b/test/functional/cluster_crowd.c
@@ -249,11 +249,9 @@
 unsigned int crowd_status_count(const struct crowd *crowd, unsigned int status)
 {
 	unsigned int i, count = 0;
-	char text[16];
 
-	g_snprintf(text, sizeof(text), "HTTP/1.1 %03u ", status);
 	for (i = 0; i < crowd->count; i++)
-		count += g_str_has_prefix(crowd->callers[i].status_line, text);
+		count += crowd_status(crowd, i) == status;
 	return count;
 }
 
--- a/test/functional/cluster_limited.c
+++ b/test/functional/cluster_limited.c
@@ -48,7 +48,7 @@
 /* Observes the daemon on a thread while a crowd runs. */
 struct usage_watch {
 	GThread *thread;
-	pid_t pid;
+	const struct process *process;
 	/* Local address of callers' connections as in /proc/net/tcp. */
 	char callers[16];
 	/* Set to end the thread. */
@@ -59,11 +59,12 @@
 	int64_t footprint_kib;
 };
 
-/* Returns the number behind a label of /proc/PID/status, in KiB; -1 on an
- * error. */
-static int64_t status_kib(pid_t pid, const char *label)
+/* Returns the peak of a process's resident set, in KiB; -1 on an error. */
+static int64_t resident_peak_kib(const struct process *process)
 {
-	char *path = g_strdup_printf("/proc/%d/status", (int)pid);
+	static const char label[] = "VmHWM:";
+	char *path =
+		g_strdup_printf("/proc/%d/status", (int)process_pid(process));
 	char *text = NULL;
 	const char *at = NULL;
 	int64_t kib = -1;
@@ -132,8 +133,8 @@
 	struct usage_watch *watch = data;
 
 	do {
-		unsigned int count = count_open(watch->pid);
-		int64_t footprint = status_kib(watch->pid, "VmRSS:") +
+		unsigned int count = count_open(process_pid(watch->process));
+		int64_t footprint = process_memory_kib(watch->process) +
 				    held_by_system(watch->callers) / 1024;
 
 		watch->most_open = MAX(watch->most_open, count);
@@ -147,7 +148,7 @@
 {
 	const struct entry *entry = &limited_rig.entries[0];
 
-	watch->pid = process_pid(entry->process);
+	watch->process = entry->process;
 	format_local(watch->callers, sizeof(watch->callers), entry->callers);
 	watch->thread = g_thread_new("usage", watch_usage, watch);
 }
@@ -227,8 +228,7 @@
 
 bool limited_is_resident_bounded(const char *name, unsigned int daemon)
 {
-	int64_t peak = status_kib(
-		process_pid(limited_rig.entries[daemon].process), "VmHWM:");
+	int64_t peak = resident_peak_kib(limited_rig.entries[daemon].process);
 
 	printf("# %s: resident peak %" G_GINT64_FORMAT " KiB of "
 	       "%" G_GINT64_FORMAT "\n",
