--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -599,6 +599,10 @@
 	/* Number of connections, the oldest ones, that get no answer. */
 	unsigned int silent_count;
 	ev_timer serve_timer;
+	/* Time from a request to its reply, in seconds, and loop times at which
+	 * replies are due; 0: none. */
+	double latency_s;
+	double due_s[CONNECTIONS_MAX];
 	/* Calls of the client without a result, and the last result. */
 	unsigned int pending;
 	enum store_status status;
@@ -617,12 +621,16 @@
 	if (fd >= 0 && server->conn_count < CONNECTIONS_MAX)
 		server->conns[server->conn_count++] = fd;
 	for (i = server->silent_count; i < server->conn_count; i++) {
+		double now = loop_now(&server->loop);
 		char buf[1024];
 
 		/* The client's requests are small and arrive whole. */
 		if (recv(server->conns[i], buf, sizeof(buf), MSG_DONTWAIT) > 0)
-			send(server->conns[i], reply, strlen(reply),
-			     MSG_NOSIGNAL);
+			server->due_s[i] = now + server->latency_s;
+		if (!server->due_s[i] || now < server->due_s[i])
+			continue;
+		server->due_s[i] = 0;
+		send(server->conns[i], reply, strlen(reply), MSG_NOSIGNAL);
 	}
 }
 
@@ -692,6 +700,49 @@
 	silent_server_stop(&server);
 }
 
+static void a_platform_that_answers_late_is_heard(void)
+{
+	static const struct {
+		/* The call asks for changes; else for the whole table. */
+		bool follow;
+		double latency_s;
+		/* Calls that time out before one is answered. */
+		unsigned int lost;
+	} rows[] = {
+		{ false, 0.2, 0 },
+		{ false, 1.4, 1 },
+		{ true, 0.2, 0 },
+		{ true, 0.8, 1 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct silent_server server;
+		struct sockaddr_in address;
+		struct table_store *client;
+		struct store store;
+		unsigned int lost = 0;
+
+		silent_server_start(&server, &address);
+		server.latency_s = rows[i].latency_s;
+		client = table_store_create(&server.loop, &address);
+		store = table_store_interface(client);
+		do {
+			server.pending = 1;
+			if (rows[i].follow)
+				store.ops->follow(store.impl, "t", 1, 0,
+						  on_silent_answer, &server);
+			else
+				store.ops->read(store.impl, "t", "",
+						on_silent_answer, &server);
+			ev_run(server.loop.ev, 0);
+		} while (server.status != STORE_OK && ++lost < 5);
+		CU_ASSERT_EQUAL(lost, rows[i].lost);
+		table_store_destroy(client);
+		silent_server_stop(&server);
+	}
+}
+
 static void arriving_reply_does_not_time_out(void)
 {
 	CU_ASSERT_EQUAL(read_from_slow_server(1), STORE_OK);
@@ -725,6 +776,8 @@
 		  reply_headers_tell_the_limit_of_the_upstream },
 		{ "a call doesn't time out while its reply arrives",
 		  arriving_reply_does_not_time_out },
+		{ "a platform that answers late is heard",
+		  a_platform_that_answers_late_is_heard },
 		{ "a timeout ends the use of idle connections",
 		  a_timeout_ends_the_use_of_idle_connections },
 		{ 0 },
