table_watch: a call whose answer is late is not given up again and again

Callers' requests were handled by an old configuration for as long as the store answered late, on the VMs that had missed a change.

A VM that other VMs are ahead of takes its pending call for lost after 0.2 s, ends it and sends it again. If the store's answers take longer than that, all of these calls are lost: the VM asks about four times a second and stands still until the store is faster, or until a later change happens to be relayed to it. That holds for each VM that is behind, the leader included.

The time after which a call is taken for lost now doubles with each one, to 1.6 s at most, until 5 s have passed without one. A call on a connection that went silent is noticed as early as before.

--- a/src/entry/table_watch_impl.h
+++ b/src/entry/table_watch_impl.h
@@ -79,6 +79,10 @@
 	/** Loop time since which other VMs have known a newer row than this VM;
 	 * 0: they don't. */
 	double behind_since_s;
+	/** Calls in a row that were taken for lost, and loop time of the last
+	 * one. */
+	unsigned int lost_calls;
+	double lost_call_s;
 	/** Newest row version at the last check, and when it was seen first. */
 	uint64_t progress_version;
 	double progress_s;
--- a/src/entry/table_watch_peers.c
+++ b/src/entry/table_watch_peers.c
@@ -2,6 +2,8 @@
  * What other VMs do for a table watch: they relay changes, know newer rows and
  * send copies.
  */
+#include <math.h>
+
 #include "entry/table_watch_impl.h"
 
 /* Time, in seconds, allowed for a change to arrive through the pending long
@@ -9,6 +11,13 @@
  * lost. */
 #define STALE_AFTER_S 0.2
 
+/* Longest value of STALE_AFTER_S, which doubles with each call that is taken
+ * for lost: its answer may only be late. */
+#define STALE_AFTER_MAX_S 1.6
+/* Time, in seconds, since the last call that was taken for lost after which
+ * STALE_AFTER_S applies again. */
+#define FORGET_LOST_S 5.0
+
 /* Longest time, in seconds, without a newer row for which a VM that is behind
  * waits for parts of large changes. Each newer change that is announced would
  * otherwise prolong the wait, and in a quick succession of configurations a VM
@@ -38,6 +47,25 @@
 	table_watch_start_snapshot(table_watch, true);
 }
 
+/* Returns the time, in seconds, after which a call without an answer is taken
+ * for lost. */
+static double stale_after_s(const struct table_watch *table_watch, double now)
+{
+	if (now > table_watch->lost_call_s + FORGET_LOST_S)
+		return STALE_AFTER_S;
+	return MIN(ldexp(STALE_AFTER_S, (int)table_watch->lost_calls),
+		   STALE_AFTER_MAX_S);
+}
+
+/* Counts the pending call as lost. */
+static void count_lost_call(struct table_watch *table_watch, double now)
+{
+	if (now > table_watch->lost_call_s + FORGET_LOST_S)
+		table_watch->lost_calls = 0;
+	table_watch->lost_calls = MIN(table_watch->lost_calls + 1, 8);
+	table_watch->lost_call_s = now;
+}
+
 /* Cancels the pending call, which is taken for lost, and calls the store again.
  */
 static void restart_call(struct table_watch *table_watch)
@@ -94,6 +122,7 @@
 static void check_staleness(struct table_watch *table_watch, uint64_t version)
 {
 	double now = loop_now(table_watch->loop);
+	double wait_s;
 
 	if (table_watch->row_version != table_watch->progress_version) {
 		table_watch->progress_version = table_watch->row_version;
@@ -105,12 +134,17 @@
 	}
 	if (!table_watch->behind_since_s)
 		table_watch->behind_since_s = now;
-	if (!awaits_parts(table_watch, now) &&
-	    now > table_watch->behind_since_s + STALE_AFTER_S &&
-	    now > table_watch->call_started_s + STALE_AFTER_S &&
-	    !table_watch->store.ops->receiving(table_watch->store.impl,
-					       table_watch))
-		restart_call(table_watch);
+	wait_s = table_watch->call_pending ? stale_after_s(table_watch, now)
+					   : STALE_AFTER_S;
+	if (awaits_parts(table_watch, now) ||
+	    now <= table_watch->behind_since_s + wait_s ||
+	    now <= table_watch->call_started_s + wait_s ||
+	    table_watch->store.ops->receiving(table_watch->store.impl,
+					      table_watch))
+		return;
+	if (table_watch->call_pending)
+		count_lost_call(table_watch, now);
+	restart_call(table_watch);
 }
 
 void table_watch_set_peers(struct table_watch *table_watch,
--- a/test/functional/cluster_entry.c
+++ b/test/functional/cluster_entry.c
@@ -50,14 +50,13 @@
 			   struct entry *entry, double grace_s, int fds[PORTS])
 {
 	unsigned int ports[PORTS];
-	char peers[32];
 	char *text;
 
 	reserve_ports(ports, fds);
 	write_address(entry->callers, ports[0]);
 	write_address(entry->ready, ports[1]);
 	write_address(entry->metrics, ports[2]);
-	write_address(peers, ports[3]);
+	write_address(entry->peers, ports[3]);
 	g_snprintf(entry->settings, sizeof(entry->settings), "%s/entry%u.conf",
 		   rig->folder, index);
 	text = g_strdup_printf(
@@ -65,7 +64,7 @@
 		"ready = %s\npeers = %s\nmetrics = %s\n"
 		"[store]\naddress = %s\n[stop]\ngrace = %.1f\n",
 		index, rig->vm_settings ? rig->vm_settings : "", entry->callers,
-		entry->ready, peers, entry->metrics,
+		entry->ready, entry->peers, entry->metrics,
 		process_address(rig->site, "store"), grace_s);
 	g_file_set_contents(entry->settings, text, -1, NULL);
 	g_free(text);
--- a/test/functional/cluster_entry.h
+++ b/test/functional/cluster_entry.h
@@ -20,9 +20,12 @@
 /** An auburn-entry process. */
 struct entry {
 	struct process *process;
-	/** "IPv4:port" for callers, readiness checks and metrics. */
+	/** "IPv4:port" for callers, readiness checks, other daemons and
+	 * metrics.
+	 */
 	char callers[32];
 	char ready[32];
+	char peers[32];
 	char metrics[32];
 	/** Path of the settings file. */
 	char settings[256];
--- a/test/standin/site.h
+++ b/test/standin/site.h
@@ -85,6 +85,11 @@
 	/** Feed requests that wait for a change: elements are struct watch of
 	 * site_store.c. */
 	GQueue watches;
+	/** Time, in seconds, by which the store answers daemons late, and the
+	 * answers that wait: elements are struct late_answer of site_store.c.
+	 */
+	double answer_delay_s;
+	GQueue late_answers;
 	/** The store responds with 503 to all but the tests' control calls. */
 	bool store_down;
 	/** Service of the route "moved", and loop time since when. */
--- a/test/standin/site_store.c
+++ b/test/standin/site_store.c
@@ -16,6 +16,7 @@
 
 /* Interval at which watches are checked for the end of their wait. */
 #define WATCH_CHECK_S 0.02
+#define MS_PER_S 1000.0
 
 /* A row of a table. Removed rows are kept, for the change feed. */
 struct row {
@@ -38,6 +39,15 @@
 	double until_s;
 };
 
+/* An answer of the store that is sent later. */
+struct late_answer {
+	struct http_request *request;
+	unsigned int status;
+	json_t *body;
+	/** Loop time at which it is sent. */
+	double due_s;
+};
+
 static void row_free(gpointer data)
 {
 	struct row *row = data;
@@ -72,6 +82,57 @@
 	json_decref(root);
 }
 
+/* Answers a daemon, site->answer_delay_s later; takes over the reference to
+ * root. */
+static void answer_daemon(struct site *site, struct http_request *request,
+			  unsigned int status, json_t *root)
+{
+	struct late_answer *answer;
+
+	if (site->answer_delay_s <= 0) {
+		answer_json(request, status, root);
+		return;
+	}
+	answer = g_new0(struct late_answer, 1);
+	answer->request = request;
+	answer->status = status;
+	answer->body = root;
+	answer->due_s = loop_now(&site->loop) + site->answer_delay_s;
+	g_queue_push_tail(&site->late_answers, answer);
+}
+
+/* Sends the late answers that are due. */
+static void send_late_answers(struct site *site)
+{
+	double now = loop_now(&site->loop);
+	struct late_answer *answer;
+
+	while ((answer = g_queue_peek_head(&site->late_answers)) &&
+	       answer->due_s <= now) {
+		g_queue_pop_head(&site->late_answers);
+		answer_json(answer->request, answer->status, answer->body);
+		g_free(answer);
+	}
+}
+
+/* Drops the late answer to a request whose connection was closed. */
+static void drop_late_answer(struct site *site,
+			     const struct http_request *request)
+{
+	GList *node;
+
+	for (node = site->late_answers.head; node; node = node->next) {
+		struct late_answer *answer = node->data;
+
+		if (answer->request != request)
+			continue;
+		json_decref(answer->body);
+		g_free(answer);
+		g_queue_delete_link(&site->late_answers, node);
+		return;
+	}
+}
+
 /* Returns a row as the protocol writes it, a new reference. */
 static json_t *row_json(const char *table, const struct row *row)
 {
@@ -150,7 +211,8 @@
 			continue;
 		}
 		g_queue_delete_link(&site->watches, node);
-		answer_json(watch->request, 200, result_json(site, rows));
+		answer_daemon(site, watch->request, 200,
+			      result_json(site, rows));
 		watch_free(watch);
 	}
 }
@@ -240,8 +302,8 @@
 
 		if (row_version_matches(site, condition))
 			continue;
-		answer_json(
-			request, 412,
+		answer_daemon(
+			site, request, 412,
 			result_json(site,
 				    rows_json(site,
 					      json_string_value(json_object_get(
@@ -258,7 +320,7 @@
 			json_string_value(json_object_get(put, "value")));
 	}
 	json_decref(root);
-	answer_json(request, 200, result_json(site, json_array()));
+	answer_daemon(site, request, 200, result_json(site, json_array()));
 }
 
 /* Handles a feed request: answers it now if its table has changed, or keeps it
@@ -288,6 +350,7 @@
  *                 which moves a route, see site_put_config()
  *   config        no ID; the body is the configuration to write
  *   down          the store is down unless ID is 0
+ *   slow          the store answers ID milliseconds late
  *   lose-feeds    feed requests that wait are never answered
  *   more          ID more upstreams of the service "plain" start
  *   entry         ID is the key of a row of upstreams, the body its value
@@ -320,6 +383,8 @@
 		site_upstream_restart(site, index);
 	else if (g_str_has_prefix(verb, "down"))
 		site->store_down = index != 0;
+	else if (g_str_has_prefix(verb, "slow"))
+		site->answer_delay_s = index / MS_PER_S;
 	else if (g_str_has_prefix(verb, "lose-feeds"))
 		drop_watches(site);
 	else if (g_str_has_prefix(verb, "entry"))
@@ -373,8 +438,8 @@
 	} else {
 		char *table = query_value(target, "table");
 
-		answer_json(
-			request, 200,
+		answer_daemon(
+			site, request, 200,
 			result_json(site, rows_json(site, table, 0, false)));
 		g_free(table);
 	}
@@ -386,6 +451,7 @@
 	struct site *site = ctx;
 	GList *node;
 
+	drop_late_answer(site, request);
 	for (node = site->watches.head; node; node = node->next) {
 		struct watch *watch = node->data;
 
@@ -402,6 +468,7 @@
 	(void)loop;
 	(void)events;
 	answer_watches(timer->data);
+	send_late_answers(timer->data);
 }
 
 struct http_server *site_store_create(struct site *site)
@@ -415,6 +482,7 @@
 
 	site->tables = g_hash_table_new(g_str_hash, g_str_equal);
 	g_queue_init(&site->watches);
+	g_queue_init(&site->late_answers);
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	server = http_server_create(&site->loop, &address, &ops, site, &error);
 	if (!server)
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -73,6 +73,8 @@
 
 /* Wait of a long poll, in seconds, while no other VM polls. */
 #define POLL_S 1.0
+/* Interval, in seconds, at which the watch learns what other VMs know. */
+#define TICK_S 0.05
 
 struct fixture {
 	struct manual_clock clock;
@@ -550,6 +552,64 @@
 	teardown(&f);
 }
 
+/* Returns the number of calls to the store until the watch has a row that other
+ * VMs know, when each answer comes latency_s after its call; 0: it is still
+ * missing after ten seconds. */
+static int calls_to_catch_up(struct fixture *f, double latency_s)
+{
+	struct store_row b = make_row("b", 20, 1);
+	int calls = f->calls;
+	int answered = calls;
+	int ticks, called = 0;
+
+	for (ticks = 0; ticks < 10 / TICK_S; ticks++) {
+		advance(f, TICK_S);
+		table_watch_set_peers(f->table_watch, TABLE_WATCH_PEERS_RELAY,
+				      20);
+		if (f->calls != answered) {
+			answered = f->calls;
+			called = ticks;
+		}
+		if (f->call && (ticks - called) * TICK_S >= latency_s)
+			answer(f, STORE_OK, 20, &b, 1);
+		if (table_watch_row_version(f->table_watch) == 20)
+			break;
+	}
+	g_string_free(b.value, TRUE);
+	return ticks < 10 / TICK_S ? f->calls - calls : 0;
+}
+
+static void a_store_that_answers_late_is_heard(void)
+{
+	static const struct {
+		enum table_watch_mode mode;
+		const struct table_watch_ops *ops;
+		double latency_s;
+	} rows[] = {
+		{ TABLE_WATCH_PASSIVE, &table_watch_ops, 0.15 },
+		{ TABLE_WATCH_PASSIVE, &table_watch_ops, 0.35 },
+		{ TABLE_WATCH_PASSIVE, &table_watch_ops, 0.7 },
+		{ TABLE_WATCH_PASSIVE, &table_watch_ops, 1.4 },
+		{ TABLE_WATCH_PASSIVE, &snapshot_ops, 0.35 },
+		{ TABLE_WATCH_PASSIVE, &snapshot_ops, 1.4 },
+		{ TABLE_WATCH_BACKUP, &table_watch_ops, 0.7 },
+		{ TABLE_WATCH_LEADER, &table_watch_ops, 0.35 },
+		{ TABLE_WATCH_LEADER, &table_watch_ops, 1.4 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct fixture f;
+		int calls;
+
+		setup_with(&f, rows[i].ops);
+		table_watch_set_mode(f.table_watch, rows[i].mode);
+		calls = calls_to_catch_up(&f, rows[i].latency_s);
+		CU_ASSERT_TRUE(calls > 0 && calls <= 5);
+		teardown(&f);
+	}
+}
+
 static void a_table_of_few_rows_catches_up_by_snapshot(void)
 {
 	struct store_row b = make_row("b", 12, 1);
@@ -775,6 +835,8 @@
 		  a_watch_does_not_wait_for_parts_again_and_again },
 		{ "a call is not cancelled while its answer arrives",
 		  a_call_is_not_cancelled_while_its_answer_arrives },
+		{ "a store that answers late is heard",
+		  a_store_that_answers_late_is_heard },
 		{ "a table of few rows catches up by snapshot",
 		  a_table_of_few_rows_catches_up_by_snapshot },
 		{ "a relayed delta cancels the catch up snapshot",
