table_watch: a VM is up to date when it has all changes, not the newest row

Callers saw nothing yet; a VM could go on with an old row, or call the store all the time.

Cause: a VM compared the newest row that it had seen with the newest one that other VMs had seen.

Now a VM is up to date when it has applied all changes up to the version that others have seen, which table_watch already keeps.

Evidence: the two new cases of unit-test_follower fail before.

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -253,8 +253,7 @@
 				    table_watch_row_version(operator_rows),
 				    table_watch_row_version(upstream_rows));
 	config_contact_tick(contact, cluster_now(cluster));
-	if (table_watch_row_version(operator_rows) >=
-	    cluster->row_versions.operator_rows)
+	if (table_watch_has(operator_rows, cluster->row_versions.operator_rows))
 		config_contact_peer_heard(contact,
 					  cluster->row_versions_heard_s);
 	table_watch_set_peers(operator_rows, peers,
--- a/src/entry/table_watch.c
+++ b/src/entry/table_watch.c
@@ -456,6 +456,11 @@
 	return table_watch->unreachable;
 }
 
+bool table_watch_has(const struct table_watch *table_watch, uint64_t version)
+{
+	return version <= table_watch->version;
+}
+
 uint64_t table_watch_row_version(const struct table_watch *table_watch)
 {
 	return table_watch->row_version;
--- a/src/entry/table_watch.h
+++ b/src/entry/table_watch.h
@@ -124,8 +124,8 @@
 
 /**
  * Sets what other VMs do, and the newest row version that they have seen; to be
- * called about every 50 ms. If it stays newer than this VM's, the watch assumes
- * that its pending call was lost, and calls the store again.
+ * called about every 50 ms. If the watch goes on missing changes up to it, it
+ * assumes that its pending call was lost, and calls the store again.
  *
  * @param version result of table_watch_row_version() on another VM; ignored
  *        without peers
@@ -137,6 +137,11 @@
  * on, were not answered. */
 bool table_watch_unreachable(const struct table_watch *table_watch);
 
+/** Whether the watch has applied all changes up to a version. Having seen a row
+ * of this version isn't enough: the pages of a snapshot show newer rows before
+ * older ones. */
+bool table_watch_has(const struct table_watch *table_watch, uint64_t version);
+
 /** Returns the newest row version that this watch has seen. */
 uint64_t table_watch_row_version(const struct table_watch *table_watch);
 
--- a/src/entry/table_watch_peers.c
+++ b/src/entry/table_watch_peers.c
@@ -99,7 +99,7 @@
 		table_watch->progress_version = table_watch->row_version;
 		table_watch->progress_s = now;
 	}
-	if (version <= table_watch->row_version) {
+	if (table_watch_has(table_watch, version)) {
 		table_watch->behind_since_s = 0;
 		return;
 	}
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -218,6 +218,22 @@
 	ev_run(f->loop.ev, EVRUN_NOWAIT);
 }
 
+/* Answers the pending read with one row; more rows follow it. */
+static void answer_page(struct fixture *f, uint64_t version,
+			const struct store_row *row)
+{
+	struct store_result result = {
+		.status = STORE_OK,
+		.version = version,
+		.rows = row,
+		.row_count = 1,
+		.more = true,
+	};
+
+	f->call = 0;
+	f->done(f->ctx, &result);
+}
+
 /* Creates and starts a watch. */
 static void start_watch(struct fixture *f, const struct table_watch_ops *ops,
 			double copy_wait_s)
@@ -591,6 +607,45 @@
 	teardown(&f);
 }
 
+/* Guards against a VM that counts as up to date after the newest row of a
+ * snapshot that it didn't read to the end. */
+static void rows_of_a_cancelled_snapshot_do_not_stand_for_all(void)
+{
+	struct store_row a = make_row("a", 15, 1);
+	struct fixture f;
+
+	setup_with(&f, &snapshot_ops);
+	relay(&f, 12, 15, "c", 15, false);
+	CU_ASSERT_EQUAL_FATAL(f.call, 'r');
+	answer_page(&f, 15, &a);
+	CU_ASSERT_EQUAL_FATAL(f.call, 'r');
+	relay(&f, 9, 12, "b", 12, false);
+	CU_ASSERT_EQUAL(f.call, 0);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 15);
+	advance(&f, 0.25);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 15);
+	CU_ASSERT_EQUAL(f.call, 'r');
+	g_string_free(a.value, TRUE);
+	teardown(&f);
+}
+
+/* Guards against VMs that read the store all the time, because other VMs saw a
+ * row's deletion, which no snapshot shows. */
+static void a_snapshot_stands_for_earlier_deletions(void)
+{
+	struct fixture f;
+	int i;
+
+	setup_with(&f, &snapshot_ops);
+	for (i = 0; i < 20; i++) {
+		table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY,
+				      9);
+		advance(&f, 0.05);
+	}
+	CU_ASSERT_EQUAL(f.calls, 1);
+	teardown(&f);
+}
+
 static void only_the_last_change_of_a_row_is_applied(void)
 {
 	struct store_row rows[] = { make_row("b", 11, 1), make_row("c", 12, 1),
@@ -779,6 +834,10 @@
 		  a_table_of_few_rows_catches_up_by_snapshot },
 		{ "a relayed delta cancels the catch up snapshot",
 		  a_relayed_delta_cancels_the_catch_up_snapshot },
+		{ "rows of a cancelled snapshot do not stand for all",
+		  rows_of_a_cancelled_snapshot_do_not_stand_for_all },
+		{ "a snapshot stands for earlier deletions",
+		  a_snapshot_stands_for_earlier_deletions },
 		{ "only the last change of a row is applied",
 		  only_the_last_change_of_a_row_is_applied },
 		{ "a lost history is replaced by a snapshot",
