table_watch: a copy of a table removes rows that a failed read showed

Callers: requests sent to an upstream that has left, or a zone that stays out of service, for as long as the VM runs.

When a later page failed and the leader's copy came instead, only the copy's rows were applied; those that it doesn't contain stayed, and no change of them would follow.

Evidence: the new case of unit-test_follower fails before: the row "old" of the failed read is still there after the copy.

--- a/src/entry/table_watch.c
+++ b/src/entry/table_watch.c
@@ -154,23 +154,39 @@
 	table_watch->ops->row(table_watch->ctx, row);
 }
 
-/* Removes the rows that the finished snapshot did not contain. */
-static void remove_unseen_rows(struct table_watch *table_watch)
+void table_watch_forget_seen_rows(struct table_watch *table_watch)
+{
+	g_clear_pointer(&table_watch->seen_keys, g_hash_table_destroy);
+	table_watch->seen_keys =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+void table_watch_see_row(struct table_watch *table_watch,
+			 const struct store_row *row)
+{
+	g_hash_table_add(table_watch->seen_keys, g_strdup(row->key));
+	table_watch_apply_row(table_watch, row);
+}
+
+void table_watch_remove_unseen_rows(struct table_watch *table_watch,
+				    uint64_t upto)
 {
 	GPtrArray *unseen = g_ptr_array_new_with_free_func(g_free);
 	GHashTableIter iter;
-	gpointer key;
+	gpointer key, row;
 	guint i;
 
 	g_hash_table_iter_init(&iter, table_watch->rows);
-	while (g_hash_table_iter_next(&iter, &key, NULL))
-		if (!g_hash_table_contains(table_watch->seen_keys, key))
+	while (g_hash_table_iter_next(&iter, &key, &row))
+		if (((const struct store_row *)row)->version <= upto &&
+		    !g_hash_table_contains(table_watch->seen_keys, key))
 			g_ptr_array_add(unseen, g_strdup(key));
 	for (i = 0; i < unseen->len; i++) {
 		g_hash_table_remove(table_watch->rows, unseen->pdata[i]);
 		table_watch->ops->removed(table_watch->ctx, unseen->pdata[i]);
 	}
 	g_ptr_array_free(unseen, TRUE);
+	g_clear_pointer(&table_watch->seen_keys, g_hash_table_destroy);
 }
 
 /* Returns the shortest delay of a retry, in seconds. The watches that the store
@@ -275,14 +291,10 @@
 	table_watch_set_unreachable(table_watch, false);
 	if (!table_watch->snapshot_version)
 		table_watch->snapshot_version = result->version;
-	for (i = 0; i < result->row_count; i++) {
-		g_hash_table_add(table_watch->seen_keys,
-				 g_strdup(result->rows[i].key));
-		table_watch_apply_row(table_watch, &result->rows[i]);
-	}
+	for (i = 0; i < result->row_count; i++)
+		table_watch_see_row(table_watch, &result->rows[i]);
 	if (!result->more || !result->row_count) {
-		remove_unseen_rows(table_watch);
-		g_clear_pointer(&table_watch->seen_keys, g_hash_table_destroy);
+		table_watch_remove_unseen_rows(table_watch, UINT64_MAX);
 		report_answered(table_watch);
 		table_watch_finish_snapshot(table_watch);
 		return;
@@ -404,9 +416,7 @@
 
 void table_watch_start_snapshot(struct table_watch *table_watch, bool catch_up)
 {
-	g_clear_pointer(&table_watch->seen_keys, g_hash_table_destroy);
-	table_watch->seen_keys =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	table_watch_forget_seen_rows(table_watch);
 	table_watch->needs_snapshot = true;
 	table_watch->catch_up_snapshot = catch_up;
 	table_watch->snapshot_version = 0;
--- a/src/entry/table_watch_impl.h
+++ b/src/entry/table_watch_impl.h
@@ -31,7 +31,8 @@
 	ev_timer timer;
 	/** Existing rows (struct store_row) by key. */
 	GHashTable *rows;
-	/** Set of the keys seen by the snapshot in progress, or NULL. */
+	/** Set of the keys seen by the snapshot or copy in progress, or NULL.
+	 */
 	GHashTable *seen_keys;
 	/** All changes up to this version were applied. */
 	uint64_t version;
@@ -104,6 +105,18 @@
 void table_watch_apply_row(struct table_watch *table_watch,
 			   const struct store_row *row);
 
+/** Prepares seen_keys for the rows of a snapshot or copy. */
+void table_watch_forget_seen_rows(struct table_watch *table_watch);
+
+/** Applies a row of a snapshot or copy. */
+void table_watch_see_row(struct table_watch *table_watch,
+			 const struct store_row *row);
+
+/** Removes the rows that the snapshot or copy did not show, except those newer
+ * than version upto, and frees seen_keys. */
+void table_watch_remove_unseen_rows(struct table_watch *table_watch,
+				    uint64_t upto);
+
 /** Ends a snapshot that showed snapshot_version. */
 void table_watch_finish_snapshot(struct table_watch *table_watch);
 
--- a/src/entry/table_watch_peers.c
+++ b/src/entry/table_watch_peers.c
@@ -239,10 +239,11 @@
 		table_watch->store.ops->cancel(table_watch->store.impl,
 					       table_watch);
 		table_watch->call_pending = false;
-		g_clear_pointer(&table_watch->seen_keys, g_hash_table_destroy);
 	}
+	table_watch_forget_seen_rows(table_watch);
 	for (i = 0; i < copy->count; i++)
-		table_watch_apply_row(table_watch, &copy->rows[i]);
+		table_watch_see_row(table_watch, &copy->rows[i]);
+	table_watch_remove_unseen_rows(table_watch, copy->upto);
 	table_watch->snapshot_version = copy->upto;
 	table_watch->call_started_s = loop_now(table_watch->loop);
 	table_watch_finish_snapshot(table_watch);
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -773,6 +773,26 @@
 	teardown(&f);
 }
 
+/* Guards against an upstream that left, or a zone out of service, that stays
+ * for ever: a read that failed midway showed its row, and the copy doesn't. */
+static void a_copy_removes_what_a_failed_read_showed(void)
+{
+	struct store_row old = make_row("old", 5, 1);
+	struct store_row newer = make_row("newer", 12, 1);
+	struct fixture f;
+
+	start_watch(&f, &table_watch_ops, 0);
+	answer_page(&f, 12, &old);
+	answer_page(&f, 12, &newer);
+	answer(&f, STORE_UNKNOWN, 0, NULL, 0);
+	apply_copy(&f, 10, "a", 7);
+	/* The copy is too old to show the newer row. */
+	CU_ASSERT_STRING_EQUAL(f.reported->str, "+old +newer +a -old ");
+	g_string_free(old.value, TRUE);
+	g_string_free(newer.value, TRUE);
+	teardown(&f);
+}
+
 /* A leader has no one to get a copy from, and all others wait for it. */
 static void a_new_leader_reads_at_once_what_it_failed_to_read(void)
 {
@@ -850,6 +870,8 @@
 		  a_leader_does_not_wait_for_a_copy },
 		{ "a copy replaces a read that failed",
 		  a_copy_replaces_a_read_that_failed },
+		{ "a copy removes what a failed read showed",
+		  a_copy_removes_what_a_failed_read_showed },
 		{ "a new leader reads at once what it failed to read",
 		  a_new_leader_reads_at_once_what_it_failed_to_read },
 		{ "without a copy the table is read",
