table_watch: the store refutes a version that no row has

Callers saw nothing yet. All VMs would call the store for changes about four times a second, for ever, and a VM would not count as in contact through its peers.

Cause: the newest row version that any VM named was kept as a maximum, in each VM, and each told the others what it had heard. Nothing checked it or ended it.

Now the watch keeps it, and forgets it when the store, asked after that, answers with a lower version. VMs report the rows that they have seen and not what they heard, so that only the leader passes such versions on; one that was refuted isn't believed again.

Evidence: the new case of unit-test_follower fails before: more than the two calls expected in two seconds.

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -245,6 +245,7 @@
 {
 	struct table_watch *operator_rows = cluster->options.operator_rows;
 	struct table_watch *upstream_rows = cluster->options.upstream_rows;
+	struct row_versions *known = &cluster->row_versions;
 	enum table_watch_peers peers = peers_of(cluster);
 	struct config_contact *contact =
 		customers_contact(cluster->options.customers);
@@ -253,13 +254,13 @@
 				    table_watch_row_version(operator_rows),
 				    table_watch_row_version(upstream_rows));
 	config_contact_tick(contact, cluster_now(cluster));
-	if (table_watch_has(operator_rows, cluster->row_versions.operator_rows))
+	table_watch_set_peers(operator_rows, peers, known->operator_rows);
+	table_watch_set_peers(upstream_rows, peers, known->upstream_rows);
+	known->operator_rows = table_watch_peers_version(operator_rows);
+	known->upstream_rows = table_watch_peers_version(upstream_rows);
+	if (table_watch_has(operator_rows, known->operator_rows))
 		config_contact_peer_heard(contact,
 					  cluster->row_versions_heard_s);
-	table_watch_set_peers(operator_rows, peers,
-			      cluster->row_versions.operator_rows);
-	table_watch_set_peers(upstream_rows, peers,
-			      cluster->row_versions.upstream_rows);
 }
 
 void cluster_set_watch_mode(struct cluster *cluster, enum table_watch_mode mode)
--- a/src/entry/cluster_heartbeat.c
+++ b/src/entry/cluster_heartbeat.c
@@ -305,8 +305,8 @@
 	RowRelay relay = ROW_RELAY__INIT;
 	Progress progress = PROGRESS__INIT;
 
-	progress.operator_rows = cluster->row_versions.operator_rows;
-	progress.upstream_rows = cluster->row_versions.upstream_rows;
+	progress.operator_rows = table_watch_row_version(operator_rows);
+	progress.upstream_rows = table_watch_row_version(upstream_rows);
 	relay.progress = &progress;
 	relay.store_unreachable = table_watch_unreachable(operator_rows) ||
 				  table_watch_unreachable(upstream_rows);
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -469,8 +469,11 @@
 	copy_exchange_fill_report(cluster->copy_exchange, &out);
 	out.stopping = stopping;
 	out.wants_snapshot = cluster->heard_snapshot.missed;
-	progress.operator_rows = cluster->row_versions.operator_rows;
-	progress.upstream_rows = cluster->row_versions.upstream_rows;
+	/* Not what it heard: VMs would go on telling each other. */
+	progress.operator_rows =
+		table_watch_row_version(cluster->options.operator_rows);
+	progress.upstream_rows =
+		table_watch_row_version(cluster->options.upstream_rows);
 	out.progress = &progress;
 	message.kind_case = PEER_MESSAGE__KIND_REPORT;
 	message.report = &out;
--- a/src/entry/table_watch.c
+++ b/src/entry/table_watch.c
@@ -289,6 +289,7 @@
 		return;
 	}
 	table_watch_set_unreachable(table_watch, false);
+	table_watch_check_peers_version(table_watch, result->version);
 	if (!table_watch->snapshot_version)
 		table_watch->snapshot_version = result->version;
 	for (i = 0; i < result->row_count; i++)
@@ -366,6 +367,8 @@
 	};
 
 	table_watch->call_pending = false;
+	if (result->status == STORE_OK)
+		table_watch_check_peers_version(table_watch, result->version);
 	/* A version below the requested one means that the store was reset. */
 	if (result->status == STORE_HISTORY_GONE ||
 	    (result->status == STORE_OK &&
--- a/src/entry/table_watch.h
+++ b/src/entry/table_watch.h
@@ -127,12 +127,16 @@
  * called about every 50 ms. If the watch goes on missing changes up to it, it
  * assumes that its pending call was lost, and calls the store again.
  *
- * @param version result of table_watch_row_version() on another VM; ignored
- *        without peers
+ * @param version result of table_watch_row_version() on another VM. It counts
+ *        until the store answers a later call with a lower version
  */
 void table_watch_set_peers(struct table_watch *table_watch,
 			   enum table_watch_peers peers, uint64_t version);
 
+/** Returns the newest version of table_watch_set_peers() that the store hasn't
+ * refuted. */
+uint64_t table_watch_peers_version(const struct table_watch *table_watch);
+
 /** Whether the last call to the store, or those of the VMs that this one relies
  * on, were not answered. */
 bool table_watch_unreachable(const struct table_watch *table_watch);
--- a/src/entry/table_watch_impl.h
+++ b/src/entry/table_watch_impl.h
@@ -77,6 +77,13 @@
 	double catch_up_after_s;
 	/** Newest row version seen so far. */
 	uint64_t row_version;
+	/** Newest row version that other VMs have seen, and the loop time at
+	 * which this VM heard of it. */
+	uint64_t peers_version;
+	double peers_version_s;
+	/** The last such version that the store had not reached when it was
+	 * asked; 0: none. */
+	uint64_t refuted_version;
 	/** Loop time since which other VMs have known a newer row than this VM;
 	 * 0: they don't. */
 	double behind_since_s;
@@ -105,6 +112,13 @@
 void table_watch_apply_row(struct table_watch *table_watch,
 			   const struct store_row *row);
 
+/** Forgets the version that other VMs have seen if the store, which was asked
+ * after that, has not reached it.
+ *
+ * @param store_version newest version of the store */
+void table_watch_check_peers_version(struct table_watch *table_watch,
+				     uint64_t store_version);
+
 /** Prepares seen_keys for the rows of a snapshot or copy. */
 void table_watch_forget_seen_rows(struct table_watch *table_watch);
 
--- a/src/entry/table_watch_peers.c
+++ b/src/entry/table_watch_peers.c
@@ -87,11 +87,34 @@
 	resume_calls(table_watch);
 }
 
+/* Notes the newest row version that other VMs have seen. */
+static void observe_version(struct table_watch *table_watch, uint64_t version)
+{
+	if (version <= table_watch->peers_version ||
+	    version == table_watch->refuted_version)
+		return;
+	table_watch->peers_version = version;
+	table_watch->peers_version_s = loop_now(table_watch->loop);
+}
+
+void table_watch_check_peers_version(struct table_watch *table_watch,
+				     uint64_t store_version)
+{
+	if (table_watch->peers_version <= store_version ||
+	    table_watch->call_started_s <= table_watch->peers_version_s)
+		return;
+	table_watch->refuted_version = table_watch->peers_version;
+	table_watch->peers_version = table_watch->row_version;
+}
+
+uint64_t table_watch_peers_version(const struct table_watch *table_watch)
+{
+	return table_watch->peers_version;
+}
+
 /* Calls the store again if other VMs have known a newer row for too long,
- * unless an answer is just arriving.
- *
- * @param version newest row version that other VMs have seen */
-static void check_staleness(struct table_watch *table_watch, uint64_t version)
+ * unless an answer is just arriving. */
+static void check_staleness(struct table_watch *table_watch)
 {
 	double now = loop_now(table_watch->loop);
 
@@ -99,7 +122,7 @@
 		table_watch->progress_version = table_watch->row_version;
 		table_watch->progress_s = now;
 	}
-	if (table_watch_has(table_watch, version)) {
+	if (table_watch_has(table_watch, table_watch->peers_version)) {
 		table_watch->behind_since_s = 0;
 		return;
 	}
@@ -120,6 +143,7 @@
 			      table_watch_relies_on_peers(table_watch);
 
 	table_watch->peers = peers;
+	observe_version(table_watch, version);
 	if (table_watch->loaded && !table_watch->call_pending &&
 	    table_watch_relies_on_peers(table_watch))
 		table_watch_set_unreachable(table_watch,
@@ -129,7 +153,7 @@
 	if (table_watch_poll_overdue(table_watch))
 		restart_call(table_watch);
 	else if (peers != TABLE_WATCH_NO_PEERS && awaits_changes)
-		check_staleness(table_watch, version);
+		check_staleness(table_watch);
 	else
 		resume_calls(table_watch);
 }
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -509,6 +509,36 @@
 	teardown(&f);
 }
 
+/* Guards against VMs that read the store again and again for a row that doesn't
+ * exist: a VM named a version that the store has not reached. */
+static void a_version_that_the_store_refutes_is_forgotten(void)
+{
+	struct fixture f;
+	int i;
+
+	setup(&f);
+	for (i = 0; i < 40; i++) {
+		table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY,
+				      1000);
+		advance(&f, 0.05);
+		if (f.call)
+			answer(&f, STORE_OK, 12, NULL, 0);
+	}
+	CU_ASSERT_EQUAL(f.calls, 2);
+	/* Real versions count, and so does an answer that may be older than
+	 * the version that it doesn't reach. */
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 14);
+	advance(&f, 0.25);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 14);
+	CU_ASSERT_EQUAL_FATAL(f.call, 'f');
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 16);
+	answer(&f, STORE_OK, 14, NULL, 0);
+	advance(&f, 0.25);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 16);
+	CU_ASSERT_EQUAL(f.calls, 4);
+	teardown(&f);
+}
+
 /* Guards against VMs that all read a large row from the store while its parts
  * are on their way from the leader, and against one that waits for ever. */
 static void a_watch_waits_for_changes_in_parts(void)
@@ -844,6 +874,8 @@
 		  a_backup_that_relays_ends_its_long_poll },
 		{ "a newer row on a peer is requested",
 		  a_newer_row_on_a_peer_is_requested },
+		{ "a version that the store refutes is forgotten",
+		  a_version_that_the_store_refutes_is_forgotten },
 		{ "a watch waits for changes in parts",
 		  a_watch_waits_for_changes_in_parts },
 		{ "a watch does not wait for parts again and again",
