entry: upstreams that left get no grace after this VM's own loss of contact

Requests could reach an upstream up to 1.4 s after the VM had learned that its entry was removed, though the store had served others all the time; the bound is 2 s from the removal.

Cause: entries that lapse while the store is away come back within two seconds of its return, so upstreams stay for 1.4 s after it. An entry removed 0.6 s or more before the contact came back was used for too long, and each loss of contact brought a new such time.

Now it counts only if the store was quiet: no VM saw a newer upstream row for a second, until less than a second before the contact came back. Each upstream writes its row about every second, so a store that serves is never quiet for that long, and entries can't lapse in less.

Evidence: the new case of unit-test_follower; with the old condition (trial) its three rows in which the store served other VMs fail.

--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -25,10 +25,10 @@
 /* Number of ticks between checks of the time limits of connections, upstream
  * entries and crash records. */
 #define SLOW_TICKS 5
-/* Time, in seconds from when this VM notices that the store is reachable again,
- * for which upstreams stay in the roster although their entries lapsed
- * meanwhile. Live upstreams register again within 2 s of the store's return,
- * which this VM may notice up to 0.6 s late. */
+/* Time, in seconds from when this VM notices that the store is reachable again
+ * after it failed all VMs, for which upstreams stay in the roster although
+ * their entries lapsed meanwhile. Live upstreams register again within 2 s of
+ * the store's return, which this VM may notice up to 0.6 s late. */
 #define LAPSE_GRACE_S 1.4
 /* Part of settings->apply_s for which a call to the store waits for a change.
  * If its connection went silent, the rest is for noticing that and for asking
@@ -95,8 +95,8 @@
 	/** In the shutdown: http_server_close_idle() was called on
 	 * caller_server. */
 	bool idle_closed;
-	/** Loop time at which the store last became reachable again; 0: the
-	 * store was never unreachable. */
+	/** Loop time at which the store last became reachable again after it
+	 * had failed all VMs; 0: it never did. */
 	double store_back_s;
 };
 
@@ -223,7 +223,8 @@
 			"event=%s table=%s call_ms=%.0f",
 			unreachable ? "contact_lost" : "contact_regained",
 			table, call_s * 1000);
-	if (!unreachable)
+	/* A store that served other VMs took the entries of upstreams too. */
+	if (!unreachable && table_watch_was_quiet(entry->upstream_rows))
 		entry->store_back_s = now_of(entry);
 }
 
--- a/src/entry/table_watch.c
+++ b/src/entry/table_watch.c
@@ -139,8 +139,11 @@
 		g_hash_table_lookup(table_watch->rows, row->key);
 	struct store_row *copy;
 
-	if (row->version > table_watch->row_version)
+	if (row->version > table_watch->row_version) {
 		table_watch->row_version = row->version;
+		if (row->version > table_watch->peers_version)
+			table_watch_note_newer_row(table_watch);
+	}
 
 	if (known && known->version >= row->version)
 		return;
--- a/src/entry/table_watch.h
+++ b/src/entry/table_watch.h
@@ -137,6 +137,11 @@
  * refuted. */
 uint64_t table_watch_peers_version(const struct table_watch *table_watch);
 
+/** Whether no VM has seen a newer row for a second or more, until now or until
+ * less than a second ago: the store may have failed all of them, not only this
+ * one. */
+bool table_watch_was_quiet(const struct table_watch *table_watch);
+
 /** Whether the last call to the store, or those of the VMs that this one relies
  * on, were not answered. */
 bool table_watch_unreachable(const struct table_watch *table_watch);
--- a/src/entry/table_watch_impl.h
+++ b/src/entry/table_watch_impl.h
@@ -18,6 +18,10 @@
  * that returns early without a change. */
 #define RETRY_S 0.25
 
+/* Time, in seconds, without a newer row on any VM after which the store counts
+ * as quiet. Each upstream writes its row about every second. */
+#define QUIET_S 1.0
+
 struct table_watch {
 	struct loop *loop;
 	struct store store;
@@ -84,6 +88,10 @@
 	/** The last such version that the store had not reached when it was
 	 * asked; 0: none. */
 	uint64_t refuted_version;
+	/** Loop time at which a newer row became known on any VM, and at which
+	 * the last time without one of QUIET_S or more ended. */
+	double newer_row_s;
+	double quiet_until_s;
 	/** Loop time since which other VMs have known a newer row than this VM;
 	 * 0: they don't. */
 	double behind_since_s;
@@ -112,6 +120,9 @@
 void table_watch_apply_row(struct table_watch *table_watch,
 			   const struct store_row *row);
 
+/** Notes that a newer row became known on any VM. */
+void table_watch_note_newer_row(struct table_watch *table_watch);
+
 /** Forgets the version that other VMs have seen if the store, which was asked
  * after that, has not reached it.
  *
--- a/src/entry/table_watch_peers.c
+++ b/src/entry/table_watch_peers.c
@@ -87,6 +87,24 @@
 	resume_calls(table_watch);
 }
 
+void table_watch_note_newer_row(struct table_watch *table_watch)
+{
+	double now = loop_now(table_watch->loop);
+
+	if (table_watch->newer_row_s &&
+	    now > table_watch->newer_row_s + QUIET_S)
+		table_watch->quiet_until_s = now;
+	table_watch->newer_row_s = now;
+}
+
+bool table_watch_was_quiet(const struct table_watch *table_watch)
+{
+	double now = loop_now(table_watch->loop);
+
+	return now > table_watch->newer_row_s + QUIET_S ||
+	       now < table_watch->quiet_until_s + QUIET_S;
+}
+
 /* Notes the newest row version that other VMs have seen. */
 static void observe_version(struct table_watch *table_watch, uint64_t version)
 {
@@ -95,6 +113,8 @@
 		return;
 	table_watch->peers_version = version;
 	table_watch->peers_version_s = loop_now(table_watch->loop);
+	if (version > table_watch->row_version)
+		table_watch_note_newer_row(table_watch);
 }
 
 void table_watch_check_peers_version(struct table_watch *table_watch,
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -99,6 +99,9 @@
 	GString *reported;
 	/** The watch reported last that the store is unreachable. */
 	int unreachable;
+	/** The store had failed all VMs when the watch reported that it is
+	 * reachable again. */
+	bool was_quiet;
 	/** Counts the calls by reason. */
 	struct metrics *metrics;
 };
@@ -173,6 +176,7 @@
 	CU_ASSERT_STRING_EQUAL(table, "t");
 	CU_ASSERT_TRUE(call_s >= 0);
 	f->unreachable = unreachable;
+	f->was_quiet = !unreachable && table_watch_was_quiet(f->table_watch);
 }
 
 static const struct table_watch_ops snapshot_ops = {
@@ -429,6 +433,59 @@
 	teardown(&f);
 }
 
+/* Plays a time in which the VMs that this one relies on lack contact to the
+ * store, while other VMs see newer rows or don't. Returns the newest version.
+ */
+static uint64_t play_lost_contact(struct fixture *f, unsigned int ticks,
+				  bool rows_change, uint64_t version)
+{
+	unsigned int i;
+
+	for (i = 0; i < ticks; i++) {
+		table_watch_set_peers(f->table_watch, TABLE_WATCH_PEERS_WAIT,
+				      version);
+		version += rows_change;
+		advance(f, 0.05);
+		if (f->call)
+			answer(f, STORE_UNKNOWN, 0, NULL, 0);
+	}
+	return version;
+}
+
+/* Guards against upstreams that keep getting requests after they left, each
+ * time that a VM regains contact to a store that served the others. */
+static void only_a_quiet_store_was_away_for_all(void)
+{
+	static const struct {
+		unsigned int quiet_ticks;
+		/** Ticks of 50 ms from the first newer row on another VM until
+		 * this one regains contact. */
+		unsigned int late_ticks;
+		bool quiet;
+	} rows[] = {
+		{ 0, 10, false }, { 0, 80, false },  { 60, 0, true },
+		{ 60, 10, true }, { 60, 80, false },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct fixture f;
+		uint64_t version = 11;
+
+		setup(&f);
+		version = play_lost_contact(&f, rows[i].quiet_ticks, false,
+					    version);
+		version = play_lost_contact(&f, rows[i].late_ticks, true,
+					    version);
+		CU_ASSERT_EQUAL_FATAL(f.unreachable, 1);
+		table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY,
+				      version);
+		CU_ASSERT_EQUAL(f.unreachable, 0);
+		CU_ASSERT_EQUAL(f.was_quiet, rows[i].quiet);
+		teardown(&f);
+	}
+}
+
 /* Guards against changes that become known only at the end of a wait of ten
  * seconds, because the connections of all VMs that poll went silent. */
 static void a_watch_that_others_rely_on_polls_for_a_short_time(void)
@@ -868,6 +925,8 @@
 		  without_peers_the_store_is_polled },
 		{ "peers that wait for the store keep a watch quiet",
 		  peers_that_wait_for_the_store_keep_a_watch_quiet },
+		{ "only a quiet store was away for all",
+		  only_a_quiet_store_was_away_for_all },
 		{ "a watch that others rely on polls for a short time",
 		  a_watch_that_others_rely_on_polls_for_a_short_time },
 		{ "a backup that relays ends its long poll",
