roster: an incarnation with an earlier start is believed if it lives

Callers: rules DRAIN and OWNER. When an upstream starts again under its id on a machine whose clock was set back, or on one whose clock is behind, its entry has an earlier start than the one that the VMs know. It was ignored for as long as the row existed: that it drains, its new address, and that it holds no keys.

Cause: the start, from the upstream's wall clock, decided alone. The check is there because a write of an incarnation that is gone may be applied late, after its successor's.

Now an entry of an earlier incarnation is ignored at first. If the same incarnation registers again, with a higher number and half a second later or more, while none of the later incarnation came, it lives, and replaces the upstream. Upstreams register about every second, so that takes two entries.

--- a/src/directory/directory_defs.h
+++ b/src/directory/directory_defs.h
@@ -131,6 +131,9 @@
 	/** Start of this incarnation, in milliseconds since 1970-01-01 UTC; 0:
 	 * not given. Tells incarnations under the same id apart. */
 	int64_t started_ms;
+	/** Number of the registration, which grows with each of an incarnation.
+	 */
+	int64_t seq;
 };
 
 /** Whether requests of a kind may run more than once. */
--- a/src/entry/roster.c
+++ b/src/entry/roster.c
@@ -22,6 +22,9 @@
 /* Share of settings->leave_s in which an owner that is draining, or whose zone
  * is out of service, still gets its keys' requests. */
 #define LEAVING_SERVES_SHARE 0.6
+/* Time, in seconds, in which writes of an upstream's earlier incarnation may be
+ * applied together. Upstreams register about every second. */
+#define LATE_WRITES_S 0.5
 
 struct roster {
 	const struct loop *loop;
@@ -227,6 +230,7 @@
 	double now = loop_now(roster->loop);
 
 	upstream->remove_at_s = 0;
+	upstream->earlier_since_s = 0;
 	if (entry->leaving && !upstream->leaving_since_s)
 		upstream->leaving_since_s = now;
 	else if (!entry->leaving && !upstream->said_leaving)
@@ -244,18 +248,40 @@
 	       !config_service(roster->config, upstream->entry.service);
 }
 
-void roster_put_upstream(struct roster *roster, struct upstream_entry *entry)
+/* Whether an entry of an earlier incarnation may be a late write. The clocks of
+ * machines differ, so an incarnation that registers again lives, whatever its
+ * start is. */
+static bool may_be_late(const struct roster *roster, struct upstream *upstream,
+			const struct upstream_entry *entry)
 {
-	struct upstream *upstream = roster_upstream(roster, entry->id);
-	struct upstream_entry state = *entry;
+	double now = loop_now(roster->loop);
+	bool again = upstream->earlier_since_s &&
+		     upstream->earlier_started_ms == entry->started_ms;
 
-	if (upstream && !upstream_is_foreign(roster, upstream) &&
-	    upstream->entry.started_ms > entry->started_ms) {
+	if (again && entry->seq > upstream->earlier_seq &&
+	    now >= upstream->earlier_since_s + LATE_WRITES_S)
+		return false;
+	if (!again) {
+		upstream->earlier_since_s = now;
 		log_warn(
 			"roster",
 			"ignored the entry of upstream %s: a later incarnation "
 			"is registered",
 			entry->id);
+	}
+	upstream->earlier_started_ms = entry->started_ms;
+	upstream->earlier_seq = entry->seq;
+	return true;
+}
+
+void roster_put_upstream(struct roster *roster, struct upstream_entry *entry)
+{
+	struct upstream *upstream = roster_upstream(roster, entry->id);
+	struct upstream_entry state = *entry;
+
+	if (upstream && !upstream_is_foreign(roster, upstream) &&
+	    upstream->entry.started_ms > entry->started_ms &&
+	    may_be_late(roster, upstream, entry)) {
 		upstream_entry_clear(entry);
 		return;
 	}
--- a/src/entry/roster.h
+++ b/src/entry/roster.h
@@ -55,6 +55,12 @@
 	 * unless the entry returns before; 0: the entry exists.
 	 */
 	double remove_at_s;
+	/** The last entry of an earlier incarnation, which isn't believed yet:
+	 * the start, the number, and the time at which the incarnation was
+	 * seen first; 0: none. */
+	int64_t earlier_started_ms;
+	int64_t earlier_seq;
+	double earlier_since_s;
 	/** Idle connections (struct link), most recently used first; the
 	 * connection pool owns them. */
 	GQueue idle_links;
@@ -133,8 +139,9 @@
 
 /**
  * Adds or updates an upstream. An entry of a later incarnation, or with another
- * service, zone or address, replaces the upstream; an entry of an earlier
- * incarnation is ignored, unless the upstream is foreign.
+ * service, zone or address, replaces the upstream. So does one of an earlier
+ * incarnation if the upstream is foreign, or if that incarnation lives: it
+ * registers again while the later one doesn't.
  *
  * @param entry its contents are moved out or freed
  */
