--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -599,16 +599,22 @@
 	/* Number of connections, the oldest ones, that get no answer. */
 	unsigned int silent_count;
 	ev_timer serve_timer;
+	/* Body of the answers. */
+	const char *body;
 	/* Calls of the client without a result, and the last result. */
 	unsigned int pending;
 	enum store_status status;
+	uint64_t version;
+	/* The keys of the last result, with a space after each. */
+	GString *keys;
 };
 
 static void on_serve_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
-	static const char reply[] =
-		"HTTP/1.1 200 OK\r\nContent-Length: 19\r\n\r\n" BODY;
 	struct silent_server *server = timer->data;
+	char *reply = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+		strlen(server->body), server->body);
 	int fd = accept(server->listener, NULL, NULL);
 	unsigned int i;
 
@@ -624,13 +630,20 @@
 			send(server->conns[i], reply, strlen(reply),
 			     MSG_NOSIGNAL);
 	}
+	g_free(reply);
 }
 
 static void on_silent_answer(void *ctx, const struct store_result *result)
 {
 	struct silent_server *server = ctx;
+	size_t i;
 
 	server->status = result->status;
+	server->version = result->version;
+	g_string_truncate(server->keys, 0);
+	for (i = 0; i < result->row_count; i++)
+		g_string_append_printf(server->keys, "%s ",
+				       result->rows[i].key);
 	if (!--server->pending)
 		ev_break(server->loop.ev, EVBREAK_ALL);
 }
@@ -639,6 +652,8 @@
 				struct sockaddr_in *address)
 {
 	memset(server, 0, sizeof(*server));
+	server->body = BODY;
+	server->keys = g_string_new(NULL);
 	server->listener = listen_on_loopback(address);
 	server->loop.ev = ev_loop_new(EVFLAG_AUTO);
 	server->loop.clock = clock_system();
@@ -655,6 +670,7 @@
 		close(server->conns[i]);
 	close(server->listener);
 	ev_loop_destroy(server->loop.ev);
+	g_string_free(server->keys, TRUE);
 }
 
 /* Makes calls at the same time and waits for their results. */
@@ -692,6 +708,33 @@
 	silent_server_stop(&server);
 }
 
+/* Guards against rows of another part of the table, which the change feed shows
+ * as well, that are taken for upstreams or for the configuration. */
+static void rows_of_other_parts_are_left_out(void)
+{
+	struct silent_server server;
+	struct sockaddr_in address;
+	struct table_store *client;
+	struct store store;
+
+	silent_server_start(&server, &address);
+	server.body = "{\"ver\":9,\"rows\":["
+		      "{\"part\":\"\",\"key\":\"a\",\"ver\":7},"
+		      "{\"part\":\"p\",\"key\":\"a\",\"ver\":8},"
+		      "{\"part\":\"p\",\"key\":\"b\",\"ver\":9,"
+		      "\"removed\":true},{\"key\":\"c\",\"ver\":9}]}";
+	client = table_store_create(&server.loop, &address);
+	store = table_store_interface(client);
+	server.pending = 1;
+	store.ops->follow(store.impl, "t", 6, 0, on_silent_answer, &server);
+	ev_run(server.loop.ev, 0);
+	CU_ASSERT_EQUAL(server.status, STORE_OK);
+	CU_ASSERT_STRING_EQUAL(server.keys->str, "a c ");
+	CU_ASSERT_EQUAL(server.version, 9);
+	table_store_destroy(client);
+	silent_server_stop(&server);
+}
+
 static void arriving_reply_does_not_time_out(void)
 {
 	CU_ASSERT_EQUAL(read_from_slow_server(1), STORE_OK);
@@ -725,6 +768,8 @@
 		  reply_headers_tell_the_limit_of_the_upstream },
 		{ "a call doesn't time out while its reply arrives",
 		  arriving_reply_does_not_time_out },
+		{ "rows of other parts are left out",
+		  rows_of_other_parts_are_left_out },
 		{ "a timeout ends the use of idle connections",
 		  a_timeout_ends_the_use_of_idle_connections },
 		{ 0 },
