table_copy: changes in parts arrive while several VMs send them

A configuration that is too large for a heartbeat could stay unknown to most VMs until each had read the store, when the leader was lost around the change.

Cause: while no leader is heard, its three backups send large changes, and the leader may still send them too. Each sends the changes after another version, so their bytes differ, and a part of one sender dropped the parts of the others. Besides, changes of a sender with an older term were ignored, and a VM that has just started knows no term.

Now up to eight copies are collected at the same time, and changes are taken whatever their term and version are, since the watch knows which ones it lacks. Parts of a copy are freed when it is complete.

Evidence: the new case of unit-test_table_copy fails before: of the changes that four VMs send side by side in several parts, none arrives.

--- a/src/entry/table_copy.c
+++ b/src/entry/table_copy.c
@@ -11,16 +11,34 @@
 /* Largest message before compression. */
 #define MESSAGE_BYTES_MAX (16u << 20)
 
-struct table_copy_parts {
-	/** Term, version and checksum of the copy that is being collected. */
+/* Copies that are collected at the same time. After the leader is lost, it and
+ * several backups may send the same changes, each after another version. */
+#define COLLECTED_MAX 8
+
+/* The parts of one copy. */
+struct collected {
+	/** Term, version, checksum and number of parts; count is 0 if unused.
+	 */
 	uint64_t term;
 	uint64_t upto;
 	uint32_t check;
 	unsigned int count;
+	/** All parts were received, and have been freed. */
+	bool complete;
+	/** Value of table_copy_parts.uses when a part last came. */
+	uint64_t used;
 	/** The parts (GByteArray) by their number; NULL: not received. */
 	GByteArray *received[TABLE_COPY_PARTS_MAX];
 };
 
+struct table_copy_parts {
+	struct collected copies[COLLECTED_MAX];
+	uint64_t uses;
+	/** Term and version of the newest complete copy. */
+	uint64_t term;
+	uint64_t upto;
+};
+
 /* Compresses a packed message; returns NULL when zlib fails. */
 static GByteArray *compress_message(const uint8_t *data, size_t len)
 {
@@ -101,42 +119,83 @@
 	return g_new0(struct table_copy_parts, 1);
 }
 
-static void drop_parts(struct table_copy_parts *parts)
+static void drop_parts(struct collected *copy)
 {
 	unsigned int i;
 
 	for (i = 0; i < TABLE_COPY_PARTS_MAX; i++)
-		g_clear_pointer(&parts->received[i], g_byte_array_unref);
+		g_clear_pointer(&copy->received[i], g_byte_array_unref);
 }
 
 void table_copy_parts_destroy(struct table_copy_parts *parts)
 {
+	size_t i;
+
 	if (!parts)
 		return;
-	drop_parts(parts);
+	for (i = 0; i < COLLECTED_MAX; i++)
+		drop_parts(&parts->copies[i]);
 	g_free(parts);
 }
 
-/* Whether a part is of an older copy than the one that is being collected. */
+/* Whether a part is of an older copy than the newest complete one. Changes are
+ * right whoever sends them, and older ones may be those that are missing. */
 static bool is_older(const struct table_copy_parts *parts,
 		     const TableCopyPart *part)
 {
+	if (part->is_changes)
+		return false;
 	return part->term < parts->term ||
 	       (part->term == parts->term && part->upto < parts->upto);
 }
 
+static bool is_part_of(const struct collected *copy, const TableCopyPart *part)
+{
+	return copy->term == part->term && copy->upto == part->upto &&
+	       copy->count == part->count && copy->check == part->check;
+}
+
+/* Returns the copy that a part belongs to. A new one takes the place of the one
+ * whose last part came first. */
+static struct collected *find_copy(struct table_copy_parts *parts,
+				   const TableCopyPart *part)
+{
+	struct collected *oldest = &parts->copies[0];
+	size_t i;
+
+	for (i = 0; i < COLLECTED_MAX; i++) {
+		struct collected *copy = &parts->copies[i];
+
+		if (is_part_of(copy, part))
+			return copy;
+		if (copy->used < oldest->used)
+			oldest = copy;
+	}
+	drop_parts(oldest);
+	*oldest = (struct collected){
+		.term = part->term,
+		.upto = part->upto,
+		.count = part->count,
+		.check = part->check,
+	};
+	return oldest;
+}
+
 /* Joins the parts; returns NULL when one is missing or they are no copy. */
-static TableChanges *join_parts(const struct table_copy_parts *parts)
+static TableChanges *join_parts(struct collected *copy)
 {
 	GByteArray *bytes = g_byte_array_new();
 	TableChanges *message = NULL;
 	unsigned int i;
 
-	for (i = 0; i < parts->count && parts->received[i]; i++)
-		g_byte_array_append(bytes, parts->received[i]->data,
-				    parts->received[i]->len);
-	if (i == parts->count)
+	for (i = 0; i < copy->count && copy->received[i]; i++)
+		g_byte_array_append(bytes, copy->received[i]->data,
+				    copy->received[i]->len);
+	if (i == copy->count) {
 		message = table_copy_decode(bytes->data, bytes->len);
+		copy->complete = true;
+		drop_parts(copy);
+	}
 	g_byte_array_free(bytes, TRUE);
 	return message;
 }
@@ -144,23 +203,24 @@
 TableChanges *table_copy_parts_add(struct table_copy_parts *parts,
 				   const TableCopyPart *part)
 {
+	struct collected *copy;
+	TableChanges *message;
 	GByteArray *data;
 
 	if (!part->count || part->count > TABLE_COPY_PARTS_MAX ||
 	    part->index >= part->count || is_older(parts, part))
 		return NULL;
-	if (part->term != parts->term || part->upto != parts->upto ||
-	    part->count != parts->count || part->check != parts->check) {
-		drop_parts(parts);
-		parts->term = part->term;
-		parts->upto = part->upto;
-		parts->count = part->count;
-		parts->check = part->check;
-	}
-	if (parts->received[part->index])
+	copy = find_copy(parts, part);
+	copy->used = ++parts->uses;
+	if (copy->complete || copy->received[part->index])
 		return NULL;
 	data = g_byte_array_new();
 	g_byte_array_append(data, part->data.data, (guint)part->data.len);
-	parts->received[part->index] = data;
-	return join_parts(parts);
+	copy->received[part->index] = data;
+	message = join_parts(copy);
+	if (message && !is_older(parts, part)) {
+		parts->term = part->term;
+		parts->upto = part->upto;
+	}
+	return message;
 }
--- a/src/entry/table_copy.h
+++ b/src/entry/table_copy.h
@@ -39,7 +39,8 @@
 void table_copy_part(const GByteArray *bytes, unsigned int index,
 		     TableCopyPart *part);
 
-/** Collects the parts of one copy of a table, or of changes. */
+/** Collects the parts of copies of a table, or of changes, which several VMs
+ * may send at the same time. */
 struct table_copy_parts;
 
 /** Creates a collection without any part. */
@@ -49,8 +50,8 @@
 void table_copy_parts_destroy(struct table_copy_parts *parts);
 
 /**
- * Adds a part. A part of a newer copy drops those of the older one, and a part
- * of an older copy is ignored.
+ * Adds a part. Parts of a copy that is older than the last complete one are
+ * ignored; changes are taken in any order.
  *
  * @return the copy when it is complete, freed with
  *         table_changes__free_unpacked(), or NULL
--- a/test/unit/test_table_copy.c
+++ b/test/unit/test_table_copy.c
@@ -166,6 +166,50 @@
 	g_byte_array_free(backups, TRUE);
 }
 
+/* Adds one part of changes that a VM sends. */
+static TableChanges *add_changes(struct table_copy_parts *parts,
+				 const GByteArray *bytes, unsigned int index,
+				 uint64_t term, uint32_t sender)
+{
+	TableCopyPart part = TABLE_COPY_PART__INIT;
+
+	part.term = term;
+	part.upto = 7;
+	part.is_changes = true;
+	part.check = sender;
+	table_copy_part(bytes, index, &part);
+	return table_copy_parts_add(parts, &part);
+}
+
+/* Guards against changes that never arrive while the backups of a lost leader
+ * send them at the same time, or from VMs that have just started. */
+static void changes_from_several_vms_arrive(void)
+{
+	struct table_copy_parts *parts = table_copy_parts_create();
+	GByteArray *bytes = encode(2000, 30, 7);
+	unsigned int arrived[4] = { 0 };
+	unsigned int i, sender;
+
+	for (i = 0; i < table_copy_part_count(bytes); i++) {
+		for (sender = 0; sender < 4; sender++) {
+			/* Each part comes twice; two senders know no term. */
+			uint64_t term = sender < 2 ? 5 : 0;
+			TableChanges *changes =
+				add_changes(parts, bytes, i, term, sender);
+
+			arrived[sender] += changes != NULL;
+			if (changes)
+				table_changes__free_unpacked(changes, NULL);
+			CU_ASSERT_PTR_NULL(
+				add_changes(parts, bytes, i, term, sender));
+		}
+	}
+	for (sender = 0; sender < 4; sender++)
+		CU_ASSERT_EQUAL(arrived[sender], 1);
+	table_copy_parts_destroy(parts);
+	g_byte_array_free(bytes, TRUE);
+}
+
 static void bytes_that_are_no_copy_are_refused(void)
 {
 	static const uint8_t huge[] = { 0xff, 0xff, 0xff, 0xff, 1, 2, 3 };
@@ -197,6 +241,8 @@
 		  a_lost_part_comes_with_the_next_copy },
 		{ "a backup sends the changes of a lost leader",
 		  a_backup_sends_the_changes_of_a_lost_leader },
+		{ "changes from several VMs arrive",
+		  changes_from_several_vms_arrive },
 		{ "bytes that are no copy are refused",
 		  bytes_that_are_no_copy_are_refused },
 		{ 0 },
