entry: limits of an ignored configuration don't come into force

After a row with an older configuration than the one in force, proper requests could get 413 or 431, or lose their connection, by the older limits.

Cause: the limits of callers' requests were set before roster_set_config() decided whether the configuration is newer.

Evidence: functional-test_entry, "an older configuration never replaces a newer one": a body of 22 bytes did not get 200 on either VM after an older row with a limit of 10 bytes. The case used to write the malformed configuration right behind the older one, so that the daemons saw only the last change of the row; now it waits for a second in between.

--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -135,9 +135,10 @@
 	invalid_routes = config->invalid_routes;
 	invalid_services = config->invalid_services;
 	invalid_customers = config->invalid_customers;
-	http_server_set_limits(entry->caller_server, &config->limits);
 	if (!roster_set_config(entry->roster, config))
 		return;
+	http_server_set_limits(entry->caller_server,
+			       &roster_config(entry->roster)->limits);
 	counter_set(entry->invalid_routes, invalid_routes);
 	event_log_write(entry->log,
 			invalid_routes || invalid_services || invalid_customers
--- a/test/functional/test_entry.c
+++ b/test/functional/test_entry.c
@@ -288,14 +288,15 @@
 	teardown();
 }
 
-/* A configuration with one route, which has the given path prefix. */
-#define CONFIG(version, prefix)                                                \
+/* A configuration with one route, which has the given path prefix, and a limit
+ * of the size of bodies. */
+#define CONFIG(version, prefix, body_bytes)                                    \
 	"{\"version\":\"" version "\",\"routes\":{\"columns\":[\"name\","      \
 	"\"host\",\"prefix\",\"kind\",\"service\"],\"rows\":[[\"plain\","      \
 	"\"app.example\",\"" prefix "\",\"safe\",\"plain\"]]},"                \
 	"\"services\":{\"columns\":[\"name\",\"max_conns\"],\"rows\":"         \
 	"[[\"plain\",130]]},\"limits\":{\"max_header_bytes\":4096,"            \
-	"\"max_body_bytes\":1000,\"header_timeout_s\":3,"                      \
+	"\"max_body_bytes\":" body_bytes ",\"header_timeout_s\":3,"            \
 	"\"idle_timeout_s\":15}}"
 
 static bool serves_new_route(void *ctx)
@@ -305,14 +306,20 @@
 
 static void an_older_configuration_never_replaces_a_newer_one(void)
 {
+	struct http_answer *answer;
+	char id[32];
 	unsigned int i;
 
 	setup();
-	entry_rig_command(&rig, "/control/config", CONFIG("r5", "/new/"));
+	entry_rig_command(&rig, "/control/config",
+			  CONFIG("r5", "/new/", "1000"));
 	for (i = 0; i < ENTRIES; i++)
 		CU_ASSERT_TRUE_FATAL(process_wait_until(
 			serves_new_route, &entries[i], RIG_WAIT_US));
-	entry_rig_command(&rig, "/control/config", CONFIG("r4", "/plain/"));
+	entry_rig_command(&rig, "/control/config",
+			  CONFIG("r4", "/plain/", "10"));
+	/* Later, or the daemons would only see the last change. */
+	g_usleep(G_USEC_PER_SEC);
 	/* Newer, but malformed. */
 	entry_rig_command(&rig, "/control/config",
 			  "{\"version\":\"r6\",\"routes\":7}");
@@ -320,6 +327,11 @@
 	for (i = 0; i < ENTRIES; i++) {
 		CU_ASSERT_EQUAL(entry_status(&entries[i], "/new/a", 0), 200);
 		CU_ASSERT_EQUAL(entry_status(&entries[i], "/plain/a", 0), 404);
+		/* Its limits don't come into force either. */
+		answer = entry_send(&entries[i], "/new/a", "POST", 0,
+				    "a body of twenty bytes", id);
+		CU_ASSERT_EQUAL(answer->status, 200);
+		http_answer_destroy(answer);
 	}
 	teardown();
 }
