table_store: changes that no answer can hold count as lost

Callers saw nothing yet. After a long loss of contact a VM of a large fleet could go on without new rows until the store dropped its history.

Cause: an answer of the change feed is limited to 4 MB. A longer one failed like a lost one, so the watch asked for the same changes again, which only grew. How long the store's answers may be isn't stated for the feed.

Now such an answer counts as a history that is gone, so that the table is read, page by page. It is ended when its declared length shows that, not after 4 MB.

Evidence: the new case of unit-test_platform fails before: the status is unknown instead of history gone. No run with such an answer of a real store was made.

--- a/src/net/http_channel.c
+++ b/src/net/http_channel.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <http_parser.h>
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -57,6 +58,8 @@
 	bool head_complete;
 	/** Bytes received before that. */
 	size_t head_bytes;
+	/** The response was ended for the size of its body. */
+	bool too_large;
 	/** Bytes taken from options.budget for the response. */
 	size_t held;
 	/** The parser has read a complete response. */
@@ -254,9 +257,17 @@
 static int on_body(http_parser *parser, const char *at, size_t len)
 {
 	struct http_channel *channel = parser->data;
-
-	if (channel->reply.body->len + len > channel->options.body_bytes)
+	/* Declared bytes of the body, or of the chunk, that are still to come.
+	 */
+	uint64_t rest = parser->content_length == ULLONG_MAX
+				? 0
+				: parser->content_length;
+
+	if (channel->reply.body->len + len + rest >
+	    channel->options.body_bytes) {
+		channel->too_large = true;
 		return 1;
+	}
 	if (!hold_bytes(channel, len))
 		return 1;
 	g_string_append_len(channel->reply.body, at, (gssize)len);
@@ -588,6 +599,11 @@
 	return channel->sent;
 }
 
+bool http_channel_reply_too_large(const struct http_channel *channel)
+{
+	return channel->too_large;
+}
+
 double http_channel_last_byte_s(const struct http_channel *channel)
 {
 	return channel->last_byte_s;
--- a/src/net/http_channel.h
+++ b/src/net/http_channel.h
@@ -135,6 +135,10 @@
 /** Returns whether bytes of the current request may have been sent. */
 bool http_channel_may_have_sent(const struct http_channel *channel);
 
+/** Returns whether the connection ended because a response's body was larger
+ * than options.body_bytes. */
+bool http_channel_reply_too_large(const struct http_channel *channel);
+
 /** Returns the loop time at which bytes of the current response were last
  * received; 0 if none were. */
 double http_channel_last_byte_s(const struct http_channel *channel);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -30,7 +30,8 @@
 	STORE_OK,
 	/** The condition of a write did not hold; nothing was written. */
 	STORE_CONFLICT,
-	/** The store no longer keeps the requested changes. */
+	/** The store no longer keeps the requested changes, or they are too
+	 * large for an answer. */
 	STORE_HISTORY_GONE,
 	/** The store refused the call; nothing was done. */
 	STORE_REFUSED,
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -599,8 +599,9 @@
 	/* Number of connections, the oldest ones, that get no answer. */
 	unsigned int silent_count;
 	ev_timer serve_timer;
-	/* Body of the answers. */
+	/* Body of the answers, and the length that they declare; 0: its own. */
 	const char *body;
+	size_t declared;
 	/* Calls of the client without a result, and the last result. */
 	unsigned int pending;
 	enum store_status status;
@@ -614,7 +615,8 @@
 	struct silent_server *server = timer->data;
 	char *reply = g_strdup_printf(
 		"HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
-		strlen(server->body), server->body);
+		server->declared ? server->declared : strlen(server->body),
+		server->body);
 	int fd = accept(server->listener, NULL, NULL);
 	unsigned int i;
 
@@ -735,6 +737,29 @@
 	silent_server_stop(&server);
 }
 
+/* Guards against a VM that asks again and again for the changes of a long time,
+ * which no answer can hold, instead of reading the table. */
+static void changes_too_large_for_an_answer_count_as_lost(void)
+{
+	struct silent_server server;
+	struct sockaddr_in address;
+	struct table_store *client;
+	struct store store;
+
+	silent_server_start(&server, &address);
+	server.declared = (size_t)5 << 20;
+	client = table_store_create(&server.loop, &address);
+	store = table_store_interface(client);
+	server.pending = 1;
+	store.ops->follow(store.impl, "t", 6, 0, on_silent_answer, &server);
+	ev_run(server.loop.ev, 0);
+	CU_ASSERT_EQUAL(server.status, STORE_HISTORY_GONE);
+	read_rows(&server, &store, 1);
+	CU_ASSERT_EQUAL(server.status, STORE_UNKNOWN);
+	table_store_destroy(client);
+	silent_server_stop(&server);
+}
+
 static void arriving_reply_does_not_time_out(void)
 {
 	CU_ASSERT_EQUAL(read_from_slow_server(1), STORE_OK);
@@ -770,6 +795,8 @@
 		  arriving_reply_does_not_time_out },
 		{ "rows of other parts are left out",
 		  rows_of_other_parts_are_left_out },
+		{ "changes too large for an answer count as lost",
+		  changes_too_large_for_an_answer_count_as_lost },
 		{ "a timeout ends the use of idle connections",
 		  a_timeout_ends_the_use_of_idle_connections },
 		{ 0 },
