--- a/src/entry/table_watch_impl.h
+++ b/src/entry/table_watch_impl.h
@@ -18,6 +18,10 @@
  * that returns early without a change. */
 #define RETRY_S 0.25
 
+/* Time, in seconds, without a newer row on any VM after which the store counts
+ * as quiet. Each upstream writes its row about every second. */
+#define QUIET_S 1.0
+
 struct table_watch {
 	struct loop *loop;
 	struct store store;
@@ -31,7 +35,8 @@
 	ev_timer timer;
 	/** Existing rows (struct store_row) by key. */
 	GHashTable *rows;
-	/** Set of the keys seen by the snapshot in progress, or NULL. */
+	/** Set of the keys seen by the snapshot or copy in progress, or NULL.
+	 */
 	GHashTable *seen_keys;
 	/** All changes up to this version were applied. */
 	uint64_t version;
@@ -76,6 +81,17 @@
 	double catch_up_after_s;
 	/** Newest row version seen so far. */
 	uint64_t row_version;
+	/** Newest row version that other VMs have seen, and the loop time at
+	 * which this VM heard of it. */
+	uint64_t peers_version;
+	double peers_version_s;
+	/** The last such version that the store had not reached when it was
+	 * asked; 0: none. */
+	uint64_t refuted_version;
+	/** Loop time at which a newer row became known on any VM, and at which
+	 * the last time without one of QUIET_S or more ended. */
+	double newer_row_s;
+	double quiet_until_s;
 	/** Loop time since which other VMs have known a newer row than this VM;
 	 * 0: they don't. */
 	double behind_since_s;
@@ -108,6 +124,28 @@
 void table_watch_apply_row(struct table_watch *table_watch,
 			   const struct store_row *row);
 
+/** Notes that a newer row became known on any VM. */
+void table_watch_note_newer_row(struct table_watch *table_watch);
+
+/** Forgets the version that other VMs have seen if the store, which was asked
+ * after that, has not reached it.
+ *
+ * @param store_version newest version of the store */
+void table_watch_check_peers_version(struct table_watch *table_watch,
+				     uint64_t store_version);
+
+/** Prepares seen_keys for the rows of a snapshot or copy. */
+void table_watch_forget_seen_rows(struct table_watch *table_watch);
+
+/** Applies a row of a snapshot or copy. */
+void table_watch_see_row(struct table_watch *table_watch,
+			 const struct store_row *row);
+
+/** Removes the rows that the snapshot or copy did not show, except those newer
+ * than version upto, and frees seen_keys. */
+void table_watch_remove_unseen_rows(struct table_watch *table_watch,
+				    uint64_t upto);
+
 /** Ends a snapshot that showed snapshot_version. */
 void table_watch_finish_snapshot(struct table_watch *table_watch);
 
--- a/src/entry/table_watch_peers.c
+++ b/src/entry/table_watch_peers.c
@@ -115,11 +115,54 @@
 	resume_calls(table_watch);
 }
 
+void table_watch_note_newer_row(struct table_watch *table_watch)
+{
+	double now = loop_now(table_watch->loop);
+
+	if (table_watch->newer_row_s &&
+	    now > table_watch->newer_row_s + QUIET_S)
+		table_watch->quiet_until_s = now;
+	table_watch->newer_row_s = now;
+}
+
+bool table_watch_was_quiet(const struct table_watch *table_watch)
+{
+	double now = loop_now(table_watch->loop);
+
+	return now > table_watch->newer_row_s + QUIET_S ||
+	       now < table_watch->quiet_until_s + QUIET_S;
+}
+
+/* Notes the newest row version that other VMs have seen. */
+static void observe_version(struct table_watch *table_watch, uint64_t version)
+{
+	if (version <= table_watch->peers_version ||
+	    version == table_watch->refuted_version)
+		return;
+	table_watch->peers_version = version;
+	table_watch->peers_version_s = loop_now(table_watch->loop);
+	if (version > table_watch->row_version)
+		table_watch_note_newer_row(table_watch);
+}
+
+void table_watch_check_peers_version(struct table_watch *table_watch,
+				     uint64_t store_version)
+{
+	if (table_watch->peers_version <= store_version ||
+	    table_watch->call_started_s <= table_watch->peers_version_s)
+		return;
+	table_watch->refuted_version = table_watch->peers_version;
+	table_watch->peers_version = table_watch->row_version;
+}
+
+uint64_t table_watch_peers_version(const struct table_watch *table_watch)
+{
+	return table_watch->peers_version;
+}
+
 /* Calls the store again if other VMs have known a newer row for too long,
- * unless an answer is just arriving.
- *
- * @param version newest row version that other VMs have seen */
-static void check_staleness(struct table_watch *table_watch, uint64_t version)
+ * unless an answer is just arriving. */
+static void check_staleness(struct table_watch *table_watch)
 {
 	double now = loop_now(table_watch->loop);
 	double wait_s;
@@ -128,7 +171,7 @@
 		table_watch->progress_version = table_watch->row_version;
 		table_watch->progress_s = now;
 	}
-	if (version <= table_watch->row_version) {
+	if (table_watch_has(table_watch, table_watch->peers_version)) {
 		table_watch->behind_since_s = 0;
 		return;
 	}
@@ -154,6 +197,7 @@
 			      table_watch_relies_on_peers(table_watch);
 
 	table_watch->peers = peers;
+	observe_version(table_watch, version);
 	if (table_watch->loaded && !table_watch->call_pending &&
 	    table_watch_relies_on_peers(table_watch))
 		table_watch_set_unreachable(table_watch,
@@ -163,7 +207,7 @@
 	if (table_watch_poll_overdue(table_watch))
 		restart_call(table_watch);
 	else if (peers != TABLE_WATCH_NO_PEERS && awaits_changes)
-		check_staleness(table_watch, version);
+		check_staleness(table_watch);
 	else
 		resume_calls(table_watch);
 }
@@ -273,10 +317,11 @@
 		table_watch->store.ops->cancel(table_watch->store.impl,
 					       table_watch);
 		table_watch->call_pending = false;
-		g_clear_pointer(&table_watch->seen_keys, g_hash_table_destroy);
 	}
+	table_watch_forget_seen_rows(table_watch);
 	for (i = 0; i < copy->count; i++)
-		table_watch_apply_row(table_watch, &copy->rows[i]);
+		table_watch_see_row(table_watch, &copy->rows[i]);
+	table_watch_remove_unseen_rows(table_watch, copy->upto);
 	table_watch->snapshot_version = copy->upto;
 	table_watch->call_started_s = loop_now(table_watch->loop);
 	table_watch_finish_snapshot(table_watch);
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -101,6 +101,9 @@
 	GString *reported;
 	/** The watch reported last that the store is unreachable. */
 	int unreachable;
+	/** The store had failed all VMs when the watch reported that it is
+	 * reachable again. */
+	bool was_quiet;
 	/** Counts the calls by reason. */
 	struct metrics *metrics;
 };
@@ -175,6 +178,7 @@
 	CU_ASSERT_STRING_EQUAL(table, "t");
 	CU_ASSERT_TRUE(call_s >= 0);
 	f->unreachable = unreachable;
+	f->was_quiet = !unreachable && table_watch_was_quiet(f->table_watch);
 }
 
 static const struct table_watch_ops snapshot_ops = {
@@ -220,6 +224,22 @@
 	ev_run(f->loop.ev, EVRUN_NOWAIT);
 }
 
+/* Answers the pending read with one row; more rows follow it. */
+static void answer_page(struct fixture *f, uint64_t version,
+			const struct store_row *row)
+{
+	struct store_result result = {
+		.status = STORE_OK,
+		.version = version,
+		.rows = row,
+		.row_count = 1,
+		.more = true,
+	};
+
+	f->call = 0;
+	f->done(f->ctx, &result);
+}
+
 /* Creates and starts a watch. */
 static void start_watch(struct fixture *f, const struct table_watch_ops *ops,
 			double copy_wait_s)
@@ -415,6 +435,59 @@
 	teardown(&f);
 }
 
+/* Plays a time in which the VMs that this one relies on lack contact to the
+ * store, while other VMs see newer rows or don't. Returns the newest version.
+ */
+static uint64_t play_lost_contact(struct fixture *f, unsigned int ticks,
+				  bool rows_change, uint64_t version)
+{
+	unsigned int i;
+
+	for (i = 0; i < ticks; i++) {
+		table_watch_set_peers(f->table_watch, TABLE_WATCH_PEERS_WAIT,
+				      version);
+		version += rows_change;
+		advance(f, 0.05);
+		if (f->call)
+			answer(f, STORE_UNKNOWN, 0, NULL, 0);
+	}
+	return version;
+}
+
+/* Guards against upstreams that keep getting requests after they left, each
+ * time that a VM regains contact to a store that served the others. */
+static void only_a_quiet_store_was_away_for_all(void)
+{
+	static const struct {
+		unsigned int quiet_ticks;
+		/** Ticks of 50 ms from the first newer row on another VM until
+		 * this one regains contact. */
+		unsigned int late_ticks;
+		bool quiet;
+	} rows[] = {
+		{ 0, 10, false }, { 0, 80, false },  { 60, 0, true },
+		{ 60, 10, true }, { 60, 80, false },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct fixture f;
+		uint64_t version = 11;
+
+		setup(&f);
+		version = play_lost_contact(&f, rows[i].quiet_ticks, false,
+					    version);
+		version = play_lost_contact(&f, rows[i].late_ticks, true,
+					    version);
+		CU_ASSERT_EQUAL_FATAL(f.unreachable, 1);
+		table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY,
+				      version);
+		CU_ASSERT_EQUAL(f.unreachable, 0);
+		CU_ASSERT_EQUAL(f.was_quiet, rows[i].quiet);
+		teardown(&f);
+	}
+}
+
 /* Guards against changes that become known only at the end of a wait of ten
  * seconds, because the connections of all VMs that poll went silent. */
 static void a_watch_that_others_rely_on_polls_for_a_short_time(void)
@@ -495,6 +568,36 @@
 	teardown(&f);
 }
 
+/* Guards against VMs that read the store again and again for a row that doesn't
+ * exist: a VM named a version that the store has not reached. */
+static void a_version_that_the_store_refutes_is_forgotten(void)
+{
+	struct fixture f;
+	int i;
+
+	setup(&f);
+	for (i = 0; i < 40; i++) {
+		table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY,
+				      1000);
+		advance(&f, 0.05);
+		if (f.call)
+			answer(&f, STORE_OK, 12, NULL, 0);
+	}
+	CU_ASSERT_EQUAL(f.calls, 2);
+	/* Real versions count, and so does an answer that may be older than
+	 * the version that it doesn't reach. */
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 14);
+	advance(&f, 0.25);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 14);
+	CU_ASSERT_EQUAL_FATAL(f.call, 'f');
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 16);
+	answer(&f, STORE_OK, 14, NULL, 0);
+	advance(&f, 0.25);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 16);
+	CU_ASSERT_EQUAL(f.calls, 4);
+	teardown(&f);
+}
+
 /* Guards against VMs that all read a large row from the store while its parts
  * are on their way from the leader, and against one that waits for ever. */
 static void a_watch_waits_for_changes_in_parts(void)
@@ -651,6 +754,45 @@
 	teardown(&f);
 }
 
+/* Guards against a VM that counts as up to date after the newest row of a
+ * snapshot that it didn't read to the end. */
+static void rows_of_a_cancelled_snapshot_do_not_stand_for_all(void)
+{
+	struct store_row a = make_row("a", 15, 1);
+	struct fixture f;
+
+	setup_with(&f, &snapshot_ops);
+	relay(&f, 12, 15, "c", 15, false);
+	CU_ASSERT_EQUAL_FATAL(f.call, 'r');
+	answer_page(&f, 15, &a);
+	CU_ASSERT_EQUAL_FATAL(f.call, 'r');
+	relay(&f, 9, 12, "b", 12, false);
+	CU_ASSERT_EQUAL(f.call, 0);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 15);
+	advance(&f, 0.25);
+	table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY, 15);
+	CU_ASSERT_EQUAL(f.call, 'r');
+	g_string_free(a.value, TRUE);
+	teardown(&f);
+}
+
+/* Guards against VMs that read the store all the time, because other VMs saw a
+ * row's deletion, which no snapshot shows. */
+static void a_snapshot_stands_for_earlier_deletions(void)
+{
+	struct fixture f;
+	int i;
+
+	setup_with(&f, &snapshot_ops);
+	for (i = 0; i < 20; i++) {
+		table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY,
+				      9);
+		advance(&f, 0.05);
+	}
+	CU_ASSERT_EQUAL(f.calls, 1);
+	teardown(&f);
+}
+
 static void only_the_last_change_of_a_row_is_applied(void)
 {
 	struct store_row rows[] = { make_row("b", 11, 1), make_row("c", 12, 1),
@@ -778,6 +920,26 @@
 	teardown(&f);
 }
 
+/* Guards against an upstream that left, or a zone out of service, that stays
+ * for ever: a read that failed midway showed its row, and the copy doesn't. */
+static void a_copy_removes_what_a_failed_read_showed(void)
+{
+	struct store_row old = make_row("old", 5, 1);
+	struct store_row newer = make_row("newer", 12, 1);
+	struct fixture f;
+
+	start_watch(&f, &table_watch_ops, 0);
+	answer_page(&f, 12, &old);
+	answer_page(&f, 12, &newer);
+	answer(&f, STORE_UNKNOWN, 0, NULL, 0);
+	apply_copy(&f, 10, "a", 7);
+	/* The copy is too old to show the newer row. */
+	CU_ASSERT_STRING_EQUAL(f.reported->str, "+old +newer +a -old ");
+	g_string_free(old.value, TRUE);
+	g_string_free(newer.value, TRUE);
+	teardown(&f);
+}
+
 /* A leader has no one to get a copy from, and all others wait for it. */
 static void a_new_leader_reads_at_once_what_it_failed_to_read(void)
 {
@@ -823,12 +985,16 @@
 		  without_peers_the_store_is_polled },
 		{ "peers that wait for the store keep a watch quiet",
 		  peers_that_wait_for_the_store_keep_a_watch_quiet },
+		{ "only a quiet store was away for all",
+		  only_a_quiet_store_was_away_for_all },
 		{ "a watch that others rely on polls for a short time",
 		  a_watch_that_others_rely_on_polls_for_a_short_time },
 		{ "a backup that relays ends its long poll",
 		  a_backup_that_relays_ends_its_long_poll },
 		{ "a newer row on a peer is requested",
 		  a_newer_row_on_a_peer_is_requested },
+		{ "a version that the store refutes is forgotten",
+		  a_version_that_the_store_refutes_is_forgotten },
 		{ "a watch waits for changes in parts",
 		  a_watch_waits_for_changes_in_parts },
 		{ "a watch does not wait for parts again and again",
@@ -841,6 +1007,10 @@
 		  a_table_of_few_rows_catches_up_by_snapshot },
 		{ "a relayed delta cancels the catch up snapshot",
 		  a_relayed_delta_cancels_the_catch_up_snapshot },
+		{ "rows of a cancelled snapshot do not stand for all",
+		  rows_of_a_cancelled_snapshot_do_not_stand_for_all },
+		{ "a snapshot stands for earlier deletions",
+		  a_snapshot_stands_for_earlier_deletions },
 		{ "only the last change of a row is applied",
 		  only_the_last_change_of_a_row_is_applied },
 		{ "a lost history is replaced by a snapshot",
@@ -853,6 +1023,8 @@
 		  a_leader_does_not_wait_for_a_copy },
 		{ "a copy replaces a read that failed",
 		  a_copy_replaces_a_read_that_failed },
+		{ "a copy removes what a failed read showed",
+		  a_copy_removes_what_a_failed_read_showed },
 		{ "a new leader reads at once what it failed to read",
 		  a_new_leader_reads_at_once_what_it_failed_to_read },
 		{ "without a copy the table is read",
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -603,16 +603,24 @@
 	 * replies are due; 0: none. */
 	double latency_s;
 	double due_s[CONNECTIONS_MAX];
+	/* Body of the answers, and the length that they declare; 0: its own. */
+	const char *body;
+	size_t declared;
 	/* Calls of the client without a result, and the last result. */
 	unsigned int pending;
 	enum store_status status;
+	uint64_t version;
+	/* The keys of the last result, with a space after each. */
+	GString *keys;
 };
 
 static void on_serve_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
-	static const char reply[] =
-		"HTTP/1.1 200 OK\r\nContent-Length: 19\r\n\r\n" BODY;
 	struct silent_server *server = timer->data;
+	char *reply = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+		server->declared ? server->declared : strlen(server->body),
+		server->body);
 	int fd = accept(server->listener, NULL, NULL);
 	unsigned int i;
 
@@ -632,13 +640,20 @@
 		server->due_s[i] = 0;
 		send(server->conns[i], reply, strlen(reply), MSG_NOSIGNAL);
 	}
+	g_free(reply);
 }
 
 static void on_silent_answer(void *ctx, const struct store_result *result)
 {
 	struct silent_server *server = ctx;
+	size_t i;
 
 	server->status = result->status;
+	server->version = result->version;
+	g_string_truncate(server->keys, 0);
+	for (i = 0; i < result->row_count; i++)
+		g_string_append_printf(server->keys, "%s ",
+				       result->rows[i].key);
 	if (!--server->pending)
 		ev_break(server->loop.ev, EVBREAK_ALL);
 }
@@ -647,6 +662,8 @@
 				struct sockaddr_in *address)
 {
 	memset(server, 0, sizeof(*server));
+	server->body = BODY;
+	server->keys = g_string_new(NULL);
 	server->listener = listen_on_loopback(address);
 	server->loop.ev = ev_loop_new(EVFLAG_AUTO);
 	server->loop.clock = clock_system();
@@ -663,6 +680,7 @@
 		close(server->conns[i]);
 	close(server->listener);
 	ev_loop_destroy(server->loop.ev);
+	g_string_free(server->keys, TRUE);
 }
 
 /* Makes calls at the same time and waits for their results. */
@@ -743,6 +761,56 @@
 	}
 }
 
+/* Guards against rows of another part of the table, which the change feed shows
+ * as well, that are taken for upstreams or for the configuration. */
+static void rows_of_other_parts_are_left_out(void)
+{
+	struct silent_server server;
+	struct sockaddr_in address;
+	struct table_store *client;
+	struct store store;
+
+	silent_server_start(&server, &address);
+	server.body = "{\"ver\":9,\"rows\":["
+		      "{\"part\":\"\",\"key\":\"a\",\"ver\":7},"
+		      "{\"part\":\"p\",\"key\":\"a\",\"ver\":8},"
+		      "{\"part\":\"p\",\"key\":\"b\",\"ver\":9,"
+		      "\"removed\":true},{\"key\":\"c\",\"ver\":9}]}";
+	client = table_store_create(&server.loop, &address);
+	store = table_store_interface(client);
+	server.pending = 1;
+	store.ops->follow(store.impl, "t", 6, 0, on_silent_answer, &server);
+	ev_run(server.loop.ev, 0);
+	CU_ASSERT_EQUAL(server.status, STORE_OK);
+	CU_ASSERT_STRING_EQUAL(server.keys->str, "a c ");
+	CU_ASSERT_EQUAL(server.version, 9);
+	table_store_destroy(client);
+	silent_server_stop(&server);
+}
+
+/* Guards against a VM that asks again and again for the changes of a long time,
+ * which no answer can hold, instead of reading the table. */
+static void changes_too_large_for_an_answer_count_as_lost(void)
+{
+	struct silent_server server;
+	struct sockaddr_in address;
+	struct table_store *client;
+	struct store store;
+
+	silent_server_start(&server, &address);
+	server.declared = (size_t)5 << 20;
+	client = table_store_create(&server.loop, &address);
+	store = table_store_interface(client);
+	server.pending = 1;
+	store.ops->follow(store.impl, "t", 6, 0, on_silent_answer, &server);
+	ev_run(server.loop.ev, 0);
+	CU_ASSERT_EQUAL(server.status, STORE_HISTORY_GONE);
+	read_rows(&server, &store, 1);
+	CU_ASSERT_EQUAL(server.status, STORE_UNKNOWN);
+	table_store_destroy(client);
+	silent_server_stop(&server);
+}
+
 static void arriving_reply_does_not_time_out(void)
 {
 	CU_ASSERT_EQUAL(read_from_slow_server(1), STORE_OK);
@@ -778,6 +846,10 @@
 		  arriving_reply_does_not_time_out },
 		{ "a platform that answers late is heard",
 		  a_platform_that_answers_late_is_heard },
+		{ "rows of other parts are left out",
+		  rows_of_other_parts_are_left_out },
+		{ "changes too large for an answer count as lost",
+		  changes_too_large_for_an_answer_count_as_lost },
 		{ "a timeout ends the use of idle connections",
 		  a_timeout_ends_the_use_of_idle_connections },
 		{ 0 },
