table_watch: relayed changes that the store refutes are replaced

Callers: a VM that was relayed a row and a version that the store has not reached would go on with that row, and ignore all real changes, for as long as it runs. Where such changes come from: datagrams name no system, so that a VM of another one at an address that is used again can send them.

Now a VM asks the store if relayed changes have ended before its own version for four seconds; the VMs that relay ask about every second.

Evidence: the new case of unit-test_follower fails before: no call in five seconds. This ends what was believed; that datagrams of other systems are believed at all is open.

--- a/src/entry/table_watch.c
+++ b/src/entry/table_watch.c
@@ -237,6 +237,24 @@
 					   table_watch->call_started_s);
 }
 
+/* Forgets versions that the store has not reached, which a VM relayed: no row
+ * is newer than a snapshot, since changes aren't applied while it is read. */
+static void forget_refuted_rows(struct table_watch *table_watch,
+				const struct store_result *result)
+{
+	size_t i;
+
+	table_watch->row_version =
+		MIN(table_watch->row_version, result->version);
+	for (i = 0; i < result->row_count; i++) {
+		struct store_row *known = g_hash_table_lookup(
+			table_watch->rows, result->rows[i].key);
+
+		if (known && known->version > result->version)
+			known->version = 0;
+	}
+}
+
 static void on_snapshot_page(void *ctx, const struct store_result *result);
 
 static void read_page(struct table_watch *table_watch, const char *from)
@@ -293,6 +311,7 @@
 	}
 	table_watch_set_unreachable(table_watch, false);
 	table_watch_check_peers_version(table_watch, result->version);
+	forget_refuted_rows(table_watch, result);
 	if (!table_watch->snapshot_version)
 		table_watch->snapshot_version = result->version;
 	for (i = 0; i < result->row_count; i++)
--- a/src/entry/table_watch_impl.h
+++ b/src/entry/table_watch_impl.h
@@ -92,6 +92,9 @@
 	 * the last time without one of QUIET_S or more ended. */
 	double newer_row_s;
 	double quiet_until_s;
+	/** Loop time since which relayed changes have ended before this VM's
+	 * version; 0: they don't. */
+	double ahead_since_s;
 	/** Loop time since which other VMs have known a newer row than this VM;
 	 * 0: they don't. */
 	double behind_since_s;
--- a/src/entry/table_watch_peers.c
+++ b/src/entry/table_watch_peers.c
@@ -15,6 +15,10 @@
  * that misses parts would fall behind for seconds. */
 #define PARTS_WAIT_MAX_S 0.8
 
+/* Longest time, in seconds, for which the VMs that relay changes may know an
+ * older version than this one. They ask the store about every second. */
+#define AHEAD_MAX_S 4.0
+
 /* Whether parts of large changes are expected and not overdue. */
 static bool awaits_parts(const struct table_watch *table_watch, double now)
 {
@@ -192,9 +196,32 @@
 	resume_calls(table_watch);
 }
 
+/* Asks the store if the VMs that relay changes stay behind this one for long:
+ * it may not have reached this one's version, which was relayed. */
+static void check_version(struct table_watch *table_watch, uint64_t upto)
+{
+	double now = loop_now(table_watch->loop);
+
+	if (upto >= table_watch->version) {
+		table_watch->ahead_since_s = 0;
+		return;
+	}
+	if (!table_watch->ahead_since_s)
+		table_watch->ahead_since_s = now;
+	if (now <= table_watch->ahead_since_s + AHEAD_MAX_S ||
+	    table_watch->peers != TABLE_WATCH_PEERS_RELAY ||
+	    table_watch->call_pending ||
+	    !table_watch_relies_on_peers(table_watch))
+		return;
+	table_watch->ahead_since_s = 0;
+	table_watch_request_changes(table_watch, 0, "catch_up");
+}
+
 void table_watch_apply_delta(struct table_watch *table_watch,
 			     const struct table_delta *changes)
 {
+	if (table_watch->loaded)
+		check_version(table_watch, changes->upto);
 	if (!table_watch->loaded || changes->upto <= table_watch->version ||
 	    (table_watch->needs_snapshot && !table_watch->catch_up_snapshot))
 		return;
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -596,6 +596,36 @@
 	teardown(&f);
 }
 
+/* Guards against a row that stands for ever, and changes that are ignored for
+ * ever, after a VM relayed versions that the store has not reached. */
+static void relayed_changes_that_the_store_refutes_are_replaced(void)
+{
+	struct store_row rows[] = { make_row("a", 11, 1),
+				    make_row("b", 12, 1) };
+	struct fixture f;
+	int i;
+
+	setup(&f);
+	relay(&f, 9, 1000, "a", 1000, false);
+	for (i = 0; i < 100 && !f.call; i++) {
+		relay(&f, 9, 12, "b", 12, false);
+		table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY,
+				      12);
+		advance(&f, 0.05);
+	}
+	CU_ASSERT_EQUAL_FATAL(f.call, 'f');
+	answer(&f, STORE_OK, 12, NULL, 0);
+	CU_ASSERT_EQUAL_FATAL(f.call, 'r');
+	answer(&f, STORE_OK, 12, rows, 2);
+	relay(&f, 11, 14, "c", 14, false);
+	CU_ASSERT_STRING_EQUAL(f.reported->str, "+a +a +a +b +c ");
+	CU_ASSERT_EQUAL(table_watch_row_version(f.table_watch), 14);
+	CU_ASSERT_EQUAL(f.calls, 3);
+	for (i = 0; i < 2; i++)
+		g_string_free(rows[i].value, TRUE);
+	teardown(&f);
+}
+
 /* Guards against VMs that all read a large row from the store while its parts
  * are on their way from the leader, and against one that waits for ever. */
 static void a_watch_waits_for_changes_in_parts(void)
@@ -935,6 +965,8 @@
 		  a_newer_row_on_a_peer_is_requested },
 		{ "a version that the store refutes is forgotten",
 		  a_version_that_the_store_refutes_is_forgotten },
+		{ "relayed changes that the store refutes are replaced",
+		  relayed_changes_that_the_store_refutes_are_replaced },
 		{ "a watch waits for changes in parts",
 		  a_watch_waits_for_changes_in_parts },
 		{ "a watch does not wait for parts again and again",
