fuzz_keys: an order doesn't outlive its connection

A simulated grant that was on its way when its VM was stopped reached the next incarnation of the upstream: the check that a connection leads to the incarnation that it was opened to looked at the VM's state, which the stop had cleared, instead of at the connection that carried the grant. A grant of a token that the earlier incarnation had then broke the rule of higher tokens, which no real connection can do. Likewise, a grant that arrived after its VM had stopped counted as that VM's open connection.

--- a/test/fuzz/fuzz_keys_parts/sim_upstream.c
+++ b/test/fuzz/fuzz_keys_parts/sim_upstream.c
@@ -169,6 +169,16 @@
 	delivery_unref(d);
 }
 
+/* A grant has opened a connection, unless its sender has closed it again. */
+static void set_connected(const struct delivery *d)
+{
+	struct vm *vm = d->vm;
+
+	if (!d->release && vm->incarnation == d->vm_incarnation &&
+	    vm->allocator_number == d->allocator_number)
+		vm->connected[d->upstream] = d->arrived_incarnation;
+}
+
 static void on_arrival(struct world *world, void *data)
 {
 	struct delivery *d = data;
@@ -181,17 +191,14 @@
 		/* The sender times out and resets the connection. */
 	} else if (!upstream->up) {
 		reply_later(world, d, 0.002, ORDER_NOT_SENT, true);
-	} else if (!d->release && vm->connected[d->upstream] &&
-		   vm->connected[d->upstream] != upstream->started_ms) {
+	} else if (d->connected_to && d->connected_to != upstream->started_ms) {
 		reply_later(world, d, 0.002, ORDER_UNKNOWN, true);
 	} else if (upstream->delays_orders && world_random(world, 0, 1) < 0.5) {
-		if (!d->release)
-			vm->connected[d->upstream] = upstream->started_ms;
+		set_connected(d);
 		schedule_event(world, world_random(world, 2, 12), apply_late,
 			       d);
 	} else {
-		if (!d->release)
-			vm->connected[d->upstream] = upstream->started_ms;
+		set_connected(d);
 		reply_later(world, d,
 			    d->release ? world_random(world, 0.002, 0.3)
 				       : 0.003,
@@ -204,8 +211,10 @@
 {
 	struct world *world = vm->world;
 
-	if (!d->release)
+	if (!d->release) {
 		vm->sending[d->upstream] = true;
+		d->connected_to = vm->connected[d->upstream];
+	}
 	/* Without an answer in time, the VM closes the connection. */
 	reply_later(world, d, ORDER_TIMEOUT_S, ORDER_UNKNOWN, true);
 	schedule_event(world, world_random(world, 0.001, 0.01), on_arrival, d);
--- a/test/fuzz/fuzz_keys_parts/world.h
+++ b/test/fuzz/fuzz_keys_parts/world.h
@@ -180,6 +180,9 @@
 	/** Which of the VM's connections to the upstream was open at that time.
 	 */
 	unsigned int connection_number;
+	/** The incarnation at the other end of the connection that carries the
+	 * order; 0: it is a new one. */
+	int64_t connected_to;
 	unsigned int upstream;
 	struct key_order order;
 	/** The order releases keys; otherwise it grants them. */
