lease: write an expiry that is never before the holder's own

The row says when the lease ends, on the store's clock, and another VM may acquire it from then on. Two things made that time earlier than the end by which the holder itself goes, so that two VMs led for as long as the difference, and gave the same keys to two upstreams:

- The clock was read once for the row and once more for the holder.
A process that was stopped in between (SIGSTOP, no processor) held the lease for the length of the pause longer than the row said.
- The offset between the store's clock and the VM's was used however old it was.
A VM that isn't the leader reads the store rarely.
With clocks that differ in speed by 2%, the bound that the rest of the file uses, an offset of 100 s ago makes the written lease end the moment it begins.

Now one reading serves both, and the expiry grows by 2% of the offset's age. It may be late, which is harmless: other VMs also go by the time since they heard of the row's version, and take the earlier of the two.

--- a/src/keys/lease.c
+++ b/src/keys/lease.c
@@ -101,7 +101,8 @@
 	/** The store's clock minus this VM's, too high by at most the latency
 	 * of a call. */
 	double store_ahead_s;
-	bool store_clock_known;
+	/** When the store's clock was compared with this VM's; 0: never. */
+	double store_clock_seen_s;
 	/** When the call in progress was sent. */
 	double sent_s;
 	/** A read or write of the row has no answer yet. */
@@ -297,7 +298,20 @@
 	if (result->now_s <= 0)
 		return;
 	lease->store_ahead_s = result->now_s - lease->sent_s;
-	lease->store_clock_known = true;
+	lease->store_clock_seen_s = lease->sent_s;
+}
+
+/* Returns the end of a lease that begins now, on the store's clock, or 0 when
+ * that is unknown. It is never too early, however much faster the store's clock
+ * may have run since it was read. */
+static double until_s(const struct lease *lease, double now_s)
+{
+	double seen_s = lease->store_clock_seen_s;
+
+	if (!seen_s)
+		return 0;
+	return now_s + lease->store_ahead_s + LEASE_S +
+	       (now_s - seen_s) * (CLOCK_FACTOR - 1);
 }
 
 /* Converts the row's expiry from the store's clock to this VM's clock.
@@ -476,6 +490,9 @@
 {
 	LeaseRow message = LEASE_ROW__INIT;
 	uint32_t number = lease->next_attempt++;
+	/* One reading for the row and for this VM: a pause in between would let
+	 * others acquire the lease while this VM holds it. */
+	double now = now_of(lease);
 	struct store_write write = {
 		.table = LEASE_TABLE,
 		.key = LEASE_KEY,
@@ -490,9 +507,8 @@
 		g_strdup_printf("%s%u", lease->attempt_prefix, number);
 	if (lease->stopped)
 		message.until_s = EXPIRED_S;
-	else if (lease->store_clock_known)
-		message.until_s =
-			now_of(lease) + lease->store_ahead_s + LEASE_S;
+	else
+		message.until_s = until_s(lease, now);
 	value = g_string_new(NULL);
 	g_string_set_size(value, lease_row__get_packed_size(&message));
 	lease_row__pack(&message, (uint8_t *)value->str);
@@ -500,8 +516,8 @@
 	write.value = (struct str){ value->str, value->len };
 	lease->call_in_progress = true;
 	lease->attempts[number % ATTEMPTS_MAX].number = number;
-	lease->attempts[number % ATTEMPTS_MAX].sent_s = now_of(lease);
-	lease->sent_s = now_of(lease);
+	lease->attempts[number % ATTEMPTS_MAX].sent_s = now;
+	lease->sent_s = now;
 	store_calls_count(lease->store.calls, LEASE_TABLE,
 			  lease->stopped   ? "release"
 			  : lease->holding ? "renew"
--- a/test/unit/test_keys.c
+++ b/test/unit/test_keys.c
@@ -8,6 +8,7 @@
 #include "keys/published_map.h"
 #include "manual_clock.h"
 #include "suite.h"
+#include "wire/entry.pb-c.h"
 
 static void maps_are_packed_and_read(void)
 {
@@ -159,6 +160,9 @@
 	bool writing;
 	/** Value of the last write. */
 	GString *written;
+	/** Number of the reading of the clock before which the process is
+	 * stopped; 0: none. */
+	unsigned int readings_to_pause;
 };
 
 static void fake_read(void *impl, const char *table, const char *from,
@@ -244,17 +248,25 @@
 	g_string_free(f->written, TRUE);
 }
 
-/* Answers the lease's read or write in progress, without any rows. */
-static void complete_call(struct fixture *f, enum store_status status,
-			  uint64_t version)
+/* Answers the lease's read or write in progress. */
+static void complete_call_with(struct fixture *f,
+			       const struct store_result *result)
 {
-	struct store_result result = { .status = status, .version = version };
 	store_done_fn done = f->done;
 
 	f->done = NULL;
 	CU_ASSERT_PTR_NOT_NULL(done);
 	if (done)
-		done(f->ctx, &result);
+		done(f->ctx, result);
+}
+
+/* Answers it without any rows. */
+static void complete_call(struct fixture *f, enum store_status status,
+			  uint64_t version)
+{
+	struct store_result result = { .status = status, .version = version };
+
+	complete_call_with(f, &result);
 }
 
 /* Runs the lease until it has found no row in the store and started the write
@@ -371,6 +383,103 @@
 	teardown(&f);
 }
 
+/* The store's clock minus the VM's, in seconds. */
+#define STORE_AHEAD_S 4000
+/* Length of a pause of the process. */
+#define PAUSE_S 3
+
+/* Answers the lease's call as a store that reports its clock. */
+static void complete_call_at(struct fixture *f, uint64_t version,
+			     double store_now_s)
+{
+	struct store_result result = { .status = STORE_OK,
+				       .version = version,
+				       .now_s = store_now_s };
+
+	complete_call_with(f, &result);
+}
+
+/* Returns the end of the lease that the VM wrote, on the store's clock. */
+static double written_until_s(const struct fixture *f)
+{
+	LeaseRow *row = lease_row__unpack(NULL, f->written->len,
+					  (const uint8_t *)f->written->str);
+	double until_s = row ? row->until_s : 0;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(row);
+	lease_row__free_unpacked(row, NULL);
+	return until_s;
+}
+
+/* Reads the clock of a process that is stopped before one of the readings. */
+static struct timespec read_clock_with_pause(void *ctx)
+{
+	struct fixture *f = ctx;
+
+	if (f->readings_to_pause && !--f->readings_to_pause)
+		manual_clock_advance(&f->clock, PAUSE_S);
+	return f->clock.now;
+}
+
+/* Guards against a lease that others may acquire while its holder, which was
+ * stopped while it wrote the row, still holds it. */
+static void a_pause_during_a_write_does_not_prolong_the_lease(void)
+{
+	static const struct clock_ops ops = { read_clock_with_pause,
+					      read_clock_with_pause };
+	unsigned int reading;
+
+	for (reading = 1; reading < 20; reading++) {
+		struct fixture f;
+		double until_s, left_s;
+		int i;
+
+		setup(&f);
+		f.clock.clock.ops = &ops;
+		f.clock.clock.ctx = &f;
+		advance(&f, 0.05);
+		complete_call_at(&f, 0, loop_now(&f.loop) + STORE_AHEAD_S);
+		for (i = 0; i < 40 && !f.writing; i++) {
+			f.readings_to_pause = reading;
+			advance(&f, 0.05);
+		}
+		f.readings_to_pause = 0;
+		until_s = written_until_s(&f);
+		complete_call_at(&f, 1, loop_now(&f.loop) + STORE_AHEAD_S);
+		left_s = until_s - STORE_AHEAD_S - loop_now(&f.loop);
+		CU_ASSERT_FALSE(lease_held(f.lease, MAX(left_s, 0)));
+		teardown(&f);
+	}
+}
+
+/* Guards against a lease that others may acquire early, because its holder read
+ * the store's clock long ago and the clocks differ in speed. */
+static void a_slow_clock_does_not_shorten_the_written_lease(void)
+{
+	struct fixture f;
+	double began_s, store_now_s;
+	uint64_t version = 5;
+	int i;
+
+	setup(&f);
+	advance(&f, 0.05);
+	began_s = loop_now(&f.loop);
+	complete_call_at(&f, 0, STORE_AHEAD_S);
+	for (i = 0; i < 1000; i++) {
+		lease_observe_version(f.lease, ++version);
+		advance(&f, 0.1);
+	}
+	for (i = 0; i < 100 && !f.writing; i++) {
+		if (f.done)
+			complete_call(&f, STORE_REFUSED, 0);
+		advance(&f, 0.05);
+	}
+	CU_ASSERT_TRUE_FATAL(f.writing);
+	store_now_s = STORE_AHEAD_S + (loop_now(&f.loop) - began_s) * 1.02;
+	CU_ASSERT_TRUE(written_until_s(&f) > store_now_s + LEASE_S - 0.001);
+	teardown(&f);
+}
+
 /* --- the key allocator, with callbacks that record its orders --- */
 
 /** An allocator, and a record of the orders and saves that it asked for. */
@@ -671,6 +780,10 @@
 		  a_newer_version_ends_a_lease },
 		{ "an observed lease must expire first",
 		  an_observed_lease_must_expire_first },
+		{ "a pause during a write does not prolong the lease",
+		  a_pause_during_a_write_does_not_prolong_the_lease },
+		{ "a slow clock does not shorten the written lease",
+		  a_slow_clock_does_not_shorten_the_written_lease },
 		{ "keys are granted after their map is saved",
 		  keys_are_granted_after_their_map_is_saved },
 		{ "a handover is passed on once",
