cluster: ignore owner maps that were read for an earlier leadership

A VM that wins the lease reads the owner maps from the store. The answer was believed whenever the VM led at the time it came: also when it had lost the lease and won it again since the read was sent, and another leader had moved keys in between. Its key leaders then started from old owners, and granted keys that others hold (rule OWNER).

Each read now belongs to the leadership that sent it, known by the version of the lease row that it won; an answer for another one is dropped and the maps are read again. A read of the maps in place of a heartbeat no longer delays this one, and a leader ignores its answer.

--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -100,8 +100,12 @@
 	/** Since this VM began to lead, the owner maps of the previous leader
 	 * were read from the store. */
 	bool maps_read;
-	/** A read of owner maps from the store isn't answered yet. */
-	bool reading_maps;
+	/** A read of these maps isn't answered yet, and map_base at the time at
+	 * which it was sent. */
+	bool inheriting;
+	uint64_t inheriting_base;
+	/** A read of owner maps in place of a heartbeat isn't answered yet. */
+	bool reading_fallback;
 	/** Time until which grants of earlier leaders may still be valid. */
 	double inherited_until_s;
 	/** Duration of new key grants, in seconds. */
--- a/src/entry/cluster_maps.c
+++ b/src/entry/cluster_maps.c
@@ -59,8 +59,10 @@
 	struct cluster *cluster = ctx;
 	size_t i;
 
-	cluster->reading_maps = false;
-	if (result->status != STORE_OK || !cluster->leading)
+	cluster->inheriting = false;
+	/* In between, another VM may have led and moved keys. */
+	if (result->status != STORE_OK || !cluster->leading ||
+	    cluster->inheriting_base != cluster->map_base)
 		return;
 	load_blocked_requests(cluster, result);
 	for (i = 0; i < result->row_count; i++) {
@@ -76,14 +78,10 @@
 			result->row_count, result->version);
 }
 
-/* Reads the owner maps of all services from the store, unless a read is in
- * progress already. */
+/* Reads the owner maps of all services from the store. */
 static void read_maps(struct cluster *cluster, store_done_fn done,
 		      const char *reason)
 {
-	if (cluster->reading_maps)
-		return;
-	cluster->reading_maps = true;
 	store_calls_count(cluster->options.store.calls, KEY_TABLE, reason);
 	cluster->options.store.ops->read(cluster->options.store.impl, KEY_TABLE,
 					 "", done, cluster);
@@ -91,6 +89,10 @@
 
 void cluster_inherit_maps(struct cluster *cluster)
 {
+	if (cluster->inheriting)
+		return;
+	cluster->inheriting = true;
+	cluster->inheriting_base = cluster->map_base;
 	read_maps(cluster, on_inherited_maps, "inherit");
 }
 
@@ -105,8 +107,8 @@
 	struct cluster *cluster = ctx;
 	size_t i;
 
-	cluster->reading_maps = false;
-	if (result->status != STORE_OK ||
+	cluster->reading_fallback = false;
+	if (result->status != STORE_OK || cluster->leading ||
 	    cluster_now(cluster) < cluster->last_heartbeat_s + HEARTBEAT_LOST_S)
 		return;
 	load_blocked_requests(cluster, result);
@@ -139,8 +141,9 @@
 
 void cluster_read_fallback_maps(struct cluster *cluster)
 {
-	if (!has_unheard_leader(cluster))
+	if (cluster->reading_fallback || !has_unheard_leader(cluster))
 		return;
+	cluster->reading_fallback = true;
 	cluster->fallback_lease = lease_version(cluster->lease);
 	read_maps(cluster, on_fallback_maps, "fallback");
 }
