key_leader: don't write over another leader's owners

A save of an owner map whose condition fails because another leader wrote the row was repeated with the row's new version: this VM's owners replaced those of the other leader, who may have granted its keys. A comment claimed that the other leader can't have granted keys by its write. That holds only if it wrote late what it had sent while it led, and not:

- after owner maps of an earlier leadership were taken for those in force;
- for a service that wasn't in the configuration when this VM read the maps, and came back later.
Its row was left out, so that it counted as new: its keys were divided anew, at once and with fencing tokens that start at 1000, below those that its upstreams had seen.

Now the row's author decides. A write of this leader that was applied late, or whose answer was lost, is handled as before. After that of another leader this VM gives no orders, cancels those on their way, and reads the maps again as if it had just won the lease: with the full wait for grants of others. The owners that it finds go on serving meanwhile.

Two cases of unit-test_cluster failed before (the first saved map gave the keys to the upstream that had lost them, or divided them with lower tokens) and pass after.

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -32,7 +32,8 @@
 {
 	struct cluster *cluster = ctx;
 
-	return cluster->leading && lease_held(cluster->lease, GRANT_TIMEOUT_S);
+	return cluster->leading && !cluster->maps_superseded &&
+	       lease_held(cluster->lease, GRANT_TIMEOUT_S);
 }
 
 /* Sends a heartbeat after a short delay, unless one is scheduled already. */
@@ -75,17 +76,12 @@
 	cluster->heartbeat_sent_s = 0;
 	/* Give VMs known to the previous leader time to report here. */
 	live_vms_touch_all(cluster->vms, cluster_now(cluster));
-	cluster->maps_read = false;
 	cluster->vms_changed = true;
-	g_hash_table_remove_all(cluster->published_maps);
 	cluster->map_base = lease_version(cluster->lease) * MAPS_PER_LEASE;
 	cluster->map_number = 0;
 	cluster->snapshots.number = cluster->map_base;
 	cluster->hold_s = HOLD_S;
-	cluster->inherited_until_s =
-		cluster_now(cluster) +
-		cluster->options.settings->hold_max_s * CLOCK_DRIFT_FACTOR +
-		GRANT_TRAVEL_S;
+	cluster_forget_maps(cluster);
 	counter_set(cluster->leads, 1);
 	crash_exchange_resend(cluster->crash_exchange);
 	limit_exchange_begin(cluster->limit_exchange);
@@ -323,6 +319,8 @@
 	cluster_set_watch_mode(cluster, TABLE_WATCH_LEADER);
 	if (!cluster->options.roster_loaded(cluster->options.ctx))
 		return;
+	if (cluster->maps_superseded)
+		cluster_forget_maps(cluster);
 	if (!cluster->maps_read) {
 		cluster_inherit_maps(cluster);
 		return;
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -104,6 +104,8 @@
 	 * which it was sent. */
 	bool inheriting;
 	uint64_t inheriting_base;
+	/** Another leader has written owner maps since they were read. */
+	bool maps_superseded;
 	/** A read of owner maps in place of a heartbeat isn't answered yet. */
 	bool reading_fallback;
 	/** Time until which grants of earlier leaders may still be valid. */
@@ -217,6 +219,10 @@
  */
 void cluster_keys_changed(void *ctx);
 
+/** Forgets what this VM knows as leader of the owners, who may hold the keys
+ * that earlier leaders granted: cluster_inherit_maps() is due. */
+void cluster_forget_maps(struct cluster *cluster);
+
 /** As new leader, reads the owner maps of the previous leader from the store
  * and creates the key leaders, unless a read is in progress. */
 void cluster_inherit_maps(struct cluster *cluster);
--- a/src/entry/cluster_maps.c
+++ b/src/entry/cluster_maps.c
@@ -8,6 +8,11 @@
 #include "entry/cluster_impl.h"
 #include "store/store_calls.h"
 
+static void on_superseded(void *ctx)
+{
+	((struct cluster *)ctx)->maps_superseded = true;
+}
+
 /* Creates the key leader of a service that is keyed and has none.
  *
  * @param row the service's saved owner map, or NULL */
@@ -22,6 +27,7 @@
 		.log = cluster->options.log,
 		.may_send_orders = cluster_may_send_orders,
 		.changed = cluster_keys_changed,
+		.superseded = on_superseded,
 		.ctx = cluster,
 	};
 
@@ -87,6 +93,19 @@
 					 "", done, cluster);
 }
 
+void cluster_forget_maps(struct cluster *cluster)
+{
+	orders_cancel(cluster->orders);
+	g_hash_table_remove_all(cluster->key_leaders);
+	g_hash_table_remove_all(cluster->published_maps);
+	cluster->maps_read = false;
+	cluster->maps_superseded = false;
+	cluster->inherited_until_s =
+		cluster_now(cluster) +
+		cluster->options.settings->hold_max_s * CLOCK_DRIFT_FACTOR +
+		GRANT_TRAVEL_S;
+}
+
 void cluster_inherit_maps(struct cluster *cluster)
 {
 	if (cluster->inheriting)
--- a/src/entry/key_leader.c
+++ b/src/entry/key_leader.c
@@ -28,6 +28,8 @@
 /* Most upstreams remembered by id. Those that left the roster can be sent
  * releases until the table overflows and is cleared. */
 #define KNOWN_UPSTREAMS_MAX 4096
+/* First part of the ids of a leader's writes, with its nonce. */
+#define WRITE_ID_PREFIX "%08x-"
 
 struct key_leader {
 	struct key_leader_options options;
@@ -228,26 +230,39 @@
  * caller frees it. */
 static char *format_write_id(const struct key_leader *leader)
 {
-	return g_strdup_printf("%08x-%u", leader->nonce, leader->write_number);
+	return g_strdup_printf(WRITE_ID_PREFIX "%u", leader->nonce,
+			       leader->write_number);
 }
 
-/* Whether a row holds the value of this leader's last write. */
-static bool is_own_write(const struct key_leader *leader,
-			 const struct store_row *row)
+/* Who wrote a row. */
+enum writer {
+	/** This leader, by its last write. */
+	LAST_WRITE,
+	/** This leader, by an earlier write that was applied late. */
+	EARLIER_WRITE,
+	/** Another leader. */
+	OTHER_LEADER,
+};
+
+static enum writer writer_of(const struct key_leader *leader,
+			     const struct store_row *row)
 {
-	struct key_map *map = key_map_create();
+	char *prefix = g_strdup_printf(WRITE_ID_PREFIX, leader->nonce);
 	char *name = format_write_id(leader);
+	struct key_map *map = key_map_create();
+	enum writer writer = OTHER_LEADER;
 	char *attempt = NULL;
-	bool own =
-		key_map_unpack(map,
-			       (struct str){ row->value->str, row->value->len },
-			       &attempt) &&
-		!strcmp(attempt, name);
 
+	if (key_map_unpack(map,
+			   (struct str){ row->value->str, row->value->len },
+			   &attempt) &&
+	    g_str_has_prefix(attempt, prefix))
+		writer = strcmp(attempt, name) ? EARLIER_WRITE : LAST_WRITE;
 	g_free(attempt);
-	g_free(name);
 	key_map_destroy(map);
-	return own;
+	g_free(name);
+	g_free(prefix);
+	return writer;
 }
 
 static const struct store_row *find_row(const struct key_leader *leader,
@@ -268,6 +283,21 @@
 	g_free(leader);
 }
 
+/* Handles a write whose condition did not hold; returns whether the row holds
+ * the written map nevertheless, because an answer was lost. */
+static bool handle_conflict(struct key_leader *leader,
+			    const struct store_row *row)
+{
+	enum writer writer = row ? writer_of(leader, row) : OTHER_LEADER;
+
+	if (writer == OTHER_LEADER) {
+		leader->options.superseded(leader->options.ctx);
+		return false;
+	}
+	leader->row_version = row->version;
+	return writer == LAST_WRITE;
+}
+
 static void on_saved(void *ctx, const struct store_result *result)
 {
 	struct key_leader *leader = ctx;
@@ -279,15 +309,10 @@
 		leader_free(leader);
 		return;
 	}
-	if (ok) {
+	if (ok)
 		leader->row_version = result->version;
-	} else if (result->status == STORE_CONFLICT) {
-		/* Either this leader's write succeeded but its answer was lost,
-		 * or a late write of an earlier leader came in between. That
-		 * leader can't have granted keys by its write. */
-		ok = row && is_own_write(leader, row);
-		leader->row_version = row ? row->version : 0;
-	}
+	else if (result->status == STORE_CONFLICT)
+		ok = handle_conflict(leader, row);
 	if (!ok)
 		log_warn(
 			"keys",
--- a/src/entry/key_leader.h
+++ b/src/entry/key_leader.h
@@ -28,6 +28,10 @@
 	bool (*may_send_orders)(void *ctx);
 	/** Called when the result of key_leader_copy_served_map() changed. */
 	void (*changed)(void *ctx);
+	/** Called when the stored owner map turns out to be another leader's:
+	 * owners that this key leader doesn't know may hold keys. From then on
+	 * may_send_orders() must return false for it. */
+	void (*superseded)(void *ctx);
 	void *ctx;
 };
 
--- a/test/unit/test_cluster.c
+++ b/test/unit/test_cluster.c
@@ -429,6 +429,14 @@
 	cluster_tick(rig->cluster);
 }
 
+static void run(struct rig *rig, double span_s)
+{
+	double end = loop_now(&rig->loop) + span_s;
+
+	while (loop_now(&rig->loop) < end)
+		tick(rig);
+}
+
 static void run_until_leading(struct rig *rig)
 {
 	int i;
@@ -517,11 +525,47 @@
 	teardown(&rig);
 }
 
+/* Guards against a leader that writes its owners over those of another one. */
+static void owners_of_another_leader_are_not_overwritten(void)
+{
+	struct rig rig;
+
+	setup(&rig);
+	configure_service(&rig);
+	put_map(&rig, "a", 100);
+	run_until_leading(&rig);
+	while (!rig.cluster->maps_read)
+		tick(&rig);
+	put_map(&rig, "b", 200);
+	check_saved(&rig, "b", 200);
+	teardown(&rig);
+}
+
+/* Guards against keys that are divided anew, with tokens from the start, when a
+ * service comes back into the configuration. */
+static void a_service_that_comes_back_keeps_its_owners(void)
+{
+	struct rig rig;
+
+	setup(&rig);
+	put_map(&rig, "b", 5000);
+	run_until_leading(&rig);
+	run(&rig, 1);
+	CU_ASSERT_TRUE(rig.cluster->maps_read);
+	configure_service(&rig);
+	check_saved(&rig, "b", 5000);
+	teardown(&rig);
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
 		{ "maps read in an earlier leadership are not believed",
 		  maps_read_in_an_earlier_leadership_are_not_believed },
+		{ "owners of another leader are not overwritten",
+		  owners_of_another_leader_are_not_overwritten },
+		{ "a service that comes back keeps its owners",
+		  a_service_that_comes_back_keeps_its_owners },
 		{ 0 },
 	};
 
