net, entry: ask again before a request leaves on a new connection

A request for which a connection is opened is written when the connection is up. The code lets that take a second (USER_TIMEOUT_MS); how long it takes under load was not measured. What was true when the upstream was chosen may have ended by then, and nothing looked again:

- The upstream said that it leaves, its entry was removed or its zone is evacuated.
- The leader's lease ended.
A grant's timer or the loss of the lease closes the connection, but only if the event loop gets to them first; in a release's case nothing does while the lease's loss isn't noticed.

The channel now asks its owner when connecting has succeeded, before the first byte. A withdrawn request of a caller is tried elsewhere, and says nothing about the upstream; a withdrawn order counts as not sent.

unit-test_forward and unit-test_orders: an upstream that leaves, is evacuated or removed, and a lease that ends, between choice and connection. With the answer of may_send() ignored both cases failed (the request reached the upstream, the order was sent); now they pass.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -576,6 +576,7 @@
 	[HTTP_CHANNEL_RESET] = { "connection_lost", true, LOAD_UNREACHABLE },
 	[HTTP_CHANNEL_BROKEN] = { "answer_broken", true, LOAD_FAILED },
 	[HTTP_CHANNEL_NO_SOCKET] = { "no_socket", false, LOAD_CANCELLED },
+	[HTTP_CHANNEL_WITHDRAWN] = { "withdrawn", false, LOAD_CANCELLED },
 };
 
 static void on_ended(void *user, enum http_channel_end end)
@@ -612,9 +613,22 @@
 	dispatch_queued_soon(forward, service);
 }
 
+/* Whether the upstream still takes the request: it may have begun to leave
+ * while the connection was being opened. */
+static bool may_send(void *user)
+{
+	const struct upstream_attempt *attempt = user;
+	const struct roster *roster = attempt->forward->options.roster;
+
+	if (attempt->req && attempt->req->key >= 0)
+		return upstream_serves_keys(roster, attempt->upstream);
+	return upstream_takes_work(roster, attempt->upstream);
+}
+
 static const struct link_ops link_ops = {
 	.reply = on_reply,
 	.ended = on_ended,
+	.may_send = may_send,
 };
 
 /* Returns the loop time at which a backup attempt is due; G_MAXDOUBLE if none
--- a/src/entry/links.c
+++ b/src/entry/links.c
@@ -187,9 +187,18 @@
 	upstream_unref(upstream);
 }
 
+static bool may_send(void *ctx, struct http_channel *channel)
+{
+	const struct link *link = ctx;
+
+	(void)channel;
+	return link->ops->may_send(link->user);
+}
+
 static const struct http_channel_ops channel_ops = {
 	.reply = on_reply,
 	.ended = on_ended,
+	.may_send = may_send,
 };
 
 static struct link *link_open(struct links *links, struct upstream *upstream)
--- a/src/entry/links.h
+++ b/src/entry/links.h
@@ -28,6 +28,9 @@
 	 * freed. Not called after link_close().
 	 */
 	void (*ended)(void *user, enum http_channel_end end);
+	/** Whether a request may still be sent whose connection took time to
+	 * open, as in http_channel_ops. */
+	bool (*may_send)(void *user);
 };
 
 /** A request to send. */
--- a/src/entry/orders.c
+++ b/src/entry/orders.c
@@ -205,9 +205,18 @@
 				 http_channel_has_surplus(channel));
 }
 
+static bool may_send_grant(void *ctx, struct http_channel *channel)
+{
+	const struct orders *orders = ((struct grant_queue *)ctx)->orders;
+
+	(void)channel;
+	return orders->ops->may_send_orders(orders->ctx);
+}
+
 static const struct http_channel_ops channel_ops = {
 	.reply = on_granted,
 	.ended = on_grant_ended,
+	.may_send = may_send_grant,
 };
 
 static void on_grant_timeout(struct ev_loop *loop, ev_timer *timer, int events)
@@ -379,9 +388,17 @@
 		    NULL);
 }
 
+static bool may_send_release(void *user)
+{
+	const struct orders *orders = ((struct order *)user)->orders;
+
+	return orders->ops->may_send_orders(orders->ctx);
+}
+
 static const struct link_ops release_ops = {
 	.reply = on_released,
 	.ended = on_release_ended,
+	.may_send = may_send_release,
 };
 
 static void on_release_timeout(struct ev_loop *loop, ev_timer *timer,
--- a/src/net/http_channel.c
+++ b/src/net/http_channel.c
@@ -453,6 +453,12 @@
 		on_closed(channel, false);
 }
 
+static bool may_send(struct http_channel *channel)
+{
+	return !channel->busy || !channel->ops->may_send ||
+	       channel->ops->may_send(channel->ctx, channel);
+}
+
 /* Handles the end of connecting, whether it succeeded or failed. */
 static void end_connect(struct http_channel *channel)
 {
@@ -472,6 +478,10 @@
 					      : HTTP_CHANNEL_NOT_CONNECTED);
 		return;
 	}
+	if (!may_send(channel)) {
+		channel_fail(channel, HTTP_CHANNEL_WITHDRAWN);
+		return;
+	}
 	channel->connected = true;
 	channel_flush(channel);
 }
--- a/src/net/http_channel.h
+++ b/src/net/http_channel.h
@@ -45,6 +45,9 @@
 	/** This process could not open a socket: it has no descriptor, port or
 	 * kernel memory left. Says nothing about the server. */
 	HTTP_CHANNEL_NO_SOCKET,
+	/** The owner's may_send() withdrew the request before the first byte
+	 * was sent. */
+	HTTP_CHANNEL_WITHDRAWN,
 };
 
 /** Callbacks to the channel's owner, called by the event loop. */
@@ -61,6 +64,14 @@
 	/** The connection is closed; the owner must destroy the channel. */
 	void (*ended)(void *ctx, struct http_channel *channel,
 		      enum http_channel_end end);
+	/**
+	 * Called when connecting has succeeded, before the first byte of the
+	 * request that waits for it: whether what the owner knew when it sent
+	 * the request still holds. Must not destroy the channel. NULL: it does.
+	 *
+	 * @return false to end the connection with HTTP_CHANNEL_WITHDRAWN
+	 */
+	bool (*may_send)(void *ctx, struct http_channel *channel);
 };
 
 /** Options of http_channel_create(). */
--- a/test/unit/test_channel.c
+++ b/test/unit/test_channel.c
@@ -48,7 +48,10 @@
 	rig->end = end;
 }
 
-static const struct http_channel_ops channel_ops = { on_reply, on_ended };
+static const struct http_channel_ops channel_ops = {
+	.reply = on_reply,
+	.ended = on_ended,
+};
 
 static void setup(struct rig *rig)
 {
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -67,6 +67,11 @@
 	unsigned int held_count;
 	/** Number of times that an answer said that its upstream leaves. */
 	unsigned int leaving;
+	/** Requests that reached an upstream. */
+	unsigned int reached;
+	/** What happens to the upstreams once one was chosen for a request, or
+	 * NULL. */
+	void (*after_choice)(struct rig *rig);
 };
 
 static void answer(struct http_request *request, unsigned int status,
@@ -90,6 +95,7 @@
 	struct target *target = ctx;
 	struct rig *rig = target->rig;
 
+	rig->reached++;
 	if (target->full)
 		answer(request, 503, "X-Not-Executed: 1");
 	else
@@ -117,7 +123,11 @@
 
 static void on_caller_request(void *ctx, struct http_request *request)
 {
-	forward_request(((struct rig *)ctx)->forward, request);
+	struct rig *rig = ctx;
+
+	forward_request(rig->forward, request);
+	if (rig->after_choice)
+		rig->after_choice(rig);
 }
 
 static void on_caller_gone(void *ctx, struct http_request *request)
@@ -452,6 +462,57 @@
 	teardown(&rig);
 }
 
+static void set_leaving(struct rig *rig)
+{
+	unsigned int i;
+
+	for (i = 0; i < G_N_ELEMENTS(rig->targets); i++)
+		roster_set_leaving(
+			rig->roster,
+			roster_upstream(rig->roster, rig->targets[i].id));
+}
+
+static void evacuate(struct rig *rig)
+{
+	roster_set_zone_out(rig->roster, "z1", true);
+}
+
+static void remove_all(struct rig *rig)
+{
+	unsigned int i;
+
+	for (i = 0; i < G_N_ELEMENTS(rig->targets); i++)
+		roster_remove_upstream(rig->roster, rig->targets[i].id, 0);
+}
+
+/* Guards against requests that reach an upstream long after it began to leave,
+ * because their connections took long to open. */
+static void a_request_is_not_sent_once_its_upstream_leaves(void)
+{
+	static void (*const events[])(
+		struct rig * rig) = { set_leaving, evacuate, remove_all };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(events); i++) {
+		struct rig rig;
+		char buf[256] = "";
+		int caller;
+
+		setup(&rig);
+		rig.after_choice = events[i];
+		caller = connect_caller(&rig);
+		send_request(caller, "later", "one");
+		run_loop(&rig);
+		CU_ASSERT_EQUAL(rig.reached, 0);
+		CU_ASSERT_TRUE(
+			recv(caller, buf, sizeof(buf) - 1, MSG_DONTWAIT) > 0);
+		CU_ASSERT_TRUE(g_str_has_prefix(buf, "HTTP/1.1 503 "));
+		close(caller);
+		run_loop(&rig);
+		teardown(&rig);
+	}
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -461,6 +522,8 @@
 		  the_keys_of_a_report_are_limited },
 		{ "impatient callers say nothing about an upstream",
 		  impatient_callers_say_nothing_about_an_upstream },
+		{ "a request is not sent once its upstream leaves",
+		  a_request_is_not_sent_once_its_upstream_leaves },
 		{ 0 },
 	};
 
--- a/test/unit/test_message_bounds.c
+++ b/test/unit/test_message_bounds.c
@@ -326,7 +326,10 @@
 	w->ended = true;
 }
 
-static const struct http_channel_ops channel_ops = { on_reply, on_ended };
+static const struct http_channel_ops channel_ops = {
+	.reply = on_reply,
+	.ended = on_ended,
+};
 
 struct answer_row {
 	const char *bytes;
--- a/test/unit/test_net.c
+++ b/test/unit/test_net.c
@@ -284,7 +284,10 @@
 	w->end = end;
 }
 
-static const struct http_channel_ops channel_ops = { on_reply, on_ended };
+static const struct http_channel_ops channel_ops = {
+	.reply = on_reply,
+	.ended = on_ended,
+};
 
 /* Sends a request on a new channel and answers it with the given bytes.
  *
--- a/test/unit/test_orders.c
+++ b/test/unit/test_orders.c
@@ -66,6 +66,8 @@
 	unsigned int disconnected, doubted;
 	/** Answers that requests of callers got. */
 	unsigned int served;
+	/** The VM's lease has ended. */
+	bool lease_lost;
 };
 
 static void ignore_upstream(void *ctx, struct upstream *upstream)
@@ -91,8 +93,7 @@
 
 static bool may_send(void *ctx)
 {
-	(void)ctx;
-	return true;
+	return !((struct rig *)ctx)->lease_lost;
 }
 
 static void on_disconnected(void *ctx, const char *upstream)
@@ -145,7 +146,14 @@
 	(void)end;
 }
 
-static const struct link_ops request_ops = { on_served, on_request_ended };
+static bool may_send_request(void *user)
+{
+	(void)user;
+	return true;
+}
+
+static const struct link_ops request_ops = { on_served, on_request_ended,
+					     may_send_request };
 
 static void setup(struct rig *rig)
 {
@@ -270,7 +278,7 @@
 		send_text(rig, conn, conn->answered);
 }
 
-static const struct outcome *send_order(struct rig *rig, bool grant)
+static const struct outcome *start_order(struct rig *rig, bool grant)
 {
 	struct key_order order = {
 		.id = ++rig->order_count,
@@ -284,10 +292,17 @@
 
 	(grant ? orders_grant : orders_release)(rig->orders, rig->upstream,
 						&order, on_done, rig);
-	run_loop(rig);
 	return &rig->outcomes[order.id - 1];
 }
 
+static const struct outcome *send_order(struct rig *rig, bool grant)
+{
+	const struct outcome *outcome = start_order(rig, grant);
+
+	run_loop(rig);
+	return outcome;
+}
+
 static void send_request(struct rig *rig)
 {
 	struct link_request request = {
@@ -456,6 +471,27 @@
 	teardown(&rig);
 }
 
+/* Guards against orders that leave after the lease has ended, because their
+ * connections took long to open. */
+static void an_order_is_not_sent_after_the_lease(void)
+{
+	unsigned int grant;
+
+	for (grant = 0; grant <= 1; grant++) {
+		const struct outcome *order;
+		struct rig rig;
+
+		setup(&rig);
+		order = start_order(&rig, grant);
+		rig.lease_lost = true;
+		run_loop(&rig);
+		CU_ASSERT_PTR_NULL(next_request(&rig));
+		CU_ASSERT_TRUE(order->done);
+		CU_ASSERT_EQUAL(order->result, ORDER_NOT_SENT);
+		teardown(&rig);
+	}
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -469,6 +505,8 @@
 		  releases_use_few_connections },
 		{ "an idle connection makes room for a new one",
 		  an_idle_connection_makes_room_for_a_new_one },
+		{ "an order is not sent after the lease",
+		  an_order_is_not_sent_after_the_lease },
 		{ 0 },
 	};
 
