cluster: read owner maps to the last page

The store answers a read with at most 500 rows or 1 MB and says that more follow. The reads of the owner maps took the first answer for all: services beyond it counted as new, so that a new leader divided their keys anew while their owners held them.

Both reads go on from the last key, as the table watches do. A case of unit-test_cluster with one row a page failed before (no map was saved within 5 s) and passes after.

--- a/src/entry/cluster_maps.c
+++ b/src/entry/cluster_maps.c
@@ -8,6 +8,10 @@
 #include "entry/cluster_impl.h"
 #include "store/store_calls.h"
 
+/* Reasons of reads, as counted. */
+#define INHERIT "inherit"
+#define FALLBACK "fallback"
+
 static void on_superseded(void *ctx)
 {
 	((struct cluster *)ctx)->maps_superseded = true;
@@ -58,6 +62,34 @@
 					    &result->rows[i]);
 }
 
+/* Reads a page of the owner maps from the store.
+ *
+ * @param from the first key, or "" */
+static void read_maps(struct cluster *cluster, const char *from,
+		      store_done_fn done, const char *reason)
+{
+	store_calls_count(cluster->options.store.calls, KEY_TABLE, reason);
+	cluster->options.store.ops->read(cluster->options.store.impl, KEY_TABLE,
+					 from, done, cluster);
+}
+
+/* Reads the page that follows a result; returns false if it was the last. */
+static bool read_more_maps(struct cluster *cluster,
+			   const struct store_result *result,
+			   store_done_fn done, const char *reason)
+{
+	char *from;
+
+	if (!result->more || !result->row_count)
+		return false;
+	/* The smallest key in byte order that may follow the last one. */
+	from = g_strconcat(result->rows[result->row_count - 1].key, "\x01",
+			   NULL);
+	read_maps(cluster, from, done, reason);
+	g_free(from);
+	return true;
+}
+
 /* Creates the key leaders of services with a stored owner map, after this VM
  * won the lease. */
 static void on_inherited_maps(void *ctx, const struct store_result *result)
@@ -78,21 +110,16 @@
 		if (service)
 			ensure_key_leader(cluster, service, &result->rows[i]);
 	}
+	if (read_more_maps(cluster, result, on_inherited_maps, INHERIT)) {
+		cluster->inheriting = true;
+		return;
+	}
 	cluster->maps_read = true;
 	event_log_write(cluster->options.log, "info", "keys",
 			"event=leading maps=%zu version=%" PRIu64,
 			result->row_count, result->version);
 }
 
-/* Reads the owner maps of all services from the store. */
-static void read_maps(struct cluster *cluster, store_done_fn done,
-		      const char *reason)
-{
-	store_calls_count(cluster->options.store.calls, KEY_TABLE, reason);
-	cluster->options.store.ops->read(cluster->options.store.impl, KEY_TABLE,
-					 "", done, cluster);
-}
-
 void cluster_forget_maps(struct cluster *cluster)
 {
 	orders_cancel(cluster->orders);
@@ -112,7 +139,7 @@
 		return;
 	cluster->inheriting = true;
 	cluster->inheriting_base = cluster->map_base;
-	read_maps(cluster, on_inherited_maps, "inherit");
+	read_maps(cluster, "", on_inherited_maps, INHERIT);
 }
 
 void cluster_lead_services(struct cluster *cluster)
@@ -145,6 +172,8 @@
 				 "store: it can't be decoded",
 				 service->name);
 	}
+	cluster->reading_fallback =
+		read_more_maps(cluster, result, on_fallback_maps, FALLBACK);
 	cluster->options.routing_changed(cluster->options.ctx);
 }
 
@@ -164,5 +193,5 @@
 		return;
 	cluster->reading_fallback = true;
 	cluster->fallback_lease = lease_version(cluster->lease);
-	read_maps(cluster, on_fallback_maps, "fallback");
+	read_maps(cluster, "", on_fallback_maps, FALLBACK);
 }
--- a/test/unit/test_cluster.c
+++ b/test/unit/test_cluster.c
@@ -30,6 +30,7 @@
 	store_done_fn done;
 	void *ctx;
 	const char *table;
+	/** Key of the row to write, or of the first one to read. */
 	char *key;
 	/** Value to write; NULL: a read. */
 	GString *value;
@@ -53,6 +54,8 @@
 	struct fake_row rows[ROWS_MAX];
 	unsigned int row_count;
 	uint64_t version;
+	/** Most rows that one answer holds; 0: no limit. */
+	size_t page_rows;
 	struct call calls[CALLS_MAX];
 	/** Calls to this table are not answered; NULL: all are. */
 	const char *silent;
@@ -111,8 +114,7 @@
 {
 	struct rig *rig = impl;
 
-	(void)from;
-	add_call(rig, table, done, ctx);
+	add_call(rig, table, done, ctx)->key = g_strdup(from);
 	rig->map_reads += !strcmp(table, KEY_TABLE);
 }
 
@@ -202,19 +204,34 @@
 	note_saved(rig, call);
 }
 
-/* Carries out a call; its answer is still to be delivered. */
-static void carry_out(struct rig *rig, struct call *call, struct answer *answer)
+/* Reads rows, which the test wrote in the order of their keys. */
+static void carry_out_read(struct rig *rig, const struct call *call,
+			   struct answer *answer)
 {
 	unsigned int i;
 
+	for (i = 0; i < rig->row_count; i++) {
+		if (strcmp(rig->rows[i].table, call->table) != 0 ||
+		    strcmp(rig->rows[i].key, call->key) < 0)
+			continue;
+		if (rig->page_rows &&
+		    answer->result.row_count >= rig->page_rows)
+			answer->result.more = true;
+		else
+			add_answer_row(answer, &rig->rows[i]);
+	}
+}
+
+/* Carries out a call; its answer is still to be delivered. */
+static void carry_out(struct rig *rig, struct call *call, struct answer *answer)
+{
 	memset(answer, 0, sizeof(*answer));
 	answer->done = call->done;
 	answer->ctx = call->ctx;
 	if (call->value)
 		carry_out_write(rig, call, answer);
-	for (i = 0; !call->value && i < rig->row_count; i++)
-		if (!strcmp(rig->rows[i].table, call->table))
-			add_answer_row(answer, &rig->rows[i]);
+	else
+		carry_out_read(rig, call, answer);
 	answer->result.rows = answer->rows;
 	answer->result.version = rig->version;
 	answer->result.now_s = loop_now(&rig->loop);
@@ -557,6 +574,25 @@
 	teardown(&rig);
 }
 
+/* Guards against services whose owner maps come after those that fit in one
+ * answer, and which got new owners for lack of a map. */
+static void owner_maps_are_read_to_the_last(void)
+{
+	GString *other = g_string_new("");
+	struct rig rig;
+
+	setup(&rig);
+	configure_service(&rig);
+	rig.page_rows = 1;
+	put_row(&rig, KEY_TABLE, "another", other);
+	put_map(&rig, "b", 5000);
+	run_until_leading(&rig);
+	check_saved(&rig, "b", 5000);
+	CU_ASSERT_EQUAL(rig.map_reads, 2);
+	g_string_free(other, TRUE);
+	teardown(&rig);
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -566,6 +602,8 @@
 		  owners_of_another_leader_are_not_overwritten },
 		{ "a service that comes back keeps its owners",
 		  a_service_that_comes_back_keeps_its_owners },
+		{ "owner maps are read to the last",
+		  owner_maps_are_read_to_the_last },
 		{ 0 },
 	};
 
