--- a/src/entry/cluster_maps.c
+++ b/src/entry/cluster_maps.c
@@ -8,6 +8,15 @@
 #include "entry/cluster_impl.h"
 #include "store/store_calls.h"
 
+/* Reasons of reads, as counted. */
+#define INHERIT "inherit"
+#define FALLBACK "fallback"
+
+static void on_superseded(void *ctx)
+{
+	((struct cluster *)ctx)->maps_superseded = true;
+}
+
 /* Creates the key leader of a service that is keyed and has none.
  *
  * @param row the service's saved owner map, or NULL */
@@ -22,6 +31,7 @@
 		.log = cluster->options.log,
 		.may_send_orders = cluster_may_send_orders,
 		.changed = cluster_keys_changed,
+		.superseded = on_superseded,
 		.ctx = cluster,
 	};
 
@@ -52,6 +62,34 @@
 					    &result->rows[i]);
 }
 
+/* Reads a page of the owner maps from the store.
+ *
+ * @param from the first key, or "" */
+static void read_maps(struct cluster *cluster, const char *from,
+		      store_done_fn done, const char *reason)
+{
+	store_calls_count(cluster->options.store.calls, KEY_TABLE, reason);
+	cluster->options.store.ops->read(cluster->options.store.impl, KEY_TABLE,
+					 from, done, cluster);
+}
+
+/* Reads the page that follows a result; returns false if it was the last. */
+static bool read_more_maps(struct cluster *cluster,
+			   const struct store_result *result,
+			   store_done_fn done, const char *reason)
+{
+	char *from;
+
+	if (!result->more || !result->row_count)
+		return false;
+	/* The smallest key in byte order that may follow the last one. */
+	from = g_strconcat(result->rows[result->row_count - 1].key, "\x01",
+			   NULL);
+	read_maps(cluster, from, done, reason);
+	g_free(from);
+	return true;
+}
+
 /* Creates the key leaders of services with a stored owner map, after this VM
  * won the lease. */
 static void on_inherited_maps(void *ctx, const struct store_result *result)
@@ -59,8 +97,10 @@
 	struct cluster *cluster = ctx;
 	size_t i;
 
-	cluster->reading_maps = false;
-	if (result->status != STORE_OK || !cluster->leading)
+	cluster->inheriting = false;
+	/* In between, another VM may have led and moved keys. */
+	if (result->status != STORE_OK || !cluster->leading ||
+	    cluster->inheriting_base != cluster->map_base)
 		return;
 	load_blocked_requests(cluster, result);
 	for (i = 0; i < result->row_count; i++) {
@@ -70,28 +110,36 @@
 		if (service)
 			ensure_key_leader(cluster, service, &result->rows[i]);
 	}
+	if (read_more_maps(cluster, result, on_inherited_maps, INHERIT)) {
+		cluster->inheriting = true;
+		return;
+	}
 	cluster->maps_read = true;
 	event_log_write(cluster->options.log, "info", "keys",
 			"event=leading maps=%zu version=%" PRIu64,
 			result->row_count, result->version);
 }
 
-/* Reads the owner maps of all services from the store, unless a read is in
- * progress already. */
-static void read_maps(struct cluster *cluster, store_done_fn done,
-		      const char *reason)
+void cluster_forget_maps(struct cluster *cluster)
 {
-	if (cluster->reading_maps)
-		return;
-	cluster->reading_maps = true;
-	store_calls_count(cluster->options.store.calls, KEY_TABLE, reason);
-	cluster->options.store.ops->read(cluster->options.store.impl, KEY_TABLE,
-					 "", done, cluster);
+	orders_cancel(cluster->orders);
+	g_hash_table_remove_all(cluster->key_leaders);
+	g_hash_table_remove_all(cluster->published_maps);
+	cluster->maps_read = false;
+	cluster->maps_superseded = false;
+	cluster->inherited_until_s =
+		cluster_now(cluster) +
+		cluster->options.settings->hold_max_s * CLOCK_DRIFT_FACTOR +
+		GRANT_TRAVEL_S;
 }
 
 void cluster_inherit_maps(struct cluster *cluster)
 {
-	read_maps(cluster, on_inherited_maps, "inherit");
+	if (cluster->inheriting)
+		return;
+	cluster->inheriting = true;
+	cluster->inheriting_base = cluster->map_base;
+	read_maps(cluster, "", on_inherited_maps, INHERIT);
 }
 
 void cluster_lead_services(struct cluster *cluster)
@@ -105,8 +153,8 @@
 	struct cluster *cluster = ctx;
 	size_t i;
 
-	cluster->reading_maps = false;
-	if (result->status != STORE_OK ||
+	cluster->reading_fallback = false;
+	if (result->status != STORE_OK || cluster->leading ||
 	    cluster_now(cluster) < cluster->last_heartbeat_s + HEARTBEAT_LOST_S)
 		return;
 	load_blocked_requests(cluster, result);
@@ -124,6 +172,8 @@
 				 "store: it can't be decoded",
 				 service->name);
 	}
+	cluster->reading_fallback =
+		read_more_maps(cluster, result, on_fallback_maps, FALLBACK);
 	cluster->options.routing_changed(cluster->options.ctx);
 }
 
@@ -139,8 +189,9 @@
 
 void cluster_read_fallback_maps(struct cluster *cluster)
 {
-	if (!has_unheard_leader(cluster))
+	if (cluster->reading_fallback || !has_unheard_leader(cluster))
 		return;
+	cluster->reading_fallback = true;
 	cluster->fallback_lease = lease_version(cluster->lease);
-	read_maps(cluster, on_fallback_maps, "fallback");
+	read_maps(cluster, "", on_fallback_maps, FALLBACK);
 }
