soak: four rules at all times, from what callers and upstreams see

The soak looked at a moved route for a second at the end of a seed, when nothing else fails.

Now each seed changes the configuration every 0.7 to 1.5 s and in quick series: 19 routes come, move and go. Callers call them all, and one that never existed, at each daemon. standin-site writes what reaches its upstreams and how keys, entries and the store change to a file of events, and the soak records requests, versions with their acknowledgements, and each disruption with its place. When the seed is over, rules.c judges every request and execution: configuration in force 2 s after its acknowledgement and never back within one life of a process, no request 2 s after an upstream began to leave, no refusal with a status 3xx or 4xx of a route that all versions have, keys with one holder and rising fencing tokens. What excuses a daemon is its own disruption or the store's in the last 3 s, counted for each daemon. An upstream also leaves by losing its entry while it serves on.

The check of the moved route at the end is replaced by these: its bound was 5 s from the last change for any daemon, now it is 2 s for those in touch. The change over silent connections at the end stays.

--- a/test/soak/callers.c
+++ b/test/soak/callers.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "base/address.h"
+#include "changes.h"
 
 #define ENTRIES_MAX 16
 /* Longest wait for the next bytes of a response. */
@@ -21,16 +22,6 @@
  * test/standin/site_upstream.c. */
 #define LONG_BODY_IDS 400
 
-/* Routes of the configuration of standin-site. Only requests of ROUTE_ONCE must
- * run at most once. */
-enum route {
-	ROUTE_PLAIN,
-	ROUTE_ONCE,
-	ROUTE_KEYED,
-	ROUTE_MOVED,
-	ROUTE_COUNT,
-};
-
 /* A request whose execution is checked at the end. */
 struct unresolved_request {
 	char id[32];
@@ -52,6 +43,8 @@
 	struct callers_result result;
 	/** Array of struct unresolved_request. */
 	GArray *unresolved;
+	/** Array of struct rules_request: all requests. */
+	GArray *requests;
 	GThread *thread;
 };
 
@@ -202,44 +195,68 @@
 	caller->conns[entry] = -1;
 }
 
+/* Returns a random route: each of those that stay as often as all others
+ * together. */
+static unsigned int random_route(GRand *random)
+{
+	unsigned int route = g_rand_int(random) % (CHANGES_RANDOM + 1);
+
+	return route < CHANGES_RANDOM
+		       ? route
+		       : (unsigned int)g_rand_int_range(random, CHANGES_RANDOM,
+							RULES_ROUTES);
+}
+
+/* Records a request and the response, which is NULL if there was none. */
+static void record_request(struct caller *caller, struct rules_request *request,
+			   const struct answer *answer)
+{
+	request->ended_us = g_get_monotonic_time();
+	request->status = answer ? answer->status : 0;
+	request->own =
+		answer && !strcasestr(answer->text, "\r\nx-server-signature: ");
+	g_array_append_vals(caller->requests, request, 1);
+}
+
 /* Sends a request for a random route to a random entry daemon and checks the
  * response. Sends none when the daemon accepts no connection. */
 static void send_request(struct caller *caller, struct answer *answer)
 {
-	static const char *const paths[] = {
-		[ROUTE_PLAIN] = "plain",
-		[ROUTE_ONCE] = "once",
-		[ROUTE_KEYED] = "keyed",
-		[ROUTE_MOVED] = "moved",
-	};
-	unsigned int route = g_rand_int(caller->random) % ROUTE_COUNT;
+	unsigned int route = random_route(caller->random);
 	unsigned int entry =
 		g_rand_int(caller->random) % caller->callers->entries;
-	char id[32], text[512];
+	struct rules_request request = { .vm = entry, .route = route };
+	char *path, text[512];
+	const char *id = request.id;
+	bool once = route == CHANGES_ONCE;
 	int *fd = &caller->conns[entry];
 
 	if (*fd < 0)
 		*fd = connect_to(caller->callers->addresses[entry]);
 	if (*fd < 0)
 		return;
-	g_snprintf(id, sizeof(id), "c%ur%06u", caller->index, caller->sent++);
+	g_snprintf(request.id, sizeof(request.id), "v%uc%ur%06u", entry,
+		   caller->index, caller->sent++);
+	path = changes_path(route);
 	g_snprintf(text, sizeof(text),
 		   "%s /%s/long/work-ms-%u HTTP/1.1\r\nHost: app.example\r\n"
 		   "X-Request-Id: %s\r\nX-Deadline-Ms: 3000\r\n"
 		   "X-Shard-Key: %u\r\nContent-Length: %s\r\n\r\n%s",
-		   route == ROUTE_ONCE ? "POST" : "GET", paths[route],
-		   g_rand_int(caller->random) % 20, id,
-		   g_rand_int(caller->random) % 65536,
-		   route == ROUTE_ONCE ? "4" : "0",
-		   route == ROUTE_ONCE ? "body" : "");
+		   once ? "POST" : "GET", path, g_rand_int(caller->random) % 20,
+		   id, g_rand_int(caller->random) % 65536, once ? "4" : "0",
+		   once ? "body" : "");
+	g_free(path);
+	request.sent_us = g_get_monotonic_time();
 	if (send(*fd, text, strlen(text), MSG_NOSIGNAL) < 0 ||
 	    !receive(*fd, answer)) {
+		record_request(caller, &request, NULL);
 		caller->result.unanswered++;
 		add_unresolved(caller, id, false);
 		close_connection(caller, entry);
 		return;
 	}
-	check_answer(caller, answer, id, route == ROUTE_ONCE);
+	record_request(caller, &request, answer);
+	check_answer(caller, answer, id, once);
 	if (strcasestr(answer->text, "connection: close"))
 		close_connection(caller, entry);
 }
@@ -281,6 +298,8 @@
 		memset(caller->conns, -1, sizeof(caller->conns));
 		caller->unresolved = g_array_new(
 			FALSE, FALSE, sizeof(struct unresolved_request));
+		caller->requests =
+			g_array_new(FALSE, FALSE, sizeof(struct rules_request));
 		caller->thread = g_thread_new("caller", run_caller, caller);
 	}
 	return callers;
@@ -323,6 +342,18 @@
 		}
 }
 
+void callers_record(const struct callers *callers, struct rules *rules)
+{
+	unsigned int i;
+	guint j;
+
+	for (i = 0; i < callers->threads; i++)
+		for (j = 0; j < callers->list[i].requests->len; j++)
+			rules_add_request(
+				rules, &g_array_index(callers->list[i].requests,
+						      struct rules_request, j));
+}
+
 void callers_free(struct callers *callers)
 {
 	unsigned int i;
@@ -330,6 +361,7 @@
 	for (i = 0; i < callers->threads; i++) {
 		g_rand_free(callers->list[i].random);
 		g_array_free(callers->list[i].unresolved, TRUE);
+		g_array_free(callers->list[i].requests, TRUE);
 	}
 	g_free(callers->list);
 	g_free(callers);
--- a/test/soak/callers.h
+++ b/test/soak/callers.h
@@ -1,6 +1,6 @@
 /**
  * Callers of the soak test: threads with persistent connections to all entry
- * daemons, which send requests for all routes of standin-site and check each
+ * daemons, which send requests for all routes of changes.h and check each
  * response.
  */
 #ifndef SOAK_CALLERS_H
@@ -9,6 +9,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "rules.h"
+
 struct callers;
 
 /** Numbers of requests by result. A request counts in one of them. */
@@ -53,6 +55,9 @@
 					void *ctx),
 			     void *ctx);
 
+/** Adds all requests to the rules. Call callers_stop() first. */
+void callers_record(const struct callers *callers, struct rules *rules);
+
 /** Frees the callers; call callers_stop() first. */
 void callers_free(struct callers *callers);
 
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -5,8 +5,8 @@
  * reloaded by signals; connections are delayed, reset, forgotten, and blocked
  * in one or both directions; the store goes down; routes move between services;
  * upstreams restart and drain; crowds of misbehaving callers come and go. The
- * test checks each response, the executions, the key grants and the memory of
- * the daemons.
+ * test checks each response, the executions, the key grants, the memory of the
+ * daemons, and at all times the rules of rules.h.
  *
  * functional-soak [--seconds S] [SEED...]: runs each seed for S seconds;
  * without seeds, those in regression_seeds.
@@ -21,10 +21,12 @@
 
 #include "base/address.h"
 #include "callers.h"
+#include "changes.h"
 #include "cluster_http.h"
 #include "cluster_process.h"
 #include "crowds.h"
 #include "proxy.h"
+#include "rules.h"
 
 /* Numbers of entry daemons, upstreams and calling threads. */
 #define ENTRIES 4
@@ -43,9 +45,15 @@
  * them. */
 #define MEMORY_MB 64
 #define DESCRIPTORS 256
+/* Time between two changes of the configuration; one in SERIES_SHARE is
+ * followed by SERIES_LENGTH quick ones. */
+#define CHANGE_MIN_S 0.7
+#define CHANGE_MAX_S 1.5
+#define SERIES_SHARE 6
+#define SERIES_LENGTH 4
+#define SERIES_PAUSE_S 0.05
 /* Time with traffic and without faults at the end, in two parts: before a route
- * moves, and until standin-site has counted for a second the requests that the
- * old service must not run any more. */
+ * moves, and after that. */
 #define SETTLE_S 1.0
 #define MOVE_S 6.0
 
@@ -69,11 +77,10 @@
 	/* An entry daemon gets SIGTERM, or SIGHUP for a reload. */
 	FAULT_STOP,
 	FAULT_RELOAD,
-	/* The store's configuration gets a new version, which moves a route to
-	 * another service. */
-	FAULT_CONFIG,
 	/* An upstream drains for a time. */
 	FAULT_DRAIN,
+	/* Its entry is gone for a time. */
+	FAULT_LAPSE,
 	/* Failures: requests may go without a response. */
 	/* An entry daemon gets SIGKILL, or SIGSTOP for a time. */
 	FAULT_KILL,
@@ -99,7 +106,7 @@
 };
 
 /* Number of kinds of planned maintenance. */
-#define PLANNED_KINDS (FAULT_DRAIN + 1)
+#define PLANNED_KINDS (FAULT_LAPSE + 1)
 
 /* One entry daemon. */
 struct soak_entry {
@@ -144,6 +151,8 @@
 	GRand *random;
 	/** Temporary folder of settings files and logs. */
 	char *folder;
+	/** File in it with the events of standin-site. */
+	char *events;
 	/** Sockets (int) bound to ports that entry daemons will listen on. */
 	GArray *reserved_ports;
 	/** standin-site: the store and the upstreams. */
@@ -155,9 +164,18 @@
 	GArray *faults;
 	/** Number of faults begun, by kind. */
 	unsigned int fault_counts[FAULT_KINDS];
-	/** Version of the last configuration written. */
+	/** What happened, for the check of the rules. */
+	struct rules *rules;
+	/** The last valid configuration written and its version. */
+	struct rules_config config;
 	unsigned int config_version;
-	/** An upstream drains. */
+	/** Its number of routes that nobody calls. */
+	unsigned int fillers;
+	/** Time of the next change; monotonic clock. */
+	gint64 change_us;
+	/** Quick changes left in a series. */
+	unsigned int series_left;
+	/** An upstream drains or its entry is gone. */
 	bool drain_active;
 	/** Number of failed checks. */
 	unsigned int violations;
@@ -363,7 +381,7 @@
 /* Starts standin-site, the proxies and the entry daemons. */
 static void soak_open(struct soak *soak)
 {
-	const char *argv[] = { PROGRAM_DIR "/standin-site", NULL };
+	const char *argv[] = { PROGRAM_DIR "/standin-site", NULL, NULL };
 	GError *error = NULL;
 	unsigned int i;
 
@@ -371,6 +389,8 @@
 	soak->faults = g_array_new(FALSE, FALSE, sizeof(struct fault));
 	soak->reserved_ports = g_array_new(FALSE, FALSE, sizeof(int));
 	soak->folder = g_dir_make_tmp("auburn-soak-XXXXXX", NULL);
+	soak->events = g_build_filename(soak->folder, "events", NULL);
+	argv[1] = soak->events;
 	soak->site = process_start("site", soak->folder, argv, &error);
 	if (!soak->site || !process_wait_listening(soak->site, WAIT_US, &error))
 		g_error("%s", error->message);
@@ -378,6 +398,9 @@
 	for (i = 0; i < ENTRIES; i++)
 		write_settings(soak, i);
 	release_ports(soak);
+	soak->rules = rules_create(changes_services, g_get_monotonic_time());
+	changes_first(&soak->config);
+	rules_add_config(soak->rules, &soak->config);
 	for (i = 0; i < ENTRIES; i++)
 		start_entry(soak, i);
 	wait_until_entries_serve(soak, "after the start");
@@ -396,6 +419,8 @@
 	else
 		printf("# logs are in %s\n", soak->folder);
 	g_free(soak->folder);
+	g_free(soak->events);
+	rules_destroy(soak->rules);
 	g_rand_free(soak->random);
 	g_array_free(soak->faults, TRUE);
 	g_array_free(soak->reserved_ports, TRUE);
@@ -418,6 +443,7 @@
 	case FAULT_STOP:
 		return STOP_GRACE_S + 1;
 	case FAULT_DRAIN:
+	case FAULT_LAPSE:
 	case FAULT_STORE_DOWN:
 		return g_rand_double_range(soak->random, 0.5, 5);
 	default:
@@ -430,84 +456,141 @@
 {
 	unsigned int i;
 
-	for (i = 0; i < ENTRIES; i++)
+	for (i = 0; i < ENTRIES; i++) {
+		rules_pulse(soak->rules, RULES_STORE_LINK, i);
 		proxy_forget(soak->entries[i].store);
+	}
+}
+
+/* Writes a valid configuration with random changes. */
+static void change_config(struct soak *soak)
+{
+	char *text;
+
+	changes_next(&soak->config, soak->random);
+	text = changes_text(&soak->config, ++soak->config_version,
+			    soak->fillers);
+	soak->config.sent_us = g_get_monotonic_time();
+	control_command(soak, "config", 0, text);
+	soak->config.acked_us = g_get_monotonic_time();
+	rules_add_config(soak->rules, &soak->config);
+	g_free(text);
+}
+
+/* Changes the configuration if it is time to. */
+static void change_config_in_time(struct soak *soak, gint64 now_us)
+{
+	double pause_s =
+		g_rand_double_range(soak->random, CHANGE_MIN_S, CHANGE_MAX_S);
+
+	if (now_us < soak->change_us)
+		return;
+	change_config(soak);
+	if (soak->series_left) {
+		soak->series_left--;
+		pause_s = SERIES_PAUSE_S;
+	} else if (g_rand_int(soak->random) % SERIES_SHARE == 0) {
+		soak->series_left = SERIES_LENGTH;
+	}
+	soak->change_us = now_us + (gint64)(pause_s * G_USEC_PER_SEC);
+}
+
+/* Changes the mode of the proxy between a daemon and the store. */
+static void set_store_mode(struct soak *soak, unsigned int entry,
+			   enum proxy_mode mode)
+{
+	if (mode != PROXY_PASS)
+		rules_begin(soak->rules, RULES_STORE_LINK, entry);
+	proxy_set_mode(soak->entries[entry].store, mode);
+	if (mode == PROXY_PASS)
+		rules_end(soak->rules, RULES_STORE_LINK, entry);
 }
 
-static void move_route(struct soak *soak)
+/* Changes the mode of the proxy between the daemons and an upstream. */
+static void set_upstream_mode(struct soak *soak, unsigned int upstream,
+			      enum proxy_mode mode)
 {
-	control_command(soak, "touch-config", ++soak->config_version, NULL);
+	if (mode != PROXY_PASS)
+		rules_begin(soak->rules, RULES_UPSTREAM_LINK, upstream);
+	proxy_set_mode(soak->upstreams[upstream], mode);
+	if (mode == PROXY_PASS)
+		rules_end(soak->rules, RULES_UPSTREAM_LINK, upstream);
 }
 
 static void begin_fault(struct soak *soak, struct fault *fault)
 {
-	struct soak_entry *entry =
-		&soak->entries[fault->random_number % ENTRIES];
-	struct proxy *upstream =
-		soak->upstreams[fault->random_number % UPSTREAMS];
+	unsigned int vm = fault->random_number % ENTRIES;
+	unsigned int at = fault->random_number % UPSTREAMS;
+	struct soak_entry *entry = &soak->entries[vm];
+	struct proxy *upstream = soak->upstreams[at];
 
 	soak->fault_counts[fault->kind]++;
 	switch (fault->kind) {
 	case FAULT_STOP:
 		entry->stopping = true;
 		fault->stop_number = ++entry->stops;
+		rules_begin(soak->rules, RULES_STOPPED, vm);
 		process_terminate(entry->process);
 		break;
 	case FAULT_RELOAD:
 		kill(process_pid(entry->process), SIGHUP);
 		break;
-	case FAULT_CONFIG:
-		move_route(soak);
-		break;
 	case FAULT_DRAIN:
-		control_command(soak, "drain", fault->random_number % UPSTREAMS,
-				NULL);
+		control_command(soak, "drain", at, NULL);
+		break;
+	case FAULT_LAPSE:
+		control_command(soak, "lapse", at, NULL);
 		break;
 	case FAULT_KILL:
 		entry->stopping = true;
 		entry->stops++;
+		rules_begin(soak->rules, RULES_STOPPED, vm);
 		process_kill(entry->process);
 		break;
 	case FAULT_FREEZE:
+		rules_begin(soak->rules, RULES_FROZEN, vm);
 		process_freeze(entry->process);
 		break;
 	case FAULT_STORE_DOWN:
 		control_command(soak, "down", 1, NULL);
 		break;
 	case FAULT_STORE_SILENT:
-		proxy_set_mode(entry->store, PROXY_SILENT);
+		set_store_mode(soak, vm, PROXY_SILENT);
 		break;
 	case FAULT_STORE_CUT_REQUESTS:
-		proxy_set_mode(entry->store, PROXY_CUT_REQUESTS);
+		set_store_mode(soak, vm, PROXY_CUT_REQUESTS);
 		break;
 	case FAULT_STORE_CUT_ANSWERS:
-		proxy_set_mode(entry->store, PROXY_CUT_ANSWERS);
+		set_store_mode(soak, vm, PROXY_CUT_ANSWERS);
 		break;
 	case FAULT_STORE_RESET:
+		rules_pulse(soak->rules, RULES_STORE_LINK, vm);
 		proxy_reset(entry->store);
 		break;
 	case FAULT_STORE_FORGET:
 		forget_store_connections(soak);
 		break;
 	case FAULT_UPSTREAM_SILENT:
-		proxy_set_mode(upstream, PROXY_SILENT);
+		set_upstream_mode(soak, at, PROXY_SILENT);
 		break;
 	case FAULT_UPSTREAM_CUT_ANSWERS:
-		proxy_set_mode(upstream, PROXY_CUT_ANSWERS);
+		set_upstream_mode(soak, at, PROXY_CUT_ANSWERS);
 		break;
 	case FAULT_UPSTREAM_RESET:
+		rules_pulse(soak->rules, RULES_UPSTREAM_LINK, at);
 		proxy_reset(upstream);
 		break;
 	case FAULT_UPSTREAM_FORGET:
+		rules_pulse(soak->rules, RULES_UPSTREAM_LINK, at);
 		proxy_forget(upstream);
 		break;
 	case FAULT_UPSTREAM_DELAY:
+		rules_begin(soak->rules, RULES_UPSTREAM_LINK, at);
 		proxy_set_delay(upstream,
 				50 + (int)(fault->random_number % 200));
 		break;
 	case FAULT_UPSTREAM_RESTART:
-		control_command(soak, "restart",
-				fault->random_number % UPSTREAMS, NULL);
+		control_command(soak, "restart", at, NULL);
 		break;
 	case FAULT_KINDS:
 		break;
@@ -518,10 +601,10 @@
  * mode of a proxy, the end of the first one ends them all. */
 static void end_fault(struct soak *soak, const struct fault *fault)
 {
-	struct soak_entry *entry =
-		&soak->entries[fault->random_number % ENTRIES];
-	struct proxy *upstream =
-		soak->upstreams[fault->random_number % UPSTREAMS];
+	unsigned int vm = fault->random_number % ENTRIES;
+	unsigned int at = fault->random_number % UPSTREAMS;
+	struct soak_entry *entry = &soak->entries[vm];
+	struct proxy *upstream = soak->upstreams[at];
 
 	switch (fault->kind) {
 	case FAULT_STOP:
@@ -533,11 +616,12 @@
 		break;
 	case FAULT_FREEZE:
 		process_continue(entry->process);
+		rules_end(soak->rules, RULES_FROZEN, vm);
 		entry->busy = false;
 		break;
 	case FAULT_DRAIN:
-		control_command(soak, "undrain",
-				fault->random_number % UPSTREAMS, NULL);
+	case FAULT_LAPSE:
+		control_command(soak, "undrain", at, NULL);
 		soak->drain_active = false;
 		break;
 	case FAULT_STORE_DOWN:
@@ -546,14 +630,15 @@
 	case FAULT_STORE_SILENT:
 	case FAULT_STORE_CUT_REQUESTS:
 	case FAULT_STORE_CUT_ANSWERS:
-		proxy_set_mode(entry->store, PROXY_PASS);
+		set_store_mode(soak, vm, PROXY_PASS);
 		break;
 	case FAULT_UPSTREAM_SILENT:
 	case FAULT_UPSTREAM_CUT_ANSWERS:
-		proxy_set_mode(upstream, PROXY_PASS);
+		set_upstream_mode(soak, at, PROXY_PASS);
 		break;
 	case FAULT_UPSTREAM_DELAY:
 		proxy_set_delay(upstream, 0);
+		rules_end(soak->rules, RULES_UPSTREAM_LINK, at);
 		break;
 	default:
 		break;
@@ -578,6 +663,7 @@
 		entry->exit_reported = !entry->stopping;
 		if (!process_restart(entry->process, &error))
 			g_error("%s", error->message);
+		rules_end(soak->rules, RULES_STOPPED, i);
 		entry->stopping = false;
 		entry->busy = false;
 	}
@@ -604,9 +690,11 @@
 			return;
 		entry->busy = occupies_entry(fault.kind);
 	}
-	if (fault.kind == FAULT_DRAIN && soak->drain_active)
-		return;
-	soak->drain_active = soak->drain_active || fault.kind == FAULT_DRAIN;
+	if (fault.kind == FAULT_DRAIN || fault.kind == FAULT_LAPSE) {
+		if (soak->drain_active)
+			return;
+		soak->drain_active = true;
+	}
 	begin_fault(soak, &fault);
 	g_array_append_val(soak->faults, fault);
 }
@@ -643,6 +731,7 @@
 				  (gint64)(g_rand_double(soak->random) * 2 *
 					   FAULT_PAUSE_S * G_USEC_PER_SEC);
 		}
+		change_config_in_time(soak, now_us);
 		end_faults(soak, now_us);
 		restart_ended(soak);
 		g_usleep(CHECK_PAUSE_US);
@@ -651,27 +740,21 @@
 
 /* --- checks --- */
 
-/* Moves a route just after another change and after the connections to the
- * store went silent, and checks that the old service runs no request on it once
- * the change must be in force everywhere. */
-static void check_moved_route(struct soak *soak)
+/* Changes the configuration just after another change and after the connections
+ * to the store went silent. */
+static void change_over_silent_connections(struct soak *soak)
 {
-	static const char state[] = "/control/state";
-	int before, after;
-
-	move_route(soak);
+	change_config(soak);
 	g_usleep((gulong)(SETTLE_S * G_USEC_PER_SEC));
 	if (!soak->planned_only)
 		forget_store_connections(soak);
-	move_route(soak);
-	before = control_number(soak, state, "runs_by_old_service");
+	change_config(soak);
 	g_usleep((gulong)(MOVE_S * G_USEC_PER_SEC));
-	after = control_number(soak, state, "runs_by_old_service");
-	if (after > before)
-		report_violation(soak,
-				 "%d requests were run by the old service long "
-				 "after their route had moved",
-				 after - before);
+}
+
+static void on_rule_broken(const char *text, void *ctx)
+{
+	report_violation(ctx, "%s", text);
 }
 
 /* Checks that a request that was reported as not executed did not run. When the
@@ -738,6 +821,10 @@
 				 "only %u requests were served, fewer than 100",
 				 result->served);
 	callers_each_unresolved(callers, check_unresolved, soak);
+	callers_record(callers, soak->rules);
+	printf("# seed %u: %u versions, %u requests and executions judged\n",
+	       soak->seed, soak->config_version,
+	       rules_check(soak->rules, soak->events, on_rule_broken, soak));
 }
 
 /* Runs one seed.
@@ -765,7 +852,7 @@
 		printf("# seed %u: %u crowds\n", seed, crowds_stop(crowds));
 	check_memory(&soak);
 	wait_until_entries_serve(&soak, "after the last fault");
-	check_moved_route(&soak);
+	change_over_silent_connections(&soak);
 	result = callers_stop(callers);
 	check_results(&soak, callers, &result);
 	for (i = 0; i < FAULT_KINDS; i++)
--- a/test/standin/site.h
+++ b/test/standin/site.h
@@ -9,6 +9,7 @@
 
 #include <glib.h>
 #include <stdbool.h>
+#include <stdio.h>
 
 #include "net/http_server.h"
 #include "net/loop.h"
@@ -26,11 +27,6 @@
 /** Removes a row of a table, which the feed reports as a change. */
 void site_remove_row(struct site *site, const char *table, const char *key);
 
-/** Writes the built-in configuration under a version number. Its route "moved"
- * leads to the service "plain" under odd numbers, to "other" under even ones.
- */
-void site_put_config(struct site *site, unsigned int version);
-
 /**
  * Starts an upstream and publishes it: writes its entry to the store's table
  * "servers". Its index is the number of upstreams started before it. Ends the
@@ -70,6 +66,12 @@
  * least ADDRESS_TEXT_SIZE bytes. */
 void site_upstream_address(struct site *site, unsigned int index, char *text);
 
+/** Appends a line to the file of events, if there is one: the monotonic clock
+ * in microseconds, and a kind with its arguments. test/soak/rules.c reads it.
+ */
+__attribute__((format(printf, 2, 3))) void site_event(const struct site *site,
+						      const char *format, ...);
+
 /** Returns how often all upstreams together executed requests with this id. */
 unsigned int site_run_count(struct site *site, const char *id);
 
@@ -85,14 +87,10 @@
 	/** Feed requests that wait for a change: elements are struct watch of
 	 * site_store.c. */
 	GQueue watches;
+	/** File of events, see site_event(); NULL: none is written. */
+	FILE *events;
 	/** The store responds with 503 to all but the tests' control calls. */
 	bool store_down;
-	/** Service of the route "moved", and loop time since when. */
-	const char *moved_to;
-	double moved_s;
-	/** Number of requests on this route that another service ran later than
-	 * MOVED_IN_FORCE_S after the configuration was written. */
-	unsigned int runs_by_old_service;
 	/** Array of struct upstream of site_upstream.c, by index. */
 	GPtrArray *upstreams;
 	/** Maps a request id to its number of executions. */
--- a/test/standin/site_store.c
+++ b/test/standin/site_store.c
@@ -284,8 +284,6 @@
  * counters. ID is the index of an upstream, except for these verbs:
  *   runs          ID is a request id, whose executions are counted, and whose
  *                 fields about the customer are shown
- *   touch-config  ID is the version of the built-in configuration to write,
- *                 which moves a route, see site_put_config()
  *   config        no ID; the body is the configuration to write
  *   down          the store is down unless ID is 0
  *   lose-feeds    feed requests that wait are never answered
@@ -314,13 +312,12 @@
 		site_upstream_drain(site, index, true);
 	else if (g_str_has_prefix(verb, "undrain"))
 		site_upstream_drain(site, index, false);
-	else if (g_str_has_prefix(verb, "touch-config"))
-		site_put_config(site, index);
 	else if (g_str_has_prefix(verb, "restart"))
 		site_upstream_restart(site, index);
-	else if (g_str_has_prefix(verb, "down"))
+	else if (g_str_has_prefix(verb, "down")) {
 		site->store_down = index != 0;
-	else if (g_str_has_prefix(verb, "lose-feeds"))
+		site_event(site, "store %d", site->store_down);
+	} else if (g_str_has_prefix(verb, "lose-feeds"))
 		drop_watches(site);
 	else if (g_str_has_prefix(verb, "entry"))
 		site_put_row(site, "servers", id, request->body->str);
@@ -344,10 +341,8 @@
 		site_put_row(site, "op", "config", request->body->str);
 	g_free(id);
 	answer_json(request, 200,
-		    json_pack("{sisisisisisisisisissss}", "runs", (int)runs,
-			      "runs_by_old_service",
-			      (int)site->runs_by_old_service, "crashes",
-			      (int)site->crashes, "over_limit",
+		    json_pack("{sisisisisisisisissss}", "runs", (int)runs,
+			      "crashes", (int)site->crashes, "over_limit",
 			      (int)site->over_limit, "after_leaving",
 			      (int)site->after_leaving, "while_paused",
 			      (int)site->while_paused, "bodies_missing",
--- a/test/standin/site_upstream.c
+++ b/test/standin/site_upstream.c
@@ -34,9 +34,6 @@
 #define LIMIT_WINDOW_S 4.0
 #define LIMIT_FACTOR 1.5
 #define LIMIT_SLACK 5
-/* Time from the last configuration until which a VM whose connections were
- * harmed may still use the one before. */
-#define MOVED_IN_FORCE_S 5.0
 /* How often a long response body repeats the request id; the soak test expects
  * the same number. */
 #define LONG_BODY_IDS 400
@@ -107,6 +104,8 @@
 			  (json_int_t)upstream->started_ms);
 	text = json_dumps(entry, JSON_COMPACT);
 	site_put_row(upstream->site, "servers", upstream->id, text);
+	site_event(upstream->site, "entry %u %d", upstream->index,
+		   upstream->draining);
 	free(text);
 	json_decref(entry);
 }
@@ -223,6 +222,14 @@
 		upstream->held_until_s[k] =
 			grant ? loop_now(&upstream->site->loop) + hold_s : 0;
 	}
+	if (grant)
+		site_event(upstream->site,
+			   "grant %u %d %d %" G_GUINT64_FORMAT " %.0f",
+			   upstream->index, (int)from, (int)to, fence,
+			   hold_s * G_USEC_PER_SEC);
+	else
+		site_event(upstream->site, "release %u %d %d", upstream->index,
+			   (int)from, (int)to);
 	json_decref(root);
 	answer(upstream, request, 200,
 	       grant ? "X-Granted: 1" : "X-Handover: h1", "");
@@ -291,18 +298,6 @@
 		upstream->site->while_paused++;
 }
 
-/* Counts a request on the route "moved" that doesn't lead here any more. */
-static void check_moved(const struct upstream *upstream,
-			const struct http_request *request)
-{
-	struct site *site = upstream->site;
-
-	if (g_str_has_prefix(request->target->str, "/moved/") &&
-	    strcmp(upstream->service, site->moved_to) != 0 &&
-	    loop_now(&site->loop) > site->moved_s + MOVED_IN_FORCE_S)
-		site->runs_by_old_service++;
-}
-
 void site_upstream_say_leaving(struct site *site, unsigned int index)
 {
 	struct upstream *upstream = site->upstreams->pdata[index];
@@ -356,6 +351,7 @@
 		site_upstream_restart(upstream->site, upstream->index);
 		return;
 	}
+	site_event(upstream->site, "end %u", upstream->index);
 	http_server_destroy(upstream->server);
 	upstream->server = NULL;
 	ev_timer_set(timer, CRASH_S, 0);
@@ -403,7 +399,6 @@
 		   : DEFAULT_WORK_S;
 	guint runs = GPOINTER_TO_UINT(g_hash_table_lookup(site->runs, id));
 
-	check_moved(upstream, request);
 	record_customer(site, request, id);
 	if (!strcmp(request->method->str, "POST") &&
 	    !headers_find(request->headers, STR("content-length")))
@@ -461,6 +456,10 @@
 		check_limit(upstream);
 		check_signals(upstream);
 	}
+	if (*id && !is_misdirected(upstream, request, expect, atoi(key) % KEYS))
+		site_event(upstream->site, "arrive %u %s %s %d %d",
+			   upstream->index, upstream->service, id,
+			   atoi(key) % KEYS, upstream->running < 2 * SLOTS);
 	if (is_misdirected(upstream, request, expect, atoi(key) % KEYS))
 		answer(upstream, request, 421, "X-Not-Executed: 1", "");
 	else if (has_path(request, "/grant"))
@@ -557,6 +556,7 @@
 	const struct upstream *upstream = site->upstreams->pdata[index];
 
 	site_remove_row(site, "servers", upstream->id);
+	site_event(site, "entry %u 1", index);
 }
 
 void site_upstream_restart(struct site *site, unsigned int index)
@@ -571,6 +571,7 @@
 	upstream->says_leaving = false;
 	upstream->leaving_said_s = 0;
 	upstream->paused_until_s = 0;
+	site_event(site, "start %u", index);
 	start_server(upstream);
 }
 
