--- a/test/soak/callers.c
+++ b/test/soak/callers.c
@@ -14,8 +14,6 @@
 #define ENTRIES_MAX 16
 /* Longest wait for the next bytes of a response. */
 #define ANSWER_TIMEOUT_S 5
-/* Pause of a caller between two requests. */
-#define REQUEST_PAUSE_US 4000
 /* Size of the buffer for a response. */
 #define ANSWER_BYTES 65536
 /* How often the body of a response 200 repeats the request id, as in
@@ -51,10 +49,10 @@
 struct callers {
 	const char *const *addresses;
 	unsigned int entries;
-	unsigned int threads;
+	struct callers_load load;
 	/** Tells the threads to end. */
 	atomic_bool stop;
-	/** Array of the callers, as many as threads. */
+	/** Array of the callers, as many as load.threads. */
 	struct caller *list;
 };
 
@@ -269,7 +267,7 @@
 
 	while (!atomic_load(&caller->callers->stop)) {
 		send_request(caller, answer);
-		g_usleep(REQUEST_PAUSE_US);
+		g_usleep(caller->callers->load.pause_us);
 	}
 	for (i = 0; i < caller->callers->entries; i++)
 		if (caller->conns[i] >= 0)
@@ -279,17 +277,17 @@
 }
 
 struct callers *callers_start(const char *const *addresses,
-			      unsigned int entries, unsigned int threads,
-			      uint32_t seed)
+			      unsigned int entries,
+			      const struct callers_load *load, uint32_t seed)
 {
 	struct callers *callers = g_new0(struct callers, 1);
 	unsigned int i;
 
 	callers->addresses = addresses;
 	callers->entries = entries;
-	callers->threads = threads;
-	callers->list = g_new0(struct caller, threads);
-	for (i = 0; i < threads; i++) {
+	callers->load = *load;
+	callers->list = g_new0(struct caller, load->threads);
+	for (i = 0; i < load->threads; i++) {
 		struct caller *caller = &callers->list[i];
 
 		caller->callers = callers;
@@ -311,7 +309,7 @@
 	unsigned int i;
 
 	atomic_store(&callers->stop, true);
-	for (i = 0; i < callers->threads; i++) {
+	for (i = 0; i < callers->load.threads; i++) {
 		struct caller *caller = &callers->list[i];
 
 		g_thread_join(caller->thread);
@@ -332,7 +330,7 @@
 	unsigned int i;
 	guint j;
 
-	for (i = 0; i < callers->threads; i++)
+	for (i = 0; i < callers->load.threads; i++)
 		for (j = 0; j < callers->list[i].unresolved->len; j++) {
 			const struct unresolved_request *request =
 				&g_array_index(callers->list[i].unresolved,
@@ -347,7 +345,7 @@
 	unsigned int i;
 	guint j;
 
-	for (i = 0; i < callers->threads; i++)
+	for (i = 0; i < callers->load.threads; i++)
 		for (j = 0; j < callers->list[i].requests->len; j++)
 			rules_add_request(
 				rules, &g_array_index(callers->list[i].requests,
@@ -358,7 +356,7 @@
 {
 	unsigned int i;
 
-	for (i = 0; i < callers->threads; i++) {
+	for (i = 0; i < callers->load.threads; i++) {
 		g_rand_free(callers->list[i].random);
 		g_array_free(callers->list[i].unresolved, TRUE);
 		g_array_free(callers->list[i].requests, TRUE);
--- a/test/soak/callers.h
+++ b/test/soak/callers.h
@@ -29,18 +29,28 @@
 	unsigned int wrong;
 };
 
+/** How hard callers press. */
+struct callers_load {
+	/** Number of callers. */
+	unsigned int threads;
+	/** Pause of a caller between two requests. */
+	unsigned long pause_us;
+	/** Longest time for which a request is executed. */
+	unsigned int work_ms;
+};
+
 /**
  * Starts the callers.
  *
  * @param addresses "IPv4:port" of the entry daemons; must outlive the callers
  * @param entries number of addresses, at most 16
- * @param threads number of callers
+ * @param load copied
  * @param seed seed of the random requests
  * @return the running callers; end them with callers_stop() and callers_free()
  */
 struct callers *callers_start(const char *const *addresses,
-			      unsigned int entries, unsigned int threads,
-			      uint32_t seed);
+			      unsigned int entries,
+			      const struct callers_load *load, uint32_t seed);
 
 /** Stops the threads and returns the sum of their results. */
 struct callers_result callers_stop(struct callers *callers);
--- a/test/soak/changes.c
+++ b/test/soak/changes.c
@@ -1,7 +1,11 @@
 #include "changes.h"
 
+#include <string.h>
+
 /* Routes that change with a version, at most. */
 #define CHANGES_MAX 4
+/* One version in so many has an invalid route. */
+#define INVALID_SHARE 5
 
 enum service { PLAIN, OTHER, KEYED };
 
@@ -57,6 +61,15 @@
 char *changes_text(const struct rules_config *config, unsigned int version,
 		   unsigned int fillers)
 {
+	static const char *const invalid[] = {
+		"[\"bad\",\"app.example\",\"/bad\",\"safe\",3,0.5,1,\"plain\","
+		"2]",
+		"[\"bad\",\"app.example\",\"/bad/\",\"safe\",-3,0.5,1,"
+		"\"plain\",2]",
+		"[\"bad\",\"app.example\",\"/bad/\",\"safe\",3,0.5,1,"
+		"\"unknown\",2]",
+		"[\"bad\",7,null,\"safe\",3]",
+	};
 	GString *text = g_string_new(NULL);
 	unsigned int i;
 
@@ -82,6 +95,10 @@
 				  changes_services[(int)config->services[i]]);
 		g_free(path);
 	}
+	if (version % INVALID_SHARE == 0)
+		g_string_append_printf(text, ",%s",
+				       invalid[version / INVALID_SHARE %
+					       G_N_ELEMENTS(invalid)]);
 	g_string_append(text, "]},\"services\":{\"columns\":[\"name\","
 			      "\"health_path\",\"max_conns\","
 			      "\"cold_start_s\",\"cold_per_s\",\"sharded\","
@@ -96,20 +113,10 @@
 }
 
 char *changes_invalid_text(const struct rules_config *config,
-			   unsigned int version, unsigned int number)
+			   unsigned int version)
 {
-	static const char *const invalid[][2] = {
-		{ "\"/plain/\"", "\"plain\"" },
-		{ "\"unsafe\",3", "\"unsafe\",-3" },
-		{ "\"keyed\",2]", "\"unknown\",2]" },
-		{ "\"limits\"", "\"limit" },
-	};
-	const char *const *edit = invalid[number % G_N_ELEMENTS(invalid)];
 	char *text = changes_text(config, version, 0);
-	char **parts = g_strsplit(text, edit[0], 2);
-	char *out = g_strjoinv(edit[1], parts);
 
-	g_strfreev(parts);
-	g_free(text);
-	return out;
+	text[strlen(text) / 2] = '\0';
+	return text;
 }
--- a/test/soak/changes.h
+++ b/test/soak/changes.h
@@ -34,15 +34,16 @@
 /**
  * Returns the text of a configuration, which the caller frees.
  *
- * @param fillers number of further routes, which nobody calls
+ * @param fillers number of further routes, which nobody calls; some versions
+ *        have an invalid one, too
  */
 char *changes_text(const struct rules_config *config, unsigned int version,
 		   unsigned int fillers);
 
-/** Returns a text for the store that is no valid configuration, one of several
- * by number; the caller frees it. */
+/** Returns a text for the store that can't be read as a configuration; the
+ * caller frees it. */
 char *changes_invalid_text(const struct rules_config *config,
-			   unsigned int version, unsigned int number);
+			   unsigned int version);
 
 /** Returns the first part of the path of a route, without slashes, which the
  * caller frees. */
--- a/test/soak/proxy.c
+++ b/test/soak/proxy.c
@@ -11,6 +11,8 @@
 #include <unistd.h>
 
 #define BUFFER_BYTES 65536
+/* Number of bytes that proxy_halve() lets through. */
+#define HALF_BYTES 120
 /* Pause between two rounds over all proxies and connections. */
 #define ROUND_PAUSE_US 2000UL
 /* Connections that may wait to be accepted by a proxy. */
@@ -39,6 +41,8 @@
 	struct stream requests, answers;
 	/* No bytes are forwarded any more, and the peers aren't told. */
 	bool forgotten;
+	/* So are the server's next bytes, but for the first ones. */
+	bool halved;
 	/* The connection is freed at the end of the round. */
 	bool closed;
 };
@@ -51,10 +55,13 @@
 	/* An enum proxy_mode. */
 	atomic_int mode;
 	atomic_int delay_ms;
-	/* Ask the proxy thread to reset the open connections, or to forget
-	 * them. */
+	/* Ask the proxy thread to reset the open connections, to forget
+	 * them, or to end them halfway. */
 	atomic_bool reset;
 	atomic_bool forget;
+	atomic_bool halve;
+	/* A connection was ended halfway. */
+	atomic_bool has_halved;
 };
 
 /* Guards the list of proxies. The list of connections needs no lock: only the
@@ -169,6 +176,18 @@
 		stream->len = 0;
 }
 
+/* Forwards the first of the server's bytes, and forgets the connection. */
+static void end_halfway(struct connection *connection)
+{
+	struct stream *answers = &connection->answers;
+
+	send(answers->to, answers->buf, MIN(answers->len / 2, HALF_BYTES),
+	     MSG_DONTWAIT | MSG_NOSIGNAL);
+	answers->len = 0;
+	connection->forgotten = true;
+	atomic_store(&connection->proxy->has_halved, true);
+}
+
 /* Forwards bytes of a connection as its proxy's mode allows. */
 static void forward(struct connection *connection, gint64 now_us)
 {
@@ -187,6 +206,8 @@
 	}
 	if (mode != PROXY_CUT_ANSWERS) {
 		receive_bytes(connection, &connection->answers, now_us);
+		if (connection->halved && connection->answers.len)
+			end_halfway(connection);
 		send_bytes(connection, &connection->answers, now_us);
 	}
 	if (connection->requests.ended && connection->answers.ended &&
@@ -199,6 +220,11 @@
 	connection->forgotten = true;
 }
 
+static void halve_connection(struct connection *connection)
+{
+	connection->halved = true;
+}
+
 /* Calls a function for each open connection of a proxy. */
 static void each_connection(const struct proxy *proxy,
 			    void (*fn)(struct connection *connection))
@@ -228,6 +254,8 @@
 			each_connection(proxy, reset_connection);
 		if (atomic_exchange(&proxy->forget, false))
 			each_connection(proxy, forget_connection);
+		if (atomic_exchange(&proxy->halve, false))
+			each_connection(proxy, halve_connection);
 	}
 	pthread_mutex_unlock(&proxies_lock);
 }
@@ -307,3 +335,13 @@
 {
 	atomic_store(&proxy->forget, true);
 }
+
+void proxy_halve(struct proxy *proxy)
+{
+	atomic_store(&proxy->halve, true);
+}
+
+bool proxy_take_halved(struct proxy *proxy)
+{
+	return atomic_exchange(&proxy->has_halved, false);
+}
--- a/test/soak/proxy.h
+++ b/test/soak/proxy.h
@@ -47,6 +47,13 @@
 /** Resets all open connections of a proxy, once. */
 void proxy_reset(struct proxy *proxy);
 
+/** Forwards only the first bytes of what the server sends next on each open
+ * connection, and then no more on it; new connections work. */
+void proxy_halve(struct proxy *proxy);
+
+/** Returns whether proxy_halve() has ended a connection since the last call. */
+bool proxy_take_halved(struct proxy *proxy);
+
 /** Forwards no more bytes on the open connections of a proxy, for good and
  * without closing them; new connections work. */
 void proxy_forget(struct proxy *proxy);
--- a/test/soak/rules.h
+++ b/test/soak/rules.h
@@ -26,12 +26,14 @@
 	/** Place: a VM. From the signal to the next start. */
 	RULES_STOPPED,
 	RULES_FROZEN,
-	/** Place: a VM. Its link to the store. */
+	/** Place: a VM. Its link to the store is cut or harmed, or slow. */
 	RULES_STORE_LINK,
+	RULES_STORE_DELAY,
 	/** Place: a VM. Its links to other VMs. */
 	RULES_PEER_LINK,
-	/** Place: an upstream. The links of all VMs to it. */
+	/** Place: an upstream. The links of all VMs to it, as above. */
 	RULES_UPSTREAM_LINK,
+	RULES_UPSTREAM_DELAY,
 	/** Place: 0. */
 	RULES_STORE,
 };
--- a/test/soak/rules_owner.c
+++ b/test/soak/rules_owner.c
@@ -32,7 +32,8 @@
 			rules->disruptions, struct disruption, i);
 
 		if ((d->kind == RULES_FROZEN ||
-		     (d->kind == RULES_UPSTREAM_LINK &&
+		     ((d->kind == RULES_UPSTREAM_LINK ||
+		       d->kind == RULES_UPSTREAM_DELAY) &&
 		      d->place == grant->upstream)) &&
 		    d->until_us <= grant->at_us &&
 		    d->until_us >= grant->at_us - THAW_US)
--- a/test/soak/rules_routes.c
+++ b/test/soak/rules_routes.c
@@ -234,6 +234,17 @@
 	return since_us;
 }
 
+/* Returns whether the links to the upstream may have held up a request. */
+static bool is_held_up(const struct rules *rules, const struct arrival *a)
+{
+	int64_t from_us = a->at_us - STABLE_WINDOW_US;
+
+	return rules_disrupted(rules, RULES_UPSTREAM_LINK, a->upstream, from_us,
+			       a->at_us) ||
+	       rules_disrupted(rules, RULES_UPSTREAM_DELAY, a->upstream,
+			       from_us, a->at_us);
+}
+
 void rules_check_drain(struct rules *rules)
 {
 	guint i;
@@ -247,8 +258,7 @@
 		    a->at_us <= since_us + DRAIN_US ||
 		    rules_disrupted(rules, RULES_STORE, 0,
 				    since_us - STABLE_WINDOW_US, since_us) ||
-		    rules_disrupted(rules, RULES_UPSTREAM_LINK, a->upstream,
-				    a->at_us - STABLE_WINDOW_US, a->at_us) ||
+		    is_held_up(rules, a) ||
 		    !rules_in_touch(rules, a->request->vm, a->request->sent_us,
 				    a->at_us))
 			continue;
--- a/test/standin/site.h
+++ b/test/standin/site.h
@@ -45,6 +45,15 @@
 /** Restarts an upstream at its address: same id, new incarnation, no grants. */
 void site_upstream_restart(struct site *site, unsigned int index);
 
+/** Ends an upstream's process; it starts again some seconds later. */
+void site_upstream_crash(struct site *site, unsigned int index);
+/** Ends an upstream for good, and removes its entry. */
+void site_upstream_end(struct site *site, unsigned int index);
+/** Starts an upstream, as site_upstream_create(), at the address of one that
+ * has ended. */
+void site_upstream_replace(struct site *site, unsigned int index,
+			   const char *service, bool keyed);
+
 /** Sets the limit that an upstream names in its answers, in requests per
  * second; negative: none. */
 void site_upstream_limit(struct site *site, unsigned int index, double per_s);
--- a/test/standin/site_store.c
+++ b/test/standin/site_store.c
@@ -291,6 +291,10 @@
  *   entry         ID is the key of a row of upstreams, the body its value
  *   lapse         the upstream's entry disappears, as if the upstream were
  *                 partitioned from the store; it runs on
+ *   crash         the upstream's process ends, and starts again later
+ *   end           the upstream ends for good
+ *   replace       an upstream of the service in the body starts at the address
+ *                 of this one, which has ended
  *   leaving       the upstream says in its answers that it leaves
  *   pause         it refuses one request; the body is its Retry-After
  * The body of list-at is the address to publish for the upstream, that of limit
@@ -333,6 +337,14 @@
 		site_upstream_say_leaving(site, index);
 	else if (g_str_has_prefix(verb, "pause"))
 		site_upstream_pause(site, index, request->body->str);
+	else if (g_str_has_prefix(verb, "crash"))
+		site_upstream_crash(site, index);
+	else if (g_str_has_prefix(verb, "end"))
+		site_upstream_end(site, index);
+	else if (g_str_has_prefix(verb, "replace"))
+		site_upstream_replace(site, index,
+				      g_intern_string(request->body->str),
+				      !strcmp(request->body->str, "keyed"));
 	else if (g_str_has_prefix(verb, "list-at"))
 		site_upstream_publish_address(site, index, request->body->str);
 	else if (g_str_has_prefix(verb, "address"))
--- a/test/standin/site_upstream.c
+++ b/test/standin/site_upstream.c
@@ -180,7 +180,8 @@
 	for (i = 0; i < site->upstreams->len; i++) {
 		const struct upstream *other = site->upstreams->pdata[i];
 
-		if (other == upstream || other->service != upstream->service)
+		if (other == upstream ||
+		    strcmp(other->service, upstream->service) != 0)
 			continue;
 		for (k = from; k <= to; k++) {
 			if (other->held_until_s[k] <= now)
@@ -361,7 +362,7 @@
 /* Ends the upstream's process as soon as its server isn't running a handler. */
 static void crash(struct upstream *upstream)
 {
-	if (ev_is_active(&upstream->crash_timer))
+	if (!upstream->server || ev_is_active(&upstream->crash_timer))
 		return;
 	upstream->site->crashes++;
 	ev_timer_init(&upstream->crash_timer, on_crash_timer, 0, 0);
@@ -524,8 +525,10 @@
 	address_format(&upstream->address, text);
 }
 
-void site_upstream_create(struct site *site, const char *service,
-			  const char *zone, bool keyed)
+/* Starts an upstream, at the address of another or at a free one. */
+static void create_upstream(struct site *site, const char *service,
+			    const char *zone, bool keyed,
+			    const struct upstream *predecessor)
 {
 	struct upstream *upstream = g_new0(struct upstream, 1);
 
@@ -539,10 +542,46 @@
 	upstream->arrivals = g_array_new(FALSE, FALSE, sizeof(double));
 	upstream->address.sin_family = AF_INET;
 	upstream->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (predecessor) {
+		upstream->address = predecessor->address;
+		g_strlcpy(upstream->published_address,
+			  predecessor->published_address,
+			  sizeof(upstream->published_address));
+	}
 	g_ptr_array_add(site->upstreams, upstream);
 	start_server(upstream);
 }
 
+void site_upstream_create(struct site *site, const char *service,
+			  const char *zone, bool keyed)
+{
+	create_upstream(site, service, zone, keyed, NULL);
+}
+
+void site_upstream_replace(struct site *site, unsigned int index,
+			   const char *service, bool keyed)
+{
+	const struct upstream *predecessor = site->upstreams->pdata[index];
+
+	create_upstream(site, service, predecessor->zone, keyed, predecessor);
+}
+
+void site_upstream_crash(struct site *site, unsigned int index)
+{
+	crash(site->upstreams->pdata[index]);
+}
+
+void site_upstream_end(struct site *site, unsigned int index)
+{
+	struct upstream *upstream = site->upstreams->pdata[index];
+
+	site_event(site, "end %u", index);
+	http_server_destroy(upstream->server);
+	upstream->server = NULL;
+	memset(upstream->held_until_s, 0, sizeof(upstream->held_until_s));
+	site_upstream_lapse(site, index);
+}
+
 void site_upstream_drain(struct site *site, unsigned int index, bool draining)
 {
 	struct upstream *upstream = site->upstreams->pdata[index];
@@ -564,7 +603,8 @@
 	struct upstream *upstream = site->upstreams->pdata[index];
 
 	ev_timer_stop(site->loop.ev, &upstream->crash_timer);
-	http_server_destroy(upstream->server);
+	if (upstream->server)
+		http_server_destroy(upstream->server);
 	memset(upstream->held_until_s, 0, sizeof(upstream->held_until_s));
 	memset(upstream->fence, 0, sizeof(upstream->fence));
 	/* The signals were those of the earlier incarnation. */
