soak, known red: the log of one daemon stays unread

All logs went to a pipe that nobody reads until they became files; a stalled reader of the log is one more condition that a stop has to hold under. The first daemon keeps it.

--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -170,19 +170,22 @@
 	g_free(metrics);
 }
 
-/* Starts an entry daemon with its log in a file, and in a way that it can be
- * made to lose datagrams. */
+/* Starts an entry daemon in a way that it can be made to lose datagrams. Its
+ * log goes to a file; nobody reads that of the first one. */
 static void start_entry(struct soak *soak, unsigned int index)
 {
 	struct soak_entry *entry = &soak->entries[index];
+	char *log = index ? g_strdup_printf(">>'%s/entry%u.out'", soak->folder,
+					    index)
+			  : g_strdup("");
 	char *command = g_strdup_printf(
 		"exec env "
 #ifdef SOAK_LOSSES
 		"LD_PRELOAD='" PROGRAM_DIR "/soak-losses.so' "
 #endif
 		"SOAK_LOSSES='%s' '" PROGRAM_DIR "/auburn-entry' --settings "
-		"'%s' >>'%s/entry%u.out'",
-		entry->losses, entry->settings, soak->folder, index);
+		"'%s' %s",
+		entry->losses, entry->settings, log);
 	const char *argv[] = { "/bin/sh", "-c", command, NULL };
 	char name[16];
 	GError *error = NULL;
@@ -193,6 +196,7 @@
 	if (!entry->process)
 		g_error("%s", error->message);
 	g_free(command);
+	g_free(log);
 }
 
 /* Starts a proxy for each upstream and publishes its address in the store, so
