forward: log how recent the configuration and the owners are

A request that was refused with 404, or run as only an older configuration allows, left a line without host, configuration version or age, so that late VMs could not be told from requests for routes that never existed.

Lines of part request now carry the version that routed the request (config=, which showed the version in force at the answer), the version in force, the row versions that this VM and the others know, the seconds since the table was last confirmed to be the newest, since the store answered this VM itself and since the leader was heard, and who tells this VM of changes. A request with a key names its owner, fence, map version and the map's age; a sent request the row of the upstream and the age of the list. The text of callers is bounded and can't add fields to a line.

The new functional-test_entry_status fails with the daemon of the parent: none of the fields is there. It passes with this one.

--- a/src/customers/config_contact.c
+++ b/src/customers/config_contact.c
@@ -24,8 +24,10 @@
 void config_contact_store_answered(struct config_contact *contact,
 				   double asked_s, double now_s)
 {
-	if (asked_s >= contact->resumed_s && !is_frozen(contact, now_s))
-		contact->confirmed_s = now_s;
+	if (asked_s < contact->resumed_s || is_frozen(contact, now_s))
+		return;
+	contact->confirmed_s = now_s;
+	contact->answered_s = now_s;
 }
 
 static bool is_after_backlog(const struct config_contact *contact,
@@ -46,6 +48,22 @@
 		contact->confirmed_s = fmax(contact->confirmed_s, heard_s);
 }
 
+static double seconds_since(double time_s, double now_s)
+{
+	return time_s ? now_s - time_s : -1;
+}
+
+double config_contact_age_s(const struct config_contact *contact, double now_s)
+{
+	return seconds_since(contact->confirmed_s, now_s);
+}
+
+double config_contact_answer_age_s(const struct config_contact *contact,
+				   double now_s)
+{
+	return seconds_since(contact->answered_s, now_s);
+}
+
 bool config_contact_is_current(const struct config_contact *contact,
 			       double age_s, double now_s)
 {
--- a/src/customers/config_contact.h
+++ b/src/customers/config_contact.h
@@ -13,6 +13,8 @@
 struct config_contact {
 	/** When the configuration was last known to be the newest; 0: never. */
 	double confirmed_s;
+	/** When the store last answered this VM itself; 0: never. */
+	double answered_s;
 	/** When config_contact_tick() was last called; 0: never. */
 	double tick_s;
 	/** When the first tick after a time without any came; 0: never. */
@@ -49,6 +51,14 @@
 bool config_contact_trusts(const struct config_contact *contact, double heard_s,
 			   double now_s);
 
+/** Returns the seconds since the configuration was last known to be the newest;
+ * -1: it never was. */
+double config_contact_age_s(const struct config_contact *contact, double now_s);
+
+/** Returns the seconds since the store answered this VM itself; -1: never. */
+double config_contact_answer_age_s(const struct config_contact *contact,
+				   double now_s);
+
 /** Returns whether the configuration was the newest at most age_s ago. */
 bool config_contact_is_current(const struct config_contact *contact,
 			       double age_s, double now_s);
--- a/src/directory/directory_defs.h
+++ b/src/directory/directory_defs.h
@@ -131,6 +131,8 @@
 	/** Start of this incarnation, in milliseconds since 1970-01-01 UTC; 0:
 	 * not given. Tells incarnations under the same id apart. */
 	int64_t started_ms;
+	/** Version of the entry's row in the store; 0: unknown. */
+	uint64_t row_version;
 };
 
 /** Whether requests of a kind may run more than once. */
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -131,17 +131,7 @@
 	record_tried_upstream(req, upstream);
 	load_start(&upstream->load, now);
 	upstream_record_send(forward->options.roster, upstream);
-	event_log_write(
-		forward->options.log, "info", "request",
-		"event=sent id=%.*s upstream=%s busy=%.1f slots=%u "
-		"expected_ms=%.0f slowness=%.2f report_age_ms=%.0f "
-		"backup=%d",
-		STR_ARG(req->id), upstream->entry.id, attempt->busy_before,
-		upstream->load.slots,
-		load_expected_s(&upstream->load, req->stats->mean_s, now) *
-			1000,
-		upstream->load.slowness, (now - upstream->load.others_s) * 1000,
-		backup);
+	request_log_sent(attempt, backup);
 	request.message = (struct str){ head->str, head->len };
 	request.body = req->caller->shared_body;
 	attempt->link = links_send(forward->options.links, upstream, &request,
@@ -337,27 +327,6 @@
 	return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-/* Logs how an attempt ended.
- *
- * @param status of the answer; 0: the connection ended without an answer
- * @param verdict one word: the class of the answer, or how the connection ended
- */
-static void log_reply(const struct upstream_attempt *attempt,
-		      unsigned int status, const char *verdict)
-{
-	const struct load *load = &attempt->upstream->load;
-	double now = forward_now(attempt->forward);
-
-	event_log_write(attempt->forward->options.log, "info", "request",
-			"event=reply id=%.*s upstream=%s status=%u verdict=%s "
-			"took_ms=%.0f others=%.0f work_factor=%.2f",
-			attempt->req ? (int)attempt->req->id.len : 1,
-			attempt->req ? attempt->req->id.data : "-",
-			attempt->upstream->entry.id, status, verdict,
-			(now - attempt->started_s) * 1000, load->others,
-			load->work_factor);
-}
-
 /* Whether another upstream answered, which has taken over the address. */
 static bool is_by_another_upstream(const struct upstream_attempt *attempt,
 				   const struct reply_facts *facts)
@@ -527,30 +496,31 @@
 	forward->options.protocol->read_reply(reply->status, reply->headers,
 					      &facts);
 	if (facts.id.len && !str_equal(facts.id, str_from(attempt->id))) {
-		log_reply(attempt, reply->status, "of_another_request");
+		request_log_reply(attempt, reply->status, "of_another_request");
 		return false;
 	}
 	record_load_report(attempt->upstream, &facts, forward_now(forward));
 	record_limit(attempt, &facts);
 	record_signals(attempt, &facts);
 	if (is_unattributable(attempt, &facts)) {
-		log_reply(attempt, reply->status, "without_id");
+		request_log_reply(attempt, reply->status, "without_id");
 		link_retire(attempt->link);
 		handle_failure(attempt, reply, false);
 	} else if (facts.not_run && !success) {
-		log_reply(attempt, reply->status, "not_run");
+		request_log_reply(attempt, reply->status, "not_run");
 		handle_refusal(attempt, reply, &facts);
 	} else if (success &&
 		   (!facts.signed_by_upstream || facts.has_content_encoding ||
 		    (req && !facts.id.len && req->id.len))) {
-		log_reply(attempt, reply->status, "not_the_upstreams_answer");
+		request_log_reply(attempt, reply->status,
+				  "not_the_upstreams_answer");
 		handle_failure(attempt, reply, false);
 	} else if (reply->status >= 500 ||
 		   status_means_not_run(reply->status)) {
-		log_reply(attempt, reply->status, "failed");
+		request_log_reply(attempt, reply->status, "failed");
 		handle_failure(attempt, reply, !facts.has_content_encoding);
 	} else {
-		log_reply(attempt, reply->status, "answered");
+		request_log_reply(attempt, reply->status, "answered");
 		handle_answer(attempt, reply);
 	}
 	dispatch_queued_soon(forward, service);
@@ -586,7 +556,7 @@
 	struct upstream *upstream = attempt->upstream;
 	struct service *service = upstream->service;
 
-	log_reply(attempt, 0, ends[end].name);
+	request_log_reply(attempt, 0, ends[end].name);
 	if (end == HTTP_CHANNEL_RESET) {
 		struct crash crash = {
 			.request = attempt->fingerprint,
--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -239,6 +239,35 @@
 		       : TABLE_WATCH_NO_PEERS;
 }
 
+/* Returns who tells this VM of changes of the tables, as one word. */
+static const char *source_of(const struct cluster *cluster,
+			     enum table_watch_peers peers)
+{
+	if (cluster->leading || cluster->is_backup ||
+	    peers == TABLE_WATCH_NO_PEERS)
+		return "store";
+	if (hears_leader(cluster))
+		return "leader";
+	return peers == TABLE_WATCH_PEERS_RELAY ? "backup" : "waiting_backup";
+}
+
+static void update_status(struct cluster *cluster, enum table_watch_peers peers)
+{
+	const struct row_versions *newest = &cluster->row_versions;
+	struct watch_news news = {
+		.source = source_of(cluster, peers),
+		.newest_rows = { newest->operator_rows, newest->upstream_rows },
+		.known_rows = { table_watch_row_version(
+					cluster->options.operator_rows),
+				table_watch_row_version(
+					cluster->options.upstream_rows) },
+		.heard_s = cluster->row_versions_heard_s,
+		.leader_heard_s = cluster->last_heartbeat_s,
+	};
+
+	watch_status_update(cluster->options.status, &news);
+}
+
 /* Exchanges row versions with the table watches, so that they notice changes
  * that this VM missed. */
 static void exchange_row_versions(struct cluster *cluster)
@@ -246,17 +275,11 @@
 	struct table_watch *operator_rows = cluster->options.operator_rows;
 	struct table_watch *upstream_rows = cluster->options.upstream_rows;
 	enum table_watch_peers peers = peers_of(cluster);
-	struct config_contact *contact =
-		customers_contact(cluster->options.customers);
 
 	cluster_update_row_versions(cluster,
 				    table_watch_row_version(operator_rows),
 				    table_watch_row_version(upstream_rows));
-	config_contact_tick(contact, cluster_now(cluster));
-	if (table_watch_row_version(operator_rows) >=
-	    cluster->row_versions.operator_rows)
-		config_contact_peer_heard(contact,
-					  cluster->row_versions_heard_s);
+	update_status(cluster, peers);
 	table_watch_set_peers(operator_rows, peers,
 			      cluster->row_versions.operator_rows);
 	table_watch_set_peers(upstream_rows, peers,
--- a/src/entry/cluster.h
+++ b/src/entry/cluster.h
@@ -13,6 +13,7 @@
 #include "entry/orders.h"
 #include "entry/settings.h"
 #include "entry/table_watch.h"
+#include "entry/watch_status.h"
 #include "store/store.h"
 
 struct cluster;
@@ -42,6 +43,8 @@
 	struct crash_watch *crashes;
 	/** Gets to know what other VMs say about the configuration's age. */
 	struct customers *customers;
+	/** Gets to know what they say about the age of both tables. */
+	struct watch_status *status;
 	void *ctx;
 };
 
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -186,24 +186,6 @@
 	counter_add(counter, 1);
 }
 
-/* Logs an event of a request; detail holds more key=value pairs. */
-static void log_request(const struct proxy_request *req, const char *event,
-			unsigned int status, const char *detail)
-{
-	double now = forward_now(req->forward);
-
-	event_log_write(req->forward->options.log, "info", "request",
-			"event=%s id=%.*s route=%s service=%s key=%d status=%u "
-			"%s sends=%u age_ms=%.0f left_ms=%.0f config=%" PRIu64
-			" customer=%s",
-			event, STR_ARG(req->id), req->route_name,
-			req->service->name, req->key, status, detail,
-			req->sends, (now - req->received_s) * 1000,
-			(req->give_up_s - now) * 1000,
-			roster_config(req->forward->options.roster)->version,
-			req->customer ? req->customer->name : "-");
-}
-
 void proxy_request_free(struct proxy_request *req)
 {
 	struct forward *forward = req->forward;
@@ -242,7 +224,7 @@
 	dispatch_describe(req, availability, sizeof(availability));
 	g_snprintf(detail, sizeof(detail), "reason=%s retry_after_ms=%.0f %s",
 		   reason, retry_after_s * 1000, availability);
-	log_request(req, "refused", status, detail);
+	request_log_event(req, "refused", status, detail);
 	count_error(forward, status);
 	req->caller = NULL;
 	/* Freed before the answer is sent: that frees the caller's request,
@@ -284,7 +266,7 @@
 	g_snprintf(detail, sizeof(detail), "upstream=%s bytes=%zu",
 		   attempt ? attempt->upstream->entry.id : "-",
 		   reply->body->len);
-	log_request(req, "answered", reply->status, detail);
+	request_log_event(req, "answered", reply->status, detail);
 	counter_add(forward->answered, 1);
 	histogram_record(forward->answer_time,
 			 (int64_t)((now - req->received_s) * US_PER_SECOND));
@@ -390,6 +372,7 @@
 	req->kind = route->kind;
 	req->customer = customer;
 	req->config_version = roster_config(forward->options.roster)->version;
+	req->routed_version = req->config_version;
 	req->is_public = route->is_public;
 	req->priority = customer && customer->has_priority ? customer->priority
 							   : route->priority;
@@ -438,15 +421,7 @@
 			    struct http_request *request, unsigned int status,
 			    double retry_after_s, const char *reason)
 {
-	const struct header *id =
-		headers_find(request->headers, STR("x-request-id"));
-
-	event_log_write(forward->options.log, "info", "request",
-			"event=refused id=%.*s status=%u reason=%s "
-			"target=%.*s",
-			id ? (int)id->value.len : 1, id ? id->value.data : "-",
-			status, reason, (int)MIN(request->target->len, 120),
-			request->target->str);
+	request_log_unrouted(forward, request, status, reason);
 	if (status == UNAUTHORIZED)
 		count_error(forward, status);
 	else
@@ -551,7 +526,7 @@
 
 	if (!req)
 		return;
-	log_request(req, "caller_gone", 0, "");
+	request_log_event(req, "caller_gone", 0, "");
 	counter_add(forward->abandoned, 1);
 	req->caller = NULL;
 	proxy_request_free(req);
--- a/src/entry/forward.h
+++ b/src/entry/forward.h
@@ -30,6 +30,7 @@
 #include "net/http_server.h"
 
 struct forward;
+struct watch_status;
 
 /** Options of a forwarder, which copies them. */
 struct forward_options {
@@ -47,6 +48,8 @@
 	struct crash_watch *crashes;
 	/** Customers, of which requests need an API key. */
 	struct customers *customers;
+	/** How recent the configuration is, for the log; may be NULL. */
+	const struct watch_status *status;
 	/** Called when an answer said for the first time that its upstream
 	 * leaves, while the answer is being handled: must not answer a caller.
 	 */
--- a/src/entry/forward_impl.h
+++ b/src/entry/forward_impl.h
@@ -197,6 +197,31 @@
 /** Frees a request whose caller was answered or is gone. */
 void proxy_request_free(struct proxy_request *req);
 
+/** Logs an event of a request.
+ *
+ * @param detail more key=value pairs */
+void request_log_event(const struct proxy_request *req, const char *event,
+		       unsigned int status, const char *detail);
+
+/** Logs the refusal of a request that has no route or no customer. */
+void request_log_unrouted(const struct forward *forward,
+			  const struct http_request *request,
+			  unsigned int status, const char *reason);
+
+/** Logs an attempt that is about to be sent.
+ *
+ * @param backup see attempt_send() */
+void request_log_sent(const struct upstream_attempt *attempt, bool backup);
+
+/**
+ * Logs how an attempt ended.
+ *
+ * @param status of the answer; 0: the connection ended without an answer
+ * @param verdict one word: the class of the answer, or how the connection ended
+ */
+void request_log_reply(const struct upstream_attempt *attempt,
+		       unsigned int status, const char *verdict);
+
 /** Returns the request's host without the port; empty if there is none. */
 struct str forward_host(const struct http_request *request);
 /** Returns the request's path without the query. */
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -16,6 +16,7 @@
 #include "entry/cluster.h"
 #include "entry/forward.h"
 #include "entry/table_watch.h"
+#include "entry/watch_status.h"
 #include "platform/decode.h"
 #include "platform/table_store.h"
 #include "store/store_calls.h"
@@ -80,6 +81,7 @@
 	struct cluster *cluster;
 	struct table_watch *operator_rows;
 	struct table_watch *upstream_rows;
+	struct watch_status *status;
 	struct http_server *caller_server;
 	struct http_server *readiness_server;
 	struct http_server *metrics_server;
@@ -138,6 +140,7 @@
 	http_server_set_limits(entry->caller_server, &config->limits);
 	if (!roster_set_config(entry->roster, config))
 		return;
+	watch_status_set_config_row(entry->status, row->version);
 	counter_set(entry->invalid_routes, invalid_routes);
 	event_log_write(entry->log,
 			invalid_routes || invalid_services || invalid_customers
@@ -168,6 +171,7 @@
 	GError *error = NULL;
 
 	if (entry->directory->upstream(row->key, value, &read, &error)) {
+		read.row_version = row->version;
 		roster_put_upstream(entry->roster, &read);
 		return;
 	}
@@ -203,8 +207,14 @@
 {
 	struct entry_daemon *entry = ctx;
 
-	config_contact_store_answered(customers_contact(entry->customers),
-				      asked_s, now_of(entry));
+	watch_status_answered(entry->status, COPIED_OPERATOR_ROWS, asked_s);
+}
+
+static void on_upstreams_answered(void *ctx, double asked_s)
+{
+	struct entry_daemon *entry = ctx;
+
+	watch_status_answered(entry->status, COPIED_UPSTREAM_ROWS, asked_s);
 }
 
 static void on_loaded(void *ctx)
@@ -241,6 +251,7 @@
 	.row = on_upstream_row,
 	.removed = on_upstream_removed,
 	.changed = on_rows_changed,
+	.answered = on_upstreams_answered,
 	.loaded = on_loaded,
 	.reachability_changed = on_reachability_changed,
 };
@@ -536,6 +547,7 @@
 		.routing_changed = roster_changed,
 		.crashes = entry->crashes,
 		.customers = entry->customers,
+		.status = entry->status,
 		.ctx = entry,
 	};
 
@@ -570,6 +582,17 @@
 	config_contact_tick(customers_contact(entry->customers), now_of(entry));
 }
 
+static void create_status(struct entry_daemon *entry)
+{
+	struct watch_status_options options = {
+		.loop = &entry->loop,
+		.log = entry->log,
+		.operator_contact = customers_contact(entry->customers),
+	};
+
+	entry->status = watch_status_create(&options);
+}
+
 /* Creates all modules and starts them; entry_close() frees them, also after a
  * failure. */
 static bool entry_open(struct entry_daemon *entry, GError **error)
@@ -594,6 +617,7 @@
 	entry->store_calls = store_calls_create(entry->metrics);
 	store.calls = entry->store_calls;
 	create_customers(entry);
+	create_status(entry);
 	entry->roster = roster_create(&entry->loop, entry->settings,
 				      &roster_ops, entry);
 	create_answer_budget(entry);
@@ -619,6 +643,7 @@
 	forward.answers = &entry->answers;
 	forward.crashes = entry->crashes;
 	forward.customers = entry->customers;
+	forward.status = entry->status;
 	forward.said_leaving = on_said_leaving;
 	forward.ctx = entry;
 	entry->forward = forward_create(&forward);
@@ -652,6 +677,7 @@
 	forward_destroy(entry->forward);
 	crash_watch_destroy(entry->crashes);
 	roster_destroy(entry->roster);
+	watch_status_destroy(entry->status);
 	customers_destroy(entry->customers);
 	caller_limits_clear(&entry->caller_limits);
 	metrics_destroy(entry->metrics);
--- a/src/entry/proxy_request.h
+++ b/src/entry/proxy_request.h
@@ -57,6 +57,8 @@
 	/** The configuration by which the customer was identified, and whether
 	 * the route needs no API key by that. */
 	uint64_t config_version;
+	/** The configuration that has the request's route. */
+	uint64_t routed_version;
 	bool is_public;
 	/** Copies of the fields of struct route; see there. The priority may be
 	 * the customer's. */
--- a/src/entry/roster.c
+++ b/src/entry/roster.c
@@ -233,6 +233,8 @@
 		upstream->leaving_since_s = 0;
 	upstream->cold_until_s =
 		entry->cold_remaining_s > 0 ? now + entry->cold_remaining_s : 0;
+	upstream->listed_s = now;
+	upstream->entry.row_version = entry->row_version;
 	upstream->entry.leaving = entry->leaving;
 	upstream->entry.slots = entry->slots;
 }
--- a/src/entry/roster.h
+++ b/src/entry/roster.h
@@ -37,6 +37,8 @@
 	/** Time at which this VM learned that the upstream is draining; 0: the
 	 * upstream isn't draining. */
 	double leaving_since_s;
+	/** Time at which this VM applied the entry's row. */
+	double listed_s;
 	/** An answer of this incarnation said that it leaves, whatever its
 	 * entry says. */
 	bool said_leaving;
--- /dev/null
+++ b/test/functional/test_entry_status.c
@@ -0,0 +1,167 @@
+/*
+ * What an auburn-entry process tells of its picture of the store: in the lines
+ * of requests and of decisions, and on the metrics address.
+ */
+#include <math.h>
+#include <poll.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "cluster_entry.h"
+#include "suite.h"
+
+#define ENTRIES 2
+#define GRACE_S 6
+/* Longest wait for a line. */
+#define LINE_WAIT_MS 3000
+
+static struct entry_rig rig;
+/* What was read of each entry's log. */
+static GString *logs[ENTRIES];
+
+static void setup(void)
+{
+	unsigned int i;
+
+	entry_rig_start(&rig, ENTRIES, GRACE_S);
+	for (i = 0; i < ENTRIES; i++)
+		logs[i] = g_string_new(NULL);
+}
+
+static void teardown(void)
+{
+	unsigned int i;
+
+	for (i = 0; i < ENTRIES; i++)
+		g_string_free(logs[i], TRUE);
+	entry_rig_stop(&rig);
+}
+
+/* Finds the first complete line of an entry's log that contains two texts, and
+ * waits for it; returns NULL if none comes. The caller frees the line. */
+static char *find_line(unsigned int index, const char *a, const char *b)
+{
+	struct pollfd p = {
+		.fd = process_stdout(rig.entries[index].process),
+		.events = POLLIN,
+	};
+	GString *log = logs[index];
+	char buf[4096];
+
+	for (;;) {
+		char **lines = g_strsplit(log->str, "\n", -1);
+		char *found = NULL;
+		guint i;
+		ssize_t n;
+
+		for (i = 0; !found && lines[i] && lines[i + 1]; i++)
+			if (strstr(lines[i], a) && strstr(lines[i], b))
+				found = g_strdup(lines[i]);
+		g_strfreev(lines);
+		if (found || poll(&p, 1, LINE_WAIT_MS) <= 0)
+			return found;
+		n = read(p.fd, buf, sizeof(buf));
+		if (n <= 0)
+			return NULL;
+		g_string_append_len(log, buf, n);
+	}
+}
+
+/* Returns the number after a key of a line; NAN if there is none. */
+static double value_of(const char *line, const char *key)
+{
+	char *text = g_strdup_printf(" %s=", key);
+	const char *at = line ? strstr(line, text) : NULL;
+	double value =
+		at ? g_ascii_strtod(at + strlen(text), NULL) : (double)NAN;
+
+	g_free(text);
+	return value;
+}
+
+/* What a line has to hold: a number within bounds. */
+struct field {
+	const char *key;
+	double least, most;
+};
+
+static void check_fields(const char *line, const struct field *fields)
+{
+	CU_ASSERT_PTR_NOT_NULL(line);
+	for (; line && fields->key; fields++) {
+		double value = value_of(line, fields->key);
+
+		if (!(value >= fields->least && value <= fields->most))
+			printf("%s out of bounds: %s\n", fields->key, line);
+		CU_ASSERT_TRUE(value >= fields->least && value <= fields->most);
+	}
+}
+
+/* Guards against a refusal that doesn't tell a late VM from an unknown route.
+ */
+static void lines_of_requests_tell_the_age_of_what_decided_them(void)
+{
+	static const struct {
+		const char *uri, *event;
+		struct field fields[8];
+	} rows[] = {
+		{ "/none/a",
+		  "event=refused",
+		  { { "status", 404, 404 },
+		    { "config", 1, 100 },
+		    { "routes", 1, 100 },
+		    { "config_row", 1, 1000 },
+		    { "newest_row", 1, 1000 },
+		    { "config_age_ms", 0, 2000 },
+		    { "leader_age_ms", 0, 2000 } } },
+		{ "/keyed/a",
+		  "event=answered",
+		  { { "status", 200, 200 },
+		    { "config", 1, 100 },
+		    { "config_now", 1, 100 },
+		    { "config_age_ms", 0, 2000 },
+		    { "fence", 1, 1e9 },
+		    { "map", 1, 1e12 },
+		    { "map_age_ms", 0, 60000 } } },
+		{ "/keyed/a",
+		  "event=sent",
+		  { { "row", 1, 1e6 },
+		    { "row_age_ms", 0, 60000 },
+		    { "upstreams_age_ms", 0, 2000 },
+		    { "leaving_ms", -1, -1 },
+		    { "fence", 1, 1e9 } } },
+	};
+	size_t i;
+
+	setup();
+	for (i = 0; i < G_N_ELEMENTS(rows) * ENTRIES; i++) {
+		unsigned int row = i / ENTRIES, index = i % ENTRIES;
+		struct http_answer *answer;
+		char id[32], text[48];
+		char *line;
+
+		answer = entry_send(&rig.entries[index], rows[row].uri, NULL, 7,
+				    NULL, id);
+		http_answer_destroy(answer);
+		g_snprintf(text, sizeof(text), "id=%s ", id);
+		line = find_line(index, text, rows[row].event);
+		check_fields(line, rows[row].fields);
+		if (line && strstr(line, "status=404"))
+			CU_ASSERT_PTR_NOT_NULL(
+				strstr(line, " host=app.example "));
+		g_free(line);
+	}
+	teardown();
+}
+
+int main(void)
+{
+	static const struct suite_case cases[] = {
+		{ "lines of requests tell the age of what decided them",
+		  lines_of_requests_tell_the_age_of_what_decided_them },
+		{ 0 },
+	};
+
+	return suite_run("entry-status", cases);
+}
