event_log: keep room for decisions beside the lines of requests

All lines shared one limit and one queue. While requests used up the limit of a second, which a crowd does, the lines that explain them were left out as well: a configuration that came into force, a lost lease, a store that doesn't answer. An incident's record had none of part config, lease or keys.

Lines of part request now leave a quarter of both to the other lines. The report of left out lines may use no more: while the queue was full, one was added for each line left out, which by itself took the room that was kept free. The report tells how many were not of requests (others=).

--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -10,6 +10,9 @@
 
 /* Lines are dropped while this many bytes are queued. */
 #define PENDING_MAX_BYTES ((gsize)1 << 20)
+/* Share of the rate limit and of the queue that lines of bulk_part leave to
+ * other lines. */
+#define RESERVED_SHARE 0.25
 /* How long event_log_destroy() waits for the last lines to be written, and how
  * long the writer thread waits at a time until a full pipe takes more bytes. */
 #define SLOW_READER_WAIT_MS 1000
@@ -20,10 +23,14 @@
 	/* Token bucket of the rate limit: one token per line. */
 	double lines_per_s;
 	double tokens;
+	/* See struct event_log_options; NULL: none. */
+	const char *bulk_part;
 	/* When tokens were last added, by g_get_monotonic_time(). */
 	gint64 refilled_us;
 	/* Number of lines dropped so far. */
 	uint64_t dropped;
+	/* Those of them that are not of bulk_part. */
+	uint64_t others_dropped;
 	/* How many of these a line of the log has reported. */
 	uint64_t dropped_reported;
 
@@ -95,6 +102,7 @@
 
 	log->fd = options->fd;
 	log->lines_per_s = options->lines_per_s;
+	log->bulk_part = options->bulk_part;
 	log->tokens = log->lines_per_s;
 	log->refilled_us = g_get_monotonic_time();
 	log->pending = g_string_new(NULL);
@@ -135,8 +143,14 @@
 	g_free(log);
 }
 
+/* Returns the tokens that a line of bulk_part has to leave. */
+static double reserved_tokens(const struct event_log *log)
+{
+	return MIN(log->lines_per_s * RESERVED_SHARE, log->lines_per_s - 1);
+}
+
 /* Takes a token for one line. @return false when the rate limit is reached */
-static bool take_token(struct event_log *log)
+static bool take_token(struct event_log *log, bool is_bulk)
 {
 	gint64 now_us = g_get_monotonic_time();
 
@@ -145,7 +159,7 @@
 	log->refilled_us = now_us;
 	if (log->tokens > log->lines_per_s)
 		log->tokens = log->lines_per_s;
-	if (log->tokens < 1)
+	if (log->tokens < 1 + (is_bulk ? reserved_tokens(log) : 0))
 		return false;
 	log->tokens--;
 	return true;
@@ -154,12 +168,14 @@
 /* Queues a copy of a line and frees the line.
  *
  * @return false when the queue is full */
-static bool enqueue(struct event_log *log, char *line)
+static bool enqueue(struct event_log *log, char *line, bool is_bulk)
 {
+	double share = is_bulk ? 1 - RESERVED_SHARE : 1;
+	gsize max = (gsize)((double)PENDING_MAX_BYTES * share);
 	bool room;
 
 	pthread_mutex_lock(&log->lock);
-	room = log->pending->len < PENDING_MAX_BYTES;
+	room = log->pending->len < max;
 	if (room)
 		g_string_append(log->pending, line);
 	pthread_mutex_unlock(&log->lock);
@@ -187,21 +203,33 @@
 	if (!count)
 		return;
 	head = line_head("warning", "log");
-	line = g_strdup_printf("%sevent=left_out lines=%" G_GUINT64_FORMAT "\n",
-			       head, count);
+	line = g_strdup_printf("%sevent=left_out lines=%" G_GUINT64_FORMAT
+			       " others=%" G_GUINT64_FORMAT "\n",
+			       head, count, log->others_dropped);
 	g_free(head);
-	if (enqueue(log, line))
-		log->dropped_reported = log->dropped;
+	/* It must not use up the room of the lines that it is about. */
+	if (!enqueue(log, line, true))
+		return;
+	log->dropped_reported = log->dropped;
+	log->others_dropped = 0;
+}
+
+static void count_dropped(struct event_log *log, bool is_bulk)
+{
+	log->dropped++;
+	if (!is_bulk)
+		log->others_dropped++;
 }
 
 void event_log_write(struct event_log *log, const char *level, const char *part,
 		     const char *format, ...)
 {
+	bool is_bulk = log->bulk_part && !strcmp(part, log->bulk_part);
 	char *head, *text, *line;
 	va_list args;
 
-	if (!take_token(log)) {
-		log->dropped++;
+	if (!take_token(log, is_bulk)) {
+		count_dropped(log, is_bulk);
 		return;
 	}
 	report_dropped(log);
@@ -212,8 +240,8 @@
 	line = g_strconcat(head, text, "\n", NULL);
 	g_free(head);
 	g_free(text);
-	if (!enqueue(log, line))
-		log->dropped++;
+	if (!enqueue(log, line, is_bulk))
+		count_dropped(log, is_bulk);
 }
 
 void event_log_flush(struct event_log *log)
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -23,6 +23,10 @@
 	int fd;
 	/** Rate limit in lines per second; also the burst size. */
 	unsigned int lines_per_s;
+	/** Part of the program whose lines are dropped first: they leave a
+	 * share of the limit and of the queue to those of other parts. Must
+	 * outlive the log; NULL: none. */
+	const char *bulk_part;
 };
 
 /**
@@ -51,7 +55,7 @@
  * event_log_write() does not wake the thread. */
 void event_log_flush(struct event_log *log);
 
-/** Returns the number of lines dropped so far. */
+/** Returns the number of lines dropped so far, of all parts. */
 uint64_t event_log_dropped(const struct event_log *log);
 
 /** Routes GLib messages, and thus log_error() etc. (log.h), to this log. */
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -707,6 +707,7 @@
 	struct event_log_options log = {
 		.fd = STDOUT_FILENO,
 		.lines_per_s = (unsigned int)entry->settings->log_lines,
+		.bulk_part = "request",
 	};
 	GError *error = NULL;
 	int status = EXIT_SUCCESS;
--- a/test/unit/test_net.c
+++ b/test/unit/test_net.c
@@ -481,6 +481,53 @@
 	close(ends[1]);
 }
 
+/* Guards against a decision that is left out because lines of requests used up
+ * the limit, or the queue, of that moment. */
+static void lines_of_requests_leave_room_for_decisions(void)
+{
+	static const struct {
+		unsigned int lines_per_s;
+		unsigned int requests, decisions;
+		/* Of the decisions. */
+		unsigned int dropped_max;
+	} rows[] = {
+		{ 40, 1000, 10, 0 },
+		{ 40, 0, 40, 0 },
+		{ 40, 1000, 100, 91 },
+		/* More than the pipe and the queue hold. */
+		{ 100000, 40000, 1000, 0 },
+	};
+	size_t row;
+
+	for (row = 0; row < G_N_ELEMENTS(rows); row++) {
+		struct event_log_options options = {
+			.lines_per_s = rows[row].lines_per_s,
+			.bulk_part = "request",
+		};
+		struct event_log *log;
+		uint64_t before;
+		unsigned int i;
+		int ends[2];
+
+		CU_ASSERT_EQUAL_FATAL(pipe(ends), 0);
+		options.fd = ends[1];
+		log = event_log_create(&options);
+		for (i = 0; i < rows[row].requests; i++)
+			event_log_write(log, "info", "request",
+					"event=refused number=%u", i);
+		before = event_log_dropped(log);
+		CU_ASSERT_EQUAL(before > 0, rows[row].requests > 0);
+		for (i = 0; i < rows[row].decisions; i++)
+			event_log_write(log, "info", "config",
+					"event=in_force version=%u", i);
+		CU_ASSERT_TRUE(event_log_dropped(log) - before <=
+			       rows[row].dropped_max);
+		close(ends[0]);
+		event_log_destroy(log);
+		close(ends[1]);
+	}
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -502,6 +549,8 @@
 		  a_blocked_log_reader_does_not_block_writers },
 		{ "log lines are limited and drops reported",
 		  log_lines_are_limited_and_drops_reported },
+		{ "lines of requests leave room for decisions",
+		  lines_of_requests_leave_room_for_decisions },
 		{ 0 },
 	};
 
