entry: log and count what decides how recent a VM's tables are

A record of an incident had one line of part store, contact_lost, and none that tells whether a VM was behind, read a table, heard its leader or stood still.

One line a decision, on changes only: - store: behind, caught_up, gap, catch_up, call_given_up, read (with its reason), loaded. contact_lost and contact_regained name the role and on whom this VM relies: a call_ms of 0 meant that others called the store, but a call that is refused at once has it as well. - cluster: relies_on, heartbeats_lost and heartbeats_back, follows, ignored_heartbeat. - config: ignored, for a version that isn't newer than the one in force. - roster: lapsed, for an entry that stays for a while after an outage. - keys: published, owners_from_store; moves and leading tell the lease's rest. - entry: late_tick, when the event loop stood still for 0.25 s or more, with the processor time used meanwhile, which tells a busy process from one that was off the processor.

Metrics: configuration, row versions known here and elsewhere, ages, source, upstreams, owner maps, lease, reads, catch-ups, gaps, calls given up, ignored messages, late ticks.

The age that is logged leaves out what the leader hears of its own followers. The contact by which API keys are judged is as before.

New cases of unit-test_follower, unit-test_watch_status and functional-test_entry_status.

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -69,8 +69,12 @@
 	struct cluster *cluster = ctx;
 
 	event_log_write(cluster->options.log, "info", "lease",
-			"event=won row=%" PRIu64,
-			lease_version(cluster->lease));
+			"event=won row=%" PRIu64 " before=%s heartbeat_ms=%.0f",
+			lease_version(cluster->lease),
+			cluster->followed ? cluster->followed : "-",
+			(cluster_now(cluster) - cluster->last_heartbeat_s) *
+				1000);
+	cluster->won_s = cluster_now(cluster);
 	cluster->leading = true;
 	cluster->heartbeat_sent_s = 0;
 	/* Give VMs known to the previous leader time to report here. */
@@ -102,16 +106,16 @@
 	struct cluster *cluster = ctx;
 
 	event_log_write(cluster->options.log, "warning", "lease",
-			"event=lost reason=\"%s\" row=%" PRIu64, reason,
-			lease_version(cluster->lease));
+			"event=lost reason=\"%s\" row=%" PRIu64 " held_ms=%.0f",
+			reason, lease_version(cluster->lease),
+			(cluster_now(cluster) - cluster->won_s) * 1000);
 	cluster->leading = false;
 	orders_cancel(cluster->orders);
 	g_hash_table_remove_all(cluster->key_leaders);
 	counter_set(cluster->leads, 0);
 }
 
-/* Whether the leader's heartbeats arrive. */
-static bool hears_leader(const struct cluster *cluster)
+bool cluster_hears_leader(const struct cluster *cluster)
 {
 	return cluster_now(cluster) < cluster->last_heartbeat_s + RELAY_LOST_S;
 }
@@ -149,7 +153,7 @@
 	cluster->leader_address_known = true;
 	cluster->leader_zone = "";
 	/* The leader may not know this VM: report at once. */
-	if (!hears_leader(cluster))
+	if (!cluster_hears_leader(cluster))
 		cluster_report_soon(cluster);
 }
 
@@ -232,42 +236,14 @@
 		return live_vms_count(cluster->vms) > 1
 			       ? TABLE_WATCH_PEERS_RELAY
 			       : TABLE_WATCH_NO_PEERS;
-	if (hears_leader(cluster) || now < cluster->last_relay_s + RELAY_LOST_S)
+	if (cluster_hears_leader(cluster) ||
+	    now < cluster->last_relay_s + RELAY_LOST_S)
 		return TABLE_WATCH_PEERS_RELAY;
 	return now < cluster->last_waiting_relay_s + RELAY_LOST_S
 		       ? TABLE_WATCH_PEERS_WAIT
 		       : TABLE_WATCH_NO_PEERS;
 }
 
-/* Returns who tells this VM of changes of the tables, as one word. */
-static const char *source_of(const struct cluster *cluster,
-			     enum table_watch_peers peers)
-{
-	if (cluster->leading || cluster->is_backup ||
-	    peers == TABLE_WATCH_NO_PEERS)
-		return "store";
-	if (hears_leader(cluster))
-		return "leader";
-	return peers == TABLE_WATCH_PEERS_RELAY ? "backup" : "waiting_backup";
-}
-
-static void update_status(struct cluster *cluster, enum table_watch_peers peers)
-{
-	const struct row_versions *newest = &cluster->row_versions;
-	struct watch_news news = {
-		.source = source_of(cluster, peers),
-		.newest_rows = { newest->operator_rows, newest->upstream_rows },
-		.known_rows = { table_watch_row_version(
-					cluster->options.operator_rows),
-				table_watch_row_version(
-					cluster->options.upstream_rows) },
-		.heard_s = cluster->row_versions_heard_s,
-		.leader_heard_s = cluster->last_heartbeat_s,
-	};
-
-	watch_status_update(cluster->options.status, &news);
-}
-
 /* Exchanges row versions with the table watches, so that they notice changes
  * that this VM missed. */
 static void exchange_row_versions(struct cluster *cluster)
@@ -279,7 +255,7 @@
 	cluster_update_row_versions(cluster,
 				    table_watch_row_version(operator_rows),
 				    table_watch_row_version(upstream_rows));
-	update_status(cluster, peers);
+	cluster_update_status(cluster, peers);
 	table_watch_set_peers(operator_rows, peers,
 			      cluster->row_versions.operator_rows);
 	table_watch_set_peers(upstream_rows, peers,
@@ -316,8 +292,10 @@
 
 	(void)loop;
 	(void)events;
-	if (cluster->maps_changed)
+	if (cluster->maps_changed) {
 		cluster->map_number++;
+		cluster_note_published(cluster);
+	}
 	cluster->maps_changed = false;
 	if (lease_held(cluster->lease, 0))
 		cluster_send_heartbeat(cluster);
@@ -365,7 +343,7 @@
 {
 	unsigned int vms = roster_vm_count(cluster->options.roster);
 
-	if (!hears_leader(cluster) || cluster->heard_snapshot.missed ||
+	if (!cluster_hears_leader(cluster) || cluster->heard_snapshot.missed ||
 	    copy_exchange_waits(cluster->copy_exchange))
 		return live_vms_unheard_report_interval_s(vms);
 	return live_vms_report_interval_s(vms);
@@ -384,6 +362,7 @@
 {
 	double now = cluster_now(cluster);
 
+	watch_status_tick(cluster->options.status);
 	/* In the first start no VM has the tables before one leads. */
 	lease_set_ready(
 		cluster->lease,
@@ -549,10 +528,7 @@
 	ev_timer_init(&cluster->publish_timer, on_publish_timer,
 		      PUBLISH_DELAY_S, 0);
 	cluster->publish_timer.data = cluster;
-	cluster->leads = metrics_gauge(options->metrics, "auburn_leads", "",
-				       "1 while this VM leads.");
-	cluster->vms_alive = metrics_gauge(options->metrics, "auburn_vms", "",
-					   "VMs of the system that are alive.");
+	cluster_create_metrics(cluster);
 	return cluster;
 }
 
--- a/src/entry/cluster.h
+++ b/src/entry/cluster.h
@@ -71,6 +71,9 @@
  */
 void cluster_tick(struct cluster *cluster);
 
+/** Sets the gauges of the lease, before metrics are rendered. */
+void cluster_update_metrics(struct cluster *cluster);
+
 /** Returns the part that tells the other VMs of requests that crash upstreams;
  * owned by the cluster. */
 struct crash_exchange *cluster_crash_exchange(struct cluster *cluster);
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -170,11 +170,48 @@
 	/** Metrics: whether this VM leads, and the number of live VMs. */
 	struct counter *leads;
 	struct counter *vms_alive;
+	/** Metrics: remaining time of the lease, how long this VM leads, and
+	 * messages that were ignored. */
+	struct counter *lease_left;
+	struct counter *leading_for;
+	struct counter *ignored;
+	/** When this VM last began to lead. */
+	double won_s;
+	/** Name of the VM whose heartbeats are followed, interned; NULL: none
+	 * was heard. */
+	const char *followed;
+	/** When a line last told of an ignored heartbeat. */
+	double ignored_logged_s;
 };
 
 /** Returns the loop's time, in seconds. */
 double cluster_now(const struct cluster *cluster);
 
+/** Whether the leader's heartbeats arrive. */
+bool cluster_hears_leader(const struct cluster *cluster);
+
+/** Creates the cluster's metrics. */
+void cluster_create_metrics(struct cluster *cluster);
+
+/** Passes to the status what this VM and the others know of the tables. */
+void cluster_update_status(struct cluster *cluster,
+			   enum table_watch_peers peers);
+
+/** Notes that a heartbeat will carry owners under a new version. */
+void cluster_note_published(const struct cluster *cluster);
+
+/** Notes a heartbeat that is about to be applied, and whose it is. */
+void cluster_note_heartbeat(struct cluster *cluster, const LeaderBeat *beat);
+
+/**
+ * Whether a message is of an earlier lease than the newest that this VM knows;
+ * it is ignored and counted.
+ *
+ * @param vm name of the sender; NULL: unknown
+ */
+bool cluster_is_outdated(struct cluster *cluster, uint64_t lease,
+			 const char *vm);
+
 /** Records that a VM is alive, the address at which it receives datagrams, and
  * its zone. */
 void cluster_record_vm_alive(struct cluster *cluster, const char *name,
@@ -209,6 +246,10 @@
 /** Whether this VM may give orders to owners now; ctx is the cluster. */
 bool cluster_may_send_orders(void *ctx);
 
+/** Returns the seconds for which this VM still holds the lease; ctx is the
+ * cluster. */
+double cluster_lease_left_s(void *ctx);
+
 /** Notes that owners changed, and sends a heartbeat soon; ctx is the cluster.
  */
 void cluster_keys_changed(void *ctx);
--- a/src/entry/cluster_maps.c
+++ b/src/entry/cluster_maps.c
@@ -21,6 +21,7 @@
 		.orders = cluster->orders,
 		.log = cluster->options.log,
 		.may_send_orders = cluster_may_send_orders,
+		.lease_left_s = cluster_lease_left_s,
 		.changed = cluster_keys_changed,
 		.ctx = cluster,
 	};
@@ -72,8 +73,12 @@
 	}
 	cluster->maps_read = true;
 	event_log_write(cluster->options.log, "info", "keys",
-			"event=leading maps=%zu version=%" PRIu64,
-			result->row_count, result->version);
+			"event=leading maps=%zu version=%" PRIu64
+			" lease_left_ms=%.0f inherited_ms=%.0f",
+			result->row_count, result->version,
+			cluster_lease_left_s(cluster) * 1000,
+			(cluster->inherited_until_s - cluster_now(cluster)) *
+				1000);
 }
 
 /* Reads the owner maps of all services from the store, unless a read is in
@@ -109,6 +114,12 @@
 	if (result->status != STORE_OK ||
 	    cluster_now(cluster) < cluster->last_heartbeat_s + HEARTBEAT_LOST_S)
 		return;
+	event_log_write(cluster->options.log, "warning", "keys",
+			"event=owners_from_store lease=%" PRIu64
+			" version=%" PRIu64 " heartbeat_ms=%.0f",
+			lease_version(cluster->lease), result->version,
+			(cluster_now(cluster) - cluster->last_heartbeat_s) *
+				1000);
 	load_blocked_requests(cluster, result);
 	for (i = 0; i < result->row_count; i++) {
 		struct service *service = roster_service(
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -219,8 +219,9 @@
 {
 	struct cluster *cluster = ctx;
 
-	if (beat->lease < lease_version(cluster->lease))
+	if (cluster_is_outdated(cluster, beat->lease, beat->vm))
 		return;
+	cluster_note_heartbeat(cluster, beat);
 	if (beat->lease > cluster->heartbeat_lease)
 		crash_exchange_resend(cluster->crash_exchange);
 	cluster->heartbeat_lease = beat->lease;
@@ -296,7 +297,8 @@
 {
 	struct cluster *cluster = ctx;
 
-	if (!cluster->leading && index->lease >= lease_version(cluster->lease))
+	if (!cluster->leading &&
+	    !cluster_is_outdated(cluster, index->lease, NULL))
 		load_exchange_apply_index(cluster->load_exchange, index);
 }
 
@@ -324,7 +326,7 @@
 {
 	struct cluster *cluster = ctx;
 
-	if (loads->lease < lease_version(cluster->lease))
+	if (cluster_is_outdated(cluster, loads->lease, NULL))
 		return;
 	load_exchange_apply_totals(cluster->load_exchange, loads);
 	limit_exchange_apply_totals(cluster->limit_exchange, loads);
--- a/src/entry/key_leader.c
+++ b/src/entry/key_leader.c
@@ -210,10 +210,14 @@
 
 	event_log_write(leader->options.log, "info", "keys",
 			"event=move service=%s first=%u last=%u from=%s to=%s "
-			"fence=%" PRIu64 " reason=%s row=%" PRIu64,
+			"fence=%" PRIu64 " reason=%s row=%" PRIu64
+			" map=%" PRIu64 " hold_ms=%.0f lease_left_ms=%.0f",
 			leader->service->name, span->first, span->last,
 			span->owner ? span->owner : "-", to, span->fence,
-			reason, leader->row_version);
+			reason, leader->row_version,
+			leader->service->keys->version, leader->hold_s * 1000,
+			leader->options.lease_left_s(leader->options.ctx) *
+				1000);
 }
 
 static void on_map_changed(void *ctx)
--- a/src/entry/key_leader.h
+++ b/src/entry/key_leader.h
@@ -26,6 +26,8 @@
 	/** Whether this VM's lease lasts long enough to send a grant or
 	 * release. */
 	bool (*may_send_orders)(void *ctx);
+	/** Returns the seconds for which this VM still holds the lease. */
+	double (*lease_left_s)(void *ctx);
 	/** Called when the result of key_leader_copy_served_map() changed. */
 	void (*changed)(void *ctx);
 	void *ctx;
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -15,6 +15,7 @@
 #include "entry/caller_limits.h"
 #include "entry/cluster.h"
 #include "entry/forward.h"
+#include "entry/status_metrics.h"
 #include "entry/table_watch.h"
 #include "entry/watch_status.h"
 #include "platform/decode.h"
@@ -82,6 +83,7 @@
 	struct table_watch *operator_rows;
 	struct table_watch *upstream_rows;
 	struct watch_status *status;
+	struct status_metrics *status_metrics;
 	struct http_server *caller_server;
 	struct http_server *readiness_server;
 	struct http_server *metrics_server;
@@ -138,8 +140,15 @@
 	invalid_services = config->invalid_services;
 	invalid_customers = config->invalid_customers;
 	http_server_set_limits(entry->caller_server, &config->limits);
-	if (!roster_set_config(entry->roster, config))
+	if (!roster_set_config(entry->roster, config)) {
+		event_log_write(
+			entry->log, "warning", "config",
+			"event=ignored reason=not_newer version=%" PRIu64
+			" in_force=%" PRIu64 " row=%" PRIu64,
+			version, roster_config(entry->roster)->version,
+			row->version);
 		return;
+	}
 	watch_status_set_config_row(entry->status, row->version);
 	counter_set(entry->invalid_routes, invalid_routes);
 	event_log_write(entry->log,
@@ -190,10 +199,15 @@
 static void on_upstream_removed(void *ctx, const char *key)
 {
 	struct entry_daemon *entry = ctx;
+	double left_s = entry->store_back_s + LAPSE_GRACE_S - now_of(entry);
+	bool has_grace = entry->store_back_s && left_s > 0;
 
-	roster_remove_upstream(
-		entry->roster, key,
-		entry->store_back_s ? entry->store_back_s + LAPSE_GRACE_S : 0);
+	if (has_grace && roster_upstream(entry->roster, key))
+		event_log_write(entry->log, "info", "roster",
+				"event=lapsed upstream=%s stays_ms=%.0f", key,
+				left_s * 1000);
+	roster_remove_upstream(entry->roster, key,
+			       has_grace ? now_of(entry) + left_s : 0);
 }
 
 static void on_rows_changed(void *ctx)
@@ -229,10 +243,12 @@
 {
 	struct entry_daemon *entry = ctx;
 
-	event_log_write(entry->log, unreachable ? "warning" : "info", "store",
-			"event=%s table=%s call_ms=%.0f",
-			unreachable ? "contact_lost" : "contact_regained",
-			table, call_s * 1000);
+	event_log_write(
+		entry->log, unreachable ? "warning" : "info", "store",
+		"event=%s table=%s call_ms=%.0f role=%s source=%s",
+		unreachable ? "contact_lost" : "contact_regained", table,
+		call_s * 1000, watch_status_news(entry->status)->role,
+		watch_source_name(watch_status_news(entry->status)->source));
 	if (!unreachable)
 		entry->store_back_s = now_of(entry);
 }
@@ -303,6 +319,8 @@
 	counter_set(entry->answer_bytes_peak, entry->answers.peak);
 	caller_limits_update_metrics(&entry->caller_limits,
 				     entry->caller_server);
+	status_metrics_update(entry->status_metrics);
+	cluster_update_metrics(entry->cluster);
 	text = metrics_render(entry->metrics);
 	answer.body = str_from(text);
 	http_request_answer(request, &answer);
@@ -587,12 +605,28 @@
 	struct watch_status_options options = {
 		.loop = &entry->loop,
 		.log = entry->log,
+		.metrics = entry->metrics,
 		.operator_contact = customers_contact(entry->customers),
 	};
 
 	entry->status = watch_status_create(&options);
 }
 
+static void create_status_metrics(struct entry_daemon *entry)
+{
+	struct status_metrics_options options = {
+		.loop = &entry->loop,
+		.metrics = entry->metrics,
+		.roster = entry->roster,
+		.status = entry->status,
+		.watches = { entry->operator_rows, entry->upstream_rows },
+	};
+
+	entry->status_metrics = status_metrics_create(&options);
+	table_watch_set_log(entry->operator_rows, entry->log);
+	table_watch_set_log(entry->upstream_rows, entry->log);
+}
+
 /* Creates all modules and starts them; entry_close() frees them, also after a
  * failure. */
 static bool entry_open(struct entry_daemon *entry, GError **error)
@@ -653,6 +687,7 @@
 	entry->upstream_rows = table_watch_create(
 		&entry->loop, &store, entry->directory->upstream_table,
 		entry->settings->apply_s * POLL_PART, &upstream_ops, entry);
+	create_status_metrics(entry);
 	if (!open_servers(entry, error) || !open_cluster(entry, &store, error))
 		return false;
 	copy_wait_s = MAX(entry->settings->copy_wait_s, LEASE_READ_WAIT_S);
@@ -677,6 +712,7 @@
 	forward_destroy(entry->forward);
 	crash_watch_destroy(entry->crashes);
 	roster_destroy(entry->roster);
+	status_metrics_destroy(entry->status_metrics);
 	watch_status_destroy(entry->status);
 	customers_destroy(entry->customers);
 	caller_limits_clear(&entry->caller_limits);
--- a/src/entry/table_watch.c
+++ b/src/entry/table_watch.c
@@ -76,6 +76,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_row);
 	table_watch->changes = change_log_create(CHANGES_BYTES_MAX);
 	table_watch->needs_snapshot = true;
+	table_watch->snapshot_reason = "start";
 	table_watch->retry_delay_s = RETRY_S;
 	table_watch->start_retry_s = START_RETRY_S;
 	ev_timer_init(&table_watch->timer, on_timer, 0, 0);
@@ -243,7 +244,8 @@
 	table_watch->catch_up_after_s = now + MIN(took_s, CATCH_UP_PAUSE_MAX_S);
 }
 
-void table_watch_finish_snapshot(struct table_watch *table_watch)
+void table_watch_finish_snapshot(struct table_watch *table_watch,
+				 const char *source)
 {
 	set_catch_up_pause(table_watch);
 	table_watch->version = table_watch->snapshot_version;
@@ -251,6 +253,7 @@
 	table_watch->needs_snapshot = false;
 	table_watch->catch_up_snapshot = false;
 	table_watch->copy_until_s = 0;
+	table_watch_note_loaded(table_watch, source);
 	if (!table_watch->loaded) {
 		table_watch->loaded = true;
 		table_watch->ops->loaded(table_watch->ctx);
@@ -284,7 +287,7 @@
 		remove_unseen_rows(table_watch);
 		g_clear_pointer(&table_watch->seen_keys, g_hash_table_destroy);
 		report_answered(table_watch);
-		table_watch_finish_snapshot(table_watch);
+		table_watch_finish_snapshot(table_watch, "store");
 		return;
 	}
 	/* The smallest key in byte order that may follow the last one. */
@@ -359,6 +362,9 @@
 	    (result->status == STORE_OK &&
 	     result->version < table_watch->call_version)) {
 		table_watch->needs_snapshot = true;
+		table_watch->snapshot_reason = result->status == STORE_OK
+						       ? "store_reset"
+						       : "history_gone";
 		table_watch_set_unreachable(table_watch, false);
 		table_watch_schedule(table_watch, 0);
 		return;
@@ -412,6 +418,9 @@
 	table_watch->snapshot_version = 0;
 	table_watch->call_started_s = loop_now(table_watch->loop);
 	table_watch->long_poll_s = 0;
+	if (catch_up)
+		table_watch->snapshot_reason = "catch_up";
+	table_watch_note_read(table_watch);
 	read_page(table_watch, "");
 }
 
--- a/src/entry/table_watch.h
+++ b/src/entry/table_watch.h
@@ -6,6 +6,7 @@
 #ifndef ENTRY_TABLE_WATCH_H
 #define ENTRY_TABLE_WATCH_H
 
+#include "base/event_log.h"
 #include "net/loop.h"
 #include "store/store.h"
 
@@ -133,6 +134,27 @@
 void table_watch_set_peers(struct table_watch *table_watch,
 			   enum table_watch_peers peers, uint64_t version);
 
+/** Sets the log that gets a line for each decision; until then there are none.
+ */
+void table_watch_set_log(struct table_watch *table_watch,
+			 struct event_log *log);
+
+/** What a watch has done since it was created. */
+struct table_watch_counts {
+	/** Reads of the whole table. */
+	uint64_t snapshots;
+	/** Calls that fetch what was not relayed, also by a read. */
+	uint64_t catch_ups;
+	/** Relayed changes that don't follow those that the watch has. */
+	uint64_t gaps;
+	/** Calls that were taken for lost before they timed out. */
+	uint64_t given_up;
+};
+
+/** Returns the counts, which the watch owns. */
+const struct table_watch_counts *
+table_watch_counts(const struct table_watch *table_watch);
+
 /** Whether the last call to the store, or those of the VMs that this one relies
  * on, were not answered. */
 bool table_watch_unreachable(const struct table_watch *table_watch);
--- a/src/entry/table_watch_impl.h
+++ b/src/entry/table_watch_impl.h
@@ -18,6 +18,18 @@
  * that returns early without a change. */
 #define RETRY_S 0.25
 
+/** A time in which other VMs know a newer row; zero-initialized: none. */
+struct table_lag {
+	/** Loop time at which it began; 0: it didn't. */
+	double since_s;
+	/** Calls that were made, and given up, since. */
+	unsigned int calls, given_up;
+	/** Newest relayed change that did not follow those of the watch. */
+	uint64_t gap_upto;
+	/** A line says that it began. */
+	bool logged;
+};
+
 struct table_watch {
 	struct loop *loop;
 	struct store store;
@@ -87,6 +99,14 @@
 	/** Loop time until which the watch waits for another VM's copy of the
 	 * table before it reads it; 0: it doesn't wait. */
 	double copy_until_s;
+	/** Gets the lines of decisions; NULL: there are none. */
+	struct event_log *log;
+	struct table_watch_counts counts;
+	struct table_lag lag;
+	/** Why a snapshot is needed: one word, while needs_snapshot. */
+	const char *snapshot_reason;
+	/** A line tells of the snapshot that is needed. */
+	bool read_logged;
 };
 
 /** Whether this watch need not poll because other VMs relay changes. */
@@ -104,8 +124,11 @@
 void table_watch_apply_row(struct table_watch *table_watch,
 			   const struct store_row *row);
 
-/** Ends a snapshot that showed snapshot_version. */
-void table_watch_finish_snapshot(struct table_watch *table_watch);
+/** Ends a snapshot that showed snapshot_version.
+ *
+ * @param source see table_watch_note_loaded() */
+void table_watch_finish_snapshot(struct table_watch *table_watch,
+				 const char *source);
 
 /** Applies a delta. Rows up to the current version are skipped. */
 void table_watch_apply_changes(struct table_watch *table_watch,
@@ -115,6 +138,31 @@
  * the watch began it while it could rely on others. */
 bool table_watch_poll_overdue(struct table_watch *table_watch);
 
+/** Notes the newest row version that other VMs know. */
+void table_watch_note_lag(struct table_watch *table_watch, uint64_t newest);
+
+/** Notes relayed changes that don't follow those of the watch. */
+void table_watch_note_gap(struct table_watch *table_watch,
+			  const struct table_delta *changes);
+
+/** Notes a call that fetches what was not relayed. */
+void table_watch_note_catch_up(struct table_watch *table_watch);
+
+/** Notes that the pending call is taken for lost.
+ *
+ * @param reason one word */
+void table_watch_note_given_up(struct table_watch *table_watch,
+			       const char *reason);
+
+/** Notes that the whole table is being read. */
+void table_watch_note_read(struct table_watch *table_watch);
+
+/** Notes that the whole table was replaced.
+ *
+ * @param source one word: "store" or "copy" */
+void table_watch_note_loaded(struct table_watch *table_watch,
+			     const char *source);
+
 /** Starts to read the whole table.
  *
  * @param catch_up see catch_up_snapshot */
--- a/src/entry/table_watch_peers.c
+++ b/src/entry/table_watch_peers.c
@@ -31,6 +31,7 @@
 	if (loop_now(table_watch->loop) < table_watch->catch_up_after_s)
 		return;
 	table_watch->behind_since_s = 0;
+	table_watch_note_catch_up(table_watch);
 	if (!table_watch->ops->catch_up_by_snapshot) {
 		table_watch_request_changes(table_watch, 0, "catch_up");
 		return;
@@ -39,10 +40,12 @@
 }
 
 /* Cancels the pending call, which is taken for lost, and calls the store again.
- */
-static void restart_call(struct table_watch *table_watch)
+ *
+ * @param reason one word for the log */
+static void restart_call(struct table_watch *table_watch, const char *reason)
 {
 	if (table_watch->call_pending) {
+		table_watch_note_given_up(table_watch, reason);
 		table_watch->store.ops->cancel(table_watch->store.impl,
 					       table_watch);
 		table_watch->call_pending = false;
@@ -110,7 +113,7 @@
 	    now > table_watch->call_started_s + STALE_AFTER_S &&
 	    !table_watch->store.ops->receiving(table_watch->store.impl,
 					       table_watch))
-		restart_call(table_watch);
+		restart_call(table_watch, "others_know_newer");
 }
 
 void table_watch_set_peers(struct table_watch *table_watch,
@@ -120,6 +123,7 @@
 			      table_watch_relies_on_peers(table_watch);
 
 	table_watch->peers = peers;
+	table_watch_note_lag(table_watch, version);
 	if (table_watch->loaded && !table_watch->call_pending &&
 	    table_watch_relies_on_peers(table_watch))
 		table_watch_set_unreachable(table_watch,
@@ -127,7 +131,7 @@
 	if (!table_watch->loaded || table_watch->needs_snapshot)
 		return;
 	if (table_watch_poll_overdue(table_watch))
-		restart_call(table_watch);
+		restart_call(table_watch, "overdue");
 	else if (peers != TABLE_WATCH_NO_PEERS && awaits_changes)
 		check_staleness(table_watch, version);
 	else
@@ -145,6 +149,7 @@
 	table_watch->call_pending = false;
 	table_watch->needs_snapshot = false;
 	table_watch->catch_up_snapshot = false;
+	table_watch->read_logged = false;
 	resume_calls(table_watch);
 }
 
@@ -157,8 +162,11 @@
 	if (changes->after <= table_watch->version) {
 		table_watch_apply_changes(table_watch, changes);
 		cancel_catch_up(table_watch);
-	} else if (table_watch_relies_on_peers(table_watch) &&
-		   !table_watch->call_pending)
+		return;
+	}
+	table_watch_note_gap(table_watch, changes);
+	if (table_watch_relies_on_peers(table_watch) &&
+	    !table_watch->call_pending)
 		catch_up(table_watch);
 }
 
@@ -245,7 +253,7 @@
 		table_watch_apply_row(table_watch, &copy->rows[i]);
 	table_watch->snapshot_version = copy->upto;
 	table_watch->call_started_s = loop_now(table_watch->loop);
-	table_watch_finish_snapshot(table_watch);
+	table_watch_finish_snapshot(table_watch, "copy");
 	/* A VM that gets a copy does not lead. Its first heartbeat follows. */
 	if (table_watch->mode == TABLE_WATCH_LEADER)
 		table_watch->mode = TABLE_WATCH_PASSIVE;
--- a/src/entry/watch_status.h
+++ b/src/entry/watch_status.h
@@ -8,23 +8,45 @@
 #define ENTRY_WATCH_STATUS_H
 
 #include "base/event_log.h"
+#include "base/metrics.h"
 #include "customers/config_contact.h"
 #include "entry/copy_exchange.h"
 
+/** Interval, in seconds, of the calls of watch_status_tick(). */
+#define WATCH_TICK_S 0.05
+
 struct watch_status;
 
 /** Options; what the pointers refer to must outlive the status. */
 struct watch_status_options {
 	const struct loop *loop;
 	struct event_log *log;
+	struct metrics *metrics;
 	/** The contact by which requests with API keys are judged. */
 	struct config_contact *operator_contact;
 };
 
+/** Who tells this VM of changes of the tables. */
+enum watch_source {
+	/** The store: this VM calls it itself. */
+	WATCH_STORE,
+	WATCH_LEADER,
+	/** A backup of a leader that isn't heard. */
+	WATCH_BACKUP,
+	/** A backup that the store doesn't answer. */
+	WATCH_WAITING_BACKUP,
+	WATCH_SOURCES,
+};
+
 /** What other VMs told this one of the tables. */
 struct watch_news {
-	/** Who tells this VM of changes: one word. */
-	const char *source;
+	/** What this VM does for the others: one word, a constant. */
+	const char *role;
+	enum watch_source source;
+	/** This VM leads. */
+	bool leads;
+	/** The leader's heartbeats arrive. */
+	bool hears_leader;
 	/** Newest row versions that any VM knows. */
 	uint64_t newest_rows[COPIED_TABLES];
 	/** Newest row versions that this VM knows. */
@@ -55,7 +77,17 @@
 /** Notes the row version of the configuration that came into force. */
 void watch_status_set_config_row(struct watch_status *status, uint64_t row);
 
-/** Notes what other VMs know; called about every 50 ms. */
+/** Returns the row version of the configuration in force; 0: none. */
+uint64_t watch_status_config_row(const struct watch_status *status);
+
+/**
+ * To be called every WATCH_TICK_S. A call that comes late shows that the
+ * process stood still, was off the processor or busy: the line about it names
+ * the processor time that was used meanwhile.
+ */
+void watch_status_tick(struct watch_status *status);
+
+/** Notes what other VMs know; called at every tick. */
 void watch_status_update(struct watch_status *status,
 			 const struct watch_news *news);
 
@@ -64,6 +96,12 @@
 double watch_status_age_s(const struct watch_status *status,
 			  enum copied_table table);
 
+/** Returns a word for a source. */
+const char *watch_source_name(enum watch_source source);
+
+/** Returns what the last watch_status_update() told. */
+const struct watch_news *watch_status_news(const struct watch_status *status);
+
 /** Returns the seconds since the leader's last heartbeat. */
 double watch_status_leader_age_s(const struct watch_status *status);
 
--- a/src/keys/lease.c
+++ b/src/keys/lease.c
@@ -229,6 +229,12 @@
 	return lease->holding && now_of(lease) + for_s < lease->held_until_s;
 }
 
+double lease_left_s(const struct lease *lease)
+{
+	return lease->holding ? fmax(lease->held_until_s - now_of(lease), 0)
+			      : 0;
+}
+
 uint64_t lease_version(const struct lease *lease)
 {
 	return lease->version;
--- a/src/keys/lease.h
+++ b/src/keys/lease.h
@@ -82,6 +82,10 @@
 /** Whether this VM holds the lease for at least for_s more seconds. */
 bool lease_held(const struct lease *lease, double for_s);
 
+/** Returns the seconds for which this VM still holds the lease; 0: it doesn't.
+ */
+double lease_left_s(const struct lease *lease);
+
 /** Returns the last known version of the lease's row; 0 if none is known. */
 uint64_t lease_version(const struct lease *lease);
 
--- a/test/functional/test_entry_status.c
+++ b/test/functional/test_entry_status.c
@@ -155,11 +155,88 @@
 	teardown();
 }
 
+/* Returns the value of a metric of an entry daemon; NAN if it is missing. */
+static double metric_of(const struct entry *entry, const char *name)
+{
+	struct http_request request = { .address = entry->metrics,
+					.uri = "/metrics" };
+	struct http_answer *answer = http_send(&request);
+	char *text = g_strdup_printf("\n%s ", name);
+	const char *at = strstr(answer->body->str, text);
+	double value =
+		at ? g_ascii_strtod(at + strlen(text), NULL) : (double)NAN;
+
+	g_free(text);
+	http_answer_destroy(answer);
+	return value;
+}
+
+/* Guards against a metrics address that doesn't tell which VM is late. */
+static void metrics_tell_how_recent_the_tables_are(void)
+{
+	static const struct field fields[] = {
+		{ "auburn_config_version", 1, 100 },
+		{ "auburn_config_row", 1, 1000 },
+		{ "auburn_table_row{table=\"operators\"}", 1, 1000 },
+		{ "auburn_table_newest_row{table=\"upstreams\"}", 1, 1000 },
+		{ "auburn_table_age_ms{table=\"operators\"}", 0, 2000 },
+		{ "auburn_table_age_ms{table=\"upstreams\"}", 0, 2000 },
+		{ "auburn_table_reads_total{table=\"operators\"}", 0, 100 },
+		{ "auburn_table_gaps_total{table=\"upstreams\"}", 0, 100 },
+		{ "auburn_store_unreachable{table=\"operators\"}", 0, 0 },
+		{ "auburn_relies_on{source=\"store\"}", 0, 1 },
+		{ "auburn_upstreams", 4, 8 },
+		{ "auburn_key_map_version{service=\"keyed\"}", 1, 1e12 },
+		{ "auburn_key_map_age_ms{service=\"keyed\"}", 0, 60000 },
+		{ "auburn_lease_left_ms", 0, 60000 },
+		{ "auburn_heartbeat_age_ms", 0, 2000 },
+		{ "auburn_ignored_messages_total", 0, 1000 },
+		{ "auburn_late_ticks_total", 0, 1000 },
+	};
+	double leaders = 0;
+	size_t i;
+
+	setup();
+	for (i = 0; i < G_N_ELEMENTS(fields) * ENTRIES; i++) {
+		const struct field *field = &fields[i / ENTRIES];
+		double value = metric_of(&rig.entries[i % ENTRIES], field->key);
+
+		if (!(value >= field->least && value <= field->most))
+			printf("%s is %g\n", field->key, value);
+		CU_ASSERT_TRUE(value >= field->least && value <= field->most);
+	}
+	for (i = 0; i < ENTRIES; i++)
+		leaders +=
+			metric_of(&rig.entries[i], "auburn_lease_left_ms") > 0;
+	CU_ASSERT_EQUAL(leaders, 1);
+	teardown();
+}
+
+/* Guards against a late VM whose log doesn't say so. */
+static void a_vm_that_stands_still_says_for_how_long(void)
+{
+	char *line;
+
+	setup();
+	process_freeze(rig.entries[1].process);
+	g_usleep(G_USEC_PER_SEC);
+	process_continue(rig.entries[1].process);
+	line = find_line(1, "part=entry", "event=late_tick");
+	CU_ASSERT_TRUE(value_of(line, "late_ms") > 800);
+	CU_ASSERT_TRUE(value_of(line, "used_ms") < 300);
+	g_free(line);
+	teardown();
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
 		{ "lines of requests tell the age of what decided them",
 		  lines_of_requests_tell_the_age_of_what_decided_them },
+		{ "metrics tell how recent the tables are",
+		  metrics_tell_how_recent_the_tables_are },
+		{ "a VM that stands still says for how long",
+		  a_vm_that_stands_still_says_for_how_long },
 		{ 0 },
 	};
 
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -2,6 +2,7 @@
  * through the store's change feed, or other VMs relay them. Also tests the
  * change log, which keeps recent changes for relaying. */
 #include <string.h>
+#include <unistd.h>
 
 #include "entry/table_watch.h"
 #include "manual_clock.h"
@@ -495,6 +496,69 @@
 
 /* Guards against VMs that all read a large row from the store while its parts
  * are on their way from the leader, and against one that waits for ever. */
+/* Returns how often a text is in what was written to a pipe. */
+static unsigned int count_lines(int fd, const char *text)
+{
+	char buf[16384] = "";
+	const char *at = buf;
+	unsigned int count = 0;
+
+	CU_ASSERT_TRUE(read(fd, buf, sizeof(buf) - 1) > 0);
+	for (; (at = strstr(at, text)); at++)
+		count++;
+	return count;
+}
+
+/* Guards against a watch that falls behind without a line, or logs one for each
+ * time that it asks. */
+static void a_watch_logs_once_that_it_is_behind(void)
+{
+	static const struct {
+		/* Ticks of 0.05 s in which other VMs know row 12. */
+		unsigned int ticks;
+		const char *text;
+		unsigned int lines;
+	} rows[] = {
+		{ 2, "event=behind", 0 },
+		{ 2, "event=caught_up", 0 },
+		{ 60, "event=behind table=t row=7 newest=12", 1 },
+		{ 60, "event=catch_up", 1 },
+		{ 60, "event=caught_up table=t row=12 behind_ms=3000", 1 },
+		{ 60, "event=call_given_up table=t reason=others_know", 1 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct event_log_options options = { .lines_per_s = 1000 };
+		struct event_log *log;
+		struct fixture f;
+		unsigned int tick;
+		int ends[2];
+
+		CU_ASSERT_EQUAL_FATAL(pipe(ends), 0);
+		options.fd = ends[1];
+		log = event_log_create(&options);
+		setup(&f);
+		table_watch_set_log(f.table_watch, log);
+		for (tick = 0; tick <= rows[i].ticks; tick++) {
+			table_watch_set_peers(f.table_watch,
+					      TABLE_WATCH_PEERS_RELAY, 12);
+			if (tick < rows[i].ticks)
+				advance(&f, 0.05);
+		}
+		relay(&f, 9, 12, "b", 12, false);
+		table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY,
+				      12);
+		event_log_write(log, "info", "test", "event=end");
+		event_log_destroy(log);
+		CU_ASSERT_EQUAL(count_lines(ends[0], rows[i].text),
+				rows[i].lines);
+		teardown(&f);
+		close(ends[0]);
+		close(ends[1]);
+	}
+}
+
 static void a_watch_waits_for_changes_in_parts(void)
 {
 	struct fixture f;
@@ -769,6 +833,8 @@
 		  a_backup_that_relays_ends_its_long_poll },
 		{ "a newer row on a peer is requested",
 		  a_newer_row_on_a_peer_is_requested },
+		{ "a watch logs once that it is behind",
+		  a_watch_logs_once_that_it_is_behind },
 		{ "a watch waits for changes in parts",
 		  a_watch_waits_for_changes_in_parts },
 		{ "a watch does not wait for parts again and again",
