cluster: tell other VMs when the store answered the sender

A heartbeat, relay or report now says when the store last answered its sender itself. A VM's age of a table goes back to the latest answer that it knows of, its own or another VM's, so that it can't be made younger by repetition. A message without the field (of an earlier version of the daemon) confirms nothing.

The contact by which API keys are judged still takes any message (config_contact, as before); whether it should is a question of its own.

Requests and a line (owners_missed, owners_complete) also tell that this VM missed a heartbeat with all owners.

--- a/src/customers/config_contact.c
+++ b/src/customers/config_contact.c
@@ -42,10 +42,16 @@
 	return is_after_backlog(contact, heard_s) && !is_frozen(contact, now_s);
 }
 
-void config_contact_peer_heard(struct config_contact *contact, double heard_s)
+void config_contact_peer_told(struct config_contact *contact, double heard_s,
+			      double answered_s)
 {
 	if (is_after_backlog(contact, heard_s))
-		contact->confirmed_s = fmax(contact->confirmed_s, heard_s);
+		contact->confirmed_s = fmax(contact->confirmed_s, answered_s);
+}
+
+void config_contact_peer_heard(struct config_contact *contact, double heard_s)
+{
+	config_contact_peer_told(contact, heard_s, heard_s);
 }
 
 static double seconds_since(double time_s, double now_s)
--- a/src/customers/config_contact.h
+++ b/src/customers/config_contact.h
@@ -43,6 +43,16 @@
  */
 void config_contact_peer_heard(struct config_contact *contact, double heard_s);
 
+/**
+ * Records that another VM tells when the store answered it, and knows no newer
+ * configuration.
+ *
+ * @param heard_s see config_contact_peer_heard()
+ * @param answered_s when the store answered that VM; 0: unknown
+ */
+void config_contact_peer_told(struct config_contact *contact, double heard_s,
+			      double answered_s);
+
 /**
  * Returns whether a message that arrived at heard_s is as recent as that: the
  * process isn't frozen, and the message was not in the socket's buffer while it
--- a/src/entry/cluster_heartbeat.c
+++ b/src/entry/cluster_heartbeat.c
@@ -175,8 +175,7 @@
 		append_vms(cluster, parts->vms);
 	if (content == SNAPSHOT)
 		cluster->vms_changed = false;
-	parts->progress.operator_rows = cluster->row_versions.operator_rows;
-	parts->progress.upstream_rows = cluster->row_versions.upstream_rows;
+	cluster_fill_progress(cluster, &parts->progress);
 	beat->progress = &parts->progress;
 	beat->vm = cluster->options.settings->vm;
 	beat->lease = lease_version(cluster->lease);
@@ -305,8 +304,7 @@
 	RowRelay relay = ROW_RELAY__INIT;
 	Progress progress = PROGRESS__INIT;
 
-	progress.operator_rows = cluster->row_versions.operator_rows;
-	progress.upstream_rows = cluster->row_versions.upstream_rows;
+	cluster_fill_progress(cluster, &progress);
 	relay.progress = &progress;
 	relay.store_unreachable = table_watch_unreachable(operator_rows) ||
 				  table_watch_unreachable(upstream_rows);
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -140,6 +140,9 @@
 	double last_waiting_relay_s;
 	/** When another VM last told which rows of the store it knows. */
 	double row_versions_heard_s;
+	/** Latest time at which, as other VMs told, the store answered one of
+	 * them about each table; 0: unknown. */
+	double told_s[COPIED_TABLES];
 	/** When this VM last sent: a relay as a backup, a heartbeat as leader,
 	 * its report to the leader, its load report, and as leader the outcomes
 	 * of requests. */
@@ -197,6 +200,9 @@
 void cluster_update_status(struct cluster *cluster,
 			   enum table_watch_peers peers);
 
+/** Sets what this VM knows of the tables in a message. */
+void cluster_fill_progress(const struct cluster *cluster, Progress *progress);
+
 /** Notes that a heartbeat will carry owners under a new version. */
 void cluster_note_published(const struct cluster *cluster);
 
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -17,11 +17,24 @@
 	known->upstream_rows = MAX(known->upstream_rows, upstream_rows);
 }
 
+/* Notes how long ago the store answered another VM; age_ms is as in the
+ * message. */
+static void apply_age(struct cluster *cluster, enum copied_table table,
+		      uint32_t age_ms)
+{
+	double told_s = cluster_now(cluster) - age_ms / 1000.0;
+
+	if (age_ms)
+		cluster->told_s[table] = MAX(cluster->told_s[table], told_s);
+}
+
 static void apply_row_versions(struct cluster *cluster,
 			       const Progress *progress)
 {
 	if (!progress)
 		return;
+	apply_age(cluster, COPIED_OPERATOR_ROWS, progress->operator_age_ms);
+	apply_age(cluster, COPIED_UPSTREAM_ROWS, progress->upstream_age_ms);
 	cluster_update_row_versions(cluster, progress->operator_rows,
 				    progress->upstream_rows);
 	cluster->row_versions_heard_s = cluster_now(cluster);
@@ -471,8 +484,7 @@
 	copy_exchange_fill_report(cluster->copy_exchange, &out);
 	out.stopping = stopping;
 	out.wants_snapshot = cluster->heard_snapshot.missed;
-	progress.operator_rows = cluster->row_versions.operator_rows;
-	progress.upstream_rows = cluster->row_versions.upstream_rows;
+	cluster_fill_progress(cluster, &progress);
 	out.progress = &progress;
 	message.kind_case = PEER_MESSAGE__KIND_REPORT;
 	message.report = &out;
--- a/src/entry/cluster_status.c
+++ b/src/entry/cluster_status.c
@@ -9,6 +9,8 @@
 /* Shortest time, in seconds, between lines about ignored heartbeats. */
 #define IGNORED_LINE_S 1.0
 #define MS_PER_S 1000.0
+/* Largest age that is sent, in milliseconds. */
+#define AGE_MAX_MS 1e9
 
 void cluster_create_metrics(struct cluster *cluster)
 {
@@ -74,20 +76,40 @@
 	struct watch_news news = {
 		.role = role_of(cluster),
 		.source = source_of(cluster, peers),
-		.leads = cluster->leading,
 		.hears_leader = cluster_hears_leader(cluster),
+		.missed_owners = cluster->heard_snapshot.missed,
 		.newest_rows = { newest->operator_rows, newest->upstream_rows },
 		.known_rows = { table_watch_row_version(
 					cluster->options.operator_rows),
 				table_watch_row_version(
 					cluster->options.upstream_rows) },
 		.heard_s = cluster->row_versions_heard_s,
+		.told_s = { cluster->told_s[COPIED_OPERATOR_ROWS],
+			    cluster->told_s[COPIED_UPSTREAM_ROWS] },
 		.leader_heard_s = cluster->last_heartbeat_s,
 	};
 
 	watch_status_update(cluster->options.status, &news);
 }
 
+/* Returns an age as it is sent: in milliseconds, plus 1; 0: unknown. */
+static uint32_t sent_age_ms(const struct cluster *cluster,
+			    enum copied_table table)
+{
+	double age_s =
+		watch_status_answer_age_s(cluster->options.status, table);
+
+	return age_s < 0 ? 0 : (uint32_t)MIN(age_s * MS_PER_S, AGE_MAX_MS) + 1;
+}
+
+void cluster_fill_progress(const struct cluster *cluster, Progress *progress)
+{
+	progress->operator_rows = cluster->row_versions.operator_rows;
+	progress->upstream_rows = cluster->row_versions.upstream_rows;
+	progress->operator_age_ms = sent_age_ms(cluster, COPIED_OPERATOR_ROWS);
+	progress->upstream_age_ms = sent_age_ms(cluster, COPIED_UPSTREAM_ROWS);
+}
+
 void cluster_note_published(const struct cluster *cluster)
 {
 	event_log_write(cluster->options.log, "info", "keys",
--- a/src/entry/request_log.c
+++ b/src/entry/request_log.c
@@ -39,6 +39,7 @@
 static void describe_owner(const struct proxy_request *req, char *buf,
 			   size_t size)
 {
+	const struct watch_status *status = req->forward->options.status;
 	const struct key_map *keys = req->service->keys;
 	const struct key_span *span;
 
@@ -48,10 +49,11 @@
 	span = key_map_find(keys, req->key);
 	g_snprintf(buf, size,
 		   " owner=%s fence=%" PRIu64 " map=%" PRIu64
-		   " map_age_ms=%.0f",
+		   " map_age_ms=%.0f map_missed=%d",
 		   span->owner ? span->owner : "-", span->fence, keys->version,
 		   ms_since(req->service->keys_updated_s,
-			    forward_now(req->forward)));
+			    forward_now(req->forward)),
+		   status && watch_status_news(status)->missed_owners);
 }
 
 void request_log_event(const struct proxy_request *req, const char *event,
--- a/src/entry/watch_status.c
+++ b/src/entry/watch_status.c
@@ -11,9 +11,9 @@
 
 struct watch_status {
 	struct watch_status_options options;
-	/** Contact with the store, or with VMs that call it, about each table.
-	 * Unlike in operator_contact, the leader itself does not count what
-	 * others say, which they have from it. */
+	/** The store's answers about each table, to this VM or to one that it
+	 * heard. Unlike in operator_contact, it isn't enough to have heard a
+	 * VM that the store may not have answered either. */
 	struct config_contact contacts[COPIED_TABLES];
 	/** Row version of the configuration in force; 0: none. */
 	uint64_t config_row;
@@ -127,6 +127,13 @@
 				news->hears_leader ? "heartbeats_back"
 						   : "heartbeats_lost",
 				news->role, leader_age_s * MS_PER_S);
+	if (last->missed_owners != news->missed_owners)
+		event_log_write(status->options.log,
+				news->missed_owners ? "warning" : "info",
+				"cluster", "event=%s role=%s",
+				news->missed_owners ? "owners_missed"
+						    : "owners_complete",
+				news->role);
 	if (last->source != news->source || strcmp(last->role, news->role) != 0)
 		event_log_write(status->options.log, "info", "cluster",
 				"event=relies_on source=%s before=%s role=%s "
@@ -153,9 +160,10 @@
 		config_contact_peer_heard(judged, news->heard_s);
 	for (table = 0; table < COPIED_TABLES; table++) {
 		config_contact_tick(&status->contacts[table], now_of(status));
-		if (has_newest(news, table) && !news->leads)
-			config_contact_peer_heard(&status->contacts[table],
-						  news->heard_s);
+		if (has_newest(news, table))
+			config_contact_peer_told(&status->contacts[table],
+						 news->heard_s,
+						 news->told_s[table]);
 	}
 	status->news = *news;
 }
@@ -166,6 +174,13 @@
 	return config_contact_age_s(&status->contacts[table], now_of(status));
 }
 
+double watch_status_answer_age_s(const struct watch_status *status,
+				 enum copied_table table)
+{
+	return config_contact_answer_age_s(&status->contacts[table],
+					   now_of(status));
+}
+
 double watch_status_leader_age_s(const struct watch_status *status)
 {
 	return now_of(status) - status->news.leader_heard_s;
@@ -181,22 +196,21 @@
 			   size_t size)
 {
 	const struct watch_news *news;
-	double answer_s;
 
 	buf[0] = '\0';
 	if (!status)
 		return;
 	news = &status->news;
-	answer_s = config_contact_answer_age_s(
-		&status->contacts[COPIED_OPERATOR_ROWS], now_of(status));
-	g_snprintf(buf, size,
-		   "config_row=%" PRIu64 " known_row=%" PRIu64
-		   " newest_row=%" PRIu64
-		   " config_age_ms=%.0f store_age_ms=%.0f source=%s"
-		   " leader_age_ms=%.0f",
-		   status->config_row, news->known_rows[COPIED_OPERATOR_ROWS],
-		   news->newest_rows[COPIED_OPERATOR_ROWS],
-		   age_ms(watch_status_age_s(status, COPIED_OPERATOR_ROWS)),
-		   age_ms(answer_s), watch_source_name(news->source),
-		   watch_status_leader_age_s(status) * MS_PER_S);
+	g_snprintf(
+		buf, size,
+		"config_row=%" PRIu64 " known_row=%" PRIu64
+		" newest_row=%" PRIu64
+		" config_age_ms=%.0f store_age_ms=%.0f source=%s"
+		" leader_age_ms=%.0f",
+		status->config_row, news->known_rows[COPIED_OPERATOR_ROWS],
+		news->newest_rows[COPIED_OPERATOR_ROWS],
+		age_ms(watch_status_age_s(status, COPIED_OPERATOR_ROWS)),
+		age_ms(watch_status_answer_age_s(status, COPIED_OPERATOR_ROWS)),
+		watch_source_name(news->source),
+		watch_status_leader_age_s(status) * MS_PER_S);
 }
--- a/src/entry/watch_status.h
+++ b/src/entry/watch_status.h
@@ -43,16 +43,19 @@
 	/** What this VM does for the others: one word, a constant. */
 	const char *role;
 	enum watch_source source;
-	/** This VM leads. */
-	bool leads;
 	/** The leader's heartbeats arrive. */
 	bool hears_leader;
+	/** A heartbeat with all owners of keys was missed. */
+	bool missed_owners;
 	/** Newest row versions that any VM knows. */
 	uint64_t newest_rows[COPIED_TABLES];
 	/** Newest row versions that this VM knows. */
 	uint64_t known_rows[COPIED_TABLES];
 	/** Loop time of the last message that names row versions; 0: none. */
 	double heard_s;
+	/** Latest loop time at which the store answered another VM; 0:
+	 * unknown. */
+	double told_s[COPIED_TABLES];
 	/** Loop time of the last heartbeat of the leader. */
 	double leader_heard_s;
 };
@@ -96,6 +99,11 @@
 double watch_status_age_s(const struct watch_status *status,
 			  enum copied_table table);
 
+/** Returns the seconds since the store last answered this VM itself about a
+ * table; -1: it never did. */
+double watch_status_answer_age_s(const struct watch_status *status,
+				 enum copied_table table);
+
 /** Returns a word for a source. */
 const char *watch_source_name(enum watch_source source);
 
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -1607,7 +1607,7 @@
   (ProtobufCMessageInit) blocked_requests__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor progress__field_descriptors[2] =
+static const ProtobufCFieldDescriptor progress__field_descriptors[4] =
 {
   {
     "operator_rows",
@@ -1633,15 +1633,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "operator_age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Progress, operator_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream_age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Progress, upstream_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned progress__field_indices_by_name[] = {
+  2,   /* field[2] = operator_age_ms */
   0,   /* field[0] = operator_rows */
+  3,   /* field[3] = upstream_age_ms */
   1,   /* field[1] = upstream_rows */
 };
 static const ProtobufCIntRange progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor progress__descriptor =
 {
@@ -1651,7 +1677,7 @@
   "Progress",
   "",
   sizeof(Progress),
-  2,
+  4,
   progress__field_descriptors,
   progress__field_indices_by_name,
   1,  progress__number_ranges,
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -237,10 +237,16 @@
   ProtobufCMessage base;
   uint64_t operator_rows;
   uint64_t upstream_rows;
+  /*
+   * Milliseconds since the store last answered the sender itself about each
+   * table, plus 1; 0: unknown.
+   */
+  uint32_t operator_age_ms;
+  uint32_t upstream_age_ms;
 };
 #define PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&progress__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
--- a/test/functional/test_entry_status.c
+++ b/test/functional/test_entry_status.c
@@ -15,6 +15,8 @@
 #define GRACE_S 6
 /* Longest wait for a line. */
 #define LINE_WAIT_MS 3000
+/* Age of a table, in milliseconds, that it doesn't reach in calm. */
+#define OLD_MS 2500
 
 static struct entry_rig rig;
 /* What was read of each entry's log. */
@@ -212,6 +214,26 @@
 	teardown();
 }
 
+static bool has_old_table(void *ctx)
+{
+	return metric_of(ctx, "auburn_table_age_ms{table=\"operators\"}") >
+	       OLD_MS;
+}
+
+/* Guards against VMs that confirm to each other what none has from the store.
+ */
+static void tables_grow_old_in_an_outage_of_the_store(void)
+{
+	unsigned int i;
+
+	setup();
+	entry_rig_command(&rig, "/control/down?id=1", NULL);
+	for (i = 0; i < ENTRIES; i++)
+		CU_ASSERT_TRUE(process_wait_until(
+			has_old_table, &rig.entries[i], RIG_WAIT_US));
+	teardown();
+}
+
 /* Guards against a late VM whose log doesn't say so. */
 static void a_vm_that_stands_still_says_for_how_long(void)
 {
@@ -235,6 +257,8 @@
 		  lines_of_requests_tell_the_age_of_what_decided_them },
 		{ "metrics tell how recent the tables are",
 		  metrics_tell_how_recent_the_tables_are },
+		{ "tables grow old in an outage of the store",
+		  tables_grow_old_in_an_outage_of_the_store },
 		{ "a VM that stands still says for how long",
 		  a_vm_that_stands_still_says_for_how_long },
 		{ 0 },
--- a/test/unit/test_watch_status.c
+++ b/test/unit/test_watch_status.c
@@ -77,32 +77,30 @@
 }
 
 /* Guards against an age that counts a call that was under way while the process
- * stood still, or the message of a VM that knows more than this one. */
-static void a_table_is_as_old_as_its_last_confirmation(void)
+ * stood still, the message of a VM that knows more than this one, or that of a
+ * VM which the store doesn't answer either. */
+static void a_table_is_as_old_as_the_last_answer_about_it(void)
 {
 	static const struct {
 		/* The store answers, or the VM stands still, at 0 s. */
 		bool answered;
 		double frozen_s;
-		/* Seconds after that at which a message names row 7, and the
+		/* Seconds after that at which a message names row 7, the time
+		 * since the store answered its sender (-1: not told), and the
 		 * row that this VM knows. */
 		double heard_after_s;
+		double told_age_s;
 		uint64_t known_row;
-		/* The age at 1 s after that; -1: never confirmed. */
+		/* The age at 1 s after that; -1: unknown. */
 		double age_s;
-		/* This VM leads: others repeat what it told them. */
-		bool leads;
 	} rows[] = {
-		{ false, 0, 0, 7, -1, false },
-		{ true, 0, 0, 7, 1, false },
-		{ true, 0, 0.4, 7, 0.6, false },
-		{ true, 0, 0.4, 8, 0.6, false },
-		{ true, 0, 0.4, 6, 1, false },
-		{ false, 0, 0.4, 7, 0.6, false },
-		{ false, 0, 0.4, 6, -1, false },
-		{ true, 5, 0, 7, 6, false },
-		{ true, 5, 0.4, 7, 0.6, false },
-		{ true, 0, 0.4, 7, 1, true },
+		{ false, 0, 0, -1, 7, -1 },   { true, 0, 0, -1, 7, 1 },
+		{ true, 0, 0.4, 0, 7, 0.6 },  { true, 0, 0.4, 0, 8, 0.6 },
+		{ true, 0, 0.4, 0, 6, 1 },    { true, 0, 0.4, 0.3, 7, 0.9 },
+		{ true, 0, 0.4, 5, 7, 1 },    { true, 0, 0.4, -1, 7, 1 },
+		{ false, 0, 0.4, 5, 7, 5.6 }, { false, 0, 0.4, 0, 6, -1 },
+		{ true, 5, 0, -1, 7, 6 },     { true, 5, 0.05, 0, 7, 6 },
+		{ true, 5, 0.4, 0, 7, 0.6 },
 	};
 	size_t i;
 	int table;
@@ -115,7 +113,6 @@
 
 		table = i % 2 ? COPIED_OPERATOR_ROWS : COPIED_UPSTREAM_ROWS;
 		setup(&rig);
-		news.leads = rows[row].leads;
 		news.newest_rows[table] = 7;
 		news.known_rows[table] = rows[row].known_row;
 		pass(&rig, 1, &news);
@@ -128,6 +125,9 @@
 		pass(&rig, rows[row].heard_after_s, &news);
 		if (rows[row].heard_after_s)
 			news.heard_s = loop_now(&rig.loop);
+		if (rows[row].told_age_s >= 0)
+			news.told_s[table] =
+				news.heard_s - rows[row].told_age_s;
 		pass(&rig, start_s + 1 - loop_now(&rig.loop), &news);
 		age_s = watch_status_age_s(rig.status, table);
 		CU_ASSERT_DOUBLE_EQUAL(age_s, rows[row].age_s, 0.06);
@@ -210,8 +210,8 @@
 int main(void)
 {
 	static const struct suite_case cases[] = {
-		{ "a table is as old as its last confirmation",
-		  a_table_is_as_old_as_its_last_confirmation },
+		{ "a table is as old as the last answer about it",
+		  a_table_is_as_old_as_the_last_answer_about_it },
 		{ "each change gets one line", each_change_gets_one_line },
 		{ 0 },
 	};
