key_leader: log the first grant under each fencing token

A move said whom a range was meant for, but no line said when the owner got it, for how long, and how long the lease lasted then: what tells two owners of a key apart. Renewals aren't logged. The sentence about an upstream's entry that is ignored names both starts and rows.

functional-test_entry_status has a new case for the line.

--- a/src/entry/key_leader.c
+++ b/src/entry/key_leader.c
@@ -175,6 +175,23 @@
 		schedule_tick(leader);
 }
 
+/* Logs the first grant under a fencing token, not its renewals. */
+static void log_grant(const struct key_leader *leader,
+		      const struct key_order *order)
+{
+	if (!order->fresh)
+		return;
+	event_log_write(
+		leader->options.log, "info", "keys",
+		"event=grant service=%s first=%u last=%u owner=%s "
+		"fence=%" PRIu64 " handover=%d hold_ms=%.0f "
+		"lease_left_ms=%.0f row=%" PRIu64,
+		leader->service->name, order->first, order->last, order->owner,
+		order->fence, order->handover != NULL, order->hold_s * 1000,
+		leader->options.lease_left_s(leader->options.ctx) * 1000,
+		leader->row_version);
+}
+
 static void send_grant(void *ctx, const struct key_order *order)
 {
 	struct key_leader *leader = ctx;
@@ -185,6 +202,7 @@
 		on_order_done(leader, order->id, ORDER_NOT_SENT, NULL);
 		return;
 	}
+	log_grant(leader, order);
 	orders_grant(leader->options.orders, upstream, order, on_order_done,
 		     leader);
 }
--- a/src/entry/roster.c
+++ b/src/entry/roster.c
@@ -1,5 +1,6 @@
 #include "entry/roster.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "base/hash.h"
@@ -256,8 +257,11 @@
 		log_warn(
 			"roster",
 			"ignored the entry of upstream %s: a later incarnation "
-			"is registered",
-			entry->id);
+			"is registered, started at %" PRIi64 " in row %" PRIu64
+			", not at %" PRIi64 " as in row %" PRIu64,
+			entry->id, upstream->entry.started_ms,
+			upstream->entry.row_version, entry->started_ms,
+			entry->row_version);
 		upstream_entry_clear(entry);
 		return;
 	}
--- a/test/functional/test_entry_status.c
+++ b/test/functional/test_entry_status.c
@@ -214,6 +214,25 @@
 	teardown();
 }
 
+/* Guards against owners of which no line says when they got their keys. */
+static void a_leader_logs_its_grants(void)
+{
+	static const struct field fields[] = {
+		{ "fence", 1, 1e9 },	       { "first", 0, 0 },
+		{ "handover", 0, 0 },	       { "hold_ms", 1, 60000 },
+		{ "lease_left_ms", 1, 60000 }, { 0 },
+	};
+	unsigned int leader;
+	char *line;
+
+	setup();
+	leader = metric_of(&rig.entries[1], "auburn_lease_left_ms") > 0;
+	line = find_line(leader, " first=0 ", "event=grant service=keyed");
+	check_fields(line, fields);
+	g_free(line);
+	teardown();
+}
+
 static bool has_old_table(void *ctx)
 {
 	return metric_of(ctx, "auburn_table_age_ms{table=\"operators\"}") >
@@ -257,6 +276,7 @@
 		  lines_of_requests_tell_the_age_of_what_decided_them },
 		{ "metrics tell how recent the tables are",
 		  metrics_tell_how_recent_the_tables_are },
+		{ "a leader logs its grants", a_leader_logs_its_grants },
 		{ "tables grow old in an outage of the store",
 		  tables_grow_old_in_an_outage_of_the_store },
 		{ "a VM that stands still says for how long",
