--- a/src/directory/directory_defs.h
+++ b/src/directory/directory_defs.h
@@ -134,6 +134,8 @@
 	/** Number of the registration, which grows with each of an incarnation.
 	 */
 	int64_t seq;
+	/** Version of the entry's row in the store; 0: unknown. */
+	uint64_t row_version;
 };
 
 /** Whether requests of a kind may run more than once. */
--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -70,8 +70,12 @@
 	struct cluster *cluster = ctx;
 
 	event_log_write(cluster->options.log, "info", "lease",
-			"event=won row=%" PRIu64,
-			lease_version(cluster->lease));
+			"event=won row=%" PRIu64 " before=%s heartbeat_ms=%.0f",
+			lease_version(cluster->lease),
+			cluster->followed ? cluster->followed : "-",
+			(cluster_now(cluster) - cluster->last_heartbeat_s) *
+				1000);
+	cluster->won_s = cluster_now(cluster);
 	cluster->leading = true;
 	cluster->heartbeat_sent_s = 0;
 	/* Give VMs known to the previous leader time to report here. */
@@ -98,16 +102,16 @@
 	struct cluster *cluster = ctx;
 
 	event_log_write(cluster->options.log, "warning", "lease",
-			"event=lost reason=\"%s\" row=%" PRIu64, reason,
-			lease_version(cluster->lease));
+			"event=lost reason=\"%s\" row=%" PRIu64 " held_ms=%.0f",
+			reason, lease_version(cluster->lease),
+			(cluster_now(cluster) - cluster->won_s) * 1000);
 	cluster->leading = false;
 	orders_cancel(cluster->orders);
 	g_hash_table_remove_all(cluster->key_leaders);
 	counter_set(cluster->leads, 0);
 }
 
-/* Whether the leader's heartbeats arrive. */
-static bool hears_leader(const struct cluster *cluster)
+bool cluster_hears_leader(const struct cluster *cluster)
 {
 	return cluster_now(cluster) < cluster->last_heartbeat_s + RELAY_LOST_S;
 }
@@ -145,7 +149,7 @@
 	cluster->leader_address_known = true;
 	cluster->leader_zone = "";
 	/* The leader may not know this VM: report at once. */
-	if (!hears_leader(cluster))
+	if (!cluster_hears_leader(cluster))
 		cluster_report_soon(cluster);
 }
 
@@ -228,7 +232,8 @@
 		return live_vms_count(cluster->vms) > 1
 			       ? TABLE_WATCH_PEERS_RELAY
 			       : TABLE_WATCH_NO_PEERS;
-	if (hears_leader(cluster) || now < cluster->last_relay_s + RELAY_LOST_S)
+	if (cluster_hears_leader(cluster) ||
+	    now < cluster->last_relay_s + RELAY_LOST_S)
 		return TABLE_WATCH_PEERS_RELAY;
 	return now < cluster->last_waiting_relay_s + RELAY_LOST_S
 		       ? TABLE_WATCH_PEERS_WAIT
@@ -243,20 +248,15 @@
 	struct table_watch *upstream_rows = cluster->options.upstream_rows;
 	struct row_versions *known = &cluster->row_versions;
 	enum table_watch_peers peers = peers_of(cluster);
-	struct config_contact *contact =
-		customers_contact(cluster->options.customers);
 
 	cluster_update_row_versions(cluster,
 				    table_watch_row_version(operator_rows),
 				    table_watch_row_version(upstream_rows));
-	config_contact_tick(contact, cluster_now(cluster));
 	table_watch_set_peers(operator_rows, peers, known->operator_rows);
 	table_watch_set_peers(upstream_rows, peers, known->upstream_rows);
 	known->operator_rows = table_watch_peers_version(operator_rows);
 	known->upstream_rows = table_watch_peers_version(upstream_rows);
-	if (table_watch_has(operator_rows, known->operator_rows))
-		config_contact_peer_heard(contact,
-					  cluster->row_versions_heard_s);
+	cluster_update_status(cluster, peers);
 }
 
 void cluster_set_watch_mode(struct cluster *cluster, enum table_watch_mode mode)
@@ -289,8 +289,10 @@
 
 	(void)loop;
 	(void)events;
-	if (cluster->maps_changed)
+	if (cluster->maps_changed) {
 		cluster->map_number++;
+		cluster_note_published(cluster);
+	}
 	cluster->maps_changed = false;
 	if (lease_held(cluster->lease, 0))
 		cluster_send_heartbeat(cluster);
@@ -340,7 +342,7 @@
 {
 	unsigned int vms = roster_vm_count(cluster->options.roster);
 
-	if (!hears_leader(cluster) || cluster->heard_snapshot.missed ||
+	if (!cluster_hears_leader(cluster) || cluster->heard_snapshot.missed ||
 	    copy_exchange_waits(cluster->copy_exchange))
 		return live_vms_unheard_report_interval_s(vms);
 	return live_vms_report_interval_s(vms);
@@ -359,6 +361,7 @@
 {
 	double now = cluster_now(cluster);
 
+	watch_status_tick(cluster->options.status);
 	/* In the first start no VM has the tables before one leads. */
 	lease_set_ready(
 		cluster->lease,
@@ -524,10 +527,7 @@
 	ev_timer_init(&cluster->publish_timer, on_publish_timer,
 		      PUBLISH_DELAY_S, 0);
 	cluster->publish_timer.data = cluster;
-	cluster->leads = metrics_gauge(options->metrics, "auburn_leads", "",
-				       "1 while this VM leads.");
-	cluster->vms_alive = metrics_gauge(options->metrics, "auburn_vms", "",
-					   "VMs of the system that are alive.");
+	cluster_create_metrics(cluster);
 	return cluster;
 }
 
--- a/src/entry/cluster_heartbeat.c
+++ b/src/entry/cluster_heartbeat.c
@@ -175,6 +175,9 @@
 		append_vms(cluster, parts->vms);
 	if (content == SNAPSHOT)
 		cluster->vms_changed = false;
+	cluster_fill_progress(cluster, &parts->progress);
+	/* Reports name only rows that their senders have; the leader passes on
+	 * the newest of them. */
 	parts->progress.operator_rows = cluster->row_versions.operator_rows;
 	parts->progress.upstream_rows = cluster->row_versions.upstream_rows;
 	beat->progress = &parts->progress;
@@ -305,8 +308,7 @@
 	RowRelay relay = ROW_RELAY__INIT;
 	Progress progress = PROGRESS__INIT;
 
-	progress.operator_rows = table_watch_row_version(operator_rows);
-	progress.upstream_rows = table_watch_row_version(upstream_rows);
+	cluster_fill_progress(cluster, &progress);
 	relay.progress = &progress;
 	relay.store_unreachable = table_watch_unreachable(operator_rows) ||
 				  table_watch_unreachable(upstream_rows);
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -17,11 +17,24 @@
 	known->upstream_rows = MAX(known->upstream_rows, upstream_rows);
 }
 
+/* Notes how long ago the store answered another VM; age_ms is as in the
+ * message. */
+static void apply_age(struct cluster *cluster, enum copied_table table,
+		      uint32_t age_ms)
+{
+	double told_s = cluster_now(cluster) - age_ms / 1000.0;
+
+	if (age_ms)
+		cluster->told_s[table] = MAX(cluster->told_s[table], told_s);
+}
+
 static void apply_row_versions(struct cluster *cluster,
 			       const Progress *progress)
 {
 	if (!progress)
 		return;
+	apply_age(cluster, COPIED_OPERATOR_ROWS, progress->operator_age_ms);
+	apply_age(cluster, COPIED_UPSTREAM_ROWS, progress->upstream_age_ms);
 	cluster_update_row_versions(cluster, progress->operator_rows,
 				    progress->upstream_rows);
 	cluster->row_versions_heard_s = cluster_now(cluster);
@@ -219,8 +232,9 @@
 {
 	struct cluster *cluster = ctx;
 
-	if (beat->lease < lease_version(cluster->lease))
+	if (cluster_is_outdated(cluster, beat->lease, beat->vm))
 		return;
+	cluster_note_heartbeat(cluster, beat);
 	if (beat->lease > cluster->heartbeat_lease)
 		crash_exchange_resend(cluster->crash_exchange);
 	cluster->heartbeat_lease = beat->lease;
@@ -296,7 +310,8 @@
 {
 	struct cluster *cluster = ctx;
 
-	if (!cluster->leading && index->lease >= lease_version(cluster->lease))
+	if (!cluster->leading &&
+	    !cluster_is_outdated(cluster, index->lease, NULL))
 		load_exchange_apply_index(cluster->load_exchange, index);
 }
 
@@ -324,7 +339,7 @@
 {
 	struct cluster *cluster = ctx;
 
-	if (loads->lease < lease_version(cluster->lease))
+	if (cluster_is_outdated(cluster, loads->lease, NULL))
 		return;
 	load_exchange_apply_totals(cluster->load_exchange, loads);
 	limit_exchange_apply_totals(cluster->limit_exchange, loads);
@@ -469,11 +484,7 @@
 	copy_exchange_fill_report(cluster->copy_exchange, &out);
 	out.stopping = stopping;
 	out.wants_snapshot = cluster->heard_snapshot.missed;
-	/* Not what it heard: VMs would go on telling each other. */
-	progress.operator_rows =
-		table_watch_row_version(cluster->options.operator_rows);
-	progress.upstream_rows =
-		table_watch_row_version(cluster->options.upstream_rows);
+	cluster_fill_progress(cluster, &progress);
 	out.progress = &progress;
 	message.kind_case = PEER_MESSAGE__KIND_REPORT;
 	message.report = &out;
