--- a/test/unit/test_cluster.c
+++ b/test/unit/test_cluster.c
@@ -49,6 +49,7 @@
 	struct links *links;
 	struct crash_watch *crashes;
 	struct customers *customers;
+	struct watch_status *status;
 	struct table_watch *watches[2];
 	struct cluster *cluster;
 	struct fake_row rows[ROWS_MAX];
@@ -331,6 +332,18 @@
 	CU_ASSERT_TRUE(roster_set_config(rig->roster, config));
 }
 
+static void open_status(struct rig *rig)
+{
+	struct watch_status_options options = {
+		.loop = &rig->loop,
+		.log = rig->log,
+		.metrics = rig->metrics,
+		.operator_contact = customers_contact(rig->customers),
+	};
+
+	rig->status = watch_status_create(&options);
+}
+
 static void open_cluster(struct rig *rig)
 {
 	struct cluster_options options = {
@@ -348,6 +361,7 @@
 		.routing_changed = ignore_change,
 		.crashes = rig->crashes,
 		.customers = rig->customers,
+		.status = rig->status,
 		.ctx = rig,
 	};
 
@@ -396,6 +410,7 @@
 					     &watch_ops, rig);
 	rig->watches[1] = table_watch_create(&rig->loop, &rig->store, "servers",
 					     1, &watch_ops, rig);
+	open_status(rig);
 	open_cluster(rig);
 	add_upstream(rig, "a", 1);
 	add_upstream(rig, "b", 2);
@@ -413,6 +428,7 @@
 		deliver(&answer);
 	}
 	cluster_destroy(rig->cluster);
+	watch_status_destroy(rig->status);
 	table_watch_destroy(rig->watches[0]);
 	table_watch_destroy(rig->watches[1]);
 	links_destroy(rig->links);
