--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -126,7 +126,7 @@
 {
 	char *text;
 
-	changes_next(&soak->config, soak->random);
+	changes_next(&soak->config, soak->changes_random);
 	text = changes_text(&soak->config, ++soak->config_version,
 			    soak->fillers);
 	soak->config.sent_us = g_get_monotonic_time();
@@ -139,16 +139,17 @@
 /* Changes the configuration if it is time to. */
 static void change_config_in_time(struct soak *soak, gint64 now_us)
 {
-	double pause_s =
-		g_rand_double_range(soak->random, CHANGE_MIN_S, CHANGE_MAX_S);
+	double pause_s;
 
 	if (now_us < soak->change_us)
 		return;
+	pause_s = g_rand_double_range(soak->changes_random, CHANGE_MIN_S,
+				      CHANGE_MAX_S);
 	faults_change_config(soak);
 	if (soak->series_left) {
 		soak->series_left--;
 		pause_s = SERIES_PAUSE_S;
-	} else if (g_rand_int(soak->random) % SERIES_SHARE == 0) {
+	} else if (g_rand_int(soak->changes_random) % SERIES_SHARE == 0) {
 		soak->series_left = SERIES_LENGTH;
 	}
 	soak->change_us = now_us + (gint64)(pause_s * G_USEC_PER_SEC);
--- a/test/soak/rules.c
+++ b/test/soak/rules.c
@@ -237,8 +237,8 @@
 	{ "OWNER", rules_check_owner },
 };
 
-unsigned int rules_check(struct rules *rules, const char *events,
-			 rules_report_fn report, void *ctx)
+struct rules_counts rules_check(struct rules *rules, const char *events,
+				rules_report_fn report, void *ctx)
 {
 	size_t i;
 
@@ -257,5 +257,5 @@
 		report(text, ctx);
 		g_free(text);
 	}
-	return rules->requests->len + rules->arrivals->len;
+	return rules->counts;
 }
--- a/test/soak/rules.h
+++ b/test/soak/rules.h
@@ -58,6 +58,12 @@
 	bool own;
 };
 
+/** How much was judged: executions and refusals with 404, and those of them by
+ * VMs in touch, for which the bounds hold. */
+struct rules_counts {
+	unsigned int all, in_touch;
+};
+
 /** Is called with the text of each violation. */
 typedef void (*rules_report_fn)(const char *text, void *ctx);
 
@@ -90,9 +96,8 @@
  * Checks the whole run. Call it once.
  *
  * @param events file that standin-site wrote
- * @return number of requests and executions that were judged
  */
-unsigned int rules_check(struct rules *rules, const char *events,
-			 rules_report_fn report, void *ctx);
+struct rules_counts rules_check(struct rules *rules, const char *events,
+				rules_report_fn report, void *ctx);
 
 #endif
--- a/test/soak/rules_impl.h
+++ b/test/soak/rules_impl.h
@@ -56,6 +56,9 @@
 	GPtrArray *requests;
 	rules_report_fn report;
 	void *ctx;
+	/** What was executed or refused with 404, and how much of that by VMs
+	 * in touch. */
+	struct rules_counts counts;
 	/** Violations of the rule that is being checked. */
 	unsigned int violations;
 };
--- a/test/soak/rules_routes.c
+++ b/test/soak/rules_routes.c
@@ -131,6 +131,8 @@
 	guint version = allowed_by(rules, o, MAX(known, due));
 	struct effect effect = { o->at_us, r->sent_us, version };
 
+	rules->counts.all++;
+	rules->counts.in_touch += bound;
 	if (version == rules->configs->len) {
 		version = allowed_by(rules, o, 0);
 		rules_violation(
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -273,6 +273,7 @@
 	unsigned int i;
 
 	soak->random = g_rand_new_with_seed(soak->seed);
+	soak->changes_random = g_rand_new_with_seed(soak->seed + 1);
 	soak->reserved_ports = g_array_new(FALSE, FALSE, sizeof(int));
 	soak->folder = g_dir_make_tmp("auburn-soak-XXXXXX", NULL);
 	soak->events = g_build_filename(soak->folder, "events", NULL);
@@ -308,6 +309,7 @@
 	g_free(soak->events);
 	rules_destroy(soak->rules);
 	g_rand_free(soak->random);
+	g_rand_free(soak->changes_random);
 	g_array_free(soak->reserved_ports, TRUE);
 }
 
@@ -376,6 +378,7 @@
 	int double_owners =
 		control_number(soak, "/control/state", "double_owners");
 	int repeats = control_number(soak, "/control/state", "repeats");
+	struct rules_counts counts;
 
 	if (double_owners)
 		soak_report(soak,
@@ -392,9 +395,10 @@
 			    result->served);
 	callers_each_unresolved(callers, check_unresolved, soak);
 	callers_record(callers, soak->rules);
-	printf("# seed %u: %u versions, %u requests and executions judged\n",
-	       soak->seed, soak->config_version,
-	       rules_check(soak->rules, soak->events, on_rule_broken, soak));
+	counts = rules_check(soak->rules, soak->events, on_rule_broken, soak);
+	printf("# seed %u: %u versions; %u judged, %u of them by daemons in "
+	       "touch\n",
+	       soak->seed, soak->config_version, counts.all, counts.in_touch);
 }
 
 /* Runs one seed.
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -57,7 +57,9 @@
 	bool planned_only;
 	/** More callers and slower requests than the upstreams can serve. */
 	bool heavy;
-	GRand *random;
+	/** For the faults, and for the changes of the configuration, so that
+	 * each sequence depends on the seed only. */
+	GRand *random, *changes_random;
 	/** Temporary folder of settings files and logs. */
 	char *folder;
 	/** File in it with the events of standin-site. */
