--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -103,6 +103,7 @@
 		return g_rand_double_range(soak->random, 2.05, 4);
 	case FAULT_DRAIN:
 	case FAULT_LAPSE:
+		return g_rand_double_range(soak->random, 2.5, 6);
 	case FAULT_STORE_DOWN:
 		return g_rand_double_range(soak->random, 0.5, 5);
 	default:
