--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -32,6 +32,10 @@
  * them. */
 #define MEMORY_MB 64
 #define DESCRIPTORS 256
+/* In seeds that are a multiple of the first number, the store answers the
+ * daemons late by the second one, in milliseconds. That excuses no daemon. */
+#define SLOW_STORE_SEEDS 5
+#define SLOW_STORE_MS 300
 /* Time with traffic and without faults at the end, in two parts: before a route
  * moves, and after that. */
 #define SETTLE_S 1.0
@@ -48,6 +52,9 @@
 	 * entry daemon could not restart, and callers reached the daemon of the
 	 * other run. */
 	12511,
+	/* VMs that missed a change stood still while the store answered late.
+	 */
+	15,
 };
 
 /* Prints and counts a failed check. */
@@ -291,6 +298,8 @@
 	for (i = 0; i < soak->vms; i++)
 		start_entry(soak, i);
 	wait_until_entries_serve(soak, "after the start");
+	if (soak->seed % SLOW_STORE_SEEDS == 0)
+		soak_command(soak, "slow", SLOW_STORE_MS, NULL);
 }
 
 /* Ends the processes. Keeps the folder with the logs if a check failed. */
