--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -811,6 +811,62 @@
 	silent_server_stop(&server);
 }
 
+/* Guards against reads that time out for ever because other calls, whose
+ * answers take as long but may, bring the usual timeout back each time. */
+static void answers_to_other_calls_do_not_shorten_the_timeout(void)
+{
+	struct silent_server server;
+	struct sockaddr_in address;
+	struct table_store *client;
+	struct store store;
+	unsigned int lost = 0;
+
+	silent_server_start(&server, &address);
+	server.latency_s = 1.2;
+	client = table_store_create(&server.loop, &address);
+	store = table_store_interface(client);
+	for (;;) {
+		server.pending = 1;
+		store.ops->read(store.impl, "t", "", on_silent_answer, &server);
+		ev_run(server.loop.ev, 0);
+		if (server.status == STORE_OK || ++lost == 4)
+			break;
+		/* A long poll, which has as long as it needs. */
+		server.pending = 1;
+		store.ops->follow(store.impl, "t", 1, 1.0, on_silent_answer,
+				  &server);
+		ev_run(server.loop.ev, 0);
+	}
+	CU_ASSERT_TRUE(lost <= 2);
+	table_store_destroy(client);
+	silent_server_stop(&server);
+}
+
+static void a_write_waits_as_long_as_answers_take(void)
+{
+	struct store_write write = {
+		.table = "t",
+		.key = "k",
+		.value = STR("v"),
+	};
+	struct silent_server server;
+	struct sockaddr_in address;
+	struct table_store *client;
+	struct store store;
+
+	silent_server_start(&server, &address);
+	server.latency_s = 0.7;
+	client = table_store_create(&server.loop, &address);
+	store = table_store_interface(client);
+	read_rows(&server, &store, 1);
+	server.pending = 1;
+	store.ops->write(store.impl, &write, 0.3, on_silent_answer, &server);
+	ev_run(server.loop.ev, 0);
+	CU_ASSERT_EQUAL(server.status, STORE_OK);
+	table_store_destroy(client);
+	silent_server_stop(&server);
+}
+
 static void arriving_reply_does_not_time_out(void)
 {
 	CU_ASSERT_EQUAL(read_from_slow_server(1), STORE_OK);
@@ -844,6 +900,10 @@
 		  reply_headers_tell_the_limit_of_the_upstream },
 		{ "a call doesn't time out while its reply arrives",
 		  arriving_reply_does_not_time_out },
+		{ "answers to other calls don't shorten the timeout",
+		  answers_to_other_calls_do_not_shorten_the_timeout },
+		{ "a write waits as long as answers take",
+		  a_write_waits_as_long_as_answers_take },
 		{ "a platform that answers late is heard",
 		  a_platform_that_answers_late_is_heard },
 		{ "rows of other parts are left out",
