table_watch: a late call counts as lost later than it times out

The time after which a call counts as lost ended its growth at 1.6 s, and the timeouts of calls theirs at 2 s: with answers in between a VM that is behind still stood still. It now grows to 3.2 s, so that the timeout ends a call.

A version that the store had refuted was never believed again, also when the store reached exactly this version later: a VM that lost the relay of it went on without. It is believed again after 5 s.

--- a/src/entry/table_watch_impl.h
+++ b/src/entry/table_watch_impl.h
@@ -19,7 +19,8 @@
 #define RETRY_S 0.25
 
 /* Time, in seconds, without a newer row on any VM after which the store counts
- * as quiet. Each upstream writes its row about every second. */
+ * as quiet. In calm it is: a row changes when its upstream says something new.
+ */
 #define QUIET_S 1.0
 
 /** A time in which other VMs know a newer row; zero-initialized: none. */
@@ -98,8 +99,9 @@
 	uint64_t peers_version;
 	double peers_version_s;
 	/** The last such version that the store had not reached when it was
-	 * asked; 0: none. */
+	 * asked, 0: none; and the loop time of its answer. */
 	uint64_t refuted_version;
+	double refuted_s;
 	/** Loop time at which a newer row became known on any VM, and at which
 	 * the last time without one of QUIET_S or more ended. */
 	double newer_row_s;
--- a/src/entry/table_watch_peers.c
+++ b/src/entry/table_watch_peers.c
@@ -12,8 +12,12 @@
 #define STALE_AFTER_S 0.2
 
 /* Longest value of STALE_AFTER_S, which doubles with each call that is taken
- * for lost: its answer may only be late. */
-#define STALE_AFTER_MAX_S 1.6
+ * for lost: its answer may only be late. Longer than the timeouts of calls,
+ * which end those that are lost then. */
+#define STALE_AFTER_MAX_S 3.2
+/* Time, in seconds, for which a version that the store refuted isn't believed.
+ * The store may reach it later. */
+#define REFUTED_S 5.0
 /* Time, in seconds, since the last call that was taken for lost after which
  * STALE_AFTER_S applies again. */
 #define FORGET_LOST_S 5.0
@@ -143,11 +147,14 @@
 /* Notes the newest row version that other VMs have seen. */
 static void observe_version(struct table_watch *table_watch, uint64_t version)
 {
+	double now = loop_now(table_watch->loop);
+
 	if (version <= table_watch->peers_version ||
-	    version == table_watch->refuted_version)
+	    (version == table_watch->refuted_version &&
+	     now < table_watch->refuted_s + REFUTED_S))
 		return;
 	table_watch->peers_version = version;
-	table_watch->peers_version_s = loop_now(table_watch->loop);
+	table_watch->peers_version_s = now;
 	if (version > table_watch->row_version)
 		table_watch_note_newer_row(table_watch);
 }
@@ -159,6 +166,7 @@
 	    table_watch->call_started_s <= table_watch->peers_version_s)
 		return;
 	table_watch->refuted_version = table_watch->peers_version;
+	table_watch->refuted_s = loop_now(table_watch->loop);
 	table_watch->peers_version = table_watch->row_version;
 }
 
--- a/test/unit/test_follower.c
+++ b/test/unit/test_follower.c
@@ -787,11 +787,13 @@
 		{ TABLE_WATCH_PASSIVE, &table_watch_ops, 0.35 },
 		{ TABLE_WATCH_PASSIVE, &table_watch_ops, 0.7 },
 		{ TABLE_WATCH_PASSIVE, &table_watch_ops, 1.4 },
+		{ TABLE_WATCH_PASSIVE, &table_watch_ops, 1.9 },
 		{ TABLE_WATCH_PASSIVE, &snapshot_ops, 0.35 },
 		{ TABLE_WATCH_PASSIVE, &snapshot_ops, 1.4 },
 		{ TABLE_WATCH_BACKUP, &table_watch_ops, 0.7 },
 		{ TABLE_WATCH_LEADER, &table_watch_ops, 0.35 },
 		{ TABLE_WATCH_LEADER, &table_watch_ops, 1.4 },
+		{ TABLE_WATCH_LEADER, &table_watch_ops, 1.9 },
 	};
 	size_t i;
 
@@ -807,6 +809,40 @@
 	}
 }
 
+/* Guards against a VM that takes a version for refuted after the store has
+ * reached it, and misses the change. */
+static void a_refuted_version_counts_once_the_store_reached_it(void)
+{
+	struct store_row b = make_row("b", 1000, 1);
+	struct fixture f;
+	int i, calls;
+
+	setup(&f);
+	for (i = 0; i < 40; i++) {
+		table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY,
+				      1000);
+		advance(&f, 0.05);
+		if (f.call)
+			answer(&f, STORE_OK, 12, NULL, 0);
+	}
+	/* The store goes on to 999, which others relay. */
+	relay(&f, 12, 999, "a", 999, false);
+	calls = f.calls;
+	/* Other VMs see row "b" of version 1000; its relay was lost here. */
+	for (i = 0; i < 200 && table_watch_row_version(f.table_watch) < 1000;
+	     i++) {
+		table_watch_set_peers(f.table_watch, TABLE_WATCH_PEERS_RELAY,
+				      1000);
+		advance(&f, 0.05);
+		if (f.call)
+			answer(&f, STORE_OK, 1000, &b, 1);
+	}
+	CU_ASSERT_TRUE(f.calls > calls);
+	CU_ASSERT_EQUAL(table_watch_row_version(f.table_watch), 1000);
+	g_string_free(b.value, TRUE);
+	teardown(&f);
+}
+
 static void a_table_of_few_rows_catches_up_by_snapshot(void)
 {
 	struct store_row b = make_row("b", 12, 1);
@@ -1101,6 +1137,8 @@
 		  a_call_is_not_cancelled_while_its_answer_arrives },
 		{ "a store that answers late is heard",
 		  a_store_that_answers_late_is_heard },
+		{ "a refuted version counts once the store reached it",
+		  a_refuted_version_counts_once_the_store_reached_it },
 		{ "a table of few rows catches up by snapshot",
 		  a_table_of_few_rows_catches_up_by_snapshot },
 		{ "a relayed delta cancels the catch up snapshot",
