store: one way to the next page of a table

The owner maps were given a copy of the table watches' way to go on from the last key of a page. Both call store_result_next_key() now.

--- a/src/entry/cluster_maps.c
+++ b/src/entry/cluster_maps.c
@@ -79,13 +79,10 @@
 			   const struct store_result *result,
 			   store_done_fn done, const char *reason)
 {
-	char *from;
+	char *from = store_result_next_key(result);
 
-	if (!result->more || !result->row_count)
+	if (!from)
 		return false;
-	/* The smallest key in byte order that may follow the last one. */
-	from = g_strconcat(result->rows[result->row_count - 1].key, "\x01",
-			   NULL);
 	read_maps(cluster, from, done, reason);
 	g_free(from);
 	return true;
--- a/src/entry/table_watch.c
+++ b/src/entry/table_watch.c
@@ -319,15 +319,13 @@
 		table_watch->snapshot_version = result->version;
 	for (i = 0; i < result->row_count; i++)
 		table_watch_see_row(table_watch, &result->rows[i]);
-	if (!result->more || !result->row_count) {
+	from = store_result_next_key(result);
+	if (!from) {
 		table_watch_remove_unseen_rows(table_watch, UINT64_MAX);
 		report_answered(table_watch);
 		table_watch_finish_snapshot(table_watch, "store");
 		return;
 	}
-	/* The smallest key in byte order that may follow the last one. */
-	from = g_strconcat(result->rows[result->row_count - 1].key, "\x01",
-			   NULL);
 	read_page(table_watch, from);
 	g_free(from);
 }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -58,6 +58,13 @@
 	double now_s;
 };
 
+/**
+ * Returns the first key to read on from after a page of a table.
+ *
+ * @return the key, which the caller frees, or NULL after the last page
+ */
+char *store_result_next_key(const struct store_result *result);
+
 /** Called once when a call has ended, unless the call was cancelled. */
 typedef void (*store_done_fn)(void *ctx, const struct store_result *result);
 
