entry: simpler grace time and age in log lines

The end of an upstream's grace time was turned into what is left of it and back; the age of the upstreams' table was converted apart from that of the operators'. No change of behaviour: unit-test_watch_status and _forward pass.

--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -200,15 +200,15 @@
 static void on_upstream_removed(void *ctx, const char *key)
 {
 	struct entry_daemon *entry = ctx;
-	double left_s = entry->store_back_s + LAPSE_GRACE_S - now_of(entry);
-	bool has_grace = entry->store_back_s && left_s > 0;
+	double now = now_of(entry);
+	double until_s =
+		entry->store_back_s ? entry->store_back_s + LAPSE_GRACE_S : 0;
 
-	if (has_grace && roster_upstream(entry->roster, key))
+	if (until_s > now && roster_upstream(entry->roster, key))
 		event_log_write(entry->log, "info", "roster",
 				"event=lapsed upstream=%s stays_ms=%.0f", key,
-				left_s * 1000);
-	roster_remove_upstream(entry->roster, key,
-			       has_grace ? now_of(entry) + left_s : 0);
+				(until_s - now) * 1000);
+	roster_remove_upstream(entry->roster, key, until_s);
 }
 
 static void on_rows_changed(void *ctx)
--- a/src/entry/request_log.c
+++ b/src/entry/request_log.c
@@ -108,10 +108,6 @@
 	const struct upstream *upstream = attempt->upstream;
 	const struct load *load = &upstream->load;
 	double now = forward_now(forward);
-	double list_s = forward->options.status
-				? watch_status_age_s(forward->options.status,
-						     COPIED_UPSTREAM_ROWS)
-				: -1;
 	char owner[OWNER_SIZE];
 
 	describe_owner(req, owner, sizeof(owner));
@@ -126,7 +122,8 @@
 			load->slowness, (now - load->others_s) * 1000, backup,
 			upstream->entry.row_version,
 			ms_since(upstream->listed_s, now),
-			list_s < 0 ? -1 : list_s * 1000,
+			watch_status_age_ms(forward->options.status,
+					    COPIED_UPSTREAM_ROWS),
 			ms_since(upstream->leaving_since_s, now),
 			upstream->remove_at_s > 0, owner);
 }
--- a/src/entry/table_watch.h
+++ b/src/entry/table_watch.h
@@ -142,6 +142,7 @@
  * less than a second ago: the store may have failed all of them, not only this
  * one. */
 bool table_watch_was_quiet(const struct table_watch *table_watch);
+
 /** Sets the log that gets a line for each decision; until then there are none.
  */
 void table_watch_set_log(struct table_watch *table_watch,
--- a/src/entry/watch_status.c
+++ b/src/entry/watch_status.c
@@ -192,6 +192,12 @@
 	return age_s < 0 ? -1 : age_s * MS_PER_S;
 }
 
+double watch_status_age_ms(const struct watch_status *status,
+			   enum copied_table table)
+{
+	return status ? age_ms(watch_status_age_s(status, table)) : -1;
+}
+
 void watch_status_describe(const struct watch_status *status, char *buf,
 			   size_t size)
 {
@@ -209,7 +215,7 @@
 		" leader_age_ms=%.0f",
 		status->config_row, news->known_rows[COPIED_OPERATOR_ROWS],
 		news->newest_rows[COPIED_OPERATOR_ROWS],
-		age_ms(watch_status_age_s(status, COPIED_OPERATOR_ROWS)),
+		watch_status_age_ms(status, COPIED_OPERATOR_ROWS),
 		age_ms(watch_status_answer_age_s(status, COPIED_OPERATOR_ROWS)),
 		watch_source_name(news->source),
 		watch_status_leader_age_s(status) * MS_PER_S);
--- a/src/entry/watch_status.h
+++ b/src/entry/watch_status.h
@@ -99,6 +99,12 @@
 double watch_status_age_s(const struct watch_status *status,
 			  enum copied_table table);
 
+/** Returns watch_status_age_s() in milliseconds, for the log.
+ *
+ * @param status NULL: the age is unknown */
+double watch_status_age_ms(const struct watch_status *status,
+			   enum copied_table table);
+
 /** Returns the seconds since the store last answered this VM itself about a
  * table; -1: it never did. */
 double watch_status_answer_age_s(const struct watch_status *status,
