--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -593,6 +593,9 @@
  * open when it was told to be silent. */
 struct silent_server {
 	struct loop loop;
+	/* The client. */
+	struct table_store *client;
+	struct store store;
 	int listener;
 	int conns[CONNECTIONS_MAX];
 	unsigned int conn_count;
@@ -658,24 +661,29 @@
 		ev_break(server->loop.ev, EVBREAK_ALL);
 }
 
-static void silent_server_start(struct silent_server *server,
-				struct sockaddr_in *address)
+/* Starts a server and its client. */
+static void silent_server_start(struct silent_server *server)
 {
+	struct sockaddr_in address;
+
 	memset(server, 0, sizeof(*server));
 	server->body = BODY;
 	server->keys = g_string_new(NULL);
-	server->listener = listen_on_loopback(address);
+	server->listener = listen_on_loopback(&address);
 	server->loop.ev = ev_loop_new(EVFLAG_AUTO);
 	server->loop.clock = clock_system();
 	ev_timer_init(&server->serve_timer, on_serve_timer, 0, 0.005);
 	server->serve_timer.data = server;
 	ev_timer_start(server->loop.ev, &server->serve_timer);
+	server->client = table_store_create(&server->loop, &address);
+	server->store = table_store_interface(server->client);
 }
 
 static void silent_server_stop(struct silent_server *server)
 {
 	unsigned int i;
 
+	table_store_destroy(server->client);
 	for (i = 0; i < server->conn_count; i++)
 		close(server->conns[i]);
 	close(server->listener);
@@ -684,9 +692,10 @@
 }
 
 /* Makes calls at the same time and waits for their results. */
-static void read_rows(struct silent_server *server, const struct store *store,
-		      unsigned int calls)
+static void read_rows(struct silent_server *server, unsigned int calls)
 {
+	const struct store *store = &server->store;
+
 	server->pending = calls;
 	while (calls--)
 		store->ops->read(store->impl, "t", "", on_silent_answer,
@@ -699,22 +708,16 @@
 static void a_timeout_ends_the_use_of_idle_connections(void)
 {
 	struct silent_server server;
-	struct sockaddr_in address;
-	struct table_store *client;
-	struct store store;
 
-	silent_server_start(&server, &address);
-	client = table_store_create(&server.loop, &address);
-	store = table_store_interface(client);
-	read_rows(&server, &store, CONCURRENT_CALLS);
+	silent_server_start(&server);
+	read_rows(&server, CONCURRENT_CALLS);
 	CU_ASSERT_EQUAL(server.status, STORE_OK);
 	CU_ASSERT_EQUAL(server.conn_count, CONCURRENT_CALLS);
 	server.silent_count = server.conn_count;
-	read_rows(&server, &store, 1);
+	read_rows(&server, 1);
 	CU_ASSERT_EQUAL(server.status, STORE_UNKNOWN);
-	read_rows(&server, &store, 1);
+	read_rows(&server, 1);
 	CU_ASSERT_EQUAL(server.status, STORE_OK);
-	table_store_destroy(client);
 	silent_server_stop(&server);
 }
 
@@ -736,27 +739,23 @@
 
 	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
 		struct silent_server server;
-		struct sockaddr_in address;
-		struct table_store *client;
-		struct store store;
 		unsigned int lost = 0;
 
-		silent_server_start(&server, &address);
+		silent_server_start(&server);
 		server.latency_s = rows[i].latency_s;
-		client = table_store_create(&server.loop, &address);
-		store = table_store_interface(client);
 		do {
 			server.pending = 1;
 			if (rows[i].follow)
-				store.ops->follow(store.impl, "t", 1, 0,
-						  on_silent_answer, &server);
+				server.store.ops->follow(server.store.impl, "t",
+							 1, 0, on_silent_answer,
+							 &server);
 			else
-				store.ops->read(store.impl, "t", "",
-						on_silent_answer, &server);
+				server.store.ops->read(server.store.impl, "t",
+						       "", on_silent_answer,
+						       &server);
 			ev_run(server.loop.ev, 0);
 		} while (server.status != STORE_OK && ++lost < 5);
 		CU_ASSERT_EQUAL(lost, rows[i].lost);
-		table_store_destroy(client);
 		silent_server_stop(&server);
 	}
 }
@@ -766,25 +765,20 @@
 static void rows_of_other_parts_are_left_out(void)
 {
 	struct silent_server server;
-	struct sockaddr_in address;
-	struct table_store *client;
-	struct store store;
 
-	silent_server_start(&server, &address);
+	silent_server_start(&server);
 	server.body = "{\"ver\":9,\"rows\":["
 		      "{\"part\":\"\",\"key\":\"a\",\"ver\":7},"
 		      "{\"part\":\"p\",\"key\":\"a\",\"ver\":8},"
 		      "{\"part\":\"p\",\"key\":\"b\",\"ver\":9,"
 		      "\"removed\":true},{\"key\":\"c\",\"ver\":9}]}";
-	client = table_store_create(&server.loop, &address);
-	store = table_store_interface(client);
 	server.pending = 1;
-	store.ops->follow(store.impl, "t", 6, 0, on_silent_answer, &server);
+	server.store.ops->follow(server.store.impl, "t", 6, 0, on_silent_answer,
+				 &server);
 	ev_run(server.loop.ev, 0);
 	CU_ASSERT_EQUAL(server.status, STORE_OK);
 	CU_ASSERT_STRING_EQUAL(server.keys->str, "a c ");
 	CU_ASSERT_EQUAL(server.version, 9);
-	table_store_destroy(client);
 	silent_server_stop(&server);
 }
 
@@ -793,21 +787,16 @@
 static void changes_too_large_for_an_answer_count_as_lost(void)
 {
 	struct silent_server server;
-	struct sockaddr_in address;
-	struct table_store *client;
-	struct store store;
 
-	silent_server_start(&server, &address);
+	silent_server_start(&server);
 	server.declared = (size_t)5 << 20;
-	client = table_store_create(&server.loop, &address);
-	store = table_store_interface(client);
 	server.pending = 1;
-	store.ops->follow(store.impl, "t", 6, 0, on_silent_answer, &server);
+	server.store.ops->follow(server.store.impl, "t", 6, 0, on_silent_answer,
+				 &server);
 	ev_run(server.loop.ev, 0);
 	CU_ASSERT_EQUAL(server.status, STORE_HISTORY_GONE);
-	read_rows(&server, &store, 1);
+	read_rows(&server, 1);
 	CU_ASSERT_EQUAL(server.status, STORE_UNKNOWN);
-	table_store_destroy(client);
 	silent_server_stop(&server);
 }
 
@@ -816,29 +805,24 @@
 static void answers_to_other_calls_do_not_shorten_the_timeout(void)
 {
 	struct silent_server server;
-	struct sockaddr_in address;
-	struct table_store *client;
-	struct store store;
 	unsigned int lost = 0;
 
-	silent_server_start(&server, &address);
+	silent_server_start(&server);
 	server.latency_s = 1.2;
-	client = table_store_create(&server.loop, &address);
-	store = table_store_interface(client);
 	for (;;) {
 		server.pending = 1;
-		store.ops->read(store.impl, "t", "", on_silent_answer, &server);
+		server.store.ops->read(server.store.impl, "t", "",
+				       on_silent_answer, &server);
 		ev_run(server.loop.ev, 0);
 		if (server.status == STORE_OK || ++lost == 4)
 			break;
 		/* A long poll, which has as long as it needs. */
 		server.pending = 1;
-		store.ops->follow(store.impl, "t", 1, 1.0, on_silent_answer,
-				  &server);
+		server.store.ops->follow(server.store.impl, "t", 1, 1.0,
+					 on_silent_answer, &server);
 		ev_run(server.loop.ev, 0);
 	}
 	CU_ASSERT_TRUE(lost <= 2);
-	table_store_destroy(client);
 	silent_server_stop(&server);
 }
 
@@ -850,20 +834,15 @@
 		.value = STR("v"),
 	};
 	struct silent_server server;
-	struct sockaddr_in address;
-	struct table_store *client;
-	struct store store;
 
-	silent_server_start(&server, &address);
+	silent_server_start(&server);
 	server.latency_s = 0.7;
-	client = table_store_create(&server.loop, &address);
-	store = table_store_interface(client);
-	read_rows(&server, &store, 1);
+	read_rows(&server, 1);
 	server.pending = 1;
-	store.ops->write(store.impl, &write, 0.3, on_silent_answer, &server);
+	server.store.ops->write(server.store.impl, &write, 0.3,
+				on_silent_answer, &server);
 	ev_run(server.loop.ev, 0);
 	CU_ASSERT_EQUAL(server.status, STORE_OK);
-	table_store_destroy(client);
 	silent_server_stop(&server);
 }
 
