store: log and count the store's era, versions that go back, older rows

Nothing showed that the store had come back from an older copy: its versions go back and are given out again, and rows written since are ignored as older without a line. Each process now logs the era that answers show when it changes, a version that is lower than one seen before the call was sent, and rows that it ignores as older.

unit-test_platform, _follower and _metrics pass.

--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -65,6 +65,7 @@
 	const struct directory_codec *directory;
 	struct table_store *table_store;
 	struct store_calls *store_calls;
+	struct store_era *store_era;
 	struct roster *roster;
 	struct links *links;
 	/** Limits the answers of upstreams that are being received, and shows
@@ -649,6 +650,9 @@
 	entry->directory = platform_directory();
 	entry->table_store =
 		table_store_create(&entry->loop, &entry->settings->store);
+	entry->store_era =
+		store_era_create(&entry->loop, entry->log, entry->metrics);
+	table_store_set_era(entry->table_store, entry->store_era);
 	store = table_store_interface(entry->table_store);
 	entry->store_calls = store_calls_create(entry->metrics);
 	store.calls = entry->store_calls;
@@ -710,6 +714,7 @@
 	table_store_destroy(entry->table_store);
 	cluster_destroy(entry->cluster);
 	store_calls_destroy(entry->store_calls);
+	store_era_destroy(entry->store_era);
 	links_destroy(entry->links);
 	forward_destroy(entry->forward);
 	crash_watch_destroy(entry->crashes);
--- a/src/entry/status_metrics.c
+++ b/src/entry/status_metrics.c
@@ -12,6 +12,7 @@
 	struct counter *catch_ups;
 	struct counter *gaps;
 	struct counter *given_up;
+	struct counter *older_rows;
 };
 
 struct status_metrics {
@@ -54,6 +55,9 @@
 	table->given_up = metrics_counter(
 		m, "auburn_table_calls_given_up_total", labels,
 		"Calls that were taken for lost before they timed out.");
+	table->older_rows = metrics_counter(
+		m, "auburn_table_older_rows_total", labels,
+		"Rows that were ignored, because a newer one is known.");
 	g_free(labels);
 }
 
@@ -116,6 +120,7 @@
 	counter_set(to->catch_ups, counts->catch_ups);
 	counter_set(to->gaps, counts->gaps);
 	counter_set(to->given_up, counts->given_up);
+	counter_set(to->older_rows, counts->older_rows);
 }
 
 static void count_upstream(struct upstream *upstream, void *ctx)
--- a/src/entry/table_watch.c
+++ b/src/entry/table_watch.c
@@ -146,8 +146,11 @@
 			table_watch_note_newer_row(table_watch);
 	}
 
-	if (known && known->version >= row->version)
+	if (known && known->version >= row->version) {
+		if (known->version > row->version)
+			table_watch_note_older_row(table_watch, known, row);
 		return;
+	}
 	if (row->removed) {
 		if (g_hash_table_remove(table_watch->rows, row->key))
 			table_watch->ops->removed(table_watch->ctx, row->key);
--- a/src/entry/table_watch.h
+++ b/src/entry/table_watch.h
@@ -158,6 +158,8 @@
 	uint64_t gaps;
 	/** Calls that were taken for lost before they timed out. */
 	uint64_t given_up;
+	/** Rows that were ignored, because a newer version is known. */
+	uint64_t older_rows;
 };
 
 /** Returns the counts, which the watch owns. */
--- a/src/entry/table_watch_impl.h
+++ b/src/entry/table_watch_impl.h
@@ -201,6 +201,11 @@
 void table_watch_note_given_up(struct table_watch *table_watch,
 			       const char *reason);
 
+/** Notes a row that is ignored because a newer version is known. */
+void table_watch_note_older_row(struct table_watch *table_watch,
+				const struct store_row *known,
+				const struct store_row *row);
+
 /** Notes that the whole table is being read. */
 void table_watch_note_read(struct table_watch *table_watch);
 
--- a/src/entry/table_watch_log.c
+++ b/src/entry/table_watch_log.c
@@ -109,6 +109,19 @@
 			table_watch->long_poll_s * 1000);
 }
 
+void table_watch_note_older_row(struct table_watch *table_watch,
+				const struct store_row *known,
+				const struct store_row *row)
+{
+	table_watch->counts.older_rows++;
+	if (table_watch->log)
+		event_log_write(table_watch->log, "info", "store",
+				"event=older_row table=%s key=%.64s"
+				" row=%" PRIu64 " known=%" PRIu64 " removed=%d",
+				table_watch->table, row->key, row->version,
+				known->version, row->removed);
+}
+
 void table_watch_note_read(struct table_watch *table_watch)
 {
 	table_watch->counts.snapshots++;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #include "base/str.h"
+#include "store/store_era.h"
 
 /** A row of a table. */
 struct store_row {
@@ -119,6 +120,8 @@
 	void *impl;
 	/** Counts the calls; NULL: they aren't counted. */
 	struct store_calls *calls;
+	/** What the answers showed of the store's era; NULL: unknown. */
+	struct store_era *era;
 };
 
 #endif
