test: the store comes back from an older copy

standin-site can be away and return as it was some time ago: versions go back and are assigned again, reads of changes after a version that it doesn't have get 410, and what the operator and upstreams wrote since is written again 2 s later unless it was written meanwhile. All its answers show the era.

--- /dev/null
+++ b/test/functional/test_entry_restored.c
@@ -0,0 +1,155 @@
+/*
+ * The store comes back from an older copy: writes since the copy are lost, and
+ * versions are given out again.
+ */
+#include <signal.h>
+#include <string.h>
+
+#include "cluster_entry.h"
+#include "suite.h"
+
+#define ENTRIES 6
+#define GRACE_S 6
+/* Time for which the store is away. */
+#define AWAY_US (1000 * G_TIME_SPAN_MILLISECOND)
+/* Time for which a frozen VM misses what others relay. */
+#define FROZEN_US (2500 * G_TIME_SPAN_MILLISECOND)
+/* Changes of other rows after the store's return, so that its version passes
+ * those of before. */
+#define LATER_CHANGES 120
+
+#define CONFIG(version, prefix)                                                \
+	"{\"version\":\"" version "\",\"routes\":{\"columns\":[\"name\","      \
+	"\"host\",\"prefix\",\"kind\",\"timeout_s\",\"aim_s\",\"priority\","   \
+	"\"service\",\"max_attempts\",\"split\"],\"rows\":[[\"keyed\","        \
+	"\"app.example\",\"/keyed/\",\"safe\",3,0.5,1,\"keyed\",2,null],"      \
+	"[\"added\",\"app.example\",\"" prefix "\",\"safe\",3,0.5,1,"          \
+	"\"plain\",2,null]]},\"services\":{\"columns\":[\"name\","             \
+	"\"health_path\",\"max_conns\",\"cold_start_s\",\"cold_per_s\","       \
+	"\"sharded\",\"warm_s\"],\"rows\":[[\"plain\",\"/health\",130,3,5.2,"  \
+	"null,null],[\"keyed\",\"/health\",130,3,5.2,true,3]]},\"limits\":{"   \
+	"\"max_header_bytes\":4096,\"max_body_bytes\":100000,"                 \
+	"\"header_timeout_s\":3,\"idle_timeout_s\":15}}"
+
+static struct entry_rig rig;
+
+static bool serves_added_route(void *ctx)
+{
+	return entry_status(ctx, "/added/a", 0) == 200;
+}
+
+static bool leads(const struct entry *entry)
+{
+	struct http_request request = {
+		.address = entry->metrics,
+		.uri = "/metrics",
+	};
+	struct http_answer *answer = http_send(&request);
+	bool leads = strstr(answer->body->str, "\nauburn_leads 1") != NULL;
+
+	http_answer_destroy(answer);
+	return leads;
+}
+
+/* Returns a VM that leads, or one that doesn't. */
+static struct entry *find_entry(bool leading)
+{
+	unsigned int i;
+
+	for (i = 0; i < ENTRIES; i++)
+		if (leads(&rig.entries[i]) == leading)
+			return &rig.entries[i];
+	CU_FAIL_FATAL("no such VM");
+	return NULL;
+}
+
+/* Has the store be away, and come back as it was some time before. */
+static void restore_store(unsigned int age_ms)
+{
+	char *uri = g_strdup_printf("/control/return?id=%u", age_ms);
+
+	entry_rig_command(&rig, "/control/down?id=1", NULL);
+	g_usleep(AWAY_US);
+	entry_rig_command(&rig, uri, NULL);
+	g_free(uri);
+}
+
+static void write_other_rows(void)
+{
+	unsigned int i;
+
+	for (i = 0; i < LATER_CHANGES; i++)
+		entry_rig_command(&rig, "/control/entry?id=other",
+				  i % 2 ? "{}" : "[]");
+}
+
+static void a_change_is_seen_by_a_vm_that_missed_the_return(void)
+{
+	struct entry *frozen;
+
+	entry_rig_start(&rig, ENTRIES, GRACE_S);
+	frozen = find_entry(false);
+	entry_rig_command(&rig, "/control/config", CONFIG("r5", "/lost/"));
+	write_other_rows();
+	entry_rig_command(&rig, "/control/config", CONFIG("r6", "/lost/"));
+	g_usleep(AWAY_US);
+	kill(process_pid(frozen->process), SIGSTOP);
+	restore_store(4000);
+	entry_rig_command(&rig, "/control/config", CONFIG("r7", "/added/"));
+	write_other_rows();
+	write_other_rows();
+	g_usleep(FROZEN_US);
+	kill(process_pid(frozen->process), SIGCONT);
+	CU_ASSERT_TRUE(
+		process_wait_until(serves_added_route, frozen, RIG_WAIT_US));
+	entry_rig_stop(&rig);
+}
+
+static bool has_leader(void *ctx)
+{
+	unsigned int i;
+
+	(void)ctx;
+	for (i = 0; i < ENTRIES; i++)
+		if (process_running(rig.entries[i].process) &&
+		    leads(&rig.entries[i]))
+			return true;
+	return false;
+}
+
+static void a_new_leader_grants_no_keys_by_an_older_owner_map(void)
+{
+	unsigned int i;
+
+	entry_rig_start(&rig, ENTRIES, GRACE_S);
+	g_usleep(3 * AWAY_US);
+	/* Upstreams 2 and 3 are the keyed ones: all keys move to 2. */
+	entry_rig_command(&rig, "/control/lapse?id=3", NULL);
+	g_usleep(2 * AWAY_US);
+	entry_rig_command(&rig, "/control/down?id=1", NULL);
+	kill(process_pid(find_entry(true)->process), SIGKILL);
+	g_usleep(AWAY_US);
+	entry_rig_command(&rig, "/control/return?id=4000", NULL);
+	CU_ASSERT_TRUE(process_wait_until(has_leader, NULL, RIG_WAIT_US));
+	g_usleep(2 * AWAY_US);
+	for (i = 0; i < ENTRIES; i++)
+		if (process_running(rig.entries[i].process))
+			CU_ASSERT_TRUE(process_wait_until(entry_serves_keys,
+							  &rig.entries[i],
+							  RIG_WAIT_US));
+	CU_ASSERT_EQUAL(entry_rig_count(&rig, "double_owners"), 0);
+	entry_rig_stop(&rig);
+}
+
+int main(void)
+{
+	static const struct suite_case cases[] = {
+		{ "a change is seen by a VM that missed the store's return",
+		  a_change_is_seen_by_a_vm_that_missed_the_return },
+		{ "a new leader grants no keys by an older owner map",
+		  a_new_leader_grants_no_keys_by_an_older_owner_map },
+		{ 0 },
+	};
+
+	return suite_run("entry_restored", cases);
+}
--- a/test/standin/site.h
+++ b/test/standin/site.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 #include <stdbool.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "net/http_server.h"
 #include "net/loop.h"
@@ -27,6 +28,35 @@
 /** Removes a row of a table, which the feed reports as a change. */
 void site_remove_row(struct site *site, const char *table, const char *key);
 
+/** Writes a row of a table, or removes it.
+ *
+ * @param value in Base64; NULL removes the row */
+void site_write_row(struct site *site, const char *table, const char *key,
+		    const char *value);
+/** Returns the version of the last change of a row; 0: it never existed. */
+guint64 site_row_version(struct site *site, const char *table, const char *key);
+
+/** Empties all tables, answers the feed requests that wait with 503, and sets
+ * the version to 0. */
+void site_store_clear(struct site *site);
+/** Sets a row to a state that it had at the present version. */
+void site_store_load(struct site *site, const char *table, const char *key,
+		     const char *value);
+
+/** The changes of all rows. */
+struct site_history;
+
+/** Creates a history without changes. */
+struct site_history *site_history_create(void);
+/** Notes a change at the present version; value is as in site_write_row(). */
+void site_history_note(struct site *site, const char *table, const char *key,
+		       const char *value);
+/** Has the store come back as it was some time ago, in a new era. What the
+ * operator and the upstreams wrote since is written again later. */
+void site_restore(struct site *site, double age_s);
+/** Writes again what is due after site_restore(). */
+void site_restore_tick(struct site *site);
+
 /**
  * Starts an upstream and publishes it: writes its entry to the store's table
  * "servers". Its index is the number of upstreams started before it. Ends the
@@ -93,6 +123,9 @@
 	GHashTable *tables;
 	/** Version of the last change to any table. */
 	guint64 version;
+	/** Era of the store, which all its answers show; it starts at 1. */
+	guint64 era;
+	struct site_history *history;
 	/** Feed requests that wait for a change: elements are struct watch of
 	 * site_store.c. */
 	GQueue watches;
--- /dev/null
+++ b/test/standin/site_restore.c
@@ -0,0 +1,164 @@
+/* The store comes back from an older copy of itself: writes since the copy are
+ * lost, and versions are given out again. What the operator and the upstreams
+ * wrote is written again after a while. */
+#include "site.h"
+
+/* Time, in seconds, from the store's return until lost rows of the operator and
+ * of upstreams are written again, unless they were written since. */
+#define REWRITE_S 2.0
+
+/* A change of a row. */
+struct change {
+	/** Loop time of the change. */
+	double at_s;
+	char *table;
+	char *key;
+	/** Value in Base64; NULL: the row was removed. */
+	char *value;
+	guint64 version;
+};
+
+/* A lost change that its writer repeats. */
+struct rewrite {
+	double due_s;
+	struct change change;
+	/** The store's version when it came back. */
+	guint64 restored;
+};
+
+struct site_history {
+	/** All changes (struct change), oldest first. */
+	GArray *changes;
+	/** Lost changes (struct rewrite) in the order in which they are due. */
+	GQueue rewrites;
+};
+
+static void clear_change(gpointer data)
+{
+	struct change *change = data;
+
+	g_free(change->table);
+	g_free(change->key);
+	g_free(change->value);
+}
+
+struct site_history *site_history_create(void)
+{
+	struct site_history *history = g_new0(struct site_history, 1);
+
+	history->changes = g_array_new(FALSE, FALSE, sizeof(struct change));
+	g_array_set_clear_func(history->changes, clear_change);
+	g_queue_init(&history->rewrites);
+	return history;
+}
+
+void site_history_note(struct site *site, const char *table, const char *key,
+		       const char *value)
+{
+	struct change change = {
+		.at_s = loop_now(&site->loop),
+		.table = g_strdup(table),
+		.key = g_strdup(key),
+		.value = g_strdup(value),
+		.version = site->version,
+	};
+
+	g_array_append_val(site->history->changes, change);
+}
+
+/* Whether the writer of a table is outside the system. */
+static bool is_rewritten(const char *table)
+{
+	return !strcmp(table, "op") || !strcmp(table, "servers");
+}
+
+/* Has the writers of lost changes repeat the last one of each row. */
+static void plan_rewrites(struct site *site, guint first)
+{
+	const GArray *changes = site->history->changes;
+	GHashTable *last =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	guint i;
+
+	for (i = first; i < changes->len; i++) {
+		const struct change *change =
+			&g_array_index(changes, struct change, i);
+
+		if (is_rewritten(change->table))
+			g_hash_table_insert(last,
+					    g_strdup_printf("%s/%s",
+							    change->table,
+							    change->key),
+					    GUINT_TO_POINTER(i));
+	}
+	for (i = first; i < changes->len; i++) {
+		const struct change *change =
+			&g_array_index(changes, struct change, i);
+		char *name =
+			g_strdup_printf("%s/%s", change->table, change->key);
+		struct rewrite *rewrite;
+
+		if (is_rewritten(change->table) &&
+		    GPOINTER_TO_UINT(g_hash_table_lookup(last, name)) == i) {
+			rewrite = g_new0(struct rewrite, 1);
+			rewrite->due_s = loop_now(&site->loop) + REWRITE_S;
+			rewrite->change = *change;
+			rewrite->change.table = g_strdup(change->table);
+			rewrite->change.key = g_strdup(change->key);
+			rewrite->change.value = g_strdup(change->value);
+			g_queue_push_tail(&site->history->rewrites, rewrite);
+		}
+		g_free(name);
+	}
+	g_hash_table_destroy(last);
+}
+
+void site_restore(struct site *site, double age_s)
+{
+	GArray *changes = site->history->changes;
+	double until_s = loop_now(&site->loop) - age_s;
+	guint64 version = site->version;
+	GList *node;
+	guint kept = 0, i;
+
+	while (kept < changes->len &&
+	       g_array_index(changes, struct change, kept).at_s <= until_s)
+		kept++;
+	plan_rewrites(site, kept);
+	g_array_set_size(changes, kept);
+	site_store_clear(site);
+	for (i = 0; i < kept; i++) {
+		const struct change *change =
+			&g_array_index(changes, struct change, i);
+
+		site->version = change->version;
+		site_store_load(site, change->table, change->key,
+				change->value);
+	}
+	for (node = site->history->rewrites.head; node; node = node->next)
+		((struct rewrite *)node->data)->restored = site->version;
+	site->era++;
+	site_event(site,
+		   "restored %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT
+		   " %" G_GUINT64_FORMAT,
+		   site->era, version, site->version);
+}
+
+void site_restore_tick(struct site *site)
+{
+	GQueue *rewrites = &site->history->rewrites;
+	struct rewrite *rewrite;
+
+	while (!site->store_down && (rewrite = g_queue_peek_head(rewrites)) &&
+	       rewrite->due_s <= loop_now(&site->loop)) {
+		const struct change *change = &rewrite->change;
+
+		g_queue_pop_head(rewrites);
+		if (site_row_version(site, change->table, change->key) <=
+		    rewrite->restored)
+			site_write_row(site, change->table, change->key,
+				       change->value);
+		clear_change(&rewrite->change);
+		g_free(rewrite);
+	}
+}
--- a/test/standin/site_store.c
+++ b/test/standin/site_store.c
@@ -44,6 +44,8 @@
 	struct http_request *request;
 	unsigned int status;
 	json_t *body;
+	/** Era that it shows. */
+	guint64 era;
 	/** Loop time at which it is sent. */
 	double due_s;
 };
@@ -69,15 +71,23 @@
 	return table;
 }
 
-/* Responds with a JSON value; takes over the reference to root. */
-static void answer_json(struct http_request *request, unsigned int status,
-			json_t *root)
+/* Responds with a JSON value; takes over the reference to root.
+ *
+ * @param number the era that the response shows */
+static void answer_json(guint64 number, struct http_request *request,
+			unsigned int status, json_t *root)
 {
 	char *text = json_dumps(root, JSON_COMPACT);
+	char *era = g_strdup_printf("%" G_GUINT64_FORMAT, number);
+	struct headers *headers = headers_create();
 	struct http_answer answer = { .status = status,
+				      .headers = headers,
 				      .body = str_from(text) };
 
+	headers_add(headers, STR("Store-Era"), str_from(era));
 	http_request_answer(request, &answer);
+	headers_destroy(headers);
+	g_free(era);
 	free(text);
 	json_decref(root);
 }
@@ -90,13 +100,14 @@
 	struct late_answer *answer;
 
 	if (site->answer_delay_s <= 0) {
-		answer_json(request, status, root);
+		answer_json(site->era, request, status, root);
 		return;
 	}
 	answer = g_new0(struct late_answer, 1);
 	answer->request = request;
 	answer->status = status;
 	answer->body = root;
+	answer->era = site->era;
 	answer->due_s = loop_now(&site->loop) + site->answer_delay_s;
 	g_queue_push_tail(&site->late_answers, answer);
 }
@@ -110,7 +121,8 @@
 	while ((answer = g_queue_peek_head(&site->late_answers)) &&
 	       answer->due_s <= now) {
 		g_queue_pop_head(&site->late_answers);
-		answer_json(answer->request, answer->status, answer->body);
+		answer_json(answer->era, answer->request, answer->status,
+			    answer->body);
 		g_free(answer);
 	}
 }
@@ -227,10 +239,8 @@
 		watch_free(watch);
 }
 
-/* Changes a row under a new version; value is Base64, or NULL to remove the
- * row. */
-static void set_row(struct site *site, const char *table, const char *key,
-		    const char *value)
+void site_store_load(struct site *site, const char *table, const char *key,
+		     const char *value)
 {
 	GHashTable *rows = table_of(site, table);
 	struct row *row = g_new0(struct row, 1);
@@ -238,23 +248,54 @@
 	row->key = g_strdup(key);
 	row->value = g_strdup(value);
 	row->removed = !value;
-	row->version = ++site->version;
+	row->version = site->version;
 	g_hash_table_replace(rows, row->key, row);
+}
+
+void site_write_row(struct site *site, const char *table, const char *key,
+		    const char *value)
+{
+	site->version++;
+	site_store_load(site, table, key, value);
+	site_history_note(site, table, key, value);
 	answer_watches(site);
 }
 
+guint64 site_row_version(struct site *site, const char *table, const char *key)
+{
+	const struct row *row = g_hash_table_lookup(table_of(site, table), key);
+
+	return row ? row->version : 0;
+}
+
+void site_store_clear(struct site *site)
+{
+	struct watch *watch;
+	GHashTableIter iter;
+	gpointer rows;
+
+	g_hash_table_iter_init(&iter, site->tables);
+	while (g_hash_table_iter_next(&iter, NULL, &rows))
+		g_hash_table_remove_all(rows);
+	while ((watch = g_queue_pop_head(&site->watches))) {
+		answer_json(site->era, watch->request, 503, json_object());
+		watch_free(watch);
+	}
+	site->version = 0;
+}
+
 void site_put_row(struct site *site, const char *table, const char *key,
 		  const char *json)
 {
 	char *value = g_base64_encode((const guchar *)json, strlen(json));
 
-	set_row(site, table, key, value);
+	site_write_row(site, table, key, value);
 	g_free(value);
 }
 
 void site_remove_row(struct site *site, const char *table, const char *key)
 {
-	set_row(site, table, key, NULL);
+	site_write_row(site, table, key, NULL);
 }
 
 /* Returns the decoded value of a query parameter, or "" when it is missing; the
@@ -315,7 +356,8 @@
 	for (i = 0; i < json_array_size(puts); i++) {
 		json_t *put = json_array_get(puts, i);
 
-		set_row(site, json_string_value(json_object_get(put, "table")),
+		site_write_row(
+			site, json_string_value(json_object_get(put, "table")),
 			json_string_value(json_object_get(put, "key")),
 			json_string_value(json_object_get(put, "value")));
 	}
@@ -331,6 +373,13 @@
 	char *after = query_value(request->target->str, "after");
 	char *wait_ms = query_value(request->target->str, "wait_ms");
 
+	if (g_ascii_strtoull(after, NULL, 10) > site->version) {
+		answer_daemon(site, request, 410, json_object());
+		g_free(after);
+		g_free(wait_ms);
+		g_free(watch);
+		return;
+	}
 	watch->request = request;
 	watch->table = query_value(request->target->str, "table");
 	watch->after = g_ascii_strtoull(after, NULL, 10);
@@ -348,6 +397,8 @@
  *                 fields about the customer are shown
  *   config        no ID; the body is the configuration to write
  *   down          the store is down unless ID is 0
+ *   return        the store is back as it was ID milliseconds ago, in a new
+ *                 era
  *   slow          the store answers ID milliseconds late
  *   lose-feeds    feed requests that wait are never answered
  *   more          ID more upstreams of the service "plain" start
@@ -384,6 +435,9 @@
 	else if (g_str_has_prefix(verb, "down")) {
 		site->store_down = index != 0;
 		site_event(site, "store %d", site->store_down);
+	} else if (g_str_has_prefix(verb, "return")) {
+		site_restore(site, index / MS_PER_S);
+		site->store_down = false;
 	} else if (g_str_has_prefix(verb, "slow"))
 		site->answer_delay_s = index / MS_PER_S;
 	else if (g_str_has_prefix(verb, "lose-feeds"))
@@ -417,7 +471,7 @@
 	else if (g_str_has_prefix(verb, "config"))
 		site_put_row(site, "op", "config", request->body->str);
 	g_free(id);
-	answer_json(request, 200,
+	answer_json(site->era, request, 200,
 		    json_pack("{sisisisisisisisissss}", "runs", (int)runs,
 			      "crashes", (int)site->crashes, "over_limit",
 			      (int)site->over_limit, "after_leaving",
@@ -437,7 +491,7 @@
 	if (g_str_has_prefix(target, "/control/")) {
 		handle_control(site, request);
 	} else if (site->store_down) {
-		answer_json(request, 503, json_object());
+		answer_json(site->era, request, 503, json_object());
 	} else if (g_str_has_prefix(target, "/rows-tx")) {
 		transact(site, request);
 	} else if (g_str_has_prefix(target, "/rows-feed")) {
@@ -474,6 +528,7 @@
 {
 	(void)loop;
 	(void)events;
+	site_restore_tick(timer->data);
 	answer_watches(timer->data);
 	send_late_answers(timer->data);
 }
@@ -488,6 +543,8 @@
 	struct http_server *server;
 
 	site->tables = g_hash_table_new(g_str_hash, g_str_equal);
+	site->era = 1;
+	site->history = site_history_create();
 	g_queue_init(&site->watches);
 	g_queue_init(&site->late_answers);
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
