store: versions hold the era

After the store came back from an older copy its versions go back and are assigned again, so that everything that compares versions took older for newer. The adapter now puts the era of the answer above the store's own version; conditions of writes and positions in the change feed are sent without it. A position of another era is void, also when the new history has reached its number, and an answer of an earlier era counts as lost.

--- a/src/store/store.h
+++ b/src/store/store.h
@@ -19,7 +19,7 @@
 	GString *value;
 	/**
 	 * Version of the transaction that wrote the row; it grows with every
-	 * change.
+	 * change. It holds the era of the answer, see store_era.h.
 	 */
 	uint64_t version;
 	/** The row was deleted. */
@@ -31,8 +31,8 @@
 	STORE_OK,
 	/** The condition of a write did not hold; nothing was written. */
 	STORE_CONFLICT,
-	/** The store no longer keeps the requested changes, or they are too
-	 * large for an answer. */
+	/** The store no longer keeps the requested changes, they are too large
+	 * for an answer, or the version is of an earlier era. */
 	STORE_HISTORY_GONE,
 	/** The store refused the call; nothing was done. */
 	STORE_REFUSED,
@@ -48,7 +48,8 @@
 	/** Rows that were read or changed, or that violated a condition. */
 	const struct store_row *rows;
 	size_t row_count;
-	/** Newest version of the store; set with STORE_OK only. */
+	/** Newest version of the store; set with STORE_OK and STORE_CONFLICT
+	 * only. */
 	uint64_t version;
 	/** The result was cut off: more rows follow the last one. */
 	bool more;
@@ -95,13 +96,15 @@
 		     store_done_fn done, void *ctx);
 	/**
 	 * Long poll: waits up to wait_s seconds for changes of a table after a
-	 * version; with 0, returns the known changes at once.
+	 * version; with 0, returns the known changes at once. Ends with
+	 * STORE_HISTORY_GONE if the version is of another era.
 	 */
 	void (*follow)(void *impl, const char *table, uint64_t after,
 		       double wait_s, store_done_fn done, void *ctx);
 	/**
 	 * Writes a row; the result is STORE_UNKNOWN if no answer comes within
-	 * timeout_s seconds.
+	 * timeout_s seconds. The condition doesn't hold the era: in a later one
+	 * it may be met by chance.
 	 */
 	void (*write)(void *impl, const struct store_write *write,
 		      double timeout_s, store_done_fn done, void *ctx);
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -606,6 +606,8 @@
 	 * replies are due; 0: none. */
 	double latency_s;
 	double due_s[CONNECTIONS_MAX];
+	/* Header fields of the answers, each with "\r\n"; NULL: none. */
+	const char *fields;
 	/* Body of the answers, and the length that they declare; 0: its own. */
 	const char *body;
 	size_t declared;
@@ -621,7 +623,8 @@
 {
 	struct silent_server *server = timer->data;
 	char *reply = g_strdup_printf(
-		"HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+		"HTTP/1.1 200 OK\r\n%sContent-Length: %zu\r\n\r\n%s",
+		server->fields ? server->fields : "",
 		server->declared ? server->declared : strlen(server->body),
 		server->body);
 	int fd = accept(server->listener, NULL, NULL);
@@ -784,6 +787,54 @@
 
 /* Guards against a VM that asks again and again for the changes of a long time,
  * which no answer can hold, instead of reading the table. */
+static void versions_hold_the_era_of_the_answer(void)
+{
+	const struct {
+		const char *fields;
+		/* Version after which changes are asked for; 0: the table is
+		 * read. */
+		uint64_t after;
+		enum store_status status;
+		uint64_t version;
+	} rows[] = {
+		{ "Store-Era: 1\r\n", 0, STORE_OK, store_version(1, 3) },
+		{ "Store-Era: 1\r\n", store_version(1, 3), STORE_OK,
+		  store_version(1, 3) },
+		{ "Store-Era: 2\r\n", store_version(1, 3), STORE_HISTORY_GONE,
+		  0 },
+		{ "Store-Era: 2\r\n", store_version(1, 2), STORE_HISTORY_GONE,
+		  0 },
+		{ "Store-Era: 1\r\n", 0, STORE_UNKNOWN, 0 },
+		{ "Store-Era: two\r\n", 0, STORE_OK, store_version(2, 3) },
+		{ NULL, 0, STORE_OK, store_version(2, 3) },
+	};
+	struct silent_server server;
+	struct metrics *metrics = metrics_create();
+	struct store_era *era;
+	size_t i;
+
+	silent_server_start(&server);
+	era = store_era_create(&server.loop, NULL, metrics);
+	table_store_set_era(server.client, era);
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		server.fields = rows[i].fields;
+		server.pending = 1;
+		if (rows[i].after)
+			server.store.ops->follow(server.store.impl, "t",
+						 rows[i].after, 0,
+						 on_silent_answer, &server);
+		else
+			server.store.ops->read(server.store.impl, "t", "",
+					       on_silent_answer, &server);
+		ev_run(server.loop.ev, 0);
+		CU_ASSERT_EQUAL(server.status, rows[i].status);
+		CU_ASSERT_EQUAL(server.version, rows[i].version);
+	}
+	silent_server_stop(&server);
+	store_era_destroy(era);
+	metrics_destroy(metrics);
+}
+
 static void changes_too_large_for_an_answer_count_as_lost(void)
 {
 	struct silent_server server;
@@ -887,6 +938,8 @@
 		  a_platform_that_answers_late_is_heard },
 		{ "rows of other parts are left out",
 		  rows_of_other_parts_are_left_out },
+		{ "versions hold the era of the answer",
+		  versions_hold_the_era_of_the_answer },
 		{ "changes too large for an answer count as lost",
 		  changes_too_large_for_an_answer_count_as_lost },
 		{ "a timeout ends the use of idle connections",
