keys/lease: a lease isn't acquired by a restored row

A VM that read the row of an older copy took its expiry, long past, for that of the present lease, and acquired it while the holder still led. The row now names the era in which it was written. The holder keeps its lease until its own clock ends it and writes the row again; other VMs wait a lease's length from when they saw the change; a write that is answered in another era than it was sent in renews, but acquires nothing.

--- a/src/keys/lease.c
+++ b/src/keys/lease.c
@@ -59,6 +59,9 @@
 /* Expiry, on the store's clock, that is written to give up the lease: a time
  * long past. */
 #define EXPIRED_S 0.001
+/* Up to this era, a store without the row never had one: a store that counts
+ * its eras from 0 or 1 hasn't come back from an older copy yet. */
+#define FIRST_ERA_MAX 1
 /* Number of recent writes that are remembered: a write without an answer may
  * still take effect, and the row then shows its attempt id. */
 #define ATTEMPTS_MAX 16
@@ -67,8 +70,9 @@
 struct attempt {
 	/** Last part of the attempt id, which counts this process's writes. */
 	uint32_t number;
-	/** When the write was sent. */
+	/** When the write was sent, and the newest era known then. */
 	double sent_s;
+	uint64_t era;
 };
 
 /** Times are in seconds of this VM's loop clock unless said otherwise. */
@@ -91,7 +95,10 @@
 	double held_until_s;
 	/** The newest version of the row that this VM knows. */
 	uint64_t version;
-	/** When that version was first observed; 0 if no version was. */
+	/** The version that the row must have for this VM's next write; 0: it
+	 * must not exist. It differs from version when the store lost rows. */
+	uint64_t expect;
+	/** When version was first observed; 0 if no version was. */
 	double version_seen_s;
 	/** Random and configured delays before acquiring the lease. */
 	double jitter_s;
@@ -101,8 +108,10 @@
 	/** The store's clock minus this VM's, too high by at most the latency
 	 * of a call. */
 	double store_ahead_s;
-	/** When the store's clock was compared with this VM's; 0: never. */
+	/** When the store's clock was compared with this VM's; 0: never. In
+	 * which era. */
 	double store_clock_seen_s;
+	uint64_t store_clock_era;
 	/** When the call in progress was sent. */
 	double sent_s;
 	/** A read or write of the row has no answer yet. */
@@ -185,6 +194,13 @@
 	return loop_now(lease->loop);
 }
 
+/* Returns the newest era of the store that this VM knows. */
+static uint64_t current_era(const struct lease *lease)
+{
+	return MAX(store_era_current(lease->store.era),
+		   store_version_era(lease->version));
+}
+
 unsigned int lease_row_vms(const struct lease *lease)
 {
 	return lease->row_vms;
@@ -257,20 +273,28 @@
 	/* Another VM wrote the newer version: this VM's lease is over. */
 	lose_lease(lease, "another VM leads");
 	lease->version = version;
+	lease->expect = version;
 	lease->version_seen_s = now_of(lease);
 	lease->other_until_s = 0;
 	draw_delays(lease);
 }
 
-/* Handles a successful write of the row by this VM. */
+/* Handles a successful write of the row by this VM.
+ *
+ * @param era the newest one that was known when the write was sent */
 static void record_own_write(struct lease *lease, uint64_t version,
-			     double sent_s)
+			     double sent_s, uint64_t era)
 {
 	lease->version = version;
+	lease->expect = version;
 	lease->version_seen_s = now_of(lease);
 	lease->renewal_failing = false;
 	if (lease->stopped)
 		return;
+	/* In another era the condition may have been met by chance, while
+	 * another VM leads. Such a write renews, but acquires nothing. */
+	if (!lease->holding && era != store_version_era(version))
+		return;
 	if (sent_s + LEASE_S > lease->held_until_s)
 		lease->held_until_s = sent_s + LEASE_S;
 	if (lease->holding || now_of(lease) >= lease->held_until_s)
@@ -279,21 +303,22 @@
 	lease->ops->won(lease->ctx);
 }
 
-/* Returns when this process sent the write with an attempt id, or 0 if another
- * process wrote it. */
-static double own_write_sent_s(const struct lease *lease, const char *attempt)
+/* Finds the write of this process with an attempt id, or NULL if another
+ * process wrote it, or long ago. */
+static const struct attempt *find_attempt(const struct lease *lease,
+					  const char *attempt)
 {
 	size_t len = strlen(lease->attempt_prefix);
 	uint32_t number;
 	int i;
 
 	if (strncmp(attempt, lease->attempt_prefix, len) != 0)
-		return 0;
+		return NULL;
 	number = (uint32_t)g_ascii_strtoull(attempt + len, NULL, 10);
 	for (i = 0; i < ATTEMPTS_MAX; i++)
 		if (lease->attempts[i].number == number)
-			return lease->attempts[i].sent_s;
-	return 0;
+			return &lease->attempts[i];
+	return NULL;
 }
 
 /* Updates the offset of the store's clock from an answer. The offset is never
@@ -305,6 +330,7 @@
 		return;
 	lease->store_ahead_s = result->now_s - lease->sent_s;
 	lease->store_clock_seen_s = lease->sent_s;
+	lease->store_clock_era = store_version_era(result->version);
 }
 
 /* Returns the end of a lease that begins now, on the store's clock, or 0 when
@@ -314,7 +340,7 @@
 {
 	double seen_s = lease->store_clock_seen_s;
 
-	if (!seen_s)
+	if (!seen_s || lease->store_clock_era != current_era(lease))
 		return 0;
 	return now_s + lease->store_ahead_s + LEASE_S +
 	       (now_s - seen_s) * (CLOCK_FACTOR - 1);
@@ -332,6 +358,50 @@
 	       LEASE_S * (CLOCK_FACTOR - 1);
 }
 
+/* Whether the store restored a row from an older copy, or a VM wrote it that
+ * didn't know the present era: it doesn't say who leads. */
+static bool is_restored(const struct store_row *row, const LeaseRow *message)
+{
+	return message->era < store_version_era(row->version);
+}
+
+/* Notes the version of the row in the store. */
+static void note_version(struct lease *lease, uint64_t version)
+{
+	lease->expect = version;
+	if (version == lease->version)
+		return;
+	lease->version = version;
+	lease->version_seen_s = now_of(lease);
+	draw_delays(lease);
+}
+
+/* Handles a row that another process wrote. */
+static void handle_other_row(struct lease *lease, const struct store_row *row,
+			     const LeaseRow *message, double store_now_s)
+{
+	bool restored = is_restored(row, message);
+	bool started = lease->version_seen_s == 0;
+
+	/* This VM's lease has not ended: it writes the row again. */
+	if (restored && lease->holding) {
+		lease->version = row->version;
+		lease->expect = row->version;
+		lease->next_call_s = now_of(lease);
+		return;
+	}
+	lease->row_vms = message->vms;
+	/* A VM that starts learns how many compete. */
+	if (lease->vms == 1 && lease->row_vms)
+		lease->vms = lease->row_vms;
+	note_version(lease, row->version);
+	lose_lease(lease, "another VM leads");
+	lease->other_until_s =
+		restored ? 0 : expiry_s(lease, message, store_now_s);
+	if (!restored || started)
+		lease->ops->learned(lease->ctx, message->vm, message->address);
+}
+
 /* Handles the row as read from the store, or as returned by a write that met a
  * conflict; store_now_s is the store's clock at the answer, or 0. */
 static void handle_row(struct lease *lease, const struct store_row *row,
@@ -339,31 +409,34 @@
 {
 	LeaseRow *message = lease_row__unpack(NULL, row->value->len,
 					      (const uint8_t *)row->value->str);
-	double sent_s = message ? own_write_sent_s(lease, message->attempt) : 0;
+	const struct attempt *own;
 
-	if (sent_s > 0) {
-		record_own_write(lease, row->version, sent_s);
-	} else {
-		if (message)
-			lease->row_vms = message->vms;
-		/* A VM that starts learns how many compete. */
-		if (lease->vms == 1 && lease->row_vms)
-			lease->vms = lease->row_vms;
-		if (row->version != lease->version) {
-			lease->version = row->version;
-			lease->version_seen_s = now_of(lease);
-			draw_delays(lease);
-		}
+	if (!message) {
+		note_version(lease, row->version);
 		lose_lease(lease, "another VM leads");
-		if (message)
-			lease->other_until_s =
-				expiry_s(lease, message, store_now_s);
-		if (message)
-			lease->ops->learned(lease->ctx, message->vm,
-					    message->address);
+		return;
 	}
-	if (message)
-		lease_row__free_unpacked(message, NULL);
+	own = find_attempt(lease, message->attempt);
+	if (own)
+		record_own_write(lease, row->version, own->sent_s, own->era);
+	else
+		handle_other_row(lease, row, message, store_now_s);
+	if (own && lease->holding && is_restored(row, message))
+		lease->next_call_s = now_of(lease);
+	lease_row__free_unpacked(message, NULL);
+}
+
+/* Handles that the store has no row. */
+static void handle_no_row(struct lease *lease, uint64_t store_version)
+{
+	lease->expect = 0;
+	if (lease->version_seen_s)
+		return;
+	lease->version_seen_s = now_of(lease);
+	/* There never was a leader: no lease has to expire. Later on the store
+	 * may have lost the row of one. */
+	if (store_version_era(store_version) <= FIRST_ERA_MAX)
+		lease->version_seen_s -= LEASE_S * CLOCK_FACTOR;
 }
 
 /* Returns the time, in seconds from the end of an outage, that a VM which isn't
@@ -386,6 +459,10 @@
 	at = lease->version_seen_s + LEASE_S * CLOCK_FACTOR;
 	if (lease->other_until_s && lease->other_until_s < at)
 		at = lease->other_until_s;
+	/* A lease of an earlier era lasts no longer; its row may be lost. */
+	if (store_era_changed_s(lease->store.era))
+		at = MAX(at, store_era_changed_s(lease->store.era) +
+				     LEASE_S * CLOCK_FACTOR);
 	if (at < lease->store_back_s)
 		at = lease->store_back_s + late_after_outage_s(lease);
 	else if (!lease->early)
@@ -435,11 +512,10 @@
 		if (!lease->holding)
 			lease->next_call_s = MIN(now_of(lease) + READ_AFTER_S,
 						 MAX(acquire_at_s(lease), 0));
-	} else if (!lease->version_seen_s) {
-		lease->version = 0;
-		/* There never was a leader: no lease has to expire. */
-		lease->version_seen_s = now_of(lease) - LEASE_S * CLOCK_FACTOR;
-		lease->next_call_s = acquire_at_s(lease);
+	} else {
+		handle_no_row(lease, result->version);
+		if (!lease->holding)
+			lease->next_call_s = acquire_at_s(lease);
 	}
 }
 
@@ -465,7 +541,7 @@
 {
 	struct lease *lease = ctx;
 	uint32_t number = lease->next_attempt - 1;
-	double sent_s = lease->attempts[number % ATTEMPTS_MAX].sent_s;
+	const struct attempt *attempt = &lease->attempts[number % ATTEMPTS_MAX];
 	const struct store_row *row = find_row(result);
 
 	lease->call_in_progress = false;
@@ -475,16 +551,23 @@
 	switch (result->status) {
 	case STORE_OK:
 		update_store_clock(lease, result);
-		record_own_write(lease, result->version, sent_s);
-		lease->next_call_s = sent_s + RENEW_S;
+		record_own_write(lease, result->version, attempt->sent_s,
+				 attempt->era);
+		lease->next_call_s = attempt->sent_s + RENEW_S;
 		break;
 	case STORE_CONFLICT:
 		lease->next_call_s = now_of(lease) + RETRY_S;
 		update_store_clock(lease, result);
-		if (row)
+		if (row) {
 			handle_row(lease, row, result->now_s);
-		else
+		} else if (lease->holding &&
+			   store_version_era(result->version) >
+				   store_version_era(lease->expect)) {
+			handle_no_row(lease, result->version);
+			lease->next_call_s = now_of(lease);
+		} else {
 			read_row(lease);
+		}
 		break;
 	default:
 		report_renewal_failing(lease);
@@ -502,13 +585,14 @@
 	struct store_write write = {
 		.table = LEASE_TABLE,
 		.key = LEASE_KEY,
-		.expect = lease->version,
+		.expect = lease->expect,
 	};
 	GString *value;
 
 	message.vm = lease->vm;
 	message.address = lease->address;
 	message.vms = lease->vms;
+	message.era = current_era(lease);
 	message.attempt =
 		g_strdup_printf("%s%u", lease->attempt_prefix, number);
 	if (lease->stopped)
@@ -523,6 +607,7 @@
 	lease->call_in_progress = true;
 	lease->attempts[number % ATTEMPTS_MAX].number = number;
 	lease->attempts[number % ATTEMPTS_MAX].sent_s = now;
+	lease->attempts[number % ATTEMPTS_MAX].era = message.era;
 	lease->sent_s = now;
 	store_calls_count(lease->store.calls, LEASE_TABLE,
 			  lease->stopped   ? "release"
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -1183,7 +1183,7 @@
   (ProtobufCMessageInit) key_owner__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor key_map__field_descriptors[7] =
+static const ProtobufCFieldDescriptor key_map__field_descriptors[8] =
 {
   {
     "service",
@@ -1269,9 +1269,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(KeyMap, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned key_map__field_indices_by_name[] = {
   3,   /* field[3] = attempt */
+  7,   /* field[7] = era */
   2,   /* field[2] = fence */
   4,   /* field[4] = owners */
   6,   /* field[6] = partial */
@@ -1279,10 +1292,11 @@
   5,   /* field[5] = spans */
   1,   /* field[1] = version */
 };
-static const ProtobufCIntRange key_map__number_ranges[1 + 1] =
+static const ProtobufCIntRange key_map__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 20, 7 },
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor key_map__descriptor =
 {
@@ -1292,14 +1306,14 @@
   "KeyMap",
   "",
   sizeof(KeyMap),
-  7,
+  8,
   key_map__field_descriptors,
   key_map__field_indices_by_name,
-  1,  key_map__number_ranges,
+  2,  key_map__number_ranges,
   (ProtobufCMessageInit) key_map__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lease_row__field_descriptors[5] =
+static const ProtobufCFieldDescriptor lease_row__field_descriptors[6] =
 {
   {
     "vm",
@@ -1361,10 +1375,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(LeaseRow, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lease_row__field_indices_by_name[] = {
   1,   /* field[1] = address */
   2,   /* field[2] = attempt */
+  5,   /* field[5] = era */
   3,   /* field[3] = until_s */
   0,   /* field[0] = vm */
   4,   /* field[4] = vms */
@@ -1373,7 +1400,7 @@
 {
   { 1, 0 },
   { 20, 4 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor lease_row__descriptor =
 {
@@ -1383,7 +1410,7 @@
   "LeaseRow",
   "",
   sizeof(LeaseRow),
-  5,
+  6,
   lease_row__field_descriptors,
   lease_row__field_indices_by_name,
   2,  lease_row__number_ranges,
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -118,10 +118,14 @@
    * Without this flag the spans cover all keys.
    */
   protobuf_c_boolean partial;
+  /*
+   * Era of the store that the writer of a row knew; not in heartbeats.
+   */
+  uint64_t era;
 };
 #define KEY_MAP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&key_map__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
@@ -150,10 +154,15 @@
    * Number of VMs, for those that start; 0: unknown.
    */
   uint32_t vms;
+  /*
+   * Era of the store that the writer knew. If it is earlier than that of the
+   * answer, the store restored the row, or its condition was met by chance.
+   */
+  uint64_t era;
 };
 #define LEASE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lease_row__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  VmInfo
