keys: owners of a restored map aren't granted keys

A new leader took the restored owner map for the newest, and granted keys to an owner of before while another upstream held them. Owner maps now name the era in which they were written. By one of an earlier era, or none from the second era on, a new leader grants nothing until all grants of anyone have run out; the leader of before saves its own again. Fencing tokens and versions of owner maps start above those of earlier eras. A VM without a leader keeps the owners that it last heard of.

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -65,6 +65,14 @@
 		cluster->relay_sent_s = 0;
 }
 
+/* Returns the first version of the owner maps of a leader that acquired the
+ * lease by writing this version of its row. */
+static uint64_t first_map_version(uint64_t lease)
+{
+	return store_version_era(lease) << MAPS_ERA_SHIFT |
+	       store_version_own(lease) * MAPS_PER_LEASE;
+}
+
 static void on_won(void *ctx)
 {
 	struct cluster *cluster = ctx;
@@ -81,7 +89,7 @@
 	/* Give VMs known to the previous leader time to report here. */
 	live_vms_touch_all(cluster->vms, cluster_now(cluster));
 	cluster->vms_changed = true;
-	cluster->map_base = lease_version(cluster->lease) * MAPS_PER_LEASE;
+	cluster->map_base = first_map_version(lease_version(cluster->lease));
 	cluster->map_number = 0;
 	cluster->snapshots.number = cluster->map_base;
 	cluster->hold_s = HOLD_S;
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -55,9 +55,11 @@
  * seconds, up to a maximum. So a VM with a fast link usually leads. */
 #define ACQUIRE_DELAY_MBIT 5.0
 #define ACQUIRE_DELAY_MAX_S 0.5
-/* Owner map versions available to one leader: the first is the version of its
- * lease row times this number. */
+/* Owner map versions available to one leader: the first is the store's own
+ * version of its lease row times this number, with the low bits of the era
+ * above. */
 #define MAPS_PER_LEASE 1000000
+#define MAPS_ERA_SHIFT 56
 
 /* VMs besides the leader that poll the store as well, so that a change is
  * noticed even if the leader's own call was lost. */
@@ -115,7 +117,7 @@
 	/**
 	 * Owner map versions that this leader assigns: map_base plus
 	 * map_number. The base is derived from the version of the lease row, so
-	 * that the versions exceed those of earlier leaders.
+	 * that the versions exceed those of earlier leaders, up to 255 eras.
 	 */
 	uint64_t map_base;
 	uint32_t map_number;
--- a/src/entry/cluster_maps.c
+++ b/src/entry/cluster_maps.c
@@ -149,6 +149,29 @@
 	roster_each_service(cluster->options.roster, lead_service, cluster);
 }
 
+/* Applies a service's owner map from the store, unless the store restored it
+ * from an older copy: the owners that the last heartbeat named are newer. */
+static void apply_fallback_map(struct cluster *cluster,
+			       const struct store_row *row)
+{
+	struct service *service =
+		roster_service(cluster->options.roster, row->key);
+	struct str value = { row->value->str, row->value->len };
+	struct key_map *map;
+
+	if (!service)
+		return;
+	map = key_map_create();
+	if (!key_map_unpack(map, value, NULL))
+		log_warn("keys",
+			 "ignored the owner map of service %s in the store: it "
+			 "can't be decoded",
+			 service->name);
+	else if (map->era >= store_version_era(row->version))
+		key_map_copy(service->keys, map);
+	key_map_destroy(map);
+}
+
 /* Applies the owner maps from the store, unless a heartbeat arrived lately. */
 static void on_fallback_maps(void *ctx, const struct store_result *result)
 {
@@ -166,20 +189,8 @@
 			(cluster_now(cluster) - cluster->last_heartbeat_s) *
 				1000);
 	load_blocked_requests(cluster, result);
-	for (i = 0; i < result->row_count; i++) {
-		struct service *service = roster_service(
-			cluster->options.roster, result->rows[i].key);
-		const GString *value = result->rows[i].value;
-
-		if (service &&
-		    !key_map_unpack(service->keys,
-				    (struct str){ value->str, value->len },
-				    NULL))
-			log_warn("keys",
-				 "ignored the owner map of service %s in the "
-				 "store: it can't be decoded",
-				 service->name);
-	}
+	for (i = 0; i < result->row_count; i++)
+		apply_fallback_map(cluster, &result->rows[i]);
 	cluster->reading_fallback =
 		read_more_maps(cluster, result, on_fallback_maps, FALLBACK);
 	cluster->options.routing_changed(cluster->options.ctx);
--- a/src/entry/key_leader.c
+++ b/src/entry/key_leader.c
@@ -30,6 +30,11 @@
 #define KNOWN_UPSTREAMS_MAX 4096
 /* First part of the ids of a leader's writes, with its nonce. */
 #define WRITE_ID_PREFIX "%08x-"
+/* Fencing tokens of an era of the store start at the era times 2 to the power
+ * of this, above those of all earlier eras. JSON numbers hold them exactly. */
+#define FENCE_ERA_SHIFT 32
+/* Up to this era of the store, a service without a row never had one. */
+#define FIRST_ERA_MAX 1
 
 struct key_leader {
 	struct key_leader_options options;
@@ -41,6 +46,10 @@
 	/** Version of the service's row in the store as last written or read;
 	 * 0: the service has no row. */
 	uint64_t row_version;
+	/** Era of the store in the saved owner map, and in the write of it that
+	 * is in progress. */
+	uint64_t saved_era;
+	uint64_t writing_era;
 	/** Number of the last write of the row, counted by this object. */
 	uint32_t write_number;
 	/** Random number; identifies this leader's writes together with
@@ -264,6 +273,9 @@
 	EARLIER_WRITE,
 	/** Another leader. */
 	OTHER_LEADER,
+	/** A leader that didn't know the present era: the store restored the
+	 * row from an older copy. */
+	EARLIER_ERA,
 };
 
 static enum writer writer_of(const struct key_leader *leader,
@@ -280,6 +292,8 @@
 			   &attempt) &&
 	    g_str_has_prefix(attempt, prefix))
 		writer = strcmp(attempt, name) ? EARLIER_WRITE : LAST_WRITE;
+	else if (map->era < store_version_era(row->version))
+		writer = EARLIER_ERA;
 	g_free(attempt);
 	key_map_destroy(map);
 	g_free(name);
@@ -308,10 +322,17 @@
 /* Handles a write whose condition did not hold; returns whether the row holds
  * the written map nevertheless, because an answer was lost. */
 static bool handle_conflict(struct key_leader *leader,
-			    const struct store_row *row)
+			    const struct store_row *row, uint64_t store_version)
 {
-	enum writer writer = row ? writer_of(leader, row) : OTHER_LEADER;
+	enum writer writer;
 
+	if (!row && store_version_era(store_version) >
+			    store_version_era(leader->row_version)) {
+		/* The store lost it. */
+		leader->row_version = 0;
+		return false;
+	}
+	writer = row ? writer_of(leader, row) : OTHER_LEADER;
 	if (writer == OTHER_LEADER) {
 		leader->options.superseded(leader->options.ctx);
 		return false;
@@ -334,7 +355,9 @@
 	if (ok)
 		leader->row_version = result->version;
 	else if (result->status == STORE_CONFLICT)
-		ok = handle_conflict(leader, row);
+		ok = handle_conflict(leader, row, result->version);
+	if (ok)
+		leader->saved_era = leader->writing_era;
 	if (!ok)
 		log_warn(
 			"keys",
@@ -352,6 +375,7 @@
 static void save_map(void *ctx, const struct key_map *map)
 {
 	struct key_leader *leader = ctx;
+	struct key_map *saved = key_map_create();
 	struct store_write write = {
 		.table = KEY_TABLE,
 		.key = leader->service->name,
@@ -362,7 +386,11 @@
 
 	leader->write_number++;
 	name = format_write_id(leader);
-	value = key_map_pack(map, leader->service->name, name);
+	key_map_copy(saved, map);
+	saved->era = store_era_current(leader->options.store.era);
+	leader->writing_era = saved->era;
+	value = key_map_pack(saved, leader->service->name, name);
+	key_map_destroy(saved);
 	g_free(name);
 	write.value = (struct str){ value->str, value->len };
 	leader->writing = true;
@@ -393,6 +421,13 @@
 {
 	struct key_leader *leader = g_new0(struct key_leader, 1);
 	struct key_map *map = key_map_create();
+	uint64_t era = store_era_current(options->store.era);
+	struct key_inheritance inherited = {
+		.map = map,
+		.until_s = inherited_until_s,
+		.owners_unknown = era > FIRST_ERA_MAX,
+		.fence_min = era << FENCE_ERA_SHIFT,
+	};
 
 	leader->options = *options;
 	leader->service = service;
@@ -412,8 +447,19 @@
 				  "decoded; starting without owners",
 				  service->name);
 	}
-	leader->key_allocator = key_allocator_create(&key_allocator_ops, leader,
-						     map, inherited_until_s);
+	if (row)
+		inherited.owners_unknown =
+			map->era < store_version_era(row->version);
+	if (inherited.owners_unknown)
+		event_log_write(
+			options->log, "warning", "keys",
+			"event=owners_unknown service=%s era=%" PRIu64
+			" map_era=%" PRIu64 " row=%" PRIu64 " wait_ms=%.0f",
+			service->name, era, map->era, leader->row_version,
+			(inherited_until_s - now_of(leader)) * 1000);
+	leader->saved_era = map->era;
+	leader->key_allocator =
+		key_allocator_create(&key_allocator_ops, leader, &inherited);
 	key_map_destroy(map);
 	return leader;
 }
@@ -532,6 +578,17 @@
 	return now < leader->list_changed_s + LIST_STABLE_S;
 }
 
+/* Has the owner map saved again if the store may have lost it. */
+static void save_restored_map(struct key_leader *leader)
+{
+	uint64_t era = store_era_current(leader->options.store.era);
+
+	if (leader->writing || !leader->row_version || leader->saved_era == era)
+		return;
+	leader->saved_era = era;
+	key_allocator_save_again(leader->key_allocator);
+}
+
 void key_leader_tick(struct key_leader *leader, double hold_s)
 {
 	GArray *list;
@@ -543,6 +600,7 @@
 		return;
 	if (is_list_growing(leader))
 		return;
+	save_restored_map(leader);
 	list = list_candidates(leader);
 	key_allocator_tick(leader->key_allocator, now_of(leader), hold_s,
 			   (struct key_candidate *)(void *)list->data,
--- a/src/keys/key_allocator.c
+++ b/src/keys/key_allocator.c
@@ -24,11 +24,34 @@
  * tokens, so that it starts above those of the previous leader. */
 #define FENCE_GAP 1000
 
-struct key_allocator *key_allocator_create(const struct key_allocator_ops *ops,
-					   void *ctx, const struct key_map *map,
-					   double inherited_until_s)
+/* Returns the state of an inherited key range. */
+static struct span_state inherit_span(const struct key_inheritance *inherited,
+				      const struct key_span *span)
+{
+	struct span_state state = { .span = *span };
+
+	if (inherited->owners_unknown)
+		state.span.owner = NULL;
+	if ((inherited->owners_unknown || span->owner) &&
+	    !injected(INJECTED_NO_WAIT_FOR_OLD_GRANTS))
+		state.granted_until_s = inherited->until_s;
+	if (state.span.owner) {
+		/* The owner may have restarted meanwhile. */
+		state.needs_new_fence = true;
+		state.token_sent = true;
+		state.same_owner = true;
+	} else if (inherited->owners_unknown) {
+		state.phase = PHASE_WAITING;
+	}
+	return state;
+}
+
+struct key_allocator *
+key_allocator_create(const struct key_allocator_ops *ops, void *ctx,
+		     const struct key_inheritance *inherited)
 {
 	struct key_allocator *allocator = g_new0(struct key_allocator, 1);
+	const GArray *spans = inherited->map->spans;
 	guint i;
 
 	allocator->ops = ops;
@@ -36,21 +59,13 @@
 	allocator->span_states =
 		g_array_new(FALSE, TRUE, sizeof(struct span_state));
 	allocator->load = key_load_create();
-	allocator->fence = map->fence + FENCE_GAP;
+	allocator->fence =
+		MAX(inherited->map->fence, inherited->fence_min) + FENCE_GAP;
 	allocator->next_order = 1;
-	for (i = 0; i < map->spans->len; i++) {
-		struct span_state state = {
-			.span = g_array_index(map->spans, struct key_span, i),
-		};
-
-		if (state.span.owner) {
-			if (!injected(INJECTED_NO_WAIT_FOR_OLD_GRANTS))
-				state.granted_until_s = inherited_until_s;
-			/* The owner may have restarted meanwhile. */
-			state.needs_new_fence = true;
-			state.token_sent = true;
-			state.same_owner = true;
-		}
+	for (i = 0; i < spans->len; i++) {
+		struct span_state state = inherit_span(
+			inherited, &g_array_index(spans, struct key_span, i));
+
 		g_array_append_val(allocator->span_states, state);
 	}
 	return allocator;
@@ -387,13 +402,13 @@
 	allocator->save_wanted = true;
 }
 
-/* Whether the service has no owners yet. */
-static bool is_unassigned(struct key_allocator *allocator)
+/* Whether the service has no owners yet, and no upstream can hold keys. */
+static bool is_unassigned(struct key_allocator *allocator, double now_s)
 {
 	const struct span_state *state = span_state_at(allocator, 0);
 
 	return allocator->span_states->len == 1 && !state->span.owner &&
-	       state->phase != PHASE_SAVING;
+	       state->phase != PHASE_SAVING && now_s > grants_end_s(state);
 }
 
 void key_allocator_tick(struct key_allocator *allocator, double now_s,
@@ -405,7 +420,7 @@
 	allocator->candidates = candidates;
 	allocator->candidate_count = count;
 	key_load_decay(allocator->load, now_s);
-	if (is_unassigned(allocator) && count)
+	if (is_unassigned(allocator, now_s) && count)
 		assign_initial_ranges(allocator);
 	for (i = 0; i < allocator->span_states->len; i++)
 		tick_one(allocator, span_state_at(allocator, i), now_s, hold_s);
@@ -418,6 +433,11 @@
 	allocator->candidate_count = 0;
 }
 
+void key_allocator_save_again(struct key_allocator *allocator)
+{
+	allocator->save_wanted = true;
+}
+
 bool key_allocator_needs_save(const struct key_allocator *allocator)
 {
 	return allocator->save_wanted && !allocator->saving;
--- a/src/keys/key_allocator.h
+++ b/src/keys/key_allocator.h
@@ -107,18 +107,31 @@
 		     const char *reason);
 };
 
+/** What a new leader knows of the owners. */
+struct key_inheritance {
+	/** The last saved map. */
+	const struct key_map *map;
+	/** When the last grant of earlier leaders expires. */
+	double until_s;
+	/** The map may be an older one, so that its owners may have been
+	 * replaced: no key is granted until then. */
+	bool owners_unknown;
+	/** Lower bound of the fencing tokens: all that were issued by leaders
+	 * whose maps are lost are lower. */
+	uint64_t fence_min;
+};
+
 /**
  * Creates an allocator when this VM becomes the leader.
  *
  * @param ops must outlive the allocator
  * @param ctx passed to every operation
- * @param map the last saved map; copied
- * @param inherited_until_s when the last grant of earlier leaders expires
+ * @param inherited copied
  * @return the allocator; the caller frees it with key_allocator_destroy()
  */
-struct key_allocator *key_allocator_create(const struct key_allocator_ops *ops,
-					   void *ctx, const struct key_map *map,
-					   double inherited_until_s);
+struct key_allocator *
+key_allocator_create(const struct key_allocator_ops *ops, void *ctx,
+		     const struct key_inheritance *inherited);
 
 /** Frees an allocator without releasing any keys; NULL is allowed. */
 void key_allocator_destroy(struct key_allocator *allocator);
@@ -179,6 +192,9 @@
 void key_allocator_owner_doubted(struct key_allocator *allocator,
 				 const char *id, double now_s);
 
+/** Has the map saved again, because the saved one was lost. */
+void key_allocator_save_again(struct key_allocator *allocator);
+
 /** Whether a map change waits to be saved by the next tick. */
 bool key_allocator_needs_save(const struct key_allocator *allocator);
 
--- a/src/keys/key_map.c
+++ b/src/keys/key_map.c
@@ -41,6 +41,7 @@
 {
 	to->version = from->version;
 	to->fence = from->fence;
+	to->era = from->era;
 	g_array_set_size(to->spans, 0);
 	g_array_append_vals(to->spans, from->spans->data, from->spans->len);
 }
@@ -120,6 +121,7 @@
 	message->service = g_strdup(service);
 	message->version = map->version;
 	message->fence = map->fence;
+	message->era = map->era;
 	message->attempt = g_strdup(attempt);
 	message->n_owners = builder.owners->len;
 	message->n_spans = builder.spans->len;
@@ -230,6 +232,7 @@
 	map->spans = spans;
 	map->version = message->version;
 	map->fence = message->fence;
+	map->era = message->era;
 	return true;
 }
 
--- a/src/keys/key_map.h
+++ b/src/keys/key_map.h
@@ -38,6 +38,8 @@
 	uint64_t version;
 	/** Highest fencing token issued so far. */
 	uint64_t fence;
+	/** Era of the store that the writer of the row knew. */
+	uint64_t era;
 	/** The spans, as struct key_span, sorted by key. */
 	GArray *spans;
 };
--- a/test/fuzz/fuzz_keys_parts/vm.c
+++ b/test/fuzz/fuzz_keys_parts/vm.c
@@ -252,6 +252,7 @@
 static void on_map(void *ctx, const struct store_result *result)
 {
 	struct vm *vm = ctx;
+	struct key_inheritance inherited = { 0 };
 	struct key_map *map;
 
 	vm->reading = false;
@@ -267,9 +268,10 @@
 			       (struct str){ row->value->str, row->value->len },
 			       NULL);
 	}
-	vm->allocator = key_allocator_create(
-		&key_allocator_ops, vm, map,
-		vm->world->now_s + HOLD_MAX_S * SLOW_CLOCK + 0.6);
+	inherited.map = map;
+	inherited.until_s = vm->world->now_s + HOLD_MAX_S * SLOW_CLOCK + 0.6;
+	vm->allocator =
+		key_allocator_create(&key_allocator_ops, vm, &inherited);
 	key_map_destroy(map);
 }
 
--- a/test/unit/test_key_balance.c
+++ b/test/unit/test_key_balance.c
@@ -281,7 +281,8 @@
 		play->servers[i].slowness = 1 / speed_of(i);
 		play->servers[i].capacity_factor = 1;
 	}
-	play->allocator = key_allocator_create(&ops, play, map, 0);
+	play->allocator = key_allocator_create(
+		&ops, play, &(struct key_inheritance){ .map = map });
 	key_map_destroy(map);
 }
 
--- a/test/unit/test_keys.c
+++ b/test/unit/test_keys.c
@@ -565,7 +565,8 @@
 	struct key_map *map = key_map_create();
 
 	memset(o, 0, sizeof(*o));
-	o->allocator = key_allocator_create(&key_allocator_ops, o, map, 0);
+	o->allocator = key_allocator_create(
+		&key_allocator_ops, o, &(struct key_inheritance){ .map = map });
 	key_map_destroy(map);
 	key_allocator_tick(o->allocator, 10, 3, &a, 1);
 	CU_ASSERT_EQUAL(o->grants, 0);
