--- a/src/entry/crash_exchange.c
+++ b/src/entry/crash_exchange.c
@@ -49,6 +49,8 @@
 	GArray *reports;
 	/** Version of the row of blocked requests as last read or written. */
 	uint64_t row_version;
+	/** Era of the store at the last save. */
+	uint64_t saved_era;
 	/** Value of the row as last read or written; empty: none. */
 	GArray *saved;
 	/** A save has not been answered yet. */
@@ -467,6 +469,7 @@
 	if (row->version <= exchange->row_version)
 		return;
 	exchange->row_version = row->version;
+	exchange->saved_era = store_version_era(row->version);
 	message = blocked_requests__unpack(NULL, row->value->len,
 					   (const uint8_t *)row->value->str);
 	if (!message) {
@@ -524,6 +527,18 @@
 					   SAVE_TIMEOUT_S, on_saved, exchange);
 }
 
+/* Forgets the row if the store may have lost it. */
+static void forget_lost_row(struct crash_exchange *exchange)
+{
+	uint64_t era = store_era_current(exchange->options.store.era);
+
+	if (era == exchange->saved_era)
+		return;
+	exchange->saved_era = era;
+	exchange->row_version = 0;
+	g_array_set_size(exchange->saved, 0);
+}
+
 void crash_exchange_save(struct crash_exchange *exchange)
 {
 	BlockedRequests message = BLOCKED_REQUESTS__INIT;
@@ -532,6 +547,7 @@
 
 	if (exchange->saving || now < exchange->next_save_s)
 		return;
+	forget_lost_row(exchange);
 	exchange->next_save_s = now + SAVE_INTERVAL_S;
 	message.requests = blocked_messages(exchange, &message.n_requests);
 	set_requests(exchange->saving_requests, message.requests,
