entry: rows of a restored store change nothing

A VM whose version the new history had passed got no 410 and never saw the rows written in between; one that read the table took restored rows for new ones, so that upstreams that had left came back. A watch now reads the table when the era changes, keeps rows that the store lost and ignores those that were superseded in the last minute, until their writers have written them again, for 30 s at most.

--- a/src/entry/status_metrics.c
+++ b/src/entry/status_metrics.c
@@ -13,6 +13,8 @@
 	struct counter *gaps;
 	struct counter *given_up;
 	struct counter *older_rows;
+	struct counter *kept_rows;
+	struct counter *restored_rows;
 };
 
 struct status_metrics {
@@ -58,6 +60,13 @@
 	table->older_rows = metrics_counter(
 		m, "auburn_table_older_rows_total", labels,
 		"Rows that were ignored, because a newer one is known.");
+	table->kept_rows =
+		metrics_counter(m, "auburn_table_kept_rows_total", labels,
+				"Rows that were kept though the store, back "
+				"from an older copy, had lost them.");
+	table->restored_rows = metrics_counter(
+		m, "auburn_table_restored_rows_total", labels,
+		"Rows of an older copy of the store that were ignored.");
 	g_free(labels);
 }
 
@@ -121,6 +130,8 @@
 	counter_set(to->gaps, counts->gaps);
 	counter_set(to->given_up, counts->given_up);
 	counter_set(to->older_rows, counts->older_rows);
+	counter_set(to->kept_rows, counts->kept_rows);
+	counter_set(to->restored_rows, counts->restored_rows);
 }
 
 static void count_upstream(struct upstream *upstream, void *ctx)
--- a/src/entry/table_watch.c
+++ b/src/entry/table_watch.c
@@ -75,6 +75,7 @@
 	table_watch->rows =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_row);
 	table_watch->changes = change_log_create(CHANGES_BYTES_MAX);
+	table_watch->history = row_history_create();
 	table_watch->needs_snapshot = true;
 	table_watch->snapshot_reason = "start";
 	table_watch->retry_delay_s = RETRY_S;
@@ -90,6 +91,7 @@
 		return;
 	ev_timer_stop(table_watch->loop->ev, &table_watch->timer);
 	change_log_destroy(table_watch->changes);
+	row_history_destroy(table_watch->history);
 	g_hash_table_destroy(table_watch->rows);
 	if (table_watch->seen_keys)
 		g_hash_table_destroy(table_watch->seen_keys);
@@ -133,6 +135,16 @@
 	ev_timer_start(table_watch->loop->ev, &table_watch->timer);
 }
 
+void table_watch_note_row_version(struct table_watch *table_watch,
+				  uint64_t version)
+{
+	if (version <= table_watch->row_version)
+		return;
+	table_watch->row_version = version;
+	if (version > table_watch->peers_version)
+		table_watch_note_newer_row(table_watch);
+}
+
 void table_watch_apply_row(struct table_watch *table_watch,
 			   const struct store_row *row)
 {
@@ -140,17 +152,15 @@
 		g_hash_table_lookup(table_watch->rows, row->key);
 	struct store_row *copy;
 
-	if (row->version > table_watch->row_version) {
-		table_watch->row_version = row->version;
-		if (row->version > table_watch->peers_version)
-			table_watch_note_newer_row(table_watch);
-	}
-
+	table_watch_note_row_version(table_watch, row->version);
 	if (known && known->version >= row->version) {
 		if (known->version > row->version)
 			table_watch_note_older_row(table_watch, known, row);
 		return;
 	}
+	if (known)
+		row_history_add(table_watch->history, known,
+				loop_now(table_watch->loop));
 	if (row->removed) {
 		if (g_hash_table_remove(table_watch->rows, row->key))
 			table_watch->ops->removed(table_watch->ctx, row->key);
@@ -184,10 +194,15 @@
 	guint i;
 
 	g_hash_table_iter_init(&iter, table_watch->rows);
-	while (g_hash_table_iter_next(&iter, &key, &row))
-		if (((const struct store_row *)row)->version <= upto &&
-		    !g_hash_table_contains(table_watch->seen_keys, key))
-			g_ptr_array_add(unseen, g_strdup(key));
+	while (g_hash_table_iter_next(&iter, &key, &row)) {
+		if (((const struct store_row *)row)->version > upto ||
+		    g_hash_table_contains(table_watch->seen_keys, key) ||
+		    table_watch_is_lost(table_watch, row))
+			continue;
+		row_history_add(table_watch->history, row,
+				loop_now(table_watch->loop));
+		g_ptr_array_add(unseen, g_strdup(key));
+	}
 	for (i = 0; i < unseen->len; i++) {
 		g_hash_table_remove(table_watch->rows, unseen->pdata[i]);
 		table_watch->ops->removed(table_watch->ctx, unseen->pdata[i]);
@@ -259,6 +274,16 @@
 	}
 }
 
+/* Applies a row of a snapshot, unless the store restored it. */
+static void see_stored_row(struct table_watch *table_watch,
+			   const struct store_row *row)
+{
+	if (table_watch_is_restored(table_watch, row))
+		g_hash_table_add(table_watch->seen_keys, g_strdup(row->key));
+	else
+		table_watch_see_row(table_watch, row);
+}
+
 static void on_snapshot_page(void *ctx, const struct store_result *result);
 
 static void read_page(struct table_watch *table_watch, const char *from)
@@ -317,14 +342,23 @@
 	}
 	table_watch_set_unreachable(table_watch, false);
 	table_watch_check_peers_version(table_watch, result->version);
-	forget_refuted_rows(table_watch, result);
-	if (!table_watch->snapshot_version)
+	if (!table_watch->snapshot_version) {
 		table_watch->snapshot_version = result->version;
+		table_watch_begin_era(table_watch, result->version);
+	} else if (store_version_era(result->version) !=
+		   store_version_era(table_watch->snapshot_version)) {
+		/* The pages are of two states of the table. */
+		table_watch_start_snapshot(table_watch,
+					   table_watch->catch_up_snapshot);
+		return;
+	}
+	forget_refuted_rows(table_watch, result);
 	for (i = 0; i < result->row_count; i++)
-		table_watch_see_row(table_watch, &result->rows[i]);
+		see_stored_row(table_watch, &result->rows[i]);
 	from = store_result_next_key(result);
 	if (!from) {
 		table_watch_remove_unseen_rows(table_watch, UINT64_MAX);
+		table_watch_end_era_snapshot(table_watch);
 		report_answered(table_watch);
 		table_watch_finish_snapshot(table_watch, "store");
 		return;
@@ -373,9 +407,13 @@
 	for (i = 0; i < changes->count; i++) {
 		const struct store_row *row = &changes->rows[i];
 
-		if (row->version <= table_watch->version ||
-		    g_hash_table_lookup(last, row->key) != row)
+		if (row->version <= table_watch->version)
+			continue;
+		if (g_hash_table_lookup(last, row->key) != row) {
+			if (!row->removed)
+				row_history_add(table_watch->history, row, now);
 			continue;
+		}
 		table_watch_apply_row(table_watch, row);
 		change_log_add(table_watch->changes, row, now);
 	}
--- a/src/entry/table_watch.h
+++ b/src/entry/table_watch.h
@@ -160,6 +160,10 @@
 	uint64_t given_up;
 	/** Rows that were ignored, because a newer version is known. */
 	uint64_t older_rows;
+	/** Rows that the store lost when it came back from an older copy and
+	 * that were kept, and restored rows that were ignored. */
+	uint64_t kept_rows;
+	uint64_t restored_rows;
 };
 
 /** Returns the counts, which the watch owns. */
--- a/src/entry/table_watch_impl.h
+++ b/src/entry/table_watch_impl.h
@@ -9,6 +9,7 @@
 
 #include "entry/table_watch.h"
 #include "store/change_log.h"
+#include "store/row_history.h"
 
 /* Delay, in seconds, from a snapshot to the next long poll if no other VM is
  * known to be live. After the first snapshot, other VMs that are live become
@@ -124,6 +125,16 @@
 	/** Loop time until which the watch waits for another VM's copy of the
 	 * table before it reads it; 0: it doesn't wait. */
 	double copy_until_s;
+	/** States of rows that were superseded lately. */
+	struct row_history *history;
+	/** Loop time until which rows that differ from those of a restored
+	 * store are kept; 0: they aren't. */
+	double keep_until_s;
+	/** Rows that were kept or ignored so since the era changed. */
+	unsigned int kept_rows, restored_rows;
+	/** Newest version of the store, without the era, of a restored row in
+	 * the snapshot in progress. */
+	uint64_t restored_upto;
 	/** Gets the lines of decisions; NULL: there are none. */
 	struct event_log *log;
 	struct table_watch_counts counts;
@@ -181,6 +192,49 @@
 void table_watch_apply_changes(struct table_watch *table_watch,
 			       const struct table_delta *changes);
 
+/** Notes the newest version of a row, whether the row is applied or not. */
+void table_watch_note_row_version(struct table_watch *table_watch,
+				  uint64_t version);
+
+/** Keeps what is known for a time if a snapshot that begins is the first one of
+ * a new era.
+ *
+ * @param version of the store at its first page */
+void table_watch_begin_era(struct table_watch *table_watch, uint64_t version);
+
+/** Whether a row of a snapshot is one that the store restored, and that changes
+ * nothing: the watch knows it, or a newer state of it. */
+bool table_watch_is_restored(struct table_watch *table_watch,
+			     const struct store_row *row);
+
+/** Whether a known row that a snapshot doesn't show was lost by the store, not
+ * removed. */
+bool table_watch_is_lost(const struct table_watch *table_watch,
+			 const struct store_row *row);
+
+/** Notes that a snapshot is complete. */
+void table_watch_end_era_snapshot(struct table_watch *table_watch);
+
+/** Reads the table again when its era has changed, or when rows that differ
+ * from those of the store were kept for long enough. */
+void table_watch_check_era(struct table_watch *table_watch);
+
+/** Applies the rows of relayed changes of a newer era than the watch has read,
+ * which it may be unable to do. Their earlier changes are still missing. */
+void table_watch_apply_new_era(struct table_watch *table_watch,
+			       const struct table_delta *changes);
+
+/** Keeps rows of earlier eras in a copy for as long as if this VM had read the
+ * table when the era changed. */
+void table_watch_keep_copied(struct table_watch *table_watch);
+
+/** Notes that the era of the store changed. */
+void table_watch_note_era(const struct table_watch *table_watch,
+			  uint64_t version);
+
+/** Notes how the rows of the first snapshot of an era differ. */
+void table_watch_note_kept(const struct table_watch *table_watch);
+
 /** Whether the call in progress is a long poll that has waited for too long:
  * the watch began it while it could rely on others. */
 bool table_watch_poll_overdue(struct table_watch *table_watch);
--- a/src/entry/table_watch_log.c
+++ b/src/entry/table_watch_log.c
@@ -122,6 +122,32 @@
 				known->version, row->removed);
 }
 
+void table_watch_note_era(const struct table_watch *table_watch,
+			  uint64_t version)
+{
+	if (table_watch->log)
+		event_log_write(table_watch->log, "warning", "store",
+				"event=table_restored table=%s era=%" PRIu64
+				" version=%" PRIu64 " known_era=%" PRIu64
+				" known=%" PRIu64,
+				table_watch->table, store_version_era(version),
+				store_version_own(version),
+				store_version_era(table_watch->version),
+				store_version_own(table_watch->version));
+}
+
+void table_watch_note_kept(const struct table_watch *table_watch)
+{
+	if (table_watch->log)
+		event_log_write(
+			table_watch->log, "info", "store",
+			"event=rows_kept table=%s kept=%u restored=%u"
+			" restored_upto=%" PRIu64 " keep_ms=%.0f",
+			table_watch->table, table_watch->kept_rows,
+			table_watch->restored_rows, table_watch->restored_upto,
+			-ms_since(table_watch, table_watch->keep_until_s));
+}
+
 void table_watch_note_read(struct table_watch *table_watch)
 {
 	table_watch->counts.snapshots++;
--- a/src/entry/table_watch_peers.c
+++ b/src/entry/table_watch_peers.c
@@ -214,6 +214,7 @@
 	table_watch->peers = peers;
 	observe_version(table_watch, version);
 	table_watch_note_lag(table_watch);
+	table_watch_check_era(table_watch);
 	if (table_watch->loaded && !table_watch->call_pending &&
 	    table_watch_relies_on_peers(table_watch))
 		table_watch_set_unreachable(table_watch,
@@ -269,6 +270,7 @@
 {
 	if (table_watch->loaded)
 		check_version(table_watch, changes->upto);
+	table_watch_apply_new_era(table_watch, changes);
 	if (!table_watch->loaded || changes->upto <= table_watch->version ||
 	    (table_watch->needs_snapshot && !table_watch->catch_up_snapshot))
 		return;
@@ -368,6 +370,7 @@
 	table_watch->snapshot_version = copy->upto;
 	table_watch->call_started_s = loop_now(table_watch->loop);
 	table_watch_finish_snapshot(table_watch, "copy");
+	table_watch_keep_copied(table_watch);
 	/* A VM that gets a copy does not lead. Its first heartbeat follows. */
 	if (table_watch->mode == TABLE_WATCH_LEADER)
 		table_watch->mode = TABLE_WATCH_PASSIVE;
