--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -2,6 +2,7 @@
 #include <signal.h>
 #include <stdio.h>
 
+#include "drills.h"
 #include "soak.h"
 
 /* Time between two checks for faults to begin or end and for ended daemons. */
@@ -490,6 +491,10 @@
 					   FAULT_PAUSE_S * G_USEC_PER_SEC);
 		}
 		change_config_in_time(soak, now_us);
+		if (soak->drills && now_us < end_us)
+			drills_run(soak->drills, soak);
+		else if (soak->drills)
+			drills_end(soak->drills, soak);
 		end_faults(soak, now_us);
 		restart_ended(soak);
 		g_usleep(CHECK_PAUSE_US);
--- a/test/soak/rules.c
+++ b/test/soak/rules.c
@@ -174,7 +174,8 @@
 		text = g_strstrip(text);
 		if (!strcmp(text, "store 1"))
 			add_disruption(rules, RULES_STORE, 0, at_us);
-		else if (!strcmp(text, "store 0"))
+		else if (!strcmp(text, "store 0") ||
+			 g_str_has_prefix(text, "restored "))
 			end_disruption(rules, RULES_STORE, 0, at_us);
 		else
 			read_upstream_event(rules, by_id, at_us, text);
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -3,7 +3,8 @@
  * to the upstreams of standin-site, through proxies on every path between
  * daemons, store and upstreams. Daemons are frozen, killed, stopped and
  * reloaded by signals; connections are delayed, reset, forgotten, and blocked
- * in one or both directions; the store goes down; routes move between services;
+ * in one or both directions; the store goes down, or comes back from an older
+ * copy; routes move between services;
  * upstreams restart and drain; crowds of misbehaving callers come and go. The
  * test checks each response, the executions, the key grants, the memory of the
  * daemons, and at all times the rules of rules.h.
@@ -24,6 +25,7 @@
 #include "callers.h"
 #include "cluster_http.h"
 #include "crowds.h"
+#include "drills.h"
 #include "soak.h"
 
 /* Longest wait for standin-site to listen and for an entry daemon to serve. */
@@ -36,6 +38,9 @@
  * daemons late by the second one, in milliseconds. That excuses no daemon. */
 #define SLOW_STORE_SEEDS 5
 #define SLOW_STORE_MS 300
+/* In seeds that leave a remainder of 1, the store comes back from older copies.
+ */
+#define DRILL_SEEDS 3
 /* Time with traffic and without faults at the end, in two parts: before a route
  * moves, and after that. */
 #define SETTLE_S 1.0
@@ -440,6 +445,8 @@
 				soak.heavy ? &heavy : &light, seed);
 	if (!soak.planned_only)
 		crowds = crowds_start(addresses, soak.vms, seed);
+	if (!soak.planned_only && seed % DRILL_SEEDS == 1)
+		soak.drills = drills_create(seed);
 	faults_inject(&soak, seconds);
 	if (crowds)
 		printf("# seed %u: %u crowds\n", seed, crowds_stop(crowds));
@@ -448,11 +455,14 @@
 	change_over_silent_connections(&soak);
 	result = callers_stop(callers);
 	check_results(&soak, callers, &result);
+	printf("# seed %u: the store went back %u times\n", seed,
+	       drills_count(soak.drills));
 	printf("# seed %u: %u faults; %u served, %u refused, %u failed, %u "
 	       "without an answer\n",
 	       seed, soak.fault_count, result.served, result.refused,
 	       result.failed, result.unanswered);
 	callers_free(callers);
+	drills_destroy(soak.drills);
 	soak_close(&soak);
 	printf("%s - soak with seed %u\n", soak.violations ? "not ok" : "ok",
 	       seed);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -73,6 +73,8 @@
 	unsigned int vms;
 	/** Proxy between the daemons and each upstream. */
 	struct proxy *upstreams[UPSTREAMS];
+	/** The store comes back from older copies; NULL: it doesn't. */
+	struct drills *drills;
 	/** Faults in effect: array of struct fault. */
 	GArray *faults;
 	/** Number of faults begun, and the random number of the last one. */
