entry: count refusals by owners of keys and show the VMs that share

Nothing distinguished requests that an owner refuses from other refusals, or showed among how many VMs one divides what all of them may repeat.

unit-test_forward passes.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -336,6 +336,13 @@
 			  str_from(attempt->upstream->entry.id));
 }
 
+/* Whether an answer says that a key's owner does not hold the key. */
+static bool is_key_refusal(const struct upstream_attempt *attempt,
+			   unsigned int status)
+{
+	return status == 421 && attempt->req && attempt->req->key >= 0;
+}
+
 /* Handles an answer that says that the upstream did not run the request. */
 static void handle_refusal(struct upstream_attempt *attempt,
 			   const struct http_reply *reply,
@@ -347,6 +354,8 @@
 	if (is_by_another_upstream(attempt, facts))
 		upstream->replaced = true;
 	else if (req && req->key >= 0) {
+		if (is_key_refusal(attempt, reply->status))
+			counter_add(req->forward->key_refusals, 1);
 		req->not_before_s = forward_now(req->forward) + KEY_RETRY_S;
 		req->shed_with_room = reply->status == 503 && facts->has_load &&
 				      facts->running < facts->slots;
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -95,6 +95,9 @@
 	forward->pauses =
 		metrics_counter(m, "auburn_pauses_total", "",
 				"Pauses that upstreams asked this VM for.");
+	forward->key_refusals = metrics_counter(
+		m, "auburn_key_refusals_total", "",
+		"Requests that a key's owner refused as it does not hold it.");
 	forward->limit_changes = metrics_counter(
 		m, "auburn_limit_changes_total", "",
 		"Limits that upstreams named, changed or lifted.");
--- a/src/entry/forward_impl.h
+++ b/src/entry/forward_impl.h
@@ -66,6 +66,7 @@
 	struct counter *backups;
 	struct counter *limit_changes;
 	struct counter *pauses;
+	struct counter *key_refusals;
 	struct histogram *answer_time;
 	struct histogram *wait_time;
 };
--- a/src/entry/status_metrics.c
+++ b/src/entry/status_metrics.c
@@ -27,6 +27,7 @@
 	struct counter *config_row;
 	struct counter *upstreams;
 	struct counter *leader_age;
+	struct counter *sharing_vms;
 };
 
 static void create_table(struct metrics *m, const char *name,
@@ -98,6 +99,10 @@
 		"Row version of the configuration in force; 0: none.");
 	metrics->upstreams = metrics_gauge(m, "auburn_upstreams", "",
 					   "Upstreams that this VM knows.");
+	metrics->sharing_vms = metrics_gauge(
+		m, "auburn_sharing_vms", "",
+		"VMs among which this VM divides what all may do together; an "
+		"assumed number until it hears a leader.");
 	metrics->leader_age =
 		metrics_gauge(m, "auburn_heartbeat_age_ms", "",
 			      "Time since the leader's last heartbeat.");
@@ -183,6 +188,7 @@
 	counter_set(metrics->config_row,
 		    watch_status_config_row(options->status));
 	counter_set(metrics->upstreams, upstreams);
+	counter_set(metrics->sharing_vms, roster_vm_count(options->roster));
 	counter_set(metrics->leader_age,
 		    (uint64_t)(watch_status_leader_age_s(options->status) *
 			       MS_PER_S));
