entry: an owner that refuses a key is asked seldom

A 421 of a key's owner taught a VM nothing: it sent the request to the same owner again after 40 ms, up to four times, and so each further request for its keys, while the owner map named the same grant. A refused grant, which its fencing token identifies, now gets one request after 0.15 s and then after twice as long, up to 1.2 s, until the map names another; other requests wait, or are refused with that time if they can't.

unit-test_forward, "an owner without the grant is asked seldom": failed before (trial, with the new test on the code before), passes.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -124,6 +124,12 @@
 	attempt->started_s = now;
 	attempt->give_up_s = req->give_up_s;
 	attempt->busy_before = load_in_flight(&upstream->load, now);
+	if (req->key >= 0) {
+		attempt->fence =
+			key_map_find(req->service->keys, req->key)->fence;
+		refused_grants_sent(req->service->refused_grants,
+				    attempt->fence, now);
+	}
 	req->attempts[unused_attempt_index(req)] = attempt;
 	if (!req->sends++ && req->customer)
 		customers_record_send(forward->options.customers, req->customer,
@@ -336,11 +342,30 @@
 			  str_from(attempt->upstream->entry.id));
 }
 
-/* Whether an answer says that a key's owner does not hold the key. */
-static bool is_key_refusal(const struct upstream_attempt *attempt,
-			   unsigned int status)
+/* Notes that a key's owner doesn't hold the key: requests for it wait for other
+ * owners, or for the grant. */
+static void note_key_refusal(const struct upstream_attempt *attempt)
 {
-	return status == 421 && attempt->req && attempt->req->key >= 0;
+	struct forward *forward = attempt->forward;
+	struct service *service = attempt->req->service;
+	double now = forward_now(forward);
+
+	counter_add(forward->key_refusals, 1);
+	if (!refused_grants_note(service->refused_grants, attempt->fence,
+				 attempt->started_s, now))
+		return;
+	event_log_write(forward->options.log, "info", "keys",
+			"event=grant_refused service=%s key=%d owner=%s"
+			" fence=%" PRIu64 " map=%" PRIu64
+			" map_age_ms=%.0f wait_ms=%.0f id=%s",
+			service->name, attempt->req->key,
+			attempt->upstream->entry.id, attempt->fence,
+			service->keys->version,
+			(now - service->keys_updated_s) * 1000,
+			refused_grants_wait_s(service->refused_grants,
+					      attempt->fence, now) *
+				1000,
+			attempt->id);
 }
 
 /* Handles an answer that says that the upstream did not run the request. */
@@ -354,8 +379,8 @@
 	if (is_by_another_upstream(attempt, facts))
 		upstream->replaced = true;
 	else if (req && req->key >= 0) {
-		if (is_key_refusal(attempt, reply->status))
-			counter_add(req->forward->key_refusals, 1);
+		if (reply->status == 421)
+			note_key_refusal(attempt);
 		req->not_before_s = forward_now(req->forward) + KEY_RETRY_S;
 		req->shed_with_room = reply->status == 503 && facts->has_load &&
 				      facts->running < facts->slots;
@@ -404,6 +429,9 @@
 	double took = forward_now(forward) - attempt->started_s;
 
 	attempt_end(attempt, LOAD_ANSWERED);
+	if (req && req->key >= 0)
+		refused_grants_ran(req->service->refused_grants,
+				   attempt->fence);
 	if (req) {
 		route_stats_add(req->stats, took, (double)reply->body->len);
 		crash_watch_answered(forward->options.crashes,
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -280,7 +280,9 @@
 	u = roster_upstream(roster, span->owner);
 	if (!u || u->service != req->service ||
 	    u->entry.started_ms != span->started_ms ||
-	    !upstream_serves_keys(roster, u) || !load_usable(&u->load, now))
+	    !upstream_serves_keys(roster, u) || !load_usable(&u->load, now) ||
+	    refused_grants_wait_s(req->service->refused_grants, span->fence,
+				  now) > 0)
 		return CHOICE_NO_OWNER;
 	if (upstream_paused(roster, u) || !upstream_cold_admits(roster, u) ||
 	    !has_room(req, u, now))
--- a/src/entry/dispatch_wait.c
+++ b/src/entry/dispatch_wait.c
@@ -144,6 +144,8 @@
 		key_map_find(req->service->keys, req->key);
 	const struct upstream *owner = owner_of(req);
 	double now = forward_now(req->forward);
+	double refused_s = refused_grants_wait_s(req->service->refused_grants,
+						 span->fence, now);
 
 	if (!span->owner)
 		return MAX(req->service->keys_updated_s + span->wait_s - now,
@@ -152,6 +154,8 @@
 		return OWNER_WAIT_S;
 	if (!load_usable(&owner->load, now))
 		return MAX(owner->load.ejected_until_s - now, 0);
+	if (refused_s > 0)
+		return refused_s;
 	if (upstream_limit_exceeded(&owner->limit, now))
 		return LIMIT_WAIT_S;
 	return MAX(MAX(dispatch_owner_expected_s(req) - req->stats->mean_s, 0),
--- a/src/entry/proxy_request.h
+++ b/src/entry/proxy_request.h
@@ -30,6 +30,9 @@
 	struct upstream *upstream;
 	/** The connection on which the copy was sent. */
 	struct link *link;
+	/** With a key: fencing token of the grant by which the upstream owned
+	 * it when the copy was sent. */
+	uint64_t fence;
 	/** Loop time at which the copy was sent. */
 	double started_s;
 	/** Estimate of the requests that the upstream already had when this
--- a/src/entry/roster.c
+++ b/src/entry/roster.c
@@ -73,6 +73,7 @@
 	g_ptr_array_free(service->upstreams, TRUE);
 	g_array_free(service->requested_keys, TRUE);
 	key_map_destroy(service->keys);
+	refused_grants_destroy(service->refused_grants);
 	g_free(service->config.name);
 	g_free(service->name);
 	g_free(service);
@@ -138,6 +139,7 @@
 	service->name = g_strdup(name);
 	service->upstreams = g_ptr_array_new_with_free_func(free_upstream);
 	service->keys = key_map_create();
+	service->refused_grants = refused_grants_create();
 	service->requested_keys = g_array_new(FALSE, FALSE, sizeof(uint16_t));
 	g_queue_init(&service->queue);
 	retry_window_init(&service->retries, roster->settings->retry_window_s,
--- a/src/entry/roster.h
+++ b/src/entry/roster.h
@@ -15,6 +15,7 @@
 #include "directory/directory_defs.h"
 #include "entry/settings.h"
 #include "keys/key_map.h"
+#include "keys/refused_grants.h"
 #include "net/loop.h"
 
 struct service;
@@ -91,6 +92,8 @@
 	struct retry_window retries;
 	/** Owner of each key; without owners when the service is not keyed. */
 	struct key_map *keys;
+	/** Grants in it that their owners refused. */
+	struct refused_grants *refused_grants;
 	/** Loop time at which this VM last applied owners that the leader sent.
 	 */
 	double keys_updated_s;
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -18,34 +18,59 @@
 #include "suite.h"
 
 #define SERVICE "pair"
+#define KEYED "keyed"
 #define HELD_MAX 64
 /* Requests that one connection may have in progress: the server reads no more,
  * and so doesn't notice that the caller leaves. */
 #define PIPELINED 16
 
-/* Two routes of one service, which differ in priority only. */
-#define ROUTE(name, priority)                                                  \
+/* Two routes of one service, which differ in priority only, and one of a keyed
+ * service. */
+#define ROUTE(name, priority, service)                                         \
 	"[\"" name "\",\"app.example\",\"/" name                               \
-	"/\",\"safe\",3,0.5," priority ",\"" SERVICE "\",3,null]"
+	"/\",\"safe\",3,0.5," priority ",\"" service "\",3,null]"
 static const char config_text[] =
 	"{\"version\":\"r7\",\"routes\":{\"columns\":[\"name\",\"host\","
 	"\"prefix\",\"kind\",\"timeout_s\",\"aim_s\",\"priority\",\"service\","
-	"\"max_attempts\",\"split\"],\"rows\":[" ROUTE("urgent", "1") "," ROUTE(
-		"later", "2") "]},"
-			      "\"services\":{\"columns\":[\"name\","
-			      "\"health_path\",\"max_conns\",\"cold_start_s\","
-			      "\"cold_per_s\",\"sharded\",\"warm_s\"],"
-			      "\"rows\":[[\"" SERVICE
-			      "\",\"/health\",130,3,5.2,"
-			      "false,3]]},\"limits\":{\"max_header_bytes\":"
-			      "4096,\"max_body_bytes\":100000,"
-			      "\"header_timeout_s\":3,\"idle_timeout_s\":15}}";
-
-/* An upstream: rejects all requests, or holds them until the test answers. */
+	"\"max_attempts\",\"split\"],\"rows\":[" ROUTE(
+		"urgent", "1",
+		SERVICE) "," ROUTE("later", "2",
+				   SERVICE) "," ROUTE("owned", "2",
+						      KEYED) "]},"
+							     "\"services\":{"
+							     "\"columns\":["
+							     "\"name\","
+							     "\"health_path\","
+							     "\"max_conns\","
+							     "\"cold_start_s\","
+							     "\"cold_per_s\","
+							     "\"sharded\","
+							     "\"warm_s\"],"
+							     "\"rows\":[["
+							     "\"" SERVICE
+							     "\",\"/"
+							     "health\",130,3,5."
+							     "2,"
+							     "false,3],["
+							     "\"" KEYED "\",\"/"
+							     "health\",130,3,5."
+							     "2,true,3]]},"
+							     "\"limits\":{"
+							     "\"max_header_"
+							     "bytes\":"
+							     "4096,\"max_body_"
+							     "bytes\":100000,"
+							     "\"header_timeout_"
+							     "s\":3,\"idle_"
+							     "timeout_s\":15}}";
+
+/* An upstream: rejects all requests, as it is full or doesn't hold their keys,
+ * or holds them until the test answers. */
 struct target {
 	struct rig *rig;
 	const char *id;
 	bool full;
+	bool keyless;
 	struct http_server *server;
 };
 
@@ -98,6 +123,8 @@
 	rig->reached++;
 	if (target->full)
 		answer(request, 503, "X-Not-Executed: 1");
+	else if (target->keyless)
+		answer(request, 421, "X-Not-Executed: 1");
 	else
 		rig->held[rig->held_count++] = request;
 }
@@ -191,13 +218,12 @@
 	return server;
 }
 
-static void start_target(struct rig *rig, unsigned int i, const char *id,
-			 bool full)
+static void start_target(struct rig *rig, struct target *target, const char *id,
+			 const char *service)
 {
-	struct target *target = &rig->targets[i];
 	struct upstream_entry entry = {
 		.id = g_strdup(id),
-		.service = g_strdup(SERVICE),
+		.service = g_strdup(service),
 		.zone = g_strdup("z1"),
 		.slots = 1,
 		.started_ms = 1,
@@ -205,7 +231,6 @@
 
 	target->rig = rig;
 	target->id = id;
-	target->full = full;
 	target->server = listen_on_loopback(rig, &target_ops, target);
 	entry.address = http_server_address(target->server);
 	roster_put_upstream(rig->roster, &entry);
@@ -258,8 +283,9 @@
 	CU_ASSERT_TRUE_FATAL(roster_set_config(
 		rig->roster,
 		platform_directory()->config(str_from(config_text), NULL)));
-	start_target(rig, 0, "p-full", true);
-	start_target(rig, 1, "p-busy", false);
+	rig->targets[0].full = true;
+	start_target(rig, &rig->targets[0], "p-full", SERVICE);
+	start_target(rig, &rig->targets[1], "p-busy", SERVICE);
 }
 
 static void teardown(struct rig *rig)
@@ -303,6 +329,7 @@
 {
 	char *text = g_strdup_printf("GET /%s/x HTTP/1.1\r\n"
 				     "Host: app.example\r\n"
+				     "X-Shard-Key: 7\r\n"
 				     "X-Request-Id: %s\r\n"
 				     "X-Deadline-Ms: 3000\r\n\r\n",
 				     route, id);
@@ -513,11 +540,57 @@
 	}
 }
 
+/* Sets the owner of all keys. */
+static void set_owner(struct rig *rig, const char *id, uint64_t fence)
+{
+	struct service *service = roster_service(rig->roster, KEYED);
+	struct key_span *span =
+		&g_array_index(service->keys->spans, struct key_span, 0);
+
+	span->owner = g_intern_string(id);
+	span->started_ms = 1;
+	span->fence = fence;
+	forward_dispatch_soon(rig->forward);
+}
+
+/* Guards against repeats that pile up: each request for a key whose owner lost
+ * its grant was sent to it up to four times. */
+static void an_owner_without_the_grant_is_asked_seldom(void)
+{
+	struct target owner = { .keyless = true };
+	struct rig rig;
+	unsigned int i;
+	int caller;
+
+	setup(&rig);
+	start_target(&rig, &owner, "p-owner", KEYED);
+	set_owner(&rig, "p-owner", 5);
+	caller = connect_caller(&rig);
+	send_request(caller, "owned", "first");
+	run_loop(&rig);
+	CU_ASSERT_EQUAL(rig.reached, 1);
+	for (i = 0; i < 4; i++)
+		send_request(caller, "owned", "other");
+	run_loop(&rig);
+	run_loop(&rig);
+	CU_ASSERT_EQUAL(rig.reached, 1);
+	owner.keyless = false;
+	set_owner(&rig, "p-owner", 6);
+	run_loop(&rig);
+	CU_ASSERT_EQUAL(rig.held_count, 5);
+	close(caller);
+	run_loop(&rig);
+	http_server_destroy(owner.server);
+	teardown(&rig);
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
 		{ "an answer is handled whole when its caller leaves",
 		  an_answer_is_handled_whole_when_its_caller_leaves },
+		{ "an owner without the grant is asked seldom",
+		  an_owner_without_the_grant_is_asked_seldom },
 		{ "the keys of a report are limited",
 		  the_keys_of_a_report_are_limited },
 		{ "impatient callers say nothing about an upstream",
