entry: VMs share the repeats of all by the number of all

A VM that had just started took a sixteenth of the repeats that all may send beyond a share of the requests until it heard a leader; a new leader that knew few VMs made all of them take a large part; and a process took the part that its predecessor on the VM had used up. The part now is 0 until the number of VMs is known, goes by the highest number within the window, and grows within one window from the start, except at the fleet's first start.

--- a/src/balance/retry_window.c
+++ b/src/balance/retry_window.c
@@ -1,14 +1,16 @@
 #include "balance/retry_window.h"
 
+#include <glib.h>
 #include <string.h>
 
 void retry_window_init(struct retry_window *window, double window_s,
-		       double ratio, double slack)
+		       double ratio, double slack, double since_s)
 {
 	memset(window, 0, sizeof(*window));
 	window->window_s = window_s;
 	window->ratio = ratio;
 	window->slack = slack;
+	window->since_s = since_s;
 }
 
 /* Moves the window forward and clears the buckets that left it. */
@@ -38,9 +40,12 @@
 }
 
 /* Returns the number of retries allowed within the current window. */
-static double allowed(const struct retry_window *window)
+static double allowed(const struct retry_window *window, double now_s)
 {
-	return window->ratio * sum(window->requests) + window->slack;
+	double part = (now_s - window->since_s) / window->window_s;
+
+	return window->ratio * sum(window->requests) +
+	       window->slack * CLAMP(part, 0, 1);
 }
 
 void retry_window_request(struct retry_window *window, double now_s)
@@ -52,7 +57,7 @@
 bool retry_window_consume(struct retry_window *window, double now_s)
 {
 	advance(window, now_s);
-	if (sum(window->retries) + 1 > allowed(window))
+	if (sum(window->retries) + 1 > allowed(window, now_s))
 		return false;
 	window->retries[window->bucket % RETRY_WINDOW_BUCKETS]++;
 	return true;
@@ -63,7 +68,7 @@
 	double limit;
 
 	advance(window, now_s);
-	limit = allowed(window);
+	limit = allowed(window, now_s);
 	if (sum(window->retries) + 1 > limit)
 		return 0;
 	return 1 - sum(window->retries) / limit;
--- a/src/balance/retry_window.h
+++ b/src/balance/retry_window.h
@@ -19,6 +19,9 @@
 	double ratio;
 	/** Retries that this VM may send within the window in addition. */
 	double slack;
+	/** Since when: the slack grows from 0 within a window, since an earlier
+	 * process on this VM may have used it up. */
+	double since_s;
 	/** Number of the current time bucket, counted from time 0. */
 	long bucket;
 	/** Requests and retries by bucket number modulo the bucket count. */
@@ -28,7 +31,7 @@
 
 /** Initializes an empty window; for the parameters see the fields. */
 void retry_window_init(struct retry_window *window, double window_s,
-		       double ratio, double slack);
+		       double ratio, double slack, double since_s);
 
 /** Records a caller's request. */
 void retry_window_request(struct retry_window *window, double now_s);
--- a/src/entry/roster.c
+++ b/src/entry/roster.c
@@ -43,6 +43,13 @@
 	GHashTable *zones_out;
 	/** Number of live VMs, or VMS_UNKNOWN. */
 	unsigned int vm_count;
+	/** Highest number of live VMs that a leader named within the window of
+	 * retries, and when it was named last; 0: none was. */
+	unsigned int vms_peak;
+	double vms_peak_s;
+	/** When this VM may have begun to retry requests: at the start of this
+	 * process, or of one before it. */
+	double retries_since_s;
 	/** Names of the live VMs; NULL until they are known. */
 	GPtrArray *vm_names;
 };
@@ -96,6 +103,10 @@
 	roster->zones_out =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	roster->vm_count = VMS_UNKNOWN;
+	roster->retries_since_s = loop_now(loop);
+	/* In the first start there was no process before. */
+	if (settings->copy_wait_s > 0)
+		roster->retries_since_s -= settings->retry_window_s;
 	return roster;
 }
 
@@ -123,10 +134,24 @@
 }
 
 /* This VM's part of the retries that all VMs together may send in addition to
- * the retry ratio. */
+ * the retry ratio; 0 until their number is known. A new leader that knows only
+ * some VMs at first must not have all of them share as if they were few. */
 static double retry_slack(const struct roster *roster)
 {
-	return roster->settings->retry_slack / roster->vm_count * SHARE_USED;
+	if (!roster->vms_peak)
+		return 0;
+	return roster->settings->retry_slack / roster->vms_peak * SHARE_USED;
+}
+
+static void note_vms_peak(struct roster *roster, unsigned int vms)
+{
+	double now = loop_now(roster->loop);
+
+	if (vms < roster->vms_peak &&
+	    now < roster->vms_peak_s + roster->settings->retry_window_s)
+		return;
+	roster->vms_peak = vms;
+	roster->vms_peak_s = now;
 }
 
 static struct service *ensure_service(struct roster *roster, const char *name)
@@ -144,7 +169,7 @@
 	g_queue_init(&service->queue);
 	retry_window_init(&service->retries, roster->settings->retry_window_s,
 			  roster->settings->retry_ratio * SHARE_USED,
-			  retry_slack(roster));
+			  retry_slack(roster), roster->retries_since_s);
 	g_hash_table_insert(roster->services, service->name, service);
 	return service;
 }
@@ -417,6 +442,7 @@
 	for (i = 0; i < vms; i++)
 		g_ptr_array_add(roster->vm_names, g_strdup(names[i]));
 	roster->vm_count = vms ? vms : 1;
+	note_vms_peak(roster, roster->vm_count);
 	roster_each_service(roster, set_retry_slack, roster);
 }
 
