cluster: a leader that stops names its successor's moment

A leader that gave the lease up told nobody: the others found out when they read the row a second after its last heartbeat, or after 2.5 s, and a VM that had just started, which reads the row at once, won it, with a slow link and without an address of any VM. The leader now tells all VMs when the row says that the lease is free, and they acquire it without reading the row, those with fast links first. A VM that hasn't heard a leader yet leaves it to the others for 0.3 s. A stop during a renewal gives the lease up after that, not by letting it expire.

unit-test_keys has a table of cases and one of a stop during a renewal; the unit tests of lease, fleets and cluster pass.

--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -231,6 +231,18 @@
 	g_hash_table_foreach(cluster->key_leaders, renew_all, cluster);
 }
 
+/* Tells all VMs at once that the lease is free. */
+static void on_released(void *ctx)
+{
+	struct cluster *cluster = ctx;
+
+	event_log_write(cluster->options.log, "info", "lease",
+			"event=released row=%" PRIu64 " vms=%u",
+			lease_version(cluster->lease),
+			live_vms_count(cluster->vms));
+	cluster_send_resignation(cluster);
+}
+
 /* Returns what other VMs do for this VM's table watches. */
 static enum table_watch_peers peers_of(const struct cluster *cluster)
 {
@@ -278,6 +290,7 @@
 	.lost = on_lost,
 	.learned = on_leader_learned,
 	.renewal_failing = on_renewal_failing,
+	.released = on_released,
 };
 
 /* Drops the requests in flight that a VM reported. */
@@ -375,6 +388,10 @@
 		cluster->lease,
 		cluster->options.settings->copy_wait_s > 0 ||
 			cluster->options.roster_loaded(cluster->options.ctx));
+	lease_set_knows_fleet(cluster->lease,
+			      cluster->options.settings->copy_wait_s > 0 ||
+				      cluster->leading ||
+				      cluster->heard_snapshot.number > 0);
 	lease_tick(cluster->lease);
 	if (cluster->leading)
 		run_leader(cluster);
--- a/src/entry/cluster_heartbeat.c
+++ b/src/entry/cluster_heartbeat.c
@@ -300,6 +300,24 @@
 	send_beat(cluster, CHANGES);
 }
 
+void cluster_send_resignation(struct cluster *cluster)
+{
+	PeerMessage message = PEER_MESSAGE__INIT;
+	LeaderBeat beat = LEADER_BEAT__INIT;
+	char address[ADDRESS_TEXT_SIZE];
+
+	beat.vm = cluster->options.settings->vm;
+	beat.lease = lease_version(cluster->lease);
+	beat.address =
+		address_format(&cluster->options.settings->peers, address);
+	beat.zone = cluster->options.settings->zone;
+	beat.snapshot = cluster->snapshots.number;
+	beat.resigned = true;
+	message.kind_case = PEER_MESSAGE__KIND_BEAT;
+	message.beat = &beat;
+	cluster_broadcast(cluster, FANOUT_TWICE, &message);
+}
+
 void cluster_send_row_relay(struct cluster *cluster)
 {
 	struct table_watch *operator_rows = cluster->options.operator_rows;
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -297,6 +297,9 @@
  */
 void cluster_send_heartbeat(struct cluster *cluster);
 
+/** After this VM gave the lease up, tells all VMs so. */
+void cluster_send_resignation(struct cluster *cluster);
+
 /** As leader, sends every VM the load of all VMs together on each upstream. */
 void cluster_send_load_totals(struct cluster *cluster);
 
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -234,6 +234,13 @@
 
 	if (cluster_is_outdated(cluster, beat->lease, beat->vm))
 		return;
+	if (beat->resigned) {
+		event_log_write(cluster->options.log, "info", "lease",
+				"event=resigned leader=%.64s row=%" PRIu64,
+				beat->vm, beat->lease);
+		lease_observe_release(cluster->lease, beat->lease);
+		return;
+	}
 	cluster_note_heartbeat(cluster, beat);
 	if (beat->lease > cluster->heartbeat_lease)
 		crash_exchange_resend(cluster->crash_exchange);
--- a/src/keys/lease.c
+++ b/src/keys/lease.c
@@ -51,6 +51,9 @@
 #define UNREAD_RETRY_MAX_S 2.0
 /* A VM that is not ready to lead acquires the lease this much later. */
 #define NOT_READY_S 1.0
+/* So does one that doesn't know the other VMs: by more than the jitter of those
+ * that do. */
+#define UNKNOWN_FLEET_S 0.3
 /* Without a leader, VMs that start at the same time read the row at random
  * times within START_READ_S, and the first ones try to acquire the lease within
  * START_JITTER_S: the later ones read who leads. */
@@ -126,6 +129,8 @@
 	unsigned int unread_failures;
 	/** This VM has what it needs to lead. */
 	bool ready;
+	/** This VM knows the others. */
+	bool knows_fleet;
 	/** This VM is among the EARLY_VMS for the row's present version. */
 	bool early;
 	/** The store did not answer the last call. */
@@ -136,6 +141,9 @@
 	bool renewal_failing;
 	/** lease_stop() was called. */
 	bool stopped;
+	/** In lease_stop() this VM held the lease and a write was not answered
+	 * yet: the lease is to be given up after that. */
+	bool release_due;
 };
 
 static bool is_fit(const struct lease *lease)
@@ -170,6 +178,7 @@
 	lease->next_attempt = 1;
 	lease->vms = 1;
 	lease->ready = true;
+	lease->knows_fleet = true;
 	draw_delays(lease);
 	return lease;
 }
@@ -257,6 +266,9 @@
 	return lease->version;
 }
 
+static double acquire_at_s(const struct lease *lease);
+static void write_row(struct lease *lease);
+
 /* Ends this VM's lease, if it holds one. */
 static void lose_lease(struct lease *lease, const char *reason)
 {
@@ -279,6 +291,22 @@
 	draw_delays(lease);
 }
 
+void lease_observe_release(struct lease *lease, uint64_t version)
+{
+	if (version < lease->version)
+		return;
+	lease_observe_version(lease, version);
+	lease->other_until_s = now_of(lease);
+	if (!lease->store_away)
+		lease->next_call_s =
+			MIN(lease->next_call_s, acquire_at_s(lease));
+}
+
+void lease_set_knows_fleet(struct lease *lease, bool knows_fleet)
+{
+	lease->knows_fleet = knows_fleet;
+}
+
 /* Handles a successful write of the row by this VM.
  *
  * @param era the newest one that was known when the write was sent */
@@ -469,6 +497,8 @@
 		at += LATE_S;
 	if (!lease->ready)
 		at += NOT_READY_S;
+	if (!lease->knows_fleet)
+		at += UNKNOWN_FLEET_S;
 	return at + lease->jitter_s + lease->acquire_delay_s;
 }
 
@@ -554,6 +584,8 @@
 		record_own_write(lease, result->version, attempt->sent_s,
 				 attempt->era);
 		lease->next_call_s = attempt->sent_s + RENEW_S;
+		if (lease->stopped && !lease->release_due)
+			lease->ops->released(lease->ctx);
 		break;
 	case STORE_CONFLICT:
 		lease->next_call_s = now_of(lease) + RETRY_S;
@@ -573,6 +605,10 @@
 		report_renewal_failing(lease);
 		break;
 	}
+	if (lease->release_due && !lease->call_in_progress) {
+		lease->release_due = false;
+		write_row(lease);
+	}
 }
 
 static void write_row(struct lease *lease)
@@ -655,6 +691,7 @@
 
 	lease->stopped = true;
 	lose_lease(lease, "this VM stops");
+	lease->release_due = held && lease->call_in_progress;
 	if (held && !lease->call_in_progress)
 		write_row(lease);
 }
--- a/src/keys/lease.h
+++ b/src/keys/lease.h
@@ -32,6 +32,8 @@
 	void (*learned)(void *ctx, const char *vm, const char *address);
 	/** A renewal failed or is overdue; the lease has not expired yet. */
 	void (*renewal_failing)(void *ctx);
+	/** The row says that this VM, which stops, gave the lease up. */
+	void (*released)(void *ctx);
 };
 
 /**
@@ -79,6 +81,15 @@
  * than this VM knows ends this VM's lease, because another VM wrote the row. */
 void lease_observe_version(struct lease *lease, uint64_t version);
 
+/** Reports that the holder gave the lease up by a version of the row, which is
+ * free as long as it has this version. */
+void lease_observe_release(struct lease *lease, uint64_t version);
+
+/** Sets whether this VM can reach the others at once if it leads; initially it
+ * can. A VM that has just started can't, and leaves a free lease to those that
+ * can for a moment. */
+void lease_set_knows_fleet(struct lease *lease, bool knows_fleet);
+
 /** Whether this VM holds the lease for at least for_s more seconds. */
 bool lease_held(const struct lease *lease, double for_s);
 
--- a/src/wire/entry.pb-c.c
+++ b/src/wire/entry.pb-c.c
@@ -1982,7 +1982,7 @@
   (ProtobufCMessageInit) table_copy_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor leader_beat__field_descriptors[13] =
+static const ProtobufCFieldDescriptor leader_beat__field_descriptors[14] =
 {
   {
     "vm",
@@ -2140,6 +2140,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "resigned",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(LeaderBeat, resigned),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned leader_beat__field_indices_by_name[] = {
   8,   /* field[8] = address */
@@ -2149,6 +2161,7 @@
   3,   /* field[3] = maps */
   5,   /* field[5] = operator_changes */
   4,   /* field[4] = progress */
+  13,   /* field[13] = resigned */
   12,   /* field[12] = snapshot */
   6,   /* field[6] = upstream_changes */
   0,   /* field[0] = vm */
@@ -2156,12 +2169,13 @@
   7,   /* field[7] = watchers */
   11,   /* field[11] = zone */
 };
-static const ProtobufCIntRange leader_beat__number_ranges[3 + 1] =
+static const ProtobufCIntRange leader_beat__number_ranges[4 + 1] =
 {
   { 1, 0 },
   { 6, 4 },
   { 20, 11 },
-  { 0, 13 }
+  { 23, 13 },
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor leader_beat__descriptor =
 {
@@ -2171,10 +2185,10 @@
   "LeaderBeat",
   "",
   sizeof(LeaderBeat),
-  13,
+  14,
   leader_beat__field_descriptors,
   leader_beat__field_indices_by_name,
-  3,  leader_beat__number_ranges,
+  4,  leader_beat__number_ranges,
   (ProtobufCMessageInit) leader_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire/entry.pb-c.h
+++ b/src/wire/entry.pb-c.h
@@ -392,10 +392,15 @@
    * that missed it asks for it.
    */
   uint64_t snapshot;
+  /*
+   * The leader stops and has given the lease up by this version of its row. The
+   * message has no other content.
+   */
+  protobuf_c_boolean resigned;
 };
 #define LEADER_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&leader_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, NULL, NULL, NULL, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, NULL, NULL, NULL, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/test/fuzz/fuzz_keys_parts/vm.c
+++ b/test/fuzz/fuzz_keys_parts/vm.c
@@ -216,11 +216,17 @@
 	key_allocator_renew_all(vm->allocator, vm->world->now_s, HOLD_MAX_S);
 }
 
+static void on_released(void *ctx)
+{
+	(void)ctx;
+}
+
 static const struct lease_ops lease_ops = {
 	.won = on_won,
 	.lost = on_lost,
 	.learned = on_learned,
 	.renewal_failing = on_troubled,
+	.released = on_released,
 };
 
 void vm_start(struct vm *vm)
--- a/test/unit/test_keys.c
+++ b/test/unit/test_keys.c
@@ -149,7 +149,7 @@
 	struct store store;
 	struct lease *lease;
 	/** Number of calls of each of the lease's callbacks. */
-	int won, lost, renewal_failing;
+	int won, lost, renewal_failing, released;
 	/** Callback of the read or write in progress, which the test completes;
 	 * NULL if there is none. */
 	store_done_fn done;
@@ -220,8 +220,13 @@
 	((struct fixture *)ctx)->renewal_failing++;
 }
 
+static void on_released(void *ctx)
+{
+	((struct fixture *)ctx)->released++;
+}
+
 static const struct lease_ops lease_ops = { on_won, on_lost, on_learned,
-					    on_renewal_failing };
+					    on_renewal_failing, on_released };
 
 /* Advances the clock by a time in seconds, then runs the lease's timers. */
 static void advance(struct fixture *f, double span_s)
@@ -388,6 +393,63 @@
 /* Length of a pause of the process. */
 #define PAUSE_S 3
 
+static void a_lease_that_is_given_up_is_acquired_at_once(void)
+{
+	static const struct {
+		double acquire_delay_s;
+		bool knows_fleet;
+		/* Bounds of the time until the lease is acquired. */
+		double min_s, max_s;
+	} rows[] = {
+		{ 0, true, 0, 0.35 },
+		{ 0, false, 0.3, 0.65 },
+		{ 0.5, true, 0.5, 1.6 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		double waited_s = 0;
+		struct fixture f;
+
+		setup(&f);
+		lease_set_acquire_delay(f.lease, rows[i].acquire_delay_s);
+		lease_set_knows_fleet(f.lease, rows[i].knows_fleet);
+		lease_set_vms(f.lease, 60);
+		lease_observe_version(f.lease, 5);
+		advance(&f, 0.1);
+		lease_observe_release(f.lease, 6);
+		while (!f.done && waited_s < 3) {
+			advance(&f, 0.05);
+			waited_s += 0.05;
+		}
+		CU_ASSERT_TRUE(f.writing);
+		CU_ASSERT_EQUAL(f.expect, 6);
+		CU_ASSERT_TRUE(waited_s > rows[i].min_s);
+		CU_ASSERT_TRUE(waited_s < rows[i].max_s);
+		teardown(&f);
+	}
+}
+
+static void a_lease_is_given_up_after_a_renewal_in_progress(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	begin_acquire(&f);
+	complete_call(&f, STORE_OK, 1);
+	while (!f.done)
+		advance(&f, 0.05);
+	lease_stop(f.lease);
+	CU_ASSERT_EQUAL(f.lost, 1);
+	CU_ASSERT_EQUAL(f.released, 0);
+	complete_call(&f, STORE_OK, 2);
+	CU_ASSERT_TRUE_FATAL(f.done && f.writing);
+	CU_ASSERT_EQUAL(f.expect, 2);
+	complete_call(&f, STORE_OK, 3);
+	CU_ASSERT_EQUAL(f.released, 1);
+	teardown(&f);
+}
+
 /* Answers the lease's call as a store that reports its clock. */
 static void complete_call_at(struct fixture *f, uint64_t version,
 			     double store_now_s)
@@ -777,6 +839,10 @@
 		  a_lease_that_is_not_renewed_expires },
 		{ "the acquire delay postpones the first attempt",
 		  the_acquire_delay_postpones_the_first_attempt },
+		{ "a lease that is given up is acquired at once",
+		  a_lease_that_is_given_up_is_acquired_at_once },
+		{ "a lease is given up after a renewal in progress",
+		  a_lease_is_given_up_after_a_renewal_in_progress },
 		{ "a newer version ends a lease",
 		  a_newer_version_ends_a_lease },
 		{ "an observed lease must expire first",
--- a/test/unit/test_lease_fleet.c
+++ b/test/unit/test_lease_fleet.c
@@ -110,8 +110,13 @@
 	(void)ctx;
 }
 
+static void on_released(void *ctx)
+{
+	(void)ctx;
+}
+
 static const struct lease_ops lease_ops = { on_won, on_lost, on_learned,
-					    on_renewal_failing };
+					    on_renewal_failing, on_released };
 
 /* Whether a VM has a fast link: one in twenty. */
 static bool is_fit(unsigned int number)
--- a/test/unit/test_restart_fleet.c
+++ b/test/unit/test_restart_fleet.c
@@ -200,7 +200,7 @@
 }
 
 static const struct lease_ops lease_ops = { on_won, on_lost, on_learned,
-					    on_nothing };
+					    on_nothing, on_nothing };
 
 static void on_row(void *ctx, const struct store_row *row)
 {
--- a/test/unit/test_store_era.c
+++ b/test/unit/test_store_era.c
@@ -352,7 +352,7 @@
 }
 
 static const struct lease_ops lease_ops = { on_won, on_lost, on_learned,
-					    on_nothing };
+					    on_nothing, on_nothing };
 
 static void start_lease(struct fixture *f, uint64_t era)
 {
