keys/lease: a row whose version went back doesn't free the lease

Where the store shows no era, a VM still took the expiry in a restored row for that of the present lease. A row with a version below the known one now counts as restored.

--- a/src/keys/lease.c
+++ b/src/keys/lease.c
@@ -101,6 +101,9 @@
 	/** The version that the row must have for this VM's next write; 0: it
 	 * must not exist. It differs from version when the store lost rows. */
 	uint64_t expect;
+	/** The last version that was lower than one known before; 0: none was.
+	 */
+	uint64_t older_version;
 	/** When version was first observed; 0 if no version was. */
 	double version_seen_s;
 	/** Random and configured delays before acquiring the lease. */
@@ -387,10 +390,14 @@
 }
 
 /* Whether the store restored a row from an older copy, or a VM wrote it that
- * didn't know the present era: it doesn't say who leads. */
-static bool is_restored(const struct store_row *row, const LeaseRow *message)
+ * didn't know the present era: it doesn't say who leads. A store that shows no
+ * era is known by a version that goes back. */
+static bool is_restored(const struct lease *lease, const struct store_row *row,
+			const LeaseRow *message)
 {
-	return message->era < store_version_era(row->version);
+	return message->era < store_version_era(row->version) ||
+	       row->version < lease->version ||
+	       (lease->older_version && row->version == lease->older_version);
 }
 
 /* Notes the version of the row in the store. */
@@ -399,6 +406,8 @@
 	lease->expect = version;
 	if (version == lease->version)
 		return;
+	if (version < lease->version)
+		lease->older_version = version;
 	lease->version = version;
 	lease->version_seen_s = now_of(lease);
 	draw_delays(lease);
@@ -408,7 +417,7 @@
 static void handle_other_row(struct lease *lease, const struct store_row *row,
 			     const LeaseRow *message, double store_now_s)
 {
-	bool restored = is_restored(row, message);
+	bool restored = is_restored(lease, row, message);
 	bool started = lease->version_seen_s == 0;
 
 	/* This VM's lease has not ended: it writes the row again. */
@@ -445,12 +454,12 @@
 		return;
 	}
 	own = find_attempt(lease, message->attempt);
+	if (own && lease->holding && is_restored(lease, row, message))
+		lease->next_call_s = now_of(lease);
 	if (own)
 		record_own_write(lease, row->version, own->sent_s, own->era);
 	else
 		handle_other_row(lease, row, message, store_now_s);
-	if (own && lease->holding && is_restored(row, message))
-		lease->next_call_s = now_of(lease);
 	lease_row__free_unpacked(message, NULL);
 }
 
--- a/test/unit/test_store_era.c
+++ b/test/unit/test_store_era.c
@@ -461,11 +461,16 @@
 		bool knew;
 		/* The row that it reads. */
 		const char *writer;
+		/* The era before the store came back, and since. */
+		uint64_t before, after;
 	} cases[] = {
-		{ "a VM that knew a newer row", true, "other" },
-		{ "a VM that knew a row that is lost", true, NULL },
-		{ "a VM that starts", false, "other" },
-		{ "a VM that starts, and the row is lost", false, NULL },
+		{ "a VM that knew a newer row", true, "other", BEFORE, AFTER },
+		{ "a VM that knew a row that is lost", true, NULL, BEFORE,
+		  AFTER },
+		{ "a VM that starts", false, "other", BEFORE, AFTER },
+		{ "a VM that starts, and the row is lost", false, NULL, BEFORE,
+		  AFTER },
+		{ "a store that shows no era", true, "other", 0, 0 },
 	};
 	size_t i;
 
@@ -473,22 +478,23 @@
 		double span_s = 0;
 		struct fixture f;
 
-		start_lease(&f, cases[i].knew ? BEFORE : AFTER);
+		start_lease(&f,
+			    cases[i].knew ? cases[i].before : cases[i].after);
 		if (cases[i].knew)
-			lease_observe_version(f.lease,
-					      store_version(BEFORE, 70));
+			lease_observe_version(
+				f.lease, store_version(cases[i].before, 70));
 		manual_clock_advance(&f.clock, cases[i].knew ? 1.9 : 0);
 		lease_tick(f.lease);
 		run_until_call(&f, 1);
 		CU_ASSERT_EQUAL(f.call, 'r');
-		store_era_observe(f.store.era, AFTER, "read");
-		answer_lease(&f, STORE_OK, store_version(AFTER, 54),
-			     cases[i].writer, BEFORE);
+		store_era_observe(f.store.era, cases[i].after, "read");
+		answer_lease(&f, STORE_OK, store_version(cases[i].after, 54),
+			     cases[i].writer, cases[i].before);
 		while (span_s < 5 && f.call != 'w') {
 			if (f.call)
 				answer_lease(&f, STORE_OK,
-					     store_version(AFTER, 54),
-					     cases[i].writer, BEFORE);
+					     store_version(cases[i].after, 54),
+					     cases[i].writer, cases[i].before);
 			manual_clock_advance(&f.clock, 0.05);
 			span_s += 0.05;
 			lease_tick(f.lease);
