--- a/src/keys/lease.c
+++ b/src/keys/lease.c
@@ -1,4 +1,4 @@
-#include "keys/lease.h"
+#include "keys/lease_impl.h"
 
 #include <math.h>
 #include <string.h>
@@ -19,8 +19,6 @@
 /* While this VM holds the lease, a read or write of the row without an answer
  * for this long is reported by renewal_failing(). */
 #define OVERDUE_S (LEASE_S * 0.4)
-/* The clocks of two VMs differ in speed by at most this factor. */
-#define CLOCK_FACTOR 1.02
 /* VMs try to acquire the lease after random delays up to this long, drawn anew
  * for each holder. With many VMs the first delay is short, and the others learn
  * of the new holder before they try. The store handles writes one at a time. */
@@ -62,100 +60,13 @@
 /* Expiry, on the store's clock, that is written to give up the lease: a time
  * long past. */
 #define EXPIRED_S 0.001
-/* Up to this era, a store without the row never had one: a store that counts
- * its eras from 0 or 1 hasn't come back from an older copy yet. */
-#define FIRST_ERA_MAX 1
-/* Number of recent writes that are remembered: a write without an answer may
- * still take effect, and the row then shows its attempt id. */
-#define ATTEMPTS_MAX 16
-
-/** A write of the row by this process. */
-struct attempt {
-	/** Last part of the attempt id, which counts this process's writes. */
-	uint32_t number;
-	/** When the write was sent, and the newest era known then. */
-	double sent_s;
-	uint64_t era;
-};
-
-/** Times are in seconds of this VM's loop clock unless said otherwise. */
-struct lease {
-	const struct loop *loop;
-	struct store store;
-	const struct lease_ops *ops;
-	void *ctx;
-	char *vm;
-	char *address;
-	/** Prefix of attempt ids, unique to this process. */
-	char *attempt_prefix;
-	/** Number of the next write. */
-	uint32_t next_attempt;
-	/** The newest writes; write n is at index n modulo ATTEMPTS_MAX. */
-	struct attempt attempts[ATTEMPTS_MAX];
-	/** This VM has acquired the lease and not lost it. */
-	bool holding;
-	/** Expiry of the lease while this VM holds it. */
-	double held_until_s;
-	/** The newest version of the row that this VM knows. */
-	uint64_t version;
-	/** The version that the row must have for this VM's next write; 0: it
-	 * must not exist. It differs from version when the store lost rows. */
-	uint64_t expect;
-	/** The last version that was lower than one known before; 0: none was.
-	 */
-	uint64_t older_version;
-	/** When version was first observed; 0 if no version was. */
-	double version_seen_s;
-	/** Random and configured delays before acquiring the lease. */
-	double jitter_s;
-	double acquire_delay_s;
-	/** Expiry of another VM's lease according to the row; 0 if unknown. */
-	double other_until_s;
-	/** The store's clock minus this VM's, too high by at most the latency
-	 * of a call. */
-	double store_ahead_s;
-	/** When the store's clock was compared with this VM's; 0: never. In
-	 * which era. */
-	double store_clock_seen_s;
-	uint64_t store_clock_era;
-	/** When the call in progress was sent. */
-	double sent_s;
-	/** A read or write of the row has no answer yet. */
-	bool call_in_progress;
-	/** Earliest time of the next read or write. */
-	double next_call_s;
-	/** Number of VMs that compete for the lease, and that number in the
-	 * row. */
-	unsigned int vms;
-	unsigned int row_vms;
-	/** Calls that failed since this VM started, until one succeeds. */
-	unsigned int unread_failures;
-	/** This VM has what it needs to lead. */
-	bool ready;
-	/** This VM knows the others. */
-	bool knows_fleet;
-	/** This VM is among the EARLY_VMS for the row's present version. */
-	bool early;
-	/** The store did not answer the last call. */
-	bool store_away;
-	/** When the store answered again after that; 0 if it always did. */
-	double store_back_s;
-	/** renewal_failing() was called since the last successful renewal. */
-	bool renewal_failing;
-	/** lease_stop() was called. */
-	bool stopped;
-	/** In lease_stop() this VM held the lease and a write was not answered
-	 * yet: the lease is to be given up after that. */
-	bool release_due;
-};
 
 static bool is_fit(const struct lease *lease)
 {
 	return lease->acquire_delay_s <= FIT_DELAY_S;
 }
 
-/* Draws what this VM does when the present holder doesn't renew its lease. */
-static void draw_delays(struct lease *lease)
+void lease_draw_delays(struct lease *lease)
 {
 	double early_vms = is_fit(lease) ? EARLY_FIT_VMS : EARLY_VMS;
 
@@ -182,7 +93,7 @@
 	lease->vms = 1;
 	lease->ready = true;
 	lease->knows_fleet = true;
-	draw_delays(lease);
+	lease_draw_delays(lease);
 	return lease;
 }
 
@@ -201,18 +112,6 @@
 	lease->acquire_delay_s = acquire_delay_s;
 }
 
-static double now_of(const struct lease *lease)
-{
-	return loop_now(lease->loop);
-}
-
-/* Returns the newest era of the store that this VM knows. */
-static uint64_t current_era(const struct lease *lease)
-{
-	return MAX(store_era_current(lease->store.era),
-		   store_version_era(lease->version));
-}
-
 unsigned int lease_row_vms(const struct lease *lease)
 {
 	return lease->row_vms;
@@ -226,7 +125,8 @@
 void lease_begin(struct lease *lease)
 {
 	lease->jitter_s = g_random_double() * START_JITTER_S;
-	lease->next_call_s = now_of(lease) + g_random_double() * START_READ_S;
+	lease->next_call_s =
+		lease_now(lease) + g_random_double() * START_READ_S;
 }
 
 /* Returns the delay of the next call of a VM that has not read the row since it
@@ -250,17 +150,17 @@
 	delay_s = MAX(delay_s, unread_delay_s(lease));
 	if (lease->holding)
 		delay_s = 0;
-	return now_of(lease) + CLAMP(delay_s, RETRY_S, RETRY_MAX_S);
+	return lease_now(lease) + CLAMP(delay_s, RETRY_S, RETRY_MAX_S);
 }
 
 bool lease_held(const struct lease *lease, double for_s)
 {
-	return lease->holding && now_of(lease) + for_s < lease->held_until_s;
+	return lease->holding && lease_now(lease) + for_s < lease->held_until_s;
 }
 
 double lease_left_s(const struct lease *lease)
 {
-	return lease->holding ? fmax(lease->held_until_s - now_of(lease), 0)
+	return lease->holding ? fmax(lease->held_until_s - lease_now(lease), 0)
 			      : 0;
 }
 
@@ -272,8 +172,7 @@
 static double acquire_at_s(const struct lease *lease);
 static void write_row(struct lease *lease);
 
-/* Ends this VM's lease, if it holds one. */
-static void lose_lease(struct lease *lease, const char *reason)
+void lease_lose(struct lease *lease, const char *reason)
 {
 	if (!lease->holding)
 		return;
@@ -286,12 +185,12 @@
 	if (version <= lease->version)
 		return;
 	/* Another VM wrote the newer version: this VM's lease is over. */
-	lose_lease(lease, "another VM leads");
+	lease_lose(lease, "another VM leads");
 	lease->version = version;
 	lease->expect = version;
-	lease->version_seen_s = now_of(lease);
+	lease->version_seen_s = lease_now(lease);
 	lease->other_until_s = 0;
-	draw_delays(lease);
+	lease_draw_delays(lease);
 }
 
 void lease_observe_release(struct lease *lease, uint64_t version)
@@ -299,7 +198,7 @@
 	if (version < lease->version)
 		return;
 	lease_observe_version(lease, version);
-	lease->other_until_s = now_of(lease);
+	lease->other_until_s = lease_now(lease);
 	if (!lease->store_away)
 		lease->next_call_s =
 			MIN(lease->next_call_s, acquire_at_s(lease));
@@ -310,172 +209,6 @@
 	lease->knows_fleet = knows_fleet;
 }
 
-/* Handles a successful write of the row by this VM.
- *
- * @param era the newest one that was known when the write was sent */
-static void record_own_write(struct lease *lease, uint64_t version,
-			     double sent_s, uint64_t era)
-{
-	lease->version = version;
-	lease->expect = version;
-	lease->version_seen_s = now_of(lease);
-	lease->renewal_failing = false;
-	if (lease->stopped)
-		return;
-	/* In another era the condition may have been met by chance, while
-	 * another VM leads. Such a write renews, but acquires nothing. */
-	if (!lease->holding && era != store_version_era(version))
-		return;
-	if (sent_s + LEASE_S > lease->held_until_s)
-		lease->held_until_s = sent_s + LEASE_S;
-	if (lease->holding || now_of(lease) >= lease->held_until_s)
-		return;
-	lease->holding = true;
-	lease->ops->won(lease->ctx);
-}
-
-/* Finds the write of this process with an attempt id, or NULL if another
- * process wrote it, or long ago. */
-static const struct attempt *find_attempt(const struct lease *lease,
-					  const char *attempt)
-{
-	size_t len = strlen(lease->attempt_prefix);
-	uint32_t number;
-	int i;
-
-	if (strncmp(attempt, lease->attempt_prefix, len) != 0)
-		return NULL;
-	number = (uint32_t)g_ascii_strtoull(attempt + len, NULL, 10);
-	for (i = 0; i < ATTEMPTS_MAX; i++)
-		if (lease->attempts[i].number == number)
-			return &lease->attempts[i];
-	return NULL;
-}
-
-/* Updates the offset of the store's clock from an answer. The offset is never
- * too low, because the store reads its clock after the call was sent. */
-static void update_store_clock(struct lease *lease,
-			       const struct store_result *result)
-{
-	if (result->now_s <= 0)
-		return;
-	lease->store_ahead_s = result->now_s - lease->sent_s;
-	lease->store_clock_seen_s = lease->sent_s;
-	lease->store_clock_era = store_version_era(result->version);
-}
-
-/* Returns the end of a lease that begins now, on the store's clock, or 0 when
- * that is unknown. It is never too early, however much faster the store's clock
- * may have run since it was read. */
-static double until_s(const struct lease *lease, double now_s)
-{
-	double seen_s = lease->store_clock_seen_s;
-
-	if (!seen_s || lease->store_clock_era != current_era(lease))
-		return 0;
-	return now_s + lease->store_ahead_s + LEASE_S +
-	       (now_s - seen_s) * (CLOCK_FACTOR - 1);
-}
-
-/* Converts the row's expiry from the store's clock to this VM's clock.
- *
- * @return the time, or 0 when it is unknown */
-static double expiry_s(const struct lease *lease, const LeaseRow *row,
-		       double store_now_s)
-{
-	if (row->until_s <= 0 || store_now_s <= 0)
-		return 0;
-	return now_of(lease) + (row->until_s - store_now_s) +
-	       LEASE_S * (CLOCK_FACTOR - 1);
-}
-
-/* Whether the store restored a row from an older copy, or a VM wrote it that
- * didn't know the present era: it doesn't say who leads. A store that shows no
- * era is known by a version that goes back. */
-static bool is_restored(const struct lease *lease, const struct store_row *row,
-			const LeaseRow *message)
-{
-	return message->era < store_version_era(row->version) ||
-	       row->version < lease->version ||
-	       (lease->older_version && row->version == lease->older_version);
-}
-
-/* Notes the version of the row in the store. */
-static void note_version(struct lease *lease, uint64_t version)
-{
-	lease->expect = version;
-	if (version == lease->version)
-		return;
-	if (version < lease->version)
-		lease->older_version = version;
-	lease->version = version;
-	lease->version_seen_s = now_of(lease);
-	draw_delays(lease);
-}
-
-/* Handles a row that another process wrote. */
-static void handle_other_row(struct lease *lease, const struct store_row *row,
-			     const LeaseRow *message, double store_now_s)
-{
-	bool restored = is_restored(lease, row, message);
-	bool started = lease->version_seen_s == 0;
-
-	/* This VM's lease has not ended: it writes the row again. */
-	if (restored && lease->holding) {
-		lease->version = row->version;
-		lease->expect = row->version;
-		lease->next_call_s = now_of(lease);
-		return;
-	}
-	lease->row_vms = message->vms;
-	/* A VM that starts learns how many compete. */
-	if (lease->vms == 1 && lease->row_vms)
-		lease->vms = lease->row_vms;
-	note_version(lease, row->version);
-	lose_lease(lease, "another VM leads");
-	lease->other_until_s =
-		restored ? 0 : expiry_s(lease, message, store_now_s);
-	if (!restored || started)
-		lease->ops->learned(lease->ctx, message->vm, message->address);
-}
-
-/* Handles the row as read from the store, or as returned by a write that met a
- * conflict; store_now_s is the store's clock at the answer, or 0. */
-static void handle_row(struct lease *lease, const struct store_row *row,
-		       double store_now_s)
-{
-	LeaseRow *message = lease_row__unpack(NULL, row->value->len,
-					      (const uint8_t *)row->value->str);
-	const struct attempt *own;
-
-	if (!message) {
-		note_version(lease, row->version);
-		lose_lease(lease, "another VM leads");
-		return;
-	}
-	own = find_attempt(lease, message->attempt);
-	if (own && lease->holding && is_restored(lease, row, message))
-		lease->next_call_s = now_of(lease);
-	if (own)
-		record_own_write(lease, row->version, own->sent_s, own->era);
-	else
-		handle_other_row(lease, row, message, store_now_s);
-	lease_row__free_unpacked(message, NULL);
-}
-
-/* Handles that the store has no row. */
-static void handle_no_row(struct lease *lease, uint64_t store_version)
-{
-	lease->expect = 0;
-	if (lease->version_seen_s)
-		return;
-	lease->version_seen_s = now_of(lease);
-	/* There never was a leader: no lease has to expire. Later on the store
-	 * may have lost the row of one. */
-	if (store_version_era(store_version) <= FIRST_ERA_MAX)
-		lease->version_seen_s -= LEASE_S * CLOCK_FACTOR;
-}
-
 /* Returns the time, in seconds from the end of an outage, that a VM which isn't
  * fit to lead leaves to those that are. They call the store at their own times,
  * rarer with the number of VMs. */
@@ -517,7 +250,7 @@
 	/* A lease that ran out in an outage would be acquired by the first VM
 	 * that calls after it. A VM that isn't fit leaves it to the others. */
 	if (lease->store_away && !away && !is_fit(lease))
-		lease->store_back_s = now_of(lease);
+		lease->store_back_s = lease_now(lease);
 	lease->store_away = away;
 }
 
@@ -544,15 +277,16 @@
 	set_store_away(lease, result->status != STORE_OK);
 	if (result->status != STORE_OK)
 		return;
-	update_store_clock(lease, result);
+	lease_update_store_clock(lease, result);
 	row = find_row(result);
 	if (row) {
-		handle_row(lease, row, result->now_s);
+		lease_handle_row(lease, row, result->now_s);
 		if (!lease->holding)
-			lease->next_call_s = MIN(now_of(lease) + READ_AFTER_S,
-						 MAX(acquire_at_s(lease), 0));
+			lease->next_call_s =
+				MIN(lease_now(lease) + READ_AFTER_S,
+				    MAX(acquire_at_s(lease), 0));
 	} else {
-		handle_no_row(lease, result->version);
+		lease_handle_no_row(lease, result->version);
 		if (!lease->holding)
 			lease->next_call_s = acquire_at_s(lease);
 	}
@@ -561,7 +295,7 @@
 static void read_row(struct lease *lease)
 {
 	lease->call_in_progress = true;
-	lease->sent_s = now_of(lease);
+	lease->sent_s = lease_now(lease);
 	store_calls_count(lease->store.calls, LEASE_TABLE, "read");
 	lease->store.ops->read(lease->store.impl, LEASE_TABLE, "", on_read,
 			       lease);
@@ -589,23 +323,23 @@
 				      result->status != STORE_CONFLICT);
 	switch (result->status) {
 	case STORE_OK:
-		update_store_clock(lease, result);
-		record_own_write(lease, result->version, attempt->sent_s,
-				 attempt->era);
+		lease_update_store_clock(lease, result);
+		lease_record_own_write(lease, result->version, attempt->sent_s,
+				       attempt->era);
 		lease->next_call_s = attempt->sent_s + RENEW_S;
 		if (lease->stopped && !lease->release_due)
 			lease->ops->released(lease->ctx);
 		break;
 	case STORE_CONFLICT:
-		lease->next_call_s = now_of(lease) + RETRY_S;
-		update_store_clock(lease, result);
+		lease->next_call_s = lease_now(lease) + RETRY_S;
+		lease_update_store_clock(lease, result);
 		if (row) {
-			handle_row(lease, row, result->now_s);
+			lease_handle_row(lease, row, result->now_s);
 		} else if (lease->holding &&
 			   store_version_era(result->version) >
 				   store_version_era(lease->expect)) {
-			handle_no_row(lease, result->version);
-			lease->next_call_s = now_of(lease);
+			lease_handle_no_row(lease, result->version);
+			lease->next_call_s = lease_now(lease);
 		} else {
 			read_row(lease);
 		}
@@ -626,7 +360,7 @@
 	uint32_t number = lease->next_attempt++;
 	/* One reading for the row and for this VM: a pause in between would let
 	 * others acquire the lease while this VM holds it. */
-	double now = now_of(lease);
+	double now = lease_now(lease);
 	struct store_write write = {
 		.table = LEASE_TABLE,
 		.key = LEASE_KEY,
@@ -637,13 +371,13 @@
 	message.vm = lease->vm;
 	message.address = lease->address;
 	message.vms = lease->vms;
-	message.era = current_era(lease);
+	message.era = lease_current_era(lease);
 	message.attempt =
 		g_strdup_printf("%s%u", lease->attempt_prefix, number);
 	if (lease->stopped)
 		message.until_s = EXPIRED_S;
 	else
-		message.until_s = until_s(lease, now);
+		message.until_s = lease_until_s(lease, now);
 	value = g_string_new(NULL);
 	g_string_set_size(value, lease_row__get_packed_size(&message));
 	lease_row__pack(&message, (uint8_t *)value->str);
@@ -665,11 +399,11 @@
 
 void lease_tick(struct lease *lease)
 {
-	double now = now_of(lease);
+	double now = lease_now(lease);
 	bool awaits_store = lease->store_away && !is_fit(lease);
 
 	if (lease->holding && now >= lease->held_until_s)
-		lose_lease(lease, "the lease could not be renewed in time");
+		lease_lose(lease, "the lease could not be renewed in time");
 	if (lease->call_in_progress && now > lease->sent_s + OVERDUE_S)
 		report_renewal_failing(lease);
 	if (lease->call_in_progress || now < lease->next_call_s ||
@@ -699,7 +433,7 @@
 	bool held = lease->holding;
 
 	lease->stopped = true;
-	lose_lease(lease, "this VM stops");
+	lease_lose(lease, "this VM stops");
 	lease->release_due = held && lease->call_in_progress;
 	if (held && !lease->call_in_progress)
 		write_row(lease);
