--- a/src/entry/table_watch_era.c
+++ b/src/entry/table_watch_era.c
@@ -30,15 +30,29 @@
 
 void table_watch_begin_era(struct table_watch *table_watch, uint64_t version)
 {
-	table_watch->restored_upto = 0;
 	if (!table_watch->loaded ||
 	    store_version_era(version) <=
 		    store_version_era(table_watch->version))
 		return;
+	/* What an attempt to read the table has shown of the copy holds on. */
+	if (table_watch->restored_era != store_version_era(version))
+		table_watch->restored_upto = 0;
+	table_watch->restored_era = store_version_era(version);
 	table_watch_note_era(table_watch, version);
 	start_keeping(table_watch);
 }
 
+/* Notes that the copy has a row which was written in an earlier era.
+ *
+ * @param version of the row in that era; one of the present era says nothing of
+ *        the copy */
+static void note_in_copy(struct table_watch *table_watch, uint64_t version)
+{
+	if (store_version_era(version) < table_watch->restored_era)
+		table_watch->restored_upto =
+			MAX(table_watch->restored_upto, version);
+}
+
 bool table_watch_is_restored(struct table_watch *table_watch,
 			     const struct store_row *row)
 {
@@ -48,26 +62,33 @@
 
 	if (!keeps_rows(table_watch))
 		return false;
-	if (known && row_is_same_state(known, row))
+	if (known && row_is_same_state(known, row)) {
+		note_in_copy(table_watch, known->version);
 		known->version = MAX(known->version, row->version);
-	else if (row_history_has(table_watch->history, row, now))
+	} else if (row_history_has(table_watch->history, row, now)) {
+		note_in_copy(
+			table_watch,
+			store_version(store_version_era(table_watch->version),
+				      store_version_own(row->version)));
 		table_watch->restored_rows++;
-	else
+	} else {
 		return false;
+	}
 	table_watch_note_row_version(table_watch, row->version);
-	table_watch->restored_upto = MAX(table_watch->restored_upto,
-					 store_version_own(row->version));
 	return true;
 }
 
 bool table_watch_is_lost(const struct table_watch *table_watch,
 			 const struct store_row *row)
 {
-	/* The copy had all rows that are older than one that it had. */
+	/* The copy had all rows that are older than one that it had, but none
+	 * that the store had lost before. */
 	return keeps_rows(table_watch) &&
 	       store_version_era(row->version) <
 		       store_version_era(table_watch->snapshot_version) &&
-	       store_version_own(row->version) > table_watch->restored_upto;
+	       (row->version > table_watch->restored_upto ||
+		store_version_era(row->version) <
+			store_version_era(table_watch->restored_upto));
 }
 
 /* Counts the known rows that the store lost. */
--- a/src/entry/table_watch_impl.h
+++ b/src/entry/table_watch_impl.h
@@ -132,8 +132,9 @@
 	double keep_until_s;
 	/** Rows that were kept or ignored so since the era changed. */
 	unsigned int kept_rows, restored_rows;
-	/** Newest version of the store, without the era, of a restored row in
-	 * the snapshot in progress. */
+	/** The last era of which a snapshot began, and the newest version,
+	 * before that era, of a row that the store restored; 0: none. */
+	uint64_t restored_era;
 	uint64_t restored_upto;
 	/** Gets the lines of decisions; NULL: there are none. */
 	struct event_log *log;
--- a/src/entry/table_watch_log.c
+++ b/src/entry/table_watch_log.c
@@ -144,7 +144,8 @@
 			"event=rows_kept table=%s kept=%u restored=%u"
 			" restored_upto=%" PRIu64 " keep_ms=%.0f",
 			table_watch->table, table_watch->kept_rows,
-			table_watch->restored_rows, table_watch->restored_upto,
+			table_watch->restored_rows,
+			store_version_own(table_watch->restored_upto),
 			-ms_since(table_watch, table_watch->keep_until_s));
 }
 
--- a/test/unit/test_store_era.c
+++ b/test/unit/test_store_era.c
@@ -3,7 +3,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "entry/table_watch.h"
+#include "entry/table_watch_impl.h"
 #include "keys/key_allocator.h"
 #include "keys/lease.h"
 #include "manual_clock.h"
@@ -331,6 +331,48 @@
 	teardown(&f);
 }
 
+/* Rows that the store lost stay known while the table is read again. */
+static void lost_rows_outlast_further_snapshots(void)
+{
+	static const struct {
+		const char *name;
+		/* The era of the second snapshot, and what it shows. */
+		uint64_t era;
+		const char *rows;
+		uint64_t version;
+		const char *reported;
+	} cases[] = {
+		{ "the same rows", AFTER, "a5x b6x", 12, "" },
+		{ "a row that was written since", AFTER, "a5x b14z", 20, "" },
+		{ "the store went back again", AFTER + 1, "a5x b14z", 20, "" },
+		{ "the store went back to the first copy", AFTER + 1, "a5x b6x",
+		  20, "" },
+		{ "a row that was removed since", AFTER, "b14z", 20, "-a " },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fixture f;
+
+		start_watch(&f, "c11x");
+		tick(&f, 0.2, store_version(AFTER, 6));
+		answer_rows(&f, AFTER, "a5x b6x", 12);
+		relay(&f, AFTER, "b14z");
+		g_string_truncate(f.reported, 0);
+		tick(&f, 1, store_version(AFTER, 14));
+		if (cases[i].era == AFTER)
+			table_watch_start_snapshot(f.watch, true);
+		else
+			tick(&f, 1, store_version(cases[i].era, 14));
+		answer_rows(&f, cases[i].era, cases[i].rows, cases[i].version);
+		if (strcmp(f.reported->str, cases[i].reported) != 0)
+			printf("# %s: \"%s\"\n", cases[i].name,
+			       f.reported->str);
+		CU_ASSERT_STRING_EQUAL(f.reported->str, cases[i].reported);
+		teardown(&f);
+	}
+}
+
 /* --- the lease --- */
 
 static void on_won(void *ctx)
@@ -611,6 +653,8 @@
 		  a_relayed_row_of_a_new_era_is_taken_without_the_store },
 		{ "rows that stay lost are given up",
 		  rows_that_stay_lost_are_given_up },
+		{ "lost rows outlast further snapshots",
+		  lost_rows_outlast_further_snapshots },
 		{ "the holder keeps its lease when the store loses it",
 		  the_holder_keeps_its_lease_when_the_store_loses_it },
 		{ "no lease is acquired by a restored row",
