keys/lease: no lease is acquired on a version of an earlier era

Cause: a VM that knows the lease's row only from before the store went back acquired the lease on that version as soon as its wait was over. In the new era the holder's row may have this version again by chance, and to a VM that has had no answer of the store before, which doesn't wait, the restored row has it for certain. Two VMs then hold the lease.

Change: such a VM reads the row first, and waits a lease's length if it was restored. Nothing changes where the store shows no era.

--- a/src/keys/lease.c
+++ b/src/keys/lease.c
@@ -663,10 +663,20 @@
 	g_string_free(value, TRUE);
 }
 
+/* Whether this VM knows the row's version from an earlier era only. Another VM
+ * may have written the row since, by the same version. */
+static bool is_version_void(const struct lease *lease)
+{
+	return store_version_era(lease->expect) < current_era(lease) &&
+	       lease->expect;
+}
+
 void lease_tick(struct lease *lease)
 {
 	double now = now_of(lease);
 	bool awaits_store = lease->store_away && !is_fit(lease);
+	bool acquires = !awaits_store && acquire_at_s(lease) > 0 &&
+			now > acquire_at_s(lease);
 
 	if (lease->holding && now >= lease->held_until_s)
 		lose_lease(lease, "the lease could not be renewed in time");
@@ -675,10 +685,9 @@
 	if (lease->call_in_progress || now < lease->next_call_s ||
 	    lease->stopped)
 		return;
-	if (lease->holding || (!awaits_store && acquire_at_s(lease) > 0 &&
-			       now > acquire_at_s(lease)))
+	if (lease->holding || (acquires && !is_version_void(lease)))
 		write_row(lease);
-	else if (awaits_store || !lease->version_seen_s ||
+	else if (acquires || awaits_store || !lease->version_seen_s ||
 		 (lease->early && now > lease->version_seen_s + READ_AFTER_S))
 		read_row(lease);
 }
--- a/test/unit/test_store_era.c
+++ b/test/unit/test_store_era.c
@@ -562,6 +562,55 @@
 	teardown(&f);
 }
 
+/* A VM knows a version of the row from before, by heartbeats; in the new era
+ * the row may have that version again while another VM holds the lease. */
+static void no_lease_is_acquired_on_a_version_of_an_earlier_era(void)
+{
+	static const struct {
+		const char *name;
+		/* Whether the VM has had an answer of the store before. */
+		uint64_t era;
+	} cases[] = {
+		{ "a VM that saw the era change", BEFORE },
+		{ "a VM that has had no answer before", 0 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		double waited_s = 0;
+		struct fixture f;
+
+		start_lease(&f, BEFORE);
+		if (!cases[i].era) {
+			store_era_destroy(f.store.era);
+			f.store.era =
+				store_era_create(&f.loop, NULL, f.metrics);
+			lease_destroy(f.lease);
+			f.lease = lease_create(&f.loop, &f.store, &lease_ops,
+					       &f, "vm", "127.0.0.1:1");
+		}
+		/* Among so many VMs it doesn't read the row of itself. */
+		lease_set_vms(f.lease, 1000000);
+		lease_observe_version(f.lease, store_version(BEFORE, 54));
+		manual_clock_advance(&f.clock, 10);
+		store_era_observe(f.store.era, AFTER, "follow");
+		run_until_call(&f, 5);
+		CU_ASSERT_EQUAL(f.call, 'r');
+		if (f.call == 'r')
+			answer_lease(&f, STORE_OK, store_version(AFTER, 54),
+				     "other", BEFORE);
+		while (waited_s < 5 && f.call != 'w') {
+			manual_clock_advance(&f.clock, 0.05);
+			waited_s += 0.05;
+			lease_tick(f.lease);
+		}
+		CU_ASSERT_EQUAL(f.expect, store_version(AFTER, 54));
+		CU_ASSERT_TRUE(waited_s > LEASE_S * 1.02);
+		CU_ASSERT_TRUE(waited_s < LEASE_S * 1.02 + 1.2);
+		teardown(&f);
+	}
+}
+
 /* --- owners of keys --- */
 
 struct owners {
@@ -661,6 +710,8 @@
 		  no_lease_is_acquired_by_a_restored_row },
 		{ "a write sent before the store went back acquires nothing",
 		  a_write_sent_before_the_store_went_back_acquires_nothing },
+		{ "no lease is acquired on a version of an earlier era",
+		  no_lease_is_acquired_on_a_version_of_an_earlier_era },
 		{ "unknown owners get no keys until all grants ended",
 		  unknown_owners_get_no_keys_until_all_grants_ended },
 		{ 0 },
