entry: a service whose owner map is lost isn't a new one

Cause: when the store came back without a service's row, the leader set its version to 0, by which it also told a new service. While the number of its upstreams changed within 1.2 s at a time it neither saved the map nor renewed grants.

Change: a service that has had a row isn't new any more.

Measured: the new case failed before; unit-test_cluster passes.

--- a/src/entry/key_leader.c
+++ b/src/entry/key_leader.c
@@ -61,6 +61,8 @@
 	 * changed; used until the first owner map is saved. */
 	guint list_length;
 	double list_changed_s;
+	/** The service has had a row in the store. */
+	bool had_row;
 	/** Calls key_leader_tick() before its next regular call. */
 	ev_timer early_tick;
 	/** Seconds for which owners may hold granted keys, as in the last call
@@ -569,7 +571,10 @@
 {
 	double now = now_of(leader);
 
+	/* The store may lose the row later on. */
 	if (leader->row_version)
+		leader->had_row = true;
+	if (leader->had_row)
 		return false;
 	if (leader->list_length != leader->service->upstreams->len) {
 		leader->list_length = leader->service->upstreams->len;
--- a/test/unit/test_cluster.c
+++ b/test/unit/test_cluster.c
@@ -42,6 +42,7 @@
 	struct loop loop;
 	struct entry_settings settings;
 	struct store store;
+	struct store_era *era;
 	struct event_log *log;
 	struct metrics *metrics;
 	struct roster *roster;
@@ -396,6 +397,8 @@
 	rig->store.impl = rig;
 	rig->log = event_log_create(&log);
 	rig->metrics = metrics_create();
+	rig->era = store_era_create(&rig->loop, NULL, rig->metrics);
+	rig->store.era = rig->era;
 	crashes.log = rig->log;
 	crashes.metrics = rig->metrics;
 	rig->crashes = crash_watch_create(&crashes);
@@ -435,6 +438,7 @@
 	crash_watch_destroy(rig->crashes);
 	roster_destroy(rig->roster);
 	customers_destroy(rig->customers);
+	store_era_destroy(rig->era);
 	metrics_destroy(rig->metrics);
 	event_log_destroy(rig->log);
 	key_map_destroy(rig->saved);
@@ -609,6 +613,49 @@
 	teardown(&rig);
 }
 
+/* The store comes back from a copy without any owner map. */
+static void lose_maps(struct rig *rig, uint64_t era)
+{
+	struct fake_row *row = find_row(rig, KEY_TABLE, SERVICE);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(row);
+	g_free(row->key);
+	g_string_free(row->value, TRUE);
+	*row = rig->rows[--rig->row_count];
+	rig->version = store_version(era, store_version_own(rig->version));
+	row = find_row(rig, LEASE_TABLE, LEASE_KEY);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(row);
+	row->version = rig->version;
+	store_era_observe(rig->era, era, "test");
+}
+
+/* Guards against a leader that takes a service whose map the store lost for a
+ * new one: it renewed no grant while upstreams came and went. */
+static void a_lost_map_is_saved_while_upstreams_join(void)
+{
+	struct rig rig;
+	uint16_t i;
+
+	setup(&rig);
+	rig.version = store_version(1, 100);
+	store_era_observe(rig.era, 1, "test");
+	configure_service(&rig);
+	run_until_leading(&rig);
+	run(&rig, 3);
+	CU_ASSERT_PTR_NOT_NULL(rig.saved);
+	lose_maps(&rig, 2);
+	for (i = 0; i < 6; i++) {
+		char *id = g_strdup_printf("c%u", i);
+
+		add_upstream(&rig, id, 10 + i);
+		run(&rig, 0.5);
+		g_free(id);
+	}
+	CU_ASSERT_TRUE(rig.cluster->leading);
+	CU_ASSERT_PTR_NOT_NULL(find_row(&rig, KEY_TABLE, SERVICE));
+	teardown(&rig);
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -620,6 +667,8 @@
 		  a_service_that_comes_back_keeps_its_owners },
 		{ "owner maps are read to the last",
 		  owner_maps_are_read_to_the_last },
+		{ "a lost map is saved while upstreams join",
+		  a_lost_map_is_saved_while_upstreams_join },
 		{ 0 },
 	};
 
