keys: answers to earlier requests don't end an owner's refusals

Cause: any answer by a grant ended the pause after a refusal. An owner that lost its keys at work goes on to answer what it was sent before, and each such answer let all waiting requests through to it, to be refused.

Change: an answer counts if its request was sent after the last refusal.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -430,8 +430,8 @@
 
 	attempt_end(attempt, LOAD_ANSWERED);
 	if (req && req->key >= 0)
-		refused_grants_ran(req->service->refused_grants,
-				   attempt->fence);
+		refused_grants_ran(req->service->refused_grants, attempt->fence,
+				   attempt->started_s);
 	if (req) {
 		route_stats_add(req->stats, took, (double)reply->body->len);
 		crash_watch_answered(forward->options.crashes,
--- a/src/keys/refused_grants.c
+++ b/src/keys/refused_grants.c
@@ -77,9 +77,14 @@
 		refusal->until_s = now_s + refusal->wait_s;
 }
 
-void refused_grants_ran(struct refused_grants *grants, uint64_t fence)
+void refused_grants_ran(struct refused_grants *grants, uint64_t fence,
+			double sent_s)
 {
-	g_hash_table_remove(grants->by_fence, &fence);
+	const struct refusal *refusal =
+		g_hash_table_lookup(grants->by_fence, &fence);
+
+	if (refusal && sent_s >= refusal->noted_s)
+		g_hash_table_remove(grants->by_fence, &fence);
 }
 
 double refused_grants_wait_s(const struct refused_grants *grants,
--- a/src/keys/refused_grants.h
+++ b/src/keys/refused_grants.h
@@ -35,8 +35,10 @@
 void refused_grants_sent(struct refused_grants *grants, uint64_t fence,
 			 double now_s);
 
-/** Notes that an owner ran a request by a grant. */
-void refused_grants_ran(struct refused_grants *grants, uint64_t fence);
+/** Notes that an owner ran a request by a grant: it holds the key, if the
+ * request was sent after its last refusal. */
+void refused_grants_ran(struct refused_grants *grants, uint64_t fence,
+			double sent_s);
 
 /** Returns the time until a request may be sent by a grant; 0: now. */
 double refused_grants_wait_s(const struct refused_grants *grants,
