entry: unknown owners aren't saved as none

Cause: a new leader that reads a restored owner map waits for all grants, and saved its map, which names no owner meanwhile, at once and in the present era. If it ended within that wait, the next leader took the map for true, waited for nothing and granted the keys while upstreams held them by grants of before.

--- a/test/unit/test_cluster.c
+++ b/test/unit/test_cluster.c
@@ -656,6 +656,28 @@
 	teardown(&rig);
 }
 
+/* Guards against a leader that saves, before the grants of earlier leaders have
+ * ended, a map without owners: the next leader granted the keys at once. */
+static void unknown_owners_are_not_saved_as_none(void)
+{
+	struct rig rig;
+
+	setup(&rig);
+	rig.version = store_version(2, 100);
+	store_era_observe(rig.era, 2, "test");
+	configure_service(&rig);
+	put_map(&rig, "a", 100);
+	run_until_leading(&rig);
+	run(&rig, 5);
+	CU_ASSERT_TRUE(rig.cluster->maps_read);
+	CU_ASSERT_PTR_NULL(rig.saved);
+	run(&rig, 5);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(rig.saved);
+	CU_ASSERT_EQUAL(rig.saved->era, 2);
+	CU_ASSERT_PTR_NOT_NULL(key_map_find(rig.saved, 0)->owner);
+	teardown(&rig);
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -669,6 +691,8 @@
 		  owner_maps_are_read_to_the_last },
 		{ "a lost map is saved while upstreams join",
 		  a_lost_map_is_saved_while_upstreams_join },
+		{ "unknown owners are not saved as none",
+		  unknown_owners_are_not_saved_as_none },
 		{ 0 },
 	};
 
