keys/lease: a release of an earlier era isn't announced

Cause: a VM that stops announced its lease free also when the store went back meanwhile and the write met its condition by chance, over the row of a VM that leads since. The others would acquire the lease at once.

Change: only a release that was answered in the era in which it was sent is announced.

Measured: the new case failed before; unit-test_store_era and _keys pass.

--- a/src/keys/lease.c
+++ b/src/keys/lease.c
@@ -593,7 +593,8 @@
 		record_own_write(lease, result->version, attempt->sent_s,
 				 attempt->era);
 		lease->next_call_s = attempt->sent_s + RENEW_S;
-		if (lease->stopped && !lease->release_due)
+		if (lease->stopped && !lease->release_due &&
+		    attempt->era == store_version_era(result->version))
 			lease->ops->released(lease->ctx);
 		break;
 	case STORE_CONFLICT:
--- a/test/unit/test_store_era.c
+++ b/test/unit/test_store_era.c
@@ -32,6 +32,7 @@
 	/** What the watch reported: "+key " and "-key ". */
 	GString *reported;
 	bool holding;
+	bool released;
 };
 
 static void note_call(struct fixture *f, char call, store_done_fn done,
@@ -393,8 +394,13 @@
 	(void)address;
 }
 
+static void on_released(void *ctx)
+{
+	((struct fixture *)ctx)->released = true;
+}
+
 static const struct lease_ops lease_ops = { on_won, on_lost, on_learned,
-					    on_nothing, on_nothing };
+					    on_nothing, on_released };
 
 static void start_lease(struct fixture *f, uint64_t era)
 {
@@ -611,6 +617,30 @@
 	}
 }
 
+/* A release whose condition was met by chance doesn't free the lease, which
+ * another VM may hold. */
+static void a_release_of_an_earlier_era_is_not_announced(void)
+{
+	static const struct {
+		uint64_t era;
+		bool released;
+	} cases[] = { { BEFORE, true }, { AFTER, false } };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fixture f;
+
+		acquire(&f);
+		lease_stop(f.lease);
+		CU_ASSERT_EQUAL_FATAL(f.call, 'w');
+		store_era_observe(f.store.era, cases[i].era, "write");
+		answer_lease(&f, STORE_OK, store_version(cases[i].era, 80),
+			     NULL, 0);
+		CU_ASSERT_EQUAL(f.released, cases[i].released);
+		teardown(&f);
+	}
+}
+
 /* --- owners of keys --- */
 
 struct owners {
@@ -712,6 +742,8 @@
 		  a_write_sent_before_the_store_went_back_acquires_nothing },
 		{ "no lease is acquired on a version of an earlier era",
 		  no_lease_is_acquired_on_a_version_of_an_earlier_era },
+		{ "a release of an earlier era is not announced",
+		  a_release_of_an_earlier_era_is_not_announced },
 		{ "unknown owners get no keys until all grants ended",
 		  unknown_owners_get_no_keys_until_all_grants_ended },
 		{ 0 },
