--- a/test/unit/test_store_era.c
+++ b/test/unit/test_store_era.c
@@ -3,7 +3,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "entry/table_watch.h"
+#include "entry/table_watch_impl.h"
 #include "keys/key_allocator.h"
 #include "keys/lease.h"
 #include "manual_clock.h"
@@ -32,6 +32,7 @@
 	/** What the watch reported: "+key " and "-key ". */
 	GString *reported;
 	bool holding;
+	bool released;
 };
 
 static void note_call(struct fixture *f, char call, store_done_fn done,
@@ -331,6 +332,48 @@
 	teardown(&f);
 }
 
+/* Rows that the store lost stay known while the table is read again. */
+static void lost_rows_outlast_further_snapshots(void)
+{
+	static const struct {
+		const char *name;
+		/* The era of the second snapshot, and what it shows. */
+		uint64_t era;
+		const char *rows;
+		uint64_t version;
+		const char *reported;
+	} cases[] = {
+		{ "the same rows", AFTER, "a5x b6x", 12, "" },
+		{ "a row that was written since", AFTER, "a5x b14z", 20, "" },
+		{ "the store went back again", AFTER + 1, "a5x b14z", 20, "" },
+		{ "the store went back to the first copy", AFTER + 1, "a5x b6x",
+		  20, "" },
+		{ "a row that was removed since", AFTER, "b14z", 20, "-a " },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fixture f;
+
+		start_watch(&f, "c11x");
+		tick(&f, 0.2, store_version(AFTER, 6));
+		answer_rows(&f, AFTER, "a5x b6x", 12);
+		relay(&f, AFTER, "b14z");
+		g_string_truncate(f.reported, 0);
+		tick(&f, 1, store_version(AFTER, 14));
+		if (cases[i].era == AFTER)
+			table_watch_start_snapshot(f.watch, true);
+		else
+			tick(&f, 1, store_version(cases[i].era, 14));
+		answer_rows(&f, cases[i].era, cases[i].rows, cases[i].version);
+		if (strcmp(f.reported->str, cases[i].reported) != 0)
+			printf("# %s: \"%s\"\n", cases[i].name,
+			       f.reported->str);
+		CU_ASSERT_STRING_EQUAL(f.reported->str, cases[i].reported);
+		teardown(&f);
+	}
+}
+
 /* --- the lease --- */
 
 static void on_won(void *ctx)
@@ -351,8 +394,13 @@
 	(void)address;
 }
 
+static void on_released(void *ctx)
+{
+	((struct fixture *)ctx)->released = true;
+}
+
 static const struct lease_ops lease_ops = { on_won, on_lost, on_learned,
-					    on_nothing, on_nothing };
+					    on_nothing, on_released };
 
 static void start_lease(struct fixture *f, uint64_t era)
 {
@@ -520,6 +568,79 @@
 	teardown(&f);
 }
 
+/* A VM knows a version of the row from before, by heartbeats; in the new era
+ * the row may have that version again while another VM holds the lease. */
+static void no_lease_is_acquired_on_a_version_of_an_earlier_era(void)
+{
+	static const struct {
+		const char *name;
+		/* Whether the VM has had an answer of the store before. */
+		uint64_t era;
+	} cases[] = {
+		{ "a VM that saw the era change", BEFORE },
+		{ "a VM that has had no answer before", 0 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		double waited_s = 0;
+		struct fixture f;
+
+		start_lease(&f, BEFORE);
+		if (!cases[i].era) {
+			store_era_destroy(f.store.era);
+			f.store.era =
+				store_era_create(&f.loop, NULL, f.metrics);
+			lease_destroy(f.lease);
+			f.lease = lease_create(&f.loop, &f.store, &lease_ops,
+					       &f, "vm", "127.0.0.1:1");
+		}
+		/* Among so many VMs it doesn't read the row of itself. */
+		lease_set_vms(f.lease, 1000000);
+		lease_observe_version(f.lease, store_version(BEFORE, 54));
+		manual_clock_advance(&f.clock, 10);
+		store_era_observe(f.store.era, AFTER, "follow");
+		run_until_call(&f, 5);
+		CU_ASSERT_EQUAL(f.call, 'r');
+		if (f.call == 'r')
+			answer_lease(&f, STORE_OK, store_version(AFTER, 54),
+				     "other", BEFORE);
+		while (waited_s < 5 && f.call != 'w') {
+			manual_clock_advance(&f.clock, 0.05);
+			waited_s += 0.05;
+			lease_tick(f.lease);
+		}
+		CU_ASSERT_EQUAL(f.expect, store_version(AFTER, 54));
+		CU_ASSERT_TRUE(waited_s > LEASE_S * 1.02);
+		CU_ASSERT_TRUE(waited_s < LEASE_S * 1.02 + 1.2);
+		teardown(&f);
+	}
+}
+
+/* A release whose condition was met by chance doesn't free the lease, which
+ * another VM may hold. */
+static void a_release_of_an_earlier_era_is_not_announced(void)
+{
+	static const struct {
+		uint64_t era;
+		bool released;
+	} cases[] = { { BEFORE, true }, { AFTER, false } };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fixture f;
+
+		acquire(&f);
+		lease_stop(f.lease);
+		CU_ASSERT_EQUAL_FATAL(f.call, 'w');
+		store_era_observe(f.store.era, cases[i].era, "write");
+		answer_lease(&f, STORE_OK, store_version(cases[i].era, 80),
+			     NULL, 0);
+		CU_ASSERT_EQUAL(f.released, cases[i].released);
+		teardown(&f);
+	}
+}
+
 /* --- owners of keys --- */
 
 struct owners {
@@ -640,12 +761,18 @@
 		  a_relayed_row_of_a_new_era_is_taken_without_the_store },
 		{ "rows that stay lost are given up",
 		  rows_that_stay_lost_are_given_up },
+		{ "lost rows outlast further snapshots",
+		  lost_rows_outlast_further_snapshots },
 		{ "the holder keeps its lease when the store loses it",
 		  the_holder_keeps_its_lease_when_the_store_loses_it },
 		{ "no lease is acquired by a restored row",
 		  no_lease_is_acquired_by_a_restored_row },
 		{ "a write sent before the store went back acquires nothing",
 		  a_write_sent_before_the_store_went_back_acquires_nothing },
+		{ "no lease is acquired on a version of an earlier era",
+		  no_lease_is_acquired_on_a_version_of_an_earlier_era },
+		{ "a release of an earlier era is not announced",
+		  a_release_of_an_earlier_era_is_not_announced },
 		{ "unknown owners get no keys until all grants ended",
 		  unknown_owners_get_no_keys_until_all_grants_ended },
 		{ "unknown owners are not saved as known ones",
