--- a/src/entry/key_leader.c
+++ b/src/entry/key_leader.c
@@ -50,9 +50,6 @@
 	 * is in progress. */
 	uint64_t saved_era;
 	uint64_t writing_era;
-	/** Until when upstreams may hold keys by grants that the map doesn't
-	 * name, since the store lost them; 0: none do. */
-	double unknown_until_s;
 	/** Number of the last write of the row, counted by this object. */
 	uint32_t write_number;
 	/** Random number; identifies this leader's writes together with
@@ -455,15 +452,13 @@
 	if (row)
 		inherited.owners_unknown =
 			map->era < store_version_era(row->version);
-	if (inherited.owners_unknown) {
-		leader->unknown_until_s = inherited_until_s;
+	if (inherited.owners_unknown)
 		event_log_write(
 			options->log, "warning", "keys",
 			"event=owners_unknown service=%s era=%" PRIu64
 			" map_era=%" PRIu64 " row=%" PRIu64 " wait_ms=%.0f",
 			service->name, era, map->era, leader->row_version,
 			(inherited_until_s - now_of(leader)) * 1000);
-	}
 	leader->saved_era = map->era;
 	leader->key_allocator =
 		key_allocator_create(&key_allocator_ops, leader, &inherited);
@@ -595,10 +590,6 @@
 
 	if (leader->writing || !leader->row_version || leader->saved_era == era)
 		return;
-	/* To the next leader, a map without owners would say that nobody holds
-	 * the keys. */
-	if (now_of(leader) <= leader->unknown_until_s)
-		return;
 	leader->saved_era = era;
 	key_allocator_save_again(leader->key_allocator);
 }
--- a/src/keys/lease.c
+++ b/src/keys/lease.c
@@ -402,7 +402,7 @@
  * may have written the row since, by the same version. */
 static bool is_version_void(const struct lease *lease)
 {
-	return store_version_era(lease->expect) < current_era(lease) &&
+	return store_version_era(lease->expect) < lease_current_era(lease) &&
 	       lease->expect;
 }
 
