keys: a map without known owners isn't saved

Cause: after the store came back from an older copy, a new leader doesn't know the owners and waits for all grants to run out. Its first tick saved the restored map again (save_restored_map() in entry/key_leader.c), by then without owners, and marked it as one of the present era. A leader that took over during the wait relied on that row (key_leader_create()), found no owners and no reason to wait, and granted all keys at once, which others still held.

Change: the allocator saves nothing until the owners' grants have run out, so that the row stays one of the earlier era and the next leader waits, too.

Measured: the new case of unit-test_store_era failed before (one save) and passes now; unit-test_keys, unit-planted_keys and unit-test_ownership_faults pass.

--- a/src/keys/key_allocator.c
+++ b/src/keys/key_allocator.c
@@ -62,6 +62,9 @@
 	allocator->fence =
 		MAX(inherited->map->fence, inherited->fence_min) + FENCE_GAP;
 	allocator->next_order = 1;
+	if (inherited->owners_unknown &&
+	    !injected(INJECTED_NO_WAIT_FOR_OLD_GRANTS))
+		allocator->owners_unknown_until_s = inherited->until_s;
 	for (i = 0; i < spans->len; i++) {
 		struct span_state state = inherit_span(
 			inherited, &g_array_index(spans, struct key_span, i));
@@ -426,7 +429,8 @@
 		tick_one(allocator, span_state_at(allocator, i), now_s, hold_s);
 	key_allocator_balance(allocator, now_s);
 	if (allocator->save_wanted && !allocator->saving &&
-	    now_s >= allocator->save_at_s)
+	    now_s >= allocator->save_at_s &&
+	    now_s > allocator->owners_unknown_until_s)
 		start_save(allocator);
 	key_allocator_forget_loads(allocator);
 	allocator->candidates = NULL;
--- a/src/keys/key_allocator.h
+++ b/src/keys/key_allocator.h
@@ -114,7 +114,7 @@
 	/** When the last grant of earlier leaders expires. */
 	double until_s;
 	/** The map may be an older one, so that its owners may have been
-	 * replaced: no key is granted until then. */
+	 * replaced: no key is granted and no map saved until then. */
 	bool owners_unknown;
 	/** Lower bound of the fencing tokens: all that were issued by leaders
 	 * whose maps are lost are lower. */
--- a/src/keys/key_allocator_impl.h
+++ b/src/keys/key_allocator_impl.h
@@ -83,6 +83,9 @@
 	bool save_wanted;
 	/** Earliest time of the next save, which is set after a failed one. */
 	double save_at_s;
+	/** Until then nobody knows the owners, and the map, which has none,
+	 * must not be saved: another leader would take it for the newest. */
+	double owners_unknown_until_s;
 	/** Time of the last balancing round. */
 	double balanced_s;
 	/** The candidates passed to key_allocator_tick(), borrowed; NULL when
--- a/test/unit/test_store_era.c
+++ b/test/unit/test_store_era.c
@@ -602,6 +602,35 @@
 	key_map_destroy(map);
 }
 
+/* A leader that takes over from this one would rely on the saved map. */
+static void unknown_owners_are_not_saved_as_known_ones(void)
+{
+	struct key_candidate a = { .id = g_intern_string("a"),
+				   .started_ms = 1,
+				   .weight = 1 };
+	struct key_map *map = key_map_create();
+	struct key_inheritance inherited = {
+		.map = map,
+		.until_s = 20,
+		.owners_unknown = true,
+	};
+	struct key_allocator *allocator;
+	struct owners owners = { 0 };
+	unsigned int tick;
+
+	g_array_index(map->spans, struct key_span, 0).owner = a.id;
+	allocator = key_allocator_create(&key_ops, &owners, &inherited);
+	key_allocator_save_again(allocator);
+	for (tick = 0; tick < 200; tick++)
+		key_allocator_tick(allocator, 10 + tick * 0.05, 3, &a, 1);
+	CU_ASSERT_EQUAL(owners.saves, 0);
+	for (; tick < 206; tick++)
+		key_allocator_tick(allocator, 10 + tick * 0.05, 3, &a, 1);
+	CU_ASSERT_EQUAL(owners.saves, 1);
+	key_allocator_destroy(allocator);
+	key_map_destroy(map);
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -619,6 +648,8 @@
 		  a_write_sent_before_the_store_went_back_acquires_nothing },
 		{ "unknown owners get no keys until all grants ended",
 		  unknown_owners_get_no_keys_until_all_grants_ended },
+		{ "unknown owners are not saved as known ones",
+		  unknown_owners_are_not_saved_as_known_ones },
 		{ 0 },
 	};
 
