standin-site: writers repeat their newest lost write

Cause: a fault of the stand-in. When the store went back twice within 2 s, the repetition of a row's older lost write was still due. It was written over a newer one that the second copy had (its version counted as restored), and the repetition of a newer one that was lost, too, was dropped, as the row had been written since the return. So an upstream could be listed as ready for good after it had said that it drains, or the other way round.

Change: a lost write is repeated unless the store has a later one of its row, by the time of the writes, and at most one per row is due.

--- a/test/functional/test_standin.c
+++ b/test/functional/test_standin.c
@@ -442,6 +442,46 @@
 	process_destroy(upstream);
 }
 
+static void command(const char *address, const char *uri, const char *body)
+{
+	CU_ASSERT_EQUAL(status_of(address, uri, body), 200);
+}
+
+static void site_repeats_the_last_write_of_a_row(void)
+{
+	static const struct {
+		const char *name;
+		/* How far the store goes back the second time. */
+		const char *again;
+	} cases[] = {
+		{ "which a second return loses", "/control/return?id=500" },
+		{ "which a second return keeps", "/control/return?id=100" },
+	};
+	struct process *site;
+	struct http_answer *rows;
+	const char *address;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		site = start_listening("site", "standin-site", NULL);
+		address = process_address(site, "store");
+		command(address, "/control/entry?id=row", "one");
+		g_usleep(600 * G_TIME_SPAN_MILLISECOND);
+		command(address, "/control/entry?id=row", "two");
+		g_usleep(300 * G_TIME_SPAN_MILLISECOND);
+		command(address, "/control/return?id=600", NULL);
+		command(address, "/control/entry?id=row", "three");
+		g_usleep(300 * G_TIME_SPAN_MILLISECOND);
+		command(address, cases[i].again, NULL);
+		g_usleep(2500 * G_TIME_SPAN_MILLISECOND);
+		rows = send_to(address, "/rows?table=servers", NULL, NULL);
+		/* Base64 of "three". */
+		CU_ASSERT_PTR_NOT_NULL(strstr(rows->body->str, "dGhyZWU="));
+		http_answer_destroy(rows);
+		process_destroy(site);
+	}
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -457,6 +497,8 @@
 		{ "two owners at once are counted",
 		  two_owners_at_once_are_counted },
 		{ "loadgen sees each fault", loadgen_sees_each_fault },
+		{ "the site repeats the last write of a row",
+		  site_repeats_the_last_write_of_a_row },
 		{ 0 },
 	};
 	int status;
--- a/test/standin/site.h
+++ b/test/standin/site.h
@@ -33,8 +33,6 @@
  * @param value in Base64; NULL removes the row */
 void site_write_row(struct site *site, const char *table, const char *key,
 		    const char *value);
-/** Returns the version of the last change of a row; 0: it never existed. */
-guint64 site_row_version(struct site *site, const char *table, const char *key);
 
 /** Empties all tables, answers the feed requests that wait with 503, and sets
  * the version to 0. */
--- a/test/standin/site_restore.c
+++ b/test/standin/site_restore.c
@@ -22,8 +22,6 @@
 struct rewrite {
 	double due_s;
 	struct change change;
-	/** The store's version when it came back. */
-	guint64 restored;
 };
 
 struct site_history {
@@ -72,6 +70,44 @@
 	return !strcmp(table, "op") || !strcmp(table, "servers");
 }
 
+/* Returns the change of a row that is to be repeated already, or NULL. */
+static GList *find_rewrite(const struct site *site, const struct change *change)
+{
+	GList *node;
+
+	for (node = site->history->rewrites.head; node; node = node->next) {
+		const struct rewrite *rewrite = node->data;
+
+		if (!strcmp(rewrite->change.table, change->table) &&
+		    !strcmp(rewrite->change.key, change->key))
+			return node;
+	}
+	return NULL;
+}
+
+/* Has a writer repeat a lost change, unless it repeats a later one. */
+static void plan_rewrite(struct site *site, const struct change *change)
+{
+	GList *node = find_rewrite(site, change);
+	struct rewrite *rewrite;
+
+	if (node) {
+		rewrite = node->data;
+		if (rewrite->change.at_s > change->at_s)
+			return;
+		clear_change(&rewrite->change);
+		g_free(rewrite);
+		g_queue_delete_link(&site->history->rewrites, node);
+	}
+	rewrite = g_new0(struct rewrite, 1);
+	rewrite->due_s = loop_now(&site->loop) + REWRITE_S;
+	rewrite->change = *change;
+	rewrite->change.table = g_strdup(change->table);
+	rewrite->change.key = g_strdup(change->key);
+	rewrite->change.value = g_strdup(change->value);
+	g_queue_push_tail(&site->history->rewrites, rewrite);
+}
+
 /* Has the writers of lost changes repeat the last one of each row. */
 static void plan_rewrites(struct site *site, guint first)
 {
@@ -96,18 +132,10 @@
 			&g_array_index(changes, struct change, i);
 		char *name =
 			g_strdup_printf("%s/%s", change->table, change->key);
-		struct rewrite *rewrite;
 
 		if (is_rewritten(change->table) &&
-		    GPOINTER_TO_UINT(g_hash_table_lookup(last, name)) == i) {
-			rewrite = g_new0(struct rewrite, 1);
-			rewrite->due_s = loop_now(&site->loop) + REWRITE_S;
-			rewrite->change = *change;
-			rewrite->change.table = g_strdup(change->table);
-			rewrite->change.key = g_strdup(change->key);
-			rewrite->change.value = g_strdup(change->value);
-			g_queue_push_tail(&site->history->rewrites, rewrite);
-		}
+		    GPOINTER_TO_UINT(g_hash_table_lookup(last, name)) == i)
+			plan_rewrite(site, change);
 		g_free(name);
 	}
 	g_hash_table_destroy(last);
@@ -118,7 +146,6 @@
 	GArray *changes = site->history->changes;
 	double until_s = loop_now(&site->loop) - age_s;
 	guint64 version = site->version;
-	GList *node;
 	guint kept = 0, i;
 
 	while (kept < changes->len &&
@@ -135,8 +162,6 @@
 		site_store_load(site, change->table, change->key,
 				change->value);
 	}
-	for (node = site->history->rewrites.head; node; node = node->next)
-		((struct rewrite *)node->data)->restored = site->version;
 	site->era++;
 	site_event(site,
 		   "restored %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT
@@ -144,6 +169,25 @@
 		   site->era, version, site->version);
 }
 
+/* Whether the store has a later change of the same row. */
+static bool is_superseded(const struct site *site, const struct change *change)
+{
+	const GArray *changes = site->history->changes;
+	guint i;
+
+	for (i = changes->len; i > 0; i--) {
+		const struct change *other =
+			&g_array_index(changes, struct change, i - 1);
+
+		if (other->at_s <= change->at_s)
+			return false;
+		if (!strcmp(other->table, change->table) &&
+		    !strcmp(other->key, change->key))
+			return true;
+	}
+	return false;
+}
+
 void site_restore_tick(struct site *site)
 {
 	GQueue *rewrites = &site->history->rewrites;
@@ -154,8 +198,7 @@
 		const struct change *change = &rewrite->change;
 
 		g_queue_pop_head(rewrites);
-		if (site_row_version(site, change->table, change->key) <=
-		    rewrite->restored)
+		if (!is_superseded(site, change))
 			site_write_row(site, change->table, change->key,
 				       change->value);
 		clear_change(&rewrite->change);
--- a/test/standin/site_store.c
+++ b/test/standin/site_store.c
@@ -261,13 +261,6 @@
 	answer_watches(site);
 }
 
-guint64 site_row_version(struct site *site, const char *table, const char *key)
-{
-	const struct row *row = g_hash_table_lookup(table_of(site, table), key);
-
-	return row ? row->version : 0;
-}
-
 void site_store_clear(struct site *site)
 {
 	struct watch *watch;
