--- a/src/entry/change_push.c
+++ b/src/entry/change_push.c
@@ -104,9 +104,10 @@
 	event_log_write(push->options.log, bytes ? "info" : "warning", "copies",
 			"event=%s table=%u after=%" PRIu64 " version=%" PRIu64
 			" rows=%zu bytes=%u vms=%u",
-			bytes ? "pushed" : "too_large", table, changes.after,
-			changes.upto, changes.count, bytes ? bytes->len : 0,
-			to->len);
+			bytes ? "pushed" : "too_large", table,
+			store_version_own(changes.after),
+			store_version_own(changes.upto), changes.count,
+			bytes ? bytes->len : 0, to->len);
 	if (bytes) {
 		header.term = term;
 		header.table = table;
--- a/src/entry/cluster.c
+++ b/src/entry/cluster.c
@@ -69,7 +69,7 @@
  * lease by writing this version of its row. */
 static uint64_t first_map_version(uint64_t lease)
 {
-	return store_version_era(lease) << MAPS_ERA_SHIFT |
+	return store_version_era(lease) << KEY_MAP_ERA_SHIFT |
 	       store_version_own(lease) * MAPS_PER_LEASE;
 }
 
@@ -79,7 +79,7 @@
 
 	event_log_write(cluster->options.log, "info", "lease",
 			"event=won row=%" PRIu64 " before=%s heartbeat_ms=%.0f",
-			lease_version(cluster->lease),
+			store_version_own(lease_version(cluster->lease)),
 			cluster->followed ? cluster->followed : "-",
 			(cluster_now(cluster) - cluster->last_heartbeat_s) *
 				1000);
@@ -111,7 +111,8 @@
 
 	event_log_write(cluster->options.log, "warning", "lease",
 			"event=lost reason=\"%s\" row=%" PRIu64 " held_ms=%.0f",
-			reason, lease_version(cluster->lease),
+			reason,
+			store_version_own(lease_version(cluster->lease)),
 			(cluster_now(cluster) - cluster->won_s) * 1000);
 	cluster->leading = false;
 	orders_cancel(cluster->orders);
@@ -227,7 +228,8 @@
 	cluster->hold_s = cluster->options.settings->hold_max_s;
 	event_log_write(cluster->options.log, "warning", "lease",
 			"event=renewal_failed hold_s=%.1f row=%" PRIu64,
-			cluster->hold_s, lease_version(cluster->lease));
+			cluster->hold_s,
+			store_version_own(lease_version(cluster->lease)));
 	g_hash_table_foreach(cluster->key_leaders, renew_all, cluster);
 }
 
@@ -238,7 +240,7 @@
 
 	event_log_write(cluster->options.log, "info", "lease",
 			"event=released row=%" PRIu64 " vms=%u",
-			lease_version(cluster->lease),
+			store_version_own(lease_version(cluster->lease)),
 			live_vms_count(cluster->vms));
 	cluster_send_resignation(cluster);
 }
--- a/src/entry/cluster_impl.h
+++ b/src/entry/cluster_impl.h
@@ -59,7 +59,6 @@
  * version of its lease row times this number, with the low bits of the era
  * above. */
 #define MAPS_PER_LEASE 1000000
-#define MAPS_ERA_SHIFT 56
 
 /* VMs besides the leader that poll the store as well, so that a change is
  * noticed even if the leader's own call was lost. */
--- a/src/entry/cluster_maps.c
+++ b/src/entry/cluster_maps.c
@@ -116,7 +116,7 @@
 	event_log_write(cluster->options.log, "info", "keys",
 			"event=leading maps=%zu version=%" PRIu64
 			" lease_left_ms=%.0f inherited_ms=%.0f",
-			result->row_count, result->version,
+			result->row_count, store_version_own(result->version),
 			cluster_lease_left_s(cluster) * 1000,
 			(cluster->inherited_until_s - cluster_now(cluster)) *
 				1000);
@@ -185,7 +185,8 @@
 	event_log_write(cluster->options.log, "warning", "keys",
 			"event=owners_from_store lease=%" PRIu64
 			" version=%" PRIu64 " heartbeat_ms=%.0f",
-			lease_version(cluster->lease), result->version,
+			store_version_own(lease_version(cluster->lease)),
+			store_version_own(result->version),
 			(cluster_now(cluster) - cluster->last_heartbeat_s) *
 				1000);
 	load_blocked_requests(cluster, result);
--- a/src/entry/cluster_messages.c
+++ b/src/entry/cluster_messages.c
@@ -237,7 +237,7 @@
 	if (beat->resigned) {
 		event_log_write(cluster->options.log, "info", "lease",
 				"event=resigned leader=%.64s row=%" PRIu64,
-				beat->vm, beat->lease);
+				beat->vm, store_version_own(beat->lease));
 		lease_observe_release(cluster->lease, beat->lease);
 		return;
 	}
--- a/src/entry/cluster_status.c
+++ b/src/entry/cluster_status.c
@@ -114,13 +114,14 @@
 
 void cluster_note_published(const struct cluster *cluster)
 {
-	event_log_write(cluster->options.log, "info", "keys",
-			"event=published map=%" PRIu64 " lease=%" PRIu64
-			" lease_left_ms=%.0f hold_ms=%.0f",
-			cluster->map_base + cluster->map_number,
-			lease_version(cluster->lease),
-			lease_left_s(cluster->lease) * MS_PER_S,
-			cluster->hold_s * MS_PER_S);
+	event_log_write(
+		cluster->options.log, "info", "keys",
+		"event=published map=%" PRIu64 " lease=%" PRIu64
+		" lease_left_ms=%.0f hold_ms=%.0f",
+		key_map_shown_version(cluster->map_base + cluster->map_number),
+		store_version_own(lease_version(cluster->lease)),
+		lease_left_s(cluster->lease) * MS_PER_S,
+		cluster->hold_s * MS_PER_S);
 }
 
 void cluster_note_heartbeat(struct cluster *cluster, const LeaderBeat *beat)
@@ -130,13 +131,13 @@
 	if (before && !strcmp(before, beat->vm))
 		return;
 	cluster->followed = g_intern_string(beat->vm);
-	event_log_write(cluster->options.log, "info", "cluster",
-			"event=follows leader=%.64s before=%s lease=%" PRIu64
-			" heartbeat_ms=%.0f map=%" PRIu64,
-			beat->vm, before ? before : "-", beat->lease,
-			(cluster_now(cluster) - cluster->last_heartbeat_s) *
-				MS_PER_S,
-			cluster->newest_map_version);
+	event_log_write(
+		cluster->options.log, "info", "cluster",
+		"event=follows leader=%.64s before=%s lease=%" PRIu64
+		" heartbeat_ms=%.0f map=%" PRIu64,
+		beat->vm, before ? before : "-", store_version_own(beat->lease),
+		(cluster_now(cluster) - cluster->last_heartbeat_s) * MS_PER_S,
+		key_map_shown_version(cluster->newest_map_version));
 }
 
 bool cluster_is_outdated(struct cluster *cluster, uint64_t lease,
@@ -155,7 +156,8 @@
 	event_log_write(cluster->options.log, "warning", "cluster",
 			"event=ignored_heartbeat vm=%.64s lease=%" PRIu64
 			" known=%" PRIu64 " follows=%s",
-			vm, lease, lease_version(cluster->lease),
+			vm, store_version_own(lease),
+			store_version_own(lease_version(cluster->lease)),
 			cluster->followed ? cluster->followed : "-");
 	return true;
 }
--- a/src/entry/copy_exchange.c
+++ b/src/entry/copy_exchange.c
@@ -133,12 +133,13 @@
 	part.table = number;
 	part.upto = copy.upto;
 	bytes = table_copy_encode(&copy);
-	event_log_write(
-		exchange->options.log, bytes ? "info" : "warning", "copies",
-		"event=%s table=%u version=%" PRIu64
-		" rows=%zu bytes=%u vms=%u",
-		bytes ? "sent" : "too_large", number, copy.upto, copy.count,
-		bytes ? bytes->len : 0, table->requests->len);
+	event_log_write(exchange->options.log, bytes ? "info" : "warning",
+			"copies",
+			"event=%s table=%u version=%" PRIu64
+			" rows=%zu bytes=%u vms=%u",
+			bytes ? "sent" : "too_large", number,
+			store_version_own(copy.upto), copy.count,
+			bytes ? bytes->len : 0, table->requests->len);
 	if (bytes) {
 		bulk_sender_send(exchange->options.sender, bytes, &part,
 				 table->requests, BULK_COPIES);
@@ -178,7 +179,8 @@
 		return;
 	event_log_write(exchange->options.log, "info", "copies",
 			"event=applied table=%u version=%" PRIu64 " rows=%zu",
-			part->table, copy->upto, copy->n_rows);
+			part->table, store_version_own(copy->upto),
+			copy->n_rows);
 	copy_message_apply(table->watch, copy);
 	table_changes__free_unpacked(copy, NULL);
 }
--- a/src/entry/key_leader.c
+++ b/src/entry/key_leader.c
@@ -202,7 +202,7 @@
 		leader->service->name, order->first, order->last, order->owner,
 		order->fence, order->handover != NULL, order->hold_s * 1000,
 		leader->options.lease_left_s(leader->options.ctx) * 1000,
-		leader->row_version);
+		store_version_own(leader->row_version));
 }
 
 static void send_grant(void *ctx, const struct key_order *order)
@@ -245,8 +245,9 @@
 			" map=%" PRIu64 " hold_ms=%.0f lease_left_ms=%.0f",
 			leader->service->name, span->first, span->last,
 			span->owner ? span->owner : "-", to, span->fence,
-			reason, leader->row_version,
-			leader->service->keys->version, leader->hold_s * 1000,
+			reason, store_version_own(leader->row_version),
+			key_map_shown_version(leader->service->keys->version),
+			leader->hold_s * 1000,
 			leader->options.lease_left_s(leader->options.ctx) *
 				1000);
 }
@@ -453,12 +454,13 @@
 		inherited.owners_unknown =
 			map->era < store_version_era(row->version);
 	if (inherited.owners_unknown)
-		event_log_write(
-			options->log, "warning", "keys",
-			"event=owners_unknown service=%s era=%" PRIu64
-			" map_era=%" PRIu64 " row=%" PRIu64 " wait_ms=%.0f",
-			service->name, era, map->era, leader->row_version,
-			(inherited_until_s - now_of(leader)) * 1000);
+		event_log_write(options->log, "warning", "keys",
+				"event=owners_unknown service=%s era=%" PRIu64
+				" map_era=%" PRIu64 " row=%" PRIu64
+				" wait_ms=%.0f",
+				service->name, era, map->era,
+				store_version_own(leader->row_version),
+				(inherited_until_s - now_of(leader)) * 1000);
 	leader->saved_era = map->era;
 	leader->key_allocator =
 		key_allocator_create(&key_allocator_ops, leader, &inherited);
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -146,7 +146,7 @@
 			"event=ignored reason=not_newer version=%" PRIu64
 			" in_force=%" PRIu64 " row=%" PRIu64,
 			version, roster_config(entry->roster)->version,
-			row->version);
+			store_version_own(row->version));
 		return;
 	}
 	http_server_set_limits(entry->caller_server,
@@ -161,8 +161,8 @@
 			"event=in_force version=%" PRIu64 " row=%" PRIu64
 			" invalid_routes=%u invalid_services=%u"
 			" invalid_customers=%u",
-			version, row->version, invalid_routes, invalid_services,
-			invalid_customers);
+			version, store_version_own(row->version),
+			invalid_routes, invalid_services, invalid_customers);
 }
 
 static void on_operator_removed(void *ctx, const char *key)
--- a/src/entry/request_log.c
+++ b/src/entry/request_log.c
@@ -50,7 +50,8 @@
 	g_snprintf(buf, size,
 		   " owner=%s fence=%" PRIu64 " map=%" PRIu64
 		   " map_age_ms=%.0f map_missed=%d",
-		   span->owner ? span->owner : "-", span->fence, keys->version,
+		   span->owner ? span->owner : "-", span->fence,
+		   key_map_shown_version(keys->version),
 		   ms_since(req->service->keys_updated_s,
 			    forward_now(req->forward)),
 		   status && watch_status_news(status)->missed_owners);
@@ -120,7 +121,7 @@
 			attempt->busy_before, load->slots,
 			load_expected_s(load, req->stats->mean_s, now) * 1000,
 			load->slowness, (now - load->others_s) * 1000, backup,
-			upstream->entry.row_version,
+			store_version_own(upstream->entry.row_version),
 			ms_since(upstream->listed_s, now),
 			watch_status_age_ms(forward->options.status,
 					    COPIED_UPSTREAM_ROWS),
--- a/src/entry/status_metrics.c
+++ b/src/entry/status_metrics.c
@@ -126,8 +126,9 @@
 
 	if (age_s < 0)
 		age_s = loop_now(metrics->options.loop) - metrics->created_s;
-	counter_set(to->row, table_watch_row_version(watch));
-	counter_set(to->newest_row, news->newest_rows[table]);
+	counter_set(to->row, store_version_own(table_watch_row_version(watch)));
+	counter_set(to->newest_row,
+		    store_version_own(news->newest_rows[table]));
 	counter_set(to->age, (uint64_t)(age_s * MS_PER_S));
 	counter_set(to->unreachable, table_watch_unreachable(watch));
 	counter_set(to->snapshots, counts->snapshots);
@@ -159,7 +160,7 @@
 	labels = g_strdup_printf("service=\"%s\"", name);
 	counter_set(metrics_gauge(m, "auburn_key_map_version", labels,
 				  "Version of the owners in use."),
-		    service->keys->version);
+		    key_map_shown_version(service->keys->version));
 	if (service->keys_updated_s)
 		counter_set(
 			metrics_gauge(m, "auburn_key_map_age_ms", labels,
@@ -185,8 +186,9 @@
 			    news->source == (enum watch_source)i);
 	roster_each_upstream(options->roster, count_upstream, &upstreams);
 	counter_set(metrics->config, config ? config->version : 0);
-	counter_set(metrics->config_row,
-		    watch_status_config_row(options->status));
+	counter_set(
+		metrics->config_row,
+		store_version_own(watch_status_config_row(options->status)));
 	counter_set(metrics->upstreams, upstreams);
 	counter_set(metrics->sharing_vms, roster_vm_count(options->roster));
 	counter_set(metrics->leader_age,
--- a/src/entry/table_watch_log.c
+++ b/src/entry/table_watch_log.c
@@ -34,7 +34,8 @@
 	event_log_write(table_watch->log, "info", "store",
 			"event=caught_up table=%s row=%" PRIu64
 			" behind_ms=%.0f calls=%u",
-			table_watch->table, table_watch->row_version,
+			table_watch->table,
+			store_version_own(table_watch->row_version),
 			ms_since(table_watch, lag->since_s), lag->calls);
 }
 
@@ -54,18 +55,23 @@
 	    now <= lag->since_s + LAG_LOGGED_AFTER_S)
 		return;
 	lag->logged = true;
-	event_log_write(
-		table_watch->log, "warning", "store",
-		"event=behind table=%s row=%" PRIu64 " newest=%" PRIu64
-		" behind_ms=%.0f version=%" PRIu64
-		" relies_on_others=%d call_pending=%d call_ms=%.0f"
-		" unreachable=%d",
-		table_watch->table, table_watch->row_version,
-		table_watch->peers_version, ms_since(table_watch, lag->since_s),
-		table_watch->version, table_watch_relies_on_peers(table_watch),
-		table_watch->call_pending,
-		ms_since(table_watch, table_watch->call_started_s),
-		table_watch->unreachable);
+	event_log_write(table_watch->log, "warning", "store",
+			"event=behind table=%s row=%" PRIu64 " newest=%" PRIu64
+			" era=%" PRIu64 " newest_era=%" PRIu64
+			" behind_ms=%.0f version=%" PRIu64
+			" relies_on_others=%d call_pending=%d call_ms=%.0f"
+			" unreachable=%d",
+			table_watch->table,
+			store_version_own(table_watch->row_version),
+			store_version_own(table_watch->peers_version),
+			store_version_era(table_watch->version),
+			store_version_era(table_watch->peers_version),
+			ms_since(table_watch, lag->since_s),
+			store_version_own(table_watch->version),
+			table_watch_relies_on_peers(table_watch),
+			table_watch->call_pending,
+			ms_since(table_watch, table_watch->call_started_s),
+			table_watch->unreachable);
 }
 
 void table_watch_note_gap(struct table_watch *table_watch,
@@ -80,8 +86,10 @@
 	event_log_write(table_watch->log, "info", "store",
 			"event=gap table=%s version=%" PRIu64 " after=%" PRIu64
 			" upto=%" PRIu64,
-			table_watch->table, table_watch->version,
-			changes->after, changes->upto);
+			table_watch->table,
+			store_version_own(table_watch->version),
+			store_version_own(changes->after),
+			store_version_own(changes->upto));
 }
 
 void table_watch_note_catch_up(struct table_watch *table_watch)
@@ -91,8 +99,9 @@
 		event_log_write(table_watch->log, "info", "store",
 				"event=catch_up table=%s row=%" PRIu64
 				" version=%" PRIu64,
-				table_watch->table, table_watch->row_version,
-				table_watch->version);
+				table_watch->table,
+				store_version_own(table_watch->row_version),
+				store_version_own(table_watch->version));
 }
 
 void table_watch_note_given_up(struct table_watch *table_watch,
@@ -118,8 +127,10 @@
 		event_log_write(table_watch->log, "info", "store",
 				"event=older_row table=%s key=%.64s"
 				" row=%" PRIu64 " known=%" PRIu64 " removed=%d",
-				table_watch->table, row->key, row->version,
-				known->version, row->removed);
+				table_watch->table, row->key,
+				store_version_own(row->version),
+				store_version_own(known->version),
+				row->removed);
 }
 
 void table_watch_note_era(const struct table_watch *table_watch,
@@ -158,7 +169,7 @@
 	event_log_write(table_watch->log, "info", "store",
 			"event=read table=%s reason=%s version=%" PRIu64,
 			table_watch->table, table_watch->snapshot_reason,
-			table_watch->version);
+			store_version_own(table_watch->version));
 }
 
 void table_watch_note_loaded(struct table_watch *table_watch,
@@ -171,8 +182,9 @@
 			"event=loaded table=%s source=%s"
 			" version=%" PRIu64 " row=%" PRIu64
 			" rows=%u took_ms=%.0f",
-			table_watch->table, source, table_watch->version,
-			table_watch->row_version,
+			table_watch->table, source,
+			store_version_own(table_watch->version),
+			store_version_own(table_watch->row_version),
 			g_hash_table_size(table_watch->rows),
 			ms_since(table_watch, table_watch->call_started_s));
 }
--- a/src/entry/watch_status.c
+++ b/src/entry/watch_status.c
@@ -213,8 +213,9 @@
 		" newest_row=%" PRIu64
 		" config_age_ms=%.0f store_age_ms=%.0f source=%s"
 		" leader_age_ms=%.0f",
-		status->config_row, news->known_rows[COPIED_OPERATOR_ROWS],
-		news->newest_rows[COPIED_OPERATOR_ROWS],
+		store_version_own(status->config_row),
+		store_version_own(news->known_rows[COPIED_OPERATOR_ROWS]),
+		store_version_own(news->newest_rows[COPIED_OPERATOR_ROWS]),
 		watch_status_age_ms(status, COPIED_OPERATOR_ROWS),
 		age_ms(watch_status_answer_age_s(status, COPIED_OPERATOR_ROWS)),
 		watch_source_name(news->source),
--- a/src/keys/key_map.h
+++ b/src/keys/key_map.h
@@ -32,6 +32,16 @@
 	double wait_s;
 };
 
+/** The versions of owner maps in heartbeats hold the low bits of the store's
+ * era above this many others, which logs and metrics show. */
+#define KEY_MAP_ERA_SHIFT 56
+
+/** Returns a version of an owner map as logs and metrics show it. */
+static inline uint64_t key_map_shown_version(uint64_t version)
+{
+	return version & ((UINT64_C(1) << KEY_MAP_ERA_SHIFT) - 1);
+}
+
 /** The owner map of a service. */
 struct key_map {
 	/** Version of the map's row in the store. */
