functional-test_entry_restored: a leader that follows soon after another

Change: a case that kills the leader 1 s into an outage, when it has granted keys for 10 s, and its successor 1 s after it leads, while another upstream could get the keys again.

--- a/test/functional/test_entry_restored.c
+++ b/test/functional/test_entry_restored.c
@@ -117,7 +117,9 @@
 	return false;
 }
 
-static void a_new_leader_grants_no_keys_by_an_older_owner_map(void)
+/* The leader is killed while the store is away, and so are as many of its
+ * successors when they lead. */
+static void check_new_leader(unsigned int successors)
 {
 	unsigned int i;
 
@@ -127,10 +129,21 @@
 	entry_rig_command(&rig, "/control/lapse?id=3", NULL);
 	g_usleep(2 * AWAY_US);
 	entry_rig_command(&rig, "/control/down?id=1", NULL);
+	/* The leader grants keys for longer when its renewals fail. */
+	if (successors)
+		g_usleep(AWAY_US);
 	kill(process_pid(find_entry(true)->process), SIGKILL);
 	g_usleep(AWAY_US);
 	entry_rig_command(&rig, "/control/return?id=4000", NULL);
 	CU_ASSERT_TRUE(process_wait_until(has_leader, NULL, RIG_WAIT_US));
+	for (; successors; successors--) {
+		/* It could hold keys again. */
+		entry_rig_command(&rig, "/control/undrain?id=3", NULL);
+		g_usleep(AWAY_US);
+		kill(process_pid(find_entry(true)->process), SIGKILL);
+		CU_ASSERT_TRUE(
+			process_wait_until(has_leader, NULL, RIG_WAIT_US));
+	}
 	g_usleep(2 * AWAY_US);
 	for (i = 0; i < ENTRIES; i++)
 		if (process_running(rig.entries[i].process))
@@ -141,6 +154,16 @@
 	entry_rig_stop(&rig);
 }
 
+static void a_new_leader_grants_no_keys_by_an_older_owner_map(void)
+{
+	check_new_leader(0);
+}
+
+static void nor_does_one_that_follows_soon(void)
+{
+	check_new_leader(1);
+}
+
 int main(void)
 {
 	static const struct suite_case cases[] = {
@@ -148,6 +171,8 @@
 		  a_change_is_seen_by_a_vm_that_missed_the_return },
 		{ "a new leader grants no keys by an older owner map",
 		  a_new_leader_grants_no_keys_by_an_older_owner_map },
+		{ "nor does one that follows soon",
+		  nor_does_one_that_follows_soon },
 		{ 0 },
 	};
 
