--- a/src/entry/key_leader.c
+++ b/src/entry/key_leader.c
@@ -33,8 +33,6 @@
 /* Fencing tokens of an era of the store start at the era times 2 to the power
  * of this, above those of all earlier eras. JSON numbers hold them exactly. */
 #define FENCE_ERA_SHIFT 32
-/* Up to this era of the store, a service without a row never had one. */
-#define FIRST_ERA_MAX 1
 
 struct key_leader {
 	struct key_leader_options options;
@@ -428,7 +426,7 @@
 	struct key_inheritance inherited = {
 		.map = map,
 		.until_s = inherited_until_s,
-		.owners_unknown = era > FIRST_ERA_MAX,
+		.owners_unknown = era > STORE_FIRST_ERA_MAX,
 		.fence_min = era << FENCE_ERA_SHIFT,
 	};
 
--- a/src/keys/lease_row.c
+++ b/src/keys/lease_row.c
@@ -7,10 +7,6 @@
 #include "keys/lease_impl.h"
 #include "wire/entry.pb-c.h"
 
-/* Up to this era, a store without the row never had one: a store that counts
- * its eras from 0 or 1 hasn't come back from an older copy yet. */
-#define FIRST_ERA_MAX 1
-
 uint64_t lease_current_era(const struct lease *lease)
 {
 	return MAX(store_era_current(lease->store.era),
@@ -169,6 +165,6 @@
 	lease->version_seen_s = lease_now(lease);
 	/* There never was a leader: no lease has to expire. Later on the store
 	 * may have lost the row of one. */
-	if (store_version_era(store_version) <= FIRST_ERA_MAX)
+	if (store_version_era(store_version) <= STORE_FIRST_ERA_MAX)
 		lease->version_seen_s -= LEASE_S * CLOCK_FACTOR;
 }
--- a/src/store/store_era.h
+++ b/src/store/store_era.h
@@ -20,6 +20,10 @@
 /** The highest era that a version can hold. */
 #define STORE_ERA_MAX ((UINT64_C(1) << (64 - STORE_ERA_SHIFT)) - 1)
 
+/** Up to this era, what isn't in the store never was: a store that counts its
+ * eras from 0 or 1 hasn't come back from an older copy yet. */
+#define STORE_FIRST_ERA_MAX 1
+
 /** Returns the version that stands for a version of the store in an era. It is
  * newer than all versions of earlier eras. */
 static inline uint64_t store_version(uint64_t era, uint64_t own)
