--- a/test/unit/test_crash_exchange.c
+++ b/test/unit/test_crash_exchange.c
@@ -29,6 +29,7 @@
 static struct loop loop;
 static struct metrics *metrics;
 static struct event_log *event_log;
+static struct store_era *store_era;
 static struct vm vms[VMS];
 /* The last write, its value, and who gets the result. */
 static struct {
@@ -88,7 +89,7 @@
 	};
 	struct crash_exchange_options exchange = {
 		.loop = &loop,
-		.store = { .ops = &store_ops },
+		.store = { .ops = &store_ops, .era = store_era },
 		.changed = on_changed,
 		.ctx = vm,
 	};
@@ -121,6 +122,7 @@
 	loop.clock = &time_source.clock;
 	metrics = metrics_create();
 	event_log = event_log_create(&log);
+	store_era = store_era_create(&loop, NULL, metrics);
 	memset(&saved, 0, sizeof(saved));
 	saved.value = g_byte_array_new();
 	for (i = 0; i < VMS; i++)
@@ -134,6 +136,7 @@
 	for (i = 0; i < VMS; i++)
 		stop_vm(&vms[i]);
 	g_byte_array_free(saved.value, TRUE);
+	store_era_destroy(store_era);
 	event_log_destroy(event_log);
 	metrics_destroy(metrics);
 }
@@ -341,6 +344,27 @@
 	g_string_free(value, TRUE);
 }
 
+static void blocks_that_the_store_lost_are_saved_again(void)
+{
+	setup();
+	store_era_observe(store_era, 1, "test");
+	crash_everywhere();
+	run_rounds(&vms[0], ROUND_S);
+	crash_exchange_save(vms[0].exchange);
+	CU_ASSERT_EQUAL(saved.count, 1);
+	answer_save(STORE_OK, store_version(1, 5), NULL);
+	store_era_observe(store_era, 2, "test");
+	manual_clock_advance(&time_source, 1);
+	crash_exchange_save(vms[0].exchange);
+	CU_ASSERT_EQUAL(saved.count, 2);
+	CU_ASSERT_EQUAL(saved.expect, 0);
+	answer_save(STORE_OK, store_version(2, 4), NULL);
+	manual_clock_advance(&time_source, 1);
+	crash_exchange_save(vms[0].exchange);
+	CU_ASSERT_EQUAL(saved.count, 2);
+	teardown();
+}
+
 static void a_conflicting_save_keeps_the_blocks_in_the_row(void)
 {
 	GString *value = g_string_new(NULL);
@@ -415,6 +439,8 @@
 		  an_answer_lifts_a_block_on_all_vms },
 		{ "the store keeps blocks over the loss of all VMs",
 		  the_store_keeps_blocks_over_the_loss_of_all_vms },
+		{ "blocks that the store lost are saved again",
+		  blocks_that_the_store_lost_are_saved_again },
 		{ "a conflicting save keeps the blocks in the row",
 		  a_conflicting_save_keeps_the_blocks_in_the_row },
 		{ "an old row does not extend a block",
