--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -360,7 +360,7 @@
 			" map_age_ms=%.0f wait_ms=%.0f id=%s",
 			service->name, attempt->req->key,
 			attempt->upstream->entry.id, attempt->fence,
-			service->keys->version,
+			key_map_shown_version(service->keys->version),
 			(now - service->keys_updated_s) * 1000,
 			refused_grants_wait_s(service->refused_grants,
 					      attempt->fence, now) *
