standin-site: lost writes are planned by one rule

plan_rewrite() already keeps one repetition for each row, that of the latest write, so the table of last writes that went before it said the same again. No change of behaviour: functional-test_standin and functional-test_entry_restored pass.

--- a/test/standin/site_restore.c
+++ b/test/standin/site_restore.c
@@ -112,8 +112,6 @@
 static void plan_rewrites(struct site *site, guint first)
 {
 	const GArray *changes = site->history->changes;
-	GHashTable *last =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	guint i;
 
 	for (i = first; i < changes->len; i++) {
@@ -121,24 +119,8 @@
 			&g_array_index(changes, struct change, i);
 
 		if (is_rewritten(change->table))
-			g_hash_table_insert(last,
-					    g_strdup_printf("%s/%s",
-							    change->table,
-							    change->key),
-					    GUINT_TO_POINTER(i));
-	}
-	for (i = first; i < changes->len; i++) {
-		const struct change *change =
-			&g_array_index(changes, struct change, i);
-		char *name =
-			g_strdup_printf("%s/%s", change->table, change->key);
-
-		if (is_rewritten(change->table) &&
-		    GPOINTER_TO_UINT(g_hash_table_lookup(last, name)) == i)
 			plan_rewrite(site, change);
-		g_free(name);
 	}
-	g_hash_table_destroy(last);
 }
 
 void site_restore(struct site *site, double age_s)
