test/functional: what two tests of changed routes need is in one place

test_entry_restored.c repeated the configuration, the check of its added route and that of who leads from test_entry_slow_store.c. They are in cluster_entry.h now.

--- a/test/functional/cluster_entry.c
+++ b/test/functional/cluster_entry.c
@@ -128,6 +128,24 @@
 	       entry_status(entry, "/keyed/a", 60000) == 200;
 }
 
+bool entry_serves_added_route(void *entry)
+{
+	return entry_status(entry, "/added/a", 0) == 200;
+}
+
+bool entry_leads(const struct entry *entry)
+{
+	struct http_request request = {
+		.address = entry->metrics,
+		.uri = "/metrics",
+	};
+	struct http_answer *answer = http_send(&request);
+	bool leads = strstr(answer->body->str, "\nauburn_leads 1") != NULL;
+
+	http_answer_destroy(answer);
+	return leads;
+}
+
 GString *entry_rig_query(const struct entry_rig *rig, const char *uri,
 			 const char *body)
 {
--- a/test/functional/cluster_entry.h
+++ b/test/functional/cluster_entry.h
@@ -17,6 +17,21 @@
 /** Longest wait for a process or a condition. */
 #define RIG_WAIT_US ((int64_t)20 * G_USEC_PER_SEC)
 
+/** A configuration with a route of the keyed service, "/keyed/", and one that
+ * has the given path prefix; both arguments are string literals. */
+#define ENTRY_CONFIG(version, prefix)                                          \
+	"{\"version\":\"" version "\",\"routes\":{\"columns\":[\"name\","      \
+	"\"host\",\"prefix\",\"kind\",\"timeout_s\",\"aim_s\",\"priority\","   \
+	"\"service\",\"max_attempts\",\"split\"],\"rows\":[[\"keyed\","        \
+	"\"app.example\",\"/keyed/\",\"safe\",3,0.5,1,\"keyed\",2,null],"      \
+	"[\"added\",\"app.example\",\"" prefix "\",\"safe\",3,0.5,1,"          \
+	"\"plain\",2,null]]},\"services\":{\"columns\":[\"name\","             \
+	"\"health_path\",\"max_conns\",\"cold_start_s\",\"cold_per_s\","       \
+	"\"sharded\",\"warm_s\"],\"rows\":[[\"plain\",\"/health\",130,3,5.2,"  \
+	"null,null],[\"keyed\",\"/health\",130,3,5.2,true,3]]},\"limits\":{"   \
+	"\"max_header_bytes\":4096,\"max_body_bytes\":100000,"                 \
+	"\"header_timeout_s\":3,\"idle_timeout_s\":15}}"
+
 /** An auburn-entry process. */
 struct entry {
 	struct process *process;
@@ -74,6 +89,12 @@
 /** Returns whether an entry daemon serves a low and a high key. */
 bool entry_serves_keys(void *entry);
 
+/** Whether a daemon (struct entry) serves a route with the prefix "/added/". */
+bool entry_serves_added_route(void *entry);
+
+/** Whether a daemon says that it leads. */
+bool entry_leads(const struct entry *entry);
+
 /** Calls the control API of standin-site and returns the body of the answer;
  * the caller frees it. In its URIs, upstreams 0 and 1 serve the service
  * "plain", 2 and 3 the service "keyed". */
--- a/test/functional/test_entry_restored.c
+++ b/test/functional/test_entry_restored.c
@@ -3,7 +3,6 @@
  * versions are given out again.
  */
 #include <signal.h>
-#include <string.h>
 
 #include "cluster_entry.h"
 #include "suite.h"
@@ -18,46 +17,15 @@
  * those of before. */
 #define LATER_CHANGES 120
 
-#define CONFIG(version, prefix)                                                \
-	"{\"version\":\"" version "\",\"routes\":{\"columns\":[\"name\","      \
-	"\"host\",\"prefix\",\"kind\",\"timeout_s\",\"aim_s\",\"priority\","   \
-	"\"service\",\"max_attempts\",\"split\"],\"rows\":[[\"keyed\","        \
-	"\"app.example\",\"/keyed/\",\"safe\",3,0.5,1,\"keyed\",2,null],"      \
-	"[\"added\",\"app.example\",\"" prefix "\",\"safe\",3,0.5,1,"          \
-	"\"plain\",2,null]]},\"services\":{\"columns\":[\"name\","             \
-	"\"health_path\",\"max_conns\",\"cold_start_s\",\"cold_per_s\","       \
-	"\"sharded\",\"warm_s\"],\"rows\":[[\"plain\",\"/health\",130,3,5.2,"  \
-	"null,null],[\"keyed\",\"/health\",130,3,5.2,true,3]]},\"limits\":{"   \
-	"\"max_header_bytes\":4096,\"max_body_bytes\":100000,"                 \
-	"\"header_timeout_s\":3,\"idle_timeout_s\":15}}"
-
 static struct entry_rig rig;
 
-static bool serves_added_route(void *ctx)
-{
-	return entry_status(ctx, "/added/a", 0) == 200;
-}
-
-static bool leads(const struct entry *entry)
-{
-	struct http_request request = {
-		.address = entry->metrics,
-		.uri = "/metrics",
-	};
-	struct http_answer *answer = http_send(&request);
-	bool leads = strstr(answer->body->str, "\nauburn_leads 1") != NULL;
-
-	http_answer_destroy(answer);
-	return leads;
-}
-
 /* Returns a VM that leads, or one that doesn't. */
 static struct entry *find_entry(bool leading)
 {
 	unsigned int i;
 
 	for (i = 0; i < ENTRIES; i++)
-		if (leads(&rig.entries[i]) == leading)
+		if (entry_leads(&rig.entries[i]) == leading)
 			return &rig.entries[i];
 	CU_FAIL_FATAL("no such VM");
 	return NULL;
@@ -89,19 +57,22 @@
 
 	entry_rig_start(&rig, ENTRIES, GRACE_S);
 	frozen = find_entry(false);
-	entry_rig_command(&rig, "/control/config", CONFIG("r5", "/lost/"));
+	entry_rig_command(&rig, "/control/config",
+			  ENTRY_CONFIG("r5", "/lost/"));
 	write_other_rows();
-	entry_rig_command(&rig, "/control/config", CONFIG("r6", "/lost/"));
+	entry_rig_command(&rig, "/control/config",
+			  ENTRY_CONFIG("r6", "/lost/"));
 	g_usleep(AWAY_US);
 	kill(process_pid(frozen->process), SIGSTOP);
 	restore_store(4000);
-	entry_rig_command(&rig, "/control/config", CONFIG("r7", "/added/"));
+	entry_rig_command(&rig, "/control/config",
+			  ENTRY_CONFIG("r7", "/added/"));
 	write_other_rows();
 	write_other_rows();
 	g_usleep(FROZEN_US);
 	kill(process_pid(frozen->process), SIGCONT);
-	CU_ASSERT_TRUE(
-		process_wait_until(serves_added_route, frozen, RIG_WAIT_US));
+	CU_ASSERT_TRUE(process_wait_until(entry_serves_added_route, frozen,
+					  RIG_WAIT_US));
 	entry_rig_stop(&rig);
 }
 
@@ -112,7 +83,7 @@
 	(void)ctx;
 	for (i = 0; i < ENTRIES; i++)
 		if (process_running(rig.entries[i].process) &&
-		    leads(&rig.entries[i]))
+		    entry_leads(&rig.entries[i]))
 			return true;
 	return false;
 }
--- a/test/functional/test_entry_slow_store.c
+++ b/test/functional/test_entry_slow_store.c
@@ -3,7 +3,6 @@
  * on a machine that is short of processor time.
  */
 #include <signal.h>
-#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -21,39 +20,8 @@
 #define DATAGRAMS 4000
 #define DATAGRAM_BYTES 512
 
-#define CONFIG(version, prefix)                                                \
-	"{\"version\":\"" version "\",\"routes\":{\"columns\":[\"name\","      \
-	"\"host\",\"prefix\",\"kind\",\"timeout_s\",\"aim_s\",\"priority\","   \
-	"\"service\",\"max_attempts\",\"split\"],\"rows\":[[\"keyed\","        \
-	"\"app.example\",\"/keyed/\",\"safe\",3,0.5,1,\"keyed\",2,null],"      \
-	"[\"added\",\"app.example\",\"" prefix "\",\"safe\",3,0.5,1,"          \
-	"\"plain\",2,null]]},\"services\":{\"columns\":[\"name\","             \
-	"\"health_path\",\"max_conns\",\"cold_start_s\",\"cold_per_s\","       \
-	"\"sharded\",\"warm_s\"],\"rows\":[[\"plain\",\"/health\",130,3,5.2,"  \
-	"null,null],[\"keyed\",\"/health\",130,3,5.2,true,3]]},\"limits\":{"   \
-	"\"max_header_bytes\":4096,\"max_body_bytes\":100000,"                 \
-	"\"header_timeout_s\":3,\"idle_timeout_s\":15}}"
-
 static struct entry_rig rig;
 
-static bool serves_added_route(void *ctx)
-{
-	return entry_status(ctx, "/added/a", 0) == 200;
-}
-
-static bool leads(const struct entry *entry)
-{
-	struct http_request request = {
-		.address = entry->metrics,
-		.uri = "/metrics",
-	};
-	struct http_answer *answer = http_send(&request);
-	bool leads = strstr(answer->body->str, "\nauburn_leads 1") != NULL;
-
-	http_answer_destroy(answer);
-	return leads;
-}
-
 /* Fills the receive buffer of a frozen VM, so that it gets no later datagrams.
  */
 static void fill_receive_buffer(const struct entry *entry)
@@ -95,20 +63,20 @@
 
 		entry_rig_start(&rig, ENTRIES, GRACE_S);
 		for (i = 0; i < ENTRIES; i++)
-			leading[i] = leads(&rig.entries[i]);
+			leading[i] = entry_leads(&rig.entries[i]);
 		signal_followers(SIGSTOP, leading);
 		for (i = 0; i < ENTRIES; i++)
 			if (!leading[i])
 				fill_receive_buffer(&rig.entries[i]);
 		entry_rig_command(&rig, delays[n], NULL);
 		entry_rig_command(&rig, "/control/config",
-				  CONFIG("r5", "/added/"));
+				  ENTRY_CONFIG("r5", "/added/"));
 		g_usleep(FROZEN_US);
 		signal_followers(SIGCONT, leading);
 		for (i = 0; i < ENTRIES; i++)
-			CU_ASSERT_TRUE(process_wait_until(serves_added_route,
-							  &rig.entries[i],
-							  RIG_WAIT_US));
+			CU_ASSERT_TRUE(process_wait_until(
+				entry_serves_added_route, &rig.entries[i],
+				RIG_WAIT_US));
 		entry_rig_stop(&rig);
 	}
 }
