entry: an owner map isn't copied to be saved

Each save copied all spans to set the era. The message is built from a map that refers to the same spans. No change of behaviour; unit-test_cluster and _store_era pass.

--- a/src/entry/key_leader.c
+++ b/src/entry/key_leader.c
@@ -376,7 +376,8 @@
 static void save_map(void *ctx, const struct key_map *map)
 {
 	struct key_leader *leader = ctx;
-	struct key_map *saved = key_map_create();
+	/* Refers to the spans of the map. */
+	struct key_map saved = *map;
 	struct store_write write = {
 		.table = KEY_TABLE,
 		.key = leader->service->name,
@@ -387,11 +388,9 @@
 
 	leader->write_number++;
 	name = format_write_id(leader);
-	key_map_copy(saved, map);
-	saved->era = store_era_current(leader->options.store.era);
-	leader->writing_era = saved->era;
-	value = key_map_pack(saved, leader->service->name, name);
-	key_map_destroy(saved);
+	saved.era = store_era_current(leader->options.store.era);
+	leader->writing_era = saved.era;
+	value = key_map_pack(&saved, leader->service->name, name);
 	g_free(name);
 	write.value = (struct str){ value->str, value->len };
 	leader->writing = true;
