--- a/src/entry/table_watch.c
+++ b/src/entry/table_watch.c
@@ -135,6 +135,14 @@
 	ev_timer_start(table_watch->loop->ev, &table_watch->timer);
 }
 
+void table_watch_cancel_call(struct table_watch *table_watch)
+{
+	if (!table_watch->call_pending)
+		return;
+	table_watch->store.ops->cancel(table_watch->store.impl, table_watch);
+	table_watch->call_pending = false;
+}
+
 void table_watch_note_row_version(struct table_watch *table_watch,
 				  uint64_t version)
 {
--- a/src/entry/table_watch_era.c
+++ b/src/entry/table_watch_era.c
@@ -122,11 +122,7 @@
 static void read_again(struct table_watch *table_watch, const char *reason,
 		       double after_s)
 {
-	if (table_watch->call_pending) {
-		table_watch->store.ops->cancel(table_watch->store.impl,
-					       table_watch);
-		table_watch->call_pending = false;
-	}
+	table_watch_cancel_call(table_watch);
 	table_watch->needs_snapshot = true;
 	table_watch->catch_up_snapshot = false;
 	table_watch->snapshot_reason = reason;
--- a/src/entry/table_watch_impl.h
+++ b/src/entry/table_watch_impl.h
@@ -153,6 +153,9 @@
 void table_watch_set_unreachable(struct table_watch *table_watch,
 				 bool unreachable);
 
+/** Cancels the pending call to the store, if there is one. */
+void table_watch_cancel_call(struct table_watch *table_watch);
+
 /** Sets the time of the next call to the store. */
 void table_watch_schedule(struct table_watch *table_watch, double after_s);
 
--- a/src/entry/table_watch_peers.c
+++ b/src/entry/table_watch_peers.c
@@ -82,9 +82,7 @@
 {
 	if (table_watch->call_pending) {
 		table_watch_note_given_up(table_watch, reason);
-		table_watch->store.ops->cancel(table_watch->store.impl,
-					       table_watch);
-		table_watch->call_pending = false;
+		table_watch_cancel_call(table_watch);
 		table_watch->behind_since_s = 0;
 		table_watch->retry_delay_s = RETRY_S;
 	}
@@ -358,11 +356,7 @@
 
 	if (!table_watch_wants_copy(table_watch))
 		return;
-	if (table_watch->call_pending) {
-		table_watch->store.ops->cancel(table_watch->store.impl,
-					       table_watch);
-		table_watch->call_pending = false;
-	}
+	table_watch_cancel_call(table_watch);
 	table_watch_forget_seen_rows(table_watch);
 	for (i = 0; i < copy->count; i++)
 		table_watch_see_row(table_watch, &copy->rows[i]);
