keys/lease: a function stands after what it calls

lease_observe_release() needed a declaration of acquire_at_s() ahead. Code moved, not changed; unit-test_keys, _lease_fleet and _restart_fleet pass.

--- a/src/keys/lease.c
+++ b/src/keys/lease.c
@@ -169,7 +169,6 @@
 	return lease->version;
 }
 
-static double acquire_at_s(const struct lease *lease);
 static void write_row(struct lease *lease);
 
 void lease_lose(struct lease *lease, const char *reason)
@@ -193,22 +192,6 @@
 	lease_draw_delays(lease);
 }
 
-void lease_observe_release(struct lease *lease, uint64_t version)
-{
-	if (version < lease->version)
-		return;
-	lease_observe_version(lease, version);
-	lease->other_until_s = lease_now(lease);
-	if (!lease->store_away)
-		lease->next_call_s =
-			MIN(lease->next_call_s, acquire_at_s(lease));
-}
-
-void lease_set_knows_fleet(struct lease *lease, bool knows_fleet)
-{
-	lease->knows_fleet = knows_fleet;
-}
-
 /* Returns the time, in seconds from the end of an outage, that a VM which isn't
  * fit to lead leaves to those that are. They call the store at their own times,
  * rarer with the number of VMs. */
@@ -244,6 +227,22 @@
 	return at + lease->jitter_s + lease->acquire_delay_s;
 }
 
+void lease_observe_release(struct lease *lease, uint64_t version)
+{
+	if (version < lease->version)
+		return;
+	lease_observe_version(lease, version);
+	lease->other_until_s = lease_now(lease);
+	if (!lease->store_away)
+		lease->next_call_s =
+			MIN(lease->next_call_s, acquire_at_s(lease));
+}
+
+void lease_set_knows_fleet(struct lease *lease, bool knows_fleet)
+{
+	lease->knows_fleet = knows_fleet;
+}
+
 /* Notes whether the store answered a call. */
 static void set_store_away(struct lease *lease, bool away)
 {
